Lay the workspace: ports, messages and schemas that the parts share

Cause: nothing stands yet, and the parts are to be built side by side. Conclusion: parts can now be built against fixed interfaces.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,31 @@
+import js from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/gen/**', '**/node_modules/**', '.quickstart/**', '.bench/**'] },
+  js.configs.recommended,
+  {
+    files: ['packages/**/*.ts'],
+    extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    rules: {
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        { allowNumber: true, allowBoolean: true },
+      ],
+      '@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
+    },
+  },
+  {
+    files: ['**/*.mjs', '*.js'],
+    languageOptions: {
+      globals: {
+        process: 'readonly',
+        console: 'readonly',
+        URL: 'readonly',
+        fetch: 'readonly',
+        setTimeout: 'readonly',
+      },
+    },
+  },
+);
--- /dev/null
+++ b/packages/core/src/clock/index.ts
@@ -0,0 +1,3 @@
+export * from './clock.js';
+export * from './manualClock.js';
+export * from './systemClock.js';
--- /dev/null
+++ b/packages/core/src/event/index.ts
@@ -0,0 +1,1 @@
+export * from './event.js';
--- /dev/null
+++ b/packages/core/src/fault/index.ts
@@ -0,0 +1,1 @@
+export * from './fault.js';
--- /dev/null
+++ b/packages/core/src/id/index.ts
@@ -0,0 +1,1 @@
+export * from './id.js';
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,9 @@
+/** Ports and small utilities that every package shares. */
+export * from './clock/index.js';
+export * from './event/index.js';
+export * from './fault/index.js';
+export * from './id/index.js';
+export * from './metric/index.js';
+export * from './registry/index.js';
+export * from './setting/index.js';
+export * from './trace/index.js';
--- /dev/null
+++ b/packages/core/src/metric/index.ts
@@ -0,0 +1,1 @@
+export * from './metric.js';
--- /dev/null
+++ b/packages/core/src/registry/index.ts
@@ -0,0 +1,1 @@
+export * from './registry.js';
--- /dev/null
+++ b/packages/core/src/trace/index.ts
@@ -0,0 +1,2 @@
+export * from './setup.js';
+export * from './trace.js';
--- /dev/null
+++ b/packages/directory/src/index.ts
@@ -0,0 +1,2 @@
+/** What a process knows of documents, targets and instances, and how it learns it. */
+export * from './view/index.js';
--- /dev/null
+++ b/packages/directory/src/view/index.ts
@@ -0,0 +1,1 @@
+export * from './view.js';
--- /dev/null
+++ b/packages/document/src/index.ts
@@ -0,0 +1,2 @@
+/** Service documents: what operators write. */
+export * from './schema/index.js';
--- /dev/null
+++ b/packages/engine/src/index.ts
@@ -0,0 +1,2 @@
+/** The port to targets and its adapters. */
+export * from './port/index.js';
--- /dev/null
+++ b/packages/engine/src/port/index.ts
@@ -0,0 +1,1 @@
+export * from './engine.js';
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,5 @@
+/** Messages between the processes of the system, as generated from proto/. */
+export * as controlMessage from './gen/jasmineroute/control_pb.js';
+export * as gateMessage from './gen/jasmineroute/gate_pb.js';
+export * from './transport/index.js';
+export * from './role/index.js';
--- /dev/null
+++ b/packages/protocol/src/transport/index.ts
@@ -0,0 +1,4 @@
+/** Connections between the processes of the system. */
+export * from './peers.js';
+export * from './server.js';
+export * from './tls.js';
--- /dev/null
+++ b/packages/protocol/src/transport/peers.ts
@@ -0,0 +1,81 @@
+/** Connections to other processes of the system. */
+import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
+import type { Transport } from '@connectrpc/connect';
+import type { TlsStore } from './tls.js';
+
+/** Largest message that is read. */
+export const MAX_MESSAGE_BYTES = 72 * 1024 * 1024;
+
+/** An idle connection is checked before use, so that a request is not lost on one that went silent. */
+const IDLE_PING_MS = 1_000;
+const PING_TIMEOUT_MS = 1_000;
+
+interface Peer {
+  readonly transport: Transport;
+  readonly session: Http2SessionManager;
+}
+
+/** One HTTP/2 connection for each address, made when first used. */
+export class Peers {
+  private readonly peers = new Map<string, Peer>();
+
+  /** @param tls key material; absent: plain text, for loopback. */
+  constructor(private readonly tls?: TlsStore) {
+    tls?.onReload(() => {
+      this.forget();
+    });
+  }
+
+  /** The transport to host:port. Ask anew for each call: `drop` replaces it. */
+  transport(address: string): Transport {
+    const known = this.peers.get(address);
+    if (known !== undefined) return known.transport;
+    const peer = this.connect(address);
+    this.peers.set(address, peer);
+    return peer.transport;
+  }
+
+  /**
+   * Cuts the connection to an address; the next call gets a new one. For connections that went silent:
+   * something between the ends can lose track of one while new ones work, and then nothing ever closes it.
+   */
+  drop(address: string): void {
+    const peer = this.peers.get(address);
+    if (peer === undefined) return;
+    this.peers.delete(address);
+    peer.session.abort();
+  }
+
+  /** Cuts all connections. */
+  close(): void {
+    for (const address of [...this.peers.keys()]) this.drop(address);
+  }
+
+  /** New calls take new connections; running ones finish on the old. */
+  private forget(): void {
+    this.peers.clear();
+  }
+
+  private connect(address: string): Peer {
+    const material = this.tls?.current();
+    const baseUrl = `${material === undefined ? 'http' : 'https'}://${address}`;
+    const session = new Http2SessionManager(
+      baseUrl,
+      {
+        pingIntervalMs: IDLE_PING_MS,
+        pingTimeoutMs: PING_TIMEOUT_MS,
+        pingIdleConnection: false,
+        idleConnectionTimeoutMs: 60_000,
+      },
+      // Names are not addresses here: the authority that signed the certificate is what counts.
+      material === undefined ? undefined : { ...material, checkServerIdentity: () => undefined },
+    );
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: '2',
+      sessionManager: session,
+      readMaxBytes: MAX_MESSAGE_BYTES,
+    });
+    return { transport, session };
+  }
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,3 @@
+/** Routing decisions: which target takes a request, and whether any should. */
+export * from './policy/index.js';
+export * from './prefix/index.js';
--- /dev/null
+++ b/packages/routing/src/policy/index.ts
@@ -0,0 +1,1 @@
+export * from './policy.js';
--- /dev/null
+++ b/packages/routing/src/prefix/index.ts
@@ -0,0 +1,1 @@
+export * from './chain.js';
