--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,5 +1,6 @@
 /** Messages between the processes of the system, as generated from proto/. */
 export * as controlMessage from './gen/jasmineroute/control_pb.js';
 export * as gateMessage from './gen/jasmineroute/gate_pb.js';
+export * as stateMessage from './gen/jasmineroute/state_pb.js';
 export * from './transport/index.js';
 export * from './role/index.js';
--- /dev/null
+++ b/packages/testkit/src/certificate/index.ts
@@ -0,0 +1,1 @@
+export * from './certificate.js';
