--- /dev/null
+++ b/packages/bench/src/plain/index.ts
@@ -0,0 +1,2 @@
+export * from './server.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/bench/src/random/index.ts
@@ -0,0 +1,1 @@
+export * from './random.js';
--- /dev/null
+++ b/packages/bench/src/ready/index.ts
@@ -0,0 +1,1 @@
+export * from './ready.js';
--- /dev/null
+++ b/packages/coordination/src/agreement/configuration.ts
@@ -0,0 +1,159 @@
+/** Who votes and who learns, and the single steps from one such set to another. */
+import { create } from '@bufbuild/protobuf';
+import { ConfigurationSchema, VoterSchema } from '../gen/agreement/agreement_pb.js';
+import type { Configuration, Voter } from '../gen/agreement/agreement_pb.js';
+import type { ReplicaAddress } from './options.js';
+
+/** Voters needed for a decision. */
+export const quorumOf = (voters: number): number => Math.floor(voters / 2) + 1;
+
+/** Whether a replica votes. */
+export function isVoter(configuration: Configuration | undefined, replicaId: string): boolean {
+  return configuration?.voters.some((voter) => voter.replicaId === replicaId) ?? false;
+}
+
+/** All replicas: voters, then learners. */
+export function membersOf(configuration: Configuration | undefined): Voter[] {
+  return configuration === undefined ? [] : [...configuration.voters, ...configuration.learners];
+}
+
+/** Whether the replicas for which `holds` is true decide. */
+export function isQuorum(configuration: Configuration, holds: (voter: Voter) => boolean): boolean {
+  return configuration.voters.filter(holds).length >= quorumOf(configuration.voters.length);
+}
+
+/** Makes a replica's entry in a configuration. */
+export function voter(name: string, address: string, replicaId: string): Voter {
+  return create(VoterSchema, { name, address, replicaId });
+}
+
+/** Makes a configuration. */
+export function configurationOf(
+  clusterId: string,
+  voters: readonly Voter[],
+  learners: readonly Voter[],
+): Configuration {
+  return create(ConfigurationSchema, { clusterId, voters: [...voters], learners: [...learners] });
+}
+
+/** What is known when the next step is chosen. */
+export interface Outlook {
+  readonly current: Configuration;
+  readonly wanted: readonly ReplicaAddress[];
+  /** The leader's replica id. */
+  readonly self: string;
+  /** Replicas that answered lately at their wanted address, by name. */
+  readonly found: ReadonlyMap<string, Voter>;
+  /** Whether a replica has everything that is committed. */
+  readonly isCaughtUp: (replicaId: string) => boolean;
+  /** Whether a replica answered lately. */
+  readonly isReachable: (replicaId: string) => boolean;
+}
+
+type Step = (outlook: Outlook) => Configuration | undefined;
+
+const without = (members: readonly Voter[], gone: Voter): Voter[] =>
+  members.filter((member) => member.replicaId !== gone.replicaId);
+
+const withVoters = (current: Configuration, voters: readonly Voter[]): Configuration =>
+  configurationOf(current.clusterId, voters, current.learners);
+
+const withLearners = (current: Configuration, learners: readonly Voter[]): Configuration =>
+  configurationOf(current.clusterId, current.voters, learners);
+
+/** A voter or learner that listens at another address now. */
+const readdress: Step = ({ current, found }) => {
+  const isMoved = (member: Voter): boolean => {
+    const now = found.get(member.name);
+    return now?.replicaId === member.replicaId && now.address !== member.address;
+  };
+  if (!membersOf(current).some(isMoved)) return undefined;
+  const moved = (member: Voter): Voter => (isMoved(member) ? (found.get(member.name) ?? member) : member);
+  return configurationOf(current.clusterId, current.voters.map(moved), current.learners.map(moved));
+};
+
+/** A learner that is not wanted, or whose name now belongs to another replica. */
+const removeLearner: Step = ({ current, wanted, found }) => {
+  const isStale = (learner: Voter): boolean => {
+    const now = found.get(learner.name);
+    const isWanted = wanted.some(({ name }) => name === learner.name);
+    return !isWanted || (now !== undefined && now.replicaId !== learner.replicaId);
+  };
+  const stale = current.learners.find(isStale);
+  return stale && withLearners(current, without(current.learners, stale));
+};
+
+/** A wanted replica that is no member: it learns before it votes. */
+const addLearner: Step = ({ current, wanted, found }) => {
+  const ids = new Set(membersOf(current).map((member) => member.replicaId));
+  const missing = wanted
+    .map(({ name }) => found.get(name))
+    .find((replica) => replica !== undefined && !ids.has(replica.replicaId));
+  return missing && withLearners(current, [...current.learners, missing]);
+};
+
+/**
+ * A voter whose disk is gone, once its successor has caught up. Removed before the successor votes: with the
+ * successor added first, a set of four with one lost for good would stop at the next failure.
+ */
+const removeSuperseded: Step = ({ current, isCaughtUp }) => {
+  const superseded = current.voters.find((old) =>
+    current.learners.some((learner) => learner.name === old.name && isCaughtUp(learner.replicaId)),
+  );
+  return superseded && withVoters(current, without(current.voters, superseded));
+};
+
+/** A learner that has caught up votes. */
+const promote: Step = ({ current, isCaughtUp }) => {
+  const ready = current.learners.find((learner) => {
+    const isNameFree = !current.voters.some(({ name }) => name === learner.name);
+    return isNameFree && isCaughtUp(learner.replicaId);
+  });
+  if (ready === undefined) return undefined;
+  return configurationOf(
+    current.clusterId,
+    [...current.voters, ready],
+    without(current.learners, ready),
+  );
+};
+
+/** A voter that is not wanted, once all wanted ones vote; the leader itself last. */
+const removeVoter: Step = ({ current, wanted, self }) => {
+  const names = new Set(current.voters.map(({ name }) => name));
+  if (!wanted.every(({ name }) => names.has(name))) return undefined;
+  const unwanted = current.voters.filter((old) => !wanted.some(({ name }) => name === old.name));
+  const gone = unwanted.find((old) => old.replicaId !== self) ?? unwanted[0];
+  return gone && withVoters(current, without(current.voters, gone));
+};
+
+const steps: readonly Step[] = [
+  readdress,
+  removeLearner,
+  addLearner,
+  removeSuperseded,
+  promote,
+  removeVoter,
+];
+
+/**
+ * The next single step towards the wanted replicas, or undefined when none is due or safe. At most one voter
+ * is added or removed, so that any quorum before and any quorum after share a replica. A step whose own
+ * quorum does not answer is not taken: it could never be committed, nor undone.
+ */
+export function nextStep(outlook: Outlook): Configuration | undefined {
+  for (const step of steps) {
+    const next = step(outlook);
+    if (next === undefined) continue;
+    const isLive = isQuorum(next, ({ replicaId }) => outlook.isReachable(replicaId));
+    return isLive ? next : undefined;
+  }
+  return undefined;
+}
+
+/** Whether the voters are the wanted replicas, and nobody is learning. */
+export function isSettled(current: Configuration, wanted: readonly ReplicaAddress[]): boolean {
+  const isMet = wanted.every(({ name, address }) =>
+    current.voters.some((member) => member.name === name && member.address === address),
+  );
+  return isMet && current.learners.length === 0 && current.voters.length === wanted.length;
+}
--- /dev/null
+++ b/packages/coordination/src/agreement/entryLog.ts
@@ -0,0 +1,97 @@
+/** The log in memory: the entries behind a base that a snapshot covers. */
+import type { Configuration, Entry } from '../gen/agreement/agreement_pb.js';
+import { EntryKind } from '../gen/agreement/agreement_pb.js';
+
+/** A position in the log. */
+export interface Position {
+  readonly index: bigint;
+  readonly term: bigint;
+}
+
+/** Entries without a gap, in memory. */
+export class EntryLog {
+  private entries: Entry[] = [];
+  private base: Position = { index: 0n, term: 0n };
+  private baseConfiguration: Configuration | undefined;
+
+  /** Last position before the first entry held. */
+  get start(): Position {
+    return this.base;
+  }
+
+  /** Position of the last entry. */
+  get last(): Position {
+    const entry = this.entries.at(-1);
+    return entry === undefined ? this.base : { index: entry.index, term: entry.term };
+  }
+
+  /** The newest configuration in the log, committed or not, and its index (0: none). */
+  configuration(): { index: bigint; configuration: Configuration | undefined } {
+    const entry = this.entries.findLast(({ kind }) => kind === EntryKind.CONFIGURATION);
+    if (entry === undefined) return { index: this.base.index, configuration: this.baseConfiguration };
+    return { index: entry.index, configuration: entry.configuration };
+  }
+
+  /** The entry at an index, if held. */
+  at(index: bigint): Entry | undefined {
+    const offset = Number(index - this.base.index) - 1;
+    return offset < 0 ? undefined : this.entries[offset];
+  }
+
+  /** Term at an index; undefined when it lies before the base or behind the end. */
+  termAt(index: bigint): bigint | undefined {
+    if (index === this.base.index) return this.base.term;
+    return this.at(index)?.term;
+  }
+
+  /** Whether a log that ends at `other` holds everything that may be committed here. */
+  isCoveredBy(other: Position): boolean {
+    const { index, term } = this.last;
+    return other.term > term || (other.term === term && other.index >= index);
+  }
+
+  /** Entries from an index on, bounded in number and bytes of commands; at least one if there is one. */
+  slice(from: bigint, maxEntries: number, maxBytes: number): Entry[] {
+    const start = Number(from - this.base.index) - 1;
+    const candidates = this.entries.slice(start, start + maxEntries);
+    let bytes = 0;
+    const end = candidates.findIndex((entry, position) => {
+      bytes += entry.command.length;
+      return position > 0 && bytes > maxBytes;
+    });
+    return end < 0 ? candidates : candidates.slice(0, end);
+  }
+
+  append(entries: readonly Entry[]): void {
+    for (const entry of entries) this.entries.push(entry);
+  }
+
+  /** Drops entries from an index on. */
+  truncate(index: bigint): void {
+    this.entries.length = Math.max(0, Number(index - this.base.index) - 1);
+  }
+
+  /** Moves the base to an index held, with the configuration as of then. */
+  compact(index: bigint, configuration: Configuration | undefined): void {
+    const term = this.termAt(index);
+    if (term === undefined || index <= this.base.index) return;
+    this.entries = this.entries.slice(Number(index - this.base.index));
+    this.base = { index, term };
+    this.baseConfiguration = configuration;
+  }
+
+  /** Starts over behind a snapshot. */
+  reset(base: Position, configuration: Configuration | undefined): void {
+    this.entries = [];
+    this.base = base;
+    this.baseConfiguration = configuration;
+  }
+
+  /** First index of the run of equal terms that an index lies in. */
+  startOfTerm(index: bigint): bigint {
+    const term = this.termAt(index);
+    let first = index;
+    while (first - 1n > this.base.index && this.termAt(first - 1n) === term) first -= 1n;
+    return first;
+  }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './storage/index.js';
+export * from './membership/index.js';
--- /dev/null
+++ b/packages/coordination/src/metrics.ts
@@ -0,0 +1,19 @@
+/** Metrics of this package. */
+import { defineMetrics } from '@jasmineroute/core';
+
+/** The replicated log's measurements. */
+export const coordinationMetrics = defineMetrics({
+  commit: {
+    name: 'coordination.commit.duration',
+    type: 'timing',
+    help: 'Time from proposing a command at the leader to its result, ms',
+  },
+  elections: { name: 'coordination.elections', type: 'counter', help: 'Candidacies of this replica' },
+  dropped: {
+    name: 'coordination.connections.dropped',
+    type: 'counter',
+    help: 'Connections to replicas that were cut because they gave no answer',
+  },
+  snapshots: { name: 'coordination.snapshots', type: 'counter', help: 'Snapshots taken' },
+  commitIndex: { name: 'coordination.commit.index', type: 'gauge', help: 'Last committed entry' },
+});
--- /dev/null
+++ b/packages/coordination/src/storage/fileDisk.ts
@@ -0,0 +1,61 @@
+/** The machine's file system behind the disk port. */
+import { mkdir, open, readFile, readdir, rename, unlink } from 'node:fs/promises';
+import type { FileHandle } from 'node:fs/promises';
+import { constants } from 'node:fs';
+import { dirname } from 'node:path';
+import type { Disk, DiskFile } from './disk.js';
+import { lockFolder } from './folderLock.js';
+
+const isCode = (error: unknown, code: string): boolean =>
+  error instanceof Error && (error as NodeJS.ErrnoException).code === code;
+
+async function writeAll(handle: FileHandle, data: Uint8Array, position: number): Promise<void> {
+  let done = 0;
+  while (done < data.length) {
+    const { bytesWritten } = await handle.write(data, done, data.length - done, position + done);
+    done += bytesWritten;
+  }
+}
+
+const wrap = (handle: FileHandle): DiskFile => ({
+  size: async () => (await handle.stat()).size,
+  write: (data, position) => writeAll(handle, data, position),
+  truncate: (length) => handle.truncate(length),
+  sync: () => handle.datasync(),
+  close: () => handle.close(),
+});
+
+/**
+ * A new name in a folder lives in the folder's own blocks: after a power cut the file can be there without its
+ * name, or the old name can be back. Syncing the folder is what makes the name last.
+ */
+async function syncFolder(folder: string): Promise<void> {
+  const handle = await open(folder, 'r');
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
+
+async function ensureFolder(path: string): Promise<void> {
+  try {
+    await mkdir(path);
+  } catch (error) {
+    if (isCode(error, 'EEXIST')) return;
+    throw error;
+  }
+  await syncFolder(dirname(path));
+}
+
+/** Files on the machine's disk; `sync` is `fdatasync`. */
+export const fileDisk: Disk = {
+  ensureFolder,
+  list: (folder) => readdir(folder),
+  read: (path) => readFile(path),
+  open: async (path) => wrap(await open(path, constants.O_RDWR | constants.O_CREAT, 0o600)),
+  rename: (from, to) => rename(from, to),
+  remove: (path) => unlink(path),
+  syncFolder,
+  lock: lockFolder,
+};
--- /dev/null
+++ b/packages/coordination/src/storage/frame.ts
@@ -0,0 +1,89 @@
+/**
+ * Checksummed records in a file: length (u32), checksum of the length (u32), checksum of the payload (u32), all
+ * little-endian, the payload, and one closing byte that is not zero.
+ */
+import { crc32 } from 'node:zlib';
+
+const HEADER_BYTES = 12;
+const CLOSING_BYTE = 0xa5;
+
+/** Bytes that a record takes beyond its payload. */
+export const FRAME_OVERHEAD_BYTES = HEADER_BYTES + 1;
+
+/** How a file's records end. */
+export type FrameEnd =
+  /** With a whole record. */
+  | 'whole'
+  /** With a record whose write was cut off: nobody was told that it lasts. */
+  | 'torn'
+  /** With bytes that no interrupted write leaves: data that was synced has changed. */
+  | 'corrupt';
+
+/** What was read. */
+export interface Frames {
+  readonly payloads: Uint8Array[];
+  /** Offset of each payload's record. */
+  readonly offsets: number[];
+  /** Offset behind the last whole record. */
+  readonly end: number;
+  readonly ending: FrameEnd;
+}
+
+/** Makes one record. */
+export function encodeFrame(payload: Uint8Array): Uint8Array {
+  const frame = Buffer.alloc(payload.length + FRAME_OVERHEAD_BYTES);
+  frame.writeUInt32LE(payload.length, 0);
+  frame.writeUInt32LE(crc32(frame.subarray(0, 4)), 4);
+  frame.writeUInt32LE(crc32(payload), 8);
+  frame.set(payload, HEADER_BYTES);
+  frame.writeUInt8(CLOSING_BYTE, frame.length - 1);
+  return frame;
+}
+
+const isZero = (data: Buffer): boolean => data.every((byte) => byte === 0);
+
+/**
+ * Tells an interrupted write from changed data. Repairing the first is safe: the record was never acknowledged.
+ * Repairing the second would silently forget an acknowledged entry, and with it a majority's promise.
+ * An interrupted write leaves a beginning of the record, and behind it nothing or zeros (the length of a file can
+ * reach the disk before its data). The length has a checksum of its own, since a flipped bit in it would
+ * otherwise pass for a record that ends behind the file; the closing byte keeps a payload that ends in zeros
+ * from passing for one that was cut off.
+ */
+function endingOf(rest: Buffer): FrameEnd {
+  if (rest.length === 0) return 'whole';
+  if (rest.length < HEADER_BYTES) return 'torn';
+  if (crc32(rest.subarray(0, 4)) !== rest.readUInt32LE(4)) {
+    return isZero(rest.subarray(HEADER_BYTES)) ? 'torn' : 'corrupt';
+  }
+  const length = rest.readUInt32LE(0) + FRAME_OVERHEAD_BYTES;
+  if (rest.length < length) return 'torn';
+  return isZero(rest.subarray(length - 1)) ? 'torn' : 'corrupt';
+}
+
+/** Payload of the record at `offset`, or undefined when there is no whole one. */
+function payloadAt(data: Buffer, offset: number): Buffer | undefined {
+  if (data.length < offset + FRAME_OVERHEAD_BYTES) return undefined;
+  const header = data.subarray(offset, offset + HEADER_BYTES);
+  if (crc32(header.subarray(0, 4)) !== header.readUInt32LE(4)) return undefined;
+  const start = offset + HEADER_BYTES;
+  const end = start + header.readUInt32LE(0);
+  if (data.length <= end || data[end] !== CLOSING_BYTE) return undefined;
+  const payload = data.subarray(start, end);
+  return crc32(payload) === header.readUInt32LE(8) ? payload : undefined;
+}
+
+/** Reads all records up to the first that is not whole. */
+export function decodeFrames(bytes: Uint8Array): Frames {
+  const data = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  const payloads: Uint8Array[] = [];
+  const offsets: number[] = [];
+  let end = 0;
+  for (;;) {
+    const payload = payloadAt(data, end);
+    if (payload === undefined) return { payloads, offsets, end, ending: endingOf(data.subarray(end)) };
+    payloads.push(payload);
+    offsets.push(end);
+    end += payload.length + FRAME_OVERHEAD_BYTES;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/storage/index.ts
@@ -0,0 +1,7 @@
+/** Durable storage: the disk port, its adapters, and a replica's files. */
+export * from './delayedDisk.js';
+export * from './disk.js';
+export * from './fileDisk.js';
+export * from './logStorage.js';
+export * from './memoryDisk.js';
+export type { Snapshot } from './snapshotFile.js';
--- /dev/null
+++ b/packages/ctl/src/command/index.ts
@@ -0,0 +1,1 @@
+export * from './program.js';
--- /dev/null
+++ b/packages/ctl/src/control/index.ts
@@ -0,0 +1,2 @@
+export * from './connect.js';
+export * from './controls.js';
--- /dev/null
+++ b/packages/ctl/src/exit/index.ts
@@ -0,0 +1,1 @@
+export * from './exit.js';
--- /dev/null
+++ b/packages/ctl/src/format/index.ts
@@ -0,0 +1,2 @@
+export * from './json.js';
+export * from './table.js';
--- /dev/null
+++ b/packages/ctl/src/terminal/index.ts
@@ -0,0 +1,1 @@
+export * from './terminal.js';
--- /dev/null
+++ b/packages/daemon/src/health/health.ts
@@ -0,0 +1,38 @@
+/** What the platform asks an agent or a control instance. An entry answers on its callers' port. */
+import type { AddressInfo } from 'node:net';
+import { serve } from '@hono/node-server';
+import type { Readiness } from '@jasmineroute/protocol';
+import { Hono } from 'hono';
+
+/** A listening health server. */
+export interface HealthServer {
+  /** host:port. */
+  readonly address: string;
+  close(): void;
+}
+
+/** Serves /healthz (the process lives) and /readyz (work should be sent here). */
+export async function serveHealth(
+  host: string,
+  port: number,
+  readiness: () => Readiness,
+): Promise<HealthServer> {
+  const app = new Hono();
+  app.get('/healthz', (call) => call.json({ alive: true }));
+  app.get('/readyz', (call) => {
+    const state = readiness();
+    return call.json(state, state.ready ? 200 : 503);
+  });
+  return new Promise((resolve, reject) => {
+    const server = serve({ fetch: app.fetch, hostname: host, port }, (info: AddressInfo) => {
+      resolve({
+        address: `${host}:${info.port}`,
+        close: () => {
+          server.close();
+          if ('closeAllConnections' in server) server.closeAllConnections();
+        },
+      });
+    });
+    server.once('error', reject);
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/health/index.ts
@@ -0,0 +1,1 @@
+export * from './health.js';
--- /dev/null
+++ b/packages/daemon/src/life/index.ts
@@ -0,0 +1,3 @@
+export * from './incarnation.js';
+export * from './life.js';
+export * from './tls.js';
--- /dev/null
+++ b/packages/daemon/src/life/life.ts
@@ -0,0 +1,147 @@
+/** A process from checked settings to its end. */
+import { createLog, createMetrics, silentMetrics, startTracing, systemClock } from '@jasmineroute/core';
+import type { Log, Metrics } from '@jasmineroute/core';
+import { Peers, listen } from '@jasmineroute/protocol';
+import type { RoleContext, RpcServer, TlsStore } from '@jasmineroute/protocol';
+import { daemonEvents } from '../events.js';
+import { serveHealth } from '../health/index.js';
+import type { HealthServer } from '../health/index.js';
+import type { Role, RunningRole } from '../role/index.js';
+import type { DaemonSettings } from '../setting/index.js';
+import { drawIncarnation } from './incarnation.js';
+
+/** Exit code of a process that could not start or broke. */
+export const EXIT_FAULT = 1;
+
+/** Checked settings: every role's and the role's own. */
+export interface Plan {
+  readonly daemon: DaemonSettings;
+  readonly role: Role;
+  readonly roleSettings: Record<string, unknown>;
+  readonly tls: TlsStore | undefined;
+}
+
+interface Parts {
+  readonly role: RunningRole;
+  readonly rpc: RpcServer;
+  readonly health: HealthServer | undefined;
+  readonly peers: Peers;
+  readonly metrics: Metrics;
+  readonly log: Log;
+  readonly endTraces: () => Promise<void>;
+}
+
+function metricsOf(settings: DaemonSettings): Metrics {
+  if (settings.statsd === undefined) return silentMetrics;
+  const [host = '', port = ''] = settings.statsd.split(':');
+  return createMetrics(host, Number(port), {
+    role: settings.role,
+    instance: settings.name,
+    data_centre: settings.dataCentre,
+  });
+}
+
+async function endTracesOf(settings: DaemonSettings): Promise<() => Promise<void>> {
+  if (settings.otlpUrl === undefined) return () => Promise.resolve();
+  return startTracing(settings.otlpUrl, `jasmineroute-${settings.role}`, settings.name);
+}
+
+async function assemble(plan: Plan, log: Log): Promise<Parts> {
+  const settings = plan.daemon;
+  const endTraces = await endTracesOf(settings);
+  const metrics = metricsOf(settings);
+  const peers = new Peers(plan.tls);
+  const context: RoleContext = {
+    name: settings.name,
+    incarnation: drawIncarnation(systemClock),
+    dataCentre: settings.dataCentre,
+    dataFolder: settings.dataFolder,
+    controls: settings.controls,
+    clock: systemClock,
+    log,
+    metrics,
+    peers,
+  };
+  const created = await plan.role.create(context, plan.roleSettings);
+  if (created.isErr()) throw new Error(created.error.message);
+  const role = created.value;
+  const rpc = await listen(
+    settings.host,
+    settings.port,
+    (router) => {
+      role.routes(router);
+    },
+    plan.tls,
+  );
+  await role.start(settings.advertise ?? rpc.address);
+  const health =
+    role.httpAddress === undefined
+      ? await serveHealth(settings.host, settings.healthPort, () => role.readiness())
+      : undefined;
+  return { role, rpc, health, peers, metrics, log, endTraces };
+}
+
+async function stop(parts: Parts): Promise<void> {
+  parts.log.event(daemonEvents.draining);
+  await parts.role.drain();
+  await parts.role.close();
+  await parts.rpc.close();
+  parts.health?.close();
+  parts.peers.close();
+  await parts.metrics.close();
+  await parts.endTraces();
+  parts.log.event(daemonEvents.stopped);
+}
+
+/**
+ * Stops the process on the first signal. Later signals change nothing: a platform that repeats its signal must
+ * not cut the streams that the first one let finish.
+ */
+function stopOnSignal(parts: Parts): void {
+  let draining = false;
+  const onSignal = (signal: NodeJS.Signals): void => {
+    if (draining) {
+      parts.log.event(daemonEvents.signalRepeated, { signal });
+      return;
+    }
+    draining = true;
+    void stop(parts).then(
+      () => process.exit(0),
+      (error: unknown) => {
+        parts.log.event(daemonEvents.uncaught, { error: String(error) });
+        process.exit(EXIT_FAULT);
+      },
+    );
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+}
+
+function logBreaks(log: Log): void {
+  process.on('uncaughtException', (error) => {
+    log.event(daemonEvents.uncaught, { error: error.message, stack: error.stack });
+    process.exit(EXIT_FAULT);
+  });
+  process.on('unhandledRejection', (reason) => {
+    const stack = reason instanceof Error ? reason.stack : undefined;
+    log.event(daemonEvents.unhandledRejection, { error: String(reason), stack });
+  });
+}
+
+/** Runs a process until a signal ends it. Prints one JSON line on standard output once it serves. */
+export async function run(plan: Plan): Promise<void> {
+  const { role, name, dataCentre, logLevel } = plan.daemon;
+  const log = createLog(logLevel, { role, name, dataCentre });
+  logBreaks(log);
+  try {
+    const parts = await assemble(plan, log);
+    stopOnSignal(parts);
+    const http = parts.role.httpAddress?.() ?? parts.health?.address;
+    const line = { ready: true, role, name, rpc: parts.rpc.address, http, pid: process.pid };
+    log.event(daemonEvents.started, line);
+    process.stdout.write(`${JSON.stringify(line)}\n`);
+  } catch (error) {
+    log.event(daemonEvents.startFailed, { error: error instanceof Error ? error.message : String(error) });
+    process.exit(EXIT_FAULT);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/role/index.ts
@@ -0,0 +1,1 @@
+export * from './role.js';
--- /dev/null
+++ b/packages/daemon/src/role/role.ts
@@ -0,0 +1,44 @@
+/** The roles, by name. Each is loaded only in a process that has it: an agent never loads the entry's code. */
+import { Registry } from '@jasmineroute/core';
+import type { Fault, SettingsSchema } from '@jasmineroute/core';
+import type { RoleContext, RoleProcess } from '@jasmineroute/protocol';
+import type { Result } from 'neverthrow';
+
+/** A role process, with the caller-facing HTTP address where it has one. */
+export interface RunningRole extends RoleProcess {
+  httpAddress?(): string;
+}
+
+/** A role as it plugs into the daemon. */
+export interface Role {
+  /** Schema of the role's own settings. */
+  readonly settings: SettingsSchema;
+  /** Makes the role from checked settings. */
+  create(context: RoleContext, settings: Record<string, unknown>): Promise<Result<RunningRole, Fault>>;
+}
+
+/** Loads a role's code. */
+export type RoleLoader = () => Promise<Role>;
+
+/** Binds a role's schema to its factory, so that the settings it gets are the ones it declared. */
+function bind<S extends SettingsSchema, Settings>(
+  settings: S,
+  create: (context: RoleContext, settings: Settings) => Promise<Result<RunningRole, Fault>>,
+): Role {
+  return { settings, create: (context, checked) => create(context, checked as Settings) };
+}
+
+/** Role name to loader. */
+export const roles = new Registry<RoleLoader>('role')
+  .add('entry', async () => {
+    const { createEntry, entrySettings } = await import('@jasmineroute/entry');
+    return bind(entrySettings, createEntry);
+  })
+  .add('agent', async () => {
+    const { agentSettings, createAgent } = await import('@jasmineroute/agent');
+    return bind(agentSettings, createAgent);
+  })
+  .add('control', async () => {
+    const { controlSettings, createControl } = await import('@jasmineroute/control');
+    return bind(controlSettings, createControl);
+  });
--- /dev/null
+++ b/packages/directory/src/call/claimClient.ts
@@ -0,0 +1,47 @@
+/** Claims on idempotency keys, held by a quorum of control instances. */
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import { createClient } from '@connectrpc/connect';
+import { fault } from '@jasmineroute/core';
+import type { Fault } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { Controls } from './controls.js';
+
+/** A claim to take. */
+export type ClaimRequest = MessageInitShape<typeof controlMessage.ClaimRequestSchema>;
+/** How a claimed attempt went. */
+export type SettleRequest = MessageInitShape<typeof controlMessage.SettleRequestSchema>;
+
+function unavailable(cause: Fault): Fault {
+  return fault('claims-unavailable', `no claim: ${cause.message}`, { ran: cause.ran, cause });
+}
+
+/** Takes and settles claims. Both carry the attempt's id, so that resends to other instances are harmless. */
+export class ClaimClient {
+  constructor(private readonly controls: Controls) {}
+
+  /**
+   * Takes the key for an attempt.
+   * @returns who holds it; or 'claims-unavailable', whose `ran` speaks of the claim itself: 'may-have-run' means
+   * that the key may be held for the attempt, and that it should be settled as released.
+   */
+  async claim(request: ClaimRequest, timeoutMs: number): Promise<Result<controlMessage.ClaimResponse, Fault>> {
+    const answer = await this.controls.call(
+      (transport, signal) => createClient(controlMessage.Claims, transport).claim(request, { signal }),
+      timeoutMs,
+    );
+    return answer.mapErr(unavailable);
+  }
+
+  /** Records how the attempt went. */
+  async settle(request: SettleRequest, timeoutMs: number): Promise<Result<void, Fault>> {
+    const answer = await this.controls.call(
+      (transport, signal) => createClient(controlMessage.Claims, transport).settle(request, { signal }),
+      timeoutMs,
+    );
+    if (answer.isErr()) return err(unavailable(answer.error));
+    if (!answer.value.settled) return err(fault('claims-unavailable', 'the attempt no longer holds the key'));
+    return ok(undefined);
+  }
+}
--- /dev/null
+++ b/packages/directory/src/call/index.ts
@@ -0,0 +1,6 @@
+/** Calls to control instances. */
+export * from './faultError.js';
+export * from './controlAddresses.js';
+export * from './controls.js';
+export * from './claimClient.js';
+export * from './turnClient.js';
--- /dev/null
+++ b/packages/directory/src/client/beatTask.ts
@@ -0,0 +1,151 @@
+/** The task that keeps a process known. */
+import { createClient } from '@connectrpc/connect';
+import type { Clock, Log, Metrics } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { Peers } from '@jasmineroute/protocol';
+import type { ControlAddresses } from '../call/index.js';
+import { faultOf } from '../call/index.js';
+import { directoryEvents } from '../events.js';
+import { directoryMetrics } from '../metrics.js';
+import type { AnnouncedState } from './announcement.js';
+import { jittered } from './timing.js';
+import type { ClientTiming } from './timing.js';
+import { Wakeup } from './wakeup.js';
+
+/** Share by which the time between beats varies. */
+const JITTER = 0.1;
+
+/** What the task works with. */
+export interface BeatContext {
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly timing: ClientTiming;
+  readonly addresses: ControlAddresses;
+  readonly state: AnnouncedState;
+  readonly dataCentre: () => string;
+  /** Revision of the documents in force here. */
+  readonly revision: () => bigint;
+  /** A newer process has the name. */
+  readonly superseded: () => void;
+}
+
+/** Sends beats, one after the other, to one control instance, and to another when that does not answer. */
+export class BeatTask {
+  private readonly wakeup = new Wakeup();
+  private address: string | undefined;
+  /** Order number of the newest state that was taken, by the instance that took it. */
+  private heard: { address: string; sequence: bigint } | undefined;
+  private unvouchedSince: number | undefined;
+  private readonly waiters = new Set<{ sequence: bigint; resolve: () => void }>();
+
+  constructor(private readonly context: BeatContext) {}
+
+  /** Sends a beat at once. */
+  wake(): void {
+    this.wakeup.call();
+  }
+
+  /** Resolves when the state of this order number, or a later one, was taken. */
+  taken(sequence: bigint): Promise<void> {
+    return new Promise((resolve) => {
+      this.waiters.add({ sequence, resolve });
+      this.wake();
+    });
+  }
+
+  /** Runs until `signal` is aborted or a newer process has the name. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, timing } = this.context;
+    while (!signal.aborted) {
+      const superseded = await this.round(signal);
+      if (superseded) return;
+      await this.wakeup.sleep(clock, jittered(timing.beatMs, JITTER), signal);
+    }
+  }
+
+  /** Goes through the control instances until one answers. */
+  private async round(signal: AbortSignal): Promise<boolean> {
+    const { addresses, dataCentre } = this.context;
+    const order = addresses.order(dataCentre());
+    const candidates =
+      this.address === undefined ? order : [this.address, ...order.filter((one) => one !== this.address)];
+    for (const address of candidates) {
+      if (signal.aborted) return false;
+      const answer = await this.send(address, signal);
+      if (answer === undefined) continue;
+      this.address = address;
+      if (answer.superseded) {
+        this.context.superseded();
+        return true;
+      }
+      if (answer.resend) this.wake();
+      this.judge(answer.vouched);
+      return false;
+    }
+    this.address = undefined;
+    return false;
+  }
+
+  private async send(address: string, stop: AbortSignal): Promise<controlMessage.BeatResponse | undefined> {
+    const { clock, metrics, timing, state, peers, addresses } = this.context;
+    const sequence = state.current();
+    const known = this.heard?.address === address && this.heard.sequence === sequence;
+    const request = state.beat(!known, this.context.revision());
+    const abort = new AbortController();
+    const cancel = clock.after(timing.beatTimeoutMs, () => {
+      abort.abort(new Error('no answer in time'));
+    });
+    const started = clock.monotonic();
+    try {
+      const client = createClient(controlMessage.Directory, peers.transport(address));
+      const answer = await client.beat(request, { signal: AbortSignal.any([stop, abort.signal]) });
+      metrics.timing(directoryMetrics.beatDuration, clock.monotonic() - started);
+      addresses.answered(address);
+      this.settle(address, sequence, answer);
+      return answer;
+    } catch (error) {
+      if (!stop.aborted) this.failed(address, error);
+      return undefined;
+    } finally {
+      cancel();
+    }
+  }
+
+  private settle(address: string, sequence: bigint, answer: controlMessage.BeatResponse): void {
+    this.heard = answer.resend ? undefined : { address, sequence };
+    if (answer.resend) return;
+    for (const waiter of this.waiters) {
+      if (waiter.sequence > sequence) continue;
+      this.waiters.delete(waiter);
+      waiter.resolve();
+    }
+  }
+
+  private failed(address: string, error: unknown): void {
+    const { addresses, metrics, log, peers, timing } = this.context;
+    log.event(directoryEvents.beatFailed, { address, problem: faultOf(error).message });
+    metrics.count(directoryMetrics.beatFailures);
+    addresses.failed(address);
+    // A connection on which nothing at all was heard may be silent for good: the next beat takes a new one.
+    if (addresses.silentFor(address) > timing.silenceMs) peers.drop(address);
+  }
+
+  /**
+   * Leaves a control instance that is out of touch with its quorum: what it hears of this process does not
+   * reach the others, which would think it gone.
+   */
+  private judge(vouched: boolean): void {
+    const { clock, timing, addresses } = this.context;
+    if (vouched) {
+      this.unvouchedSince = undefined;
+      return;
+    }
+    this.unvouchedSince ??= clock.monotonic();
+    if (clock.monotonic() - this.unvouchedSince < timing.unvouchedMs) return;
+    this.unvouchedSince = undefined;
+    if (this.address !== undefined) addresses.failed(this.address);
+    this.address = undefined;
+  }
+}
--- /dev/null
+++ b/packages/directory/src/membership/exchange.ts
@@ -0,0 +1,81 @@
+/** What control instances tell each other of members: between messages and the detector. */
+import { create } from '@bufbuild/protobuf';
+import type { Cause, Digest, FailureDetector, MemberReport } from '@jasmineroute/coordination';
+import { controlMessage } from '@jasmineroute/protocol';
+import { healthFromMessage, healthToMessage } from '../message/index.js';
+import type { InstanceStore } from './instanceStore.js';
+
+const causes: readonly string[] = [
+  'heard',
+  'slow',
+  'silent',
+  'crashed',
+  'mass-silence',
+  'observer-cut-off',
+  'left',
+] satisfies Cause[];
+
+function causeFromMessage(text: string): Cause {
+  return causes.includes(text) ? (text as Cause) : 'silent';
+}
+
+/** A digest as a message. */
+export function digestToMessage(
+  from: { readonly name: string; readonly incarnation: bigint },
+  digest: Digest,
+  store: InstanceStore,
+): controlMessage.ExchangeRequest {
+  return create(controlMessage.ExchangeRequestSchema, {
+    from: from.name,
+    incarnation: from.incarnation,
+    since: digest.since,
+    upTo: digest.upTo,
+    heard: digest.reports.map((report) => reportToMessage(report, store)),
+    observers: [...digest.observers].map(([name, age]) => ({ name, ageMs: Math.round(age) })),
+  });
+}
+
+function reportToMessage(report: MemberReport, store: InstanceStore): controlMessage.Heard {
+  const { name, incarnation, sequence, source } = report;
+  const known = store.message(name);
+  const complete = known?.incarnation === incarnation;
+  const instance = create(controlMessage.InstanceSchema, {
+    ...(complete ? known : { name, incarnation, sequence }),
+    health: healthToMessage(report.liveness),
+  });
+  return create(controlMessage.HeardSchema, {
+    instance,
+    ageMs: Math.round(report.ageMs),
+    observer: source.observer,
+    observerIncarnation: source.incarnation,
+    change: source.change,
+    cause: report.cause,
+  });
+}
+
+/** Takes a digest out of a message. Returns the names that it told of. */
+export function takeExchange(
+  request: controlMessage.ExchangeRequest,
+  detector: FailureDetector,
+  store: InstanceStore,
+): string[] {
+  detector.observerHeard(request.from);
+  for (const { name, ageMs } of request.observers) detector.observerHeard(name, ageMs);
+  const names: string[] = [];
+  for (const heard of request.heard) {
+    const { instance } = heard;
+    if (instance === undefined) continue;
+    if (instance.address !== '') store.take(instance);
+    detector.report({
+      name: instance.name,
+      incarnation: instance.incarnation,
+      sequence: instance.sequence,
+      liveness: healthFromMessage(instance.health),
+      cause: causeFromMessage(heard.cause),
+      ageMs: heard.ageMs,
+      source: { observer: heard.observer, incarnation: heard.observerIncarnation, change: heard.change },
+    });
+    names.push(instance.name);
+  }
+  return names;
+}
--- /dev/null
+++ b/packages/directory/src/membership/membership.ts
@@ -0,0 +1,205 @@
+/** What a control instance knows of all instances: beats heard here, and what other control instances tell. */
+import { create } from '@bufbuild/protobuf';
+import { Code, ConnectError } from '@connectrpc/connect';
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { FailureDetector, Transition } from '@jasmineroute/coordination';
+import type { Clock, Log } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { Peers } from '@jasmineroute/protocol';
+import { directoryEvents } from '../events.js';
+import type { InstanceMessage } from '../message/index.js';
+import { ChangeSignal } from '../server/changeSignal.js';
+import type { BeatReceiver, InstanceSource } from '../server/source.js';
+import type { Instance } from '../view/index.js';
+import { takeExchange } from './exchange.js';
+import { runExchange } from './exchangeTask.js';
+import type { ControlPeer } from './exchangeTask.js';
+import { InstanceStore } from './instanceStore.js';
+import { tcpProbe } from './probe.js';
+import type { Probe } from './probe.js';
+
+/** Instances that are listed at most: three times the largest plan. A flood of made-up names ends here. */
+const MAX_INSTANCES = 16_384;
+/** Suspects that are tried at one time. */
+const MAX_PROBES = 64;
+
+/** What the membership needs. */
+export interface MembershipOptions {
+  /** Name of this control instance. */
+  readonly name: string;
+  readonly incarnation: bigint;
+  readonly detector: FailureDetector;
+  /** `settings.tickMs` of the detector. */
+  readonly tickMs: number;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Whether this process is in touch with a quorum. */
+  readonly vouched: () => boolean;
+  /** The control instances now; this one may be among them. Asked for at each tick. */
+  readonly controls: () => readonly ControlPeer[];
+  /** Tries a suspect; absent: over TCP. */
+  readonly probe?: Probe;
+}
+
+/** A running task for one peer. */
+interface PeerTask {
+  readonly address: string;
+  readonly stop: AbortController;
+  readonly done: Promise<void>;
+}
+
+/** Takes beats, judges the silent, and exchanges both with the other control instances. */
+export class Membership implements InstanceSource, BeatReceiver {
+  private readonly store: InstanceStore;
+  private readonly changed = new ChangeSignal();
+  private readonly listeners = new Set<(names: readonly string[]) => void>();
+  private readonly stopping = new AbortController();
+  private readonly tasks = new Map<string, PeerTask>();
+  private readonly probing = new Set<string>();
+  private readonly probe: Probe;
+  /** Of each sender: its incarnation, and up to where all it told was taken. */
+  private readonly takenUpTo = new Map<string, { incarnation: bigint; upTo: bigint }>();
+  private ticking: Promise<void> = Promise.resolve();
+
+  constructor(private readonly options: MembershipOptions) {
+    this.store = new InstanceStore(options.detector);
+    this.probe = options.probe ?? tcpProbe(options.clock);
+  }
+
+  /** Adds the exchange between control instances to the process's RPC server. */
+  routes(router: ConnectRouter): void {
+    router.service(controlMessage.Gossip, { exchange: (request) => this.exchange(request) });
+  }
+
+  /** Starts to judge and to exchange. `self` gives this control instance's own entry in the list. */
+  start(self: () => InstanceMessage): void {
+    this.ticking = this.run(self);
+  }
+
+  /** Ends all tasks. */
+  async stop(): Promise<void> {
+    this.stopping.abort(new Error('stopped'));
+    for (const task of this.tasks.values()) task.stop.abort(new Error('stopped'));
+    await Promise.all([this.ticking, ...[...this.tasks.values()].map(({ done }) => done)]);
+  }
+
+  current(): ReadonlyMap<string, Instance> {
+    return this.store.current();
+  }
+
+  /** Instances with the revision that each last reported, for status. */
+  reported(): Instance[] {
+    return this.store.reported();
+  }
+
+  onChange(listener: (names: readonly string[]) => void): () => void {
+    this.listeners.add(listener);
+    return () => {
+      this.listeners.delete(listener);
+    };
+  }
+
+  beat(request: controlMessage.BeatRequest): controlMessage.BeatResponse {
+    const { instance } = request;
+    if (instance === undefined || instance.name === '')
+      throw new ConnectError('a beat names its instance', Code.InvalidArgument);
+    const { detector, vouched } = this.options;
+    const known = detector.find(instance.name);
+    const answer = create(controlMessage.BeatResponseSchema, { vouched: vouched() });
+    if (known !== undefined && known.incarnation > instance.incarnation) return { ...answer, superseded: true };
+    if (known === undefined) this.admit();
+    if (!request.full && !this.store.knows(instance)) return { ...answer, resend: true };
+    this.hear(instance, request.full);
+    return answer;
+  }
+
+  private admit(): void {
+    if (this.store.current().size < MAX_INSTANCES) return;
+    throw new ConnectError(`more than ${MAX_INSTANCES} instances`, Code.ResourceExhausted);
+  }
+
+  private hear(instance: InstanceMessage, full: boolean): void {
+    const { name, incarnation, sequence, health, revision } = instance;
+    const leaving = health === controlMessage.Health.LEAVING;
+    this.options.detector.beat({ name, incarnation, sequence, leaving });
+    const news = full && this.store.take(instance);
+    this.store.noteRevision(name, revision);
+    this.publish(this.options.detector.takeTransitions(), news ? [name] : []);
+  }
+
+  private exchange(request: controlMessage.ExchangeRequest): controlMessage.ExchangeResponse {
+    const { from, incarnation, since, upTo } = request;
+    const known = this.takenUpTo.get(from);
+    const gap = since > 0n && (known?.incarnation !== incarnation || known.upTo < since);
+    const names = takeExchange(request, this.options.detector, this.store);
+    if (!gap) this.takenUpTo.set(from, { incarnation, upTo });
+    this.publish(this.options.detector.takeTransitions(), names);
+    return create(controlMessage.ExchangeResponseSchema, { resend: gap });
+  }
+
+  private async run(self: () => InstanceMessage): Promise<void> {
+    const { clock, detector, tickMs } = this.options;
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      this.hear(self(), true);
+      this.publish(detector.tick(), []);
+      this.followPeers();
+      this.probeSuspects();
+      await clock.sleep(tickMs, signal).catch(() => undefined);
+    }
+  }
+
+  /** Lists what changed anew and tells it on. */
+  private publish(transitions: readonly Transition[], names: readonly string[]): void {
+    for (const transition of transitions) {
+      if (transition.from !== undefined) this.options.log.event(directoryEvents.stateChanged, { ...transition });
+    }
+    const changed = new Set([...names, ...transitions.map(({ name }) => name)]);
+    if (changed.size === 0) return;
+    for (const name of changed) this.store.refresh(name);
+    for (const listener of this.listeners) listener([...changed]);
+    this.changed.raise();
+  }
+
+  /** One task for each other control instance, as they come and go. */
+  private followPeers(): void {
+    const wanted = new Map(this.options.controls().map(({ name, address }) => [name, address]));
+    wanted.delete(this.options.name);
+    for (const [name, task] of this.tasks) {
+      if (wanted.get(name) === task.address) continue;
+      task.stop.abort(new Error('replaced'));
+      this.tasks.delete(name);
+    }
+    for (const [name, address] of wanted) {
+      if (!this.tasks.has(name)) this.tasks.set(name, this.startPeer({ name, address }));
+    }
+  }
+
+  private startPeer(peer: ControlPeer): PeerTask {
+    const { name, incarnation, detector, peers, clock, log } = this.options;
+    const stop = new AbortController();
+    const { store, changed } = this;
+    const context = { self: { name, incarnation }, detector, store, changed, peers, clock, log };
+    return { address: peer.address, stop, done: runExchange(context, peer, stop.signal) };
+  }
+
+  private probeSuspects(): void {
+    for (const { name, incarnation, liveness, source } of this.options.detector.all()) {
+      if (this.probing.size >= MAX_PROBES) return;
+      if (liveness !== 'suspect' || source.observer !== this.options.name) continue;
+      const address = this.store.current().get(name)?.address;
+      if (address === undefined || this.probing.has(name)) continue;
+      void this.probeOne(name, incarnation, address);
+    }
+  }
+
+  private async probeOne(name: string, incarnation: bigint, address: string): Promise<void> {
+    this.probing.add(name);
+    try {
+      this.options.detector.evidence(name, incarnation, await this.probe(address));
+    } finally {
+      this.probing.delete(name);
+    }
+  }
+}
--- /dev/null
+++ b/packages/directory/src/message/index.ts
@@ -0,0 +1,3 @@
+/** Between messages and the view. */
+export * from './document.js';
+export * from './instance.js';
--- /dev/null
+++ b/packages/directory/src/server/index.ts
@@ -0,0 +1,3 @@
+/** The serving side: documents and instances for other processes. */
+export * from './serveDirectory.js';
+export * from './source.js';
--- /dev/null
+++ b/packages/document/src/customer/index.ts
@@ -0,0 +1,2 @@
+export * from './customer.js';
+export * from './key.js';
--- /dev/null
+++ b/packages/document/src/difference/index.ts
@@ -0,0 +1,1 @@
+export * from './difference.js';
--- /dev/null
+++ b/packages/document/src/idempotency/index.ts
@@ -0,0 +1,1 @@
+export * from './idempotency.js';
--- /dev/null
+++ b/packages/document/src/parse/index.ts
@@ -0,0 +1,2 @@
+export * from './parse.js';
+export * from './problem.js';
--- /dev/null
+++ b/packages/document/src/pattern/index.ts
@@ -0,0 +1,1 @@
+export * from './pattern.js';
--- /dev/null
+++ b/packages/document/src/raw/index.ts
@@ -0,0 +1,1 @@
+export * from './raw.js';
--- /dev/null
+++ b/packages/document/src/route/index.ts
@@ -0,0 +1,1 @@
+export * from './route.js';
--- a/packages/document/src/schema/index.ts
+++ b/packages/document/src/schema/index.ts
@@ -1,1 +1,2 @@
 export * from './schema.js';
+export { duration } from './primitive.js';
--- /dev/null
+++ b/packages/document/src/together/index.ts
@@ -0,0 +1,1 @@
+export * from './together.js';
--- /dev/null
+++ b/packages/engine/src/adapter/index.ts
@@ -0,0 +1,1 @@
+export * from './adapter.js';
--- /dev/null
+++ b/packages/engine/src/events.ts
@@ -0,0 +1,7 @@
+/** Catalogue of logged events. */
+import { defineEvents } from '@jasmineroute/core';
+
+export const engineEvents = defineEvents({
+  answerMismatch: { id: 4502, level: 'error', message: 'the target answered with the id of another request' },
+  malformedCacheEvent: { id: 4503, level: 'warn', message: 'a cache event of the engine is malformed' },
+});
--- /dev/null
+++ b/packages/engine/src/http/httpEngine.ts
@@ -0,0 +1,177 @@
+/** An engine over HTTP, per docs/engine-protocol.md. */
+import { fault } from '@jasmineroute/core';
+import type { Clock, Fault, Log } from '@jasmineroute/core';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { engineEvents } from '../events.js';
+import type {
+  CacheEvent,
+  CacheSnapshot,
+  Engine,
+  EngineAnswer,
+  EngineLoad,
+  EngineOrder,
+  EngineRequest,
+  EngineState,
+} from '../port/index.js';
+import { Connections, exchange, headerOf } from '../wire/index.js';
+import type { WireAnswer, WireRequest } from '../wire/index.js';
+import { eventBody, wholeBody } from './body.js';
+import { readCacheEvents } from './cacheEvents.js';
+import { Calls, statusFault } from './calls.js';
+import { orderCall } from './order.js';
+import { REQUEST_ID, bodyOf, headersOf } from './request.js';
+import { healthBody, loadBody, snapshotBody } from './schema.js';
+
+/** Longest silence on a stream whose heartbeat comes every 500 ms. */
+export const DEFAULT_SILENCE_MS = 2_000;
+
+/** How to reach an engine. */
+export interface HttpEngineOptions {
+  /** "http://127.0.0.1:8000". */
+  readonly baseUrl: string;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Longest silence on an event stream, milliseconds. */
+  readonly silenceMs?: number;
+}
+
+const INCARNATION = 'x-engine-incarnation';
+const CONFLICT = 409;
+const NOT_FOUND = 404;
+const UNAVAILABLE = 503;
+
+class HttpEngine implements Engine {
+  private readonly connections: Connections;
+  private readonly calls: Calls;
+  private readonly clock: Clock;
+  private readonly log: Log;
+  private readonly silenceMs: number;
+
+  constructor(options: HttpEngineOptions) {
+    this.clock = options.clock;
+    this.log = options.log;
+    this.silenceMs = options.silenceMs ?? DEFAULT_SILENCE_MS;
+    this.connections = new Connections(options.baseUrl);
+    this.calls = new Calls(this.connections, options.clock);
+  }
+
+  async send(request: EngineRequest, signal: AbortSignal): Promise<Result<EngineAnswer, Fault>> {
+    const body = bodyOf(request);
+    if (body.isErr()) return err(body.error);
+    const silence = body.value.stream ? this.silenceMs : undefined;
+    return this.open(request, signal, {
+      method: request.method,
+      path: request.path,
+      headers: { 'content-type': 'application/json', ...headersOf(request) },
+      body: body.value.bytes,
+      headSilenceMs: silence,
+      bodySilenceMs: this.silenceMs,
+    });
+  }
+
+  async resume(
+    request: EngineRequest,
+    fromEvent: number,
+    signal: AbortSignal,
+  ): Promise<Result<EngineAnswer, Fault>> {
+    const answer = await this.open(request, signal, {
+      method: 'GET',
+      path: `/v1/streams/${encodeURIComponent(request.attemptId)}?from=${fromEvent}`,
+      headers: headersOf({ ...request, headers: [] }),
+      headSilenceMs: this.silenceMs,
+      bodySilenceMs: this.silenceMs,
+    });
+    return answer.andThen((value) => {
+      if (value.status === 200) return ok(value);
+      if (value.status === NOT_FOUND) return err(fault('target-lost', 'the engine lost the answer'));
+      return err(fault('engine-failed', `resuming: status ${value.status}`));
+    });
+  }
+
+  async cancel(attemptId: string, signal: AbortSignal): Promise<Result<void, Fault>> {
+    const answer = await this.calls.call('POST', '/abort_request', signal, { rid: attemptId });
+    return answer.andThen(({ status, body }) =>
+      status === 200 ? ok() : err(statusFault('/abort_request', status, body)),
+    );
+  }
+
+  state(signal: AbortSignal): Promise<Result<EngineState, Fault>> {
+    return this.calls.read(healthBody, '/health', signal, [200, UNAVAILABLE]);
+  }
+
+  async load(signal: AbortSignal): Promise<Result<EngineLoad, Fault>> {
+    const body = await this.calls.read(loadBody, '/load', signal);
+    return body.map(({ queued_tokens: queuedTokens, ...rest }) => ({ ...rest, queuedTokens }));
+  }
+
+  cacheEvents(fromSequence: number, signal: AbortSignal): AsyncIterable<CacheEvent> {
+    const { connections, clock, log, silenceMs } = this;
+    return readCacheEvents({ connections, clock, log, silenceMs }, fromSequence, signal);
+  }
+
+  cacheSnapshot(signal: AbortSignal): Promise<Result<CacheSnapshot, Fault>> {
+    return this.calls.read(snapshotBody, '/kv_snapshot', signal);
+  }
+
+  async order(order: EngineOrder, fence: bigint, signal: AbortSignal): Promise<Result<void, Fault>> {
+    const { path, body } = orderCall(order, fence);
+    const answer = await this.calls.call('POST', path, signal, body);
+    return answer.andThen((value) => {
+      if (value.status === 200) return ok();
+      const detail = statusFault(path, value.status, value.body);
+      return err(value.status === CONFLICT ? fault('version-conflict', detail.message) : detail);
+    });
+  }
+
+  async importCache(
+    from: string,
+    hashes: readonly string[],
+    signal: AbortSignal,
+  ): Promise<Result<void, Fault>> {
+    const answer = await this.calls.call('POST', '/kv/import', signal, { from, hashes });
+    return answer.andThen(({ status, body }) =>
+      status === 200 ? ok() : err(statusFault('/kv/import', status, body)),
+    );
+  }
+
+  close(): Promise<void> {
+    return this.connections.close();
+  }
+
+  private async open(
+    request: EngineRequest,
+    signal: AbortSignal,
+    wire: WireRequest,
+  ): Promise<Result<EngineAnswer, Fault>> {
+    const pool = this.connections.pool(request.idempotent === false);
+    const opened = await exchange(pool, wire, this.clock, signal);
+    if (opened.isErr()) return err(opened.error);
+    return this.checked(request, opened.value);
+  }
+
+  /**
+   * An answer that belongs to another request would hand one caller's text to another. The echoed id shows
+   * it; the connection is destroyed then, as whatever follows on it is shifted too.
+   */
+  private checked(request: EngineRequest, answer: WireAnswer): Result<EngineAnswer, Fault> {
+    const echoed = headerOf(answer.headers, REQUEST_ID);
+    if (echoed !== request.attemptId) {
+      answer.abandon();
+      this.log.event(engineEvents.answerMismatch, { attemptId: request.attemptId, echoed });
+      return err(fault('answer-mismatch', 'the engine answered with the id of another request'));
+    }
+    const type = headerOf(answer.headers, 'content-type') ?? '';
+    const { status, headers } = answer;
+    const incarnation = headerOf(headers, INCARNATION);
+    const body = type.startsWith('text/event-stream')
+      ? eventBody(answer)
+      : wholeBody(answer, type.startsWith('application/json'));
+    return ok({ status, headers, incarnation, ...body });
+  }
+}
+
+/** Makes the adapter for one engine. */
+export function createHttpEngine(options: HttpEngineOptions): Engine {
+  return new HttpEngine(options);
+}
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -1,2 +1,9 @@
 /** The port to targets and its adapters. */
+export * from './adapter/index.js';
+export * from './events.js';
+export * from './http/index.js';
+export * from './plain/index.js';
 export * from './port/index.js';
+export * from './prompt/index.js';
+export * from './sse/index.js';
+export { FaultError, broken, faultOf } from './wire/index.js';
--- /dev/null
+++ b/packages/engine/src/plain/index.ts
@@ -0,0 +1,2 @@
+/** The adapter for plain services. */
+export * from './plainTarget.js';
--- a/packages/engine/src/port/engine.ts
+++ b/packages/engine/src/port/engine.ts
@@ -21,6 +21,15 @@
   /** Keeps the engine's cache of one customer from another's: goes into its hash of the first block. */
   readonly cacheSalt: string;
   readonly deadlineMs: number;
+  /** False: may not run twice, so the target gets it on a connection that was never used. */
+  readonly idempotent?: boolean;
+}
+
+/** Tokens of one request as the target counted them. */
+export interface Usage {
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+  readonly outputTokens: number;
 }
 
 /** Start of an answer. The body comes as it arrives; it ends only after its terminal marker. */
@@ -29,6 +38,12 @@
   readonly headers: readonly HeaderField[];
   /** Throws a Fault on a break. A clean end means that the answer is whole. */
   readonly body: AsyncIterable<Uint8Array>;
+  /** The target's incarnation that answers, when it says so. */
+  readonly incarnation?: string;
+  /** Whole events given out so far, for an answer that can be resumed; absent for others. */
+  readonly events?: () => number;
+  /** What the target counted; known once the body has ended. */
+  readonly usage?: () => Usage | undefined;
 }
 
 /** A model with weights and adapters in an engine's memory. */
@@ -46,6 +61,8 @@
   readonly models: readonly EngineModel[];
   /** Concurrent requests. */
   readonly capacity: number;
+  /** "prefill", "decode" or empty for both. */
+  readonly role?: string;
 }
 
 /** Load as the engine reports it, with a lag. */
@@ -81,6 +98,14 @@
     }
   | { readonly type: 'cleared'; readonly incarnation: string; readonly sequence: number };
 
+/** The whole cache at one moment; parents come before children. */
+export interface CacheSnapshot {
+  readonly incarnation: string;
+  /** Sequence of the last event that is in it. */
+  readonly sequence: number;
+  readonly events: readonly CacheEvent[];
+}
+
 /** An order to an engine. Carries a fencing number; some engines refuse an old one, others ignore it. */
 export type EngineOrder =
   | { readonly type: 'load-model'; readonly model: string; readonly version: string }
@@ -104,15 +129,17 @@
     fromEvent: number,
     signal: AbortSignal,
   ): Promise<Result<EngineAnswer, Fault>>;
-  /** Stops the work on a request. */
-  cancel(requestId: string, signal: AbortSignal): Promise<Result<void, Fault>>;
+  /** Stops the work on an attempt. */
+  cancel(attemptId: string, signal: AbortSignal): Promise<Result<void, Fault>>;
   state(signal: AbortSignal): Promise<Result<EngineState, Fault>>;
   load?(signal: AbortSignal): Promise<Result<EngineLoad, Fault>>;
-  /** Cache events after `fromSequence` as they come; ends or throws when the connection does. */
+  /** Cache events from `fromSequence` on as they come; ends or throws when the connection does. */
   cacheEvents?(fromSequence: number, signal: AbortSignal): AsyncIterable<CacheEvent>;
   /** All blocks now in the cache, as stored events of one sequence. */
-  cacheSnapshot?(signal: AbortSignal): Promise<Result<readonly CacheEvent[], Fault>>;
+  cacheSnapshot?(signal: AbortSignal): Promise<Result<CacheSnapshot, Fault>>;
   order?(order: EngineOrder, fence: bigint, signal: AbortSignal): Promise<Result<void, Fault>>;
   /** Imports blocks from another engine or from the store of kept KV cache. */
   importCache?(from: string, hashes: readonly string[], signal: AbortSignal): Promise<Result<void, Fault>>;
+  /** Cuts all connections. */
+  close?(): Promise<void>;
 }
--- /dev/null
+++ b/packages/engine/src/prompt/index.ts
@@ -0,0 +1,2 @@
+export * from './schema.js';
+export * from './prompt.js';
--- /dev/null
+++ b/packages/engine/src/sse/index.ts
@@ -0,0 +1,2 @@
+export * from './scanner.js';
+export * from './messages.js';
--- /dev/null
+++ b/packages/engine/src/wire/connections.ts
@@ -0,0 +1,34 @@
+/** Connections to one target. */
+import { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
+
+/** Idle connections are closed before a common server does it, so that a request rarely meets a closing one. */
+const KEEP_ALIVE_MS = 3_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/**
+ * Two pools: one keeps connections for reuse, one opens a connection for each request. A kept connection may
+ * be closed by the target just as a request leaves; whether the request was read is then not known. So
+ * requests that must not run twice take a fresh one.
+ */
+export class Connections {
+  private readonly kept: Pool;
+  private readonly fresh: Pool;
+
+  constructor(readonly origin: string) {
+    const bounds = { headersTimeout: 0, bodyTimeout: 0, connect: { timeout: CONNECT_TIMEOUT_MS } };
+    const keepAlive = { keepAliveTimeout: KEEP_ALIVE_MS, keepAliveMaxTimeout: KEEP_ALIVE_MS };
+    this.kept = new Pool(origin, { ...bounds, ...keepAlive, pipelining: 1 });
+    this.fresh = new Pool(origin, { ...bounds, pipelining: 0 });
+  }
+
+  /** The pool for a request. */
+  pool(fresh = false): Dispatcher {
+    return fresh ? this.fresh : this.kept;
+  }
+
+  /** Cuts all connections. */
+  async close(): Promise<void> {
+    await Promise.all([this.kept.destroy(), this.fresh.destroy()]);
+  }
+}
--- /dev/null
+++ b/packages/engine/src/wire/exchange.ts
@@ -0,0 +1,273 @@
+/** One request and its answer over undici, with backpressure, a bound on silence and no hidden resend. */
+import { fault } from '@jasmineroute/core';
+import type { Clock, Fault } from '@jasmineroute/core';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { Dispatcher } from 'undici';
+import type { HeaderField } from '../port/index.js';
+import { FaultError, broken } from './failure.js';
+
+/** Bytes that wait for the reader before the target is paused, and below which it goes on. */
+const HIGH_WATER = 64 * 1024;
+const LOW_WATER = 16 * 1024;
+
+/** A request on the wire. */
+export interface WireRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body?: Uint8Array;
+  /** Longest silence before the answer's head, milliseconds; absent: unbounded, the signal bounds it. */
+  readonly headSilenceMs?: number;
+  /** Longest silence inside the answer's body. */
+  readonly bodySilenceMs?: number;
+}
+
+/** An answer on the wire. Its body can be read once. */
+export interface WireAnswer {
+  readonly status: number;
+  readonly headers: readonly HeaderField[];
+  readonly body: AsyncIterable<Uint8Array>;
+  /** Whether the message has a length of its own, so that its end is told apart from a cut. */
+  readonly framed: boolean;
+  /** Gives the answer up and destroys its connection. */
+  abandon(): void;
+}
+
+type RawHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+function fieldsOf(headers: RawHeaders): HeaderField[] {
+  return Object.entries(headers).flatMap(([name, value]) => {
+    if (value === undefined) return [];
+    const values = Array.isArray(value) ? value : [value];
+    return values.map((single) => ({ name, value: single }));
+  });
+}
+
+/** Without a length, a body ends when the connection closes, and a cut looks just the same. */
+function isFramed(method: string, status: number, headers: RawHeaders): boolean {
+  if (method === 'HEAD' || status === 204 || status === 304) return true;
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+/** The first value of a header, name in lower case. */
+export function headerOf(headers: readonly HeaderField[], name: string): string | undefined {
+  return headers.find((header) => header.name === name)?.value;
+}
+
+/**
+ * The state of one exchange. It is the handler that undici calls, and the body that the caller reads.
+ * Aborting destroys the connection: an answer that comes late can then never be taken for the next one's.
+ */
+class Exchange implements Dispatcher.DispatchHandler, AsyncIterable<Uint8Array> {
+  private controller?: Dispatcher.DispatchController;
+  private readonly queue: Uint8Array[] = [];
+  private queued = 0;
+  private ended = false;
+  private failed?: Error;
+  private wake?: () => void;
+  private lastByte: number;
+  private stopTimer?: () => void;
+  private headSeen = false;
+  private sent = false;
+  readonly head: Promise<Result<WireAnswer, Fault>>;
+  private settleHead: (result: Result<WireAnswer, Fault>) => void = () => undefined;
+
+  constructor(
+    private readonly request: WireRequest,
+    private readonly clock: Clock,
+    private readonly signal: AbortSignal,
+  ) {
+    this.lastByte = clock.monotonic();
+    this.head = new Promise((resolve) => {
+      this.settleHead = resolve;
+    });
+    signal.addEventListener('abort', this.onAbort, { once: true });
+    if (request.headSilenceMs !== undefined) this.watchSilence(request.headSilenceMs);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.failed !== undefined) {
+      controller.abort(this.failed);
+      return;
+    }
+    // undici must never send a request a second time on its own: a run could then happen twice unnoticed.
+    if (this.sent) {
+      controller.abort(new Error('a second sending was stopped'));
+      return;
+    }
+    this.sent = true;
+    this.controller = controller;
+  }
+
+  onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: RawHeaders): void {
+    if (status < 200) return;
+    this.headSeen = true;
+    this.touch();
+    this.stopTimer?.();
+    this.stopTimer = undefined;
+    if (this.request.bodySilenceMs !== undefined) this.watchSilence(this.request.bodySilenceMs);
+    this.settleHead(
+      ok({
+        status,
+        headers: fieldsOf(headers),
+        body: this,
+        framed: isFramed(this.request.method, status, headers),
+        abandon: () => {
+          this.fail(new Error('given up'));
+        },
+      }),
+    );
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.touch();
+    this.queue.push(chunk);
+    this.queued += chunk.length;
+    if (this.queued > HIGH_WATER) controller.pause();
+    this.wake?.();
+  }
+
+  onResponseEnd(): void {
+    this.ended = true;
+    this.finish();
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.failed ??= error;
+    this.finish();
+    this.settleHead(err(this.headFault(this.failed)));
+  }
+
+  /** Ends the exchange with an error and destroys its connection. */
+  fail(error: Error): void {
+    if (this.ended || this.failed !== undefined) return;
+    this.failed = error;
+    this.controller?.abort(error);
+    this.finish();
+    this.settleHead(err(this.headFault(error)));
+  }
+
+  async *[Symbol.asyncIterator](): AsyncGenerator<Uint8Array> {
+    try {
+      for (;;) {
+        const chunk = this.take();
+        if (chunk !== undefined) {
+          yield chunk;
+          continue;
+        }
+        if (this.failed !== undefined) throw new FaultError(broken(this.failed));
+        if (this.ended) return;
+        await new Promise<void>((resolve) => {
+          this.wake = resolve;
+        });
+      }
+    } finally {
+      this.fail(new Error('the reader stopped'));
+    }
+  }
+
+  private take(): Uint8Array | undefined {
+    const [first] = this.queue;
+    if (first === undefined) return undefined;
+    const chunk = this.queue.length === 1 ? first : Buffer.concat(this.queue);
+    this.queue.length = 0;
+    this.queued = 0;
+    this.resume();
+    return chunk;
+  }
+
+  private resume(): void {
+    if (this.controller?.paused !== true || this.queued > LOW_WATER) return;
+    // The pause was ours, so its silence is not the target's.
+    this.touch();
+    this.controller.resume();
+  }
+
+  private touch(): void {
+    this.lastByte = this.clock.monotonic();
+  }
+
+  /**
+   * One timer for many bytes: it looks at the time of the last one and goes back to sleep. Prevents an
+   * answer from hanging for good on a connection that something between the ends has lost track of.
+   */
+  private watchSilence(bound: number): void {
+    const rest = this.lastByte + bound - this.clock.monotonic();
+    if (rest <= 0 && this.controller?.paused !== true) {
+      const message = `no byte for ${bound} ms`;
+      this.fail(new FaultError(fault('stream-broken', message, { ran: this.ranSoFar() })));
+      return;
+    }
+    this.stopTimer = this.clock.after(rest <= 0 ? bound : rest, () => {
+      this.watchSilence(bound);
+    });
+  }
+
+  private finish(): void {
+    this.stopTimer?.();
+    this.stopTimer = undefined;
+    this.signal.removeEventListener('abort', this.onAbort);
+    this.wake?.();
+  }
+
+  private ranSoFar(): 'not-run' | 'may-have-run' {
+    return this.sent ? 'may-have-run' : 'not-run';
+  }
+
+  /** Not run is said only of a request that undici never began to write. */
+  private headFault(error: Error): Fault {
+    const ran = this.ranSoFar();
+    if (error instanceof FaultError) return { ...error.fault, ran };
+    if (this.signal.aborted) return fault('cancelled', 'given up by the caller', { ran, cause: error });
+    if (!this.sent) return fault('target-unreachable', `no connection: ${error.message}`, { cause: error });
+    const when = this.headSeen ? 'inside the answer' : 'before the answer';
+    return fault('target-lost', `connection lost ${when}: ${error.message}`, { cause: error });
+  }
+
+  private readonly onAbort = (): void => {
+    const { reason } = this.signal as { reason: unknown };
+    this.fail(reason instanceof Error ? reason : new Error('aborted'));
+  };
+}
+
+/** Sends a request. The answer's body must be read to its end or abandoned. */
+export async function exchange(
+  pool: Dispatcher,
+  request: WireRequest,
+  clock: Clock,
+  signal: AbortSignal,
+): Promise<Result<WireAnswer, Fault>> {
+  if (signal.aborted) return err(fault('cancelled', 'given up before it was sent'));
+  const handler = new Exchange(request, clock, signal);
+  try {
+    pool.dispatch(
+      {
+        method: request.method,
+        path: request.path,
+        headers: { ...request.headers },
+        body: request.body === undefined || request.body.length === 0 ? null : request.body,
+      },
+      handler,
+    );
+  } catch (error) {
+    handler.fail(error instanceof Error ? error : new Error(String(error)));
+  }
+  return handler.head;
+}
+
+/** Reads a whole body of at most `limit` bytes. */
+export async function readWhole(answer: WireAnswer, limit: number): Promise<Result<Uint8Array, Fault>> {
+  const parts: Uint8Array[] = [];
+  let size = 0;
+  try {
+    for await (const part of answer.body) {
+      parts.push(part);
+      size += part.length;
+      if (size > limit) return err(fault('engine-failed', `an answer of more than ${limit} bytes`));
+    }
+  } catch (error) {
+    return err(broken(error));
+  }
+  return ok(Buffer.concat(parts));
+}
--- /dev/null
+++ b/packages/engine/src/wire/index.ts
@@ -0,0 +1,4 @@
+/** One HTTP exchange with a target, with the truth about what was sent. */
+export * from './connections.js';
+export * from './exchange.js';
+export * from './failure.js';
--- /dev/null
+++ b/packages/routing/src/admission/index.ts
@@ -0,0 +1,1 @@
+export * from './admission.js';
--- /dev/null
+++ b/packages/routing/src/blockIndex/index.ts
@@ -0,0 +1,2 @@
+export * from './blockIndex.js';
+export * from './change.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,8 @@
 /** Routing decisions: which target takes a request, and whether any should. */
+export * from './admission/index.js';
+export * from './blockIndex/index.js';
+export * from './limit/index.js';
 export * from './policy/index.js';
 export * from './prefix/index.js';
+export * from './retry/index.js';
+export * from './target/index.js';
--- /dev/null
+++ b/packages/routing/src/limit/index.ts
@@ -0,0 +1,2 @@
+export * from './rules.js';
+export * from './tokenBucket.js';
--- a/packages/routing/src/policy/policy.ts
+++ b/packages/routing/src/policy/policy.ts
@@ -79,7 +79,10 @@
 /** What became of a request at a target; policies learn from it. */
 export interface Outcome {
   readonly candidate: Candidate;
+  /** The same object that `dispatched` was given. */
   readonly job: Job;
+  /** Told at the first token, and once more at the end; only at the end when absent. */
+  readonly phase?: 'first-token' | 'end';
   readonly ok: boolean;
   /** Milliseconds from dispatch to the first token. */
   readonly firstTokenMs?: number;
@@ -93,7 +96,10 @@
   choose(job: Job, candidates: readonly Candidate[]): Promise<Choice>;
   /** A request went out to a target. */
   dispatched(candidate: Candidate, job: Job): void;
-  /** It ended, or its first token came. */
+  /**
+   * Its first token came, or it ended in any way. Every dispatched request is told of with phase "end"
+   * exactly once, also one that was refused, cut or cancelled.
+   */
   settled(outcome: Outcome): void;
 }
 
--- /dev/null
+++ b/packages/routing/src/policy/rendezvousHash.ts
@@ -0,0 +1,56 @@
+/**
+ * Weighted rendezvous hashing: each target draws a score from the key and its name, the largest wins. It is
+ * computed from names alone, so all entries agree and a restarted one decides as before; a target that comes
+ * or goes moves only its own keys.
+ */
+import type { Candidate } from './policy.js';
+
+/** Scale of a 32-bit number to (0, 1). */
+const UNIT = 2 ** -32;
+
+const nameHashes = new Map<string, number>();
+
+/** Names that are kept hashed; more than a service's targets ever are. */
+const MAX_NAMES = 20_000;
+
+/** Mixes all bits of a 32-bit number (the finalizer of MurmurHash3). */
+function mix(value: number): number {
+  let bits = value | 0;
+  bits = Math.imul(bits ^ (bits >>> 16), 0x85ebca6b);
+  bits = Math.imul(bits ^ (bits >>> 13), 0xc2b2ae35);
+  return (bits ^ (bits >>> 16)) >>> 0;
+}
+
+function hashName(name: string): number {
+  const known = nameHashes.get(name);
+  if (known !== undefined) return known;
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < name.length; index += 1) {
+    hash = Math.imul(hash ^ name.charCodeAt(index), 0x01000193);
+  }
+  if (nameHashes.size >= MAX_NAMES) nameHashes.clear();
+  nameHashes.set(name, mix(hash));
+  return mix(hash);
+}
+
+/** Draw of a target for a key: larger is nearer to the key. Weighted by capacity. */
+function score(low: number, high: number, candidate: Candidate): number {
+  const drawn = mix(mix(hashName(candidate.name) ^ low) ^ high);
+  return -candidate.capacity / Math.log((drawn + 0.5) * UNIT);
+}
+
+/** The `count` first homes of a key, best first. */
+export function homesOf(key: bigint, candidates: readonly Candidate[], count: number): Candidate[] {
+  const low = Number(key & 0xffff_ffffn);
+  const high = Number(key >> 32n);
+  const homes: { candidate: Candidate; score: number }[] = [];
+  for (const candidate of candidates) {
+    const drawn = { candidate, score: score(low, high, candidate) };
+    const last = homes.at(-1);
+    if (homes.length === count && last !== undefined && last.score >= drawn.score) continue;
+    const place = homes.findIndex((home) => home.score < drawn.score);
+    homes.splice(place < 0 ? homes.length : place, 0, drawn);
+    if (homes.length > count) homes.pop();
+  }
+  return homes.map((home) => home.candidate);
+}
--- a/packages/routing/src/prefix/index.ts
+++ b/packages/routing/src/prefix/index.ts
@@ -1,1 +1,2 @@
 export * from './chain.js';
+export * from './levels.js';
--- /dev/null
+++ b/packages/routing/src/retry/index.ts
@@ -0,0 +1,1 @@
+export * from './retryBudget.js';
--- /dev/null
+++ b/packages/routing/src/target/index.ts
@@ -0,0 +1,1 @@
+export * from './targetLedger.js';
--- a/packages/testkit/src/certificate/certificate.ts
+++ b/packages/testkit/src/certificate/certificate.ts
@@ -31,10 +31,7 @@
   ) {}
 
   static async create(name: string): Promise<Authority> {
-    const keys = (await webcrypto.subtle.generateKey(ALGORITHM, true, [
-      'sign',
-      'verify',
-    ]));
+    const keys = await webcrypto.subtle.generateKey(ALGORITHM, true, ['sign', 'verify']);
     const certificate = await X509CertificateGenerator.createSelfSigned({
       serialNumber: '01',
       name: `CN=${name}`,
@@ -49,10 +46,7 @@
 
   /** Writes a new key and certificate for `name` into `folder`. */
   async issue(name: string, folder: string): Promise<Identity> {
-    const keys = (await webcrypto.subtle.generateKey(ALGORITHM, true, [
-      'sign',
-      'verify',
-    ]));
+    const keys = await webcrypto.subtle.generateKey(ALGORITHM, true, ['sign', 'verify']);
     this.serial += 1;
     const certificate = await X509CertificateGenerator.create({
       serialNumber: this.serial.toString(16).padStart(2, '0'),
--- /dev/null
+++ b/packages/testkit/src/process/index.ts
@@ -0,0 +1,1 @@
+export * from './managedProcess.js';
--- /dev/null
+++ b/packages/testkit/src/process/managedProcess.ts
@@ -0,0 +1,177 @@
+/** A child process of a test or bench run: started, waited for, broken, and always ended. */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { closeSync, mkdirSync, openSync, writeSync } from 'node:fs';
+import { dirname } from 'node:path';
+import { createInterface } from 'node:readline';
+import { systemClock } from '@jasmineroute/core';
+import { z } from 'zod';
+
+/** The line that a process prints on standard output once it listens. */
+const readyLine = z.looseObject({
+  ready: z.literal(true),
+  role: z.string(),
+  name: z.string(),
+  pid: z.number(),
+  rpc: z.string().optional(),
+  http: z.string().optional(),
+});
+
+/** Where a process listens. */
+export type Ready = z.output<typeof readyLine>;
+
+/** How to start a process. */
+export interface ProcessOptions {
+  readonly name: string;
+  /** Script to run with this Node. */
+  readonly script: string;
+  readonly args: readonly string[];
+  readonly env?: Readonly<Record<string, string>>;
+  /** Standard output and error are appended here. */
+  readonly logFile: string;
+  readonly readyTimeoutMs?: number;
+  /** Options of Node itself. */
+  readonly nodeArgs?: readonly string[];
+}
+
+/** How a process ended. */
+export interface Exit {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+const live = new Set<ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of live) child.kill('SIGKILL');
+});
+
+/** One child process. */
+export class ManagedProcess {
+  private child: ChildProcess | undefined;
+  private exited: Promise<Exit> = Promise.resolve({ code: null, signal: null });
+  private readyState: Ready | undefined;
+
+  constructor(readonly options: ProcessOptions) {}
+
+  /** Starts one and waits until it is ready. */
+  static async start(options: ProcessOptions): Promise<ManagedProcess> {
+    const managed = new ManagedProcess(options);
+    await managed.start();
+    return managed;
+  }
+
+  get name(): string {
+    return this.options.name;
+  }
+
+  /** What it said when it came up. @throws Error before that. */
+  get ready(): Ready {
+    if (this.readyState === undefined) throw new Error(`${this.name} is not ready`);
+    return this.readyState;
+  }
+
+  get pid(): number {
+    const pid = this.child?.pid;
+    if (pid === undefined) throw new Error(`${this.name} is not running`);
+    return pid;
+  }
+
+  get running(): boolean {
+    return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
+  }
+
+  /** Resolves when it has ended. */
+  get exit(): Promise<Exit> {
+    return this.exited;
+  }
+
+  /** Starts it, after an end also again. */
+  async start(extraArgs: readonly string[] = []): Promise<Ready> {
+    if (this.running) throw new Error(`${this.name} runs already`);
+    const { script, args, env, logFile, nodeArgs = [], readyTimeoutMs = 20_000 } = this.options;
+    mkdirSync(dirname(logFile), { recursive: true });
+    const log = openSync(logFile, 'a');
+    const child = spawn(process.execPath, [...nodeArgs, script, ...args, ...extraArgs], {
+      env: { ...process.env, ...env },
+      stdio: ['ignore', 'pipe', log],
+    });
+    this.child = child;
+    live.add(child);
+    this.exited = new Promise((resolve) => {
+      child.once('exit', (code, signal) => {
+        live.delete(child);
+        closeSync(log);
+        resolve({ code, signal });
+      });
+    });
+    this.readyState = await this.waitUntilReady(child, log, readyTimeoutMs);
+    return this.readyState;
+  }
+
+  /** Sends a signal to this process only. */
+  signal(signal: NodeJS.Signals): void {
+    if (this.running) process.kill(this.pid, signal);
+  }
+
+  /** kill -9, and waits for the end. */
+  async kill(): Promise<void> {
+    this.signal('SIGKILL');
+    await this.exited;
+  }
+
+  /** Planned stop: SIGTERM; kill -9 when it takes longer than the limit. Returns how it ended. */
+  async stop(limitMs = 15_000): Promise<Exit> {
+    this.signal('SIGCONT');
+    this.signal('SIGTERM');
+    const cancel = systemClock.after(limitMs, () => {
+      this.signal('SIGKILL');
+    });
+    const exit = await this.exited;
+    cancel();
+    return exit;
+  }
+
+  /** Freezes it, as a machine does that has lost its processor. */
+  pause(): void {
+    this.signal('SIGSTOP');
+  }
+
+  /** Lets a frozen one go on. */
+  resume(): void {
+    this.signal('SIGCONT');
+  }
+
+  private waitUntilReady(child: ChildProcess, log: number, timeoutMs: number): Promise<Ready> {
+    return new Promise((resolve, reject) => {
+      const { stdout } = child;
+      if (stdout === null) throw new Error('no standard output');
+      const cancel = systemClock.after(timeoutMs, () => {
+        child.kill('SIGKILL');
+        reject(new Error(`${this.name} was not ready in ${timeoutMs} ms; see ${this.options.logFile}`));
+      });
+      child.once('exit', (code, signal) => {
+        cancel();
+        const how = signal ?? `code ${code ?? 'unknown'}`;
+        reject(new Error(`${this.name} ended with ${how} before it was ready; see ${this.options.logFile}`));
+      });
+      createInterface({ input: stdout }).on('line', (line) => {
+        if (child.exitCode === null) writeSync(log, `${line}\n`);
+        const ready = parseReady(line);
+        if (ready === undefined) return;
+        cancel();
+        resolve(ready);
+      });
+    });
+  }
+}
+
+function parseReady(line: string): Ready | undefined {
+  if (!line.startsWith('{')) return undefined;
+  try {
+    const parsed = readyLine.safeParse(JSON.parse(line));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/proxy/index.ts
@@ -0,0 +1,3 @@
+export * from './connection.js';
+export * from './fault.js';
+export * from './faultProxy.js';
--- /dev/null
+++ b/packages/testkit/src/wait/index.ts
@@ -0,0 +1,1 @@
+export * from './wait.js';
