--- /dev/null
+++ b/packages/agent/src/bench/ends.ts
@@ -0,0 +1,72 @@
+/** The two ends of the stream benchmark: an engine that emits at a steady pace, and readers that count. */
+import { createServer } from 'node:http';
+import type { ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { createClient } from '@connectrpc/connect';
+import { Peers, gateMessage } from '@jasmineroute/protocol';
+
+/** Time between two tokens of one stream, as the plan has it. */
+export const INTERVAL_MS = 68;
+
+/** Incarnation that the gate of the benchmark announces. */
+export const INCARNATION = 'engine/1';
+
+/** Parts in which the engine's streams are served, so that they don't all write in one turn of its loop. */
+const PHASES = 17;
+
+function tell(type: string, value: unknown): void {
+  process.send?.({ type, value });
+}
+
+/** An engine whose streams never end. */
+export async function engineMain(chunkBytes: number): Promise<void> {
+  const streams: ServerResponse[] = [];
+  const server = createServer((request, response) => {
+    request.resume();
+    response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'x-request-id': request.headers['x-request-id'],
+    });
+    streams.push(response);
+  });
+  const padding = 'x'.repeat(Math.max(0, chunkBytes - 'data: \n\n'.length));
+  let phase = 0;
+  setInterval(() => {
+    for (let at = phase; at < streams.length; at += PHASES) streams[at]?.write(`data: ${padding}\n\n`);
+    phase = (phase + 1) % PHASES;
+  }, INTERVAL_MS / PHASES);
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  tell('ready', `http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+}
+
+/** Readers over one connection, as an entry has it. */
+export function readerMain(address: string, streams: number): Promise<void> {
+  const client = createClient(gateMessage.Gate, new Peers().transport(address));
+  let [chunks, open] = [0, 0];
+  process.on('message', () => {
+    tell('count', chunks);
+  });
+  const read = async (index: number): Promise<void> => {
+    const request = {
+      requestId: `r-${index}`,
+      attemptId: `a-${index}`,
+      service: 's',
+      customer: 'c',
+      model: 'm',
+      method: 'POST',
+      path: '/v1/completions',
+      body: Buffer.from('{"model":"m","prompt":"p","stream":true}'),
+      deadlineMs: 600_000,
+      idempotent: true,
+      incarnation: INCARNATION,
+    };
+    for await (const { event } of client.run(request)) {
+      if (event.case === 'chunk') chunks++;
+      if (event.case !== 'head') continue;
+      open++;
+      if (open === streams) tell('ready', undefined);
+    }
+  };
+  for (let index = 0; index < streams; index++) void read(index);
+  return Promise.resolve();
+}
--- /dev/null
+++ b/packages/agent/src/gate/gate.ts
@@ -0,0 +1,290 @@
+/** The gate service: every request to the target passes here. */
+import { create } from '@bufbuild/protobuf';
+import { Code, ConnectError } from '@connectrpc/connect';
+import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
+import { fault } from '@jasmineroute/core';
+import type { Clock, Fault, Log, Metrics } from '@jasmineroute/core';
+import type { Engine, Usage } from '@jasmineroute/engine';
+import { gateMessage } from '@jasmineroute/protocol';
+import { BLOCK_TOKENS, decodeChain } from '@jasmineroute/routing';
+import type { BlockIndex, Chain } from '@jasmineroute/routing';
+import { agentEvents } from '../events.js';
+import { LoadMeter, Slots } from '../load/index.js';
+import { agentMetrics } from '../metrics.js';
+import { Attempts, Run, lastEvent, ranMessages } from '../run/index.js';
+import type { AttemptRecord, BufferBounds, RunContext, RunEventInit } from '../run/index.js';
+import { isOfAgent } from '../watch/incarnation.js';
+import { checkArrival, checkSending, isLoaded } from './check.js';
+import { estimateMs } from './estimate.js';
+import type { GateTarget } from './target.js';
+
+/** Bounds of a gate, milliseconds and bytes. */
+export interface GateBounds {
+  readonly queue: number;
+  readonly readerGraceMs: number;
+  readonly keepMs: number;
+  readonly keepOnceMs: number;
+  readonly attemptWindowMs: number;
+  readonly bufferBytes: number;
+}
+
+/** What a gate needs. */
+export interface GateOptions {
+  readonly target: GateTarget;
+  readonly engine: Engine;
+  readonly index: BlockIndex;
+  /** Incarnation of this agent process. */
+  readonly incarnation: bigint;
+  readonly bounds: GateBounds;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** The engine broke a connection. */
+  readonly suspect: () => void;
+}
+
+/** Largest answer that is kept whole for a run that must not be repeated. */
+const ONCE_BYTES = 1024 * 1024;
+
+/** The gate of one target. */
+export class Gate implements ServiceImpl<typeof gateMessage.Gate> {
+  private readonly attempts: Attempts;
+  private readonly slots: Slots;
+  private readonly meter: LoadMeter;
+  private readonly startedAt: number;
+  private active = 0;
+  private idleWaiters: (() => void)[] = [];
+
+  constructor(private readonly options: GateOptions) {
+    const { clock, bounds, target } = options;
+    this.attempts = new Attempts(clock, bounds.attemptWindowMs);
+    this.slots = new Slots(
+      () => target.capacity(),
+      () => bounds.queue,
+    );
+    this.meter = new LoadMeter(clock);
+    this.startedAt = clock.monotonic();
+  }
+
+  /** Runs an attempt, or attaches to it when it is here already: it is never run twice. */
+  async *run(request: gateMessage.RunRequest, context: HandlerContext): AsyncGenerator<RunEventInit> {
+    const known = this.attempts.find(request.attemptId);
+    if (known !== undefined) {
+      yield* this.again(request, known, context.signal);
+      return;
+    }
+    const admitted = this.admit(request);
+    if (!(admitted instanceof Run)) {
+      yield this.refusal(request, admitted);
+      return;
+    }
+    yield* admitted.read(0, context.signal);
+  }
+
+  /** Goes on with a known attempt. */
+  async *resume(request: gateMessage.ResumeRequest, context: HandlerContext): AsyncGenerator<RunEventInit> {
+    const known = this.attempts.find(request.attemptId);
+    if (known?.type !== 'run') throw new ConnectError('no such attempt here', Code.NotFound);
+    this.options.metrics.count(agentMetrics.resumes, 1, { side: 'entry' });
+    yield* known.run.read(Number(request.fromOrdinal), context.signal);
+  }
+
+  /** Stops an attempt and says what is proved of it. */
+  cancel(request: gateMessage.CancelRequest): { ran: gateMessage.Ran } {
+    const ran = this.cancelled(request);
+    this.options.metrics.count(agentMetrics.cancels, 1, { ran: gateMessage.Ran[ran] });
+    return { ran };
+  }
+
+  /** Says what the target has cached of a prompt, and how busy it is. */
+  probe(request: gateMessage.ProbeRequest): gateMessage.ProbeResponse {
+    const { target } = this.options;
+    const cachedTokens = this.cachedTokens(decodeChain(request.chain), request.promptTokens);
+    const accepting =
+      !target.leaving() && target.ready() && request.service === target.service && isLoaded(target, request);
+    return create(gateMessage.ProbeResponseSchema, {
+      incarnation: target.incarnation(),
+      accepting,
+      cachedTokens,
+      load: this.load(request.priority),
+      estimateMs: this.estimate(request.priority, request.promptTokens - cachedTokens),
+    });
+  }
+
+  /** Load as messages carry it. */
+  load(priority: number): gateMessage.Load {
+    return create(gateMessage.LoadSchema, {
+      running: this.slots.running,
+      queued: this.slots.queued,
+      queuedTokens: this.meter.ahead(Number.NEGATIVE_INFINITY),
+      aheadTokens: this.meter.ahead(priority),
+      prefillRate: this.meter.prefillRate,
+      tokenMs: this.meter.tokenMs,
+      capacity: this.options.target.capacity(),
+    });
+  }
+
+  /** Runs that the target may be at work on, for a model. */
+  sentFor(model: string): number {
+    let count = 0;
+    for (const run of this.attempts.open()) if (run.sent && run.request.model === model) count++;
+    return count;
+  }
+
+  /** The engine is another process: nothing that the old one worked on will ever be answered. */
+  engineReplaced(): void {
+    for (const run of this.attempts.open()) {
+      if (run.sent) run.stop(fault('target-lost', 'the engine has restarted'));
+    }
+  }
+
+  /** The capacity has changed. */
+  refresh(): void {
+    this.slots.refresh();
+  }
+
+  /** Resolves when no run is left. */
+  idle(): Promise<void> {
+    if (this.active === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.idleWaiters.push(resolve);
+    });
+  }
+
+  /** Ends all runs at once. */
+  stopAll(): void {
+    for (const run of this.attempts.open()) run.stop(fault('stopping', 'the agent stops'));
+  }
+
+  private admit(request: gateMessage.RunRequest): Run | Fault {
+    const { target } = this.options;
+    const refused = checkArrival(target, request);
+    if (refused !== undefined) return refused;
+    const cachedTokens = this.cachedTokens(decodeChain(request.chain), request.promptTokens);
+    const estimate = this.estimate(request.priority, request.promptTokens - cachedTokens);
+    if (estimate > request.deadlineMs) {
+      const message = `the first token would take ${Math.round(estimate)} ms`;
+      return fault('deadline-unmeetable', message, { retryAfterMs: estimate - request.deadlineMs });
+    }
+    const run = new Run(this.runContext(request), request, target.incarnation(), cachedTokens);
+    if (!this.attempts.begin(request.attemptId, run)) {
+      run.stop(fault('overloaded', 'too many attempts to remember'));
+      return fault('overloaded', 'too many attempts to remember');
+    }
+    void this.work(run);
+    return run;
+  }
+
+  private async work(run: Run): Promise<void> {
+    const { metrics, bounds, clock } = this.options;
+    this.active++;
+    metrics.count(agentMetrics.runs);
+    this.gauge();
+    await run.execute();
+    const { attemptId, idempotent } = run.request;
+    this.attempts.end(attemptId);
+    clock.after(idempotent ? bounds.keepMs : bounds.keepOnceMs, () => {
+      run.buffer.clear();
+    });
+    this.active--;
+    this.gauge();
+    if (this.active > 0) return;
+    for (const wake of this.idleWaiters.splice(0)) wake();
+  }
+
+  private async *again(
+    request: gateMessage.RunRequest,
+    known: AttemptRecord,
+    signal: AbortSignal,
+  ): AsyncGenerator<RunEventInit> {
+    const { log } = this.options;
+    if (known.type === 'cancelled') {
+      log.event(agentEvents.tombstoneRefused, { attemptId: request.attemptId });
+      yield this.refusal(request, fault('cancelled', 'cancelled before it arrived'));
+      return;
+    }
+    log.event(agentEvents.duplicateRun, { attemptId: request.attemptId });
+    yield* known.run.read(0, signal);
+  }
+
+  private refusal(request: gateMessage.RunRequest, cause: Fault): RunEventInit {
+    const { metrics, log } = this.options;
+    const { requestId, attemptId, priority } = request;
+    metrics.count(agentMetrics.refusals, 1, { kind: cause.kind });
+    log.event(agentEvents.runRefused, { requestId, attemptId, kind: cause.kind, message: cause.message });
+    return { requestId, ordinal: 0n, event: lastEvent({ ...cause, ran: 'not-run' }, this.load(priority)) };
+  }
+
+  /**
+   * What Cancel may say. "Not run" needs a proof: the attempt waits here and is taken out, or it has never
+   * been here and is recorded so that it is refused when it arrives later. An agent that started after the
+   * attempt was sent cannot know what its predecessor did with it.
+   */
+  private cancelled(request: gateMessage.CancelRequest): gateMessage.Ran {
+    const known = this.attempts.find(request.attemptId);
+    if (known?.type === 'run') {
+      const { run } = known;
+      const { ran } = run;
+      run.stop(fault('cancelled', 'cancelled by the entry'));
+      return ranMessages[ran];
+    }
+    if (known === undefined && !this.attempts.cancelUnknown(request.attemptId)) {
+      return gateMessage.Ran.MAY_HAVE_RUN;
+    }
+    return this.remembersAll(request.incarnation) ? gateMessage.Ran.NOT_RUN : gateMessage.Ran.MAY_HAVE_RUN;
+  }
+
+  private remembersAll(incarnation: string): boolean {
+    if (incarnation !== '') return isOfAgent(incarnation, this.options.incarnation);
+    return this.options.clock.monotonic() - this.startedAt > this.options.bounds.attemptWindowMs;
+  }
+
+  private cachedTokens(chain: Chain, promptTokens: number): number {
+    return Math.min(promptTokens, this.options.index.longestPrefix(chain) * BLOCK_TOKENS);
+  }
+
+  private estimate(priority: number, uncachedTokens: number): number {
+    const { meter, slots } = this;
+    const capacity = this.options.target.capacity();
+    return estimateMs({ meter, slots, capacity, priority, uncachedTokens });
+  }
+
+  private runContext(request: gateMessage.RunRequest): RunContext {
+    const { engine, clock, log, metrics, bounds, target, suspect } = this.options;
+    return {
+      engine,
+      clock,
+      log,
+      metrics,
+      slots: this.slots,
+      meter: this.meter,
+      bounds: bufferBounds(bounds.bufferBytes, request.idempotent),
+      readerGraceMs: bounds.readerGraceMs,
+      recheck: (waited) => checkSending(target, waited),
+      load: (priority) => this.load(priority),
+      suspect,
+      counted: (counted, usage) => {
+        this.counted(counted, usage);
+      },
+    };
+  }
+
+  private counted(request: gateMessage.RunRequest, usage: Usage): void {
+    const { metrics, index } = this.options;
+    metrics.count(agentMetrics.promptTokens, usage.promptTokens);
+    metrics.count(agentMetrics.cachedTokens, usage.cachedTokens);
+    metrics.count(agentMetrics.outputTokens, usage.outputTokens);
+    metrics.gauge(agentMetrics.indexBlocks, index.counts().blocks);
+    index.confirm(decodeChain(request.chain), Math.floor(usage.cachedTokens / BLOCK_TOKENS));
+  }
+
+  private gauge(): void {
+    this.options.metrics.gauge(agentMetrics.running, this.slots.running);
+    this.options.metrics.gauge(agentMetrics.queued, this.slots.queued);
+  }
+}
+
+/** A run that must not be repeated keeps its whole answer, up to a bound, for whoever asks for it later. */
+function bufferBounds(bytes: number, idempotent: boolean): BufferBounds {
+  return idempotent ? { unread: bytes, behind: bytes } : { unread: ONCE_BYTES, behind: ONCE_BYTES };
+}
--- /dev/null
+++ b/packages/agent/src/gate/index.ts
@@ -0,0 +1,3 @@
+/** The gate: what entries may ask of the target. */
+export * from './gate.js';
+export * from './target.js';
--- /dev/null
+++ b/packages/agent/src/order/turn.ts
@@ -0,0 +1,102 @@
+/** A turn that is held: renewed until it is given back, and known to be lost when it is. */
+import type { Clock, Fault } from '@jasmineroute/core';
+import type { TakeRequest } from '@jasmineroute/directory';
+import type { Result } from 'neverthrow';
+
+/** How long a turn lasts without being renewed. */
+export const TURN_TTL_MS = 10_000;
+
+/** Time between two renewals. */
+const RENEW_MS = 2_500;
+
+/** Longest wait for an answer. */
+const CALL_TIMEOUT_MS = 2_000;
+
+/** Stops acting this long before the end of a turn: an order must not leave at its last moment. */
+const MARGIN_MS = 1_000;
+
+/** What gives turns: control's quorum. */
+export interface TurnSource {
+  take(
+    request: TakeRequest,
+    timeoutMs: number,
+  ): Promise<Result<{ readonly granted: boolean; readonly fence: bigint }, Fault>>;
+  release(
+    request: { readonly name: string; readonly holder: string; readonly incarnation: bigint },
+    timeoutMs: number,
+  ): Promise<Result<void, Fault>>;
+}
+
+/** Who takes a turn, and which. */
+export interface TurnWish {
+  readonly name: string;
+  readonly holder: string;
+  readonly incarnation: bigint;
+  readonly limit: number;
+}
+
+/** A turn that was granted. */
+export class Turn {
+  private readonly ended = new AbortController();
+
+  private constructor(
+    private readonly source: TurnSource,
+    private readonly clock: Clock,
+    private readonly wish: TurnWish,
+    readonly fence: bigint,
+    private until: number,
+  ) {}
+
+  /** Aborts when the turn is lost or given back. */
+  get signal(): AbortSignal {
+    return this.ended.signal;
+  }
+
+  /** Whether there is time left to act in. */
+  get held(): boolean {
+    return !this.ended.signal.aborted && this.clock.monotonic() < this.until - MARGIN_MS;
+  }
+
+  /** Takes a turn. @returns undefined when others have it, or no quorum answers. */
+  static async take(source: TurnSource, clock: Clock, wish: TurnWish): Promise<Turn | undefined> {
+    // Counted from before the request left: the grant may be older than its answer.
+    const asked = clock.monotonic();
+    const answer = await source.take({ ...wish, ttlMs: TURN_TTL_MS }, CALL_TIMEOUT_MS);
+    if (answer.isErr() || !answer.value.granted) return undefined;
+    const turn = new Turn(source, clock, wish, answer.value.fence, asked + TURN_TTL_MS);
+    void turn.renew();
+    return turn;
+  }
+
+  /** Gives the turn back. */
+  async release(): Promise<void> {
+    if (this.ended.signal.aborted) return;
+    this.ended.abort(new Error('given back'));
+    const { name, holder, incarnation } = this.wish;
+    await this.source.release({ name, holder, incarnation }, CALL_TIMEOUT_MS);
+  }
+
+  private async renew(): Promise<void> {
+    const { clock, source, wish } = this;
+    while (await this.pause()) {
+      if (!this.held) {
+        this.ended.abort(new Error('the turn has run out'));
+        return;
+      }
+      const asked = clock.monotonic();
+      const answer = await source.take({ ...wish, ttlMs: TURN_TTL_MS }, CALL_TIMEOUT_MS);
+      if (answer.isErr()) continue;
+      // Another fence is another grant: between the two, somebody else may have acted.
+      if (!answer.value.granted || answer.value.fence !== this.fence) {
+        this.ended.abort(new Error('the turn was lost'));
+        return;
+      }
+      this.until = asked + TURN_TTL_MS;
+    }
+  }
+
+  private async pause(): Promise<boolean> {
+    await this.clock.sleep(RENEW_MS, this.ended.signal).catch(() => undefined);
+    return !this.ended.signal.aborted;
+  }
+}
--- /dev/null
+++ b/packages/agent/src/role/index.ts
@@ -0,0 +1,1 @@
+export * from './agent.js';
--- /dev/null
+++ b/packages/agent/src/run/buffer.ts
@@ -0,0 +1,133 @@
+/** The events of one run, with ordinals, in bounded memory. */
+import type { gateMessage } from '@jasmineroute/protocol';
+
+/** One event without its ordinal. */
+export type EventBody = Exclude<gateMessage.RunEvent['event'], { case: undefined | 'heartbeat' }>;
+
+/** How much a buffer holds, in bytes of chunks. */
+export interface BufferBounds {
+  /** Not read by anyone yet; when reached, the target is paused. */
+  readonly unread: number;
+  /**
+   * Kept behind the foremost reader. What a reader has taken may still be lost in a connection: at most what
+   * HTTP/2 flow control lets out, 64 KiB by default. A resume goes on from within.
+   */
+  readonly behind: number;
+}
+
+interface Entry {
+  readonly event: EventBody;
+  /** Bytes of all chunks up to and with this one. */
+  readonly total: number;
+}
+
+const lastCases: ReadonlySet<string> = new Set(['end', 'refusal', 'failure']);
+
+/**
+ * A window over a run's events. Readers have their own places; the foremost decides what may be dropped and
+ * when the target is paused, so that a slow or dead second reader holds nobody up.
+ */
+export class EventBuffer {
+  private entries: Entry[] = [];
+  private first = 0;
+  private total = 0;
+  private foremost = 0;
+  private foremostTotal = 0;
+  private done = false;
+  private readonly waiting = new Set<() => void>();
+  private roomWaiter?: () => void;
+
+  constructor(private readonly bounds: BufferBounds) {}
+
+  /** Ordinal of the oldest event that is held. */
+  get start(): number {
+    return this.first;
+  }
+
+  /** Ordinal that the next event gets. */
+  get end(): number {
+    return this.first + this.entries.length;
+  }
+
+  /** Whether the last event is in. */
+  get closed(): boolean {
+    return this.done;
+  }
+
+  /** Adds an event; after a last event nothing is added. */
+  append(event: EventBody): void {
+    if (this.done) return;
+    if (event.case === 'chunk') this.total += event.value.length;
+    this.done = lastCases.has(event.case);
+    this.entries.push({ event, total: this.total });
+    for (const wake of this.waiting) wake();
+    this.waiting.clear();
+  }
+
+  /** The event of an ordinal; undefined when it is dropped or not there yet. */
+  at(ordinal: number): EventBody | undefined {
+    return this.entries[ordinal - this.first]?.event;
+  }
+
+  /** A reader has taken all events before `ordinal`. */
+  taken(ordinal: number): void {
+    if (ordinal <= this.foremost) return;
+    this.foremost = ordinal;
+    this.foremostTotal = this.entries[ordinal - 1 - this.first]?.total ?? this.total;
+    this.trim();
+    if (this.hasRoom()) this.wakeWriter();
+  }
+
+  /** Whether the writer may add more. */
+  hasRoom(): boolean {
+    return this.total - this.foremostTotal < this.bounds.unread;
+  }
+
+  /** Resolves when there is room or the signal aborts. */
+  room(signal: AbortSignal): Promise<void> {
+    if (this.hasRoom() || signal.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        signal.removeEventListener('abort', wake);
+        this.roomWaiter = undefined;
+        resolve();
+      };
+      this.roomWaiter = wake;
+      signal.addEventListener('abort', wake, { once: true });
+    });
+  }
+
+  /** Calls `wake` once at the next event. Returns the way to call it off. */
+  onEvent(wake: () => void): () => void {
+    this.waiting.add(wake);
+    return () => {
+      this.waiting.delete(wake);
+    };
+  }
+
+  /** Drops all events; readers that still want them find them gone. */
+  clear(): void {
+    this.first = this.end;
+    this.entries = [];
+    this.done = true;
+    for (const wake of this.waiting) wake();
+    this.waiting.clear();
+  }
+
+  private wakeWriter(): void {
+    this.roomWaiter?.();
+  }
+
+  private trim(): void {
+    let drop = 0;
+    const limit = this.foremostTotal - this.bounds.behind;
+    const reach = this.foremost - this.first;
+    while (drop < reach && (this.entries[drop]?.total ?? 0) <= limit) drop++;
+    // In batches: shifting an array for each event would cost its length each time.
+    if (drop < TRIM_BATCH) return;
+    this.entries.splice(0, drop);
+    this.first += drop;
+  }
+}
+
+const TRIM_BATCH = 64;
--- /dev/null
+++ b/packages/bench/src/balancer/index.ts
@@ -0,0 +1,1 @@
+export * from './balancer.js';
--- /dev/null
+++ b/packages/bench/src/deployment/index.ts
@@ -0,0 +1,1 @@
+export * from './deployment.js';
--- a/packages/bench/src/engine/cache.ts
+++ b/packages/bench/src/engine/cache.ts
@@ -44,7 +44,10 @@
   for (let at = 0; at + BLOCK_BYTES <= bytes.length; at += BLOCK_BYTES) {
     const part = bytes.subarray(at, at + BLOCK_BYTES);
     const before: string = parent ?? JSON.stringify([salt, model, adapter, version]);
-    const digest: string = hash('sha1', Buffer.concat([Buffer.from(before), part]), 'hex').slice(0, HASH_LENGTH);
+    const digest: string = hash('sha1', Buffer.concat([Buffer.from(before), part]), 'hex').slice(
+      0,
+      HASH_LENGTH,
+    );
     const tokens = Array.from({ length: BLOCK_TOKENS }, (_, index) =>
       part.readUInt32LE(index * BYTES_PER_TOKEN),
     );
--- a/packages/bench/src/engine/feed.ts
+++ b/packages/bench/src/engine/feed.ts
@@ -33,7 +33,7 @@
   for (const block of blocks) {
     const last = runs.at(-1);
     const previous = last?.at(-1);
-    if (last !== undefined && previous !== undefined && block.parent === previous.hash) last.push(block);
+    if (block.parent === previous?.hash) last?.push(block);
     else runs.push([block]);
   }
   return runs;
--- /dev/null
+++ b/packages/bench/src/experiment/experiment.ts
@@ -0,0 +1,55 @@
+/** All rows of an experiment; policies are interleaved, so that a slow minute of the machine hits all alike. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { dirname } from 'node:path';
+import { shapes } from '../deployment/index.js';
+import type { ShapeName } from '../deployment/index.js';
+import { defaultWorkload } from '../workload/index.js';
+import { capacityOf } from './capacity.js';
+import type { ResultsFile, RunResult } from './result.js';
+import { runOnce } from './run.js';
+import type { RunSpec } from './run.js';
+import type { ExperimentSettings, FaultName } from './settings.js';
+
+const capacityFor = (shape: ShapeName, settings: ExperimentSettings): number =>
+  settings.capacity > 0 ? settings.capacity : capacityOf(shapes[shape], defaultWorkload, settings);
+
+/** Every run, in the order in which they are made. */
+export function specsOf(settings: ExperimentSettings): RunSpec[] {
+  const specs: RunSpec[] = [];
+  for (let repeat = 0; repeat < settings.repeats; repeat += 1) {
+    for (const shape of settings.shapes as ShapeName[]) {
+      const capacity = capacityFor(shape, settings);
+      for (const load of settings.loads) {
+        for (const fault of settings.faults as FaultName[]) {
+          for (const policy of settings.policies) {
+            const rate = (capacity * load) / 100;
+            specs.push({ policy, shape, load, fault, seed: settings.seed + repeat, rate });
+          }
+        }
+      }
+    }
+  }
+  return specs;
+}
+
+/** Runs the experiment, saving after each run. `progress` is told of each. */
+export async function runExperiment(
+  settings: ExperimentSettings,
+  command: string,
+  progress: (result: RunResult, done: number, total: number) => void,
+): Promise<ResultsFile> {
+  const capacities = Object.fromEntries(
+    settings.shapes.map((shape) => [shape, capacityFor(shape as ShapeName, settings)]),
+  );
+  const specs = specsOf(settings);
+  const results: RunResult[] = [];
+  const file: ResultsFile = { startedAt: new Date().toISOString(), command, capacities, results };
+  mkdirSync(dirname(settings.out), { recursive: true });
+  for (const spec of specs) {
+    const result = await runOnce(spec, settings);
+    results.push(result);
+    writeFileSync(settings.out, JSON.stringify(file, null, 1));
+    progress(result, results.length, specs.length);
+  }
+  return file;
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,9 @@
 #!/usr/bin/env node
 /** The `jasminebench` command. */
 import { Command } from 'commander';
+import { addChaos } from './chaos/index.js';
+import { addExperiment } from './experiment/index.js';
+import { addLoad } from './load/index.js';
 import { addStandIns } from './standInCommands.js';
 
 const program = new Command('jasminebench')
@@ -8,5 +11,13 @@
   .showHelpAfterError();
 
 addStandIns(program);
+addChaos(program);
+addExperiment(program);
+addLoad(program);
 
-await program.parseAsync();
+try {
+  await program.parseAsync();
+} catch (error) {
+  process.stderr.write(`jasminebench: ${error instanceof Error ? error.message : String(error)}\n`);
+  process.exitCode = 1;
+}
--- /dev/null
+++ b/packages/bench/src/oracle/index.ts
@@ -0,0 +1,1 @@
+export * from './oracle.js';
--- a/packages/bench/src/plain/server.ts
+++ b/packages/bench/src/plain/server.ts
@@ -2,11 +2,14 @@
 import { randomBytes } from 'node:crypto';
 import { systemClock } from '@jasmineroute/core';
 import { Hono } from 'hono';
+import { z } from 'zod';
 import { ExecutionLedger } from '../engine/index.js';
 import { listenHttp } from '../ready/index.js';
 import type { Listening, NodeEnvironment } from '../ready/index.js';
 import type { PlainSettings } from './settings.js';
 
+const slowChange = z.object({ factor: z.number().positive() });
+
 /** Starts a plain service stand-in in this process. */
 export function startPlain(settings: PlainSettings): Promise<Listening> {
   const ledger = new ExecutionLedger(settings.executions);
@@ -25,7 +28,7 @@
     return new Response();
   });
   app.post('/stand-in/slow', async (context) => {
-    latencyMs = settings.latencyMs * Number((await context.req.json<{ factor: number }>()).factor);
+    latencyMs = settings.latencyMs * slowChange.parse(await context.req.json()).factor;
     return context.json({ latencyMs });
   });
   app.all('*', async (context) => {
--- a/packages/bench/src/standInCommands.ts
+++ b/packages/bench/src/standInCommands.ts
@@ -23,7 +23,7 @@
   const command = addOptions(program.command(role).description(description), schema);
   command.option('--print-ready', 'kept for scripts: the ready line is always printed');
   command.action(async (flags: Record<string, unknown>) => {
-    const settings = readSettings(schema, flags, {});
+    const settings = readSettings(schema, flags, process.env);
     if (settings.isErr()) {
       process.stderr.write(`${settings.error}\n`);
       process.exitCode = EXIT_USAGE;
--- /dev/null
+++ b/packages/bench/src/workload/index.ts
@@ -0,0 +1,1 @@
+export * from './workload.js';
--- /dev/null
+++ b/packages/control/src/claims/claimService.ts
@@ -0,0 +1,54 @@
+/** The interface for those who run requests that may not be repeated. */
+import type { ServiceImpl } from '@connectrpc/connect';
+import { fault } from '@jasmineroute/core';
+import type { Clock, Log, Metrics } from '@jasmineroute/core';
+import { errorOf } from '@jasmineroute/directory';
+import { controlMessage } from '@jasmineroute/protocol';
+import { controlEvents } from '../events.js';
+import type { Proposer } from '../log/index.js';
+import { controlMetrics } from '../metrics.js';
+
+/** What the service works with. */
+export interface ClaimServiceParts {
+  readonly proposer: Proposer;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Claims that may be held at once. */
+  readonly maxClaims: number;
+  /** Bytes of answers that may be kept. */
+  readonly maxAnswerBytes: number;
+}
+
+/** Claims and settlements, each held by a quorum before it is answered. */
+export class ClaimService implements ServiceImpl<typeof controlMessage.Claims> {
+  constructor(private readonly parts: ClaimServiceParts) {}
+
+  /** @throws ConnectError with 'claims-unavailable' when the table is full: nothing was recorded. */
+  async claim(request: controlMessage.ClaimRequest): Promise<controlMessage.ClaimResponse> {
+    const { clock, metrics, proposer, maxClaims } = this.parts;
+    if (request.key === '' || request.attemptId === '' || request.windowMs === 0n) {
+      throw errorOf(fault('invalid-request', 'a claim needs a key, an attempt and a window'));
+    }
+    const start = clock.monotonic();
+    const outcome = await proposer.propose('claim', { request, maxClaims });
+    metrics.timing(controlMetrics.claimTime, clock.monotonic() - start);
+    if (outcome.isErr()) throw errorOf(outcome.error);
+    const { response } = outcome.value;
+    if (response === undefined) throw this.full();
+    metrics.count(controlMetrics.claims, 1, { state: controlMessage.ClaimState[response.state] });
+    return response;
+  }
+
+  async settle(request: controlMessage.SettleRequest): Promise<controlMessage.SettleResponse> {
+    const { proposer, maxAnswerBytes } = this.parts;
+    const outcome = await proposer.propose('settle', { request, maxAnswerBytes: BigInt(maxAnswerBytes) });
+    if (outcome.isErr()) throw errorOf(outcome.error);
+    return outcome.value;
+  }
+
+  private full(): Error {
+    this.parts.log.event(controlEvents.claimsFull, { maxClaims: this.parts.maxClaims });
+    return errorOf(fault('claims-unavailable', 'the table of claims is full'));
+  }
+}
--- /dev/null
+++ b/packages/control/src/claims/claimState.ts
@@ -0,0 +1,201 @@
+/** Claims as replicated state: at most one attempt holds a key. */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import { controlMessage, stateMessage } from '@jasmineroute/protocol';
+import type { CommandHandlers, Feature, LogTime } from '../state/index.js';
+import { hashAttempt, hashClaimKey, hashFingerprint } from './claimHash.js';
+import { KeptAnswers } from './keptAnswers.js';
+import { OpenClaims } from './openClaims.js';
+import type { OpenClaim } from './openClaims.js';
+import { EXPIRY_UNIT_MS } from './segment.js';
+import type { SettledClaim } from './segment.js';
+import { SettledTable, unitOf } from './settledTable.js';
+
+const { ClaimState: State, Settlement } = controlMessage;
+
+/** Longest window, milliseconds. */
+export const MAX_WINDOW_MS = 30 * 24 * 3_600_000;
+
+/**
+ * An unsettled claim is kept at least this long, whatever the window: a request that is still running must
+ * not be forgotten, or its resend would run beside it.
+ */
+export const LEAST_OPEN_MS = 24 * 3_600_000;
+
+/**
+ * How long a released attempt is remembered. A copy of its claim that was under way while it was released
+ * would take the key for an attempt that is over, and nobody would ever settle it.
+ */
+export const RELEASED_MS = 120_000;
+
+type Response = MessageInitShape<typeof controlMessage.ClaimResponseSchema>;
+type Outcome = MessageInitShape<typeof stateMessage.ClaimOutcomeSchema>;
+
+/** A key in the forms that the tables use. */
+interface ClaimKey {
+  readonly text: string;
+  readonly words: Uint32Array;
+}
+
+/** The claims of all services. */
+export class ClaimState implements Feature {
+  private readonly open = new OpenClaims();
+  private readonly settled = new SettledTable();
+  private readonly answers = new KeptAnswers();
+  private unit = 0;
+
+  readonly handlers: CommandHandlers = {
+    claim: ({ request, maxClaims }, now) => ({ case: 'claim', value: this.claim(request, maxClaims, now) }),
+    settle: ({ request, maxAnswerBytes }, now) => {
+      const settled = request !== undefined && this.settle(request, Number(maxAnswerBytes), now);
+      return { case: 'settle', value: { settled } };
+    },
+  };
+
+  /** Claims that are held. */
+  size(): number {
+    return this.open.size() + this.settled.size();
+  }
+
+  /** Bytes of the table of settled claims and of the kept answers. */
+  bytes(): number {
+    return this.settled.bytes() + this.answers.bytes();
+  }
+
+  advanced(now: LogTime): void {
+    if (unitOf(now) === this.unit) return;
+    this.unit = unitOf(now);
+    this.open.advanced(now);
+    this.settled.advanced(now);
+    this.answers.advanced(now);
+  }
+
+  expectsTime(): boolean {
+    return this.size() > 0;
+  }
+
+  snapshot(): Uint8Array {
+    const snapshot = create(stateMessage.ClaimsSnapshotSchema, {
+      open: this.open.snapshot(),
+      settled: this.settled.snapshot(),
+      answers: this.answers.snapshot(),
+    });
+    return toBinary(stateMessage.ClaimsSnapshotSchema, snapshot);
+  }
+
+  restore(data: Uint8Array, now: LogTime): void {
+    const snapshot = fromBinary(stateMessage.ClaimsSnapshotSchema, data);
+    this.unit = unitOf(now);
+    this.open.restore(snapshot.open);
+    this.settled.restore(snapshot.settled, now);
+    this.answers.restore(snapshot.answers);
+  }
+
+  private claim(request: controlMessage.ClaimRequest | undefined, max: number, now: LogTime): Outcome {
+    if (request === undefined) return { full: true };
+    const key = keyOf(request);
+    const open = this.open.find(key.text);
+    if (open !== undefined) return { response: answerOpen(open, request) };
+    const settled = this.settled.find(key.words);
+    if (settled !== undefined && !this.isFree(settled, request)) {
+      return { response: this.answerSettled(settled, key, request) };
+    }
+    if (this.size() >= max) return { full: true };
+    this.grant(key, request, now);
+    return { response: { state: State.GRANTED, attemptId: request.attemptId, agent: request.agent } };
+  }
+
+  private isFree(settled: SettledClaim, request: controlMessage.ClaimRequest): boolean {
+    return settled.released && settled.attempt !== hashAttempt(request.attemptId);
+  }
+
+  private grant(key: ClaimKey, request: controlMessage.ClaimRequest, now: LogTime): void {
+    const windowMs = Math.min(Number(request.windowMs), MAX_WINDOW_MS);
+    const { attemptId, agent, fingerprint } = request;
+    const expires = now + Math.max(windowMs, LEAST_OPEN_MS);
+    this.settled.remove(key.words);
+    this.open.put(key.text, { attemptId, agent, fingerprint, windowMs, expires, unknown: false });
+  }
+
+  private answerSettled(
+    settled: SettledClaim,
+    key: ClaimKey,
+    request: controlMessage.ClaimRequest,
+  ): Response {
+    if (settled.released) return { state: State.UNKNOWN, attemptId: request.attemptId };
+    const [first, second] = hashFingerprint(request.fingerprint);
+    if (settled.fingerprint[0] !== first || settled.fingerprint[1] !== second) {
+      return { state: State.MISMATCH };
+    }
+    return { state: State.DONE, answer: this.answers.find(key.text) };
+  }
+
+  private settle(request: controlMessage.SettleRequest, maxBytes: number, now: LogTime): boolean {
+    const key = keyOf(request);
+    const open = this.open.find(key.text);
+    if (open?.attemptId !== request.attemptId) return this.isSettled(key, request);
+    return this.settlements[request.settlement](key, open, request, maxBytes, now);
+  }
+
+  /** A resend of a settlement that has taken effect is told so. */
+  private isSettled(key: ClaimKey, request: controlMessage.SettleRequest): boolean {
+    const settled = this.settled.find(key.words);
+    if (settled?.attempt !== hashAttempt(request.attemptId)) return false;
+    return request.settlement === (settled.released ? Settlement.RELEASED : Settlement.DONE);
+  }
+
+  private readonly settlements: Readonly<
+    Record<
+      controlMessage.Settlement,
+      (
+        key: ClaimKey,
+        open: OpenClaim,
+        request: controlMessage.SettleRequest,
+        maxBytes: number,
+        now: LogTime,
+      ) => boolean
+    >
+  > = {
+    [Settlement.UNSPECIFIED]: () => false,
+    [Settlement.RELEASED]: (key, open, _request, _maxBytes, now) => {
+      this.close(key, open, true, now + RELEASED_MS);
+      return true;
+    },
+    [Settlement.DONE]: (key, open, { answer }, maxBytes, now) => {
+      const expires = now + open.windowMs;
+      this.close(key, open, false, expires);
+      if (answer !== undefined) this.answers.keep(key.text, answer, expires, maxBytes);
+      return true;
+    },
+    [Settlement.UNKNOWN]: (key, open, _request, _maxBytes, now) => {
+      const expires = now + Math.max(open.windowMs, LEAST_OPEN_MS);
+      this.open.put(key.text, { ...open, unknown: true, expires });
+      return true;
+    },
+  };
+
+  private close(key: ClaimKey, open: OpenClaim, released: boolean, expires: LogTime): void {
+    this.open.remove(key.text);
+    this.settled.put({
+      key: key.words,
+      fingerprint: hashFingerprint(open.fingerprint),
+      attempt: hashAttempt(open.attemptId),
+      released,
+      expires: Math.ceil(expires / EXPIRY_UNIT_MS) + 1,
+    });
+  }
+}
+
+function keyOf(request: { service: string; customer: string; key: string }): ClaimKey {
+  const hash = hashClaimKey(request.service, request.customer, request.key);
+  const words = Uint32Array.from([0, 4, 8, 12], (offset) => hash.readUInt32LE(offset));
+  return { text: hash.toString('hex'), words };
+}
+
+function answerOpen(open: OpenClaim, request: controlMessage.ClaimRequest): Response {
+  const { attemptId, agent, unknown } = open;
+  if (Buffer.compare(open.fingerprint, request.fingerprint) !== 0) return { state: State.MISMATCH };
+  if (unknown) return { state: State.UNKNOWN, attemptId, agent };
+  const state = attemptId === request.attemptId ? State.GRANTED : State.RUNNING;
+  return { state, attemptId, agent };
+}
--- /dev/null
+++ b/packages/control/src/claims/index.ts
@@ -0,0 +1,2 @@
+export * from './claimService.js';
+export * from './claimState.js';
--- /dev/null
+++ b/packages/control/src/claims/openClaims.ts
@@ -0,0 +1,66 @@
+/** Claims that are not settled for good: running, or settled as possibly run. */
+import { create } from '@bufbuild/protobuf';
+import { stateMessage } from '@jasmineroute/protocol';
+import type { LogTime } from '../state/index.js';
+
+/** A claim with all that is needed to ask its agent. */
+export interface OpenClaim {
+  readonly attemptId: string;
+  readonly agent: string;
+  readonly fingerprint: Uint8Array;
+  readonly windowMs: number;
+  readonly expires: LogTime;
+  /** Settled as possibly run. */
+  readonly unknown: boolean;
+}
+
+/** Open claims by key hash. */
+export class OpenClaims {
+  private claims = new Map<string, OpenClaim>();
+
+  size(): number {
+    return this.claims.size;
+  }
+
+  find(key: string): OpenClaim | undefined {
+    return this.claims.get(key);
+  }
+
+  put(key: string, claim: OpenClaim): void {
+    this.claims.set(key, claim);
+  }
+
+  remove(key: string): void {
+    this.claims.delete(key);
+  }
+
+  /** Drops what has expired. */
+  advanced(now: LogTime): void {
+    for (const [key, { expires }] of this.claims) {
+      if (expires <= now) this.claims.delete(key);
+    }
+  }
+
+  snapshot(): stateMessage.OpenClaim[] {
+    return [...this.claims].map(([key, claim]) =>
+      create(stateMessage.OpenClaimSchema, {
+        keyHash: Buffer.from(key, 'hex'),
+        attemptId: claim.attemptId,
+        agent: claim.agent,
+        fingerprint: claim.fingerprint,
+        windowMs: BigInt(claim.windowMs),
+        expiresMs: BigInt(claim.expires),
+        unknown: claim.unknown,
+      }),
+    );
+  }
+
+  restore(claims: readonly stateMessage.OpenClaim[]): void {
+    this.claims = new Map();
+    for (const { keyHash, attemptId, agent, fingerprint, windowMs, expiresMs, unknown } of claims) {
+      const claim = { attemptId, agent, fingerprint, unknown };
+      const times = { windowMs: Number(windowMs), expires: Number(expiresMs) };
+      this.put(Buffer.from(keyHash).toString('hex'), { ...claim, ...times });
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/claims/settledTable.spec.ts
@@ -0,0 +1,55 @@
+import fc from 'fast-check';
+import { expect, it } from 'vitest';
+import { EXPIRY_UNIT_MS } from './segment.js';
+import { SettledTable } from './settledTable.js';
+
+/** Keys that fall into one segment and few slots, so that they collide. */
+const keyOf = (n: number): Uint32Array => Uint32Array.of(256 * n, n % 3, 0, n);
+
+it('holds what a map would hold', () => {
+  // Symptom: a settled key is granted again, or a fresh one is refused as used.
+  // Sequence: records are added, replaced, removed and expire, while the table is rebuilt.
+  // Cause: a search stopped at a freed slot, or an expired record was counted.
+  const key = fc.integer({ min: 0, max: 40 });
+  const step = fc.oneof(
+    fc.record({ kind: fc.constant('put' as const), key, ttl: fc.integer({ min: 1, max: 8 }), released: fc.boolean() }),
+    fc.record({ kind: fc.constant('remove' as const), key }),
+    fc.record({ kind: fc.constant('advance' as const), units: fc.integer({ min: 1, max: 3 }) }),
+    fc.record({ kind: fc.constant('restore' as const) }),
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 120 }), (steps) => {
+      let table = new SettledTable();
+      const model = new Map<number, { expires: number; released: boolean }>();
+      let unit = 0;
+      for (const one of steps) {
+        if (one.kind === 'put') {
+          const claim = { expires: unit + one.ttl, released: one.released };
+          table.put({ key: keyOf(one.key), fingerprint: [one.key, 1], attempt: one.key, ...claim });
+          model.set(one.key, claim);
+        }
+        if (one.kind === 'remove') {
+          table.remove(keyOf(one.key));
+          model.delete(one.key);
+        }
+        if (one.kind === 'advance') {
+          unit += one.units;
+          table.advanced(unit * EXPIRY_UNIT_MS);
+          for (const [known, { expires }] of model) if (expires <= unit) model.delete(known);
+        }
+        if (one.kind === 'restore') {
+          const copy = new SettledTable();
+          copy.restore(table.snapshot(), unit * EXPIRY_UNIT_MS);
+          table = copy;
+        }
+        expect(table.size()).toBe(model.size);
+        for (let known = 0; known <= 40; known += 1) {
+          const found = table.find(keyOf(known));
+          const claim = found && { expires: found.expires, released: found.released };
+          expect(claim).toEqual(model.get(known));
+        }
+      }
+    }),
+    { numRuns: 60 },
+  );
+});
--- /dev/null
+++ b/packages/control/src/documents/index.ts
@@ -0,0 +1,3 @@
+export * from './documentService.js';
+export * from './documentState.js';
+export * from './documentView.js';
--- /dev/null
+++ b/packages/control/src/events.ts
@@ -0,0 +1,27 @@
+/** What the control role logs. */
+import { defineEvents } from '@jasmineroute/core';
+
+export const controlEvents = defineEvents({
+  started: { id: 3000, level: 'info', message: 'control started' },
+  documentAccepted: { id: 3001, level: 'info', message: 'document accepted' },
+  documentRefused: { id: 3002, level: 'info', message: 'document refused' },
+  documentConflict: { id: 3003, level: 'info', message: 'document conflicts with a newer version' },
+  unreadableDocument: {
+    id: 3004,
+    level: 'error',
+    message: 'an accepted document is of a newer release: upgrade this instance',
+  },
+  claimsFull: { id: 3005, level: 'error', message: 'the table of claims is full: new claims are refused' },
+  replicasChanged: { id: 3006, level: 'info', message: 'the replicas are those of the control document' },
+  replicasPending: { id: 3007, level: 'warn', message: 'the replicas are not yet those of the control document' },
+  draining: { id: 3008, level: 'info', message: 'control is draining' },
+  vouched: { id: 3009, level: 'info', message: 'in touch with a quorum' },
+  isolated: { id: 3010, level: 'warn', message: 'out of touch with a quorum: no longer vouched' },
+  timeNotAdvanced: { id: 3011, level: 'debug', message: 'the time of the log could not be moved on' },
+  newerRelease: {
+    id: 3012,
+    level: 'error',
+    message: 'the log holds a command of a newer release: upgrade this instance; it serves no longer',
+  },
+  commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
+});
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+/** The control role: the instances that hold what operators accepted. */
+export * from './events.js';
+export * from './metrics.js';
+export * from './role/index.js';
+export * from './setting/index.js';
--- /dev/null
+++ b/packages/control/src/log/index.ts
@@ -0,0 +1,2 @@
+export * from './commandLog.js';
+export * from './proposer.js';
--- /dev/null
+++ b/packages/control/src/replicas/index.ts
@@ -0,0 +1,1 @@
+export * from './replicaKeeper.js';
--- /dev/null
+++ b/packages/control/src/replicas/replicaKeeper.spec.ts
@@ -0,0 +1,67 @@
+import { ManualClock, fault, silentLog } from '@jasmineroute/core';
+import { hashKey } from '@jasmineroute/document';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { DocumentView } from '../documents/index.js';
+import { LocalLog, applyOne, controlText } from '../fixture/index.js';
+import { createState } from '../role/index.js';
+import type { StateParts } from '../role/index.js';
+import { ReplicaKeeper } from './replicaKeeper.js';
+
+describe('keeper of the replicas', () => {
+  let clock: ManualClock;
+  let state: StateParts;
+  let log: LocalLog;
+  let keeper: ReplicaKeeper;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    state = createState();
+    log = new LocalLog(state.machine);
+    keeper = new ReplicaKeeper(new DocumentView(state.documents, silentLog), log, clock, silentLog);
+  });
+
+  const accept = (replicas: readonly string[], baseVersion: bigint): void => {
+    const key = hashKey('root-key');
+    const text = controlText(replicas);
+    const ids = { service: 'control', applyId: text, baseVersion, checkedRevision: baseVersion };
+    applyOne(state.machine, { case: 'apply', value: { ...ids, text, keyHash: key, operatorHashes: [key] } });
+  };
+
+  it('asks for nothing without a control document', async () => {
+    void keeper.run();
+    await clock.advance(5_000);
+    keeper.stop();
+    expect(log.changes).toHaveLength(0);
+  });
+
+  it('asks again until the change is through, also after a change of leader', async () => {
+    // Symptom: a replacement of a control instance stays half done.
+    // Sequence: the leader is lost in the middle of the change; another one takes over.
+    // Cause: the change was started once, by the instance that accepted the document.
+    accept(['c1=10.0.0.1:1', 'c2=10.0.0.2:1'], 0n);
+    log.changeFaults.push(fault('not-leader', 'x'), fault('no-quorum', 'x'));
+    void keeper.run();
+    await clock.advance(4_500);
+    keeper.stop();
+    const wanted = [
+      { name: 'c1', address: '10.0.0.1:1' },
+      { name: 'c2', address: '10.0.0.2:1' },
+    ];
+    expect(log.changes.length).toBeGreaterThanOrEqual(4);
+    expect(log.changes).toEqual(log.changes.map(() => wanted));
+  });
+
+  it('asks for the newest document while an older change is under way', async () => {
+    // Symptom: a corrected address of a new instance has no effect for half a minute.
+    // Sequence: the first document names an address where nobody is; the next one corrects it.
+    // Cause: the keeper waited for the end of the first change.
+    accept(['c1=10.0.0.1:1', 'c2=10.0.0.9:1'], 0n);
+    log.hangChanges = true;
+    keeper.look();
+    accept(['c1=10.0.0.1:1', 'c2=10.0.0.2:1'], 1n);
+    keeper.look();
+    keeper.look();
+    await clock.advance(0);
+    expect(log.changes.map((wanted) => wanted[1]?.address)).toEqual(['10.0.0.9:1', '10.0.0.2:1']);
+  });
+});
--- /dev/null
+++ b/packages/control/src/role/control.ts
@@ -0,0 +1,157 @@
+/** The control role: documents, claims and turns over the replicated log, and the directory's feed. */
+import type { ConnectRouter } from '@connectrpc/connect';
+import { create } from '@bufbuild/protobuf';
+import { serveDirectory } from '@jasmineroute/directory';
+import type { InstanceMessage, Membership } from '@jasmineroute/directory';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
+import { ClaimService } from '../claims/index.js';
+import { DocumentService, DocumentView } from '../documents/index.js';
+import { controlEvents } from '../events.js';
+import { Proposer } from '../log/index.js';
+import type { CommandLog } from '../log/index.js';
+import { controlMetrics } from '../metrics.js';
+import { ReplicaKeeper } from '../replicas/index.js';
+import type { ControlSettings } from '../setting/index.js';
+import { ControlDocumentSource, localStatus, wholeStatus } from '../status/index.js';
+import { TimeKeeper } from '../time/index.js';
+import { TurnService } from '../turns/index.js';
+import { createMembership } from './createMembership.js';
+import type { StateParts } from './createState.js';
+
+/** Bounds of the proposer: few batches under way, so that a busy instance's commands share syncs. */
+const PROPOSER_LIMITS = { inFlight: 4, batch: 512, batchBytes: 1024 * 1024, waitingBytes: 64 * 1024 * 1024 };
+
+/** A running control instance. */
+export class Control implements RoleProcess {
+  private readonly proposer: Proposer;
+  private readonly view: DocumentView;
+  private readonly members: Membership;
+  private readonly source: ControlDocumentSource;
+  private readonly timeKeeper: TimeKeeper;
+  private readonly replicaKeeper: ReplicaKeeper;
+  private readonly ended = new AbortController();
+  private draining = false;
+
+  constructor(
+    private readonly context: RoleContext,
+    private readonly settings: ControlSettings,
+    private readonly state: StateParts,
+    private readonly commandLog: CommandLog,
+  ) {
+    const { clock, log } = context;
+    this.proposer = new Proposer(commandLog, { ...PROPOSER_LIMITS, timeoutMs: settings.proposalTimeoutMs });
+    this.view = new DocumentView(state.documents, log);
+    this.members = createMembership(context, commandLog, this.view, settings.replicas);
+    this.source = new ControlDocumentSource(state.documents, commandLog);
+    this.timeKeeper = new TimeKeeper(state.machine, commandLog, this.proposer, clock, log);
+    this.replicaKeeper = new ReplicaKeeper(this.view, commandLog, clock, log);
+    this.source.onChange(() => {
+      this.measure();
+      // Parsing a long document takes a while: not within the step of the log.
+      setImmediate(() => {
+        this.replicaKeeper.look();
+      });
+    });
+    state.machine.onError((error) => {
+      log.event(controlEvents.commandFailed, { problem: String(error) });
+    });
+    state.machine.onBroken(() => {
+      log.event(controlEvents.newerRelease);
+      this.ended.abort();
+      void commandLog.close();
+    });
+  }
+
+  routes(router: ConnectRouter): void {
+    const { clock, log, metrics } = this.context;
+    const { proposer, settings, state, view } = this;
+    const documents = new DocumentService({ state: state.documents, view, proposer, clock, log, metrics });
+    const { name, peers } = this.context;
+    const sources = { name, peers, state: state.documents, log: this.commandLog, members: this.members };
+    this.commandLog.routes(router);
+    this.members.routes(router);
+    router.service(controlMessage.Documents, {
+      apply: (request) => documents.apply(request),
+      get: (request) => documents.get(request),
+      history: (request) => documents.history(request),
+      status: ({ local }) => (local ? localStatus(sources) : wholeStatus(sources)),
+    });
+    const { maxClaims, maxAnswerBytes } = settings;
+    const claims = new ClaimService({ proposer, clock, log, metrics, maxClaims, maxAnswerBytes });
+    router.service(controlMessage.Claims, {
+      claim: (request) => claims.claim(request),
+      settle: (request) => claims.settle(request),
+    });
+    const turns = new TurnService(proposer, metrics);
+    router.service(controlMessage.Turns, {
+      take: (request) => turns.take(request),
+      release: (request) => turns.release(request),
+    });
+    serveDirectory(router, {
+      documents: this.source,
+      instances: this.members,
+      beats: this.members,
+      clock,
+      ended: this.ended.signal,
+    });
+  }
+
+  async start(address: string): Promise<void> {
+    await this.commandLog.start(address);
+    this.members.start(() => this.self(address));
+    void this.timeKeeper.run();
+    void this.replicaKeeper.run();
+    this.context.log.event(controlEvents.started, { address });
+  }
+
+  readiness(): Readiness {
+    if (this.draining) return { ready: false, reason: 'draining' };
+    if (this.state.machine.broken()) return { ready: false, reason: 'older than the log: upgrade' };
+    if (!this.commandLog.status().vouched) return { ready: false, reason: 'out of touch with a quorum' };
+    return { ready: true, reason: 'in touch with a quorum' };
+  }
+
+  /** Ends the streams of watchers, who move to other instances, and finishes the proposals under way. */
+  async drain(): Promise<void> {
+    this.draining = true;
+    this.context.log.event(controlEvents.draining);
+    this.replicaKeeper.stop();
+    this.ended.abort();
+    await this.proposer.idle();
+  }
+
+  async close(): Promise<void> {
+    this.timeKeeper.stop();
+    this.replicaKeeper.stop();
+    await this.members.stop();
+    await this.commandLog.close();
+  }
+
+  /** This instance as it appears in the list of instances. */
+  private self(address: string): InstanceMessage {
+    const { name, incarnation, dataCentre } = this.context;
+    const { Health, Role, InstanceSchema } = controlMessage;
+    const health = this.draining ? Health.LEAVING : Health.ALIVE;
+    const sequence = this.draining ? 2n : 1n;
+    const revision = this.source.revision();
+    const role = Role.CONTROL;
+    return create(InstanceSchema, {
+      name,
+      incarnation,
+      dataCentre,
+      address,
+      role,
+      health,
+      sequence,
+      revision,
+    });
+  }
+
+  private measure(): void {
+    const { metrics } = this.context;
+    metrics.gauge(controlMetrics.revision, Number(this.source.revision()));
+    metrics.gauge(controlMetrics.vouched, this.source.vouched() ? 1 : 0);
+    metrics.gauge(controlMetrics.claimsHeld, this.state.claims.size());
+  }
+}
--- /dev/null
+++ b/packages/control/src/role/createControl.ts
@@ -0,0 +1,51 @@
+/** Makes a control instance over the replicated log. */
+import { join } from 'node:path';
+import { ReplicatedLog, fileDisk } from '@jasmineroute/coordination';
+import type { Disk } from '@jasmineroute/coordination';
+import { fault } from '@jasmineroute/core';
+import type { Fault } from '@jasmineroute/core';
+import type { RoleContext } from '@jasmineroute/protocol';
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { ControlSettings } from '../setting/index.js';
+import { Control } from './control.js';
+import { createState } from './createState.js';
+
+/** Folder of the log inside the data folder. */
+const LOG_FOLDER = 'control';
+
+/**
+ * Entries and bytes between two snapshots. A snapshot writes the whole state, claims included, so it is taken
+ * more seldom than the log would by itself; a restart reads up to so many entries again.
+ */
+const SNAPSHOT = { snapshotEntries: 50_000, snapshotBytes: 64 * 1024 * 1024 };
+
+/**
+ * Opens the data folder and restores the state. `disk` is the machine's own but for tests and benchmarks.
+ * @returns the role; or 'invalid-request' without a data folder, 'storage-failed' when it can't be used.
+ */
+export async function createControl(
+  context: RoleContext,
+  settings: ControlSettings,
+  disk: Disk = fileDisk,
+): Promise<Result<Control, Fault>> {
+  const { name, dataFolder, clock, log, metrics, peers } = context;
+  if (dataFolder === undefined) return err(fault('invalid-request', 'control needs a data folder'));
+  const state = createState();
+  const opened = await ReplicatedLog.open({
+    name,
+    folder: join(dataFolder, LOG_FOLDER),
+    initialReplicas: settings.replicas,
+    connect: (address) => peers.transport(address),
+    drop: (address) => {
+      peers.drop(address);
+    },
+    clock,
+    log,
+    metrics,
+    stateMachine: state.machine,
+    disk,
+    ...SNAPSHOT,
+  });
+  return opened.map((replicatedLog) => new Control(context, settings, state, replicatedLog));
+}
--- /dev/null
+++ b/packages/control/src/role/createMembership.ts
@@ -0,0 +1,23 @@
+/** The list of instances of a control instance. */
+import { FailureDetector, detectorSettings } from '@jasmineroute/coordination';
+import { Membership } from '@jasmineroute/directory';
+import type { RoleContext } from '@jasmineroute/protocol';
+import type { DocumentView } from '../documents/index.js';
+import type { CommandLog, ReplicaAddress } from '../log/index.js';
+import { replicasOf } from '../replicas/index.js';
+
+/** Members with a failure detector of their own; the other control instances come from the control document. */
+export function createMembership(
+  context: RoleContext,
+  commandLog: CommandLog,
+  view: DocumentView,
+  initial: readonly ReplicaAddress[],
+): Membership {
+  const { name, incarnation, clock, log, peers } = context;
+  const settings = detectorSettings.parse({});
+  const vouched = (): boolean => commandLog.status().vouched;
+  const detector = new FailureDetector({ observer: name, incarnation, clock, settings, vouched });
+  const controls = (): readonly ReplicaAddress[] => replicasOf(view) ?? initial;
+  const { tickMs } = settings;
+  return new Membership({ name, incarnation, detector, tickMs, peers, clock, log, vouched, controls });
+}
--- /dev/null
+++ b/packages/control/src/role/createState.ts
@@ -0,0 +1,27 @@
+/** The replicated state with its features. */
+import { Registry } from '@jasmineroute/core';
+import { ClaimState } from '../claims/index.js';
+import { DocumentState } from '../documents/index.js';
+import { ControlState } from '../state/index.js';
+import type { Feature } from '../state/index.js';
+import { TurnState } from '../turns/index.js';
+
+/** The features and the state machine over them. */
+export interface StateParts {
+  readonly documents: DocumentState;
+  readonly claims: ClaimState;
+  readonly turns: TurnState;
+  readonly machine: ControlState;
+}
+
+/** An empty state. A new feature is added here and gets its commands, its snapshot and its time. */
+export function createState(): StateParts {
+  const documents = new DocumentState();
+  const claims = new ClaimState();
+  const turns = new TurnState();
+  const features = new Registry<Feature>('feature')
+    .add('documents', documents)
+    .add('claims', claims)
+    .add('turns', turns);
+  return { documents, claims, turns, machine: new ControlState(features) };
+}
--- /dev/null
+++ b/packages/control/src/role/index.ts
@@ -0,0 +1,3 @@
+export * from './control.js';
+export * from './createControl.js';
+export * from './createState.js';
--- /dev/null
+++ b/packages/control/src/setting/controlSettings.ts
@@ -0,0 +1,39 @@
+/** Settings of the control role. */
+import { z } from 'zod';
+import type { ReplicaAddress } from '../log/index.js';
+
+const REPLICA = /^([a-z0-9][a-z0-9._-]*)=([^\s=,]+:\d+)$/;
+
+/** "name=host:port,name=host:port". */
+const replicaList = z.string().transform((text, context): ReplicaAddress[] => {
+  const replicas = text.split(',').map((part) => REPLICA.exec(part.trim()));
+  const found = replicas.flatMap((match) =>
+    match?.[1] === undefined || match[2] === undefined ? [] : [{ name: match[1], address: match[2] }],
+  );
+  const names = new Set(found.map(({ name }) => name));
+  if (found.length !== replicas.length || names.size !== found.length) {
+    context.addIssue({ code: 'custom', message: 'each part must be name=host:port, each name once' });
+    return z.NEVER;
+  }
+  return found;
+});
+
+const count = (): z.ZodCoercedNumber => z.coerce.number().int().positive();
+
+export const controlSettings = z.object({
+  replicas: replicaList.describe(
+    'control instances of the first start, this one included, as name=host:port with commas between; later changes are made in the control document',
+  ),
+  proposalTimeoutMs: count()
+    .default(3_000)
+    .describe('milliseconds until a change that no quorum has confirmed is given up as unknown'),
+  maxClaims: count()
+    .default(4_000_000)
+    .describe('claims that may be held at once; more are refused. About 50 bytes each once settled'),
+  maxAnswerBytes: count()
+    .default(64 * 1024 * 1024)
+    .describe('bytes of answers kept for resends of non-idempotent requests; the oldest go first'),
+});
+
+/** Settings of the control role. */
+export type ControlSettings = z.output<typeof controlSettings>;
--- /dev/null
+++ b/packages/control/src/setting/index.ts
@@ -0,0 +1,1 @@
+export * from './controlSettings.js';
--- /dev/null
+++ b/packages/control/src/state/index.ts
@@ -0,0 +1,2 @@
+export * from './controlState.js';
+export * from './feature.js';
--- /dev/null
+++ b/packages/control/src/status/index.ts
@@ -0,0 +1,2 @@
+export * from './documentSource.js';
+export * from './statusReport.js';
--- /dev/null
+++ b/packages/control/src/status/statusReport.ts
@@ -0,0 +1,86 @@
+/** The whole state of the system as one control instance knows it, for operators. */
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import { createClient } from '@connectrpc/connect';
+import { instanceToMessage } from '@jasmineroute/directory';
+import type { Membership } from '@jasmineroute/directory';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { Peers } from '@jasmineroute/protocol';
+import type { DocumentState } from '../documents/index.js';
+import type { CommandLog, LogReplica } from '../log/index.js';
+
+/** Longest wait for another control instance's part. */
+const PEER_TIMEOUT_MS = 1_000;
+
+type Report = MessageInitShape<typeof controlMessage.StatusResponseSchema>;
+
+/** Where the report's parts come from. */
+export interface StatusSources {
+  /** Name of this control instance. */
+  readonly name: string;
+  readonly peers: Peers;
+  readonly state: DocumentState;
+  readonly log: CommandLog;
+  readonly members: Pick<Membership, 'reported'>;
+}
+
+/** Revision, replicas, instances with what they have in force, documents without texts; as known here. */
+export async function localStatus(sources: StatusSources): Promise<Report> {
+  const { state, log, members } = sources;
+  const replicas = await log.replicas();
+  const rows = replicas.map((replica) => ({ ...replica, state: stateOf(replica) }));
+  const newest = state.services().flatMap((service) => state.versions(service).slice(0, 1));
+  return {
+    revision: state.revision(),
+    vouched: log.status().vouched,
+    replicas: rows,
+    instances: members.reported().map((instance) => instanceToMessage(instance)),
+    documents: newest.map((version) => ({ ...version, text: '' })),
+  };
+}
+
+/**
+ * The same with the newest revision that any control instance heard of each instance. An instance tells its
+ * revision only to the control instance that it sends its heartbeats to: passing every one on would cost each
+ * control instance a message for each instance and change.
+ */
+export async function wholeStatus(sources: StatusSources): Promise<Report> {
+  const { name, log } = sources;
+  const own = await localStatus(sources);
+  const others = (await log.replicas()).filter((replica) => replica.name !== name);
+  const heard = await Promise.all(others.map(({ address }) => heardAt(sources.peers, address)));
+  const newest = new Map<string, bigint>();
+  for (const instance of heard.flat()) {
+    const known = newest.get(keyOf(instance)) ?? 0n;
+    if (instance.revision > known) newest.set(keyOf(instance), instance.revision);
+  }
+  const instances = (own.instances ?? []).map((instance) => {
+    const revision = instance.revision ?? 0n;
+    const elsewhere = newest.get(keyOf(instance)) ?? 0n;
+    return { ...instance, revision: elsewhere > revision ? elsewhere : revision };
+  });
+  return { ...own, instances };
+}
+
+/** An earlier start of a process says nothing of what a later one has in force. */
+function keyOf({ name = '', incarnation = 0n }: { name?: string; incarnation?: bigint }): string {
+  return `${name}/${incarnation.toString()}`;
+}
+
+/** Instances as another control instance knows them; none when it does not answer. */
+async function heardAt(peers: Peers, address: string): Promise<controlMessage.Instance[]> {
+  const client = createClient(controlMessage.Documents, peers.transport(address));
+  try {
+    const answer = await client.status({ local: true }, { timeoutMs: PEER_TIMEOUT_MS });
+    return answer.instances;
+  } catch {
+    return [];
+  }
+}
+
+/** Roles that say nothing without the contact that goes with them. */
+const ROLES_IN_CONTACT = new Set(['leader', 'follower', 'candidate']);
+
+function stateOf({ reachable, vouched, state }: LogReplica): string {
+  if (!reachable) return 'unreachable';
+  return !vouched && ROLES_IN_CONTACT.has(state) ? 'isolated' : state;
+}
--- /dev/null
+++ b/packages/control/src/time/index.ts
@@ -0,0 +1,1 @@
+export * from './timeKeeper.js';
--- /dev/null
+++ b/packages/control/src/time/timeKeeper.spec.ts
@@ -0,0 +1,83 @@
+import { ManualClock, silentLog } from '@jasmineroute/core';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { LocalLog } from '../fixture/index.js';
+import { Proposer } from '../log/index.js';
+import { createState } from '../role/index.js';
+import type { StateParts } from '../role/index.js';
+import { MAX_STEP_MS } from '../state/index.js';
+import { TimeKeeper } from './timeKeeper.js';
+
+const LIMITS = { inFlight: 1, batch: 8, batchBytes: 10_000, waitingBytes: 100_000, timeoutMs: 1_000 };
+
+describe('time of the log', () => {
+  let clock: ManualClock;
+  let state: StateParts;
+  let log: LocalLog;
+  let keeper: TimeKeeper;
+  let proposer: Proposer;
+
+  beforeEach(async () => {
+    clock = new ManualClock();
+    state = createState();
+    log = new LocalLog(state.machine);
+    proposer = new Proposer(log, LIMITS);
+    keeper = new TimeKeeper(state.machine, log, proposer, clock, silentLog);
+    void keeper.run();
+    await proposer.propose('take', { name: 't', holder: 'a', incarnation: 1n, limit: 1, ttlMs: 600_000 });
+  });
+
+  afterEach(() => {
+    keeper.stop();
+  });
+
+  /** Lets proposals settle between steps of the clock. */
+  const pass = async (ms: number): Promise<void> => {
+    for (let left = ms; left > 0; left -= 100) {
+      await clock.advance(Math.min(left, 100));
+      await proposer.idle();
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  };
+
+  it('follows real time and never runs ahead', async () => {
+    const start = clock.monotonic();
+    await pass(20_000);
+    const elapsed = clock.monotonic() - start;
+    expect(state.machine.now()).toBeLessThanOrEqual(elapsed);
+    expect(state.machine.now()).toBeGreaterThan(elapsed - 2_000);
+  });
+
+  it('adds one step at most after a pause', async () => {
+    // Symptom: after a leader was paused, many leases end at once, though their holders go on.
+    // Sequence: the leader's process stops for minutes and resumes, still the leader.
+    // Cause: the whole pause was added, though renewals could not be heard meanwhile.
+    await pass(5_000);
+    const before = state.machine.now();
+    await clock.advance(100);
+    clock.monotonic = () => 10_000_000;
+    await clock.advance(1_000);
+    await proposer.idle();
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(state.machine.now() - before).toBe(MAX_STEP_MS);
+  });
+
+  it('is not moved by the wall clock', async () => {
+    // Symptom: claims are forgotten early, and a request runs twice.
+    // Sequence: an operator or NTP sets the clock of the leader's machine a year ahead.
+    // Cause: expiry was compared with the wall clock.
+    clock.now = () => new Date('2036-01-01T00:00:00Z');
+    await pass(5_000);
+    expect(state.machine.now()).toBeLessThanOrEqual(5_000);
+  });
+
+  it('stands still while this replica does not lead, and when nothing waits for it', async () => {
+    log.isolate(true);
+    await pass(5_000);
+    expect(state.machine.now()).toBe(0);
+    log.isolate(false);
+    await proposer.propose('release', { name: 't', holder: 'a', incarnation: 1n });
+    const entries = log.entries.length;
+    await pass(5_000);
+    expect(log.entries).toHaveLength(entries);
+  });
+});
--- /dev/null
+++ b/packages/control/src/turns/index.ts
@@ -0,0 +1,2 @@
+export * from './turnService.js';
+export * from './turnState.js';
--- /dev/null
+++ b/packages/control/src/turns/turnService.ts
@@ -0,0 +1,37 @@
+/** The interface for takers of turns. */
+import { create } from '@bufbuild/protobuf';
+import type { ServiceImpl } from '@connectrpc/connect';
+import { fault } from '@jasmineroute/core';
+import type { Metrics } from '@jasmineroute/core';
+import { errorOf } from '@jasmineroute/directory';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { Proposer } from '../log/index.js';
+import { controlMetrics } from '../metrics.js';
+
+/** Turns, granted by the quorum. */
+export class TurnService implements ServiceImpl<typeof controlMessage.Turns> {
+  constructor(
+    private readonly proposer: Proposer,
+    private readonly metrics: Metrics,
+  ) {}
+
+  /**
+   * Takes or renews a turn. The holder counts its time from before it sent the request, and stops acting when
+   * that time is over, whatever it hears.
+   */
+  async take(request: controlMessage.TakeRequest): Promise<controlMessage.TakeResponse> {
+    if (request.name === '' || request.holder === '' || request.limit === 0 || request.ttlMs === 0) {
+      throw errorOf(fault('invalid-request', 'a turn needs a name, a holder, a limit and a time'));
+    }
+    const outcome = await this.proposer.propose('take', request);
+    if (outcome.isErr()) throw errorOf(outcome.error);
+    this.metrics.count(controlMetrics.turns, 1, { granted: String(outcome.value.granted) });
+    return outcome.value;
+  }
+
+  async release(request: controlMessage.ReleaseRequest): Promise<controlMessage.ReleaseResponse> {
+    const outcome = await this.proposer.propose('release', request);
+    if (outcome.isErr()) throw errorOf(outcome.error);
+    return create(controlMessage.ReleaseResponseSchema, {});
+  }
+}
--- /dev/null
+++ b/packages/control/src/turns/turnState.spec.ts
@@ -0,0 +1,109 @@
+import type { controlMessage } from '@jasmineroute/protocol';
+import fc from 'fast-check';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { advance, applyOne } from '../fixture/index.js';
+import { createState } from '../role/index.js';
+import type { StateParts } from '../role/index.js';
+import { MAX_STEP_MS } from '../state/index.js';
+
+const TTL_MS = 10_000;
+
+describe('turns', () => {
+  let state: StateParts;
+
+  beforeEach(() => {
+    state = createState();
+  });
+
+  const take = (holder: string, incarnation = 1n, limit = 1): controlMessage.TakeResponse => {
+    const value = { name: 'weights', holder, incarnation, limit, ttlMs: TTL_MS };
+    return applyOne(state.machine, { case: 'take', value }) as controlMessage.TakeResponse;
+  };
+
+  const release = (holder: string, incarnation = 1n): void => {
+    applyOne(state.machine, { case: 'release', value: { name: 'weights', holder, incarnation } });
+  };
+
+  it('is held by as many as the limit says', () => {
+    expect(take('a', 1n, 2).granted).toBe(true);
+    expect(take('b', 1n, 2).granted).toBe(true);
+    expect(take('c', 1n, 2).granted).toBe(false);
+    release('a');
+    expect(take('c', 1n, 2).granted).toBe(true);
+  });
+
+  it('keeps the fence while it is renewed, and raises it for every new holder', () => {
+    const first = take('a').fence;
+    expect(take('a').fence).toBe(first);
+    release('a');
+    const second = take('b').fence;
+    expect(second).toBeGreaterThan(first);
+    release('b');
+    expect(take('a').fence).toBeGreaterThan(second);
+  });
+
+  it('lasts as long as its holder believes, though the first step of time comes at once', () => {
+    // Symptom: two executors give a target orders at one time.
+    // Sequence: time stands just before a step when the turn is granted; the step comes right after.
+    // Cause: the part of the step from before the grant was counted against the turn.
+    take('a');
+    advance(state.machine, MAX_STEP_MS);
+    advance(state.machine, TTL_MS);
+    expect(take('b').granted).toBe(false);
+    advance(state.machine, MAX_STEP_MS);
+    expect(take('b').granted).toBe(true);
+  });
+
+  it('makes a restarted holder wait for its older self', () => {
+    // Symptom: two processes of one name act on a target.
+    // Sequence: a paused process is replaced by a new start of the same name, then goes on.
+    // Cause: the new start took over the turn, which the old one still believes to hold.
+    take('a', 1n);
+    expect(take('a', 2n).granted).toBe(false);
+    release('a', 2n);
+    expect(take('a', 2n).granted).toBe(false);
+    advance(state.machine, TTL_MS + 2 * MAX_STEP_MS);
+    expect(take('a', 2n).granted).toBe(true);
+    expect(take('a', 1n).granted).toBe(false);
+  });
+
+  it('never has more holders than the limit, nor a fence that goes back', () => {
+    // Symptom: as above, by whatever way.
+    // Sequence: any interleaving of takes, renewals, releases and time.
+    // Cause: any path that grants before a holder's own time is over.
+    const holder = fc.constantFrom('a', 'b', 'c');
+    const step = fc.oneof(
+      fc.record({ kind: fc.constant('take' as const), holder, incarnation: fc.constantFrom(1n, 2n) }),
+      fc.record({ kind: fc.constant('release' as const), holder, incarnation: fc.constantFrom(1n, 2n) }),
+      fc.record({ kind: fc.constant('time' as const), ms: fc.integer({ min: 1, max: 8_000 }) }),
+    );
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+        state = createState();
+        // Until when each holder believes to hold, in the state's time.
+        const believed = new Map<string, number>();
+        let fence = 0n;
+        for (const one of steps) {
+          if (one.kind === 'time') {
+            advance(state.machine, one.ms);
+            continue;
+          }
+          const name = `${one.holder}/${one.incarnation.toString()}`;
+          if (one.kind === 'release') {
+            release(one.holder, one.incarnation);
+            believed.delete(name);
+            continue;
+          }
+          const answer = take(one.holder, one.incarnation, 2);
+          if (!answer.granted) continue;
+          const now = state.machine.now();
+          const fresh = (believed.get(name) ?? 0) <= now;
+          believed.set(name, now + TTL_MS);
+          expect([...believed.values()].filter((until) => until > now).length).toBeLessThanOrEqual(2);
+          if (fresh) fence = answer.fence > fence ? answer.fence : fence;
+          else expect(answer.fence).toBeLessThanOrEqual(fence);
+        }
+      }),
+    );
+  });
+});
--- a/packages/coordination/src/agreement/configuration.ts
+++ b/packages/coordination/src/agreement/configuration.ts
@@ -110,11 +110,7 @@
     return isNameFree && isCaughtUp(learner.replicaId);
   });
   if (ready === undefined) return undefined;
-  return configurationOf(
-    current.clusterId,
-    [...current.voters, ready],
-    without(current.learners, ready),
-  );
+  return configurationOf(current.clusterId, [...current.voters, ready], without(current.learners, ready));
 };
 
 /** A voter that is not wanted, once all wanted ones vote; the leader itself last. */
@@ -126,14 +122,7 @@
   return gone && withVoters(current, without(current.voters, gone));
 };
 
-const steps: readonly Step[] = [
-  readdress,
-  removeLearner,
-  addLearner,
-  removeSuperseded,
-  promote,
-  removeVoter,
-];
+const steps: readonly Step[] = [readdress, removeLearner, addLearner, removeSuperseded, promote, removeVoter];
 
 /**
  * The next single step towards the wanted replicas, or undefined when none is due or safe. At most one voter
--- /dev/null
+++ b/packages/coordination/src/agreement/election.ts
@@ -0,0 +1,150 @@
+/** Elections: when to stand, how votes are asked for and given. */
+import { create } from '@bufbuild/protobuf';
+import { coordinationEvents } from '../events.js';
+import { VoteRequestSchema, VoteResponseSchema } from '../gen/agreement/agreement_pb.js';
+import type { VoteRequest, VoteResponse, Voter } from '../gen/agreement/agreement_pb.js';
+import { coordinationMetrics } from '../metrics.js';
+import { quorumOf } from './configuration.js';
+import type { PeerClient } from './peerClient.js';
+import type { Replica } from './replica.js';
+
+/** One replica's part in elections. */
+export class Election {
+  constructor(
+    private readonly replica: Replica,
+    private readonly peers: PeerClient,
+    private readonly lead: (term: bigint) => Promise<void>,
+  ) {}
+
+  /** Stands for election whenever no leader was heard for a random time, until the replica stops. */
+  async run(): Promise<void> {
+    const { replica } = this;
+    while (!replica.stopped) {
+      await this.silence();
+      await this.stand();
+      replica.rest();
+    }
+  }
+
+  /** Answers a candidate. */
+  async vote(request: VoteRequest): Promise<VoteResponse> {
+    const { replica } = this;
+    return replica.exclusive(async () => {
+      const granted = this.mayAnswer(request) && (await this.decide(request));
+      return create(VoteResponseSchema, { term: replica.term, granted, replicaId: replica.id });
+    });
+  }
+
+  /** Resolves when no leader has been heard for a random time. */
+  private async silence(): Promise<void> {
+    const { replica } = this;
+    const { electionMinMs, electionMaxMs } = replica.tuning;
+    const patience = electionMinMs + replica.random() * (electionMaxMs - electionMinMs);
+    while (!replica.stopped) {
+      const left = replica.quietSince + patience - replica.clock.monotonic();
+      if (replica.role === 'leader') await replica.changed.wait();
+      else if (left > 0) await replica.changed.waitFor(replica.clock, left);
+      else return;
+    }
+  }
+
+  /**
+   * Asks first whether votes would be given: a replica that was cut off would otherwise come back with a term
+   * raised by its lonely candidacies and unseat a leader that works.
+   */
+  private async stand(): Promise<void> {
+    const { replica } = this;
+    const isAbstaining = replica.clock.monotonic() < replica.abstainUntil;
+    if (replica.stopped || !replica.isVoter || isAbstaining) return;
+    if (!(await this.gather(replica.term + 1n, true))) return;
+    const term = await replica.exclusive(() => this.begin());
+    if (term === undefined) return;
+    const isWon = await this.gather(term, false);
+    if (replica.term !== term || replica.role !== 'candidate') return;
+    if (isWon) await this.lead(term);
+    else replica.becomeFollower('not elected');
+  }
+
+  /** Raises the term and votes for itself; returns the term, or undefined when a leader came first. */
+  private async begin(): Promise<bigint | undefined> {
+    const { replica } = this;
+    if (replica.role !== 'follower' || this.hearsLeader()) return undefined;
+    const term = replica.term + 1n;
+    replica.log.event(coordinationEvents.campaign, { term: term.toString() });
+    replica.metrics.count(coordinationMetrics.elections);
+    const saved = await replica.save({ term, votedFor: replica.id });
+    if (saved.isErr()) return undefined;
+    replica.role = 'candidate';
+    replica.leader = undefined;
+    return term;
+  }
+
+  /** Asks all voters; resolves true at a quorum of votes, false once it can't be reached. */
+  private gather(term: bigint, probe: boolean): Promise<boolean> {
+    const { replica } = this;
+    const voters = replica.configuration?.voters ?? [];
+    const others = voters.filter((voter) => voter.replicaId !== replica.id);
+    const needed = quorumOf(voters.length) - 1;
+    if (needed <= 0) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      let granted = 0;
+      let open = others.length;
+      const count = (isGranted: boolean): void => {
+        open -= 1;
+        if (isGranted) granted += 1;
+        if (granted >= needed) resolve(true);
+        else if (granted + open < needed) resolve(false);
+      };
+      for (const voter of others) void this.ask(voter, term, probe).then(count);
+    });
+  }
+
+  /** Asks one voter. A vote of another replica under the voter's name does not count. */
+  private async ask(voter: Voter, term: bigint, probe: boolean): Promise<boolean> {
+    const { replica } = this;
+    const { index: lastIndex, term: lastTerm } = replica.entries.last;
+    const { clusterId, name: candidate, id: replicaId } = replica;
+    const request = { clusterId, candidate, replicaId, term, lastIndex, lastTerm, probe };
+    const answer = await this.peers.call(voter.address, replica.tuning.rpcTimeoutMs, (client, signal) =>
+      client.vote(create(VoteRequestSchema, request), { signal }),
+    );
+    if (answer.isErr()) return false;
+    const { granted, term: theirs, replicaId: answering } = answer.value;
+    if (answering !== voter.replicaId) return false;
+    if (!granted && theirs > replica.term) await replica.exclusive(() => replica.observeTerm(theirs));
+    return granted;
+  }
+
+  /**
+   * A replica that hears a leader gives no votes: it knows that none is needed, and a removed replica that was
+   * never told keeps asking.
+   */
+  private mayAnswer(request: VoteRequest): boolean {
+    const { replica } = this;
+    const isOurs = replica.clusterId !== '' && request.clusterId === replica.clusterId;
+    return isOurs && request.replicaId !== '' && !this.hearsLeader();
+  }
+
+  private hearsLeader(): boolean {
+    const { replica } = this;
+    if (replica.role === 'leader') return true;
+    if (replica.leaderHeardAt === undefined) return false;
+    return replica.clock.monotonic() - replica.leaderHeardAt < replica.tuning.electionMinMs;
+  }
+
+  private async decide(request: VoteRequest): Promise<boolean> {
+    const { replica } = this;
+    const last = { index: request.lastIndex, term: request.lastTerm };
+    const isUpToDate = replica.entries.isCoveredBy(last);
+    if (request.probe) return isUpToDate && request.term > replica.term;
+    if (request.term < replica.term) return false;
+    const moved = await replica.observeTerm(request.term);
+    if (moved.isErr() || !isUpToDate) return false;
+    const isFree = replica.votedFor === '' || replica.votedFor === request.replicaId;
+    if (!isFree) return false;
+    const saved = await replica.save({ votedFor: request.replicaId });
+    if (saved.isErr()) return false;
+    replica.rest();
+    return true;
+  }
+}
--- a/packages/coordination/src/agreement/entryLog.ts
+++ b/packages/coordination/src/agreement/entryLog.ts
@@ -8,11 +8,18 @@
   readonly term: bigint;
 }
 
+/** A configuration and the entry that brought it. */
+export interface InstalledConfiguration {
+  readonly index: bigint;
+  readonly configuration?: Configuration;
+}
+
 /** Entries without a gap, in memory. */
 export class EntryLog {
   private entries: Entry[] = [];
   private base: Position = { index: 0n, term: 0n };
   private baseConfiguration: Configuration | undefined;
+  private newest: InstalledConfiguration = { index: 0n, configuration: undefined };
 
   /** Last position before the first entry held. */
   get start(): Position {
@@ -25,11 +32,16 @@
     return entry === undefined ? this.base : { index: entry.index, term: entry.term };
   }
 
-  /** The newest configuration in the log, committed or not, and its index (0: none). */
-  configuration(): { index: bigint; configuration: Configuration | undefined } {
-    const entry = this.entries.findLast(({ kind }) => kind === EntryKind.CONFIGURATION);
-    if (entry === undefined) return { index: this.base.index, configuration: this.baseConfiguration };
-    return { index: entry.index, configuration: entry.configuration };
+  /** The newest configuration in the log, committed or not. */
+  configuration(): InstalledConfiguration {
+    return this.newest;
+  }
+
+  /** The configuration as of an index held. */
+  configurationAt(index: bigint): Configuration | undefined {
+    const isBefore = (entry: Entry): boolean =>
+      entry.kind === EntryKind.CONFIGURATION && entry.index <= index;
+    return this.entries.findLast(isBefore)?.configuration ?? this.baseConfiguration;
   }
 
   /** The entry at an index, if held. */
@@ -63,21 +75,27 @@
   }
 
   append(entries: readonly Entry[]): void {
-    for (const entry of entries) this.entries.push(entry);
+    for (const entry of entries) {
+      this.entries.push(entry);
+      if (entry.kind === EntryKind.CONFIGURATION) this.newest = entry;
+    }
   }
 
   /** Drops entries from an index on. */
   truncate(index: bigint): void {
     this.entries.length = Math.max(0, Number(index - this.base.index) - 1);
+    this.findNewest();
   }
 
-  /** Moves the base to an index held, with the configuration as of then. */
-  compact(index: bigint, configuration: Configuration | undefined): void {
+  /** Moves the base to an index held. */
+  compact(index: bigint): void {
     const term = this.termAt(index);
     if (term === undefined || index <= this.base.index) return;
+    const configuration = this.configurationAt(index);
     this.entries = this.entries.slice(Number(index - this.base.index));
     this.base = { index, term };
     this.baseConfiguration = configuration;
+    this.findNewest();
   }
 
   /** Starts over behind a snapshot. */
@@ -85,6 +103,7 @@
     this.entries = [];
     this.base = base;
     this.baseConfiguration = configuration;
+    this.findNewest();
   }
 
   /** First index of the run of equal terms that an index lies in. */
@@ -94,4 +113,9 @@
     while (first - 1n > this.base.index && this.termAt(first - 1n) === term) first -= 1n;
     return first;
   }
+
+  private findNewest(): void {
+    const entry = this.entries.findLast(({ kind }) => kind === EntryKind.CONFIGURATION);
+    this.newest = entry ?? { index: this.base.index, configuration: this.baseConfiguration };
+  }
 }
--- /dev/null
+++ b/packages/coordination/src/agreement/peerClient.ts
@@ -0,0 +1,88 @@
+/** Calls to other replicas: each has a timeout, and a connection that gives no answer is not used again. */
+import { Code, ConnectError, createClient } from '@connectrpc/connect';
+import type { Client, Transport } from '@connectrpc/connect';
+import { fault } from '@jasmineroute/core';
+import type { Clock, Fault, Log, Metrics } from '@jasmineroute/core';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { coordinationEvents } from '../events.js';
+import { Agreement } from '../gen/agreement/agreement_pb.js';
+import { coordinationMetrics } from '../metrics.js';
+
+/** Client of the service between replicas. */
+export type AgreementClient = Client<typeof Agreement>;
+
+/** What calls are made with. */
+export interface PeerClientParts {
+  readonly connect: (address: string) => Transport;
+  readonly drop: (address: string) => void;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** The connection was refused, so the call was never sent. */
+const isUnsent = (error: ConnectError): boolean =>
+  (error.cause as NodeJS.ErrnoException | undefined)?.code === 'ECONNREFUSED';
+
+/** Options of one call. */
+export interface CallOptions {
+  /** A timeout says nothing of the connection: the other side may have reason to wait so long. */
+  readonly keepsConnection?: boolean;
+}
+
+/** Calls by address. */
+export class PeerClient {
+  private readonly clients = new WeakMap<Transport, AgreementClient>();
+
+  constructor(private readonly parts: PeerClientParts) {}
+
+  /**
+   * Makes one call. Errors: `target-unreachable` when it was surely not sent, `target-lost` otherwise.
+   * Something between two replicas can lose track of a connection; nothing closes it then, and calls on it
+   * only time out, while a new connection works. So the first timeout drops it.
+   */
+  async call<T>(
+    address: string,
+    timeoutMs: number,
+    action: (client: AgreementClient, signal: AbortSignal) => Promise<T>,
+    options: CallOptions = {},
+  ): Promise<Result<T, Fault>> {
+    const controller = new AbortController();
+    const cancel = this.parts.clock.after(timeoutMs, () => {
+      controller.abort();
+    });
+    const transport = this.parts.connect(address);
+    try {
+      return ok(await action(this.client(transport), controller.signal));
+    } catch (error) {
+      const isSilent = controller.signal.aborted && options.keepsConnection !== true;
+      // Another call may have replaced the connection already: the new one has done nothing wrong.
+      if (isSilent && this.parts.connect(address) === transport) this.dropSilent(address, timeoutMs);
+      return err(callFault(address, error));
+    } finally {
+      cancel();
+    }
+  }
+
+  private client(transport: Transport): AgreementClient {
+    const known = this.clients.get(transport);
+    if (known !== undefined) return known;
+    const client = createClient(Agreement, transport);
+    this.clients.set(transport, client);
+    return client;
+  }
+
+  private dropSilent(address: string, timeoutMs: number): void {
+    this.parts.log.event(coordinationEvents.connectionDropped, { address, timeoutMs });
+    this.parts.metrics.count(coordinationMetrics.dropped);
+    this.parts.drop(address);
+  }
+}
+
+function callFault(address: string, error: unknown): Fault {
+  const connectError = ConnectError.from(error);
+  if (isUnsent(connectError)) return fault('target-unreachable', `${address} refused the connection`);
+  const reason = Code[connectError.code];
+  return fault('target-lost', `${address}: ${reason}`, { cause: error });
+}
--- /dev/null
+++ b/packages/coordination/src/agreement/progress.ts
@@ -0,0 +1,50 @@
+/** What a leader knows of one other replica. */
+import type { Voter } from '../gen/agreement/agreement_pb.js';
+
+/** Replication to one replica. */
+export class Progress {
+  /** Next entry to send. */
+  next: bigint;
+  /** Entries up to here are synced there. */
+  match = 0n;
+  /** Commit index it was last told of. */
+  toldCommit = 0n;
+  inFlight = 0;
+  /** Raised when `next` was set back: answers to earlier messages don't set it back once more. */
+  round = 0;
+  /** When the newest message that it answered was sent; -Infinity: none. */
+  answeredAt = -Infinity;
+  /** When the last message was sent. */
+  sentAt = -Infinity;
+  /** No message before this time, after one that failed. */
+  pausedUntil = -Infinity;
+  /** Another replica that answered in its place. */
+  strangerId: string | undefined;
+  /** Set while the replica is a member. */
+  isMember = true;
+
+  constructor(
+    public voter: Voter,
+    lastIndex: bigint,
+  ) {
+    this.next = lastIndex + 1n;
+  }
+
+  /** It answered a message sent at `sentAt`. */
+  answered(sentAt: number): void {
+    if (sentAt > this.answeredAt) this.answeredAt = sentAt;
+  }
+
+  /** It has everything up to `index`. */
+  matched(index: bigint): void {
+    if (index > this.match) this.match = index;
+    if (this.next <= this.match) this.next = this.match + 1n;
+  }
+
+  /** Starts again behind `index`, unless an earlier answer already did. */
+  setBack(index: bigint, round: number): void {
+    if (round !== this.round) return;
+    this.round += 1;
+    this.next = (index > this.match ? index : this.match) + 1n;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/agreement/reconfiguration.ts
@@ -0,0 +1,112 @@
+/** The leader's task that brings the replicas to the wanted ones, one safe step at a time. */
+import type { Configuration, Voter } from '../gen/agreement/agreement_pb.js';
+import { isSettled, membersOf, nextStep, voter } from './configuration.js';
+import type { Joining } from './joining.js';
+import type { Leadership } from './leadership.js';
+import type { ReplicaAddress } from './options.js';
+import type { Replica } from './replica.js';
+
+/** Changes of replicas. */
+export class Reconfiguration {
+  /** Replicas that were asked for; undefined: those that there are. */
+  private wanted: readonly ReplicaAddress[] | undefined;
+
+  constructor(
+    private readonly replica: Replica,
+    private readonly joining: Joining,
+  ) {}
+
+  /** Sets the wanted replicas. Kept on every replica, so that a new leader goes on. */
+  want(wanted: readonly ReplicaAddress[]): void {
+    this.wanted = wanted.map(({ name, address }) => ({ name, address }));
+  }
+
+  /** Whether the wanted replicas are the voters, by a committed configuration. */
+  isDone(): boolean {
+    const { index, configuration } = this.replica.entries.configuration();
+    const isCommitted = index <= this.replica.commitIndex;
+    return isCommitted && configuration !== undefined && isSettled(configuration, this.wanted ?? []);
+  }
+
+  /** Steps as long as the term lasts. */
+  async run(leadership: Leadership): Promise<void> {
+    const { replica } = this;
+    while (leadership.isActive) {
+      if (this.mayStep(leadership)) await this.step(leadership);
+      await replica.clock.sleep(replica.tuning.reconfigureMs);
+    }
+  }
+
+  /**
+   * One change at a time, and only after an entry of this term is committed. Without the second rule, two
+   * leaders in turn could each add their own replica to the same old set, and the two sets have quorums that
+   * share nobody.
+   */
+  private mayStep(leadership: Leadership): boolean {
+    const { index } = this.replica.entries.configuration();
+    return leadership.isEstablished && index <= this.replica.commitIndex;
+  }
+
+  private async step(leadership: Leadership): Promise<void> {
+    const { replica } = this;
+    const current = replica.configuration;
+    if (current === undefined) return;
+    const wanted = this.wanted ?? namesOf(current);
+    const found = await this.identify(leadership, wanted);
+    // The term may have ended, or the configuration changed, while the replicas were asked.
+    if (!this.mayStep(leadership) || replica.configuration !== current) return;
+    const windowMs = replica.tuning.quorumWindowMs;
+    const next = nextStep({
+      current,
+      wanted,
+      self: replica.id,
+      found,
+      isCaughtUp: (id) => this.isCaughtUp(leadership, id),
+      isReachable: (replicaId) => leadership.isReachable({ replicaId }, windowMs),
+    });
+    if (next !== undefined) await leadership.changeConfiguration(next);
+  }
+
+  private isCaughtUp(leadership: Leadership, replicaId: string): boolean {
+    const match = leadership.progress.get(replicaId)?.match ?? 0n;
+    const isRecent = leadership.isReachable({ replicaId }, this.replica.tuning.quorumWindowMs);
+    return isRecent && match >= this.replica.commitIndex;
+  }
+
+  /** Which replica listens at each wanted address. Members that answer appends are known without asking. */
+  private async identify(
+    leadership: Leadership,
+    wanted: readonly ReplicaAddress[],
+  ): Promise<Map<string, Voter>> {
+    const answers = await Promise.all(wanted.map((replica) => this.identifyOne(leadership, replica)));
+    const known = answers.filter((answer) => answer !== undefined);
+    return new Map(known.map((member) => [member.name, member]));
+  }
+
+  private async identifyOne(leadership: Leadership, wanted: ReplicaAddress): Promise<Voter | undefined> {
+    const { replica } = this;
+    const member = [replica.self, ...replica.others].find(
+      ({ name, address, replicaId }) =>
+        name === wanted.name &&
+        address === wanted.address &&
+        leadership.isReachable({ replicaId }, replica.tuning.quorumWindowMs),
+    );
+    if (member !== undefined) return member;
+    const answer = await this.joining.ask(wanted.address);
+    const other = answer?.replica;
+    if (answer === undefined || other?.name !== wanted.name) return undefined;
+    // A replica of another cluster must not be taken in: its log is another one's.
+    const cluster = answer.configuration?.clusterId ?? replica.clusterId;
+    if (cluster !== replica.clusterId) return undefined;
+    return voter(other.name, wanted.address, other.replicaId);
+  }
+}
+
+/**
+ * The replicas that there are, each name once. Learners count: between the removal of a voter whose disk was
+ * lost and the vote of its successor, the name is found among the learners only.
+ */
+function namesOf(configuration: Configuration): ReplicaAddress[] {
+  const byName = new Map(membersOf(configuration).map((member) => [member.name, member]));
+  return [...byName.values()];
+}
--- /dev/null
+++ b/packages/coordination/src/agreement/replication.ts
@@ -0,0 +1,180 @@
+/** The task that keeps one replica's log equal to the leader's. */
+import { create } from '@bufbuild/protobuf';
+import { coordinationEvents } from '../events.js';
+import { AppendRequestSchema, InstallRequestSchema } from '../gen/agreement/agreement_pb.js';
+import type { AppendRequest, AppendResponse } from '../gen/agreement/agreement_pb.js';
+import type { Snapshot } from '../storage/index.js';
+import type { Leadership } from './leadership.js';
+import type { Progress } from './progress.js';
+
+/** A message on its way. */
+interface Sent {
+  readonly request: AppendRequest;
+  readonly at: number;
+  readonly round: number;
+}
+
+/** Appends may wait for a slow disk; whether the connection lives is told by the heartbeats. */
+const APPEND_TIMEOUTS = 6;
+
+/** Sends entries, heartbeats and snapshots until the term or the membership ends. */
+export async function replicate(leadership: Leadership, progress: Progress): Promise<void> {
+  const { replica } = leadership.parts;
+  while (leadership.isActive && progress.isMember) {
+    if (progress.next <= replica.entries.start.index) {
+      await install(leadership, progress);
+      continue;
+    }
+    if (isDue(leadership, progress)) {
+      void send(leadership, progress);
+      continue;
+    }
+    await leadership.work.waitFor(replica.clock, untilDue(leadership, progress));
+  }
+}
+
+/** Milliseconds until the next heartbeat, or the end of the pause after a failure. */
+function untilDue(leadership: Leadership, progress: Progress): number {
+  const { clock, tuning } = leadership.parts.replica;
+  const due = Math.max(progress.sentAt + tuning.heartbeatMs, progress.pausedUntil);
+  return Math.max(1, due - clock.monotonic());
+}
+
+/** Whether a message is due: entries to send and room for them, a commit to tell of, or a heartbeat. */
+function isDue(leadership: Leadership, progress: Progress): boolean {
+  const { replica } = leadership.parts;
+  const { heartbeatMs, maxInFlight, groupCommit } = replica.tuning;
+  const now = replica.clock.monotonic();
+  if (now < progress.pausedUntil) return false;
+  if (now - progress.sentAt >= heartbeatMs) return true;
+  if (progress.inFlight >= (groupCommit ? maxInFlight : 1)) return false;
+  if (progress.next <= replica.entries.last.index) return true;
+  return progress.inFlight === 0 && progress.toldCommit < replica.commitIndex;
+}
+
+function nextRequest(leadership: Leadership, progress: Progress): AppendRequest {
+  const { replica } = leadership.parts;
+  const { maxBatchEntries, maxBatchBytes, maxInFlight, groupCommit } = replica.tuning;
+  const isFull = progress.inFlight >= maxInFlight;
+  const limit = groupCommit ? maxBatchEntries : 1;
+  const entries = isFull ? [] : replica.entries.slice(progress.next, limit, maxBatchBytes);
+  return create(AppendRequestSchema, {
+    clusterId: replica.clusterId,
+    leader: replica.name,
+    term: leadership.term,
+    previousIndex: progress.next - 1n,
+    previousTerm: replica.entries.termAt(progress.next - 1n) ?? 0n,
+    entries,
+    commitIndex: replica.commitIndex,
+    replicaId: progress.voter.replicaId,
+  });
+}
+
+/** Sends one message without waiting for the answers to earlier ones. */
+async function send(leadership: Leadership, progress: Progress): Promise<void> {
+  const { replica, peers } = leadership.parts;
+  const request = nextRequest(leadership, progress);
+  const sent = { request, at: replica.clock.monotonic(), round: progress.round };
+  progress.sentAt = sent.at;
+  progress.next += BigInt(request.entries.length);
+  progress.toldCommit = request.commitIndex;
+  progress.inFlight += 1;
+  const timeoutMs = replica.tuning.rpcTimeoutMs * (request.entries.length > 0 ? APPEND_TIMEOUTS : 1);
+  const answer = await peers.call(progress.voter.address, timeoutMs, (client, signal) =>
+    client.append(request, { signal }),
+  );
+  progress.inFlight -= 1;
+  if (answer.isOk()) await take(leadership, progress, answer.value, sent);
+  else retryLater(leadership, progress, sent);
+  leadership.work.notify();
+}
+
+/** A replica that is down or refuses is tried again at the pace of heartbeats, not in a tight loop. */
+function retryLater(leadership: Leadership, progress: Progress, sent: Sent): void {
+  const { clock, tuning } = leadership.parts.replica;
+  progress.setBack(progress.match, sent.round);
+  progress.pausedUntil = clock.monotonic() + tuning.heartbeatMs;
+}
+
+async function take(
+  leadership: Leadership,
+  progress: Progress,
+  answer: AppendResponse,
+  sent: Sent,
+): Promise<void> {
+  const { replica } = leadership.parts;
+  if (answer.replicaId !== progress.voter.replicaId) {
+    /*
+     * The disk under this name is another one now. Counting its answers as the old replica's would count
+     * promises that were lost with the old disk.
+     */
+    if (progress.strangerId !== answer.replicaId) {
+      const { name } = progress.voter;
+      replica.log.event(coordinationEvents.wrongReplica, { name, found: answer.replicaId });
+    }
+    progress.strangerId = answer.replicaId;
+    retryLater(leadership, progress, sent);
+    return;
+  }
+  if (answer.term > leadership.term) {
+    await leadership.observeTerm(answer.term);
+    return;
+  }
+  progress.answered(sent.at);
+  if (answer.success) {
+    progress.matched(answer.matchIndex);
+    leadership.advance();
+    return;
+  }
+  const isBehind = answer.matchIndex < sent.request.previousIndex;
+  if (isBehind) progress.setBack(answer.matchIndex, sent.round);
+  else retryLater(leadership, progress, sent);
+}
+
+/** Sends the state in pieces to a replica that needs entries which are no longer held. */
+async function install(leadership: Leadership, progress: Progress): Promise<void> {
+  const { replica } = leadership.parts;
+  const parcel = leadership.parts.snapshot();
+  for (let offset = 0; offset === 0 || offset < parcel.data.length; offset += replica.tuning.pieceBytes) {
+    if (!leadership.isActive || !progress.isMember) return;
+    const isTaken = await sendPiece(leadership, progress, parcel, offset);
+    if (!isTaken) {
+      await leadership.work.waitFor(replica.clock, replica.tuning.heartbeatMs);
+      return;
+    }
+  }
+  progress.matched(parcel.lastIndex);
+  leadership.advance();
+}
+
+async function sendPiece(
+  leadership: Leadership,
+  progress: Progress,
+  parcel: Snapshot,
+  offset: number,
+): Promise<boolean> {
+  const { replica, peers } = leadership.parts;
+  const data = parcel.data.subarray(offset, offset + replica.tuning.pieceBytes);
+  const request = create(InstallRequestSchema, {
+    lastIndex: parcel.lastIndex,
+    lastTerm: parcel.lastTerm,
+    configuration: parcel.configuration,
+    clusterId: replica.clusterId,
+    leader: replica.name,
+    term: leadership.term,
+    offset: BigInt(offset),
+    data,
+    done: offset + data.length >= parcel.data.length,
+    replicaId: progress.voter.replicaId,
+  });
+  const sentAt = replica.clock.monotonic();
+  progress.sentAt = sentAt;
+  const answer = await peers.call(progress.voter.address, replica.tuning.rpcTimeoutMs, (client, signal) =>
+    client.install(request, { signal }),
+  );
+  if (answer.isErr()) return false;
+  if (answer.value.term > leadership.term) await leadership.observeTerm(answer.value.term);
+  if (!answer.value.success) return false;
+  progress.answered(sentAt);
+  return true;
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,2 +1,6 @@
-export * from './storage/index.js';
+/** Coordination parts to embed: durable storage, a replicated log and failure detection. */
+export * from './agreement/index.js';
+export * from './events.js';
 export * from './membership/index.js';
+export * from './metrics.js';
+export * from './storage/index.js';
--- a/packages/coordination/src/membership/failureDetector.spec.ts
+++ b/packages/coordination/src/membership/failureDetector.spec.ts
@@ -55,7 +55,13 @@
 const states = (detector: FailureDetector): string[] => [...detector.all()].map(({ liveness }) => liveness);
 
 /** One exchange from one observer to another. */
-function exchange(from: FailureDetector, to: FailureDetector, fromName: string, toName: string, since = 0n): bigint {
+function exchange(
+  from: FailureDetector,
+  to: FailureDetector,
+  fromName: string,
+  toName: string,
+  since = 0n,
+): bigint {
   const digest = from.digest(since, toName);
   for (const [name, age] of digest.observers) to.observerHeard(name, age);
   to.observerHeard(fromName);
@@ -77,7 +83,11 @@
       beating(detector, others)(elapsed);
       if (detector.find('m0')?.liveness === 'down') downAfter ||= elapsed;
     });
-    expect(seen.filter(({ name }) => name === 'm0').map(({ to }) => to)).toEqual(['alive', 'suspect', 'down']);
+    expect(seen.filter(({ name }) => name === 'm0').map(({ to }) => to)).toEqual([
+      'alive',
+      'suspect',
+      'down',
+    ]);
     // The last beat came up to 1 s before the run began.
     expect(downAfter).toBeGreaterThan(0);
     expect(downAfter).toBeLessThan(3_000);
--- a/packages/coordination/src/membership/failureDetector.ts
+++ b/packages/coordination/src/membership/failureDetector.ts
@@ -133,7 +133,17 @@
     const { name, incarnation, sequence } = of;
     const from = this.members.get(name)?.liveness;
     const left = liveness === 'leaving' || cause === 'left';
-    const member: Member = { name, incarnation, sequence, liveness, cause, left, heardAt, source, change: 0n };
+    const member: Member = {
+      name,
+      incarnation,
+      sequence,
+      liveness,
+      cause,
+      left,
+      heardAt,
+      source,
+      change: 0n,
+    };
     if (liveness === 'down') member.downAt = this.time.now();
     this.members.set(name, member);
     this.changed(member);
@@ -230,7 +240,13 @@
     member.downAt = liveness === 'down' ? now : undefined;
     this.changed(member);
     if (from !== liveness)
-      this.transitions.push({ name: member.name, incarnation: member.incarnation, from, to: liveness, cause });
+      this.transitions.push({
+        name: member.name,
+        incarnation: member.incarnation,
+        from,
+        to: liveness,
+        cause,
+      });
   }
 
   /** Since when a member counts as silent. */
--- a/packages/coordination/src/membership/settings.ts
+++ b/packages/coordination/src/membership/settings.ts
@@ -14,7 +14,10 @@
     10_000,
     'silence after which a member is down although its address takes connections',
   ),
-  pauseMs: milliseconds(600, 'gap between two of its own steps that the observer takes for a pause of its own'),
+  pauseMs: milliseconds(
+    600,
+    'gap between two of its own steps that the observer takes for a pause of its own',
+  ),
   massShare: z.coerce
     .number()
     .positive()
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -1,6 +1,6 @@
 /** Everything that a replica keeps in its folder: identity and vote, snapshot, journal. */
 import { join } from 'node:path';
-import { newId } from '@jasmineroute/core';
+import { fault, newId } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import { errAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -82,9 +82,9 @@
     return this.guard('write the journal', () => this.journal.append(entries));
   }
 
-  /** Drops entries from `index` on, not yet synced. */
-  truncate(index: bigint): Promise<Result<void, Fault>> {
-    return this.guard('cut the journal', () => this.journal.truncate(index));
+  /** Drops entries from `index` on, not yet synced. An error is final. */
+  async truncate(index: bigint): Promise<Result<void, Fault>> {
+    return this.orFail(await this.guard('cut the journal', () => this.journal.truncate(index)));
   }
 
   /**
@@ -92,9 +92,7 @@
    * it could not write, and a second sync would then report success for data that is gone.
    */
   async sync(): Promise<Result<void, Fault>> {
-    const result = await this.guard('sync the journal', () => this.journal.sync());
-    if (result.isErr()) this.failure ??= result.error;
-    return result;
+    return this.orFail(await this.guard('sync the journal', () => this.journal.sync()));
   }
 
   /** Keeps a snapshot and drops the journal's segments that hold only entries before `keepFrom`. */
@@ -106,24 +104,33 @@
     });
   }
 
-  /** Keeps a snapshot in place of everything in the journal. */
-  installSnapshot(snapshot: Snapshot): Promise<Result<void, Fault>> {
-    return this.guard('install a snapshot', async () => {
-      await writeSnapshot(this.disk, this.folder, snapshot);
-      await this.journal.reset(snapshot.lastIndex + 1n);
-    });
+  /** Keeps a snapshot in place of everything in the journal. An error in clearing the journal is final. */
+  async installSnapshot(snapshot: Snapshot): Promise<Result<void, Fault>> {
+    const written = await this.guard('install a snapshot', () =>
+      writeSnapshot(this.disk, this.folder, snapshot),
+    );
+    if (written.isErr()) return written;
+    return this.orFail(
+      await this.guard('clear the journal', () => this.journal.reset(snapshot.lastIndex + 1n)),
+    );
   }
 
-  /** Closes the files and gives up the lock. */
+  /** Closes the files and gives up the lock; nothing is written afterwards. */
   async close(): Promise<void> {
+    this.failure ??= fault('storage-failed', `${this.folder} is closed`);
     await this.journal.close().catch(() => undefined);
     await this.release().catch(() => undefined);
   }
 
+  /** After an error that leaves the disk's content unknown, nothing more is written or promised. */
+  private orFail(result: Result<void, Fault>): Result<void, Fault> {
+    if (result.isErr()) this.failure ??= result.error;
+    return result;
+  }
+
   private guard(doing: string, action: () => Promise<void>): Promise<Result<void, Fault>> {
     const failed = this.failure;
-    const running =
-      failed === undefined ? attempt(`${doing} in ${this.folder}`, action) : errAsync<void, Fault>(failed);
+    const running = failed === undefined ? attempt(`${doing} in ${this.folder}`, action) : errAsync(failed);
     return Promise.resolve(running);
   }
 
--- a/packages/coordination/src/storage/memoryDisk.ts
+++ b/packages/coordination/src/storage/memoryDisk.ts
@@ -38,6 +38,8 @@
   writeError: string | undefined;
   /** Set to make syncs fail. */
   syncError: string | undefined;
+  /** Set to make syncs take time. */
+  syncDelay: () => Promise<void> = () => Promise.resolve();
   private dead = false;
   private readonly locked = new Set<string>();
 
@@ -148,15 +150,21 @@
         this.act(() => {
           inode.current = inode.current.slice(0, length);
         }),
-      sync: () =>
-        this.act(() => {
-          if (this.syncError !== undefined) throw systemError(this.syncError);
-          inode.synced = inode.current;
-        }),
+      sync: () => this.sync(inode),
       close: () => Promise.resolve(),
     };
   }
 
+  /** What was written before the call lasts afterwards; what came later need not. */
+  private async sync(inode: Inode): Promise<void> {
+    const { current } = inode;
+    await this.syncDelay();
+    await this.act(() => {
+      if (this.syncError !== undefined) throw systemError(this.syncError);
+      inode.synced = current;
+    });
+  }
+
   private write(inode: Inode, data: Uint8Array, position: number): void {
     const part = this.writeError === undefined ? data : data.subarray(0, data.length / 2);
     const grown = new Uint8Array(Math.max(inode.current.length, position + part.length));
--- a/packages/coordination/src/storage/snapshotFile.ts
+++ b/packages/coordination/src/storage/snapshotFile.ts
@@ -10,7 +10,10 @@
 const DIGITS = 16;
 
 /** State up to `lastIndex`, with the configuration as of then. Kept in the form in which it is sent. */
-export type Snapshot = Pick<InstallRequest, 'clusterId' | 'lastIndex' | 'lastTerm' | 'configuration' | 'data'>;
+export type Snapshot = Pick<
+  InstallRequest,
+  'clusterId' | 'lastIndex' | 'lastTerm' | 'configuration' | 'data'
+>;
 
 const nameOf = (index: bigint): string => PREFIX + String(index).padStart(DIGITS, '0');
 
--- /dev/null
+++ b/packages/coordination/src/testing/index.ts
@@ -0,0 +1,3 @@
+/** Support for this package's tests. */
+export * from './memoryCluster.js';
+export * from './memoryNetwork.js';
--- /dev/null
+++ b/packages/coordination/src/testing/memoryCluster.ts
@@ -0,0 +1,221 @@
+/** Replicas on a manual clock, disks and a network in memory; checks what must hold at every step. For tests. */
+import { ManualClock, silentLog } from '@jasmineroute/core';
+import type { Log } from '@jasmineroute/core';
+import { ReplicatedLog } from '../agreement/index.js';
+import type { ReplicaAddress, StateMachine, Tuning } from '../agreement/index.js';
+import { MemoryDisk } from '../storage/index.js';
+import { MemoryNetwork } from './memoryNetwork.js';
+
+const FOLDER = '/replica';
+
+/** Longest sync, in milliseconds. */
+const MAX_SYNC_MS = 15;
+
+/** A state machine that keeps every command. */
+export class Recorder implements StateMachine {
+  commands: string[] = [];
+
+  constructor(private readonly check: (index: bigint, command: string) => void) {}
+
+  apply(index: bigint, command: Uint8Array): Uint8Array {
+    const text = Buffer.from(command).toString();
+    this.check(index, text);
+    this.commands.push(text);
+    return Buffer.from(`done ${text}`);
+  }
+
+  snapshot(): Uint8Array {
+    return Buffer.from(JSON.stringify(this.commands));
+  }
+
+  restore(data: Uint8Array): void {
+    this.commands = JSON.parse(Buffer.from(data).toString()) as string[];
+  }
+}
+
+/** One machine. */
+export interface Node {
+  readonly address: ReplicaAddress;
+  disk: MemoryDisk;
+  recorder: Recorder;
+  replica: ReplicatedLog | undefined;
+}
+
+/** What became of a command. */
+export interface Attempt {
+  readonly command: string;
+  outcome: 'open' | 'done' | 'not-run' | 'may-have-run';
+}
+
+/** A repeatable source of random numbers in [0, 1) (mulberry32). */
+export function seeded(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state + 0x6d2b79f5) | 0;
+    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
+    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+  };
+}
+
+/** A cluster. */
+export class MemoryCluster {
+  readonly clock = new ManualClock();
+  readonly network: MemoryNetwork;
+  readonly nodes: Node[];
+  readonly attempts: Attempt[] = [];
+  /** Broken promises that were seen, in plain words. */
+  readonly violations: string[] = [];
+  private readonly random: () => number;
+  private readonly applied = new Map<bigint, string>();
+  private readonly leaders = new Map<bigint, string>();
+  private readonly initial: ReplicaAddress[];
+
+  constructor(
+    seed: number,
+    names: readonly string[],
+    private readonly tuning: Partial<Tuning> = {},
+    private readonly log: Log = silentLog,
+  ) {
+    this.random = seeded(seed);
+    this.network = new MemoryNetwork(this.clock, this.random);
+    this.initial = names.map((name) => ({ name, address: name }));
+    this.nodes = this.initial.map((address) => this.node(address));
+  }
+
+  /** Adds a machine that is not among the initial replicas. */
+  add(name: string): Node {
+    const node = this.node({ name, address: name });
+    this.nodes.push(node);
+    return node;
+  }
+
+  find(name: string): Node {
+    const node = this.nodes.find(({ address }) => address.name === name);
+    if (node === undefined) throw new Error(`no node ${name}`);
+    return node;
+  }
+
+  async startAll(): Promise<void> {
+    for (const node of this.nodes) await this.start(node);
+  }
+
+  async start(node: Node): Promise<void> {
+    if (node.replica !== undefined) return;
+    node.recorder = this.recorder();
+    node.disk.syncDelay = () => this.clock.sleep(this.random() * MAX_SYNC_MS);
+    const { name, address } = node.address;
+    const opened = await ReplicatedLog.open({
+      ...this.tuning,
+      name,
+      folder: FOLDER,
+      initialReplicas: this.initial,
+      connect: (to) => this.network.connect(address, to),
+      drop: (to) => {
+        this.network.drop(address, to);
+      },
+      clock: this.clock,
+      log: this.log.with({ name }),
+      stateMachine: node.recorder,
+      disk: node.disk,
+      random: this.random,
+    });
+    if (opened.isErr()) throw new Error(opened.error.message);
+    const replica = opened.value;
+    node.replica = replica;
+    this.network.serve(address, (router) => {
+      replica.routes(router);
+    });
+    replica.onStatus(() => {
+      this.checkLeader(replica);
+    });
+    await replica.start(address);
+  }
+
+  /** Power cut. */
+  crash(node: Node): void {
+    const { replica } = node;
+    if (replica === undefined) return;
+    node.replica = undefined;
+    this.network.unserve(node.address.address);
+    node.disk = node.disk.crash(this.random);
+    void replica.close();
+  }
+
+  /** Power cut, and the disk is replaced by an empty one. */
+  wipe(node: Node): void {
+    this.crash(node);
+    node.disk = MemoryDisk.empty();
+  }
+
+  /** Proposes at a node; the outcome is noted when it comes. */
+  propose(node: Node, command: string, timeoutMs = 3_000): Attempt {
+    const attempt: Attempt = { command, outcome: 'open' };
+    this.attempts.push(attempt);
+    const { replica } = node;
+    if (replica === undefined) {
+      attempt.outcome = 'not-run';
+      return attempt;
+    }
+    void replica.propose(Buffer.from(command), timeoutMs).then((result) => {
+      if (result.isErr()) attempt.outcome = result.error.ran === 'not-run' ? 'not-run' : 'may-have-run';
+      else if (Buffer.from(result.value).toString() === `done ${command}`) attempt.outcome = 'done';
+      else this.violations.push(`${command} got another command's result`);
+    });
+    return attempt;
+  }
+
+  /** Moves time on until the condition holds. Returns whether it did within `limitMs`. */
+  async until(condition: () => boolean, limitMs: number): Promise<boolean> {
+    const end = this.clock.monotonic() + limitMs;
+    while (!condition()) {
+      if (this.clock.monotonic() >= end) return false;
+      await this.clock.advance(10);
+    }
+    return true;
+  }
+
+  /** The node that leads with a quorum behind it. */
+  leader(): Node | undefined {
+    return this.nodes.find(({ replica }) => {
+      const status = replica?.status();
+      return status?.state === 'leader' && status.vouched;
+    });
+  }
+
+  /** Checks, with everything repaired, that all hold the same and no answer was untrue. */
+  checkEnd(): void {
+    const [first, ...others] = this.nodes.filter(({ replica }) => replica !== undefined);
+    const kept = first?.recorder.commands ?? [];
+    for (const other of others) {
+      const isSame = JSON.stringify(other.recorder.commands) === JSON.stringify(kept);
+      if (!isSame) this.violations.push(`${other.address.name} holds something else`);
+    }
+    for (const { command, outcome } of this.attempts) {
+      const times = kept.filter((other) => other === command).length;
+      if (times > 1) this.violations.push(`${command} ran ${times} times`);
+      if (outcome === 'done' && times === 0) this.violations.push(`${command} was accepted and is gone`);
+      if (outcome === 'not-run' && times > 0) this.violations.push(`${command} ran, "not run" was told`);
+    }
+  }
+
+  private node(address: ReplicaAddress): Node {
+    return { address, disk: MemoryDisk.empty(), recorder: this.recorder(), replica: undefined };
+  }
+
+  private recorder(): Recorder {
+    return new Recorder((index, command) => {
+      const known = this.applied.get(index) ?? command;
+      this.applied.set(index, known);
+      if (known !== command) this.violations.push(`entry ${index.toString()} was ${known}, now ${command}`);
+    });
+  }
+
+  private checkLeader(replica: ReplicatedLog): void {
+    const { state, term, replicaId } = replica.status();
+    if (state !== 'leader') return;
+    const known = this.leaders.get(term) ?? replicaId;
+    this.leaders.set(term, known);
+    if (known !== replicaId) this.violations.push(`term ${term.toString()} has two leaders`);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/testing/memoryNetwork.ts
@@ -0,0 +1,143 @@
+/** A network in memory that loses, delays and reorders calls, and lets connections go silent. For tests. */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import type { DescMessage, DescMethodUnary, MessageInitShape, MessageShape } from '@bufbuild/protobuf';
+import { Code, ConnectError } from '@connectrpc/connect';
+import type { ConnectRouter, Transport, UnaryResponse } from '@connectrpc/connect';
+import type { Clock } from '@jasmineroute/core';
+
+type Handler = (request: unknown) => Promise<unknown>;
+type Handlers = Record<string, Handler>;
+
+/** One connection; `silent` ones carry nothing and never fail. */
+interface Connection {
+  readonly transport: Transport;
+  /** Ends the calls that are open on it. */
+  readonly open: Set<() => void>;
+  isDropped: boolean;
+  silent: boolean;
+}
+
+const linkOf = (from: string, to: string): string => `${from}>${to}`;
+
+/** Replicas by address, and the links between them. */
+export class MemoryNetwork {
+  /** Share of messages that are lost. */
+  loss = 0;
+  /** Longest delay one way, in milliseconds; each message has its own. */
+  maxDelayMs = 10;
+  private readonly servers = new Map<string, Handlers>();
+  private readonly connections = new Map<string, Connection>();
+  private readonly cuts = new Set<string>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: () => number,
+  ) {}
+
+  /** Serves what `routes` registers at an address. */
+  serve(address: string, routes: (router: ConnectRouter) => void): void {
+    const handlers: Handlers = {};
+    const service = (_: unknown, implementation: Handlers): void => {
+      Object.assign(handlers, implementation);
+    };
+    routes({ service } as unknown as ConnectRouter);
+    this.servers.set(address, handlers);
+  }
+
+  /** Nobody listens at the address any more. */
+  unserve(address: string): void {
+    this.servers.delete(address);
+  }
+
+  connect(from: string, to: string): Transport {
+    const link = linkOf(from, to);
+    const known = this.connections.get(link);
+    if (known !== undefined) return known.transport;
+    const connection: Connection = {
+      transport: this.transport(from, to),
+      open: new Set(),
+      isDropped: false,
+      silent: false,
+    };
+    this.connections.set(link, connection);
+    return connection.transport;
+  }
+
+  drop(from: string, to: string): void {
+    const connection = this.connections.get(linkOf(from, to));
+    if (connection === undefined) return;
+    connection.isDropped = true;
+    this.connections.delete(linkOf(from, to));
+    for (const end of connection.open) end();
+  }
+
+  /** The connections there are between two replicas go silent; new ones work. */
+  silence(a: string, b: string): void {
+    for (const link of [linkOf(a, b), linkOf(b, a)]) {
+      const connection = this.connections.get(link);
+      if (connection !== undefined) connection.silent = true;
+    }
+  }
+
+  /** Nothing passes between two replicas. */
+  cut(a: string, b: string): void {
+    this.cuts.add(linkOf(a, b)).add(linkOf(b, a));
+  }
+
+  /** All links work again. */
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  private transport(from: string, to: string): Transport {
+    const unary = async <I extends DescMessage, O extends DescMessage>(
+      method: DescMethodUnary<I, O>,
+      signal: AbortSignal | undefined,
+      _timeoutMs: number | undefined,
+      _header: unknown,
+      input: MessageInitShape<I>,
+    ): Promise<UnaryResponse<I, O>> => {
+      const connection = this.connections.get(linkOf(from, to));
+      const request = copy(method.input, create(method.input, input));
+      await this.carry(from, to, connection, signal);
+      const handler = this.servers.get(to)?.[method.localName];
+      if (handler === undefined) throw refused();
+      const message = copy(method.output, (await handler(request)) as MessageShape<O>);
+      await this.carry(to, from, connection, signal);
+      const headers = { header: new Headers(), trailer: new Headers() };
+      return { stream: false, service: method.parent, method, message, ...headers };
+    };
+    return { unary, stream: () => Promise.reject(new Error('not used')) };
+  }
+
+  /** Resolves when the message arrives; a lost one ends with the caller's patience. */
+  private async carry(
+    from: string,
+    to: string,
+    connection: Connection | undefined,
+    signal: AbortSignal | undefined,
+  ): Promise<void> {
+    const isLost = connection?.silent === true || this.random() < this.loss;
+    if (!isLost) await this.clock.sleep(this.random() * this.maxDelayMs);
+    if (signal?.aborted === true || connection?.isDropped === true) throw aborted();
+    if (!isLost && !this.cuts.has(linkOf(from, to))) return;
+    await new Promise((_, reject) => {
+      const end = (): void => {
+        connection?.open.delete(end);
+        reject(aborted());
+      };
+      connection?.open.add(end);
+      signal?.addEventListener('abort', end);
+    });
+  }
+}
+
+const aborted = (): ConnectError => new ConnectError('aborted', Code.Canceled);
+
+function refused(): ConnectError {
+  const cause = Object.assign(new Error('refused'), { code: 'ECONNREFUSED' });
+  return new ConnectError('refused', Code.Unavailable, undefined, undefined, cause);
+}
+
+const copy = <D extends DescMessage>(schema: D, message: MessageShape<D>): MessageShape<D> =>
+  fromBinary(schema, toBinary(schema, message));
--- a/packages/ctl/src/command/action.ts
+++ b/packages/ctl/src/command/action.ts
@@ -1,7 +1,7 @@
 /** From the texts of a command line to a command's run. */
 import { readSettings } from '@jasmineroute/core';
 import type { SettingsSchema } from '@jasmineroute/core';
-import { Controls, openConnection } from '../control/index.js';
+import { DocumentControls, openConnection } from '../control/index.js';
 import { exitCodes } from '../exit/index.js';
 import type { ExitCode } from '../exit/index.js';
 import type { ConnectionSettings } from '../setting/index.js';
@@ -38,7 +38,7 @@
     const connection = await openConnection(settings);
     if (connection.isErr()) return reportUsage(terminal, connection.error.message);
     const { peers } = connection.value;
-    const controls = new Controls({
+    const controls = new DocumentControls({
       addresses: settings.controls,
       peers,
       clock,
--- a/packages/ctl/src/command/apply.ts
+++ b/packages/ctl/src/command/apply.ts
@@ -1,14 +1,15 @@
 /** `apply`: has a document accepted. */
-import { answerOf, fault, isFaultKind, newId } from '@jasmineroute/core';
+import { fault, isFaultKind, newId } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import { operatorOf } from '@jasmineroute/document';
 import type { Document } from '@jasmineroute/document';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { exitCodeOf, exitCodes } from '../exit/index.js';
 import type { ExitCode } from '../exit/index.js';
 import { applySettings } from '../setting/index.js';
 import type { ApplySettings } from '../setting/index.js';
-import { redacting } from '../terminal/index.js';
+import { STANDARD_INPUT, redacting } from '../terminal/index.js';
 import type { ConnectedCommand, ConnectedContext } from './context.js';
 import { reportFault } from './context.js';
 import { readDocument, readText } from './file.js';
@@ -29,6 +30,8 @@
   run: apply,
 };
 
+const KEY_SETTINGS = '--key-file (JASMINEROUTE_KEY_FILE) and --key (JASMINEROUTE_KEY)';
+
 type Context = ConnectedContext<ApplySettings>;
 
 async function apply(context: Context): Promise<ExitCode> {
@@ -38,7 +41,7 @@
   const { parsed, text } = read.value;
   if (parsed.isErr()) return reportProblems(context, parsed.error);
   const key = await readKey(context);
-  if (key.isErr()) return reportUsage(context, key.error.message);
+  if (key.isErr()) return reportUsage(context, key.error);
   const safe = { ...context, terminal: redacting(context.terminal, key.value) };
   const operator = context.settings.operator ?? operatorOf(parsed.value, key.value);
   if (operator === undefined) {
@@ -63,21 +66,25 @@
   );
 }
 
-async function readKey({ settings, terminal }: Context): Promise<Result<string, Fault>> {
-  const missing = fault(
-    'invalid-request',
-    'no key: set --key-file or --key (JASMINEROUTE_KEY_FILE, JASMINEROUTE_KEY)',
-  );
-  const text =
-    settings.key === undefined && settings.keyFile !== undefined
-      ? await readText(terminal, settings.keyFile)
-      : ok(settings.key ?? '');
-  return text.andThen((content) => (content.trim() === '' ? err(missing) : ok(content.trim())));
+/** The operator's key, from the one place that is named. */
+async function readKey({ settings, terminal, operands }: Context): Promise<Result<string, string>> {
+  const { key, keyFile } = settings;
+  if (key !== undefined && keyFile !== undefined) return err(`two keys: set one of ${KEY_SETTINGS}`);
+  if (keyFile === STANDARD_INPUT && operands.includes(STANDARD_INPUT)) {
+    return err('standard input can be the document or the key, not both');
+  }
+  const text = keyFile === undefined ? ok(key ?? '') : await readText(terminal, keyFile);
+  return text
+    .mapErr((failure) => failure.message)
+    .andThen((content) =>
+      content.trim() === '' ? err(`no key: set one of ${KEY_SETTINGS}`) : ok(content.trim()),
+    );
 }
 
-async function baseVersion({ settings, controls }: Context, service: string): Promise<Result<bigint, Fault>> {
-  if (settings.baseVersion !== undefined) return ok(settings.baseVersion);
-  const response = await fetchDocument(controls, service);
+async function baseVersion(context: Context, service: string): Promise<Result<bigint, Fault>> {
+  const stated = context.settings.baseVersion;
+  if (stated !== undefined) return ok(stated);
+  const response = await fetchDocument(context, service);
   return response.map(({ document }) => document?.version ?? 0n);
 }
 
@@ -89,13 +96,14 @@
   return controls.call(async (client, options) => {
     const { outcome } = await client.apply(wish, options);
     if (outcome.case !== 'rejected') return ok(outcome);
-    const kind = isFaultKind(outcome.value.kind) ? outcome.value.kind : 'internal';
-    const passing = kind === 'storage-failed' || answerOf(kind).retryable;
-    return passing ? err(fault(kind, outcome.value.message)) : ok(outcome);
+    const { kind, message } = outcome.value;
+    const passing = isFaultKind(kind) && exitCodeOf(kind) === exitCodes.unreachable;
+    return passing ? err(fault(kind, message)) : ok(outcome);
   });
 }
 
 function withAdvice(failure: Fault, { baseVersion: base, applyId }: Wish): Fault {
+  if (failure.ran === 'not-run') return failure;
   const advice =
     'the document may have been accepted; to learn it, repeat the command with ' +
     `--base-version ${base.toString()} --apply-id ${applyId}`;
--- a/packages/ctl/src/command/context.ts
+++ b/packages/ctl/src/command/context.ts
@@ -1,7 +1,7 @@
 /** What every command is made of, and what it runs with. */
 import type { Clock, Fault, SettingsSchema } from '@jasmineroute/core';
 import type { z } from 'zod';
-import type { Controls } from '../control/index.js';
+import type { DocumentControls, Vouched } from '../control/index.js';
 import { exitCodeOf } from '../exit/index.js';
 import type { ExitCode } from '../exit/index.js';
 import { formatJson } from '../format/index.js';
@@ -24,7 +24,7 @@
 
 /** Connections to control instances come with the commands that talk to them. */
 export interface ConnectedContext<Settings> extends CommandContext<Settings> {
-  readonly controls: Controls;
+  readonly controls: DocumentControls;
 }
 
 /** How a command is called. */
@@ -69,3 +69,9 @@
   terminal.error(settings.output === 'json' ? formatJson(json) : `${kind}: ${message}\n`);
   return exitCodeOf(kind);
 }
+
+/** Warns that what follows may be out of date. */
+export function warnUnlessVouched({ terminal }: CommandContext<OutputSettings>, answer: Vouched): void {
+  if (answer.vouched) return;
+  terminal.error('warning: no control instance in touch with a quorum answered; this may be out of date\n');
+}
--- a/packages/ctl/src/command/diff.ts
+++ b/packages/ctl/src/command/diff.ts
@@ -41,7 +41,7 @@
   after: Document,
 ): Promise<ExitCode> {
   const { service } = after;
-  const response = await fetchDocument(context.controls, service);
+  const response = await fetchDocument(context, service);
   if (response.isErr()) return reportFault(context, response.error);
   const accepted = response.value.document;
   const before = accepted === undefined ? undefined : parseDocument(accepted.text).unwrapOr(undefined);
--- a/packages/ctl/src/command/get.ts
+++ b/packages/ctl/src/command/get.ts
@@ -1,17 +1,15 @@
 /** `get`: prints an accepted document. */
 import { fault } from '@jasmineroute/core';
 import type { controlMessage } from '@jasmineroute/protocol';
-import { ok } from 'neverthrow';
 import type { Fault } from '@jasmineroute/core';
 import type { Result } from 'neverthrow';
-import type { Controls } from '../control/index.js';
 import { exitCodes } from '../exit/index.js';
 import type { ExitCode } from '../exit/index.js';
 import { formatTime } from '../format/index.js';
 import { getSettings } from '../setting/index.js';
-import type { GetSettings } from '../setting/index.js';
+import type { ConnectionSettings, GetSettings } from '../setting/index.js';
 import type { ConnectedCommand, ConnectedContext } from './context.js';
-import { report, reportFault } from './context.js';
+import { report, reportFault, warnUnlessVouched } from './context.js';
 
 export const getCommand: ConnectedCommand<GetSettings> = {
   name: 'get',
@@ -22,18 +20,24 @@
   run: get,
 };
 
-/** Asks for a version of a document; 0 is the newest. */
+/** Asks for a version of a document; 0 is the newest. Warns when the answer may be out of date. */
 export async function fetchDocument(
-  controls: Controls,
+  context: ConnectedContext<ConnectionSettings>,
   service: string,
   version = 0n,
 ): Promise<Result<controlMessage.GetResponse, Fault>> {
-  return controls.call(async (client, options) => ok(await client.get({ service, version }, options)));
+  const response = await context.controls.callVouched((client, options) =>
+    client.get({ service, version }, options),
+  );
+  return response.map((value) => {
+    warnUnlessVouched(context, value);
+    return value;
+  });
 }
 
 async function get(context: ConnectedContext<GetSettings>): Promise<ExitCode> {
   const service = context.operands[0] ?? '';
-  const response = await fetchDocument(context.controls, service, context.settings.version);
+  const response = await fetchDocument(context, service, context.settings.version);
   if (response.isErr()) return reportFault(context, response.error);
   if (service === '') return listServices(context, response.value.services);
   const { document } = response.value;
--- a/packages/ctl/src/command/outcome.ts
+++ b/packages/ctl/src/command/outcome.ts
@@ -1,5 +1,6 @@
 /** Reports how a wish to apply went. */
 import { fault, isFaultKind } from '@jasmineroute/core';
+import { locateProblems } from '@jasmineroute/document';
 import type { Problem } from '@jasmineroute/document';
 import type { controlMessage } from '@jasmineroute/protocol';
 import { exitCodeOf, exitCodes } from '../exit/index.js';
@@ -34,7 +35,7 @@
     case 'conflict':
       return reportConflict(context, wish, outcome.value);
     case 'rejected':
-      return reportRejected(context, outcome.value);
+      return reportRejected(context, wish, outcome.value);
     default:
       return reportFault(context, fault('internal', 'the answer of the control instance has no outcome'));
   }
@@ -84,10 +85,11 @@
   return exitCodes.conflict;
 }
 
-function reportRejected(context: Context, rejected: controlMessage.Rejected): ExitCode {
+function reportRejected(context: Context, wish: Wish, rejected: controlMessage.Rejected): ExitCode {
   const { kind, message } = rejected;
   const [file = ''] = context.operands;
-  const problems = rejected.problems.map(({ path, line, message: text }) => ({ path, line, message: text }));
+  const found = rejected.problems.map(({ path, line, message: text }) => ({ path, line, message: text }));
+  const problems = locateProblems(wish.text, found);
   const head = `${fileLabel(file)}: ${kind}: ${message}\n`;
   report(
     context,
--- a/packages/ctl/src/command/program.ts
+++ b/packages/ctl/src/command/program.ts
@@ -14,11 +14,12 @@
 import { hashKeyCommand } from './hashKey.js';
 import { historyCommand } from './history.js';
 import { statusCommand } from './status.js';
+import { VERSION } from './version.js';
 
 const DESCRIPTION = `Checks and applies the documents of services, and shows what is in force.
 
-Settings are flags or environment variables, named in brackets; flags go first. Commands that take a file
-take "-" for standard input. The operator's key is never printed.`;
+Settings are flags or environment variables, named in brackets; flags go first. "-" stands for standard \
+input where a file is asked for. The operator's key is never printed.`;
 
 /**
  * Runs a command line.
@@ -57,6 +58,8 @@
   const { terminal } = surroundings;
   const program = new Command('jasminectl')
     .description(DESCRIPTION)
+    .version(VERSION)
+    .enablePositionalOptions()
     .exitOverride()
     .configureOutput({
       writeOut: (text) => {
--- a/packages/ctl/src/control/controls.ts
+++ b/packages/ctl/src/control/controls.ts
@@ -1,27 +1,31 @@
-/** Calls control instances, one after another until one answers. */
+/** Calls the documents service of whichever control instance answers. */
 import { Code, ConnectError, createClient } from '@connectrpc/connect';
 import type { CallOptions, Client } from '@connectrpc/connect';
-import { answerOf, fault } from '@jasmineroute/core';
+import { fault, silentMetrics } from '@jasmineroute/core';
 import type { Clock, Fault } from '@jasmineroute/core';
+import { Controls, errorOf } from '@jasmineroute/directory';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-
-/** Bound on one attempt: a connection that went silent must not use up the time for the others. */
-const ATTEMPT_TIMEOUT_MS = 3_000;
-
-const FIRST_PAUSE_MS = 100;
-const LONGEST_PAUSE_MS = 1_000;
+import { exitCodeOf, exitCodes } from '../exit/index.js';
 
 /** The documents service of one control instance. */
 export type DocumentsClient = Client<typeof controlMessage.Documents>;
 
-/** One attempt at a call. Faults whose kind is retryable are tried at the next instance. */
+/** One attempt at a call. Faults that another instance may not have are tried there. */
 export type Attempt<T> = (client: DocumentsClient, options: CallOptions) => Promise<Result<T, Fault>>;
 
+/** An answer that says whether it holds all that was accepted before the question. */
+export interface Vouched {
+  readonly vouched: boolean;
+}
+
+/** How long an answer that is vouched for is looked for while others come in. */
+const VOUCHED_WAIT_MS = 2_000;
+
 /** What calls are made with. */
-export interface ControlsOptions {
+export interface DocumentControlsOptions {
   readonly addresses: readonly string[];
   readonly peers: Peers;
   readonly clock: Clock;
@@ -29,79 +33,60 @@
   readonly timeoutMs: number;
 }
 
-/** The control instances. Attempts are repeated: only idempotent calls may be made. */
-export class Controls {
-  /** Place in the list of the instance that answered last. */
-  private preferred = 0;
+/** The documents services. Attempts are repeated: only calls that a repetition doesn't harm may be made. */
+export class DocumentControls {
+  private readonly controls: Controls;
+  private readonly clock: Clock;
+  private readonly timeoutMs: number;
 
-  constructor(private readonly options: ControlsOptions) {}
+  constructor({ addresses, peers, clock, timeoutMs }: DocumentControlsOptions) {
+    this.clock = clock;
+    this.controls = new Controls({ controls: addresses, peers, clock, metrics: silentMetrics });
+    this.timeoutMs = timeoutMs;
+  }
 
-  /** Calls until an instance answers or the time is up. */
+  /** Calls until an instance answers or the time is up; then the fault is of kind "no-quorum". */
   async call<T>(attempt: Attempt<T>): Promise<Result<T, Fault>> {
-    const { addresses, clock, timeoutMs } = this.options;
-    const end = clock.monotonic() + timeoutMs;
-    const failures = new Map<string, Fault>();
-    for (let tried = 0; ; tried += 1) {
-      const remaining = end - clock.monotonic();
-      if (remaining <= 0) return err(unreachable(failures));
-      const address = addresses[this.preferred % addresses.length] ?? '';
-      const result = await this.attemptAt(address, attempt, Math.min(remaining, ATTEMPT_TIMEOUT_MS));
-      if (result.isOk() || !isRetryable(result.error)) return result;
-      failures.set(address, result.error);
-      this.preferred += 1;
-      if ((tried + 1) % addresses.length === 0) await this.pause(tried, end);
-    }
+    const result = await this.controls.call(async (transport, signal) => {
+      const client = createClient(controlMessage.Documents, transport);
+      const answer = await attempt(client, { signal }).catch(rethrowFinal);
+      if (answer.isErr()) throw errorOf(answer.error);
+      return answer.value;
+    }, this.timeoutMs);
+    return result.mapErr(unreachable);
   }
 
-  private async attemptAt<T>(
-    address: string,
-    attempt: Attempt<T>,
-    timeoutMs: number,
+  /**
+   * Reads from an instance that vouches for its answer. One that is cut off from the others goes on answering
+   * with what it knew, and what it shows may be long past; only when no other is found is its answer taken.
+   */
+  async callVouched<T extends Vouched>(
+    read: (client: DocumentsClient, options: CallOptions) => Promise<T>,
   ): Promise<Result<T, Fault>> {
-    const { peers } = this.options;
-    const client = createClient(controlMessage.Documents, peers.transport(address));
-    try {
-      return await attempt(client, { timeoutMs });
-    } catch (error) {
-      const failure = faultOfError(error);
-      // The connection may be what is at fault: the next attempt gets a new one.
-      if (isRetryable(failure)) peers.drop(address);
-      return err(failure);
-    }
-  }
-
-  /** Waits between two rounds, longer each time, never beyond the end. */
-  private async pause(tried: number, end: number): Promise<void> {
-    const { addresses, clock } = this.options;
-    const round = Math.floor(tried / addresses.length);
-    const ms = Math.min(FIRST_PAUSE_MS * 2 ** round, LONGEST_PAUSE_MS, end - clock.monotonic());
-    if (ms > 0) await clock.sleep(ms);
+    const end = this.clock.monotonic() + Math.min(VOUCHED_WAIT_MS, this.timeoutMs / 2);
+    return this.call(async (client, options) => {
+      const answer = await read(client, options);
+      if (answer.vouched || this.clock.monotonic() >= end) return ok(answer);
+      return err(fault('no-quorum', 'the instance is not in touch with a quorum'));
+    });
   }
 }
 
-function isRetryable(failure: Fault): boolean {
-  return failure.kind === 'storage-failed' || answerOf(failure.kind).retryable;
+/** One kind for all ways in which no instance answered. */
+function unreachable(failure: Fault): Fault {
+  const { kind, message, ran } = failure;
+  if (exitCodeOf(kind) !== exitCodes.unreachable) return failure;
+  return fault('no-quorum', `no control instance answered for a quorum; the last one: ${message}`, { ran });
 }
 
-/** Codes that another attempt would get again. */
-const finalCodes: ReadonlyMap<Code, Fault['kind']> = new Map([
-  [Code.InvalidArgument, 'invalid-request'],
-  [Code.NotFound, 'unknown-document'],
-  [Code.PermissionDenied, 'not-owner'],
-  [Code.Unauthenticated, 'not-owner'],
-  [Code.Unimplemented, 'invalid-request'],
+/** Errors of the protocol that every instance would give: a tool of another version, for one. */
+const finalCodes: ReadonlySet<Code> = new Set([
+  Code.InvalidArgument,
+  Code.Unimplemented,
+  Code.ResourceExhausted,
 ]);
 
-function faultOfError(error: unknown): Fault {
-  const connectError = ConnectError.from(error);
-  const kind = finalCodes.get(connectError.code) ?? 'no-quorum';
-  const ran = kind === 'no-quorum' ? 'may-have-run' : 'not-run';
-  return fault(kind, connectError.rawMessage, { ran, cause: error });
-}
-
-/** One fault that names what each instance last said. */
-function unreachable(failures: ReadonlyMap<string, Fault>): Fault {
-  const reasons = [...failures].map(([address, failure]) => `${address}: ${failure.message}`);
-  const message = `no control instance answered for a quorum (${reasons.join('; ')})`;
-  return fault('no-quorum', message, { ran: 'may-have-run' });
+function rethrowFinal(error: unknown): never {
+  const { code, rawMessage } = ConnectError.from(error);
+  throw finalCodes.has(code) ? errorOf(fault('invalid-request', rawMessage)) : error;
 }
--- a/packages/ctl/src/exit/exit.ts
+++ b/packages/ctl/src/exit/exit.ts
@@ -22,6 +22,9 @@
   'not-leader': exitCodes.unreachable,
   'storage-failed': exitCodes.unreachable,
   stopping: exitCodes.unreachable,
+  'target-unreachable': exitCodes.unreachable,
+  'target-lost': exitCodes.unreachable,
+  'deadline-exceeded': exitCodes.unreachable,
 };
 
 /** The exit code for a kind of fault. */
--- a/packages/ctl/src/setting/setting.ts
+++ b/packages/ctl/src/setting/setting.ts
@@ -10,7 +10,7 @@
 /** For commands that talk to control instances. */
 export const connectionSettings = outputSettings.extend({
   controls: z
-    .string()
+    .string('it is needed')
     .transform((text) => text.split(',').map((address) => address.trim()))
     .pipe(z.array(z.string().regex(/^[^\s:]+:\d{1,5}$/, 'not a host:port')).min(1))
     .describe(
--- a/packages/directory/src/call/claimClient.ts
+++ b/packages/directory/src/call/claimClient.ts
@@ -26,7 +26,10 @@
    * @returns who holds it; or 'claims-unavailable', whose `ran` speaks of the claim itself: 'may-have-run' means
    * that the key may be held for the attempt, and that it should be settled as released.
    */
-  async claim(request: ClaimRequest, timeoutMs: number): Promise<Result<controlMessage.ClaimResponse, Fault>> {
+  async claim(
+    request: ClaimRequest,
+    timeoutMs: number,
+  ): Promise<Result<controlMessage.ClaimResponse, Fault>> {
     const answer = await this.controls.call(
       (transport, signal) => createClient(controlMessage.Claims, transport).claim(request, { signal }),
       timeoutMs,
--- /dev/null
+++ b/packages/directory/src/call/controls.spec.ts
@@ -0,0 +1,91 @@
+import { once } from 'node:events';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { create } from '@bufbuild/protobuf';
+import { createClient } from '@connectrpc/connect';
+import { fault, silentMetrics, systemClock } from '@jasmineroute/core';
+import type { Fault } from '@jasmineroute/core';
+import { Peers, controlMessage, listen } from '@jasmineroute/protocol';
+import { afterEach, describe, expect, it } from 'vitest';
+import { ClaimClient } from './claimClient.js';
+import { Controls } from './controls.js';
+import { errorOf } from './faultError.js';
+
+const closers: (() => Promise<unknown>)[] = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+/** A control instance that grants turns, or refuses with a fault. */
+async function control(refusal?: Fault): Promise<string> {
+  const server = await listen('127.0.0.1', 0, (router) => {
+    router.service(controlMessage.Turns, {
+      take: () => {
+        if (refusal !== undefined) throw errorOf(refusal);
+        return create(controlMessage.TakeResponseSchema, { granted: true, fence: 7n });
+      },
+    });
+  });
+  closers.push(() => server.close());
+  return server.address;
+}
+
+/** Takes connections and says nothing. */
+async function silent(): Promise<string> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  closers.push(() => new Promise((resolve) => server.close(resolve)));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function controlsOf(...addresses: string[]): Controls {
+  const peers = new Peers();
+  closers.push(() => {
+    peers.close();
+    return Promise.resolve();
+  });
+  return new Controls({ controls: addresses, peers, clock: systemClock, metrics: silentMetrics });
+}
+
+const take = (controls: Controls, timeoutMs = 4_000) =>
+  controls.call(
+    (transport, signal) => createClient(controlMessage.Turns, transport).take({ name: 't' }, { signal }),
+    timeoutMs,
+  );
+
+const GONE = '127.0.0.1:1';
+
+describe('Controls', () => {
+  it('goes on past instances that are gone, silent or without a quorum', async () => {
+    const partitioned = await control(fault('no-quorum', 'cut off', { ran: 'not-run' }));
+    const answer = await take(controlsOf(GONE, await silent(), partitioned, await control()), 10_000);
+    expect(answer._unsafeUnwrap().fence).toBe(7n);
+  });
+
+  it('says not run only when that is proved of every attempt', async () => {
+    // Symptom: a caller is told that its call was not run, and it was.
+    // Sequence: one instance takes the call and falls silent; the next refuses connections.
+    // Cause: the answer rests on the last attempt.
+    const refused = await take(controlsOf(GONE), 300);
+    expect(refused._unsafeUnwrapErr()).toMatchObject({ kind: 'target-unreachable', ran: 'not-run' });
+    const mixed = await take(controlsOf(GONE, await silent()), 2_000);
+    expect(mixed._unsafeUnwrapErr().ran).toBe('may-have-run');
+  });
+
+  it('gives back what the service decided, with its kind, and asks nobody else', async () => {
+    const forbidden = fault('forbidden', 'not yours');
+    const answer = await take(controlsOf(await control(forbidden)));
+    expect(answer._unsafeUnwrapErr()).toMatchObject({
+      kind: 'forbidden',
+      message: 'not yours',
+      ran: 'not-run',
+    });
+  });
+
+  it('makes a failed claim a fault of claims', async () => {
+    const claims = new ClaimClient(controlsOf(GONE));
+    const answer = await claims.claim({ service: 's', key: 'k', attemptId: 'a' }, 200);
+    expect(answer._unsafeUnwrapErr()).toMatchObject({ kind: 'claims-unavailable', ran: 'not-run' });
+  });
+});
--- a/packages/directory/src/call/controls.ts
+++ b/packages/directory/src/call/controls.ts
@@ -6,6 +6,7 @@
 import type { Clock, Fault, Metrics } from '@jasmineroute/core';
 import type { Peers } from '@jasmineroute/protocol';
 import { directoryMetrics } from '../metrics.js';
+import { CallLimit } from './callLimit.js';
 import { ControlAddresses } from './controlAddresses.js';
 import { faultOf } from './faultError.js';
 
@@ -65,18 +66,15 @@
   }
 
   private async attempt<T>(address: string, call: ControlCall<T>, ms: number): Promise<Result<T, Fault>> {
-    const abort = new AbortController();
-    const cancel = this.options.clock.after(ms, () => {
-      abort.abort(new Error('no answer in time'));
-    });
+    const limit = new CallLimit().after(this.options.clock, ms);
     try {
-      const answer = await call(this.options.peers.transport(address), abort.signal);
+      const answer = await call(this.options.peers.transport(address), limit.signal);
       this.addresses.answered(address);
       return ok(answer);
     } catch (error) {
-      return err(this.failed(address, error, abort.signal.aborted, ms));
+      return err(this.failed(address, error, limit.signal.aborted, ms));
     } finally {
-      cancel();
+      limit.release();
     }
   }
 
@@ -101,7 +99,13 @@
   return transportFaults.has(problem.kind);
 }
 
-const movingKinds = new Set<string>([...transportFaults, 'not-leader', 'no-quorum', 'stopping', 'storage-failed']);
+const movingKinds = new Set<string>([
+  ...transportFaults,
+  'not-leader',
+  'no-quorum',
+  'stopping',
+  'storage-failed',
+]);
 
 /** Whether another instance may do better; what the service decided stands. */
 function movesOn(problem: Fault): boolean {
--- a/packages/directory/src/call/index.ts
+++ b/packages/directory/src/call/index.ts
@@ -2,5 +2,6 @@
 export * from './faultError.js';
 export * from './controlAddresses.js';
 export * from './controls.js';
+export * from './callLimit.js';
 export * from './claimClient.js';
 export * from './turnClient.js';
--- a/packages/directory/src/client/beatTask.ts
+++ b/packages/directory/src/client/beatTask.ts
@@ -4,7 +4,7 @@
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
 import type { ControlAddresses } from '../call/index.js';
-import { faultOf } from '../call/index.js';
+import { CallLimit, faultOf } from '../call/index.js';
 import { directoryEvents } from '../events.js';
 import { directoryMetrics } from '../metrics.js';
 import type { AnnouncedState } from './announcement.js';
@@ -93,14 +93,11 @@
     const sequence = state.current();
     const known = this.heard?.address === address && this.heard.sequence === sequence;
     const request = state.beat(!known, this.context.revision());
-    const abort = new AbortController();
-    const cancel = clock.after(timing.beatTimeoutMs, () => {
-      abort.abort(new Error('no answer in time'));
-    });
+    const limit = new CallLimit(stop).after(clock, timing.beatTimeoutMs);
     const started = clock.monotonic();
     try {
       const client = createClient(controlMessage.Directory, peers.transport(address));
-      const answer = await client.beat(request, { signal: AbortSignal.any([stop, abort.signal]) });
+      const answer = await client.beat(request, { signal: limit.signal });
       metrics.timing(directoryMetrics.beatDuration, clock.monotonic() - started);
       addresses.answered(address);
       this.settle(address, sequence, answer);
@@ -109,7 +106,7 @@
       if (!stop.aborted) this.failed(address, error);
       return undefined;
     } finally {
-      cancel();
+      limit.release();
     }
   }
 
--- /dev/null
+++ b/packages/directory/src/client/directoryClient.spec.ts
@@ -0,0 +1,246 @@
+import { afterEach, describe, expect, it, vi } from 'vitest';
+import { directoryEvents } from '../events.js';
+import { EventRecord, MemoryDocuments, Scene, plainText } from '../fixture/index.js';
+import type { View } from '../view/index.js';
+
+const scene = new Scene();
+
+afterEach(() => scene.close());
+
+const until = (check: () => void): Promise<void> => vi.waitFor(check, { timeout: 20_000, interval: 10 });
+
+const textOf = (view: View, service = 'desk'): string | undefined => view.documents.get(service)?.text;
+
+describe('DirectoryClient', () => {
+  it('gets documents and instances, and their changes', async () => {
+    const c1 = await scene.control();
+    c1.documents.accept('desk', plainText('desk', 1));
+    const entry = await scene.client([c1.address]);
+    const agent = await scene.client([c1.address], { name: 'a1', role: 'agent' });
+    await until(() => {
+      expect(entry.view().documents.get('desk')?.version).toBe(1n);
+      expect(entry.view().instances.get('a1')).toMatchObject({
+        health: 'alive',
+        target: { service: 'desk' },
+      });
+    });
+    const before = entry.view();
+    c1.documents.accept('desk', plainText('desk', 2));
+    await until(() => {
+      expect([entry.view().revision, agent.view().revision]).toEqual([2n, 2n]);
+    });
+    expect(entry.view().vouched).toBe(true);
+    expect([before.revision, textOf(before)]).toEqual([1n, plainText('desk', 1)]);
+    expect(agent.view().instances.size).toBe(0);
+  });
+
+  it('leaves a connection that went silent', async () => {
+    // Symptom: one entry runs on an old document for good, without an error.
+    // Sequence: the connection of its watch goes silent; neither end is told; new connections work.
+    // Cause: something between the ends has lost track of the connection.
+    const { control: c1, link } = await scene.linkedControl();
+    c1.documents.accept('desk', plainText('desk', 1));
+    const entry = await scene.client([link.address]);
+    await until(() => {
+      expect(entry.view().revision).toBe(1n);
+    });
+    link.blackHole();
+    c1.documents.accept('desk', plainText('desk', 2));
+    const silentAt = Date.now();
+    await until(() => {
+      expect(entry.view().revision).toBe(2n);
+    });
+    expect(Date.now() - silentAt).toBeLessThan(5_000);
+  });
+
+  it('leaves a control instance that is out of touch with its quorum', async () => {
+    // Symptom: an accepted document is not in force at the watchers of one control instance.
+    // Sequence: that instance is cut off from its quorum, not from its watchers, and goes on with heartbeats.
+    // Cause: it serves what it had, and looks well.
+    const [c1, c2] = [await scene.control('c1'), await scene.control('c2')];
+    for (const { documents } of [c1, c2]) documents.accept('desk', plainText('desk', 1));
+    c2.documents.setVouched(false);
+    const log = new EventRecord();
+    const entry = await scene.client([c1.address, c2.address], { log });
+    await until(() => {
+      expect(entry.view().vouched).toBe(true);
+    });
+    c1.documents.setVouched(false);
+    c2.documents.setVouched(true);
+    c2.documents.accept('desk', plainText('desk', 2));
+    await until(() => {
+      expect(entry.view()).toMatchObject({ revision: 2n, vouched: true });
+    });
+    expect(log.seen).toContain(directoryEvents.watchUnvouched);
+  });
+
+  it('never goes back to an older document, whatever a source says', async () => {
+    // Symptom: a configuration that was accepted and in force reverts.
+    // Sequence: the watched instance is lost, and the next one lags behind or came back from an old disk.
+    // Cause: its snapshot looks as good as any other.
+    const { control: c1, link: link1 } = await scene.linkedControl('c1');
+    const { control: c2, link: link2 } = await scene.linkedControl('c2');
+    for (const mark of [1, 2, 3]) c1.documents.accept('desk', plainText('desk', mark));
+    c2.documents.accept('desk', plainText('desk', 'old'));
+    c2.documents.accept('other', plainText('other', 1));
+    link2.partition();
+    const folder = await scene.folder();
+    const entry = await scene.client([link1.address, link2.address], { folder });
+    await until(() => {
+      expect(entry.view().revision).toBe(3n);
+    });
+    link1.partition();
+    link2.clear();
+    await until(() => {
+      expect(entry.view().vouched).toBe(false);
+    });
+    await until(() => {
+      expect(entry.view().vouched).toBe(true);
+    });
+    expect([entry.view().revision, textOf(entry.view())]).toEqual([3n, plainText('desk', 3)]);
+    await entry.stop();
+    const restarted = await scene.client([link2.address], { folder, incarnation: 2n });
+    await until(() => {
+      expect(restarted.view().vouched).toBe(true);
+    });
+    expect([restarted.view().revision, textOf(restarted.view())]).toEqual([3n, plainText('desk', 3)]);
+  });
+
+  it('catches up after a thousand missed changes with no gap to those that follow', async () => {
+    // Symptom: after a long cut a process has some documents of then and some of now.
+    // Sequence: 1,000 changes pass it by; while it catches up, changes go on.
+    // Cause: what is caught up and what follows come from two places.
+    const { control: c1, link } = await scene.linkedControl();
+    const services = ['s0', 's1', 's2', 's3', 's4'];
+    const accept = (mark: number): void => {
+      const service = services[mark % 5] ?? '';
+      c1.documents.accept(service, plainText(service, mark));
+    };
+    for (let mark = 0; mark < 5; mark += 1) accept(mark);
+    const entry = await scene.client([link.address]);
+    await until(() => {
+      expect(entry.view().revision).toBe(5n);
+    });
+    link.partition();
+    for (let mark = 5; mark < 1_005; mark += 1) accept(mark);
+    link.clear();
+    let mark = 1_005;
+    await until(() => {
+      if (mark < 1_105) accept((mark += 1));
+      expect(entry.view().revision).toBe(c1.documents.revision());
+    });
+    for (; mark < 1_110; mark += 1) accept(mark + 1);
+    await until(() => {
+      expect(entry.view().revision).toBe(c1.documents.revision());
+    });
+    for (const { service, text } of c1.documents.since(0n)) expect(textOf(entry.view(), service)).toBe(text);
+  });
+
+  it('forgets the instances that went while it was cut off', async () => {
+    // Symptom: an entry sends requests to a target that left an hour ago.
+    // Sequence: the entry is cut off; the target goes and is forgotten; the entry returns with its old view.
+    // Cause: nobody tells of what is not there.
+    const { control: c1, link } = await scene.linkedControl();
+    const entry = await scene.client([link.address]);
+    await until(() => {
+      expect(entry.view().vouched).toBe(true);
+    });
+    const c2 = await scene.control('c2');
+    for (const name of ['a1', 'a2']) await scene.client([c1.address], { name, role: 'agent' });
+    await scene.client([c2.address], { name: 'a2', role: 'agent' });
+    await until(() => {
+      expect([...entry.view().instances.keys()]).toEqual(expect.arrayContaining(['a1', 'a2', 'c1', 'e1']));
+    });
+    link.partition();
+    link.redirect(c2.address);
+    link.clear();
+    await until(() => {
+      expect([...entry.view().instances.keys()].sort()).toEqual(['a2', 'c2', 'e1']);
+    });
+  });
+
+  it('tells an older process that a newer one has its name', async () => {
+    // Symptom: two processes under one name take turns in everybody's list.
+    // Sequence: the platform replaces a process that it thinks dead; the old one goes on.
+    // Cause: both beat under one name.
+    const c1 = await scene.control();
+    const superseded = vi.fn();
+    await scene.client([c1.address], {
+      name: 'a1',
+      role: 'agent',
+      incarnation: 1n,
+      onSuperseded: superseded,
+    });
+    const entry = await scene.client([c1.address]);
+    await scene.client([c1.address], { name: 'a1', role: 'agent', incarnation: 2n });
+    await until(() => {
+      expect(superseded).toHaveBeenCalledOnce();
+    });
+    await until(() => {
+      expect(entry.view().instances.get('a1')).toMatchObject({ incarnation: 2n, health: 'alive' });
+    });
+  });
+
+  it('announces a leaving that entries of other control instances see', async () => {
+    // Symptom: a target that leaves gets new work for long.
+    // Sequence: it tells the control instance that it beats to; an entry watches another one.
+    // Cause: word of it has to travel between control instances.
+    const controls: { name: string; address: string }[] = [];
+    const [c1, c2] = [await scene.control('c1', { controls }), await scene.control('c2', { controls })];
+    const agent = await scene.client([c1.address], { name: 'a1', role: 'agent' });
+    const entry = await scene.client([c2.address]);
+    await until(() => {
+      expect(entry.view().instances.get('a1')?.health).toBe('alive');
+    });
+    const leftAt = Date.now();
+    await agent.leave();
+    await until(() => {
+      expect(entry.view().instances.get('a1')?.health).toBe('leaving');
+    });
+    expect(Date.now() - leftAt).toBeLessThan(2_000);
+  });
+
+  it('keeps targets listed when the control instance that hears them is killed', async () => {
+    // Symptom: with one control instance killed, its targets vanish for some seconds.
+    // Sequence: they beat to the next one within a second or two.
+    // Cause: the other instances knew of them only by word of the killed one.
+    const controls: { name: string; address: string }[] = [];
+    const [c1, c2] = [await scene.control('c1', { controls }), await scene.control('c2', { controls })];
+    const link = await scene.link(c2.address);
+    link.set({ admission: 'refuse' });
+    const entry = await scene.client([c2.address]);
+    const names = ['a1', 'a2', 'a3'];
+    for (const name of names) await scene.client([c1.address, link.address], { name, role: 'agent' });
+    await until(() => {
+      expect([...c1.membership.heardHere()]).toEqual(expect.arrayContaining(names));
+      for (const name of names) expect(entry.view().instances.get(name)?.health).toBe('alive');
+    });
+    link.clear();
+    const seen = new Set<string | undefined>();
+    entry.onChange(({ instances }) => {
+      for (const name of names) seen.add(instances.get(name)?.health);
+    });
+    await c1.stop();
+    await until(() => {
+      for (const name of names) expect(c2.membership.current().get(name)?.health).toBe('alive');
+      expect([...c2.membership.heardHere()]).toEqual(expect.arrayContaining(names));
+    });
+    expect([...seen].filter((health) => health !== 'alive')).toEqual([]);
+  });
+
+  it('keeps serving documents that it cannot read at their older version, and shows it', async () => {
+    const documents = new MemoryDocuments();
+    const c1 = await scene.control('c1', { documents });
+    documents.accept('desk', plainText('desk', 1));
+    const entry = await scene.client([c1.address]);
+    await until(() => {
+      expect(entry.view().revision).toBe(1n);
+    });
+    documents.accept('desk', 'kind: of a later release\n');
+    documents.accept('other', plainText('other', 1));
+    await until(() => {
+      expect(entry.view().documents.has('other')).toBe(true);
+    });
+    expect([entry.view().revision, textOf(entry.view())]).toEqual([1n, plainText('desk', 1)]);
+  });
+});
--- a/packages/directory/src/client/directoryClient.ts
+++ b/packages/directory/src/client/directoryClient.ts
@@ -5,15 +5,21 @@
 import type { Clock, Log, Metrics } from '@jasmineroute/core';
 import { ControlAddresses } from '../call/index.js';
 import { directoryEvents } from '../events.js';
-import { documentFromMessage, instanceFromMessage } from '../message/index.js';
+import { bucketDigests } from '../message/index.js';
 import { directoryMetrics } from '../metrics.js';
-import type { Directory, Role, View } from '../view/index.js';
+import type { RelayedDirectory } from '../server/index.js';
+import type { Role, View } from '../view/index.js';
 import { AnnouncedState } from './announcement.js';
 import type { Announcement } from './announcement.js';
 import { BeatTask } from './beatTask.js';
+import { EventApplier } from './eventApplier.js';
+import { KeptState } from './keptState.js';
+import { KnownAddresses } from './knownAddresses.js';
 import { defaultTiming } from './timing.js';
 import type { ClientTiming } from './timing.js';
 import { ViewBuilder } from './viewBuilder.js';
+import { ViewKeeper } from './viewKeeper.js';
+import type { WatchedSource } from './watchStream.js';
 import { WatchTask } from './watchTask.js';
 
 /** What the client needs. */
@@ -40,10 +46,13 @@
 }
 
 /** The client: one task watches, one beats. */
-export class DirectoryClient implements Directory {
+export class DirectoryClient implements RelayedDirectory {
   /** Addresses of control instances, for other calls to them. */
   readonly addresses: ControlAddresses;
   private readonly builder = new ViewBuilder();
+  private readonly applier: EventApplier;
+  private readonly keeper: ViewKeeper | undefined;
+  private readonly known: KnownAddresses;
   private readonly listeners = new Set<(view: View) => void>();
   private readonly stopping = new AbortController();
   private readonly timing: ClientTiming;
@@ -51,40 +60,45 @@
   private state: AnnouncedState | undefined;
   private beats: BeatTask | undefined;
   private fromControl = false;
+  /** A change did not fit: documents are asked for whole. */
+  private wholeWanted = false;
 
   constructor(private readonly options: DirectoryClientOptions) {
+    const { clock, log, folder, services = [], name } = options;
     this.timing = { ...defaultTiming, ...options.timing };
-    this.addresses = new ControlAddresses(options.controls, () => options.clock.monotonic());
+    this.addresses = new ControlAddresses(options.controls, () => clock.monotonic());
+    this.known = new KnownAddresses(name, this.addresses);
+    this.keeper =
+      folder === undefined ? undefined : new ViewKeeper(new KeptState(folder, { services }), clock, log);
+    this.applier = new EventApplier(this.builder, log, (view) => this.keep(view));
   }
 
   /** Loads what was kept and starts the tasks. Returns soon, also with control out of reach. */
-  start(self: () => Announcement): Promise<void> {
+  async start(self: () => Announcement): Promise<void> {
+    await this.load();
     const { peers, clock, log, metrics } = this.options;
     const dataCentre = (): string => self().dataCentre;
     const shared = { peers, clock, log, metrics, timing: this.timing, addresses: this.addresses, dataCentre };
-    const state = new AnnouncedState(this.options, self);
-    const beats = new BeatTask({
-      ...shared,
-      state,
-      revision: () => this.view().revision,
-      superseded: () => {
-        this.superseded();
-      },
-    });
+    this.state = new AnnouncedState(this.options, self);
     const watch = new WatchTask({
       ...shared,
       request: () => this.request(),
-      apply: (event, fromControl) => this.apply(event, fromControl),
+      apply: (event, source) => this.apply(event, source),
       lost: () => {
         this.sourceLost();
       },
-      neighbours: () => [],
+      neighbours: () => this.known.neighbours(this.view()),
+    });
+    this.beats = new BeatTask({
+      ...shared,
+      state: this.state,
+      revision: () => this.view().revision,
+      superseded: () => {
+        this.superseded();
+      },
     });
-    this.state = state;
-    this.beats = beats;
     const { signal } = this.stopping;
-    this.tasks = [watch.run(signal), beats.run(signal)];
-    return Promise.resolve();
+    this.tasks = [watch.run(signal), this.beats.run(signal)];
   }
 
   view(): View {
@@ -98,7 +112,6 @@
     };
   }
 
-  /** Whether the view comes straight from a control instance that is in touch with a quorum. */
   vouchedByControl(): boolean {
     return this.fromControl && this.view().vouched;
   }
@@ -113,46 +126,56 @@
     const { clock, log } = this.options;
     if (this.state === undefined || this.beats === undefined) return;
     this.state.leave();
-    const given = new AbortController();
+    const done = new AbortController();
     const heard = this.beats.taken(this.state.current()).then(() => true);
-    const late = clock.sleep(this.timing.leaveMs, given.signal).then(
+    const late = clock.sleep(this.timing.leaveMs, done.signal).then(
       () => false,
       () => false,
     );
     const wasHeard = await Promise.race([heard, late]);
-    given.abort();
+    done.abort();
     log.event(wasHeard ? directoryEvents.leaveHeard : directoryEvents.leaveUnheard);
   }
 
-  /** Ends the tasks. */
+  /** Ends the tasks and writes what waits to be kept. */
   async stop(): Promise<void> {
     this.stopping.abort(new Error('stopped'));
     await Promise.all(this.tasks);
+    await this.keeper?.close(this.view());
+  }
+
+  private async load(): Promise<void> {
+    const before = this.view();
+    const kept = (await this.keeper?.load(this.builder)) ?? { controls: [], neighbours: [] };
+    this.known.restore(kept, this.view());
+    this.tell(before);
+  }
+
+  private async keep(view: View): Promise<void> {
+    await this.keeper?.keepDocuments(view, this.known.toKeep(view));
   }
 
   private request(): controlMessage.WatchRequest {
-    const { name, wantInstances, services } = this.options;
+    const { name, wantInstances, services = [] } = this.options;
+    const view = this.view();
+    this.applier.begin();
     return create(controlMessage.WatchRequestSchema, {
       name,
-      revision: this.view().revision,
-      services: [...(services ?? [])],
+      revision: this.wholeWanted ? 0n : view.revision,
+      services: [...services],
       instances: wantInstances,
+      buckets: wantInstances && view.instances.size > 0 ? bucketDigests(view.instances.values()) : [],
     });
   }
 
-  private apply(event: controlMessage.WatchEvent, fromControl: boolean): boolean {
+  private async apply(event: controlMessage.WatchEvent, source: WatchedSource): Promise<boolean> {
     const before = this.view();
-    const documents = event.documents.map((message) => documentFromMessage(message));
-    for (const unreadable of this.builder.applyDocuments(documents, event.revision)) {
-      this.options.log.event(directoryEvents.documentUnreadable, { ...unreadable });
-    }
-    this.builder.applyInstances({
-      changed: event.instances.map(instanceFromMessage),
-      removed: event.removed,
-      complete: event.snapshot,
-    });
-    this.builder.applyVouched(event.vouched);
-    this.fromControl = fromControl;
+    const fits = await this.applier.apply(event);
+    this.wholeWanted = !fits;
+    if (!fits) return false;
+    this.known.tell(event.neighbours);
+    this.fromControl = source.kind === 'control';
+    if (this.view().instances !== before.instances) this.keeper?.keepInstances(() => this.view());
     this.tell(before);
     return true;
   }
@@ -168,24 +191,13 @@
     const view = this.view();
     if (view === before) return;
     const { metrics } = this.options;
-    if (view.documents !== before.documents || view.instances !== before.instances) this.learn(view);
+    if (view.documents !== before.documents || view.instances !== before.instances) this.known.follow(view);
     metrics.gauge(directoryMetrics.revision, Number(view.revision));
     metrics.gauge(directoryMetrics.vouched, view.vouched ? 1 : 0);
     metrics.gauge(directoryMetrics.instances, view.instances.size);
     for (const listener of this.listeners) listener(view);
   }
 
-  /** Control instances can be replaced: the documents say where they are now. */
-  private learn(view: View): void {
-    const found = new Map<string, string>();
-    const control = view.documents.get('control')?.document;
-    if (control?.kind === 'control') for (const { address } of control.replicas) found.set(address, '');
-    for (const { role, address, dataCentre, health } of view.instances.values()) {
-      if (role === 'control' && health !== 'down') found.set(address, dataCentre);
-    }
-    this.addresses.learn(found);
-  }
-
   private superseded(): void {
     this.options.log.event(directoryEvents.superseded);
     this.options.onSuperseded?.();
--- /dev/null
+++ b/packages/directory/src/client/eventApplier.spec.ts
@@ -0,0 +1,97 @@
+import { create } from '@bufbuild/protobuf';
+import { silentLog } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import { describe, expect, it } from 'vitest';
+import { MemoryDocuments, plainText } from '../fixture/index.js';
+import { bucketOf, instanceToMessage } from '../message/index.js';
+import { DocumentFeed } from '../server/documentFeed.js';
+import type { Instance } from '../view/index.js';
+import { EventApplier } from './eventApplier.js';
+import { ViewBuilder } from './viewBuilder.js';
+
+function setUp() {
+  const builder = new ViewBuilder();
+  const applier = new EventApplier(builder, silentLog, () => Promise.resolve());
+  const documents = new MemoryDocuments();
+  const feed = new DocumentFeed(documents);
+  const event = (change: Partial<controlMessage.WatchEvent> = {}): controlMessage.WatchEvent =>
+    create(controlMessage.WatchEventSchema, {
+      documents: feed.since(builder.view().revision, () => true),
+      revision: documents.revision(),
+      ...change,
+    });
+  return { builder, applier, documents, event };
+}
+
+const instance = (name: string, change: Partial<Instance> = {}): Instance => ({
+  name,
+  incarnation: 1n,
+  role: 'agent',
+  address: 'a:1',
+  dataCentre: 'here',
+  health: 'alive',
+  revision: 0n,
+  ...change,
+});
+
+describe('EventApplier', () => {
+  it('follows a document by its changes', async () => {
+    const { builder, applier, documents, event } = setUp();
+    documents.accept('desk', plainText('desk', 0));
+    await applier.apply(event());
+    for (let mark = 1; mark <= 3; mark += 1) {
+      documents.accept('desk', plainText('desk', mark));
+      const change = event();
+      expect(change.documents.map(({ text }) => text)).toEqual(['']);
+      expect(await applier.apply(change)).toBe(true);
+      expect(builder.view().documents.get('desk')?.text).toBe(plainText('desk', mark));
+    }
+  });
+
+  it('takes no change that does not fit what it holds', async () => {
+    // Symptom: a document in force that no operator ever accepted.
+    // Sequence: a change arrives whose base is another text than the one held.
+    // Cause: changes are made of positions, which fit anywhere.
+    const { builder, applier, documents, event } = setUp();
+    documents.accept('desk', plainText('desk', 0));
+    await applier.apply(event());
+    documents.accept('desk', plainText('desk', 1));
+    const change = event();
+    const [document] = change.documents;
+    const broken = { ...change, documents: [{ ...document, baseRevision: 9n }] };
+    expect(await applier.apply(create(controlMessage.WatchEventSchema, broken))).toBe(false);
+    const other = {
+      ...change,
+      documents: [{ ...document, edits: [{ start: 1, removed: 2, inserted: 'x' }] }],
+    };
+    expect(await applier.apply(create(controlMessage.WatchEventSchema, other))).toBe(false);
+    expect(builder.view()).toMatchObject({ revision: 1n });
+    expect(await applier.apply(change)).toBe(true);
+    expect(builder.view()).toMatchObject({ revision: 2n });
+  });
+
+  it('shows the first comparison only when it is whole', async () => {
+    // Symptom: just after a start an entry thinks that a service has three targets, and overloads them.
+    // Sequence: a snapshot comes in parts, and requests come between.
+    // Cause: the view was built from a part.
+    const { builder, applier, event } = setUp();
+    const [a, b] = [instanceToMessage(instance('a')), instanceToMessage(instance('b'))];
+    applier.begin();
+    await applier.apply(event({ instances: [a], buckets: [bucketOf('a')] }));
+    expect(builder.view().instances.size).toBe(0);
+    await applier.apply(event({ instances: [b], buckets: [bucketOf('b')], snapshot: true }));
+    expect([...builder.view().instances.keys()]).toEqual(['a', 'b']);
+  });
+
+  it('leaves views that were given out as they are, and shares what did not change', async () => {
+    const { builder, applier, event } = setUp();
+    const message = (name: string, change = {}) => instanceToMessage(instance(name, change));
+    await applier.apply(event({ instances: [message('a'), message('b')], snapshot: true }));
+    const before = builder.view();
+    await applier.apply(event({ instances: [message('b', { health: 'down' })] }));
+    expect(before.instances.get('b')?.health).toBe('alive');
+    expect(builder.view().instances.get('b')?.health).toBe('down');
+    expect(builder.view().instances.get('a')).toBe(before.instances.get('a'));
+    expect(builder.view().documents).toBe(before.documents);
+  });
+});
--- a/packages/directory/src/client/viewBuilder.ts
+++ b/packages/directory/src/client/viewBuilder.ts
@@ -1,15 +1,17 @@
 /** Builds the view out of what arrives. */
 import { parseDocument } from '@jasmineroute/document';
 import type { StoredDocument } from '../message/index.js';
+import { bucketOf } from '../message/index.js';
 import { emptyView } from '../view/index.js';
 import type { Instance, VersionedDocument, View } from '../view/index.js';
+import { Interner } from './interner.js';
 
 /** Instances that arrived together. */
 export interface InstanceUpdate {
   readonly changed: readonly Instance[];
   readonly removed: readonly string[];
-  /** `changed` is all there is: what is missing is gone. */
-  readonly complete: boolean;
+  /** Buckets of names that `changed` holds completely: what is missing of these is gone. */
+  readonly buckets: readonly number[];
 }
 
 /** A document that was accepted but cannot be read here. */
@@ -19,6 +21,13 @@
   readonly problems: readonly string[];
 }
 
+/** What taking documents comes to. */
+export interface DocumentStep {
+  /** The view with them. */
+  readonly view: View;
+  readonly unreadable: readonly UnreadableDocument[];
+}
+
 /**
  * The newest view and the ways to move it on. Views that were given out stay as they are: a part that changes
  * is copied, and the parts and entries that do not are shared.
@@ -26,6 +35,7 @@
 export class ViewBuilder {
   private current: View = emptyView;
   private readonly unreadable = new Map<string, bigint>();
+  private readonly interner = new Interner();
 
   /** The newest view. */
   view(): View {
@@ -33,15 +43,18 @@
   }
 
   /**
-   * Takes documents up to and with `revision`. Older versions than those held are passed over: a source that
-   * lags, or one that was restored from a copy, would otherwise put an old document back in force. A document
-   * that cannot be read leaves the older one in force, and the view's revision below its own, so that it shows.
+   * Works out the view with documents up to and with `revision`; `put` puts it in force. Older versions than those
+   * held are passed over: a source that lags, or one that was restored from a copy, would otherwise put an old
+   * document back in force. A document that cannot be read leaves the older one in force, and the view's revision
+   * below its own, so that it shows.
    */
-  applyDocuments(documents: readonly StoredDocument[], revision: bigint): UnreadableDocument[] {
+  plan(documents: readonly StoredDocument[], revision: bigint): DocumentStep {
     const unreadable: UnreadableDocument[] = [];
-    let next: Map<string, VersionedDocument> | undefined;
+    const next = new Map(this.current.documents);
+    let changed = false;
     for (const stored of documents) {
-      if (!this.isNewer(stored)) continue;
+      const held = next.get(stored.service);
+      if (held !== undefined && stored.revision <= held.revision) continue;
       const parsed = parseDocument(stored.text);
       if (parsed.isErr()) {
         const problems = parsed.error.map(({ path, message }) => `${path}: ${message}`);
@@ -50,19 +63,34 @@
         continue;
       }
       this.unreadable.delete(stored.service);
-      next ??= new Map(this.current.documents);
       next.set(stored.service, versioned(stored, parsed.value));
+      changed = true;
     }
-    this.moveOn(next, revision);
-    return unreadable;
+    const reached = this.reached(revision);
+    if (!changed && reached === this.current.revision) return { view: this.current, unreadable };
+    const view = { ...this.current, documents: changed ? next : this.current.documents, revision: reached };
+    return { view, unreadable };
   }
 
-  /** Takes instances. */
-  applyInstances(update: InstanceUpdate): void {
-    if (!update.complete && update.changed.length === 0 && update.removed.length === 0) return;
-    const instances = new Map(update.complete ? [] : this.current.instances);
-    for (const name of update.removed) instances.delete(name);
-    for (const instance of update.changed) instances.set(instance.name, instance);
+  /** Puts the documents of a planned view in force. */
+  put({ documents, revision }: View): void {
+    const { current } = this;
+    if (documents === current.documents && revision === current.revision) return;
+    this.current = { ...current, documents, revision };
+  }
+
+  /** Takes instances, those of several events at once. */
+  applyInstances(updates: readonly InstanceUpdate[]): void {
+    if (updates.every(isEmpty)) return;
+    const instances = new Map(this.current.instances);
+    for (const { changed, removed, buckets } of updates) {
+      const complete = new Set(buckets);
+      if (complete.size > 0) {
+        for (const name of instances.keys()) if (complete.has(bucketOf(name))) instances.delete(name);
+      }
+      for (const name of removed) instances.delete(name);
+      for (const instance of changed) instances.set(instance.name, this.interner.instance(instance));
+    }
     this.current = { ...this.current, instances };
   }
 
@@ -71,22 +99,19 @@
     if (vouched !== this.current.vouched) this.current = { ...this.current, vouched };
   }
 
-  private isNewer(stored: StoredDocument): boolean {
-    const held = this.current.documents.get(stored.service);
-    return held === undefined || stored.revision > held.revision;
-  }
-
-  private moveOn(documents: Map<string, VersionedDocument> | undefined, revision: bigint): void {
+  private reached(revision: bigint): bigint {
     let reached = revision;
     for (const blocked of this.unreadable.values()) {
       if (blocked <= reached) reached = blocked - 1n;
     }
-    if (reached < this.current.revision) reached = this.current.revision;
-    if (documents === undefined && reached === this.current.revision) return;
-    this.current = { ...this.current, documents: documents ?? this.current.documents, revision: reached };
+    return reached > this.current.revision ? reached : this.current.revision;
   }
 }
 
+function isEmpty({ changed, removed, buckets }: InstanceUpdate): boolean {
+  return changed.length === 0 && removed.length === 0 && buckets.length === 0;
+}
+
 function versioned(stored: StoredDocument, document: VersionedDocument['document']): VersionedDocument {
   const { version, text, operator, acceptedAt, revision } = stored;
   return { version, document, text, operator, acceptedAt, revision };
--- a/packages/directory/src/membership/exchangeTask.ts
+++ b/packages/directory/src/membership/exchangeTask.ts
@@ -5,7 +5,7 @@
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
 import { directoryEvents } from '../events.js';
-import { faultOf } from '../call/index.js';
+import { CallLimit, faultOf } from '../call/index.js';
 import type { ChangeSignal } from '../server/changeSignal.js';
 import { digestToMessage } from './exchange.js';
 import type { InstanceStore } from './instanceStore.js';
@@ -48,7 +48,6 @@
   let failures = 0;
   while (!signal.aborted) {
     const taken = await exchangeOnce(context, peer, since, signal);
-    if (signal.aborted) return;
     if (taken !== undefined) {
       if (failures > 0) log.event(directoryEvents.exchangeRestored, { peer: peer.name });
       failures = 0;
@@ -71,19 +70,16 @@
 ): Promise<bigint | undefined> {
   const { detector, store, self, clock, peers, log } = context;
   const digest = detector.digest(since, peer.name);
-  const abort = new AbortController();
-  const cancel = clock.after(TIMEOUT_MS, () => {
-    abort.abort(new Error('no answer in time'));
-  });
+  const limit = new CallLimit(stop).after(clock, TIMEOUT_MS);
   try {
     const client = createClient(controlMessage.Gossip, peers.transport(peer.address));
-    const options = { signal: AbortSignal.any([stop, abort.signal]) };
-    const answer = await client.exchange(digestToMessage(self, digest, store), options);
+    const answer = await client.exchange(digestToMessage(self, digest, store), { signal: limit.signal });
     return answer.resend ? 0n : digest.upTo;
   } catch (error) {
-    log.event(directoryEvents.exchangeFailed, { peer: peer.name, problem: faultOf(error).message });
+    if (!stop.aborted)
+      log.event(directoryEvents.exchangeFailed, { peer: peer.name, problem: faultOf(error).message });
     return undefined;
   } finally {
-    cancel();
+    limit.release();
   }
 }
--- a/packages/directory/src/membership/instanceStore.ts
+++ b/packages/directory/src/membership/instanceStore.ts
@@ -2,13 +2,15 @@
 import type { FailureDetector } from '@jasmineroute/coordination';
 import { instanceFromMessage } from '../message/index.js';
 import type { InstanceMessage } from '../message/index.js';
-import type { Instance } from '../view/index.js';
+import type { Health, Instance } from '../view/index.js';
 
 /** An announced state. */
 interface AnnouncedInstance {
   readonly message: InstanceMessage;
   /** Revision of the documents in force there, from its newest beat. */
   revision: bigint;
+  /** Health under which it is listed. */
+  health?: Health;
 }
 
 /** The newest announced state of each name, and the list that is served. */
@@ -39,7 +41,7 @@
   /** Whether the state of this incarnation and sequence is known. */
   knows({ name, incarnation, sequence }: InstanceMessage): boolean {
     const known = this.announced.get(name)?.message;
-    return known !== undefined && known.incarnation === incarnation && known.sequence === sequence;
+    return known?.incarnation === incarnation && known.sequence === sequence;
   }
 
   /** Takes a state unless a newer one is known. Returns whether it was taken. */
@@ -56,17 +58,18 @@
     if (known !== undefined) known.revision = revision;
   }
 
-  /** Lists a name anew, or no more when the detector has forgotten it. */
-  refresh(name: string): void {
+  /** Lists a name anew, or no more when the detector has forgotten it. Returns whether the list changed. */
+  refresh(name: string): boolean {
     const member = this.detector.find(name);
     const known = this.announced.get(name);
     if (member === undefined) {
       this.announced.delete(name);
-      this.listed.delete(name);
-      return;
+      return this.listed.delete(name);
     }
-    if (known?.message.incarnation !== member.incarnation) return;
+    if (known?.message.incarnation !== member.incarnation || known.health === member.liveness) return false;
+    known.health = member.liveness;
     this.listed.set(name, { ...instanceFromMessage(known.message), health: member.liveness, revision: 0n });
+    return true;
   }
 }
 
--- a/packages/directory/src/membership/membership.ts
+++ b/packages/directory/src/membership/membership.ts
@@ -93,6 +93,14 @@
     return this.store.reported();
   }
 
+  /** Names whose beats come here. */
+  heardHere(): Set<string> {
+    const here = [...this.options.detector.all()].filter(
+      ({ source }) => source.observer === this.options.name,
+    );
+    return new Set(here.map(({ name }) => name));
+  }
+
   onChange(listener: (names: readonly string[]) => void): () => void {
     this.listeners.add(listener);
     return () => {
@@ -107,7 +115,8 @@
     const { detector, vouched } = this.options;
     const known = detector.find(instance.name);
     const answer = create(controlMessage.BeatResponseSchema, { vouched: vouched() });
-    if (known !== undefined && known.incarnation > instance.incarnation) return { ...answer, superseded: true };
+    if (known !== undefined && known.incarnation > instance.incarnation)
+      return { ...answer, superseded: true };
     if (known === undefined) this.admit();
     if (!request.full && !this.store.knows(instance)) return { ...answer, resend: true };
     this.hear(instance, request.full);
@@ -153,12 +162,13 @@
   /** Lists what changed anew and tells it on. */
   private publish(transitions: readonly Transition[], names: readonly string[]): void {
     for (const transition of transitions) {
-      if (transition.from !== undefined) this.options.log.event(directoryEvents.stateChanged, { ...transition });
+      if (transition.from !== undefined)
+        this.options.log.event(directoryEvents.stateChanged, { ...transition });
     }
-    const changed = new Set([...names, ...transitions.map(({ name }) => name)]);
-    if (changed.size === 0) return;
-    for (const name of changed) this.store.refresh(name);
-    for (const listener of this.listeners) listener([...changed]);
+    const named = new Set([...names, ...transitions.map(({ name }) => name)]);
+    const changed = [...named].filter((name) => this.store.refresh(name));
+    if (changed.length === 0) return;
+    for (const listener of this.listeners) listener(changed);
     this.changed.raise();
   }
 
--- a/packages/directory/src/message/index.ts
+++ b/packages/directory/src/message/index.ts
@@ -1,3 +1,5 @@
 /** Between messages and the view. */
 export * from './document.js';
 export * from './instance.js';
+export * from './instanceDigest.js';
+export * from './textEdit.js';
--- a/packages/directory/src/server/index.ts
+++ b/packages/directory/src/server/index.ts
@@ -1,3 +1,4 @@
 /** The serving side: documents and instances for other processes. */
 export * from './serveDirectory.js';
 export * from './source.js';
+export * from './viewSource.js';
--- a/packages/directory/src/server/serveDirectory.ts
+++ b/packages/directory/src/server/serveDirectory.ts
@@ -3,26 +3,38 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { controlMessage } from '@jasmineroute/protocol';
 import { ChangeSignal } from './changeSignal.js';
+import { DocumentFeed } from './documentFeed.js';
 import { InstanceFeed } from './instanceFeed.js';
 import type { DirectorySource } from './source.js';
-import { watchEvents } from './watch.js';
+import { WatcherStream } from './watch.js';
+import type { WatchHub } from './watch.js';
 
-/** Adds Watch, and Beat where beats are taken, to a process's RPC server. */
+/**
+ * Adds Watch, and Beat where beats are taken, to a process's RPC server. Watches end when `source.ended` is aborted.
+ */
 export function serveDirectory(router: ConnectRouter, source: DirectorySource): void {
-  const changed = new ChangeSignal();
-  const instances = new InstanceFeed(source.instances);
-  const hub = { documents: source.documents, instances, changed, clock: source.clock };
-  source.documents.onChange(() => {
-    changed.raise();
-  });
-  source.instances.onChange(() => {
-    changed.raise();
-  });
+  const hub = hubOf(source);
+  const { beats, ended } = source;
   router.service(controlMessage.Directory, {
-    watch: (request, context) => watchEvents(hub, request, context.signal),
+    watch: (request, { signal }) => {
+      const both = ended === undefined ? signal : AbortSignal.any([signal, ended]);
+      return new WatcherStream(hub, request).events(both);
+    },
     beat: (request) => {
-      if (source.beats !== undefined) return source.beats.beat(request);
+      if (beats !== undefined) return beats.beat(request);
       throw new ConnectError('beats are taken by control instances', Code.Unimplemented);
     },
   });
 }
+
+function hubOf(source: DirectorySource): WatchHub {
+  const changed = new ChangeSignal();
+  // The feed listens first, so that a woken stream finds the change in it.
+  const instances = new InstanceFeed(source.instances);
+  const wake = (): void => {
+    changed.raise();
+  };
+  source.documents.onChange(wake);
+  source.instances.onChange(wake);
+  return { documents: new DocumentFeed(source.documents), instances, changed, clock: source.clock };
+}
