--- a/packages/directory/src/server/source.ts
+++ b/packages/directory/src/server/source.ts
@@ -39,4 +39,6 @@
   readonly clock: Clock;
   /** Absent where beats are not taken. */
   readonly beats?: BeatReceiver;
+  /** Aborted when this process stops serving: open streams end, so that their watchers move on. */
+  readonly ended?: AbortSignal;
 }
--- a/packages/directory/src/server/watch.ts
+++ b/packages/directory/src/server/watch.ts
@@ -2,74 +2,109 @@
 import { create } from '@bufbuild/protobuf';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Clock } from '@jasmineroute/core';
-import { documentToMessage, instanceToMessage } from '../message/index.js';
+import { instanceToMessage } from '../message/index.js';
 import type { Instance } from '../view/index.js';
 import type { ChangeSignal } from './changeSignal.js';
-import type { InstanceChanges, InstanceFeed } from './instanceFeed.js';
-import type { DocumentSource } from './source.js';
+import type { DocumentFeed } from './documentFeed.js';
+import type { InstanceFeed, InstanceFilter } from './instanceFeed.js';
 
 /** Time between events when nothing changes, in milliseconds: how a watcher knows that it still hears. */
 export const HEARTBEAT_MS = 1_000;
 /** Changes within this time go out as one event, in milliseconds. */
 const COALESCE_MS = 20;
+/** Entries that a watcher is told of, to ask while no control instance can be reached. */
+const NEIGHBOURS = 8;
+/** Events between two tellings of entries: about a minute of heartbeats. */
+const NEIGHBOUR_EVENTS = 60;
 /** The document that says where control instances are; every watcher gets it. */
 const CONTROL_SERVICE = 'control';
 
+type WatchEvent = controlMessage.WatchEvent;
+
 /** What all streams of a process share. */
 export interface WatchHub {
-  readonly documents: DocumentSource;
+  readonly documents: DocumentFeed;
   readonly instances: InstanceFeed;
   readonly changed: ChangeSignal;
   readonly clock: Clock;
 }
 
-/** The events of one watcher, until `signal` is aborted. */
-export async function* watchEvents(
-  hub: WatchHub,
-  request: controlMessage.WatchRequest,
-  signal: AbortSignal,
-): AsyncGenerator<controlMessage.WatchEvent> {
-  const services = new Set(request.services);
-  let revision = request.revision;
-  let changes = hub.instances.all();
-  let first = true;
-  while (!signal.aborted) {
-    const event = documentEvent(hub.documents, revision, services);
-    if (request.instances) addInstances(event, changes, services);
-    if (event.revision > revision) revision = event.revision;
-    event.snapshot = first && request.instances;
-    first = false;
+/** The stream of one watcher. */
+export class WatcherStream {
+  private readonly services: ReadonlySet<string>;
+  private revision: bigint;
+  private place = 0;
+  private sent = 0;
+
+  constructor(
+    private readonly hub: WatchHub,
+    private readonly request: controlMessage.WatchRequest,
+  ) {
+    this.services = new Set(request.services);
+    this.revision = request.revision;
+  }
+
+  /** What differs from the watcher's state, then changes as they come, until `signal` is aborted. */
+  async *events(signal: AbortSignal): AsyncGenerator<WatchEvent> {
+    const { changed, clock } = this.hub;
+    yield* this.compared(this.request.buckets);
+    while (!signal.aborted) {
+      await changed.wait(clock, HEARTBEAT_MS, signal);
+      await clock.sleep(COALESCE_MS, signal).catch(() => undefined);
+      yield* this.changes();
+    }
+  }
+
+  /** Sends documents at once and the instances that differ in parts; the last event is marked. */
+  private *compared(digests: readonly number[]): Generator<WatchEvent> {
+    this.place = this.hub.instances.end();
+    const parts = this.request.instances ? this.hub.instances.differing(digests, this.wanted) : [];
+    for (const { buckets, instances } of parts) {
+      const event = this.event();
+      event.buckets = [...buckets];
+      event.instances = instances.map((instance) => instanceToMessage(instance));
+      yield event;
+    }
+    yield { ...this.event(), snapshot: true };
+  }
+
+  private *changes(): Generator<WatchEvent> {
+    if (!this.request.instances) {
+      yield this.event();
+      return;
+    }
+    const { instances } = this.hub;
+    const end = instances.end();
+    const changes = instances.since(this.place, this.wanted);
+    if (changes === undefined) {
+      yield* this.compared([]);
+      return;
+    }
+    this.place = end;
+    const event = this.event();
+    event.instances = changes.changed.map((instance) => instanceToMessage(instance));
+    event.removed = [...changes.removed];
     yield event;
-    await hub.changed.wait(hub.clock, HEARTBEAT_MS, signal);
-    await hub.changed.wait(hub.clock, COALESCE_MS, signal);
-    changes = hub.instances.since(changes.place);
   }
-}
 
-function documentEvent(
-  documents: DocumentSource,
-  revision: bigint,
-  services: ReadonlySet<string>,
-): controlMessage.WatchEvent {
-  const wanted = (service: string): boolean =>
-    services.size === 0 || services.has(service) || service === CONTROL_SERVICE;
-  return create(controlMessage.WatchEventSchema, {
-    documents: documents
-      .since(revision)
-      .filter(({ service }) => wanted(service))
-      .map((document) => documentToMessage(document)),
-    revision: documents.revision(),
-    vouched: documents.vouched(),
-  });
-}
+  /** An event with the documents that the watcher lacks. */
+  private event(): WatchEvent {
+    const { documents, instances } = this.hub;
+    const event = create(controlMessage.WatchEventSchema, {
+      documents: documents.since(this.revision, (service) => this.wantsService(service)),
+      revision: documents.revision(),
+      vouched: documents.vouched(),
+      neighbours: this.sent % NEIGHBOUR_EVENTS === 0 ? instances.someEntries(NEIGHBOURS) : [],
+    });
+    this.sent += 1;
+    if (event.revision > this.revision) this.revision = event.revision;
+    return event;
+  }
+
+  private wantsService(service: string): boolean {
+    return this.services.size === 0 || this.services.has(service) || service === CONTROL_SERVICE;
+  }
 
-function addInstances(
-  event: controlMessage.WatchEvent,
-  changes: InstanceChanges,
-  services: ReadonlySet<string>,
-): void {
-  const wanted = ({ target }: Instance): boolean =>
-    services.size === 0 || target === undefined || services.has(target.service);
-  event.instances = changes.changed.filter(wanted).map((instance) => instanceToMessage(instance));
-  event.removed = [...changes.removed];
+  private readonly wanted: InstanceFilter = ({ target }: Instance) =>
+    target === undefined || this.wantsService(target.service);
 }
--- a/packages/document/src/parse/parse.ts
+++ b/packages/document/src/parse/parse.ts
@@ -41,6 +41,16 @@
   return faults.map((fault) => locate(source, fault));
 }
 
+/** Gives problems that have a path but no line the line of their path in a text, if it is there. */
+export function locateProblems(text: string, problems: readonly Problem[]): Problem[] {
+  const { data, lineOf } = readSource(text);
+  return problems.map((problem) => {
+    const [first = '', ...rest] = problem.path.split('.');
+    const found = isRecord(data) && Object.hasOwn(data, first);
+    return problem.line === 0 && found ? { ...problem, line: lineOf([first, ...rest]) } : problem;
+  });
+}
+
 function locate(source: Source, fault: PathFault): Problem {
   return { path: pathText(fault.path), line: source.lineOf(fault.path), message: fault.message };
 }
--- /dev/null
+++ b/packages/document/src/reference/index.ts
@@ -0,0 +1,1 @@
+export * from './reference.js';
--- a/packages/document/src/schema/schema.ts
+++ b/packages/document/src/schema/schema.ts
@@ -3,6 +3,15 @@
 import { address, host, name, pathPattern } from './primitive.js';
 import { customer, nonIdempotentRule, owner, shared } from './shared.js';
 
+/** Routing policies that a document can name: those that the routing package registers. */
+export const policyNames = [
+  'default',
+  'round-robin',
+  'least-outstanding',
+  'rendezvous',
+  'rendezvous-probe',
+] as const;
+
 const adapter = z.strictObject({
   name: name.describe('Name of the adapter; callers ask for `model:adapter`.'),
   version: z.string().min(1).max(64).describe('Version of the adapter. Caches of two versions never mix.'),
@@ -53,7 +62,10 @@
       .describe(
         'What the owner weighs most: `latency`, the tail of the time to first token; `reuse`, cached prompt work.',
       ),
-    policy: name.default('default').describe("Name of a routing policy; the product's own by default."),
+    policy: z
+      .enum(policyNames)
+      .default('default')
+      .describe("Routing policy; `default` is the product's own, the others serve comparison."),
     models: z
       .array(model)
       .min(1, 'must hold at least one model')
--- a/packages/document/src/schema/shared.ts
+++ b/packages/document/src/schema/shared.ts
@@ -4,6 +4,15 @@
 
 const KIB = 1_024;
 const MIB = KIB * KIB;
+const HOUR_MS = 3_600_000;
+
+/** Keys are kept no longer than this by control. */
+const MAX_WINDOW_MS = 30 * 24 * HOUR_MS;
+
+/** While a request runs its key is kept for a day at least: a longer request could be run a second time. */
+const MAX_DEADLINE_MS = 24 * HOUR_MS;
+
+const deadline = duration.refine((ms) => ms <= MAX_DEADLINE_MS, 'must be at most 24h');
 
 export const owner = z
   .strictObject({
@@ -21,19 +30,19 @@
       .number()
       .positive()
       .optional()
-      .describe('Requests a second at one entry, over time. No limit when absent.'),
+      .describe('Requests a second on average, over all entries together. No limit when absent.'),
     burst: z
       .number()
       .int()
       .positive()
       .optional()
-      .describe('Requests above the rate that may come at once. One second of the rate when absent.'),
+      .describe('Requests that may come at once. One second of the rate when absent.'),
     concurrency: z
       .number()
       .int()
       .positive()
       .optional()
-      .describe('Requests that may run at once through one entry. No limit when absent.'),
+      .describe('Requests that may run at once, over all entries together. No limit when absent.'),
   })
   .prefault({})
   .describe('Limits of the customer. What goes over them is refused with 429, and has not run.');
@@ -81,8 +90,10 @@
 
 const deadlines = z
   .strictObject({
-    default: duration.prefault('60s').describe('Deadline of requests that state none.'),
-    max: duration.prefault('10m').describe('Longest deadline that a request gets, whatever it states.'),
+    default: deadline.prefault('60s').describe('Deadline of requests that state none.'),
+    max: deadline
+      .prefault('10m')
+      .describe('Longest deadline that a request gets, whatever it states; at most 24h.'),
   })
   .prefault({})
   .describe('How long callers wait.');
@@ -110,8 +121,9 @@
 const claims = z
   .strictObject({
     window: duration
+      .refine((ms) => ms <= MAX_WINDOW_MS, 'must be at most 30d')
       .prefault('24h')
-      .describe('How long an `Idempotency-Key` stays known, counted from its first request.'),
+      .describe('How long an `Idempotency-Key` stays known after its request has ended, at most 30d.'),
     answerBytes: z
       .number()
       .int()
--- a/packages/document/src/together/together.ts
+++ b/packages/document/src/together/together.ts
@@ -14,6 +14,13 @@
 
 type Kind = 'model' | 'route' | 'key';
 
+/** A use of a value that is taken already. */
+interface Clash {
+  readonly kind: Kind;
+  readonly use: Use;
+  readonly first: Use;
+}
+
 const messages: Readonly<Record<Kind, (use: Use, first: Use) => string>> = {
   model: (use, first) => `${use.value} is already a model of ${first.service}`,
   route: (_use, first) => `is already a route of ${first.service}`,
@@ -28,23 +35,43 @@
  */
 export function checkTogether(documents: ReadonlyMap<string, Document>): Problem[] {
   const sorted = [...documents.values()].sort((a, b) => (a.service < b.service ? -1 : 1));
+  return clashesOf(sorted).map((clash) => problemOf([clash.use.service, ...clash.use.path], clash));
+}
+
+/**
+ * Conflicts that a document would bring among others; an earlier version of it there is left out.
+ * @returns one problem for each clash, its path inside the document; lines are 0.
+ */
+export function checkAgainst(document: Document, others: ReadonlyMap<string, Document>): Problem[] {
+  const rest = [...others.values()]
+    .filter(({ service }) => service !== document.service)
+    .sort((a, b) => (a.service < b.service ? -1 : 1));
+  return clashesOf([...rest, document])
+    .filter(({ use }) => use.service === document.service)
+    .map((clash) => problemOf(clash.use.path, clash));
+}
+
+function clashesOf(documents: readonly Document[]): Clash[] {
   return [
-    ...clashes('model', sorted.filter(isModel).flatMap(modelUses)),
-    ...clashes('route', sorted.filter(isPlain).flatMap(routeUses)),
-    ...clashes('key', sorted.flatMap(keyUses)),
+    ...clashes('model', documents.filter(isModel).flatMap(modelUses)),
+    ...clashes('route', documents.filter(isPlain).flatMap(routeUses)),
+    ...clashes('key', documents.flatMap(keyUses)),
   ];
 }
 
-function clashes(kind: Kind, uses: readonly Use[]): Problem[] {
+function clashes(kind: Kind, uses: readonly Use[]): Clash[] {
   const firsts = new Map<string, Use>();
   return uses.flatMap((use) => {
     const first = firsts.get(use.value) ?? use;
     firsts.set(use.value, first);
-    if (first.holder === use.holder) return [];
-    return [{ path: pathText([use.service, ...use.path]), line: 0, message: messages[kind](use, first) }];
+    return first.holder === use.holder ? [] : [{ kind, use, first }];
   });
 }
 
+function problemOf(path: Path, { kind, use, first }: Clash): Problem {
+  return { path: pathText(path), line: 0, message: messages[kind](use, first) };
+}
+
 function isModel(document: Document): document is ModelService {
   return document.kind === 'model';
 }
--- a/packages/engine/src/http/httpEngine.ts
+++ b/packages/engine/src/http/httpEngine.ts
@@ -37,10 +37,26 @@
 }
 
 const INCARNATION = 'x-engine-incarnation';
+const OK = 200;
 const CONFLICT = 409;
 const NOT_FOUND = 404;
+const TOO_MANY = 429;
+const SERVER_ERROR = 500;
 const UNAVAILABLE = 503;
 
+/** Statuses by which an engine says, before it has run anything, that it does not take a request. */
+const refusals: Readonly<Record<number, Fault>> = {
+  [NOT_FOUND]: fault('model-not-loaded', 'the engine does not have the model', { ran: 'not-run' }),
+  [TOO_MANY]: fault('overloaded', 'the engine takes no more requests', { ran: 'not-run' }),
+  [UNAVAILABLE]: fault('overloaded', 'the engine takes no more requests', { ran: 'not-run' }),
+};
+
+/** An answer with the exchange that it came by. */
+interface Opened {
+  readonly answer: EngineAnswer;
+  readonly wire: WireAnswer;
+}
+
 class HttpEngine implements Engine {
   private readonly connections: Connections;
   private readonly calls: Calls;
@@ -60,7 +76,7 @@
     const body = bodyOf(request);
     if (body.isErr()) return err(body.error);
     const silence = body.value.stream ? this.silenceMs : undefined;
-    return this.open(request, signal, {
+    const opened = await this.open(request, signal, {
       method: request.method,
       path: request.path,
       headers: { 'content-type': 'application/json', ...headersOf(request) },
@@ -68,6 +84,7 @@
       headSilenceMs: silence,
       bodySilenceMs: this.silenceMs,
     });
+    return opened.andThen((answer) => this.taken(answer));
   }
 
   async resume(
@@ -75,24 +92,25 @@
     fromEvent: number,
     signal: AbortSignal,
   ): Promise<Result<EngineAnswer, Fault>> {
-    const answer = await this.open(request, signal, {
+    const opened = await this.open(request, signal, {
       method: 'GET',
       path: `/v1/streams/${encodeURIComponent(request.attemptId)}?from=${fromEvent}`,
       headers: headersOf({ ...request, headers: [] }),
       headSilenceMs: this.silenceMs,
       bodySilenceMs: this.silenceMs,
     });
-    return answer.andThen((value) => {
-      if (value.status === 200) return ok(value);
-      if (value.status === NOT_FOUND) return err(fault('target-lost', 'the engine lost the answer'));
-      return err(fault('engine-failed', `resuming: status ${value.status}`));
+    return opened.andThen(({ answer, wire }) => {
+      if (answer.status === OK) return ok(answer);
+      wire.abandon();
+      if (answer.status === NOT_FOUND) return err(fault('target-lost', 'the engine lost the answer'));
+      return err(fault('engine-failed', `resuming: status ${answer.status}`));
     });
   }
 
   async cancel(attemptId: string, signal: AbortSignal): Promise<Result<void, Fault>> {
     const answer = await this.calls.call('POST', '/abort_request', signal, { rid: attemptId });
     return answer.andThen(({ status, body }) =>
-      status === 200 ? ok() : err(statusFault('/abort_request', status, body)),
+      status === OK ? ok() : err(statusFault('/abort_request', status, body)),
     );
   }
 
@@ -118,7 +136,7 @@
     const { path, body } = orderCall(order, fence);
     const answer = await this.calls.call('POST', path, signal, body);
     return answer.andThen((value) => {
-      if (value.status === 200) return ok();
+      if (value.status === OK) return ok();
       const detail = statusFault(path, value.status, value.body);
       return err(value.status === CONFLICT ? fault('version-conflict', detail.message) : detail);
     });
@@ -131,7 +149,7 @@
   ): Promise<Result<void, Fault>> {
     const answer = await this.calls.call('POST', '/kv/import', signal, { from, hashes });
     return answer.andThen(({ status, body }) =>
-      status === 200 ? ok() : err(statusFault('/kv/import', status, body)),
+      status === OK ? ok() : err(statusFault('/kv/import', status, body)),
     );
   }
 
@@ -143,7 +161,7 @@
     request: EngineRequest,
     signal: AbortSignal,
     wire: WireRequest,
-  ): Promise<Result<EngineAnswer, Fault>> {
+  ): Promise<Result<Opened, Fault>> {
     const pool = this.connections.pool(request.idempotent === false);
     const opened = await exchange(pool, wire, this.clock, signal);
     if (opened.isErr()) return err(opened.error);
@@ -154,20 +172,28 @@
    * An answer that belongs to another request would hand one caller's text to another. The echoed id shows
    * it; the connection is destroyed then, as whatever follows on it is shifted too.
    */
-  private checked(request: EngineRequest, answer: WireAnswer): Result<EngineAnswer, Fault> {
-    const echoed = headerOf(answer.headers, REQUEST_ID);
+  private checked(request: EngineRequest, wire: WireAnswer): Result<Opened, Fault> {
+    const echoed = headerOf(wire.headers, REQUEST_ID);
     if (echoed !== request.attemptId) {
-      answer.abandon();
+      wire.abandon();
       this.log.event(engineEvents.answerMismatch, { attemptId: request.attemptId, echoed });
       return err(fault('answer-mismatch', 'the engine answered with the id of another request'));
     }
-    const type = headerOf(answer.headers, 'content-type') ?? '';
-    const { status, headers } = answer;
+    const { status, headers } = wire;
+    const type = headerOf(headers, 'content-type') ?? '';
     const incarnation = headerOf(headers, INCARNATION);
     const body = type.startsWith('text/event-stream')
-      ? eventBody(answer)
-      : wholeBody(answer, type.startsWith('application/json'));
-    return ok({ status, headers, incarnation, ...body });
+      ? eventBody(wire)
+      : wholeBody(wire, type.startsWith('application/json'));
+    return ok({ answer: { status, headers, incarnation, ...body }, wire });
+  }
+
+  /** Tells an answer from a refusal and from a failure of the engine. */
+  private taken({ answer, wire }: Opened): Result<EngineAnswer, Fault> {
+    const refusal = refusals[answer.status];
+    if (refusal === undefined && answer.status < SERVER_ERROR) return ok(answer);
+    wire.abandon();
+    return err(refusal ?? fault('engine-failed', `the engine answered with status ${answer.status}`));
   }
 }
 
--- /dev/null
+++ b/packages/entry/src/answer/index.ts
@@ -0,0 +1,6 @@
+export * from './answer.js';
+export * from './boundary.js';
+export * from './continuation.js';
+export * from './keeper.js';
+export * from './progress.js';
+export * from './rewriter.js';
--- /dev/null
+++ b/packages/entry/src/answer/progress.ts
@@ -0,0 +1,139 @@
+/** How far a streamed answer has come, read from the bytes that the caller has. */
+import { createParser } from 'eventsource-parser';
+import { z } from 'zod';
+
+/** Data of the event that ends an answer. */
+export const DONE = '[DONE]';
+
+const usage = z.looseObject({
+  prompt_tokens: z.number().optional(),
+  completion_tokens: z.number().optional(),
+  total_tokens: z.number().optional(),
+});
+
+const choice = z.looseObject({
+  index: z.number().optional(),
+  text: z.string().optional(),
+  delta: z.looseObject({ role: z.string().nullish(), content: z.string().nullish() }).optional(),
+  finish_reason: z.string().nullish(),
+});
+
+/** One event of a streamed answer, as far as it is read here. */
+export const chunkBody = z.looseObject({
+  id: z.string().optional(),
+  created: z.number().optional(),
+  model: z.string().optional(),
+  choices: z.array(choice).optional(),
+  usage: usage.nullish(),
+  error: z.unknown().optional(),
+});
+
+export type ChunkBody = z.output<typeof chunkBody>;
+export type ChunkChoice = z.output<typeof choice>;
+
+/** Where a streamed answer stands. */
+export interface Progress {
+  /** Output text so far. */
+  readonly text: string;
+  /** Output tokens so far: events with text. */
+  readonly tokens: number;
+  /** Events so far. */
+  readonly events: number;
+  /** Whether events carry `id:` lines. */
+  readonly numbered: boolean;
+  /** Fields of the first event, which all events of one answer share. */
+  readonly first: Pick<ChunkBody, 'id' | 'created' | 'model'>;
+  /** The caller has been told the role of the answer. */
+  readonly roleSent: boolean;
+  /** The model finished; only what follows the last token is missing. */
+  readonly finished: boolean;
+  /** The caller has the usage figures. */
+  readonly usageSent: boolean;
+  /** The end marker was sent. */
+  readonly done: boolean;
+  /** Nothing but one choice of plain text came: only that can be continued. */
+  readonly plainText: boolean;
+}
+
+type Draft = { -readonly [Key in keyof Progress]: Progress[Key] };
+
+const TEXT_FIELDS = new Set([
+  'role',
+  'content',
+  'refusal',
+  'reasoning_content',
+  'tool_calls',
+  'function_call',
+]);
+const PLAIN_FIELDS = new Set(['role', 'content']);
+
+/** Reads the events that were sent. Only done when a stream breaks: the hot path never parses. */
+export function readProgress(sent: readonly Uint8Array[]): Progress {
+  const draft: Draft = {
+    text: '',
+    tokens: 0,
+    events: 0,
+    numbered: false,
+    first: {},
+    roleSent: false,
+    finished: false,
+    usageSent: false,
+    done: false,
+    plainText: true,
+  };
+  const parser = createParser({
+    onEvent: (event) => {
+      if (event.id !== undefined) draft.numbered = true;
+      takeEvent(draft, event.data);
+    },
+  });
+  const decoder = new TextDecoder();
+  for (const bytes of sent) parser.feed(decoder.decode(bytes, { stream: true }));
+  return draft;
+}
+
+function takeEvent(draft: Draft, data: string): void {
+  draft.events += 1;
+  if (data === DONE) {
+    draft.done = true;
+    return;
+  }
+  const body = parseChunk(data);
+  if (body === undefined || body.error !== undefined) {
+    draft.plainText = false;
+    return;
+  }
+  if (draft.events === 1) draft.first = { id: body.id, created: body.created, model: body.model };
+  if (body.usage !== undefined && body.usage !== null) draft.usageSent = true;
+  const choices = body.choices ?? [];
+  if (choices.length > 1) draft.plainText = false;
+  const [only] = choices;
+  if (only !== undefined) takeChoice(draft, only);
+}
+
+function takeChoice(draft: Draft, only: ChunkChoice): void {
+  if ((only.index ?? 0) !== 0 || !plainDelta(only)) draft.plainText = false;
+  const text = only.text ?? only.delta?.content ?? '';
+  if (text !== '') draft.tokens += 1;
+  draft.text += text;
+  if (typeof only.delta?.role === 'string') draft.roleSent = true;
+  if (typeof only.finish_reason === 'string') draft.finished = true;
+}
+
+function plainDelta({ delta }: ChunkChoice): boolean {
+  if (delta === undefined) return true;
+  return Object.entries(delta).every(
+    ([name, value]) =>
+      PLAIN_FIELDS.has(name) || !TEXT_FIELDS.has(name) || value === null || value === undefined,
+  );
+}
+
+/** Reads one event's data, or undefined when it is not one of this API. */
+export function parseChunk(data: string): ChunkBody | undefined {
+  try {
+    const parsed = chunkBody.safeParse(JSON.parse(data));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/answer/rewriter.ts
@@ -0,0 +1,91 @@
+/** Makes the events of a continued answer look like those of its first attempt. */
+import { createParser } from 'eventsource-parser';
+import type { EventSourceMessage } from 'eventsource-parser';
+import { DONE, parseChunk } from './progress.js';
+import type { ChunkBody, Progress } from './progress.js';
+
+/** Writes events as the first attempt would have written them: ids, numbers, role and usage fit together. */
+export class EventRewriter {
+  private readonly decoder = new TextDecoder();
+  private readonly out: string[] = [];
+  private readonly parser = createParser({
+    onEvent: (event) => {
+      this.take(event);
+    },
+  });
+  private number: number;
+
+  /** @param sent what the caller has. */
+  constructor(private readonly sent: Progress) {
+    this.number = sent.events;
+  }
+
+  /** Takes whole events and gives the rewritten ones. */
+  push(events: Uint8Array): Uint8Array {
+    this.parser.feed(this.decoder.decode(events, { stream: true }));
+    return Buffer.from(this.out.splice(0).join(''));
+  }
+
+  /** The events that end an answer whose tokens were all sent. */
+  ending(reason: 'finished' | 'length', chat: boolean): Uint8Array {
+    if (reason === 'length') {
+      const empty = chat ? { delta: {} } : { text: '' };
+      const object = chat ? 'chat.completion.chunk' : 'text_completion';
+      const choices = [{ index: 0, ...empty, finish_reason: 'length' }];
+      this.write(JSON.stringify({ ...this.sent.first, object, choices }));
+    }
+    this.write(DONE);
+    return Buffer.from(this.out.splice(0).join(''));
+  }
+
+  private take({ data }: EventSourceMessage): void {
+    const body = data === DONE ? undefined : parseChunk(data);
+    if (body === undefined) {
+      this.write(data);
+      return;
+    }
+    const rewritten = this.rewrite(body);
+    if (rewritten !== undefined) this.write(JSON.stringify(rewritten));
+  }
+
+  private write(data: string): void {
+    const id = this.sent.numbered ? `id: ${this.number}\n` : '';
+    this.number += 1;
+    const lines = data.split('\n').map((line) => `data: ${line}\n`);
+    this.out.push(`${id}${lines.join('')}\n`);
+  }
+
+  /** @returns undefined when nothing of the event is left: the caller has been told the role already. */
+  private rewrite(body: ChunkBody): ChunkBody | undefined {
+    const { first, tokens, roleSent } = this.sent;
+    const next: ChunkBody = { ...body, ...defined(first) };
+    if (roleSent) next.choices = body.choices?.map((choice) => withoutRole(choice));
+    if (body.usage !== undefined && body.usage !== null) next.usage = shifted(body.usage, tokens);
+    const [only] = body.choices ?? [];
+    const roleOnly = roleSent && typeof only?.delta?.role === 'string';
+    const empty = (only?.delta?.content ?? '') === '' && typeof only?.finish_reason !== 'string';
+    return roleOnly && empty && next.usage === undefined ? undefined : next;
+  }
+}
+
+type Choice = NonNullable<ChunkBody['choices']>[number];
+
+function withoutRole(choice: Choice): Choice {
+  if (choice.delta?.role === undefined) return choice;
+  const delta = { ...choice.delta };
+  delete delta.role;
+  return { ...choice, delta };
+}
+
+/** Counts the text so far as output again: for the second target it was a part of the prompt. */
+function shifted(usage: NonNullable<ChunkBody['usage']>, tokens: number): NonNullable<ChunkBody['usage']> {
+  return {
+    ...usage,
+    prompt_tokens: Math.max(0, (usage.prompt_tokens ?? 0) - tokens),
+    completion_tokens: (usage.completion_tokens ?? 0) + tokens,
+  };
+}
+
+function defined<T extends object>(fields: T): Partial<T> {
+  return Object.fromEntries(Object.entries(fields).filter(([, value]) => value !== undefined)) as Partial<T>;
+}
--- /dev/null
+++ b/packages/entry/src/call/resolve.ts
@@ -0,0 +1,154 @@
+/** From a caller's request to a call of a service: route, customer, model, limits, deadline. */
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { customerOf, nonIdempotentFor, priorityLevel } from '@jasmineroute/document';
+import type { Customer, Model, ModelService, PlainService, RoutedService } from '@jasmineroute/document';
+import type { View } from '@jasmineroute/directory';
+import { promptOf, promptPaths } from '@jasmineroute/engine';
+import type { Prompt } from '@jasmineroute/engine';
+import { fault } from '@jasmineroute/core';
+import type { Fault } from '@jasmineroute/core';
+import type { Call, CallerRequest, ModelPart } from './call.js';
+import { tablesOf } from './tables.js';
+
+/** What is known before the body is read. */
+export interface Admitted {
+  /** Largest body that may come. */
+  readonly bodyBytes: number;
+  /** Finishes the check with the body. */
+  readonly complete: (body: Uint8Array) => Result<Call, Fault>;
+}
+
+/** The path without its query. */
+export function pathOf(request: CallerRequest): string {
+  const end = request.path.search(/[?#]/);
+  return end === -1 ? request.path : request.path.slice(0, end);
+}
+
+/** Checks all that can be checked without the body, so that no stranger's body is held. */
+export function admitRequest(request: CallerRequest, view: View): Result<Admitted, Fault> {
+  if (promptPaths.includes(pathOf(request))) return admitModel(request, view);
+  const service = tablesOf(view).routes.match(request.host, request.path);
+  if (service === undefined) return err(fault('unknown-route', 'no service has this path and host'));
+  return admitPlain(request, service);
+}
+
+/** The models that a customer may call, each with its service. */
+export function modelsFor(request: CallerRequest, view: View): Result<Model[], Fault> {
+  const services = servicesOf(request, view);
+  return services.map((found) => found.flatMap((service) => service.models));
+}
+
+function admitModel(request: CallerRequest, view: View): Result<Admitted, Fault> {
+  if (request.method !== 'POST') return err(fault('method-not-allowed', 'this path takes POST'));
+  const type = headerOf(request, 'content-type') ?? '';
+  if (!/^application\/json(?:\s*;|$)/i.test(type)) {
+    return err(fault('unsupported-media-type', 'the body must be application/json'));
+  }
+  const encoding = headerOf(request, 'content-encoding') ?? 'identity';
+  if (encoding !== 'identity') return err(fault('unsupported-media-type', 'the body must not be compressed'));
+  return servicesOf(request, view).map((services) => ({
+    bodyBytes: Math.max(...services.map((service) => service.limits.bodyBytes)),
+    complete: (body) => completeModel(request, view, services, body),
+  }));
+}
+
+/** The model services that the request's key opens. */
+function servicesOf(request: CallerRequest, view: View): Result<ModelService[], Fault> {
+  const { key } = request;
+  if (key === undefined) return err(fault('unauthenticated', 'a bearer key is needed in Authorization'));
+  const services = tablesOf(view).modelServices.filter((service) => customerOf(service, key) !== undefined);
+  if (services.length === 0) return err(fault('unauthenticated', 'the bearer key is not known'));
+  return ok(services);
+}
+
+function completeModel(
+  request: CallerRequest,
+  view: View,
+  services: readonly ModelService[],
+  body: Uint8Array,
+): Result<Call, Fault> {
+  return promptOf(request.path, body).andThen((prompt) => {
+    const service = tablesOf(view).models.get(prompt.model);
+    if (service === undefined || !services.includes(service)) {
+      return err(
+        fault('unknown-model', `there is no model ${JSON.stringify(prompt.model)} for this customer`),
+      );
+    }
+    if (body.length > service.limits.bodyBytes) return err(tooLarge(service.limits.bodyBytes));
+    return modelPart(service, prompt).map((model) => callOf(request, service, body, model));
+  });
+}
+
+function modelPart(service: ModelService, prompt: Prompt): Result<ModelPart, Fault> {
+  const weights = service.models.find((model) => model.name === prompt.model);
+  if (weights === undefined) return err(fault('unknown-model', `there is no model ${prompt.model}`));
+  if (prompt.adapter === '') return ok({ prompt, weights, adapter: '' });
+  const adapter = weights.adapters.find((candidate) => candidate.name === prompt.adapter);
+  if (adapter === undefined) {
+    return err(
+      fault('unknown-model', `model ${prompt.model} has no adapter ${JSON.stringify(prompt.adapter)}`),
+    );
+  }
+  return ok({ prompt, weights, adapter: `${adapter.name}@${adapter.version}` });
+}
+
+function admitPlain(request: CallerRequest, service: PlainService): Result<Admitted, Fault> {
+  const customer = request.key === undefined ? undefined : customerOf(service, request.key);
+  if (service.authenticated && customer === undefined) {
+    return err(fault('unauthenticated', 'a bearer key of a customer of this service is needed'));
+  }
+  return ok({
+    bodyBytes: service.limits.bodyBytes,
+    complete: (body) => ok(callOf(request, service, body, undefined)),
+  });
+}
+
+function callOf(
+  request: CallerRequest,
+  service: RoutedService,
+  body: Uint8Array,
+  model: ModelPart | undefined,
+): Call {
+  const customer = request.key === undefined ? undefined : customerOf(service, request.key);
+  const { deadlines } = service;
+  const idempotent = !nonIdempotentFor(service, {
+    method: request.method,
+    path: request.path,
+    model: model === undefined ? undefined : modelName(model.prompt),
+    customer: customer?.name,
+  });
+  return {
+    requestId: request.requestId,
+    service,
+    customer: customer?.name ?? '',
+    priority: levelOf(service, customer),
+    method: request.method,
+    path: request.path,
+    headers: request.headers,
+    body,
+    deadlineMs: Math.min(request.deadlineMs ?? deadlines.default, deadlines.max),
+    idempotent,
+    claimKey: request.idempotencyKey ?? request.requestId,
+    persistent: !idempotent && (request.idempotencyKey !== undefined || service.kind === 'plain'),
+    model,
+  };
+}
+
+function levelOf(service: RoutedService, customer: Customer | undefined): number {
+  if (customer !== undefined) return priorityLevel(service, customer);
+  return service.priorities[0]?.level ?? 0;
+}
+
+function modelName({ model, adapter }: Prompt): string {
+  return adapter === '' ? model : `${model}:${adapter}`;
+}
+
+function headerOf(request: CallerRequest, name: string): string | undefined {
+  return request.headers.find((field) => field.name === name)?.value;
+}
+
+/** The fault for a body over its limit. */
+export function tooLarge(limit: number): Fault {
+  return fault('body-too-large', `the body is over the limit of ${limit} bytes`);
+}
--- /dev/null
+++ b/packages/entry/src/claim/claims.spec.ts
@@ -0,0 +1,218 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { controlMessage, gateMessage } from '@jasmineroute/protocol';
+import {
+  FakeGate,
+  accepted,
+  chunk,
+  cut,
+  delta,
+  doneEvent,
+  end,
+  head,
+  refusal,
+  sse,
+} from '../testing/gate.js';
+import { FakeClaims, chat, modelDocument, startWorld, target, until } from '../testing/world.js';
+import type { World } from '../testing/world.js';
+
+const { RUNNING, DONE } = controlMessage.ClaimState;
+
+const worlds: World[] = [];
+const gates: FakeGate[] = [];
+const document = modelDocument({ nonIdempotent: [{ models: ['m'] }], claims: { answerBytes: 200 } });
+
+async function gate(): Promise<FakeGate> {
+  const made = new FakeGate();
+  await made.start();
+  gates.push(made);
+  return made;
+}
+
+async function entry(targets: FakeGate[], claims: FakeClaims, name = 'entry-1'): Promise<World> {
+  const instances = targets.map((one, index) => target(`agent-${index}`, one.address));
+  const settings = { streamSilenceMs: 200, resumeWindowMs: 300, cancelTimeoutMs: 200, claimTimeoutMs: 200 };
+  const made = await startWorld([document], instances, settings, name, claims);
+  worlds.push(made);
+  return made;
+}
+
+const keyed = { 'idempotency-key': 'k1' };
+const codeOf = async (answer: Response): Promise<unknown> =>
+  ((await answer.json()) as { error: { code: string; run: string } }).error;
+const whole = [accepted, sse, chunk(delta('a')), chunk(doneEvent), end];
+
+afterEach(async () => {
+  await Promise.all(worlds.splice(0).map((one) => one.close()));
+  await Promise.all(gates.splice(0).map((one) => one.close()));
+});
+
+describe('a call that may not be repeated', () => {
+  it('is answered again, and not run again, when it is resent at another entry', async () => {
+    // Symptom: a house is billed twice.
+    // Sequence: the answer is lost on its way to the caller, who sends the request again elsewhere.
+    // Cause: the second entry knows nothing of the first one's work.
+    const one = await gate();
+    const claims = new FakeClaims();
+    const [first, second] = [await entry([one], claims), await entry([one], claims, 'entry-2')];
+    one.script = () => whole;
+    const answer = await (await chat(first.url, {}, keyed)).text();
+    await until(() => claims.claims.get('k1')?.answer !== undefined);
+    const again = await chat(second.url, {}, keyed);
+    expect(again.headers.get('x-idempotent-replay')).toBe('true');
+    expect(again.headers.get('content-type')).toBe('text/event-stream');
+    expect(await again.text()).toBe(answer);
+    expect(one.runs).toHaveLength(1);
+  });
+
+  it('is not sent at all while claims are out of reach', async () => {
+    const one = await gate();
+    const claims = new FakeClaims();
+    const { url } = await entry([one], claims);
+    claims.unreachable = true;
+    const answer = await chat(url, {}, keyed);
+    expect(answer.headers.get('retry-after')).toBe('2');
+    expect(await codeOf(answer)).toMatchObject({ code: 'claims-unavailable', run: 'not-run' });
+    expect(one.runs).toHaveLength(0);
+  });
+
+  it('is reported as running while it runs', async () => {
+    const one = await gate();
+    const claims = new FakeClaims();
+    const { url, directory } = await entry([one], claims);
+    directory.set([
+      target('agent-0', one.address),
+      { ...target('entry-1', '127.0.0.1:1'), role: 'entry', incarnation: 7n, target: undefined },
+    ]);
+    let finish: (value: unknown) => void = () => undefined;
+    const go = new Promise((resolve) => (finish = resolve));
+    one.script = () => [accepted, sse, chunk(delta('a')), { case: 'wait', for: go }, chunk(doneEvent), end];
+    const first = await chat(url, {}, keyed);
+    const second = await chat(url, {}, keyed);
+    expect(second.status).toBe(409);
+    expect(second.headers.get('retry-after')).toBe('1');
+    expect(await codeOf(second)).toMatchObject({ code: 'already-running' });
+    finish(undefined);
+    expect(await first.text()).toContain(doneEvent);
+    expect(one.runs).toHaveLength(1);
+  });
+
+  it('is refused when its key comes with another body', async () => {
+    const one = await gate();
+    const { url } = await entry([one], new FakeClaims());
+    one.script = () => whole;
+    await (await chat(url, {}, keyed)).text();
+    const answer = await chat(url, { max_tokens: 3 }, keyed);
+    expect(answer.status).toBe(422);
+    expect(await codeOf(answer)).toMatchObject({ code: 'key-reused', run: 'not-run' });
+  });
+
+  it('is not run again after a break, and its resend is told so', async () => {
+    const one = await gate();
+    const { url, claims } = await entry([one], new FakeClaims());
+    one.script = () => [accepted, sse, chunk(delta('a')), cut];
+    await (await chat(url, {}, keyed)).text();
+    await until(() => claims.claims.get('k1')?.state !== RUNNING);
+    expect(await codeOf(await chat(url, {}, keyed))).toMatchObject({
+      code: 'outcome-unknown',
+      run: 'may-have-run',
+    });
+    expect(one.runs).toHaveLength(1);
+  });
+
+  it('gives its key back when it is proved that it has not run', async () => {
+    const [one, two] = [await gate(), await gate()];
+    const { url, claims } = await entry([one, two], new FakeClaims());
+    let runs = 0;
+    one.script = () => {
+      runs += 1;
+      return runs === 1 ? [refusal('target-leaving')] : whole;
+    };
+    two.script = one.script;
+    expect(await (await chat(url, {}, keyed)).text()).toBe(delta('a') + doneEvent);
+    const ids = [...one.runs, ...two.runs].map(({ attemptId }) => attemptId);
+    expect(new Set(ids).size).toBe(2);
+    await until(() => claims.claims.get('k1')?.answer !== undefined);
+  });
+
+  it('finishes although its caller hung up, so that the resend gets the answer', async () => {
+    // Symptom: after a dropped call nobody can say whether the note was written.
+    // Sequence: the caller's connection breaks in the middle of the answer; it sends again.
+    // Cause: cancelling halfway leaves an outcome that nobody knows.
+    const one = await gate();
+    const { url, claims } = await entry([one], new FakeClaims());
+    let finish: (value: unknown) => void = () => undefined;
+    const go = new Promise((resolve) => (finish = resolve));
+    one.script = () => [accepted, sse, chunk(delta('a')), { case: 'wait', for: go }, chunk(doneEvent), end];
+    const hangUp = new AbortController();
+    const answer = await chat(url, {}, keyed, hangUp.signal);
+    await answer.body?.getReader().read();
+    hangUp.abort();
+    finish(undefined);
+    await until(() => claims.claims.get('k1')?.answer !== undefined);
+    expect(await (await chat(url, {}, keyed)).text()).toBe(delta('a') + doneEvent);
+    expect(one.cancels).toHaveLength(0);
+  });
+
+  it('says that an answer too large to keep has been given', async () => {
+    const one = await gate();
+    const { url, claims } = await entry([one], new FakeClaims());
+    one.script = () => [accepted, head(200, 'application/json'), chunk(`"${'x'.repeat(300)}"`), end];
+    await (await chat(url, { stream: false }, keyed)).text();
+    await until(() => claims.claims.get('k1')?.state === DONE);
+    const again = await chat(url, { stream: false }, keyed);
+    expect(await codeOf(again)).toMatchObject({ code: 'answer-not-kept', run: 'ran' });
+  });
+});
+
+describe('a claim of an entry that is gone', () => {
+  const held = async (claims: FakeClaims, url: string): Promise<void> => {
+    // A first call lays the claim down with the fingerprint of this request, then the entry is gone.
+    await (await chat(url, {}, keyed)).text();
+    await until(() => claims.claims.get('k1')?.state !== RUNNING);
+    const claim = claims.claims.get('k1');
+    if (claim !== undefined) Object.assign(claim, { state: RUNNING, answer: undefined });
+  };
+
+  it('is answered from the agent, which still has the answer', async () => {
+    // Symptom: after a crash of the entry a caller is told "running" for as long as the window lasts.
+    // Sequence: the entry is killed while it passes on an answer; the caller sends again at another one.
+    // Cause: only the killed entry would have settled the claim.
+    const one = await gate();
+    const claims = new FakeClaims();
+    const { url } = await entry([one], claims);
+    one.script = () => whole;
+    await held(claims, url);
+    const next = await entry([one], claims, 'entry-2');
+    one.resumeScript = () => whole;
+    const text = await (await chat(next.url, {}, keyed)).text();
+    expect(text).toBe(delta('a') + doneEvent);
+    expect(one.resumes[0]).toMatchObject({ fromOrdinal: 0n, attemptId: one.runs[0]?.attemptId });
+    expect(one.runs).toHaveLength(1);
+    await until(() => claims.claims.get('k1')?.answer !== undefined);
+  });
+
+  it('is taken over when the gate proves that nothing ran', async () => {
+    const one = await gate();
+    const claims = new FakeClaims();
+    const { url } = await entry([one], claims);
+    one.script = () => whole;
+    await held(claims, url);
+    const next = await entry([one], claims, 'entry-2');
+    one.cancelAnswer = gateMessage.Ran.NOT_RUN;
+    expect(await (await chat(next.url, {}, keyed)).text()).toBe(delta('a') + doneEvent);
+    expect(one.cancels[0]).toMatchObject({ incarnation: 'e1', attemptId: one.runs[0]?.attemptId });
+    expect(one.runs).toHaveLength(2);
+  });
+
+  it('stays unknown when the gate can not prove it', async () => {
+    const one = await gate();
+    const claims = new FakeClaims();
+    const { url } = await entry([one], claims);
+    one.script = () => whole;
+    await held(claims, url);
+    const next = await entry([one], claims, 'entry-2');
+    one.cancelAnswer = gateMessage.Ran.MAY_HAVE_RUN;
+    expect(await codeOf(await chat(next.url, {}, keyed))).toMatchObject({ code: 'outcome-unknown' });
+    expect(one.runs).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/packages/entry/src/claim/claims.ts
@@ -0,0 +1,162 @@
+/** At most once: claims on keys before the first byte goes to a target, and their settlement. */
+import { createHash } from 'node:crypto';
+import type { Result } from 'neverthrow';
+import { fault } from '@jasmineroute/core';
+import type { Clock, Fault, Log, Metrics } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { View } from '@jasmineroute/directory';
+import type { KeptAnswer } from '../answer/index.js';
+import type { Call } from '../call/index.js';
+import { entryEvents } from '../events.js';
+import { entryMetrics } from '../metrics.js';
+import { holderOf, holderText, originOf } from './attemptId.js';
+import type { Holder } from './attemptId.js';
+
+/** What is sent to take a claim. */
+export type ClaimMessage = Omit<controlMessage.ClaimRequest, '$typeName'>;
+/** What is sent to settle one. */
+export type SettleMessage = Omit<controlMessage.SettleRequest, '$typeName' | 'answer'> & {
+  readonly answer?: KeptAnswer;
+};
+
+/** Where claims are held: a quorum of control instances. */
+export interface ClaimStore {
+  claim(request: ClaimMessage, timeoutMs: number): Promise<Result<controlMessage.ClaimResponse, Fault>>;
+  settle(request: SettleMessage, timeoutMs: number): Promise<Result<unknown, Fault>>;
+}
+
+/** An attempt whose entry is gone. */
+export interface Orphan {
+  readonly attemptId: string;
+  readonly requestId: string;
+  /** Agent and target's incarnation that the attempt was sent to. */
+  readonly holder: Holder;
+}
+
+/** What became of asking for a key. */
+export type Verdict =
+  | { readonly type: 'granted' }
+  /** The first attempt's answer. */
+  | { readonly type: 'replay'; readonly answer: KeptAnswer }
+  /** The entry that holds the key is gone; the agent may know how the attempt went. */
+  | ({ readonly type: 'orphan' } & Orphan)
+  | { readonly type: 'refused'; readonly fault: Fault };
+
+/** How a claimed attempt went. */
+export type Settled =
+  | { readonly type: 'released' }
+  | { readonly type: 'unknown' }
+  | { readonly type: 'done'; readonly answer: KeptAnswer | undefined };
+
+const SETTLE_TRIES = 6;
+const SETTLE_PAUSE_MS = 500;
+
+const settlements: Record<Settled['type'], controlMessage.Settlement> = {
+  released: controlMessage.Settlement.RELEASED,
+  unknown: controlMessage.Settlement.UNKNOWN,
+  done: controlMessage.Settlement.DONE,
+};
+
+const refused = (reason: Fault): Verdict => ({ type: 'refused', fault: reason });
+
+/** What a call's claim works with. */
+export interface ClaimContext {
+  readonly store: ClaimStore;
+  readonly view: () => View;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly timeoutMs: number;
+}
+
+/** Hash that tells whether a key comes again with the same request. */
+export function fingerprintOf(call: Call): Uint8Array {
+  return createHash('sha256').update(`${call.method} ${call.path}\n`).update(call.body).digest();
+}
+
+/** Takes and settles the claims of one entry. */
+export class Claims {
+  constructor(private readonly context: ClaimContext) {}
+
+  /** Asks for the call's key. */
+  async take(call: Call, attemptId: string, holder: Holder): Promise<Verdict> {
+    const { store, clock, metrics, timeoutMs } = this.context;
+    const began = clock.monotonic();
+    const answer = await store.claim(
+      {
+        service: call.service.service,
+        customer: call.customer,
+        key: call.claimKey,
+        attemptId,
+        fingerprint: fingerprintOf(call),
+        windowMs: BigInt(call.service.claims.window),
+        agent: holderText(holder),
+      },
+      Math.min(timeoutMs, call.deadlineMs),
+    );
+    metrics.timing(entryMetrics.claims, clock.monotonic() - began);
+    if (answer.isOk()) return this.verdict(answer.value, attemptId);
+    // The claim may be held although its answer was lost: without this the key would stay taken for nothing.
+    if (answer.error.ran !== 'not-run') void this.settle(call, attemptId, { type: 'released' });
+    const { message, retryAfterMs } = answer.error;
+    return refused(fault('claims-unavailable', message, { ran: 'not-run', retryAfterMs }));
+  }
+
+  /** Records how an attempt went; tries again for some seconds. Resolves when recorded or given up. */
+  async settle(call: Call, attemptId: string, settled: Settled): Promise<void> {
+    const { store, clock, log, timeoutMs } = this.context;
+    const message: SettleMessage = {
+      service: call.service.service,
+      customer: call.customer,
+      key: call.claimKey,
+      attemptId,
+      settlement: settlements[settled.type],
+      answer: settled.type === 'done' ? settled.answer : undefined,
+    };
+    for (let tries = 0; tries < SETTLE_TRIES; tries += 1) {
+      const result = await store.settle(message, timeoutMs);
+      if (result.isOk()) return;
+      await clock.sleep(SETTLE_PAUSE_MS);
+    }
+    log.event(entryEvents.claimUnsettled, { attemptId, settlement: settled.type });
+  }
+
+  private verdict(answer: controlMessage.ClaimResponse, attemptId: string): Verdict {
+    switch (answer.state) {
+      case controlMessage.ClaimState.GRANTED:
+        return { type: 'granted' };
+      case controlMessage.ClaimState.RUNNING:
+        return this.running(answer, attemptId);
+      case controlMessage.ClaimState.DONE:
+        return this.done(answer);
+      case controlMessage.ClaimState.MISMATCH:
+        return refused(fault('key-reused', 'the key was used for another request; this one has not run'));
+      case controlMessage.ClaimState.UNKNOWN:
+      default:
+        return refused(
+          fault('outcome-unknown', 'the first request with this key may have run; it is not run again'),
+        );
+    }
+  }
+
+  private done({ answer }: controlMessage.ClaimResponse): Verdict {
+    if (answer !== undefined) return { type: 'replay', answer };
+    return refused(fault('answer-not-kept', 'the first request with this key ran; its answer was not kept'));
+  }
+
+  private running({ attemptId, agent }: controlMessage.ClaimResponse, own: string): Verdict {
+    if (attemptId === own) return { type: 'granted' };
+    const origin = originOf(attemptId);
+    if (origin === undefined || this.alive(origin.entry, origin.incarnation)) {
+      return refused(fault('already-running', 'the first request with this key is still running'));
+    }
+    return { type: 'orphan', attemptId, requestId: origin.requestId, holder: holderOf(agent) };
+  }
+
+  /** Whether the process that holds a claim may still be at work. Only a newer start of it, or its end, says no. */
+  private alive(entry: string, incarnation: bigint): boolean {
+    const instance = this.context.view().instances.get(entry);
+    if (instance === undefined) return false;
+    return instance.incarnation === incarnation && instance.health !== 'down';
+  }
+}
--- /dev/null
+++ b/packages/entry/src/claim/index.ts
@@ -0,0 +1,2 @@
+export * from './attemptId.js';
+export * from './claims.js';
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,184 @@
+/** The entry role: callers in, decisions, streams out. */
+import { ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { Fault } from '@jasmineroute/core';
+import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
+import { ClaimClient, Controls, DirectoryClient, serveDirectory, viewSource } from '@jasmineroute/directory';
+import type { Announcement, RelayedDirectory } from '@jasmineroute/directory';
+import { RetryBudget } from '@jasmineroute/routing';
+import { AttemptIds, Claims } from './claim/index.js';
+import type { ClaimStore } from './claim/index.js';
+import { entryEvents } from './events.js';
+import { GateClients } from './gate/index.js';
+import { CallerServer, Callers, createApp } from './http/index.js';
+import { entryMetrics } from './metrics.js';
+import type { EntrySettings } from './setting/index.js';
+import { Admissions, Background, Decisions } from './work/index.js';
+import type { WorkContext } from './work/index.js';
+
+/** An entry in a process. */
+export interface EntryProcess extends RoleProcess {
+  /** host:port that callers reach; known after `start`. */
+  httpAddress(): string;
+}
+
+/** The part of the directory client that an entry uses. */
+export interface EntryDirectory extends RelayedDirectory {
+  start(self: () => Announcement): Promise<void>;
+  leave(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** What an entry gets its knowledge and its claims from; tests give their own. */
+export interface EntryParts {
+  readonly directory: EntryDirectory;
+  readonly claims: ClaimStore;
+}
+
+/** Retries for each request, and how many may be saved up: enough for all streams of a lost target at once. */
+const RETRY_SHARE = 0.2;
+const RETRY_BURST = 512;
+const GAUGE_INTERVAL_MS = 5_000;
+/** How long a planned stop waits for new connections to cease. */
+const LAST_CONNECTIONS_MS = 5_000;
+
+/** Makes the entry role. */
+export function createEntry(
+  context: RoleContext,
+  settings: EntrySettings,
+  parts: EntryParts = partsOf(context),
+): Promise<Result<EntryProcess, Fault>> {
+  return Promise.resolve(ok(new Entry(context, settings, parts)));
+}
+
+function partsOf(context: RoleContext): EntryParts {
+  const { name, incarnation, controls, peers, clock, log, metrics, dataFolder, dataCentre } = context;
+  const directory = new DirectoryClient({
+    name,
+    incarnation,
+    role: 'entry',
+    controls,
+    peers,
+    clock,
+    log,
+    metrics,
+    wantInstances: true,
+    folder: dataFolder,
+  });
+  const { addresses } = directory;
+  const store = new ClaimClient(new Controls({ controls, peers, clock, metrics, addresses, dataCentre }));
+  return { directory, claims: store };
+}
+
+/** Seed from a name, so that two entries don't choose in step. */
+function seedOf(name: string): number {
+  let seed = 0;
+  for (const character of name) seed = (seed * 31 + (character.codePointAt(0) ?? 0)) >>> 0;
+  return seed;
+}
+
+class Entry implements EntryProcess {
+  private readonly work: WorkContext;
+  private readonly callers: Callers;
+  private readonly server: CallerServer;
+  private readonly stopped = new AbortController();
+  private address = '';
+  private draining = false;
+
+  constructor(
+    private readonly context: RoleContext,
+    private readonly settings: EntrySettings,
+    private readonly parts: EntryParts,
+  ) {
+    this.work = this.createWork();
+    this.callers = new Callers(this.work);
+    const app = createApp({
+      readiness: () => this.readiness(),
+      models: (bindings) => this.callers.models(bindings),
+      call: (bindings) => this.callers.call(bindings),
+    });
+    this.server = new CallerServer(app, settings, context.clock, context.log);
+  }
+
+  /** Serves its view to neighbours that can't reach a control instance. */
+  routes(router: ConnectRouter): void {
+    serveDirectory(router, viewSource(this.parts.directory, this.context.clock));
+  }
+
+  async start(address: string): Promise<void> {
+    const { dataCentre, log } = this.context;
+    await this.parts.directory.start(() => ({ address, dataCentre }));
+    this.address = await this.server.listen();
+    log.event(entryEvents.listening, { address: this.address });
+    void this.reportGauges();
+  }
+
+  httpAddress(): string {
+    return this.address;
+  }
+
+  readiness(): Readiness {
+    if (this.draining) return { ready: false, reason: 'stopping' };
+    if (this.address === '') return { ready: false, reason: 'not listening yet' };
+    if (this.parts.directory.view().documents.size === 0)
+      return { ready: false, reason: 'no document known yet' };
+    return { ready: true, reason: 'serving' };
+  }
+
+  /** Unready first, then goes on accepting until the balancer has noticed, then finishes all that is open. */
+  async drain(): Promise<void> {
+    const { clock, log } = this.context;
+    this.draining = true;
+    this.server.turnAway();
+    log.event(entryEvents.draining, { open: this.callers.count });
+    await clock.sleep(this.settings.drainDelayMs);
+    await this.parts.directory.leave();
+    await this.server.drain(LAST_CONNECTIONS_MS);
+    await this.work.background.idle();
+    log.event(entryEvents.drained);
+  }
+
+  async close(): Promise<void> {
+    this.stopped.abort(new Error('stopped'));
+    await this.server.close();
+    await this.parts.directory.stop();
+  }
+
+  private createWork(): WorkContext {
+    const { name, incarnation, dataCentre, peers, clock, log, metrics } = this.context;
+    const { settings } = this;
+    const view = () => this.parts.directory.view();
+    const clients = new GateClients(peers, clock, settings.cancelTimeoutMs);
+    const seed = settings.seed === 0 ? seedOf(name) : settings.seed;
+    const { probeTimeoutMs, claimTimeoutMs: timeoutMs } = settings;
+    return {
+      settings,
+      clients,
+      claims: new Claims({ store: this.parts.claims, view, clock, log, metrics, timeoutMs }),
+      decisions: new Decisions({ view, clients, clock, metrics, dataCentre, probeTimeoutMs, seed }),
+      admissions: new Admissions(view, clock),
+      budget: new RetryBudget({ share: RETRY_SHARE, burst: RETRY_BURST }),
+      attemptIds: new AttemptIds(name, incarnation),
+      background: new Background(),
+      view,
+      clock,
+      log,
+      metrics,
+    };
+  }
+
+  private async reportGauges(): Promise<void> {
+    const { clock, metrics } = this.context;
+    while (!this.stopped.signal.aborted) {
+      metrics.gauge(entryMetrics.open, this.callers.count);
+      metrics.gauge(entryMetrics.connections, this.server.connections);
+      metrics.gauge(entryMetrics.bufferedBytes, this.callers.bufferedBytes);
+      try {
+        await clock.sleep(GAUGE_INTERVAL_MS, this.stopped.signal);
+      } catch {
+        return;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http/badConnection.ts
@@ -0,0 +1,40 @@
+/** Answers connections whose bytes are no valid request. */
+import { STATUS_CODES } from 'node:http';
+import type { Socket } from 'node:net';
+import { fault } from '@jasmineroute/core';
+import { errorBody } from './reply.js';
+
+interface BadRequest {
+  readonly status: number;
+  readonly message: string;
+}
+
+const malformed: BadRequest = { status: 400, message: 'the request is not valid HTTP/1.1' };
+
+const answers: Readonly<Record<string, BadRequest>> = {
+  HPE_HEADER_OVERFLOW: { status: 431, message: 'the head of the request is too large' },
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: { status: 413, message: 'the chunk extensions are too large' },
+  ERR_HTTP_REQUEST_TIMEOUT: { status: 408, message: 'the request did not arrive in time' },
+  HPE_UNEXPECTED_CONTENT_LENGTH: { status: 400, message: 'the length of the body is stated twice' },
+  HPE_INVALID_CONTENT_LENGTH: { status: 400, message: 'Content-Length is not valid' },
+  HPE_INVALID_TRANSFER_ENCODING: { status: 400, message: 'Transfer-Encoding is not valid' },
+};
+
+/** The status that a parser's error is answered with. */
+export function statusOf(code: string | undefined): number {
+  return (answers[code ?? ''] ?? malformed).status;
+}
+
+/** Writes one error and closes; nothing that follows on such a connection can be trusted. */
+export function refuseConnection(code: string | undefined, socket: Socket): void {
+  const { status, message } = answers[code ?? ''] ?? malformed;
+  const body = JSON.stringify(errorBody(fault('invalid-request', message)));
+  const head = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
+    'Content-Type: application/json',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    'X-Run-State: not-run',
+    'Connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
--- /dev/null
+++ b/packages/entry/src/http/body.ts
@@ -0,0 +1,72 @@
+/** Reads request bodies, bounded one by one and in all. */
+import type { IncomingMessage } from 'node:http';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { fault } from '@jasmineroute/core';
+import type { Fault } from '@jasmineroute/core';
+import { tooLarge } from '../call/index.js';
+
+/** Bytes of request bodies that one process holds. */
+export class BodyBudget {
+  private used = 0;
+
+  constructor(private readonly most: number) {}
+
+  get bytes(): number {
+    return this.used;
+  }
+
+  /** Takes room for bytes; false when there is none. */
+  take(bytes: number): boolean {
+    if (this.used + bytes > this.most) return false;
+    this.used += bytes;
+    return true;
+  }
+
+  give(bytes: number): void {
+    this.used -= bytes;
+  }
+}
+
+/** A body that is held, and the way to give its room back. */
+export interface HeldBody {
+  readonly bytes: Uint8Array;
+  readonly release: () => void;
+}
+
+/** Reads a whole body of at most `limit` bytes. */
+export async function readBody(
+  incoming: IncomingMessage,
+  limit: number,
+  budget: BodyBudget,
+): Promise<Result<HeldBody, Fault>> {
+  const stated = Number(incoming.headers['content-length'] ?? 0);
+  if (stated > limit) return err(tooLarge(limit));
+  const parts: Buffer[] = [];
+  let size = 0;
+  const release = (): void => {
+    budget.give(size);
+    size = 0;
+  };
+  try {
+    for await (const part of incoming as AsyncIterable<Buffer>) {
+      if (!budget.take(part.length)) {
+        release();
+        return err(fault('overloaded', 'this entry holds too many request bodies'));
+      }
+      size += part.length;
+      if (size > limit) {
+        release();
+        return err(tooLarge(limit));
+      }
+      parts.push(part);
+    }
+  } catch (cause) {
+    release();
+    return err(fault('invalid-request', 'the request broke off before its end', { cause }));
+  }
+  return ok({
+    bytes: parts.length === 1 && parts[0] !== undefined ? parts[0] : Buffer.concat(parts),
+    release,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/http/callers.ts
@@ -0,0 +1,126 @@
+/** Handles callers' requests: head, customer, body, then the work on the call. */
+import type { Result } from 'neverthrow';
+import { endHop, fault, startHop } from '@jasmineroute/core';
+import type { Fault, HopSpan } from '@jasmineroute/core';
+import { admitRequest, carrierIn, modelsFor, readHead, requestIdOf } from '../call/index.js';
+import type { Call, CallerRequest } from '../call/index.js';
+import { entryEvents } from '../events.js';
+import { entryMetrics } from '../metrics.js';
+import { Work } from '../work/index.js';
+import type { WorkContext } from '../work/index.js';
+import type { CallerBindings } from './app.js';
+import { BodyBudget, readBody } from './body.js';
+import { Reply } from './reply.js';
+
+/** Handles the requests of all callers of one entry. */
+export class Callers {
+  private readonly budget: BodyBudget;
+  private open = 0;
+
+  constructor(private readonly context: WorkContext) {
+    this.budget = new BodyBudget(context.settings.maxBufferedBytes);
+  }
+
+  /** Requests in work. */
+  get count(): number {
+    return this.open;
+  }
+
+  /** Bytes of request bodies held. */
+  get bufferedBytes(): number {
+    return this.budget.bytes;
+  }
+
+  /** Answers `/v1/models`. */
+  async models(bindings: CallerBindings): Promise<void> {
+    await this.answer(bindings, (request, reply) => {
+      const models = modelsFor(request, this.context.view());
+      if (models.isErr()) {
+        reply.fail(models.error);
+        return Promise.resolve();
+      }
+      const ids = models.value.flatMap(({ name, adapters }) => [
+        name,
+        ...adapters.map((one) => `${name}:${one.name}`),
+      ]);
+      const data = ids.map((id) => ({ id, object: 'model', created: 0, owned_by: 'jasmineroute' }));
+      const body = Buffer.from(JSON.stringify({ object: 'list', data }));
+      reply.send(200, [{ name: 'content-type', value: 'application/json' }], body, 'ran');
+      return Promise.resolve();
+    });
+  }
+
+  /** Answers a call to a service. */
+  async call(bindings: CallerBindings): Promise<void> {
+    await this.answer(bindings, async (request, reply, span) => {
+      const admitted = admitRequest(request, this.context.view());
+      if (admitted.isErr()) {
+        this.refuse(bindings, reply, admitted.error);
+        return;
+      }
+      const body = await readBody(bindings.incoming, admitted.value.bodyBytes, this.budget);
+      if (body.isErr()) {
+        this.refuse(bindings, reply, body.error);
+        return;
+      }
+      try {
+        await this.work(admitted.value.complete(body.value.bytes), reply, span);
+      } finally {
+        body.value.release();
+      }
+    });
+  }
+
+  private async work(call: Result<Call, Fault>, reply: Reply, span: HopSpan): Promise<void> {
+    if (call.isErr()) {
+      reply.fail(call.error);
+      return;
+    }
+    await new Work(this.context, call.value, reply, span).run();
+  }
+
+  /** A refused request may still be sending its body: what follows on its connection can't be told from that. */
+  private refuse({ incoming }: CallerBindings, reply: Reply, problem: Fault): void {
+    if (!incoming.complete) reply.header('connection', 'close');
+    reply.fail(problem);
+  }
+
+  private async answer(
+    { incoming, outgoing }: CallerBindings,
+    handle: (request: CallerRequest, reply: Reply, span: HopSpan) => Promise<void>,
+  ): Promise<void> {
+    const { clock, settings } = this.context;
+    const requestId = requestIdOf(incoming);
+    const reply = new Reply(outgoing, clock, settings.callerStallMs, requestId);
+    const span = startHop('entry.request', 'server', { carrier: carrierIn(incoming) });
+    span.span.setAttribute('request.id', requestId);
+    this.open += 1;
+    try {
+      const request = readHead(incoming, requestId);
+      if (request.isErr()) this.refuse({ incoming, outgoing }, reply, request.error);
+      else await handle(request.value, reply, span);
+    } catch (cause) {
+      this.context.log.event(entryEvents.unexpected, { requestId, error: String(cause) });
+      reply.fail(fault('internal', 'unexpected error', { cause }));
+    } finally {
+      this.open -= 1;
+      this.finish(reply, span);
+    }
+  }
+
+  private finish(reply: Reply, span: HopSpan): void {
+    const { metrics, log } = this.context;
+    const { failure } = reply;
+    metrics.count(entryMetrics.requests, 1, { status: String(reply.status), code: failure?.kind ?? 'ok' });
+    metrics.timing(entryMetrics.duration, reply.age());
+    endHop(span, failure?.kind);
+    if (failure === undefined) return;
+    const kind = failure.ran === 'not-run' ? entryEvents.requestRefused : entryEvents.requestFailed;
+    log.event(kind, {
+      requestId: reply.requestId,
+      code: failure.kind,
+      run: failure.ran,
+      message: failure.message,
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http/reply.ts
@@ -0,0 +1,195 @@
+/** The caller's side of one answer, written with the raw response of Node. */
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import { answerOf } from '@jasmineroute/core';
+import type { Clock, Fault, Ran } from '@jasmineroute/core';
+import type { HeaderField } from '@jasmineroute/engine';
+
+/** The error object of the OpenAI-compatible API, with the code and the run state of this product. */
+export interface ErrorBody {
+  readonly error: {
+    readonly message: string;
+    readonly type: string;
+    readonly code: string;
+    readonly param: null;
+    readonly run: Ran;
+  };
+}
+
+/** The error object of a fault. */
+export function errorBody(fault: Fault): ErrorBody {
+  const { type } = answerOf(fault.kind);
+  return { error: { message: fault.message, type, code: fault.kind, param: null, run: fault.ran } };
+}
+
+/** Header fields that belong to one connection or that this process writes itself. */
+const OWN_FIELDS = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'transfer-encoding',
+  'te',
+  'trailer',
+  'upgrade',
+  'x-request-id',
+  'x-run-state',
+  'date',
+]);
+
+/** How an answer stands. */
+export type ReplyState = 'open' | 'started' | 'finished' | 'gone';
+
+const SSE_COMMENT = ': ping\n\n';
+
+/** One answer to a caller. Every method is harmless once the caller is gone. */
+export class Reply {
+  private readonly gone = new AbortController();
+  private readonly startedAt: number;
+  private events = false;
+  private fault: Fault | undefined;
+  /** Monotonic time of the last byte written. */
+  private lastWrite = 0;
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly clock: Clock,
+    private readonly stallMs: number,
+    readonly requestId: string,
+  ) {
+    this.startedAt = clock.monotonic();
+    response.setHeader('x-request-id', requestId);
+    response.on('error', () => {
+      this.gone.abort();
+    });
+    response.on('close', () => {
+      if (!response.writableFinished) this.gone.abort();
+    });
+  }
+
+  /** Aborts when the caller hangs up, or takes nothing for too long, before the answer is whole. */
+  get hungUp(): AbortSignal {
+    return this.gone.signal;
+  }
+
+  get state(): ReplyState {
+    if (this.gone.signal.aborted) return 'gone';
+    if (this.response.writableEnded) return 'finished';
+    return this.response.headersSent ? 'started' : 'open';
+  }
+
+  /** The fault that ended the answer, if one did. */
+  get failure(): Fault | undefined {
+    return this.fault;
+  }
+
+  /** Status that was sent, or 0. */
+  get status(): number {
+    return this.response.headersSent ? this.response.statusCode : 0;
+  }
+
+  /** Whether the head went out and the answer is a stream of events. */
+  get streaming(): boolean {
+    return this.events;
+  }
+
+  /** Milliseconds since the request came. */
+  age(): number {
+    return this.clock.monotonic() - this.startedAt;
+  }
+
+  /** Sets one header field of an answer that has not begun. */
+  header(name: string, value: string): void {
+    if (this.state === 'open') this.response.setHeader(name, value);
+  }
+
+  /** Begins an answer with a target's head. `ran` is what is known of the run now. */
+  head(status: number, headers: readonly HeaderField[], ran: Ran): void {
+    if (this.state !== 'open') return;
+    for (const { name, value } of headers) {
+      const field = name.toLowerCase();
+      if (OWN_FIELDS.has(field)) continue;
+      if (field === 'content-type' && value.startsWith('text/event-stream')) this.events = true;
+      this.response.appendHeader(field, value);
+    }
+    this.response.setHeader('x-run-state', ran);
+    if (this.events) this.response.removeHeader('content-length');
+    this.response.writeHead(status);
+    if (this.events) this.response.flushHeaders();
+    this.lastWrite = this.clock.monotonic();
+  }
+
+  /**
+   * Writes body bytes and gives what to wait for until the caller takes more. A caller that takes nothing for the stall
+   * bound is cut: its connection may have gone silent, and nothing else would ever free what it holds.
+   */
+  write(bytes: Uint8Array): Promise<void> | undefined {
+    if (this.state !== 'started' || bytes.length === 0) return undefined;
+    this.lastWrite = this.clock.monotonic();
+    return this.response.write(bytes) ? undefined : this.drained();
+  }
+
+  /** Sends an SSE comment when the stream has been quiet for `quietMs`, so that the caller knows it lives. */
+  ping(quietMs: number): void {
+    if (!this.events || this.state !== 'started' || this.response.writableNeedDrain) return;
+    if (this.clock.monotonic() - this.lastWrite < quietMs) return;
+    this.lastWrite = this.clock.monotonic();
+    this.response.write(SSE_COMMENT);
+  }
+
+  /** Ends a whole answer. */
+  end(): void {
+    if (this.state === 'started') this.response.end();
+  }
+
+  /** Sends a whole answer at once. */
+  send(status: number, headers: readonly HeaderField[], body: Uint8Array, ran: Ran): void {
+    if (this.state !== 'open') return;
+    const fields = headers.filter(({ name }) => name.toLowerCase() !== 'content-length');
+    if (status !== 204 && status !== 304) this.response.setHeader('content-length', body.length);
+    this.head(status, fields, ran);
+    this.response.end(body);
+  }
+
+  /**
+   * Reports a fault: as an error answer while nothing was sent, as an error event without the end marker in
+   * a stream, and by cutting the connection in any other answer that has begun, because its end would look
+   * like the end of a whole one.
+   */
+  fail(fault: Fault): void {
+    if (this.state === 'finished' || this.state === 'gone') return;
+    this.fault = fault;
+    if (this.state === 'open') {
+      this.refuse(fault);
+      return;
+    }
+    if (!this.events) {
+      this.response.destroy();
+      return;
+    }
+    this.response.end(`data: ${JSON.stringify(errorBody(fault))}\n\n`);
+  }
+
+  private refuse(fault: Fault): void {
+    const { status } = answerOf(fault.kind);
+    const body = Buffer.from(JSON.stringify(errorBody(fault)));
+    if (fault.retryAfterMs !== undefined && fault.retryAfterMs > 0) {
+      this.response.setHeader('retry-after', String(Math.ceil(fault.retryAfterMs / 1_000)));
+    }
+    this.send(status, [{ name: 'content-type', value: 'application/json' }], body, fault.ran);
+  }
+
+  private async drained(): Promise<void> {
+    const calledOff = this.clock.after(this.stallMs, () => {
+      this.gone.abort(new Error('stalled'));
+      this.response.destroy();
+    });
+    try {
+      await once(this.response, 'drain', { signal: this.gone.signal });
+    } catch {
+      // The caller is gone: `state` says so.
+    } finally {
+      calledOff();
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http/server.ts
@@ -0,0 +1,148 @@
+/** The listener that callers reach: bounds, bad connections, planned stop. */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { getRequestListener } from '@hono/node-server';
+import type { Hono } from 'hono';
+import { fault } from '@jasmineroute/core';
+import type { Clock, Log } from '@jasmineroute/core';
+import { entryEvents } from '../events.js';
+import type { EntrySettings } from '../setting/index.js';
+import { refuseConnection, statusOf } from './badConnection.js';
+import type { CallerBindings } from './app.js';
+import { errorBody } from './reply.js';
+
+/** How often Node looks for requests that take too long. */
+const CHECK_INTERVAL_MS = 1_000;
+const MAX_HEADER_FIELDS = 200;
+/** A listener is closed once no connection has come for this long. */
+const QUIET_MS = 300;
+const POLL_MS = 50;
+
+/** The callers' listener. */
+export class CallerServer {
+  private readonly server: Server;
+  private readonly answering = new Map<Socket, Set<ServerResponse>>();
+  private lastConnectionAt = 0;
+  private stopping = false;
+
+  constructor(
+    app: Hono<{ Bindings: CallerBindings }>,
+    private readonly settings: EntrySettings,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {
+    const listener = getRequestListener(app.fetch, {
+      overrideGlobalObjects: false,
+      // Stands in for a missing Host field, which old health checks leave out; calls are checked for it.
+      hostname: settings.httpHost,
+      errorHandler: () => {
+        const body = errorBody(fault('invalid-request', 'the request is not valid'));
+        return Response.json(body, { status: 400, headers: { 'x-run-state': 'not-run' } });
+      },
+    });
+    this.server = createServer(
+      {
+        maxHeaderSize: settings.maxHeaderBytes,
+        headersTimeout: settings.headerTimeoutMs,
+        requestTimeout: Math.max(settings.requestTimeoutMs, settings.headerTimeoutMs),
+        keepAliveTimeout: settings.idleTimeoutMs,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+        noDelay: true,
+        requireHostHeader: false,
+      },
+      (incoming, outgoing) => {
+        this.track(incoming.socket, outgoing);
+        void listener(incoming, outgoing);
+      },
+    );
+    this.server.maxConnections = settings.maxConnections;
+    this.server.maxHeadersCount = MAX_HEADER_FIELDS;
+    this.watchConnections();
+  }
+
+  /** Starts to listen. @returns host:port. */
+  async listen(): Promise<string> {
+    const { httpHost, httpPort } = this.settings;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(httpPort, httpHost, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+    return `${httpHost}:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Open connections. */
+  get connections(): number {
+    return this.answering.size;
+  }
+
+  /** From now on every answer asks its caller to take a new connection, which the balancer sends elsewhere. */
+  turnAway(): void {
+    this.stopping = true;
+  }
+
+  /**
+   * Closes the listener once no connection has come for a moment: one that still waits to be accepted would be
+   * reset with it. Then closes idle connections and resolves when the busy ones have finished.
+   */
+  async drain(patienceMs: number): Promise<void> {
+    const until = this.clock.monotonic() + patienceMs;
+    while (this.clock.monotonic() - this.lastConnectionAt < QUIET_MS && this.clock.monotonic() < until) {
+      await this.clock.sleep(POLL_MS);
+    }
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+    });
+    this.server.closeIdleConnections();
+    await closed;
+  }
+
+  /** Cuts everything. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+    });
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  private track(socket: Socket, outgoing: ServerResponse): void {
+    const answers = this.answering.get(socket);
+    answers?.add(outgoing);
+    outgoing.once('close', () => answers?.delete(outgoing));
+    if (this.stopping) outgoing.setHeader('connection', 'close');
+  }
+
+  private watchConnections(): void {
+    this.server.on('connection', (socket: Socket) => {
+      this.lastConnectionAt = this.clock.monotonic();
+      this.answering.set(socket, new Set());
+      socket.once('close', () => this.answering.delete(socket));
+    });
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+      this.refuse(error, socket);
+    });
+    this.server.on('connect', (_request: IncomingMessage, socket: Socket) => {
+      refuseConnection(undefined, socket);
+    });
+  }
+
+  private refuse(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    this.log.event(entryEvents.badConnection, { code: error.code, status: statusOf(error.code) });
+    const begun = [...(this.answering.get(socket) ?? [])].some((answer) => answer.headersSent);
+    // An error in the middle of an answer would be read as a part of it.
+    if (begun) socket.destroy();
+    else refuseConnection(error.code, socket);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/work/admissions.ts
@@ -0,0 +1,72 @@
+/** Admission by service, under the documents in force. */
+import { Admission } from '@jasmineroute/routing';
+import type { AdmissionRules, CustomerRules } from '@jasmineroute/routing';
+import type { Clock } from '@jasmineroute/core';
+import type { Instance, View } from '@jasmineroute/directory';
+import type { RoutedService } from '@jasmineroute/document';
+
+/** Customers' rules live as long as their document. */
+const customerRules = new WeakMap<RoutedService, ReadonlyMap<string, CustomerRules>>();
+
+function rulesOf(service: RoutedService): ReadonlyMap<string, CustomerRules> {
+  const known = customerRules.get(service);
+  if (known !== undefined) return known;
+  const rules = new Map<string, CustomerRules>(
+    service.customers.map(({ name, share, limits }) => [name, { share, ...limits }]),
+  );
+  customerRules.set(service, rules);
+  return rules;
+}
+
+const isServing = ({ role, health }: Instance): boolean =>
+  role === 'entry' && (health === 'alive' || health === 'suspect');
+
+/** What admission needs of the instances; counted once for each picture of them. */
+interface Census {
+  readonly instances: View['instances'];
+  readonly entries: number;
+  readonly capacity: ReadonlyMap<string, number>;
+}
+
+function count(instances: View['instances']): Census {
+  let entries = 0;
+  const capacity = new Map<string, number>();
+  for (const instance of instances.values()) {
+    if (isServing(instance)) entries += 1;
+    const { target, health } = instance;
+    if (target?.ready !== true || health === 'down' || health === 'leaving') continue;
+    capacity.set(target.service, (capacity.get(target.service) ?? 0) + target.capacity);
+  }
+  return { instances, entries: Math.max(1, entries), capacity };
+}
+
+/** One admission for each service. */
+export class Admissions {
+  private readonly admissions = new Map<string, Admission>();
+  private census: Census = count(new Map());
+
+  constructor(
+    private readonly view: () => View,
+    private readonly clock: Clock,
+  ) {}
+
+  /** The admission of a service. */
+  of(service: string): Admission {
+    const known = this.admissions.get(service);
+    if (known !== undefined) return known;
+    const made = new Admission({ clock: this.clock, rules: () => this.rules(service) });
+    this.admissions.set(service, made);
+    return made;
+  }
+
+  private rules(service: string): AdmissionRules {
+    const { documents, instances } = this.view();
+    if (this.census.instances !== instances) this.census = count(instances);
+    const document = documents.get(service)?.document;
+    const { entries, capacity } = this.census;
+    const shared = { capacity: capacity.get(service) ?? 0, liveEntries: entries };
+    if (document === undefined || document.kind === 'control')
+      return { customers: new Map(), queue: 0, ...shared };
+    return { customers: rulesOf(document), queue: document.limits.queue, ...shared };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/work/decisions.ts
@@ -0,0 +1,131 @@
+/** Which target takes a call: candidates, policy, probes. */
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { fault } from '@jasmineroute/core';
+import type { Clock, Fault, Metrics } from '@jasmineroute/core';
+import type { View } from '@jasmineroute/directory';
+import type { RoutedService } from '@jasmineroute/document';
+import { encodeChain, policies } from '@jasmineroute/routing';
+import type { Candidate, Job, Policy, ProbeReading } from '@jasmineroute/routing';
+import { candidatesOf } from '../call/index.js';
+import type { Call, GateCandidate } from '../call/index.js';
+import { entryMetrics } from '../metrics.js';
+import { readingOf } from './reading.js';
+import type { GateClients } from '../gate/index.js';
+
+/** A chosen target. */
+export interface Placement {
+  readonly candidate: GateCandidate;
+  readonly policy: Policy;
+  /** Gate to import KV cache from; empty: none. */
+  readonly importFrom: string;
+}
+
+/** What decisions are made with. */
+export interface DecisionOptions {
+  readonly view: () => View;
+  readonly clients: GateClients;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly dataCentre: string;
+  readonly probeTimeoutMs: number;
+  readonly seed: number;
+}
+
+/** Policy of plain services, which have no prompts to tell apart. */
+const PLAIN_POLICY = 'least-outstanding';
+const FALLBACK_POLICY = 'default';
+
+interface KnownPolicy {
+  readonly name: string;
+  readonly policy: Policy;
+}
+
+/** Decides for all services of one entry. */
+export class Decisions {
+  private readonly known = new Map<string, KnownPolicy>();
+
+  constructor(private readonly options: DecisionOptions) {}
+
+  /** Chooses a target. Refusals mean that nothing was sent. */
+  async place(call: Call, job: Job): Promise<Result<Placement, Fault>> {
+    const { view, clock, metrics } = this.options;
+    const all = candidatesOf(call, view());
+    const open = all.filter(({ name }) => !job.excluded.has(name));
+    if (open.length === 0) return err(this.absence(call, all.length));
+    const policy = this.policyOf(call.service);
+    const began = clock.monotonic();
+    const choice = await policy.choose(job, open);
+    metrics.timing(entryMetrics.decision, clock.monotonic() - began);
+    const candidate = open.find(({ name }) => name === choice.order[0]?.name);
+    if (candidate === undefined) return err(fault('no-target', 'no target takes work now'));
+    const importFrom = open.find(({ name }) => name === choice.importFrom)?.address ?? '';
+    return ok({ candidate, policy, importFrom });
+  }
+
+  private absence(call: Call, excluded: number): Fault {
+    const { service } = call.service;
+    if (excluded > 0) return fault('no-target', `no other target of ${service} can take the request`);
+    const instances = [...this.options.view().instances.values()];
+    const ready = instances.some(
+      ({ target, health }) => target?.service === service && target.ready && health === 'alive',
+    );
+    if (ready && call.model !== undefined) {
+      return fault('model-not-loaded', `no target of ${service} has this version of the model in memory`);
+    }
+    return fault('no-target', `no target of ${service} is ready`);
+  }
+
+  private policyOf(service: RoutedService): Policy {
+    const wanted = service.kind === 'model' ? service.policy : PLAIN_POLICY;
+    const known = this.known.get(service.service);
+    if (known?.name === wanted) return known.policy;
+    const factory = policies.find(wanted) ?? policies.get(FALLBACK_POLICY);
+    const { clock, dataCentre, seed } = this.options;
+    const policy = factory({
+      clock,
+      dataCentre,
+      seed,
+      probe: (candidate, job) => this.probe(service, candidate, job),
+    });
+    this.known.set(service.service, { name: wanted, policy });
+    return policy;
+  }
+
+  private async probe(
+    service: RoutedService,
+    candidate: Candidate,
+    job: Job,
+  ): Promise<ProbeReading | undefined> {
+    const { view, clients, clock, probeTimeoutMs } = this.options;
+    const address = view().instances.get(candidate.name)?.address;
+    if (address === undefined) return undefined;
+    const cut = new AbortController();
+    const calledOff = clock.after(probeTimeoutMs, () => {
+      cut.abort();
+    });
+    const weightsVersion = service.kind === 'model' ? versionOf(service, job.model) : '';
+    try {
+      const answer = await clients.over(clients.connection(address)).probe(
+        {
+          service: job.service,
+          model: job.model,
+          weightsVersion,
+          chain: encodeChain(job.chain),
+          promptTokens: job.promptTokens,
+          priority: job.priority,
+        },
+        { signal: cut.signal },
+      );
+      return readingOf(answer);
+    } catch {
+      return undefined;
+    } finally {
+      calledOff();
+    }
+  }
+}
+
+function versionOf(service: Extract<RoutedService, { kind: 'model' }>, model: string): string {
+  return service.models.find(({ name }) => name === model)?.version ?? '';
+}
--- /dev/null
+++ b/packages/entry/src/work/sender.ts
@@ -0,0 +1,107 @@
+/** Sends the attempts of one call to gates. */
+import { create } from '@bufbuild/protobuf';
+import { carrierOf, endHop, startHop } from '@jasmineroute/core';
+import type { HopSpan, Ran } from '@jasmineroute/core';
+import { gateMessage } from '@jasmineroute/protocol';
+import { encodeChain } from '@jasmineroute/routing';
+import type { Answer } from '../answer/index.js';
+import { Attempt } from '../gate/index.js';
+import type { AttemptName, AttemptOutcome } from '../gate/index.js';
+import { entryMetrics } from '../metrics.js';
+import type { WorkContext } from './context.js';
+import type { Sending, Subject } from './plan.js';
+import { loadOf } from './reading.js';
+
+/** Sends attempts, one at a time. */
+export class Sender {
+  private sending = false;
+
+  constructor(
+    private readonly context: WorkContext,
+    private readonly subject: Subject,
+    private readonly answer: Answer,
+  ) {}
+
+  /** Whether a gate may have an attempt now. */
+  get busy(): boolean {
+    return this.sending;
+  }
+
+  /** Sends one attempt and follows it to its end; the policy learns of it. */
+  async send(sending: Sending): Promise<AttemptOutcome> {
+    const { clock, metrics } = this.context;
+    const { placement, job } = sending;
+    const { candidate, policy } = placement;
+    const hop = startHop('gate.run', 'client', { parent: this.subject.span });
+    const began = clock.monotonic();
+    this.answer.expectFirstChunk();
+    policy.dispatched(candidate, job);
+    const outcome = await this.follow(candidate.address, sending.name, (attempt) =>
+      attempt.run(this.message(sending, hop)),
+    );
+    const { firstChunkAt } = this.answer;
+    const end = outcome.type === 'ended' ? outcome.end : undefined;
+    policy.settled({
+      candidate,
+      job,
+      phase: 'end',
+      ok: outcome.type === 'ended',
+      firstTokenMs: firstChunkAt === undefined ? undefined : firstChunkAt - began,
+      cachedTokens: end?.cachedTokens,
+      load: loadOf(end?.load),
+    });
+    metrics.count(entryMetrics.attempts, 1, { outcome: outcome.type });
+    endHop(hop, outcome.type === 'ended' ? undefined : outcome.type);
+    return outcome;
+  }
+
+  /** Follows an attempt that another entry sent. */
+  attach(address: string, name: AttemptName): Promise<AttemptOutcome> {
+    return this.follow(address, name, (attempt) => attempt.attach());
+  }
+
+  /** Stops an attempt. @returns what is proved of it. */
+  cancel({ placement, name }: Sending): Promise<Ran> {
+    return this.context.clients.cancel(placement.candidate.address, name);
+  }
+
+  private async follow(
+    address: string,
+    name: AttemptName,
+    run: (attempt: Attempt) => Promise<AttemptOutcome>,
+  ): Promise<AttemptOutcome> {
+    const { settings, clients, clock, log, metrics } = this.context;
+    const repeatable = this.subject.call.idempotent;
+    const context = { clients, clock, log, metrics, repeatable, bounds: settings };
+    this.sending = true;
+    try {
+      return await run(new Attempt(context, address, name, this.answer, this.subject.stop));
+    } finally {
+      this.sending = false;
+    }
+  }
+
+  private message({ plan, job, placement, name }: Sending, hop: HopSpan): gateMessage.RunRequest {
+    const { call, remaining } = this.subject;
+    const trace = Object.entries(carrierOf(hop)).map(([field, value]) => ({ name: field, value }));
+    return create(gateMessage.RunRequestSchema, {
+      ...name,
+      service: call.service.service,
+      customer: call.customer,
+      model: job.model,
+      adapter: call.model?.prompt.adapter ?? '',
+      weightsVersion: call.model?.weights.version ?? '',
+      method: call.method,
+      path: call.path,
+      headers: [...call.headers, ...trace],
+      body: plan.body,
+      priority: call.priority,
+      deadlineMs: remaining(),
+      idempotent: call.idempotent,
+      resumeTokens: plan.tokens,
+      chain: encodeChain(job.chain),
+      promptTokens: job.promptTokens,
+      importFrom: placement.importFrom,
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/work/work.ts
@@ -0,0 +1,89 @@
+/** One call from admission to the end of its answer. */
+import { fault } from '@jasmineroute/core';
+import type { Cancellation, HopSpan } from '@jasmineroute/core';
+import { tokensOf } from '@jasmineroute/routing';
+import type { Demand } from '@jasmineroute/routing';
+import type { Call } from '../call/index.js';
+import { entryEvents } from '../events.js';
+import type { Reply } from '../http/reply.js';
+import { entryMetrics } from '../metrics.js';
+import { Attempts } from './attempts.js';
+import type { WorkContext } from './context.js';
+
+/** The work on one call. Made for one use. */
+export class Work {
+  private readonly stop = new AbortController();
+  private readonly attempts: Attempts;
+  private readonly deadline: number;
+
+  constructor(
+    private readonly context: WorkContext,
+    private readonly call: Call,
+    private readonly reply: Reply,
+    span: HopSpan,
+  ) {
+    this.deadline = context.clock.monotonic() + call.deadlineMs;
+    this.attempts = new Attempts(context, {
+      call,
+      reply,
+      span,
+      stop: this.stop.signal,
+      remaining: () => Math.max(1, Math.round(this.deadline - context.clock.monotonic())),
+    });
+  }
+
+  /** Resolves when the caller has its answer and all that follows from it is done. */
+  async run(): Promise<void> {
+    const calledOff = this.context.clock.after(this.call.deadlineMs, () => {
+      this.expire();
+    });
+    const unhooked = this.call.persistent ? () => undefined : this.stopOnHangUp();
+    try {
+      await this.admitted();
+    } finally {
+      calledOff();
+      unhooked();
+    }
+  }
+
+  private async admitted(): Promise<void> {
+    const permit = await this.context.admissions.of(this.call.service.service).admit(this.demand());
+    if (permit.isErr()) {
+      this.reply.fail(permit.error);
+      return;
+    }
+    try {
+      await this.attempts.run();
+    } finally {
+      permit.value.release();
+    }
+  }
+
+  private demand(): Demand {
+    const { customer, priority, deadlineMs, model } = this.call;
+    const promptTokens = tokensOf(model?.prompt.bytes.length ?? 0);
+    return { customer, priority, deadlineMs, promptTokens, signal: this.stop.signal };
+  }
+
+  /** A caller that hangs up wants no more of its answer: the target's work on it would be wasted. */
+  private stopOnHangUp(): Cancellation {
+    const { hungUp } = this.reply;
+    const stop = (): void => {
+      this.context.metrics.count(entryMetrics.hangUps);
+      this.context.log.event(entryEvents.callerGone, { requestId: this.call.requestId });
+      this.stop.abort();
+    };
+    hungUp.addEventListener('abort', stop, { once: true });
+    if (hungUp.aborted) stop();
+    return () => {
+      hungUp.removeEventListener('abort', stop);
+    };
+  }
+
+  /** The deadline passed: the caller gets its final answer at once, whatever the gate is doing. */
+  private expire(): void {
+    if (this.stop.signal.aborted) return;
+    this.reply.fail(fault('deadline-exceeded', 'the deadline passed', { ran: this.attempts.known() }));
+    this.stop.abort();
+  }
+}
--- a/packages/protocol/src/role/role.ts
+++ b/packages/protocol/src/role/role.ts
@@ -17,6 +17,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly peers: Peers;
+  /** Asks the process to stop as a signal would: it can't go on, for a reason that goes to the log. */
+  readonly stop?: (reason: string) => void;
 }
 
 /** Whether the platform should send work here. */
--- a/packages/protocol/src/transport/peers.ts
+++ b/packages/protocol/src/transport/peers.ts
@@ -1,6 +1,7 @@
 /** Connections to other processes of the system. */
-import { Http2SessionManager, createConnectTransport } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Transport } from '@connectrpc/connect';
+import { SessionManager } from './sessionManager.js';
 import type { TlsStore } from './tls.js';
 
 /** Largest message that is read. */
@@ -12,7 +13,7 @@
 
 interface Peer {
   readonly transport: Transport;
-  readonly session: Http2SessionManager;
+  readonly session: SessionManager;
 }
 
 /** One HTTP/2 connection for each address, made when first used. */
@@ -59,7 +60,7 @@
   private connect(address: string): Peer {
     const material = this.tls?.current();
     const baseUrl = `${material === undefined ? 'http' : 'https'}://${address}`;
-    const session = new Http2SessionManager(
+    const session = new SessionManager(
       baseUrl,
       {
         pingIntervalMs: IDLE_PING_MS,
--- a/packages/routing/src/policy/candidateLevels.ts
+++ b/packages/routing/src/policy/candidateLevels.ts
@@ -5,7 +5,7 @@
 import { homesOf } from './rendezvousHash.js';
 
 /** Key of prompts too short for any level: all of them may go anywhere. */
-const NO_PREFIX = 0n;
+const NO_PREFIX = { low: 0, high: 0 };
 
 /**
  * Homes of a prompt's levels, deepest level first, each target once. A full home of the deep level is
@@ -13,11 +13,12 @@
  */
 export function homesByLevel(chain: Chain, candidates: readonly Candidate[], count: number): Candidate[] {
   const homes = new Set<Candidate>();
-  for (const level of levelsOf(chain)) {
-    for (const home of homesOf(level.hash, candidates, 1)) homes.add(home);
+  const levels = levelsOf(chain);
+  for (const level of levels) {
+    for (const home of homesOf(level, candidates, 1)) homes.add(home);
     if (homes.size >= count) return [...homes];
   }
-  const root = levelsOf(chain).at(-1)?.hash ?? NO_PREFIX;
+  const root = levels.at(-1) ?? NO_PREFIX;
   for (const home of homesOf(root, candidates, count)) {
     if (homes.size < count) homes.add(home);
   }
--- a/packages/routing/src/policy/policy.ts
+++ b/packages/routing/src/policy/policy.ts
@@ -64,6 +64,8 @@
   readonly probe: Probe;
   /** Seed of the policy's random numbers. */
   readonly seed: number;
+  /** Milliseconds to import one block of KV cache from another target; nothing is imported when absent. */
+  readonly importBlockMs?: number;
 }
 
 /** A choice, best first. */
--- /dev/null
+++ b/packages/routing/src/policy/popularity.ts
@@ -0,0 +1,72 @@
+/** How large a part of the requests each prefix has had lately, in bounded memory. */
+import type { Clock } from '@jasmineroute/core';
+
+const ROWS = 4;
+const COLUMNS = 2_048;
+
+/** Time in which a past request comes to count for 1/e. */
+const DECAY_MS = 10_000;
+
+/** Weights are scaled back at this size, long before numbers lose digits. */
+const LARGEST_WEIGHT = 1e12;
+
+/** Requests that are taken as seen at the start, so that the first prefix is not at once the whole traffic. */
+const PRIOR_REQUESTS = 20;
+
+const UNIT = 2 ** -32;
+const ROW_FACTORS = [0x9e3779b1, 0x85ebca77, 0xc2b2ae3d, 0x27d4eb2f];
+
+/**
+ * Count-min sketch with decay. Newer requests weigh more instead of older ones less, so that nothing is walked
+ * through as time passes. Shares are at times too large, by collisions, and never too small.
+ */
+export class Popularity {
+  private readonly counts = new Float64Array(ROWS * COLUMNS);
+  private total = PRIOR_REQUESTS;
+  private epoch: number;
+
+  constructor(private readonly clock: Clock) {
+    this.epoch = clock.monotonic();
+  }
+
+  /** Counts one request: all its prefixes. */
+  record(keys: readonly number[]): void {
+    const weight = this.weight();
+    this.total += weight;
+    for (const key of keys) {
+      for (let row = 0; row < ROWS; row += 1) this.add(row, key, weight);
+    }
+    if (weight > LARGEST_WEIGHT) this.rescale(weight);
+  }
+
+  /** Share of the recent requests that have a prefix, 0 to 1. */
+  share(key: number): number {
+    let least = Number.POSITIVE_INFINITY;
+    for (let row = 0; row < ROWS; row += 1) least = Math.min(least, this.counts[place(row, key)] ?? 0);
+    return least / this.total;
+  }
+
+  private add(row: number, key: number, weight: number): void {
+    const index = place(row, key);
+    this.counts[index] = (this.counts[index] ?? 0) + weight;
+  }
+
+  private weight(): number {
+    return Math.exp((this.clock.monotonic() - this.epoch) / DECAY_MS);
+  }
+
+  private rescale(weight: number): void {
+    for (let index = 0; index < this.counts.length; index += 1) {
+      this.counts[index] = (this.counts[index] ?? 0) / weight;
+    }
+    this.total /= weight;
+    this.epoch = this.clock.monotonic();
+  }
+}
+
+function place(row: number, key: number): number {
+  const low = key | 0;
+  const high = Math.trunc(key / 4_294_967_296);
+  const mixed = Math.imul(low ^ (low >>> 15) ^ high, ROW_FACTORS[row] ?? 1);
+  return row * COLUMNS + Math.floor(((mixed ^ (mixed >>> 13)) >>> 0) * UNIT * COLUMNS);
+}
--- a/packages/routing/src/policy/registry.ts
+++ b/packages/routing/src/policy/registry.ts
@@ -1,10 +1,21 @@
 /** All policies by name, earlier versions of the default among them. */
 import { Registry } from '@jasmineroute/core';
+import { LearntHints } from './learntHints.js';
 import { LeastOutstanding } from './leastOutstanding.js';
 import type { PolicyFactory } from './policy.js';
 import { RendezvousProbe } from './probing.js';
 import { Rendezvous } from './rendezvous.js';
 import { RoundRobin } from './roundRobin.js';
+import { Weighing } from './weighing.js';
+import type { WeighingOptions } from './weighing.js';
+
+/** Second version of the default: weighs queues and remembers what it has seen. */
+const v2: WeighingOptions = {
+  probes: 4,
+  probesUnknown: 6,
+  weights: { latency: { base: 1, perWaiting: 1 }, reuse: { base: 3, perWaiting: 2 } },
+  homePreference: 0.1,
+};
 
 /** Policies that a document or the bench tool can name. */
 export const policies = new Registry<PolicyFactory>('policy')
@@ -12,4 +23,7 @@
   .add('least-outstanding', (context) => new LeastOutstanding(context.seed))
   .add('rendezvous', () => new Rendezvous())
   .add('rendezvous-probe', (context) => new RendezvousProbe(context))
-  .add('default', (context) => new RendezvousProbe(context));
+  .add('learnt-hints', () => new LearntHints())
+  .add('v1', (context) => new RendezvousProbe(context))
+  .add('v2', (context) => new Weighing(context, v2))
+  .add('default', (context) => new Weighing(context, v2));
--- a/packages/routing/src/policy/rendezvousHash.ts
+++ b/packages/routing/src/policy/rendezvousHash.ts
@@ -3,6 +3,7 @@
  * computed from names alone, so all entries agree and a restarted one decides as before; a target that comes
  * or goes moves only its own keys.
  */
+import type { Level } from '../prefix/index.js';
 import type { Candidate } from './policy.js';
 
 /** Scale of a 32-bit number to (0, 1). */
@@ -39,13 +40,15 @@
   return -candidate.capacity / Math.log((drawn + 0.5) * UNIT);
 }
 
-/** The `count` first homes of a key, best first. */
-export function homesOf(key: bigint, candidates: readonly Candidate[], count: number): Candidate[] {
-  const low = Number(key & 0xffff_ffffn);
-  const high = Number(key >> 32n);
+/** The `count` first homes of a prefix, best first. */
+export function homesOf(
+  prefix: Pick<Level, 'low' | 'high'>,
+  candidates: readonly Candidate[],
+  count: number,
+): Candidate[] {
   const homes: { candidate: Candidate; score: number }[] = [];
   for (const candidate of candidates) {
-    const drawn = { candidate, score: score(low, high, candidate) };
+    const drawn = { candidate, score: score(prefix.low, prefix.high, candidate) };
     const last = homes.at(-1);
     if (homes.length === count && last !== undefined && last.score >= drawn.score) continue;
     const place = homes.findIndex((home) => home.score < drawn.score);
--- /dev/null
+++ b/packages/routing/src/policy/shortlist.ts
@@ -0,0 +1,102 @@
+/**
+ * The few targets that are asked about a prompt.
+ *
+ * Homes are computed from the prompt and the targets' names, so a restarted entry asks the same ones as before
+ * and as the others. What the entry remembers only tells which level of the prompt is the one that is shared,
+ * where its overflow went, and who idles.
+ */
+import { levelsOf } from '../prefix/index.js';
+import type { Chain, Level } from '../prefix/index.js';
+import type { HomeCounts } from './homeCounts.js';
+import type { LoadBook } from './loadBook.js';
+import type { Candidate } from './policy.js';
+import type { Popularity } from './popularity.js';
+import type { PrefixHints } from './prefixHints.js';
+import { draw } from './random.js';
+import type { Random } from './random.js';
+import { homesOf } from './rendezvousHash.js';
+
+/** What shortlists are made with. */
+export interface ShortlistParts {
+  readonly hints: PrefixHints;
+  readonly popularity: Popularity;
+  readonly homeCounts: HomeCounts;
+  readonly loadBook: LoadBook;
+  readonly random: Random;
+  /** Targets asked for a prompt of which no prefix is known here. */
+  readonly probesUnknown: number;
+  /** Targets asked for any other. */
+  readonly probes: number;
+}
+
+/** Targets to ask, the first home of the shared prefix named. */
+export interface Shortlist {
+  readonly candidates: readonly Candidate[];
+  readonly home?: Candidate;
+}
+
+/** Key of prompts too short for any level. */
+const NO_PREFIX = { blocks: 0, low: 0, high: 0, key: 0 };
+
+/** Of this many others, the idlest is asked too: not always the idlest of all, which all entries would find. */
+const IDLE_DRAWN = 5;
+
+/** Makes the shortlist of a prompt. */
+export function shortlistOf(
+  parts: ShortlistParts,
+  chain: Chain,
+  candidates: readonly Candidate[],
+): Shortlist {
+  const levels = levelsOf(chain);
+  const hint = parts.hints.deepest(levels, candidates);
+  const count = Math.min(candidates.length, hint === undefined ? parts.probesUnknown : parts.probes);
+  const shared = hint?.level ?? levels[0] ?? NO_PREFIX;
+  const homes = homesFor(parts, shared, candidates);
+  const asked = new Set<Candidate>(homes.slice(0, count));
+  const add = (more: readonly Candidate[], most: number): void => {
+    for (const candidate of more) if (asked.size < most) asked.add(candidate);
+  };
+  add(hint?.candidates.slice(0, 1) ?? [], count);
+  add(shallowerHomes(levels, shared, candidates, asked), count - 1);
+  add(idlest(parts, candidates, asked), count);
+  add(homesOf(shared, candidates, count), count);
+  return { candidates: [...asked], home: homes[0] };
+}
+
+/** The first home, or two of the homes of a prefix that has several. */
+function homesFor(parts: ShortlistParts, level: Level, candidates: readonly Candidate[]): Candidate[] {
+  const share = parts.popularity.share(level.key);
+  const count = parts.homeCounts.homes(level.key, share, candidates.length);
+  return draw(parts.random, homesOf(level, candidates, count), 2);
+}
+
+/** First homes of the levels above the shared one, deepest first: they hold the longest prefix next to it. */
+function shallowerHomes(
+  levels: readonly Level[],
+  shared: Level,
+  candidates: readonly Candidate[],
+  asked: ReadonlySet<Candidate>,
+): Candidate[] {
+  const homes: Candidate[] = [];
+  for (const level of levels) {
+    if (level.blocks >= shared.blocks) continue;
+    const [home] = homesOf(level, candidates, 1);
+    if (home !== undefined && !asked.has(home)) homes.push(home);
+  }
+  return homes;
+}
+
+function idlest(
+  parts: ShortlistParts,
+  candidates: readonly Candidate[],
+  asked: ReadonlySet<Candidate>,
+): Candidate[] {
+  const others = draw(parts.random, candidates, IDLE_DRAWN + asked.size).filter((other) => !asked.has(other));
+  const [first, ...rest] = others;
+  if (first === undefined) return [];
+  let best = first;
+  for (const other of rest) {
+    if (parts.loadBook.waitMs(other) < parts.loadBook.waitMs(best)) best = other;
+  }
+  return [best];
+}
--- a/packages/routing/src/prefix/levels.ts
+++ b/packages/routing/src/prefix/levels.ts
@@ -8,21 +8,34 @@
 export interface Level {
   /** Number of blocks. */
   readonly blocks: number;
-  /** Hash of the prefix. */
-  readonly hash: bigint;
+  /** Halves of the prefix's hash. */
+  readonly low: number;
+  readonly high: number;
+  /** 53 bits of the hash, for tables in memory. */
+  readonly key: number;
 }
 
 /** Blocks of the first level, and the ratio between one level and the next. */
 const FIRST_LEVEL_BLOCKS = 4;
 const LEVEL_RATIO = 2;
 
+/** 2^32, and the bits of the high half that fit beside the low one. */
+const HIGH_UNIT = 4_294_967_296;
+const HIGH_BITS = 0x1f_ffff;
+
 /** Levels of a chain, deepest first: 4, 8, 16… blocks. Prompts too short for any have their last block. */
 export function levelsOf(chain: Chain): Level[] {
+  const halves = new Uint32Array(chain.buffer, chain.byteOffset, 2 * chain.length);
   const levels: Level[] = [];
   for (let blocks = FIRST_LEVEL_BLOCKS; blocks <= chain.length; blocks *= LEVEL_RATIO) {
-    levels.unshift({ blocks, hash: chain[blocks - 1] ?? 0n });
+    levels.unshift(levelAt(halves, blocks));
   }
-  const last = chain.at(-1);
-  if (levels.length === 0 && last !== undefined) return [{ blocks: chain.length, hash: last }];
+  if (levels.length === 0 && chain.length > 0) return [levelAt(halves, chain.length)];
   return levels;
 }
+
+function levelAt(halves: Uint32Array, blocks: number): Level {
+  const low = halves[2 * blocks - 2] ?? 0;
+  const high = halves[2 * blocks - 1] ?? 0;
+  return { blocks, low, high, key: (high & HIGH_BITS) * HIGH_UNIT + low };
+}
--- a/packages/routing/src/target/index.ts
+++ b/packages/routing/src/target/index.ts
@@ -1,1 +1,1 @@
-export * from './targetLedger.js';
+export * from './prefillTurns.js';
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,6 @@
 /** Fault-injecting proxy, process launcher and cluster launcher for tests and benches. Not for products. */
+export * from './cluster/index.js';
+export * from './port/index.js';
 export * from './process/index.js';
 export * from './proxy/index.js';
 export * from './wait/index.js';
--- a/packages/testkit/src/process/managedProcess.ts
+++ b/packages/testkit/src/process/managedProcess.ts
@@ -40,6 +40,12 @@
   readonly signal: NodeJS.Signals | null;
 }
 
+/** Settings of the shell that runs a test must not reach the processes under test. */
+function ownEnvironment(): NodeJS.ProcessEnv {
+  const entries = Object.entries(process.env).filter(([name]) => !name.startsWith('JASMINEROUTE_'));
+  return Object.fromEntries(entries);
+}
+
 const live = new Set<ChildProcess>();
 
 process.once('exit', () => {
@@ -78,7 +84,7 @@
   }
 
   get running(): boolean {
-    return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
+    return this.child?.exitCode === null && this.child.signalCode === null;
   }
 
   /** Resolves when it has ended. */
@@ -93,7 +99,7 @@
     mkdirSync(dirname(logFile), { recursive: true });
     const log = openSync(logFile, 'a');
     const child = spawn(process.execPath, [...nodeArgs, script, ...args, ...extraArgs], {
-      env: { ...process.env, ...env },
+      env: { ...ownEnvironment(), ...env },
       stdio: ['ignore', 'pipe', log],
     });
     this.child = child;
@@ -101,10 +107,13 @@
     this.exited = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
         live.delete(child);
-        closeSync(log);
         resolve({ code, signal });
       });
     });
+    // Lines that were still in the pipe at the exit arrive before the close.
+    child.once('close', () => {
+      closeSync(log);
+    });
     this.readyState = await this.waitUntilReady(child, log, readyTimeoutMs);
     return this.readyState;
   }
@@ -156,7 +165,7 @@
         reject(new Error(`${this.name} ended with ${how} before it was ready; see ${this.options.logFile}`));
       });
       createInterface({ input: stdout }).on('line', (line) => {
-        if (child.exitCode === null) writeSync(log, `${line}\n`);
+        writeSync(log, `${line}\n`);
         const ready = parseReady(line);
         if (ready === undefined) return;
         cancel();
