--- a/packages/agent/src/gate/gate.ts
+++ b/packages/agent/src/gate/gate.ts
@@ -12,7 +12,7 @@
 import { LoadMeter, Slots } from '../load/index.js';
 import { agentMetrics } from '../metrics.js';
 import { Attempts, Run, lastEvent, ranMessages } from '../run/index.js';
-import type { AttemptRecord, BufferBounds, RunContext, RunEventInit } from '../run/index.js';
+import type { AttemptRecord, BufferBounds, RunContext } from '../run/index.js';
 import { isOfAgent } from '../watch/incarnation.js';
 import { checkArrival, checkSending, isLoaded } from './check.js';
 import { estimateMs } from './estimate.js';
@@ -43,11 +43,19 @@
   readonly suspect: () => void;
 }
 
+type RunEvents = AsyncIterable<gateMessage.RunEvent>;
+
 /** Largest answer that is kept whole for a run that must not be repeated. */
 const ONCE_BYTES = 1024 * 1024;
 
+/**
+ * How the gate's messages are coded. Chunks are not compressed: they are small, and the time for it is many
+ * times that of forwarding them.
+ */
+export const gateCoding = { acceptCompression: [] };
+
 /** The gate of one target. */
-export class Gate implements ServiceImpl<typeof gateMessage.Gate> {
+export class Gate {
   private readonly attempts: Attempts;
   private readonly slots: Slots;
   private readonly meter: LoadMeter;
@@ -66,27 +74,30 @@
     this.startedAt = clock.monotonic();
   }
 
+  /** The gate as a service of the RPC server. */
+  service(): ServiceImpl<typeof gateMessage.Gate> {
+    return {
+      run: (request, context) => this.run(request, context),
+      resume: (request, context) => this.resume(request, context),
+      cancel: (request) => this.cancel(request),
+      probe: (request) => this.probe(request),
+    };
+  }
+
   /** Runs an attempt, or attaches to it when it is here already: it is never run twice. */
-  async *run(request: gateMessage.RunRequest, context: HandlerContext): AsyncGenerator<RunEventInit> {
+  run(request: gateMessage.RunRequest, context: HandlerContext): RunEvents {
     const known = this.attempts.find(request.attemptId);
-    if (known !== undefined) {
-      yield* this.again(request, known, context.signal);
-      return;
-    }
+    if (known !== undefined) return this.again(request, known, context.signal);
     const admitted = this.admit(request);
-    if (!(admitted instanceof Run)) {
-      yield this.refusal(request, admitted);
-      return;
-    }
-    yield* admitted.read(0, context.signal);
+    return admitted instanceof Run ? admitted.read(0, context.signal) : this.refusal(request, admitted);
   }
 
   /** Goes on with a known attempt. */
-  async *resume(request: gateMessage.ResumeRequest, context: HandlerContext): AsyncGenerator<RunEventInit> {
+  resume(request: gateMessage.ResumeRequest, context: HandlerContext): RunEvents {
     const known = this.attempts.find(request.attemptId);
     if (known?.type !== 'run') throw new ConnectError('no such attempt here', Code.NotFound);
     this.options.metrics.count(agentMetrics.resumes, 1, { side: 'entry' });
-    yield* known.run.read(Number(request.fromOrdinal), context.signal);
+    return known.run.read(Number(request.fromOrdinal), context.signal);
   }
 
   /** Stops an attempt and says what is proved of it. */
@@ -192,27 +203,23 @@
     for (const wake of this.idleWaiters.splice(0)) wake();
   }
 
-  private async *again(
-    request: gateMessage.RunRequest,
-    known: AttemptRecord,
-    signal: AbortSignal,
-  ): AsyncGenerator<RunEventInit> {
+  private again(request: gateMessage.RunRequest, known: AttemptRecord, signal: AbortSignal): RunEvents {
     const { log } = this.options;
     if (known.type === 'cancelled') {
       log.event(agentEvents.tombstoneRefused, { attemptId: request.attemptId });
-      yield this.refusal(request, fault('cancelled', 'cancelled before it arrived'));
-      return;
+      return this.refusal(request, fault('cancelled', 'cancelled before it arrived'));
     }
     log.event(agentEvents.duplicateRun, { attemptId: request.attemptId });
-    yield* known.run.read(0, signal);
+    return known.run.read(0, signal);
   }
 
-  private refusal(request: gateMessage.RunRequest, cause: Fault): RunEventInit {
+  private refusal(request: gateMessage.RunRequest, cause: Fault): RunEvents {
     const { metrics, log } = this.options;
     const { requestId, attemptId, priority } = request;
     metrics.count(agentMetrics.refusals, 1, { kind: cause.kind });
     log.event(agentEvents.runRefused, { requestId, attemptId, kind: cause.kind, message: cause.message });
-    return { requestId, ordinal: 0n, event: lastEvent({ ...cause, ran: 'not-run' }, this.load(priority)) };
+    const event = lastEvent({ ...cause, ran: 'not-run' }, this.load(priority));
+    return only(create(gateMessage.RunEventSchema, { requestId, ordinal: 0n, event }));
   }
 
   /**
@@ -284,6 +291,10 @@
   }
 }
 
+async function* only(event: gateMessage.RunEvent): RunEvents {
+  yield await Promise.resolve(event);
+}
+
 /** A run that must not be repeated keeps its whole answer, up to a bound, for whoever asks for it later. */
 function bufferBounds(bytes: number, idempotent: boolean): BufferBounds {
   return idempotent ? { unread: bytes, behind: bytes } : { unread: ONCE_BYTES, behind: ONCE_BYTES };
--- a/packages/agent/src/role/agent.ts
+++ b/packages/agent/src/role/agent.ts
@@ -11,7 +11,7 @@
 import { ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { agentEvents } from '../events.js';
-import { Gate } from '../gate/index.js';
+import { Gate, gateCoding } from '../gate/index.js';
 import type { GateTarget } from '../gate/index.js';
 import type { AgentSettings } from '../setting/index.js';
 import { Executor, othersServing } from '../order/index.js';
@@ -121,12 +121,7 @@
 
   routes(router: ConnectRouter): void {
     const { gate } = this;
-    router.service(gateMessage.Gate, {
-      run: (request, context) => gate.run(request, context),
-      resume: (request, context) => gate.resume(request, context),
-      cancel: (request) => gate.cancel(request),
-      probe: (request) => gate.probe(request),
-    });
+    router.service(gateMessage.Gate, gate.service(), gateCoding);
   }
 
   async start(address: string): Promise<void> {
--- a/packages/agent/src/run/buffer.ts
+++ b/packages/agent/src/run/buffer.ts
@@ -16,11 +16,17 @@
 }
 
 interface Entry {
-  readonly event: EventBody;
+  event: EventBody;
   /** Bytes of all chunks up to and with this one. */
-  readonly total: number;
+  total: number;
 }
 
+/** Chunks are joined up to this size while no reader has had them: a backlog goes out in fewer messages. */
+const JOIN_BYTES = 16 * 1024;
+
+/** How many events are dropped at once. */
+const TRIM_BATCH = 64;
+
 const lastCases: ReadonlySet<string> = new Set(['end', 'refusal', 'failure']);
 
 /**
@@ -34,7 +40,9 @@
   private foremost = 0;
   private foremostTotal = 0;
   private done = false;
-  private readonly waiting = new Set<() => void>();
+  /** Ordinal after the last one that any reader has been given. */
+  private given = 0;
+  private readonly listeners = new Set<() => void>();
   private roomWaiter?: () => void;
 
   constructor(private readonly bounds: BufferBounds) {}
@@ -58,15 +66,16 @@
   append(event: EventBody): void {
     if (this.done) return;
     if (event.case === 'chunk') this.total += event.value.length;
+    if (!this.join(event)) this.entries.push({ event, total: this.total });
     this.done = lastCases.has(event.case);
-    this.entries.push({ event, total: this.total });
-    for (const wake of this.waiting) wake();
-    this.waiting.clear();
+    for (const wake of this.listeners) wake();
   }
 
-  /** The event of an ordinal; undefined when it is dropped or not there yet. */
-  at(ordinal: number): EventBody | undefined {
-    return this.entries[ordinal - this.first]?.event;
+  /** The event of an ordinal, which from now on does not change; undefined when it is not there. */
+  give(ordinal: number): EventBody | undefined {
+    const event = this.entries[ordinal - this.first]?.event;
+    if (event !== undefined && ordinal >= this.given) this.given = ordinal + 1;
+    return event;
   }
 
   /** A reader has taken all events before `ordinal`. */
@@ -97,11 +106,11 @@
     });
   }
 
-  /** Calls `wake` once at the next event. Returns the way to call it off. */
+  /** Calls `wake` after every event. Returns the way to stop. */
   onEvent(wake: () => void): () => void {
-    this.waiting.add(wake);
+    this.listeners.add(wake);
     return () => {
-      this.waiting.delete(wake);
+      this.listeners.delete(wake);
     };
   }
 
@@ -110,8 +119,16 @@
     this.first = this.end;
     this.entries = [];
     this.done = true;
-    for (const wake of this.waiting) wake();
-    this.waiting.clear();
+    for (const wake of this.listeners) wake();
+  }
+
+  private join(event: EventBody): boolean {
+    const last = this.entries.at(-1);
+    if (event.case !== 'chunk' || last?.event.case !== 'chunk' || this.given >= this.end) return false;
+    if (last.event.value.length + event.value.length > JOIN_BYTES) return false;
+    last.event = { case: 'chunk', value: Buffer.concat([last.event.value, event.value]) };
+    last.total = this.total;
+    return true;
   }
 
   private wakeWriter(): void {
@@ -129,5 +146,3 @@
     this.first += drop;
   }
 }
-
-const TRIM_BATCH = 64;
--- a/packages/agent/src/run/run.ts
+++ b/packages/agent/src/run/run.ts
@@ -13,8 +13,7 @@
 import { EventBuffer } from './buffer.js';
 import type { BufferBounds, EventBody } from './buffer.js';
 import { lastEvent } from './last.js';
-import { readEvents } from './reader.js';
-import type { RunEventInit } from './reader.js';
+import { EventReader } from './reader.js';
 
 /** How long the engine may take to confirm a cancellation. */
 const CANCEL_TIMEOUT_MS = 1_000;
@@ -107,19 +106,16 @@
   }
 
   /** Reads events from an ordinal on. */
-  async *read(from: number, signal: AbortSignal): AsyncGenerator<RunEventInit> {
+  read(from: number, signal: AbortSignal): EventReader {
+    const { clock } = this.context;
+    const { requestId } = this.request;
     this.readers++;
     this.stopGrace?.();
-    try {
-      yield* readEvents(
-        { ...this.context, requestId: this.request.requestId, buffer: this.buffer },
-        from,
-        signal,
-      );
-    } finally {
+    const onClose = (): void => {
       this.readers--;
       this.watchReaders();
-    }
+    };
+    return new EventReader({ requestId, buffer: this.buffer, clock, from, signal, onClose });
   }
 
   /** Ends the run with a fault, unless it has ended. The target is told to stop. */
--- a/packages/bench/src/experiment/run.ts
+++ b/packages/bench/src/experiment/run.ts
@@ -25,6 +25,7 @@
 }
 
 const AFTER_MS = 5_000;
+const FILL_FACTOR = 0.1;
 const engineStats = z.object({ computedTokens: z.number() });
 
 const words = (text: string): string[] => text.split(' ').filter((word) => word !== '');
@@ -38,7 +39,7 @@
   const standInArgs = [
     ...['--prefill-rate', String(settings.prefillRate), '--step-ms', String(settings.stepMs)],
     ...['--slots', String(settings.slots), '--cache-blocks', String(settings.cacheBlocks)],
-    ...['--event-delay-ms', String(settings.eventDelayMs)],
+    ...['--event-delay-ms', String(settings.eventDelayMs), '--chunk-tokens', String(settings.chunkTokens)],
     ...rowFaults[spec.fault].standInArgs,
   ];
   const entryArgs = words(settings.entryArgs);
@@ -54,6 +55,16 @@
   });
 }
 
+/** Multiplies the time of each step of all engines. */
+async function setSpeed(cluster: Cluster, factor: number): Promise<void> {
+  const body = JSON.stringify({ factor });
+  const set = cluster.role('engine').map(async (engine) => {
+    const answer = await fetch(`${engine.ownUrl}/stand-in/slow`, { method: 'POST', body });
+    await answer.arrayBuffer();
+  });
+  await Promise.all(set);
+}
+
 async function computedTokens(cluster: Cluster): Promise<number> {
   const totals = await Promise.all(
     cluster.role('engine').map(async (engine) => {
@@ -68,8 +79,9 @@
 export async function runOnce(spec: RunSpec, settings: ExperimentSettings): Promise<RunResult> {
   const shape = shapes[spec.shape];
   const rowFault = rowFaults[spec.fault];
-  const endMs = settings.warmUpMs + settings.durationMs;
-  const faultAtMs = settings.warmUpMs + settings.durationMs / 3;
+  const beginMs = settings.fillMs + settings.warmUpMs;
+  const endMs = beginMs + settings.durationMs;
+  const faultAtMs = beginMs + settings.durationMs / 3;
   const calm = { ...defaultWorkload, seed: spec.seed, rate: spec.rate, durationMs: endMs };
   const plan = planWorkload(shape, rowFault.workload(calm, faultAtMs));
   const oracle = replay(plan, settings.cacheBlocks * shape.targets);
@@ -83,8 +95,8 @@
     });
     return {
       ...spec,
-      report: reportOf(records, oracle, settings.warmUpMs, endMs),
-      before: reportOf(records, oracle, settings.warmUpMs, faultAtMs),
+      report: reportOf(records, oracle, beginMs, endMs),
+      before: reportOf(records, oracle, beginMs, faultAtMs),
       after: reportOf(records, oracle, faultAtMs, faultAtMs + AFTER_MS),
       engineComputedTokens: await computedTokens(cluster),
       records: settings.keepRecords ? records : undefined,
--- a/packages/control/src/claims/claimHash.ts
+++ b/packages/control/src/claims/claimHash.ts
@@ -15,8 +15,17 @@
   return createHash('sha256').update(attemptId).digest().readUInt32LE(0);
 }
 
-/** Hash of a request's fingerprint, 64 bits in two words. */
-export function hashFingerprint(fingerprint: Uint8Array): readonly [number, number] {
+/** Bytes of a fingerprint's hash. */
+const FINGERPRINT_BYTES = 8;
+
+/** Hash of a request's fingerprint, 64 bits as hexadecimal digits. */
+export function hashFingerprint(fingerprint: Uint8Array): string {
   const digest = createHash('sha256').update(fingerprint).digest();
-  return [digest.readUInt32LE(0), digest.readUInt32LE(4)];
+  return digest.toString('hex', 0, FINGERPRINT_BYTES);
+}
+
+/** The same hash in two words. */
+export function fingerprintWords(hash: string): readonly [number, number] {
+  const bytes = Buffer.from(hash, 'hex');
+  return [bytes.readUInt32LE(0), bytes.readUInt32LE(4)];
 }
--- a/packages/control/src/claims/claimState.ts
+++ b/packages/control/src/claims/claimState.ts
@@ -3,7 +3,7 @@
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import { controlMessage, stateMessage } from '@jasmineroute/protocol';
 import type { CommandHandlers, Feature, LogTime } from '../state/index.js';
-import { hashAttempt, hashClaimKey, hashFingerprint } from './claimHash.js';
+import { fingerprintWords, hashAttempt, hashClaimKey, hashFingerprint } from './claimHash.js';
 import { KeptAnswers } from './keptAnswers.js';
 import { OpenClaims } from './openClaims.js';
 import type { OpenClaim } from './openClaims.js';
@@ -111,7 +111,8 @@
 
   private grant(key: ClaimKey, request: controlMessage.ClaimRequest, now: LogTime): void {
     const windowMs = Math.min(Number(request.windowMs), MAX_WINDOW_MS);
-    const { attemptId, agent, fingerprint } = request;
+    const { attemptId, agent } = request;
+    const fingerprint = hashFingerprint(request.fingerprint);
     const expires = now + Math.max(windowMs, LEAST_OPEN_MS);
     this.settled.remove(key.words);
     this.open.put(key.text, { attemptId, agent, fingerprint, windowMs, expires, unknown: false });
@@ -123,7 +124,7 @@
     request: controlMessage.ClaimRequest,
   ): Response {
     if (settled.released) return { state: State.UNKNOWN, attemptId: request.attemptId };
-    const [first, second] = hashFingerprint(request.fingerprint);
+    const [first, second] = fingerprintWords(hashFingerprint(request.fingerprint));
     if (settled.fingerprint[0] !== first || settled.fingerprint[1] !== second) {
       return { state: State.MISMATCH };
     }
@@ -178,7 +179,7 @@
     this.open.remove(key.text);
     this.settled.put({
       key: key.words,
-      fingerprint: hashFingerprint(open.fingerprint),
+      fingerprint: fingerprintWords(open.fingerprint),
       attempt: hashAttempt(open.attemptId),
       released,
       expires: Math.ceil(expires / EXPIRY_UNIT_MS) + 1,
@@ -194,7 +195,7 @@
 
 function answerOpen(open: OpenClaim, request: controlMessage.ClaimRequest): Response {
   const { attemptId, agent, unknown } = open;
-  if (Buffer.compare(open.fingerprint, request.fingerprint) !== 0) return { state: State.MISMATCH };
+  if (open.fingerprint !== hashFingerprint(request.fingerprint)) return { state: State.MISMATCH };
   if (unknown) return { state: State.UNKNOWN, attemptId, agent };
   const state = attemptId === request.attemptId ? State.GRANTED : State.RUNNING;
   return { state, attemptId, agent };
--- a/packages/control/src/claims/keptAnswers.ts
+++ b/packages/control/src/claims/keptAnswers.ts
@@ -29,7 +29,9 @@
   /** Keeps an answer; the oldest ones go when all are more than `maxBytes`. */
   keep(key: string, answer: controlMessage.Answer, expires: LogTime, maxBytes: number): void {
     this.drop(key);
-    this.answers.set(key, { answer, expires });
+    // A decoded body is a window on the whole entry of the log, and would hold all of it.
+    const body = answer.body.slice();
+    this.answers.set(key, { answer: { ...answer, body }, expires });
     this.total += sizeOf(answer);
     for (const oldest of this.answers.keys()) {
       if (this.total <= maxBytes) return;
--- a/packages/control/src/claims/openClaims.ts
+++ b/packages/control/src/claims/openClaims.ts
@@ -7,7 +7,8 @@
 export interface OpenClaim {
   readonly attemptId: string;
   readonly agent: string;
-  readonly fingerprint: Uint8Array;
+  /** Hash of the request's fingerprint. */
+  readonly fingerprint: string;
   readonly windowMs: number;
   readonly expires: LogTime;
   /** Settled as possibly run. */
@@ -47,7 +48,7 @@
         keyHash: Buffer.from(key, 'hex'),
         attemptId: claim.attemptId,
         agent: claim.agent,
-        fingerprint: claim.fingerprint,
+        fingerprintHash: claim.fingerprint,
         windowMs: BigInt(claim.windowMs),
         expiresMs: BigInt(claim.expires),
         unknown: claim.unknown,
@@ -57,8 +58,8 @@
 
   restore(claims: readonly stateMessage.OpenClaim[]): void {
     this.claims = new Map();
-    for (const { keyHash, attemptId, agent, fingerprint, windowMs, expiresMs, unknown } of claims) {
-      const claim = { attemptId, agent, fingerprint, unknown };
+    for (const { keyHash, attemptId, agent, fingerprintHash, windowMs, expiresMs, unknown } of claims) {
+      const claim = { attemptId, agent, fingerprint: fingerprintHash, unknown };
       const times = { windowMs: Number(windowMs), expires: Number(expiresMs) };
       this.put(Buffer.from(keyHash).toString('hex'), { ...claim, ...times });
     }
--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -13,7 +13,11 @@
   },
   claimsFull: { id: 3005, level: 'error', message: 'the table of claims is full: new claims are refused' },
   replicasChanged: { id: 3006, level: 'info', message: 'the replicas are those of the control document' },
-  replicasPending: { id: 3007, level: 'warn', message: 'the replicas are not yet those of the control document' },
+  replicasPending: {
+    id: 3007,
+    level: 'warn',
+    message: 'the replicas are not yet those of the control document',
+  },
   draining: { id: 3008, level: 'info', message: 'control is draining' },
   vouched: { id: 3009, level: 'info', message: 'in touch with a quorum' },
   isolated: { id: 3010, level: 'warn', message: 'out of touch with a quorum: no longer vouched' },
--- a/packages/control/src/state/controlState.ts
+++ b/packages/control/src/state/controlState.ts
@@ -140,7 +140,9 @@
 /** The commands of an entry; undefined when one of them is not known to this release. */
 function readBatch(entry: Uint8Array): KnownCommand[] | undefined {
   try {
-    const commands = fromBinary(stateMessage.CommandBatchSchema, entry).commands.map(({ command }) => command);
+    const commands = fromBinary(stateMessage.CommandBatchSchema, entry).commands.map(
+      ({ command }) => command,
+    );
     return commands.every((command) => command.case !== undefined) ? commands : undefined;
   } catch {
     return undefined;
--- a/packages/control/src/status/statusReport.ts
+++ b/packages/control/src/status/statusReport.ts
@@ -1,5 +1,5 @@
 /** The whole state of the system as one control instance knows it, for operators. */
-import type { MessageInitShape } from '@bufbuild/protobuf';
+import { create } from '@bufbuild/protobuf';
 import { createClient } from '@connectrpc/connect';
 import { instanceToMessage } from '@jasmineroute/directory';
 import type { Membership } from '@jasmineroute/directory';
@@ -11,8 +11,6 @@
 /** Longest wait for another control instance's part. */
 const PEER_TIMEOUT_MS = 1_000;
 
-type Report = MessageInitShape<typeof controlMessage.StatusResponseSchema>;
-
 /** Where the report's parts come from. */
 export interface StatusSources {
   /** Name of this control instance. */
@@ -24,18 +22,18 @@
 }
 
 /** Revision, replicas, instances with what they have in force, documents without texts; as known here. */
-export async function localStatus(sources: StatusSources): Promise<Report> {
+export async function localStatus(sources: StatusSources): Promise<controlMessage.StatusResponse> {
   const { state, log, members } = sources;
   const replicas = await log.replicas();
   const rows = replicas.map((replica) => ({ ...replica, state: stateOf(replica) }));
   const newest = state.services().flatMap((service) => state.versions(service).slice(0, 1));
-  return {
+  return create(controlMessage.StatusResponseSchema, {
     revision: state.revision(),
     vouched: log.status().vouched,
     replicas: rows,
     instances: members.reported().map((instance) => instanceToMessage(instance)),
     documents: newest.map((version) => ({ ...version, text: '' })),
-  };
+  });
 }
 
 /**
@@ -43,26 +41,24 @@
  * revision only to the control instance that it sends its heartbeats to: passing every one on would cost each
  * control instance a message for each instance and change.
  */
-export async function wholeStatus(sources: StatusSources): Promise<Report> {
-  const { name, log } = sources;
+export async function wholeStatus(sources: StatusSources): Promise<controlMessage.StatusResponse> {
   const own = await localStatus(sources);
-  const others = (await log.replicas()).filter((replica) => replica.name !== name);
+  const others = own.replicas.filter(({ name, state }) => name !== sources.name && state !== 'unreachable');
   const heard = await Promise.all(others.map(({ address }) => heardAt(sources.peers, address)));
   const newest = new Map<string, bigint>();
   for (const instance of heard.flat()) {
     const known = newest.get(keyOf(instance)) ?? 0n;
     if (instance.revision > known) newest.set(keyOf(instance), instance.revision);
   }
-  const instances = (own.instances ?? []).map((instance) => {
-    const revision = instance.revision ?? 0n;
+  for (const instance of own.instances) {
     const elsewhere = newest.get(keyOf(instance)) ?? 0n;
-    return { ...instance, revision: elsewhere > revision ? elsewhere : revision };
-  });
-  return { ...own, instances };
+    if (elsewhere > instance.revision) instance.revision = elsewhere;
+  }
+  return own;
 }
 
 /** An earlier start of a process says nothing of what a later one has in force. */
-function keyOf({ name = '', incarnation = 0n }: { name?: string; incarnation?: bigint }): string {
+function keyOf({ name, incarnation }: controlMessage.Instance): string {
   return `${name}/${incarnation.toString()}`;
 }
 
--- a/packages/control/src/turns/turnState.ts
+++ b/packages/control/src/turns/turnState.ts
@@ -41,7 +41,11 @@
   };
 
   advanced(now: LogTime): void {
-    for (const [name, leases] of this.names) this.keep(name, leases.filter(({ expires }) => expires > now));
+    for (const [name, leases] of this.names)
+      this.keep(
+        name,
+        leases.filter(({ expires }) => expires > now),
+      );
   }
 
   expectsTime(): boolean {
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -50,7 +50,7 @@
   const settings = plan.daemon;
   const endTraces = await endTracesOf(settings);
   const metrics = metricsOf(settings);
-  const peers = new Peers(plan.tls);
+  const peers = new Peers(plan.tls, settings.sourceAddress);
   const context: RoleContext = {
     name: settings.name,
     incarnation: drawIncarnation(systemClock),
--- a/packages/daemon/src/role/role.ts
+++ b/packages/daemon/src/role/role.ts
@@ -3,6 +3,7 @@
 import type { Fault, SettingsSchema } from '@jasmineroute/core';
 import type { RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import type { Result } from 'neverthrow';
+import type { z } from 'zod';
 
 /** A role process, with the caller-facing HTTP address where it has one. */
 export interface RunningRole extends RoleProcess {
@@ -21,11 +22,11 @@
 export type RoleLoader = () => Promise<Role>;
 
 /** Binds a role's schema to its factory, so that the settings it gets are the ones it declared. */
-function bind<S extends SettingsSchema, Settings>(
+function bind<S extends SettingsSchema>(
   settings: S,
-  create: (context: RoleContext, settings: Settings) => Promise<Result<RunningRole, Fault>>,
+  create: (context: RoleContext, settings: z.output<S>) => Promise<Result<RunningRole, Fault>>,
 ): Role {
-  return { settings, create: (context, checked) => create(context, checked as Settings) };
+  return { settings, create: (context, checked) => create(context, checked as z.output<S>) };
 }
 
 /** Role name to loader. */
--- a/packages/daemon/src/setting/setting.ts
+++ b/packages/daemon/src/setting/setting.ts
@@ -23,6 +23,9 @@
   advertise: optionalText.describe(
     'host:port that other processes reach this one at; by default where it listens',
   ),
+  sourceAddress: optionalText.describe(
+    'own IP address that connections to other processes leave from, on instances with several; by default the system chooses',
+  ),
   healthPort: port
     .default(0)
     .describe('port of /healthz and /readyz of agents and control instances; 0 takes a free one'),
--- a/packages/directory/src/client/timing.ts
+++ b/packages/directory/src/client/timing.ts
@@ -6,7 +6,7 @@
   readonly beatTimeoutMs: number;
   /** A watch that is silent for longer is given up; heartbeats come every second. */
   readonly silenceMs: number;
-  /** A control instance that is out of touch with its quorum for longer is left. */
+  /** A control instance that is out of touch with its quorum for longer is left; elections are shorter. */
   readonly unvouchedMs: number;
   /** Longest wait between tries while nothing answers. */
   readonly retryMs: number;
@@ -21,7 +21,7 @@
   beatMs: 1_000,
   beatTimeoutMs: 800,
   silenceMs: 2_500,
-  unvouchedMs: 2_000,
+  unvouchedMs: 1_000,
   retryMs: 2_000,
   neighbourMs: 5_000,
   leaveMs: 2_000,
--- a/packages/directory/src/client/viewBuilder.ts
+++ b/packages/directory/src/client/viewBuilder.ts
@@ -1,5 +1,5 @@
 /** Builds the view out of what arrives. */
-import { parseDocument } from '@jasmineroute/document';
+import { readAccepted } from '@jasmineroute/document';
 import type { StoredDocument } from '../message/index.js';
 import { bucketOf } from '../message/index.js';
 import { emptyView } from '../view/index.js';
@@ -55,7 +55,7 @@
     for (const stored of documents) {
       const held = next.get(stored.service);
       if (held !== undefined && stored.revision <= held.revision) continue;
-      const parsed = parseDocument(stored.text);
+      const parsed = readAccepted(stored.text);
       if (parsed.isErr()) {
         const problems = parsed.error.map(({ path, message }) => `${path}: ${message}`);
         unreadable.push({ service: stored.service, revision: stored.revision, problems });
--- a/packages/directory/src/message/textEdit.ts
+++ b/packages/directory/src/message/textEdit.ts
@@ -14,8 +14,8 @@
 
 /** The edits that make `after` of `before`, in order. */
 export function editsBetween(before: string, after: string): TextEdit[] {
-  const a = linesOf(before);
-  const b = linesOf(after);
+  const a = piecesOf(before);
+  const b = piecesOf(after);
   let head = 0;
   while (head < a.length && head < b.length && a[head] === b[head]) head += 1;
   let tail = 0;
@@ -46,8 +46,9 @@
   return createHash('sha256').update(text).digest().subarray(0, DIGEST_BYTES);
 }
 
-function linesOf(text: string): string[] {
-  return text.split(/(?<=\n)/);
+/** Pieces that are compared whole: lines, and in the compact form, which is one line, what commas part. */
+function piecesOf(text: string): string[] {
+  return text.split(/(?<=[\n,])/);
 }
 
 function lengthOf(lines: readonly string[], from: number, to: number): number {
--- a/packages/directory/src/server/documentFeed.ts
+++ b/packages/directory/src/server/documentFeed.ts
@@ -1,5 +1,6 @@
 /** Changes of documents for watchers: edits where a watcher has the text before, the whole text otherwise. */
 import { create } from '@bufbuild/protobuf';
+import { compactText } from '@jasmineroute/document';
 import { controlMessage } from '@jasmineroute/protocol';
 import { documentToMessage, editsBetween, textDigest } from '../message/index.js';
 import type { StoredDocument } from '../message/index.js';
@@ -57,13 +58,19 @@
   /** Works out the changes that the source has had since the last call. */
   private follow(): void {
     if (this.followed === this.source.revision()) return;
-    for (const document of this.source.since(this.followed)) {
+    for (const stored of this.source.since(this.followed)) {
+      const document = { ...stored, text: quickText(stored.text) };
       this.histories.set(document.service, extended(this.histories.get(document.service), document));
     }
     this.followed = this.source.revision();
   }
 }
 
+/** The form that watchers read quickly. What an entry passes on to its neighbours has it already. */
+function quickText(text: string): string {
+  return text.startsWith('{') ? text : compactText(text);
+}
+
 function extended(history: DocumentHistory | undefined, document: StoredDocument): DocumentHistory {
   const whole = documentToMessage(document);
   if (history === undefined) return { newest: document, whole, changes: [] };
--- a/packages/directory/src/view/view.ts
+++ b/packages/directory/src/view/view.ts
@@ -47,6 +47,7 @@
 export interface VersionedDocument {
   readonly version: bigint;
   readonly document: Document;
+  /** The compact form; operators' own text with its comments stays with control. */
   readonly text: string;
   readonly operator: string;
   readonly acceptedAt: Date;
--- /dev/null
+++ b/packages/document/src/accepted/index.ts
@@ -0,0 +1,1 @@
+export * from './accepted.js';
--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -1,4 +1,5 @@
 /** Service documents: what operators write. */
+export * from './accepted/index.js';
 export * from './customer/index.js';
 export * from './difference/index.js';
 export * from './idempotency/index.js';
--- a/packages/document/src/parse/index.ts
+++ b/packages/document/src/parse/index.ts
@@ -1,2 +1,3 @@
+export * from './issue.js';
 export * from './parse.js';
 export * from './problem.js';
--- a/packages/engine/src/http/body.ts
+++ b/packages/engine/src/http/body.ts
@@ -39,23 +39,49 @@
  * connections in good order, and without the check the caller would take half an answer for a whole one.
  */
 export function eventBody(answer: WireAnswer): EngineBody {
-  const scanner = new EventScanner();
-  let done = false;
-  async function* read(): AsyncGenerator<Uint8Array> {
-    for await (const chunk of answer.body) {
-      const slice = scanner.push(chunk);
-      if (scanner.pending > MAX_EVENT_BYTES) throw tooLarge();
-      if (slice.events > 0) done ||= dataOf(scanner.last) === DONE;
-      if (slice.bytes.length > 0) yield slice.bytes;
-      if (done) return;
+  const body = new EventBody(answer.body[Symbol.asyncIterator]());
+  return { body, events: () => body.scanner.events, usage: () => body.usage() };
+}
+
+/** Written out, and not as a generator: this is the path of every token. */
+class EventBody implements AsyncIterable<Uint8Array>, AsyncIterator<Uint8Array, undefined> {
+  readonly scanner = new EventScanner();
+  private done = false;
+
+  constructor(private readonly source: AsyncIterator<Uint8Array>) {}
+
+  [Symbol.asyncIterator](): this {
+    return this;
+  }
+
+  async next(): Promise<IteratorResult<Uint8Array, undefined>> {
+    while (!this.done) {
+      const read = await this.source.next();
+      if (read.done === true) throw cut('the stream ended before its terminal marker');
+      const { bytes, events } = this.scanner.push(read.value);
+      if (this.scanner.pending > MAX_EVENT_BYTES) throw tooLarge();
+      if (events > 0) this.done = isDone(this.scanner.last);
+      if (bytes.length > 0) return { done: false, value: bytes };
     }
-    throw cut('the stream ended before its terminal marker');
+    return this.return();
   }
-  return {
-    body: read(),
-    events: () => scanner.events,
-    usage: () => (done ? usageIn(dataOf(scanner.beforeLast)) : undefined),
-  };
+
+  /** Nothing that may follow the marker is waited for. */
+  async return(): Promise<IteratorResult<Uint8Array, undefined>> {
+    await this.source.return?.();
+    return { done: true, value: undefined };
+  }
+
+  usage(): Usage | undefined {
+    return this.done ? usageIn(dataOf(this.scanner.beforeLast)) : undefined;
+  }
+}
+
+/** Longest event that can be the terminal marker, with room for an id line. */
+const MAX_MARKER_BYTES = 64;
+
+function isDone(event: Uint8Array): boolean {
+  return event.length <= MAX_MARKER_BYTES && dataOf(event) === DONE;
 }
 
 /** An answer in one piece, JSON or not. */
--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -59,7 +59,9 @@
  * The state of one exchange. It is the handler that undici calls, and the body that the caller reads.
  * Aborting destroys the connection: an answer that comes late can then never be taken for the next one's.
  */
-class Exchange implements Dispatcher.DispatchHandler, AsyncIterable<Uint8Array> {
+class Exchange
+  implements Dispatcher.DispatchHandler, AsyncIterable<Uint8Array>, AsyncIterator<Uint8Array, undefined>
+{
   private controller?: Dispatcher.DispatchController;
   private readonly queue: Uint8Array[] = [];
   private queued = 0;
@@ -148,23 +150,24 @@
     this.settleHead(err(this.headFault(error)));
   }
 
-  async *[Symbol.asyncIterator](): AsyncGenerator<Uint8Array> {
-    try {
-      for (;;) {
-        const chunk = this.take();
-        if (chunk !== undefined) {
-          yield chunk;
-          continue;
-        }
-        if (this.failed !== undefined) throw new FaultError(broken(this.failed));
-        if (this.ended) return;
-        await new Promise<void>((resolve) => {
-          this.wake = resolve;
-        });
-      }
-    } finally {
-      this.fail(new Error('the reader stopped'));
-    }
+  [Symbol.asyncIterator](): AsyncIterator<Uint8Array, undefined> {
+    return this;
+  }
+
+  /** The next bytes. Written out, and not as a generator: this is the path of every token. */
+  next(): Promise<IteratorResult<Uint8Array, undefined>> {
+    const chunk = this.take();
+    if (chunk !== undefined) return Promise.resolve({ done: false, value: chunk });
+    if (this.failed !== undefined) return Promise.reject(new FaultError(broken(this.failed)));
+    if (this.ended) return Promise.resolve({ done: true, value: undefined });
+    return new Promise<void>((resolve) => {
+      this.wake = resolve;
+    }).then(() => this.next());
+  }
+
+  return(): Promise<IteratorResult<Uint8Array, undefined>> {
+    this.fail(new Error('the reader stopped'));
+    return Promise.resolve({ done: true, value: undefined });
   }
 
   private take(): Uint8Array | undefined {
--- a/packages/protocol/src/transport/peers.ts
+++ b/packages/protocol/src/transport/peers.ts
@@ -1,4 +1,7 @@
 /** Connections to other processes of the system. */
+import net from 'node:net';
+import type { Socket } from 'node:net';
+import tls from 'node:tls';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Transport } from '@connectrpc/connect';
 import { SessionManager } from './sessionManager.js';
@@ -20,8 +23,14 @@
 export class Peers {
   private readonly peers = new Map<string, Peer>();
 
-  /** @param tls key material; absent: plain text, for loopback. */
-  constructor(private readonly tls?: TlsStore) {
+  /**
+   * @param tls key material; absent: plain text, for loopback.
+   * @param sourceAddress own IP address that connections leave from; absent: the system's choice.
+   */
+  constructor(
+    private readonly tls?: TlsStore,
+    private readonly sourceAddress?: string,
+  ) {
     tls?.onReload(() => {
       this.forget();
     });
@@ -68,8 +77,7 @@
         pingIdleConnection: false,
         idleConnectionTimeoutMs: 60_000,
       },
-      // Names are not addresses here: the authority that signed the certificate is what counts.
-      material === undefined ? undefined : { ...material, checkServerIdentity: () => undefined },
+      { createConnection: (to) => this.open(to) },
     );
     const transport = createConnectTransport({
       baseUrl,
@@ -79,4 +87,12 @@
     });
     return { transport, session };
   }
+
+  private open(to: URL): Socket {
+    const place = { host: to.hostname, port: Number(to.port), localAddress: this.sourceAddress };
+    const material = this.tls?.current();
+    if (material === undefined) return net.connect(place);
+    // Names are not addresses here: the authority that signed the certificate is what counts.
+    return tls.connect({ ...place, ...material, ALPNProtocols: ['h2'], checkServerIdentity: () => undefined });
+  }
 }
--- /dev/null
+++ b/packages/routing/src/fairness/index.ts
@@ -0,0 +1,1 @@
+export * from './fairQueue.js';
--- a/packages/routing/src/limit/index.ts
+++ b/packages/routing/src/limit/index.ts
@@ -1,2 +1,3 @@
+export * from './customerLimits.js';
 export * from './rules.js';
 export * from './tokenBucket.js';
--- a/packages/routing/src/limit/rules.ts
+++ b/packages/routing/src/limit/rules.ts
@@ -19,3 +19,11 @@
   /** Entries that serve now, this one included. */
   readonly liveEntries: number;
 }
+
+/**
+ * This entry's part of a whole number that all entries share. Rounded down, so that all parts together stay
+ * within the whole, but at least 1: with fewer than one for each entry, the parts may exceed the whole.
+ */
+export function wholePart(whole: number, entries: number): number {
+  return Math.max(1, Math.floor(whole / Math.max(1, entries)));
+}
--- a/packages/routing/src/policy/registry.ts
+++ b/packages/routing/src/policy/registry.ts
@@ -14,6 +14,7 @@
   probes: 4,
   probesUnknown: 6,
   weights: { latency: { base: 1, perWaiting: 1 }, reuse: { base: 3, perWaiting: 2 } },
+  waiting: 'mean',
   homePreference: 0.1,
 };
 
--- a/packages/routing/src/policy/weighing.ts
+++ b/packages/routing/src/policy/weighing.ts
@@ -24,15 +24,22 @@
 export interface RecomputeWeight {
   /** With empty queues. */
   readonly base: number;
-  /** More for each request that waits at the targets asked, on average. */
+  /** More for each request that waits. */
   readonly perWaiting: number;
 }
 
+/**
+ * Which waiting requests count: those at the very target, which the recomputed work would hold up, or the mean
+ * of all targets asked.
+ */
+export type WaitingScope = 'target' | 'mean';
+
 /** What tells one version of the policy from another. */
 export interface WeighingOptions {
   readonly probes: number;
   readonly probesUnknown: number;
   readonly weights: Record<Objective, RecomputeWeight>;
+  readonly waiting: WaitingScope;
   /** Part of the prompt's prefill that the first home is preferred by, so that entries agree on new prefixes. */
   readonly homePreference: number;
 }
@@ -168,8 +175,7 @@
   }
 
   private decide(job: Job, shortlist: Shortlist, offers: readonly Offer[]): Choice {
-    const weight = this.recomputeWeight(job, offers);
-    const costs = new Map(offers.map((offer) => [offer, this.cost(offer, job, shortlist.home, weight)]));
+    const costs = this.costs(job, shortlist, offers);
     const ranked = [...offers].sort((a, b) => (costs.get(a) ?? 0) - (costs.get(b) ?? 0));
     const best = ranked[0];
     this.remember(job, offers, best);
@@ -182,6 +188,19 @@
     };
   }
 
+  private costs(job: Job, shortlist: Shortlist, offers: readonly Offer[]): Map<Offer, number> {
+    const waiting = offers.map((offer) => this.waitingAt(offer));
+    const mean = waiting.reduce((sum, count) => sum + count, 0) / Math.max(1, offers.length);
+    const { base, perWaiting } = this.options.weights[job.objective];
+    const costs = new Map<Offer, number>();
+    offers.forEach((offer, place) => {
+      const counted = this.options.waiting === 'mean' ? mean : (waiting[place] ?? 0);
+      const weight = base + perWaiting * Math.min(MOST_WAITING, counted);
+      costs.set(offer, this.cost(offer, job, shortlist.home, weight));
+    });
+    return costs;
+  }
+
   private cost(offer: Offer, job: Job, home: Candidate | undefined, weight: number): number {
     const { candidate, reading } = offer;
     let cost = offer.estimateMs + weight * offer.recomputeMs + this.health.penaltyMs(candidate);
@@ -191,11 +210,9 @@
     return cost;
   }
 
-  private recomputeWeight(job: Job, offers: readonly Offer[]): number {
-    const { base, perWaiting } = this.options.weights[job.objective];
-    const tokens = offers.reduce((sum, offer) => sum + offer.reading.load.queuedTokens, 0);
-    const waiting = tokens / Math.max(1, offers.length) / Math.max(LEAST_REQUEST_TOKENS, this.requestTokens);
-    return base + perWaiting * Math.min(MOST_WAITING, waiting);
+  /** Requests that wait for their first token at a target, from its waiting tokens. */
+  private waitingAt(offer: Offer): number {
+    return offer.reading.load.queuedTokens / Math.max(LEAST_REQUEST_TOKENS, this.requestTokens);
   }
 
   private remember(job: Job, offers: readonly Offer[], best: Offer | undefined): void {
--- a/packages/testkit/src/cluster/build.ts
+++ b/packages/testkit/src/cluster/build.ts
@@ -9,6 +9,7 @@
 /** Makes members one by one; controls first, so that the others can be told their addresses. */
 export class MemberBuilder {
   readonly members = new Map<string, Member>();
+  private readonly sources = new Map<string, string>();
 
   constructor(private readonly options: ClusterOptions) {}
 
@@ -47,6 +48,7 @@
         dataCentre,
         script,
         args: args(advertised, port),
+        sourceAddress: this.sources.get(name),
         port,
         httpPort,
         logFile,
@@ -65,10 +67,18 @@
     return [
       ...['--role', role, '--name', spec.name, '--data-centre', spec.dataCentre],
       ...['--port', String(port), '--advertise', advertised],
+      ...['--source-address', this.sourceOf(spec.name)],
       ...['--log-level', this.options.logLevel ?? 'info'],
     ];
   }
 
+  /** Each daemon has a loopback address of its own, by which links tell who connects. */
+  private sourceOf(name: string): string {
+    const known = this.sources.get(name) ?? `127.0.1.${this.sources.size + 1}`;
+    this.sources.set(name, known);
+    return known;
+  }
+
   /** The operator makes the data folder: a process that finds none must not take a lost disk for a first start. */
   private dataFolder(name: string): string {
     const folder = join(this.options.folder, 'data', name);
--- a/packages/testkit/src/cluster/member.ts
+++ b/packages/testkit/src/cluster/member.ts
@@ -8,6 +8,8 @@
   readonly name: string;
   readonly role: MemberRole;
   readonly dataCentre: string;
+  /** Loopback address that its connections to other processes come from; daemons only. */
+  readonly sourceAddress?: string;
   readonly script: string;
   readonly args: readonly string[];
   /** Port that others connect to; the same over restarts. */
--- a/packages/testkit/src/proxy/connection.ts
+++ b/packages/testkit/src/proxy/connection.ts
@@ -42,6 +42,11 @@
     });
   }
 
+  /** IP address of the connecting side. */
+  get source(): string {
+    return this.client.remoteAddress ?? '';
+  }
+
   /** Ends both sides with a reset. */
   reset(): void {
     this.silent = false;
--- a/scripts/quickstart/system.mjs
+++ b/scripts/quickstart/system.mjs
@@ -112,12 +112,12 @@
 }
 
 async function order(url, key) {
-  const answer = await fetch(`${url}/delivery-portal/orders`, {
+  const answer = await fetch(`${url}/delivery-portal/submissions`, {
     method: 'POST',
     headers: {
       authorization: `Bearer ${key}`,
       'content-type': 'application/json',
-      'idempotency-key': 'order-1',
+      'idempotency-key': 'submission-1',
     },
     body: JSON.stringify({ package: 'teaser-4' }),
   });
