--- a/packages/agent/src/gate/gate.ts
+++ b/packages/agent/src/gate/gate.ts
@@ -265,7 +265,7 @@
       metrics,
       slots: this.slots,
       meter: this.meter,
-      bounds: bufferBounds(bounds.bufferBytes, request.idempotent),
+      bounds: bufferBounds(bounds, request.idempotent),
       readerGraceMs: bounds.readerGraceMs,
       recheck: (waited) => checkSending(target, waited),
       load: (priority) => this.load(priority),
@@ -296,6 +296,8 @@
 }
 
 /** A run that must not be repeated keeps its whole answer, up to a bound, for whoever asks for it later. */
-function bufferBounds(bytes: number, idempotent: boolean): BufferBounds {
-  return idempotent ? { unread: bytes, behind: bytes } : { unread: ONCE_BYTES, behind: ONCE_BYTES };
+function bufferBounds(bounds: GateBounds, idempotent: boolean): BufferBounds {
+  if (!idempotent) return { unread: ONCE_BYTES, behind: ONCE_BYTES, behindMs: Number.POSITIVE_INFINITY };
+  const { bufferBytes, readerGraceMs } = bounds;
+  return { unread: bufferBytes, behind: bufferBytes, behindMs: 2 * readerGraceMs };
 }
--- a/packages/agent/src/run/buffer.ts
+++ b/packages/agent/src/run/buffer.ts
@@ -1,4 +1,5 @@
 /** The events of one run, with ordinals, in bounded memory. */
+import type { Clock } from '@jasmineroute/core';
 import type { gateMessage } from '@jasmineroute/protocol';
 
 /** One event without its ordinal. */
@@ -13,8 +14,19 @@
    * HTTP/2 flow control lets out, 64 KiB by default. A resume goes on from within.
    */
   readonly behind: number;
+  /** The same in time, milliseconds: whoever resumes does so soon, or the run is cancelled by then. */
+  readonly behindMs: number;
 }
 
+/** Where the foremost reader was at some time. */
+interface Mark {
+  readonly at: number;
+  readonly ordinal: number;
+}
+
+/** Time between two marks. */
+const MARK_MS = 1_000;
+
 interface Entry {
   event: EventBody;
   /** Bytes of all chunks up to and with this one. */
@@ -45,7 +57,13 @@
   private readonly listeners = new Set<() => void>();
   private roomWaiter?: () => void;
 
-  constructor(private readonly bounds: BufferBounds) {}
+  private readonly marks: Mark[] = [];
+  private expired = 0;
+
+  constructor(
+    private readonly bounds: BufferBounds,
+    private readonly clock: Clock,
+  ) {}
 
   /** Ordinal of the oldest event that is held. */
   get start(): number {
@@ -82,6 +100,7 @@
   taken(ordinal: number): void {
     if (ordinal <= this.foremost) return;
     this.foremost = ordinal;
+    this.mark();
     this.foremostTotal = this.entries[ordinal - 1 - this.first]?.total ?? this.total;
     this.trim();
     if (this.hasRoom()) this.wakeWriter();
@@ -135,8 +154,24 @@
     this.roomWaiter?.();
   }
 
+  private mark(): void {
+    const at = this.clock.monotonic();
+    const last = this.marks.at(-1);
+    if (last === undefined || at - last.at >= MARK_MS) this.marks.push({ at, ordinal: this.foremost });
+  }
+
+  /** Moves on to the ordinal before which all was taken longer ago than the bound. */
+  private expire(): void {
+    const limit = this.clock.monotonic() - this.bounds.behindMs;
+    for (let oldest = this.marks[0]; oldest !== undefined && oldest.at <= limit; oldest = this.marks[0]) {
+      this.expired = oldest.ordinal;
+      this.marks.shift();
+    }
+  }
+
   private trim(): void {
-    let drop = 0;
+    this.expire();
+    let drop = Math.max(0, this.expired - this.first);
     const limit = this.foremostTotal - this.bounds.behind;
     const reach = this.foremost - this.first;
     while (drop < reach && (this.entries[drop]?.total ?? 0) <= limit) drop++;
--- a/packages/agent/src/run/run.ts
+++ b/packages/agent/src/run/run.ts
@@ -65,7 +65,7 @@
     private readonly incarnation: string,
     private readonly cachedTokens: number,
   ) {
-    this.buffer = new EventBuffer(context.bounds);
+    this.buffer = new EventBuffer(context.bounds, context.clock);
     const carrier = Object.fromEntries(request.headers.map(({ name, value }) => [name.toLowerCase(), value]));
     this.span = startHop('gate.run', 'server', { carrier });
     this.stopDeadline = context.clock.after(request.deadlineMs, () => {
--- a/packages/bench/src/experiment/run.ts
+++ b/packages/bench/src/experiment/run.ts
@@ -89,10 +89,10 @@
   const name = `${spec.shape}-${spec.load}-${spec.fault}-${spec.policy}-${spec.seed}`;
   const cluster = await startCluster(spec, shape, settings, join(folder, name));
   try {
-    const records = await drive(plan, {
-      urls: cluster.entryUrls,
-      events: rowFault.events(cluster, faultAtMs),
-    });
+    await setSpeed(cluster, FILL_FACTOR);
+    const filled = { atMs: settings.fillMs, name: 'filled', run: () => setSpeed(cluster, 1) };
+    const events = [filled, ...rowFault.events(cluster, faultAtMs)];
+    const records = await drive(plan, { urls: cluster.entryUrls, events });
     return {
       ...spec,
       report: reportOf(records, oracle, beginMs, endMs),
--- a/packages/ctl/src/command/get.ts
+++ b/packages/ctl/src/command/get.ts
@@ -26,7 +26,7 @@
   service: string,
   version = 0n,
 ): Promise<Result<controlMessage.GetResponse, Fault>> {
-  const response = await context.controls.callVouched((client, options) =>
+  const response = await context.controls.readVouched((client, options) =>
     client.get({ service, version }, options),
   );
   return response.map((value) => {
--- a/packages/ctl/src/command/status.ts
+++ b/packages/ctl/src/command/status.ts
@@ -20,7 +20,7 @@
 };
 
 async function status(context: ConnectedContext<ConnectionSettings>): Promise<ExitCode> {
-  const response = await context.controls.callVouched((client, options) => client.status({}, options));
+  const response = await context.controls.readVouched((client, options) => client.status({}, options));
   if (response.isErr()) return reportFault(context, response.error);
   warnUnlessVouched(context, response.value);
   report(context, statusJson(response.value), formatStatus(response.value));
--- a/packages/ctl/src/command/statusFormat.ts
+++ b/packages/ctl/src/command/statusFormat.ts
@@ -20,9 +20,14 @@
   [Health.DOWN]: 'down',
 };
 
+/** By name, so that two outputs can be compared. */
+function sorted(instances: readonly controlMessage.Instance[]): controlMessage.Instance[] {
+  return [...instances].sort((a, b) => (a.name < b.name ? -1 : 1));
+}
+
 /** Names of the live instances that don't have a revision in force yet. */
 function behind(status: controlMessage.StatusResponse, document: controlMessage.DocumentVersion): string[] {
-  return status.instances
+  return sorted(status.instances)
     .filter((instance) => instance.health !== Health.DOWN && instance.revision < document.revision)
     .filter((instance) => concerns(instance, document))
     .map((instance) => instance.name);
@@ -50,7 +55,7 @@
       ...versionJson(document),
       behind: behind(status, document),
     })),
-    instances: status.instances.map(instanceJson),
+    instances: sorted(status.instances).map(instanceJson),
   };
 }
 
@@ -75,12 +80,12 @@
 
 /** For people. */
 export function formatStatus(status: controlMessage.StatusResponse): string {
-  const targets = status.instances.filter((instance) => instance.target !== undefined);
+  const targets = sorted(status.instances).filter((instance) => instance.target !== undefined);
   return [
     `revision ${status.revision.toString()}, ${status.vouched ? 'in touch with a quorum' : 'NOT in touch with a quorum'}\n`,
     formatReplicas(status.replicas),
     formatDocuments(status),
-    formatInstances(status.instances),
+    formatInstances(sorted(status.instances)),
     formatTargets(targets),
   ].join('\n');
 }
--- a/packages/ctl/src/control/controls.ts
+++ b/packages/ctl/src/control/controls.ts
@@ -56,22 +56,36 @@
     return result.mapErr(unreachable);
   }
 
+  /** Calls something that changes nothing. */
+  async read<T>(
+    call: (client: DocumentsClient, options: CallOptions) => Promise<T>,
+  ): Promise<Result<T, Fault>> {
+    const result = await this.call(async (client, options) => ok(await call(client, options)));
+    return result.mapErr(unchanged);
+  }
+
   /**
    * Reads from an instance that vouches for its answer. One that is cut off from the others goes on answering
    * with what it knew, and what it shows may be long past; only when no other is found is its answer taken.
    */
-  async callVouched<T extends Vouched>(
-    read: (client: DocumentsClient, options: CallOptions) => Promise<T>,
+  async readVouched<T extends Vouched>(
+    call: (client: DocumentsClient, options: CallOptions) => Promise<T>,
   ): Promise<Result<T, Fault>> {
     const end = this.clock.monotonic() + Math.min(VOUCHED_WAIT_MS, this.timeoutMs / 2);
-    return this.call(async (client, options) => {
-      const answer = await read(client, options);
+    const result = await this.call(async (client, options) => {
+      const answer = await call(client, options);
       if (answer.vouched || this.clock.monotonic() >= end) return ok(answer);
       return err(fault('no-quorum', 'the instance is not in touch with a quorum'));
     });
+    return result.mapErr(unchanged);
   }
 }
 
+/** A lost answer to a read leaves nothing in doubt. */
+function unchanged(failure: Fault): Fault {
+  return { ...failure, ran: 'not-run' };
+}
+
 /** One kind for all ways in which no instance answered. */
 function unreachable(failure: Fault): Fault {
   const { kind, message, ran } = failure;
--- a/packages/directory/src/server/watch.ts
+++ b/packages/directory/src/server/watch.ts
@@ -12,6 +12,12 @@
 export const HEARTBEAT_MS = 1_000;
 /** Changes within this time go out as one event, in milliseconds. */
 const COALESCE_MS = 20;
+/**
+ * Shortest time between two events that tell of instances only, in milliseconds. When thousands of processes start
+ * together, each is news to each other one: without a pace, telling of them one by one takes all the processor time
+ * of the control instances, beats go unanswered, and the herd starts over.
+ */
+const PACE_MS = 300;
 /** Entries that a watcher is told of, to ask while no control instance can be reached. */
 const NEIGHBOURS = 8;
 /** Events between two tellings of entries: about a minute of heartbeats. */
@@ -33,6 +39,7 @@
 export class WatcherStream {
   private readonly services: ReadonlySet<string>;
   private revision: bigint;
+  private vouched = false;
   private place = 0;
   private sent = 0;
 
@@ -49,12 +56,26 @@
     const { changed, clock } = this.hub;
     yield* this.compared(this.request.buckets);
     while (!signal.aborted) {
+      const sentAt = clock.monotonic();
       await changed.wait(clock, HEARTBEAT_MS, signal);
       await clock.sleep(COALESCE_MS, signal).catch(() => undefined);
+      await this.keepPace(sentAt, signal);
       yield* this.changes();
     }
   }
 
+  /** Waits until instances may be told of again, or something else is to be told. */
+  private async keepPace(sentAt: number, signal: AbortSignal): Promise<void> {
+    const { changed, clock, documents } = this.hub;
+    const due = sentAt + PACE_MS;
+    for (;;) {
+      const left = due - clock.monotonic();
+      const news = documents.revision() > this.revision || documents.vouched() !== this.vouched;
+      if (left <= 0 || news || signal.aborted) return;
+      await changed.wait(clock, left, signal);
+    }
+  }
+
   /** Sends documents at once and the instances that differ in parts; the last event is marked. */
   private *compared(digests: readonly number[]): Generator<WatchEvent> {
     this.place = this.hub.instances.end();
@@ -97,6 +118,7 @@
       neighbours: this.sent % NEIGHBOUR_EVENTS === 0 ? instances.someEntries(NEIGHBOURS) : [],
     });
     this.sent += 1;
+    this.vouched = event.vouched;
     if (event.revision > this.revision) this.revision = event.revision;
     return event;
   }
--- a/packages/entry/src/answer/answer.ts
+++ b/packages/entry/src/answer/answer.ts
@@ -56,6 +56,7 @@
   private boundary = new EventBoundary();
   private rewriter: EventRewriter | undefined;
   private chunkAt: number | undefined;
+  private onFirstChunk: () => void = () => undefined;
   private lastBytes: Uint8Array = new Uint8Array(0);
 
   constructor(
@@ -73,9 +74,10 @@
     return this.chunkAt;
   }
 
-  /** An attempt begins. */
-  expectFirstChunk(): void {
+  /** An attempt begins; calls back once when its first body byte comes. */
+  expectFirstChunk(onFirstChunk: () => void): void {
     this.chunkAt = undefined;
+    this.onFirstChunk = onFirstChunk;
   }
 
   /** Whether any byte of the answer went to the caller. */
@@ -105,17 +107,18 @@
       this.unfit = status !== this.status || !events || !this.streaming;
       return;
     }
+    if (status < 200 || status > 599) this.failure = fault('engine-failed', `the target answered ${status}`);
     this.status = status;
     this.headers = headers;
     this.streaming = events;
-    if (!events) return;
+    if (!events || this.failure !== undefined) return;
     this.started = true;
     this.reply.head(status, headers, 'ran');
   }
 
   chunk(bytes: Uint8Array): Promise<void> | undefined {
     if (this.unfit) return undefined;
-    this.chunkAt ??= this.clock.monotonic();
+    if (this.chunkAt === undefined) this.takeFirst();
     return this.streaming ? this.streamed(bytes) : this.plain(bytes);
   }
 
@@ -155,6 +158,11 @@
     return { status: this.status, contentType: contentTypeOf(this.headers), body };
   }
 
+  private takeFirst(): void {
+    this.chunkAt = this.clock.monotonic();
+    this.onFirstChunk();
+  }
+
   private reset(): void {
     this.status = 0;
     this.headers = [];
--- a/packages/entry/src/http/app.ts
+++ b/packages/entry/src/http/app.ts
@@ -25,7 +25,7 @@
     const state = readiness();
     return context.json(state, state.ready ? 200 : 503);
   });
-  app.get('/v1/models', async (context) => {
+  app.on('GET', ['/v1/models', '/v1/models/*'], async (context) => {
     await models(context.env);
     return RESPONSE_ALREADY_SENT;
   });
--- a/packages/entry/src/http/callers.ts
+++ b/packages/entry/src/http/callers.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'neverthrow';
 import { endHop, fault, startHop } from '@jasmineroute/core';
 import type { Fault, HopSpan } from '@jasmineroute/core';
+import type { Model } from '@jasmineroute/document';
 import { admitRequest, carrierIn, modelsFor, readHead, requestIdOf } from '../call/index.js';
 import type { Call, CallerRequest } from '../call/index.js';
 import { entryEvents } from '../events.js';
@@ -12,6 +13,24 @@
 import { BodyBudget, readBody } from './body.js';
 import { Reply } from './reply.js';
 
+const MODELS_PATH = '/v1/models';
+
+/** The model that a path under `/v1/models` names. */
+function modelInPath(path: string): string | undefined {
+  const name = path.replace(/[?#].*$/s, '').slice(MODELS_PATH.length + 1);
+  if (name === '') return undefined;
+  try {
+    return decodeURIComponent(name);
+  } catch {
+    return name;
+  }
+}
+
+function entriesOf(models: readonly Model[]): { readonly id: string; readonly object: 'model' }[] {
+  const ids = models.flatMap(({ name, adapters }) => [name, ...adapters.map((one) => `${name}:${one.name}`)]);
+  return ids.map((id) => ({ id, object: 'model', created: 0, owned_by: 'jasmineroute' }));
+}
+
 /** Handles the requests of all callers of one entry. */
 export class Callers {
   private readonly budget: BodyBudget;
@@ -31,7 +50,7 @@
     return this.budget.bytes;
   }
 
-  /** Answers `/v1/models`. */
+  /** Answers `/v1/models` and `/v1/models/{id}`. */
   async models(bindings: CallerBindings): Promise<void> {
     await this.answer(bindings, (request, reply) => {
       const models = modelsFor(request, this.context.view());
@@ -39,12 +58,15 @@
         reply.fail(models.error);
         return Promise.resolve();
       }
-      const ids = models.value.flatMap(({ name, adapters }) => [
-        name,
-        ...adapters.map((one) => `${name}:${one.name}`),
-      ]);
-      const data = ids.map((id) => ({ id, object: 'model', created: 0, owned_by: 'jasmineroute' }));
-      const body = Buffer.from(JSON.stringify({ object: 'list', data }));
+      const wanted = modelInPath(request.path);
+      const data = entriesOf(models.value).filter(({ id }) => wanted === undefined || id === wanted);
+      const [only] = data;
+      if (wanted !== undefined && only === undefined) {
+        reply.fail(fault('unknown-model', `there is no model ${JSON.stringify(wanted)} for this customer`));
+        return Promise.resolve();
+      }
+      const list = wanted === undefined ? { object: 'list', data } : only;
+      const body = Buffer.from(JSON.stringify(list));
       reply.send(200, [{ name: 'content-type', value: 'application/json' }], body, 'ran');
       return Promise.resolve();
     });
@@ -113,6 +135,8 @@
     const { failure } = reply;
     metrics.count(entryMetrics.requests, 1, { status: String(reply.status), code: failure?.kind ?? 'ok' });
     metrics.timing(entryMetrics.duration, reply.age());
+    if (reply.firstByteMs !== undefined) metrics.timing(entryMetrics.firstByte, reply.firstByteMs);
+    if (reply.stalled) log.event(entryEvents.callerStalled, { requestId: reply.requestId });
     endHop(span, failure?.kind);
     if (failure === undefined) return;
     const kind = failure.ran === 'not-run' ? entryEvents.requestRefused : entryEvents.requestFailed;
--- a/packages/entry/src/http/reply.ts
+++ b/packages/entry/src/http/reply.ts
@@ -48,6 +48,8 @@
   private readonly startedAt: number;
   private events = false;
   private fault: Fault | undefined;
+  private cut = false;
+  private firstWrite: number | undefined;
   /** Monotonic time of the last byte written. */
   private lastWrite = 0;
 
@@ -78,6 +80,11 @@
     return this.response.headersSent ? 'started' : 'open';
   }
 
+  /** Whether the caller was cut because it took nothing. */
+  get stalled(): boolean {
+    return this.cut;
+  }
+
   /** The fault that ended the answer, if one did. */
   get failure(): Fault | undefined {
     return this.fault;
@@ -98,6 +105,11 @@
     return this.clock.monotonic() - this.startedAt;
   }
 
+  /** Milliseconds from the request to the first byte of a streamed body. */
+  get firstByteMs(): number | undefined {
+    return this.firstWrite === undefined ? undefined : this.firstWrite - this.startedAt;
+  }
+
   /** Sets one header field of an answer that has not begun. */
   header(name: string, value: string): void {
     if (this.state === 'open') this.response.setHeader(name, value);
@@ -106,12 +118,7 @@
   /** Begins an answer with a target's head. `ran` is what is known of the run now. */
   head(status: number, headers: readonly HeaderField[], ran: Ran): void {
     if (this.state !== 'open') return;
-    for (const { name, value } of headers) {
-      const field = name.toLowerCase();
-      if (OWN_FIELDS.has(field)) continue;
-      if (field === 'content-type' && value.startsWith('text/event-stream')) this.events = true;
-      this.response.appendHeader(field, value);
-    }
+    for (const { name, value } of headers) this.field(name.toLowerCase(), value);
     this.response.setHeader('x-run-state', ran);
     if (this.events) this.response.removeHeader('content-length');
     this.response.writeHead(status);
@@ -126,6 +133,7 @@
   write(bytes: Uint8Array): Promise<void> | undefined {
     if (this.state !== 'started' || bytes.length === 0) return undefined;
     this.lastWrite = this.clock.monotonic();
+    this.firstWrite ??= this.lastWrite;
     return this.response.write(bytes) ? undefined : this.drained();
   }
 
@@ -164,12 +172,24 @@
       return;
     }
     if (!this.events) {
-      this.response.destroy();
+      // A reset, not an end: without a stated length an old client takes the end for that of the answer.
+      this.response.socket?.resetAndDestroy();
       return;
     }
     this.response.end(`data: ${JSON.stringify(errorBody(fault))}\n\n`);
   }
 
+  /** A field that is not valid is left out: Node throws on it, and the rest of the answer is good. */
+  private field(name: string, value: string): void {
+    if (OWN_FIELDS.has(name)) return;
+    if (name === 'content-type' && value.startsWith('text/event-stream')) this.events = true;
+    try {
+      this.response.appendHeader(name, value);
+    } catch {
+      return;
+    }
+  }
+
   private refuse(fault: Fault): void {
     const { status } = answerOf(fault.kind);
     const body = Buffer.from(JSON.stringify(errorBody(fault)));
@@ -181,6 +201,7 @@
 
   private async drained(): Promise<void> {
     const calledOff = this.clock.after(this.stallMs, () => {
+      this.cut = true;
       this.gone.abort(new Error('stalled'));
       this.response.destroy();
     });
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -2,7 +2,7 @@
 import { defineMetrics } from '@jasmineroute/core';
 
 export const entryMetrics = defineMetrics({
-  requests: { name: 'entry.request.count', type: 'counter', help: 'Requests answered, by service and code' },
+  requests: { name: 'entry.request.count', type: 'counter', help: 'Requests answered, by status and code' },
   duration: { name: 'entry.request.duration', type: 'timing', help: 'Time from request to end of answer' },
   firstByte: {
     name: 'entry.request.first_byte',
--- a/packages/entry/src/work/sender.ts
+++ b/packages/entry/src/work/sender.ts
@@ -34,22 +34,22 @@
     const { candidate, policy } = placement;
     const hop = startHop('gate.run', 'client', { parent: this.subject.span });
     const began = clock.monotonic();
-    this.answer.expectFirstChunk();
+    const firstTokenMs = (): number | undefined => {
+      const { firstChunkAt } = this.answer;
+      return firstChunkAt === undefined ? undefined : firstChunkAt - began;
+    };
+    this.answer.expectFirstChunk(() => {
+      policy.settled({ candidate, job, phase: 'first-token', ok: true, firstTokenMs: firstTokenMs() });
+    });
     policy.dispatched(candidate, job);
     const outcome = await this.follow(candidate.address, sending.name, (attempt) =>
       attempt.run(this.message(sending, hop)),
     );
-    const { firstChunkAt } = this.answer;
     const end = outcome.type === 'ended' ? outcome.end : undefined;
-    policy.settled({
-      candidate,
-      job,
-      phase: 'end',
-      ok: outcome.type === 'ended',
-      firstTokenMs: firstChunkAt === undefined ? undefined : firstChunkAt - began,
-      cachedTokens: end?.cachedTokens,
-      load: loadOf(end?.load),
-    });
+    const ok = outcome.type === 'ended';
+    const { cachedTokens } = end ?? {};
+    const told = { ok, firstTokenMs: firstTokenMs(), cachedTokens, load: loadOf(end?.load) };
+    policy.settled({ candidate, job, phase: 'end', ...told });
     metrics.count(entryMetrics.attempts, 1, { outcome: outcome.type });
     endHop(hop, outcome.type === 'ended' ? undefined : outcome.type);
     return outcome;
--- a/packages/protocol/src/transport/peers.ts
+++ b/packages/protocol/src/transport/peers.ts
@@ -93,6 +93,11 @@
     const material = this.tls?.current();
     if (material === undefined) return net.connect(place);
     // Names are not addresses here: the authority that signed the certificate is what counts.
-    return tls.connect({ ...place, ...material, ALPNProtocols: ['h2'], checkServerIdentity: () => undefined });
+    return tls.connect({
+      ...place,
+      ...material,
+      ALPNProtocols: ['h2'],
+      checkServerIdentity: () => undefined,
+    });
   }
 }
--- /dev/null
+++ b/packages/routing/src/bench/decision.ts
@@ -0,0 +1,25 @@
+/**
+ * Measures what a decision costs: `node packages/routing/dist/bench/decision.js [--json]`. Prompt hashing at five
+ * lengths, decisions of every policy at four numbers of targets, the block index at four sizes.
+ */
+import { parseArgs } from 'node:util';
+import { measureChain } from './measureChain.js';
+import { measureDecision } from './measureDecision.js';
+import { measureIndex } from './measureIndex.js';
+import { formatTable } from './table.js';
+
+const { values } = parseArgs({ options: { json: { type: 'boolean', default: false } } });
+
+const results = {
+  chain: measureChain(),
+  decision: await measureDecision(),
+  index: measureIndex(),
+};
+
+if (values.json) {
+  process.stdout.write(`${JSON.stringify(results, null, 1)}\n`);
+} else {
+  process.stdout.write(`${formatTable('Chain of a prompt', results.chain)}\n`);
+  process.stdout.write(`${formatTable('Decision, without the network', results.decision)}\n`);
+  process.stdout.write(`${formatTable('Block index', results.index)}\n`);
+}
--- a/packages/routing/src/blockIndex/blockTable.ts
+++ b/packages/routing/src/blockIndex/blockTable.ts
@@ -92,7 +92,8 @@
     this.engine.high[entry] = engine.high;
     this.chain.low[entry] = chain.low;
     this.chain.high[entry] = chain.high;
-    this.vouch(entry, generation);
+    this.generations[entry] = generation;
+    this.touched[entry] = 0;
     this.byEngine.add(entry);
     this.byChain.add(entry);
     this.used += 1;
--- a/packages/routing/src/policy/popularity.ts
+++ b/packages/routing/src/policy/popularity.ts
@@ -7,8 +7,8 @@
 /** Time in which a past request comes to count for 1/e. */
 const DECAY_MS = 10_000;
 
-/** Weights are scaled back at this size, long before numbers lose digits. */
-const LARGEST_WEIGHT = 1e12;
+/** Weights are scaled back after this time, long before numbers lose digits. */
+const RESCALE_MS = 25 * DECAY_MS;
 
 /** Requests that are taken as seen at the start, so that the first prefix is not at once the whole traffic. */
 const PRIOR_REQUESTS = 20;
@@ -31,12 +31,12 @@
 
   /** Counts one request: all its prefixes. */
   record(keys: readonly number[]): void {
+    if (this.clock.monotonic() - this.epoch > RESCALE_MS) this.rescale();
     const weight = this.weight();
     this.total += weight;
     for (const key of keys) {
       for (let row = 0; row < ROWS; row += 1) this.add(row, key, weight);
     }
-    if (weight > LARGEST_WEIGHT) this.rescale(weight);
   }
 
   /** Share of the recent requests that have a prefix, 0 to 1. */
@@ -55,11 +55,12 @@
     return Math.exp((this.clock.monotonic() - this.epoch) / DECAY_MS);
   }
 
-  private rescale(weight: number): void {
+  private rescale(): void {
+    const kept = 1 / this.weight();
     for (let index = 0; index < this.counts.length; index += 1) {
-      this.counts[index] = (this.counts[index] ?? 0) / weight;
+      this.counts[index] = (this.counts[index] ?? 0) * kept;
     }
-    this.total /= weight;
+    this.total = PRIOR_REQUESTS + this.total * kept;
     this.epoch = this.clock.monotonic();
   }
 }
--- a/packages/routing/src/policy/registry.ts
+++ b/packages/routing/src/policy/registry.ts
@@ -15,6 +15,7 @@
   probesUnknown: 6,
   weights: { latency: { base: 1, perWaiting: 1 }, reuse: { base: 3, perWaiting: 2 } },
   waiting: 'mean',
+  mostWaiting: 20,
   homePreference: 0.1,
 };
 
--- a/packages/routing/src/policy/shortlist.ts
+++ b/packages/routing/src/policy/shortlist.ts
@@ -1,9 +1,8 @@
 /**
  * The few targets that are asked about a prompt.
  *
- * Homes are computed from the prompt and the targets' names, so a restarted entry asks the same ones as before
- * and as the others. What the entry remembers only tells which level of the prompt is the one that is shared,
- * where its overflow went, and who idles.
+ * Homes are computed from the prompt and the targets' names, so all entries ask the same ones, and a restarted
+ * one asks the same as before. What the entry remembers only tells where overflow went, and who idles.
  */
 import { levelsOf } from '../prefix/index.js';
 import type { Chain, Level } from '../prefix/index.js';
@@ -38,6 +37,9 @@
 /** Key of prompts too short for any level. */
 const NO_PREFIX = { blocks: 0, low: 0, high: 0, key: 0 };
 
+/** Part of a prompt that is taken to be shared at most. */
+const SHARED_PART = 0.75;
+
 /** Of this many others, the idlest is asked too: not always the idlest of all, which all entries would find. */
 const IDLE_DRAWN = 5;
 
@@ -50,7 +52,7 @@
   const levels = levelsOf(chain);
   const hint = parts.hints.deepest(levels, candidates);
   const count = Math.min(candidates.length, hint === undefined ? parts.probesUnknown : parts.probes);
-  const shared = hint?.level ?? levels[0] ?? NO_PREFIX;
+  const shared = sharedLevel(levels, chain.length);
   const homes = homesFor(parts, shared, candidates);
   const asked = new Set<Candidate>(homes.slice(0, count));
   const add = (more: readonly Candidate[], most: number): void => {
@@ -63,6 +65,15 @@
   return { candidates: [...asked], home: homes[0] };
 }
 
+/**
+ * The level by which a prompt has its home: the deepest that leaves a part of the prompt out, as its last part
+ * is new each time. It must not depend on what the entry remembers, or entries would disagree on the home.
+ */
+function sharedLevel(levels: readonly Level[], blocks: number): Level {
+  const most = SHARED_PART * blocks;
+  return levels.find((level) => level.blocks <= most) ?? levels[0] ?? NO_PREFIX;
+}
+
 /** The first home, or two of the homes of a prefix that has several. */
 function homesFor(parts: ShortlistParts, level: Level, candidates: readonly Candidate[]): Candidate[] {
   const share = parts.popularity.share(level.key);
--- a/packages/routing/src/policy/targetHealth.ts
+++ b/packages/routing/src/policy/targetHealth.ts
@@ -70,8 +70,12 @@
     return record === undefined ? 0 : FAILURE_MS * record.failures * this.left(record);
   }
 
-  /** Median slowness of all targets: a fault of the estimate that all share is nobody's slowness. */
+  /**
+   * Median slowness of all targets: a fault of the estimate that all share is nobody's slowness. Without a peer
+   * to compare with, estimates are taken to be right, so that a peer is tried.
+   */
   private usual(): number {
+    if (this.records.size < 2) return 0;
     const all = [...this.records.values()].map((record) => record.slowness).sort((a, b) => a - b);
     return all[Math.floor((all.length - 1) / 2)] ?? 0;
   }
--- a/packages/routing/src/policy/weighing.ts
+++ b/packages/routing/src/policy/weighing.ts
@@ -40,6 +40,8 @@
   readonly probesUnknown: number;
   readonly weights: Record<Objective, RecomputeWeight>;
   readonly waiting: WaitingScope;
+  /** Queues longer than this weigh no more. */
+  readonly mostWaiting: number;
   /** Part of the prompt's prefill that the first home is preferred by, so that entries agree on new prefixes. */
   readonly homePreference: number;
 }
@@ -63,9 +65,6 @@
 const SUSPECT_MS = 500;
 const WARMING_MS = 1_000;
 
-/** Queues longer than this weigh no more. */
-const MOST_WAITING = 20;
-
 /** Least size of a request, in tokens to prefill, when waiting tokens are turned into waiting requests. */
 const LEAST_REQUEST_TOKENS = 64;
 
@@ -195,7 +194,7 @@
     const costs = new Map<Offer, number>();
     offers.forEach((offer, place) => {
       const counted = this.options.waiting === 'mean' ? mean : (waiting[place] ?? 0);
-      const weight = base + perWaiting * Math.min(MOST_WAITING, counted);
+      const weight = base + perWaiting * Math.min(this.options.mostWaiting, counted);
       costs.set(offer, this.cost(offer, job, shortlist.home, weight));
     });
     return costs;
