--- a/packages/agent/src/gate/gate.spec.ts
+++ b/packages/agent/src/gate/gate.spec.ts
@@ -326,6 +326,28 @@
     expect(bed.engine.executions).toEqual(['a-1']);
   });
 
+  it('ends what a dead engine will never answer, and leaves alone what the new one has', async () => {
+    // Symptom: a caller waits until its deadline for a JSON answer of an engine that has crashed.
+    // Sequence: the crash closes no connection on this side; the engine comes back as a new process.
+    // Cause: only broken connections ended runs.
+    const bed = await bedWith();
+    bed.engine.onCompletion = () => undefined;
+    const body = Buffer.from(JSON.stringify({ model: 'm', prompt: 'p' }));
+    const run = bed.run('a-1', { body });
+    await bed.begun('a-1');
+    const looks = bed.engine.looks;
+    await until(() => bed.engine.looks > looks + 1, 'the old engine is seen after the run began');
+    bed.engine.incarnation = 'engine-2';
+    await run.over;
+    expect(failureOf(run)).toMatchObject({ kind: 'target-lost', ran: Ran.MAY_HAVE_RUN });
+    bed.engine.onCompletion = undefined;
+    const next = bed.run('a-2', { incarnation: 'engine-2/77' });
+    await bed.begun('a-2');
+    bed.engine.finish('a-2');
+    await next.over;
+    expect(next.last?.case).toBe('end');
+  });
+
   it('never sends what must not run twice a second time', async () => {
     // Symptom: a non-idempotent request had two executions.
     // Sequence: the engine reads the request and resets the connection before it answers.
@@ -415,4 +437,26 @@
     expect(running.text).toBe('all of it');
     expect(bed.engine.executions).toEqual(['running']);
   });
+
+  it('waits for a reader that lost its connection at the very end', async () => {
+    // Symptom: a planned stop cuts an answer, though the engine had finished it.
+    // Sequence: the last events are on their way when their connection breaks; the agent sees no run left.
+    // Cause: a run counted as finished when the engine was done, not when the reader had it.
+    const bed = await bedWith({ readerGraceMs: 2_000 });
+    const run = bed.run('a-1');
+    await bed.begun('a-1');
+    run.cut();
+    await run.over;
+    bed.engine.emit('a-1', 'the end');
+    bed.engine.finish('a-1');
+    let idle = false;
+    const idling = bed.gate.idle().then(() => {
+      idle = true;
+    });
+    const rest = bed.resume('a-1', run.counted.length);
+    await rest.over;
+    expect(idle).toBe(false);
+    await idling;
+    expect(rest.text).toBe('the end');
+  });
 });
--- a/packages/agent/src/gate/gate.ts
+++ b/packages/agent/src/gate/gate.ts
@@ -8,6 +8,8 @@
 import { gateMessage } from '@jasmineroute/protocol';
 import { BLOCK_TOKENS, decodeChain } from '@jasmineroute/routing';
 import type { BlockIndex, Chain } from '@jasmineroute/routing';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { agentEvents } from '../events.js';
 import { LoadMeter, Slots } from '../load/index.js';
 import { agentMetrics } from '../metrics.js';
@@ -88,13 +90,16 @@
   run(request: gateMessage.RunRequest, context: HandlerContext): RunEvents {
     const known = this.attempts.find(request.attemptId);
     if (known !== undefined) return this.again(request, known, context.signal);
-    const admitted = this.admit(request);
-    return admitted instanceof Run ? admitted.read(0, context.signal) : this.refusal(request, admitted);
+    return this.admit(request).match(
+      (run) => run.read(0, context.signal),
+      (cause) => this.refusal(request, cause),
+    );
   }
 
   /** Goes on with a known attempt. */
   resume(request: gateMessage.ResumeRequest, context: HandlerContext): RunEvents {
     const known = this.attempts.find(request.attemptId);
+    if (known?.type === 'ended') throw new ConnectError('the events are not kept any more', Code.OutOfRange);
     if (known?.type !== 'run') throw new ConnectError('no such attempt here', Code.NotFound);
     this.options.metrics.count(agentMetrics.resumes, 1, { side: 'entry' });
     return known.run.read(Number(request.fromOrdinal), context.signal);
@@ -143,10 +148,8 @@
   }
 
   /** The engine is another process: nothing that the old one worked on will ever be answered. */
-  engineReplaced(): void {
-    for (const run of this.attempts.open()) {
-      if (run.sent) run.stop(fault('target-lost', 'the engine has restarted'));
-    }
+  engineReplaced(incarnation: string, oldSeenAt: number): void {
+    for (const run of this.attempts.open()) run.engineReplaced(incarnation, oldSeenAt);
   }
 
   /** The capacity has changed. */
@@ -154,7 +157,7 @@
     this.slots.refresh();
   }
 
-  /** Resolves when no run is left. */
+  /** Resolves when no run is left, and the readers have had the last events. */
   idle(): Promise<void> {
     if (this.active === 0) return Promise.resolve();
     return new Promise((resolve) => {
@@ -167,23 +170,23 @@
     for (const run of this.attempts.open()) run.stop(fault('stopping', 'the agent stops'));
   }
 
-  private admit(request: gateMessage.RunRequest): Run | Fault {
+  private admit(request: gateMessage.RunRequest): Result<Run, Fault> {
     const { target } = this.options;
     const refused = checkArrival(target, request);
-    if (refused !== undefined) return refused;
+    if (refused !== undefined) return err(refused);
     const cachedTokens = this.cachedTokens(decodeChain(request.chain), request.promptTokens);
     const estimate = this.estimate(request.priority, request.promptTokens - cachedTokens);
     if (estimate > request.deadlineMs) {
       const message = `the first token would take ${Math.round(estimate)} ms`;
-      return fault('deadline-unmeetable', message, { retryAfterMs: estimate - request.deadlineMs });
+      return err(fault('deadline-unmeetable', message, { retryAfterMs: estimate - request.deadlineMs }));
     }
     const run = new Run(this.runContext(request), request, target.incarnation(), cachedTokens);
     if (!this.attempts.begin(request.attemptId, run)) {
       run.stop(fault('overloaded', 'too many attempts to remember'));
-      return fault('overloaded', 'too many attempts to remember');
+      return err(fault('overloaded', 'too many attempts to remember'));
     }
     void this.work(run);
-    return run;
+    return ok(run);
   }
 
   private async work(run: Run): Promise<void> {
@@ -193,12 +196,16 @@
     this.gauge();
     await run.execute();
     const { attemptId, idempotent } = run.request;
-    this.attempts.end(attemptId);
+    run.release();
+    this.attempts.end(attemptId, run);
     clock.after(idempotent ? bounds.keepMs : bounds.keepOnceMs, () => {
+      this.attempts.strip(attemptId, run.ran);
       run.buffer.clear();
     });
-    this.active--;
     this.gauge();
+    // A reader whose connection broke at the very end comes back for the rest.
+    await run.delivered(bounds.readerGraceMs);
+    this.active--;
     if (this.active > 0) return;
     for (const wake of this.idleWaiters.splice(0)) wake();
   }
@@ -210,6 +217,7 @@
       return this.refusal(request, fault('cancelled', 'cancelled before it arrived'));
     }
     log.event(agentEvents.duplicateRun, { attemptId: request.attemptId });
+    if (known.type === 'ended') throw new ConnectError('the events are not kept any more', Code.OutOfRange);
     return known.run.read(0, signal);
   }
 
@@ -235,6 +243,7 @@
       run.stop(fault('cancelled', 'cancelled by the entry'));
       return ranMessages[ran];
     }
+    if (known?.type === 'ended') return ranMessages[known.ran];
     if (known === undefined && !this.attempts.cancelUnknown(request.attemptId)) {
       return gateMessage.Ran.MAY_HAVE_RUN;
     }
--- a/packages/agent/src/role/agent.ts
+++ b/packages/agent/src/role/agent.ts
@@ -65,8 +65,8 @@
       log,
       intervalMs: settings.healthIntervalMs,
       timeoutMs: settings.healthTimeoutMs,
-      onIncarnation: (incarnation) => {
-        this.newIncarnation(incarnation);
+      onIncarnation: (incarnation, oldSeenAt) => {
+        this.newIncarnation(incarnation, oldSeenAt);
       },
       onChange: () => {
         this.changed();
@@ -245,9 +245,9 @@
    * Before the new engine can be announced or get a request, all that was known of the old one's cache goes,
    * and so do the runs that it took down with it.
    */
-  private newIncarnation(incarnation: string): void {
+  private newIncarnation(incarnation: string, oldSeenAt: number): void {
     this.index.begin(incarnation);
-    this.gate.engineReplaced();
+    this.gate.engineReplaced(incarnation, oldSeenAt);
     this.cacheRound.abort(new Error('the engine has restarted'));
     this.cacheRound = new AbortController();
     this.tasks.push(this.cache.run(this.cacheRound.signal));
--- a/packages/agent/src/run/attempts.ts
+++ b/packages/agent/src/run/attempts.ts
@@ -1,9 +1,13 @@
 /** Which attempts have been here: the memory that makes "not run" provable and "twice" impossible. */
-import type { Clock } from '@jasmineroute/core';
+import type { Clock, Ran } from '@jasmineroute/core';
 import type { Run } from './run.js';
 
 /** What is remembered of an attempt. */
-export type AttemptRecord = { readonly type: 'run'; readonly run: Run } | { readonly type: 'cancelled' };
+export type AttemptRecord =
+  | { readonly type: 'run'; readonly run: Run }
+  /** A run whose events are not kept any more. */
+  | { readonly type: 'ended'; readonly ran: Ran }
+  | { readonly type: 'cancelled' };
 
 /** Most attempts that are remembered. */
 const MAX_ATTEMPTS = 65_536;
@@ -21,6 +25,7 @@
  */
 export class Attempts {
   private readonly remembered = new Map<string, Remembered>();
+  private readonly running = new Set<Run>();
 
   constructor(
     private readonly clock: Clock,
@@ -35,24 +40,30 @@
   }
 
   /** Runs that have not ended. */
-  *open(): Generator<Run> {
-    for (const { record, until } of this.remembered.values()) {
-      if (record.type === 'run' && until === undefined) yield record.run;
-    }
+  open(): Iterable<Run> {
+    return this.running;
   }
 
   /** Records a run. @returns false when the memory is full; then the run must not start. */
   begin(attemptId: string, run: Run): boolean {
-    return this.add(attemptId, { record: { type: 'run', run }, until: undefined });
+    if (!this.add(attemptId, { record: { type: 'run', run }, until: undefined })) return false;
+    this.running.add(run);
+    return true;
   }
 
   /** A run has ended; from here on its window runs. */
-  end(attemptId: string): void {
-    const entry = this.remembered.get(attemptId);
-    if (entry === undefined) return;
+  end(attemptId: string, run: Run): void {
+    this.running.delete(run);
     // To the end of the map, which is in the order of `until`.
     this.remembered.delete(attemptId);
-    this.remembered.set(attemptId, { ...entry, until: this.clock.monotonic() + this.windowMs });
+    const until = this.clock.monotonic() + this.windowMs;
+    this.remembered.set(attemptId, { record: { type: 'run', run }, until });
+  }
+
+  /** Keeps of an ended run only how it went: its events would fill the memory within the window. */
+  strip(attemptId: string, ran: Ran): void {
+    const entry = this.remembered.get(attemptId);
+    if (entry !== undefined) this.remembered.set(attemptId, { ...entry, record: { type: 'ended', ran } });
   }
 
   /** Records that an unknown attempt must never run. @returns false when the memory is full. */
--- a/packages/agent/src/run/buffer.ts
+++ b/packages/agent/src/run/buffer.ts
@@ -80,6 +80,11 @@
     return this.done;
   }
 
+  /** Whether some reader has taken the last event. */
+  get delivered(): boolean {
+    return this.done && this.foremost >= this.end;
+  }
+
   /** Adds an event; after a last event nothing is added. */
   append(event: EventBody): void {
     if (this.done) return;
--- a/packages/agent/src/run/run.ts
+++ b/packages/agent/src/run/run.ts
@@ -10,6 +10,7 @@
 import { agentEvents } from '../events.js';
 import type { LoadMeter, Measure, Slots } from '../load/index.js';
 import { agentMetrics } from '../metrics.js';
+import { isOfEngine } from '../watch/incarnation.js';
 import { EventBuffer } from './buffer.js';
 import type { BufferBounds, EventBody } from './buffer.js';
 import { lastEvent } from './last.js';
@@ -45,6 +46,8 @@
   readonly counted: (request: gateMessage.RunRequest, usage: Usage) => void;
 }
 
+const EMPTY = new Uint8Array(0);
+
 type Stage = 'queued' | 'sent' | 'ended';
 
 /** One attempt at the target. It lives on when the connection that started it breaks. */
@@ -54,6 +57,9 @@
   private stage: Stage = 'queued';
   private outcome: Ran = 'may-have-run';
   private readers = 0;
+  private sentAt = 0;
+  private servedBy?: string;
+  private onDelivered?: () => void;
   private stopGrace?: () => void;
   private readonly stopDeadline: () => void;
   private readonly span: HopSpan;
@@ -114,10 +120,40 @@
     const onClose = (): void => {
       this.readers--;
       this.watchReaders();
+      if (this.buffer.delivered) this.onDelivered?.();
     };
     return new EventReader({ requestId, buffer: this.buffer, clock, from, signal, onClose });
   }
 
+  /**
+   * The engine is another process now. Ends the run if it was at work on the old one.
+   * @param oldSeenAt when the old one was last asked and still answered.
+   */
+  engineReplaced(incarnation: string, oldSeenAt: number): void {
+    if (this.stage !== 'sent') return;
+    const old = this.servedBy === undefined ? this.sentAt < oldSeenAt : this.servedBy !== incarnation;
+    if (old) this.stop(fault('target-lost', 'the engine has restarted'));
+  }
+
+  /** Resolves when a reader has taken the last event, or `ms` after the end. */
+  delivered(ms: number): Promise<void> {
+    if (this.buffer.delivered) return Promise.resolve();
+    return new Promise((resolve) => {
+      const calledOff = this.context.clock.after(ms, resolve);
+      this.onDelivered = () => {
+        calledOff();
+        resolve();
+      };
+    });
+  }
+
+  /** Lets go of what only the run itself needed. */
+  release(): void {
+    this.request.body = EMPTY;
+    this.request.chain = EMPTY;
+    this.request.headers = [];
+  }
+
   /** Ends the run with a fault, unless it has ended. The target is told to stop. */
   stop(reason: Fault): void {
     if (this.stage === 'ended' || this.abort.signal.aborted) return;
@@ -131,6 +167,8 @@
     metrics.timing(agentMetrics.queueTime, clock.monotonic() - queuedAt);
     if (slot.isErr()) return err({ ...this.reason(slot.error), ran: 'not-run' });
     try {
+      // A Cancel that came with the slot has been answered "not run".
+      if (this.abort.signal.aborted) return err(this.reason(fault('cancelled', 'cancelled')));
       // The engine may have restarted, or changed its weights, while the run waited.
       const stale = this.context.recheck(this.request);
       if (stale !== undefined) return err(stale);
@@ -145,16 +183,19 @@
     const { engine, clock, metrics } = this.context;
     const hop = startHop('engine.send', 'client', { parent: this.span });
     const request = this.engineRequest(hop);
-    const sentAt = clock.monotonic();
+    this.sentAt = clock.monotonic();
     measure.sent();
     const opened = await engine.send(request, this.abort.signal);
     if (opened.isErr()) return this.lost(hop, request, opened.error);
+    this.servedBy = opened.value.incarnation;
+    // Another process than the one that the run was accepted for: the index is of no use any more.
+    if (this.servedBy !== undefined && !isOfEngine(this.incarnation, this.servedBy)) this.context.suspect();
     this.buffer.append(headEvent(opened.value));
     let answer = opened.value;
     for (let resumes = 0; ; resumes++) {
       const result = await this.pump(answer, () => {
         measure.firstToken();
-        metrics.timing(agentMetrics.firstToken, clock.monotonic() - sentAt);
+        metrics.timing(agentMetrics.firstToken, clock.monotonic() - this.sentAt);
       });
       if (result === undefined) break;
       const next = resumes < MAX_RESUMES ? await this.resume(request, answer, result) : err(result);
--- a/packages/agent/src/watch/engineWatch.ts
+++ b/packages/agent/src/watch/engineWatch.ts
@@ -24,8 +24,11 @@
   readonly log: Log;
   readonly intervalMs: number;
   readonly timeoutMs: number;
-  /** The engine is a new process. Called before the new state can be seen, so before any request to it. */
-  readonly onIncarnation: (incarnation: string) => void;
+  /**
+   * The engine is a new process. Called before the new state can be seen, so before any request to it.
+   * `oldSeenAt` is the time at which a look began that the old one still answered.
+   */
+  readonly onIncarnation: (incarnation: string, oldSeenAt: number) => void;
   /** Something that others see has changed. */
   readonly onChange: () => void;
 }
@@ -36,6 +39,7 @@
   private misses = 0;
   private wake?: () => void;
   private poked = false;
+  private seenAt = 0;
 
   constructor(private readonly options: EngineWatchOptions) {}
 
@@ -60,6 +64,7 @@
   /** One look. */
   async look(signal: AbortSignal): Promise<void> {
     const { engine, clock, timeoutMs } = this.options;
+    const startedAt = clock.monotonic();
     const bound = new AbortController();
     const calledOff = clock.after(timeoutMs, () => {
       bound.abort(new Error('no answer in time'));
@@ -69,6 +74,7 @@
     if (signal.aborted) return;
     if (state.isOk()) {
       this.answered(state.value);
+      this.seenAt = startedAt;
       return;
     }
     this.misses++;
@@ -83,7 +89,7 @@
     this.misses = 0;
     if (state.incarnation !== before.state?.incarnation) {
       log.event(agentEvents.engineRestarted, { before: before.state?.incarnation, now: state.incarnation });
-      onIncarnation(state.incarnation);
+      onIncarnation(state.incarnation, this.seenAt);
     }
     this.known = { ready: state.ready, state };
     if (state.ready && !before.ready) log.event(agentEvents.engineUp, { incarnation: state.incarnation });
--- a/packages/agent/src/watch/incarnation.ts
+++ b/packages/agent/src/watch/incarnation.ts
@@ -15,3 +15,8 @@
 export function isOfAgent(incarnation: string, agent: bigint): boolean {
   return incarnation.endsWith(`${SEPARATOR}${agent}`);
 }
+
+/** Whether an incarnation names this engine process, whatever its agent was. */
+export function isOfEngine(incarnation: string, engine: string): boolean {
+  return incarnation.startsWith(`${engine}${SEPARATOR}`);
+}
--- a/packages/bench/src/experiment/command.ts
+++ b/packages/bench/src/experiment/command.ts
@@ -40,6 +40,8 @@
     }
     const file = await runExperiment(settings.value, process.argv.slice(2).join(' '), announce);
     process.stdout.write(`capacity, requests a second: ${JSON.stringify(file.capacities)}\n`);
+    for (const failure of file.failures) process.stdout.write(`NOT RUN ${failure}\n`);
+    if (file.failures.length > 0) process.exitCode = 1;
     process.stdout.write(`${formatResults(file.results)}\nsaved to ${settings.value.out}\n`);
   });
 }
--- a/packages/bench/src/experiment/experiment.ts
+++ b/packages/bench/src/experiment/experiment.ts
@@ -43,13 +43,24 @@
   );
   const specs = specsOf(settings);
   const results: RunResult[] = [];
-  const file: ResultsFile = { startedAt: new Date().toISOString(), command, capacities, results };
+  const file: ResultsFile = {
+    startedAt: new Date().toISOString(),
+    command,
+    capacities,
+    results,
+    failures: [],
+  };
   mkdirSync(dirname(settings.out), { recursive: true });
   for (const spec of specs) {
-    const result = await runOnce(spec, settings);
-    results.push(result);
+    try {
+      const result = await runOnce(spec, settings);
+      results.push(result);
+      progress(result, results.length, specs.length);
+    } catch (error) {
+      // One cluster that does not come up must not cost the rows that follow; the file says so.
+      file.failures.push(`${JSON.stringify(spec)}: ${String(error)}`);
+    }
     writeFileSync(settings.out, JSON.stringify(file, null, 1));
-    progress(result, results.length, specs.length);
   }
   return file;
 }
--- a/packages/bench/src/experiment/result.ts
+++ b/packages/bench/src/experiment/result.ts
@@ -57,6 +57,8 @@
   command: z.string(),
   capacities: z.record(z.string(), z.number()),
   results: z.array(runResult),
+  /** Runs that gave no figures, with the reason. */
+  failures: z.array(z.string()).default([]),
 });
 
 /** A results file. */
--- a/packages/bench/src/experiment/run.ts
+++ b/packages/bench/src/experiment/run.ts
@@ -9,6 +9,7 @@
 import { drive, reportOf } from '../load/index.js';
 import { replay } from '../oracle/index.js';
 import { defaultWorkload, planWorkload } from '../workload/index.js';
+import type { PlannedRequest } from '../workload/index.js';
 import { rowFaults } from './fault.js';
 import type { RunResult } from './result.js';
 import type { ExperimentSettings, FaultName } from './settings.js';
@@ -25,7 +26,11 @@
 }
 
 const AFTER_MS = 5_000;
+/** Time of a step while the caches fill, over the usual time. */
 const FILL_FACTOR = 0.1;
+/** Arrivals while the caches fill, over the usual rate. */
+const FILL_RATE = 4;
+const FILL_SEED = 1_000_000;
 const engineStats = z.object({ computedTokens: z.number() });
 
 const words = (text: string): string[] => text.split(' ').filter((word) => word !== '');
@@ -75,6 +80,26 @@
   return totals.reduce((sum, tokens) => sum + tokens, 0);
 }
 
+/** Short answers at a high rate while the caches fill, then the load of the row. */
+function planRow(
+  spec: RunSpec,
+  { fillMs }: ExperimentSettings,
+  faultAtMs: number,
+  endMs: number,
+): PlannedRequest[] {
+  const shape = shapes[spec.shape];
+  const calm = { ...defaultWorkload, seed: spec.seed, rate: spec.rate, durationMs: endMs };
+  const fill = planWorkload(shape, {
+    ...calm,
+    seed: FILL_SEED + spec.seed,
+    rate: spec.rate * FILL_RATE,
+    durationMs: fillMs,
+    outputTokens: 1,
+  });
+  const load = planWorkload(shape, rowFaults[spec.fault].workload(calm, faultAtMs));
+  return [...fill, ...load.filter((planned) => planned.atMs >= fillMs)];
+}
+
 /** Runs it. */
 export async function runOnce(spec: RunSpec, settings: ExperimentSettings): Promise<RunResult> {
   const shape = shapes[spec.shape];
@@ -82,8 +107,7 @@
   const beginMs = settings.fillMs + settings.warmUpMs;
   const endMs = beginMs + settings.durationMs;
   const faultAtMs = beginMs + settings.durationMs / 3;
-  const calm = { ...defaultWorkload, seed: spec.seed, rate: spec.rate, durationMs: endMs };
-  const plan = planWorkload(shape, rowFault.workload(calm, faultAtMs));
+  const plan = planRow(spec, settings, faultAtMs, endMs);
   const oracle = replay(plan, settings.cacheBlocks * shape.targets);
   const folder = settings.folder === '' ? mkdtempSync(join(tmpdir(), 'jasminebench-')) : settings.folder;
   const name = `${spec.shape}-${spec.load}-${spec.fault}-${spec.policy}-${spec.seed}`;
--- a/packages/control/src/bench/memory.ts
+++ b/packages/control/src/bench/memory.ts
@@ -94,7 +94,7 @@
       const state = createState();
       make(state);
       const view = new DocumentView(state.documents, silentLog);
-      return { view, size: view.documents().size };
+      return { view, size: view.all().size };
     }),
   );
   return row(name, count, Math.round(held.bytes / copies));
--- a/packages/control/src/documents/documentCheck.ts
+++ b/packages/control/src/documents/documentCheck.ts
@@ -1,6 +1,6 @@
 /** Checks of a document before it is proposed. */
 import { createHash } from 'node:crypto';
-import { checkTogether, parseDocument } from '@jasmineroute/document';
+import { checkAgainst, lineOfPath, parseDocument } from '@jasmineroute/document';
 import type { Document, Problem } from '@jasmineroute/document';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -10,7 +10,7 @@
   readonly document: Document;
   /** Hashes of the keys that may apply the next version. */
   readonly operatorHashes: string[];
-  /** Hash over what `checkTogether` compares among services. */
+  /** Hash over what `checkAgainst` compares among services. */
   readonly sharedHash: Uint8Array;
 }
 
@@ -26,12 +26,16 @@
   });
 }
 
-/** Clashes of a document with those in force, which it would join or replace. */
-export function checkAmong(document: Document, inForce: ReadonlyMap<string, Document>): Problem[] {
-  const before = new Set(checkTogether(inForce).map((problem) => JSON.stringify(problem)));
-  const after = checkTogether(new Map([...inForce, [document.service, document]]));
-  // Only what this document brings: it must not be kept out for the clashes of others.
-  return after.filter((problem) => !before.has(JSON.stringify(problem)));
+/** Clashes that a document would bring among those in force, with the lines of its own text. */
+export function checkAmong(
+  document: Document,
+  text: string,
+  inForce: ReadonlyMap<string, Document>,
+): Problem[] {
+  return checkAgainst(document, inForce).map((problem) => ({
+    ...problem,
+    line: lineOfPath(text, problem.path),
+  }));
 }
 
 function wrongService(asked: string, found: string): Problem {
--- a/packages/control/src/documents/documentService.ts
+++ b/packages/control/src/documents/documentService.ts
@@ -86,7 +86,7 @@
   private async proposeChecked(change: Change, document: Document): Promise<Result<Decided, Fault>> {
     for (let check = 0; check < MAX_CHECKS; check += 1) {
       const checkedRevision = this.parts.state.revision();
-      const clashes = checkAmong(document, this.parts.view.plain());
+      const clashes = checkAmong(document, change.text, this.parts.view.all());
       if (clashes.length > 0) return this.answerClashes(change, document);
       const outcome = await this.parts.proposer.propose('apply', { ...change, checkedRevision });
       if (outcome.isErr()) return err(outcome.error);
@@ -107,7 +107,7 @@
     if (!(await this.catchUp())) return err(fault('no-quorum', 'no quorum of control instances answers'));
     const first = this.parts.state.firstAnswer(change);
     if (first !== undefined) return ok(first);
-    const clashes = checkAmong(document, this.parts.view.plain());
+    const clashes = checkAmong(document, change.text, this.parts.view.all());
     if (clashes.length > 0) return ok(invalid(clashes));
     return err(fault('overloaded', 'the documents changed during the check: try again'));
   }
--- a/packages/control/src/documents/documentState.spec.ts
+++ b/packages/control/src/documents/documentState.spec.ts
@@ -126,6 +126,17 @@
     expect(apply(change).case).toBe('conflict');
   });
 
+  it('does not let strangers push out the answers to operators', () => {
+    // Symptom: an operator whose change was accepted is told of a conflict with it.
+    // Sequence: accepted, the answer is lost; a stranger sends many changes; the operator resends.
+    // Cause: the refusals to the stranger took the places of the answers to operators.
+    const change = { applyId: 'mine', text: 'mine' };
+    const first = apply(change);
+    const keyHash = hashKey('mallory');
+    for (let id = 0; id <= KEPT_APPLY_IDS; id += 1) apply({ applyId: `x-${id}`, keyHash });
+    expect(apply(change)).toEqual(first);
+  });
+
   it('accepts one change for each version, whatever the order and the resends', () => {
     // Symptom: two operators are both told that their change is version 7.
     // Sequence: any interleaving of changes on any bases, some sent twice.
--- a/packages/control/src/documents/documentState.ts
+++ b/packages/control/src/documents/documentState.ts
@@ -10,6 +10,9 @@
 /** Outcomes that end a change. */
 export type Decided = Exclude<Outcome, { case: 'staleRevision' } | { case: undefined }>;
 
+/** What is answered to resends. A refusal is not: strangers could push out the answers to operators. */
+const remembered = new Set<Outcome['case']>(['accepted', 'conflict']);
+
 /** One guard of a change: an outcome when it stops the change. */
 type Guard = (
   command: stateMessage.ApplyDocument,
@@ -98,7 +101,7 @@
     const first = this.applied.find(command);
     if (first.known) return first.sameRequest ? first.outcome : outcomeOf(reusedId(command));
     const outcome = outcomeOf(this.decide(command));
-    if (outcome.outcome.case !== 'staleRevision') this.applied.remember(command, outcome);
+    if (remembered.has(outcome.outcome.case)) this.applied.remember(command, outcome);
     return outcome;
   }
 
--- a/packages/control/src/documents/documentView.ts
+++ b/packages/control/src/documents/documentView.ts
@@ -1,69 +1,58 @@
-/** The accepted documents, parsed once for all who read them in this process. */
+/** The accepted documents, parsed when somebody in this process asks for them. */
 import { parseDocument } from '@jasmineroute/document';
 import type { Document } from '@jasmineroute/document';
 import type { Log } from '@jasmineroute/core';
-import type { VersionedDocument } from '@jasmineroute/directory';
 import type { controlMessage } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
 import type { DocumentState } from './documentState.js';
 
-/** Parsed documents in force, by service. */
+interface ParsedVersion {
+  readonly version: bigint;
+  /** Absent when no version so far could be read. */
+  readonly document?: Document;
+}
+
+/**
+ * Parsed documents in force. Parsing a long one holds up the process for some tenths of a second, so an
+ * instance parses only what it needs itself: most of what it accepts it only hands on as text.
+ */
 export class DocumentView {
-  private parsed: ReadonlyMap<string, VersionedDocument> = new Map();
-  private revision = -1n;
+  private readonly parsed = new Map<string, ParsedVersion>();
 
   constructor(
     private readonly state: DocumentState,
     private readonly log: Log,
   ) {}
 
-  /** The documents in force now. The same map until one changes. */
-  documents(): ReadonlyMap<string, VersionedDocument> {
-    if (this.revision !== this.state.revision()) this.refresh();
-    return this.parsed;
-  }
-
-  /** The documents without their versions. */
-  plain(): ReadonlyMap<string, Document> {
-    return new Map([...this.documents()].map(([service, { document }]) => [service, document]));
+  /** The document of a service. */
+  find(service: string): Document | undefined {
+    const newest = this.state.versions(service)[0];
+    if (newest === undefined) return undefined;
+    const known = this.parsed.get(service);
+    if (known?.version === newest.version) return known.document;
+    const document = this.parse(newest) ?? known?.document;
+    this.parsed.set(service, { version: newest.version, document });
+    return document;
   }
 
-  private refresh(): void {
-    const next = new Map<string, VersionedDocument>();
+  /** All documents, by service. */
+  all(): ReadonlyMap<string, Document> {
+    const documents = new Map<string, Document>();
     for (const service of this.state.services()) {
-      const document = this.read(service);
-      if (document !== undefined) next.set(service, document);
+      const document = this.find(service);
+      if (document !== undefined) documents.set(service, document);
     }
-    this.parsed = next;
-    this.revision = this.state.revision();
-  }
-
-  private read(service: string): VersionedDocument | undefined {
-    const newest = this.state.versions(service)[0];
-    if (newest === undefined) return undefined;
-    const known = this.parsed.get(service);
-    if (known?.version === newest.version) return known;
-    return this.parse(newest) ?? known;
+    return documents;
   }
 
   /**
    * An accepted text that this release can't read comes from a newer one: the version before stays in force
    * here, and the event tells that this instance is to be upgraded.
    */
-  private parse(version: controlMessage.DocumentVersion): VersionedDocument | undefined {
-    const parsed = parseDocument(version.text);
-    if (parsed.isErr()) {
-      const { service, version: number } = version;
-      this.log.event(controlEvents.unreadableDocument, { service, version: number.toString() });
-      return undefined;
-    }
-    return {
-      version: version.version,
-      document: parsed.value,
-      text: version.text,
-      operator: version.operator,
-      acceptedAt: new Date(Number(version.acceptedAtMs)),
-      revision: version.revision,
-    };
+  private parse({ service, version, text }: controlMessage.DocumentVersion): Document | undefined {
+    const parsed = parseDocument(text);
+    if (parsed.isOk()) return parsed.value;
+    this.log.event(controlEvents.unreadableDocument, { service, version: version.toString() });
+    return undefined;
   }
 }
--- a/packages/control/src/replicas/replicaKeeper.ts
+++ b/packages/control/src/replicas/replicaKeeper.ts
@@ -69,6 +69,6 @@
 
 /** The replicas of the control document in force; undefined when there is none. */
 export function replicasOf(view: DocumentView): ReplicaAddress[] | undefined {
-  const found = view.documents().get(CONTROL_SERVICE)?.document;
+  const found = view.find(CONTROL_SERVICE);
   return found?.kind === 'control' ? found.replicas : undefined;
 }
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -48,7 +48,7 @@
     this.replicaKeeper = new ReplicaKeeper(this.view, commandLog, clock, log);
     this.source.onChange(() => {
       this.measure();
-      // Parsing a long document takes a while: not within the step of the log.
+      // Not within the step of the log, which others wait for.
       setImmediate(() => {
         this.replicaKeeper.look();
       });
--- a/packages/control/src/setting/controlSettings.ts
+++ b/packages/control/src/setting/controlSettings.ts
@@ -28,10 +28,10 @@
     .default(3_000)
     .describe('milliseconds until a change that no quorum has confirmed is given up as unknown'),
   maxClaims: count()
-    .default(4_000_000)
+    .default(1_000_000)
     .describe('claims that may be held at once; more are refused. About 50 bytes each once settled'),
   maxAnswerBytes: count()
-    .default(64 * 1024 * 1024)
+    .default(32 * 1024 * 1024)
     .describe('bytes of answers kept for resends of non-idempotent requests; the oldest go first'),
 });
 
--- a/packages/directory/src/call/controlAddresses.ts
+++ b/packages/directory/src/call/controlAddresses.ts
@@ -8,8 +8,8 @@
   dataCentre: string;
   /** Monotonic time of the last failure. */
   failedAt: number;
-  /** Monotonic time of the last answer. */
-  heardAt: number;
+  /** Monotonic time since which an answer is waited for; undefined: nothing is open. */
+  waitingSince?: number;
   /** Random order among equals. */
   readonly draw: number;
 }
@@ -55,12 +55,25 @@
     const record = this.records.get(address);
     if (record === undefined) return;
     record.failedAt = Number.NEGATIVE_INFINITY;
-    record.heardAt = this.now();
+    record.waitingSince = undefined;
   }
 
-  /** Milliseconds since an address last answered; infinite when it never did. */
+  /** Notes that something is asked of an address. */
+  asked(address: string): void {
+    const record = this.records.get(address);
+    if (record !== undefined) record.waitingSince ??= this.now();
+  }
+
+  /** Milliseconds for which an address has been asked without any answer, whoever asked. */
   silentFor(address: string): number {
-    return this.now() - (this.records.get(address)?.heardAt ?? Number.NEGATIVE_INFINITY);
+    const since = this.records.get(address)?.waitingSince;
+    return since === undefined ? 0 : this.now() - since;
+  }
+
+  /** Notes that its connection was cut, so that a new one begins with a clean record. */
+  dropped(address: string): void {
+    const record = this.records.get(address);
+    if (record !== undefined) record.waitingSince = undefined;
   }
 
   /** All addresses, best first. */
@@ -81,8 +94,7 @@
   private add(address: string, dataCentre: string): void {
     const known = this.records.get(address);
     if (known === undefined) {
-      const never = Number.NEGATIVE_INFINITY;
-      this.records.set(address, { dataCentre, failedAt: never, heardAt: never, draw: this.random() });
+      this.records.set(address, { dataCentre, failedAt: Number.NEGATIVE_INFINITY, draw: this.random() });
       return;
     }
     if (dataCentre !== '') known.dataCentre = dataCentre;
--- a/packages/directory/src/call/controls.ts
+++ b/packages/directory/src/call/controls.ts
@@ -67,6 +67,7 @@
 
   private async attempt<T>(address: string, call: ControlCall<T>, ms: number): Promise<Result<T, Fault>> {
     const limit = new CallLimit().after(this.options.clock, ms);
+    this.addresses.asked(address);
     try {
       const answer = await call(this.options.peers.transport(address), limit.signal);
       this.addresses.answered(address);
@@ -84,9 +85,14 @@
     // A connection can go silent for good while new ones work: only a new one can tell. One on which
     // something else was heard meanwhile is left to its other calls.
     const dead = silent && ms >= ATTEMPT_MS && this.addresses.silentFor(address) >= ATTEMPT_MS;
-    if (dead) this.options.peers.drop(address);
+    if (dead) this.drop(address);
     return problem;
   }
+
+  private drop(address: string): void {
+    this.options.peers.drop(address);
+    this.addresses.dropped(address);
+  }
 }
 
 function noAnswer(address: string, cause: unknown): Fault {
--- a/packages/directory/src/client/beatTask.ts
+++ b/packages/directory/src/client/beatTask.ts
@@ -14,6 +14,10 @@
 
 /** Share by which the time between beats varies. */
 const JITTER = 0.1;
+/** Instances that are tried for one beat. Under load all are slow, and trying each would add to it. */
+const TRIES = 2;
+/** Longest wait between beats that nobody answers, in times of the usual one. */
+const MAX_WAIT_FACTOR = 4;
 
 /** What the task works with. */
 export interface BeatContext {
@@ -35,6 +39,8 @@
 export class BeatTask {
   private readonly wakeup = new Wakeup();
   private address: string | undefined;
+  /** Rounds in a row without an answer. */
+  private failures = 0;
   /** Order number of the newest state that was taken, by the instance that took it. */
   private heard: { address: string; sequence: bigint } | undefined;
   private unvouchedSince: number | undefined;
@@ -61,7 +67,8 @@
     while (!signal.aborted) {
       const superseded = await this.round(signal);
       if (superseded) return;
-      await this.wakeup.sleep(clock, jittered(timing.beatMs, JITTER), signal);
+      const factor = Math.min(MAX_WAIT_FACTOR, 2 ** Math.max(0, this.failures - 1));
+      await this.wakeup.sleep(clock, jittered(timing.beatMs * factor, JITTER), signal);
     }
   }
 
@@ -71,11 +78,12 @@
     const order = addresses.order(dataCentre());
     const candidates =
       this.address === undefined ? order : [this.address, ...order.filter((one) => one !== this.address)];
-    for (const address of candidates) {
+    for (const address of candidates.slice(0, TRIES)) {
       if (signal.aborted) return false;
       const answer = await this.send(address, signal);
       if (answer === undefined) continue;
       this.address = address;
+      this.failures = 0;
       if (answer.superseded) {
         this.context.superseded();
         return true;
@@ -85,6 +93,7 @@
       return false;
     }
     this.address = undefined;
+    this.failures += 1;
     return false;
   }
 
@@ -95,6 +104,7 @@
     const request = state.beat(!known, this.context.revision());
     const limit = new CallLimit(stop).after(clock, timing.beatTimeoutMs);
     const started = clock.monotonic();
+    addresses.asked(address);
     try {
       const client = createClient(controlMessage.Directory, peers.transport(address));
       const answer = await client.beat(request, { signal: limit.signal });
@@ -126,7 +136,9 @@
     metrics.count(directoryMetrics.beatFailures);
     addresses.failed(address);
     // A connection on which nothing at all was heard may be silent for good: the next beat takes a new one.
-    if (addresses.silentFor(address) > timing.silenceMs) peers.drop(address);
+    if (addresses.silentFor(address) <= timing.silenceMs) return;
+    peers.drop(address);
+    addresses.dropped(address);
   }
 
   /**
--- a/packages/directory/src/client/timing.ts
+++ b/packages/directory/src/client/timing.ts
@@ -22,7 +22,7 @@
   beatTimeoutMs: 800,
   silenceMs: 2_500,
   unvouchedMs: 1_000,
-  retryMs: 2_000,
+  retryMs: 5_000,
   neighbourMs: 5_000,
   leaveMs: 2_000,
 };
--- a/packages/directory/src/client/watchStream.ts
+++ b/packages/directory/src/client/watchStream.ts
@@ -56,7 +56,15 @@
   readonly vouched: boolean;
 }
 
-/** Follows one source. `patienceMs` is how long a control instance may be out of touch. */
+/** How long a source is waited for, in milliseconds. */
+export interface WatchPatience {
+  /** A control instance that is out of touch with its quorum. */
+  readonly unvouchedMs: number;
+  /** The first event. */
+  readonly firstEventMs: number;
+}
+
+/** Follows one source. */
 export class WatchStream {
   private end: WatchEnd = 'lost';
   private silence: Cancellation = () => undefined;
@@ -67,7 +75,7 @@
   constructor(
     private readonly context: WatchContext,
     private readonly source: WatchedSource,
-    private readonly patienceMs: number,
+    private readonly patience: WatchPatience,
   ) {}
 
   /** Runs until the source is to be left. */
@@ -78,7 +86,7 @@
     const tried = stayMs === undefined ? undefined : clock.after(stayMs, this.giveUp('tried'));
     const limit = new CallLimit(stop);
     this.limit = limit;
-    this.awaitEvent();
+    this.awaitEvent(this.patience.firstEventMs);
     try {
       await this.follow(limit.signal);
     } catch (error) {
@@ -98,11 +106,13 @@
     const { address, kind } = this.source;
     const client = createClient(controlMessage.Directory, peers.transport(address));
     let opened = false;
+    addresses.asked(address);
     for await (const event of client.watch(request(), { signal })) {
-      this.awaitEvent();
+      this.awaitEvent(this.context.timing.silenceMs);
       if (!opened) log.event(directoryEvents.watchOpened, { address, kind });
       opened = true;
       addresses.answered(address);
+      addresses.asked(address);
       if (!(await apply(event, this.source))) {
         this.end = 'misfit';
         return;
@@ -118,9 +128,9 @@
    * A connection can go silent for good while new ones work: something between the ends has lost track of it, and
    * neither end gets an error. Heartbeats come each second, so longer silence shows it, and the watch is left.
    */
-  private awaitEvent(): void {
+  private awaitEvent(ms: number): void {
     this.silence();
-    this.silence = this.context.clock.after(this.context.timing.silenceMs, this.giveUp('silent'));
+    this.silence = this.context.clock.after(ms, this.giveUp('silent'));
   }
 
   /**
@@ -131,7 +141,7 @@
     const now = this.context.clock.monotonic();
     this.vouched ||= vouched;
     this.unvouchedSince = vouched ? undefined : (this.unvouchedSince ?? now);
-    return this.unvouchedSince === undefined || now - this.unvouchedSince <= this.patienceMs;
+    return this.unvouchedSince === undefined || now - this.unvouchedSince <= this.patience.unvouchedMs;
   }
 
   private giveUp(end: WatchEnd): () => void {
--- a/packages/directory/src/client/watchTask.ts
+++ b/packages/directory/src/client/watchTask.ts
@@ -2,12 +2,14 @@
 import { directoryEvents } from '../events.js';
 import { directoryMetrics } from '../metrics.js';
 import { WatchStream } from './watchStream.js';
-import type { WatchContext, WatchOutcome, WatchedSource } from './watchStream.js';
+import type { WatchContext, WatchOutcome, WatchPatience, WatchedSource } from './watchStream.js';
 
 /** How much longer a round without a vouched instance makes the stays of the next. */
 const PATIENCE_GROWTH = 2;
 /** Longest stay with an unvouched instance while all are. */
 const MAX_PATIENCE_MS = 30_000;
+/** Longest wait for a first event, in times of the bound on silence. */
+const MAX_FIRST_EVENT_FACTOR = 4;
 /** Longest pause after the first failure: it spreads the watchers of an instance that went. */
 const FIRST_PAUSE_MS = 200;
 /** Longest pause before the first watch: it spreads processes that start together. */
@@ -58,22 +60,43 @@
     else await this.rest(await this.stay({ address, kind: 'neighbour' }, signal), signal);
   }
 
+  /**
+   * Longer for the first event after each failure: under load all sources are slow, and leaving each before it
+   * answers would only add to the load.
+   */
+  private patience(): WatchPatience {
+    const { silenceMs } = this.context.timing;
+    const firstEventMs = silenceMs * Math.min(MAX_FIRST_EVENT_FACTOR, 1 + this.failures);
+    return { unvouchedMs: this.patienceMs, firstEventMs };
+  }
+
   private async stay(source: WatchedSource, signal: AbortSignal): Promise<WatchOutcome> {
-    const { addresses, log, metrics, peers, lost } = this.context;
-    const { address } = source;
-    const outcome = await new WatchStream(this.context, source, this.patienceMs).run(signal);
+    const { addresses, log, metrics, lost } = this.context;
+    const { address, kind } = source;
+    const outcome = await new WatchStream(this.context, source, this.patience()).run(signal);
     if (outcome.end === 'stopped') return outcome;
     lost();
     metrics.count(directoryMetrics.watchMoves, 1, { reason: outcome.end });
     if (outcome.end !== 'misfit') addresses.failed(address);
     if (outcome.end === 'silent') {
       log.event(directoryEvents.watchSilent, { address });
-      peers.drop(address);
+      if (kind === 'neighbour' || this.isDead(address)) this.drop(address);
     }
     if (outcome.end === 'unvouched') log.event(directoryEvents.watchUnvouched, { address });
     return outcome;
   }
 
+  /** Whether the connection is silent, not the watch alone: nothing else was answered on it either. */
+  private isDead(address: string): boolean {
+    const { addresses, timing } = this.context;
+    return addresses.silentFor(address) > timing.silenceMs / 2;
+  }
+
+  private drop(address: string): void {
+    this.context.peers.drop(address);
+    this.context.addresses.dropped(address);
+  }
+
   /** After a good watch the next one comes soon; otherwise later with each failure in a row. */
   private async rest(outcome: WatchOutcome, signal: AbortSignal): Promise<void> {
     if (outcome.vouched) this.failures = 0;
--- a/packages/directory/src/server/instanceFeed.ts
+++ b/packages/directory/src/server/instanceFeed.ts
@@ -5,8 +5,8 @@
 
 /** Changes that are held for watchers that lag; one that lags more is compared anew. */
 const HELD_CHANGES = 8_192;
-/** Buckets in one event: a snapshot goes out in parts, so that a herd's snapshots do not hold up heartbeats. */
-const BUCKETS_PER_EVENT = 8;
+/** Instances in one event: a snapshot goes out in parts, so that it does not hold up the heartbeats of others. */
+const INSTANCES_PER_EVENT = 512;
 
 /** Which instances a watcher wants. */
 export type InstanceFilter = (instance: Instance) => boolean;
@@ -63,12 +63,7 @@
     );
     const byBucket = new Map<number, Instance[]>(differing.map((bucket) => [bucket, []]));
     for (const instance of instances) byBucket.get(bucketOf(instance.name))?.push(instance);
-    const parts: BucketContents[] = [];
-    for (let from = 0; from < differing.length; from += BUCKETS_PER_EVENT) {
-      const buckets = differing.slice(from, from + BUCKETS_PER_EVENT);
-      parts.push({ buckets, instances: buckets.flatMap((bucket) => byBucket.get(bucket) ?? []) });
-    }
-    return parts;
+    return partsOf(byBucket);
   }
 
   /** Addresses of entries that take connections, at most `count`, another choice at each call. */
@@ -92,3 +87,15 @@
     this.first += excess;
   }
 }
+
+function partsOf(byBucket: ReadonlyMap<number, readonly Instance[]>): BucketContents[] {
+  const parts: { buckets: number[]; instances: Instance[] }[] = [];
+  for (const [bucket, instances] of byBucket) {
+    let part = parts.at(-1);
+    if (part === undefined || part.instances.length >= INSTANCES_PER_EVENT)
+      parts.push((part = { buckets: [], instances: [] }));
+    part.buckets.push(bucket);
+    part.instances.push(...instances);
+  }
+  return parts;
+}
--- a/packages/directory/src/server/serveDirectory.ts
+++ b/packages/directory/src/server/serveDirectory.ts
@@ -5,10 +5,14 @@
 import { ChangeSignal } from './changeSignal.js';
 import { DocumentFeed } from './documentFeed.js';
 import { InstanceFeed } from './instanceFeed.js';
+import { Turnstile } from './turnstile.js';
 import type { DirectorySource } from './source.js';
 import { WatcherStream } from './watch.js';
 import type { WatchHub } from './watch.js';
 
+/** Streams that are brought up to date at one time. */
+const COMPARISONS = 8;
+
 /**
  * Adds Watch, and Beat where beats are taken, to a process's RPC server. Watches end when `source.ended` is aborted.
  */
@@ -36,5 +40,6 @@
   };
   source.documents.onChange(wake);
   source.instances.onChange(wake);
-  return { documents: new DocumentFeed(source.documents), instances, changed, clock: source.clock };
+  const documents = new DocumentFeed(source.documents);
+  return { documents, instances, changed, comparisons: new Turnstile(COMPARISONS), clock: source.clock };
 }
--- a/packages/directory/src/server/watch.ts
+++ b/packages/directory/src/server/watch.ts
@@ -6,6 +6,7 @@
 import type { Instance } from '../view/index.js';
 import type { ChangeSignal } from './changeSignal.js';
 import type { DocumentFeed } from './documentFeed.js';
+import type { Turnstile } from './turnstile.js';
 import type { InstanceFeed, InstanceFilter } from './instanceFeed.js';
 
 /** Time between events when nothing changes, in milliseconds: how a watcher knows that it still hears. */
@@ -32,6 +33,8 @@
   readonly documents: DocumentFeed;
   readonly instances: InstanceFeed;
   readonly changed: ChangeSignal;
+  /** Bounds the streams that are brought up to date at one time. */
+  readonly comparisons: Turnstile;
   readonly clock: Clock;
 }
 
@@ -54,7 +57,7 @@
   /** What differs from the watcher's state, then changes as they come, until `signal` is aborted. */
   async *events(signal: AbortSignal): AsyncGenerator<WatchEvent> {
     const { changed, clock } = this.hub;
-    yield* this.compared(this.request.buckets);
+    yield* this.admitted(signal);
     while (!signal.aborted) {
       const sentAt = clock.monotonic();
       await changed.wait(clock, HEARTBEAT_MS, signal);
@@ -76,17 +79,36 @@
     }
   }
 
-  /** Sends documents at once and the instances that differ in parts; the last event is marked. */
+  /**
+   * Brings the watcher up to date when it is its turn. A herd that returns at one time would otherwise share the
+   * processor so that none is served before it gives up and comes again. Heartbeats keep those that wait.
+   */
+  private async *admitted(signal: AbortSignal): AsyncGenerator<WatchEvent> {
+    const { comparisons, clock, documents } = this.hub;
+    while (!comparisons.enter()) {
+      if (signal.aborted) return;
+      yield create(controlMessage.WatchEventSchema, { vouched: documents.vouched() });
+      await comparisons.wait(clock, HEARTBEAT_MS, signal);
+    }
+    try {
+      yield* this.compared(this.request.buckets);
+    } finally {
+      comparisons.leave();
+    }
+  }
+
+  /** Sends the documents, and the instances that differ in parts; the last event is marked. */
   private *compared(digests: readonly number[]): Generator<WatchEvent> {
     this.place = this.hub.instances.end();
     const parts = this.request.instances ? this.hub.instances.differing(digests, this.wanted) : [];
-    for (const { buckets, instances } of parts) {
+    for (const [index, { buckets, instances }] of parts.entries()) {
       const event = this.event();
       event.buckets = [...buckets];
       event.instances = instances.map((instance) => instanceToMessage(instance));
+      event.snapshot = index === parts.length - 1;
       yield event;
     }
-    yield { ...this.event(), snapshot: true };
+    if (parts.length === 0) yield { ...this.event(), snapshot: true };
   }
 
   private *changes(): Generator<WatchEvent> {
--- a/packages/document/src/parse/parse.spec.ts
+++ b/packages/document/src/parse/parse.spec.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { hashKey } from '../customer/index.js';
 import { locateProblems, parseDocument } from './parse.js';
@@ -148,3 +149,27 @@
   const problems = [at('routes.0'), at('routes.0', 9), at('other.routes.0'), at('')];
   expect(locateProblems(plain, problems).map(({ line }) => line)).toEqual([4, 9, 0, 0]);
 });
+
+it('gives problems with lines for whatever the fields hold', () => {
+  const field = fc.constantFrom(
+    'kind',
+    'owner',
+    'customers',
+    'routes',
+    'nonIdempotent',
+    'deadlines',
+    'models',
+  );
+  const inner = fc.oneof(
+    fc.jsonValue(),
+    fc.array(fc.dictionary(fc.constantFrom('name', 'keys', 'limits'), fc.jsonValue())),
+  );
+  const base = { kind: 'plain', service: 'desk', routes: [{ path: '/desk' }] };
+  fc.assert(
+    fc.property(field, inner, (key, value) => {
+      const problems = parseDocument(JSON.stringify({ ...base, [key]: value }))._unsafeUnwrapErr();
+      expect(problems.every(({ line, message }) => line === 1 && message !== '')).toBe(true);
+    }),
+    { seed: 1, numRuns: 300 },
+  );
+});
--- a/packages/engine/src/http/httpEngine.ts
+++ b/packages/engine/src/http/httpEngine.ts
@@ -20,7 +20,8 @@
 import { readCacheEvents } from './cacheEvents.js';
 import { Calls, statusFault } from './calls.js';
 import { orderCall } from './order.js';
-import { REQUEST_ID, bodyOf, headersOf } from './request.js';
+import { INCARNATION, REQUEST_ID, answerHeaders, bodyOf, headersOf } from './request.js';
+import { watchWholeAnswer } from './wholeAnswer.js';
 import { healthBody, loadBody, snapshotBody } from './schema.js';
 
 /** Longest silence on a stream whose heartbeat comes every 500 ms. */
@@ -36,7 +37,6 @@
   readonly silenceMs?: number;
 }
 
-const INCARNATION = 'x-engine-incarnation';
 const OK = 200;
 const CONFLICT = 409;
 const NOT_FOUND = 404;
@@ -51,6 +51,9 @@
   [UNAVAILABLE]: fault('overloaded', 'the engine takes no more requests', { ran: 'not-run' }),
 };
 
+/** A position in a stream that no event has: only heartbeats and the end come from there on. */
+const PAST_THE_END = 1_000_000_000;
+
 /** An answer with the exchange that it came by. */
 interface Opened {
   readonly answer: EngineAnswer;
@@ -75,15 +78,18 @@
   async send(request: EngineRequest, signal: AbortSignal): Promise<Result<EngineAnswer, Fault>> {
     const body = bodyOf(request);
     if (body.isErr()) return err(body.error);
-    const silence = body.value.stream ? this.silenceMs : undefined;
-    const opened = await this.open(request, signal, {
+    const { stream, bytes } = body.value;
+    const wire = {
       method: request.method,
       path: request.path,
       headers: { 'content-type': 'application/json', ...headersOf(request) },
-      body: body.value.bytes,
-      headSilenceMs: silence,
+      body: bytes,
+      headSilenceMs: stream ? this.silenceMs : undefined,
       bodySilenceMs: this.silenceMs,
-    });
+    };
+    const opened = stream
+      ? await this.open(request, signal, wire)
+      : await this.openWhole(request, signal, wire);
     return opened.andThen((answer) => this.taken(answer));
   }
 
@@ -168,6 +174,22 @@
     return this.checked(request, opened.value);
   }
 
+  private async openWhole(
+    request: EngineRequest,
+    signal: AbortSignal,
+    wire: WireRequest,
+  ): Promise<Result<Opened, Fault>> {
+    const { clock, silenceMs } = this;
+    const [cut, here] = [new AbortController(), new AbortController()];
+    const follow = (bound: AbortSignal) => this.resume(request, PAST_THE_END, bound);
+    void watchWholeAnswer({ clock, silenceMs, follow }, AbortSignal.any([signal, here.signal]), (reason) => {
+      cut.abort(reason);
+    });
+    const opened = await this.open(request, AbortSignal.any([signal, cut.signal]), wire);
+    here.abort(new Error('the answer is here'));
+    return opened;
+  }
+
   /**
    * An answer that belongs to another request would hand one caller's text to another. The echoed id shows
    * it; the connection is destroyed then, as whatever follows on it is shifted too.
@@ -182,10 +204,10 @@
     const { status, headers } = wire;
     const type = headerOf(headers, 'content-type') ?? '';
     const incarnation = headerOf(headers, INCARNATION);
-    const body = type.startsWith('text/event-stream')
-      ? eventBody(wire)
-      : wholeBody(wire, type.startsWith('application/json'));
-    return ok({ answer: { status, headers, incarnation, ...body }, wire });
+    const events = type.startsWith('text/event-stream');
+    const body = events ? eventBody(wire) : wholeBody(wire, type.startsWith('application/json'));
+    const answer = { status, headers: answerHeaders(headers, !events), incarnation, ...body };
+    return ok({ answer, wire });
   }
 
   /** Tells an answer from a refusal and from a failure of the engine. */
--- a/packages/engine/src/http/request.ts
+++ b/packages/engine/src/http/request.ts
@@ -12,6 +12,9 @@
 /** Header that carries the id of the caller's request, the same for all its attempts. */
 export const PARENT_REQUEST_ID = 'x-parent-request-id';
 
+/** Header that names the process that answers. */
+export const INCARNATION = 'x-engine-incarnation';
+
 /** Headers of one connection, or set by the adapter itself. */
 const dropped = new Set([
   'connection',
@@ -38,6 +41,14 @@
   return passed;
 }
 
+/** Headers of an answer that the caller may see: those of one connection or one attempt are left out. */
+export function answerHeaders(headers: readonly HeaderField[], whole: boolean): HeaderField[] {
+  return headers.filter(({ name }) => {
+    if (name === 'content-length') return whole;
+    return !dropped.has(name) && name !== REQUEST_ID && name !== INCARNATION;
+  });
+}
+
 /** Headers of an engine request. */
 export function headersOf(request: EngineRequest): Record<string, string> {
   return {
--- a/packages/engine/src/plain/plainTarget.ts
+++ b/packages/engine/src/plain/plainTarget.ts
@@ -7,7 +7,7 @@
 import type { Engine, EngineAnswer, EngineRequest, EngineState } from '../port/index.js';
 import { FaultError, Connections, exchange, headerOf } from '../wire/index.js';
 import type { WireAnswer } from '../wire/index.js';
-import { PARENT_REQUEST_ID, REQUEST_ID, passedHeaders } from '../http/request.js';
+import { REQUEST_ID, answerHeaders, passedHeaders } from '../http/request.js';
 
 /** How to reach a plain service. */
 export interface PlainTargetOptions {
@@ -39,11 +39,7 @@
       {
         method: request.method,
         path: request.path,
-        headers: {
-          ...passedHeaders(request.headers),
-          [REQUEST_ID]: request.attemptId,
-          [PARENT_REQUEST_ID]: request.requestId,
-        },
+        headers: { ...passedHeaders(request.headers), [REQUEST_ID]: request.requestId },
         body: request.body,
       },
       this.options.clock,
@@ -71,11 +67,15 @@
   /** Many plain services echo no id; one that does must echo the right one. */
   private checked(request: EngineRequest, answer: WireAnswer): Result<EngineAnswer, Fault> {
     const echoed = headerOf(answer.headers, REQUEST_ID);
-    if (echoed !== undefined && echoed !== request.attemptId) {
+    if (echoed !== undefined && echoed !== request.requestId) {
       answer.abandon();
       return err(fault('answer-mismatch', 'the service answered with the id of another request'));
     }
-    return ok({ status: answer.status, headers: answer.headers, body: framedBody(answer) });
+    return ok({
+      status: answer.status,
+      headers: answerHeaders(answer.headers, true),
+      body: framedBody(answer),
+    });
   }
 
   private async healthy(path: string, signal: AbortSignal): Promise<Result<boolean, Fault>> {
--- a/packages/engine/src/wire/exchange.spec.ts
+++ b/packages/engine/src/wire/exchange.spec.ts
@@ -176,6 +176,33 @@
     expect(await textOf(answer)).toBe('data: [DONE]\n\n');
   });
 
+  it('notices that a JSON answer is finished and does not come', async () => {
+    // Symptom: a caller waits until its deadline for an answer that the engine has long had ready.
+    // Sequence: the connection of a JSON answer carries nothing any more, and nobody closes it.
+    // Cause: silence is what such a connection has while the engine works, too.
+    let asked = '';
+    const { url } = await serve((request, response) => {
+      if (request.method !== 'GET') return;
+      asked = request.url ?? '';
+      startStream(request, response);
+      setTimeout(() => response.end('data: [DONE]\n\n'), 50);
+    });
+    const answer = await engineAt(url, 100).send(requestOf('a-1', { model: 'm', prompt: 'p' }), never);
+    expect(answer._unsafeUnwrapErr()).toMatchObject({ kind: 'stream-broken', ran: 'may-have-run' });
+    expect(asked).toMatch(/^\/v1\/streams\/a-1\?from=/);
+  });
+
+  it('waits for a slow JSON answer, also of an engine that does not know of its stream', async () => {
+    const { url } = await serve((request, response) => {
+      response.setHeader('x-request-id', request.headers['x-request-id'] ?? '');
+      response.setHeader('content-type', 'application/json');
+      if (request.method === 'GET') response.writeHead(404).end('{}');
+      else setTimeout(() => response.end('{"ok":true}'), 500);
+    });
+    const answer = await engineAt(url, 100).send(requestOf('a-1', { model: 'm', prompt: 'p' }), never);
+    expect(await textOf(answer._unsafeUnwrap())).toBe('{"ok":true}');
+  });
+
   it('refuses an answer with the id of another request', async () => {
     // Symptom: a caller got the answer to somebody else's request.
     // Sequence: an engine or something before it answers out of step on a kept connection.
--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -124,7 +124,7 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.touch();
-    this.queue.push(Buffer.from(chunk));
+    this.queue.push(chunk);
     this.queued += chunk.length;
     if (this.queued > HIGH_WATER) controller.pause();
     this.wake?.();
--- a/packages/entry/src/stream.spec.ts
+++ b/packages/entry/src/stream.spec.ts
@@ -227,6 +227,7 @@
     two.script = one.script;
     const text = await (await chat(url, { response_format: { type: 'json_object' } })).text();
     expect(errorIn(text)).toMatchObject({ code: 'target-lost' });
+    expect(one.runs.length + two.runs.length).toBe(1);
   });
 
   it('ends the answer when all its tokens were there', async () => {
--- a/packages/routing/src/policy/registry.ts
+++ b/packages/routing/src/policy/registry.ts
@@ -19,6 +19,19 @@
   homePreference: 0.1,
 };
 
+/**
+ * Third version: asks six targets in place of four, and counts longer queues more. Four miss targets that hold the
+ * prefix; a cap of 20 on the queues lets caches be spent under overload.
+ */
+const v3: WeighingOptions = {
+  probes: 6,
+  probesUnknown: 6,
+  weights: { latency: { base: 1, perWaiting: 2 }, reuse: { base: 3, perWaiting: 3 } },
+  waiting: 'mean',
+  mostWaiting: 100,
+  homePreference: 0.1,
+};
+
 /** Policies that a document or the bench tool can name. */
 export const policies = new Registry<PolicyFactory>('policy')
   .add('round-robin', (context) => new RoundRobin(context.seed))
@@ -28,4 +41,5 @@
   .add('learnt-hints', () => new LearntHints())
   .add('v1', (context) => new RendezvousProbe(context))
   .add('v2', (context) => new Weighing(context, v2))
-  .add('default', (context) => new Weighing(context, v2));
+  .add('v3', (context) => new Weighing(context, v3))
+  .add('default', (context) => new Weighing(context, v3));
--- a/packages/routing/src/policy/rendezvousHash.ts
+++ b/packages/routing/src/policy/rendezvousHash.ts
@@ -34,10 +34,20 @@
   return mix(hash);
 }
 
-/** Draw of a target for a key: larger is nearer to the key. Weighted by capacity. */
-function score(low: number, high: number, candidate: Candidate): number {
-  const drawn = mix(mix(hashName(candidate.name) ^ low) ^ high);
-  return -candidate.capacity / Math.log((drawn + 0.5) * UNIT);
+/** Draw of a target for a key, 0 to 2^32: larger is nearer to the key. */
+function drawOf(low: number, high: number, candidate: Candidate): number {
+  return mix(mix(hashName(candidate.name) ^ low) ^ high);
+}
+
+/** A draw weighted by capacity. */
+function weighted(drawn: number, capacity: number): number {
+  return -capacity / Math.log((drawn + 0.5) * UNIT);
+}
+
+/** Whether all weigh the same; then the weight, which leaves the order as it is, need not be computed. */
+function isEven(candidates: readonly Candidate[]): boolean {
+  const capacity = candidates[0]?.capacity;
+  return candidates.every((candidate) => candidate.capacity === capacity);
 }
 
 /** The `count` first homes of a prefix, best first. */
@@ -46,14 +56,17 @@
   candidates: readonly Candidate[],
   count: number,
 ): Candidate[] {
-  const homes: { candidate: Candidate; score: number }[] = [];
+  const even = isEven(candidates);
+  const homes: { readonly candidate: Candidate; readonly score: number }[] = [];
+  let least = Number.NEGATIVE_INFINITY;
   for (const candidate of candidates) {
-    const drawn = { candidate, score: score(prefix.low, prefix.high, candidate) };
-    const last = homes.at(-1);
-    if (homes.length === count && last !== undefined && last.score >= drawn.score) continue;
-    const place = homes.findIndex((home) => home.score < drawn.score);
-    homes.splice(place < 0 ? homes.length : place, 0, drawn);
+    const drawn = drawOf(prefix.low, prefix.high, candidate);
+    const score = even ? drawn : weighted(drawn, candidate.capacity);
+    if (homes.length === count && score <= least) continue;
+    const place = homes.findIndex((home) => home.score < score);
+    homes.splice(place < 0 ? homes.length : place, 0, { candidate, score });
     if (homes.length > count) homes.pop();
+    least = homes.at(-1)?.score ?? least;
   }
   return homes.map((home) => home.candidate);
 }
--- a/packages/routing/src/policy/shortlist.ts
+++ b/packages/routing/src/policy/shortlist.ts
@@ -40,6 +40,9 @@
 /** Part of a prompt that is taken to be shared at most. */
 const SHARED_PART = 0.75;
 
+/** First homes of shallower levels that are asked at most. */
+const SHALLOWER_HOMES = 2;
+
 /** Of this many others, the idlest is asked too: not always the idlest of all, which all entries would find. */
 const IDLE_DRAWN = 5;
 
@@ -53,16 +56,17 @@
   const hint = parts.hints.deepest(levels, candidates);
   const count = Math.min(candidates.length, hint === undefined ? parts.probesUnknown : parts.probes);
   const shared = sharedLevel(levels, chain.length);
-  const homes = homesFor(parts, shared, candidates);
-  const asked = new Set<Candidate>(homes.slice(0, count));
+  const homes = homesFor(parts, shared, candidates, count);
+  const asked = new Set<Candidate>(draw(parts.random, homes.current, 2).slice(0, count));
   const add = (more: readonly Candidate[], most: number): void => {
     for (const candidate of more) if (asked.size < most) asked.add(candidate);
   };
   add(hint?.candidates.slice(0, 1) ?? [], count);
-  add(shallowerHomes(levels, shared, candidates, asked), count - 1);
+  addShallower(levels, shared, candidates, asked, Math.min(count - 1, asked.size + SHALLOWER_HOMES));
+  add(homes.next, count - 1);
   add(idlest(parts, candidates, asked), count);
-  add(homesOf(shared, candidates, count), count);
-  return { candidates: [...asked], home: homes[0] };
+  add(homes.next, count);
+  return { candidates: [...asked], home: homes.current[0] };
 }
 
 /**
@@ -74,27 +78,39 @@
   return levels.find((level) => level.blocks <= most) ?? levels[0] ?? NO_PREFIX;
 }
 
-/** The first home, or two of the homes of a prefix that has several. */
-function homesFor(parts: ShortlistParts, level: Level, candidates: readonly Candidate[]): Candidate[] {
+/** Homes of a prefix, best first. */
+interface Homes {
+  /** As many as its traffic asks for now. */
+  readonly current: readonly Candidate[];
+  /** Those that would come next. */
+  readonly next: readonly Candidate[];
+}
+
+function homesFor(
+  parts: ShortlistParts,
+  level: Level,
+  candidates: readonly Candidate[],
+  more: number,
+): Homes {
   const share = parts.popularity.share(level.key);
   const count = parts.homeCounts.homes(level.key, share, candidates.length);
-  return draw(parts.random, homesOf(level, candidates, count), 2);
+  const homes = homesOf(level, candidates, count + more);
+  return { current: homes.slice(0, count), next: homes.slice(count) };
 }
 
-/** First homes of the levels above the shared one, deepest first: they hold the longest prefix next to it. */
-function shallowerHomes(
+/** Adds first homes of the levels above the shared one, deepest first: they hold the longest prefix next to it. */
+function addShallower(
   levels: readonly Level[],
   shared: Level,
   candidates: readonly Candidate[],
-  asked: ReadonlySet<Candidate>,
-): Candidate[] {
-  const homes: Candidate[] = [];
+  asked: Set<Candidate>,
+  most: number,
+): void {
   for (const level of levels) {
+    if (asked.size >= most) return;
     if (level.blocks >= shared.blocks) continue;
-    const [home] = homesOf(level, candidates, 1);
-    if (home !== undefined && !asked.has(home)) homes.push(home);
+    for (const home of homesOf(level, candidates, 1)) asked.add(home);
   }
-  return homes;
 }
 
 function idlest(
