--- a/scripts/quickstart/system.mjs
+++ b/scripts/quickstart/system.mjs
@@ -153,6 +153,10 @@
 }
 
 export async function quickstart(stay) {
+  // Ctrl-C during the start: an exit in order, which ends the processes started so far.
+  const leave = () => process.exit(130);
+  process.on('SIGINT', leave);
+  process.on('SIGTERM', leave);
   rmSync(FOLDER, { recursive: true, force: true });
   mkdirSync(FOLDER, { recursive: true });
   console.log(
@@ -172,6 +176,8 @@
     if (stay) {
       writeFileSync(`${FOLDER}/state.json`, JSON.stringify({ ...cluster.state(), keys }, null, 2));
       console.log(`State in ${FOLDER}/state.json. Ctrl-C stops everything.`);
+      process.off('SIGINT', leave);
+      process.off('SIGTERM', leave);
       await untilInterrupted();
     }
   } catch (error) {
