--- a/packages/agent/src/gate/gate.ts
+++ b/packages/agent/src/gate/gate.ts
@@ -140,6 +140,13 @@
     });
   }
 
+  /** Readers of runs that have not ended. */
+  reading(): number {
+    let count = 0;
+    for (const run of this.attempts.open()) count += run.reading;
+    return count;
+  }
+
   /** Runs that the target may be at work on, for a model. */
   sentFor(model: string): number {
     let count = 0;
@@ -297,6 +304,7 @@
   private gauge(): void {
     this.options.metrics.gauge(agentMetrics.running, this.slots.running);
     this.options.metrics.gauge(agentMetrics.queued, this.slots.queued);
+    this.options.metrics.gauge(agentMetrics.reading, this.reading());
   }
 }
 
--- a/packages/agent/src/metrics.ts
+++ b/packages/agent/src/metrics.ts
@@ -9,6 +9,7 @@
   cancels: { name: 'agent.cancels', type: 'counter', help: 'attempts cancelled, by what is proved of them' },
   running: { name: 'agent.running', type: 'gauge', help: 'attempts at the target now' },
   queued: { name: 'agent.queued', type: 'gauge', help: 'attempts waiting at the gate now' },
+  reading: { name: 'agent.reading', type: 'gauge', help: 'streams on which entries read running attempts' },
   queueTime: { name: 'agent.queue.time', type: 'timing', help: 'milliseconds in the gate queue' },
   firstToken: {
     name: 'agent.first_token',
--- a/packages/agent/src/role/agent.ts
+++ b/packages/agent/src/role/agent.ts
@@ -20,6 +20,9 @@
 /** Concurrent requests at a plain service when nothing is set. */
 const DEFAULT_PLAIN_CAPACITY = 32;
 
+/** How long a drained agent still answers. */
+const LINGER_MS = 500;
+
 /** Time between two looks whether a model's runs have ended. */
 const DRAIN_POLL_MS = 50;
 
@@ -143,12 +146,14 @@
 
   /** New work is refused from the first moment on, whatever entries still believe. */
   async drain(): Promise<void> {
-    const { log } = this.context;
+    const { log, clock } = this.context;
     this.leaves = true;
     this.ordering.abort(new Error('leaving'));
     log.event(agentEvents.leaving);
     await this.directory.leave();
     await this.gate.idle();
+    // What was handed to a connection that breaks just now is asked for again within this time.
+    await clock.sleep(LINGER_MS);
     log.event(agentEvents.drained);
   }
 
--- a/packages/agent/src/run/run.ts
+++ b/packages/agent/src/run/run.ts
@@ -85,6 +85,11 @@
     return this.stage === 'sent' ? 'may-have-run' : this.outcome;
   }
 
+  /** Readers now. */
+  get reading(): number {
+    return this.readers;
+  }
+
   /** Whether the last event is in. */
   get ended(): boolean {
     return this.stage === 'ended';
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,7 +3,9 @@
 import { Command } from 'commander';
 import { addChaos } from './chaos/index.js';
 import { addExperiment } from './experiment/index.js';
+import { addLatency } from './latency/index.js';
 import { addLoad } from './load/index.js';
+import { addPlot } from './plot/index.js';
 import { addStandIns } from './standInCommands.js';
 
 const program = new Command('jasminebench')
@@ -14,6 +16,8 @@
 addChaos(program);
 addExperiment(program);
 addLoad(program);
+addLatency(program);
+addPlot(program);
 
 try {
   await program.parseAsync();
--- /dev/null
+++ b/packages/bench/src/plot/index.ts
@@ -0,0 +1,4 @@
+export * from './command.js';
+export * from './series.js';
+export * from './svg.js';
+export * from './terminal.js';
--- /dev/null
+++ b/packages/bench/src/usage/index.ts
@@ -0,0 +1,1 @@
+export * from './usage.js';
--- a/packages/control/src/claims/claimService.ts
+++ b/packages/control/src/claims/claimService.ts
@@ -41,8 +41,9 @@
   }
 
   async settle(request: controlMessage.SettleRequest): Promise<controlMessage.SettleResponse> {
-    const { proposer, maxAnswerBytes } = this.parts;
-    const outcome = await proposer.propose('settle', { request, maxAnswerBytes: BigInt(maxAnswerBytes) });
+    const { proposer, maxAnswerBytes, maxClaims } = this.parts;
+    const limits = { maxAnswerBytes: BigInt(maxAnswerBytes), maxClaims };
+    const outcome = await proposer.propose('settle', { request, ...limits });
     if (outcome.isErr()) throw errorOf(outcome.error);
     return outcome.value;
   }
--- a/packages/control/src/claims/claimState.ts
+++ b/packages/control/src/claims/claimState.ts
@@ -28,6 +28,9 @@
  */
 export const RELEASED_MS = 120_000;
 
+/** Stands for the fingerprint of a claim that has not arrived. */
+const NO_FINGERPRINT = new Uint8Array();
+
 type Response = MessageInitShape<typeof controlMessage.ClaimResponseSchema>;
 type Outcome = MessageInitShape<typeof stateMessage.ClaimOutcomeSchema>;
 
@@ -37,6 +40,21 @@
   readonly words: Uint32Array;
 }
 
+/** Bounds that come with a settlement. */
+type Limits = Pick<stateMessage.SettleClaim, 'maxAnswerBytes' | 'maxClaims'>;
+
+/** A settlement by the attempt that holds the key. */
+interface OwnSettlement {
+  readonly key: ClaimKey;
+  readonly open: OpenClaim;
+  readonly request: controlMessage.SettleRequest;
+  readonly limits: Limits;
+  readonly now: LogTime;
+}
+
+/** Carries out a settlement; whether it took effect. */
+type Settle = (settlement: OwnSettlement) => boolean;
+
 /** The claims of all services. */
 export class ClaimState implements Feature {
   private readonly open = new OpenClaims();
@@ -46,8 +64,9 @@
 
   readonly handlers: CommandHandlers = {
     claim: ({ request, maxClaims }, now) => ({ case: 'claim', value: this.claim(request, maxClaims, now) }),
-    settle: ({ request, maxAnswerBytes }, now) => {
-      const settled = request !== undefined && this.settle(request, Number(maxAnswerBytes), now);
+    settle: (command, now) => {
+      const { request } = command;
+      const settled = request !== undefined && this.settle(request, command, now);
       return { case: 'settle', value: { settled } };
     },
   };
@@ -131,11 +150,31 @@
     return { state: State.DONE, answer: this.answers.find(key.text) };
   }
 
-  private settle(request: controlMessage.SettleRequest, maxBytes: number, now: LogTime): boolean {
+  private settle(request: controlMessage.SettleRequest, limits: Limits, now: LogTime): boolean {
     const key = keyOf(request);
     const open = this.open.find(key.text);
-    if (open?.attemptId !== request.attemptId) return this.isSettled(key, request);
-    return this.settlements[request.settlement](key, open, request, maxBytes, now);
+    if (open?.attemptId === request.attemptId) {
+      return this.settlements[request.settlement]({ key, open, request, limits, now });
+    }
+    const isFree = open === undefined && this.settled.find(key.words) === undefined;
+    if (isFree && request.settlement === Settlement.RELEASED) return this.releaseEarly(key, request, limits, now);
+    return this.isSettled(key, request);
+  }
+
+  /**
+   * An entry that got no answer to its claim releases it, and the claim can still be under way. Granted after
+   * its release, it would hold the key for an attempt that is over.
+   */
+  private releaseEarly(
+    key: ClaimKey,
+    request: controlMessage.SettleRequest,
+    limits: Limits,
+    now: LogTime,
+  ): boolean {
+    if (this.size() >= limits.maxClaims) return false;
+    const fingerprint = hashFingerprint(NO_FINGERPRINT);
+    this.close(key, { attemptId: request.attemptId, fingerprint }, true, now + RELEASED_MS);
+    return true;
   }
 
   /** A resend of a settlement that has taken effect is told so. */
@@ -145,37 +184,31 @@
     return request.settlement === (settled.released ? Settlement.RELEASED : Settlement.DONE);
   }
 
-  private readonly settlements: Readonly<
-    Record<
-      controlMessage.Settlement,
-      (
-        key: ClaimKey,
-        open: OpenClaim,
-        request: controlMessage.SettleRequest,
-        maxBytes: number,
-        now: LogTime,
-      ) => boolean
-    >
-  > = {
+  private readonly settlements: Readonly<Record<controlMessage.Settlement, Settle>> = {
     [Settlement.UNSPECIFIED]: () => false,
-    [Settlement.RELEASED]: (key, open, _request, _maxBytes, now) => {
+    [Settlement.RELEASED]: ({ key, open, now }) => {
       this.close(key, open, true, now + RELEASED_MS);
       return true;
     },
-    [Settlement.DONE]: (key, open, { answer }, maxBytes, now) => {
+    [Settlement.DONE]: ({ key, open, request: { answer }, limits, now }) => {
       const expires = now + open.windowMs;
       this.close(key, open, false, expires);
-      if (answer !== undefined) this.answers.keep(key.text, answer, expires, maxBytes);
+      if (answer !== undefined) this.answers.keep(key.text, answer, expires, Number(limits.maxAnswerBytes));
       return true;
     },
-    [Settlement.UNKNOWN]: (key, open, _request, _maxBytes, now) => {
+    [Settlement.UNKNOWN]: ({ key, open, now }) => {
       const expires = now + Math.max(open.windowMs, LEAST_OPEN_MS);
       this.open.put(key.text, { ...open, unknown: true, expires });
       return true;
     },
   };
 
-  private close(key: ClaimKey, open: OpenClaim, released: boolean, expires: LogTime): void {
+  private close(
+    key: ClaimKey,
+    open: Pick<OpenClaim, 'attemptId' | 'fingerprint'>,
+    released: boolean,
+    expires: LogTime,
+  ): void {
     this.open.remove(key.text);
     this.settled.put({
       key: key.words,
--- a/packages/control/src/claims/segment.ts
+++ b/packages/control/src/claims/segment.ts
@@ -41,18 +41,19 @@
     return this.words.byteLength;
   }
 
-  find(key: Uint32Array, nowUnit: number): SettledClaim | undefined {
+  /** The live record of a key. It is a window on the segment: read it at once. */
+  find(key: Uint32Array, nowUnit: number): Uint32Array | undefined {
     const at = this.slotOf(key);
-    const claim = claimOf(this.words.subarray(at, at + RECORD_WORDS));
-    return claim.expires > nowUnit ? claim : undefined;
+    if (expiryOf(this.words[at + LAST_WORD] ?? 0) <= nowUnit) return undefined;
+    return this.words.subarray(at, at + RECORD_WORDS);
   }
 
   /** Adds or replaces a record. */
-  put(claim: SettledClaim, nowUnit: number): void {
+  put(record: Uint32Array, nowUnit: number): void {
     if (this.used + 1 > this.slots() * MAX_FILL) this.rebuild(nowUnit);
-    const at = this.slotOf(claim.key);
+    const at = this.slotOf(record);
     if (this.words[at + LAST_WORD] === 0) this.used += 1;
-    this.write(at, claim);
+    this.words.set(record, at);
   }
 
   /** Makes a record count as expired. Its slot stays taken, so that searches still pass over it. */
@@ -66,7 +67,7 @@
     const { words } = this;
     let next = start;
     for (let at = 0; at < words.length; at += RECORD_WORDS) {
-      if ((words[at + LAST_WORD] ?? 0) >>> 1 <= nowUnit) continue;
+      if (expiryOf(words[at + LAST_WORD] ?? 0) <= nowUnit) continue;
       for (let offset = 0; offset < RECORD_WORDS; offset += 1) into[next + offset] = words[at + offset] ?? 0;
       next += RECORD_WORDS;
     }
@@ -89,12 +90,6 @@
     }
   }
 
-  private write(at: number, claim: SettledClaim): void {
-    this.words.set(claim.key, at);
-    this.words.set([...claim.fingerprint, claim.attempt], at + KEY_WORDS);
-    this.words[at + LAST_WORD] = claim.expires * 2 + (claim.released ? RELEASED_BIT : 0);
-  }
-
   /** Drops expired records and makes room for as many as needed. */
   private rebuild(nowUnit: number): void {
     const live = new Uint32Array(this.words.length);
@@ -109,7 +104,7 @@
   }
 }
 
-/** A record of the form in which segments hold and copy it. */
+/** A settled claim out of its record. */
 export function claimOf(record: Uint32Array): SettledClaim {
   const word = (offset: number): number => record[offset] ?? 0;
   const last = word(LAST_WORD);
@@ -118,10 +113,25 @@
     fingerprint: [word(KEY_WORDS), word(KEY_WORDS + 1)],
     attempt: word(KEY_WORDS + 2),
     released: (last & RELEASED_BIT) !== 0,
-    expires: last >>> 1,
+    expires: expiryOf(last),
   };
 }
 
+/** The record of a settled claim. */
+export function recordOf(claim: SettledClaim): Uint32Array {
+  const last = claim.expires * 2 + (claim.released ? RELEASED_BIT : 0);
+  return Uint32Array.of(...claim.key, ...claim.fingerprint, claim.attempt, last);
+}
+
+/** Unit of expiry of a record. */
+export function expiryOfRecord(record: Uint32Array): number {
+  return expiryOf(record[LAST_WORD] ?? 0);
+}
+
+function expiryOf(lastWord: number): number {
+  return lastWord >>> 1;
+}
+
 function sameKey(words: Uint32Array, at: number, key: Uint32Array): boolean {
   return (
     words[at] === key[0] && words[at + 1] === key[1] && words[at + 2] === key[2] && words[at + 3] === key[3]
--- a/packages/control/src/claims/settledTable.ts
+++ b/packages/control/src/claims/settledTable.ts
@@ -1,5 +1,5 @@
 /** Settled claims in bounded memory. */
-import { EXPIRY_UNIT_MS, RECORD_WORDS, Segment, claimOf } from './segment.js';
+import { EXPIRY_UNIT_MS, RECORD_WORDS, Segment, claimOf, expiryOfRecord, recordOf } from './segment.js';
 import type { SettledClaim } from './segment.js';
 import type { LogTime } from '../state/index.js';
 
@@ -33,23 +33,20 @@
   }
 
   find(key: Uint32Array): SettledClaim | undefined {
-    return this.segmentOf(key).find(key, this.nowUnit);
+    const record = this.segmentOf(key).find(key, this.nowUnit);
+    return record && claimOf(record);
   }
 
   /** Adds or replaces a record. */
   put(claim: SettledClaim): void {
-    const segment = this.segmentOf(claim.key);
-    const old = segment.find(claim.key, this.nowUnit);
-    if (old !== undefined) this.count(old.expires, -1);
-    segment.put(claim, this.nowUnit);
-    this.count(claim.expires, 1);
+    this.putRecord(recordOf(claim));
   }
 
   remove(key: Uint32Array): void {
     const segment = this.segmentOf(key);
     const old = segment.find(key, this.nowUnit);
     if (old === undefined) return;
-    this.count(old.expires, -1);
+    this.count(expiryOfRecord(old), -1);
     segment.remove(key);
   }
 
@@ -79,10 +76,18 @@
     // Copied, because a typed array needs its start on a multiple of its element's size.
     const words = new Uint32Array(data.slice().buffer);
     for (let at = 0; at + RECORD_WORDS <= words.length; at += RECORD_WORDS) {
-      this.put(claimOf(words.subarray(at, at + RECORD_WORDS)));
+      this.putRecord(words.subarray(at, at + RECORD_WORDS));
     }
   }
 
+  private putRecord(record: Uint32Array): void {
+    const segment = this.segmentOf(record);
+    const old = segment.find(record, this.nowUnit);
+    if (old !== undefined) this.count(expiryOfRecord(old), -1);
+    segment.put(record, this.nowUnit);
+    this.count(expiryOfRecord(record), 1);
+  }
+
   private segmentOf(key: Uint32Array): Segment {
     const segment = this.segments[(key[0] ?? 0) % SEGMENTS];
     if (segment === undefined) throw new Error('no segment');
--- a/packages/coordination/src/testing/memoryCluster.ts
+++ b/packages/coordination/src/testing/memoryCluster.ts
@@ -103,7 +103,6 @@
   async start(node: Node): Promise<void> {
     if (node.replica !== undefined) return;
     node.recorder = this.recorder();
-    node.disk.syncDelay = () => this.clock.sleep(this.random() * MAX_SYNC_MS);
     const { name, address } = node.address;
     const opened = await ReplicatedLog.open({
       ...this.tuning,
@@ -121,6 +120,7 @@
       random: this.random,
     });
     if (opened.isErr()) throw new Error(opened.error.message);
+    node.disk.syncDelay = () => this.clock.sleep(this.random() * MAX_SYNC_MS);
     const replica = opened.value;
     node.replica = replica;
     this.network.serve(address, (router) => {
--- a/packages/entry/src/http/request.spec.ts
+++ b/packages/entry/src/http/request.spec.ts
@@ -150,6 +150,7 @@
     ['no HTTP at all', 'hello\r\n\r\n', 400],
     ['a head that never ends', `${line}X-A: `, 408],
     ['a body that never ends', `${line}${json}Content-Length: 20\r\n\r\n{`, 408],
+    ['a stated length over the limit', `${line}${json}Content-Length: 90000\r\n\r\n`, 413],
     ['a tunnel', 'CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n', 400],
   ];
 
