--- a/packages/agent/src/watch/engineWatch.ts
+++ b/packages/agent/src/watch/engineWatch.ts
@@ -88,7 +88,8 @@
     const before = this.known;
     this.misses = 0;
     if (state.incarnation !== before.state?.incarnation) {
-      log.event(agentEvents.engineRestarted, { before: before.state?.incarnation, now: state.incarnation });
+      const old = before.state?.incarnation;
+      if (old !== undefined) log.event(agentEvents.engineRestarted, { old, now: state.incarnation });
       onIncarnation(state.incarnation, this.seenAt);
     }
     this.known = { ready: state.ready, state };
--- a/packages/bench/src/chaos/plainSend.ts
+++ b/packages/bench/src/chaos/plainSend.ts
@@ -77,6 +77,7 @@
     customer: call.customer,
     atMs: call.atMs,
     ...finding,
+    sentLateMs: 0,
     totalMs: clock.monotonic() - arrival,
     outputTokens: 0,
     redials: 0,
--- a/packages/bench/src/chaos/run.ts
+++ b/packages/bench/src/chaos/run.ts
@@ -30,6 +30,8 @@
 const MINUTE_MS = 60_000;
 /** Quiet time at the end, so that what was in trouble can finish. */
 const CALM_MS = 3_000;
+/** Longer than callers' balancer takes to notice, also on a busy machine. */
+const DRAIN_DELAY_MS = 3_000;
 /** Troubles come together, too. */
 const TROUBLES_AT_ONCE = 2;
 const STAND_IN_ARGS = ['--step-ms', '10', '--prefill-rate', '20000'];
@@ -39,7 +41,10 @@
   return Cluster.start({
     folder,
     controls: controlsOf(shape),
-    entries: entriesOf(shape),
+    entries: entriesOf(shape).map((entry) => ({
+      ...entry,
+      args: ['--drain-delay-ms', String(DRAIN_DELAY_MS)],
+    })),
     targets: [...modelTargets(shape, STAND_IN_ARGS), ...plainTargets(shape)],
     documents: [
       modelDocument(shape, { policy: settings.policy, nonIdempotentCustomers: onceCustomers(shape) }),
--- a/packages/bench/src/chaos/trouble.ts
+++ b/packages/bench/src/chaos/trouble.ts
@@ -55,7 +55,7 @@
 }
 
 async function killAndReturn(member: Member, returnMs: number): Promise<undefined> {
-  await member.process.kill();
+  await member.kill();
   await systemClock.sleep(returnMs);
   await startAgain(member);
   return undefined;
@@ -65,7 +65,7 @@
 async function startAgain(member: Member): Promise<void> {
   for (let attempt = 1; ; attempt += 1) {
     try {
-      await member.process.start();
+      await member.start();
       return;
     } catch (error) {
       if (attempt === START_TRIES) throw error;
@@ -118,7 +118,7 @@
 }
 
 async function stopAndReturn(member: Member): Promise<string | undefined> {
-  const exit = await member.process.stop(STOP_LIMIT_MS);
+  const exit = await member.stop(STOP_LIMIT_MS);
   await startAgain(member);
   if (exit.code === 0) return undefined;
   return `planned stop of ${member.name} ended with ${exit.signal ?? `code ${exit.code ?? 'unknown'}`}`;
--- a/packages/bench/src/experiment/fault.ts
+++ b/packages/bench/src/experiment/fault.ts
@@ -28,15 +28,15 @@
 async function crashEngine(cluster: Cluster): Promise<void> {
   const engine = cluster.role('engine')[0];
   if (engine === undefined) return;
-  await engine.process.kill();
+  await engine.kill();
   await systemClock.sleep(EMPTY_RETURN_MS);
-  await engine.process.start();
+  await engine.start();
 }
 
 async function restartEntries(cluster: Cluster): Promise<void> {
   const entries = cluster.role('entry');
-  await Promise.all(entries.map((entry) => entry.process.kill()));
-  await Promise.all(entries.map((entry) => entry.process.start()));
+  await Promise.all(entries.map((entry) => entry.kill()));
+  await Promise.all(entries.map((entry) => entry.start()));
 }
 
 async function slowEngine(cluster: Cluster): Promise<void> {
--- a/packages/bench/src/experiment/result.ts
+++ b/packages/bench/src/experiment/result.ts
@@ -26,6 +26,7 @@
   leastComputedTokens: z.number(),
   recomputation: z.number().nullable(),
   redials: z.number(),
+  sentLateMs: quantiles,
 });
 
 /** Schema of one run of one row. */
@@ -45,6 +46,8 @@
   after: reportSchema,
   /** Prompt tokens that the engines computed, for whomever, while measured or warming up. */
   engineComputedTokens: z.number(),
+  /** Load average of the machine over the last minute, at the end of the run. */
+  machineLoad: z.number(),
   records: z.array(requestRecord).optional(),
 });
 
--- a/packages/bench/src/load/record.ts
+++ b/packages/bench/src/load/record.ts
@@ -33,6 +33,8 @@
   /** What the answer said about the run. */
   run: z.string().default(''),
   detail: z.string().default(''),
+  /** How long after the intended arrival this process got round to sending: the bench's own delay. */
+  sentLateMs: z.number().default(0),
   firstTokenMs: z.number().optional(),
   totalMs: z.number(),
   /** Mean time between two tokens. */
--- a/packages/bench/src/load/report.ts
+++ b/packages/bench/src/load/report.ts
@@ -30,8 +30,10 @@
   readonly leastComputedTokens: number;
   /** Prompt tokens computed over the least possible. */
   readonly recomputation: number;
-  /** Share of each customer in the answered requests, over its share of all. */
+  /** Connections that were refused before one was taken. */
   readonly redials: number;
+  /** The bench's own delay in sending; where it is large, the machine was too busy for the figures to count. */
+  readonly sentLateMs: Quantiles;
 }
 
 const round = (value: number, digits: number): number => Number(value.toFixed(digits));
@@ -99,6 +101,7 @@
     goodputPerSecond: round(complete.length / ((toMs - fromMs) / 1_000), 2),
     ...reuse(inside, oracle),
     redials: sum(inside.map((record) => record.redials)),
+    sentLateMs: quantiles(inside.map((record) => record.sentLateMs)),
   };
 }
 
@@ -124,5 +127,6 @@
     line('computed tokens', `${report.computedTokens} (least ${report.leastComputedTokens})`),
     line('over the least', `${report.recomputation}`),
     line('redials', String(report.redials)),
+    line("bench's own delay ms", times(report.sentLateMs)),
   ].join('\n');
 }
--- a/packages/bench/src/load/send.ts
+++ b/packages/bench/src/load/send.ts
@@ -55,13 +55,16 @@
   private echoedId: string | undefined;
   private runHeader = '';
   private redials = 0;
+  private readonly sentLateMs: number;
 
   constructor(
     private readonly planned: PlannedRequest,
     /** Intended arrival on the monotonic clock. */
     private readonly arrival: number,
     private readonly options: SendOptions,
-  ) {}
+  ) {
+    this.sentLateMs = options.clock.monotonic() - arrival;
+  }
 
   async run(): Promise<RequestRecord> {
     const { clock, giveUpMs } = this.options;
@@ -171,6 +174,7 @@
       code: reading.error?.code ?? '',
       run: reading.error?.run ?? this.runHeader,
       detail,
+      sentLateMs: this.sentLateMs,
       firstTokenMs: first === undefined ? undefined : first - arrival,
       totalMs: this.options.clock.monotonic() - arrival,
       tokenGapMs: spread === undefined ? undefined : spread / (times.length - 1),
--- a/packages/control/src/claims/claimService.ts
+++ b/packages/control/src/claims/claimService.ts
@@ -18,6 +18,8 @@
   readonly maxClaims: number;
   /** Bytes of answers that may be kept. */
   readonly maxAnswerBytes: number;
+  /** Where the leader is reached, host:port; empty when that isn't known. */
+  readonly leaderAddress: () => string;
 }
 
 /** Claims and settlements, each held by a quorum before it is answered. */
@@ -37,7 +39,7 @@
     const { response } = outcome.value;
     if (response === undefined) throw this.full();
     metrics.count(controlMetrics.claims, 1, { state: controlMessage.ClaimState[response.state] });
-    return response;
+    return { ...response, leader: this.parts.leaderAddress() };
   }
 
   async settle(request: controlMessage.SettleRequest): Promise<controlMessage.SettleResponse> {
--- a/packages/control/src/claims/claimState.ts
+++ b/packages/control/src/claims/claimState.ts
@@ -157,7 +157,8 @@
       return this.settlements[request.settlement]({ key, open, request, limits, now });
     }
     const isFree = open === undefined && this.settled.find(key.words) === undefined;
-    if (isFree && request.settlement === Settlement.RELEASED) return this.releaseEarly(key, request, limits, now);
+    if (isFree && request.settlement === Settlement.RELEASED)
+      return this.releaseEarly(key, request, limits, now);
     return this.isSettled(key, request);
   }
 
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -78,7 +78,9 @@
       status: ({ local }) => (local ? localStatus(sources) : wholeStatus(sources)),
     });
     const { maxClaims, maxAnswerBytes } = settings;
-    const claims = new ClaimService({ proposer, clock, log, metrics, maxClaims, maxAnswerBytes });
+    const leaderAddress = (): string => this.leaderAddress();
+    const bounds = { maxClaims, maxAnswerBytes };
+    const claims = new ClaimService({ proposer, clock, log, metrics, leaderAddress, ...bounds });
     router.service(controlMessage.Claims, {
       claim: (request) => claims.claim(request),
       settle: (request) => claims.settle(request),
@@ -128,6 +130,11 @@
     await this.commandLog.close();
   }
 
+  private leaderAddress(): string {
+    const { leader = '' } = this.commandLog.status();
+    return this.members.current().get(leader)?.address ?? '';
+  }
+
   /** This instance as it appears in the list of instances. */
   private self(address: string): InstanceMessage {
     const { name, incarnation, dataCentre } = this.context;
--- a/packages/control/src/role/controlCluster.spec.ts
+++ b/packages/control/src/role/controlCluster.spec.ts
@@ -1,4 +1,6 @@
-import { controlMessage } from '@jasmineroute/protocol';
+import { silentMetrics, systemClock } from '@jasmineroute/core';
+import { ClaimClient, Controls } from '@jasmineroute/directory';
+import { Peers, controlMessage } from '@jasmineroute/protocol';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Cluster, controlText, modelText, until } from '../fixture/index.js';
 import type { Node } from '../fixture/index.js';
@@ -158,6 +160,34 @@
     expect([...granted.values()].map(({ size }) => size)).toEqual([...granted.values()].map(() => 1));
   });
 
+  it('leads those who claim to the leader, and away from it when it is lost', async () => {
+    // Symptom: a claim takes a round trip more than it needs; or claims fail while a quorum is there.
+    // Sequence: claims through an instance that doesn't lead; then the leader is lost.
+    // Cause: the client never learns who leads, or never forgets it.
+    const first = await leader();
+    const asked: string[] = [];
+    const peers = new Peers();
+    const transport = peers.transport.bind(peers);
+    peers.transport = (address) => {
+      asked.push(address);
+      return transport(address);
+    };
+    const controls = cluster.nodes.filter((node) => node !== first).map(({ address }) => address);
+    const options = { controls: [...controls, first.address], clock: systemClock, metrics: silentMetrics };
+    const client = new ClaimClient(new Controls({ ...options, peers }));
+    const state = async (attemptId: string): Promise<controlMessage.ClaimState> => {
+      const fields = { service: 'desk', customer: 'lloyd', key: attemptId, attemptId, agent: 'a' };
+      const request = { ...fields, fingerprint: Uint8Array.of(1), windowMs: 60_000n };
+      return (await client.claim(request, 5_000))._unsafeUnwrap().state;
+    };
+    expect(await state('one')).toBe(State.GRANTED);
+    expect(await state('two')).toBe(State.GRANTED);
+    expect(asked.at(-1)).toBe(first.address);
+    await cluster.kill(first);
+    expect(await state('three')).toBe(State.GRANTED);
+    peers.close();
+  });
+
   it('lets a turn last as long as its holder believes, though the granting leader is cut off', async () => {
     // Symptom: two executors give one target orders.
     // Sequence: the leader grants a turn and is isolated at once; another holder asks the others.
--- a/packages/coordination/src/agreement/contact.ts
+++ b/packages/coordination/src/agreement/contact.ts
@@ -8,8 +8,9 @@
 /** Watches one replica's contact. */
 export class Contact {
   vouched = false;
-  /** Fires when `vouched` or anything else in the status changed. */
+  /** Called when role, term, leader, configuration or `vouched` changed. */
   readonly listeners = new Set<() => void>();
+  private told = '';
 
   constructor(
     private readonly replica: Replica,
@@ -31,6 +32,10 @@
   /** Looks at the contact now, and tells the listeners. */
   look(): void {
     this.set(this.replica.role === 'leader' ? this.leads() : this.follows());
+    const { role, term, leader, entries } = this.replica;
+    const now = [role, term, leader, entries.configuration().index, this.vouched].join(' ');
+    if (now === this.told) return;
+    this.told = now;
     for (const listener of this.listeners) listener();
   }
 
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -72,7 +72,7 @@
   propose(proposal: Proposal): void {
     const { tuning } = this.parts.replica;
     if (!this.isActive || this.pending.length >= tuning.maxPending) {
-      proposal.settle(notWritten(this.isActive ? 'too many commands wait' : 'no longer the leader'));
+      proposal.settle(this.isActive ? tooMany() : notWritten('no longer the leader'));
       return;
     }
     this.pending.push(proposal);
@@ -249,4 +249,6 @@
 
 const notLeader = (): Fault => fault('not-leader', 'no longer the leader', { ran: 'not-run' });
 
+const tooMany = (): Outcome => err(fault('overloaded', 'too many commands wait'));
+
 const descending = (a: bigint, b: bigint): number => (a < b ? 1 : a > b ? -1 : 0);
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -17,6 +17,7 @@
 /** Times and sizes, with defaults for replicas some milliseconds apart. */
 export const tuning = z.object({
   heartbeatMs: milliseconds(100).describe('a leader is heard from this often'),
+  commitNoticeMs: milliseconds(5).describe('a commit is told after so long when no entry carries it before'),
   electionMinMs: milliseconds(500).describe('shortest silence before an election'),
   electionMaxMs: milliseconds(1_000).describe('longest silence before an election'),
   rpcTimeoutMs: milliseconds(500).describe('a call without an answer for so long loses its connection'),
--- a/packages/coordination/src/agreement/peerClient.ts
+++ b/packages/coordination/src/agreement/peerClient.ts
@@ -21,9 +21,14 @@
   readonly metrics: Metrics;
 }
 
-/** The connection was refused, so the call was never sent. */
-const isUnsent = (error: ConnectError): boolean =>
-  (error.cause as NodeJS.ErrnoException | undefined)?.code === 'ECONNREFUSED';
+/** HTTP/2's word that a stream was not processed at all (RFC 9113, 8.7), as for those opened after a GOAWAY. */
+const REFUSED_STREAM = 'NGHTTP2_REFUSED_STREAM';
+
+/** The connection or the stream was refused, so the call was never processed. */
+function isUnsent(error: ConnectError): boolean {
+  const code = (error.cause as NodeJS.ErrnoException | undefined)?.code;
+  return code === 'ECONNREFUSED' || error.rawMessage.includes(REFUSED_STREAM);
+}
 
 /** Options of one call. */
 export interface CallOptions {
--- a/packages/coordination/src/agreement/proposal.ts
+++ b/packages/coordination/src/agreement/proposal.ts
@@ -23,8 +23,8 @@
 export const notWritten = (reason: string): Outcome => err(fault('not-leader', reason, { ran: 'not-run' }));
 
 /** The command may be in logs that can still win. */
-export const unknownOutcome = (reason: string): Outcome =>
-  err(fault('no-quorum', reason, { ran: 'may-have-run' }));
+export const unknownOutcome = (reason: string, cause?: unknown): Outcome =>
+  err(fault('no-quorum', reason, { ran: 'may-have-run', cause }));
 
 /** Commands in the log, by index. */
 export class Waiters {
--- a/packages/coordination/src/agreement/proposing.ts
+++ b/packages/coordination/src/agreement/proposing.ts
@@ -69,8 +69,9 @@
   /** Answers a command that another replica forwarded; never forwards it once more. */
   async answer(command: Uint8Array): Promise<ProposeResponse> {
     const { replica } = this.parts;
-    const outcome = await this.local(command, MAX_FORWARDED_MS);
     const leader = replica.leader ?? '';
+    if (replica.stopped) return create(ProposeResponseSchema, { redirected: true, leader });
+    const outcome = await this.local(command, MAX_FORWARDED_MS);
     if (outcome === undefined) return create(ProposeResponseSchema, { redirected: true, leader });
     if (outcome.isOk()) return create(ProposeResponseSchema, { result: outcome.value });
     const isNotRun = outcome.error.ran === 'not-run';
@@ -123,7 +124,7 @@
     if (answer.isErr()) {
       const isUnsent = answer.error.kind === 'target-unreachable';
       if (isUnsent) replica.changed.notify();
-      return isUnsent ? err(answer.error) : unknownOutcome(answer.error.message);
+      return isUnsent ? err(answer.error) : unknownOutcome(answer.error.message, answer.error);
     }
     const { result, redirected, unknown } = answer.value;
     if (unknown) return unknownOutcome('the leader lost its quorum');
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -43,6 +43,8 @@
   /** Name of the leader of the current term, once known. */
   leader: string | undefined;
   commitIndex: bigint;
+  /** Monotonic time of the last commit. */
+  committedAt = -Infinity;
   /** Entries up to here survive a crash of this replica. */
   syncedIndex: bigint;
   /** Monotonic time before which no election begins here. */
@@ -208,6 +210,7 @@
   commitTo(index: bigint): void {
     if (index <= this.commitIndex) return;
     this.commitIndex = index;
+    this.committedAt = this.clock.monotonic();
     this.changed.notify();
   }
 
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -84,7 +84,7 @@
       append: (request) => this.serve(() => this.follower.append(request)),
       install: (request) => this.serve(() => this.follower.install(request)),
       join: (request) => this.serve(() => this.joining.answer(request)),
-      propose: (request) => this.serve(() => this.proposing.answer(request.command)),
+      propose: (request) => this.proposing.answer(request.command),
     });
   }
 
@@ -125,7 +125,7 @@
     };
   }
 
-  /** Calls the listener whenever the status may have changed. Returns the way to call it off. */
+  /** Calls the listener when role, term, leader, configuration or `vouched` changed. Returns the way to call it off. */
   onStatus(listener: (status: ReplicaStatus) => void): () => void {
     const tell = (): void => {
       listener(this.status());
--- a/packages/coordination/src/agreement/replication.ts
+++ b/packages/coordination/src/agreement/replication.ts
@@ -14,7 +14,7 @@
   readonly round: number;
 }
 
-/** Appends may wait for a slow disk; whether the connection lives is told by the heartbeats. */
+/** Entries and snapshots may wait for a slow disk; whether the connection lives is told by the heartbeats. */
 const APPEND_TIMEOUTS = 6;
 
 /** Sends entries, heartbeats and snapshots until the term or the membership ends. */
@@ -35,21 +35,28 @@
 
 /** Milliseconds until the next heartbeat, or the end of the pause after a failure. */
 function untilDue(leadership: Leadership, progress: Progress): number {
-  const { clock, tuning } = leadership.parts.replica;
-  const due = Math.max(progress.sentAt + tuning.heartbeatMs, progress.pausedUntil);
+  const { clock, tuning, committedAt } = leadership.parts.replica;
+  const heartbeat = progress.sentAt + tuning.heartbeatMs;
+  const notice = isNoticeOpen(leadership, progress) ? committedAt + tuning.commitNoticeMs : heartbeat;
+  const due = Math.max(Math.min(heartbeat, notice), progress.pausedUntil);
   return Math.max(1, due - clock.monotonic());
 }
 
+/** Whether the replica has not been told of the last commit, and no message is on its way. */
+function isNoticeOpen(leadership: Leadership, progress: Progress): boolean {
+  return progress.inFlight === 0 && progress.toldCommit < leadership.parts.replica.commitIndex;
+}
+
 /** Whether a message is due: entries to send and room for them, a commit to tell of, or a heartbeat. */
 function isDue(leadership: Leadership, progress: Progress): boolean {
   const { replica } = leadership.parts;
-  const { heartbeatMs, maxInFlight, groupCommit } = replica.tuning;
+  const { heartbeatMs, maxInFlight, groupCommit, commitNoticeMs } = replica.tuning;
   const now = replica.clock.monotonic();
   if (now < progress.pausedUntil) return false;
   if (now - progress.sentAt >= heartbeatMs) return true;
   if (progress.inFlight >= (groupCommit ? maxInFlight : 1)) return false;
   if (progress.next <= replica.entries.last.index) return true;
-  return progress.inFlight === 0 && progress.toldCommit < replica.commitIndex;
+  return isNoticeOpen(leadership, progress) && now >= replica.committedAt + commitNoticeMs;
 }
 
 function nextRequest(leadership: Leadership, progress: Progress): AppendRequest {
@@ -169,7 +176,8 @@
   });
   const sentAt = replica.clock.monotonic();
   progress.sentAt = sentAt;
-  const answer = await peers.call(progress.voter.address, replica.tuning.rpcTimeoutMs, (client, signal) =>
+  const timeoutMs = replica.tuning.rpcTimeoutMs * APPEND_TIMEOUTS;
+  const answer = await peers.call(progress.voter.address, timeoutMs, (client, signal) =>
     client.install(request, { signal }),
   );
   if (answer.isErr()) return false;
--- /dev/null
+++ b/packages/coordination/src/example/index.ts
@@ -0,0 +1,3 @@
+/** The example: embedding the replicated log. */
+export * from './embed.js';
+export * from './wordCounter.js';
--- /dev/null
+++ b/packages/coordination/src/loopback/index.ts
@@ -0,0 +1,2 @@
+/** Loopback server and connections. */
+export * from './loopback.js';
--- a/packages/coordination/src/membership/member.ts
+++ b/packages/coordination/src/membership/member.ts
@@ -50,13 +50,21 @@
   readonly source: Source;
 }
 
+/** An observer that was heard. */
+export interface ObserverAge {
+  readonly name: string;
+  readonly incarnation: bigint;
+  /** Milliseconds since it was last heard, directly or by others. */
+  readonly ageMs: number;
+}
+
 /** What changed since a place, for another observer. */
 export interface Digest {
   readonly since: bigint;
   readonly upTo: bigint;
   readonly reports: readonly MemberReport[];
-  /** Observers and the milliseconds since each was heard, this one included with 0. */
-  readonly observers: ReadonlyMap<string, number>;
+  /** Other observers that were heard. */
+  readonly observers: readonly ObserverAge[];
 }
 
 /** A change of state. */
--- a/packages/coordination/src/testing/index.ts
+++ b/packages/coordination/src/testing/index.ts
@@ -1,3 +1,4 @@
 /** Support for this package's tests. */
 export * from './memoryCluster.js';
 export * from './memoryNetwork.js';
+export * from './stubReplica.js';
--- a/packages/coordination/src/testing/memoryCluster.ts
+++ b/packages/coordination/src/testing/memoryCluster.ts
@@ -184,8 +184,8 @@
   }
 
   /** Checks, with everything repaired, that all hold the same and no answer was untrue. */
-  checkEnd(): void {
-    const [first, ...others] = this.nodes.filter(({ replica }) => replica !== undefined);
+  checkEnd(among: readonly Node[] = this.nodes): void {
+    const [first, ...others] = among.filter(({ replica }) => replica !== undefined);
     const kept = first?.recorder.commands ?? [];
     for (const other of others) {
       const isSame = JSON.stringify(other.recorder.commands) === JSON.stringify(kept);
--- a/packages/directory/src/call/claimClient.ts
+++ b/packages/directory/src/call/claimClient.ts
@@ -34,6 +34,7 @@
       (transport, signal) => createClient(controlMessage.Claims, transport).claim(request, { signal }),
       timeoutMs,
     );
+    if (answer.isOk()) this.controls.prefer(answer.value.leader);
     return answer.mapErr(unavailable);
   }
 
--- a/packages/directory/src/call/controls.ts
+++ b/packages/directory/src/call/controls.ts
@@ -34,12 +34,18 @@
 /** Calls with fail-over, and the truth about whether a failed call ran. */
 export class Controls {
   private readonly addresses: ControlAddresses;
+  private preferred = '';
 
   constructor(private readonly options: ControlsOptions) {
     this.addresses =
       options.addresses ?? new ControlAddresses(options.controls, () => options.clock.monotonic());
   }
 
+  /** Asks an instance before all others, until it fails; an address that isn't known is left aside. */
+  prefer(address: string): void {
+    if (address !== '') this.preferred = address;
+  }
+
   /**
    * Asks one instance after the other until one answers or `timeoutMs` have passed.
    * @returns the answer; or the last fault, whose `ran` is 'not-run' only if that holds for every attempt.
@@ -51,7 +57,7 @@
     let last = fault('no-quorum', 'no control instance is known');
     let mayHaveRun = false;
     while (left() > LEAST_ATTEMPT_MS) {
-      for (const address of this.addresses.order(this.options.dataCentre)) {
+      for (const address of this.order()) {
         if (left() <= LEAST_ATTEMPT_MS) break;
         const outcome = await this.attempt(address, call, Math.min(left(), ATTEMPT_MS));
         if (outcome.isOk()) return ok(outcome.value);
@@ -65,6 +71,13 @@
     return err(settled(last, mayHaveRun));
   }
 
+  private order(): string[] {
+    const order = this.addresses.order(this.options.dataCentre);
+    const { preferred } = this;
+    if (!order.includes(preferred)) return order;
+    return [preferred, ...order.filter((address) => address !== preferred)];
+  }
+
   private async attempt<T>(address: string, call: ControlCall<T>, ms: number): Promise<Result<T, Fault>> {
     const limit = new CallLimit().after(this.options.clock, ms);
     this.addresses.asked(address);
@@ -81,6 +94,7 @@
 
   private failed(address: string, error: unknown, silent: boolean, ms: number): Fault {
     const problem = silent ? noAnswer(address, error) : faultOf(error);
+    if (address === this.preferred) this.preferred = '';
     if (isTransportFault(problem)) this.addresses.failed(address);
     // A connection can go silent for good while new ones work: only a new one can tell. One on which
     // something else was heard meanwhile is left to its other calls.
--- a/packages/directory/src/client/directoryClient.spec.ts
+++ b/packages/directory/src/client/directoryClient.spec.ts
@@ -1,4 +1,7 @@
+import { once } from 'node:events';
+import { create } from '@bufbuild/protobuf';
 import { compactText } from '@jasmineroute/document';
+import { controlMessage } from '@jasmineroute/protocol';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { directoryEvents } from '../events.js';
 import { EventRecord, MemoryDocuments, Scene, plainText } from '../fixture/index.js';
@@ -54,6 +57,33 @@
     expect(Date.now() - silentAt).toBeLessThan(5_000);
   });
 
+  it('leaves a watch that says nothing more on a connection that lives', async () => {
+    // Symptom: one entry runs on an old document for good, although its connection answers every ping.
+    // Sequence: the source's stream for this watcher hangs; the process and the connection do not.
+    // Cause: keep-alive of the transport says nothing of what runs over it.
+    const c1 = await scene.control();
+    c1.documents.accept('desk', plainText('desk', 1));
+    c1.documents.accept('desk', plainText('desk', 2));
+    const hanging = await scene.server((router) => {
+      router.service(controlMessage.Directory, {
+        watch: async function* (_, { signal }) {
+          yield create(controlMessage.WatchEventSchema, { revision: 1n, vouched: true, snapshot: true });
+          await once(signal, 'abort');
+        },
+      });
+    });
+    const link = await scene.link(c1.address);
+    link.set({ admission: 'refuse' });
+    const entry = await scene.client([hanging, link.address]);
+    await until(() => {
+      expect(entry.view().revision).toBe(1n);
+    });
+    link.clear();
+    await until(() => {
+      expect(entry.view().revision).toBe(2n);
+    });
+  });
+
   it('leaves a control instance that is out of touch with its quorum', async () => {
     // Symptom: an accepted document is not in force at the watchers of one control instance.
     // Sequence: that instance is cut off from its quorum, not from its watchers, and goes on with heartbeats.
--- a/packages/directory/src/client/eventApplier.spec.ts
+++ b/packages/directory/src/client/eventApplier.spec.ts
@@ -67,6 +67,21 @@
     expect(builder.view()).toMatchObject({ revision: 2n });
   });
 
+  it('keeps the newer document when a source sends an older one', async () => {
+    // Symptom: a configuration that was accepted and in force reverts.
+    // Sequence: a source sends its newest documents, which are older than those held.
+    // Cause: it was restored from a copy, or does not look at what the watcher has.
+    const { builder, applier, documents, event } = setUp();
+    documents.accept('desk', plainText('desk', 0));
+    const old = event();
+    documents.accept('desk', plainText('desk', 1));
+    await applier.apply(event());
+    const before = builder.view();
+    expect(await applier.apply(old)).toBe(true);
+    expect(builder.view()).toBe(before);
+    expect(before.revision).toBe(2n);
+  });
+
   it('shows the first comparison only when it is whole', async () => {
     // Symptom: just after a start an entry thinks that a service has three targets, and overloads them.
     // Sequence: a snapshot comes in parts, and requests come between.
--- a/packages/directory/src/membership/exchange.ts
+++ b/packages/directory/src/membership/exchange.ts
@@ -31,7 +31,7 @@
     since: digest.since,
     upTo: digest.upTo,
     heard: digest.reports.map((report) => reportToMessage(report, store)),
-    observers: [...digest.observers].map(([name, age]) => ({ name, ageMs: Math.round(age) })),
+    observers: digest.observers.map((observer) => ({ ...observer, ageMs: Math.round(observer.ageMs) })),
   });
 }
 
@@ -59,8 +59,8 @@
   detector: FailureDetector,
   store: InstanceStore,
 ): string[] {
-  detector.observerHeard(request.from);
-  for (const { name, ageMs } of request.observers) detector.observerHeard(name, ageMs);
+  detector.observerHeard({ name: request.from, incarnation: request.incarnation, ageMs: 0 });
+  for (const observer of request.observers) detector.observerHeard(observer);
   const names: string[] = [];
   for (const heard of request.heard) {
     const { instance } = heard;
--- a/packages/directory/src/server/serveDirectory.ts
+++ b/packages/directory/src/server/serveDirectory.ts
@@ -41,5 +41,11 @@
   source.documents.onChange(wake);
   source.instances.onChange(wake);
   const documents = new DocumentFeed(source.documents);
-  return { documents, instances, changed, comparisons: new Turnstile(COMPARISONS), clock: source.clock };
+  return {
+    documents,
+    instances,
+    changed,
+    comparisons: new Turnstile(COMPARISONS, source.clock),
+    clock: source.clock,
+  };
 }
--- a/packages/directory/src/server/watch.ts
+++ b/packages/directory/src/server/watch.ts
@@ -84,16 +84,18 @@
    * processor so that none is served before it gives up and comes again. Heartbeats keep those that wait.
    */
   private async *admitted(signal: AbortSignal): AsyncGenerator<WatchEvent> {
-    const { comparisons, clock, documents } = this.hub;
-    while (!comparisons.enter()) {
+    const { comparisons, documents } = this.hub;
+    let leave = comparisons.enter();
+    while (leave === undefined) {
       if (signal.aborted) return;
       yield create(controlMessage.WatchEventSchema, { vouched: documents.vouched() });
-      await comparisons.wait(clock, HEARTBEAT_MS, signal);
+      await comparisons.wait(HEARTBEAT_MS, signal);
+      leave = comparisons.enter();
     }
     try {
       yield* this.compared(this.request.buckets);
     } finally {
-      comparisons.leave();
+      leave();
     }
   }
 
--- a/packages/document/src/schema/schema.ts
+++ b/packages/document/src/schema/schema.ts
@@ -10,6 +10,11 @@
   'least-outstanding',
   'rendezvous',
   'rendezvous-probe',
+  'learnt-hints',
+  'v1',
+  'v2',
+  'v3',
+  'v4',
 ] as const;
 
 const adapter = z.strictObject({
--- a/packages/entry/src/call/header.ts
+++ b/packages/entry/src/call/header.ts
@@ -40,8 +40,6 @@
   'proxy-authorization',
   'proxy-connection',
   'te',
-  'traceparent',
-  'tracestate',
   'trailer',
   'transfer-encoding',
   'upgrade',
--- /dev/null
+++ b/packages/entry/src/claim/settler.ts
@@ -0,0 +1,96 @@
+/** Records outcomes of claimed attempts, however long the control instances are out of reach. */
+import type { Result } from 'neverthrow';
+import type { Clock, Fault, Log } from '@jasmineroute/core';
+import { entryEvents } from '../events.js';
+
+/** One outcome to record. */
+export interface Settling {
+  readonly attemptId: string;
+  /** Sends it once. */
+  readonly send: () => Promise<Result<unknown, Fault>>;
+}
+
+/** Outcomes sent at once. */
+const WORKERS = 16;
+/** Outcomes that wait; past it the oldest is given up. */
+const MOST_WAITING = 20_000;
+const LEAST_PAUSE_MS = 250;
+const MOST_PAUSE_MS = 5_000;
+
+/**
+ * Sends outcomes until they are recorded. What goes wrong without the bounds: while the control instances
+ * are out of reach every call leaves an outcome behind, and all of them sent again and again at once keep the
+ * control instances from recovering. What goes wrong without the patience: an outcome that is given up
+ * leaves its key taken, and the caller's resends are refused as running until the window ends.
+ */
+export class Settler {
+  private waiting: Settling[] = [];
+  private active = 0;
+  private readonly idleWaiters = new Set<() => void>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  /** Outcomes that are not recorded yet. */
+  get size(): number {
+    return this.waiting.length + this.active;
+  }
+
+  /** Takes an outcome over. Resolves when it is recorded or given up. */
+  settle(settling: Settling): Promise<void> {
+    return new Promise((resolve) => {
+      this.push({
+        attemptId: settling.attemptId,
+        send: async () => {
+          const result = await settling.send();
+          if (result.isOk()) resolve();
+          return result;
+        },
+      });
+    });
+  }
+
+  /** Resolves when all outcomes are recorded, or after `ms`. */
+  async idle(ms: number): Promise<void> {
+    if (this.size === 0) return;
+    let wake: () => void = () => undefined;
+    const empty = new Promise<void>((resolve) => {
+      wake = resolve;
+    });
+    this.idleWaiters.add(wake);
+    const calledOff = this.clock.after(ms, wake);
+    await empty;
+    calledOff();
+    this.idleWaiters.delete(wake);
+    for (const { attemptId } of this.waiting) this.log.event(entryEvents.claimUnsettled, { attemptId });
+  }
+
+  private push(settling: Settling): void {
+    this.waiting.push(settling);
+    const dropped = this.waiting.length > MOST_WAITING ? this.waiting.shift() : undefined;
+    if (dropped !== undefined) {
+      this.log.event(entryEvents.claimUnsettled, { attemptId: dropped.attemptId });
+    }
+    if (this.active < WORKERS) void this.work();
+  }
+
+  private async work(): Promise<void> {
+    this.active += 1;
+    let pause = LEAST_PAUSE_MS;
+    for (let next = this.waiting.shift(); next !== undefined; next = this.waiting.shift()) {
+      const result = await next.send();
+      if (result.isOk()) {
+        pause = LEAST_PAUSE_MS;
+        continue;
+      }
+      this.waiting.push(next);
+      await this.clock.sleep(pause);
+      pause = Math.min(MOST_PAUSE_MS, pause * 2);
+    }
+    this.active -= 1;
+    if (this.size > 0) return;
+    for (const wake of this.idleWaiters) wake();
+  }
+}
--- a/packages/entry/src/gate/attempt.ts
+++ b/packages/entry/src/gate/attempt.ts
@@ -43,11 +43,19 @@
 /** Opens a stream of events that ends when the signal aborts. */
 type StreamOpener = (signal: AbortSignal) => AsyncIterable<gateMessage.RunEvent>;
 
+/** The gate may have the attempt and does not answer now: cancelling would end work that can still be asked for. */
+const stillThere: AttemptOutcome = {
+  type: 'failed',
+  fault: fault('already-running', 'the agent that has the first request does not answer now'),
+};
+
 /** Runs one attempt. Made for one use. */
 export class Attempt {
   /** Ordinal of the event that comes next. */
   private next = 0n;
   private watchdog: Watchdog | undefined;
+  /** Another process started it. */
+  private attached = false;
 
   constructor(
     private readonly context: AttemptContext,
@@ -78,6 +86,7 @@
 
   /** Follows the events of an attempt that another process started, from the first one. */
   async attach(): Promise<AttemptOutcome> {
+    this.attached = true;
     return this.mend({ type: 'break', reason: 'lost' });
   }
 
@@ -111,6 +120,7 @@
   /** The gate is gone or can't go on: asks what is proved, where a true "not run" hangs on it. */
   private async lost(broken: Break): Promise<AttemptOutcome> {
     this.context.log.event(entryEvents.streamLost, { ...this.ids(), reason: broken.reason });
+    if (this.attached && !cannotResume(broken.error)) return stillThere;
     const ran = await this.proof();
     return { type: 'failed', fault: fault('target-lost', 'the target was lost', { ran }) };
   }
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -140,9 +140,10 @@
       return;
     }
     this.log.event(entryEvents.badConnection, { code: error.code, status: statusOf(error.code) });
-    const begun = [...(this.answering.get(socket) ?? [])].some((answer) => answer.headersSent);
-    // An error in the middle of an answer would be read as a part of it.
-    if (begun) socket.destroy();
+    const answers = [...(this.answering.get(socket) ?? [])];
+    const busy = answers.some((answer) => answer.headersSent || answer.req.complete);
+    // Earlier requests of the connection are in work: an error would be read as an answer to one of them.
+    if (busy) socket.destroy();
     else refuseConnection(error.code, socket);
   }
 }
--- a/packages/entry/src/testing/world.ts
+++ b/packages/entry/src/testing/world.ts
@@ -169,6 +169,7 @@
   readonly url: string;
   readonly directory: FakeDirectory;
   readonly claims: FakeClaims;
+  readonly peers: Peers;
   close(): Promise<void>;
 }
 
@@ -200,6 +201,7 @@
     url: `http://${entry.httpAddress()}`,
     directory,
     claims,
+    peers,
     close: async () => {
       await entry.close();
       peers.close();
--- a/packages/entry/src/work/claimed.ts
+++ b/packages/entry/src/work/claimed.ts
@@ -105,15 +105,16 @@
     const { log, view, claims } = this.context;
     const { attemptId, requestId, holder } = orphan;
     log.event(entryEvents.claimTakenOver, { requestId: this.subject.call.requestId, attemptId });
-    const address = view().instances.get(holder.agent)?.address;
-    if (address === undefined) return this.outcomeUnknown(attemptId);
+    const agent = view().instances.get(holder.agent);
+    if (agent === undefined || agent.health === 'down') return this.outcomeUnknown(attemptId);
     const name = { requestId, attemptId, incarnation: holder.incarnation };
-    const outcome = await this.parts.sender.attach(address, name);
+    const outcome = await this.parts.sender.attach(agent.address, name);
     switch (outcome.type) {
       case 'ended':
         return this.ended(attemptId);
       case 'refused':
       case 'failed': {
+        if (outcome.fault.kind === 'already-running') return this.parts.aftermath.fail(outcome.fault);
         if (outcome.fault.ran !== 'not-run') return this.outcomeUnknown(attemptId);
         await claims.settle(this.subject.call, attemptId, { type: 'released' });
         const { aftermath } = this.parts;
--- a/packages/entry/src/work/sender.ts
+++ b/packages/entry/src/work/sender.ts
@@ -1,7 +1,8 @@
 /** Sends the attempts of one call to gates. */
 import { create } from '@bufbuild/protobuf';
 import { carrierOf, endHop, startHop } from '@jasmineroute/core';
-import type { HopSpan, Ran } from '@jasmineroute/core';
+import type { Carrier, HopSpan, Ran } from '@jasmineroute/core';
+import type { HeaderField } from '@jasmineroute/engine';
 import { gateMessage } from '@jasmineroute/protocol';
 import { encodeChain } from '@jasmineroute/routing';
 import type { Answer } from '../answer/index.js';
@@ -12,6 +13,8 @@
 import type { Sending, Subject } from './plan.js';
 import { loadOf } from './reading.js';
 
+const TRACE_FIELDS: ReadonlySet<string> = new Set(['traceparent', 'tracestate']);
+
 /** Sends attempts, one at a time. */
 export class Sender {
   private sending = false;
@@ -83,7 +86,6 @@
 
   private message({ plan, job, placement, name }: Sending, hop: HopSpan): gateMessage.RunRequest {
     const { call, remaining } = this.subject;
-    const trace = Object.entries(carrierOf(hop)).map(([field, value]) => ({ name: field, value }));
     return create(gateMessage.RunRequestSchema, {
       ...name,
       service: call.service.service,
@@ -93,7 +95,7 @@
       weightsVersion: call.model?.weights.version ?? '',
       method: call.method,
       path: call.path,
-      headers: [...call.headers, ...trace],
+      headers: traced(call.headers, carrierOf(hop)),
       body: plan.body,
       priority: call.priority,
       deadlineMs: remaining(),
@@ -105,3 +107,10 @@
     });
   }
 }
+
+/** Puts this hop's trace context in place of the caller's; without tracing the caller's passes on. */
+function traced(headers: readonly HeaderField[], carrier: Carrier): HeaderField[] {
+  const own = Object.entries(carrier).map(([name, value]) => ({ name, value }));
+  if (own.length === 0) return [...headers];
+  return [...headers.filter(({ name }) => !TRACE_FIELDS.has(name)), ...own];
+}
--- a/packages/routing/src/policy/flights.ts
+++ b/packages/routing/src/policy/flights.ts
@@ -10,6 +10,9 @@
   readonly prefillMs: number;
 }
 
+/** Time after which a request is taken to have its first token, where nobody tells. */
+const ANSWERED_MS = 2_000;
+
 /** Requests under way, by target. Bounded by the requests of the entry. */
 export class Flights {
   private readonly flights = new Map<string, Map<Job, Flight>>();
@@ -26,8 +29,16 @@
     if (there?.size === 0) this.flights.delete(candidate.name);
   }
 
-  count(candidate: Candidate): number {
-    return this.flights.get(candidate.name)?.size ?? 0;
+  /** A request has its first token: its prefill is done. */
+  answered(candidate: Candidate, job: Job): void {
+    const there = this.flights.get(candidate.name);
+    const flight = there?.get(job);
+    if (flight !== undefined) there?.set(job, { ...flight, prefillMs: 0 });
+  }
+
+  /** Milliseconds of prefill that this entry has lately sent to a target, as far as it is not known to be done. */
+  unansweredMs(candidate: Candidate, now: number): number {
+    return this.sentSince(candidate, now - ANSWERED_MS);
   }
 
   /** Milliseconds of prefill sent to a target at `time` or later: what a probe sent then can't have seen. */
--- a/packages/routing/src/policy/index.ts
+++ b/packages/routing/src/policy/index.ts
@@ -2,5 +2,6 @@
 export * from './policy.js';
 export * from './registry.js';
 export * from './rendezvousHash.js';
+export type { CostOptions, RecomputeWeight } from './costs.js';
 export { Weighing } from './weighing.js';
-export type { RecomputeWeight, WeighingOptions } from './weighing.js';
+export type { WeighingOptions } from './weighing.js';
--- a/packages/routing/src/policy/loadBook.ts
+++ b/packages/routing/src/policy/loadBook.ts
@@ -5,6 +5,7 @@
 
 interface Entry {
   readonly at: number;
+  readonly load: Load;
   /** Milliseconds of prefill that waited. */
   readonly waitMs: number;
   /** Requests for each unit of capacity. */
@@ -24,10 +25,15 @@
   record(candidate: Candidate, load: Load): void {
     const requests = load.running + load.queued;
     const busy = requests / Math.max(1, load.capacity || candidate.capacity);
-    const entry = { at: this.clock.monotonic(), waitMs: prefillMs(load, load.queuedTokens), busy };
+    const entry = { at: this.clock.monotonic(), load, waitMs: prefillMs(load, load.queuedTokens), busy };
     this.entries.set(candidate.name, entry);
   }
 
+  /** Load as it was last told. */
+  load(candidate: Candidate): Load | undefined {
+    return this.entries.get(candidate.name)?.load;
+  }
+
   /** Guess of the wait now: what was there, less the time since. Unknown targets are taken to idle. */
   waitMs(candidate: Candidate): number {
     const entry = this.entries.get(candidate.name);
--- a/packages/routing/src/policy/policy.ts
+++ b/packages/routing/src/policy/policy.ts
@@ -48,7 +48,10 @@
 export interface ProbeReading {
   readonly engineIncarnation: string;
   readonly accepting: boolean;
+  /** Prompt tokens that are vouched for to be cached. */
   readonly cachedTokens: number;
+  /** With blocks that a lost cache event may have removed; `cachedTokens` when absent. */
+  readonly likelyTokens?: number;
   readonly load: Load;
   /** Agent's estimate of the time to first token, milliseconds. */
   readonly estimateMs: number;
--- a/packages/routing/src/policy/prefixHints.ts
+++ b/packages/routing/src/policy/prefixHints.ts
@@ -42,6 +42,12 @@
     return undefined;
   }
 
+  /** Blocks of the deepest of these levels that went to a target; 0: none. */
+  blocksAt(levels: readonly Level[], target: string): number {
+    const level = levels.find(({ key }) => this.targets.get(key)?.includes(target));
+    return level?.blocks ?? 0;
+  }
+
   get size(): number {
     return this.targets.size;
   }
--- a/packages/routing/src/policy/registry.ts
+++ b/packages/routing/src/policy/registry.ts
@@ -13,9 +13,14 @@
 const v2: WeighingOptions = {
   probes: 4,
   probesUnknown: 6,
-  weights: { latency: { base: 1, perWaiting: 1 }, reuse: { base: 3, perWaiting: 2 } },
-  waiting: 'mean',
+  weights: {
+    latency: { base: 1, perWaiting: 1, perWaitingThere: 0 },
+    reuse: { base: 3, perWaiting: 2, perWaitingThere: 0 },
+  },
   mostWaiting: 20,
+  firstProbes: 6,
+  trustLikely: false,
+  rememberSilent: false,
   homePreference: 0.1,
 };
 
@@ -26,12 +31,23 @@
 const v3: WeighingOptions = {
   probes: 6,
   probesUnknown: 6,
-  weights: { latency: { base: 1, perWaiting: 2 }, reuse: { base: 3, perWaiting: 3 } },
-  waiting: 'mean',
+  weights: {
+    latency: { base: 1, perWaiting: 2, perWaitingThere: 0 },
+    reuse: { base: 3, perWaiting: 3, perWaitingThere: 0 },
+  },
   mostWaiting: 100,
+  firstProbes: 6,
+  trustLikely: false,
+  rememberSilent: false,
   homePreference: 0.1,
 };
 
+/**
+ * Fourth version: goes on comparing caches by what is likely when cache events are lost, weighs silent targets
+ * from memory, and asks two targets before it asks all six.
+ */
+const v4: WeighingOptions = { ...v3, firstProbes: 2, trustLikely: true, rememberSilent: true };
+
 /** Policies that a document or the bench tool can name. */
 export const policies = new Registry<PolicyFactory>('policy')
   .add('round-robin', (context) => new RoundRobin(context.seed))
@@ -42,4 +58,5 @@
   .add('v1', (context) => new RendezvousProbe(context))
   .add('v2', (context) => new Weighing(context, v2))
   .add('v3', (context) => new Weighing(context, v3))
-  .add('default', (context) => new Weighing(context, v3));
+  .add('v4', (context) => new Weighing(context, v4))
+  .add('default', (context) => new Weighing(context, v4));
--- a/packages/routing/src/policy/shortlist.ts
+++ b/packages/routing/src/policy/shortlist.ts
@@ -32,6 +32,8 @@
 export interface Shortlist {
   readonly candidates: readonly Candidate[];
   readonly home?: Candidate;
+  /** Length of the shared prefix by which the prompt has its home. */
+  readonly sharedBlocks: number;
 }
 
 /** Key of prompts too short for any level. */
@@ -66,7 +68,7 @@
   add(homes.next, count - 1);
   add(idlest(parts, candidates, asked), count);
   add(homes.next, count);
-  return { candidates: [...asked], home: homes.current[0] };
+  return { candidates: [...asked], home: homes.current[0], sharedBlocks: shared.blocks };
 }
 
 /**
--- a/packages/routing/src/policy/targetHealth.ts
+++ b/packages/routing/src/policy/targetHealth.ts
@@ -25,6 +25,10 @@
 const FAILURE_MS = 500;
 const MOST_FAILURES = 4;
 
+/** Milliseconds that a target is taken to be slower for each probe in a row that it has not answered in time. */
+const SILENCE_MS = 100;
+const MOST_SILENCES = 5;
+
 interface Record {
   /** Logarithm of measured over estimated time. */
   slowness: number;
@@ -35,6 +39,8 @@
 /** Slowness and failures by target. */
 export class TargetHealth {
   private readonly records = new Map<string, Record>();
+  /** Probes in a row without an answer, by target. */
+  private readonly silences = new Map<string, number>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -51,9 +57,21 @@
     record.failures = Math.min(MOST_FAILURES, record.failures + 1);
   }
 
+  /** The target has not answered a probe in time. */
+  silent(candidate: Candidate): void {
+    const count = (this.silences.get(candidate.name) ?? 0) + 1;
+    this.silences.set(candidate.name, Math.min(MOST_SILENCES, count));
+  }
+
+  /** The target has answered a probe. */
+  heard(candidate: Candidate): void {
+    this.silences.delete(candidate.name);
+  }
+
   /** The target was replaced or has gone. */
   forget(candidate: Candidate): void {
     this.records.delete(candidate.name);
+    this.silences.delete(candidate.name);
   }
 
   /** What to multiply an estimate by, from 1. */
@@ -64,10 +82,11 @@
     return factor < NOISE ? 1 : Math.min(LARGEST, factor);
   }
 
-  /** Milliseconds to add to an estimate for recent failures. */
+  /** Milliseconds to add to an estimate for recent failures and silence. */
   penaltyMs(candidate: Candidate): number {
     const record = this.records.get(candidate.name);
-    return record === undefined ? 0 : FAILURE_MS * record.failures * this.left(record);
+    const failures = record === undefined ? 0 : record.failures * this.left(record);
+    return FAILURE_MS * failures + SILENCE_MS * (this.silences.get(candidate.name) ?? 0);
   }
 
   /**
--- a/packages/routing/src/policy/weighing.ts
+++ b/packages/routing/src/policy/weighing.ts
@@ -1,17 +1,17 @@
 /**
- * The product's own policy: asks a few targets and compares expected times, not ranks.
- *
- * The cost of a target is the expected time to first token there, plus the prefill that it would have to
- * recompute, weighted. The weight grows with the queues: recomputed work holds up every request that waits, so
- * that under load a policy that looks only at the one request in hand spends the caches of all.
+ * The product's own policy: asks a few targets and compares expected times, not ranks. The home of a prompt's
+ * prefix is asked first; when it has the prefix and hardly a queue, the others are left in peace.
  */
-import type { Objective } from '@jasmineroute/document';
 import { BLOCK_TOKENS, levelsOf } from '../prefix/index.js';
-import { ASSUMED_PREFILL_RATE, prefillMs } from './estimate.js';
+import { Costs } from './costs.js';
+import type { CostOptions } from './costs.js';
+import { prefillMs } from './estimate.js';
 import { Flights } from './flights.js';
 import { HomeCounts } from './homeCounts.js';
 import { LoadBook } from './loadBook.js';
-import type { Candidate, Choice, Job, Outcome, Policy, PolicyContext, ProbeReading } from './policy.js';
+import { heardOffer, rememberedOffer } from './offers.js';
+import type { Offer, OfferSources } from './offers.js';
+import type { Candidate, Choice, Job, Outcome, Policy, PolicyContext } from './policy.js';
 import { Popularity } from './popularity.js';
 import { PrefixHints } from './prefixHints.js';
 import { createRandom } from './random.js';
@@ -20,61 +20,28 @@
 import { SlowStart } from './slowStart.js';
 import { TargetHealth } from './targetHealth.js';
 
-/** Weight of a millisecond of recomputed prefill beside one of waiting. */
-export interface RecomputeWeight {
-  /** With empty queues. */
-  readonly base: number;
-  /** More for each request that waits. */
-  readonly perWaiting: number;
-}
-
-/**
- * Which waiting requests count: those at the very target, which the recomputed work would hold up, or the mean
- * of all targets asked.
- */
-export type WaitingScope = 'target' | 'mean';
-
 /** What tells one version of the policy from another. */
-export interface WeighingOptions {
+export interface WeighingOptions extends CostOptions {
+  /** Targets asked at most. */
   readonly probes: number;
+  /** The same for a prompt of which the entry knows no prefix. */
   readonly probesUnknown: number;
-  readonly weights: Record<Objective, RecomputeWeight>;
-  readonly waiting: WaitingScope;
-  /** Queues longer than this weigh no more. */
-  readonly mostWaiting: number;
-  /** Part of the prompt's prefill that the first home is preferred by, so that entries agree on new prefixes. */
-  readonly homePreference: number;
+  /** Targets asked at first; the others only when these do not do. */
+  readonly firstProbes: number;
+  /** Whether blocks that a lost cache event may have removed count as cached when targets are compared. */
+  readonly trustLikely: boolean;
+  /** Whether targets that do not answer in time are weighed from memory; else they are left out. */
+  readonly rememberSilent: boolean;
 }
 
-/** A target's answer, weighed. */
-interface Offer {
-  readonly candidate: Candidate;
-  readonly reading: ProbeReading;
-  /** Prompt tokens cached, or about to be by requests of this entry. */
-  readonly reusedTokens: number;
-  readonly estimateMs: number;
-  /** Prefill at the target, milliseconds. */
-  readonly recomputeMs: number;
-}
-
-/** One-way network time to another data centre, and within one, milliseconds. */
-const FAR_MS = 1;
-const NEAR_MS = 0.2;
-
-/** Milliseconds added for a target that is suspected to be down, or as full as its warmth allows. */
-const SUSPECT_MS = 500;
-const WARMING_MS = 1_000;
-
-/** Least size of a request, in tokens to prefill, when waiting tokens are turned into waiting requests. */
-const LEAST_REQUEST_TOKENS = 64;
-
-/** Weight of the newest request in the mean size. */
-const NEWEST = 0.05;
-
 /** An import of fewer blocks than this is not worth its request. */
 const LEAST_IMPORT_BLOCKS = 16;
 
-/** What was decided for a job, until it has ended. */
+/** A queue is short when it takes up to this part of the time to prefill the prompt, or this many milliseconds. */
+const SHORT_PART = 0.1;
+const SHORT_MS = 20;
+
+/** What was decided for a job, until it has ended. By target. */
 interface Decision {
   readonly estimates: ReadonlyMap<string, number>;
   readonly prefills: ReadonlyMap<string, number>;
@@ -85,40 +52,45 @@
   private readonly flights = new Flights();
   private readonly health: TargetHealth;
   private readonly slowStart: SlowStart;
+  private readonly costs: Costs;
   private readonly parts: ShortlistParts;
+  private readonly sources: OfferSources;
   private readonly decisions = new WeakMap<Job, Decision>();
-  /** Mean tokens that a request leaves to prefill. */
-  private requestTokens = 0;
 
   constructor(
     private readonly context: PolicyContext,
     private readonly options: WeighingOptions,
   ) {
     const { clock, seed } = context;
+    const { flights } = this;
+    const hints = new PrefixHints();
+    const loadBook = new LoadBook(clock);
     this.health = new TargetHealth(clock);
     this.slowStart = new SlowStart(clock);
+    this.costs = new Costs(options, this.health, this.slowStart);
     this.parts = {
-      hints: new PrefixHints(),
+      hints,
+      loadBook,
       popularity: new Popularity(clock),
       homeCounts: new HomeCounts(clock),
-      loadBook: new LoadBook(clock),
       random: createRandom(seed),
       probes: options.probes,
       probesUnknown: options.probesUnknown,
     };
+    const { trustLikely } = options;
+    this.sources = { context, flights, hints, loadBook, health: this.health, trustLikely };
   }
 
   async choose(job: Job, candidates: readonly Candidate[]): Promise<Choice> {
     const shortlist = this.prepare(job, candidates);
-    const askedAt = this.context.clock.monotonic();
-    const offers = await Promise.all(
-      shortlist.candidates.map((candidate) => this.ask(candidate, job, askedAt)),
-    );
-    return this.decide(
-      job,
-      shortlist,
-      offers.filter((offer) => offer !== undefined),
-    );
+    const { firstProbes } = this.options;
+    const first = await this.askAll(shortlist.candidates.slice(0, firstProbes), job);
+    const others = shortlist.candidates.slice(firstProbes);
+    if (others.length === 0 || this.isEnough(job, shortlist, first)) {
+      return this.decide(job, shortlist, first);
+    }
+    const more = await this.askAll(others, job);
+    return this.decide(job, shortlist, [...first, ...more]);
   }
 
   dispatched(candidate: Candidate, job: Job): void {
@@ -130,7 +102,10 @@
   settled(outcome: Outcome): void {
     const { candidate, job, load, firstTokenMs } = outcome;
     if (load !== undefined) this.parts.loadBook.record(candidate, load);
-    if (outcome.phase === 'first-token') return;
+    if (outcome.phase === 'first-token') {
+      this.flights.answered(candidate, job);
+      return;
+    }
     this.flights.remove(candidate, job);
     const estimate = this.decisions.get(job)?.estimates.get(candidate.name);
     if (firstTokenMs !== undefined && estimate !== undefined) {
@@ -148,81 +123,50 @@
     return shortlistOf(this.parts, job.chain, candidates);
   }
 
-  private async ask(candidate: Candidate, job: Job, askedAt: number): Promise<Offer | undefined> {
+  private async askAll(candidates: readonly Candidate[], job: Job): Promise<Offer[]> {
+    const offers = await Promise.all(candidates.map((candidate) => this.ask(candidate, job)));
+    return offers.filter((offer) => offer !== undefined);
+  }
+
+  private async ask(candidate: Candidate, job: Job): Promise<Offer | undefined> {
+    const askedAt = this.context.clock.monotonic();
     const reading = await this.context.probe(candidate, job);
-    if (reading?.accepting !== true) return undefined;
+    if (reading === undefined) {
+      this.health.silent(candidate);
+      return this.options.rememberSilent ? rememberedOffer(this.sources, candidate, job) : undefined;
+    }
+    this.health.heard(candidate);
+    if (!reading.accepting) return undefined;
     this.parts.loadBook.record(candidate, reading.load);
-    return this.offer(candidate, job, reading, askedAt);
+    return heardOffer(this.sources, candidate, job, reading, askedAt);
   }
 
-  private offer(candidate: Candidate, job: Job, reading: ProbeReading, askedAt: number): Offer {
-    const { load, cachedTokens } = reading;
-    const pending = this.flights.pendingBlocks(candidate, job.chain) * BLOCK_TOKENS;
-    const reusedTokens = Math.max(cachedTokens, Math.min(pending, job.promptTokens));
-    const saved = prefillMs(load, reusedTokens - cachedTokens);
-    const told = reading.estimateMs + unmeasuredMs(reading, job) - saved;
-    const sent = this.flights.sentSince(candidate, askedAt);
-    const network = candidate.dataCentre === this.context.dataCentre ? 2 * NEAR_MS : 2 * FAR_MS;
-    const estimateMs = Math.max(0, told + sent) * this.health.factor(candidate) + network;
-    return {
-      candidate,
-      reading,
-      reusedTokens,
-      estimateMs,
-      recomputeMs: prefillMs(load, job.promptTokens - reusedTokens),
-    };
+  /** Whether the best of the first answers leaves little to gain; or none came, and asking more makes it worse. */
+  private isEnough(job: Job, shortlist: Shortlist, offers: readonly Offer[]): boolean {
+    const best = this.costs.rank(job, shortlist.home, offers)[0];
+    if (best === undefined) return false;
+    if (!best.heard) return offers.every((offer) => !offer.heard);
+    const wanted = Math.max(1, shortlist.sharedBlocks) * BLOCK_TOKENS;
+    const queueMs = best.estimateMs - best.spareMs - best.recomputeMs;
+    const short = Math.max(SHORT_MS, SHORT_PART * prefillMs(best.load, job.promptTokens));
+    return best.likelyTokens >= wanted && this.costs.isUsual(job, best) && queueMs <= short;
   }
 
   private decide(job: Job, shortlist: Shortlist, offers: readonly Offer[]): Choice {
-    const costs = this.costs(job, shortlist, offers);
-    const ranked = [...offers].sort((a, b) => (costs.get(a) ?? 0) - (costs.get(b) ?? 0));
+    const ranked = this.costs.rank(job, shortlist.home, offers);
     const best = ranked[0];
-    this.remember(job, offers, best);
-    const order = ranked.map((offer) => offer.candidate);
-    const silent = shortlist.candidates.filter((candidate) => !order.includes(candidate));
-    return {
-      order: [...order, ...silent],
-      estimateMs: best?.estimateMs,
-      importFrom: this.donor(best, offers),
-    };
-  }
-
-  private costs(job: Job, shortlist: Shortlist, offers: readonly Offer[]): Map<Offer, number> {
-    const waiting = offers.map((offer) => this.waitingAt(offer));
-    const mean = waiting.reduce((sum, count) => sum + count, 0) / Math.max(1, offers.length);
-    const { base, perWaiting } = this.options.weights[job.objective];
-    const costs = new Map<Offer, number>();
-    offers.forEach((offer, place) => {
-      const counted = this.options.waiting === 'mean' ? mean : (waiting[place] ?? 0);
-      const weight = base + perWaiting * Math.min(this.options.mostWaiting, counted);
-      costs.set(offer, this.cost(offer, job, shortlist.home, weight));
-    });
-    return costs;
-  }
-
-  private cost(offer: Offer, job: Job, home: Candidate | undefined, weight: number): number {
-    const { candidate, reading } = offer;
-    let cost = offer.estimateMs + weight * offer.recomputeMs + this.health.penaltyMs(candidate);
-    if (candidate === home) cost -= this.options.homePreference * prefillMs(reading.load, job.promptTokens);
-    if (candidate.suspect) cost += SUSPECT_MS;
-    if (this.slowStart.full(candidate, reading.load)) cost += WARMING_MS;
-    return cost;
-  }
-
-  /** Requests that wait for their first token at a target, from its waiting tokens. */
-  private waitingAt(offer: Offer): number {
-    return offer.reading.load.queuedTokens / Math.max(LEAST_REQUEST_TOKENS, this.requestTokens);
-  }
-
-  private remember(job: Job, offers: readonly Offer[], best: Offer | undefined): void {
     this.decisions.set(job, {
       estimates: new Map(offers.map((offer) => [offer.candidate.name, offer.estimateMs])),
       prefills: new Map(offers.map((offer) => [offer.candidate.name, offer.recomputeMs])),
     });
-    if (best === undefined) return;
-    const tokens = job.promptTokens - best.reusedTokens;
-    this.requestTokens =
-      this.requestTokens === 0 ? tokens : this.requestTokens + NEWEST * (tokens - this.requestTokens);
+    if (best !== undefined) this.costs.taken(job, best);
+    const order = ranked.map((offer) => offer.candidate);
+    const others = shortlist.candidates.filter((candidate) => !order.includes(candidate));
+    return {
+      order: [...order, ...others],
+      estimateMs: best?.heard === true ? best.estimateMs : undefined,
+      importFrom: this.donor(best, offers),
+    };
   }
 
   /** The target with the longest cached prefix, when importing from it is quicker than computing. */
@@ -230,17 +174,10 @@
     const { importBlockMs } = this.context;
     if (best === undefined || importBlockMs === undefined) return undefined;
     let donor = best;
-    for (const offer of offers) if (offer.reading.cachedTokens > donor.reading.cachedTokens) donor = offer;
-    const tokens = donor.reading.cachedTokens - best.reusedTokens;
+    for (const offer of offers) if (offer.cachedTokens > donor.cachedTokens) donor = offer;
+    const tokens = donor.cachedTokens - best.reusedTokens;
     const blocks = tokens / BLOCK_TOKENS;
     if (blocks < LEAST_IMPORT_BLOCKS) return undefined;
-    return blocks * importBlockMs < prefillMs(best.reading.load, tokens) ? donor.candidate.name : undefined;
+    return blocks * importBlockMs < prefillMs(best.load, tokens) ? donor.candidate.name : undefined;
   }
 }
-
-/** Prefill that an agent which has not measured its engine's speed leaves out of its estimate. */
-function unmeasuredMs(reading: ProbeReading, job: Job): number {
-  if (reading.load.prefillRate > 0) return 0;
-  const tokens = reading.load.aheadTokens + job.promptTokens - reading.cachedTokens;
-  return (tokens * 1_000) / ASSUMED_PREFILL_RATE;
-}
--- a/packages/routing/src/target/prefillTurns.ts
+++ b/packages/routing/src/target/prefillTurns.ts
@@ -1,9 +1,12 @@
 /**
  * Turns of prefill at one target, kept by the gate beside it.
  *
- * What goes wrong: many requests with one new prefix arrive together, the engine starts them all, finds the
- * prefix of none in its cache, and computes it for each. Recomputed tokens show it. Here the first goes on and
- * the others wait for its first token, a time that they would spend in the engine's queue anyway.
+ * What goes wrong: an engine starts as many requests as it has places. It prefills them one after the other all
+ * the same, but each holds its blocks from its start on, so that under load the waiting ones push out the cached
+ * prefixes that they themselves need; and requests with one new prefix, started together, each compute it.
+ * Recomputed tokens that grow with the queue show it. Here only a few requests are sent to the engine before
+ * their first token; the others wait at the gate, a time that they would spend in the engine's queue anyway, and
+ * a request waits for another one that is computing blocks that it needs.
  */
 import type { Chain } from '../prefix/index.js';
 import { sharedBlocks } from '../prefix/index.js';
@@ -11,77 +14,108 @@
 /** A request before its first token. */
 export interface PendingPrefill {
   readonly chain: Chain;
-  /** Larger runs first. A request never waits for one of lower priority. */
+  /** Larger goes first. */
   readonly priority: number;
 }
 
+/** What turns are made with. */
+export interface PrefillTurnsOptions {
+  /** Blocks of a chain that the target has in its cache now. */
+  readonly cachedBlocks: (chain: Chain) => number;
+  /** Requests that may be at the engine before their first token: enough that it never idles. */
+  readonly atOnce: number;
+}
+
 interface Turn {
   readonly prefill: PendingPrefill;
-  readonly waiters: Set<() => void>;
+  /** Lets it go on; undefined until it waits, and once it goes. */
+  start?: () => void;
 }
 
-/** Blocks that a prompt must share with one under way, beyond the cached ones, to wait for it. */
+/** Requests at the engine before their first token: the next one is at hand when one is done. */
+export const PREFILLS_AT_ONCE = 2;
+
+/** Blocks that a prompt must share with one that is computed, beyond the cached ones, to wait for it. */
 const LEAST_SHARED_BLOCKS = 8;
 
-/** Requests of one target that have no first token yet, in the order of their arrival. */
+/** Requests of one target that have no first token yet. */
 export class PrefillTurns {
-  private readonly turns = new Map<string, Turn>();
+  /** In the order of their arrival. */
+  private readonly waiting = new Map<string, Turn>();
+  private readonly going = new Map<string, Turn>();
 
-  /** @param cachedBlocks blocks of a chain that the target has in its cache now. */
-  constructor(private readonly cachedBlocks: (chain: Chain) => number) {}
+  constructor(private readonly options: PrefillTurnsOptions) {}
 
   /** A request has arrived. */
   enter(attemptId: string, prefill: PendingPrefill): void {
-    this.turns.set(attemptId, { prefill, waiters: new Set() });
+    this.waiting.set(attemptId, { prefill });
   }
 
-  /** Resolves when no earlier request is about to compute blocks that this one needs, or on abort. */
-  async wait(attemptId: string, signal: AbortSignal): Promise<void> {
-    for (;;) {
-      const turn = this.turns.get(attemptId);
-      if (turn === undefined || signal.aborted) return;
-      const leader = this.leaderOf(turn);
-      if (leader === undefined) return;
-      await settledOf(leader, signal);
-    }
+  /** Resolves when it is the request's turn, or on abort. Call `leave` in either case. */
+  wait(attemptId: string, signal: AbortSignal): Promise<void> {
+    const turn = this.waiting.get(attemptId);
+    if (turn === undefined || signal.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const onAbort = (): void => {
+        turn.start = undefined;
+        resolve();
+      };
+      turn.start = () => {
+        signal.removeEventListener('abort', onAbort);
+        resolve();
+      };
+      signal.addEventListener('abort', onAbort, { once: true });
+      this.grant();
+    });
   }
 
-  /** Its first token came, or it ended before: those that wait for it go on. Twice changes nothing. */
+  /** Its first token came, or it ended before. Twice changes nothing. */
   leave(attemptId: string): void {
-    const turn = this.turns.get(attemptId);
-    this.turns.delete(attemptId);
-    for (const wake of turn?.waiters ?? []) wake();
+    const known = this.waiting.delete(attemptId) || this.going.delete(attemptId);
+    if (known) this.grant();
   }
 
-  /** Blocks of a chain that requests here are about to compute, counted from its start. */
+  /** Blocks of a chain that requests here compute or are about to, counted from its start. */
   pendingBlocks(chain: Chain): number {
     let blocks = 0;
-    for (const { prefill } of this.turns.values()) {
-      blocks = Math.max(blocks, sharedBlocks(prefill.chain, chain));
+    for (const turns of [this.going, this.waiting]) {
+      for (const { prefill } of turns.values()) blocks = Math.max(blocks, sharedBlocks(prefill.chain, chain));
     }
     return blocks;
   }
 
-  private leaderOf(turn: Turn): Turn | undefined {
-    const { chain, priority } = turn.prefill;
-    const needed = this.cachedBlocks(chain) + LEAST_SHARED_BLOCKS;
-    for (const other of this.turns.values()) {
-      if (other === turn) return undefined;
-      if (other.prefill.priority < priority) continue;
-      if (sharedBlocks(other.prefill.chain, chain) >= needed) return other;
+  private grant(): void {
+    while (this.going.size < this.options.atOnce) {
+      const next = this.next();
+      if (next === undefined) return;
+      const [attemptId, turn] = next;
+      this.waiting.delete(attemptId);
+      this.going.set(attemptId, turn);
+      const { start } = turn;
+      turn.start = undefined;
+      start?.();
     }
-    return undefined;
   }
-}
 
-function settledOf(leader: Turn, signal: AbortSignal): Promise<void> {
-  return new Promise((resolve) => {
-    const wake = (): void => {
-      signal.removeEventListener('abort', wake);
-      leader.waiters.delete(wake);
-      resolve();
-    };
-    leader.waiters.add(wake);
-    signal.addEventListener('abort', wake, { once: true });
-  });
+  /** The highest priority first, then the first to arrive, of those that need not wait for another one. */
+  private next(): [string, Turn] | undefined {
+    let best: [string, Turn] | undefined;
+    for (const entry of this.waiting) {
+      const [, { prefill, start }] = entry;
+      if (start === undefined) continue;
+      if (best !== undefined && prefill.priority <= best[1].prefill.priority) continue;
+      if (!this.isBeingComputed(prefill.chain)) best = entry;
+    }
+    return best;
+  }
+
+  /** Whether a request at the engine computes blocks that a chain needs. */
+  private isBeingComputed(chain: Chain): boolean {
+    for (const { prefill } of this.going.values()) {
+      const shared = sharedBlocks(prefill.chain, chain);
+      if (shared < LEAST_SHARED_BLOCKS) continue;
+      if (shared >= this.options.cachedBlocks(chain) + LEAST_SHARED_BLOCKS) return true;
+    }
+    return false;
+  }
 }
