--- a/packages/agent/src/gate/gate.ts
+++ b/packages/agent/src/gate/gate.ts
@@ -7,18 +7,17 @@
 import type { Engine, Usage } from '@jasmineroute/engine';
 import { gateMessage } from '@jasmineroute/protocol';
 import { BLOCK_TOKENS, decodeChain } from '@jasmineroute/routing';
-import type { BlockIndex, Chain } from '@jasmineroute/routing';
+import type { BlockIndex } from '@jasmineroute/routing';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { agentEvents } from '../events.js';
-import { LoadMeter, Slots } from '../load/index.js';
 import { agentMetrics } from '../metrics.js';
 import { Attempts, Run, lastEvent, ranMessages } from '../run/index.js';
 import type { AttemptRecord, BufferBounds, RunContext } from '../run/index.js';
 import { isOfAgent } from '../watch/incarnation.js';
 import { checkArrival, checkSending, isLoaded } from './check.js';
-import { estimateMs } from './estimate.js';
 import type { GateTarget } from './target.js';
+import { Workload } from './workload.js';
 
 /** Bounds of a gate, milliseconds and bytes. */
 export interface GateBounds {
@@ -59,20 +58,15 @@
 /** The gate of one target. */
 export class Gate {
   private readonly attempts: Attempts;
-  private readonly slots: Slots;
-  private readonly meter: LoadMeter;
+  private readonly workload: Workload;
   private readonly startedAt: number;
   private active = 0;
   private idleWaiters: (() => void)[] = [];
 
   constructor(private readonly options: GateOptions) {
-    const { clock, bounds, target } = options;
+    const { clock, bounds, target, index } = options;
     this.attempts = new Attempts(clock, bounds.attemptWindowMs);
-    this.slots = new Slots(
-      () => target.capacity(),
-      () => bounds.queue,
-    );
-    this.meter = new LoadMeter(clock);
+    this.workload = new Workload(target, index, bounds.queue, clock);
     this.startedAt = clock.monotonic();
   }
 
@@ -115,7 +109,7 @@
   /** Says what the target has cached of a prompt, and how busy it is. */
   probe(request: gateMessage.ProbeRequest): gateMessage.ProbeResponse {
     const { target } = this.options;
-    const cachedTokens = this.cachedTokens(decodeChain(request.chain), request.promptTokens);
+    const cachedTokens = this.workload.cachedTokens(request);
     const accepting =
       !target.leaving() && target.ready() && request.service === target.service && isLoaded(target, request);
     return create(gateMessage.ProbeResponseSchema, {
@@ -123,21 +117,13 @@
       accepting,
       cachedTokens,
       load: this.load(request.priority),
-      estimateMs: this.estimate(request.priority, request.promptTokens - cachedTokens),
+      estimateMs: this.workload.estimateMs(request, cachedTokens),
     });
   }
 
   /** Load as messages carry it. */
   load(priority: number): gateMessage.Load {
-    return create(gateMessage.LoadSchema, {
-      running: this.slots.running,
-      queued: this.slots.queued,
-      queuedTokens: this.meter.ahead(Number.NEGATIVE_INFINITY),
-      aheadTokens: this.meter.ahead(priority),
-      prefillRate: this.meter.prefillRate,
-      tokenMs: this.meter.tokenMs,
-      capacity: this.options.target.capacity(),
-    });
+    return this.workload.load(priority);
   }
 
   /** Readers of runs that have not ended. */
@@ -161,7 +147,7 @@
 
   /** The capacity has changed. */
   refresh(): void {
-    this.slots.refresh();
+    this.workload.slots.refresh();
   }
 
   /** Resolves when no run is left, and the readers have had the last events. */
@@ -181,12 +167,9 @@
     const { target } = this.options;
     const refused = checkArrival(target, request);
     if (refused !== undefined) return err(refused);
-    const cachedTokens = this.cachedTokens(decodeChain(request.chain), request.promptTokens);
-    const estimate = this.estimate(request.priority, request.promptTokens - cachedTokens);
-    if (estimate > request.deadlineMs) {
-      const message = `the first token would take ${Math.round(estimate)} ms`;
-      return err(fault('deadline-unmeetable', message, { retryAfterMs: estimate - request.deadlineMs }));
-    }
+    const cachedTokens = this.workload.cachedTokens(request);
+    const late = this.workload.checkDeadline(request, cachedTokens);
+    if (late !== undefined) return err(late);
     const run = new Run(this.runContext(request), request, target.incarnation(), cachedTokens);
     if (!this.attempts.begin(request.attemptId, run)) {
       run.stop(fault('overloaded', 'too many attempts to remember'));
@@ -262,16 +245,6 @@
     return this.options.clock.monotonic() - this.startedAt > this.options.bounds.attemptWindowMs;
   }
 
-  private cachedTokens(chain: Chain, promptTokens: number): number {
-    return Math.min(promptTokens, this.options.index.longestPrefix(chain) * BLOCK_TOKENS);
-  }
-
-  private estimate(priority: number, uncachedTokens: number): number {
-    const { meter, slots } = this;
-    const capacity = this.options.target.capacity();
-    return estimateMs({ meter, slots, capacity, priority, uncachedTokens });
-  }
-
   private runContext(request: gateMessage.RunRequest): RunContext {
     const { engine, clock, log, metrics, bounds, target, suspect } = this.options;
     return {
@@ -279,8 +252,8 @@
       clock,
       log,
       metrics,
-      slots: this.slots,
-      meter: this.meter,
+      slots: this.workload.slots,
+      meter: this.workload.meter,
       bounds: bufferBounds(bounds, request.idempotent),
       readerGraceMs: bounds.readerGraceMs,
       recheck: (waited) => checkSending(target, waited),
@@ -302,8 +275,8 @@
   }
 
   private gauge(): void {
-    this.options.metrics.gauge(agentMetrics.running, this.slots.running);
-    this.options.metrics.gauge(agentMetrics.queued, this.slots.queued);
+    this.options.metrics.gauge(agentMetrics.running, this.workload.slots.running);
+    this.options.metrics.gauge(agentMetrics.queued, this.workload.slots.queued);
     this.options.metrics.gauge(agentMetrics.reading, this.reading());
   }
 }
--- a/packages/agent/src/load/meter.ts
+++ b/packages/agent/src/load/meter.ts
@@ -62,8 +62,8 @@
     return sum;
   }
 
-  /** Follows a request from its arrival. */
-  measure(priority: number, tokens: number): Measure {
+  /** Follows a request from its arrival. @param onFirst told the milliseconds from sending to the first byte. */
+  measure(priority: number, tokens: number, onFirst: (ms: number) => void = () => undefined): Measure {
     const entry = { priority, tokens };
     this.pending.add(entry);
     let sentAt: number | undefined;
@@ -78,6 +78,7 @@
         firstAt = this.clock.monotonic();
         this.pending.delete(entry);
         this.endPrefill(firstAt, tokens);
+        onFirst(firstAt - sentAt);
       },
       ended: (outputTokens) => {
         const now = this.clock.monotonic();
--- a/packages/agent/src/order/executor.ts
+++ b/packages/agent/src/order/executor.ts
@@ -1,6 +1,5 @@
 /** The executor of wanted state: the only one that gives this target orders. */
-import type { Clock, Fault, Log, Metrics } from '@jasmineroute/core';
-import type { View } from '@jasmineroute/directory';
+import type { Fault, Log, Metrics } from '@jasmineroute/core';
 import type { Engine, EngineModel } from '@jasmineroute/engine';
 import { agentEvents } from '../events.js';
 import { agentMetrics } from '../metrics.js';
@@ -8,15 +7,19 @@
 import { SettledNames } from './settled.js';
 import { stepsOf } from './step.js';
 import type { Situation, Step } from './step.js';
-import { Turn } from './turn.js';
-import type { TurnSource } from './turn.js';
+import { StepTurns } from './stepTurns.js';
+import type { StepTurnsOptions } from './stepTurns.js';
+import type { Turn } from './turn.js';
+
+/** Pause when nothing is due; up to twice as long, as for the one below, so that herds spread. */
+const IDLE_PAUSE_MS = 2_000;
 
 /**
- * Pause after a round; up to twice as long, so that herds spread. While others have the turns it doubles up to
- * the limit: a rollout over hundreds of targets must not keep control busy with refusals.
+ * Pause while others have the turns. Doubled up to the limit: a rollout over hundreds of targets must not keep
+ * control busy with refusals.
  */
-const PAUSE_MS = 2_000;
-const MAX_PAUSE_MS = 30_000;
+const MIN_RETRY_MS = 500;
+const MAX_RETRY_MS = 30_000;
 
 /** Pause after a round that got something done. */
 const SHORT_PAUSE_MS = 50;
@@ -25,15 +28,8 @@
 const ORDER_TIMEOUT_MS = 15 * 60_000;
 
 /** What the executor needs. */
-export interface ExecutorOptions {
-  readonly service: string;
-  /** Name and incarnation of this agent. */
-  readonly name: string;
-  readonly incarnation: bigint;
+export interface ExecutorOptions extends StepTurnsOptions {
   readonly engine: Engine;
-  readonly turns: TurnSource;
-  readonly view: () => View;
-  readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
   /** How long a change of the targets must last before it moves models, milliseconds. */
@@ -42,8 +38,6 @@
   readonly random: () => number;
   /** What the engine has loaded; undefined while it is not known. */
   readonly loaded: () => readonly EngineModel[] | undefined;
-  /** How many other targets accept work for a model's version, asked of them directly. */
-  readonly othersServing: (model: string, version: string) => Promise<number>;
   /** Takes a model out of service here, and resolves when no run of it is left. */
   readonly withdraw: (model: string, signal: AbortSignal) => Promise<void>;
   /** Puts it back. */
@@ -52,29 +46,21 @@
   readonly look: () => Promise<void>;
 }
 
-/** Other servers of the new weights from which on targets replace theirs side by side. */
-const WELL_SERVED = 2;
-
 const takesWork: ReadonlySet<string> = new Set(['alive', 'suspect']);
 
 /** What came of a round: an order was carried out, none is due, or one is due and cannot be yet. */
 type Progress = 'done' | 'idle' | 'not-now';
 
-/** The turns for a step. */
-interface Turns {
-  readonly all: readonly Turn[];
-  /** The right to give this target orders; its fence goes out with them. */
-  readonly lease: Turn;
-}
-
 /** One task. It pulls the wanted state; nobody pushes orders to it, so none can be late or forged. */
 export class Executor {
   private wake?: () => void;
   private woken = false;
   private readonly targets: SettledNames;
+  private readonly turns: StepTurns;
 
   constructor(private readonly options: ExecutorOptions) {
     this.targets = new SettledNames(options.clock, options.settleMs);
+    this.turns = new StepTurns(options);
   }
 
   /** The view or the engine has changed. */
@@ -85,12 +71,12 @@
 
   /** Works until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    let pauseMs = PAUSE_MS;
+    let retryMs = MIN_RETRY_MS;
     while (!signal.aborted) {
       const progress = await this.round(signal);
-      pauseMs = progress === 'not-now' ? Math.min(MAX_PAUSE_MS, pauseMs * 2) : PAUSE_MS;
-      const jittered = pauseMs * (1 + this.options.random());
-      await this.pause(progress === 'done' ? SHORT_PAUSE_MS : jittered, progress !== 'not-now', signal);
+      const pauses = { done: SHORT_PAUSE_MS, idle: IDLE_PAUSE_MS, 'not-now': retryMs };
+      retryMs = progress === 'not-now' ? Math.min(MAX_RETRY_MS, retryMs * 2) : MIN_RETRY_MS;
+      await this.pause(pauses[progress] * (1 + this.options.random()), progress !== 'not-now', signal);
     }
   }
 
@@ -129,7 +115,7 @@
 
   /** @returns whether the step was carried out. */
   private async attempt(step: Step, signal: AbortSignal): Promise<boolean> {
-    const turns = await this.turnsFor(step);
+    const turns = await this.turns.take(step);
     if (turns === undefined) return false;
     try {
       // A turn may have been long in coming. What was due then may be void now.
@@ -149,46 +135,6 @@
     return this.steps().some((due) => JSON.stringify(due) === text);
   }
 
-  /** Turns for a step, all or none; those that are most likely taken come first. */
-  private async turnsFor(step: Step): Promise<Turns | undefined> {
-    const { service, name } = this.options;
-    const held: Turn[] = [];
-    for (const [turnName, limit] of await this.sharedTurns(step)) {
-      const turn = await this.take(turnName, limit);
-      if (turn === undefined) return this.giveBack(held);
-      held.push(turn);
-    }
-    // One executor for each target: a paused older process keeps its turn until it must have noticed.
-    const lease = await this.take(`target/${service}/${name}`, 1);
-    if (lease === undefined) return this.giveBack(held);
-    return { all: [...held, lease], lease };
-  }
-
-  private async sharedTurns(step: Step): Promise<[string, number][]> {
-    const { service } = this.options;
-    const wishes: [string, number][] = [];
-    if (step.fetches) wishes.push([`weights/${service}`, this.concurrentLoads()]);
-    // Two targets that each see the other serve the model must not both take it away.
-    if (step.takesAway !== undefined && !(await this.wellServed(step))) {
-      wishes.push([`rollout/${service}/${step.model}`, 1]);
-    }
-    return wishes;
-  }
-
-  private async giveBack(held: readonly Turn[]): Promise<undefined> {
-    for (const turn of held) await turn.release();
-    return undefined;
-  }
-
-  /**
-   * Whether new weights may replace old ones without the turn of the rollout. One other server is not enough:
-   * it may hold that turn and be about to unload. Of two, one stays, as unloading takes the turn.
-   */
-  private async wellServed({ model, order }: Step): Promise<boolean> {
-    if (order.type !== 'load-model') return false;
-    return (await this.options.othersServing(model, order.version)) >= WELL_SERVED;
-  }
-
   /**
    * Takes the model out of service first where somebody else serves it, so that no request meets the change.
    * Where nobody does, the engine replaces the weights in place and serves the old ones until it has the new;
@@ -244,16 +190,6 @@
     this.options.log.event(kind, { order, message: cause.message });
   }
 
-  private concurrentLoads(): number {
-    const document = this.options.view().documents.get(this.options.service)?.document;
-    return document?.kind === 'model' ? document.weights.concurrentLoads : 1;
-  }
-
-  private take(name: string, limit: number): Promise<Turn | undefined> {
-    const { turns, clock, name: holder, incarnation } = this.options;
-    return Turn.take(turns, clock, { name, holder, incarnation, limit });
-  }
-
   private async pause(ms: number, wakeable: boolean, signal: AbortSignal): Promise<void> {
     if (!(wakeable && this.woken) && !signal.aborted) {
       await new Promise<void>((resolve) => {
--- a/packages/agent/src/order/index.ts
+++ b/packages/agent/src/order/index.ts
@@ -4,4 +4,5 @@
 export * from './serving.js';
 export * from './settled.js';
 export * from './step.js';
+export * from './stepTurns.js';
 export * from './turn.js';
--- a/packages/agent/src/role/agent.ts
+++ b/packages/agent/src/role/agent.ts
@@ -1,7 +1,7 @@
 /** The agent role: gate, watches and announcement of one target, put together. */
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { Fault } from '@jasmineroute/core';
-import { Controls, DirectoryClient, TurnClient } from '@jasmineroute/directory';
+import { DirectoryClient } from '@jasmineroute/directory';
 import type { Announcement, Target } from '@jasmineroute/directory';
 import { engineAdapters } from '@jasmineroute/engine';
 import type { Engine, EngineModel } from '@jasmineroute/engine';
@@ -14,8 +14,8 @@
 import { Gate, gateCoding } from '../gate/index.js';
 import type { GateTarget } from '../gate/index.js';
 import type { AgentSettings } from '../setting/index.js';
-import { Executor, othersServing } from '../order/index.js';
 import { CacheWatch, EngineWatch, targetIncarnation } from '../watch/index.js';
+import { Orders } from './orders.js';
 
 /** Concurrent requests at a plain service when nothing is set. */
 const DEFAULT_PLAIN_CAPACITY = 32;
@@ -23,9 +23,6 @@
 /** How long a drained agent still answers. */
 const LINGER_MS = 500;
 
-/** Time between two looks whether a model's runs have ended. */
-const DRAIN_POLL_MS = 50;
-
 class Agent implements RoleProcess, GateTarget {
   readonly service: string;
   readonly kind: 'model' | 'plain';
@@ -35,12 +32,8 @@
   private readonly cache: CacheWatch;
   private readonly gate: Gate;
   private readonly directory: DirectoryClient;
-  private readonly executor: Executor;
-  /** Models that are being taken out of service, though the engine still has them. */
-  private readonly withdrawn = new Set<string>();
+  private readonly orders: Orders;
   private readonly stopping = new AbortController();
-  /** Ends with the right to give orders. */
-  private readonly ordering = new AbortController();
   private cacheRound = new AbortController();
   private leaves = false;
   private address = '';
@@ -98,7 +91,17 @@
       suspect,
     });
     this.directory = this.openDirectory();
-    this.executor = this.openExecutor();
+    this.orders = new Orders({
+      context,
+      settings,
+      engine: this.engine,
+      watch: this.watch,
+      directory: this.directory,
+      sentFor: (model) => this.gate.sentFor(model),
+      changed: () => {
+        this.changed();
+      },
+    });
   }
 
   incarnation(): string {
@@ -115,7 +118,7 @@
 
   models(): readonly EngineModel[] {
     const models = this.watch.status().state?.models ?? [];
-    return models.filter(({ model }) => !this.withdrawn.has(model));
+    return models.filter(({ model }) => !this.orders.withdrawn(model));
   }
 
   capacity(): number {
@@ -133,10 +136,7 @@
     this.tasks.push(this.watch.run(this.stopping.signal));
     await this.directory.start(() => this.announcement());
     if (this.kind === 'plain') return;
-    this.directory.onChange(() => {
-      this.executor.poke();
-    });
-    this.tasks.push(this.executor.run(this.ordering.signal));
+    this.tasks.push(this.orders.run());
   }
 
   readiness(): Readiness {
@@ -148,7 +148,7 @@
   async drain(): Promise<void> {
     const { log, clock } = this.context;
     this.leaves = true;
-    this.ordering.abort(new Error('leaving'));
+    this.orders.stop();
     log.event(agentEvents.leaving);
     await this.directory.leave();
     await this.gate.idle();
@@ -160,7 +160,7 @@
   async close(): Promise<void> {
     this.leaves = true;
     this.stopping.abort(new Error('stopped'));
-    this.ordering.abort(new Error('stopped'));
+    this.orders.stop();
     this.cacheRound.abort(new Error('stopped'));
     this.gate.stopAll();
     await this.directory.stop();
@@ -188,44 +188,6 @@
     });
   }
 
-  private openExecutor(): Executor {
-    const { name, incarnation, controls, peers, clock, log, metrics, dataCentre } = this.context;
-    const { service, engine, watch, directory } = this;
-    const { addresses } = directory;
-    const view = () => directory.view();
-    const serving = { service, self: name, view, peers, clock };
-    return new Executor({
-      service,
-      name,
-      incarnation,
-      engine,
-      turns: new TurnClient(new Controls({ controls, peers, clock, metrics, addresses, dataCentre })),
-      view,
-      clock,
-      log,
-      metrics,
-      settleMs: this.settings.settleMs,
-      random: Math.random,
-      loaded: () => (watch.status().ready ? watch.status().state?.models : undefined),
-      othersServing: (model, version) => othersServing(serving, model, version),
-      withdraw: (model, signal) => this.withdraw(model, signal),
-      restore: (model) => {
-        this.withdrawn.delete(model);
-        this.changed();
-      },
-      look: () => watch.look(this.stopping.signal),
-    });
-  }
-
-  /** The gate refuses a model at once; what runs is finished before the engine loses the weights. */
-  private async withdraw(model: string, signal: AbortSignal): Promise<void> {
-    this.withdrawn.add(model);
-    this.changed();
-    while (this.gate.sentFor(model) > 0 && !signal.aborted) {
-      await this.context.clock.sleep(DRAIN_POLL_MS, signal).catch(() => undefined);
-    }
-  }
-
   private announcement(): Announcement {
     return { address: this.address, dataCentre: this.context.dataCentre, target: this.target() };
   }
@@ -261,13 +223,13 @@
   private changed(): void {
     this.gate.refresh();
     this.directory.refresh();
-    this.executor.poke();
+    this.orders.poke();
   }
 
   private superseded(): void {
     this.context.log.event(agentEvents.superseded);
     this.leaves = true;
-    this.ordering.abort(new Error('superseded'));
+    this.orders.stop();
     this.context.stop?.('a newer agent serves this target');
   }
 }
--- a/packages/bench/src/experiment/settings.ts
+++ b/packages/bench/src/experiment/settings.ts
@@ -15,7 +15,14 @@
 /** Name of a fault. */
 export type FaultName = (typeof faultNames)[number];
 
-const defaultPolicies = ['round-robin', 'least-outstanding', 'rendezvous', 'rendezvous-probe', 'default'];
+const defaultPolicies = [
+  'round-robin',
+  'least-outstanding',
+  'rendezvous',
+  'rendezvous-probe',
+  'learnt-hints',
+  'default',
+];
 const flag = z.enum(['true', 'false']).transform((text) => text === 'true');
 
 /** One field for each flag. */
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,23 +1,32 @@
 #!/usr/bin/env node
 /** The `jasminebench` command. */
 import { Command } from 'commander';
-import { addChaos } from './chaos/index.js';
-import { addExperiment } from './experiment/index.js';
-import { addLatency } from './latency/index.js';
-import { addLoad } from './load/index.js';
-import { addPlot } from './plot/index.js';
-import { addStandIns } from './standInCommands.js';
+
+type Addition = (program: Command) => void;
+
+const standIns = async (): Promise<Addition> => (await import('./standInCommands.js')).addStandIns;
+
+/** Commands by name. A stand-in loads nothing of the others: many of them run at once. */
+const additions: Readonly<Record<string, () => Promise<Addition>>> = {
+  engine: standIns,
+  chaos: async () => (await import('./chaos/index.js')).addChaos,
+  experiment: async () => (await import('./experiment/index.js')).addExperiment,
+  load: async () => (await import('./load/index.js')).addLoad,
+  latency: async () => (await import('./latency/index.js')).addLatency,
+  plot: async () => (await import('./plot/index.js')).addPlot,
+};
+
+/** Names that share a loader with another. */
+const aliases: Readonly<Record<string, string>> = { plain: 'engine', store: 'engine' };
 
 const program = new Command('jasminebench')
   .description('stand-ins, load, experiments and chaos for jasmineroute')
   .showHelpAfterError();
 
-addStandIns(program);
-addChaos(program);
-addExperiment(program);
-addLoad(program);
-addLatency(program);
-addPlot(program);
+const asked = process.argv[2] ?? '';
+const only = additions[aliases[asked] ?? asked];
+const wanted = only === undefined ? Object.values(additions) : [only];
+for (const load of wanted) (await load())(program);
 
 try {
   await program.parseAsync();
--- a/packages/control/src/documents/documentState.spec.ts
+++ b/packages/control/src/documents/documentState.spec.ts
@@ -1,13 +1,16 @@
+import type { EventKind, Log } from '@jasmineroute/core';
 import type { stateMessage } from '@jasmineroute/protocol';
 import { hashKey } from '@jasmineroute/document';
 import fc from 'fast-check';
 import { beforeEach, describe, expect, it } from 'vitest';
-import { applyOne } from '../fixture/index.js';
+import { controlEvents } from '../events.js';
+import { applyOne, modelText } from '../fixture/index.js';
 import type { CommandFields } from '../log/index.js';
 import { createState } from '../role/index.js';
 import type { StateParts } from '../role/index.js';
 import { KEPT_APPLY_IDS } from './appliedIds.js';
-import { KEPT_TEXTS, KEPT_VERSIONS } from './documentRecord.js';
+import { KEPT_TEXTS, KEPT_TEXT_BYTES, KEPT_VERSIONS } from './documentRecord.js';
+import { DocumentView } from './documentView.js';
 
 const ALICE = hashKey('alice');
 
@@ -117,6 +120,28 @@
     expect(versions[0]?.version).toBe(BigInt(KEPT_VERSIONS + 5));
   });
 
+  it('keeps a bounded number of bytes of older texts, and always the newest text', () => {
+    const text = 'x'.repeat(KEPT_TEXT_BYTES / 2);
+    for (let version = 0n; version < 5n; version += 1n) apply({ baseVersion: version, text });
+    const kept = state.documents.versions('pool').map((version) => version.text !== '');
+    expect(kept).toEqual([true, true, true, false, false]);
+  });
+
+  it('keeps a version that can be read in force before one that cannot', () => {
+    // Symptom: in a rolling upgrade, a control instance takes a service for gone and lets another have its model.
+    // Sequence: an operator uses a field of the newer release; an instance of the older one reads it.
+    // Cause: what could not be read was taken for absent.
+    const events: EventKind[] = [];
+    const log: Log = { event: (kind) => events.push(kind), with: () => log };
+    const view = new DocumentView(state.documents, log);
+    apply({ text: modelText({ models: ['m'] }) });
+    expect(view.find('pool')).toMatchObject({ models: [{ name: 'm' }] });
+    apply({ baseVersion: 1n, text: 'kind: newer' });
+    expect(view.find('pool')).toMatchObject({ models: [{ name: 'm' }] });
+    expect(view.all().size).toBe(1);
+    expect(events).toEqual([controlEvents.unreadableDocument]);
+  });
+
   it('keeps a bounded number of apply ids, the newest', () => {
     const change = { applyId: 'first', text: 'first' };
     const first = apply(change);
--- a/packages/control/src/state/controlState.spec.ts
+++ b/packages/control/src/state/controlState.spec.ts
@@ -2,7 +2,7 @@
 import { controlMessage } from '@jasmineroute/protocol';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { applyBatch, applyOne, encodeBatch } from '../fixture/index.js';
+import { advance, applyBatch, applyOne, encodeBatch } from '../fixture/index.js';
 import type { CommandInit } from '../log/index.js';
 import { createState } from '../role/index.js';
 import { MAX_STEP_MS } from './controlState.js';
@@ -96,6 +96,26 @@
     );
   });
 
+  it('forgets at the same moments after a snapshot as without one', () => {
+    // Symptom: of two replicas one still has an answer, the other has forgotten it.
+    // Sequence: an answer expires between two rounds of forgetting; a replica is caught up by a snapshot then.
+    // Cause: the caught-up replica did not know when the last round was, and began one at once.
+    const request = { ...names, key: 'k', attemptId: 'one', windowMs: 5_000n, fingerprint: Uint8Array.of(1) };
+    const done = { ...request, settlement: Settlement.DONE, answer: { status: 200 } };
+    const whole = createState().machine;
+    const copy = createState().machine;
+    advance(whole, 17_000);
+    applyOne(whole, { case: 'claim', value: { request, maxClaims: 9 } });
+    applyOne(whole, { case: 'settle', value: { request: done, maxAnswerBytes: 9_000n, maxClaims: 9 } });
+    advance(whole, 6_000);
+    copy.restore(whole.snapshot());
+    const answers = [whole, copy].map((machine) => {
+      advance(machine, 1_000);
+      return applyOne(machine, { case: 'claim', value: { request, maxClaims: 9 } });
+    });
+    expect(answers[1]).toEqual(answers[0]);
+  });
+
   it('moves time on once though two leaders count the same stretch', () => {
     // Symptom: leases end at half their time.
     // Sequence: a leader that was replaced and its successor both propose a step from the same time.
--- a/packages/coordination/src/agreement/failures.spec.ts
+++ b/packages/coordination/src/agreement/failures.spec.ts
@@ -213,6 +213,25 @@
   if (follower !== undefined) expect(await accepted(cluster, follower, 'at a follower')).toBe(true);
 });
 
+test('a command whose answer was lost is not told as not run, and runs once', async () => {
+  // Symptom: a command runs twice.
+  // Sequence: a follower forwards it; the leader commits it; the answer gets lost on the way back.
+  // Cause: a call that failed taken for one that was never sent, and tried again.
+  const cluster = await started(['a', 'b', 'c']);
+  await cluster.clock.advance(500);
+  const leader = leaderOf(cluster);
+  const [follower] = followersOf(cluster);
+  if (follower === undefined) throw new Error('no follower');
+  cluster.network.cutOneWay(addressOf(leader), addressOf(follower));
+  const attempt = cluster.propose(follower, 'once', 3_000);
+  await cluster.clock.advance(4_000);
+  expect(attempt.outcome).toBe('may-have-run');
+  cluster.network.heal();
+  await cluster.clock.advance(5_000);
+  expect(leader.recorder.commands).toEqual(['once']);
+  cluster.checkEnd();
+});
+
 test('a replica that was down for long gets a snapshot in pieces, then the tail', async () => {
   // Symptom: a replica stays behind for ever, or has a gap between snapshot and tail.
   // Sequence: hundreds of commands while it is down; the entries that it needs are gone from the others' logs.
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -6,7 +6,7 @@
 import type { Configuration, Entry, Voter } from '../gen/agreement/agreement_pb.js';
 import { coordinationEvents } from '../events.js';
 import type { LogStorage, PersistentState, Recovered } from '../storage/index.js';
-import { configurationOf, isVoter, membersOf, voter } from './configuration.js';
+import { isVoter, membersOf, voter } from './configuration.js';
 import { EntryLog } from './entryLog.js';
 import type { Tuning } from './options.js';
 import { Mutex, Signal } from './signal.js';
@@ -241,8 +241,3 @@
     this.changed.notify();
   }
 }
-
-/** The configuration of a cluster that is being founded. */
-export function firstConfiguration(clusterId: string, voters: readonly Voter[]): Configuration {
-  return configurationOf(clusterId, voters, []);
-}
--- a/packages/coordination/src/membership/failureDetector.spec.ts
+++ b/packages/coordination/src/membership/failureDetector.spec.ts
@@ -250,6 +250,34 @@
     expect(b.detector.find('m1')?.liveness).toBe('alive');
   });
 
+  it('evicts nobody in ten minutes of pauses', async () => {
+    // Symptom: targets vanish now and then, and their cached work with them.
+    // Sequence: members are stopped for up to 8 s, one after the other or a few together; so is the observer, for up
+    // to 20 s; each beat is up to 0.4 s late.
+    // Cause: a stopped process sends no beats, and a stopped observer reads none.
+    const scene = new Scene();
+    const { detector, seen } = scene.observer('a');
+    let state = 7;
+    const random = (): number => (state = (state * 16_807) % 2_147_483_647) / 2_147_483_647;
+    const members = names(30).map((name) => ({ name, due: random() * 1_000, stoppedUntil: 0 }));
+    let now = 0;
+    await scene.run(600_000, () => {
+      now += settings.tickMs;
+      const some = members.filter(() => random() < 0.001);
+      for (const member of some) member.stoppedUntil = now + 8_000 * random();
+      for (const member of members) {
+        if (member.stoppedUntil > now) detector.evidence(member.name, 1n, 'accepted');
+        else if (member.due <= now) {
+          detector.beat(beat(member.name));
+          member.due = now + 900 + 600 * random();
+        }
+      }
+      if (random() < 0.005) void scene.clock.advance(20_000 * random());
+    });
+    expect(seen.filter(({ to }) => to === 'suspect').length).toBeGreaterThan(20);
+    expect(seen.filter(({ to }) => to === 'down')).toEqual([]);
+  });
+
   it('tells only what changed, and who hears whom agrees after crossing reports', async () => {
     const scene = new Scene();
     const [a, b] = [scene.observer('a'), scene.observer('b')];
--- a/packages/coordination/src/testing/memoryNetwork.ts
+++ b/packages/coordination/src/testing/memoryNetwork.ts
@@ -84,6 +84,11 @@
     this.cuts.add(linkOf(a, b)).add(linkOf(b, a));
   }
 
+  /** Nothing passes from one replica to another; the way back works. */
+  cutOneWay(from: string, to: string): void {
+    this.cuts.add(linkOf(from, to));
+  }
+
   /** All links work again. */
   heal(): void {
     this.cuts.clear();
--- a/packages/directory/src/bench/feed.ts
+++ b/packages/directory/src/bench/feed.ts
@@ -1,11 +1,12 @@
 /**
  * Measures the directory: spread of changes, catch-up, cost of a watcher, memory of a view.
- * `node packages/directory/dist/bench/feed.js [--json] [spread] [faults] [catch-up] [idle] [heap]`
+ * `node packages/directory/dist/bench/feed.js [--json] [spread] [faults] [catch-up] [idle] [heap] [detect]`
  */
+import { measureDetection } from './detect.js';
 import { measureHeap } from './heap.js';
 import { measureIdle } from './idle.js';
 import { measureCatchUp, measureFaults, measureSpread } from './spread.js';
-import type { Measure } from './spread.js';
+import type { Measure } from './measure.js';
 
 const parts: Readonly<Record<string, () => Measure[] | Promise<Measure[]>>> = {
   heap: measureHeap,
@@ -13,6 +14,7 @@
   faults: measureFaults,
   'catch-up': measureCatchUp,
   idle: measureIdle,
+  detect: measureDetection,
 };
 
 async function run(words: readonly string[]): Promise<Measure[]> {
--- a/packages/directory/src/bench/heap.ts
+++ b/packages/directory/src/bench/heap.ts
@@ -7,7 +7,7 @@
 import { instanceFromMessage, instanceToMessage } from '../message/index.js';
 import type { Instance } from '../view/index.js';
 import { liveHeap, slope } from './meter.js';
-import type { Measure } from './spread.js';
+import type { Measure } from './measure.js';
 
 const TARGETS = [600, 1_200, 2_450, 4_900];
 const CUSTOMERS = [100, 475, 950, 1_900];
--- a/packages/directory/src/bench/idle.ts
+++ b/packages/directory/src/bench/idle.ts
@@ -8,7 +8,7 @@
   modelText,
 } from '../fixture/index.js';
 import { ByteCounter, machineTime } from './meter.js';
-import type { Measure } from './spread.js';
+import type { Measure } from './measure.js';
 import { WatcherThread } from './watcherThread.js';
 
 const WATCHERS = 25;
--- a/packages/directory/src/client/beatTask.ts
+++ b/packages/directory/src/client/beatTask.ts
@@ -16,6 +16,8 @@
 const JITTER = 0.1;
 /** Instances that are tried for one beat. Under load all are slow, and trying each would add to it. */
 const TRIES = 2;
+/** Wait after the first beat that nobody answers, in times of the usual one. */
+const FIRST_WAIT_FACTOR = 0.25;
 /** Longest wait between beats that nobody answers, in times of the usual one. */
 const MAX_WAIT_FACTOR = 4;
 
@@ -63,15 +65,21 @@
 
   /** Runs until `signal` is aborted or a newer process has the name. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, timing } = this.context;
+    const { clock } = this.context;
     while (!signal.aborted) {
       const superseded = await this.round(signal);
       if (superseded) return;
-      const factor = Math.min(MAX_WAIT_FACTOR, 2 ** Math.max(0, this.failures - 1));
-      await this.wakeup.sleep(clock, jittered(timing.beatMs * factor, JITTER), signal);
+      await this.wakeup.sleep(clock, jittered(this.waitMs(), JITTER), signal);
     }
   }
 
+  /** Soon again after the first failure, as observers count the time; later with each further one. */
+  private waitMs(): number {
+    const { beatMs } = this.context.timing;
+    if (this.failures === 0) return beatMs;
+    return beatMs * Math.min(MAX_WAIT_FACTOR, FIRST_WAIT_FACTOR * 2 ** (this.failures - 1));
+  }
+
   /** Goes through the control instances until one answers. */
   private async round(signal: AbortSignal): Promise<boolean> {
     const { addresses, dataCentre } = this.context;
--- a/packages/directory/src/client/knownAddresses.ts
+++ b/packages/directory/src/client/knownAddresses.ts
@@ -1,10 +1,9 @@
 /** Addresses that a process has learnt of: control instances, and neighbours to ask when none answers. */
 import type { ControlAddresses } from '../call/index.js';
+import { CONTROL_SERVICE } from '../message/index.js';
 import type { View } from '../view/index.js';
 import type { KeptAddresses } from './keptState.js';
 
-/** The document that lists the control instances. */
-const CONTROL_SERVICE = 'control';
 /** Neighbours that are kept in a file. */
 const KEPT_NEIGHBOURS = 32;
 
--- a/packages/directory/src/client/watchStream.ts
+++ b/packages/directory/src/client/watchStream.ts
@@ -57,7 +57,7 @@
 }
 
 /** How long a source is waited for, in milliseconds. */
-export interface WatchPatience {
+export interface WatchLimits {
   /** A control instance that is out of touch with its quorum. */
   readonly unvouchedMs: number;
   /** The first event. */
@@ -75,7 +75,7 @@
   constructor(
     private readonly context: WatchContext,
     private readonly source: WatchedSource,
-    private readonly patience: WatchPatience,
+    private readonly limits: WatchLimits,
   ) {}
 
   /** Runs until the source is to be left. */
@@ -86,7 +86,7 @@
     const tried = stayMs === undefined ? undefined : clock.after(stayMs, this.giveUp('tried'));
     const limit = new CallLimit(stop);
     this.limit = limit;
-    this.awaitEvent(this.patience.firstEventMs);
+    this.awaitEvent(this.limits.firstEventMs);
     try {
       await this.follow(limit.signal);
     } catch (error) {
@@ -141,7 +141,7 @@
     const now = this.context.clock.monotonic();
     this.vouched ||= vouched;
     this.unvouchedSince = vouched ? undefined : (this.unvouchedSince ?? now);
-    return this.unvouchedSince === undefined || now - this.unvouchedSince <= this.patience.unvouchedMs;
+    return this.unvouchedSince === undefined || now - this.unvouchedSince <= this.limits.unvouchedMs;
   }
 
   private giveUp(end: WatchEnd): () => void {
--- a/packages/directory/src/client/watchTask.ts
+++ b/packages/directory/src/client/watchTask.ts
@@ -2,12 +2,12 @@
 import { directoryEvents } from '../events.js';
 import { directoryMetrics } from '../metrics.js';
 import { WatchStream } from './watchStream.js';
-import type { WatchContext, WatchOutcome, WatchPatience, WatchedSource } from './watchStream.js';
+import type { WatchContext, WatchOutcome, WatchLimits, WatchedSource } from './watchStream.js';
 
 /** How much longer a round without a vouched instance makes the stays of the next. */
-const PATIENCE_GROWTH = 2;
+const UNVOUCHED_GROWTH = 2;
 /** Longest stay with an unvouched instance while all are. */
-const MAX_PATIENCE_MS = 30_000;
+const MAX_UNVOUCHED_MS = 30_000;
 /** Longest wait for a first event, in times of the bound on silence. */
 const MAX_FIRST_EVENT_FACTOR = 4;
 /** Longest pause after the first failure: it spreads the watchers of an instance that went. */
@@ -18,10 +18,10 @@
 /** Watches one source after the other. */
 export class WatchTask {
   private failures = 0;
-  private patienceMs: number;
+  private unvouchedMs: number;
 
   constructor(private readonly context: WatchContext) {
-    this.patienceMs = context.timing.unvouchedMs;
+    this.unvouchedMs = context.timing.unvouchedMs;
   }
 
   /** Runs until `signal` is aborted. */
@@ -43,13 +43,13 @@
       const outcome = await this.stay({ address, kind: 'control' }, signal);
       if (outcome.vouched) {
         tried.clear();
-        this.patienceMs = timing.unvouchedMs;
+        this.unvouchedMs = timing.unvouchedMs;
       }
       tried.add(address);
       await this.rest(outcome, signal);
     }
     // Without a quorum anywhere, moving on every two seconds would only load the instances that are left.
-    this.patienceMs = Math.min(MAX_PATIENCE_MS, this.patienceMs * PATIENCE_GROWTH);
+    this.unvouchedMs = Math.min(MAX_UNVOUCHED_MS, this.unvouchedMs * UNVOUCHED_GROWTH);
   }
 
   private async neighbourTurn(signal: AbortSignal): Promise<void> {
@@ -64,16 +64,16 @@
    * Longer for the first event after each failure: under load all sources are slow, and leaving each before it
    * answers would only add to the load.
    */
-  private patience(): WatchPatience {
+  private limits(): WatchLimits {
     const { silenceMs } = this.context.timing;
     const firstEventMs = silenceMs * Math.min(MAX_FIRST_EVENT_FACTOR, 1 + this.failures);
-    return { unvouchedMs: this.patienceMs, firstEventMs };
+    return { unvouchedMs: this.unvouchedMs, firstEventMs };
   }
 
   private async stay(source: WatchedSource, signal: AbortSignal): Promise<WatchOutcome> {
     const { addresses, log, metrics, lost } = this.context;
     const { address, kind } = source;
-    const outcome = await new WatchStream(this.context, source, this.patience()).run(signal);
+    const outcome = await new WatchStream(this.context, source, this.limits()).run(signal);
     if (outcome.end === 'stopped') return outcome;
     lost();
     metrics.count(directoryMetrics.watchMoves, 1, { reason: outcome.end });
--- a/packages/directory/src/message/document.ts
+++ b/packages/directory/src/message/document.ts
@@ -2,6 +2,9 @@
 import { create } from '@bufbuild/protobuf';
 import { controlMessage } from '@jasmineroute/protocol';
 
+/** The document that says where control instances are; every watcher gets it. */
+export const CONTROL_SERVICE = 'control';
+
 /** An accepted document as text, as control instances store it. */
 export interface StoredDocument {
   readonly service: string;
--- a/packages/directory/src/server/serveDirectory.ts
+++ b/packages/directory/src/server/serveDirectory.ts
@@ -5,7 +5,7 @@
 import { ChangeSignal } from './changeSignal.js';
 import { DocumentFeed } from './documentFeed.js';
 import { InstanceFeed } from './instanceFeed.js';
-import { Turnstile } from './turnstile.js';
+import { Semaphore } from './semaphore.js';
 import type { DirectorySource } from './source.js';
 import { WatcherStream } from './watch.js';
 import type { WatchHub } from './watch.js';
@@ -45,7 +45,7 @@
     documents,
     instances,
     changed,
-    comparisons: new Turnstile(COMPARISONS, source.clock),
+    comparisons: new Semaphore(COMPARISONS, source.clock),
     clock: source.clock,
   };
 }
--- a/packages/directory/src/server/watch.ts
+++ b/packages/directory/src/server/watch.ts
@@ -2,11 +2,11 @@
 import { create } from '@bufbuild/protobuf';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Clock } from '@jasmineroute/core';
-import { instanceToMessage } from '../message/index.js';
+import { CONTROL_SERVICE, instanceToMessage } from '../message/index.js';
 import type { Instance } from '../view/index.js';
 import type { ChangeSignal } from './changeSignal.js';
 import type { DocumentFeed } from './documentFeed.js';
-import type { Turnstile } from './turnstile.js';
+import type { Semaphore } from './semaphore.js';
 import type { InstanceFeed, InstanceFilter } from './instanceFeed.js';
 
 /** Time between events when nothing changes, in milliseconds: how a watcher knows that it still hears. */
@@ -15,16 +15,14 @@
 const COALESCE_MS = 20;
 /**
  * Shortest time between two events that tell of instances only, in milliseconds. When thousands of processes start
- * together, each is news to each other one: without a pace, telling of them one by one takes all the processor time
+ * together, each is news to each other one: without a bound, telling of them one by one takes all the processor time
  * of the control instances, beats go unanswered, and the herd starts over.
  */
-const PACE_MS = 300;
+const INSTANCE_INTERVAL_MS = 300;
 /** Entries that a watcher is told of, to ask while no control instance can be reached. */
 const NEIGHBOURS = 8;
 /** Events between two tellings of entries: about a minute of heartbeats. */
 const NEIGHBOUR_EVENTS = 60;
-/** The document that says where control instances are; every watcher gets it. */
-const CONTROL_SERVICE = 'control';
 
 type WatchEvent = controlMessage.WatchEvent;
 
@@ -34,7 +32,7 @@
   readonly instances: InstanceFeed;
   readonly changed: ChangeSignal;
   /** Bounds the streams that are brought up to date at one time. */
-  readonly comparisons: Turnstile;
+  readonly comparisons: Semaphore;
   readonly clock: Clock;
 }
 
@@ -60,42 +58,54 @@
     yield* this.admitted(signal);
     while (!signal.aborted) {
       const sentAt = clock.monotonic();
-      await changed.wait(clock, HEARTBEAT_MS, signal);
+      if (this.sent >= 0) await changed.wait(clock, HEARTBEAT_MS, signal);
       await clock.sleep(COALESCE_MS, signal).catch(() => undefined);
-      await this.keepPace(sentAt, signal);
+      await this.awaitInterval(sentAt, signal);
       yield* this.changes();
     }
   }
 
   /** Waits until instances may be told of again, or something else is to be told. */
-  private async keepPace(sentAt: number, signal: AbortSignal): Promise<void> {
-    const { changed, clock, documents } = this.hub;
-    const due = sentAt + PACE_MS;
+  private async awaitInterval(sentAt: number, signal: AbortSignal): Promise<void> {
+    const { changed, clock } = this.hub;
+    const due = sentAt + INSTANCE_INTERVAL_MS;
     for (;;) {
       const left = due - clock.monotonic();
-      const news = documents.revision() > this.revision || documents.vouched() !== this.vouched;
-      if (left <= 0 || news || signal.aborted) return;
+      if (left <= 0 || this.hasUrgentNews() || signal.aborted) return;
       await changed.wait(clock, left, signal);
     }
   }
 
+  private hasUrgentNews(): boolean {
+    const { documents } = this.hub;
+    return documents.revision() > this.revision || documents.vouched() !== this.vouched;
+  }
+
+  /**
+   * Whether something changed while the last event was on its way out. Nobody waited for the signal then, so without
+   * this look the change would stay until the next heartbeat.
+   */
+  private hasNews(): boolean {
+    return this.hasUrgentNews() || (this.request.instances && this.hub.instances.end() > this.place);
+  }
+
   /**
    * Brings the watcher up to date when it is its turn. A herd that returns at one time would otherwise share the
    * processor so that none is served before it gives up and comes again. Heartbeats keep those that wait.
    */
   private async *admitted(signal: AbortSignal): AsyncGenerator<WatchEvent> {
     const { comparisons, documents } = this.hub;
-    let leave = comparisons.enter();
-    while (leave === undefined) {
+    let release = comparisons.acquire();
+    while (release === undefined) {
       if (signal.aborted) return;
       yield create(controlMessage.WatchEventSchema, { vouched: documents.vouched() });
       await comparisons.wait(HEARTBEAT_MS, signal);
-      leave = comparisons.enter();
+      release = comparisons.acquire();
     }
     try {
       yield* this.compared(this.request.buckets);
     } finally {
-      leave();
+      release();
     }
   }
 
--- a/packages/engine/src/http/httpEngine.ts
+++ b/packages/engine/src/http/httpEngine.ts
@@ -98,13 +98,7 @@
     fromEvent: number,
     signal: AbortSignal,
   ): Promise<Result<EngineAnswer, Fault>> {
-    const opened = await this.open(request, signal, {
-      method: 'GET',
-      path: `/v1/streams/${encodeURIComponent(request.attemptId)}?from=${fromEvent}`,
-      headers: headersOf({ ...request, headers: [] }),
-      headSilenceMs: this.silenceMs,
-      bodySilenceMs: this.silenceMs,
-    });
+    const opened = await this.openStream(request, fromEvent, signal);
     return opened.andThen(({ answer, wire }) => {
       if (answer.status === OK) return ok(answer);
       wire.abandon();
@@ -174,6 +168,21 @@
     return this.checked(request, opened.value);
   }
 
+  /** Opens the stream of a known answer on a new connection. */
+  private openStream(
+    request: EngineRequest,
+    fromEvent: number,
+    signal: AbortSignal,
+  ): Promise<Result<Opened, Fault>> {
+    return this.open(request, signal, {
+      method: 'GET',
+      path: `/v1/streams/${encodeURIComponent(request.attemptId)}?from=${fromEvent}`,
+      headers: headersOf({ ...request, headers: [] }),
+      headSilenceMs: this.silenceMs,
+      bodySilenceMs: this.silenceMs,
+    });
+  }
+
   private async openWhole(
     request: EngineRequest,
     signal: AbortSignal,
@@ -181,7 +190,11 @@
   ): Promise<Result<Opened, Fault>> {
     const { clock, silenceMs } = this;
     const [cut, here] = [new AbortController(), new AbortController()];
-    const follow = (bound: AbortSignal) => this.resume(request, PAST_THE_END, bound);
+    const follow = async (bound: AbortSignal) => {
+      const opened = await this.openStream(request, PAST_THE_END, bound);
+      if (opened.isOk() && opened.value.answer.status !== OK) opened.value.wire.abandon();
+      return opened.map(({ answer }) => answer);
+    };
     void watchWholeAnswer({ clock, silenceMs, follow }, AbortSignal.any([signal, here.signal]), (reason) => {
       cut.abort(reason);
     });
--- a/packages/engine/src/http/wholeAnswer.ts
+++ b/packages/engine/src/http/wholeAnswer.ts
@@ -10,18 +10,23 @@
   readonly clock: Clock;
   /** How long an answer is waited for before the engine is asked about it; and again after it has ended. */
   readonly silenceMs: number;
-  /** Opens the stream of the answer's events on a new connection, past its last event. */
+  /** Opens the stream of the answer's events on a new connection, past its last event; any status. */
   readonly follow: (signal: AbortSignal) => Promise<Result<EngineAnswer, Fault>>;
 }
 
-/** Whether the engine says that the answer has ended. An engine that does not know it says nothing. */
-async function hasEnded(watch: WholeAnswerWatch, signal: AbortSignal): Promise<boolean | 'broken'> {
+const OK = 200;
+
+/** What the engine says of the answer; nothing when it does not know it, or cannot tell. */
+type Progress = 'ended' | 'unknown' | 'broken';
+
+async function progressOf(watch: WholeAnswerWatch, signal: AbortSignal): Promise<Progress> {
   const followed = await watch.follow(signal);
-  if (followed.isErr()) return false;
+  if (followed.isErr()) return 'broken';
+  if (followed.value.status !== OK) return 'unknown';
   const iterator = followed.value.body[Symbol.asyncIterator]();
   try {
     for (let read = await iterator.next(); read.done !== true; read = await iterator.next());
-    return true;
+    return 'ended';
   } catch {
     return 'broken';
   }
@@ -41,11 +46,11 @@
   const { clock, silenceMs } = watch;
   const pause = (): Promise<void> => clock.sleep(silenceMs, signal).catch(() => undefined);
   await pause();
-  let ended: boolean | 'broken' = 'broken';
-  while (ended === 'broken' && !signal.aborted) {
-    ended = await hasEnded(watch, signal);
+  let progress: Progress = 'broken';
+  while (progress === 'broken' && !signal.aborted) {
+    progress = await progressOf(watch, signal);
     await pause();
   }
-  if (ended !== true || signal.aborted) return;
+  if (progress !== 'ended' || signal.aborted) return;
   giveUp(new FaultError(fault('stream-broken', 'the answer is finished and does not come')));
 }
--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -4,57 +4,14 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
-import type { HeaderField } from '../port/index.js';
+import { fieldsOf, isFramed } from './answer.js';
+import type { RawHeaders, WireAnswer, WireRequest } from './answer.js';
 import { FaultError, broken } from './failure.js';
 
 /** Bytes that wait for the reader before the target is paused, and below which it goes on. */
 const HIGH_WATER = 64 * 1024;
 const LOW_WATER = 16 * 1024;
 
-/** A request on the wire. */
-export interface WireRequest {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
-  readonly body?: Uint8Array;
-  /** Longest silence before the answer's head, milliseconds; absent: unbounded, the signal bounds it. */
-  readonly headSilenceMs?: number;
-  /** Longest silence inside the answer's body. */
-  readonly bodySilenceMs?: number;
-}
-
-/** An answer on the wire. Its body can be read once. */
-export interface WireAnswer {
-  readonly status: number;
-  readonly headers: readonly HeaderField[];
-  readonly body: AsyncIterable<Uint8Array>;
-  /** Whether the message has a length of its own, so that its end is told apart from a cut. */
-  readonly framed: boolean;
-  /** Gives the answer up and destroys its connection. */
-  abandon(): void;
-}
-
-type RawHeaders = Readonly<Record<string, string | string[] | undefined>>;
-
-function fieldsOf(headers: RawHeaders): HeaderField[] {
-  return Object.entries(headers).flatMap(([name, value]) => {
-    if (value === undefined) return [];
-    const values = Array.isArray(value) ? value : [value];
-    return values.map((single) => ({ name, value: single }));
-  });
-}
-
-/** Without a length, a body ends when the connection closes, and a cut looks just the same. */
-function isFramed(method: string, status: number, headers: RawHeaders): boolean {
-  if (method === 'HEAD' || status === 204 || status === 304) return true;
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
-/** The first value of a header, name in lower case. */
-export function headerOf(headers: readonly HeaderField[], name: string): string | undefined {
-  return headers.find((header) => header.name === name)?.value;
-}
-
 /**
  * The state of one exchange. It is the handler that undici calls, and the body that the caller reads.
  * Aborting destroys the connection: an answer that comes late can then never be taken for the next one's.
@@ -258,19 +215,3 @@
   }
   return handler.head;
 }
-
-/** Reads a whole body of at most `limit` bytes. */
-export async function readWhole(answer: WireAnswer, limit: number): Promise<Result<Uint8Array, Fault>> {
-  const parts: Uint8Array[] = [];
-  let size = 0;
-  try {
-    for await (const part of answer.body) {
-      parts.push(part);
-      size += part.length;
-      if (size > limit) return err(fault('engine-failed', `an answer of more than ${limit} bytes`));
-    }
-  } catch (error) {
-    return err(broken(error));
-  }
-  return ok(Buffer.concat(parts));
-}
--- a/packages/entry/src/claim/claims.ts
+++ b/packages/entry/src/claim/claims.ts
@@ -7,10 +7,10 @@
 import type { View } from '@jasmineroute/directory';
 import type { KeptAnswer } from '../answer/index.js';
 import type { Call } from '../call/index.js';
-import { entryEvents } from '../events.js';
 import { entryMetrics } from '../metrics.js';
 import { holderOf, holderText, originOf } from './attemptId.js';
 import type { Holder } from './attemptId.js';
+import { Settler } from './settler.js';
 
 /** What is sent to take a claim. */
 export type ClaimMessage = Omit<controlMessage.ClaimRequest, '$typeName'>;
@@ -48,9 +48,6 @@
   | { readonly type: 'unknown' }
   | { readonly type: 'done'; readonly answer: KeptAnswer | undefined };
 
-const SETTLE_TRIES = 6;
-const SETTLE_PAUSE_MS = 500;
-
 const settlements: Record<Settled['type'], controlMessage.Settlement> = {
   released: controlMessage.Settlement.RELEASED,
   unknown: controlMessage.Settlement.UNKNOWN,
@@ -76,7 +73,11 @@
 
 /** Takes and settles the claims of one entry. */
 export class Claims {
-  constructor(private readonly context: ClaimContext) {}
+  private readonly settler: Settler;
+
+  constructor(private readonly context: ClaimContext) {
+    this.settler = new Settler(context.clock, context.log);
+  }
 
   /** Asks for the call's key. */
   async take(call: Call, attemptId: string, holder: Holder): Promise<Verdict> {
@@ -102,9 +103,9 @@
     return refused(fault('claims-unavailable', message, { ran: 'not-run', retryAfterMs }));
   }
 
-  /** Records how an attempt went; tries again for some seconds. Resolves when recorded or given up. */
-  async settle(call: Call, attemptId: string, settled: Settled): Promise<void> {
-    const { store, clock, log, timeoutMs } = this.context;
+  /** Records how an attempt went, however long that takes. Resolves when recorded or given up. */
+  settle(call: Call, attemptId: string, settled: Settled): Promise<void> {
+    const { store, timeoutMs } = this.context;
     const message: SettleMessage = {
       service: call.service.service,
       customer: call.customer,
@@ -113,12 +114,12 @@
       settlement: settlements[settled.type],
       answer: settled.type === 'done' ? settled.answer : undefined,
     };
-    for (let tries = 0; tries < SETTLE_TRIES; tries += 1) {
-      const result = await store.settle(message, timeoutMs);
-      if (result.isOk()) return;
-      await clock.sleep(SETTLE_PAUSE_MS);
-    }
-    log.event(entryEvents.claimUnsettled, { attemptId, settlement: settled.type });
+    return this.settler.settle({ attemptId, send: () => store.settle(message, timeoutMs) });
+  }
+
+  /** Resolves when all outcomes are recorded, or after `ms`. */
+  idle(ms: number): Promise<void> {
+    return this.settler.idle(ms);
   }
 
   private verdict(answer: controlMessage.ClaimResponse, attemptId: string): Verdict {
--- a/packages/entry/src/claim/index.ts
+++ b/packages/entry/src/claim/index.ts
@@ -1,2 +1,3 @@
 export * from './attemptId.js';
 export * from './claims.js';
+export * from './settler.js';
--- a/packages/entry/src/claim/settler.ts
+++ b/packages/entry/src/claim/settler.ts
@@ -10,6 +10,10 @@
   readonly send: () => Promise<Result<unknown, Fault>>;
 }
 
+interface Pending extends Settling {
+  readonly over: () => void;
+}
+
 /** Outcomes sent at once. */
 const WORKERS = 16;
 /** Outcomes that wait; past it the oldest is given up. */
@@ -17,6 +21,11 @@
 const LEAST_PAUSE_MS = 250;
 const MOST_PAUSE_MS = 5_000;
 
+/** Whether nothing more is to be sent: a fault without a cause is what the control instances answered themselves. */
+function isOver(result: Result<unknown, Fault>): boolean {
+  return result.isOk() || result.error.cause === undefined;
+}
+
 /**
  * Sends outcomes until they are recorded. What goes wrong without the bounds: while the control instances
  * are out of reach every call leaves an outcome behind, and all of them sent again and again at once keep the
@@ -24,8 +33,9 @@
  * leaves its key taken, and the caller's resends are refused as running until the window ends.
  */
 export class Settler {
-  private waiting: Settling[] = [];
-  private active = 0;
+  private readonly waiting: Pending[] = [];
+  private workers = 0;
+  private open = 0;
   private readonly idleWaiters = new Set<() => void>();
 
   constructor(
@@ -35,26 +45,23 @@
 
   /** Outcomes that are not recorded yet. */
   get size(): number {
-    return this.waiting.length + this.active;
+    return this.open;
   }
 
   /** Takes an outcome over. Resolves when it is recorded or given up. */
   settle(settling: Settling): Promise<void> {
+    this.open += 1;
     return new Promise((resolve) => {
-      this.push({
-        attemptId: settling.attemptId,
-        send: async () => {
-          const result = await settling.send();
-          if (result.isOk()) resolve();
-          return result;
-        },
-      });
+      this.waiting.push({ ...settling, over: resolve });
+      const dropped = this.waiting.length > MOST_WAITING ? this.waiting.shift() : undefined;
+      if (dropped !== undefined) this.giveUp(dropped);
+      if (this.workers < WORKERS) void this.work();
     });
   }
 
   /** Resolves when all outcomes are recorded, or after `ms`. */
   async idle(ms: number): Promise<void> {
-    if (this.size === 0) return;
+    if (this.open === 0) return;
     let wake: () => void = () => undefined;
     const empty = new Promise<void>((resolve) => {
       wake = resolve;
@@ -67,21 +74,12 @@
     for (const { attemptId } of this.waiting) this.log.event(entryEvents.claimUnsettled, { attemptId });
   }
 
-  private push(settling: Settling): void {
-    this.waiting.push(settling);
-    const dropped = this.waiting.length > MOST_WAITING ? this.waiting.shift() : undefined;
-    if (dropped !== undefined) {
-      this.log.event(entryEvents.claimUnsettled, { attemptId: dropped.attemptId });
-    }
-    if (this.active < WORKERS) void this.work();
-  }
-
   private async work(): Promise<void> {
-    this.active += 1;
+    this.workers += 1;
     let pause = LEAST_PAUSE_MS;
     for (let next = this.waiting.shift(); next !== undefined; next = this.waiting.shift()) {
-      const result = await next.send();
-      if (result.isOk()) {
+      if (isOver(await next.send())) {
+        this.finish(next);
         pause = LEAST_PAUSE_MS;
         continue;
       }
@@ -89,8 +87,18 @@
       await this.clock.sleep(pause);
       pause = Math.min(MOST_PAUSE_MS, pause * 2);
     }
-    this.active -= 1;
-    if (this.size > 0) return;
+    this.workers -= 1;
+  }
+
+  private giveUp(dropped: Pending): void {
+    this.log.event(entryEvents.claimUnsettled, { attemptId: dropped.attemptId });
+    this.finish(dropped);
+  }
+
+  private finish(pending: Pending): void {
+    this.open -= 1;
+    pending.over();
+    if (this.open > 0) return;
     for (const wake of this.idleWaiters) wake();
   }
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -40,7 +40,9 @@
 const RETRY_SHARE = 0.2;
 const RETRY_BURST = 512;
 const GAUGE_INTERVAL_MS = 5_000;
-/** How long a planned stop waits for new connections to cease. */
+/** How long a planned stop waits for outcomes of claimed calls to be recorded, milliseconds. */
+const LAST_OUTCOMES_MS = 10_000;
+/** How long a planned stop waits for new connections to cease, milliseconds. */
 const LAST_CONNECTIONS_MS = 5_000;
 
 /** Makes the entry role. */
@@ -136,6 +138,7 @@
     await this.parts.directory.leave();
     await this.server.drain(LAST_CONNECTIONS_MS);
     await this.work.background.idle();
+    await this.work.claims.idle(LAST_OUTCOMES_MS);
     log.event(entryEvents.drained);
   }
 
--- a/packages/entry/src/http/drain.spec.ts
+++ b/packages/entry/src/http/drain.spec.ts
@@ -62,6 +62,38 @@
     await expect(fetch(`${url}/healthz`)).rejects.toThrow();
   });
 
+  it('does not wait for a connection whose stream began before it', async () => {
+    // Symptom: a planned stop takes as long as idle connections are held.
+    // Sequence: a stream begins, the stop begins, the stream ends; its connection could be used again.
+    // Cause: its head went out before it could say that the connection closes.
+    const gateway = opening();
+    const script = [accepted, sse, chunk(delta('a')), gateway.step, chunk(doneEvent), end];
+    const { url, entry, directory } = await start(() => script, { streamSilenceMs: 20_000 });
+    const agent = new Agent({ keepAlive: true });
+    const body = JSON.stringify({ model: 'm', stream: true, messages: [{ role: 'user', content: 'hi' }] });
+    const headers = { authorization: `Bearer ${KEY}`, 'content-type': 'application/json' };
+    let text = '';
+    const ended = new Promise((resolve) => {
+      const sent = request(`${url}/v1/chat/completions`, { method: 'POST', agent, headers }, (answer) => {
+        answer.on('data', (bytes: Buffer) => (text += bytes.toString())).on('end', resolve);
+      });
+      sent.end(body);
+    });
+    await until(() => text !== '');
+    const drained = entry.drain();
+    await until(() => directory.left);
+    // Past the time in which the stopping entry waits for last connections: its listener is closed.
+    const since = performance.now();
+    await until(() => performance.now() - since > 800);
+    gateway.open();
+    await ended;
+    const finished = performance.now();
+    await drained;
+    expect(performance.now() - finished).toBeLessThan(20_000);
+    expect(text).toBe(delta('a') + doneEvent);
+    agent.destroy();
+  });
+
   it('closes idle connections and does not wait for them', async () => {
     const { entry, url } = await start(() => [accepted, head(200, 'application/json'), chunk('{}'), end]);
     const agent = new Agent({ keepAlive: true });
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -1,6 +1,7 @@
 /** The listener that callers reach: bounds, bad connections, planned stop. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { getRequestListener } from '@hono/node-server';
 import type { Hono } from 'hono';
@@ -19,10 +20,22 @@
 const QUIET_MS = 300;
 const POLL_MS = 50;
 
+/** A connection of a stopping server is closed when it has been idle for this long. */
+const IDLE_MS = 1_000;
+
+/** An open connection. */
+interface CallerConnection {
+  /** Answers that are not finished. */
+  readonly answers: Set<ServerResponse>;
+  bytesRead: number;
+  /** Monotonic time at which it was last seen busy. */
+  activeAt: number;
+}
+
 /** The callers' listener. */
 export class CallerServer {
   private readonly server: Server;
-  private readonly answering = new Map<Socket, Set<ServerResponse>>();
+  private readonly answering = new Map<Socket, CallerConnection>();
   private lastConnectionAt = 0;
   private stopping = false;
 
@@ -86,20 +99,32 @@
 
   /**
    * Closes the listener once no connection has come for a moment: one that still waits to be accepted would be
-   * reset with it. Then closes idle connections and resolves when the busy ones have finished.
+   * reset with it. Then waits for the busy connections, and closes each one that has been idle for a while:
+   * one that has just fallen idle may have its caller's next request on the way.
    */
   async drain(patienceMs: number): Promise<void> {
     const until = this.clock.monotonic() + patienceMs;
     while (this.clock.monotonic() - this.lastConnectionAt < QUIET_MS && this.clock.monotonic() < until) {
       await this.clock.sleep(POLL_MS);
     }
-    const closed = new Promise<void>((resolve) => {
-      this.server.close(() => {
-        resolve();
-      });
-    });
-    this.server.closeIdleConnections();
-    await closed;
+    // The HTTP server's own close cuts idle connections at once; that of the layer below only the listener.
+    NetServer.prototype.close.call(this.server);
+    while (this.answering.size > 0) {
+      this.closeIdle();
+      await this.clock.sleep(POLL_MS);
+    }
+  }
+
+  private closeIdle(): void {
+    const now = this.clock.monotonic();
+    for (const [socket, connection] of this.answering) {
+      if (connection.answers.size > 0 || connection.bytesRead !== socket.bytesRead) {
+        connection.bytesRead = socket.bytesRead;
+        connection.activeAt = now;
+        continue;
+      }
+      if (now - connection.activeAt >= IDLE_MS) socket.destroySoon();
+    }
   }
 
   /** Cuts everything. */
@@ -114,7 +139,7 @@
   }
 
   private track(socket: Socket, outgoing: ServerResponse): void {
-    const answers = this.answering.get(socket);
+    const answers = this.answering.get(socket)?.answers;
     answers?.add(outgoing);
     outgoing.once('close', () => answers?.delete(outgoing));
     if (this.stopping) outgoing.setHeader('connection', 'close');
@@ -123,7 +148,7 @@
   private watchConnections(): void {
     this.server.on('connection', (socket: Socket) => {
       this.lastConnectionAt = this.clock.monotonic();
-      this.answering.set(socket, new Set());
+      this.answering.set(socket, { answers: new Set(), bytesRead: 0, activeAt: this.lastConnectionAt });
       socket.once('close', () => this.answering.delete(socket));
     });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -140,7 +165,7 @@
       return;
     }
     this.log.event(entryEvents.badConnection, { code: error.code, status: statusOf(error.code) });
-    const answers = [...(this.answering.get(socket) ?? [])];
+    const answers = [...(this.answering.get(socket)?.answers ?? [])];
     const busy = answers.some((answer) => answer.headersSent || answer.req.complete);
     // Earlier requests of the connection are in work: an error would be read as an answer to one of them.
     if (busy) socket.destroy();
--- a/packages/entry/src/work/claimed.ts
+++ b/packages/entry/src/work/claimed.ts
@@ -69,8 +69,7 @@
     // Proved not run: the key is free again, and another attempt takes it anew.
     const step = aftermath.again(problem, sending);
     const released = this.context.claims.settle(this.subject.call, attemptId, { type: 'released' });
-    this.context.background.follow(released);
-    if (step !== undefined) await released;
+    if (step !== undefined) await this.unlessStopped(released);
     return step;
   }
 
@@ -116,7 +115,7 @@
       case 'failed': {
         if (outcome.fault.kind === 'already-running') return this.parts.aftermath.fail(outcome.fault);
         if (outcome.fault.ran !== 'not-run') return this.outcomeUnknown(attemptId);
-        await claims.settle(this.subject.call, attemptId, { type: 'released' });
+        await this.unlessStopped(claims.settle(this.subject.call, attemptId, { type: 'released' }));
         const { aftermath } = this.parts;
         return aftermath.mayRetry('target-lost') ? plan : aftermath.fail(outcome.fault);
       }
@@ -133,7 +132,18 @@
 
   /** Goes on in the background; a planned stop waits for it. */
   private settle(attemptId: string, settled: Settled): void {
-    const { background, claims } = this.context;
-    background.follow(claims.settle(this.subject.call, attemptId, settled));
+    void this.context.claims.settle(this.subject.call, attemptId, settled);
+  }
+
+  /** Waits for a task, but not past the end of the call. */
+  private async unlessStopped(task: Promise<void>): Promise<void> {
+    const { stop } = this.subject;
+    if (stop.aborted) return;
+    const stopped = new Promise<void>((resolve) => {
+      stop.addEventListener('abort', () => {
+        resolve();
+      });
+    });
+    await Promise.race([task, stopped]);
   }
 }
--- a/packages/routing/src/policy/registry.ts
+++ b/packages/routing/src/policy/registry.ts
@@ -44,9 +44,20 @@
 
 /**
  * Fourth version: goes on comparing caches by what is likely when cache events are lost, weighs silent targets
- * from memory, and asks two targets before it asks all six.
+ * from memory, and asks two targets before it asks all six. Queues elsewhere weigh up to four requests, and the
+ * base more: v3 left requests waiting for seconds at a hot home while others idled.
  */
-const v4: WeighingOptions = { ...v3, firstProbes: 2, trustLikely: true, rememberSilent: true };
+const v4: WeighingOptions = {
+  ...v3,
+  firstProbes: 2,
+  weights: {
+    latency: { base: 4, perWaiting: 1, perWaitingThere: 1 },
+    reuse: { base: 8, perWaiting: 1, perWaitingThere: 1 },
+  },
+  mostWaiting: 4,
+  trustLikely: true,
+  rememberSilent: true,
+};
 
 /** Policies that a document or the bench tool can name. */
 export const policies = new Registry<PolicyFactory>('policy')
--- a/packages/routing/src/policy/shortlist.ts
+++ b/packages/routing/src/policy/shortlist.ts
@@ -59,10 +59,12 @@
   const count = Math.min(candidates.length, hint === undefined ? parts.probesUnknown : parts.probes);
   const shared = sharedLevel(levels, chain.length);
   const homes = homesFor(parts, shared, candidates, count);
-  const asked = new Set<Candidate>(draw(parts.random, homes.current, 2).slice(0, count));
+  const asked = new Set<Candidate>();
   const add = (more: readonly Candidate[], most: number): void => {
     for (const candidate of more) if (asked.size < most) asked.add(candidate);
   };
+  if (hint !== undefined && hint.level.blocks >= shared.blocks) add(hint.candidates.slice(0, 1), count);
+  add(draw(parts.random, homes.current, 2), count);
   add(hint?.candidates.slice(0, 1) ?? [], count);
   addShallower(levels, shared, candidates, asked, Math.min(count - 1, asked.size + SHALLOWER_HOMES));
   add(homes.next, count - 1);
--- a/packages/routing/src/policy/targetHealth.ts
+++ b/packages/routing/src/policy/targetHealth.ts
@@ -26,7 +26,7 @@
 const MOST_FAILURES = 4;
 
 /** Milliseconds that a target is taken to be slower for each probe in a row that it has not answered in time. */
-const SILENCE_MS = 100;
+const SILENCE_MS = 50;
 const MOST_SILENCES = 5;
 
 interface Record {
--- a/packages/routing/src/prefix/levels.ts
+++ b/packages/routing/src/prefix/levels.ts
@@ -15,23 +15,23 @@
   readonly key: number;
 }
 
-/** Blocks of the first level, and the ratio between one level and the next. */
+/** Blocks of the first level; then come half as many more, and twice as many, and so on. */
 const FIRST_LEVEL_BLOCKS = 4;
-const LEVEL_RATIO = 2;
 
 /** 2^32, and the bits of the high half that fit beside the low one. */
 const HIGH_UNIT = 4_294_967_296;
 const HIGH_BITS = 0x1f_ffff;
 
-/** Levels of a chain, deepest first: 4, 8, 16… blocks. Prompts too short for any have their last block. */
+/** Levels of a chain, deepest first: 4, 6, 8, 12, 16… blocks. Prompts too short for any have their last block. */
 export function levelsOf(chain: Chain): Level[] {
   const halves = new Uint32Array(chain.buffer, chain.byteOffset, 2 * chain.length);
   const levels: Level[] = [];
-  for (let blocks = FIRST_LEVEL_BLOCKS; blocks <= chain.length; blocks *= LEVEL_RATIO) {
-    levels.unshift(levelAt(halves, blocks));
+  for (let blocks = FIRST_LEVEL_BLOCKS; blocks <= chain.length; blocks *= 2) {
+    levels.push(levelAt(halves, blocks));
+    if (1.5 * blocks <= chain.length) levels.push(levelAt(halves, 1.5 * blocks));
   }
   if (levels.length === 0 && chain.length > 0) return [levelAt(halves, chain.length)];
-  return levels;
+  return levels.reverse();
 }
 
 function levelAt(halves: Uint32Array, blocks: number): Level {
--- a/packages/testkit/src/cluster/cluster.ts
+++ b/packages/testkit/src/cluster/cluster.ts
@@ -10,6 +10,9 @@
 import type { ClusterOptions, DocumentSpec, MemberRole } from './options.js';
 
 const START_TIMEOUT_MS = 60_000;
+/** Control first: others keep asking for it. */
+const START_ORDER: readonly MemberRole[] = ['control', 'store', 'engine', 'plain', 'agent', 'entry'];
+const STARTS_AT_ONCE = 8;
 const STOP_ORDER: readonly MemberRole[] = ['entry', 'agent', 'engine', 'plain', 'store', 'control'];
 
 const statusOutput = z.object({
@@ -43,7 +46,7 @@
     const members = await builder.build();
     const cluster = new Cluster(options, members, builder.controls);
     try {
-      await Promise.all([...members.values()].map((member) => member.process.start()));
+      await cluster.startAll();
       for (const document of options.documents) await cluster.apply(document);
       await cluster.settled();
     } catch (error) {
@@ -54,6 +57,17 @@
     return cluster;
   }
 
+  /** Starts a few at a time: dozens at once would starve each other, and one would miss its time to be ready. */
+  private async startAll(): Promise<void> {
+    const waiting = START_ORDER.flatMap((role) => this.role(role));
+    const startNext = async (): Promise<void> => {
+      for (let member = waiting.shift(); member !== undefined; member = waiting.shift()) {
+        await member.process.start();
+      }
+    };
+    await Promise.all(Array.from({ length: STARTS_AT_ONCE }, startNext));
+  }
+
   /** A member by name. @throws Error when there is none. */
   member(name: string): Member {
     const member = this.members.get(name);
--- a/packages/testkit/src/cluster/member.ts
+++ b/packages/testkit/src/cluster/member.ts
@@ -78,8 +78,8 @@
   }
 
   /** Starts the process, after an end again, on the same ports. */
-  async start(): Promise<void> {
-    await this.process.start();
+  async start(extraArgs: readonly string[] = []): Promise<void> {
+    await this.process.start(extraArgs);
     await this.link?.admit();
     await this.callerLink?.admit();
   }
@@ -90,6 +90,12 @@
     await this.refuse();
   }
 
+  /** kill -9, then the same process again on the same ports. */
+  async crash(): Promise<void> {
+    await this.kill();
+    await this.start();
+  }
+
   /** Planned stop. Its addresses refuse connections until it is started again. */
   async stop(limitMs?: number): Promise<Exit> {
     const exit = await this.process.stop(limitMs);
--- a/packages/testkit/src/proxy/fault.ts
+++ b/packages/testkit/src/proxy/fault.ts
@@ -9,8 +9,8 @@
   readonly latencyMs: number;
   /** Limit of each direction of each connection, bytes a second; 0: none. */
   readonly bytesPerSecond: number;
-  /** New connections: passed on, or accepted and left without a word. */
-  readonly admission: 'open' | 'silent';
+  /** New connections: passed on, reset as soon as they are open, or accepted and left without a word. */
+  readonly admission: 'open' | 'refuse' | 'silent';
 }
 
 /** A link that does nothing. */
--- a/scripts/capacity/budget.mjs
+++ b/scripts/capacity/budget.mjs
@@ -69,6 +69,8 @@
     watcherCoreOneLost: lost,
     watcherBytes: valueAt(series.controlWatcherBytes.fit, share.watchersPerControl),
     resident: valueAt(series.controlWatcherMemory.fit, share.watchersPerControl),
+    exchangeCore: (results.control.idleProcessor - results.control.aloneProcessor) / (results.control.replicas - 1),
+    exchangeBytes: results.control.idleBytes / (results.control.replicas - 1),
     changeCore: series.controlChangeCore.fit.slope * share.changesPerSecond,
     leaderCore: valueAt(series.claimLeaderCore.fit, claimsPerSecond),
     followerCore: valueAt(series.claimFollowerCore.fit, claimsPerSecond),
--- a/scripts/capacity/parts/control.mjs
+++ b/scripts/capacity/parts/control.mjs
@@ -1,4 +1,4 @@
-// Real control instances, three of them, with as many watchers each as at the letter's size; then claims on the same.
+// Real control instances: one with watchers and changes of documents, then three with claims.
 import { randomUUID } from 'node:crypto';
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
@@ -12,10 +12,13 @@
 import { ratesOver, residentBytes } from '../meter.mjs';
 import { WorkerProcess } from '../workerProcess.mjs';
 
-const CONTROLS = 3;
-const WATCHER_PROCESSES = 4;
-/** Watchers of one control instance; the last is the letter's. */
-const WATCHERS = [7, 66, 200, 400, share.watchersPerControl];
+const REPLICAS = 3;
+const WATCHER_PROCESSES = 2;
+/** Watchers of one control instance; the letter's 658 are extrapolated to: this machine has other work to do. */
+const WATCHERS = [3, 10, 30, 100, 300];
+/** Changes of documents are made with this many watchers. */
+const WATCHERS_OF_CHANGES = 100;
+const APPLY_TRIES = 5;
 const SETTLE_MS = 4_000;
 const WATCH_MS = 8_000;
 /** Changes of documents a second; the letter's rate is 0.14. */
@@ -28,14 +31,14 @@
 const mean = (values) => values.reduce((total, value) => total + value, 0) / values.length;
 const machineMs = () => Number(process.hrtime.bigint()) / 1e6;
 
-function startCluster(folder) {
-  const names = Array.from({ length: CONTROLS }, (_, place) => `control-${place + 1}`);
+function startCluster(folder, replicas, documents) {
+  const names = Array.from({ length: replicas }, (_, place) => `control-${place + 1}`);
   return Cluster.start({
     folder,
     controls: names.map((name, place) => ({ name, dataCentre: `dc-${place}` })),
     entries: [],
     targets: [],
-    documents: Array.from({ length: letter.models }, (_, place) =>
+    documents: Array.from({ length: documents }, (_, place) =>
       modelDocument(`service-${place}`, CUSTOMERS_OF_EACH, 1),
     ),
     links: 'direct',
@@ -53,21 +56,39 @@
   return held + (entries + agents) * workers.length;
 }
 
+/** Points up to where the machine could still carry the watchers; `problem` says why there are no more. */
 async function measureWatchers(pids, workers, controls) {
   const points = [];
   let held = 0;
-  for (const ofEach of WATCHERS) {
-    held = await growTo(ofEach * CONTROLS, held, workers, controls);
+  let changes;
+  for (const wanted of WATCHERS) {
+    try {
+      held = await growTo(wanted, held, workers, controls);
+    } catch (error) {
+      return { points, changes, problem: `${wanted} watchers: ${error.message.split('\n')[0]}` };
+    }
     await wait(SETTLE_MS);
     const rates = await ratesOver(pids, WATCH_MS);
     points.push({
-      watchers: held / CONTROLS,
+      watchers: held,
       processor: mean(rates.processor),
       bytes: mean(rates.sent) + mean(rates.received),
       resident: mean(pids.map((pid) => residentBytes(pid))),
     });
+    console.error(`control: ${JSON.stringify(points.at(-1))}`);
+    if (wanted === WATCHERS_OF_CHANGES) changes = await measureChanges(pids, workers, controls[0]);
+  }
+  return { points, changes };
+}
+
+/** A resend carries the same id, so that it gets the first answer. */
+async function applied(client, request, tries = APPLY_TRIES) {
+  try {
+    return await client.apply(request);
+  } catch (error) {
+    if (tries <= 1) throw error;
+    return applied(client, request, tries - 1);
   }
-  return points;
 }
 
 /** Accepts changes evenly. Gives each revision with the time at which its change was sent. */
@@ -79,7 +100,7 @@
     const service = `service-${turn % letter.models}`;
     const version = versions.get(service) ?? 1;
     const at = machineMs();
-    const { outcome } = await client.apply({
+    const { outcome } = await applied(client, {
       service,
       text: modelDocument(service, CUSTOMERS_OF_EACH, version + 1).text,
       baseVersion: BigInt(version),
@@ -121,7 +142,7 @@
     await wait(1_000);
     delays.push(...(await inForceTimes(sent, workers)));
   }
-  return { points, delays: delays.sort((a, b) => a - b) };
+  return { watchers: WATCHERS_OF_CHANGES, points, delays: delays.sort((a, b) => a - b) };
 }
 
 async function measureClaims(pids, controls) {
@@ -141,7 +162,7 @@
       p50: result.p50,
       p99: result.p99,
       leader: Math.max(...processor),
-      follower: (processor.reduce((total, value) => total + value, 0) - Math.max(...processor)) / (CONTROLS - 1),
+      follower: (processor.reduce((total, value) => total + value, 0) - Math.max(...processor)) / (REPLICAS - 1),
       clientBytes: rates.sent[0] + rates.received[0],
     });
   }
@@ -149,23 +170,52 @@
   return points;
 }
 
-/** Costs of one control instance against watchers, changes and claims. */
-export async function measureControl() {
+/** A started cluster's control instances, given to `work`; stopped afterwards. */
+async function withControls(replicas, documents, work) {
   const folder = mkdtempSync(join(tmpdir(), 'capacity-control-'));
-  const cluster = await startCluster(folder);
-  const pids = cluster.role('control').map((member) => member.process.pid);
-  const controls = cluster.controls.split(',');
-  const workers = Array.from({ length: WATCHER_PROCESSES }, (_, place) => new WorkerProcess('watcherWorker', [`w${place}`]));
+  const cluster = await startCluster(folder, replicas, documents);
+  try {
+    const pids = cluster.role('control').map((member) => member.process.pid);
+    return await work(pids, cluster.controls.split(','));
+  } finally {
+    await cluster.stop(0);
+    rmSync(folder, { recursive: true, force: true });
+  }
+}
+
+async function measureFanOut(pids, controls) {
+  const workers = Array.from(
+    { length: WATCHER_PROCESSES },
+    (_, place) => new WorkerProcess('watcherWorker', [`w${place}`]),
+  );
   try {
     const bareResident = mean(pids.map((pid) => residentBytes(pid)));
+    const alone = await ratesOver(pids, WATCH_MS);
     const watchers = await measureWatchers(pids, workers, controls);
-    const changes = await measureChanges(pids, workers, controls[0]);
-    await Promise.all(workers.map((worker) => worker.stop()));
-    const claims = await measureClaims(pids, controls);
-    return { bareResident, watchers, changes, claims };
+    return {
+      bareResident,
+      aloneProcessor: mean(alone.processor),
+      watchers: watchers.points,
+      watchersProblem: watchers.problem,
+      changes: watchers.changes,
+    };
   } finally {
     await Promise.all(workers.map((worker) => worker.stop()));
-    await cluster.stop(0);
-    rmSync(folder, { recursive: true, force: true });
   }
 }
+
+/** Costs of one control instance against watchers, changes and claims. */
+export async function measureControl() {
+  const fanOut = await withControls(1, letter.models, measureFanOut);
+  const replicated = await withControls(REPLICAS, 0, async (pids, controls) => {
+    await wait(SETTLE_MS);
+    const idle = await ratesOver(pids, WATCH_MS);
+    return {
+      replicas: REPLICAS,
+      idleProcessor: mean(idle.processor),
+      idleBytes: mean(idle.sent) + mean(idle.received),
+      claims: await measureClaims(pids, controls),
+    };
+  });
+  return { ...fanOut, ...replicated };
+}
--- a/scripts/capacity/series.mjs
+++ b/scripts/capacity/series.mjs
@@ -125,7 +125,7 @@
       against: 'claims',
       unit: 'B',
       mechanism: 'packages/control/src/claims',
-      points: claimMemory['open claims'],
+      points: claimMemory.open,
     },
     {
       id: 'settledClaim',
@@ -133,7 +133,7 @@
       against: 'claims',
       unit: 'B',
       mechanism: 'packages/control/src/claims',
-      points: claimMemory['settled claims'],
+      points: claimMemory.settled,
     },
     {
       id: 'claimSnapshot',
@@ -149,15 +149,7 @@
       against: 'customers',
       unit: 'B',
       mechanism: 'packages/control/src/documents',
-      points: claimMemory['customers in a document'],
-    },
-    {
-      id: 'controlDocument',
-      what: 'control: bytes of a document of 8 customers',
-      against: 'documents',
-      unit: 'B',
-      mechanism: 'packages/control/src/documents',
-      points: claimMemory['documents, 8 customers each'],
+      points: claimMemory.customers,
     },
     {
       id: 'decisionTarget',
--- a/scripts/capacity/workers/watcherWorker.mjs
+++ b/scripts/capacity/workers/watcherWorker.mjs
@@ -7,7 +7,10 @@
 import { answerQuestions } from '../workerProcess.mjs';
 
 const ROUND_MS = 50;
-const WHOLE_ROUNDS = 400;
+const WHOLE_ROUNDS = 900;
+/** Clients that are started together, and the pause after them: a herd is measured elsewhere. */
+const TOGETHER = 20;
+const PAUSE_MS = 500;
 const [prefix] = process.argv.slice(2);
 
 const clients = [];
@@ -33,7 +36,6 @@
 
 async function startClient(place, role, controls) {
   const own = agentInstance(place);
-  const evs=[];
   const client = new DirectoryClient({
     name: `${prefix}-${role}-${place}`,
     incarnation: 1n,
@@ -41,12 +43,11 @@
     controls,
     peers: new Peers(),
     clock: systemClock,
-    log: {event:(k,f)=>{ (evs.push([k.id??k.message, f, Math.round(performance.now())])); }, with(){return this}},
+    log: silentLog,
     metrics: silentMetrics,
     wantInstances: role === 'entry',
     services: role === 'entry' ? undefined : [own.target.service],
   });
-  client.evs=evs;
   let last = -1n;
   client.onChange(({ revision }) => {
     if (role !== 'entry' || revision === last) return;
@@ -62,14 +63,15 @@
   async grow({ entries, agents, controls, revision }) {
     address ??= await openAddress();
     const before = clients.length;
-    for (let place = 0; place < entries + agents; place += 1)
+    for (let place = 0; place < entries + agents; place += 1) {
       await startClient(before + place, place < entries ? 'entry' : 'agent', controls);
+      if ((place + 1) % TOGETHER === 0) await sleep(PAUSE_MS);
+    }
     for (let round = 0; round < WHOLE_ROUNDS; round += 1) {
       if (clients.every((client) => Number(client.view().revision) >= revision)) return;
       await sleep(ROUND_MS);
     }
     const behind = clients.filter((client) => Number(client.view().revision) < revision);
-    process.stderr.write(JSON.stringify(behind.map((c)=>[c.options.name, String(c.view().revision), c.view().instances.size, c.view().vouched, (c.evs??[]).slice(-6)]).slice(0,12))+"\n");
     throw new Error(`${behind.length} of ${clients.length} watchers lack documents`);
   },
   reached: () => Object.fromEntries(reached),
