--- a/packages/agent/src/bench/stream.ts
+++ b/packages/agent/src/bench/stream.ts
@@ -37,7 +37,11 @@
 const collectGarbage = runInNewContext('gc') as () => void;
 
 function child(role: string, ...rest: string[]): ChildProcess {
-  return fork(fileURLToPath(import.meta.url), [role, ...rest]);
+  const started = fork(fileURLToPath(import.meta.url), [role, ...rest]);
+  started.on('exit', (code) => {
+    if (code !== null && code !== 0) process.exit(code);
+  });
+  return started;
 }
 
 async function message<T>(process: ChildProcess, type: string): Promise<T> {
--- a/packages/agent/src/gate/gate.spec.ts
+++ b/packages/agent/src/gate/gate.spec.ts
@@ -1,4 +1,5 @@
 import { Code, ConnectError } from '@connectrpc/connect';
+import { systemClock } from '@jasmineroute/core';
 import { gateMessage } from '@jasmineroute/protocol';
 import { createChain, encodeChain } from '@jasmineroute/routing';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -110,6 +111,27 @@
   });
 });
 
+describe('a run that comes too late', () => {
+  it('is refused when its first token cannot come before its deadline, and says when to come back', async () => {
+    const bed = await bedWith();
+    bed.engine.capacity = 1;
+    await until(() => bed.watch.status().state?.capacity === 1, 'capacity 1');
+    const slow = bed.run('slow');
+    await bed.begun('slow');
+    // The time that a run takes here, and not a wait for something.
+    await systemClock.sleep(100);
+    bed.engine.finish('slow');
+    await slow.over;
+    bed.run('running');
+    await bed.begun('running');
+    const late = bed.run('late', { deadlineMs: 50 });
+    await late.over;
+    expect(refusalOf(late)).toBe('deadline-unmeetable');
+    expect(late.last).toMatchObject({ value: { retryAfterMs: expect.any(Number) as number } });
+    expect(bed.engine.executions).toEqual(['slow', 'running']);
+  });
+});
+
 describe('a run in the queue', () => {
   it('is refused as not run when the engine restarts or changes its weights meanwhile', async () => {
     // Symptom: a request is answered by other weights than it was decided for.
@@ -372,6 +394,27 @@
     expect(next.last?.case).toBe('end');
   });
 
+  it('keeps a run that the new engine has, though it was sent before the restart was noticed', async () => {
+    // Symptom: runs of a healthy engine fail when its restart is noticed.
+    // Sequence: the engine restarts; a run reaches the new process; only then a look sees the incarnation.
+    // Cause: every run that had been sent by then was taken to be the old process's.
+    const bed = await bedWith();
+    let answer: () => void = () => undefined;
+    bed.engine.onCompletion = (request, response) => {
+      bed.engine.incarnation = 'engine-2';
+      answer = () => {
+        response.setHeader('x-request-id', request.headers['x-request-id'] ?? '');
+        response.setHeader('x-engine-incarnation', 'engine-2');
+        response.end('{}');
+      };
+    };
+    const run = bed.run('a-1', { body: Buffer.from('{"model":"m","prompt":"p"}') });
+    await until(() => bed.watch.status().state?.incarnation === 'engine-2', 'restart noticed');
+    answer();
+    await run.over;
+    expect(run.last?.case).toBe('end');
+  });
+
   it('never sends what must not run twice a second time', async () => {
     // Symptom: a non-idempotent request had two executions.
     // Sequence: the engine reads the request and resets the connection before it answers.
--- a/packages/agent/src/gate/gate.ts
+++ b/packages/agent/src/gate/gate.ts
@@ -167,9 +167,9 @@
     const { target } = this.options;
     const refused = checkArrival(target, request);
     if (refused !== undefined) return err(refused);
-    const cachedTokens = this.workload.cachedTokens(request);
-    const late = this.workload.checkDeadline(request, cachedTokens);
+    const late = this.workload.checkDeadline(request);
     if (late !== undefined) return err(late);
+    const cachedTokens = this.workload.cachedTokens(request);
     const run = new Run(this.runContext(request), request, target.incarnation(), cachedTokens);
     if (!this.attempts.begin(request.attemptId, run)) {
       run.stop(fault('overloaded', 'too many attempts to remember'));
--- a/packages/agent/src/gate/workload.ts
+++ b/packages/agent/src/gate/workload.ts
@@ -58,9 +58,13 @@
     return prefillMs + Math.max(0, (over * meter.runMs) / capacity);
   }
 
-  /** Refuses what could not get its first token in time: waiting for nothing would only take others' places. */
-  checkDeadline(request: gateMessage.RunRequest, cachedTokens: number): Fault | undefined {
-    const estimate = this.estimateMs(request, cachedTokens);
+  /**
+   * Refuses what could not get its first token in time: waiting for nothing would only take others' places.
+   * Blocks that a lost cache event may have removed count as cached here: a refusal must not come of a guess.
+   */
+  checkDeadline(request: gateMessage.RunRequest): Fault | undefined {
+    const likely = this.index.likelyPrefix(decodeChain(request.chain)) * BLOCK_TOKENS;
+    const estimate = this.estimateMs(request, Math.min(request.promptTokens, likely));
     if (estimate <= request.deadlineMs) return undefined;
     const message = `the first token would take ${Math.round(estimate)} ms`;
     return fault('deadline-unmeetable', message, { retryAfterMs: estimate - request.deadlineMs });
--- a/packages/agent/src/load/meter.ts
+++ b/packages/agent/src/load/meter.ts
@@ -4,8 +4,8 @@
 /** Weight of the newest measurement. */
 const NEWEST = 0.2;
 
-/** Prefills below this many tokens say more about latency than about speed. */
-const MIN_PREFILL_TOKENS = 64;
+/** Prefills below this many tokens say more about latency than about speed, and are not measured. */
+const MIN_PREFILL_TOKENS = 256;
 
 /** A request on its way to its first token. */
 interface Pending {
@@ -26,11 +26,12 @@
 
 /**
  * Speeds of a target that works on several requests at once. Prefill: tokens done in the time in which at
- * least one prefill was pending, so that waiting behind another one does not count twice.
+ * least one large prefill was pending, so that waiting behind another one does not count twice, and many
+ * requests whose prompts are cached do not make the target look slow.
  */
 export class LoadMeter {
   private readonly pending = new Set<Pending>();
-  private prefilling = 0;
+  private large = 0;
   private busySince = 0;
   private busyMs = 0;
   private busyTokens = 0;
@@ -71,20 +72,20 @@
     return {
       sent: () => {
         sentAt = this.clock.monotonic();
-        this.startPrefill(sentAt);
+        this.startPrefill(sentAt, tokens);
       },
       firstToken: () => {
         if (sentAt === undefined || firstAt !== undefined) return;
         firstAt = this.clock.monotonic();
         this.pending.delete(entry);
-        this.endPrefill(firstAt, tokens);
+        this.endPrefill(firstAt, tokens, tokens);
         onFirst(firstAt - sentAt);
       },
       ended: (outputTokens) => {
         const now = this.clock.monotonic();
         this.pending.delete(entry);
         if (sentAt === undefined) return;
-        if (firstAt === undefined) this.endPrefill(now, 0);
+        if (firstAt === undefined) this.endPrefill(now, tokens, 0);
         else if (outputTokens > 1) this.tokenTime = mix(this.tokenTime, (now - firstAt) / (outputTokens - 1));
         this.runTime = mix(this.runTime, now - sentAt);
         sentAt = undefined;
@@ -92,16 +93,24 @@
     };
   }
 
-  private startPrefill(now: number): void {
-    if (this.prefilling === 0) this.busySince = now;
-    this.prefilling++;
+  private startPrefill(now: number, tokens: number): void {
+    if (tokens < MIN_PREFILL_TOKENS) return;
+    if (this.large === 0) {
+      this.busySince = now;
+      this.busyMs = 0;
+      this.busyTokens = 0;
+    }
+    this.large++;
   }
 
-  private endPrefill(now: number, tokens: number): void {
-    this.prefilling--;
+  /** @param done tokens of it that were worked off: all or, after a failure, none. */
+  private endPrefill(now: number, tokens: number, done: number): void {
+    if (this.large === 0) return;
     this.busyMs += now - this.busySince;
     this.busySince = now;
-    this.busyTokens += tokens;
+    this.busyTokens += done;
+    if (tokens < MIN_PREFILL_TOKENS) return;
+    this.large--;
     if (this.busyTokens < MIN_PREFILL_TOKENS || this.busyMs <= 0) return;
     this.rate = mix(this.rate, (this.busyTokens * 1_000) / this.busyMs);
     this.busyTokens = 0;
--- a/packages/bench/src/chaos/run.ts
+++ b/packages/bench/src/chaos/run.ts
@@ -1,6 +1,5 @@
 /** A chaos run: a proxied cluster, callers, troubles, and the reckoning. */
-import { mkdirSync, mkdtempSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
+import { mkdirSync, writeFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { systemClock } from '@jasmineroute/core';
 import { Cluster } from '@jasmineroute/testkit';
@@ -15,6 +14,7 @@
   shapes,
 } from '../deployment/index.js';
 import { readExecutions } from '../engine/index.js';
+import { freshFolder } from '../folder/index.js';
 import { createDispatcher } from '../load/index.js';
 import { Random } from '../random/index.js';
 import { fulfil } from './caller.js';
@@ -73,7 +73,7 @@
 
 /** Runs it and saves the report. */
 export async function runChaos(settings: ChaosSettings): Promise<ChaosReport> {
-  const folder = settings.folder === '' ? mkdtempSync(join(tmpdir(), 'jasminechaos-')) : settings.folder;
+  const folder = freshFolder(settings.folder, 'jasminechaos');
   const durationMs = settings.minutes * MINUTE_MS;
   const wishes = planWishes(shapes[settings.shape], settings.seed, settings.requests, durationMs);
   const cluster = await startCluster(settings, folder);
--- a/packages/bench/src/chaos/settings.ts
+++ b/packages/bench/src/chaos/settings.ts
@@ -33,7 +33,10 @@
   policy: z.string().default('default').describe('routing policy'),
   giveUpMs: z.coerce.number().positive().default(30_000).describe('when a caller gives up on one try'),
   tries: z.coerce.number().int().positive().default(10).describe('tries of a caller, the resends included'),
-  folder: z.string().default('').describe('folder of logs; by default one under the temporary folder'),
+  folder: z
+    .string()
+    .default('')
+    .describe('where each run makes a folder for its logs; by default the temporary folder'),
   out: z.string().default('.bench/chaos.json').describe('file for the report'),
 });
 
--- a/packages/bench/src/experiment/summary.ts
+++ b/packages/bench/src/experiment/summary.ts
@@ -44,6 +44,8 @@
   ['gap p99 ms', (runs) => show(spreadOf(runs.map(({ report }) => report.tokenGapMs.p99)), 0)],
   ['refused %', (runs) => show(spreadOf(runs.map((run) => refusedOf(run) * 100)), 1)],
   ['broken', (runs) => show(spreadOf(runs.map(brokenOf)), 1)],
+  ['bench late p99 ms', (runs) => show(spreadOf(runs.map(({ report }) => report.sentLateMs.p99)), 0)],
+  ['machine load', (runs) => show(spreadOf(runs.map(({ machineLoad }) => machineLoad)), 0)],
   [
     'hit % before',
     (runs) => show(spreadOf(runs.map(({ before }) => (before.hitRate ?? Number.NaN) * 100)), 1),
--- /dev/null
+++ b/packages/bench/src/folder/index.ts
@@ -0,0 +1,1 @@
+export * from './folder.js';
--- a/packages/bench/src/latency/command.ts
+++ b/packages/bench/src/latency/command.ts
@@ -1,9 +1,9 @@
 /** `jasminebench latency`. */
-import { mkdirSync, mkdtempSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { dirname, join } from 'node:path';
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { dirname } from 'node:path';
 import type { Command } from 'commander';
 import { addOptions, EXIT_USAGE, readSettings } from '@jasmineroute/core';
+import { freshFolder } from '../folder/index.js';
 import type { Quantiles } from '../load/index.js';
 import { formatTable } from '../table/index.js';
 import { measureAdded } from './added.js';
@@ -43,7 +43,7 @@
       return;
     }
     const settings = read.value;
-    const folder = settings.folder === '' ? mkdtempSync(join(tmpdir(), 'jasminelatency-')) : settings.folder;
+    const folder = freshFolder(settings.folder, 'jasminelatency');
     const added = await measureAdded(settings, folder);
     const streams = await measureStreams(settings, folder);
     mkdirSync(dirname(settings.out), { recursive: true });
--- a/packages/bench/src/latency/settings.ts
+++ b/packages/bench/src/latency/settings.ts
@@ -15,7 +15,10 @@
   openStreams: z.coerce.number().int().positive().default(500).describe('streams held open for the memory'),
   seed: z.coerce.number().int().default(1).describe('seed of the requests'),
   policy: z.string().default('default').describe('routing policy'),
-  folder: z.string().default('').describe('folder of logs; by default one under the temporary folder'),
+  folder: z
+    .string()
+    .default('')
+    .describe('where each run makes a folder for its logs; by default the temporary folder'),
   out: z.string().default('.bench/latency.json').describe('file for the figures'),
 });
 
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -19,8 +19,11 @@
 import { createMembership } from './createMembership.js';
 import type { StateParts } from './createState.js';
 
-/** Bounds of the proposer: few batches under way, so that a busy instance's commands share syncs. */
-const PROPOSER_LIMITS = { inFlight: 4, batch: 512, batchBytes: 1024 * 1024, waitingBytes: 64 * 1024 * 1024 };
+/**
+ * Bounds of the proposer. Two batches under way: a command that comes while one is under way need not wait for
+ * its end, and with more the batches of a busy instance get so small that their messages cost more than they carry.
+ */
+const PROPOSER_LIMITS = { inFlight: 2, batch: 512, batchBytes: 1024 * 1024, waitingBytes: 64 * 1024 * 1024 };
 
 /** A running control instance. */
 export class Control implements RoleProcess {
--- a/packages/core/src/clock/manualClock.ts
+++ b/packages/core/src/clock/manualClock.ts
@@ -22,13 +22,15 @@
 
   sleep(ms: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve, reject) => {
+      const abort = (): void => {
+        cancel();
+        reject(signal?.reason instanceof Error ? signal.reason : new Error('aborted'));
+      };
       const cancel = this.after(ms, () => {
+        signal?.removeEventListener('abort', abort);
         resolve();
       });
-      signal?.addEventListener('abort', () => {
-        cancel();
-        reject(signal.reason instanceof Error ? signal.reason : new Error('aborted'));
-      });
+      signal?.addEventListener('abort', abort, { once: true });
     });
   }
 
--- a/packages/directory/src/bench/controlThread.ts
+++ b/packages/directory/src/bench/controlThread.ts
@@ -15,6 +15,8 @@
 
 /** A started thread. */
 export class ControlThread {
+  private ending: Promise<void> | undefined;
+
   private constructor(
     readonly name: string,
     /** host:port. */
@@ -44,7 +46,13 @@
     this.send({ kind: 'vouched', vouched });
   }
 
-  async stop(): Promise<void> {
+  /** Ends the thread; a second call waits for the same end. */
+  stop(): Promise<void> {
+    this.ending ??= this.end();
+    return this.ending;
+  }
+
+  private async end(): Promise<void> {
     const exited = once(this.worker, 'exit');
     this.send({ kind: 'stop' });
     await exited;
--- a/packages/directory/src/bench/spread.ts
+++ b/packages/directory/src/bench/spread.ts
@@ -88,7 +88,7 @@
   await wait(SETTLE_MS);
   const at = machineTime();
   acceptAll(others, 'pool', modelText('pool', CUSTOMERS, 2));
-  await killed?.stop();
+  void killed?.stop();
   await wait(ISOLATION_MS);
   isolated?.setVouched(false);
   await reached(threads, 2, WATCHERS);
--- a/packages/directory/src/server/watch.ts
+++ b/packages/directory/src/server/watch.ts
@@ -58,7 +58,7 @@
     yield* this.admitted(signal);
     while (!signal.aborted) {
       const sentAt = clock.monotonic();
-      if (this.sent >= 0) await changed.wait(clock, HEARTBEAT_MS, signal);
+      if (!this.hasNews()) await changed.wait(clock, HEARTBEAT_MS, signal);
       await clock.sleep(COALESCE_MS, signal).catch(() => undefined);
       await this.awaitInterval(sentAt, signal);
       yield* this.changes();
--- a/packages/protocol/src/transport/peers.ts
+++ b/packages/protocol/src/transport/peers.ts
@@ -88,7 +88,17 @@
     return { transport, session };
   }
 
+  /**
+   * The listener for errors stays for the socket's life. A connection that is dropped while it is still being made
+   * can fail afterwards, when the session has taken its own listeners off: Node would end the process then.
+   */
   private open(to: URL): Socket {
+    const socket = this.connectSocket(to);
+    socket.on('error', () => undefined);
+    return socket;
+  }
+
+  private connectSocket(to: URL): Socket {
     const place = { host: to.hostname, port: Number(to.port), localAddress: this.sourceAddress };
     const material = this.tls?.current();
     if (material === undefined) return net.connect(place);
--- a/packages/routing/src/policy/registry.ts
+++ b/packages/routing/src/policy/registry.ts
@@ -51,8 +51,8 @@
   ...v3,
   firstProbes: 2,
   weights: {
-    latency: { base: 4, perWaiting: 1, perWaitingThere: 1 },
-    reuse: { base: 8, perWaiting: 1, perWaitingThere: 1 },
+    latency: { base: 2, perWaiting: 1, perWaitingThere: 1 },
+    reuse: { base: 6, perWaiting: 1, perWaitingThere: 1 },
   },
   mostWaiting: 4,
   trustLikely: true,
--- a/packages/routing/src/policy/weighing.ts
+++ b/packages/routing/src/policy/weighing.ts
@@ -11,7 +11,7 @@
 import { LoadBook } from './loadBook.js';
 import { heardOffer, rememberedOffer } from './offers.js';
 import type { Offer, OfferSources } from './offers.js';
-import type { Candidate, Choice, Job, Outcome, Policy, PolicyContext } from './policy.js';
+import type { Candidate, Choice, Job, Outcome, Policy, PolicyContext, ProbeReading } from './policy.js';
 import { Popularity } from './popularity.js';
 import { PrefixHints } from './prefixHints.js';
 import { createRandom } from './random.js';
@@ -47,6 +47,21 @@
   readonly prefills: ReadonlyMap<string, number>;
 }
 
+/** A target's answer to a probe; without a reading none came in time. */
+interface Answer {
+  readonly candidate: Candidate;
+  readonly reading: ProbeReading | undefined;
+  readonly askedAt: number;
+}
+
+interface Reservation {
+  readonly candidate: Candidate;
+  readonly at: number;
+}
+
+/** Time in which a choice goes out, or is taken not to. */
+const RESERVED_MS = 1_000;
+
 /** Weighs the offers of a few targets. */
 export class Weighing implements Policy {
   private readonly flights = new Flights();
@@ -56,6 +71,8 @@
   private readonly parts: ShortlistParts;
   private readonly sources: OfferSources;
   private readonly decisions = new WeakMap<Job, Decision>();
+  /** Choices that have not gone out yet, oldest first. */
+  private readonly reserved = new Map<Job, Reservation>();
 
   constructor(
     private readonly context: PolicyContext,
@@ -86,16 +103,16 @@
     const { firstProbes } = this.options;
     const first = await this.askAll(shortlist.candidates.slice(0, firstProbes), job);
     const others = shortlist.candidates.slice(firstProbes);
-    if (others.length === 0 || this.isEnough(job, shortlist, first)) {
-      return this.decide(job, shortlist, first);
+    if (others.length === 0 || this.isEnough(job, shortlist, this.offers(job, first))) {
+      return this.decide(job, shortlist, this.offers(job, first));
     }
     const more = await this.askAll(others, job);
-    return this.decide(job, shortlist, [...first, ...more]);
+    return this.decide(job, shortlist, this.offers(job, [...first, ...more]));
   }
 
   dispatched(candidate: Candidate, job: Job): void {
-    const prefill = this.decisions.get(job)?.prefills.get(candidate.name) ?? 0;
-    this.flights.add(candidate, { job, sentAt: this.context.clock.monotonic(), prefillMs: prefill });
+    this.withdraw(job);
+    this.fly(candidate, job);
     this.parts.hints.record(levelsOf(job.chain), candidate.name);
   }
 
@@ -118,27 +135,34 @@
     this.slowStart.see(candidates, (candidate) => {
       this.health.forget(candidate);
     });
+    this.withdraw(job);
+    this.withdrawOld();
     this.parts.loadBook.keep(candidates);
     this.parts.popularity.record(levelsOf(job.chain).map((level) => level.key));
     return shortlistOf(this.parts, job.chain, candidates);
   }
 
-  private async askAll(candidates: readonly Candidate[], job: Job): Promise<Offer[]> {
-    const offers = await Promise.all(candidates.map((candidate) => this.ask(candidate, job)));
-    return offers.filter((offer) => offer !== undefined);
+  private async askAll(candidates: readonly Candidate[], job: Job): Promise<Answer[]> {
+    return Promise.all(candidates.map((candidate) => this.ask(candidate, job)));
   }
 
-  private async ask(candidate: Candidate, job: Job): Promise<Offer | undefined> {
+  private async ask(candidate: Candidate, job: Job): Promise<Answer> {
     const askedAt = this.context.clock.monotonic();
     const reading = await this.context.probe(candidate, job);
-    if (reading === undefined) {
-      this.health.silent(candidate);
-      return this.options.rememberSilent ? rememberedOffer(this.sources, candidate, job) : undefined;
-    }
-    this.health.heard(candidate);
-    if (!reading.accepting) return undefined;
-    this.parts.loadBook.record(candidate, reading.load);
-    return heardOffer(this.sources, candidate, job, reading, askedAt);
+    if (reading === undefined) this.health.silent(candidate);
+    else this.health.heard(candidate);
+    if (reading?.accepting === true) this.parts.loadBook.record(candidate, reading.load);
+    return { candidate, reading, askedAt };
+  }
+
+  /** Offers as they are now: with what has been sent since the answers came. */
+  private offers(job: Job, answers: readonly Answer[]): Offer[] {
+    const offers = answers.map(({ candidate, reading, askedAt }) => {
+      if (reading?.accepting === true) return heardOffer(this.sources, candidate, job, reading, askedAt);
+      const remembered = reading === undefined && this.options.rememberSilent;
+      return remembered ? rememberedOffer(this.sources, candidate, job) : undefined;
+    });
+    return offers.filter((offer) => offer !== undefined);
   }
 
   /** Whether the best of the first answers leaves little to gain; or none came, and asking more makes it worse. */
@@ -159,7 +183,7 @@
       estimates: new Map(offers.map((offer) => [offer.candidate.name, offer.estimateMs])),
       prefills: new Map(offers.map((offer) => [offer.candidate.name, offer.recomputeMs])),
     });
-    if (best !== undefined) this.costs.taken(job, best);
+    if (best !== undefined) this.reserve(job, best);
     const order = ranked.map((offer) => offer.candidate);
     const others = shortlist.candidates.filter((candidate) => !order.includes(candidate));
     return {
@@ -169,6 +193,36 @@
     };
   }
 
+  /**
+   * Counts a choice as sent until it is, so that the next decision knows of it: answers that arrive together are
+   * decided upon before the first of their requests goes out.
+   */
+  private reserve(job: Job, offer: Offer): void {
+    this.costs.taken(job, offer);
+    this.fly(offer.candidate, job);
+    this.reserved.set(job, { candidate: offer.candidate, at: this.context.clock.monotonic() });
+  }
+
+  private withdraw(job: Job): void {
+    const reservation = this.reserved.get(job);
+    this.reserved.delete(job);
+    if (reservation !== undefined) this.flights.remove(reservation.candidate, job);
+  }
+
+  /** Withdraws choices that were not followed. */
+  private withdrawOld(): void {
+    const oldest = this.context.clock.monotonic() - RESERVED_MS;
+    for (const [job, { at }] of this.reserved) {
+      if (at > oldest) return;
+      this.withdraw(job);
+    }
+  }
+
+  private fly(candidate: Candidate, job: Job): void {
+    const prefillMs = this.decisions.get(job)?.prefills.get(candidate.name) ?? 0;
+    this.flights.add(candidate, { job, sentAt: this.context.clock.monotonic(), prefillMs });
+  }
+
   /** The target with the longest cached prefix, when importing from it is quicker than computing. */
   private donor(best: Offer | undefined, offers: readonly Offer[]): string | undefined {
     const { importBlockMs } = this.context;
--- a/packages/routing/src/target/prefillTurns.ts
+++ b/packages/routing/src/target/prefillTurns.ts
@@ -8,6 +8,7 @@
  * their first token; the others wait at the gate, a time that they would spend in the engine's queue anyway, and
  * a request waits for another one that is computing blocks that it needs.
  */
+import type { Cancellation, Clock } from '@jasmineroute/core';
 import type { Chain } from '../prefix/index.js';
 import { sharedBlocks } from '../prefix/index.js';
 
@@ -16,10 +17,13 @@
   readonly chain: Chain;
   /** Larger goes first. */
   readonly priority: number;
+  /** Milliseconds that its own prefill is expected to take. */
+  readonly expectedMs: number;
 }
 
 /** What turns are made with. */
 export interface PrefillTurnsOptions {
+  readonly clock: Clock;
   /** Blocks of a chain that the target has in its cache now. */
   readonly cachedBlocks: (chain: Chain) => number;
   /** Requests that may be at the engine before their first token: enough that it never idles. */
@@ -30,11 +34,20 @@
   readonly prefill: PendingPrefill;
   /** Lets it go on; undefined until it waits, and once it goes. */
   start?: () => void;
+  /** Calls off the end of its turn. */
+  calledOff?: Cancellation;
 }
 
 /** Requests at the engine before their first token: the next one is at hand when one is done. */
 export const PREFILLS_AT_ONCE = 2;
 
+/**
+ * Longest turn: this many times the expected prefill, and some. An answer that does not stream shows its first
+ * byte only at its end, and must not hold the turn until then.
+ */
+const LONGEST_TURN = 2;
+const LONGEST_TURN_MS = 150;
+
 /** Blocks that a prompt must share with one that is computed, beyond the cached ones, to wait for it. */
 const LEAST_SHARED_BLOCKS = 8;
 
@@ -71,6 +84,7 @@
 
   /** Its first token came, or it ended before. Twice changes nothing. */
   leave(attemptId: string): void {
+    this.going.get(attemptId)?.calledOff?.();
     const known = this.waiting.delete(attemptId) || this.going.delete(attemptId);
     if (known) this.grant();
   }
@@ -93,6 +107,12 @@
       this.going.set(attemptId, turn);
       const { start } = turn;
       turn.start = undefined;
+      turn.calledOff = this.options.clock.after(
+        LONGEST_TURN * turn.prefill.expectedMs + LONGEST_TURN_MS,
+        () => {
+          this.leave(attemptId);
+        },
+      );
       start?.();
     }
   }
--- a/packages/testkit/src/cluster/cluster.ts
+++ b/packages/testkit/src/cluster/cluster.ts
@@ -65,7 +65,15 @@
         await member.process.start();
       }
     };
-    await Promise.all(Array.from({ length: STARTS_AT_ONCE }, startNext));
+    const starts = Array.from({ length: STARTS_AT_ONCE }, () =>
+      startNext().catch((error: unknown) => {
+        // None may be started any more once the caller is told and stops the others.
+        waiting.length = 0;
+        throw error;
+      }),
+    );
+    const failed = (await Promise.allSettled(starts)).find((start) => start.status === 'rejected');
+    if (failed !== undefined) throw failed.reason;
   }
 
   /** A member by name. @throws Error when there is none. */
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -4,3 +4,4 @@
 export * from './process/index.js';
 export * from './proxy/index.js';
 export * from './wait/index.js';
+export * from './certificate/index.js';
--- a/scripts/capacity/budget.mjs
+++ b/scripts/capacity/budget.mjs
@@ -42,6 +42,7 @@
     probesPerRequest: results.routing.decisions.at(-1).probes,
     claims,
     claimBytes: claims * series.claimBytes.fit.slope,
+    resident: Math.max(...results.stream.byChunks.map(({ entryResident }) => entryResident)),
   };
 }
 
@@ -69,7 +70,8 @@
     watcherCoreOneLost: lost,
     watcherBytes: valueAt(series.controlWatcherBytes.fit, share.watchersPerControl),
     resident: valueAt(series.controlWatcherMemory.fit, share.watchersPerControl),
-    exchangeCore: (results.control.idleProcessor - results.control.aloneProcessor) / (results.control.replicas - 1),
+    exchangeCore:
+      (results.control.idleProcessor - results.control.aloneProcessor) / (results.control.replicas - 1),
     exchangeBytes: results.control.idleBytes / (results.control.replicas - 1),
     changeCore: series.controlChangeCore.fit.slope * share.changesPerSecond,
     leaderCore: valueAt(series.claimLeaderCore.fit, claimsPerSecond),
--- a/scripts/capacity/parts/control.mjs
+++ b/scripts/capacity/parts/control.mjs
@@ -15,15 +15,15 @@
 const REPLICAS = 3;
 const WATCHER_PROCESSES = 2;
 /** Watchers of one control instance; the letter's 658 are extrapolated to: this machine has other work to do. */
-const WATCHERS = [3, 10, 30, 100, 300];
+const WATCHERS = [2, 10, 30, 100, 300];
 /** Changes of documents are made with this many watchers. */
 const WATCHERS_OF_CHANGES = 100;
 const APPLY_TRIES = 5;
-const SETTLE_MS = 4_000;
-const WATCH_MS = 8_000;
+const SETTLE_MS = 3_000;
+const WATCH_MS = 6_000;
 /** Changes of documents a second; the letter's rate is 0.14. */
 const CHANGE_RATES = [0.14, 1.4, 4, 14];
-const CHANGE_MS = 8_000;
+const CHANGE_MS = 7_000;
 const CLAIM_RATES = [9, 87, 290, claimsPerSecond];
 const CLAIM_MS = 5_000;
 const CUSTOMERS_OF_EACH = Math.ceil(letter.customers / letter.models);
@@ -91,27 +91,40 @@
   }
 }
 
-/** Accepts changes evenly. Gives each revision with the time at which its change was sent. */
+async function changeOnce(client, service, versions) {
+  const version = versions.get(service) ?? 1;
+  versions.set(service, version + 1);
+  const at = machineMs();
+  const { outcome } = await applied(client, {
+    service,
+    text: modelDocument(service, CUSTOMERS_OF_EACH, version + 1).text,
+    baseVersion: BigInt(version),
+    applyId: randomUUID(),
+    key: operatorKey(service),
+    operator: 'lead',
+  });
+  if (outcome.case !== 'accepted') throw new Error(`a change was not accepted: ${outcome.case}`);
+  return { revision: Number(outcome.value.revision), at };
+}
+
+/**
+ * Accepts changes evenly, those of one service one after the other, since each names the version before it.
+ * Gives each revision with the time at which its change was sent.
+ */
 async function applyChanges(client, perSecond, ms, versions) {
   const wanted = Math.max(1, Math.round((perSecond * ms) / 1_000));
+  const chains = new Map();
   const sent = [];
   for (let turn = 0; turn < wanted; turn += 1) {
     await wait(ms / wanted);
     const service = `service-${turn % letter.models}`;
-    const version = versions.get(service) ?? 1;
-    const at = machineMs();
-    const { outcome } = await applied(client, {
-      service,
-      text: modelDocument(service, CUSTOMERS_OF_EACH, version + 1).text,
-      baseVersion: BigInt(version),
-      applyId: randomUUID(),
-      key: operatorKey(service),
-      operator: 'lead',
-    });
-    if (outcome.case !== 'accepted') throw new Error(`a change was not accepted: ${outcome.case}`);
-    versions.set(service, version + 1);
-    sent.push({ revision: Number(outcome.value.revision), at, acceptedAt: machineMs() });
+    const before = chains.get(service) ?? Promise.resolve();
+    const change = before.then(async () => sent.push(await changeOnce(client, service, versions)));
+    // Heard of below; without this a rejection in between would end the process.
+    change.catch(() => undefined);
+    chains.set(service, change);
   }
+  await Promise.all(chains.values());
   return sent;
 }
 
@@ -162,7 +175,8 @@
       p50: result.p50,
       p99: result.p99,
       leader: Math.max(...processor),
-      follower: (processor.reduce((total, value) => total + value, 0) - Math.max(...processor)) / (REPLICAS - 1),
+      follower:
+        (processor.reduce((total, value) => total + value, 0) - Math.max(...processor)) / (REPLICAS - 1),
       clientBytes: rates.sent[0] + rates.received[0],
     });
   }
--- a/scripts/capacity/parts/node.mjs
+++ b/scripts/capacity/parts/node.mjs
@@ -7,14 +7,14 @@
 import { letter, share } from '../letter.mjs';
 import { WorkerProcess } from '../workerProcess.mjs';
 
-const SETTLE_MS = 6_000;
+const SETTLE_MS = 3_000;
 /** Multiples of the letter's rate of changes, each with the length of its run. */
 const RUNS = [
-  [0, 15_000],
-  [1, 15_000],
-  [10, 12_000],
-  [30, 8_000],
-  [100, 8_000],
+  [0, 12_000],
+  [1, 14_400],
+  [10, 10_000],
+  [30, 6_000],
+  [100, 6_000],
 ];
 
 const kinds = [
@@ -30,10 +30,13 @@
   bareResident: before.resident,
 });
 
-async function openNode({ role, keeps, name }, place, folder, standIn) {
-  const worker = new WorkerProcess('nodeWorker', [role, String(place), keeps ? folder : '']);
+function startNode({ role, keeps, name }, place, folder) {
+  return { name, worker: new WorkerProcess('nodeWorker', [role, String(place), keeps ? folder : '']) };
+}
+
+/** Reads the memory of a process before its client starts and when the view is whole. */
+async function openNode({ name, worker }, place, { revision, addresses }) {
   const before = await worker.ask('memory');
-  const { revision, addresses } = standIn;
   await worker.ask('start', { revision, controls: [addresses[place]], instances: letter.targets });
   await wait(SETTLE_MS);
   return { name, worker, memory: difference(await worker.ask('memory'), before) };
@@ -77,13 +80,18 @@
     clients: kinds.length,
   };
   const standIn = await control.ask('open', sizes);
-  const nodes = [];
-  for (const [place, kind] of kinds.entries()) nodes.push(await openNode(kind, place, folder, standIn));
+  const started = kinds.map((kind, place) => startNode(kind, place, folder));
+  const nodes = await Promise.all(started.map((node, place) => openNode(node, place, standIn)));
   const firstBytes = await control.ask('bytes');
   const runs = [];
   for (const [multiple, ms] of RUNS) runs.push(...(await run(nodes, control, multiple, ms)));
   await Promise.all([control, ...nodes.map(({ worker }) => worker)].map((worker) => worker.stop()));
   rmSync(folder, { recursive: true });
   const byName = (values) => Object.fromEntries(kinds.map(({ name }, place) => [name, values[place]]));
-  return { memory: byName(nodes.map(({ memory }) => memory)), firstBytes: byName(firstBytes), instanceBytes: standIn.instanceBytes, runs };
+  return {
+    memory: byName(nodes.map(({ memory }) => memory)),
+    firstBytes: byName(firstBytes),
+    instanceBytes: standIn.instanceBytes,
+    runs,
+  };
 }
--- a/scripts/capacity/parts/routing.mjs
+++ b/scripts/capacity/parts/routing.mjs
@@ -132,7 +132,10 @@
     });
   }
   const { blocks: held, bytes } = index.counts();
-  const chain = createChain(namespace, new Uint8Array(tokensOf(0).buffer).subarray(0, PROMPT_BLOCKS * BLOCK_BYTES));
+  const chain = createChain(
+    namespace,
+    new Uint8Array(tokensOf(0).buffer).subarray(0, PROMPT_BLOCKS * BLOCK_BYTES),
+  );
   const lookupSeconds = await processorOf(() => {
     for (let turn = 0; turn < LOOKUPS; turn += 1) index.longestPrefix(chain);
   });
--- a/scripts/capacity/parts/stream.mjs
+++ b/scripts/capacity/parts/stream.mjs
@@ -21,9 +21,18 @@
 /** Tokens of each answer at a fixed rate of requests; the last is the letter's. */
 const TOKENS = [2, 20, 70, Math.round(share.tokensPerRequest)];
 /** Requests a second at two tokens each. */
-const RATES = [1, 10, 40, 120];
+const RATES = [1.5, 10, 40, 120];
 const STEP_MS = 20;
-const STAND_IN = ['--prefill-rate', '40000', '--step-ms', String(STEP_MS), '--slots', '32', '--chunk-tokens', '1024'];
+const STAND_IN = [
+  '--prefill-rate',
+  '40000',
+  '--step-ms',
+  String(STEP_MS),
+  '--slots',
+  '32',
+  '--chunk-tokens',
+  '1024',
+];
 
 function startCluster(folder) {
   const shape = shapes.guild;
@@ -52,7 +61,11 @@
   const [entry, ...agents] = [...cluster.role('entry'), ...cluster.role('agent')].map(
     (member) => member.process.pid,
   );
-  const before = { entry: processorSeconds(entry), agents: sum(agents.map(processorSeconds)), at: performance.now() };
+  const before = {
+    entry: processorSeconds(entry),
+    agents: sum(agents.map(processorSeconds)),
+    at: performance.now(),
+  };
   const { report, records } = await drive(folder, cluster.entryUrls[0], rate, tokens, seed);
   return {
     rate,
--- a/scripts/capacity/series.mjs
+++ b/scripts/capacity/series.mjs
@@ -184,7 +184,10 @@
       unit: 'µs',
       scale: 1e6,
       mechanism: 'packages/agent/src/gate',
-      points: gate.map((row) => [row.chunksPerSecond, (row.chunksPerSecond * row.microsecondsPerChunk) / 1e6]),
+      points: gate.map((row) => [
+        row.chunksPerSecond,
+        (row.chunksPerSecond * row.microsecondsPerChunk) / 1e6,
+      ]),
     },
     {
       id: 'gateStream',
--- a/scripts/capacity/verdicts.mjs
+++ b/scripts/capacity/verdicts.mjs
@@ -33,7 +33,10 @@
     [
       '3 KB/s for control on a node',
       when(both((cost) => cost.bytes.value) <= letter.controlBytesPerSecond, MEASURED),
-      `${pair((value) => `${bytes(value)}/s`, (cost) => cost.bytes.value)}; claims of an entry add ${bytes(budget.entryCost(results, series).claimBytes)}/s`,
+      `${pair(
+        (value) => `${bytes(value)}/s`,
+        (cost) => cost.bytes.value,
+      )}; claims of an entry add ${bytes(budget.entryCost(results, series).claimBytes)}/s`,
     ],
   ];
 }
@@ -45,7 +48,6 @@
   const core = entry.requestCore + entry.chunkCore;
   const whole = peak.complete === peak.requests;
   const rate = peak.chunks / peak.requests / share.tokensPerRequest;
-  const added = peak.firstTokenMs.p95 - results.stream.direct.firstTokenMs.p95;
   return [
     [
       '360 nodes before 4,900 targets',
@@ -64,8 +66,8 @@
     ],
     [
       'First token within 0.61 s for 95 in 100',
-      `${NOT_YET}: engines and round trips are not in it`,
-      `added here at p95: ${figure(added)} ms on a crowded machine; decision ${figure(entry.decisionMicros)} µs. The queue of real engines at the peak decides, and admission refuses what it can't meet`,
+      when(peak.firstTokenMs.p95 <= letter.firstTokenMs, 'holds by measurement at one entry, with stand-ins'),
+      `p95 ${figure(peak.firstTokenMs.p95)} ms at one node's requests and chunks before ${results.stream.targets} targets; the decision takes ${figure(entry.decisionMicros)} µs of processor time. Real engines' queues and round trips between places are not in it`,
     ],
     [
       '68 ms between tokens for 95 in 100',
@@ -95,18 +97,24 @@
   const day = budget.claimMemory(series, DAY_SECONDS);
   const { delays, points } = results.control.changes;
   const last = results.control.claims.at(-1);
-  const core = control.watcherCoreOneLost.value + control.changeCore + control.leaderCore.value;
+  const others = control.exchangeCore * (letter.controlInstances - 1);
+  // The claims were made on instances that exchange among themselves: that part is in the line's value at none.
+  const claimsCore = series.claimLeaderCore.fit.slope * claimsPerSecond;
+  const core = control.watcherCoreOneLost.value + control.changeCore + claimsCore + others;
   const claimed = last.perSecond >= claimsPerSecond * REACHED && last.failed === 0;
   return [
     [
       '12,000 changes a day in force within 10 s',
-      when(delays.length > 0 && delays.at(-1) <= letter.inForceMs, 'holds by measurement, with fewer watchers'),
+      when(
+        delays.length > 0 && delays.at(-1) <= letter.inForceMs,
+        'holds by measurement, with fewer watchers',
+      ),
       `${delays.length} changes at up to ${figure(points.at(-1).perSecond)} a second, worst ${figure(delays.at(-1) ?? Number.NaN)} ms with ${figure(results.control.changes.watchers)} watchers`,
     ],
     [
       '8 control instances',
       when(core <= MOST_CORE, EXTRAPOLATED),
-      `the leader with one of 8 lost needs ${cores(core)}: watchers ${cores(control.watcherCoreOneLost.value)}, claims ${cores(control.leaderCore.value)}`,
+      `the leader with one of 8 lost needs ${cores(core)}, ${figure(MOST_CORE * 100)} % taken as the most: watchers ${cores(control.watcherCoreOneLost.value)}, claims ${cores(claimsCore)}, exchange with 7 others ${cores(others)}`,
     ],
     [
       `Claims, taken as ${figure(claimsPerSecond)} a second`,
--- a/scripts/capacity/workers/claimWorker.mjs
+++ b/scripts/capacity/workers/claimWorker.mjs
@@ -31,8 +31,7 @@
   return settled.isOk();
 }
 
-const quantile = (sorted, part) =>
-  sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0;
+const quantile = (sorted, part) => sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0;
 
 answerQuestions({
   open({ controls }) {
--- a/scripts/capacity/workers/nodeWorker.mjs
+++ b/scripts/capacity/workers/nodeWorker.mjs
@@ -8,15 +8,24 @@
 
 const SETTLE_ROUNDS = 600;
 const ROUND_MS = 100;
+const MEMORY_ROUNDS = 5;
+const MEMORY_ROUND_MS = 1_500;
 
 const [role, place, folder] = process.argv.slice(2);
 let client;
 
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
+/** The least of several readings: what collection frees goes back to the system some time later. */
 async function memory() {
-  const live = await liveBytes();
-  return { live, resident: process.memoryUsage().rss };
+  const readings = [];
+  for (let round = 0; round < MEMORY_ROUNDS; round += 1) {
+    await sleep(MEMORY_ROUND_MS);
+    const live = await liveBytes();
+    readings.push({ live, resident: process.memoryUsage().rss });
+  }
+  const least = (name) => Math.min(...readings.map((reading) => reading[name]));
+  return { live: least('live'), resident: least('resident') };
 }
 
 async function settled({ revision, instances }) {
