Serve the old weights until a target has the new ones

Cause: from the moment a document names new weights, entries asked for those only: every request got model-not-loaded until the first target had loaded them (7 to 10 s in the trial with a 1 s load; minutes with real weights). Found by the rollout proof, which failed first. Change: each attempt is served with the document's weights once one ready target has them, else with those of most ready targets; the chain carries the version used, so caches do not mix; an answer that has begun goes on with its own weights. A planned stop of an entry ends the watches of its neighbours. Conclusion: a rollout no longer leaves a model without a target.

--- a/packages/agent/src/order/executor.spec.ts
+++ b/packages/agent/src/order/executor.spec.ts
@@ -1,4 +1,5 @@
 import { ManualClock } from '@jasmineroute/core';
+import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { OrderBed } from '../fixture/index.js';
 import { SettledNames } from './settled.js';
@@ -71,6 +72,52 @@
     expect(bed.gaps).toEqual([]);
   });
 
+  it('never leaves a model without a target, whatever documents follow each other', async () => {
+    // Symptom: for some moments nobody serves a model.
+    // Sequence: shares and versions change while earlier changes are under way; targets act side by side.
+    // Cause: one relied on another that was about to unload.
+    const change = fc.record({
+      share: fc.constantFrom(0.1, 0.5, 0.9),
+      a: fc.constantFrom('1', '2'),
+      b: fc.constantFrom('1', '2'),
+      rounds: fc.integer({ min: 1, max: 4 }),
+    });
+    const scenario = fc.asyncProperty(
+      fc.integer({ min: 2, max: 6 }),
+      fc.array(change, { minLength: 1, maxLength: 6 }),
+      fc.array(fc.integer({ min: 0, max: 3 }), { minLength: 5, maxLength: 20 }),
+      async (count, changes, pauses) => {
+        const bed = new OrderBed(Array.from({ length: count }, (_, index) => `t${index}`));
+        let turn = 0;
+        for (const target of bed.targets) {
+          target.gate = async () => {
+            const ticks = pauses[turn++ % pauses.length] ?? 0;
+            for (let tick = 0; tick < ticks; tick++) await new Promise((resolve) => setImmediate(resolve));
+          };
+        }
+        const accept = ({ share, a, b }: { share: number; a: string; b: string }): void => {
+          const models = [
+            { name: 'a', version: a, share },
+            { name: 'b', version: b, share: 1 - share },
+          ];
+          bed.accept(models, { concurrentLoads: 8 });
+        };
+        accept({ share: 0.5, a: '1', b: '1' });
+        await bed.settle();
+        bed.watched = ['a', 'b'];
+        for (const next of changes) {
+          accept(next);
+          for (let round = 0; round < next.rounds; round++) {
+            await Promise.all(bed.targets.map((target) => target.executor().round(signal)));
+          }
+        }
+        await bed.settle();
+        expect(bed.gaps).toEqual([]);
+      },
+    );
+    await fc.assert(scenario, { numRuns: 150 });
+  });
+
   it('loads from the weight store no more at once than the document says', async () => {
     const bed = new OrderBed(['t1', 't2', 't3', 't4', 't5']);
     let [loading, most] = [0, 0];
--- a/packages/agent/src/order/executor.ts
+++ b/packages/agent/src/order/executor.ts
@@ -115,6 +115,8 @@
 
   /** @returns whether the step was carried out. */
   private async attempt(step: Step, signal: AbortSignal): Promise<boolean> {
+    // Looked at before the turns are taken, too: one who cannot go must not hold up one who can.
+    if (!(await this.mayGo(step))) return false;
     const turns = await this.turns.take(step);
     if (turns === undefined) return false;
     try {
@@ -154,6 +156,11 @@
     }
   }
 
+  private async mayGo({ model, order, takesAway }: Step): Promise<boolean> {
+    if (takesAway === undefined || order.type !== 'unload-model') return true;
+    return this.covered(model, takesAway);
+  }
+
   private async covered(model: string, { loaded, wanted }: NonNullable<Step['takesAway']>): Promise<boolean> {
     if (wanted === undefined) return true;
     for (const version of new Set([wanted, loaded])) {
--- a/packages/engine/src/wire/exchange.spec.ts
+++ b/packages/engine/src/wire/exchange.spec.ts
@@ -2,10 +2,12 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { silentLog, systemClock } from '@jasmineroute/core';
+import type { Dispatcher } from 'undici';
 import { afterEach, describe, expect, it } from 'vitest';
 import { createHttpEngine } from '../http/index.js';
 import { createPlainTarget } from '../plain/index.js';
 import type { Engine, EngineAnswer, EngineRequest } from '../port/index.js';
+import { exchange } from './exchange.js';
 import { FaultError } from './failure.js';
 
 type Handler = (request: IncomingMessage, response: ServerResponse, body: string) => void;
@@ -237,6 +239,27 @@
     expect(seen).toBe(1);
   });
 
+  it('stops a second sending by the library below', async () => {
+    // Symptom: one request had two executions, and nothing above had tried twice.
+    // Sequence: the HTTP library takes up a request again whose connection broke.
+    // Cause: its own idea of what may be repeated.
+    const aborted: string[] = [];
+    const controller = (name: string) =>
+      ({ abort: () => aborted.push(name) }) as unknown as Dispatcher.DispatchController;
+    const pool = {
+      dispatch: (_options: unknown, handler: Dispatcher.DispatchHandler) => {
+        handler.onRequestStart?.(controller('first'), {});
+        handler.onRequestStart?.(controller('second'), {});
+        handler.onResponseError?.(controller('second'), new Error('stopped'));
+        return true;
+      },
+    } as unknown as Dispatcher;
+    const wire = { method: 'POST', path: '/', headers: {} };
+    const answer = await exchange(pool, wire, systemClock, never);
+    expect(aborted).toEqual(['second']);
+    expect(answer._unsafeUnwrapErr().ran).toBe('may-have-run');
+  });
+
   it('sends what must not run twice on a connection that was never used', async () => {
     // Symptom: a call that may not be repeated ends in "may have run" on an idle system.
     // Sequence: the service closes a kept connection at the moment at which the call is written to it.
--- a/packages/entry/src/call/candidates.spec.ts
+++ b/packages/entry/src/call/candidates.spec.ts
@@ -20,7 +20,7 @@
   const view = new FakeDirectory([modelDocument()], [instance]).view();
   const body = Buffer.from(JSON.stringify({ model, prompt: 'x' }));
   const call: Call = admitRequest(request, view)._unsafeUnwrap().complete(body)._unsafeUnwrap();
-  return candidatesOf(call, view).map(({ name }) => name);
+  return candidatesOf(call, call.model, view).map(({ name }) => name);
 }
 
 function loaded(version: string, adapters: string[] = [], ready = true): Instance {
--- a/packages/entry/src/call/candidates.ts
+++ b/packages/entry/src/call/candidates.ts
@@ -1,6 +1,6 @@
 /** The targets that may take a call. */
 import type { Candidate } from '@jasmineroute/routing';
-import type { Instance, LoadedModel, View } from '@jasmineroute/directory';
+import type { Health, Instance, LoadedModel, View } from '@jasmineroute/directory';
 import type { Call, ModelPart } from './call.js';
 
 /** A candidate and where its gate listens. */
@@ -9,19 +9,23 @@
   readonly address: string;
 }
 
-const takingWork = new Set(['alive', 'suspect']);
+const healthsTakingWork: ReadonlySet<Health> = new Set(['alive', 'suspect']);
+
+/** Whether an instance stands beside a target of the service that is up, ready and not leaving. */
+export function isTakingWork({ health, target }: Instance, service: string): boolean {
+  return target?.service === service && healthsTakingWork.has(health) && target.ready;
+}
 
 /**
- * Targets of the call's service that are up, ready, not leaving, and have the very model, adapter and weights
- * in memory: another version would answer from other weights than the document in force names.
+ * Targets of the call's service that take work and have the model, the adapter and exactly the given weights in
+ * memory. @param model absent: a plain service.
  */
-export function candidatesOf(call: Call, view: View): GateCandidate[] {
+export function candidatesOf(call: Call, model: ModelPart | undefined, view: View): GateCandidate[] {
   const found: GateCandidate[] = [];
   for (const instance of view.instances.values()) {
     const { target } = instance;
-    if (target?.service !== call.service.service || !takingWork.has(instance.health) || !target.ready)
-      continue;
-    if (call.model !== undefined && !target.models.some((loaded) => fits(loaded, call.model))) continue;
+    if (target === undefined || !isTakingWork(instance, call.service.service)) continue;
+    if (model !== undefined && !target.models.some((loaded) => fits(loaded, model))) continue;
     found.push(candidate(instance, target.engineIncarnation, target.capacity));
   }
   return found;
@@ -38,8 +42,7 @@
   };
 }
 
-function fits(loaded: LoadedModel, wanted: ModelPart | undefined): boolean {
-  if (wanted === undefined) return true;
+function fits(loaded: LoadedModel, wanted: ModelPart): boolean {
   if (loaded.model !== wanted.weights.name || loaded.version !== wanted.weights.version) return false;
   return wanted.adapter === '' || loaded.adapters.includes(wanted.adapter);
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -87,6 +87,8 @@
   private readonly stopped = new AbortController();
   private address = '';
   private draining = false;
+  /** Aborted at the start of a planned stop: neighbours that watch this entry move on. */
+  private readonly leaving = new AbortController();
 
   constructor(
     private readonly context: RoleContext,
@@ -105,7 +107,7 @@
 
   /** Serves its view to neighbours that can't reach a control instance. */
   routes(router: ConnectRouter): void {
-    serveDirectory(router, viewSource(this.parts.directory, this.context.clock));
+    serveDirectory(router, viewSource(this.parts.directory, this.context.clock, this.leaving.signal));
   }
 
   async start(address: string): Promise<void> {
@@ -133,6 +135,7 @@
     const { clock, log } = this.context;
     this.draining = true;
     this.server.turnAway();
+    this.leaving.abort(new Error('stopping'));
     log.event(entryEvents.draining, { open: this.callers.count });
     await clock.sleep(this.settings.drainDelayMs);
     await this.parts.directory.leave();
--- a/packages/entry/src/work/attempts.ts
+++ b/packages/entry/src/work/attempts.ts
@@ -6,6 +6,8 @@
 import type { Prompt } from '@jasmineroute/engine';
 
 import { Answer } from '../answer/index.js';
+import { servedModel } from '../call/index.js';
+import type { ModelPart } from '../call/index.js';
 import { entryEvents } from '../events.js';
 import { entryMetrics } from '../metrics.js';
 import { ClaimedSender } from './claimed.js';
@@ -40,6 +42,8 @@
   /** What the attempts that are over have done. */
   private ran: Ran = 'not-run';
   private lastFault: Fault | undefined;
+  /** The weights of the last attempt. */
+  private model: ModelPart | undefined;
 
   constructor(
     private readonly context: WorkContext,
@@ -72,9 +76,10 @@
   private async next(plan: Plan): Promise<Step> {
     const { call, span, stop, remaining } = this.subject;
     this.count += 1;
-    const job = jobOf(call, this.promptOf(plan), this.excluded, remaining());
+    const model = this.modelNow();
+    const job = jobOf(call, model, this.promptOf(plan), this.excluded, remaining());
     const decide = startHop('decide', 'internal', { parent: span });
-    const placed = await this.place(job);
+    const placed = await this.place(model, job);
     endHop(decide, placed.isErr() ? placed.error.kind : undefined);
     if (stop.aborted) return undefined;
     if (placed.isErr()) return this.fail(this.lastFault ?? placed.error);
@@ -89,15 +94,25 @@
   }
 
   /** Chooses a target; when each one has failed in a way that passes, they are all tried once more. */
-  private async place(job: Job): Promise<Result<Placement, Fault>> {
+  private async place(model: ModelPart | undefined, job: Job): Promise<Result<Placement, Fault>> {
     const { decisions, clock } = this.context;
     const { call, stop } = this.subject;
-    const placed = await decisions.place(call, job);
+    const placed = await decisions.place(call, model, job);
     if (placed.isOk() || this.lastFault === undefined) return placed;
     if (this.excluded.size === 0 || !passing.has(this.lastFault.kind)) return placed;
     await clock.sleep(SECOND_ROUND_PAUSE_MS, stop).catch(() => undefined);
     this.excluded.clear();
-    return decisions.place(call, job);
+    return decisions.place(call, model, job);
+  }
+
+  /** The weights of the next attempt. An answer that has begun goes on with those that it began with. */
+  private modelNow(): ModelPart | undefined {
+    const { call } = this.subject;
+    if (call.model === undefined) return undefined;
+    if (this.model === undefined || !this.answer.begun) {
+      this.model = servedModel(call, call.model, this.context.view());
+    }
+    return this.model;
   }
 
   private promptOf(plan: Plan): Prompt | undefined {
--- a/packages/entry/src/work/decisions.ts
+++ b/packages/entry/src/work/decisions.ts
@@ -8,7 +8,7 @@
 import { encodeChain, policies } from '@jasmineroute/routing';
 import type { Candidate, Job, Policy, ProbeReading } from '@jasmineroute/routing';
 import { candidatesOf } from '../call/index.js';
-import type { Call, GateCandidate } from '../call/index.js';
+import type { Call, GateCandidate, ModelPart } from '../call/index.js';
 import { entryMetrics } from '../metrics.js';
 import { readingOf } from './reading.js';
 import type { GateClients } from '../gate/index.js';
@@ -48,9 +48,9 @@
   constructor(private readonly options: DecisionOptions) {}
 
   /** Chooses a target. Refusals mean that nothing was sent. */
-  async place(call: Call, job: Job): Promise<Result<Placement, Fault>> {
+  async place(call: Call, model: ModelPart | undefined, job: Job): Promise<Result<Placement, Fault>> {
     const { view, clock, metrics } = this.options;
-    const all = candidatesOf(call, view());
+    const all = candidatesOf(call, model, view());
     const open = all.filter(({ name }) => !job.excluded.has(name));
     if (open.length === 0) return err(this.absence(call, all.length));
     const policy = this.policyOf(call.service);
@@ -86,17 +86,13 @@
       clock,
       dataCentre,
       seed,
-      probe: (candidate, job) => this.probe(service, candidate, job),
+      probe: (candidate, job) => this.probe(candidate, job),
     });
     this.known.set(service.service, { name: wanted, policy });
     return policy;
   }
 
-  private async probe(
-    service: RoutedService,
-    candidate: Candidate,
-    job: Job,
-  ): Promise<ProbeReading | undefined> {
+  private async probe(candidate: Candidate, job: Job): Promise<ProbeReading | undefined> {
     const { view, clients, clock, probeTimeoutMs } = this.options;
     const address = view().instances.get(candidate.name)?.address;
     if (address === undefined) return undefined;
@@ -104,13 +100,12 @@
     const calledOff = clock.after(probeTimeoutMs, () => {
       cut.abort();
     });
-    const weightsVersion = service.kind === 'model' ? versionOf(service, job.model) : '';
     try {
       const answer = await clients.over(clients.connection(address)).probe(
         {
           service: job.service,
           model: job.model,
-          weightsVersion,
+          weightsVersion: job.weightsVersion ?? '',
           chain: encodeChain(job.chain),
           promptTokens: job.promptTokens,
           priority: job.priority,
@@ -125,7 +120,3 @@
     }
   }
 }
-
-function versionOf(service: Extract<RoutedService, { kind: 'model' }>, model: string): string {
-  return service.models.find(({ name }) => name === model)?.version ?? '';
-}
--- a/packages/entry/src/work/job.ts
+++ b/packages/entry/src/work/job.ts
@@ -2,16 +2,17 @@
 import type { Prompt } from '@jasmineroute/engine';
 import { createChain, tokensOf } from '@jasmineroute/routing';
 import type { Job } from '@jasmineroute/routing';
-import type { Call } from '../call/index.js';
+import type { Call, ModelPart } from '../call/index.js';
 
-/** The job that a policy gets for a call. @param prompt the prompt of this attempt; absent: a plain service. */
+/** The job that a policy gets for a call. @param model the weights of this attempt. @param prompt the prompt of this attempt; absent: a plain service. */
 export function jobOf(
   call: Call,
+  model: ModelPart | undefined,
   prompt: Prompt | undefined,
   excluded: ReadonlySet<string>,
   deadlineMs: number,
 ): Job {
-  const { model, service, customer, priority } = call;
+  const { service, customer, priority } = call;
   const bytes = prompt?.bytes ?? new Uint8Array(0);
   const namespace = {
     customer,
@@ -23,6 +24,7 @@
     service: service.service,
     customer,
     model: namespace.model,
+    weightsVersion: namespace.weightsVersion,
     chain: createChain(namespace, bytes),
     promptTokens: tokensOf(bytes.length),
     priority,
--- a/packages/entry/src/work/sender.ts
+++ b/packages/entry/src/work/sender.ts
@@ -92,7 +92,7 @@
       customer: call.customer,
       model: job.model,
       adapter: call.model?.prompt.adapter ?? '',
-      weightsVersion: call.model?.weights.version ?? '',
+      weightsVersion: job.weightsVersion ?? '',
       method: call.method,
       path: call.path,
       headers: traced(call.headers, carrierOf(hop)),
--- a/packages/proof/src/rollout/rollout.spec.ts
+++ b/packages/proof/src/rollout/rollout.spec.ts
@@ -8,7 +8,14 @@
 
 const health = z.object({ models: z.array(z.object({ model: z.string(), version: z.string() })) });
 
-const managed = modelDocument('weights:\n  managed: true\n  concurrentLoads: 1\n');
+const both = modelDocument('weights:\n  managed: true\n  concurrentLoads: 1\n');
+/** One model only, so that every target is to have it. */
+const managed = {
+  ...both,
+  text: both.text
+    .replace("  - name: once\n    version: '1'\n", '')
+    .replace('nonIdempotent:\n  - models: [once]\n', ''),
+};
 const renewed = managed.text.replace("name: writer\n    version: '1'", "name: writer\n    version: '2'");
 
 describe('a rollout of new weights', () => {
--- /dev/null
+++ b/packages/proof/src/storage/index.ts
@@ -0,0 +1,2 @@
+export * from './journalFile.js';
+export * from './lines.js';
--- a/packages/routing/src/policy/policy.ts
+++ b/packages/routing/src/policy/policy.ts
@@ -33,6 +33,8 @@
   readonly service: string;
   readonly customer: string;
   readonly model: string;
+  /** Version of the weights that the request is served with; absent for plain services. */
+  readonly weightsVersion?: string;
   /** Block hashes of the prompt under its namespace. */
   readonly chain: Chain;
   readonly promptTokens: number;
