Let the gate take prefill in turns, and the decision see likely caches and free room

Change: at most two requests before their first token at an engine, one for a herd on one new prefix; the probe carries likely cached tokens, used for ranking only; the entry observes load for its window.

--- a/packages/agent/src/gate/gate.ts
+++ b/packages/agent/src/gate/gate.ts
@@ -117,7 +117,8 @@
       accepting,
       cachedTokens,
       load: this.load(request.priority),
-      estimateMs: this.workload.estimateMs(request, cachedTokens),
+      estimateMs: this.workload.expectedMs(request, cachedTokens),
+      likelyTokens: this.workload.likelyTokens(request),
     });
   }
 
@@ -169,7 +170,7 @@
     if (refused !== undefined) return err(refused);
     const late = this.workload.checkDeadline(request);
     if (late !== undefined) return err(late);
-    const cachedTokens = this.workload.cachedTokens(request);
+    const cachedTokens = this.workload.likelyTokens(request);
     const run = new Run(this.runContext(request), request, target.incarnation(), cachedTokens);
     if (!this.attempts.begin(request.attemptId, run)) {
       run.stop(fault('overloaded', 'too many attempts to remember'));
@@ -254,6 +255,8 @@
       metrics,
       slots: this.workload.slots,
       meter: this.workload.meter,
+      turns: this.workload.turns,
+      prefillMs: (tokens) => this.workload.prefillMs(tokens),
       bounds: bufferBounds(bounds, request.idempotent),
       readerGraceMs: bounds.readerGraceMs,
       recheck: (waited) => checkSending(target, waited),
--- a/packages/agent/src/gate/workload.ts
+++ b/packages/agent/src/gate/workload.ts
@@ -3,7 +3,7 @@
 import { fault } from '@jasmineroute/core';
 import type { Clock, Fault } from '@jasmineroute/core';
 import { gateMessage } from '@jasmineroute/protocol';
-import { BLOCK_TOKENS, decodeChain } from '@jasmineroute/routing';
+import { BLOCK_TOKENS, PREFILLS_AT_ONCE, PrefillTurns, decodeChain } from '@jasmineroute/routing';
 import type { BlockIndex } from '@jasmineroute/routing';
 import { LoadMeter, Slots } from '../load/index.js';
 import type { GateTarget } from './target.js';
@@ -15,6 +15,7 @@
 export class Workload {
   readonly slots: Slots;
   readonly meter: LoadMeter;
+  readonly turns: PrefillTurns;
 
   /** @param queue how many requests may wait. */
   constructor(
@@ -28,6 +29,11 @@
       () => queue,
     );
     this.meter = new LoadMeter(clock);
+    this.turns = new PrefillTurns({
+      clock,
+      cachedBlocks: (chain) => index.likelyPrefix(chain),
+      atOnce: PREFILLS_AT_ONCE,
+    });
   }
 
   /** Load as messages carry it. */
@@ -48,14 +54,34 @@
     return Math.min(promptTokens, this.index.longestPrefix(decodeChain(chain)) * BLOCK_TOKENS);
   }
 
+  /** With blocks that a lost cache event may have removed: fit to compare targets, not to promise a time. */
+  likelyTokens({ chain, promptTokens }: Prompted): number {
+    return Math.min(promptTokens, this.index.likelyPrefix(decodeChain(chain)) * BLOCK_TOKENS);
+  }
+
+  /**
+   * Expected milliseconds to the first token, for probes. No less than others of the priority have waited by
+   * now: when requests of higher priority keep coming, the queue at this moment says too little.
+   */
+  expectedMs(request: Prompted, cachedTokens: number): number {
+    const waitedMs = this.meter.waitedMs(request.priority);
+    const ownMs = this.prefillMs(request.promptTokens - cachedTokens);
+    return Math.max(this.estimateMs(request, cachedTokens), waitedMs + ownMs);
+  }
+
+  /** Milliseconds of prefill for a number of tokens; 0 while the speed is not known. */
+  prefillMs(tokens: number): number {
+    const { prefillRate } = this.meter;
+    return prefillRate === 0 ? 0 : (tokens * 1_000) / prefillRate;
+  }
+
   /** Milliseconds to the first token; what has not been measured yet counts as nothing. */
   estimateMs({ priority, promptTokens }: Prompted, cachedTokens: number): number {
     const { meter, slots } = this;
     const capacity = Math.max(1, this.target.capacity());
     const tokens = meter.ahead(priority) + promptTokens - cachedTokens;
-    const prefillMs = meter.prefillRate === 0 ? 0 : (tokens * 1_000) / meter.prefillRate;
     const over = slots.running + slots.queued + 1 - capacity;
-    return prefillMs + Math.max(0, (over * meter.runMs) / capacity);
+    return this.prefillMs(tokens) + Math.max(0, (over * meter.runMs) / capacity);
   }
 
   /**
@@ -63,8 +89,7 @@
    * Blocks that a lost cache event may have removed count as cached here: a refusal must not come of a guess.
    */
   checkDeadline(request: gateMessage.RunRequest): Fault | undefined {
-    const likely = this.index.likelyPrefix(decodeChain(request.chain)) * BLOCK_TOKENS;
-    const estimate = this.estimateMs(request, Math.min(request.promptTokens, likely));
+    const estimate = this.estimateMs(request, this.likelyTokens(request));
     if (estimate <= request.deadlineMs) return undefined;
     const message = `the first token would take ${Math.round(estimate)} ms`;
     return fault('deadline-unmeetable', message, { retryAfterMs: estimate - request.deadlineMs });
--- a/packages/agent/src/load/meter.ts
+++ b/packages/agent/src/load/meter.ts
@@ -12,6 +12,8 @@
   readonly priority: number;
   /** Prompt tokens that are expected not to be in the cache. */
   readonly tokens: number;
+  readonly since: number;
+  sent: boolean;
 }
 
 /** Follows one request. Calls in wrong order or twice change nothing. */
@@ -63,15 +65,26 @@
     return sum;
   }
 
+  /** How long the oldest request at a priority or above has waited to be sent, milliseconds. */
+  waitedMs(priority: number): number {
+    const now = this.clock.monotonic();
+    let longest = 0;
+    for (const entry of this.pending) {
+      if (!entry.sent && entry.priority >= priority) longest = Math.max(longest, now - entry.since);
+    }
+    return longest;
+  }
+
   /** Follows a request from its arrival. @param onFirst told the milliseconds from sending to the first byte. */
   measure(priority: number, tokens: number, onFirst: (ms: number) => void = () => undefined): Measure {
-    const entry = { priority, tokens };
+    const entry: Pending = { priority, tokens, since: this.clock.monotonic(), sent: false };
     this.pending.add(entry);
     let sentAt: number | undefined;
     let firstAt: number | undefined;
     return {
       sent: () => {
         sentAt = this.clock.monotonic();
+        entry.sent = true;
         this.startPrefill(sentAt, tokens);
       },
       firstToken: () => {
--- a/packages/agent/src/run/context.ts
+++ b/packages/agent/src/run/context.ts
@@ -2,6 +2,7 @@
 import type { Clock, Fault, Log, Metrics } from '@jasmineroute/core';
 import type { Engine, Usage } from '@jasmineroute/engine';
 import type { gateMessage } from '@jasmineroute/protocol';
+import type { PrefillTurns } from '@jasmineroute/routing';
 import type { LoadMeter, Slots } from '../load/index.js';
 import type { BufferBounds } from './buffer.js';
 
@@ -13,6 +14,10 @@
   readonly metrics: Metrics;
   readonly slots: Slots;
   readonly meter: LoadMeter;
+  /** Requests before their first token: few at once, and a prefix that several need is computed once. */
+  readonly turns: PrefillTurns;
+  /** Milliseconds of prefill for a number of tokens. */
+  readonly prefillMs: (tokens: number) => number;
   readonly bounds: BufferBounds;
   /** How long an idempotent run goes on without a reader, milliseconds. */
   readonly readerGraceMs: number;
--- a/packages/agent/src/run/run.ts
+++ b/packages/agent/src/run/run.ts
@@ -4,6 +4,7 @@
 import type { Fault, HopSpan, Ran } from '@jasmineroute/core';
 import type { Usage } from '@jasmineroute/engine';
 import { gateMessage } from '@jasmineroute/protocol';
+import { decodeChain } from '@jasmineroute/routing';
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { agentEvents } from '../events.js';
@@ -82,8 +83,10 @@
     const uncached = Math.max(0, request.promptTokens - this.cachedTokens);
     const measure = context.meter.measure(request.priority, uncached, (ms) => {
       context.metrics.timing(agentMetrics.firstToken, ms);
+      context.turns.leave(request.attemptId);
     });
-    const result = await this.work(measure);
+    const result = await this.work(measure, uncached);
+    context.turns.leave(request.attemptId);
     const usage = result.isOk() ? result.value : undefined;
     measure.ended(usage?.outputTokens ?? 0);
     this.finish(result);
@@ -137,13 +140,14 @@
     this.abort.abort(new StopError(reason));
   }
 
-  private async work(measure: Measure): Promise<Result<Usage | undefined, Fault>> {
+  private async work(measure: Measure, uncached: number): Promise<Result<Usage | undefined, Fault>> {
     const { slots, clock, metrics } = this.context;
     const queuedAt = clock.monotonic();
     const slot = await slots.acquire(this.request.priority, this.abort.signal);
     metrics.timing(agentMetrics.queueTime, clock.monotonic() - queuedAt);
     if (slot.isErr()) return err({ ...reasonOf(this.abort.signal, slot.error), ran: 'not-run' });
     try {
+      await this.prefillTurn(uncached);
       // A Cancel that came with the slot has been answered "not run".
       if (this.abort.signal.aborted) return err(reasonOf(this.abort.signal, fault('cancelled', 'cancelled')));
       // The engine may have restarted, or changed its weights, while the run waited.
@@ -156,6 +160,15 @@
     }
   }
 
+  /** Waits for its turn at the engine's prefill. */
+  private async prefillTurn(uncached: number): Promise<void> {
+    const { attemptId, chain, priority } = this.request;
+    const { turns, prefillMs } = this.context;
+    if (chain.length === 0) return;
+    turns.enter(attemptId, { chain: decodeChain(chain), priority, expectedMs: prefillMs(uncached) });
+    await turns.wait(attemptId, this.abort.signal);
+  }
+
   private finish(result: Result<Usage | undefined, Fault>): void {
     const { context, request } = this;
     this.stopDeadline();
--- a/packages/entry/src/work/reading.ts
+++ b/packages/entry/src/work/reading.ts
@@ -25,6 +25,7 @@
     engineIncarnation: answer.incarnation,
     accepting: answer.accepting,
     cachedTokens: answer.cachedTokens,
+    likelyTokens: answer.likelyTokens,
     load: loadOf(answer.load) ?? noLoad,
     estimateMs: answer.estimateMs,
   };
--- a/packages/entry/src/work/sender.ts
+++ b/packages/entry/src/work/sender.ts
@@ -51,8 +51,10 @@
     const end = outcome.type === 'ended' ? outcome.end : undefined;
     const ok = outcome.type === 'ended';
     const { cachedTokens } = end ?? {};
-    const told = { ok, firstTokenMs: firstTokenMs(), cachedTokens, load: loadOf(end?.load) };
+    const load = loadOf(end?.load);
+    const told = { ok, firstTokenMs: firstTokenMs(), cachedTokens, load };
     policy.settled({ candidate, job, phase: 'end', ...told });
+    if (load !== undefined) this.context.admissions.of(job.service).observe(load);
     metrics.count(entryMetrics.attempts, 1, { outcome: outcome.type });
     endHop(hop, outcome.type === 'ended' ? undefined : outcome.type);
     return outcome;
