--- a/packages/entry/src/work/attempts.ts
+++ b/packages/entry/src/work/attempts.ts
@@ -1,5 +1,6 @@
 /** The attempts of one call: placement, sending, retries, continuation elsewhere. */
 import type { Result } from 'neverthrow';
+import { match } from 'ts-pattern';
 import { answerOf, endHop, fault, startHop } from '@jasmineroute/core';
 import type { Fault, FaultKind, Ran } from '@jasmineroute/core';
 import { promptOf } from '@jasmineroute/engine';
@@ -124,16 +125,16 @@
   /** An attempt of a call that may be repeated. */
   private async sendFreely(sending: Sending): Promise<Step> {
     const outcome = await this.sender.send(sending);
-    switch (outcome.type) {
-      case 'ended':
-        return this.ended(sending);
-      case 'refused':
-      case 'failed':
-        return this.again(outcome.fault, sending);
-      case 'stopped':
-        this.context.background.follow(this.sender.cancel(sending));
-        return undefined;
-    }
+    return match(outcome)
+      .with({ type: 'ended' }, () => this.ended(sending))
+      .with({ type: 'refused' }, { type: 'failed' }, (lost) => this.again(lost.fault, sending))
+      .with({ type: 'stopped' }, () => this.stopped(sending))
+      .exhaustive();
+  }
+
+  private stopped(sending: Sending): Step {
+    this.context.background.follow(this.sender.cancel(sending));
+    return undefined;
   }
 
   private ended(sending: Sending): Step {
--- a/packages/proof/src/example/command.ts
+++ b/packages/proof/src/example/command.ts
@@ -16,8 +16,10 @@
 
 const unquoted = (word: string): string => word.replace(/'([^']*)'|"([^"]*)"/g, '$1$2');
 
-/** Words of each simple command. */
+/** Words of each simple command. @throws Error for what this grammar has no place for: nothing is passed over. */
 function splitWords(text: string): string[][] {
+  const rest = text.replace(TOKEN, '').trim();
+  if (rest !== '') throw new Error(`cannot read ${JSON.stringify(rest)} in ${JSON.stringify(text)}`);
   const commands: string[][] = [[]];
   let isTarget = false;
   for (const { groups } of text.matchAll(TOKEN)) {
--- a/packages/proof/src/example/help.ts
+++ b/packages/proof/src/example/help.ts
@@ -25,7 +25,7 @@
   return new Promise((resolve) => {
     const child = execFile(file, args, { ...options, timeout: TIMEOUT_MS }, (error, stdout, stderr) => {
       const code = error === null ? 0 : typeof error.code === 'number' ? error.code : -1;
-      resolve({ code, stdout: String(stdout), stderr: String(stderr) });
+      resolve({ code, stdout, stderr });
     });
     child.stdin?.end();
   });
--- a/packages/proof/src/example/page.ts
+++ b/packages/proof/src/example/page.ts
@@ -7,6 +7,8 @@
 export const ROOT = fileURLToPath(new URL('../../../..', import.meta.url));
 
 const OPERATOR_PAGES = 'docs/operators';
+/** Opening of a block, with the language that it names; every second one is a closing. */
+const FENCE = /^ *(?:```|~~~)(.*)$/gm;
 const SHELL_BLOCK = /^```sh\n(.*?)^```$/gms;
 
 /** One shell block of a page. */
@@ -23,6 +25,18 @@
   return ['README.md', ...operators.sort().map((name) => join(OPERATOR_PAGES, name)), 'examples/README.md'];
 }
 
+/** Languages of all blocks of a page. */
+export function languagesOf(page: string): string[] {
+  const fences = [...readFileSync(join(ROOT, page), 'utf8').matchAll(FENCE)];
+  return fences.filter((_, at) => at % 2 === 0).map((match) => match[1] ?? '');
+}
+
+/** Flags that a page names in running text, as in `--name`. */
+export function flagsNamed(page: string): string[] {
+  const content = readFileSync(join(ROOT, page), 'utf8').replace(/^```.*?^```$/gms, '');
+  return [...content.matchAll(/`(--[a-z][a-z-]*)/g)].map((match) => match[1] ?? '');
+}
+
 function blocksOf(page: string): Block[] {
   const content = readFileSync(join(ROOT, page), 'utf8');
   return [...content.matchAll(SHELL_BLOCK)].map((match) => ({
