--- a/packages/control/src/claims/settledTable.spec.ts
+++ b/packages/control/src/claims/settledTable.spec.ts
@@ -67,3 +67,20 @@
     { numRuns: 60 },
   );
 });
+
+it('reads records back out of a Buffer, as a file gives it', () => {
+  // Symptom: a control instance does not start any more ("byte length of Uint32Array should be a multiple of
+  // 4"), or forgets keys and holds others that nobody used.
+  // Sequence: claims are settled, the log takes a snapshot, the instance restarts and reads the file.
+  // Cause: `slice` of a Buffer is a view, not a copy, and `.buffer` is then all of the file's memory.
+  const table = new SettledTable();
+  table.put({ key: keyOf(7), fingerprint: [7, 1], attempt: 7, released: false, expires: 9 });
+  const records = table.snapshot();
+  for (const offset of [1, 4, 32]) {
+    const file = Buffer.alloc(records.length + offset, 0xff);
+    file.set(records, offset);
+    const copy = new SettledTable();
+    copy.restore(file.subarray(offset), 0);
+    expect([copy.size(), copy.find(keyOf(7))?.expires]).toEqual([1, 9]);
+  }
+});
--- a/packages/control/src/claims/settledTable.ts
+++ b/packages/control/src/claims/settledTable.ts
@@ -73,8 +73,11 @@
     this.byUnit.clear();
     this.live = 0;
     this.nowUnit = unitOf(now);
-    // Copied, because a typed array needs its start on a multiple of its element's size.
-    const words = new Uint32Array(data.slice().buffer);
+    /*
+     * Copied, because a typed array needs its start on a multiple of its element's size. Not by `slice`: on a
+     * Buffer, as a file gives it, that is a view, and the claims would be read from whatever else its memory holds.
+     */
+    const words = new Uint32Array(new Uint8Array(data).buffer);
     for (let at = 0; at + RECORD_WORDS <= words.length; at += RECORD_WORDS) {
       this.putRecord(words.subarray(at, at + RECORD_WORDS));
     }
--- a/packages/proof/src/crossing/crossing.spec.ts
+++ b/packages/proof/src/crossing/crossing.spec.ts
@@ -112,13 +112,13 @@
         return seen;
       }),
     );
-    let isOver = false;
+    const asking = { isOver: false };
     void answers.finally(() => {
-      isOver = true;
+      asking.isOver = true;
     });
     const before = harmer.done;
-    for (let begun = scene.executions().length + 2; !isOver; begun += 2) {
-      await waitFor('two more to begin', () => isOver || scene.executions().length >= begun, {
+    for (let begun = scene.executions().length + 2; !asking.isOver; begun += 2) {
+      await waitFor('two more to begin', () => asking.isOver || scene.executions().length >= begun, {
         everyMs: 5,
         timeoutMs: 40_000,
       });
--- a/scripts/capacity/budget.mjs
+++ b/scripts/capacity/budget.mjs
@@ -6,25 +6,35 @@
 /** Beats and heartbeats come once a second to and from every process. */
 const BEATS_PER_SECOND = 1;
 
+const runOf = (results, name, multiple) =>
+  results.node.runs.find((run) => run.name === name && run.multiple === multiple);
+
 /** What control costs on a node, at no changes and at the letter's rate of changes (on the fitted line). */
 export function nodeCost(results, series, name) {
   const memory = results.node.memory[name];
   const core = series[name === 'agent' ? 'agentChangeCore' : 'entryChangeCore'].fit;
   const moved = series[name === 'agent' ? 'agentChangeBytes' : 'entryChangeBytes'].fit;
-  const idle = results.node.runs.find((run) => run.name === name);
+  const [idle, planned] = [0, 1].map((multiple) => runOf(results, name, multiple));
   return {
     memory,
     idleCore: idle.coreShare,
     idleBytes: idle.bytesPerSecond,
+    plannedCore: planned.coreShare,
+    plannedBytes: planned.bytesPerSecond,
     core: valueAt(core, share.changesPerSecond),
     bytes: valueAt(moved, share.changesPerSecond),
     firstBytes: results.node.firstBytes[name],
   };
 }
 
-/** Processor time with a data folder: the kept file is written at each change. */
-export function keptCore(series) {
-  return valueAt(series.keptChangeCore.fit, share.changesPerSecond);
+/**
+ * Processor time with a data folder, where kept files are written: with no changes, at the letter's, on the line.
+ * Writes that come close together are joined, so the line is too high at low rates, and the measured value is judged.
+ */
+export function keptCost(results, series) {
+  const [idle, planned] = [0, 1].map((multiple) => runOf(results, 'entry with kept file', multiple));
+  const core = valueAt(series.keptChangeCore.fit, share.changesPerSecond);
+  return { idleCore: idle.coreShare, plannedCore: planned.coreShare, core };
 }
 
 /** An entry at the letter's size. */
--- a/scripts/capacity/parts/node.mjs
+++ b/scripts/capacity/parts/node.mjs
@@ -8,13 +8,13 @@
 import { WorkerProcess } from '../workerProcess.mjs';
 
 const SETTLE_MS = 3_000;
-/** Multiples of the letter's rate of changes, each with the length of its run. */
+/** Multiples of the letter's rate of changes, each with the length of its run; the first also compile the code. */
 const RUNS = [
-  [0, 12_000],
-  [1, 14_400],
-  [10, 10_000],
-  [30, 6_000],
   [100, 6_000],
+  [30, 6_000],
+  [10, 10_000],
+  [1, 14_400],
+  [0, 12_000],
 ];
 
 const kinds = [
@@ -62,6 +62,7 @@
     const seconds = after[place].at - before[place].at;
     return {
       name,
+      multiple,
       changesPerSecond: counts.changed / seconds,
       bytesPerSecond: (after[place].bytes - before[place].bytes) / seconds,
       coreShare: (after[place].seconds - before[place].seconds) / seconds,
--- a/scripts/capacity/tables.mjs
+++ b/scripts/capacity/tables.mjs
@@ -46,51 +46,40 @@
   return table(['What', 'Slope ± its standard error', 'Points', 'R²', 'Mechanism'], rows);
 }
 
+function coreRow(name, { idleCore, plannedCore, core }, judged = core.value) {
+  const cells = [idleCore, plannedCore, core.value].map(cores);
+  return [name, '2.9 % of a core', ...cells, holds(judged, letter.coreShare)];
+}
+
+function nodeRows(results, series, name) {
+  const cost = budget.nodeCost(results, series, name);
+  const kept = budget.keptCost(results, series);
+  const { live, resident, bareResident, totalResident } = cost.memory;
+  const moved = [cost.idleBytes, cost.plannedBytes, cost.bytes.value].map((value) => `${bytes(value)}/s`);
+  return [
+    coreRow('Processor time', cost),
+    ...(name === 'entry' ? [coreRow('Processor time, with a data folder', kept, kept.plannedCore)] : []),
+    ['Bytes, both ways', '3 KB/s', ...moved, holds(cost.bytes.value, letter.controlBytesPerSecond)],
+    ['Memory: live bytes', '32 MB', bytes(live), '', '', holds(live, letter.controlBytes)],
+    ['Memory: resident', '32 MB', bytes(resident), '', '', holds(resident, letter.controlBytes)],
+    ['The process before the client starts', '', bytes(bareResident), '', '', 'not control'],
+    [
+      'The process with it',
+      '',
+      bytes(totalResident),
+      '',
+      '',
+      `${figure(totalResident / letter.controlBytes)} times 32 MB`,
+    ],
+  ];
+}
+
 function nodeTable(results, series) {
   return ['entry', 'agent']
     .map((name) => {
-      const cost = budget.nodeCost(results, series, name);
-      const { memory } = cost;
-      const rows = [
-        [
-          'Processor time',
-          '2.9 % of a core',
-          cores(cost.idleCore),
-          cores(cost.core.value),
-          holds(cost.core.value, letter.coreShare),
-        ],
-        [
-          'Bytes, both ways',
-          '3 KB/s',
-          `${bytes(cost.idleBytes)}/s`,
-          `${bytes(cost.bytes.value)}/s`,
-          holds(cost.bytes.value, letter.controlBytesPerSecond),
-        ],
-        ['Memory: live bytes', '32 MB', '', bytes(memory.live), holds(memory.live, letter.controlBytes)],
-        [
-          'Memory: resident',
-          '32 MB',
-          '',
-          bytes(memory.resident),
-          holds(memory.resident, letter.controlBytes),
-        ],
-        ['The process before the client starts', '', '', bytes(memory.bareResident), 'not control'],
-        [
-          'The process with it',
-          '',
-          '',
-          bytes(memory.totalResident),
-          `${figure(memory.totalResident / letter.controlBytes)} times 32 MB`,
-        ],
-      ];
-      const head = [
-        `Control's part in an ${name}`,
-        'Budget',
-        'No changes',
-        'At the letter’s changes',
-        'Verdict',
-      ];
-      return table(head, rows);
+      const rates = ['No changes', 'The letter’s changes, measured', 'The same, on the line'];
+      const head = [`Control's part in an ${name}`, 'Budget', ...rates, 'Verdict'];
+      return table(head, nodeRows(results, series, name));
     })
     .join('\n\n');
 }
@@ -152,7 +141,7 @@
     row(`direct, one engine, 20 tokens`, stream.direct),
     ...[...stream.byChunks, stream.peak].map((point) =>
       row(
-        `through an entry, ${figure(point.chunks / point.elapsedSeconds)} chunks/s, ${point.complete} of ${point.requests} complete`,
+        `through an entry, ${figure(point.chunks / point.elapsedSeconds)} chunks/s over the run, ${point.complete} of ${point.requests} complete`,
         point,
       ),
     ),
--- a/scripts/capacity/verdicts.mjs
+++ b/scripts/capacity/verdicts.mjs
@@ -16,14 +16,20 @@
 
 function nodeRows(results, series) {
   const [entry, agent] = ['entry', 'agent'].map((name) => budget.nodeCost(results, series, name));
-  const kept = budget.keptCore(series);
+  const kept = budget.keptCost(results, series);
   const both = (pick) => Math.max(pick(entry), pick(agent));
   const pair = (write, pick) => `entry ${write(pick(entry))}, agent ${write(pick(agent))}`;
   return [
     [
       '2.9 % of a core for control on a node',
-      when(both((cost) => cost.core.value) <= letter.coreShare, MEASURED),
-      `${pair(cores, (cost) => cost.core.value)}; entry with kept file ${cores(kept.value)} ± ${figure(kept.error * 100)}`,
+      when(
+        Math.max(
+          kept.plannedCore,
+          both((cost) => cost.core.value),
+        ) <= letter.coreShare,
+        MEASURED,
+      ),
+      `${pair(cores, (cost) => cost.core.value)}; entry with a data folder ${cores(kept.plannedCore)}, measured at the letter's changes`,
     ],
     [
       '32 MB for control on a node',
