Heal a follower whose disk lost entries; let a refused caller read its error

Ruled out: (1) a wrong repair of the torn tail (the follower's log was sound); (2) a crash of the entry. Change: (1) the leader notes the loss as an error event and sends again from what the follower holds; its own commit index never goes back. (2) a refused connection is read for up to a second before it is closed.

--- a/packages/coordination/src/agreement/progress.ts
+++ b/packages/coordination/src/agreement/progress.ts
@@ -41,6 +41,17 @@
     if (this.next <= this.match) this.next = this.match + 1n;
   }
 
+  /**
+   * It has entries up to `index` only, fewer than it acknowledged. Returns false when an earlier answer of the
+   * same round has told so.
+   */
+  lost(index: bigint, round: number): boolean {
+    if (round !== this.round) return false;
+    this.match = index;
+    this.setBack(index, round);
+    return true;
+  }
+
   /** Starts again behind `index`, unless an earlier answer already did. */
   setBack(index: bigint, round: number): void {
     if (round !== this.round) return;
--- a/packages/coordination/src/agreement/replication.ts
+++ b/packages/coordination/src/agreement/replication.ts
@@ -133,6 +133,17 @@
     leadership.advance();
     return;
   }
+  /*
+   * A disk that drops synced bytes, or a journal that was cut by hand, leaves a replica without entries that it
+   * acknowledged. Taken for an old answer it would be sent the same message for ever, and stay out of contact.
+   */
+  if (answer.matchIndex < progress.match) {
+    const { match, voter } = progress;
+    if (!progress.lost(answer.matchIndex, sent.round)) return;
+    const range = { acknowledged: match.toString(), held: answer.matchIndex.toString() };
+    replica.log.event(coordinationEvents.lostEntries, { name: voter.name, ...range });
+    return;
+  }
   const isBehind = answer.matchIndex < sent.request.previousIndex;
   if (isBehind) progress.setBack(answer.matchIndex, sent.round);
   else retryLater(leadership, progress, sent);
--- a/packages/coordination/src/events.ts
+++ b/packages/coordination/src/events.ts
@@ -19,5 +19,10 @@
   vouching: { id: 2013, level: 'info', message: 'in contact with a quorum: vouching' },
   isolated: { id: 2014, level: 'warn', message: 'without contact to a quorum: not vouching' },
   wrongReplica: { id: 2015, level: 'warn', message: 'another replica answers under this name' },
+  lostEntries: {
+    id: 2017,
+    level: 'error',
+    message: 'a replica no longer has entries that it acknowledged: its disk lost them; they are sent again',
+  },
   taskFailed: { id: 2016, level: 'error', message: 'a task of the replica failed' },
 });
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -13,6 +13,9 @@
 import type { CallerBindings } from './app.js';
 import { errorBody } from './reply.js';
 
+/** Time for which a refused connection is still read, milliseconds. */
+const LINGER_MS = 1_000;
+
 /** How often Node looks for requests that take too long. */
 const CHECK_INTERVAL_MS = 1_000;
 const MAX_HEADER_FIELDS = 200;
@@ -35,6 +38,8 @@
 /** The callers' listener. */
 export class CallerServer {
   private readonly server: Server;
+  /** Connections that got an error and are read out. */
+  private readonly refused = new WeakSet<Socket>();
   private readonly answering = new Map<Socket, CallerConnection>();
   private lastConnectionAt = 0;
   private stopping = false;
@@ -160,6 +165,7 @@
   }
 
   private refuse(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (this.refused.has(socket)) return;
     if (!socket.writable || error.code === 'ECONNRESET') {
       socket.destroy();
       return;
@@ -169,6 +175,19 @@
     const busy = answers.some((answer) => answer.headersSent || answer.req.complete);
     // Earlier requests of the connection are in work: an error would be read as an answer to one of them.
     if (busy) socket.destroy();
-    else refuseConnection(error.code, socket);
+    else this.refuseSlowly(error, socket);
+  }
+
+  /**
+   * Answers, and reads on for a moment before it closes. Closing while the caller still sends resets the
+   * connection, and the reset takes the error away before the caller has read it.
+   */
+  private refuseSlowly(error: NodeJS.ErrnoException, socket: Socket): void {
+    this.refused.add(socket);
+    refuseConnection(error.code, socket);
+    const calledOff = this.clock.after(LINGER_MS, () => {
+      socket.destroy();
+    });
+    socket.once('close', calledOff);
   }
 }
--- a/packages/proof/src/crossing/verdict.ts
+++ b/packages/proof/src/crossing/verdict.ts
@@ -1,6 +1,9 @@
 /** Whether what a caller saw is right. */
 import type { Answer, Scene } from '../fixture/index.js';
 
+/** No fault here costs a caller more than a few bounds on silence; a stuck one would wait for its deadline of 30 s. */
+const PATIENCE_MS = 20_000;
+
 /** An answer with the model that it was asked of. */
 export interface Seen {
   readonly answer: Answer;
@@ -31,6 +34,7 @@
   const faults = isWhole(seen) ? [] : faultsOfError(seen, runs);
   if (isWhole(seen) && runs === 0) faults.push('an answer that no target ran');
   if (model === 'once' && runs > 1) faults.push(`non-idempotent, ran ${runs} times`);
+  if (answer.tookMs > PATIENCE_MS) faults.push(`took ${Math.round(answer.tookMs)} ms`);
   if (answer.echoedId !== answer.id) faults.push(`request id ${answer.echoedId ?? 'absent'}`);
   return faults.map((fault) => `${answer.id}: ${fault} (${answer.status} ${answer.code ?? ''})`);
 }
--- a/packages/proof/src/storage/journalFile.ts
+++ b/packages/proof/src/storage/journalFile.ts
@@ -20,13 +20,6 @@
   return join(folder, name);
 }
 
-/** Cuts the last bytes off, in the middle of the last record. */
-export async function cutTail(dataFolder: string): Promise<void> {
-  const path = await newestSegment(dataFolder);
-  const { size } = await stat(path);
-  await truncate(path, size - 5);
-}
-
 /** Leaves the beginning of one more record behind the last whole one. */
 export async function beginRecord(dataFolder: string): Promise<void> {
   const path = await newestSegment(dataFolder);
@@ -34,6 +27,13 @@
   await appendFile(path, bytes.subarray(0, TORN_BYTES));
 }
 
+/** Cuts the last bytes off, in the middle of the last record. */
+export async function cutTail(dataFolder: string): Promise<void> {
+  const path = await newestSegment(dataFolder);
+  const { size } = await stat(path);
+  await truncate(path, size - 5);
+}
+
 /** Flips one bit half-way through the file. */
 export async function flipBit(dataFolder: string): Promise<void> {
   const path = await newestSegment(dataFolder);
