Hold numbered configurations, named weights and announced targets in control

Cause: operators of one deployment change all services at once under one number; control held documents service by service only, and targets announced themselves through agents alone. Change: a package for numbered configurations (schema, checks, lookups), a feature of the replicated state, a book of targets that call, a stream for followers, and a way into the cluster for an instance that is told only a few addresses.

--- /dev/null
+++ b/packages/configuration/src/check/check.spec.ts
@@ -0,0 +1,59 @@
+import { describe, expect, it } from 'vitest';
+import type { Configuration } from '../schema/index.js';
+import { checkConfiguration } from './check.js';
+
+const route = {
+  name: 'r1',
+  host: 'a.example',
+  pathPrefix: '/x/',
+  kind: 'once' as const,
+  timeoutMs: 1_000,
+  objectiveMs: 100,
+  priority: 1,
+  services: [{ service: 's1', weight: 1 }],
+  maxAttempts: 1,
+  open: false,
+  hasPrompt: false,
+  resumable: false,
+};
+
+const sound: Configuration = {
+  number: 3,
+  routes: [route],
+  services: [{ name: 's1' }],
+  customers: [{ name: 'c1', keys: ['k1', 'k1'], isolated: false }],
+};
+
+describe('a configuration', () => {
+  it('is taken when all parts fit', () => {
+    expect(checkConfiguration(sound)._unsafeUnwrap()).toEqual(sound);
+  });
+
+  it.each([
+    ['an unknown service', { routes: [{ ...route, services: [{ service: 'gone', weight: 1 }] }] }, 'unknown'],
+    ['two routes at one place', { routes: [route, { ...route, host: 'A.example' }] }, 'two routes'],
+    ['weights of 0', { routes: [{ ...route, services: [{ service: 's1', weight: 0 }] }] }, 'add up to 0'],
+    ['no time', { routes: [{ ...route, timeoutMs: 0 }] }, 'no time'],
+    [
+      'a shared key',
+      {
+        customers: [
+          { name: 'c1', keys: ['k1'], isolated: false },
+          { name: 'c2', keys: ['k1'], isolated: false },
+        ],
+      },
+      'customers c1 and c2 share a key',
+    ],
+    ['no routes', { routes: undefined }, 'routes'],
+    ['a number that is no number', { number: 'seven' }, 'number'],
+  ])('is refused with %s', (_title, change, text) => {
+    const refused = checkConfiguration({ ...sound, ...change })._unsafeUnwrapErr();
+    expect(refused.kind).toBe('invalid-document');
+    expect(refused.message).toContain(text);
+  });
+
+  it('names no key in its errors', () => {
+    const customers = ['c1', 'c2'].map((name) => ({ name, keys: ['secret-key'], isolated: false }));
+    expect(checkConfiguration({ ...sound, customers })._unsafeUnwrapErr().message).not.toContain('secret');
+  });
+});
--- /dev/null
+++ b/packages/configuration/src/check/index.ts
@@ -0,0 +1,1 @@
+export * from './check.js';
--- /dev/null
+++ b/packages/configuration/src/schema/index.ts
@@ -0,0 +1,1 @@
+export * from './schema.js';
--- /dev/null
+++ b/packages/configuration/src/table/index.ts
@@ -0,0 +1,1 @@
+export * from './table.js';
--- /dev/null
+++ b/packages/control/src/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './configurationState.js';
+export * from './configurationService.js';
--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -27,5 +27,17 @@
     level: 'error',
     message: 'the log holds a command of a newer release: upgrade this instance; it serves no longer',
   },
+  configurationAccepted: { id: 3014, level: 'info', message: 'configuration acknowledged' },
+  configurationUnknown: {
+    id: 3015,
+    level: 'warn',
+    message: 'no quorum confirmed the configuration in time: it may or may not be accepted',
+  },
+  weightsNamed: { id: 3016, level: 'info', message: 'weights named' },
+  targetAnnounced: { id: 3017, level: 'info', message: 'a target changed its state' },
+  followed: { id: 3018, level: 'info', message: 'a follower opened its stream' },
+  enlisted: { id: 3019, level: 'info', message: 'an instance asked to vote' },
+  enlisting: { id: 3020, level: 'info', message: 'asked to be taken in as a voter' },
+  enlistUnanswered: { id: 3021, level: 'info', message: 'a control instance did not answer the wish to vote' },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- /dev/null
+++ b/packages/control/src/follow/followService.ts
@@ -0,0 +1,103 @@
+/** Streams of configurations, weights and targets to those that route by them. */
+import { create } from '@bufbuild/protobuf';
+import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
+import type { Clock, Log } from '@jasmineroute/core';
+import { ChangeSignal } from '@jasmineroute/directory';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { ConfigurationState } from '../configuration/index.js';
+import { controlEvents } from '../events.js';
+import type { CommandLog } from '../log/index.js';
+import type { TargetBook } from '../targets/index.js';
+
+/** Time between two events when nothing changes, milliseconds: how a follower knows that it still hears. */
+const HEARTBEAT_MS = 800;
+
+/** What the streams tell of. */
+export interface FollowSources {
+  readonly configuration: ConfigurationState;
+  readonly targets: TargetBook;
+  readonly commandLog: CommandLog;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Aborted when this process stops: streams end, and followers go on with the other instances. */
+  readonly ended: AbortSignal;
+}
+
+/** Serves followers, and control instances that want to vote. */
+export class FollowService implements ServiceImpl<typeof controlMessage.Configurations> {
+  private readonly changed = new ChangeSignal();
+
+  constructor(private readonly sources: FollowSources) {
+    const raise = (): void => {
+      this.changed.raise();
+    };
+    sources.configuration.onChange(raise);
+    sources.targets.onChange(raise);
+    sources.commandLog.onStatus(raise);
+  }
+
+  /** What is held now, then what changes. */
+  async *follow(
+    request: controlMessage.FollowRequest,
+    context: HandlerContext,
+  ): AsyncGenerator<controlMessage.FollowEvent> {
+    const { clock, log, ended } = this.sources;
+    const signal = AbortSignal.any([ended, context.signal]);
+    const follower = new Follower(this.sources, request.number);
+    log.event(controlEvents.followed, { follower: request.name, number: Number(request.number) });
+    while (!signal.aborted) {
+      yield follower.event();
+      // What changed while the event was on its way out raised no signal that anybody waited for.
+      if (!follower.isBehind()) await this.changed.wait(clock, HEARTBEAT_MS, signal);
+    }
+  }
+
+  /** Makes the asking instance a voter, if this one leads. */
+  enlist(request: controlMessage.EnlistRequest): controlMessage.EnlistResponse {
+    const { commandLog, log } = this.sources;
+    const status = commandLog.status();
+    const members = commandLog.members();
+    if (status.state === 'leader') {
+      log.event(controlEvents.enlisted, { name: request.name, address: request.address });
+      void commandLog.enlist({ name: request.name, address: request.address });
+      return create(controlMessage.EnlistResponseSchema, {});
+    }
+    const leader = members.find(({ name }) => name === status.leader)?.address ?? '';
+    return create(controlMessage.EnlistResponseSchema, { leader });
+  }
+}
+
+/** How far one follower has been told. */
+class Follower {
+  private place = 0;
+  private vouched = false;
+
+  constructor(
+    private readonly sources: FollowSources,
+    private number: bigint,
+  ) {}
+
+  isBehind(): boolean {
+    const { configuration, targets, commandLog } = this.sources;
+    const isOld = configuration.held().number > this.number || targets.place() > this.place;
+    return isOld || commandLog.status().vouched !== this.vouched;
+  }
+
+  event(): controlMessage.FollowEvent {
+    const { configuration, targets, commandLog } = this.sources;
+    const held = configuration.held();
+    const { vouched } = commandLog.status();
+    const event = create(controlMessage.FollowEventSchema, {
+      vouched,
+      number: held.number,
+      content: held.number > this.number ? held.content : undefined,
+      weights: configuration.weights(),
+      targets: targets.since(this.place),
+      controls: commandLog.members().map(({ address }) => address),
+    });
+    this.place = targets.place();
+    this.vouched = vouched;
+    if (held.number > this.number) this.number = held.number;
+    return event;
+  }
+}
--- /dev/null
+++ b/packages/control/src/follow/index.ts
@@ -0,0 +1,2 @@
+export * from './followService.js';
+export * from './enlisting.js';
--- a/packages/control/src/log/commandLog.ts
+++ b/packages/control/src/log/commandLog.ts
@@ -44,6 +44,10 @@
   status(): LogStatus;
   onStatus(listener: () => void): () => void;
   onApplied(listener: (index: bigint) => void): () => void;
+  /** Voters and learners, as far as known. */
+  members(): readonly ReplicaAddress[];
+  /** Adds a voter, or its new disk, to those there are; only the leader acts. */
+  enlist(replica: ReplicaAddress): Promise<Result<void, Fault>>;
   changeReplicas(wanted: ReplicaAddress[]): Promise<Result<void, Fault>>;
   replicas(): Promise<LogReplica[]>;
   close(): Promise<void>;
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -6,14 +6,17 @@
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { ClaimService } from '../claims/index.js';
+import { ConfigurationService } from '../configuration/index.js';
 import { DocumentService, DocumentView } from '../documents/index.js';
 import { controlEvents } from '../events.js';
+import { FollowService, enlist } from '../follow/index.js';
 import { Proposer } from '../log/index.js';
 import type { CommandLog } from '../log/index.js';
 import { controlMetrics } from '../metrics.js';
 import { ReplicaKeeper } from '../replicas/index.js';
 import type { ControlSettings } from '../setting/index.js';
 import { ControlDocumentSource, localStatus, wholeStatus } from '../status/index.js';
+import { TargetBook } from '../targets/index.js';
 import { TimeKeeper } from '../time/index.js';
 import { TurnService } from '../turns/index.js';
 import { createMembership } from './createMembership.js';
@@ -33,6 +36,10 @@
   private readonly source: ControlDocumentSource;
   private readonly timeKeeper: TimeKeeper;
   private readonly replicaKeeper: ReplicaKeeper;
+  /** Numbered configurations, for operators' interfaces in this process. */
+  readonly configurations: ConfigurationService;
+  /** Announced targets, for interfaces in this process that targets call. */
+  readonly targets: TargetBook;
   private readonly ended = new AbortController();
   private draining = false;
 
@@ -49,6 +56,8 @@
     this.source = new ControlDocumentSource(state.documents, commandLog);
     this.timeKeeper = new TimeKeeper(state.machine, commandLog, this.proposer, clock, log);
     this.replicaKeeper = new ReplicaKeeper(this.view, commandLog, clock, log);
+    this.configurations = new ConfigurationService(this.proposer, clock, log);
+    this.targets = new TargetBook(clock, log, settings.targetHeartbeatMs);
     this.source.onChange(() => {
       this.measure();
       // Not within the step of the log, which others wait for.
@@ -93,6 +102,14 @@
       take: (request) => turns.take(request),
       release: (request) => turns.release(request),
     });
+    const { configuration } = state;
+    const { commandLog, targets } = this;
+    const ended = this.ended.signal;
+    const follow = new FollowService({ configuration, targets, commandLog, clock, log, ended });
+    router.service(controlMessage.Configurations, {
+      follow: (request, call) => follow.follow(request, call),
+      enlist: (request) => follow.enlist(request),
+    });
     serveDirectory(router, {
       documents: this.source,
       instances: this.members,
@@ -104,7 +121,9 @@
 
   async start(address: string): Promise<void> {
     await this.commandLog.start(address);
-    this.members.start(() => this.self(address));
+    if (this.settings.gossip) this.members.start(() => this.self(address));
+    void this.targets.run();
+    if (this.settings.enlists) void this.enlist(address);
     void this.timeKeeper.run();
     void this.replicaKeeper.run();
     this.context.log.event(controlEvents.started, { address });
@@ -129,10 +148,21 @@
   async close(): Promise<void> {
     this.timeKeeper.stop();
     this.replicaKeeper.stop();
+    this.targets.stop();
+    this.ended.abort();
     await this.members.stop();
     await this.commandLog.close();
   }
 
+  private enlist(address: string): Promise<void> {
+    const { name, controls, peers, clock, log } = this.context;
+    const { commandLog } = this;
+    const known = (): readonly string[] => [
+      ...new Set([...controls, ...commandLog.members().map((member) => member.address)]),
+    ];
+    return enlist({ name, address, known, commandLog, peers, clock, log }, this.ended.signal);
+  }
+
   private leaderAddress(): string {
     const { leader = '' } = this.commandLog.status();
     return this.members.current().get(leader)?.address ?? '';
--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -1,6 +1,6 @@
 /** Makes a control instance over the replicated log. */
 import { join } from 'node:path';
-import { ReplicatedLog, fileDisk } from '@jasmineroute/coordination';
+import { ReplicatedLog, fileDisk, withoutLock } from '@jasmineroute/coordination';
 import type { Disk } from '@jasmineroute/coordination';
 import { fault } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
@@ -44,7 +44,7 @@
     log,
     metrics,
     stateMachine: state.machine,
-    disk,
+    disk: settings.exclusiveFolder ? disk : withoutLock(disk),
     ...SNAPSHOT,
   });
   return opened.map((replicatedLog) => new Control(context, settings, state, replicatedLog));
--- a/packages/control/src/role/createState.ts
+++ b/packages/control/src/role/createState.ts
@@ -2,6 +2,7 @@
 import { Registry } from '@jasmineroute/core';
 import { ClaimState } from '../claims/index.js';
 import { DocumentState } from '../documents/index.js';
+import { ConfigurationState } from '../configuration/index.js';
 import { ControlState } from '../state/index.js';
 import type { Feature } from '../state/index.js';
 import { TurnState } from '../turns/index.js';
@@ -11,6 +12,7 @@
   readonly documents: DocumentState;
   readonly claims: ClaimState;
   readonly turns: TurnState;
+  readonly configuration: ConfigurationState;
   readonly machine: ControlState;
 }
 
@@ -19,9 +21,11 @@
   const documents = new DocumentState();
   const claims = new ClaimState();
   const turns = new TurnState();
+  const configuration = new ConfigurationState();
   const features = new Registry<Feature>('feature')
     .add('documents', documents)
     .add('claims', claims)
-    .add('turns', turns);
-  return { documents, claims, turns, machine: new ControlState(features) };
+    .add('turns', turns)
+    .add('configuration', configuration);
+  return { documents, claims, turns, configuration, machine: new ControlState(features) };
 }
--- a/packages/control/src/setting/controlSettings.ts
+++ b/packages/control/src/setting/controlSettings.ts
@@ -20,10 +20,24 @@
 
 const count = (): z.ZodCoercedNumber => z.coerce.number().int().positive();
 
+const flag = (initial: boolean) => z.stringbool().default(initial);
+
 export const controlSettings = z.object({
   replicas: replicaList.describe(
     'control instances of the first start, this one included, as name=host:port with commas between; later changes are made in the control document',
   ),
+  gossip: flag(true).describe(
+    'whether control instances tell each other which processes beat at them; "false" where no process announces itself by beats',
+  ),
+  enlists: flag(false).describe(
+    'whether an instance that does not vote asks the others to take it in; "false": the control document says who votes',
+  ),
+  exclusiveFolder: flag(true).describe(
+    'whether the data folder is locked against a second process; "false" where the platform never starts two and the disk has no hard links',
+  ),
+  targetHeartbeatMs: count()
+    .default(1_000)
+    .describe('milliseconds between two heartbeats of a target that announces itself by calls'),
   proposalTimeoutMs: count()
     .default(3_000)
     .describe('milliseconds until a change that no quorum has confirmed is given up as unknown'),
--- /dev/null
+++ b/packages/control/src/targets/index.ts
@@ -0,0 +1,1 @@
+export * from './targetBook.js';
--- /dev/null
+++ b/packages/control/src/targets/targetBook.ts
@@ -0,0 +1,153 @@
+/** Targets that announced themselves to this control instance. */
+import { create } from '@bufbuild/protobuf';
+import type { Clock, Log } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import { controlEvents } from '../events.js';
+
+/** Heartbeats that may be missed before a target counts as silent: one lost and one late. */
+const MISSED_HEARTBEATS = 3;
+
+/** Time after which a target that left or fell silent is forgotten, milliseconds: longer than a call may be late. */
+const FORGET_MS = 120_000;
+
+/** How often silence is looked for, milliseconds. */
+const LOOK_MS = 300;
+
+const { Announcement, AnnouncedTargetSchema } = controlMessage;
+
+/** What a target says of itself in a heartbeat. */
+export interface Heartbeat {
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly capacity: number;
+  readonly draining: boolean;
+  /** Grows with each heartbeat of the target. */
+  readonly sequence: number;
+  readonly coldMs: number;
+  readonly weights: readonly { readonly model: string; readonly version: number }[];
+}
+
+interface Entry {
+  readonly target: controlMessage.AnnouncedTarget;
+  readonly heardAt: number;
+  /** Place of the last change that followers must hear of. */
+  readonly place: number;
+}
+
+/** A target's state, without what changes with each heartbeat. */
+function essence(target: controlMessage.AnnouncedTarget): string {
+  const { service, address, announcement, capacity, weights } = target;
+  const versions = weights.map(({ model, version }) => `${model}@${version}`);
+  return [service, address, announcement, capacity, ...versions].join(' ');
+}
+
+/**
+ * What this instance heard of targets. Each control instance keeps a book of its own and followers read all of
+ * them, so a heartbeat need not go to a certain instance, and none waits for a quorum.
+ */
+export class TargetBook {
+  private readonly entries = new Map<string, Entry>();
+  private readonly listeners = new Set<() => void>();
+  private lastPlace = 0;
+  private readonly ended = new AbortController();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly heartbeatMs: number,
+  ) {}
+
+  /** Place of the newest change. */
+  place(): number {
+    return this.lastPlace;
+  }
+
+  /** Targets that changed after a place; 0 gives all. */
+  since(place: number): controlMessage.AnnouncedTarget[] {
+    return [...this.entries.values()].filter((entry) => entry.place > place).map(({ target }) => target);
+  }
+
+  /** Calls back after each change. Returns the way to stop. */
+  onChange(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Takes a heartbeat. One that was overtaken by a newer one, or by the target's leave, changes nothing. */
+  beat(heartbeat: Heartbeat): void {
+    const known = this.entries.get(heartbeat.id);
+    const { sequence } = heartbeat;
+    if (known !== undefined && this.isOvertaken(known.target, sequence)) return;
+    this.put(targetOf(heartbeat));
+  }
+
+  /** Takes a target's leave, also of one that this instance has not heard of. */
+  leave(id: string): void {
+    const known = this.entries.get(id)?.target;
+    if (known?.announcement === Announcement.LEFT) return;
+    const base = known ?? create(AnnouncedTargetSchema, { id });
+    this.put({ ...base, announcement: Announcement.LEFT });
+  }
+
+  /** Looks for silent targets until `stop`. */
+  async run(): Promise<void> {
+    const { signal } = this.ended;
+    while (!signal.aborted) {
+      this.look();
+      await this.clock.sleep(LOOK_MS, signal).catch(() => undefined);
+    }
+  }
+
+  stop(): void {
+    this.ended.abort();
+  }
+
+  /** Marks targets that were not heard for too long, and forgets those that are gone for good. */
+  look(): void {
+    const now = this.clock.monotonic();
+    for (const { target, heardAt } of [...this.entries.values()]) {
+      const silentMs = now - heardAt;
+      if (silentMs > FORGET_MS) this.entries.delete(target.id);
+      else if (this.isSilent(target, silentMs)) this.put({ ...target, announcement: Announcement.SILENT }, heardAt);
+    }
+  }
+
+  private isSilent({ announcement }: controlMessage.AnnouncedTarget, silentMs: number): boolean {
+    const speaks = announcement === Announcement.READY || announcement === Announcement.DRAINING;
+    return speaks && silentMs > MISSED_HEARTBEATS * this.heartbeatMs;
+  }
+
+  /** A target that left never comes back under its id: each start of a target has a new one. */
+  private isOvertaken(known: controlMessage.AnnouncedTarget, sequence: number): boolean {
+    return known.announcement === Announcement.LEFT || known.sequence >= BigInt(sequence);
+  }
+
+  private put(target: controlMessage.AnnouncedTarget, heardAt = this.clock.monotonic()): void {
+    const known = this.entries.get(target.id);
+    const isNews = known === undefined || essence(known.target) !== essence(target);
+    if (isNews) this.lastPlace += 1;
+    this.entries.set(target.id, { target, heardAt, place: isNews ? this.lastPlace : known.place });
+    if (!isNews) return;
+    this.log.event(controlEvents.targetAnnounced, {
+      target: target.id,
+      service: target.service,
+      address: target.address,
+      state: Announcement[target.announcement],
+      before: known === undefined ? undefined : Announcement[known.target.announcement],
+      sequence: Number(target.sequence),
+    });
+    for (const listener of this.listeners) listener();
+  }
+}
+
+function targetOf(heartbeat: Heartbeat): controlMessage.AnnouncedTarget {
+  const { draining, sequence, weights, ...rest } = heartbeat;
+  return create(AnnouncedTargetSchema, {
+    ...rest,
+    announcement: draining ? Announcement.DRAINING : Announcement.READY,
+    sequence: BigInt(sequence),
+    weights: weights.map(({ model, version }) => ({ model, version: BigInt(version) })),
+  });
+}
--- a/packages/coordination/src/agreement/reconfiguration.ts
+++ b/packages/coordination/src/agreement/reconfiguration.ts
@@ -21,6 +21,11 @@
     this.wanted = wanted.map(({ name, address }) => ({ name, address }));
   }
 
+  /** Drops what was asked for: the replicas that there are stay. */
+  forget(): void {
+    this.wanted = undefined;
+  }
+
   /** Whether the wanted replicas are the voters, by a committed configuration. */
   isDone(): boolean {
     const { index, configuration } = this.replica.entries.configuration();
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -158,6 +158,23 @@
     return ok();
   }
 
+  /** Voters and learners of the newest configuration in the log. */
+  members(): readonly ReplicaAddress[] {
+    return membersOf(this.replica.configuration).map(({ name, address }) => ({ name, address }));
+  }
+
+  /**
+   * Adds a voter to those there are; a known name with an empty disk is replaced all the same. Acts on the leader
+   * only. The wish is forgotten at the end: a replica that led before and still wanted an older list would
+   * otherwise remove, once it leads again, whoever was added since.
+   */
+  async enlist(added: ReplicaAddress): Promise<Result<void, Fault>> {
+    const others = this.members().filter(({ name }) => name !== added.name);
+    const changed = await this.changeReplicas([...others, added]);
+    this.reconfiguration.forget();
+    return changed;
+  }
+
   /** Asks all replicas for their status; those without an answer are marked unreachable. */
   async replicas(): Promise<ReplicaReport[]> {
     const { replica } = this;
--- a/packages/coordination/src/storage/fileDisk.ts
+++ b/packages/coordination/src/storage/fileDisk.ts
@@ -59,3 +59,12 @@
   syncFolder,
   lock: lockFolder,
 };
+
+/**
+ * A disk whose folders are not locked: for platforms that never run two processes on one folder, and whose disks
+ * have no hard links, which the lock needs to appear with its whole content at once.
+ */
+export const withoutLock = (disk: Disk): Disk => ({
+  ...disk,
+  lock: () => Promise.resolve(() => Promise.resolve()),
+});
