Bring named weights to targets from the process beside each

Change: a role beside each target that pulls the named version under a fenced turn, tells entries of the pause first, and lets streams that may go on elsewhere leave. Still broken: the target that is furthest behind waits for others, and a stream that moves may begin on weights that were replaced long ago.

--- a/packages/agent/src/order/turn.ts
+++ b/packages/agent/src/order/turn.ts
@@ -3,17 +3,17 @@
 import type { TakeRequest } from '@jasmineroute/directory';
 import type { Result } from 'neverthrow';
 
-/** How long a turn lasts without being renewed. */
+/** How long a turn lasts without being renewed, unless its taker wishes otherwise. */
 export const TURN_TTL_MS = 10_000;
 
-/** Time between two renewals. */
-const RENEW_MS = 2_500;
+/** Renewals in the time of a turn: three may be lost. */
+const RENEWALS = 4;
 
 /** Longest wait for an answer. */
 const CALL_TIMEOUT_MS = 2_000;
 
-/** Stops acting this long before the end of a turn: an order must not leave at its last moment. */
-const MARGIN_MS = 1_000;
+/** Stops acting this part of a turn's time before its end: an order must not leave at its last moment. */
+const MARGIN = 0.1;
 
 /** What gives turns: control's quorum. */
 export interface TurnSource {
@@ -33,6 +33,8 @@
   readonly holder: string;
   readonly incarnation: bigint;
   readonly limit: number;
+  /** How long it lasts without being renewed, milliseconds; `TURN_TTL_MS` when absent. */
+  readonly ttlMs?: number;
 }
 
 /** A turn that was granted. */
@@ -45,6 +47,7 @@
     private readonly wish: TurnWish,
     readonly fence: bigint,
     private until: number,
+    private readonly ttlMs: number,
   ) {}
 
   /** Aborts when the turn is lost or given back. */
@@ -54,16 +57,17 @@
 
   /** Whether there is time left to act in. */
   get held(): boolean {
-    return !this.ended.signal.aborted && this.clock.monotonic() < this.until - MARGIN_MS;
+    return !this.ended.signal.aborted && this.clock.monotonic() < this.until - MARGIN * this.ttlMs;
   }
 
   /** Takes a turn. @returns undefined when others have it, or no quorum answers. */
   static async take(source: TurnSource, clock: Clock, wish: TurnWish): Promise<Turn | undefined> {
     // Counted from before the request left: the grant may be older than its answer.
     const asked = clock.monotonic();
-    const answer = await source.take({ ...wish, ttlMs: TURN_TTL_MS }, CALL_TIMEOUT_MS);
+    const ttlMs = wish.ttlMs ?? TURN_TTL_MS;
+    const answer = await source.take({ ...wish, ttlMs }, CALL_TIMEOUT_MS);
     if (answer.isErr() || !answer.value.granted) return undefined;
-    const turn = new Turn(source, clock, wish, answer.value.fence, asked + TURN_TTL_MS);
+    const turn = new Turn(source, clock, wish, answer.value.fence, asked + ttlMs, ttlMs);
     void turn.renew();
     return turn;
   }
@@ -77,26 +81,26 @@
   }
 
   private async renew(): Promise<void> {
-    const { clock, source, wish } = this;
+    const { clock, source, wish, ttlMs } = this;
     while (await this.pause()) {
       if (!this.held) {
         this.ended.abort(new Error('the turn has run out'));
         return;
       }
       const asked = clock.monotonic();
-      const answer = await source.take({ ...wish, ttlMs: TURN_TTL_MS }, CALL_TIMEOUT_MS);
+      const answer = await source.take({ ...wish, ttlMs }, CALL_TIMEOUT_MS);
       if (answer.isErr()) continue;
       // Another fence is another grant: between the two, somebody else may have acted.
       if (!answer.value.granted || answer.value.fence !== this.fence) {
         this.ended.abort(new Error('the turn was lost'));
         return;
       }
-      this.until = asked + TURN_TTL_MS;
+      this.until = asked + ttlMs;
     }
   }
 
   private async pause(): Promise<boolean> {
-    await this.clock.sleep(RENEW_MS, this.ended.signal).catch(() => undefined);
+    await this.clock.sleep(this.ttlMs / RENEWALS, this.ended.signal).catch(() => undefined);
     return !this.ended.signal.aborted;
   }
 }
--- a/packages/control/src/configuration/configurationState.ts
+++ b/packages/control/src/configuration/configurationState.ts
@@ -21,6 +21,9 @@
 export class ConfigurationState implements Feature {
   private current = NONE;
   private readonly versions = new Map<string, bigint>();
+  /** When this instance first told of a version, by model: not replicated, for the age that followers hear. */
+  private readonly toldAt = new Map<string, { readonly version: bigint; readonly at: number }>();
+  private namings = 0;
   private readonly listeners = new Set<() => void>();
 
   readonly handlers: CommandHandlers = {
@@ -34,11 +37,17 @@
     return this.current;
   }
 
-  /** The newest named version of each model's weights. */
-  weights(): controlMessage.NamedWeights[] {
-    return [...this.versions].map(([model, version]) =>
-      create(controlMessage.NamedWeightsSchema, { model, version }),
-    );
+  /** The newest named version of each model's weights; `now`, monotonic, gives their ages. */
+  weights(now?: number): controlMessage.NamedWeights[] {
+    return [...this.versions].map(([model, version]) => {
+      const ageMs = now === undefined ? 0 : Math.round(now - this.firstToldAt(model, version, now));
+      return create(controlMessage.NamedWeightsSchema, { model, version, ageMs });
+    });
+  }
+
+  /** Counts how often weights were named, so that followers hear of it at once. */
+  weightsVersion(): number {
+    return this.namings;
   }
 
   /** Calls back after each change and each restored snapshot. Returns the way to stop. */
@@ -71,6 +80,13 @@
     this.announce();
   }
 
+  private firstToldAt(model: string, version: bigint, now: number): number {
+    const told = this.toldAt.get(model);
+    if (told?.version === version) return told.at;
+    this.toldAt.set(model, { version, at: now });
+    return now;
+  }
+
   private configure({ number, content, source }: stateMessage.Configure): stateMessage.ConfigureOutcome {
     const stored = number > this.current.number;
     if (stored) {
@@ -85,6 +101,7 @@
     const known = this.versions.get(model) ?? 0n;
     if (version > known) {
       this.versions.set(model, version);
+      this.namings += 1;
       this.announce();
     }
     return create(stateMessage.NameWeightsOutcomeSchema, { version: version > known ? version : known });
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -70,6 +70,12 @@
     else this.entries.delete(name);
   }
 
+  /** Takes what the process beside a target says of it. */
+  observe(request: controlMessage.ObserveRequest): controlMessage.ObserveResponse {
+    const known = this.sources.targets.observe(request);
+    return create(controlMessage.ObserveResponseSchema, { known });
+  }
+
   /** Makes the asking instance a voter, if this one leads. */
   enlist(request: controlMessage.EnlistRequest): controlMessage.EnlistResponse {
     const { commandLog, log } = this.sources;
@@ -88,6 +94,7 @@
 /** How far one follower has been told. */
 class Follower {
   private place = 0;
+  private weights = 0;
   private vouched = false;
 
   constructor(
@@ -97,7 +104,7 @@
 
   isBehind(): boolean {
     const { configuration, targets, commandLog } = this.sources;
-    const isOld = configuration.held().number > this.number || targets.place() > this.place;
+    const isOld = configuration.held().number > this.number || targets.place() > this.place || configuration.weightsVersion() > this.weights;
     return isOld || commandLog.status().vouched !== this.vouched;
   }
 
@@ -109,13 +116,14 @@
       vouched,
       number: held.number,
       content: held.number > this.number ? held.content : undefined,
-      weights: configuration.weights(),
+      weights: configuration.weights(this.sources.clock.monotonic()),
       targets: targets.since(this.place),
       controls: commandLog.members().map(({ address }) => address),
       entries,
     });
     this.place = targets.place();
     this.vouched = vouched;
+    this.weights = configuration.weightsVersion();
     if (held.number > this.number) this.number = held.number;
     return event;
   }
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -109,6 +109,7 @@
     router.service(controlMessage.Configurations, {
       follow: (request, call) => follow.follow(request, call),
       enlist: (request) => follow.enlist(request),
+      observe: (request) => follow.observe(request),
     });
     serveDirectory(router, {
       documents: this.source,
--- a/packages/control/src/targets/targetBook.ts
+++ b/packages/control/src/targets/targetBook.ts
@@ -10,6 +10,9 @@
 /** Time after which a target that left or fell silent is forgotten, milliseconds: longer than a call may be late. */
 const FORGET_MS = 120_000;
 
+/** A pause that was not renewed for so long is over, milliseconds: whoever asked for it is gone. */
+const PAUSE_MS = 6_000;
+
 /** How often silence is looked for, milliseconds. */
 const LOOK_MS = 300;
 
@@ -32,15 +35,17 @@
 interface Entry {
   readonly target: controlMessage.AnnouncedTarget;
   readonly heardAt: number;
+  /** When the last observation came; absent: none. */
+  readonly observedAt?: number;
   /** Place of the last change that followers must hear of. */
   readonly place: number;
 }
 
 /** A target's state, without what changes with each heartbeat. */
 function essence(target: controlMessage.AnnouncedTarget): string {
-  const { service, address, announcement, capacity, weights } = target;
+  const { service, address, announcement, capacity, weights, paused } = target;
   const versions = weights.map(({ model, version }) => `${model}@${version}`);
-  return [service, address, announcement, capacity, ...versions].join(' ');
+  return [service, address, announcement, capacity, paused, ...versions].join(' ');
 }
 
 /**
@@ -80,7 +85,18 @@
     const known = this.entries.get(heartbeat.id);
     const { sequence } = heartbeat;
     if (known !== undefined && this.isOvertaken(known.target, sequence)) return;
-    this.put(targetOf(heartbeat));
+    this.put(targetOf(heartbeat, known?.target));
+  }
+
+  /** Takes what the process beside a target says of it. @returns whether the target is known here. */
+  observe({ targetId, observation, paused, weights }: controlMessage.ObserveRequest): boolean {
+    const known = this.entries.get(targetId);
+    if (known === undefined) return false;
+    const { target, heardAt } = known;
+    if (observation < target.observation) return true;
+    const newest = newerWeights(target.weights, weights);
+    this.put({ ...target, paused, observation, weights: newest }, heardAt, this.clock.monotonic());
+    return true;
   }
 
   /** Takes a target's leave, also of one that this instance has not heard of. */
@@ -107,8 +123,12 @@
   /** Marks targets that were not heard for too long, and forgets those that are gone for good. */
   look(): void {
     const now = this.clock.monotonic();
-    for (const { target, heardAt } of [...this.entries.values()]) {
+    for (const { target, heardAt, observedAt = now } of [...this.entries.values()]) {
       const silentMs = now - heardAt;
+      if (target.paused && now - observedAt > PAUSE_MS) {
+        this.put({ ...target, paused: false }, heardAt);
+        continue;
+      }
       if (silentMs > FORGET_MS) this.entries.delete(target.id);
       else if (this.isSilent(target, silentMs)) this.put({ ...target, announcement: Announcement.SILENT }, heardAt);
     }
@@ -124,11 +144,16 @@
     return known.announcement === Announcement.LEFT || known.sequence >= BigInt(sequence);
   }
 
-  private put(target: controlMessage.AnnouncedTarget, heardAt = this.clock.monotonic()): void {
+  private put(
+    target: controlMessage.AnnouncedTarget,
+    heardAt = this.clock.monotonic(),
+    observedAt = this.entries.get(target.id)?.observedAt,
+  ): void {
     const known = this.entries.get(target.id);
     const isNews = known === undefined || essence(known.target) !== essence(target);
     if (isNews) this.lastPlace += 1;
-    this.entries.set(target.id, { target, heardAt, place: isNews ? this.lastPlace : known.place });
+    const place = isNews ? this.lastPlace : known.place;
+    this.entries.set(target.id, { target, heardAt, observedAt, place });
     if (!isNews) return;
     this.log.event(controlEvents.targetAnnounced, {
       target: target.id,
@@ -136,18 +161,41 @@
       address: target.address,
       state: Announcement[target.announcement],
       before: known === undefined ? undefined : Announcement[known.target.announcement],
+      paused: target.paused,
+      weights: target.weights.map(({ model, version }) => `${model}@${version}`),
       sequence: Number(target.sequence),
     });
     for (const listener of this.listeners) listener();
   }
 }
 
-function targetOf(heartbeat: Heartbeat): controlMessage.AnnouncedTarget {
+/** The newer version of each model: versions of weights only grow, and a heartbeat may be older than an observation. */
+function newerWeights(
+  some: readonly controlMessage.NamedWeights[],
+  others: readonly controlMessage.NamedWeights[],
+): controlMessage.NamedWeights[] {
+  const newest = new Map<string, controlMessage.NamedWeights>();
+  for (const weights of [...some, ...others]) {
+    const known = newest.get(weights.model);
+    if (known === undefined || known.version < weights.version) newest.set(weights.model, weights);
+  }
+  return [...newest.values()];
+}
+
+function targetOf(
+  heartbeat: Heartbeat,
+  known?: controlMessage.AnnouncedTarget,
+): controlMessage.AnnouncedTarget {
   const { draining, sequence, weights, ...rest } = heartbeat;
+  const told = weights.map(({ model, version }) =>
+    create(controlMessage.NamedWeightsSchema, { model, version: BigInt(version) }),
+  );
   return create(AnnouncedTargetSchema, {
     ...rest,
     announcement: draining ? Announcement.DRAINING : Announcement.READY,
     sequence: BigInt(sequence),
-    weights: weights.map(({ model, version }) => ({ model, version: BigInt(version) })),
+    weights: newerWeights(known?.weights ?? [], told),
+    paused: known?.paused,
+    observation: known?.observation,
   });
 }
--- a/packages/relay/src/knowledge/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -3,7 +3,7 @@
 import type { Clock, Log } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
-import { relayEvents } from '../events.js';
+import { knowledgeEvents } from './events.js';
 import type { Knowledge } from './knowledge.js';
 
 /**
@@ -90,7 +90,7 @@
       const events = await this.stream(address, signal);
       if (events > 0) {
         knowledge.lost(address);
-        log.event(relayEvents.controlLost, { control: address, events });
+        log.event(knowledgeEvents.controlLost, { control: address, events });
         pauseMs = FIRST_PAUSE_MS;
       }
       await clock.sleep(pauseMs * (0.5 + Math.random() / 2), signal).catch(() => undefined);
@@ -116,14 +116,14 @@
       for await (const event of stream) {
         calledOff();
         calledOff = clock.after(SILENCE_MS, silent);
-        if (events === 0) log.event(relayEvents.controlFollowed, { control: address, number: Number(event.number) });
+        if (events === 0) log.event(knowledgeEvents.controlFollowed, { control: address, number: Number(event.number) });
         knowledge.apply(address, event, events === 0);
         events += 1;
         this.hear(address, event.controls);
       }
     } catch (error) {
       // Expected while an instance is down; the count of events tells whether anything was lost with it.
-      if (events > 0) log.event(relayEvents.controlLost, { control: address, problem: String(error) });
+      if (events > 0) log.event(knowledgeEvents.controlLost, { control: address, problem: String(error) });
     } finally {
       calledOff();
     }
--- a/packages/relay/src/knowledge/index.ts
+++ b/packages/knowledge/src/index.ts
@@ -1,3 +1,5 @@
+/** What a process knows from control, and how it learns it. */
+export * from './events.js';
 export * from './follower.js';
 export * from './knowledge.js';
 export * from './targetList.js';
--- a/packages/relay/src/knowledge/knowledge.ts
+++ b/packages/knowledge/src/knowledge.ts
@@ -3,17 +3,24 @@
 import type { RoutingTable } from '@jasmineroute/configuration';
 import type { Clock, Log } from '@jasmineroute/core';
 import type { controlMessage } from '@jasmineroute/protocol';
-import { relayEvents } from '../events.js';
+import { knowledgeEvents } from './events.js';
 import { TargetList } from './targetList.js';
 
 const decoder = new TextDecoder();
 
+/** A version of weights and when it was named. */
+export interface NamedVersion {
+  readonly version: number;
+  /** Monotonic time, as early as any control instance knows. */
+  readonly namedAt: number;
+}
+
 /** Replaced piece by piece by what control instances tell; never goes back to an older configuration. */
 export class Knowledge {
   readonly targets: TargetList;
   private current: RoutingTable | undefined;
   private isConfirmed = false;
-  private readonly versions = new Map<string, number>();
+  private readonly named = new Map<string, NamedVersion>();
   private readonly entryCounts = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
 
@@ -38,8 +45,13 @@
   }
 
   /** The newest version of a model's weights that was named. */
-  weightsOf(model: string): number | undefined {
-    return this.versions.get(model);
+  weightsOf(model: string): NamedVersion | undefined {
+    return this.named.get(model);
+  }
+
+  /** Models whose weights were named. */
+  models(): string[] {
+    return [...this.named.keys()];
   }
 
   /** Entries that serve callers now, this one included. */
@@ -47,7 +59,7 @@
     return Math.max(1, ...this.entryCounts.values());
   }
 
-  /** Calls back after each new configuration. Returns the way to stop. */
+  /** Calls back after each new configuration and each naming of weights. Returns the way to stop. */
   onChange(listener: () => void): () => void {
     this.listeners.add(listener);
     return () => this.listeners.delete(listener);
@@ -61,7 +73,7 @@
     if (whole || event.targets.length > 0) this.targets.apply(control, event.targets, whole);
     if (event.vouched && !this.isConfirmed) {
       this.isConfirmed = true;
-      this.log.event(relayEvents.confirmed, { control, number: this.current?.number });
+      this.log.event(knowledgeEvents.confirmed, { control, number: this.current?.number });
     }
   }
 
@@ -76,20 +88,26 @@
     if (content.length === 0 || Number(number) <= held) return;
     const parsed = configuration.safeParse(JSON.parse(decoder.decode(content)));
     if (!parsed.success) {
-      this.log.event(relayEvents.badConfiguration, { number: Number(number), problem: parsed.error.message });
+      this.log.event(knowledgeEvents.badConfiguration, { number: Number(number), problem: parsed.error.message });
       return;
     }
     this.current = routingTable(parsed.data);
-    this.log.event(relayEvents.configured, { number: Number(number), before: held });
+    this.log.event(knowledgeEvents.configured, { number: Number(number), before: held });
     for (const listener of this.listeners) listener();
   }
 
   private nameWeights(weights: readonly controlMessage.NamedWeights[]): void {
-    for (const { model, version } of weights) {
-      const known = this.versions.get(model) ?? 0;
-      if (Number(version) <= known) continue;
-      this.versions.set(model, Number(version));
-      this.log.event(relayEvents.weightsNamed, { model, version: Number(version), before: known });
+    const now = this.clock.monotonic();
+    for (const { model, version: sent, ageMs } of weights) {
+      const known = this.named.get(model);
+      const version = Number(sent);
+      const namedAt = now - ageMs;
+      if (known !== undefined && version < known.version) continue;
+      if (known?.version === version && known.namedAt <= namedAt) continue;
+      this.named.set(model, { version, namedAt });
+      if (known?.version === version) continue;
+      this.log.event(knowledgeEvents.weightsNamed, { model, version, before: known?.version, ageMs });
+      for (const listener of this.listeners) listener();
     }
   }
 }
--- a/packages/relay/src/knowledge/targetList.ts
+++ b/packages/knowledge/src/targetList.ts
@@ -1,7 +1,7 @@
 /** Announced targets as this process believes them, merged from all control instances. */
 import type { Clock, Log } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
-import { relayEvents } from '../events.js';
+import { knowledgeEvents } from './events.js';
 
 const { Announcement } = controlMessage;
 
@@ -23,16 +23,22 @@
   readonly capacity: number;
   /** Version of the weights of each model, as announced. */
   readonly weights: ReadonlyMap<string, number>;
+  /** Takes no new work for a moment: its weights are being replaced. */
+  readonly paused: boolean;
 }
 
 interface Known {
   target: Target;
   sequence: bigint;
+  /** Number of the observation that the target's weights and pause come from. */
+  observation: bigint;
   /** Its own word: draining and left are final. */
   announcement: controlMessage.Announcement;
   /** Control instances that hear it: the instance's address to whether it does. */
   readonly heardBy: Map<string, boolean>;
   changedAt: number;
+  /** Monotonic time at which it was first heard of. */
+  readonly since: number;
   /** Another target stands at its address: a late announcement must not bring this one back. */
   replaced: boolean;
 }
@@ -50,8 +56,7 @@
 export class TargetList {
   private readonly targets = new Map<string, Known>();
   private readonly lostAt = new Map<string, number>();
-  /** Counts changes, so that others know when to look again. */
-  version = 0;
+  private readonly pauseListeners = new Set<(id: string) => void>();
 
   constructor(
     private readonly clock: Clock,
@@ -72,6 +77,26 @@
     return known !== undefined && isReady(known);
   }
 
+  /** The newest target at an address that has not left; undefined when none announced itself there. */
+  at(address: string): Target | undefined {
+    const there = [...this.targets.values()].filter(
+      (known) => known.target.address === address && !known.replaced && known.announcement !== Announcement.LEFT,
+    );
+    return there.sort((a, b) => b.since - a.since)[0]?.target;
+  }
+
+  /** How many targets of a service take work or are paused. */
+  count(service: string): number {
+    const alive = (known: Known): boolean => isReady(known) || known.target.paused;
+    return [...this.targets.values()].filter((known) => known.target.service === service && alive(known)).length;
+  }
+
+  /** Calls back with the id of each target that begins to pause. Returns the way to stop. */
+  onPause(listener: (id: string) => void): () => void {
+    this.pauseListeners.add(listener);
+    return () => this.pauseListeners.delete(listener);
+  }
+
   /** Ids of all that are known. */
   ids(): ReadonlySet<string> {
     return new Set(this.targets.keys());
@@ -82,7 +107,6 @@
     this.lostAt.delete(control);
     if (whole) for (const known of this.targets.values()) known.heardBy.delete(control);
     for (const one of announced) this.take(control, one);
-    this.version += 1;
   }
 
   /** The stream of a control instance ended. */
@@ -96,8 +120,7 @@
     if (known === undefined || known.replaced) return;
     known.replaced = true;
     known.changedAt = this.clock.monotonic();
-    this.version += 1;
-    this.log.event(relayEvents.targetChanged, { target: id, state: 'replaced' });
+    this.log.event(knowledgeEvents.targetChanged, { target: id, state: 'replaced' });
   }
 
   private take(control: string, announced: controlMessage.AnnouncedTarget): void {
@@ -105,9 +128,11 @@
     const known = this.targets.get(announced.id) ?? {
       target: targetOf(announced),
       sequence: 0n,
+      observation: 0n,
       announcement: Announcement.UNSPECIFIED,
       heardBy: new Map<string, boolean>(),
       changedAt: now,
+      since: now,
       replaced: false,
     };
     this.targets.set(announced.id, known);
@@ -117,8 +142,9 @@
     const state = stateOf(known);
     if (state === before) return;
     known.changedAt = now;
-    const { id, service, address } = known.target;
-    this.log.event(relayEvents.targetChanged, { target: id, service, address, state, before, control });
+    const { id, service, address, paused } = known.target;
+    if (paused) for (const listener of this.pauseListeners) listener(id);
+    this.log.event(knowledgeEvents.targetChanged, { target: id, service, address, state, before, control });
   }
 
   /** The newest word counts; what is final stays, also against a newer sequence from a process that thawed late. */
@@ -127,9 +153,15 @@
     if (isWord && finalityOf(announced.announcement) >= finalityOf(known.announcement)) {
       known.announcement = announced.announcement;
     }
-    if (announced.address === '' || announced.sequence < known.sequence) return;
-    known.sequence = announced.sequence;
-    known.target = targetOf(announced);
+    if (announced.address === '') return;
+    const isNewer = announced.sequence >= known.sequence;
+    const isObserved = announced.observation >= known.observation;
+    const told = targetOf(announced);
+    const weights = newest(known.target.weights, told.weights);
+    const paused = isObserved ? told.paused : known.target.paused;
+    known.target = { ...(isNewer ? told : known.target), weights, paused };
+    if (isNewer) known.sequence = announced.sequence;
+    if (isObserved) known.observation = announced.observation;
   }
 
   private expire(): void {
@@ -153,18 +185,29 @@
 }
 
 function isReady(known: Known): boolean {
-  if (known.replaced || known.announcement !== Announcement.READY) return false;
+  if (known.replaced || known.announcement !== Announcement.READY || known.target.paused) return false;
   return [...known.heardBy.values()].some((hears) => hears);
 }
 
 function stateOf(known: Known): string {
   if (known.replaced) return 'replaced';
   if (known.announcement !== Announcement.READY) return Announcement[known.announcement].toLowerCase();
+  if (known.target.paused) return 'paused';
   return isReady(known) ? 'ready' : 'silent';
 }
 
+/** The newer version of each model: versions of weights only grow. */
+function newest(
+  some: ReadonlyMap<string, number>,
+  others: ReadonlyMap<string, number>,
+): ReadonlyMap<string, number> {
+  const merged = new Map(some);
+  for (const [model, version] of others) merged.set(model, Math.max(version, merged.get(model) ?? 0));
+  return merged;
+}
+
 function targetOf(announced: controlMessage.AnnouncedTarget): Target {
-  const { id, service, address, dataCentre, capacity, weights } = announced;
+  const { id, service, address, dataCentre, capacity, weights, paused } = announced;
   const versions = new Map(weights.map(({ model, version }) => [model, Number(version)]));
-  return { id, service, address, dataCentre, capacity, weights: versions };
+  return { id, service, address, dataCentre, capacity, weights: versions, paused };
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -2,7 +2,6 @@
 export * from './answer/index.js';
 export * from './dialect/index.js';
 export * from './events.js';
-export * from './knowledge/index.js';
 export * from './metrics.js';
 export * from './placement/index.js';
 export * from './relay.js';
--- a/packages/relay/src/placement/index.ts
+++ b/packages/relay/src/placement/index.ts
@@ -1,1 +1,2 @@
 export * from './placement.js';
+export * from './weights.js';
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -3,7 +3,7 @@
 import { homesOf } from '@jasmineroute/routing';
 import type { Random } from '@jasmineroute/routing';
 import type { PromptOutline } from '../dialect/index.js';
-import type { Target } from '../knowledge/index.js';
+import type { Target } from '@jasmineroute/knowledge';
 import type { TargetSights } from '../target/index.js';
 
 /**
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -8,7 +8,7 @@
 import { CallerAnswer } from './answer/index.js';
 import type { Dialect } from './dialect/index.js';
 import { relayEvents } from './events.js';
-import { Follower, Knowledge } from './knowledge/index.js';
+import { Follower, Knowledge } from '@jasmineroute/knowledge';
 import { relayMetrics } from './metrics.js';
 import { Placements } from './placement/index.js';
 import type { RelaySettings } from './setting/index.js';
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -7,7 +7,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Addition, AnswerMarks, RelayRequest } from '../dialect/index.js';
-import type { Target } from '../knowledge/index.js';
+import type { Target } from '@jasmineroute/knowledge';
 import { connectionShare } from '../target/index.js';
 import type { RelayContext } from './context.js';
 
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -3,7 +3,7 @@
 import type { BodyBudget } from '@jasmineroute/entry';
 import type { Random } from '@jasmineroute/routing';
 import type { Dialect } from '../dialect/index.js';
-import type { Knowledge } from '../knowledge/index.js';
+import type { Knowledge } from '@jasmineroute/knowledge';
 import type { Placements } from '../placement/index.js';
 import type { TargetPools, TargetSights } from '../target/index.js';
 import type { ServiceBudgets } from './serviceBudgets.js';
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -11,9 +11,9 @@
 import type { CallerAnswer } from '../answer/index.js';
 import type { Addition, RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
-import type { Target } from '../knowledge/index.js';
+import type { Target } from '@jasmineroute/knowledge';
 import { relayMetrics } from '../metrics.js';
-import { drawService } from '../placement/index.js';
+import { drawService, withWeights } from '../placement/index.js';
 import type { Placement } from '../placement/index.js';
 import { send } from './attempt.js';
 import type { Job, TargetAnswer } from './attempt.js';
@@ -44,6 +44,8 @@
   /** Last event that the caller has, once a stream has begun. */
   private lastEventId: number | undefined;
   private service = '';
+  /** The running stream was given up to go on elsewhere, and its retry is taken from the budget already. */
+  private moving = false;
 
   constructor(
     private readonly context: RelayContext,
@@ -160,6 +162,10 @@
     if (this.sends >= route.maxAttempts) return false;
     const isRepeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
     if (!isRepeatable && problem.ran !== 'not-run') return false;
+    if (this.moving) {
+      this.moving = false;
+      return true;
+    }
     // An attempt that never left is no arrival anywhere.
     return problem.kind === 'target-unreachable' || budgets.withdraw(this.service);
   }
@@ -168,7 +174,10 @@
     const { knowledge, placements } = this.context;
     if (this.abort.signal.aborted) return undefined;
     const ready = knowledge.targets.ready(job.service.name);
-    const fresh = ready.filter(({ id }) => !tried.has(id));
+    const untried = ready.filter(({ id }) => !tried.has(id));
+    const model = job.route.hasPrompt ? job.request.prompt?.model : undefined;
+    const named = model === undefined ? undefined : knowledge.weightsOf(model);
+    const fresh = withWeights(untried, model, named, this.context.clock.monotonic());
     const { prompt } = job.request;
     return placements.choose({
       service: job.service.name,
@@ -189,7 +198,7 @@
     try {
       const sent = await send(this.context, job, target, addition, this.abort.signal);
       if (sent.isOk()) status = sent.value.wire.status;
-      outcome = sent.isOk() ? await this.pass(job, sent.value) : { state: 'fault', fault: sent.error };
+      outcome = sent.isOk() ? await this.pass(job, target, sent.value) : { state: 'fault', fault: sent.error };
     } finally {
       sights.ended(target.id);
     }
@@ -233,11 +242,11 @@
   }
 
   /** Gives an answer to the caller. */
-  private async pass(job: Job, answer: TargetAnswer): Promise<Outcome> {
+  private async pass(job: Job, target: Target, answer: TargetAnswer): Promise<Outcome> {
     if (answer.wire.status >= SERVER_ERROR) return this.passFailure(answer);
     const length = Number(headerOf(answer.wire.headers, 'content-length') ?? Number.NaN);
     const isStream = job.route.kind === 'stream';
-    if (isStream) return this.passEvents(answer);
+    if (isStream) return this.passEvents(job, target, answer);
     return length > HELD_BYTES ? this.passBytes(answer) : this.passWhole(answer);
   }
 
@@ -275,8 +284,11 @@
   }
 
   /** Passes events as they come, whole ones only. */
-  private async passEvents({ wire }: TargetAnswer): Promise<Outcome> {
+  private async passEvents(job: Job, target: Target, { wire }: TargetAnswer): Promise<Outcome> {
     const pieces = new EventPieces(this.lastEventId);
+    const calledOff = this.context.knowledge.targets.onPause((id) => {
+      if (id === target.id && this.mayMove(job)) wire.abandon();
+    });
     this.answer.begin(wire.status, this.context.dialect.callerHeaders(wire.headers));
     try {
       for await (const chunk of wire.body) {
@@ -288,12 +300,25 @@
     } catch (error) {
       wire.abandon();
       return this.brokenOff(broken(error));
+    } finally {
+      calledOff();
     }
     if (pieces.pending.length > 0) return this.brokenOff(fault('stream-broken', 'it ended inside an event'));
     this.answer.end();
     return { state: 'answered' };
   }
 
+  /**
+   * Whether a stream may leave a target that pauses. The target waits for its runs before it loads new weights, up to
+   * several seconds for a long one, and takes no other work meanwhile; a stream that goes on elsewhere after its last
+   * event loses some ms.
+   */
+  private mayMove({ route }: Job): boolean {
+    if (!route.resumable || this.moving || this.sends >= route.maxAttempts) return false;
+    this.moving = this.context.budgets.withdraw(this.service);
+    return this.moving;
+  }
+
   private brokenOff(problem: Fault): Outcome {
     return { state: 'fault', fault: { ...problem, ran: 'may-have-run' } };
   }
--- /dev/null
+++ b/packages/rollout/src/events.ts
@@ -0,0 +1,12 @@
+/** Numbered events of the process beside a target that replaces its weights. */
+import { defineEvents } from '@jasmineroute/core';
+
+export const rolloutEvents = defineEvents({
+  started: { id: 8200, level: 'info', message: 'stands beside a target' },
+  behind: { id: 8201, level: 'info', message: 'the target has older weights than were named' },
+  ordered: { id: 8202, level: 'info', message: 'order sent to the target' },
+  loaded: { id: 8203, level: 'info', message: 'the target has the weights' },
+  notLoaded: { id: 8204, level: 'warn', message: 'the weights are not there in time; looked at again' },
+  unreachable: { id: 8205, level: 'warn', message: 'the target beside this process does not answer' },
+  unobserved: { id: 8206, level: 'warn', message: 'a control instance did not take an observation' },
+});
--- /dev/null
+++ b/packages/rollout/src/keeper/index.ts
@@ -0,0 +1,2 @@
+export * from './observer.js';
+export * from './weightsKeeper.js';
--- /dev/null
+++ b/packages/rollout/src/keeper/observer.ts
@@ -0,0 +1,45 @@
+/** Tells control instances what is done with the target, so that entries hear it within milliseconds. */
+import { createClient } from '@connectrpc/connect';
+import type { Log } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { Peers } from '@jasmineroute/protocol';
+import { rolloutEvents } from '../events.js';
+
+/** Longest wait for one control instance, milliseconds: a lost one must not hold up a rollout. */
+const CALL_MS = 400;
+
+/** What is told. */
+export interface Observation {
+  readonly targetId: string;
+  readonly number: bigint;
+  readonly paused: boolean;
+  readonly weights: ReadonlyMap<string, number>;
+}
+
+/** Sends observations to all control instances. */
+export class Observer {
+  constructor(
+    private readonly controls: () => readonly string[],
+    private readonly peers: Peers,
+    private readonly log: Log,
+  ) {}
+
+  /** Resolves once each control instance has answered or was waited for long enough. */
+  async tell({ targetId, number, paused, weights }: Observation): Promise<void> {
+    const versions = [...weights].map(([model, version]) => ({ model, version: BigInt(version) }));
+    const request = { targetId, observation: number, paused, weights: versions };
+    await Promise.all(this.controls().map((address) => this.tellOne(address, request)));
+  }
+
+  private async tellOne(
+    address: string,
+    request: { targetId: string; observation: bigint; paused: boolean },
+  ): Promise<void> {
+    const client = createClient(controlMessage.Configurations, this.peers.transport(address));
+    try {
+      await client.observe(request, { timeoutMs: CALL_MS });
+    } catch (error) {
+      this.log.event(rolloutEvents.unobserved, { control: address, problem: String(error) });
+    }
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -0,0 +1,228 @@
+/** Brings the target beside this process to the weights that operators named. */
+import { Turn } from '@jasmineroute/agent';
+import type { TurnSource } from '@jasmineroute/agent';
+import type { Clock, Log } from '@jasmineroute/core';
+import type { Knowledge, Target } from '@jasmineroute/knowledge';
+import { rolloutEvents } from '../events.js';
+import type { TargetPort, TargetReport } from '../port/index.js';
+import type { Observer } from './observer.js';
+
+/**
+ * Part of a service's targets that load at once, rounded up. The weight store serves a few at a time, and a target that
+ * loads takes no work: about a quarter leaves three quarters of the capacity, and four rounds of about 1 s end well
+ * within the 8 s that are agreed.
+ */
+const LOADING_PART = 0.25;
+
+/** Time of a turn, milliseconds: how long a process that was killed keeps others from loading. */
+const TURN_MS = 3_000;
+
+/** Pause between two looks at what is wanted, milliseconds: also the pause before a turn is asked for again. */
+const LOOK_MS = 100;
+
+/** How long requests that wait or run at a target are waited for before the order goes out, milliseconds. */
+const SETTLE_MS = 600;
+
+/** Pause between two looks at a target that loads, milliseconds. */
+const POLL_MS = 30;
+
+/** Time that entries get to hear of a pause before the order goes out, milliseconds: some one-way delays. */
+const PAUSE_LEAD_MS = 40;
+
+/** Longest wait for a report or an order's answer, milliseconds. */
+const CALL_MS = 500;
+
+/** Longest wait for weights, milliseconds: running streams finish first. */
+const LOAD_MS = 10_000;
+
+/** A pause is told again after so long, milliseconds: control forgets one that is not renewed. */
+const RENEW_PAUSE_MS = 2_000;
+
+/** What the keeper works with. */
+export interface KeeperParts {
+  readonly name: string;
+  readonly incarnation: bigint;
+  /** host:port of the target. */
+  readonly address: string;
+  readonly service: string;
+  readonly port: TargetPort;
+  readonly knowledge: Knowledge;
+  readonly turns: TurnSource;
+  readonly observer: Observer;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Weights that the target lacks. */
+interface Wish {
+  readonly model: string;
+  readonly version: number;
+}
+
+/** One task that pulls the wanted state, so that a late message never brings an older one back. */
+export class WeightsKeeper {
+  private readonly stopped = new AbortController();
+
+  constructor(private readonly parts: KeeperParts) {}
+
+  /** Runs until `stop`. */
+  async run(): Promise<void> {
+    const { clock } = this.parts;
+    const { signal } = this.stopped;
+    while (!signal.aborted) {
+      await this.look();
+      await clock.sleep(LOOK_MS, signal).catch(() => undefined);
+    }
+  }
+
+  stop(): void {
+    this.stopped.abort();
+  }
+
+  /** Compares what was named with what the target has, and acts on a difference. */
+  async look(): Promise<void> {
+    const { knowledge, address } = this.parts;
+    const target = knowledge.targets.at(address);
+    if (target === undefined || !this.mayBeBehind(target)) return;
+    const report = await this.report();
+    if (report === undefined) return;
+    const wish = this.wishOf(report);
+    if (wish === undefined) await this.correct(target, report);
+    else if (!report.busy) await this.replace(target, wish);
+  }
+
+  private mayBeBehind({ weights }: Target): boolean {
+    const { knowledge } = this.parts;
+    return knowledge
+      .models()
+      .some((model) => weights.has(model) && (weights.get(model) ?? 0) < this.namedVersion(model));
+  }
+
+  private namedVersion(model: string): number {
+    return this.parts.knowledge.weightsOf(model)?.version ?? 0;
+  }
+
+  private async report(): Promise<TargetReport | undefined> {
+    const { port, log, address } = this.parts;
+    const report = await port.report(CALL_MS);
+    if (report.isOk()) return report.value;
+    log.event(rolloutEvents.unreachable, { address, problem: report.error.message });
+    return undefined;
+  }
+
+  /** The newest version that the target lacks: versions that were overtaken meanwhile are left out. */
+  private wishOf({ weights }: TargetReport): Wish | undefined {
+    for (const [model, version] of weights) {
+      const wanted = this.namedVersion(model);
+      if (version < wanted) return { model, version: wanted };
+    }
+    return undefined;
+  }
+
+  /** The target has the weights, and others don't know it yet. */
+  private async correct(target: Target, { weights }: TargetReport): Promise<void> {
+    await this.parts.observer.tell({ targetId: target.id, number: 0n, paused: false, weights });
+  }
+
+  private async replace(target: Target, wish: Wish): Promise<void> {
+    const { name, incarnation, service, turns, clock, knowledge } = this.parts;
+    const limit = Math.max(1, Math.ceil(knowledge.targets.count(service) * LOADING_PART));
+    const turn = await Turn.take(turns, clock, {
+      name: `weights/${service}`,
+      holder: name,
+      incarnation,
+      limit,
+      ttlMs: TURN_MS,
+    });
+    if (turn === undefined) return;
+    try {
+      await this.load(target, wish, turn);
+    } finally {
+      await turn.release();
+    }
+  }
+
+  /**
+   * Entries hear of the pause before the order goes out: requests that reach a target whose weights are being
+   * replaced are refused there, and one that may be sent only once is lost to its caller.
+   */
+  private async load(target: Target, wish: Wish, turn: Turn): Promise<void> {
+    const { observer, clock } = this.parts;
+    const tell = (paused: boolean, weights: ReadonlyMap<string, number> = new Map()): Promise<void> =>
+      observer.tell({ targetId: target.id, number: turn.fence, paused, weights });
+    await tell(true);
+    await clock.sleep(PAUSE_LEAD_MS);
+    await this.settle();
+    const ordered = await this.order(target, wish, turn);
+    const weights = ordered ? await this.awaitWeights(wish, turn, () => tell(true)) : undefined;
+    await tell(false, weights);
+  }
+
+  /**
+   * Lets what waits at the target begin, and short runs end: the order refuses the former, and waits for the latter
+   * while the target does nothing else.
+   */
+  private async settle(): Promise<void> {
+    const { clock } = this.parts;
+    const end = clock.monotonic() + SETTLE_MS;
+    while (clock.monotonic() < end) {
+      const report = await this.report();
+      if (report === undefined || report.waiting + report.running === 0) return;
+      await clock.sleep(POLL_MS);
+    }
+  }
+
+  private async order(target: Target, wish: Wish, turn: Turn): Promise<boolean> {
+    const { port, name, log } = this.parts;
+    const report = await this.report();
+    if (report === undefined || report.busy || !turn.held) return false;
+    const newest = this.wishOf(report) ?? wish;
+    const sent = await port.order(
+      {
+        ...newest,
+        holder: name,
+        fence: turn.fence,
+        expectedOrders: report.orders,
+        targetId: target.id,
+      },
+      CALL_MS,
+    );
+    const outcome = sent.isOk() ? sent.value : 'unanswered';
+    log.event(rolloutEvents.ordered, {
+      target: target.id,
+      ...newest,
+      fence: Number(turn.fence),
+      orders: report.orders,
+      outcome,
+    });
+    // Without an answer it may be carried out all the same: what the target reports decides.
+    return outcome === 'accepted' || outcome === 'unanswered';
+  }
+
+  /** Waits until the target has a version at least as new. */
+  private async awaitWeights(
+    { model, version }: Wish,
+    turn: Turn,
+    renew: () => Promise<void>,
+  ): Promise<ReadonlyMap<string, number> | undefined> {
+    const { clock, log } = this.parts;
+    const begunAt = clock.monotonic();
+    let renewedAt = begunAt;
+    while (clock.monotonic() - begunAt < LOAD_MS && !this.stopped.signal.aborted) {
+      const report = await this.report();
+      if (report !== undefined && !report.busy && (report.weights.get(model) ?? 0) >= version) {
+        const tookMs = Math.round(clock.monotonic() - begunAt);
+        log.event(rolloutEvents.loaded, { model, version, tookMs, fence: Number(turn.fence) });
+        return report.weights;
+      }
+      if (report !== undefined && !report.busy && clock.monotonic() - begunAt > CALL_MS) break;
+      if (clock.monotonic() - renewedAt > RENEW_PAUSE_MS) {
+        renewedAt = clock.monotonic();
+        await renew();
+      }
+      await clock.sleep(POLL_MS);
+    }
+    log.event(rolloutEvents.notLoaded, { model, version, waitedMs: Math.round(clock.monotonic() - begunAt) });
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/port/index.ts
@@ -0,0 +1,1 @@
+export * from './port.js';
--- /dev/null
+++ b/packages/rollout/src/port/port.ts
@@ -0,0 +1,46 @@
+/** Port to the target beside this process: its state and its orders. */
+import type { Fault } from '@jasmineroute/core';
+import type { Result } from 'neverthrow';
+
+/** What a target says of itself when it is asked. */
+export interface TargetReport {
+  /** Version of the weights of each model. */
+  readonly weights: ReadonlyMap<string, number>;
+  /** Requests that wait for a place, and that run. */
+  readonly waiting: number;
+  readonly running: number;
+  /** An order is being carried out. */
+  readonly busy: boolean;
+  /** Orders that it accepted since its start. */
+  readonly orders: number;
+}
+
+/** An order to replace a model's weights. */
+export interface WeightsOrder {
+  readonly model: string;
+  readonly version: number;
+  readonly holder: string;
+  /** Fencing number: a target that checks it refuses lower ones than it has seen. */
+  readonly fence: bigint;
+  /** Orders that the target must have accepted before: makes an order that arrives late void. */
+  readonly expectedOrders: number;
+  /** Only this start of the target may carry it out. */
+  readonly targetId: string;
+}
+
+/**
+ * What a target did with an order:
+ * - accepted: it is being carried out, or holds already;
+ * - overtaken: another order came first;
+ * - fenced: a higher fencing number was seen;
+ * - misdirected: another target stands there;
+ * - invalid: the target doesn't know the order or the weights.
+ */
+export type OrderOutcome = 'accepted' | 'overtaken' | 'fenced' | 'misdirected' | 'invalid';
+
+/** The target beside this process. */
+export interface TargetPort {
+  report(timeoutMs: number): Promise<Result<TargetReport, Fault>>;
+  /** Errors: no answer, so the order may be carried out now, later or never. */
+  order(order: WeightsOrder, timeoutMs: number): Promise<Result<OrderOutcome, Fault>>;
+}
--- /dev/null
+++ b/packages/rollout/src/rollout.ts
@@ -0,0 +1,76 @@
+/** The process beside a target, as a role. */
+import type { ConnectRouter } from '@connectrpc/connect';
+import { Controls, TurnClient } from '@jasmineroute/directory';
+import { Follower, Knowledge } from '@jasmineroute/knowledge';
+import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
+import { rolloutEvents } from './events.js';
+import { Observer, WeightsKeeper } from './keeper/index.js';
+import type { TargetPort } from './port/index.js';
+
+/** The target that the process stands beside. */
+export interface Neighbour {
+  /** host:port. */
+  readonly address: string;
+  readonly service: string;
+  readonly port: TargetPort;
+}
+
+/** Follows control and keeps one target's weights. */
+export class Rollout implements RoleProcess {
+  private readonly follower: Follower;
+  private readonly keeper: WeightsKeeper;
+
+  constructor(
+    private readonly context: RoleContext,
+    private readonly neighbour: Neighbour,
+  ) {
+    const { name, incarnation, controls, peers, clock, log, metrics, dataCentre } = context;
+    const knowledge = new Knowledge(clock, log);
+    this.follower = new Follower({ name, role: 'agent', controls, knowledge, peers, clock, log });
+    const turns = new TurnClient(new Controls({ controls, peers, clock, metrics, dataCentre }));
+    const observer = new Observer(() => this.follower.controls(), peers, log);
+    this.keeper = new WeightsKeeper({
+      ...neighbour,
+      name,
+      incarnation,
+      knowledge,
+      turns,
+      observer,
+      clock,
+      log,
+    });
+  }
+
+  /** Other processes ask it for nothing. */
+  routes(_router: ConnectRouter): void {
+    return;
+  }
+
+  start(): Promise<void> {
+    const { address, service } = this.neighbour;
+    this.follower.start();
+    void this.keeper.run();
+    this.context.log.event(rolloutEvents.started, { target: address, service });
+    return Promise.resolve();
+  }
+
+  readiness(): Readiness {
+    return { ready: true, reason: 'standing beside its target' };
+  }
+
+  /** Replaces the control instances known from the settings. */
+  reseed(controls: readonly string[]): void {
+    this.follower.reseed(controls);
+  }
+
+  drain(): Promise<void> {
+    this.keeper.stop();
+    return Promise.resolve();
+  }
+
+  close(): Promise<void> {
+    this.keeper.stop();
+    this.follower.stop();
+    return Promise.resolve();
+  }
+}
