Load weights first where they are furthest behind, and keep streams that move off targets yet to load

Cause: with versions named 3.2 s apart, turns went to whoever asked first: one target stayed on version 1 for 13 s, and streams moved to targets that loaded next. Replaced weights counted from the newest naming only.

--- a/packages/control/src/configuration/configurationState.ts
+++ b/packages/control/src/configuration/configurationState.ts
@@ -12,6 +12,16 @@
   readonly source: Uint8Array;
 }
 
+/** A version of weights and when this instance first told of it, monotonic. */
+interface Told {
+  readonly model: string;
+  readonly version: bigint;
+  readonly at: number;
+}
+
+/** Versions named longer ago are in place or their targets are given up on, milliseconds. */
+const RECENT_MS = 30_000;
+
 const NONE: HeldConfiguration = { number: 0n, content: new Uint8Array(0), source: new Uint8Array(0) };
 
 /**
@@ -21,8 +31,8 @@
 export class ConfigurationState implements Feature {
   private current = NONE;
   private readonly versions = new Map<string, bigint>();
-  /** When this instance first told of a version, by model: not replicated, for the age that followers hear. */
-  private readonly toldAt = new Map<string, { readonly version: bigint; readonly at: number }>();
+  /** When this instance first told of a version: not replicated, for the ages that followers hear. */
+  private told: Told[] = [];
   private namings = 0;
   private readonly listeners = new Set<() => void>();
 
@@ -37,12 +47,22 @@
     return this.current;
   }
 
-  /** The newest named version of each model's weights; `now`, monotonic, gives their ages. */
-  weights(now?: number): controlMessage.NamedWeights[] {
-    return [...this.versions].map(([model, version]) => {
-      const ageMs = now === undefined ? 0 : Math.round(now - this.firstToldAt(model, version, now));
-      return create(controlMessage.NamedWeightsSchema, { model, version, ageMs });
-    });
+  /** The newest named version of each model's weights. */
+  weights(): controlMessage.NamedWeights[] {
+    return [...this.versions].map(([model, version]) =>
+      create(controlMessage.NamedWeightsSchema, { model, version }),
+    );
+  }
+
+  /**
+   * The newest versions, and older ones that were named lately, with their ages at monotonic time `now`: weights count
+   * as replaced from the first newer version on, not from the newest.
+   */
+  recentWeights(now: number): controlMessage.NamedWeights[] {
+    this.noteTold(now);
+    return this.told.map(({ model, version, at }) =>
+      create(controlMessage.NamedWeightsSchema, { model, version, ageMs: Math.round(now - at) }),
+    );
   }
 
   /** Counts how often weights were named, so that followers hear of it at once. */
@@ -80,11 +100,14 @@
     this.announce();
   }
 
-  private firstToldAt(model: string, version: bigint, now: number): number {
-    const told = this.toldAt.get(model);
-    if (told?.version === version) return told.at;
-    this.toldAt.set(model, { version, at: now });
-    return now;
+  private noteTold(now: number): void {
+    for (const [model, version] of this.versions) {
+      const isKnown = this.told.some((one) => one.model === model && one.version === version);
+      if (!isKnown) this.told.push({ model, version, at: now });
+    }
+    this.told = this.told.filter(
+      ({ model, version, at }) => now - at < RECENT_MS || this.versions.get(model) === version,
+    );
   }
 
   private configure({ number, content, source }: stateMessage.Configure): stateMessage.ConfigureOutcome {
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -116,7 +116,7 @@
       vouched,
       number: held.number,
       content: held.number > this.number ? held.content : undefined,
-      weights: configuration.weights(this.sources.clock.monotonic()),
+      weights: configuration.recentWeights(this.sources.clock.monotonic()),
       targets: targets.since(this.place),
       controls: commandLog.members().map(({ address }) => address),
       entries,
--- a/packages/knowledge/src/knowledge.ts
+++ b/packages/knowledge/src/knowledge.ts
@@ -8,6 +8,9 @@
 
 const decoder = new TextDecoder();
 
+/** Versions of a model that are remembered: one each second for longer than any target lags. */
+const MOST_VERSIONS = 32;
+
 /** A version of weights and when it was named. */
 export interface NamedVersion {
   readonly version: number;
@@ -20,7 +23,8 @@
   readonly targets: TargetList;
   private current: RoutingTable | undefined;
   private isConfirmed = false;
-  private readonly named = new Map<string, NamedVersion>();
+  /** By model, the newest first. */
+  private readonly named = new Map<string, NamedVersion[]>();
   private readonly entryCounts = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
 
@@ -46,7 +50,13 @@
 
   /** The newest version of a model's weights that was named. */
   weightsOf(model: string): NamedVersion | undefined {
-    return this.named.get(model);
+    return this.named.get(model)?.[0];
+  }
+
+  /** Monotonic time at which a version was first overtaken by a newer one; undefined when it is the newest. */
+  staleSince(model: string, version: number): number | undefined {
+    const newer = (this.named.get(model) ?? []).filter((one) => one.version > version);
+    return newer.length === 0 ? undefined : Math.min(...newer.map(({ namedAt }) => namedAt));
   }
 
   /** Models whose weights were named. */
@@ -99,14 +109,16 @@
   private nameWeights(weights: readonly controlMessage.NamedWeights[]): void {
     const now = this.clock.monotonic();
     for (const { model, version: sent, ageMs } of weights) {
-      const known = this.named.get(model);
       const version = Number(sent);
       const namedAt = now - ageMs;
-      if (known !== undefined && version < known.version) continue;
-      if (known?.version === version && known.namedAt <= namedAt) continue;
-      this.named.set(model, { version, namedAt });
-      if (known?.version === version) continue;
-      this.log.event(knowledgeEvents.weightsNamed, { model, version, before: known?.version, ageMs });
+      const known = this.named.get(model) ?? [];
+      const same = known.find((one) => one.version === version);
+      if (same !== undefined && same.namedAt <= namedAt) continue;
+      const others = known.filter((one) => one !== same);
+      const sorted = [...others, { version, namedAt }].sort((a, b) => b.version - a.version);
+      this.named.set(model, sorted.slice(0, MOST_VERSIONS));
+      if (same !== undefined) continue;
+      this.log.event(knowledgeEvents.weightsNamed, { model, version, before: known[0]?.version, ageMs });
       for (const listener of this.listeners) listener();
     }
   }
--- a/packages/relay/src/placement/weights.ts
+++ b/packages/relay/src/placement/weights.ts
@@ -1,5 +1,5 @@
 /** Which targets may serve a model while its weights are being replaced. */
-import type { NamedVersion, Target } from '@jasmineroute/knowledge';
+import type { Knowledge, Target } from '@jasmineroute/knowledge';
 
 /**
  * Time after a naming from which on older weights are avoided, milliseconds. Callers lose a part of an answer's worth
@@ -8,25 +8,39 @@
 const PREFER_MS = 1_000;
 
 /**
- * Time after a naming from which on older weights serve nothing, milliseconds: 8 s are agreed, and a request may wait
- * at a target before it begins.
+ * Time from which on replaced weights serve nothing, milliseconds: 8 s are agreed, and a request may wait at a target
+ * before it begins.
  */
 const REFUSE_MS = 7_000;
 
 /** Part of the targets that must have the newest weights before the others are left out: fewer would be overrun. */
 const ENOUGH = 0.5;
 
-/** Candidates for a request of a model; `now` is monotonic time. */
+/** A request for a model. */
+export interface ModelWish {
+  readonly model: string;
+  /** The stream is long and may move: it is kept off targets that have yet to load, so that it moves once at most. */
+  readonly movable: boolean;
+}
+
+/** Candidates for a request; `now` is monotonic time. */
 export function withWeights(
   candidates: readonly Target[],
-  model: string | undefined,
-  named: NamedVersion | undefined,
+  wish: ModelWish | undefined,
+  knowledge: Knowledge,
   now: number,
 ): readonly Target[] {
-  if (model === undefined || named === undefined) return candidates;
-  const newest = candidates.filter(({ weights }) => (weights.get(model) ?? 0) >= named.version);
-  const age = now - named.namedAt;
-  if (age >= REFUSE_MS) return newest;
-  const isEnough = newest.length > 0 && newest.length >= candidates.length * ENOUGH;
-  return age >= PREFER_MS && isEnough ? newest : candidates;
+  if (wish === undefined) return candidates;
+  const { model, movable } = wish;
+  const ageOf = ({ weights }: Target): number => {
+    const version = weights.get(model);
+    const since = version === undefined ? undefined : knowledge.staleSince(model, version);
+    return since === undefined ? -1 : now - since;
+  };
+  const usable = candidates.filter((target) => ageOf(target) < REFUSE_MS);
+  const newest = usable.filter((target) => ageOf(target) < 0);
+  if (newest.length === 0 || newest.length === usable.length) return usable;
+  if (movable) return newest;
+  const isLate = usable.some((target) => ageOf(target) >= PREFER_MS);
+  return isLate && newest.length >= candidates.length * ENOUGH ? newest : usable;
 }
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -176,8 +176,8 @@
     const ready = knowledge.targets.ready(job.service.name);
     const untried = ready.filter(({ id }) => !tried.has(id));
     const model = job.route.hasPrompt ? job.request.prompt?.model : undefined;
-    const named = model === undefined ? undefined : knowledge.weightsOf(model);
-    const fresh = withWeights(untried, model, named, this.context.clock.monotonic());
+    const wish = model === undefined ? undefined : { model, movable: job.route.resumable };
+    const fresh = withWeights(untried, wish, knowledge, this.context.clock.monotonic());
     const { prompt } = job.request;
     return placements.choose({
       service: job.service.name,
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -20,6 +20,9 @@
 /** Pause between two looks at what is wanted, milliseconds: also the pause before a turn is asked for again. */
 const LOOK_MS = 100;
 
+/** How long targets that are further behind go first, milliseconds: one of them may have nobody to give it orders. */
+const YIELD_MS = 3_000;
+
 /** How long requests that wait or run at a target are waited for before the order goes out, milliseconds. */
 const SETTLE_MS = 600;
 
@@ -127,6 +130,7 @@
   private async replace(target: Target, wish: Wish): Promise<void> {
     const { name, incarnation, service, turns, clock, knowledge } = this.parts;
     const limit = Math.max(1, Math.ceil(knowledge.targets.count(service) * LOADING_PART));
+    if (this.isOthersTurn(target, wish, limit)) return;
     const turn = await Turn.take(turns, clock, {
       name: `weights/${service}`,
       holder: name,
@@ -142,6 +146,19 @@
     }
   }
 
+  /**
+   * Whether targets that are further behind are to load first: when versions are named in quick succession, turns in
+   * any order would bring some targets to each version, and leave others on weights that may serve no longer.
+   */
+  private isOthersTurn(target: Target, { model }: Wish, limit: number): boolean {
+    const { knowledge, service, clock } = this.parts;
+    const own = target.weights.get(model) ?? 0;
+    const since = knowledge.staleSince(model, own);
+    if (since === undefined || clock.monotonic() - since > YIELD_MS) return false;
+    const older = knowledge.targets.ready(service).filter(({ weights }) => (weights.get(model) ?? own) < own);
+    return older.length >= limit;
+  }
+
   /**
    * Entries hear of the pause before the order goes out: requests that reach a target whose weights are being
    * replaced are refused there, and one that may be sent only once is lost to its caller.
