Lose no target to a neighbour that has just started

Change: what a source that no quorum stands behind leaves out is not removed; once it vouches, all is asked anew.

--- a/packages/directory/src/client/eventApplier.spec.ts
+++ b/packages/directory/src/client/eventApplier.spec.ts
@@ -106,4 +106,26 @@
     expect(builder.view().instances.get('a')).toBe(before.instances.get('a'));
     expect(builder.view().documents).toBe(before.documents);
   });
+
+  it('loses nothing to a neighbour that has just started', async () => {
+    // Symptom: with no control instance left, an entry that came back with an empty folder never serves, and the
+    // neighbour that it asked stops serving too.
+    // Sequence: both watch each other; the empty one is the first to send its whole view, with nothing in it.
+    // Cause: what a source without a quorum behind it did not name counted as gone.
+    const { builder, applier, event } = setUp();
+    const target = instance('lm-1');
+    const everything = [bucketOf('lm-1')];
+    await applier.apply(
+      event({ vouched: true, instances: [instanceToMessage(target)], buckets: everything, snapshot: true }),
+    );
+    applier.begin();
+    expect(await applier.apply(event({ buckets: everything, snapshot: true }))).toBe(true);
+    expect(await applier.apply(event({ removed: ['lm-1'] }))).toBe(true);
+    expect([...builder.view().instances.keys()]).toEqual(['lm-1']);
+    // Once the source vouches, what it left out is asked for again, and counts.
+    expect(await applier.apply(event({ vouched: true }))).toBe(false);
+    applier.begin();
+    await applier.apply(event({ vouched: true, buckets: everything, snapshot: true }));
+    expect(builder.view().instances.size).toBe(0);
+  });
 });
--- a/packages/directory/src/client/eventApplier.ts
+++ b/packages/directory/src/client/eventApplier.ts
@@ -15,6 +15,8 @@
   /** Parts of the first comparison, held until all have come, so that the view is never half of one. */
   private parts: InstanceUpdate[] = [];
   private compared = false;
+  /** The source left instances out while it did not vouch. */
+  private withheld = false;
 
   constructor(
     private readonly builder: ViewBuilder,
@@ -26,10 +28,15 @@
   begin(): void {
     this.parts = [];
     this.compared = false;
+    this.withheld = false;
   }
 
-  /** @returns false when an edit did not fit the document held here, so that the whole must be asked for. */
+  /**
+   * @returns false when the whole must be asked for: an edit did not fit the document held here, or the source vouches
+   * now and had left instances out before.
+   */
   async apply(event: controlMessage.WatchEvent): Promise<boolean> {
+    if (event.vouched && this.withheld) return false;
     const documents = this.texts(event.documents);
     if (documents === undefined) return false;
     await this.applyDocuments(documents, event.revision);
@@ -46,17 +53,24 @@
   }
 
   private applyInstances(event: controlMessage.WatchEvent): void {
-    this.parts.push({
-      changed: event.instances.map(instanceFromMessage),
-      removed: event.removed,
-      buckets: event.buckets,
-    });
+    const changed = event.instances.map(instanceFromMessage);
+    this.parts.push({ changed, ...this.leftOut(event) });
     this.compared ||= event.snapshot;
     if (!this.compared) return;
     this.builder.applyInstances(this.parts);
     this.parts = [];
   }
 
+  /**
+   * What a source says is gone. Without a quorum behind it, it may just have started and know nothing: two entries that
+   * watch each other while control is down would then empty each other's views, and neither would serve any more.
+   */
+  private leftOut({ vouched, removed, buckets }: controlMessage.WatchEvent): Omit<InstanceUpdate, 'changed'> {
+    if (vouched) return { removed, buckets };
+    this.withheld ||= removed.length > 0 || buckets.length > 0;
+    return { removed: [], buckets: [] };
+  }
+
   /** Documents with their whole texts; several changes of one document may follow each other. */
   private texts(messages: readonly controlMessage.DocumentVersion[]): StoredDocument[] | undefined {
     const newest = new Map<string, StoredDocument>();
