Close connections that outlive a planned stop, and begin a stream with its first event only

Change: such a connection closes behind its answer; heads go out with the first event, and replace what stood.

--- a/packages/control/src/configuration/configurationService.ts
+++ b/packages/control/src/configuration/configurationService.ts
@@ -31,10 +31,7 @@
   ) {}
 
   /** Replaces the configuration. Errors: no-quorum, storage-failed, overloaded: send it again. */
-  async put(
-    configuration: Configuration,
-    source: Uint8Array,
-  ): Promise<Result<ConfigurationOutcome, Fault>> {
+  async put(configuration: Configuration, source: Uint8Array): Promise<Result<ConfigurationOutcome, Fault>> {
     const begunAt = this.clock.monotonic();
     const content = encoder.encode(JSON.stringify(configuration));
     const number = BigInt(configuration.number);
@@ -42,12 +39,22 @@
     const tookMs = Math.round(this.clock.monotonic() - begunAt);
     if (outcome.isErr()) {
       const { kind, ran, message } = outcome.error;
-      this.log.event(controlEvents.configurationUnknown, { number: configuration.number, kind, ran, message });
+      this.log.event(controlEvents.configurationUnknown, {
+        number: configuration.number,
+        kind,
+        ran,
+        message,
+      });
       return err(outcome.error);
     }
     const held = Number(outcome.value.number);
     const { stored } = outcome.value;
-    this.log.event(controlEvents.configurationAccepted, { number: configuration.number, held, stored, tookMs });
+    this.log.event(controlEvents.configurationAccepted, {
+      number: configuration.number,
+      held,
+      stored,
+      tookMs,
+    });
     return ok({ number: held, stored });
   }
 
@@ -61,7 +68,9 @@
 
   /** Names new weights of a model. */
   async nameWeights(model: string, version: number): Promise<Result<number, Fault>> {
-    const outcome = await this.proposer.propose('nameWeights', { weights: { model, version: BigInt(version) } });
+    const outcome = await this.proposer.propose('nameWeights', {
+      weights: { model, version: BigInt(version) },
+    });
     const held = outcome.map((value) => Number(value.version));
     this.log.event(controlEvents.weightsNamed, {
       model,
--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -38,6 +38,10 @@
   followed: { id: 3018, level: 'info', message: 'a follower opened its stream' },
   enlisted: { id: 3019, level: 'info', message: 'an instance asked to vote' },
   enlisting: { id: 3020, level: 'info', message: 'asked to be taken in as a voter' },
-  enlistUnanswered: { id: 3021, level: 'info', message: 'a control instance did not answer the wish to vote' },
+  enlistUnanswered: {
+    id: 3021,
+    level: 'info',
+    message: 'a control instance did not answer the wish to vote',
+  },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -104,7 +104,10 @@
 
   isBehind(): boolean {
     const { configuration, targets, commandLog } = this.sources;
-    const isOld = configuration.held().number > this.number || targets.place() > this.place || configuration.weightsVersion() > this.weights;
+    const isOld =
+      configuration.held().number > this.number ||
+      targets.place() > this.place ||
+      configuration.weightsVersion() > this.weights;
     return isOld || commandLog.status().vouched !== this.vouched;
   }
 
--- a/packages/control/src/targets/targetBook.ts
+++ b/packages/control/src/targets/targetBook.ts
@@ -130,7 +130,8 @@
         continue;
       }
       if (silentMs > FORGET_MS) this.entries.delete(target.id);
-      else if (this.isSilent(target, silentMs)) this.put({ ...target, announcement: Announcement.SILENT }, heardAt);
+      else if (this.isSilent(target, silentMs))
+        this.put({ ...target, announcement: Announcement.SILENT }, heardAt);
     }
   }
 
--- a/packages/daemon/src/setting/setting.ts
+++ b/packages/daemon/src/setting/setting.ts
@@ -37,7 +37,9 @@
   logStream: z
     .enum(['stderr', 'stdout'])
     .default('stderr')
-    .describe('stderr writes each line at once; stdout gathers lines, and drops some rather than wait for a reader'),
+    .describe(
+      'stderr writes each line at once; stdout gathers lines, and drops some rather than wait for a reader',
+    ),
   statsd: z
     .string()
     .regex(/^[^\s:]+:\d+$/, 'not host:port')
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -152,6 +152,19 @@
     answers?.add(outgoing);
     outgoing.once('close', () => answers?.delete(outgoing));
     if (this.stopping) outgoing.setHeader('connection', 'close');
+    outgoing.once('finish', () => {
+      this.closeAfter(socket, outgoing);
+    });
+  }
+
+  /**
+   * Closes a connection whose answer began before the stop and could not say that it is the last. Its caller would
+   * send the next request at once, again and again, and the last one would be cut when the time to stop is over. A
+   * request that crosses the close is never read, so its caller may send it elsewhere.
+   */
+  private closeAfter(socket: Socket, outgoing: ServerResponse): void {
+    const others = (this.answering.get(socket)?.answers.size ?? 0) - 1;
+    if (this.stopping && others <= 0 && outgoing.getHeader('connection') !== 'close') socket.destroySoon();
   }
 
   private watchConnections(): void {
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -116,7 +116,8 @@
       for await (const event of stream) {
         calledOff();
         calledOff = clock.after(SILENCE_MS, silent);
-        if (events === 0) log.event(knowledgeEvents.controlFollowed, { control: address, number: Number(event.number) });
+        if (events === 0)
+          log.event(knowledgeEvents.controlFollowed, { control: address, number: Number(event.number) });
         knowledge.apply(address, event, events === 0);
         events += 1;
         this.hear(address, event.controls);
--- a/packages/knowledge/src/knowledge.ts
+++ b/packages/knowledge/src/knowledge.ts
@@ -98,7 +98,10 @@
     if (content.length === 0 || Number(number) <= held) return;
     const parsed = configuration.safeParse(JSON.parse(decoder.decode(content)));
     if (!parsed.success) {
-      this.log.event(knowledgeEvents.badConfiguration, { number: Number(number), problem: parsed.error.message });
+      this.log.event(knowledgeEvents.badConfiguration, {
+        number: Number(number),
+        problem: parsed.error.message,
+      });
       return;
     }
     this.current = routingTable(parsed.data);
--- a/packages/knowledge/src/targetList.ts
+++ b/packages/knowledge/src/targetList.ts
@@ -80,7 +80,8 @@
   /** The newest target at an address that has not left; undefined when none announced itself there. */
   at(address: string): Target | undefined {
     const there = [...this.targets.values()].filter(
-      (known) => known.target.address === address && !known.replaced && known.announcement !== Announcement.LEFT,
+      (known) =>
+        known.target.address === address && !known.replaced && known.announcement !== Announcement.LEFT,
     );
     return there.sort((a, b) => b.since - a.since)[0]?.target;
   }
@@ -88,7 +89,8 @@
   /** How many targets of a service take work or are paused. */
   count(service: string): number {
     const alive = (known: Known): boolean => isReady(known) || known.target.paused;
-    return [...this.targets.values()].filter((known) => known.target.service === service && alive(known)).length;
+    return [...this.targets.values()].filter((known) => known.target.service === service && alive(known))
+      .length;
   }
 
   /** Calls back with the id of each target that begins to pause. Returns the way to stop. */
--- a/packages/relay/src/answer/callerAnswer.ts
+++ b/packages/relay/src/answer/callerAnswer.ts
@@ -83,6 +83,9 @@
   /** Begins an answer whose body comes piece by piece. */
   begin(status: number, headers: readonly HeaderField[]): void {
     if (this.left.signal.aborted || this.begun) return;
+    for (const name of this.response.getHeaderNames()) {
+      if (name !== 'connection') this.response.removeHeader(name);
+    }
     this.fields(headers);
     this.response.statusCode = status;
   }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -134,8 +134,8 @@
     const { clock, log } = this.context;
     this.draining = true;
     log.event(relayEvents.draining, { open: this.open });
-    await clock.sleep(this.settings.drainDelayMs);
     this.server.turnAway();
+    await clock.sleep(this.settings.drainDelayMs);
     await this.server.drain(LAST_CONNECTIONS_MS);
     log.event(relayEvents.drained);
   }
--- a/packages/relay/src/setting/setting.ts
+++ b/packages/relay/src/setting/setting.ts
@@ -15,7 +15,9 @@
     .describe('request bodies held at once in all, bytes: a third of 200 MB'),
   drainDelayMs: count(0, 600_000)
     .default(2_500)
-    .describe('time that a stopping entry goes on accepting, so that a balancer that asks each second misses it twice'),
+    .describe(
+      'time that a stopping entry goes on accepting, so that a balancer that asks each second misses it twice',
+    ),
   retryShare: z.coerce.number().min(0).max(1).default(0.1).describe('retries for each request of a service'),
   retrySlack: count(0, 100_000)
     .default(10)
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -140,7 +140,11 @@
       if (!this.mayRepeat(job, last.fault)) break;
     }
     if (this.answer.gone.aborted) {
-      log.event(relayEvents.callerGone, { request: job.request.id, sends: this.sends, ageMs: Math.round(this.answer.age()) });
+      log.event(relayEvents.callerGone, {
+        request: job.request.id,
+        sends: this.sends,
+        ageMs: Math.round(this.answer.age()),
+      });
       return;
     }
     if (last.state === 'failure') last.answer();
@@ -198,7 +202,9 @@
     try {
       const sent = await send(this.context, job, target, addition, this.abort.signal);
       if (sent.isOk()) status = sent.value.wire.status;
-      outcome = sent.isOk() ? await this.pass(job, target, sent.value) : { state: 'fault', fault: sent.error };
+      outcome = sent.isOk()
+        ? await this.pass(job, target, sent.value)
+        : { state: 'fault', fault: sent.error };
     } finally {
       sights.ended(target.id);
     }
@@ -289,11 +295,15 @@
     const calledOff = this.context.knowledge.targets.onPause((id) => {
       if (id === target.id && this.mayMove(job)) wire.abandon();
     });
-    this.answer.begin(wire.status, this.context.dialect.callerHeaders(wire.headers));
+    // Not before the first event: a target that is lost before it leaves nothing of its answer behind.
+    const begin = (): void => {
+      this.answer.begin(wire.status, this.context.dialect.callerHeaders(wire.headers));
+    };
     try {
       for await (const chunk of wire.body) {
         const events = pieces.push(chunk);
         if (events.length === 0) continue;
+        begin();
         this.lastEventId = pieces.lastId;
         await this.answer.write(events);
       }
@@ -304,6 +314,7 @@
       calledOff();
     }
     if (pieces.pending.length > 0) return this.brokenOff(fault('stream-broken', 'it ended inside an event'));
+    begin();
     this.answer.end();
     return { state: 'answered' };
   }
@@ -356,7 +367,9 @@
  * refuses rather than run it on cache of other weights.
  */
 function versionAt(target: Target, { request, route }: Job): number | undefined {
-  return route.hasPrompt && request.prompt !== undefined ? target.weights.get(request.prompt.model) : undefined;
+  return route.hasPrompt && request.prompt !== undefined
+    ? target.weights.get(request.prompt.model)
+    : undefined;
 }
 
 async function wholeBody(body: AsyncIterable<Uint8Array>): Promise<Result<Uint8Array, Fault>> {
