--- a/packages/control/src/follow/enlisting.ts
+++ b/packages/control/src/follow/enlisting.ts
@@ -33,21 +33,26 @@
  * founded, and after its disk was replaced. Asked again and again, as the leader may change or be unknown.
  */
 export async function enlist(parts: EnlistingParts, signal: AbortSignal): Promise<void> {
-  const { commandLog, clock, log, known, address } = parts;
-  while (!signal.aborted) {
+  const { commandLog, clock } = parts;
+  for (;;) {
     await clock.sleep(RETRY_MS, signal).catch(() => undefined);
-    if (signal.aborted || VOTING.has(commandLog.status().state)) continue;
-    const asked = new Set<string>([address]);
-    const queue = known().filter((one) => !asked.has(one));
-    for (let next = queue.shift(); next !== undefined && !signal.aborted; next = queue.shift()) {
-      if (asked.has(next)) continue;
-      asked.add(next);
-      const leader = await ask(parts, next);
-      if (leader === undefined) continue;
-      log.event(controlEvents.enlisting, { asked: next, leader });
-      if (leader === '') break;
-      queue.unshift(leader);
-    }
+    if (signal.aborted) return;
+    if (!VOTING.has(commandLog.status().state)) await askAll(parts);
+  }
+}
+
+/** Asks one after the other until the leader has heard the wish. */
+async function askAll(parts: EnlistingParts): Promise<void> {
+  const asked = new Set([parts.address]);
+  const queue = [...parts.known()];
+  for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
+    if (asked.has(next)) continue;
+    asked.add(next);
+    const leader = await ask(parts, next);
+    if (leader === undefined) continue;
+    parts.log.event(controlEvents.enlisting, { asked: next, leader });
+    if (leader === '') return;
+    queue.unshift(leader);
   }
 }
 
--- /dev/null
+++ b/packages/control/src/follow/follow.spec.ts
@@ -0,0 +1,78 @@
+import { controlMessage } from '@jasmineroute/protocol';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { Cluster, until } from '../fixture/index.js';
+import type { Node } from '../fixture/index.js';
+
+const configuration = (number: number) => ({ number, routes: [], services: [] });
+const source = (number: number): Uint8Array => Buffer.from(`sent ${number}`);
+
+describe('followers of control instances', () => {
+  let cluster: Cluster;
+  const stopped = new AbortController();
+
+  beforeEach(async () => {
+    cluster = await Cluster.start(3, { enlists: true });
+  });
+
+  afterEach(async () => {
+    stopped.abort();
+    await cluster.stop();
+  });
+
+  /** Numbers and announcements that a follower of one instance hears. */
+  function follow(node: Node): { numbers: number[]; targets: string[] } {
+    const heard = { numbers: [] as number[], targets: [] as string[] };
+    const client = cluster.clientOf(controlMessage.Configurations, node);
+    const read = async (): Promise<void> => {
+      const request = { number: 0n, name: 'e1', role: 'entry' };
+      for await (const event of client.follow(request, { signal: stopped.signal })) {
+        if (event.content.length > 0) heard.numbers.push(Number(event.number));
+        for (const { id, announcement } of event.targets) {
+          heard.targets.push(`${id} ${controlMessage.Announcement[announcement]}`);
+        }
+      }
+    };
+    read().catch(() => undefined);
+    return heard;
+  }
+
+  it('hear at every instance of what was accepted at one, and at one of what targets told it', async () => {
+    const [first, second, third] = cluster.nodes;
+    if (first === undefined || second === undefined || third === undefined) throw new Error('no instances');
+    const heard = [first, second, third].map(follow);
+    const accepted = await second.control.configurations.put(configuration(4), source(4));
+    expect(accepted._unsafeUnwrap()).toEqual({ number: 4, stored: true });
+    const target = { id: 't1', service: 's', address: 'a:1', dataCentre: 'x', capacity: 1 };
+    const rest = { draining: false, sequence: 1, coldMs: 0, weights: [] };
+    third.control.targets.beat({ ...target, ...rest });
+    await until(() => heard.every(({ numbers }) => numbers.includes(4)));
+    await until(() => heard[2]?.targets.includes('t1 READY') === true);
+    expect(heard[0]?.targets).toEqual([]);
+  });
+
+  it('read the newest configuration, or nothing without a quorum', async () => {
+    // Symptom: an operator reads an older configuration than the one that was accepted.
+    // Sequence: an instance is cut off; a newer configuration is accepted by the others; it is asked.
+    // Cause: an answer from the instance's own memory.
+    const [first, second, third] = cluster.nodes;
+    if (first === undefined || second === undefined || third === undefined) throw new Error('no instances');
+    await first.control.configurations.put(configuration(1), source(1));
+    cluster.isolate(third);
+    await until(async () => (await first.control.configurations.put(configuration(2), source(2))).isOk());
+    expect((await third.control.configurations.read()).isErr()).toBe(true);
+    cluster.heal();
+    await until(async () => {
+      const read = await third.control.configurations.read();
+      return read.isOk() && Buffer.from(read.value?.source ?? []).toString() === 'sent 2';
+    });
+  });
+
+  it('take in an instance that is told only where some of them are', async () => {
+    const added = await cluster.add('c4');
+    await until(() => cluster.isVouched(added));
+    await until(() => cluster.nodes.every((node) => node.control.readiness().ready));
+    const [first] = cluster.nodes;
+    await first?.control.configurations.put(configuration(8), source(8));
+    await until(async () => (await added.control.configurations.read())._unsafeUnwrap()?.number === 8);
+  });
+});
--- /dev/null
+++ b/packages/knowledge/src/knowledge.spec.ts
@@ -0,0 +1,47 @@
+import { create } from '@bufbuild/protobuf';
+import { ManualClock, silentLog } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import { describe, expect, it } from 'vitest';
+import { Knowledge } from './knowledge.js';
+
+const content = (number: number): Uint8Array =>
+  Buffer.from(JSON.stringify({ number, routes: [], services: [] }));
+
+const event = (change: Partial<controlMessage.FollowEvent>): controlMessage.FollowEvent =>
+  Object.assign(create(controlMessage.FollowEventSchema, {}), change);
+
+const named = (version: number, ageMs: number): controlMessage.NamedWeights =>
+  create(controlMessage.NamedWeightsSchema, { model: 'm', version: BigInt(version), ageMs });
+
+describe('knowledge', () => {
+  it('never goes back to an older configuration', () => {
+    const knowledge = new Knowledge(new ManualClock(), silentLog);
+    knowledge.apply('c1', event({ number: 5n, content: content(5) }), true);
+    knowledge.apply('c2', event({ number: 4n, content: content(4) }), true);
+    expect(knowledge.table()?.number).toBe(5);
+  });
+
+  it('is confirmed only by an instance in touch with a quorum', () => {
+    // Symptom: an entry that has just started serves by a configuration that was replaced.
+    // Sequence: it starts beside a control instance that is cut off from the others.
+    // Cause: the first answer counted, whoever gave it.
+    const knowledge = new Knowledge(new ManualClock(), silentLog);
+    knowledge.apply('c1', event({ vouched: false, number: 5n, content: content(5) }), true);
+    expect(knowledge.confirmed()).toBe(false);
+    knowledge.apply('c2', event({ vouched: true, number: 6n, content: content(6) }), true);
+    expect(knowledge.confirmed()).toBe(true);
+  });
+
+  it('counts weights as replaced from the first newer naming on', async () => {
+    const clock = new ManualClock();
+    const knowledge = new Knowledge(clock, silentLog);
+    await clock.advance(10_000);
+    knowledge.apply('c1', event({ weights: [named(2, 100)] }), true);
+    await clock.advance(5_000);
+    knowledge.apply('c1', event({ weights: [named(2, 5_100), named(3, 0)] }), false);
+    expect(knowledge.weightsOf('m')).toEqual({ version: 3, namedAt: 15_000 });
+    expect(knowledge.staleSince('m', 1)).toBe(9_900);
+    expect(knowledge.staleSince('m', 2)).toBe(15_000);
+    expect(knowledge.staleSince('m', 3)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -0,0 +1,136 @@
+import { ManualClock, silentLog } from '@jasmineroute/core';
+import { Knowledge } from '@jasmineroute/knowledge';
+import type { Target } from '@jasmineroute/knowledge';
+import { create } from '@bufbuild/protobuf';
+import { controlMessage } from '@jasmineroute/protocol';
+import { createRandom } from '@jasmineroute/routing';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { TargetSights } from '../target/index.js';
+import { Placements, drawService } from './placement.js';
+import { withWeights } from './weights.js';
+
+const target = (id: string, version = 1, dataCentre = 'here'): Target => ({
+  id,
+  service: 's',
+  address: `${id}:1`,
+  dataCentre,
+  capacity: 4,
+  weights: new Map([['m', version]]),
+  paused: false,
+});
+
+const targets = ['a', 'b', 'c', 'd', 'e'].map((id) => target(id));
+
+describe('placement', () => {
+  let clock: ManualClock;
+  let sights: TargetSights;
+  let placements: Placements;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    sights = new TargetSights(clock);
+    placements = new Placements(sights, 'here', createRandom(1));
+  });
+
+  const prompt = (shared: string, own: string) => ({
+    model: 'm',
+    parts: [shared, own].map((id) => ({ id, tokens: 100 })),
+    promptTokens: 200,
+    maxOutputTokens: 10,
+  });
+
+  const home = (shared: string, own = 'own'): string | undefined =>
+    placements.choose({ service: 's', candidates: targets, prompt: prompt(shared, own), salt: '' })?.target
+      .id;
+
+  it('keeps prompts with one shared part together, and others apart', () => {
+    const homes = new Set(Array.from({ length: 20 }, (_, at) => home('one', `own-${at}`)));
+    expect(homes.size).toBe(1);
+    expect(new Set(Array.from({ length: 60 }, (_, at) => home(`part-${at}`))).size).toBe(5);
+  });
+
+  it('spills from a home that is overrun, and comes back', () => {
+    // Symptom: a hot prompt's requests wait at one target while others idle.
+    // Sequence: many requests with one shared part come at once.
+    // Cause: its home took them however many it had.
+    const first = home('hot') ?? '';
+    for (let n = 0; n < 12; n += 1) sights.began(first);
+    expect(home('hot')).not.toBe(first);
+    for (let n = 0; n < 12; n += 1) sights.ended(first);
+    expect(home('hot')).toBe(first);
+  });
+
+  it('takes the least loaded for requests without a prompt, the nearest of equals', () => {
+    const far = targets.map(({ id }) => target(id, 1, 'there'));
+    const near = target('near');
+    const candidates = [...far, near];
+    expect(placements.choose({ service: 's', candidates, salt: '' })?.target.id).toBe('near');
+    sights.told('near', { running: 3, waiting: 0, slots: 4 });
+    expect(placements.choose({ service: 's', candidates, salt: '' })?.target.id).not.toBe('near');
+  });
+
+  it('forgets told load with its age', async () => {
+    sights.told('a', { running: 4, waiting: 0, slots: 4 });
+    expect(sights.requestsAt('a')).toBe(4);
+    await clock.advance(1_000);
+    expect(sights.requestsAt('a')).toBe(2);
+    await clock.advance(2_000);
+    expect(sights.requestsAt('a')).toBe(0);
+  });
+
+  it('avoids a target that failed, for longer with each failure, and uses it when all have', async () => {
+    sights.failed('a');
+    expect(sights.isAvoided('a')).toBe(true);
+    await clock.advance(250);
+    expect(sights.isAvoided('a')).toBe(false);
+    sights.failed('a');
+    await clock.advance(250);
+    expect(sights.isAvoided('a')).toBe(true);
+    const only = [target('a')];
+    expect(placements.choose({ service: 's', candidates: only, salt: '' })?.target.id).toBe('a');
+  });
+
+  it('draws services by weight', () => {
+    const route = { services: ['x', 'y', 'z'].map((service, at) => ({ service, weight: at * 10 })) };
+    const random = createRandom(2);
+    const drawn = Array.from({ length: 300 }, () => drawService(route as never, random));
+    expect(drawn.filter((one) => one === 'x')).toHaveLength(0);
+    expect(drawn.filter((one) => one === 'y').length).toBeGreaterThan(60);
+    expect(drawn.filter((one) => one === 'z').length).toBeGreaterThan(150);
+  });
+});
+
+describe('targets while weights are replaced', () => {
+  const clock = new ManualClock();
+  const knowledge = new Knowledge(clock, silentLog);
+  const event = create(controlMessage.FollowEventSchema, {
+    weights: [{ model: 'm', version: 2n, ageMs: 0 }],
+  });
+  knowledge.apply('c1', event, true);
+  const wish = { model: 'm', movable: false };
+  const ids = (candidates: readonly Target[], now: number, movable = false): string[] =>
+    withWeights(candidates, { ...wish, movable }, knowledge, now).map(({ id }) => id);
+  const old = [target('a'), target('b'), target('c')];
+  const fresh = [target('d', 2), target('e', 2), target('f', 2)];
+
+  it('are all used at first', () => {
+    expect(ids([...old, ...fresh], 500)).toHaveLength(6);
+  });
+
+  it('are left out with old weights once enough have the new ones', () => {
+    expect(ids([...old, ...fresh], 1_500)).toEqual(['d', 'e', 'f']);
+    expect(ids([...old, target('d', 2)], 1_500)).toHaveLength(4);
+  });
+
+  it('are left out with old weights for long streams that could move, as soon as any has the new ones', () => {
+    expect(ids([...old, target('d', 2)], 100, true)).toEqual(['d']);
+  });
+
+  it('serve nothing on weights that were replaced too long ago', () => {
+    // Symptom: requests begin on old weights longer than is agreed.
+    // Sequence: a rollout is held up; entries go on with the targets that are behind.
+    // Cause: old weights were better than a refusal, however old.
+    expect(ids(old, 7_000)).toEqual([]);
+    expect(ids([...old, target('d', 2)], 7_000)).toEqual(['d']);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/relay.spec.ts
@@ -0,0 +1,311 @@
+import { Agent, request as send } from 'node:http';
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+import { afterEach, describe, expect, it } from 'vitest';
+import { Bed, answered, routeTo, until } from './testing/bed.js';
+import type { Script } from './testing/bed.js';
+
+interface Answer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** The answer came to its end. */
+  readonly whole: boolean;
+}
+
+interface Question {
+  readonly id?: string;
+  readonly path?: string;
+  readonly host?: string;
+  readonly method?: string;
+  readonly body?: string;
+  readonly headers?: Record<string, string>;
+  readonly agent?: Agent;
+  readonly signal?: AbortSignal;
+  readonly onData?: (text: string) => void;
+}
+
+function ask(url: string, question: Question = {}): Promise<Answer> {
+  const { id = 'q1', path = '/x', host = 'a.example', method = 'POST', body = 'question' } = question;
+  const { agent, signal, onData } = question;
+  const headers = { host, 't-id': id, ...question.headers };
+  return new Promise((resolve, reject) => {
+    const sent = send(`${url}${path}`, { method, headers, agent, signal }, (answer) => {
+      let text = '';
+      const end = (whole: boolean) => () => {
+        resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body: text, whole });
+      };
+      answer.on('data', (part: Buffer) => {
+        text += part.toString();
+        onData?.(text);
+      });
+      answer.on('end', end(true));
+      answer.on('error', end(false));
+    });
+    sent.on('error', reject);
+    sent.end(method === 'GET' ? undefined : body);
+  });
+}
+
+const reset: Script = (request) => {
+  request.socket.resetAndDestroy();
+};
+
+const refusal: Script = (request, response) => {
+  response.writeHead(503, { 't-id': request.headers['t-id'], 't-not-run': '1' });
+  response.end();
+};
+
+/** Writes events `from` to `to`, and then does what is asked. */
+function events(from: number, to: number, then: (response: ServerResponse) => void): Script {
+  return (request, response) => {
+    response.writeHead(200, { 't-id': request.headers['t-id'], 't-signed': 'yes', 't-made-by': 'target' });
+    for (let n = from; n <= to; n += 1) response.write(`id: ${n}\ndata: ${n}\n\n`);
+    then(response);
+  };
+}
+
+const stream = { kind: 'stream' as const, resumable: true, maxAttempts: 2, hasPrompt: true };
+const text = (from: number, to: number): string =>
+  Array.from({ length: to - from + 1 }, (_, at) => `id: ${from + at}\ndata: ${from + at}\n\n`).join('');
+
+describe('a relaying entry', () => {
+  let bed: Bed;
+
+  afterEach(async () => {
+    await bed.stop();
+  });
+
+  const start = async (...args: Parameters<typeof Bed.start>): Promise<string> => {
+    bed = await Bed.start(...args);
+    return bed.url;
+  };
+
+  /** The target that the first request reaches does `first`, each other one `others`. */
+  const inTurn = (first: Script, others: Script): void => {
+    for (const target of bed.targets) {
+      target.script = (request, response, body) => {
+        (bed.arrivals() === 1 ? first : others)(request, response, body);
+      };
+    }
+  };
+
+  it('passes a request and its answer on, and adds what is its own', async () => {
+    const customers = [{ name: 'harbour', keys: ['k'], isolated: false }];
+    const url = await start([routeTo({ open: false })], 1, { customers });
+    let seen = '';
+    bed.target(1).script = (request, response, body) => {
+      seen = `${request.method} ${request.url} ${body} ${String(request.headers['t-customer'])}`;
+      answered('the answer')(request, response, body);
+    };
+    const answer = await ask(url, { path: '/x?y=1', headers: { 't-key': 'k', 't-deadline': '900' } });
+    expect(answer).toMatchObject({ status: 200, body: 'the answer', whole: true });
+    expect(seen).toBe('POST /x?y=1 question harbour');
+    const headers = bed.target(1).requests[0]?.headers ?? {};
+    expect(headers['t-target']).toBe('t1');
+    expect(Number(headers['t-deadline'])).toBeLessThanOrEqual(900);
+    expect(Number(headers['t-deadline'])).toBeGreaterThan(500);
+  });
+
+  it('refuses what no configuration allows', async () => {
+    const customers = [{ name: 'harbour', keys: ['k'], isolated: false }];
+    const url = await start([routeTo({ open: false, pathPrefix: '/x/' })], 1, { customers });
+    const key = { 't-key': 'k' };
+    expect((await ask(url, { path: '/y/1', headers: key })).status).toBe(404);
+    expect((await ask(url, { path: '/x/1', host: 'b.example', headers: key })).status).toBe(404);
+    expect((await ask(url, { path: '/x/1' })).status).toBe(401);
+    expect((await ask(url, { path: '/x/1', headers: { 't-key': 'z' } })).status).toBe(401);
+    expect((await ask(url, { path: '/x/1', headers: key })).status).toBe(200);
+    expect(bed.arrivals()).toBe(1);
+  });
+
+  it('says not run only when the target has stated it', async () => {
+    // Symptom: a request that ran is reported as not run, and its caller sends it again.
+    // Sequence: a target reads a request and resets the connection; another one answers 503 without more.
+    // Cause: every failure, or every 503, was passed on as a refusal.
+    const url = await start([routeTo()], 1);
+    bed.target(1).script = refusal;
+    const refused = await ask(url);
+    expect(refused.status).toBe(503);
+    expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+    bed.target(1).script = reset;
+    expect((await ask(url)).status).toBe(502);
+    bed.target(1).script = answered('overloaded', 503);
+    expect((await ask(url)).status).toBe(502);
+    expect(bed.arrivals()).toBe(3);
+  });
+
+  it('never sends again what may run once, and repeats what may be repeated', async () => {
+    const once = routeTo({ maxAttempts: 3, pathPrefix: '/once/' });
+    const repeatable = routeTo({ name: 'r2', kind: 'idempotent', maxAttempts: 3, pathPrefix: '/often/' });
+    const url = await start([once, repeatable], 2);
+    inTurn(reset, answered('second'));
+    expect((await ask(url, { path: '/once/1' })).status).toBe(502);
+    expect(bed.arrivals()).toBe(1);
+    for (const target of bed.targets) target.requests.length = 0;
+    expect(await ask(url, { path: '/often/1' })).toMatchObject({ status: 200, body: 'second' });
+    expect(bed.arrivals()).toBe(2);
+  });
+
+  it('sends to no more targets than the route allows', async () => {
+    const url = await start([routeTo({ kind: 'idempotent', maxAttempts: 2 })], 3);
+    for (const target of bed.targets) target.script = reset;
+    expect((await ask(url)).status).toBe(502);
+    expect(bed.arrivals()).toBe(2);
+  });
+
+  it('passes on a failure of a target unchanged when no other attempt does better', async () => {
+    const url = await start([routeTo({ kind: 'idempotent', maxAttempts: 2 })], 2);
+    for (const target of bed.targets) target.script = answered('it broke', 500);
+    const answer = await ask(url);
+    expect(answer).toMatchObject({ status: 500, body: 'it broke' });
+    expect(answer.headers['t-signed']).toBe('yes');
+    expect(bed.arrivals()).toBe(2);
+  });
+
+  it('takes another target when the first can not be reached, also for what may run once', async () => {
+    const url = await start([routeTo()], 2);
+    await bed.target(1).close();
+    for (let n = 0; n < 6; n += 1) expect((await ask(url, { id: `q${n}` })).status).toBe(200);
+    expect(bed.target(2).requests).toHaveLength(6);
+  });
+
+  it('gives nobody an answer with the id of another request', async () => {
+    const url = await start([routeTo()], 1);
+    bed.target(1).script = (_request, response) => {
+      response.writeHead(200, { 't-id': 'somebody-else', 't-signed': 'yes' });
+      response.end('secret');
+    };
+    const answer = await ask(url);
+    expect(answer.status).toBe(502);
+    expect(answer.body).not.toContain('secret');
+  });
+
+  it('leaves a target out once its address answers for another one', async () => {
+    const url = await start([routeTo()], 2);
+    bed.target(1).script = (_request, response) => {
+      response.writeHead(421, { 't-target': 't9', 't-not-run': '1' });
+      response.end();
+    };
+    const statuses = new Set<number>();
+    for (let n = 0; n < 20; n += 1) statuses.add((await ask(url, { id: `q${n}` })).status);
+    expect(bed.target(1).requests.length).toBeLessThanOrEqual(1);
+    expect(bed.target(2).requests.length).toBeGreaterThanOrEqual(19);
+  });
+
+  it('answers when the time of a route is over', async () => {
+    const url = await start([routeTo({ timeoutMs: 150 })], 1);
+    bed.target(1).script = () => undefined;
+    const begun = performance.now();
+    expect((await ask(url)).status).toBe(504);
+    expect(performance.now() - begun).toBeLessThan(500);
+  });
+
+  it('stops the work of a caller that left', async () => {
+    const url = await start([routeTo()], 1);
+    let closed = false;
+    bed.target(1).script = (request) => {
+      request.socket.on('close', () => (closed = true));
+    };
+    const abort = new AbortController();
+    const asked = ask(url, { signal: abort.signal }).catch(() => undefined);
+    await until(() => bed.arrivals() === 1);
+    abort.abort();
+    await asked;
+    await until(() => closed);
+  });
+
+  it('goes on with a stream at another target after the last event, as one answer', async () => {
+    // Symptom: a caller loses events, gets one twice, or half of one.
+    // Sequence: a target breaks off inside an event; another one goes on.
+    // Cause: bytes passed on as they came, and a second answer from the start.
+    const url = await start([routeTo(stream)], 2);
+    const broken = events(0, 2, (response) => {
+      response.write('id: 3\nda', () => response.socket?.resetAndDestroy());
+    });
+    inTurn(broken, (request, response, body) => {
+      const after = Number(request.headers['t-after']);
+      events(after + 1, 5, (written) => written.end())(request, response, body);
+    });
+    expect(await ask(url)).toMatchObject({ status: 200, body: text(0, 5), whole: true });
+    expect(bed.arrivals()).toBe(2);
+  });
+
+  it('shows nothing of a target that was lost before its first event', async () => {
+    // Symptom: an answer bears the signatures of two targets.
+    // Sequence: a target sends its head and crashes; another one answers.
+    // Cause: the first head was written before there was an event.
+    const url = await start([routeTo(stream)], 2);
+    const lost = events(0, -1, (response) => {
+      response.flushHeaders();
+      setTimeout(() => response.socket?.resetAndDestroy(), 20);
+    });
+    inTurn(
+      lost,
+      events(0, 1, (response) => response.end()),
+    );
+    const answer = await ask(url);
+    expect(answer).toMatchObject({ status: 200, body: text(0, 1) });
+    expect(answer.headers['t-signed']).toBe('yes');
+  });
+
+  it('breaks off a stream that may not go on, so that it never looks whole', async () => {
+    const url = await start([routeTo({ ...stream, resumable: false })], 2);
+    const broken = events(0, 1, (response) => {
+      response.write('id: 2\nda', () => response.socket?.resetAndDestroy());
+    });
+    inTurn(
+      broken,
+      events(0, 5, (response) => response.end()),
+    );
+    expect(await ask(url)).toMatchObject({ whole: false, body: text(0, 1) });
+    expect(bed.arrivals()).toBe(1);
+  });
+
+  it('moves a stream off a target that pauses', async () => {
+    const url = await start([routeTo(stream)], 2);
+    inTurn(
+      events(0, 1, () => undefined),
+      (request, response, body) => {
+        const after = Number(request.headers['t-after']);
+        events(after + 1, 3, (written) => written.end())(request, response, body);
+      },
+    );
+    let begun = '';
+    const answer = ask(url, { onData: (part) => (begun = part) });
+    await until(() => begun === text(0, 1));
+    const first = bed.targets.find(({ requests }) => requests.length > 0);
+    bed.announce({ [first?.id ?? '']: { paused: true, observation: 1n } });
+    expect(await answer).toMatchObject({ body: text(0, 3), whole: true });
+  });
+
+  it('names the weights and keeps their caches apart', async () => {
+    const url = await start([routeTo(stream)], 1);
+    bed.target(1).script = events(0, 0, (response) => response.end());
+    await ask(url, { headers: { 't-prompt': 'a,b' } });
+    const headers = bed.target(1).requests[0]?.headers ?? {};
+    expect(headers['t-version']).toBe('1');
+    expect(headers['t-salt']).toContain('weights-1');
+  });
+
+  it('takes no request on a connection whose stream outlived the begin of a planned stop', async () => {
+    // Symptom: a planned stop cuts a request that was sent seconds after it began.
+    // Sequence: a stream is under way; the stop begins; the stream ends; its caller uses the connection again.
+    // Cause: the stream's head went out before it could say that the connection closes.
+    const url = await start([routeTo(stream)], 1);
+    let finish: () => void = () => undefined;
+    bed.target(1).script = events(0, 0, (response) => {
+      finish = () => response.end();
+    });
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    let begun = '';
+    const first = ask(url, { agent, onData: (part) => (begun = part) });
+    await until(() => begun !== '');
+    const drained = bed.drain();
+    finish();
+    expect((await first).whole).toBe(true);
+    await drained;
+    await expect(ask(url, { agent, id: 'q2' })).rejects.toThrow();
+    expect(bed.arrivals()).toBe(1);
+    agent.destroy();
+  });
+});
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,5 @@
 /** The relaying entry as a role: callers in, targets out, control followed. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { ConnectRouter } from '@connectrpc/connect';
 import { fault } from '@jasmineroute/core';
 import { BodyBudget, CallerServer } from '@jasmineroute/entry';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
@@ -100,7 +99,7 @@
   }
 
   /** Other processes ask an entry for nothing. */
-  routes(_router: ConnectRouter): void {
+  routes(): void {
     return;
   }
 
--- /dev/null
+++ b/packages/relay/src/testing/dialect.ts
@@ -0,0 +1,62 @@
+/** A small protocol for tests: names of its own, so that nothing here depends on a certain platform. */
+import type { IncomingMessage } from 'node:http';
+import { headerOf } from '@jasmineroute/engine';
+import { ok } from 'neverthrow';
+import type { Dialect, RelayRequest } from '../dialect/index.js';
+
+const one = (value: string | string[] | undefined): string | undefined =>
+  Array.isArray(value) ? value[0] : value;
+
+const numberOf = (value: string | string[] | undefined): number | undefined =>
+  value === undefined ? undefined : Number(one(value));
+
+function promptOf({ headers }: IncomingMessage): RelayRequest['prompt'] {
+  const parts = one(headers['t-prompt']);
+  if (parts === undefined) return undefined;
+  return {
+    model: 'm',
+    parts: parts.split(',').map((id) => ({ id, tokens: 10 })),
+    promptTokens: 10,
+    maxOutputTokens: 1,
+  };
+}
+
+/** The protocol. */
+export const testDialect: Dialect = {
+  readRequest: (incoming) =>
+    ok({
+      id: one(incoming.headers['t-id']) ?? '',
+      method: incoming.method ?? 'GET',
+      path: incoming.url ?? '/',
+      host: incoming.headers.host ?? '',
+      deadlineMs: numberOf(incoming.headers['t-deadline']),
+      key: one(incoming.headers['t-key']),
+      prompt: promptOf(incoming),
+      headers: { 't-id': one(incoming.headers['t-id']) ?? '' },
+    }),
+  targetHeaders: (request, addition) => ({
+    ...request.headers,
+    't-target': addition.targetId,
+    't-deadline': String(addition.deadlineMs),
+    't-customer': addition.customer ?? '',
+    't-salt': addition.cacheSalt ?? '',
+    't-version': String(addition.weightsVersion ?? ''),
+    't-after': addition.lastEventId ?? '',
+  }),
+  readAnswer: (_status, headers) => ({
+    requestId: headerOf(headers, 't-id'),
+    notRun: headerOf(headers, 't-not-run') !== undefined,
+    signed: headerOf(headers, 't-signed') !== undefined,
+    otherTargetId: headerOf(headers, 't-target'),
+  }),
+  callerHeaders: (headers) => headers.filter(({ name }) => name.startsWith('t-')),
+  ownAnswer: (status, { kind, ran, retryAfterMs }, requestId) => ({
+    status,
+    headers: [
+      { name: 't-id', value: requestId ?? '' },
+      { name: 't-ran', value: ran },
+      { name: 'retry-after', value: String((retryAfterMs ?? 0) / 1_000) },
+    ],
+    body: Buffer.from(kind),
+  }),
+};
--- /dev/null
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -0,0 +1,169 @@
+import { create } from '@bufbuild/protobuf';
+import { ManualClock, fault, silentLog } from '@jasmineroute/core';
+import { Knowledge } from '@jasmineroute/knowledge';
+import { controlMessage } from '@jasmineroute/protocol';
+import { err, ok } from 'neverthrow';
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { OrderOutcome, TargetPort, WeightsOrder } from '../port/index.js';
+import type { Observation, Observer } from './observer.js';
+import { WeightsKeeper } from './weightsKeeper.js';
+
+const ADDRESS = '10.0.0.1:80';
+
+/** A target that loads in 100 ms. */
+class FakeTarget implements TargetPort {
+  version = 1;
+  running = 0;
+  orders: WeightsOrder[] = [];
+  outcome: OrderOutcome | 'none' = 'accepted';
+  /** An order without an answer is carried out all the same. */
+  silent = false;
+  private readyAt = 0;
+
+  constructor(private readonly clock: ManualClock) {}
+
+  report: TargetPort['report'] = () => {
+    const busy = this.clock.monotonic() < this.readyAt;
+    const weights = new Map([['m', busy ? this.version - 1 : this.version]]);
+    return Promise.resolve(
+      ok({ weights, busy, orders: this.orders.length, waiting: 0, running: this.running }),
+    );
+  };
+
+  order: TargetPort['order'] = (order) => {
+    this.orders.push(order);
+    if (this.outcome === 'accepted') {
+      this.version = order.version;
+      this.readyAt = this.clock.monotonic() + 100;
+    }
+    if (this.silent) return Promise.resolve(err(fault('target-lost', 'no answer')));
+    return Promise.resolve(ok(this.outcome === 'none' ? 'overtaken' : this.outcome));
+  };
+}
+
+describe('the keeper of weights', () => {
+  let clock: ManualClock;
+  let target: FakeTarget;
+  let knowledge: Knowledge;
+  let told: Observation[];
+  let granted: boolean;
+  let fence: bigint;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    target = new FakeTarget(clock);
+    knowledge = new Knowledge(clock, silentLog);
+    told = [];
+    granted = true;
+    fence = 0n;
+    announce('t1', ADDRESS, 1);
+  });
+
+  function announce(id: string, address: string, version: number): void {
+    const one = { id, service: 's', address, dataCentre: 'here', capacity: 4, sequence: 1n };
+    const weights = [{ model: 'm', version: BigInt(version) }];
+    const announcement = controlMessage.Announcement.READY;
+    const targets = [{ ...one, weights, announcement }];
+    knowledge.apply('c1', create(controlMessage.FollowEventSchema, { vouched: true, targets }), false);
+  }
+
+  const name = (version: number): void => {
+    const weights = [{ model: 'm', version: BigInt(version), ageMs: 0 }];
+    knowledge.apply('c1', create(controlMessage.FollowEventSchema, { vouched: true, weights }), false);
+  };
+
+  const keeper = (): WeightsKeeper =>
+    new WeightsKeeper({
+      name: 'a1',
+      incarnation: 1n,
+      address: ADDRESS,
+      service: 's',
+      port: target,
+      knowledge,
+      turns: {
+        take: () => {
+          fence += 1n;
+          return Promise.resolve(ok({ granted, fence }));
+        },
+        release: () => Promise.resolve(ok()),
+      },
+      observer: {
+        tell: (observation: Observation) => {
+          told.push(observation);
+          return Promise.resolve();
+        },
+      } as unknown as Observer,
+      clock,
+      log: silentLog,
+    });
+
+  /** One look, with time moving on until it is over. */
+  async function look(one = keeper()): Promise<void> {
+    let done = false;
+    const looking = one.look().then(() => (done = true));
+    for (let step = 0; step < 2_000 && !done; step += 1) await clock.advance(10);
+    await looking;
+  }
+
+  it('tells of a pause, orders the named version under its fence, and tells of its end', async () => {
+    name(3);
+    await look();
+    expect(target.orders).toEqual([
+      { model: 'm', version: 3, holder: 'a1', fence: 1n, expectedOrders: 0, targetId: 't1' },
+    ]);
+    expect(told.map(({ paused, number }) => [paused, number])).toEqual([
+      [true, 1n],
+      [false, 1n],
+    ]);
+    expect(told.at(-1)?.weights.get('m')).toBe(3);
+  });
+
+  it('leaves out versions that were overtaken', async () => {
+    name(2);
+    name(5);
+    await look();
+    expect(target.orders.map(({ version }) => version)).toEqual([5]);
+  });
+
+  it('does nothing without a turn', async () => {
+    granted = false;
+    name(2);
+    await look();
+    expect(target.orders).toEqual([]);
+    expect(told).toEqual([]);
+  });
+
+  it('goes by what the target reports when an order gets no answer', async () => {
+    // Symptom: an order is given twice, or a target stays paused for good.
+    // Sequence: the answer to an order is lost; the target carries it out.
+    // Cause: no answer was taken for no order.
+    target.silent = true;
+    name(2);
+    await look();
+    expect(target.orders).toHaveLength(1);
+    expect(told.at(-1)).toMatchObject({ paused: false });
+    expect(told.at(-1)?.weights.get('m')).toBe(2);
+  });
+
+  it('ends the pause when the target refuses the order', async () => {
+    target.outcome = 'fenced';
+    name(2);
+    await look();
+    expect(told.map(({ paused }) => paused)).toEqual([true, false]);
+  });
+
+  it('lets targets go first that are further behind, for a while', async () => {
+    // Symptom: when versions are named in quick succession, one target stays on the first for many seconds.
+    // Sequence: agents of targets that have just loaded ask for the next turn, and get it.
+    // Cause: turns in the order of asking.
+    target.version = 2;
+    announce('t1', ADDRESS, 2);
+    announce('t2', '10.0.0.2:80', 1);
+    name(3);
+    await look();
+    expect(target.orders).toEqual([]);
+    await clock.advance(3_001);
+    await look();
+    expect(target.orders).toHaveLength(1);
+  });
+});
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -1,5 +1,4 @@
 /** The process beside a target, as a role. */
-import type { ConnectRouter } from '@connectrpc/connect';
 import { Controls, TurnClient } from '@jasmineroute/directory';
 import { Follower, Knowledge } from '@jasmineroute/knowledge';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
@@ -42,7 +41,7 @@
   }
 
   /** Other processes ask it for nothing. */
-  routes(_router: ConnectRouter): void {
+  routes(): void {
     return;
   }
 
