--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -99,9 +99,11 @@
 
   /** One look, with time moving on until it is over. */
   async function look(one = keeper()): Promise<void> {
-    let done = false;
-    const looking = one.look().then(() => (done = true));
-    for (let step = 0; step < 2_000 && !done; step += 1) await clock.advance(10);
+    const state = { done: false };
+    const looking = one.look().then(() => {
+      state.done = true;
+    });
+    for (let step = 0; step < 2_000 && !state.done; step += 1) await clock.advance(10);
     await looking;
   }
 
