--- /dev/null
+++ b/packages/relay/src/cache/index.ts
@@ -0,0 +1,1 @@
+export * from './copies.js';
--- a/packages/relay/src/dialect/dialect.ts
+++ b/packages/relay/src/dialect/dialect.ts
@@ -49,6 +49,10 @@
   readonly customer?: string;
   /** Cached blocks are found under the same salt only. */
   readonly cacheSalt?: string;
+  /** Where the target may fetch cached blocks that it lacks, host:port. */
+  readonly cacheSource?: string;
+  /** Where the target keeps a copy of the blocks that it has read, host:port. */
+  readonly cacheCopy?: string;
   /** 0 to 9; 0 is first. */
   readonly urgency?: number;
   /** Goes on after this event. */
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,5 +1,6 @@
 /** An entry that routes by numbered configurations, straight to targets that announce themselves. */
 export * from './answer/index.js';
+export * from './cache/index.js';
 export * from './dialect/index.js';
 export * from './events.js';
 export * from './metrics.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -5,6 +5,7 @@
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { createRandom } from '@jasmineroute/routing';
 import { CallerAnswer } from './answer/index.js';
+import { Copies } from './cache/index.js';
 import type { Dialect } from './dialect/index.js';
 import { relayEvents } from './events.js';
 import { Follower, Knowledge } from '@jasmineroute/knowledge';
@@ -69,6 +70,7 @@
       sights,
       pools: new TargetPools(),
       budgets: new ServiceBudgets(allowance, () => knowledge.entries()),
+      copies: new Copies(clock),
       bodies: new BodyBudget(settings.maxBufferedBytes),
       random,
       clock,
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -2,6 +2,7 @@
 import type { Clock, Log, Metrics } from '@jasmineroute/core';
 import type { BodyBudget } from '@jasmineroute/entry';
 import type { Random } from '@jasmineroute/routing';
+import type { Copies } from '../cache/index.js';
 import type { Dialect } from '../dialect/index.js';
 import type { Knowledge } from '@jasmineroute/knowledge';
 import type { Placements } from '../placement/index.js';
@@ -16,6 +17,7 @@
   readonly sights: TargetSights;
   readonly pools: TargetPools;
   readonly budgets: ServiceBudgets;
+  readonly copies: Copies;
   readonly bodies: BodyBudget;
   readonly random: Random;
   readonly clock: Clock;
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -7,6 +7,8 @@
 import { readBody } from '@jasmineroute/entry';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { storeAddress } from '../cache/index.js';
+import type { StoreUse } from '../cache/index.js';
 import { EventPieces } from '../answer/index.js';
 import type { CallerAnswer } from '../answer/index.js';
 import type { Addition, RelayRequest } from '../dialect/index.js';
@@ -44,6 +46,9 @@
   /** Last event that the caller has, once a stream has begun. */
   private lastEventId: number | undefined;
   private service = '';
+  /** Longest pause between two events so far, and when the last one came. */
+  private pauseMs = 0;
+  private eventAt: number | undefined;
   /** The running stream was given up to go on elsewhere, and its retry is taken from the budget already. */
   private moving = false;
 
@@ -225,6 +230,9 @@
       outcome: result,
       problem: outcome.state === 'answered' ? undefined : outcome.fault.message,
       status,
+      copied: addition.cacheCopy !== undefined,
+      events: this.lastEventId,
+      pauseMs: Math.round(this.pauseMs),
       tookMs: Math.round(clock.monotonic() - begunAt),
       firstByteMs: this.answer.firstByteMs === undefined ? undefined : Math.round(this.answer.firstByteMs),
       ageMs: Math.round(this.answer.age()),
@@ -236,17 +244,28 @@
     const { customer, route, request } = job;
     const weightsVersion = versionAt(target, job);
     const resumeAfter = this.lastEventId === undefined ? request.lastEventId : String(this.lastEventId);
+    const cacheSalt = route.hasPrompt ? `${saltOf(job)}weights-${weightsVersion ?? 0}` : undefined;
+    const { source, copy } = this.storeUse(job, cacheSalt);
     return {
       deadlineMs: Math.max(1, Math.floor(leftMs)),
       targetId: target.id,
       customer: customer?.name,
-      cacheSalt: route.hasPrompt ? `${saltOf(job)}weights-${weightsVersion ?? 0}` : undefined,
+      cacheSalt,
+      cacheSource: source,
+      cacheCopy: copy,
       urgency: route.hasPrompt ? Math.min(9, customer?.priority ?? route.priority) : undefined,
       lastEventId: route.resumable ? resumeAfter : undefined,
       weightsVersion,
     };
   }
 
+  private storeUse({ request }: Job, cacheSalt: string | undefined): StoreUse {
+    const { knowledge, copies } = this.context;
+    const table = knowledge.table();
+    if (cacheSalt === undefined || request.prompt === undefined || table === undefined) return {};
+    return copies.use(storeAddress(table.configuration), request.prompt, cacheSalt);
+  }
+
   /** Gives an answer to the caller. */
   private async pass(job: Job, target: Target, answer: TargetAnswer): Promise<Outcome> {
     if (answer.wire.status >= SERVER_ERROR) return this.passFailure(answer);
@@ -305,6 +324,7 @@
         if (events.length === 0) continue;
         begin();
         this.lastEventId = pieces.lastId;
+        this.notePause();
         await this.answer.write(events);
       }
     } catch (error) {
@@ -319,6 +339,12 @@
     return { state: 'answered' };
   }
 
+  private notePause(): void {
+    const now = this.context.clock.monotonic();
+    if (this.eventAt !== undefined) this.pauseMs = Math.max(this.pauseMs, now - this.eventAt);
+    this.eventAt = now;
+  }
+
   /**
    * Whether a stream may leave a target that pauses. The target waits for its runs before it loads new weights, up to
    * several seconds for a long one, and takes no other work meanwhile; a stream that goes on elsewhere after its last
