Let a stream leave a pausing target right after an event

Cause: a moved stream's pause counted from its last event, up to 200 ms before the move. Change: it leaves after its next event, or after 250 ms.

--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -27,6 +27,9 @@
 /** Answers up to this size, bytes, are held until whole, so that a break can be mended by another attempt. */
 const HELD_BYTES = 256 * 1024;
 
+/** A stream that leaves a target waits so long for its next event, milliseconds: some steps of a busy engine. */
+const MOVE_MS = 250;
+
 /** A request that can't be answered in this time is not sent any more, milliseconds: one round trip. */
 const LEAST_MS = 10;
 
@@ -311,8 +314,13 @@
   /** Passes events as they come, whole ones only. */
   private async passEvents(job: Job, target: Target, { wire }: TargetAnswer): Promise<Outcome> {
     const pieces = new EventPieces(this.lastEventId);
-    const calledOff = this.context.knowledge.targets.onPause((id) => {
-      if (id === target.id && this.mayMove(job)) wire.abandon();
+    let calledOff = (): void => undefined;
+    const noMove = this.context.knowledge.targets.onPause((id) => {
+      if (id !== target.id || !this.mayMove(job)) return;
+      // Between two events, as close to the last one as can be: its caller counts the pause from there.
+      calledOff = this.context.clock.after(MOVE_MS, () => {
+        wire.abandon();
+      });
     });
     // Not before the first event: a target that is lost before it leaves nothing of its answer behind.
     const begin = (): void => {
@@ -326,11 +334,13 @@
         this.lastEventId = pieces.lastId;
         this.notePause();
         await this.answer.write(events);
+        if (this.moving) wire.abandon();
       }
     } catch (error) {
       wire.abandon();
       return this.brokenOff(broken(error));
     } finally {
+      noMove();
       calledOff();
     }
     if (pieces.pending.length > 0) return this.brokenOff(fault('stream-broken', 'it ended inside an event'));
