Spread short prompts, bound homes tighter, avoid targets that go quiet

Cause: long streams with 198 shared tokens gathered at homes and at the first targets with new weights, 53 begun in 2 s at two of five; requests went on to a host that had gone dark until its third missed heartbeat. Change: a home needs 1,000 shared tokens, and is bounded by 1.25 times the mean and one more; only streams that move insist on new weights; a target with open requests and no byte for 800 ms is avoided.

--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -32,10 +32,10 @@
     placements = new Placements(sights, 'here', createRandom(1));
   });
 
-  const prompt = (shared: string, own: string) => ({
+  const prompt = (shared: string, own: string, tokens = 1_000) => ({
     model: 'm',
-    parts: [shared, own].map((id) => ({ id, tokens: 100 })),
-    promptTokens: 200,
+    parts: [shared, own].map((id) => ({ id, tokens })),
+    promptTokens: 2 * tokens,
     maxOutputTokens: 10,
   });
 
@@ -49,6 +49,16 @@
     expect(new Set(Array.from({ length: 60 }, (_, at) => home(`part-${at}`))).size).toBe(5);
   });
 
+  it('gives a short prompt no home', () => {
+    const drawn = new Set(
+      Array.from({ length: 40 }, () => {
+        const short = prompt('short', 'own', 100);
+        return placements.choose({ service: 's', candidates: targets, prompt: short, salt: '' })?.target.id;
+      }),
+    );
+    expect(drawn.size).toBeGreaterThan(1);
+  });
+
   it('spills from a home that is overrun, and comes back', () => {
     // Symptom: a hot prompt's requests wait at one target while others idle.
     // Sequence: many requests with one shared part come at once.
@@ -90,6 +100,22 @@
     expect(placements.choose({ service: 's', candidates: only, salt: '' })?.target.id).toBe('a');
   });
 
+  it('avoids a target that has gone quiet while it has requests', async () => {
+    // Symptom: requests hang until their deadline, one after the other.
+    // Sequence: a target's host goes dark; its connections stay open; heartbeats are missed seconds later.
+    // Cause: nothing but an error or a missed heartbeat counted against a target.
+    sights.began('a');
+    await clock.advance(800);
+    expect(sights.isAvoided('a')).toBe(false);
+    await clock.advance(1);
+    expect(sights.isAvoided('a')).toBe(true);
+    sights.heard('a');
+    expect(sights.isAvoided('a')).toBe(false);
+    await clock.advance(900);
+    sights.ended('a');
+    expect(sights.isAvoided('a')).toBe(false);
+  });
+
   it('draws services by weight', () => {
     const route = { services: ['x', 'y', 'z'].map((service, at) => ({ service, weight: at * 10 })) };
     const random = createRandom(2);
@@ -107,9 +133,9 @@
     weights: [{ model: 'm', version: 2n, ageMs: 0 }],
   });
   knowledge.apply('c1', event, true);
-  const wish = { model: 'm', movable: false };
-  const ids = (candidates: readonly Target[], now: number, movable = false): string[] =>
-    withWeights(candidates, { ...wish, movable }, knowledge, now).map(({ id }) => id);
+  const wish = { model: 'm', moving: false };
+  const ids = (candidates: readonly Target[], now: number, moving = false): string[] =>
+    withWeights(candidates, { ...wish, moving }, knowledge, now).map(({ id }) => id);
   const old = [target('a'), target('b'), target('c')];
   const fresh = [target('d', 2), target('e', 2), target('f', 2)];
 
@@ -122,7 +148,7 @@
     expect(ids([...old, target('d', 2)], 1_500)).toHaveLength(4);
   });
 
-  it('are left out with old weights for long streams that could move, as soon as any has the new ones', () => {
+  it('are left out with old weights for a stream that moves, as soon as any has the new ones', () => {
     expect(ids([...old, target('d', 2)], 100, true)).toEqual(['d']);
   });
 
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -8,11 +8,17 @@
 
 /**
  * A home of a prompt is passed over once it has this many times the mean load of the service, and this many requests
- * more: the bound of consistent hashing with bounded loads, where 1.25 to 2 is usual. Reading a prompt of 6,300 shared
- * tokens again costs 57 ms of a server (110 tokens a ms), about the work of one request.
+ * more: the bound of consistent hashing with bounded loads, where 1.25 to 2 is usual. A target elsewhere fetches the
+ * shared parts from the store in some ms, so a home is worth little waiting.
  */
-const LOAD_FACTOR = 1.5;
-const LOAD_SLACK = 2;
+const LOAD_FACTOR = 1.25;
+const LOAD_SLACK = 1;
+
+/**
+ * Shared tokens from which on a prompt has a home. Reading 1,000 tokens takes a server 9 ms; less than that is worth no
+ * unevenness, and an idle server reads it sooner.
+ */
+const HOME_TOKENS = 1_000;
 
 /** Load that a target in another data centre seems to have more: one way there costs 0.9 ms, a request 40 and more. */
 const DISTANCE_LOAD = 0.05;
@@ -53,10 +59,11 @@
   return { low: low >>> 0, high: high >>> 0 };
 }
 
-/** The longest part of a prompt that other requests share: the last one belongs to the request itself. */
+/** The longest part of a prompt that other requests share, when that is worth a home: the last one is its own. */
 function sharedPart({ model, parts }: PromptOutline, salt: string): string | undefined {
   const part = parts.length < 2 ? undefined : parts.at(-2);
-  return part === undefined ? undefined : `${salt} ${model} ${part.id}`;
+  const shared = parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+  return part === undefined || shared < HOME_TOKENS ? undefined : `${salt} ${model} ${part.id}`;
 }
 
 /** Draws a service of a route by weight. */
--- a/packages/relay/src/placement/weights.ts
+++ b/packages/relay/src/placement/weights.ts
@@ -19,8 +19,8 @@
 /** A request for a model. */
 export interface ModelWish {
   readonly model: string;
-  /** The stream is long and may move: it is kept off targets that have yet to load, so that it moves once at most. */
-  readonly movable: boolean;
+  /** A stream goes on elsewhere: it is kept off targets that have yet to load, as it may not move again. */
+  readonly moving: boolean;
 }
 
 /** Candidates for a request; `now` is monotonic time. */
@@ -31,7 +31,7 @@
   now: number,
 ): readonly Target[] {
   if (wish === undefined) return candidates;
-  const { model, movable } = wish;
+  const { model, moving } = wish;
   const ageOf = ({ weights }: Target): number => {
     const version = weights.get(model);
     const since = version === undefined ? undefined : knowledge.staleSince(model, version);
@@ -40,7 +40,7 @@
   const usable = candidates.filter((target) => ageOf(target) < REFUSE_MS);
   const newest = usable.filter((target) => ageOf(target) < 0);
   if (newest.length === 0 || newest.length === usable.length) return usable;
-  if (movable) return newest;
+  if (moving) return newest;
   const isLate = usable.some((target) => ageOf(target) >= PREFER_MS);
   return isLate && newest.length >= candidates.length * ENOUGH ? newest : usable;
 }
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -53,6 +53,7 @@
     if (kind === 'target-unreachable' || kind === 'target-lost') sights.failed(target.id);
     return err(wire.error);
   }
+  sights.heard(target.id);
   return judged(context, request, target, wire.value);
 }
 
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -4,6 +4,7 @@
 import { fault } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import { FaultError, broken, headerOf } from '@jasmineroute/engine';
+import type { WireAnswer } from '@jasmineroute/engine';
 import { readBody } from '@jasmineroute/entry';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -15,6 +16,7 @@
 import { relayEvents } from '../events.js';
 import type { Target } from '@jasmineroute/knowledge';
 import { relayMetrics } from '../metrics.js';
+import { QUIET_MS } from '../target/index.js';
 import { drawService, withWeights } from '../placement/index.js';
 import type { Placement } from '../placement/index.js';
 import { send } from './attempt.js';
@@ -188,7 +190,7 @@
     const ready = knowledge.targets.ready(job.service.name);
     const untried = ready.filter(({ id }) => !tried.has(id));
     const model = job.route.hasPrompt ? job.request.prompt?.model : undefined;
-    const wish = model === undefined ? undefined : { model, movable: job.route.resumable };
+    const wish = model === undefined ? undefined : { model, moving: this.lastEventId !== undefined };
     const fresh = withWeights(untried, wish, knowledge, this.context.clock.monotonic());
     const { prompt } = job.request;
     return placements.choose({
@@ -314,11 +316,14 @@
   /** Passes events as they come, whole ones only. */
   private async passEvents(job: Job, target: Target, { wire }: TargetAnswer): Promise<Outcome> {
     const pieces = new EventPieces(this.lastEventId);
+    const { sights, clock } = this.context;
     let calledOff = (): void => undefined;
+    const watched = this.watchQuiet(job, target, wire);
     const noMove = this.context.knowledge.targets.onPause((id) => {
       if (id !== target.id || !this.mayMove(job)) return;
       // Between two events, as close to the last one as can be: its caller counts the pause from there.
-      calledOff = this.context.clock.after(MOVE_MS, () => {
+      calledOff();
+      calledOff = clock.after(MOVE_MS, () => {
         wire.abandon();
       });
     });
@@ -328,6 +333,7 @@
     };
     try {
       for await (const chunk of wire.body) {
+        sights.heard(target.id);
         const events = pieces.push(chunk);
         if (events.length === 0) continue;
         begin();
@@ -342,6 +348,7 @@
     } finally {
       noMove();
       calledOff();
+      watched();
     }
     if (pieces.pending.length > 0) return this.brokenOff(fault('stream-broken', 'it ended inside an event'));
     begin();
@@ -349,6 +356,23 @@
     return { state: 'answered' };
   }
 
+  /**
+   * Lets a stream that may go on elsewhere leave a target that seems lost. Only then: the silence of one stream alone is
+   * no reason, as it may wait for its turn in a batch. Returns the way to stop.
+   */
+  private watchQuiet(job: Job, target: Target, wire: WireAnswer): () => void {
+    const { sights, clock } = this.context;
+    let calledOff: () => void;
+    const look = (): void => {
+      if (sights.isQuiet(target.id) && this.mayMove(job)) wire.abandon();
+      else calledOff = clock.after(QUIET_MS / 2, look);
+    };
+    calledOff = clock.after(QUIET_MS, look);
+    return () => {
+      calledOff();
+    };
+  }
+
   private notePause(): void {
     const now = this.context.clock.monotonic();
     if (this.eventAt !== undefined) this.pauseMs = Math.max(this.pauseMs, now - this.eventAt);
