Load targets in the order of their ids, and keep long streams off those that are next

Change: agents load in the order of ids, a quarter at once to the nearest number; entries, which know that order, give long streams to targets that have loaded or load last.

--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -133,9 +133,9 @@
     weights: [{ model: 'm', version: 2n, ageMs: 0 }],
   });
   knowledge.apply('c1', event, true);
-  const wish = { model: 'm', moving: false };
-  const ids = (candidates: readonly Target[], now: number, moving = false): string[] =>
-    withWeights(candidates, { ...wish, moving }, knowledge, now).map(({ id }) => id);
+  const wish = { model: 'm', resumable: false, moving: false };
+  const ids = (candidates: readonly Target[], now: number, change = {}): string[] =>
+    withWeights(candidates, { ...wish, ...change }, knowledge, now).map(({ id }) => id);
   const old = [target('a'), target('b'), target('c')];
   const fresh = [target('d', 2), target('e', 2), target('f', 2)];
 
@@ -149,7 +149,18 @@
   });
 
   it('are left out with old weights for a stream that moves, as soon as any has the new ones', () => {
-    expect(ids([...old, target('d', 2)], 100, true)).toEqual(['d']);
+    const moving = { resumable: true, moving: true };
+    expect(ids([...old, target('d', 2)], 100, moving)).toEqual(['d']);
+  });
+
+  it('get long streams only when they have loaded or load last', () => {
+    // Symptom: a target that is to load takes no work for seconds.
+    // Sequence: streams leave the first targets that load; those that took them load next, and wait for their end.
+    // Cause: moved streams went to targets in any order, and may not move a second time.
+    expect(ids(old, 100, { resumable: true })).toEqual(['b', 'c']);
+    expect(ids([...old, target('d', 2)], 100, { resumable: true })).toEqual(['d', 'b', 'c']);
+    expect(ids(old, 100, { resumable: true, moving: true })).toEqual(['b', 'c']);
+    expect(ids([target('a')], 100, { resumable: true })).toEqual(['a']);
   });
 
   it('serve nothing on weights that were replaced too long ago', () => {
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -190,7 +190,10 @@
     const ready = knowledge.targets.ready(job.service.name);
     const untried = ready.filter(({ id }) => !tried.has(id));
     const model = job.route.hasPrompt ? job.request.prompt?.model : undefined;
-    const wish = model === undefined ? undefined : { model, moving: this.lastEventId !== undefined };
+    const wish =
+      model === undefined
+        ? undefined
+        : { model, resumable: job.route.resumable, moving: this.lastEventId !== undefined };
     const fresh = withWeights(untried, wish, knowledge, this.context.clock.monotonic());
     const { prompt } = job.request;
     return placements.choose({
--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -154,6 +154,16 @@
     expect(told.map(({ paused }) => paused)).toEqual([true, false]);
   });
 
+  it('lets lower ids go first among equals', async () => {
+    announce('t0', '10.0.0.2:80', 1);
+    name(2);
+    await look();
+    expect(target.orders).toEqual([]);
+    announce('t0', '10.0.0.2:80', 2);
+    await look();
+    expect(target.orders).toHaveLength(1);
+  });
+
   it('lets targets go first that are further behind, for a while', async () => {
     // Symptom: when versions are named in quick succession, one target stays on the first for many seconds.
     // Sequence: agents of targets that have just loaded ask for the next turn, and get it.
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -8,9 +8,9 @@
 import type { Observer } from './observer.js';
 
 /**
- * Part of a service's targets that load at once, rounded up. The weight store serves a few at a time, and a target that
- * loads takes no work: about a quarter leaves three quarters of the capacity, and four rounds of about 1 s end well
- * within the 8 s that are agreed.
+ * Part of a service's targets that load at once, to the nearest whole number. A target that loads takes no work, and a
+ * service may have lost a target already: with more, the others are overrun. About four rounds of 1 to 2 s end within
+ * the 8 s that are agreed.
  */
 const LOADING_PART = 0.25;
 
@@ -129,7 +129,7 @@
 
   private async replace(target: Target, wish: Wish): Promise<void> {
     const { name, incarnation, service, turns, clock, knowledge } = this.parts;
-    const limit = Math.max(1, Math.ceil(knowledge.targets.count(service) * LOADING_PART));
+    const limit = Math.max(1, Math.round(knowledge.targets.count(service) * LOADING_PART));
     if (this.isOthersTurn(target, wish, limit)) return;
     const turn = await Turn.take(turns, clock, {
       name: `weights/${service}`,
@@ -147,16 +147,20 @@
   }
 
   /**
-   * Whether targets that are further behind are to load first: when versions are named in quick succession, turns in
-   * any order would bring some targets to each version, and leave others on weights that may serve no longer.
+   * Whether other targets are to load first: those that are further behind, and of equals the lower ids. In any other
+   * order some targets are brought to each of several versions named in quick succession, while others stay on weights
+   * that may serve no longer. The order of ids is known to entries, which keep long streams off those that are next.
    */
   private isOthersTurn(target: Target, { model }: Wish, limit: number): boolean {
     const { knowledge, service, clock } = this.parts;
     const own = target.weights.get(model) ?? 0;
     const since = knowledge.staleSince(model, own);
     if (since === undefined || clock.monotonic() - since > YIELD_MS) return false;
-    const older = knowledge.targets.ready(service).filter(({ weights }) => (weights.get(model) ?? own) < own);
-    return older.length >= limit;
+    const before = knowledge.targets.ready(service).filter(({ id, weights }) => {
+      const version = weights.get(model) ?? own;
+      return version < own || (version === own && id < target.id);
+    });
+    return before.length >= limit;
   }
 
   /**
