--- a/packages/core/src/metric/index.ts
+++ b/packages/core/src/metric/index.ts
@@ -1,1 +1,2 @@
 export * from './metric.js';
+export * from './textMetrics.js';
--- a/packages/daemon/src/health/health.ts
+++ b/packages/daemon/src/health/health.ts
@@ -12,7 +12,7 @@
 }
 
 /** Serves /healthz (the process lives) and /readyz (work should be sent here). */
-export async function serveHealth(
+export function serveHealth(
   host: string,
   port: number,
   readiness: () => Readiness,
@@ -23,6 +23,17 @@
     const state = readiness();
     return call.json(state, state.ready ? 200 : 503);
   });
+  return open(app, host, port);
+}
+
+/** Serves the metrics as text under /metrics. */
+export function serveMetrics(host: string, port: number, text: () => Promise<string>): Promise<HealthServer> {
+  const app = new Hono();
+  app.get('/metrics', async (call) => call.text(await text()));
+  return open(app, host, port);
+}
+
+function open(app: Hono, host: string, port: number): Promise<HealthServer> {
   return new Promise((resolve, reject) => {
     const server = serve({ fetch: app.fetch, hostname: host, port }, (info: AddressInfo) => {
       resolve({
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -1,10 +1,17 @@
 /** A process from checked settings to its end. */
-import { createLog, createMetrics, silentMetrics, startTracing, systemClock } from '@jasmineroute/core';
+import {
+  createLog,
+  createMetrics,
+  createTextMetrics,
+  eachOf,
+  startTracing,
+  systemClock,
+} from '@jasmineroute/core';
 import type { Log, Metrics } from '@jasmineroute/core';
 import { Peers, listen } from '@jasmineroute/protocol';
 import type { RoleContext, RpcServer, TlsStore } from '@jasmineroute/protocol';
 import { daemonEvents } from '../events.js';
-import { serveHealth } from '../health/index.js';
+import { serveHealth, serveMetrics } from '../health/index.js';
 import type { HealthServer } from '../health/index.js';
 import type { Role, RunningRole } from '../role/index.js';
 import type { DaemonSettings } from '../setting/index.js';
@@ -28,20 +35,31 @@
   readonly role: RunningRole;
   readonly rpc: RpcServer;
   readonly health: HealthServer | undefined;
+  readonly metricsServer: HealthServer | undefined;
   readonly peers: Peers;
   readonly metrics: Metrics;
   readonly log: Log;
   readonly endTraces: () => Promise<void>;
 }
 
-function metricsOf(settings: DaemonSettings): Metrics {
-  if (settings.statsd === undefined) return silentMetrics;
-  const [host = '', port = ''] = settings.statsd.split(':');
-  return createMetrics(host, Number(port), {
-    role: settings.role,
-    instance: settings.name,
-    data_centre: settings.dataCentre,
-  });
+interface Measuring {
+  readonly metrics: Metrics;
+  /** Serves the text, where it is asked for. */
+  readonly server: HealthServer | undefined;
+}
+
+async function measuringOf(settings: DaemonSettings): Promise<Measuring> {
+  const { role, name, dataCentre, statsd, metricsPort, host } = settings;
+  const labels = { role, instance: name, data_centre: dataCentre };
+  const all: Metrics[] = [];
+  if (statsd !== undefined) {
+    const [address = '', port = ''] = statsd.split(':');
+    all.push(createMetrics(address, Number(port), labels));
+  }
+  if (metricsPort === undefined) return { metrics: eachOf(all), server: undefined };
+  const text = createTextMetrics(labels);
+  const server = await serveMetrics(host, metricsPort, () => text.text());
+  return { metrics: eachOf([...all, text]), server };
 }
 
 async function endTracesOf(settings: DaemonSettings): Promise<() => Promise<void>> {
@@ -52,7 +70,7 @@
 async function assemble(plan: Plan, log: Log, stop: (reason: string) => void): Promise<Parts> {
   const settings = plan.daemon;
   const endTraces = await endTracesOf(settings);
-  const metrics = metricsOf(settings);
+  const { metrics, server } = await measuringOf(settings);
   const peers = new Peers(plan.tls, settings.sourceAddress);
   const context: RoleContext = {
     name: settings.name,
@@ -82,7 +100,7 @@
     role.httpAddress === undefined
       ? await serveHealth(settings.host, settings.healthPort, () => role.readiness())
       : undefined;
-  return { role, rpc, health, peers, metrics, log, endTraces };
+  return { role, rpc, health, metricsServer: server, peers, metrics, log, endTraces };
 }
 
 async function stop(parts: Parts, reason: string): Promise<void> {
@@ -93,6 +111,7 @@
   await Promise.race([parts.rpc.drain(), systemClock.sleep(LAST_BYTES_MS)]);
   await parts.rpc.close();
   parts.health?.close();
+  parts.metricsServer?.close();
   parts.peers.close();
   await parts.metrics.close();
   await parts.endTraces();
--- a/packages/daemon/src/setting/setting.ts
+++ b/packages/daemon/src/setting/setting.ts
@@ -45,6 +45,9 @@
     .regex(/^[^\s:]+:\d+$/, 'not host:port')
     .optional()
     .describe('host:port of a StatsD daemon; no metrics when it is not set'),
+  metricsPort: port
+    .optional()
+    .describe('port that serves the metrics as text under /metrics; not served when it is not set'),
   otlpUrl: z.url().optional().describe('URL of an OTLP/HTTP trace collector; no traces when it is not set'),
   tlsCertificate: optionalText.describe(
     'PEM file with the certificate for other processes; needs tls-key and tls-authority',
--- a/scripts/pages.mjs
+++ b/scripts/pages.mjs
@@ -41,7 +41,7 @@
     ),
   );
   rows.sort();
-  return `# Metrics\n\nSent as StatsD over UDP when \`--statsd\` is set, with the labels role, instance and data_centre. Written by\n\`npm run pages\`.\n\n| Metric | Type | Package | Meaning |\n| --- | --- | --- | --- |\n${rows.join('\n')}\n`;
+  return `# Metrics\n\nSent as StatsD over UDP when \`--statsd\` is set, and served as text under /metrics when \`--metrics-port\` is set (dots are\nunderscores there), with the labels role, instance and data_centre. Written by \`npm run pages\`.\n\n| Metric | Type | Package | Meaning |\n| --- | --- | --- | --- |\n${rows.join('\n')}\n`;
 }
 
 async function configurationPage() {
