--- a/packages/daemon/src/health/health.ts
+++ b/packages/daemon/src/health/health.ts
@@ -12,11 +12,7 @@
 }
 
 /** Serves /healthz (the process lives) and /readyz (work should be sent here). */
-export function serveHealth(
-  host: string,
-  port: number,
-  readiness: () => Readiness,
-): Promise<HealthServer> {
+export function serveHealth(host: string, port: number, readiness: () => Readiness): Promise<HealthServer> {
   const app = new Hono();
   app.get('/healthz', (call) => call.json({ alive: true }));
   app.get('/readyz', (call) => {
