--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -43,5 +43,7 @@
     level: 'info',
     message: 'a control instance did not answer the wish to vote',
   },
+  storeLost: { id: 3022, level: 'warn', message: 'a store of kept cache does not answer' },
+  storeFound: { id: 3023, level: 'info', message: 'a store of kept cache answers again' },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -7,6 +7,7 @@
 import type { ConfigurationState } from '../configuration/index.js';
 import { controlEvents } from '../events.js';
 import type { CommandLog } from '../log/index.js';
+import type { LoadBoard } from '../loads/index.js';
 import type { TargetBook } from '../targets/index.js';
 
 /** Time between two events when nothing changes, milliseconds: how a follower knows that it still hears. */
@@ -19,6 +20,9 @@
 export interface FollowSources {
   readonly configuration: ConfigurationState;
   readonly targets: TargetBook;
+  readonly loads: LoadBoard;
+  /** Addresses of stores that do not answer. */
+  readonly lostStores: () => readonly string[];
   readonly commandLog: CommandLog;
   readonly clock: Clock;
   readonly log: Log;
@@ -29,26 +33,34 @@
 /** Serves followers, and control instances that want to vote. */
 export class FollowService implements ServiceImpl<typeof controlMessage.Configurations> {
   private readonly changed = new ChangeSignal();
+  /** Raised for those that hear loads. */
+  private readonly loadsChanged = new ChangeSignal();
   /** Streams of entries that are open now, by the entry's name. */
   private readonly entries = new Map<string, number>();
 
   constructor(private readonly sources: FollowSources) {
-    const raise = (): void => {
-      this.changed.raise();
-    };
+    const raise = this.raise;
     sources.configuration.onChange(raise);
     sources.targets.onChange(raise);
+    sources.loads.onChange(() => {
+      this.loadsChanged.raise();
+    });
     sources.commandLog.onStatus(raise);
   }
 
+  /** Tells followers that there is news. */
+  readonly raise = (): void => {
+    this.changed.raise();
+  };
+
   /** What is held now, then what changes. */
   async *follow(
     request: controlMessage.FollowRequest,
     context: HandlerContext,
   ): AsyncGenerator<controlMessage.FollowEvent> {
-    const { clock, log, ended } = this.sources;
+    const { log, ended } = this.sources;
     const signal = AbortSignal.any([ended, context.signal]);
-    const follower = new Follower(this.sources, request.number);
+    const follower = new Follower(this.sources, request.number, request.role === ENTRY);
     log.event(controlEvents.followed, { follower: request.name, number: Number(request.number) });
     const isEntry = request.role === ENTRY;
     if (isEntry) this.count(request.name, 1);
@@ -56,13 +68,21 @@
       while (!signal.aborted) {
         yield follower.event(this.entries.size);
         // What changed while the event was on its way out raised no signal that anybody waited for.
-        if (!follower.isBehind()) await this.changed.wait(clock, HEARTBEAT_MS, signal);
+        if (!follower.isBehind()) await this.news(isEntry, signal);
       }
     } finally {
       if (isEntry) this.count(request.name, -1);
     }
   }
 
+  /** Resolves when there is something to tell, or a heartbeat is due. */
+  private async news(hearsLoads: boolean, signal: AbortSignal): Promise<void> {
+    const { clock } = this.sources;
+    const waits = [this.changed.wait(clock, HEARTBEAT_MS, signal)];
+    if (hearsLoads) waits.push(this.loadsChanged.wait(clock, HEARTBEAT_MS, signal));
+    await Promise.race(waits);
+  }
+
   /** An entry that comes back has two streams for a moment, the old one not yet found dead: it counts once. */
   private count(name: string, change: number): void {
     const streams = (this.entries.get(name) ?? 0) + change;
@@ -76,6 +96,12 @@
     return create(controlMessage.ObserveResponseSchema, { known });
   }
 
+  /** Takes a target's load. */
+  reportLoad(load: controlMessage.TargetLoad): controlMessage.ReportLoadResponse {
+    this.sources.loads.take(load);
+    return create(controlMessage.ReportLoadResponseSchema, {});
+  }
+
   /** Makes the asking instance a voter, if this one leads. */
   enlist(request: controlMessage.EnlistRequest): controlMessage.EnlistResponse {
     const { commandLog, log } = this.sources;
@@ -94,12 +120,14 @@
 /** How far one follower has been told. */
 class Follower {
   private place = 0;
+  private loadPlace = 0;
   private weights = 0;
   private vouched = false;
 
   constructor(
     private readonly sources: FollowSources,
     private number: bigint,
+    private readonly hearsLoads: boolean,
   ) {}
 
   isBehind(): boolean {
@@ -112,7 +140,7 @@
   }
 
   event(entries: number): controlMessage.FollowEvent {
-    const { configuration, targets, commandLog } = this.sources;
+    const { configuration, targets, commandLog, loads, lostStores } = this.sources;
     const held = configuration.held();
     const { vouched } = commandLog.status();
     const event = create(controlMessage.FollowEventSchema, {
@@ -123,7 +151,10 @@
       targets: targets.since(this.place),
       controls: commandLog.members().map(({ address }) => address),
       entries,
+      loads: this.hearsLoads ? loads.since(this.loadPlace) : [],
+      lostStores: [...lostStores()],
     });
+    this.loadPlace = loads.place();
     this.place = targets.place();
     this.vouched = vouched;
     this.weights = configuration.weightsVersion();
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -4,4 +4,5 @@
 export * from './metrics.js';
 export * from './role/index.js';
 export * from './setting/index.js';
+export * from './stores/index.js';
 export * from './targets/index.js';
--- /dev/null
+++ b/packages/control/src/loads/index.ts
@@ -0,0 +1,1 @@
+export * from './loadBoard.js';
--- /dev/null
+++ b/packages/control/src/loads/loadBoard.spec.ts
@@ -0,0 +1,29 @@
+import { create } from '@bufbuild/protobuf';
+import { ManualClock } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import { describe, expect, it } from 'vitest';
+import { LoadBoard } from './loadBoard.js';
+
+const load = (targetId: string, running: number): controlMessage.TargetLoad =>
+  create(controlMessage.TargetLoadSchema, { targetId, running, waiting: 0 });
+
+describe('the board of loads', () => {
+  it('tells the newest of each target, gathered', async () => {
+    const clock = new ManualClock();
+    const board = new LoadBoard(clock);
+    let told = 0;
+    board.onChange(() => {
+      told += 1;
+    });
+    board.take(load('a', 1));
+    board.take(load('b', 2));
+    board.take(load('a', 3));
+    await clock.advance(150);
+    expect(told).toBe(1);
+    expect(board.since(0).map(({ targetId, running }) => [targetId, running])).toEqual([
+      ['b', 2],
+      ['a', 3],
+    ]);
+    expect(board.since(board.place())).toEqual([]);
+  });
+});
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -10,12 +10,15 @@
 import { DocumentService, DocumentView } from '../documents/index.js';
 import { controlEvents } from '../events.js';
 import { FollowService, enlist } from '../follow/index.js';
+import { LoadBoard } from '../loads/index.js';
 import { Proposer } from '../log/index.js';
 import type { CommandLog } from '../log/index.js';
 import { controlMetrics } from '../metrics.js';
 import { ReplicaKeeper } from '../replicas/index.js';
 import type { ControlSettings } from '../setting/index.js';
 import { ControlDocumentSource, localStatus, wholeStatus } from '../status/index.js';
+import { StoreWatch } from '../stores/index.js';
+import type { StorePort } from '../stores/index.js';
 import { TargetBook } from '../targets/index.js';
 import { TimeKeeper } from '../time/index.js';
 import { TurnService } from '../turns/index.js';
@@ -40,6 +43,8 @@
   readonly configurations: ConfigurationService;
   /** Announced targets, for interfaces in this process that targets call. */
   readonly targets: TargetBook;
+  private readonly loads: LoadBoard;
+  private readonly stores: StoreWatch | undefined;
   private readonly ended = new AbortController();
   private draining = false;
 
@@ -48,6 +53,7 @@
     private readonly settings: ControlSettings,
     private readonly state: StateParts,
     private readonly commandLog: CommandLog,
+    storePort?: StorePort,
   ) {
     const { clock, log } = context;
     this.proposer = new Proposer(commandLog, { ...PROPOSER_LIMITS, timeoutMs: settings.proposalTimeoutMs });
@@ -56,6 +62,10 @@
     this.source = new ControlDocumentSource(state.documents, commandLog);
     this.timeKeeper = new TimeKeeper(state.machine, commandLog, this.proposer, clock, log);
     this.replicaKeeper = new ReplicaKeeper(this.view, commandLog, clock, log);
+    this.loads = new LoadBoard(clock);
+    if (storePort !== undefined) {
+      this.stores = new StoreWatch(state.configuration, storePort, clock, log);
+    }
     this.configurations = new ConfigurationService(this.proposer, clock, log);
     this.targets = new TargetBook(clock, log, settings.targetHeartbeatMs);
     this.source.onChange(() => {
@@ -105,11 +115,24 @@
     const { configuration } = state;
     const { commandLog, targets } = this;
     const ended = this.ended.signal;
-    const follow = new FollowService({ configuration, targets, commandLog, clock, log, ended });
+    const lostStores = (): readonly string[] => this.stores?.lost() ?? [];
+    const { loads } = this;
+    const follow = new FollowService({
+      configuration,
+      targets,
+      loads,
+      lostStores,
+      commandLog,
+      clock,
+      log,
+      ended,
+    });
+    this.stores?.onChange(follow.raise);
     router.service(controlMessage.Configurations, {
       follow: (request, call) => follow.follow(request, call),
       enlist: (request) => follow.enlist(request),
       observe: (request) => follow.observe(request),
+      reportLoad: (request) => follow.reportLoad(request),
     });
     serveDirectory(router, {
       documents: this.source,
@@ -124,6 +147,7 @@
     await this.commandLog.start(address);
     if (this.settings.gossip) this.members.start(() => this.self(address));
     void this.targets.run();
+    this.stores?.start();
     if (this.settings.enlists) void this.enlist(address);
     void this.timeKeeper.run();
     void this.replicaKeeper.run();
@@ -150,6 +174,7 @@
     this.timeKeeper.stop();
     this.replicaKeeper.stop();
     this.targets.stop();
+    this.stores?.stop();
     this.ended.abort();
     await this.members.stop();
     await this.commandLog.close();
--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -8,6 +8,7 @@
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { ControlSettings } from '../setting/index.js';
+import type { StorePort } from '../stores/index.js';
 import { Control } from './control.js';
 import { createState } from './createState.js';
 
@@ -21,13 +22,15 @@
 const SNAPSHOT = { snapshotEntries: 20_000, snapshotBytes: 32 * 1024 * 1024 };
 
 /**
- * Opens the data folder and restores the state. `disk` is the machine's own but for tests and benchmarks.
+ * Opens the data folder and restores the state. `disk` is the machine's own but for tests and benchmarks; without a
+ * `storePort` no store is watched.
  * @returns the role; or 'invalid-request' without a data folder, 'storage-failed' when it can't be used.
  */
 export async function createControl(
   context: RoleContext,
   settings: ControlSettings,
   disk: Disk = fileDisk,
+  storePort?: StorePort,
 ): Promise<Result<Control, Fault>> {
   const { name, dataFolder, clock, log, metrics, peers } = context;
   if (dataFolder === undefined) return err(fault('invalid-request', 'control needs a data folder'));
@@ -47,5 +50,5 @@
     disk: settings.exclusiveFolder ? disk : withoutLock(disk),
     ...SNAPSHOT,
   });
-  return opened.map((replicatedLog) => new Control(context, settings, state, replicatedLog));
+  return opened.map((replicatedLog) => new Control(context, settings, state, replicatedLog, storePort));
 }
--- /dev/null
+++ b/packages/control/src/stores/index.ts
@@ -0,0 +1,1 @@
+export * from './storeWatch.js';
--- a/packages/knowledge/src/knowledge.ts
+++ b/packages/knowledge/src/knowledge.ts
@@ -26,7 +26,9 @@
   /** By model, the newest first. */
   private readonly named = new Map<string, NamedVersion[]>();
   private readonly entryCounts = new Map<string, number>();
+  private readonly lostStores = new Map<string, readonly string[]>();
   private readonly listeners = new Set<() => void>();
+  private readonly loadListeners = new Set<(load: controlMessage.TargetLoad) => void>();
 
   constructor(
     private readonly clock: Clock,
@@ -75,11 +77,24 @@
     return () => this.listeners.delete(listener);
   }
 
+  /** Whether some control instance finds that a store of kept cache does not answer. */
+  isStoreLost(address: string): boolean {
+    return [...this.lostStores.values()].some((lost) => lost.includes(address));
+  }
+
+  /** Calls back with each load that is told. Returns the way to stop. */
+  onLoad(listener: (load: controlMessage.TargetLoad) => void): () => void {
+    this.loadListeners.add(listener);
+    return () => this.loadListeners.delete(listener);
+  }
+
   /** Takes an event of a control instance; `whole`: the first of its stream. */
   apply(control: string, event: controlMessage.FollowEvent, whole: boolean): void {
     this.configure(event);
     this.nameWeights(event.weights);
     this.entryCounts.set(control, event.entries);
+    this.lostStores.set(control, event.lostStores);
+    for (const load of event.loads) for (const listener of this.loadListeners) listener(load);
     if (whole || event.targets.length > 0) this.targets.apply(control, event.targets, whole);
     if (event.vouched && !this.isConfirmed) {
       this.isConfirmed = true;
@@ -90,6 +105,7 @@
   /** The stream of a control instance ended. */
   lost(control: string): void {
     this.entryCounts.delete(control);
+    this.lostStores.delete(control);
     this.targets.lost(control);
   }
 
--- a/packages/relay/src/dialect/dialect.ts
+++ b/packages/relay/src/dialect/dialect.ts
@@ -63,7 +63,6 @@
 export interface ToldLoad {
   readonly running: number;
   readonly waiting: number;
-  readonly slots: number;
 }
 
 /** What a target's answer says beside its content. */
--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -75,12 +75,12 @@
     const near = target('near');
     const candidates = [...far, near];
     expect(placements.choose({ service: 's', candidates, salt: '' })?.target.id).toBe('near');
-    sights.told('near', { running: 3, waiting: 0, slots: 4 });
+    sights.told('near', { running: 3, waiting: 0 });
     expect(placements.choose({ service: 's', candidates, salt: '' })?.target.id).not.toBe('near');
   });
 
   it('forgets told load with its age', async () => {
-    sights.told('a', { running: 4, waiting: 0, slots: 4 });
+    sights.told('a', { running: 4, waiting: 0 });
     expect(sights.requestsAt('a')).toBe(4);
     await clock.advance(1_000);
     expect(sights.requestsAt('a')).toBe(2);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -94,6 +94,9 @@
       clock,
       log,
     );
+    knowledge.onLoad(({ targetId, running, waiting }) => {
+      sights.told(targetId, { running, waiting });
+    });
     knowledge.onChange(() => {
       const limits = knowledge.table()?.configuration.limits;
       if (limits !== undefined) this.server.bound(limits.idleTimeoutMs, limits.headerTimeoutMs);
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -83,6 +83,7 @@
     this.server = await listen('127.0.0.1', 0, (router) => {
       router.service(controlMessage.Configurations, {
         follow: (_request, { signal }) => this.follow(signal),
+        reportLoad: () => ({}),
         enlist: () => ({}),
         observe: () => ({}),
       });
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -271,7 +271,9 @@
     const { knowledge, copies } = this.context;
     const table = knowledge.table();
     if (cacheSalt === undefined || request.prompt === undefined || table === undefined) return {};
-    return copies.use(storeAddress(table.configuration), request.prompt, cacheSalt);
+    const store = storeAddress(table.configuration);
+    const isLost = store !== undefined && knowledge.isStoreLost(store);
+    return copies.use(isLost ? undefined : store, request.prompt, cacheSalt);
   }
 
   /** Gives an answer to the caller. */
--- a/packages/rollout/src/keeper/index.ts
+++ b/packages/rollout/src/keeper/index.ts
@@ -1,2 +1,3 @@
+export * from './loadReporter.js';
 export * from './observer.js';
 export * from './weightsKeeper.js';
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -3,7 +3,7 @@
 import { Follower, Knowledge } from '@jasmineroute/knowledge';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { rolloutEvents } from './events.js';
-import { Observer, WeightsKeeper } from './keeper/index.js';
+import { LoadReporter, Observer, WeightsKeeper } from './keeper/index.js';
 import type { TargetPort } from './port/index.js';
 
 /** The target that the process stands beside. */
@@ -18,6 +18,7 @@
 export class Rollout implements RoleProcess {
   private readonly follower: Follower;
   private readonly keeper: WeightsKeeper;
+  private readonly reporter: LoadReporter;
 
   constructor(
     private readonly context: RoleContext,
@@ -28,6 +29,9 @@
     this.follower = new Follower({ name, role: 'agent', controls, knowledge, peers, clock, log });
     const turns = new TurnClient(new Controls({ controls, peers, clock, metrics, dataCentre }));
     const observer = new Observer(() => this.follower.controls(), peers, log);
+    const known = (): readonly string[] => this.follower.controls();
+    const { address, port } = neighbour;
+    this.reporter = new LoadReporter({ address, port, knowledge, controls: known, peers, clock, log });
     this.keeper = new WeightsKeeper({
       ...neighbour,
       name,
@@ -49,6 +53,7 @@
     const { address, service } = this.neighbour;
     this.follower.start();
     void this.keeper.run();
+    void this.reporter.run();
     this.context.log.event(rolloutEvents.started, { target: address, service });
     return Promise.resolve();
   }
@@ -64,11 +69,13 @@
 
   drain(): Promise<void> {
     this.keeper.stop();
+    this.reporter.stop();
     return Promise.resolve();
   }
 
   close(): Promise<void> {
     this.keeper.stop();
+    this.reporter.stop();
     this.follower.stop();
     return Promise.resolve();
   }
