--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -47,6 +47,8 @@
   private readonly stores: StoreWatch | undefined;
   private readonly ended = new AbortController();
   private draining = false;
+  /** Control instances known from the settings, host:port. */
+  private seeds: readonly string[];
 
   constructor(
     private readonly context: RoleContext,
@@ -56,6 +58,7 @@
     storePort?: StorePort,
   ) {
     const { clock, log } = context;
+    this.seeds = context.controls;
     this.proposer = new Proposer(commandLog, { ...PROPOSER_LIMITS, timeoutMs: settings.proposalTimeoutMs });
     this.view = new DocumentView(state.documents, log);
     this.members = createMembership(context, commandLog, this.view, settings.replicas);
@@ -180,11 +183,16 @@
     await this.commandLog.close();
   }
 
+  /** Replaces the control instances known from the settings. */
+  reseed(controls: readonly string[]): void {
+    this.seeds = controls;
+  }
+
   private enlist(address: string): Promise<void> {
-    const { name, controls, peers, clock, log } = this.context;
+    const { name, peers, clock, log } = this.context;
     const { commandLog } = this;
     const known = (): readonly string[] => [
-      ...new Set([...controls, ...commandLog.members().map((member) => member.address)]),
+      ...new Set([...this.seeds, ...commandLog.members().map((member) => member.address)]),
     ];
     return enlist({ name, address, known, commandLog, peers, clock, log }, this.ended.signal);
   }
