--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -40,8 +40,13 @@
   });
 
   const home = (shared: string, own = 'own'): string | undefined =>
-    placements.choose({ service: 's', candidates: targets, prompt: prompt(shared, own), salt: '' })?.target
-      .id;
+    placements.choose({
+      service: 's',
+      candidates: targets,
+      prompt: prompt(shared, own),
+      priority: 1,
+      salt: '',
+    })?.target.id;
 
   it('keeps prompts with one shared part together, and others apart', () => {
     const homes = new Set(Array.from({ length: 20 }, (_, at) => home('one', `own-${at}`)));
@@ -53,7 +58,8 @@
     const drawn = new Set(
       Array.from({ length: 40 }, () => {
         const short = prompt('short', 'own', 100);
-        return placements.choose({ service: 's', candidates: targets, prompt: short, salt: '' })?.target.id;
+        return placements.choose({ service: 's', candidates: targets, prompt: short, priority: 1, salt: '' })
+          ?.target.id;
       }),
     );
     expect(drawn.size).toBeGreaterThan(1);
@@ -74,9 +80,11 @@
     const far = targets.map(({ id }) => target(id, 1, 'there'));
     const near = target('near');
     const candidates = [...far, near];
-    expect(placements.choose({ service: 's', candidates, salt: '' })?.target.id).toBe('near');
+    expect(placements.choose({ service: 's', candidates, priority: 1, salt: '' })?.target.id).toBe('near');
     sights.told('near', { running: 3, waiting: 0 });
-    expect(placements.choose({ service: 's', candidates, salt: '' })?.target.id).not.toBe('near');
+    expect(placements.choose({ service: 's', candidates, priority: 1, salt: '' })?.target.id).not.toBe(
+      'near',
+    );
   });
 
   it('forgets told load with its age', async () => {
@@ -88,6 +96,30 @@
     expect(sights.requestsAt('a')).toBe(0);
   });
 
+  it('finds a service full when each engine has as many requests as are in time, later for urgent ones', () => {
+    // Symptom: under a burst, nine of ten requests are late, though engines serve as many as they can.
+    // Sequence: more come than places; each engine queues them; all of them wait, the newest and the oldest.
+    // Cause: everything is taken in as long as a target does not refuse it.
+    const input = (priority: number) => ({
+      service: 's',
+      candidates: targets,
+      prompt: prompt('one', 'own'),
+      priority,
+      salt: '',
+    });
+    const fill = (running: number): void => {
+      for (const { id } of targets) sights.told(id, { running, waiting: 0 });
+    };
+    fill(2);
+    expect(placements.areFull(input(1))).toBe(false);
+    fill(3);
+    expect(placements.areFull(input(1))).toBe(true);
+    expect(placements.areFull(input(0))).toBe(false);
+    fill(4);
+    expect(placements.areFull(input(0))).toBe(true);
+    expect(placements.areFull({ ...input(1), prompt: undefined })).toBe(false);
+  });
+
   it('avoids a target that failed, for longer with each failure, and uses it when all have', async () => {
     sights.failed('a');
     expect(sights.isAvoided('a')).toBe(true);
@@ -97,7 +129,7 @@
     await clock.advance(250);
     expect(sights.isAvoided('a')).toBe(true);
     const only = [target('a')];
-    expect(placements.choose({ service: 's', candidates: only, salt: '' })?.target.id).toBe('a');
+    expect(placements.choose({ service: 's', candidates: only, priority: 1, salt: '' })?.target.id).toBe('a');
   });
 
   it('avoids a target that has gone quiet while it has requests', async () => {
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -20,6 +20,14 @@
  */
 const HOME_TOKENS = 1_000;
 
+/**
+ * Part of an engine's places from which on it takes no more requests, for the most urgent and for others. On the heaviest
+ * days of two deployments, of requests that met up to 30 others on an engine of 48 places 8 in 10 and more got their
+ * first token in time; of those that met 40 or more, 1 in 10: they wait for a place, and hold up all that come after.
+ */
+const FULL_URGENT = 0.85;
+const FULL = 0.75;
+
 /** Load that a target in another data centre seems to have more: one way there costs 0.9 ms, a request 40 and more. */
 const DISTANCE_LOAD = 0.05;
 
@@ -31,6 +39,8 @@
   readonly service: string;
   readonly candidates: readonly Target[];
   readonly prompt?: PromptOutline;
+  /** 0 is the most urgent. */
+  readonly priority: number;
   /** Text that keeps caches of customers and weights apart. */
   readonly salt: string;
 }
@@ -85,6 +95,16 @@
     private readonly random: Random,
   ) {}
 
+  /** Whether all candidates for a prompt are full: it would be late at each, and make others late. */
+  areFull({ candidates, prompt, priority }: PlacementInput): boolean {
+    const part = priority === 0 ? FULL_URGENT : FULL;
+    return (
+      prompt !== undefined &&
+      candidates.length > 0 &&
+      candidates.every(({ id, capacity }) => this.sights.requestsAt(id) >= capacity * part)
+    );
+  }
+
   /** The target for a request; undefined when there is none. */
   choose(input: PlacementInput): Placement | undefined {
     const { candidates } = input;
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -18,7 +18,7 @@
 import { relayMetrics } from '../metrics.js';
 import { QUIET_MS } from '../target/index.js';
 import { drawService, withWeights } from '../placement/index.js';
-import type { Placement } from '../placement/index.js';
+import type { Placement, PlacementInput } from '../placement/index.js';
 import { send } from './attempt.js';
 import type { Job, TargetAnswer } from './attempt.js';
 import type { RelayContext } from './context.js';
@@ -35,6 +35,12 @@
 /** Time for one token of a busy engine, milliseconds: an event of 4 tokens takes up to 80 ms in nine of ten cases. */
 const SLOW_TOKEN_MS = 20;
 
+/**
+ * When a caller may come back whom no target has room for, milliseconds, spread by half to either side: the time in
+ * which an engine ends about half of what it runs.
+ */
+const FULL_RETURN_MS = 600;
+
 /** When a caller may ask the next entry, milliseconds: at once. */
 const MOVE_ON_MS = 10;
 
@@ -155,12 +161,18 @@
   }
 
   private async attempts(job: Job): Promise<void> {
-    const { budgets, log, metrics } = this.context;
+    const { budgets, log, metrics, placements, random } = this.context;
     const tried = new Set<string>();
     budgets.deposit(this.service);
     let last: Outcome = { state: 'fault', fault: fault('no-target', 'no target is ready') };
     for (;;) {
-      const placement = this.place(job, tried);
+      const input = this.inputFor(job, tried);
+      if (this.sends === 0 && placements.areFull(input)) {
+        const retryAfterMs = FULL_RETURN_MS * (0.5 + random());
+        last = { state: 'fault', fault: fault('overloaded', 'all targets are full', { retryAfterMs }) };
+        break;
+      }
+      const placement = this.abort.signal.aborted ? undefined : placements.choose(input);
       if (placement === undefined) break;
       tried.add(placement.target.id);
       this.sends += 1;
@@ -208,9 +220,8 @@
     return problem.kind === 'target-unreachable' || budgets.withdraw(this.service);
   }
 
-  private place(job: Job, tried: ReadonlySet<string>): Placement | undefined {
-    const { knowledge, placements } = this.context;
-    if (this.abort.signal.aborted) return undefined;
+  private inputFor(job: Job, tried: ReadonlySet<string>): PlacementInput {
+    const { knowledge } = this.context;
     const ready = knowledge.targets.ready(job.service.name);
     const untried = ready.filter(({ id }) => !tried.has(id));
     const model = job.route.hasPrompt ? job.request.prompt?.model : undefined;
@@ -220,12 +231,13 @@
         : { model, resumable: job.route.resumable, moving: this.lastEventId !== undefined };
     const fresh = withWeights(untried, wish, knowledge, this.context.clock.monotonic());
     const { prompt } = job.request;
-    return placements.choose({
+    return {
       service: job.service.name,
       candidates: fresh,
       prompt: job.route.hasPrompt ? prompt : undefined,
+      priority: job.customer?.priority ?? job.route.priority,
       salt: saltOf(job),
-    });
+    };
   }
 
   private async attempt(job: Job, placement: Placement): Promise<Outcome> {
