Split the work on a request, end begun streams rightly, and hurry late rollouts

Found while splitting, each with a test: a stream that had begun and went on at a target that answered with a failure was never ended; an answer other than 200 on a route of streams was broken off; a reset towards the caller could take away events that were written just before. Change: streams, other answers, additions and admission are files of their own; begun answers end without their last chunk; after 3 s twice as many targets load at once, and weights replaced 6.5 s ago serve nothing.

--- a/packages/relay/src/answer/callerAnswer.ts
+++ b/packages/relay/src/answer/callerAnswer.ts
@@ -107,8 +107,7 @@
     if (this.left.signal.aborted || this.response.writableEnded) return;
     this.fault = fault;
     if (this.begun) {
-      // A reset, not an end: an end could be taken for that of a whole answer.
-      this.response.socket?.resetAndDestroy();
+      this.cut();
       return;
     }
     const { status, headers, body } = this.dialect.ownAnswer(statusOf(fault), fault, requestId);
@@ -122,6 +121,16 @@
     this.response.end(body);
   }
 
+  /**
+   * Ends the connection inside an answer. What was written still arrives, which a reset would take away; the missing last
+   * chunk, or the length, shows that the answer is not whole. Only callers of HTTP/1.0 get neither, so they get a reset.
+   */
+  private cut(): void {
+    const { socket, req } = this.response;
+    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
+    else socket?.destroySoon();
+  }
+
   private fields(headers: readonly HeaderField[]): void {
     for (const { name, value } of headers) this.response.appendHeader(name, value);
   }
--- a/packages/relay/src/placement/weights.ts
+++ b/packages/relay/src/placement/weights.ts
@@ -11,7 +11,7 @@
  * Time from which on replaced weights serve nothing, milliseconds: 8 s are agreed, and a request may wait at a target
  * before it begins.
  */
-const REFUSE_MS = 7_000;
+const REFUSE_MS = 6_500;
 
 /** Part of the targets that must have the newest weights before the others are left out: fewer would be overrun. */
 const ENOUGH = 0.5;
--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -283,6 +283,27 @@
     expect(bed.arrivals()).toBe(1);
   });
 
+  it('adds nothing but events to a stream that has begun', async () => {
+    // Symptom: a caller waits until its deadline, or finds an error page inside its stream.
+    // Sequence: a stream breaks; the target that is to go on answers with a failure of its own.
+    // Cause: the failure was to be passed on as a whole answer, or as the rest of the stream.
+    const url = await start([routeTo(stream)], 2);
+    const broken = events(0, 1, (response) => {
+      response.write('id: 2\nda', () => response.socket?.resetAndDestroy());
+    });
+    inTurn(broken, answered('it broke', 500));
+    expect(await ask(url)).toMatchObject({ whole: false, body: text(0, 1) });
+    for (const target of bed.targets) target.requests.length = 0;
+    inTurn(broken, answered('no such page', 404));
+    expect(await ask(url)).toMatchObject({ whole: false, body: text(0, 1) });
+  });
+
+  it('passes a failure on a route of streams as it is', async () => {
+    const url = await start([routeTo({ ...stream, resumable: false })], 1);
+    bed.target(1).script = answered('no such page', 404);
+    expect(await ask(url)).toMatchObject({ status: 404, body: 'no such page', whole: true });
+  });
+
   it('moves a stream off a target that pauses', async () => {
     const url = await start([routeTo(stream)], 2);
     inTurn(
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -1,37 +1,30 @@
 /** One request from its head to the end of its answer. */
 import type { IncomingMessage } from 'node:http';
-import type { Customer, Route, RoutingTable } from '@jasmineroute/configuration';
+import type { Route, RoutingTable } from '@jasmineroute/configuration';
 import { fault } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
-import { FaultError, broken, headerOf } from '@jasmineroute/engine';
-import type { WireAnswer } from '@jasmineroute/engine';
+import { FaultError } from '@jasmineroute/engine';
 import { readBody } from '@jasmineroute/entry';
-import { err, ok } from 'neverthrow';
-import type { Result } from 'neverthrow';
-import { storeAddress } from '../cache/index.js';
-import type { StoreUse } from '../cache/index.js';
-import { EventPieces } from '../answer/index.js';
+import type { Target } from '@jasmineroute/knowledge';
 import type { CallerAnswer } from '../answer/index.js';
-import type { Addition, RelayRequest } from '../dialect/index.js';
+import type { RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
-import type { Target } from '@jasmineroute/knowledge';
 import { relayMetrics } from '../metrics.js';
-import { QUIET_MS } from '../target/index.js';
 import { drawService, withWeights } from '../placement/index.js';
 import type { Placement, PlacementInput } from '../placement/index.js';
+import { additionFor, saltOf } from './addition.js';
+import { admit } from './admit.js';
+import type { Admitted } from './admit.js';
 import { send } from './attempt.js';
 import type { Job, TargetAnswer } from './attempt.js';
 import type { RelayContext } from './context.js';
+import { brokenOff, passAnswer, passFailure } from './pass.js';
+import type { Outcome } from './pass.js';
+import { Stream } from './stream.js';
 
 /** Largest body where the configuration names none, bytes. */
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
 
-/** Answers up to this size, bytes, are held until whole, so that a break can be mended by another attempt. */
-const HELD_BYTES = 256 * 1024;
-
-/** A stream that leaves a target waits so long for its next event, milliseconds: some steps of a busy engine. */
-const MOVE_MS = 250;
-
 /** Time for one token of a busy engine, milliseconds: an event of 4 tokens takes up to 80 ms in nine of ten cases. */
 const SLOW_TOKEN_MS = 20;
 
@@ -47,33 +40,24 @@
 /** A request that can't be answered in this time is not sent any more, milliseconds: one round trip. */
 const LEAST_MS = 10;
 
+const SUCCESS = 200;
 const SERVER_ERROR = 500;
 
-/** What came of one attempt. */
-type Outcome =
-  | { readonly state: 'answered' }
-  /** A failure of the target's own, which may be passed on if nothing better comes. */
-  | { readonly state: 'failure'; readonly answer: () => void; readonly fault: Fault }
-  | { readonly state: 'fault'; readonly fault: Fault };
-
 /** Handles one request. */
 export class RelayWork {
   private readonly abort = new AbortController();
   private sends = 0;
-  /** Last event that the caller has, once a stream has begun. */
-  private lastEventId: number | undefined;
   private service = '';
-  /** Longest pause between two events so far, and when the last one came. */
-  private pauseMs = 0;
-  private eventAt: number | undefined;
-  /** The running stream was given up to go on elsewhere, and its retry is taken from the budget already. */
-  private moving = false;
+  private maxAttempts = 0;
+  private readonly stream: Stream;
 
   constructor(
     private readonly context: RelayContext,
     private readonly incoming: IncomingMessage,
     private readonly answer: CallerAnswer,
-  ) {}
+  ) {
+    this.stream = new Stream(context, answer, () => this.mayMove());
+  }
 
   /** Answers the request, whatever happens. */
   async run(): Promise<void> {
@@ -141,6 +125,7 @@
       this.abort.abort(this.answer.gone.reason);
     };
     this.answer.gone.addEventListener('abort', onGone, { once: true });
+    if (this.answer.gone.aborted) onGone();
     try {
       if (service === undefined) this.refuse(request, fault('no-target', `no service ${name}`), route);
       else await this.attempts({ request, body: body.value.bytes, route, service, customer, until });
@@ -163,6 +148,7 @@
   private async attempts(job: Job): Promise<void> {
     const { budgets, log, metrics, placements, random } = this.context;
     const tried = new Set<string>();
+    this.maxAttempts = job.route.resumable ? job.route.maxAttempts : 0;
     budgets.deposit(this.service);
     let last: Outcome = { state: 'fault', fault: fault('no-target', 'no target is ready') };
     for (;;) {
@@ -212,8 +198,9 @@
     if (this.sends >= route.maxAttempts) return false;
     const isRepeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
     if (!isRepeatable && problem.ran !== 'not-run') return false;
-    if (this.moving) {
-      this.moving = false;
+    // The retry of a stream that moves was taken from the budget when it left.
+    if (this.stream.moving) {
+      this.stream.moving = false;
       return true;
     }
     // An attempt that never left is no arrival anywhere.
@@ -228,7 +215,7 @@
     const wish =
       model === undefined
         ? undefined
-        : { model, resumable: job.route.resumable, moving: this.lastEventId !== undefined };
+        : { model, resumable: job.route.resumable, moving: this.stream.lastEventId !== undefined };
     const fresh = withWeights(untried, wish, knowledge, this.context.clock.monotonic());
     const { prompt } = job.request;
     return {
@@ -244,7 +231,9 @@
     const { clock, log, metrics, sights } = this.context;
     const { target } = placement;
     const begunAt = clock.monotonic();
-    const addition = this.additionFor(job, target, job.until - begunAt);
+    const { lastEventId } = this.stream;
+    const resumeAfter = lastEventId === undefined ? job.request.lastEventId : String(lastEventId);
+    const addition = additionFor(this.context, job, target, job.until - begunAt, resumeAfter);
     sights.began(target.id);
     let outcome: Outcome;
     let status = 0;
@@ -275,8 +264,8 @@
       problem: outcome.state === 'answered' ? undefined : outcome.fault.message,
       status,
       copied: addition.cacheCopy !== undefined,
-      events: this.lastEventId,
-      pauseMs: Math.round(this.pauseMs),
+      events: this.stream.lastEventId,
+      pauseMs: Math.round(this.stream.pauseMs),
       tookMs: Math.round(clock.monotonic() - begunAt),
       firstByteMs: this.answer.firstByteMs === undefined ? undefined : Math.round(this.answer.firstByteMs),
       ageMs: Math.round(this.answer.age()),
@@ -284,155 +273,22 @@
     return outcome;
   }
 
-  private additionFor(job: Job, target: Target, leftMs: number): Addition {
-    const { customer, route, request } = job;
-    const weightsVersion = versionAt(target, job);
-    const resumeAfter = this.lastEventId === undefined ? request.lastEventId : String(this.lastEventId);
-    const cacheSalt = route.hasPrompt ? `${saltOf(job)}weights-${weightsVersion ?? 0}` : undefined;
-    const { source, copy } = this.storeUse(job, cacheSalt);
-    return {
-      deadlineMs: Math.max(1, Math.floor(leftMs)),
-      targetId: target.id,
-      customer: customer?.name,
-      cacheSalt,
-      cacheSource: source,
-      cacheCopy: copy,
-      urgency: route.hasPrompt ? Math.min(9, customer?.priority ?? route.priority) : undefined,
-      lastEventId: route.resumable ? resumeAfter : undefined,
-      weightsVersion,
-    };
-  }
-
-  private storeUse({ request }: Job, cacheSalt: string | undefined): StoreUse {
-    const { knowledge, copies } = this.context;
-    const table = knowledge.table();
-    if (cacheSalt === undefined || request.prompt === undefined || table === undefined) return {};
-    const store = storeAddress(table.configuration);
-    const isLost = store !== undefined && knowledge.isStoreLost(store);
-    return copies.use(isLost ? undefined : store, request.prompt, cacheSalt);
-  }
-
   /** Gives an answer to the caller. */
-  private async pass(job: Job, target: Target, answer: TargetAnswer): Promise<Outcome> {
-    if (answer.wire.status >= SERVER_ERROR) return this.passFailure(answer);
-    const length = Number(headerOf(answer.wire.headers, 'content-length') ?? Number.NaN);
-    const isStream = job.route.kind === 'stream';
-    if (isStream) return this.passEvents(job, target, answer);
-    return length > HELD_BYTES ? this.passBytes(answer) : this.passWhole(answer);
-  }
-
-  /** Reads a failure whole, to be passed on if no other attempt does better. */
-  private async passFailure({ wire }: TargetAnswer): Promise<Outcome> {
-    const body = await wholeBody(wire.body);
-    if (body.isErr()) return { state: 'fault', fault: body.error };
-    const headers = this.context.dialect.callerHeaders(wire.headers);
-    return {
-      state: 'failure',
-      fault: fault('engine-failed', `the target answered ${wire.status}`, { ran: 'ran' }),
-      answer: () => {
-        this.answer.whole(wire.status, headers, body.value);
-      },
-    };
-  }
-
-  /** Reads an answer whole before any of it goes out. */
-  private async passWhole({ wire }: TargetAnswer): Promise<Outcome> {
-    const body = await wholeBody(wire.body);
-    if (body.isErr()) return { state: 'fault', fault: body.error };
-    this.answer.whole(wire.status, this.context.dialect.callerHeaders(wire.headers), body.value);
-    return { state: 'answered' };
-  }
-
-  private async passBytes({ wire }: TargetAnswer): Promise<Outcome> {
-    this.answer.begin(wire.status, this.context.dialect.callerHeaders(wire.headers));
-    try {
-      for await (const piece of wire.body) await this.answer.write(piece);
-    } catch (error) {
-      return this.brokenOff(broken(error));
+  private pass(job: Job, target: Target, answer: TargetAnswer): Promise<Outcome> {
+    const { status } = answer.wire;
+    // The rest of a stream that has begun comes as a stream, or not at all.
+    if (this.answer.begun && status !== SUCCESS) {
+      answer.wire.abandon();
+      return Promise.resolve(brokenOff(fault('engine-failed', `${status} in place of the rest of a stream`)));
     }
-    this.answer.end();
-    return { state: 'answered' };
+    if (status >= SERVER_ERROR) return passFailure(this.context, this.answer, answer);
+    const isStream = job.route.kind === 'stream' && status === SUCCESS;
+    return isStream ? this.stream.pass(target, answer) : passAnswer(this.context, this.answer, answer);
   }
 
-  /** Passes events as they come, whole ones only. */
-  private async passEvents(job: Job, target: Target, { wire }: TargetAnswer): Promise<Outcome> {
-    const pieces = new EventPieces(this.lastEventId);
-    const { sights, clock } = this.context;
-    let calledOff = (): void => undefined;
-    const watched = this.watchQuiet(job, target, wire);
-    const noMove = this.context.knowledge.targets.onPause((id) => {
-      if (id !== target.id || !this.mayMove(job)) return;
-      // Between two events, as close to the last one as can be: its caller counts the pause from there.
-      calledOff();
-      calledOff = clock.after(MOVE_MS, () => {
-        wire.abandon();
-      });
-    });
-    // Not before the first event: a target that is lost before it leaves nothing of its answer behind.
-    const begin = (): void => {
-      this.answer.begin(wire.status, this.context.dialect.callerHeaders(wire.headers));
-    };
-    try {
-      for await (const chunk of wire.body) {
-        sights.heard(target.id);
-        const events = pieces.push(chunk);
-        if (events.length === 0) continue;
-        begin();
-        this.lastEventId = pieces.lastId;
-        this.notePause();
-        await this.answer.write(events);
-        if (this.moving) wire.abandon();
-      }
-    } catch (error) {
-      wire.abandon();
-      return this.brokenOff(broken(error));
-    } finally {
-      noMove();
-      calledOff();
-      watched();
-    }
-    if (pieces.pending.length > 0) return this.brokenOff(fault('stream-broken', 'it ended inside an event'));
-    begin();
-    this.answer.end();
-    return { state: 'answered' };
-  }
-
-  /**
-   * Lets a stream that may go on elsewhere leave a target that seems lost. Only then: the silence of one stream alone is
-   * no reason, as it may wait for its turn in a batch. Returns the way to stop.
-   */
-  private watchQuiet(job: Job, target: Target, wire: WireAnswer): () => void {
-    const { sights, clock } = this.context;
-    let calledOff: () => void;
-    const look = (): void => {
-      if (sights.isQuiet(target.id) && this.mayMove(job)) wire.abandon();
-      else calledOff = clock.after(QUIET_MS / 2, look);
-    };
-    calledOff = clock.after(QUIET_MS, look);
-    return () => {
-      calledOff();
-    };
-  }
-
-  private notePause(): void {
-    const now = this.context.clock.monotonic();
-    if (this.eventAt !== undefined) this.pauseMs = Math.max(this.pauseMs, now - this.eventAt);
-    this.eventAt = now;
-  }
-
-  /**
-   * Whether a stream may leave a target that pauses. The target waits for its runs before it loads new weights, up to
-   * several seconds for a long one, and takes no other work meanwhile; a stream that goes on elsewhere after its last
-   * event loses some ms.
-   */
-  private mayMove({ route }: Job): boolean {
-    if (!route.resumable || this.moving || this.sends >= route.maxAttempts) return false;
-    this.moving = this.context.budgets.withdraw(this.service);
-    return this.moving;
-  }
-
-  private brokenOff(problem: Fault): Outcome {
-    return { state: 'fault', fault: { ...problem, ran: 'may-have-run' } };
+  /** Whether a stream may go on at another target; the retry is taken from the budget then. */
+  private mayMove(): boolean {
+    return this.sends < this.maxAttempts && this.context.budgets.withdraw(this.service);
   }
 
   private measure(): void {
@@ -442,43 +298,3 @@
     if (firstByteMs !== undefined) metrics.timing(relayMetrics.firstByte, firstByteMs);
   }
 }
-
-interface Admitted {
-  readonly route: Route;
-  readonly customer?: Customer;
-}
-
-/** The route and customer of a request. */
-function admit(table: RoutingTable, request: RelayRequest): Result<Admitted, Fault> {
-  const route = table.routeOf(request.host, request.path);
-  if (route === undefined) return err(fault('unknown-route', `no route for ${request.host}${request.path}`));
-  const customer = request.key === undefined ? undefined : table.customerOf(request.key);
-  const needsKey = table.needsKeys && !route.open;
-  if (needsKey && customer === undefined) return err(fault('unauthenticated', 'the key is not known'));
-  return ok({ route, customer });
-}
-
-/** Keeps cached blocks apart of a customer that shares with nobody. */
-function saltOf({ customer }: Job): string {
-  return customer?.isolated === true ? `customer-${customer.name} ` : '';
-}
-
-/**
- * Version of the weights that a target announced. The request names it, so that a target whose weights changed since
- * refuses rather than run it on cache of other weights.
- */
-function versionAt(target: Target, { request, route }: Job): number | undefined {
-  return route.hasPrompt && request.prompt !== undefined
-    ? target.weights.get(request.prompt.model)
-    : undefined;
-}
-
-async function wholeBody(body: AsyncIterable<Uint8Array>): Promise<Result<Uint8Array, Fault>> {
-  const parts: Uint8Array[] = [];
-  try {
-    for await (const part of body) parts.push(part);
-  } catch (error) {
-    return err(broken(error));
-  }
-  return ok(Buffer.concat(parts));
-}
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -14,6 +14,12 @@
  */
 const LOADING_PART = 0.25;
 
+/**
+ * Time after which twice as many load at once, milliseconds: under load each round takes 2 s and more, and weights that
+ * were replaced 8 s ago may serve nothing.
+ */
+const HURRY_MS = 3_000;
+
 /** Time of a turn, milliseconds: how long a process that was killed keeps others from loading. */
 const TURN_MS = 3_000;
 
@@ -128,8 +134,8 @@
   }
 
   private async replace(target: Target, wish: Wish): Promise<void> {
-    const { name, incarnation, service, turns, clock, knowledge } = this.parts;
-    const limit = Math.max(1, Math.round(knowledge.targets.count(service) * LOADING_PART));
+    const { name, incarnation, service, turns, clock } = this.parts;
+    const limit = this.limitFor(target, wish);
     if (this.isOthersTurn(target, wish, limit)) return;
     const turn = await Turn.take(turns, clock, {
       name: `weights/${service}`,
@@ -146,6 +152,14 @@
     }
   }
 
+  /** How many of the service's targets may load at once. */
+  private limitFor(target: Target, { model }: Wish): number {
+    const { knowledge, service, clock } = this.parts;
+    const since = knowledge.staleSince(model, target.weights.get(model) ?? 0) ?? clock.monotonic();
+    const hurry = clock.monotonic() - since > HURRY_MS ? 2 : 1;
+    return Math.max(1, Math.round(knowledge.targets.count(service) * LOADING_PART * hurry));
+  }
+
   /**
    * Whether other targets are to load first: those that are further behind, and of equals the lower ids. In any other
    * order some targets are brought to each of several versions named in quick succession, while others stay on weights
