--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -18,7 +18,7 @@
  * Time after which twice as many load at once, milliseconds: under load each round takes 2 s and more, and weights that
  * were replaced 8 s ago may serve nothing.
  */
-const HURRY_MS = 3_000;
+const HURRY_MS = 4_500;
 
 /** Time of a turn, milliseconds: how long a process that was killed keeps others from loading. */
 const TURN_MS = 3_000;
