Tell a reset that reads as an end, and let moved streams find a third target

Change: such an end breaks the answer off; a refusal of the rest of a begun stream doesn't count against its attempts.

--- a/packages/engine/src/wire/connections.ts
+++ b/packages/engine/src/wire/connections.ts
@@ -1,4 +1,5 @@
 /** Connections to one target. */
+import type { Socket } from 'node:net';
 import { Pool, buildConnector } from 'undici';
 import type { Dispatcher } from 'undici';
 
@@ -10,19 +11,31 @@
 const RESET_CODE = 'CONNECTION_RESET';
 
 /**
- * Opens connections whose resets count as errors. An answer without a length ends with its connection, and undici takes
- * a reset, told by its code, for such an end: half of an answer would be passed on as whole, with a length that fits.
- * Under another code the reset breaks the answer off, as it does one with a length.
+ * Makes a reset count as an error. An answer without a length ends with its connection, and undici takes a reset, told by
+ * its code, for such an end: half of an answer would be passed on as whole, with a length that fits. Under another code
+ * the reset breaks the answer off, as it does one with a length. A reset whose error somebody else has taken reads as an
+ * end; then the system knows no other end of the connection any more, and nobody is told of that end. Call it before
+ * undici adds its own listeners.
  */
+export function tellResets(socket: Socket): void {
+  socket.on('error', (error: NodeJS.ErrnoException) => {
+    if (error.code === 'ECONNRESET') error.code = RESET_CODE;
+  });
+  const emit = socket.emit.bind(socket) as (event: string | symbol, ...details: unknown[]) => boolean;
+  socket.emit = (event: string | symbol, ...details: unknown[]): boolean => {
+    if (event !== 'end' || socket.remoteAddress !== undefined) return emit(event, ...details);
+    socket.destroy(Object.assign(new Error('the connection was reset'), { code: RESET_CODE }));
+    return true;
+  };
+}
+
+/** Opens connections that tell resets from ends. */
 function resetTellingConnector(): buildConnector.connector {
   const open = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   return (options, callback) => {
     open(options, (...opened) => {
-      const [, socket] = opened;
-      // Registered before undici's own listener, so that it sees the changed code.
-      socket?.on('error', (error: NodeJS.ErrnoException) => {
-        if (error.code === 'ECONNRESET') error.code = RESET_CODE;
-      });
+      const [problem, socket] = opened;
+      if (problem === null) tellResets(socket);
       callback(...opened);
     });
   };
--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -321,6 +321,25 @@
     expect(await answer).toMatchObject({ body: text(0, 3), whole: true });
   });
 
+  it('takes the rest of a moved stream to a third target when the second has no room', async () => {
+    // Symptom: streams break off while weights are replaced.
+    // Sequence: a stream leaves a target that pauses; the next one refuses it, as it is full or pauses too.
+    // Cause: the refusal counted as the last attempt that the route allows.
+    const url = await start([routeTo(stream)], 3);
+    for (const target of bed.targets) {
+      target.script = (request, response, body) => {
+        const scripts = [events(0, 1, () => undefined), refusal, events(2, 3, (written) => written.end())];
+        (scripts[bed.arrivals() - 1] ?? refusal)(request, response, body);
+      };
+    }
+    let begun = '';
+    const answer = ask(url, { onData: (part) => (begun = part) });
+    await until(() => begun === text(0, 1));
+    const first = bed.targets.find(({ requests }) => requests.length > 0);
+    bed.announce({ [first?.id ?? '']: { paused: true, observation: 1n } });
+    expect(await answer).toMatchObject({ body: text(0, 3), whole: true });
+  });
+
   it('names the weights and keeps their caches apart', async () => {
     const url = await start([routeTo(stream)], 1);
     bed.target(1).script = events(0, 0, (response) => response.end());
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -168,7 +168,7 @@
         this.measure();
         return;
       }
-      if (last.fault.kind === 'target-unreachable') this.sends -= 1;
+      if (!this.counts(last.fault)) this.sends -= 1;
       if (!this.mayRepeat(job, last.fault)) break;
     }
     if (this.answer.gone.aborted) {
@@ -183,6 +183,14 @@
     else this.refuse(job.request, this.finalFault(last.fault), job.route);
   }
 
+  /**
+   * Whether a sending counts against the route's attempts. One that never left does not; nor does a refusal of the rest of
+   * a stream that has begun: it left a target on our wish, and would break off for want of one that has room.
+   */
+  private counts({ kind, ran }: Fault): boolean {
+    return kind !== 'target-unreachable' && !(this.answer.begun && ran === 'not-run');
+  }
+
   /** A time that is over is reported as such; what never left is proved not to have run. */
   private finalFault(problem: Fault): Fault {
     const { reason } = this.abort.signal as { reason: unknown };
