Keep the relay's folder target, which the build's ignore rule left out

Cause: a fresh clone did not build: the rule for the build's output, target/, matched packages/relay/src/target too, so no commit held it.

--- /dev/null
+++ b/packages/relay/src/target/index.ts
@@ -0,0 +1,2 @@
+export * from './targetPools.js';
+export * from './targetState.js';
--- /dev/null
+++ b/packages/relay/src/target/targetState.ts
@@ -0,0 +1,114 @@
+/** What this entry sees of targets: its own open requests, told load, and recent failures. */
+import type { Clock } from '@jasmineroute/core';
+import type { ToldLoad } from '../dialect/index.js';
+
+/** Told load is worth nothing after this time, milliseconds: some requests of work. */
+const LOAD_LASTS_MS = 2_000;
+
+/** A target that failed is avoided for so long after each failure in a row, milliseconds, and at most. */
+const AVOID_MS = 250;
+const MOST_AVOID_MS = 4_000;
+
+/**
+ * A target with open requests that sends no byte for so long is taken to be lost, milliseconds. A busy engine sends an
+ * event each 200 ms or so; a host that went dark resets nothing, and its heartbeats are missed only seconds later.
+ */
+export const QUIET_MS = 800;
+
+/** What is seen of one target. */
+export interface Sight {
+  /** Requests of this entry that are open there. */
+  open: number;
+  /** Requests of others there, when the load was told. */
+  others: number;
+  /** Monotonic time at which the load was told; absent: never. */
+  toldAt?: number;
+  /** Monotonic time of the last byte from it, or of the first open request since it had none. */
+  heardAt: number;
+  failures: number;
+  /** Monotonic time until which it is avoided. */
+  avoidUntil: number;
+}
+
+/** Sights by target id. */
+export class TargetSights {
+  private readonly sights = new Map<string, Sight>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** What is seen of a target. */
+  of(id: string): Sight {
+    const known = this.sights.get(id);
+    if (known !== undefined) return known;
+    const made: Sight = { open: 0, others: 0, heardAt: 0, failures: 0, avoidUntil: 0 };
+    this.sights.set(id, made);
+    return made;
+  }
+
+  /** Requests that a target probably has, from this entry and others. */
+  requestsAt(id: string): number {
+    const { open, others, toldAt } = this.of(id);
+    if (toldAt === undefined) return open;
+    const age = this.clock.monotonic() - toldAt;
+    return open + others * Math.max(0, 1 - age / LOAD_LASTS_MS);
+  }
+
+  /** Age of the told load, milliseconds; undefined when none was told. */
+  ageOf(id: string): number | undefined {
+    const { toldAt } = this.of(id);
+    return toldAt === undefined ? undefined : Math.round(this.clock.monotonic() - toldAt);
+  }
+
+  /** Whether a target failed a moment ago, or seems lost. */
+  isAvoided(id: string): boolean {
+    return this.clock.monotonic() < this.of(id).avoidUntil || this.isQuiet(id);
+  }
+
+  /** Whether a target has open requests and has sent nothing for too long. */
+  isQuiet(id: string): boolean {
+    const { open, heardAt } = this.of(id);
+    return open > 0 && this.clock.monotonic() - heardAt > QUIET_MS;
+  }
+
+  /** A byte came from a target. */
+  heard(id: string): void {
+    this.of(id).heardAt = this.clock.monotonic();
+  }
+
+  /** A request goes out. */
+  began(id: string): void {
+    const sight = this.of(id);
+    if (sight.open === 0) sight.heardAt = this.clock.monotonic();
+    sight.open += 1;
+  }
+
+  /** A request is over. */
+  ended(id: string): void {
+    this.of(id).open -= 1;
+  }
+
+  /** A target told its load, which counts the answered request and this entry's others too. */
+  told(id: string, load: ToldLoad): void {
+    const sight = this.of(id);
+    sight.others = Math.max(0, load.running + load.waiting - sight.open);
+    sight.toldAt = this.clock.monotonic();
+  }
+
+  /** A target answered as it should. */
+  succeeded(id: string): void {
+    this.of(id).failures = 0;
+  }
+
+  /** A target could not be reached, or broke an answer off. Each failure in a row keeps it away longer. */
+  failed(id: string): void {
+    const sight = this.of(id);
+    sight.failures += 1;
+    const avoidMs = Math.min(MOST_AVOID_MS, AVOID_MS * 2 ** (sight.failures - 1));
+    sight.avoidUntil = this.clock.monotonic() + avoidMs;
+  }
+
+  /** Forgets targets that are gone. */
+  keep(ids: ReadonlySet<string>): void {
+    for (const [id, { open }] of this.sights) if (!ids.has(id) && open === 0) this.sights.delete(id);
+  }
+}
