--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -164,6 +164,14 @@
     return { ready: true, reason: 'in touch with a quorum' };
   }
 
+  /**
+   * Whether a target's call may be acknowledged. One that an isolated instance took would be heard by nobody else, so the
+   * target is to call the next instance.
+   */
+  acknowledges(): boolean {
+    return this.readiness().ready;
+  }
+
   /** Ends the streams of watchers, who move to other instances, and finishes the proposals under way. */
   async drain(): Promise<void> {
     this.draining = true;
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -84,13 +84,12 @@
   }
 
   private async follow(address: string, signal: AbortSignal): Promise<void> {
-    const { clock, log, knowledge } = this.parts;
+    const { clock, knowledge } = this.parts;
     let pauseMs = FIRST_PAUSE_MS;
     while (!signal.aborted) {
       const events = await this.stream(address, signal);
       if (events > 0) {
         knowledge.lost(address);
-        log.event(knowledgeEvents.controlLost, { control: address, events });
         pauseMs = FIRST_PAUSE_MS;
       }
       await clock.sleep(pauseMs * (0.5 + Math.random() / 2), signal).catch(() => undefined);
@@ -111,6 +110,7 @@
     let calledOff = clock.after(SILENCE_MS, silent);
     const number = BigInt(knowledge.table()?.number ?? 0);
     let events = 0;
+    let problem = 'the sender ended it';
     try {
       const stream = client.follow({ number, name, role }, { signal: AbortSignal.any([signal, end.signal]) });
       for await (const event of stream) {
@@ -123,11 +123,12 @@
         this.hear(address, event.controls);
       }
     } catch (error) {
-      // Expected while an instance is down; the count of events tells whether anything was lost with it.
-      if (events > 0) log.event(knowledgeEvents.controlLost, { control: address, problem: String(error) });
+      problem = String(error);
     } finally {
       calledOff();
     }
+    // While an instance is down each attempt fails; only the loss of one that spoke is news.
+    if (events > 0) log.event(knowledgeEvents.controlLost, { control: address, events, problem });
     return events;
   }
 
--- a/packages/rollout/src/keeper/loadReporter.ts
+++ b/packages/rollout/src/keeper/loadReporter.ts
@@ -36,6 +36,8 @@
 export class LoadReporter {
   private readonly stopped = new AbortController();
   private told = '';
+  /** The target did not answer the last time; logged once for each loss. */
+  private lost = false;
   private toldAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly parts: LoadReporterParts) {}
@@ -55,11 +57,16 @@
   }
 
   private async look(): Promise<void> {
-    const { knowledge, address, port, clock } = this.parts;
+    const { knowledge, address, port, clock, log } = this.parts;
     const target = knowledge.targets.at(address);
     if (target === undefined) return;
     const report = await port.report(CALL_MS);
-    if (report.isErr()) return;
+    if (report.isErr()) {
+      if (!this.lost) log.event(rolloutEvents.unreachable, { address, problem: report.error.message });
+      this.lost = true;
+      return;
+    }
+    this.lost = false;
     const { running, waiting } = report.value;
     const load = `${target.id} ${running} ${waiting}`;
     const now = clock.monotonic();
