Copy to the store only what it lacks, by what control hears from the store

Cause: each entry copied a shared part every 8 s, with the request's own part. With eight entries and 177 collections nearly every request copied, and the store turned over before a seventh of the parts were asked for again. Without news of a store entries do as before.

--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -8,6 +8,7 @@
 import { controlEvents } from '../events.js';
 import type { CommandLog } from '../log/index.js';
 import type { LoadBoard } from '../loads/index.js';
+import type { KeptParts } from '../stores/index.js';
 import type { TargetBook } from '../targets/index.js';
 
 /** Time between two events when nothing changes, milliseconds: how a follower knows that it still hears. */
@@ -23,6 +24,8 @@
   readonly loads: LoadBoard;
   /** Addresses of stores that do not answer. */
   readonly lostStores: () => readonly string[];
+  /** What stores keep; undefined where no store is watched. */
+  readonly kept: KeptParts | undefined;
   readonly commandLog: CommandLog;
   readonly clock: Clock;
   readonly log: Log;
@@ -121,6 +124,7 @@
 class Follower {
   private place = 0;
   private loadPlace = 0;
+  private keptPlace = 0;
   private weights = 0;
   private vouched = false;
 
@@ -153,6 +157,7 @@
       entries,
       loads: this.hearsLoads ? loads.since(this.loadPlace) : [],
       lostStores: [...lostStores()],
+      kept: this.kept(),
     });
     this.loadPlace = loads.place();
     this.place = targets.place();
@@ -161,4 +166,18 @@
     if (held.number > this.number) this.number = held.number;
     return event;
   }
+
+  /**
+   * What stores keep, from the leader alone: all instances know it, and each telling it would cost as many times the
+   * bytes. An instance that leads no longer takes back what it told.
+   */
+  private kept(): controlMessage.KeptChanges | undefined {
+    const { kept, commandLog } = this.sources;
+    if (!this.hearsLoads || kept === undefined) return undefined;
+    const place = this.keptPlace;
+    const leads = commandLog.status().state === 'leader';
+    this.keptPlace = leads ? kept.place() : 0;
+    if (leads) return place === this.keptPlace && place > 0 ? undefined : kept.since(place);
+    return place > 0 ? create(controlMessage.KeptChangesSchema, { whole: true }) : undefined;
+  }
 }
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -125,6 +125,7 @@
       targets,
       loads,
       lostStores,
+      kept: this.stores?.kept,
       commandLog,
       clock,
       log,
--- a/packages/control/src/stores/index.ts
+++ b/packages/control/src/stores/index.ts
@@ -1,1 +1,2 @@
+export * from './keptParts.js';
 export * from './storeWatch.js';
--- a/packages/control/src/stores/storeWatch.spec.ts
+++ b/packages/control/src/stores/storeWatch.spec.ts
@@ -1,9 +1,11 @@
 import { ManualClock, silentLog } from '@jasmineroute/core';
+import { partKey } from '@jasmineroute/protocol';
 import { describe, expect, it } from 'vitest';
 import { ConfigurationState } from '../configuration/index.js';
 import { applyOne } from '../fixture/index.js';
 import { createState } from '../role/index.js';
 import { StoreWatch } from './storeWatch.js';
+import type { StoreNews } from './storeWatch.js';
 
 const STORE = '10.0.0.9:80';
 
@@ -18,8 +20,9 @@
     const clock = new ManualClock();
     const state = createState();
     let answers = true;
+    const news = { incarnation: 1, next: 0, hasGap: false, events: [] };
     const port = {
-      reach: () => clock.sleep(50).then(() => (answers ? undefined : Promise.reject(new Error('gone')))),
+      news: () => clock.sleep(50).then(() => (answers ? news : Promise.reject(new Error('gone')))),
     };
     const watch = new StoreWatch(state.configuration, port, clock, silentLog);
     const configure = (number: bigint, address: string | undefined): void => {
@@ -44,4 +47,44 @@
     watch.stop();
     expect(state.configuration).toBeInstanceOf(ConfigurationState);
   });
+
+  it('knows what a store keeps, and nothing of it after a gap or a restart', async () => {
+    // Symptom: shared parts are read again and again, though there is a store.
+    // Sequence: a store drops what it kept, as it restarts or its events are lost; parts are taken to be there still.
+    // Cause: what can't be vouched for was believed.
+    const clock = new ManualClock();
+    const state = createState();
+    const part = (id: string, isKept: boolean) => ({ salt: 's', model: 'm', part: id, isKept });
+    const none = { incarnation: 1, next: 2, hasGap: false, events: [] };
+    const asked: number[] = [];
+    let next: StoreNews = { ...none, events: [part('a', true), part('b', true)] };
+    const port = {
+      news: async (_address: string, since: number): Promise<StoreNews> => {
+        asked.push(since);
+        await clock.sleep(100);
+        const told = next;
+        next = { ...none, incarnation: told.incarnation };
+        return told;
+      },
+    };
+    const watch = new StoreWatch(state.configuration, port, clock, silentLog);
+    const keys = (): number[] => watch.kept.since(0).added;
+    const keyOf = (id: string): number => partKey(STORE, part(id, true));
+    watch.start();
+    const value = { number: 1n, content: content(STORE), source: new Uint8Array(0) };
+    applyOne(state.machine, { case: 'configure', value });
+    await clock.advance(150);
+    expect(keys()).toEqual([keyOf('a'), keyOf('b')]);
+    next = { ...none, events: [part('a', false)] };
+    await clock.advance(200);
+    expect(keys()).toEqual([keyOf('b')]);
+    next = { ...none, hasGap: true, events: [part('c', true)] };
+    await clock.advance(200);
+    expect(keys()).toEqual([keyOf('c')]);
+    next = { ...none, incarnation: 2, events: [part('d', true)] };
+    await clock.advance(200);
+    expect(keys()).toEqual([]);
+    expect(asked.slice(1)).toContain(0);
+    watch.stop();
+  });
 });
--- a/packages/control/src/stores/storeWatch.ts
+++ b/packages/control/src/stores/storeWatch.ts
@@ -1,28 +1,52 @@
 /** Watches the stores of kept KV cache that the configuration names. */
 import { configuration } from '@jasmineroute/configuration';
 import type { Clock, Log } from '@jasmineroute/core';
+import type { StoredPart } from '@jasmineroute/protocol';
 import type { ConfigurationState } from '../configuration/index.js';
 import { controlEvents } from '../events.js';
+import { KeptParts } from './keptParts.js';
 
-/** Pause between two looks at a store, milliseconds: each costs it a connection of 1 ms. */
-const LOOK_MS = 700;
+/** How long a store may hold a call until it has news, milliseconds: the time in which its end is noticed. */
+const WAIT_MS = 600;
 
-/** Longest time for a connection to open, milliseconds: some hundred times the way there and back. */
-const CONNECT_MS = 400;
+/** Time beyond that for the answer, milliseconds: some hundred times the way there and back. */
+const ANSWER_MS = 400;
 
-/** Looks for a store. */
+/** Pause before a store that did not answer, or has too many calls, is called again, milliseconds. */
+const PAUSE_MS = 400;
+
+/** What happened at a store since the last call. */
+export interface StoreNews {
+  /** New for each start of the store. */
+  readonly incarnation: number;
+  /** Where the next call goes on. */
+  readonly next: number;
+  /** Some events before these are gone. */
+  readonly hasGap: boolean;
+  /** In order; not kept: it has less of the part than before. */
+  readonly events: readonly (StoredPart & { readonly isKept: boolean })[];
+}
+
+/** Calls to stores. */
 export interface StorePort {
-  /** Resolves when a store can be reached; rejects otherwise. */
-  reach(address: string, timeoutMs: number): Promise<void>;
+  /**
+   * Events after `since`, or none after `waitMs`; undefined when the store is there but takes no further call.
+   * Rejects when it can't be reached within `timeoutMs`.
+   */
+  news(address: string, since: number, waitMs: number, timeoutMs: number): Promise<StoreNews | undefined>;
 }
 
 const decoder = new TextDecoder();
 
 /**
- * Knows which stores answer. A target that is told to fetch from a store that is gone waits some hundred ms for it,
- * with each request: first tokens are late while it lasts, and nothing else shows why.
+ * Knows which stores answer, and what they keep. A target that is told to fetch from a store that is gone waits some
+ * hundred ms for it, with each request: first tokens are late while it lasts, and nothing else shows why. Without
+ * knowing what a store keeps, entries copied with nearly every request, each time with a part that nobody shares, and
+ * the shared ones were pushed out and read again.
  */
 export class StoreWatch {
+  /** What the stores keep. */
+  readonly kept = new KeptParts();
   private readonly lostAddresses = new Set<string>();
   private readonly watched = new Set<string>();
   private readonly listeners = new Set<() => void>();
@@ -79,23 +103,38 @@
 
   private async watch(address: string): Promise<void> {
     const { signal } = this.stopped;
+    let last: StoreNews | undefined;
     while (!signal.aborted && this.addresses().includes(address)) {
-      const isLost = await this.port.reach(address, CONNECT_MS).then(
-        () => false,
-        () => true,
+      const since = last?.next ?? 0;
+      const told = await this.port.news(address, since, WAIT_MS, WAIT_MS + ANSWER_MS).then(
+        (news) => ({ news, problem: '' }),
+        (problem: unknown) => ({ news: undefined, problem: String(problem) }),
       );
-      this.note(address, isLost);
-      await this.clock.sleep(LOOK_MS, signal).catch(() => undefined);
+      this.note(address, told.problem);
+      if (told.news === undefined) await this.clock.sleep(PAUSE_MS, signal).catch(() => undefined);
+      else last = this.take(address, told.news, last);
     }
     this.watched.delete(address);
-    this.note(address, false);
+    this.kept.forget(address);
+    this.note(address, '');
+  }
+
+  /** The news that the next call goes on from; undefined: from the beginning, as the store restarted. */
+  private take(address: string, news: StoreNews, last: StoreNews | undefined): StoreNews | undefined {
+    const isRestarted = last !== undefined && last.incarnation !== news.incarnation;
+    if (isRestarted || news.hasGap) this.kept.forget(address);
+    if (isRestarted) return undefined;
+    for (const { isKept, ...part } of news.events) this.kept.note(address, part, isKept);
+    return news;
   }
 
-  private note(address: string, isLost: boolean): void {
+  /** @param problem why the store did not answer; empty: it did. */
+  private note(address: string, problem: string): void {
+    const isLost = problem !== '';
     if (this.lostAddresses.has(address) === isLost || this.stopped.signal.aborted) return;
     if (isLost) this.lostAddresses.add(address);
     else this.lostAddresses.delete(address);
-    this.log.event(isLost ? controlEvents.storeLost : controlEvents.storeFound, { store: address });
+    this.log.event(isLost ? controlEvents.storeLost : controlEvents.storeFound, { store: address, problem });
     for (const listener of this.listeners) listener();
   }
 }
--- a/packages/knowledge/src/knowledge.spec.ts
+++ b/packages/knowledge/src/knowledge.spec.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import { ManualClock, silentLog } from '@jasmineroute/core';
-import { controlMessage } from '@jasmineroute/protocol';
+import { controlMessage, partKey } from '@jasmineroute/protocol';
 import { describe, expect, it } from 'vitest';
 import { Knowledge } from './knowledge.js';
 
@@ -44,4 +44,19 @@
     expect(knowledge.staleSince('m', 2)).toBe(15_000);
     expect(knowledge.staleSince('m', 3)).toBeUndefined();
   });
+
+  it('knows what stores keep from whoever tells it, and forgets what a lost instance told', () => {
+    const knowledge = new Knowledge(new ManualClock(), silentLog);
+    const part = { salt: 's', model: 'm', part: 'a' };
+    const told = (change: Partial<controlMessage.KeptChanges>) =>
+      event({ kept: Object.assign(create(controlMessage.KeptChangesSchema, {}), change) });
+    expect(knowledge.isKept('store', part)).toBeUndefined();
+    knowledge.apply('c1', told({ whole: true, added: [partKey('store', part), 7] }), true);
+    expect(knowledge.isKept('store', part)).toBe(true);
+    expect(knowledge.isKept('other', part)).toBe(false);
+    knowledge.apply('c1', told({ dropped: [partKey('store', part)] }), false);
+    expect(knowledge.isKept('store', part)).toBe(false);
+    knowledge.lost('c1');
+    expect(knowledge.isKept('store', part)).toBeUndefined();
+  });
 });
--- a/packages/knowledge/src/knowledge.ts
+++ b/packages/knowledge/src/knowledge.ts
@@ -2,7 +2,8 @@
 import { configuration, routingTable } from '@jasmineroute/configuration';
 import type { RoutingTable } from '@jasmineroute/configuration';
 import type { Clock, Log } from '@jasmineroute/core';
-import type { controlMessage } from '@jasmineroute/protocol';
+import { partKey } from '@jasmineroute/protocol';
+import type { StoredPart, controlMessage } from '@jasmineroute/protocol';
 import { knowledgeEvents } from './events.js';
 import { TargetList } from './targetList.js';
 
@@ -27,6 +28,8 @@
   private readonly named = new Map<string, NamedVersion[]>();
   private readonly entryCounts = new Map<string, number>();
   private readonly lostStores = new Map<string, readonly string[]>();
+  /** What stores keep, by the control instance that tells it. */
+  private readonly kept = new Map<string, Set<number>>();
   private readonly listeners = new Set<() => void>();
   private readonly loadListeners = new Set<(load: controlMessage.TargetLoad) => void>();
 
@@ -82,6 +85,13 @@
     return [...this.lostStores.values()].some((lost) => lost.includes(address));
   }
 
+  /** Whether a store keeps a part of a prompt; undefined while nobody tells what it keeps. */
+  isKept(store: string, part: StoredPart): boolean | undefined {
+    if (this.kept.size === 0) return undefined;
+    const key = partKey(store, part);
+    return [...this.kept.values()].some((keys) => keys.has(key));
+  }
+
   /** Calls back with each load that is told. Returns the way to stop. */
   onLoad(listener: (load: controlMessage.TargetLoad) => void): () => void {
     this.loadListeners.add(listener);
@@ -94,6 +104,7 @@
     this.nameWeights(event.weights);
     this.entryCounts.set(control, event.entries);
     this.lostStores.set(control, event.lostStores);
+    if (event.kept !== undefined) this.noteKept(control, event.kept);
     for (const load of event.loads) for (const listener of this.loadListeners) listener(load);
     if (whole || event.targets.length > 0) this.targets.apply(control, event.targets, whole);
     if (event.vouched && !this.isConfirmed) {
@@ -106,9 +117,18 @@
   lost(control: string): void {
     this.entryCounts.delete(control);
     this.lostStores.delete(control);
+    this.kept.delete(control);
     this.targets.lost(control);
   }
 
+  private noteKept(control: string, { whole, dropped, added }: controlMessage.KeptChanges): void {
+    const keys = (whole ? undefined : this.kept.get(control)) ?? new Set();
+    for (const key of dropped) keys.delete(key);
+    for (const key of added) keys.add(key);
+    if (keys.size > 0) this.kept.set(control, keys);
+    else this.kept.delete(control);
+  }
+
   private configure({ number, content }: controlMessage.FollowEvent): void {
     const held = this.current?.number ?? -1;
     if (content.length === 0 || Number(number) <= held) return;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,3 +4,4 @@
 export * as stateMessage from './gen/jasmineroute/state_pb.js';
 export * from './transport/index.js';
 export * from './role/index.js';
+export * from './part/index.js';
--- /dev/null
+++ b/packages/protocol/src/part/index.ts
@@ -0,0 +1,1 @@
+export * from './partKey.js';
--- a/packages/relay/src/cache/copies.ts
+++ b/packages/relay/src/cache/copies.ts
@@ -1,15 +1,23 @@
 /** Use of the store of kept KV cache. */
 import type { Configuration } from '@jasmineroute/configuration';
 import type { Clock } from '@jasmineroute/core';
+import type { StoredPart } from '@jasmineroute/protocol';
 import { LRUCache } from 'lru-cache';
 import type { PromptOutline } from '../dialect/index.js';
 
 /**
- * Time after which a shared part is copied to the store again, milliseconds. The store drops what was used least
- * recently; at 95,000 tokens a second of new parts, a store of a million tokens turns over in 11 s.
+ * Time after which a shared part is copied to the store again while nobody tells what the store keeps, milliseconds. The
+ * store drops what was used least recently; at 95,000 tokens a second of new parts, a store of a million tokens turns
+ * over in 11 s.
  */
 const COPY_LASTS_MS = 8_000;
 
+/**
+ * Time after which a copy that the store still lacks is made again, milliseconds: a request may wait a second for its
+ * turn, and the store's news comes some hundred ms later.
+ */
+const COPY_SHOWS_MS = 1_500;
+
 /** Shared parts that are remembered, some for each customer's collections; 100 bytes each. */
 const MOST_PARTS = 20_000;
 
@@ -28,31 +36,36 @@
   return services.find(({ storeAddress: address }) => address !== undefined)?.storeAddress;
 }
 
+/** Whether a store keeps a part; undefined while nobody tells. */
+export type KeptLookup = (store: string, part: StoredPart) => boolean | undefined;
+
 /**
  * Decides which requests use the store. Fetching a shared part costs a target 14 ms of its link where reading it again
  * costs 34 ms of its processor (3,780 tokens, 420 Gbit/s, 110 tokens a ms); a miss costs 1 ms. So every prompt with
- * shared parts may fetch. Only the first request for a part in a while makes a copy: a copy holds the request's own
- * part too, which nobody else asks for, and pushes out what others do.
+ * shared parts may fetch. Only a part that the store lacks is copied: a copy holds the request's own part too, which
+ * nobody else asks for, and pushes out what others do. With eight entries that each copied a part every 8 s, nearly
+ * every request copied, and the store turned over before a seventh of the shared parts were asked for again.
  */
 export class Copies {
-  private readonly copied: LRUCache<string, true>;
-
-  constructor(clock: Clock) {
-    this.copied = new LRUCache({
-      max: MOST_PARTS,
-      ttl: COPY_LASTS_MS,
-      ttlResolution: 0,
-      perf: { now: () => clock.monotonic() + 1 },
-    });
-  }
+  /** Monotonic time at which a copy was asked for last, by part. */
+  private readonly copiedAt = new LRUCache<string, number>({ max: MOST_PARTS });
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly isKept: KeptLookup,
+  ) {}
 
   /** The use of a store for a prompt; `salt` as the target gets it. */
-  use(store: string | undefined, prompt: PromptOutline, salt: string): StoreUse {
-    const shared = prompt.parts.length < 2 ? undefined : prompt.parts.at(-2);
+  use(store: string | undefined, { model, parts }: PromptOutline, salt: string): StoreUse {
+    const shared = parts.length < 2 ? undefined : parts.at(-2);
     if (store === undefined || shared === undefined) return NO_USE;
-    const key = `${salt} ${prompt.model} ${shared.id}`;
-    if (this.copied.has(key)) return { source: store };
-    this.copied.set(key, true);
+    const isKept = this.isKept(store, { salt, model, part: shared.id });
+    if (isKept === true) return { source: store };
+    const key = `${salt} ${model} ${shared.id}`;
+    const now = this.clock.monotonic();
+    const sinceMs = now - (this.copiedAt.get(key) ?? Number.NEGATIVE_INFINITY);
+    if (sinceMs < (isKept === false ? COPY_SHOWS_MS : COPY_LASTS_MS)) return { source: store };
+    this.copiedAt.set(key, now);
     return { source: store, copy: store };
   }
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -65,7 +65,7 @@
       sights,
       pools: new TargetPools(),
       budgets: new ServiceBudgets(allowance, () => knowledge.entries()),
-      copies: new Copies(clock),
+      copies: new Copies(clock, (store, part) => knowledge.isKept(store, part)),
       stopsAt: () => this.stopsAt,
       bodies: new BodyBudget(settings.maxBufferedBytes),
       random,
