Tell the other entries what is under way at targets, and keep prompts at their homes

Cause: an entry counted its own tokens only, an eighth of what a target has to read. Change: entries tell a control instance what they have under way, 40 times a second at most and less with more entries; it tells the others.

--- a/packages/control/src/follow/follow.spec.ts
+++ b/packages/control/src/follow/follow.spec.ts
@@ -8,9 +8,10 @@
 
 describe('followers of control instances', () => {
   let cluster: Cluster;
-  const stopped = new AbortController();
+  let stopped: AbortController;
 
   beforeEach(async () => {
+    stopped = new AbortController();
     cluster = await Cluster.start(3, { enlists: true });
   });
 
@@ -50,6 +51,27 @@
     expect(heard[0]?.targets).toEqual([]);
   });
 
+  it('hear what other entries have under way, at whatever instance it was told', async () => {
+    const [first, second] = cluster.nodes;
+    if (first === undefined || second === undefined) throw new Error('no instances');
+    const heard: string[] = [];
+    const read = async (name: string): Promise<void> => {
+      const client = cluster.clientOf(controlMessage.Configurations, second);
+      const request = { number: 0n, name, role: 'entry' };
+      for await (const event of client.follow(request, { signal: stopped.signal })) {
+        for (const { entry, targets } of event.work)
+          heard.push(`${name} ${entry} ${targets[0]?.tokens ?? 0}`);
+      }
+    };
+    for (const name of ['e1', 'e2']) read(name).catch(() => undefined);
+    const teller = cluster.clientOf(controlMessage.Configurations, second);
+    await until(async () => {
+      await teller.reportWork({ entry: 'e1', targets: [{ targetId: 't', tokens: 700 }] });
+      return heard.length > 0;
+    });
+    expect(new Set(heard)).toEqual(new Set(['e2 e1 700']));
+  });
+
   it('read the newest configuration, or nothing without a quorum', async () => {
     // Symptom: an operator reads an older configuration than the one that was accepted.
     // Sequence: an instance is cut off; a newer configuration is accepted by the others; it is asked.
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -21,7 +21,10 @@
 export interface FollowSources {
   readonly configuration: ConfigurationState;
   readonly targets: TargetBook;
-  readonly loads: LoadBoard;
+  /** Loads of targets, by their ids. */
+  readonly loads: LoadBoard<controlMessage.TargetLoad>;
+  /** Work of entries, by their names. */
+  readonly work: LoadBoard<controlMessage.EntryWork>;
   /** Addresses of stores that do not answer. */
   readonly lostStores: () => readonly string[];
   /** What stores keep; undefined where no store is watched. */
@@ -45,9 +48,11 @@
     const raise = this.raise;
     sources.configuration.onChange(raise);
     sources.targets.onChange(raise);
-    sources.loads.onChange(() => {
-      this.loadsChanged.raise();
-    });
+    for (const board of [sources.loads, sources.work]) {
+      board.onChange(() => {
+        this.loadsChanged.raise();
+      });
+    }
     sources.commandLog.onStatus(raise);
   }
 
@@ -63,7 +68,7 @@
   ): AsyncGenerator<controlMessage.FollowEvent> {
     const { log, ended } = this.sources;
     const signal = AbortSignal.any([ended, context.signal]);
-    const follower = new Follower(this.sources, request.number, request.role === ENTRY);
+    const follower = new Follower(this.sources, request.number, request.role === ENTRY, request.name);
     log.event(controlEvents.followed, { follower: request.name, number: Number(request.number) });
     const isEntry = request.role === ENTRY;
     if (isEntry) this.count(request.name, 1);
@@ -101,10 +106,16 @@
 
   /** Takes a target's load. */
   reportLoad(load: controlMessage.TargetLoad): controlMessage.ReportLoadResponse {
-    this.sources.loads.take(load);
+    this.sources.loads.take(load.targetId, load);
     return create(controlMessage.ReportLoadResponseSchema, {});
   }
 
+  /** Takes an entry's work. */
+  reportWork(work: controlMessage.EntryWork): controlMessage.ReportWorkResponse {
+    this.sources.work.take(work.entry, work);
+    return create(controlMessage.ReportWorkResponseSchema, {});
+  }
+
   /** Makes the asking instance a voter, if this one leads. */
   enlist(request: controlMessage.EnlistRequest): controlMessage.EnlistResponse {
     const { commandLog, log } = this.sources;
@@ -125,6 +136,7 @@
   private place = 0;
   private loadPlace = 0;
   private keptPlace = 0;
+  private workPlace = 0;
   private weights = 0;
   private vouched = false;
 
@@ -132,6 +144,7 @@
     private readonly sources: FollowSources,
     private number: bigint,
     private readonly hearsLoads: boolean,
+    private readonly name: string,
   ) {}
 
   isBehind(): boolean {
@@ -158,6 +171,7 @@
       loads: this.hearsLoads ? loads.since(this.loadPlace) : [],
       lostStores: [...lostStores()],
       kept: this.kept(),
+      work: this.work(),
     });
     this.loadPlace = loads.place();
     this.place = targets.place();
@@ -167,6 +181,12 @@
     return event;
   }
 
+  private work(): controlMessage.EntryWork[] {
+    const place = this.workPlace;
+    this.workPlace = this.sources.work.place();
+    return this.hearsLoads ? this.sources.work.since(place).filter(({ entry }) => entry !== this.name) : [];
+  }
+
   /**
    * What stores keep, from the leader alone: all instances know it, and each telling it would cost as many times the
    * bytes. An instance that leads no longer takes back what it told.
--- a/packages/control/src/loads/loadBoard.spec.ts
+++ b/packages/control/src/loads/loadBoard.spec.ts
@@ -10,14 +10,14 @@
 describe('the board of loads', () => {
   it('tells the newest of each target, gathered', async () => {
     const clock = new ManualClock();
-    const board = new LoadBoard(clock);
+    const board = new LoadBoard<controlMessage.TargetLoad>(clock, 150);
     let told = 0;
     board.onChange(() => {
       told += 1;
     });
-    board.take(load('a', 1));
-    board.take(load('b', 2));
-    board.take(load('a', 3));
+    board.take('a', load('a', 1));
+    board.take('b', load('b', 2));
+    board.take('a', load('a', 3));
     await clock.advance(150);
     expect(told).toBe(1);
     expect(board.since(0).map(({ targetId, running }) => [targetId, running])).toEqual([
--- a/packages/control/src/loads/loadBoard.ts
+++ b/packages/control/src/loads/loadBoard.ts
@@ -1,54 +1,54 @@
-/** Loads of targets as the processes beside them tell it. */
+/** What is told some times a second, and is old after a second: loads of targets, work of entries. */
 import type { Clock } from '@jasmineroute/core';
-import type { controlMessage } from '@jasmineroute/protocol';
 
-/** Loads told within this time go to followers as one event, milliseconds. */
-const GATHER_MS = 150;
+/** Keys that are remembered; the oldest are forgotten. */
+const MOST_KEYS = 10_000;
 
-/** Targets that are remembered; the oldest are forgotten. */
-const MOST_TARGETS = 10_000;
-
-interface Entry {
-  readonly load: controlMessage.TargetLoad;
+interface Entry<Told> {
+  readonly told: Told;
   readonly place: number;
 }
 
-/** The last load of each target. Nothing of it must last: it is old after a second. */
-export class LoadBoard {
-  private readonly entries = new Map<string, Entry>();
+/** The last that was told under each key. Nothing of it must last. */
+export class LoadBoard<Told> {
+  private readonly entries = new Map<string, Entry<Told>>();
   private readonly listeners = new Set<() => void>();
   private lastPlace = 0;
   private gathering = false;
 
-  constructor(private readonly clock: Clock) {}
+  /** @param gatherMs what is told within this time goes to followers as one event. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly gatherMs: number,
+  ) {}
 
-  /** Place of the newest load. */
+  /** Place of the newest. */
   place(): number {
     return this.lastPlace;
   }
 
-  /** Loads told after a place. */
-  since(place: number): controlMessage.TargetLoad[] {
+  /** What was told after a place. */
+  since(place: number): Told[] {
     if (place === this.lastPlace) return [];
-    return [...this.entries.values()].filter((entry) => entry.place > place).map(({ load }) => load);
+    return [...this.entries.values()].filter((entry) => entry.place > place).map(({ told }) => told);
   }
 
-  /** Takes a target's load; followers hear of it a moment later, together with others. */
-  take(load: controlMessage.TargetLoad): void {
+  /** Takes what was told; followers hear of it a moment later, together with others. */
+  take(key: string, told: Told): void {
     this.lastPlace += 1;
-    this.entries.delete(load.targetId);
-    this.entries.set(load.targetId, { load, place: this.lastPlace });
+    this.entries.delete(key);
+    this.entries.set(key, { told, place: this.lastPlace });
     const [oldest] = this.entries.keys();
-    if (this.entries.size > MOST_TARGETS && oldest !== undefined) this.entries.delete(oldest);
+    if (this.entries.size > MOST_KEYS && oldest !== undefined) this.entries.delete(oldest);
     if (this.gathering) return;
     this.gathering = true;
-    this.clock.after(GATHER_MS, () => {
+    this.clock.after(this.gatherMs, () => {
       this.gathering = false;
       for (const listener of this.listeners) listener();
     });
   }
 
-  /** Calls back when loads were gathered. Returns the way to stop. */
+  /** Calls back when something was gathered. Returns the way to stop. */
   onChange(listener: () => void): () => void {
     this.listeners.add(listener);
     return () => this.listeners.delete(listener);
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -31,6 +31,15 @@
  */
 const PROPOSER_LIMITS = { inFlight: 2, batch: 512, batchBytes: 1024 * 1024, waitingBytes: 64 * 1024 * 1024 };
 
+/** Loads of targets that are told within this time go to entries as one event, milliseconds. */
+const GATHER_LOADS_MS = 150;
+
+/**
+ * The same for the work of entries, milliseconds: a target gets a prompt each 100 ms and reads it in 30, so what is older
+ * than that says little.
+ */
+const GATHER_WORK_MS = 25;
+
 /** A running control instance. */
 export class Control implements RoleProcess {
   private readonly proposer: Proposer;
@@ -43,7 +52,8 @@
   readonly configurations: ConfigurationService;
   /** Announced targets, for interfaces in this process that targets call. */
   readonly targets: TargetBook;
-  private readonly loads: LoadBoard;
+  private readonly loads: LoadBoard<controlMessage.TargetLoad>;
+  private readonly work: LoadBoard<controlMessage.EntryWork>;
   private readonly stores: StoreWatch | undefined;
   private readonly ended = new AbortController();
   private draining = false;
@@ -65,7 +75,8 @@
     this.source = new ControlDocumentSource(state.documents, commandLog);
     this.timeKeeper = new TimeKeeper(state.machine, commandLog, this.proposer, clock, log);
     this.replicaKeeper = new ReplicaKeeper(this.view, commandLog, clock, log);
-    this.loads = new LoadBoard(clock);
+    this.loads = new LoadBoard(clock, GATHER_LOADS_MS);
+    this.work = new LoadBoard(clock, GATHER_WORK_MS);
     if (storePort !== undefined) {
       this.stores = new StoreWatch(state.configuration, storePort, clock, log);
     }
@@ -119,11 +130,12 @@
     const { commandLog, targets } = this;
     const ended = this.ended.signal;
     const lostStores = (): readonly string[] => this.stores?.lost() ?? [];
-    const { loads } = this;
+    const { loads, work } = this;
     const follow = new FollowService({
       configuration,
       targets,
       loads,
+      work,
       lostStores,
       kept: this.stores?.kept,
       commandLog,
@@ -137,6 +149,7 @@
       enlist: (request) => follow.enlist(request),
       observe: (request) => follow.observe(request),
       reportLoad: (request) => follow.reportLoad(request),
+      reportWork: (request) => follow.reportWork(request),
     });
     serveDirectory(router, {
       documents: this.source,
--- a/packages/knowledge/src/knowledge.ts
+++ b/packages/knowledge/src/knowledge.ts
@@ -32,6 +32,7 @@
   private readonly kept = new Map<string, Set<number>>();
   private readonly listeners = new Set<() => void>();
   private readonly loadListeners = new Set<(load: controlMessage.TargetLoad) => void>();
+  private readonly workListeners = new Set<(work: controlMessage.EntryWork) => void>();
 
   constructor(
     private readonly clock: Clock,
@@ -98,6 +99,12 @@
     return () => this.loadListeners.delete(listener);
   }
 
+  /** Calls back with each work that another entry told. Returns the way to stop. */
+  onWork(listener: (work: controlMessage.EntryWork) => void): () => void {
+    this.workListeners.add(listener);
+    return () => this.workListeners.delete(listener);
+  }
+
   /** Takes an event of a control instance; `whole`: the first of its stream. */
   apply(control: string, event: controlMessage.FollowEvent, whole: boolean): void {
     this.configure(event);
@@ -106,6 +113,7 @@
     this.lostStores.set(control, event.lostStores);
     if (event.kept !== undefined) this.noteKept(control, event.kept);
     for (const load of event.loads) for (const listener of this.loadListeners) listener(load);
+    for (const work of event.work) for (const listener of this.workListeners) listener(work);
     if (whole || event.targets.length > 0) this.targets.apply(control, event.targets, whole);
     if (event.vouched && !this.isConfirmed) {
       this.isConfirmed = true;
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -13,14 +13,15 @@
 const HOME_TOKENS = 1_000;
 
 /**
- * What a prompt costs away from its home when a store keeps its shared parts, tokens: they come over the link in 14 to
- * 28 ms (6,300 tokens of 192,512 B at 420 Gbit/s, twice as long between data centres), the time of 1,500 to 3,000
- * tokens, during which the target goes on with other work.
+ * What a prompt costs away from its home, as a part of its shared tokens, when a store keeps these: they are fetched. All
+ * fetches go one after the other over the store's link, 14 ms each and 28 ms between data centres (3,780 tokens of
+ * 192,512 B at 420 Gbit/s), and 36 of them a second fill it. A home has a third of its parts in its own cache; the two
+ * seconds that a part stays there are not long enough for more.
  */
-const FETCH_TOKENS = 1_500;
+const FETCH_PART = 0.8;
 
-/** Part of the shared tokens that a home is taken to lack when the store lacks them: it may be reading them now. */
-const COLD_HOME = 0.5;
+/** The same when the shared parts must be read: what was read somewhere for these weights is better not read again. */
+const READ_AGAIN_PART = 0.5;
 
 /**
  * What each request costs that a target has already, tokens: it adds 0.0413 ms to each step of about 7 ms, and holds a
@@ -103,6 +104,14 @@
   return last === undefined ? undefined : { id: last.id, tokens };
 }
 
+/** What of a prompt a target lacks. */
+interface Lack {
+  /** Tokens that it reads. */
+  readonly tokens: number;
+  /** What leaving the home costs beyond that, tokens. */
+  readonly penalty: number;
+}
+
 /** What a target costs a prompt. */
 interface Cost {
   readonly target: Target;
@@ -164,8 +173,7 @@
     const home = shared === undefined ? undefined : this.homeOf(shared, input, prompt, usable);
     const fastest = Math.min(...usable.map(({ id }) => this.sights.pauseOf(id) ?? Number.POSITIVE_INFINITY));
     const costs = usable.map((target) => {
-      const unread = unreadAt(target, prompt, shared, home, input);
-      return this.costOf(target, unread, fastest);
+      return this.costOf(target, lackOf(target, prompt, shared, home, input), fastest);
     });
     const least = Math.min(...costs.map(({ total }) => total));
     const near = costs.filter(({ total }) => total <= least + EVEN_TOKENS);
@@ -188,12 +196,13 @@
     return homesOf(keyOf(`${salt} ${model} ${id}`), named, 1)[0]?.target;
   }
 
-  private costOf(target: Target, tokens: number, fastestMs: number): Cost {
+  private costOf(target: Target, { tokens, penalty }: Lack, fastestMs: number): Cost {
     const waiting = this.sights.tokensAt(target.id);
     const pauseMs = this.sights.pauseOf(target.id) ?? fastestMs;
     const slowness = Number.isFinite(pauseMs) ? Math.min(MOST_SLOWNESS, pauseMs / fastestMs) : 1;
     const requests = this.sights.requestsAt(target.id) * REQUEST_TOKENS;
-    return { target, tokens, waiting, slowness, total: (waiting + tokens + requests) * slowness };
+    const total = (waiting + tokens + requests) * slowness + penalty;
+    return { target, tokens, waiting, slowness, total };
   }
 
   private leastLoaded(usable: readonly Target[]): Placement {
@@ -217,17 +226,19 @@
   }
 }
 
-/** Tokens of a prompt that a target would have to read, or that fetching them is worth. */
-function unreadAt(
+/** What a target lacks of a prompt, and what it costs to bring it there. */
+function lackOf(
   target: Target,
   { promptTokens, parts }: PromptOutline,
   shared: SharedPart | undefined,
   home: Target | undefined,
   { isKept }: PlacementInput,
-): number {
+): Lack {
   const own = parts.at(-1)?.tokens ?? promptTokens;
-  if (shared === undefined) return own;
+  if (shared === undefined) return { tokens: own, penalty: 0 };
   const kept = isKept?.(target);
-  if (target === home) return own + (kept === false ? shared.tokens * COLD_HOME : 0);
-  return own + (kept === true ? Math.min(FETCH_TOKENS, shared.tokens) : shared.tokens);
+  const whole = own + shared.tokens;
+  if (target === home) return { tokens: kept === false ? whole : own, penalty: 0 };
+  if (kept === true) return { tokens: own, penalty: shared.tokens * FETCH_PART };
+  return { tokens: whole, penalty: shared.tokens * READ_AGAIN_PART };
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -12,7 +12,7 @@
 import { relayMetrics } from './metrics.js';
 import { Placements } from './placement/index.js';
 import type { RelaySettings } from './setting/index.js';
-import { TargetPools, TargetSights } from './target/index.js';
+import { TargetPools, TargetSights, WorkReporter } from './target/index.js';
 import { RelayWork } from './work/index.js';
 import type { RelayContext } from './work/index.js';
 import { ServiceBudgets } from './work/serviceBudgets.js';
@@ -39,6 +39,7 @@
   private readonly server: CallerServer;
   private readonly knowledge: Knowledge;
   private readonly follower: Follower;
+  private readonly reporter: WorkReporter;
   private readonly stopped = new AbortController();
   private address = '';
   private draining = false;
@@ -93,6 +94,18 @@
     knowledge.onLoad(({ targetId, running, waiting }) => {
       sights.told(targetId, { running, waiting });
     });
+    knowledge.onWork(({ entry, targets }) => {
+      sights.toldWork(entry, targets);
+    });
+    this.reporter = new WorkReporter({
+      name,
+      sights,
+      entries: () => knowledge.entries(),
+      controls: () => this.follower.controls(),
+      peers,
+      clock,
+      log,
+    });
     knowledge.onChange(() => {
       const limits = knowledge.table()?.configuration.limits;
       if (limits !== undefined) this.server.bound(limits.idleTimeoutMs, limits.headerTimeoutMs);
@@ -109,6 +122,7 @@
     this.address = await this.server.listen();
     this.context.log.event(relayEvents.listening, { address: this.address });
     void this.sweep();
+    void this.reporter.run();
   }
 
   /** host:port that callers reach; known after `start`. */
@@ -143,6 +157,7 @@
 
   async close(): Promise<void> {
     this.stopped.abort();
+    this.reporter.stop();
     this.follower.stop();
     await this.server.close();
     await this.work.pools.close();
--- a/packages/relay/src/target/index.ts
+++ b/packages/relay/src/target/index.ts
@@ -1,2 +1,3 @@
 export * from './targetPools.js';
 export * from './targetState.js';
+export * from './workReporter.js';
--- /dev/null
+++ b/packages/relay/src/target/workReporter.spec.ts
@@ -0,0 +1,61 @@
+import { silentLog, systemClock } from '@jasmineroute/core';
+import { Peers, controlMessage, listen } from '@jasmineroute/protocol';
+import type { RpcServer } from '@jasmineroute/protocol';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { until } from '../testing/bed.js';
+import { TargetSights } from './targetState.js';
+import { WorkReporter } from './workReporter.js';
+
+describe('the work that an entry tells the others', () => {
+  const told: string[] = [];
+  const sights = new TargetSights(systemClock);
+  let server: RpcServer;
+  let peers: Peers;
+  let reporter: WorkReporter;
+
+  beforeEach(async () => {
+    told.length = 0;
+    server = await listen('127.0.0.1', 0, (router) => {
+      router.service(controlMessage.Configurations, {
+        reportWork: ({ entry, targets }) => {
+          told.push(`${entry} ${targets.map(({ targetId, tokens }) => `${targetId}:${tokens}`).join()}`);
+          return {};
+        },
+      });
+    });
+    peers = new Peers();
+    reporter = new WorkReporter({
+      name: 'e1',
+      sights,
+      entries: () => 1,
+      // Nobody listens at the first one.
+      controls: () => ['127.0.0.1:1', server.address],
+      peers,
+      clock: systemClock,
+      log: silentLog,
+    });
+    void reporter.run();
+  });
+
+  afterEach(async () => {
+    reporter.stop();
+    peers.close();
+    await server.close();
+  });
+
+  it('is told when it changes and while it lasts, to an instance that answers', async () => {
+    // Symptom: two entries send their prompts to one target, while another idles.
+    // Sequence: both choose within the time that it takes to read a prompt; a control instance is down.
+    // Cause: an entry knew of its own requests only.
+    const open = sights.began('t1', 2_000);
+    await until(() => told.length >= 2);
+    expect(new Set(told)).toEqual(new Set(['e1 t1:2000']));
+    open.read();
+    await until(() => told.at(-1) === 'e1 ');
+    const small = sights.began('t1', 100);
+    const before = told.length;
+    small.ended();
+    expect(told.length).toBe(before);
+    open.ended();
+  });
+});
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -84,6 +84,7 @@
       router.service(controlMessage.Configurations, {
         follow: (_request, { signal }) => this.follow(signal),
         reportLoad: () => ({}),
+        reportWork: () => ({}),
         enlist: () => ({}),
         observe: () => ({}),
       });
