--- a/packages/control/src/follow/follow.spec.ts
+++ b/packages/control/src/follow/follow.spec.ts
@@ -72,6 +72,26 @@
     expect(new Set(heard)).toEqual(new Set(['e2 e1 700']));
   });
 
+  it('hear what targets have in their caches, and that nobody tells it any more', async () => {
+    const [first] = cluster.nodes;
+    if (first === undefined) throw new Error('no instances');
+    const client = cluster.clientOf(controlMessage.Configurations, first);
+    const keys = new Set<number>();
+    const read = async (): Promise<void> => {
+      const request = { number: 0n, name: 'e1', role: 'entry' };
+      for await (const { cached } of client.follow(request, { signal: stopped.signal })) {
+        for (const key of cached?.dropped ?? []) keys.delete(key);
+        for (const key of cached?.added ?? []) keys.add(key);
+      }
+    };
+    read().catch(() => undefined);
+    await client.reportCache({ address: 'a:1', changes: { whole: true, added: [7, 8] } });
+    await until(() => keys.size === 2);
+    await client.reportCache({ address: 'a:1', changes: { dropped: [7] } });
+    await until(() => keys.size === 1);
+    await until(() => keys.size === 0);
+  });
+
   it('read the newest configuration, or nothing without a quorum', async () => {
     // Symptom: an operator reads an older configuration than the one that was accepted.
     // Sequence: an instance is cut off; a newer configuration is accepted by the others; it is asked.
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -3,17 +3,19 @@
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
 import type { Clock, Log } from '@jasmineroute/core';
 import { ChangeSignal } from '@jasmineroute/directory';
-import { controlMessage } from '@jasmineroute/protocol';
+import { KeptParts, controlMessage } from '@jasmineroute/protocol';
 import type { ConfigurationState } from '../configuration/index.js';
 import { controlEvents } from '../events.js';
 import type { CommandLog } from '../log/index.js';
 import type { LoadBoard } from '../loads/index.js';
-import type { KeptParts } from '../stores/index.js';
 import type { TargetBook } from '../targets/index.js';
 
 /** Time between two events when nothing changes, milliseconds: how a follower knows that it still hears. */
 const HEARTBEAT_MS = 800;
 
+/** What a target has in its cache is believed for so long, milliseconds: it is told again three times as often. */
+const CACHE_LASTS_MS = 5_000;
+
 /** Role of the followers that are counted. */
 const ENTRY = 'entry';
 
@@ -44,6 +46,10 @@
   /** Streams of entries that are open now, by the entry's name. */
   private readonly entries = new Map<string, number>();
 
+  /** What targets have in their caches, as the processes beside them tell it. */
+  private readonly cached = new KeptParts();
+  private readonly cacheEnds = new Map<string, () => void>();
+
   constructor(private readonly sources: FollowSources) {
     const raise = this.raise;
     sources.configuration.onChange(raise);
@@ -68,7 +74,7 @@
   ): AsyncGenerator<controlMessage.FollowEvent> {
     const { log, ended } = this.sources;
     const signal = AbortSignal.any([ended, context.signal]);
-    const follower = new Follower(this.sources, request.number, request.role === ENTRY, request.name);
+    const follower = new Follower(this.sources, this.cached, request);
     log.event(controlEvents.followed, { follower: request.name, number: Number(request.number) });
     const isEntry = request.role === ENTRY;
     if (isEntry) this.count(request.name, 1);
@@ -116,6 +122,18 @@
     return create(controlMessage.ReportWorkResponseSchema, {});
   }
 
+  /** Takes what a target has in its cache. */
+  reportCache({ address, changes }: controlMessage.TargetCache): controlMessage.ReportCacheResponse {
+    this.cacheEnds.get(address)?.();
+    const end = this.sources.clock.after(CACHE_LASTS_MS, () => {
+      this.cached.forget(address);
+      this.cacheEnds.delete(address);
+    });
+    this.cacheEnds.set(address, end);
+    if (changes !== undefined) this.cached.apply(address, changes);
+    return create(controlMessage.ReportCacheResponseSchema, {});
+  }
+
   /** Makes the asking instance a voter, if this one leads. */
   enlist(request: controlMessage.EnlistRequest): controlMessage.EnlistResponse {
     const { commandLog, log } = this.sources;
@@ -137,15 +155,22 @@
   private loadPlace = 0;
   private keptPlace = 0;
   private workPlace = 0;
+  private cachedPlace = 0;
+  private number: bigint;
+  private readonly hearsLoads: boolean;
+  private readonly name: string;
   private weights = 0;
   private vouched = false;
 
   constructor(
     private readonly sources: FollowSources,
-    private number: bigint,
-    private readonly hearsLoads: boolean,
-    private readonly name: string,
-  ) {}
+    private readonly cached: KeptParts,
+    { number, role, name }: controlMessage.FollowRequest,
+  ) {
+    this.number = number;
+    this.hearsLoads = role === ENTRY;
+    this.name = name;
+  }
 
   isBehind(): boolean {
     const { configuration, targets, commandLog } = this.sources;
@@ -172,6 +197,7 @@
       lostStores: [...lostStores()],
       kept: this.kept(),
       work: this.work(),
+      cached: this.cachedParts(),
     });
     this.loadPlace = loads.place();
     this.place = targets.place();
@@ -181,6 +207,12 @@
     return event;
   }
 
+  private cachedParts(): controlMessage.KeptChanges | undefined {
+    const place = this.cachedPlace;
+    this.cachedPlace = this.cached.place();
+    return this.hearsLoads && place !== this.cachedPlace ? this.cached.since(place) : undefined;
+  }
+
   private work(): controlMessage.EntryWork[] {
     const place = this.workPlace;
     this.workPlace = this.sources.work.place();
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -150,6 +150,7 @@
       observe: (request) => follow.observe(request),
       reportLoad: (request) => follow.reportLoad(request),
       reportWork: (request) => follow.reportWork(request),
+      reportCache: (request) => follow.reportCache(request),
     });
     serveDirectory(router, {
       documents: this.source,
--- a/packages/control/src/stores/index.ts
+++ b/packages/control/src/stores/index.ts
@@ -1,2 +1,1 @@
-export * from './keptParts.js';
 export * from './storeWatch.js';
--- a/packages/control/src/stores/storeWatch.spec.ts
+++ b/packages/control/src/stores/storeWatch.spec.ts
@@ -1,11 +1,11 @@
 import { ManualClock, silentLog } from '@jasmineroute/core';
 import { partKey } from '@jasmineroute/protocol';
+import type { CacheNews } from '@jasmineroute/protocol';
 import { describe, expect, it } from 'vitest';
 import { ConfigurationState } from '../configuration/index.js';
 import { applyOne } from '../fixture/index.js';
 import { createState } from '../role/index.js';
 import { StoreWatch } from './storeWatch.js';
-import type { StoreNews } from './storeWatch.js';
 
 const STORE = '10.0.0.9:80';
 
@@ -57,9 +57,9 @@
     const part = (id: string, isKept: boolean) => ({ salt: 's', model: 'm', part: id, isKept });
     const none = { incarnation: 1, next: 2, hasGap: false, events: [] };
     const asked: number[] = [];
-    let next: StoreNews = { ...none, events: [part('a', true), part('b', true)] };
+    let next: CacheNews = { ...none, events: [part('a', true), part('b', true)] };
     const port = {
-      news: async (_address: string, since: number): Promise<StoreNews> => {
+      news: async (_address: string, since: number): Promise<CacheNews> => {
         asked.push(since);
         await clock.sleep(100);
         const told = next;
--- a/packages/control/src/stores/storeWatch.ts
+++ b/packages/control/src/stores/storeWatch.ts
@@ -1,10 +1,10 @@
 /** Watches the stores of kept KV cache that the configuration names. */
 import { configuration } from '@jasmineroute/configuration';
 import type { Clock, Log } from '@jasmineroute/core';
-import type { StoredPart } from '@jasmineroute/protocol';
+import { KeptParts } from '@jasmineroute/protocol';
+import type { CacheNews } from '@jasmineroute/protocol';
 import type { ConfigurationState } from '../configuration/index.js';
 import { controlEvents } from '../events.js';
-import { KeptParts } from './keptParts.js';
 
 /** How long a store may hold a call until it has news, milliseconds: the time in which its end is noticed. */
 const WAIT_MS = 600;
@@ -15,25 +15,13 @@
 /** Pause before a store that did not answer, or has too many calls, is called again, milliseconds. */
 const PAUSE_MS = 400;
 
-/** What happened at a store since the last call. */
-export interface StoreNews {
-  /** New for each start of the store. */
-  readonly incarnation: number;
-  /** Where the next call goes on. */
-  readonly next: number;
-  /** Some events before these are gone. */
-  readonly hasGap: boolean;
-  /** In order; not kept: it has less of the part than before. */
-  readonly events: readonly (StoredPart & { readonly isKept: boolean })[];
-}
-
 /** Calls to stores. */
 export interface StorePort {
   /**
    * Events after `since`, or none after `waitMs`; undefined when the store is there but takes no further call.
    * Rejects when it can't be reached within `timeoutMs`.
    */
-  news(address: string, since: number, waitMs: number, timeoutMs: number): Promise<StoreNews | undefined>;
+  news(address: string, since: number, waitMs: number, timeoutMs: number): Promise<CacheNews | undefined>;
 }
 
 const decoder = new TextDecoder();
@@ -103,7 +91,7 @@
 
   private async watch(address: string): Promise<void> {
     const { signal } = this.stopped;
-    let last: StoreNews | undefined;
+    let last: CacheNews | undefined;
     while (!signal.aborted && this.addresses().includes(address)) {
       const since = last?.next ?? 0;
       const told = await this.port.news(address, since, WAIT_MS, WAIT_MS + ANSWER_MS).then(
@@ -112,22 +100,13 @@
       );
       this.note(address, told.problem);
       if (told.news === undefined) await this.clock.sleep(PAUSE_MS, signal).catch(() => undefined);
-      else last = this.take(address, told.news, last);
+      else last = this.kept.take(address, told.news, last);
     }
     this.watched.delete(address);
     this.kept.forget(address);
     this.note(address, '');
   }
 
-  /** The news that the next call goes on from; undefined: from the beginning, as the store restarted. */
-  private take(address: string, news: StoreNews, last: StoreNews | undefined): StoreNews | undefined {
-    const isRestarted = last !== undefined && last.incarnation !== news.incarnation;
-    if (isRestarted || news.hasGap) this.kept.forget(address);
-    if (isRestarted) return undefined;
-    for (const { isKept, ...part } of news.events) this.kept.note(address, part, isKept);
-    return news;
-  }
-
   /** @param problem why the store did not answer; empty: it did. */
   private note(address: string, problem: string): void {
     const isLost = problem !== '';
--- a/packages/knowledge/src/knowledge.spec.ts
+++ b/packages/knowledge/src/knowledge.spec.ts
@@ -59,4 +59,22 @@
     knowledge.lost('c1');
     expect(knowledge.isKept('store', part)).toBeUndefined();
   });
+
+  it('knows the caches of targets from several instances at once', () => {
+    const knowledge = new Knowledge(new ManualClock(), silentLog);
+    const part = { salt: 's', model: 'm', part: 'a' };
+    const told = (address: string) =>
+      event({
+        cached: create(controlMessage.KeptChangesSchema, { whole: true, added: [partKey(address, part)] }),
+      });
+    knowledge.apply('c1', told('t1'), true);
+    knowledge.apply('c2', told('t2'), true);
+    expect(['t1', 't2', 't3'].map((address) => knowledge.isCached(address, part))).toEqual([
+      true,
+      true,
+      false,
+    ]);
+    knowledge.lost('c2');
+    expect(knowledge.isCached('t2', part)).toBe(false);
+  });
 });
--- a/packages/knowledge/src/knowledge.ts
+++ b/packages/knowledge/src/knowledge.ts
@@ -28,8 +28,9 @@
   private readonly named = new Map<string, NamedVersion[]>();
   private readonly entryCounts = new Map<string, number>();
   private readonly lostStores = new Map<string, readonly string[]>();
-  /** What stores keep, by the control instance that tells it. */
+  /** What stores keep, and what targets have in their caches, by the control instance that tells it. */
   private readonly kept = new Map<string, Set<number>>();
+  private readonly cached = new Map<string, Set<number>>();
   private readonly listeners = new Set<() => void>();
   private readonly loadListeners = new Set<(load: controlMessage.TargetLoad) => void>();
   private readonly workListeners = new Set<(work: controlMessage.EntryWork) => void>();
@@ -88,9 +89,12 @@
 
   /** Whether a store keeps a part of a prompt; undefined while nobody tells what it keeps. */
   isKept(store: string, part: StoredPart): boolean | undefined {
-    if (this.kept.size === 0) return undefined;
-    const key = partKey(store, part);
-    return [...this.kept.values()].some((keys) => keys.has(key));
+    return this.kept.size === 0 ? undefined : hasKey(this.kept, partKey(store, part));
+  }
+
+  /** Whether a target is told to have a part of a prompt in its cache. */
+  isCached(address: string, part: StoredPart): boolean {
+    return hasKey(this.cached, partKey(address, part));
   }
 
   /** Calls back with each load that is told. Returns the way to stop. */
@@ -111,7 +115,8 @@
     this.nameWeights(event.weights);
     this.entryCounts.set(control, event.entries);
     this.lostStores.set(control, event.lostStores);
-    if (event.kept !== undefined) this.noteKept(control, event.kept);
+    if (event.kept !== undefined) note(this.kept, control, event.kept);
+    if (event.cached !== undefined) note(this.cached, control, event.cached);
     for (const load of event.loads) for (const listener of this.loadListeners) listener(load);
     for (const work of event.work) for (const listener of this.workListeners) listener(work);
     if (whole || event.targets.length > 0) this.targets.apply(control, event.targets, whole);
@@ -126,17 +131,10 @@
     this.entryCounts.delete(control);
     this.lostStores.delete(control);
     this.kept.delete(control);
+    this.cached.delete(control);
     this.targets.lost(control);
   }
 
-  private noteKept(control: string, { whole, dropped, added }: controlMessage.KeptChanges): void {
-    const keys = (whole ? undefined : this.kept.get(control)) ?? new Set();
-    for (const key of dropped) keys.delete(key);
-    for (const key of added) keys.add(key);
-    if (keys.size > 0) this.kept.set(control, keys);
-    else this.kept.delete(control);
-  }
-
   private configure({ number, content }: controlMessage.FollowEvent): void {
     const held = this.current?.number ?? -1;
     if (content.length === 0 || Number(number) <= held) return;
@@ -170,3 +168,17 @@
     }
   }
 }
+
+type KeysByControl = Map<string, Set<number>>;
+
+function note(kept: KeysByControl, control: string, changes: controlMessage.KeptChanges): void {
+  const keys = (changes.whole ? undefined : kept.get(control)) ?? new Set();
+  for (const key of changes.dropped) keys.delete(key);
+  for (const key of changes.added) keys.add(key);
+  if (keys.size > 0) kept.set(control, keys);
+  else kept.delete(control);
+}
+
+function hasKey(kept: KeysByControl, key: number): boolean {
+  return [...kept.values()].some((keys) => keys.has(key));
+}
--- a/packages/control/src/stores/keptParts.spec.ts
+++ b/packages/protocol/src/part/keptParts.spec.ts
@@ -1,10 +1,10 @@
-import { partKey } from '@jasmineroute/protocol';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { KeptParts } from './keptParts.js';
+import { partKey } from './partKey.js';
 
 const STORE = '10.0.0.9:80';
-const part = (id: number) => ({ salt: 's', model: 'm', part: String(id) });
+const keyOf = (id: number): number => partKey(STORE, { salt: 's', model: 'm', part: String(id) });
 
 describe('the parts that stores keep', () => {
   it('reach a follower whole, whenever it was told last', () => {
@@ -37,8 +37,8 @@
             kept.forget(STORE);
             expected = new Set();
           } else {
-            kept.note(STORE, part(one.id), one.isKept);
-            const key = partKey(STORE, part(one.id));
+            const key = keyOf(one.id);
+            kept.note(STORE, key, one.isKept);
             if (one.isKept) expected.add(key);
             else expected.delete(key);
           }
@@ -49,11 +49,22 @@
 
   it('are told whole to a follower that missed more changes than are remembered', () => {
     const kept = new KeptParts();
-    kept.note(STORE, part(1), true);
+    kept.note(STORE, keyOf(1), true);
     const place = kept.place();
-    for (let id = 2; id < 20_000; id += 1) kept.note(STORE, part(id), true);
+    for (let id = 2; id < 20_000; id += 1) kept.note(STORE, keyOf(id), true);
     const told = kept.since(place);
     expect(told.whole).toBe(true);
     expect(told.added.length).toBe(19_999);
   });
+
+  it('are taken over from another process, changes or all of them', () => {
+    const kept = new KeptParts();
+    const whole = (added: number[]) => Object.assign(kept.since(0), { whole: true, added, dropped: [] });
+    kept.apply(STORE, whole([1, 2]));
+    kept.apply('other', whole([7]));
+    kept.apply(STORE, Object.assign(kept.since(kept.place()), { added: [3], dropped: [1] }));
+    expect([...kept.since(0).added].sort()).toEqual([2, 3, 7]);
+    kept.apply(STORE, whole([3, 4]));
+    expect([...kept.since(0).added].sort()).toEqual([3, 4, 7]);
+  });
 });
--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -7,6 +7,7 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import { TargetSights } from '../target/index.js';
 import { Placements, drawService } from './placement.js';
+import type { PartsPlace } from './placement.js';
 import { withWeights } from './weights.js';
 
 const target = (id: string, version = 1, dataCentre = 'here'): Target => ({
@@ -97,9 +98,12 @@
     expect(choose()).toBe('a');
   });
 
-  it('takes the reading of shared parts into account that a store does not keep for a target', () => {
+  it('goes where the shared parts are, and reads them at home when they are nowhere', () => {
+    // Symptom: shared parts are read again or fetched, though some target has them; the store's link is full.
+    // Sequence: caches turn over in two seconds; a home has a third of its parts, other targets have some of them.
+    // Cause: a home was taken to have what it once read.
     const candidates = [target('new', 2), target('old', 1)];
-    const chosen = (kept: (one: Target) => boolean | undefined) =>
+    const chosen = (partsPlace: (one: Target) => PartsPlace) =>
       Array.from({ length: 20 }, (_, at) =>
         placements.choose({
           service: 's',
@@ -107,12 +111,16 @@
           prompt: prompt(`part-${at}`, 'own', 4_000),
           priority: 1,
           salt: '',
-          isKept: kept,
+          partsPlace,
         }),
       );
-    const atOld = chosen(({ id }) => id === 'old').filter((one) => one?.target.id === 'old');
-    expect(atOld).toHaveLength(20);
-    expect(new Set(chosen(() => true).map((one) => one?.reason))).toEqual(new Set(['home']));
+    const atOld = chosen(({ id }) => (id === 'old' ? 'here' : 'store'));
+    expect(new Set(atOld.map((one) => one?.target.id))).toEqual(new Set(['old']));
+    const stored = chosen(({ id }) => (id === 'old' ? 'store' : 'nowhere'));
+    expect(new Set(stored.map((one) => one?.target.id))).toEqual(new Set(['old']));
+    for (const place of ['nowhere', 'unknown'] as const) {
+      expect(new Set(chosen(() => place).map((one) => one?.reason))).toEqual(new Set(['home']));
+    }
   });
 
   it('gives a slower target less', () => {
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -13,10 +13,10 @@
 const HOME_TOKENS = 1_000;
 
 /**
- * What a prompt costs away from its home, as a part of its shared tokens, when a store keeps these: they are fetched. All
- * fetches go one after the other over the store's link, 14 ms each and 28 ms between data centres (3,780 tokens of
- * 192,512 B at 420 Gbit/s), and 36 of them a second fill it. A home has a third of its parts in its own cache; the two
- * seconds that a part stays there are not long enough for more.
+ * What a prompt costs at a target that fetches its shared parts, as a part of their tokens. All fetches go one after the
+ * other over the store's link, 14 ms each and 28 ms between data centres (3,780 tokens of 192,512 B at 420 Gbit/s), and
+ * 36 of them a second fill it. A target has a third of its parts in its own cache: under load one stays there for two
+ * seconds.
  */
 const FETCH_PART = 0.8;
 
@@ -49,6 +49,9 @@
 /** Load differences below this are taken for equal, and drawn. */
 const EVEN = 0.02;
 
+/** Where a prompt's shared parts are: in the target's own cache, in a store, nowhere, or nobody tells. */
+export type PartsPlace = 'here' | 'store' | 'nowhere' | 'unknown';
+
 /** What a choice is made from. */
 export interface PlacementInput {
   readonly service: string;
@@ -58,8 +61,8 @@
   readonly priority: number;
   /** Text that keeps caches of customers apart. */
   readonly salt: string;
-  /** Whether a store keeps the shared parts for a target, whose weights count; undefined while nobody tells. */
-  readonly isKept?: (target: Target) => boolean | undefined;
+  /** Where the shared parts are, as seen from a target. */
+  readonly partsPlace?: (target: Target) => PartsPlace;
 }
 
 /** What was chosen and why, for the log. */
@@ -73,6 +76,7 @@
   /** Tokens of prompts that wait there already, and how much slower than the fastest the target is. */
   readonly waiting?: number;
   readonly slowness?: number;
+  readonly parts?: PartsPlace;
   /** Requests that it probably has. */
   readonly load: number;
   /** Age of the told load, milliseconds. */
@@ -106,6 +110,7 @@
 
 /** What of a prompt a target lacks. */
 interface Lack {
+  readonly parts: PartsPlace;
   /** Tokens that it reads. */
   readonly tokens: number;
   /** What leaving the home costs beyond that, tokens. */
@@ -115,6 +120,7 @@
 /** What a target costs a prompt. */
 interface Cost {
   readonly target: Target;
+  readonly parts: PartsPlace;
   /** Tokens to be read of this prompt. */
   readonly tokens: number;
   readonly waiting: number;
@@ -179,9 +185,9 @@
     const near = costs.filter(({ total }) => total <= least + EVEN_TOKENS);
     const drawn = near.find(({ target }) => target === home) ?? near[Math.floor(this.random() * near.length)];
     if (drawn === undefined) throw new Error('no candidate');
-    const { target, tokens, waiting, slowness } = drawn;
+    const { target, parts, tokens, waiting, slowness } = drawn;
     const reason = home === undefined ? 'least-work' : target === home ? 'home' : 'elsewhere';
-    return { ...this.placed(target, reason, usable.length), tokens, waiting, slowness };
+    return { ...this.placed(target, reason, usable.length), parts, tokens, waiting, slowness };
   }
 
   /** The home of a prompt that is worth one. */
@@ -196,13 +202,13 @@
     return homesOf(keyOf(`${salt} ${model} ${id}`), named, 1)[0]?.target;
   }
 
-  private costOf(target: Target, { tokens, penalty }: Lack, fastestMs: number): Cost {
+  private costOf(target: Target, { parts, tokens, penalty }: Lack, fastestMs: number): Cost {
     const waiting = this.sights.tokensAt(target.id);
     const pauseMs = this.sights.pauseOf(target.id) ?? fastestMs;
     const slowness = Number.isFinite(pauseMs) ? Math.min(MOST_SLOWNESS, pauseMs / fastestMs) : 1;
     const requests = this.sights.requestsAt(target.id) * REQUEST_TOKENS;
     const total = (waiting + tokens + requests) * slowness + penalty;
-    return { target, tokens, waiting, slowness, total };
+    return { target, parts, tokens, waiting, slowness, total };
   }
 
   private leastLoaded(usable: readonly Target[]): Placement {
@@ -226,19 +232,23 @@
   }
 }
 
-/** What a target lacks of a prompt, and what it costs to bring it there. */
+/**
+ * What a target lacks of a prompt, and what it costs to bring it there. While nobody tells where the parts are, the home
+ * is taken to have them; where nobody has them, it is the place to read them, so that all read them in one place.
+ */
 function lackOf(
   target: Target,
   { promptTokens, parts }: PromptOutline,
   shared: SharedPart | undefined,
   home: Target | undefined,
-  { isKept }: PlacementInput,
+  { partsPlace }: PlacementInput,
 ): Lack {
   const own = parts.at(-1)?.tokens ?? promptTokens;
-  if (shared === undefined) return { tokens: own, penalty: 0 };
-  const kept = isKept?.(target);
-  const whole = own + shared.tokens;
-  if (target === home) return { tokens: kept === false ? whole : own, penalty: 0 };
-  if (kept === true) return { tokens: own, penalty: shared.tokens * FETCH_PART };
-  return { tokens: whole, penalty: shared.tokens * READ_AGAIN_PART };
+  if (shared === undefined) return { parts: 'unknown', tokens: own, penalty: 0 };
+  const place = partsPlace?.(target) ?? 'unknown';
+  const isHome = target === home;
+  if (place === 'here' || (place === 'unknown' && isHome)) return { parts: place, tokens: own, penalty: 0 };
+  if (place === 'store') return { parts: place, tokens: own, penalty: shared.tokens * FETCH_PART };
+  const penalty = isHome ? 0 : shared.tokens * READ_AGAIN_PART;
+  return { parts: place, tokens: own + shared.tokens, penalty };
 }
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -85,6 +85,7 @@
         follow: (_request, { signal }) => this.follow(signal),
         reportLoad: () => ({}),
         reportWork: () => ({}),
+        reportCache: () => ({}),
         enlist: () => ({}),
         observe: () => ({}),
       });
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -12,7 +12,7 @@
 import { relayMetrics } from '../metrics.js';
 import { drawService, withWeights } from '../placement/index.js';
 import type { Placement, PlacementInput } from '../placement/index.js';
-import { additionFor, isKeptFor, saltOf } from './addition.js';
+import { additionFor, partsPlace, saltOf } from './addition.js';
 import { admit } from './admit.js';
 import type { Admitted } from './admit.js';
 import { send } from './attempt.js';
@@ -233,7 +233,7 @@
       prompt: job.route.hasPrompt ? prompt : undefined,
       priority: job.customer?.priority ?? job.route.priority,
       salt: saltOf(job),
-      isKept: (target) => isKeptFor(this.context, job, target),
+      partsPlace: (target) => partsPlace(this.context, job, target),
     };
   }
 
@@ -271,6 +271,7 @@
       tokens: placement.tokens,
       waiting: placement.waiting,
       slowness: placement.slowness,
+      parts: placement.parts,
       send: this.sends,
       deadlineMs: Math.round(addition.deadlineMs),
       outcome: result,
--- /dev/null
+++ b/packages/rollout/src/keeper/cacheReporter.spec.ts
@@ -0,0 +1,88 @@
+import { silentLog, systemClock } from '@jasmineroute/core';
+import { KeptParts, Peers, controlMessage, listen, partKey } from '@jasmineroute/protocol';
+import type { CacheNews, RpcServer } from '@jasmineroute/protocol';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { TargetPort } from '../port/index.js';
+import { CacheReporter } from './cacheReporter.js';
+
+const ADDRESS = '10.0.0.1:80';
+const part = (id: string) => ({ salt: 's', model: 'm', part: id });
+const keyOf = (id: string): number => partKey(ADDRESS, part(id));
+
+describe('what a target has in its cache', () => {
+  let servers: RpcServer[];
+  let boards: KeptParts[];
+  let peers: Peers;
+  let news: CacheNews | undefined;
+
+  beforeEach(async () => {
+    boards = [new KeptParts(), new KeptParts()];
+    servers = await Promise.all(
+      boards.map((board) =>
+        listen('127.0.0.1', 0, (router) => {
+          router.service(controlMessage.Configurations, {
+            reportCache: ({ address, changes }) => {
+              if (changes !== undefined) board.apply(address, changes);
+              return {};
+            },
+          });
+        }),
+      ),
+    );
+    peers = new Peers();
+  });
+
+  afterEach(async () => {
+    peers.close();
+    await Promise.all(servers.map((server) => server.close()));
+  });
+
+  const reporter = (): CacheReporter =>
+    new CacheReporter({
+      address: ADDRESS,
+      port: { cacheNews: () => Promise.resolve(news) } as unknown as TargetPort,
+      controls: () => servers.map(({ address }) => address),
+      peers,
+      clock: systemClock,
+      log: silentLog,
+    });
+
+  const told = (events: Record<string, boolean>, change: Partial<CacheNews> = {}): CacheNews => ({
+    incarnation: 1,
+    next: 1,
+    hasGap: false,
+    events: Object.entries(events).map(([id, isKept]) => ({ ...part(id), isKept })),
+    ...change,
+  });
+
+  const keysAt = (board: number): number[] => [...(boards[board]?.since(0).added ?? [])].sort();
+
+  it('reaches one control instance, and whole the next one when that is lost', async () => {
+    // Symptom: requests go where a part no longer is, or are read again where it is.
+    // Sequence: a control instance that heard of a target's cache goes down; changes go to another one.
+    // Cause: changes alone, to one that had not heard the rest.
+    const one = reporter();
+    news = told({ a: true, b: true });
+    expect(await one.look()).toBe(true);
+    expect(keysAt(0)).toEqual([keyOf('a'), keyOf('b')].sort());
+    expect(keysAt(1)).toEqual([]);
+    await servers[0]?.close();
+    news = told({ a: false, c: true });
+    await one.look();
+    expect(keysAt(1)).toEqual([keyOf('b'), keyOf('c')].sort());
+  });
+
+  it('is nothing after a restart or a gap', async () => {
+    const one = reporter();
+    news = told({ a: true });
+    await one.look();
+    news = told({ b: true }, { hasGap: true });
+    await one.look();
+    expect(keysAt(0)).toEqual([keyOf('b')]);
+    news = told({ c: true }, { incarnation: 2 });
+    await one.look();
+    expect(keysAt(0)).toEqual([]);
+    news = undefined;
+    expect(await one.look()).toBe(false);
+  });
+});
--- a/packages/rollout/src/keeper/index.ts
+++ b/packages/rollout/src/keeper/index.ts
@@ -1,3 +1,4 @@
 export * from './loadReporter.js';
 export * from './observer.js';
 export * from './weightsKeeper.js';
+export * from './cacheReporter.js';
--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -38,6 +38,8 @@
     );
   };
 
+  cacheNews: TargetPort['cacheNews'] = () => Promise.resolve(undefined);
+
   order: TargetPort['order'] = (order) => {
     this.orders.push(order);
     if (this.outcome === 'accepted') {
--- a/packages/rollout/src/port/port.ts
+++ b/packages/rollout/src/port/port.ts
@@ -1,5 +1,6 @@
 /** Port to the target beside this process: its state and its orders. */
 import type { Fault } from '@jasmineroute/core';
+import type { CacheNews } from '@jasmineroute/protocol';
 import type { Result } from 'neverthrow';
 
 /** What a target says of itself when it is asked. */
@@ -51,6 +52,11 @@
 /** The target beside this process. */
 export interface TargetPort {
   report(timeoutMs: number): Promise<Result<TargetReport, Fault>>;
+  /**
+   * What happened to its cache after `since`, or nothing after `waitMs`; undefined when it takes no further call. Rejects
+   * when it can't be reached within `timeoutMs`.
+   */
+  cacheNews(since: number, waitMs: number, timeoutMs: number): Promise<CacheNews | undefined>;
   /** Errors: no answer, so the order may be carried out now, later or never. */
   order(order: WeightsOrder, timeoutMs: number): Promise<Result<OrderOutcome, Fault>>;
 }
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -3,7 +3,7 @@
 import { Follower, Knowledge } from '@jasmineroute/knowledge';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { rolloutEvents } from './events.js';
-import { LoadReporter, Observer, WeightsKeeper } from './keeper/index.js';
+import { CacheReporter, LoadReporter, Observer, WeightsKeeper } from './keeper/index.js';
 import type { TargetPort } from './port/index.js';
 
 /** The target that the process stands beside. */
@@ -19,6 +19,7 @@
   private readonly follower: Follower;
   private readonly keeper: WeightsKeeper;
   private readonly reporter: LoadReporter;
+  private readonly cacheReporter: CacheReporter;
 
   constructor(
     private readonly context: RoleContext,
@@ -32,6 +33,7 @@
     const known = (): readonly string[] => this.follower.controls();
     const { address, port } = neighbour;
     this.reporter = new LoadReporter({ address, port, knowledge, controls: known, peers, clock, log });
+    this.cacheReporter = new CacheReporter({ address, port, controls: known, peers, clock, log });
     this.keeper = new WeightsKeeper({
       ...neighbour,
       name,
@@ -54,6 +56,7 @@
     this.follower.start();
     void this.keeper.run();
     void this.reporter.run();
+    void this.cacheReporter.run();
     this.context.log.event(rolloutEvents.started, { target: address, service });
     return Promise.resolve();
   }
@@ -70,12 +73,14 @@
   drain(): Promise<void> {
     this.keeper.stop();
     this.reporter.stop();
+    this.cacheReporter.stop();
     return Promise.resolve();
   }
 
   close(): Promise<void> {
     this.keeper.stop();
     this.reporter.stop();
+    this.cacheReporter.stop();
     this.follower.stop();
     return Promise.resolve();
   }
