Wait for no target that is next to load and does nothing

Cause: a target that went dark counts as ready until its heartbeats are missed; others waited 3 s for its turn and then loaded two at once. Change: when no target has been loading for 0.5 s the next one goes.

--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -190,6 +190,22 @@
     expect(target.orders).toHaveLength(1);
   });
 
+  it('does not wait for a target that is next and does nothing', async () => {
+    // Symptom: a rollout stands still for 3 s, and then several targets load at once.
+    // Sequence: the target that is next goes dark; it counts as ready until its heartbeats are missed.
+    // Cause: the others waited for it as if it were loading.
+    const one = keeper();
+    announce('t0', '10.0.0.2:80', 1);
+    name(2);
+    await look(one);
+    await clock.advance(400);
+    await look(one);
+    expect(target.orders).toEqual([]);
+    await clock.advance(200);
+    await look(one);
+    expect(target.orders).toHaveLength(1);
+  });
+
   it('lets targets go first that are further behind, for a while', async () => {
     // Symptom: when versions are named in quick succession, one target stays on the first for many seconds.
     // Sequence: agents of targets that have just loaded ask for the next turn, and get it.
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -29,6 +29,12 @@
 /** How long targets that are further behind go first, milliseconds: one of them may have nobody to give it orders. */
 const YIELD_MS = 3_000;
 
+/**
+ * Time without any target loading after which the others' turn is over, milliseconds: whoever is next takes its turn
+ * within some looks, unless it is lost and still counts as ready.
+ */
+const IDLE_MS = 500;
+
 /** How long runs at a target are waited for before the order goes out, milliseconds: half of the short ones end in it. */
 const SETTLE_MS = 600;
 
@@ -74,6 +80,8 @@
 /** One task that pulls the wanted state, so that a late message never brings an older one back. */
 export class WeightsKeeper {
   private readonly stopped = new AbortController();
+  /** Monotonic time since which no target was seen loading while this one waits for its turn. */
+  private idleSince: number | undefined;
 
   constructor(private readonly parts: KeeperParts) {}
 
@@ -95,7 +103,10 @@
   async look(): Promise<void> {
     const { knowledge, address } = this.parts;
     const target = knowledge.targets.at(address);
-    if (target === undefined || !this.mayBeBehind(target)) return;
+    if (target === undefined || !this.mayBeBehind(target)) {
+      this.idleSince = undefined;
+      return;
+    }
     const report = await this.report();
     if (report === undefined) return;
     const wish = this.wishOf(report);
@@ -173,6 +184,7 @@
     const own = target.weights.get(model) ?? 0;
     const since = knowledge.staleSince(model, own);
     if (since === undefined || clock.monotonic() - since > YIELD_MS) return false;
+    if (this.idleMs() > IDLE_MS) return false;
     const before = knowledge.targets.ready(service).filter(({ id, weights }) => {
       const version = weights.get(model) ?? own;
       return version < own || (version === own && id < target.id);
@@ -180,6 +192,15 @@
     return before.length >= limit;
   }
 
+  /** How long no target of the service has been loading while this one looked, milliseconds. */
+  private idleMs(): number {
+    const { knowledge, service, clock } = this.parts;
+    const isLoading = knowledge.targets.count(service) > knowledge.targets.ready(service).length;
+    if (isLoading) this.idleSince = undefined;
+    else this.idleSince ??= clock.monotonic();
+    return this.idleSince === undefined ? 0 : clock.monotonic() - this.idleSince;
+  }
+
   /**
    * Entries hear of the pause before the order goes out: requests that reach a target whose weights are being
    * replaced are refused there, and one that may be sent only once is lost to its caller.
