Refuse at once what would be late for certain, by the first token that is expected

Cause: with empty caches after new weights, prompts come faster than they are read; each one that is sent into a queue of a second is late, and so is all behind it: for 8 s nearly everything was. Change: entries learn how long a waiting token takes at each target; a prompt whose first token is expected after 1.5 times its objective while half of the places are taken is refused at once, to come back 0.3 to 0.9 s later.

--- a/packages/relay/src/placement/index.ts
+++ b/packages/relay/src/placement/index.ts
@@ -1,2 +1,3 @@
+export * from './lack.js';
 export * from './placement.js';
 export * from './weights.js';
--- /dev/null
+++ b/packages/relay/src/placement/lack.ts
@@ -0,0 +1,80 @@
+/** What a target lacks of a prompt: where its shared parts are, and what it costs to bring them there. */
+import { homesOf } from '@jasmineroute/routing';
+import type { Target } from '@jasmineroute/knowledge';
+import type { PromptOutline } from '../dialect/index.js';
+
+/**
+ * Shared tokens from which on a prompt has a home. Reading 1,000 tokens takes a server 9 ms; less than that is worth no
+ * unevenness.
+ */
+const HOME_TOKENS = 1_000;
+
+/**
+ * What a prompt costs at a target that fetches its shared parts, as a part of their tokens. All fetches go one after the
+ * other over the store's link, 14 ms each and 28 ms between data centres (3,780 tokens of 192,512 B at 420 Gbit/s), and
+ * 36 of them a second fill it. A target has a third of its parts in its own cache: under load one stays there for two
+ * seconds.
+ */
+const FETCH_PART = 0.8;
+
+/** The same when the shared parts must be read: what was read somewhere for these weights is better not read again. */
+const READ_AGAIN_PART = 0.5;
+
+/** Where a prompt's shared parts are: in the target's own cache, in a store, nowhere, or nobody tells. */
+export type PartsPlace = 'here' | 'store' | 'nowhere' | 'unknown';
+
+/** A prompt's shared parts, as seen from one target. */
+export interface PartsView {
+  readonly place: PartsPlace;
+  /** Tokens of the shared parts that the target has or can fetch, from the first one on. */
+  readonly cachedTokens: number;
+}
+
+/** Nobody tells where the parts are. */
+export const UNKNOWN_PARTS: PartsView = { place: 'unknown', cachedTokens: 0 };
+
+/** What of a prompt a target lacks. */
+export interface Lack {
+  readonly place: PartsPlace;
+  /** Tokens that it reads. */
+  readonly tokens: number;
+  /** What bringing the rest there costs, or leaving the home, in tokens. */
+  readonly penalty: number;
+}
+
+/** Two numbers of 32 bits from a text (FNV-1a with two offsets), as rendezvous hashing takes them. */
+function keyOf(text: string): { low: number; high: number } {
+  let low = 0x811c9dc5;
+  let high = 0x01000193;
+  for (let index = 0; index < text.length; index += 1) {
+    const code = text.charCodeAt(index);
+    low = Math.imul(low ^ code, 0x01000193);
+    high = Math.imul(high ^ code, 0x85ebca6b);
+  }
+  return { low: low >>> 0, high: high >>> 0 };
+}
+
+/** Tokens of the parts that a prompt shares with others: all but the last, which is its own. */
+const sharedTokens = ({ parts }: PromptOutline): number =>
+  parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+
+/** The home of a prompt that is worth one, by the last part that it shares; `salt` keeps customers apart. */
+export function homeOf(prompt: PromptOutline, salt: string, usable: readonly Target[]): Target | undefined {
+  const last = prompt.parts.length < 2 ? undefined : prompt.parts.at(-2);
+  if (last === undefined || sharedTokens(prompt) < HOME_TOKENS) return undefined;
+  const named = usable.map((target) => ({ name: target.id, capacity: target.capacity, target }));
+  return homesOf(keyOf(`${salt} ${prompt.model} ${last.id}`), named, 1)[0]?.target;
+}
+
+/**
+ * What a target lacks of a prompt. While nobody tells where the parts are, the home is taken to have them; where nobody
+ * has them, it is the place to read them, so that all read them in one place.
+ */
+export function lackOf(prompt: PromptOutline, { place, cachedTokens }: PartsView, isHome: boolean): Lack {
+  const own = prompt.parts.at(-1)?.tokens ?? prompt.promptTokens;
+  const shared = sharedTokens(prompt);
+  if (place === 'here' || (place === 'unknown' && isHome)) return { place, tokens: own, penalty: 0 };
+  if (place === 'store') return { place, tokens: own, penalty: shared * FETCH_PART };
+  const unread = shared - cachedTokens;
+  return { place, tokens: own + unread, penalty: isHome ? 0 : unread * READ_AGAIN_PART };
+}
--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -7,7 +7,7 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import { TargetSights } from '../target/index.js';
 import { Placements, drawService } from './placement.js';
-import type { PartsPlace } from './placement.js';
+import type { PartsPlace } from './lack.js';
 import { withWeights } from './weights.js';
 
 const target = (id: string, version = 1, dataCentre = 'here'): Target => ({
@@ -47,6 +47,7 @@
       prompt: prompt(shared, own),
       priority: 1,
       salt: '',
+      objectiveMs: 400,
     })?.target.id;
 
   it('keeps prompts with one shared part together, and others apart', () => {
@@ -59,8 +60,14 @@
     const drawn = new Set(
       Array.from({ length: 40 }, () => {
         const short = prompt('short', 'own', 100);
-        return placements.choose({ service: 's', candidates: targets, prompt: short, priority: 1, salt: '' })
-          ?.target.id;
+        return placements.choose({
+          service: 's',
+          candidates: targets,
+          prompt: short,
+          priority: 1,
+          salt: '',
+          objectiveMs: 400,
+        })?.target.id;
       }),
     );
     expect(drawn.size).toBeGreaterThan(1);
@@ -90,6 +97,7 @@
         prompt: prompt('short', 'own', 400),
         priority: 1,
         salt: '',
+        objectiveMs: 400,
       })?.target.id;
     sights.began('a', 18_000);
     for (let n = 0; n < 3; n += 1) sights.began('b', 300);
@@ -103,7 +111,7 @@
     // Sequence: caches turn over in two seconds; a home has a third of its parts, other targets have some of them.
     // Cause: a home was taken to have what it once read.
     const candidates = [target('new', 2), target('old', 1)];
-    const chosen = (partsPlace: (one: Target) => PartsPlace) =>
+    const chosen = (place: (one: Target) => PartsPlace) =>
       Array.from({ length: 20 }, (_, at) =>
         placements.choose({
           service: 's',
@@ -111,7 +119,8 @@
           prompt: prompt(`part-${at}`, 'own', 4_000),
           priority: 1,
           salt: '',
-          partsPlace,
+          objectiveMs: 400,
+          parts: (one) => ({ place: place(one), cachedTokens: 0 }),
         }),
       );
     const atOld = chosen(({ id }) => (id === 'old' ? 'here' : 'store'));
@@ -135,6 +144,7 @@
         prompt: prompt('short', 'own', 400),
         priority: 1,
         salt: '',
+        objectiveMs: 400,
       });
     sights.began('a', 4_000);
     sights.began('b', 4_000);
@@ -160,11 +170,13 @@
     const far = targets.map(({ id }) => target(id, 1, 'there'));
     const near = target('near');
     const candidates = [...far, near];
-    expect(placements.choose({ service: 's', candidates, priority: 1, salt: '' })?.target.id).toBe('near');
+    expect(
+      placements.choose({ service: 's', candidates, priority: 1, salt: '', objectiveMs: 400 })?.target.id,
+    ).toBe('near');
     sights.told('near', { running: 3, waiting: 0 });
-    expect(placements.choose({ service: 's', candidates, priority: 1, salt: '' })?.target.id).not.toBe(
-      'near',
-    );
+    expect(
+      placements.choose({ service: 's', candidates, priority: 1, salt: '', objectiveMs: 400 })?.target.id,
+    ).not.toBe('near');
   });
 
   it('forgets told load with its age', async () => {
@@ -176,28 +188,62 @@
     expect(sights.requestsAt('a')).toBe(0);
   });
 
-  it('finds a service full when each engine has as many requests as are in time, later for urgent ones', () => {
+  it('finds a service overrun when each engine has as many requests as are in time, later for urgent ones', () => {
     // Symptom: under a burst, nine of ten requests are late, though engines serve as many as they can.
     // Sequence: more come than places; each engine queues them; all of them wait, the newest and the oldest.
     // Cause: everything is taken in as long as a target does not refuse it.
-    const input = (priority: number) => ({
-      service: 's',
-      candidates: targets,
-      prompt: prompt('one', 'own'),
-      priority,
-      salt: '',
-    });
+    const isOverrun = (priority: number, hasPrompt = true): boolean => {
+      const own = hasPrompt ? prompt('one', 'own') : undefined;
+      const input = { service: 's', candidates: targets, prompt: own, priority, salt: '', objectiveMs: 1e6 };
+      const placement = placements.choose(input);
+      if (placement === undefined) throw new Error('no target');
+      return placements.isOverrun(input, placement);
+    };
     const fill = (running: number): void => {
       for (const { id } of targets) sights.told(id, { running, waiting: 0 });
     };
     fill(2);
-    expect(placements.areFull(input(1))).toBe(false);
+    expect(isOverrun(1)).toBe(false);
     fill(3);
-    expect(placements.areFull(input(1))).toBe(true);
-    expect(placements.areFull(input(0))).toBe(false);
+    expect(isOverrun(1)).toBe(true);
+    expect(isOverrun(0)).toBe(false);
     fill(4);
-    expect(placements.areFull(input(0))).toBe(true);
-    expect(placements.areFull({ ...input(1), prompt: undefined })).toBe(false);
+    expect(isOverrun(0)).toBe(true);
+    expect(isOverrun(1, false)).toBe(false);
+  });
+
+  it('finds a service overrun when the first token would be late for certain, but not while places are free', () => {
+    // Symptom: after new weights nearly all first tokens are late for seconds.
+    // Sequence: all caches are empty; prompts of 9,000 tokens come faster than they are read; each waits behind all.
+    // Cause: requests that could not be in time any more were sent, and made the next ones late.
+    const input = {
+      service: 's',
+      candidates: targets,
+      prompt: prompt('one', 'own'),
+      priority: 1,
+      salt: '',
+      objectiveMs: 400,
+    };
+    const isOverrun = (): boolean => {
+      const placement = placements.choose(input);
+      if (placement === undefined) throw new Error('no target');
+      return placements.isOverrun(input, placement);
+    };
+    for (const { id } of targets) sights.began(id, 60_000);
+    expect(isOverrun()).toBe(false);
+    for (const { id } of targets) sights.told(id, { running: 2, waiting: 0 });
+    expect(isOverrun()).toBe(true);
+  });
+
+  it('learns how long a waiting token takes', async () => {
+    for (let n = 0; n < 50; n += 1) {
+      const open = sights.began('a', 10_000);
+      await clock.advance(200);
+      open.read();
+      open.ended();
+    }
+    expect(sights.tokenMs('a')).toBeCloseTo(0.02, 3);
+    expect(sights.tokenMs('b')).toBe(0.0125);
   });
 
   it('avoids a target that failed, for longer with each failure, and uses it when all have', async () => {
@@ -209,7 +255,10 @@
     await clock.advance(250);
     expect(sights.isAvoided('a')).toBe(true);
     const only = [target('a')];
-    expect(placements.choose({ service: 's', candidates: only, priority: 1, salt: '' })?.target.id).toBe('a');
+    expect(
+      placements.choose({ service: 's', candidates: only, priority: 1, salt: '', objectiveMs: 400 })?.target
+        .id,
+    ).toBe('a');
   });
 
   it('avoids a target that has gone quiet while it has requests', async () => {
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -1,27 +1,11 @@
 /** Chooses the target of a request. */
 import type { Route } from '@jasmineroute/configuration';
-import { homesOf } from '@jasmineroute/routing';
 import type { Random } from '@jasmineroute/routing';
 import type { PromptOutline } from '../dialect/index.js';
 import type { Target } from '@jasmineroute/knowledge';
 import type { TargetSights } from '../target/index.js';
-
-/**
- * Shared tokens from which on a prompt has a home. Reading 1,000 tokens takes a server 9 ms; less than that is worth no
- * unevenness.
- */
-const HOME_TOKENS = 1_000;
-
-/**
- * What a prompt costs at a target that fetches its shared parts, as a part of their tokens. All fetches go one after the
- * other over the store's link, 14 ms each and 28 ms between data centres (3,780 tokens of 192,512 B at 420 Gbit/s), and
- * 36 of them a second fill it. A target has a third of its parts in its own cache: under load one stays there for two
- * seconds.
- */
-const FETCH_PART = 0.8;
-
-/** The same when the shared parts must be read: what was read somewhere for these weights is better not read again. */
-const READ_AGAIN_PART = 0.5;
+import { UNKNOWN_PARTS, homeOf, lackOf } from './lack.js';
+import type { Lack, PartsPlace, PartsView } from './lack.js';
 
 /**
  * What each request costs that a target has already, tokens: it adds 0.0413 ms to each step of about 7 ms, and holds a
@@ -43,15 +27,20 @@
 const FULL_URGENT = 0.85;
 const FULL = 0.75;
 
+/**
+ * Times its objective after which a first token is too late for the request to be sent, and the mean part of the engines'
+ * places that are taken then. What is sent into a queue of a second is late for certain, and so is all that comes behind
+ * it, until the queue is gone; what is refused leaves the place to what can be in time. With free places nothing is.
+ */
+const LATE = 1.5;
+const BUSY = 0.5;
+
 /** Load that a target in another data centre seems to have more: one way there costs 0.9 ms, a request 40 and more. */
 const DISTANCE_LOAD = 0.05;
 
 /** Load differences below this are taken for equal, and drawn. */
 const EVEN = 0.02;
 
-/** Where a prompt's shared parts are: in the target's own cache, in a store, nowhere, or nobody tells. */
-export type PartsPlace = 'here' | 'store' | 'nowhere' | 'unknown';
-
 /** What a choice is made from. */
 export interface PlacementInput {
   readonly service: string;
@@ -61,8 +50,10 @@
   readonly priority: number;
   /** Text that keeps caches of customers apart. */
   readonly salt: string;
+  /** Time within which its first token should come, milliseconds. */
+  readonly objectiveMs: number;
   /** Where the shared parts are, as seen from a target. */
-  readonly partsPlace?: (target: Target) => PartsPlace;
+  readonly parts?: (target: Target) => PartsView;
 }
 
 /** What was chosen and why, for the log. */
@@ -77,52 +68,17 @@
   readonly waiting?: number;
   readonly slowness?: number;
   readonly parts?: PartsPlace;
+  /** When its first token will come, as it seems, milliseconds. */
+  readonly expectedMs?: number;
   /** Requests that it probably has. */
   readonly load: number;
   /** Age of the told load, milliseconds. */
   readonly loadAgeMs?: number;
 }
 
-/** Two numbers of 32 bits from a text (FNV-1a with two offsets), as rendezvous hashing takes them. */
-function keyOf(text: string): { low: number; high: number } {
-  let low = 0x811c9dc5;
-  let high = 0x01000193;
-  for (let index = 0; index < text.length; index += 1) {
-    const code = text.charCodeAt(index);
-    low = Math.imul(low ^ code, 0x01000193);
-    high = Math.imul(high ^ code, 0x85ebca6b);
-  }
-  return { low: low >>> 0, high: high >>> 0 };
-}
-
-/** The shared part that decides a prompt's home: the last one before its own, and the tokens up to there. */
-interface SharedPart {
-  readonly id: string;
-  readonly tokens: number;
-}
-
-/** The shared parts of a prompt, when there are any: the last one is its own. */
-function sharedPart({ parts }: PromptOutline): SharedPart | undefined {
-  const last = parts.length < 2 ? undefined : parts.at(-2);
-  const tokens = parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-  return last === undefined ? undefined : { id: last.id, tokens };
-}
-
-/** What of a prompt a target lacks. */
-interface Lack {
-  readonly parts: PartsPlace;
-  /** Tokens that it reads. */
-  readonly tokens: number;
-  /** What leaving the home costs beyond that, tokens. */
-  readonly penalty: number;
-}
-
 /** What a target costs a prompt. */
-interface Cost {
+interface Cost extends Lack {
   readonly target: Target;
-  readonly parts: PartsPlace;
-  /** Tokens to be read of this prompt. */
-  readonly tokens: number;
   readonly waiting: number;
   readonly slowness: number;
   /** All of it, in tokens of the fastest target. */
@@ -148,14 +104,17 @@
     private readonly random: Random,
   ) {}
 
-  /** Whether all candidates for a prompt are full: it would be late at each, and make others late. */
-  areFull({ candidates, prompt, priority }: PlacementInput): boolean {
+  /** Whether a prompt is better refused than sent where it was placed: it would be late, and make others late. */
+  isOverrun(
+    { candidates, prompt, priority, objectiveMs }: PlacementInput,
+    { expectedMs = 0 }: Placement,
+  ): boolean {
+    if (prompt === undefined || candidates.length === 0) return false;
+    const taken = candidates.map(({ id, capacity }) => this.sights.requestsAt(id) / Math.max(1, capacity));
     const part = priority === 0 ? FULL_URGENT : FULL;
-    return (
-      prompt !== undefined &&
-      candidates.length > 0 &&
-      candidates.every(({ id, capacity }) => this.sights.requestsAt(id) >= capacity * part)
-    );
+    if (taken.every((one) => one >= part)) return true;
+    const mean = taken.reduce((sum, one) => sum + one, 0) / taken.length;
+    return mean >= BUSY && expectedMs > objectiveMs * LATE;
   }
 
   /** The target for a request; undefined when there is none. */
@@ -175,40 +134,30 @@
    * target that had just loaded weights, without requests and with an empty cache, got all that came in a second.
    */
   private leastWork(input: PlacementInput, prompt: PromptOutline, usable: readonly Target[]): Placement {
-    const shared = sharedPart(prompt);
-    const home = shared === undefined ? undefined : this.homeOf(shared, input, prompt, usable);
+    const home = homeOf(prompt, input.salt, usable);
     const fastest = Math.min(...usable.map(({ id }) => this.sights.pauseOf(id) ?? Number.POSITIVE_INFINITY));
     const costs = usable.map((target) => {
-      return this.costOf(target, lackOf(target, prompt, shared, home, input), fastest);
+      const view = input.parts?.(target) ?? UNKNOWN_PARTS;
+      return this.costOf(target, lackOf(prompt, view, target === home), fastest);
     });
     const least = Math.min(...costs.map(({ total }) => total));
     const near = costs.filter(({ total }) => total <= least + EVEN_TOKENS);
     const drawn = near.find(({ target }) => target === home) ?? near[Math.floor(this.random() * near.length)];
     if (drawn === undefined) throw new Error('no candidate');
-    const { target, parts, tokens, waiting, slowness } = drawn;
+    const { target, place, tokens, waiting, slowness } = drawn;
     const reason = home === undefined ? 'least-work' : target === home ? 'home' : 'elsewhere';
-    return { ...this.placed(target, reason, usable.length), parts, tokens, waiting, slowness };
-  }
-
-  /** The home of a prompt that is worth one. */
-  private homeOf(
-    { id, tokens }: SharedPart,
-    { salt }: PlacementInput,
-    { model }: PromptOutline,
-    usable: readonly Target[],
-  ): Target | undefined {
-    if (tokens < HOME_TOKENS) return undefined;
-    const named = usable.map((target) => ({ name: target.id, capacity: target.capacity, target }));
-    return homesOf(keyOf(`${salt} ${model} ${id}`), named, 1)[0]?.target;
+    const expectedMs = Math.round((waiting + tokens) * this.sights.tokenMs(target.id));
+    const placed = this.placed(target, reason, usable.length);
+    return { ...placed, parts: place, tokens, waiting, slowness, expectedMs };
   }
 
-  private costOf(target: Target, { parts, tokens, penalty }: Lack, fastestMs: number): Cost {
+  private costOf(target: Target, lack: Lack, fastestMs: number): Cost {
     const waiting = this.sights.tokensAt(target.id);
     const pauseMs = this.sights.pauseOf(target.id) ?? fastestMs;
     const slowness = Number.isFinite(pauseMs) ? Math.min(MOST_SLOWNESS, pauseMs / fastestMs) : 1;
     const requests = this.sights.requestsAt(target.id) * REQUEST_TOKENS;
-    const total = (waiting + tokens + requests) * slowness + penalty;
-    return { target, parts, tokens, waiting, slowness, total };
+    const total = (waiting + lack.tokens + requests) * slowness + lack.penalty;
+    return { ...lack, target, waiting, slowness, total };
   }
 
   private leastLoaded(usable: readonly Target[]): Placement {
@@ -231,24 +180,3 @@
     return { target, reason, candidates, tokens: 0, load, loadAgeMs: this.sights.ageOf(target.id) };
   }
 }
-
-/**
- * What a target lacks of a prompt, and what it costs to bring it there. While nobody tells where the parts are, the home
- * is taken to have them; where nobody has them, it is the place to read them, so that all read them in one place.
- */
-function lackOf(
-  target: Target,
-  { promptTokens, parts }: PromptOutline,
-  shared: SharedPart | undefined,
-  home: Target | undefined,
-  { partsPlace }: PlacementInput,
-): Lack {
-  const own = parts.at(-1)?.tokens ?? promptTokens;
-  if (shared === undefined) return { parts: 'unknown', tokens: own, penalty: 0 };
-  const place = partsPlace?.(target) ?? 'unknown';
-  const isHome = target === home;
-  if (place === 'here' || (place === 'unknown' && isHome)) return { parts: place, tokens: own, penalty: 0 };
-  if (place === 'store') return { parts: place, tokens: own, penalty: shared.tokens * FETCH_PART };
-  const penalty = isHome ? 0 : shared.tokens * READ_AGAIN_PART;
-  return { parts: place, tokens: own + shared.tokens, penalty };
-}
--- a/packages/relay/src/target/targetState.ts
+++ b/packages/relay/src/target/targetState.ts
@@ -31,6 +31,16 @@
 /** Pauses after which a target's speed is believed. */
 const ENOUGH_PAUSES = 30;
 
+/**
+ * Time for one token that waits to be read, milliseconds, until some were measured, and the weight of a new measurement:
+ * 110 tokens a ms, with the steps of running requests between and one prompt's pieces after another's.
+ */
+const FIRST_TOKEN_MS = 0.0125;
+const TOKEN_WEIGHT = 0.1;
+
+/** Fewer tokens that waited say nothing of the time for one. */
+const MEASURED_TOKENS = 3_000;
+
 /** A request that is open at a target. */
 export interface OpenRequest {
   /** Its prompt has been read: the first event came. */
@@ -54,6 +64,8 @@
   /** Pause between two events while no prompts are read, milliseconds; and pauses that it is made from. */
   pauseMs: number;
   pauses: number;
+  /** Time for one token that waits to be read, milliseconds. */
+  tokenMs: number;
   /** Requests of others there, when the load was told. */
   others: number;
   /** Monotonic time at which the load was told; absent: never. */
@@ -82,6 +94,7 @@
       tokens: 0,
       pauseMs: 0,
       pauses: 0,
+      tokenMs: FIRST_TOKEN_MS,
       others: 0,
       heardAt: 0,
       failures: 0,
@@ -126,14 +139,23 @@
     const sight = this.of(id);
     if (sight.open === 0) sight.heardAt = this.clock.monotonic();
     sight.open += 1;
+    const ahead = this.tokensAt(id) + tokens;
+    const begunAt = this.clock.monotonic();
     sight.tokens += tokens;
     let unread = tokens;
-    const read = (): void => {
+    const forget = (): void => {
       sight.tokens -= unread;
       unread = 0;
     };
+    const read = (): void => {
+      if (unread === 0) return;
+      forget();
+      if (ahead < MEASURED_TOKENS) return;
+      const tokenMs = (this.clock.monotonic() - begunAt) / ahead;
+      sight.tokenMs += (tokenMs - sight.tokenMs) * TOKEN_WEIGHT;
+    };
     const ended = (): void => {
-      read();
+      forget();
       sight.open -= 1;
     };
     return { read, ended };
@@ -149,6 +171,11 @@
     return tokens;
   }
 
+  /** Time for one token that waits to be read at a target, milliseconds. */
+  tokenMs(id: string): number {
+    return this.of(id).tokenMs;
+  }
+
   /** This entry's unread tokens at each target that has some. */
   ownWork(): PromptWork[] {
     return [...this.sights]
--- a/packages/relay/src/work/addition.ts
+++ b/packages/relay/src/work/addition.ts
@@ -4,7 +4,8 @@
 import type { StoreUse } from '../cache/index.js';
 import type { StoredPart } from '@jasmineroute/protocol';
 import type { Addition } from '../dialect/index.js';
-import type { PartsPlace } from '../placement/index.js';
+import { UNKNOWN_PARTS } from '../placement/index.js';
+import type { PartsView } from '../placement/index.js';
 import type { Job } from './attempt.js';
 import type { RelayContext } from './context.js';
 
@@ -31,24 +32,37 @@
   return `${saltOf(job)}weights-${versionAt(target, job) ?? 0}`;
 }
 
-/** The shared part that stands for all before it, as a target would have it; undefined: the prompt shares nothing. */
-function sharedPartAt(target: Target, job: Job): StoredPart | undefined {
+/** A prompt's shared parts, as a target would have them: all but the last, which is its own. */
+function sharedPartsAt(target: Target, job: Job): (StoredPart & { readonly tokens: number })[] {
   const { prompt } = job.request;
-  const part = prompt === undefined || prompt.parts.length < 2 ? undefined : prompt.parts.at(-2);
-  if (prompt === undefined || part === undefined) return undefined;
-  return { salt: cacheSaltAt(target, job), model: prompt.model, part: part.id };
+  if (prompt === undefined) return [];
+  const salt = cacheSaltAt(target, job);
+  const { model } = prompt;
+  return prompt.parts.slice(0, -1).map(({ id, tokens }) => ({ salt, model, part: id, tokens }));
+}
+
+/** Tokens of the parts up to the first that `has` denies. */
+function tokensUntil(
+  parts: readonly (StoredPart & { readonly tokens: number })[],
+  has: (part: StoredPart) => boolean,
+): number {
+  const end = parts.findIndex((part) => !has(part));
+  return parts.slice(0, end < 0 ? parts.length : end).reduce((sum, { tokens }) => sum + tokens, 0);
 }
 
 /** Where the shared parts of a request are, as seen from one target. */
-export function partsPlace({ knowledge }: RelayContext, job: Job, target: Target): PartsPlace {
-  const part = sharedPartAt(target, job);
-  if (part === undefined) return 'unknown';
-  if (knowledge.isCached(target.address, part)) return 'here';
+export function partsView({ knowledge }: RelayContext, job: Job, target: Target): PartsView {
+  const parts = sharedPartsAt(target, job);
+  const last = parts.at(-1);
+  if (last === undefined) return UNKNOWN_PARTS;
+  const cachedTokens = tokensUntil(parts, (part) => knowledge.isCached(target.address, part));
+  if (knowledge.isCached(target.address, last)) return { place: 'here', cachedTokens };
   const table = knowledge.table();
   const store = table === undefined ? undefined : storeAddress(table.configuration);
-  if (store === undefined || knowledge.isStoreLost(store)) return 'nowhere';
-  const isKept = knowledge.isKept(store, part);
-  return isKept === undefined ? 'unknown' : isKept ? 'store' : 'nowhere';
+  if (store === undefined || knowledge.isStoreLost(store)) return { place: 'nowhere', cachedTokens };
+  const isKept = knowledge.isKept(store, last);
+  if (isKept === undefined) return { place: 'unknown', cachedTokens };
+  return { place: isKept ? 'store' : 'nowhere', cachedTokens };
 }
 
 /**
@@ -56,7 +70,7 @@
  * Only one with the same weights: what it made under others may stand under the same salt.
  */
 function neighbourWith({ knowledge, sights }: RelayContext, job: Job, target: Target): string | undefined {
-  const part = sharedPartAt(target, job);
+  const part = sharedPartsAt(target, job).at(-1);
   if (part === undefined || knowledge.isCached(target.address, part)) return undefined;
   const version = versionAt(target, job);
   const having = knowledge.targets
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -12,7 +12,7 @@
 import { relayMetrics } from '../metrics.js';
 import { drawService, withWeights } from '../placement/index.js';
 import type { Placement, PlacementInput } from '../placement/index.js';
-import { additionFor, partsPlace, saltOf } from './addition.js';
+import { additionFor, partsView, saltOf } from './addition.js';
 import { admit } from './admit.js';
 import type { Admitted } from './admit.js';
 import { send } from './attempt.js';
@@ -44,6 +44,11 @@
 const SUCCESS = 200;
 const SERVER_ERROR = 500;
 
+/** What a refusal was decided on. */
+const overrunText = ({ target, load, waiting, expectedMs }: Placement): string =>
+  `all targets are overrun: the best, ${target.id}, has ${load} requests with ${waiting ?? 0} tokens to read, ` +
+  `and a first token would take ${expectedMs ?? 0} ms`;
+
 /** Handles one request. */
 export class RelayWork {
   private readonly abort = new AbortController();
@@ -154,13 +159,13 @@
     let last: Outcome = { state: 'fault', fault: fault('no-target', 'no target is ready') };
     for (;;) {
       const input = this.inputFor(job, tried);
-      if (this.sends === 0 && placements.areFull(input)) {
+      const placement = this.abort.signal.aborted ? undefined : placements.choose(input);
+      if (placement === undefined) break;
+      if (this.sends === 0 && placements.isOverrun(input, placement)) {
         const retryAfterMs = FULL_RETURN_MS * (0.5 + random());
-        last = { state: 'fault', fault: fault('overloaded', 'all targets are full', { retryAfterMs }) };
+        last = { state: 'fault', fault: fault('overloaded', overrunText(placement), { retryAfterMs }) };
         break;
       }
-      const placement = this.abort.signal.aborted ? undefined : placements.choose(input);
-      if (placement === undefined) break;
       tried.add(placement.target.id);
       this.sends += 1;
       last = await this.attempt(job, placement);
@@ -233,7 +238,8 @@
       prompt: job.route.hasPrompt ? prompt : undefined,
       priority: job.customer?.priority ?? job.route.priority,
       salt: saltOf(job),
-      partsPlace: (target) => partsPlace(this.context, job, target),
+      objectiveMs: job.route.objectiveMs,
+      parts: (target) => partsView(this.context, job, target),
     };
   }
 
@@ -272,6 +278,7 @@
       waiting: placement.waiting,
       slowness: placement.slowness,
       parts: placement.parts,
+      expectedMs: placement.expectedMs,
       send: this.sends,
       deadlineMs: Math.round(addition.deadlineMs),
       outcome: result,
