--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -102,7 +102,7 @@
     sights.began('a', 18_000);
     for (let n = 0; n < 3; n += 1) sights.began('b', 300);
     expect(choose()).toBe('b');
-    sights.toldWork('e2', [{ targetId: 'b', tokens: 40_000 }]);
+    sights.backlog.told('e2', [{ targetId: 'b', tokens: 40_000 }]);
     expect(choose()).toBe('a');
   });
 
@@ -134,8 +134,8 @@
 
   it('gives a slower target less', () => {
     for (let n = 0; n < 60; n += 1) {
-      sights.paused('a', 26);
-      sights.paused('b', 34);
+      sights.pace.paused('a', 26);
+      sights.pace.paused('b', 34);
     }
     const choose = () =>
       placements.choose({
@@ -155,15 +155,15 @@
   });
 
   it('forgets the work of an entry that tells nothing any more, and what was read', async () => {
-    sights.toldWork('e2', [{ targetId: 'a', tokens: 500 }]);
+    sights.backlog.told('e2', [{ targetId: 'a', tokens: 500 }]);
     const open = sights.began('a', 300);
-    expect(sights.tokensAt('a')).toBe(800);
+    expect(sights.backlog.tokensAt('a')).toBe(800);
     open.read();
-    expect(sights.ownWork()).toEqual([]);
+    expect(sights.backlog.ownWork()).toEqual([]);
     await clock.advance(1_000);
-    expect(sights.tokensAt('a')).toBe(0);
+    expect(sights.backlog.tokensAt('a')).toBe(0);
     open.ended();
-    expect(sights.tokensAt('a')).toBe(0);
+    expect(sights.backlog.tokensAt('a')).toBe(0);
   });
 
   it('takes the least loaded for requests without a prompt, the nearest of equals', () => {
@@ -242,8 +242,8 @@
       open.read();
       open.ended();
     }
-    expect(sights.tokenMs('a')).toBeCloseTo(0.02, 3);
-    expect(sights.tokenMs('b')).toBe(0.0125);
+    expect(sights.backlog.tokenMs('a')).toBeCloseTo(0.02, 3);
+    expect(sights.backlog.tokenMs('b')).toBe(0.0125);
   });
 
   it('avoids a target that failed, for longer with each failure, and uses it when all have', async () => {
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -135,7 +135,9 @@
    */
   private leastWork(input: PlacementInput, prompt: PromptOutline, usable: readonly Target[]): Placement {
     const home = homeOf(prompt, input.salt, usable);
-    const fastest = Math.min(...usable.map(({ id }) => this.sights.pauseOf(id) ?? Number.POSITIVE_INFINITY));
+    const fastest = Math.min(
+      ...usable.map(({ id }) => this.sights.pace.pauseOf(id) ?? Number.POSITIVE_INFINITY),
+    );
     const costs = usable.map((target) => {
       const view = input.parts?.(target) ?? UNKNOWN_PARTS;
       return this.costOf(target, lackOf(prompt, view, target === home), fastest);
@@ -146,14 +148,14 @@
     if (drawn === undefined) throw new Error('no candidate');
     const { target, place, tokens, waiting, slowness } = drawn;
     const reason = home === undefined ? 'least-work' : target === home ? 'home' : 'elsewhere';
-    const expectedMs = Math.round((waiting + tokens) * this.sights.tokenMs(target.id));
+    const expectedMs = Math.round((waiting + tokens) * this.sights.backlog.tokenMs(target.id));
     const placed = this.placed(target, reason, usable.length);
     return { ...placed, parts: place, tokens, waiting, slowness, expectedMs };
   }
 
   private costOf(target: Target, lack: Lack, fastestMs: number): Cost {
-    const waiting = this.sights.tokensAt(target.id);
-    const pauseMs = this.sights.pauseOf(target.id) ?? fastestMs;
+    const waiting = this.sights.backlog.tokensAt(target.id);
+    const pauseMs = this.sights.pace.pauseOf(target.id) ?? fastestMs;
     const slowness = Number.isFinite(pauseMs) ? Math.min(MOST_SLOWNESS, pauseMs / fastestMs) : 1;
     const requests = this.sights.requestsAt(target.id) * REQUEST_TOKENS;
     const total = (waiting + lack.tokens + requests) * slowness + lack.penalty;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -95,11 +95,11 @@
       sights.told(targetId, { running, waiting });
     });
     knowledge.onWork(({ entry, targets }) => {
-      sights.toldWork(entry, targets);
+      sights.backlog.told(entry, targets);
     });
     this.reporter = new WorkReporter({
       name,
-      sights,
+      backlog: sights.backlog,
       entries: () => knowledge.entries(),
       controls: () => this.follower.controls(),
       peers,
--- a/packages/relay/src/target/workReporter.spec.ts
+++ b/packages/relay/src/target/workReporter.spec.ts
@@ -3,12 +3,12 @@
 import type { RpcServer } from '@jasmineroute/protocol';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { until } from '../testing/bed.js';
-import { TargetSights } from './targetState.js';
+import { Backlog } from './backlog.js';
 import { WorkReporter } from './workReporter.js';
 
 describe('the work that an entry tells the others', () => {
   const told: string[] = [];
-  const sights = new TargetSights(systemClock);
+  const backlog = new Backlog(systemClock);
   let server: RpcServer;
   let peers: Peers;
   let reporter: WorkReporter;
@@ -26,7 +26,7 @@
     peers = new Peers();
     reporter = new WorkReporter({
       name: 'e1',
-      sights,
+      backlog,
       entries: () => 1,
       // Nobody listens at the first one.
       controls: () => ['127.0.0.1:1', server.address],
@@ -47,15 +47,15 @@
     // Symptom: two entries send their prompts to one target, while another idles.
     // Sequence: both choose within the time that it takes to read a prompt; a control instance is down.
     // Cause: an entry knew of its own requests only.
-    const open = sights.began('t1', 2_000);
+    const open = backlog.began('t1', 2_000);
     await until(() => told.length >= 2);
     expect(new Set(told)).toEqual(new Set(['e1 t1:2000']));
     open.read();
     await until(() => told.at(-1) === 'e1 ');
-    const small = sights.began('t1', 100);
+    const small = backlog.began('t1', 100);
     const before = told.length;
-    small.ended();
+    small.forget();
     expect(told.length).toBe(before);
-    open.ended();
+    open.forget();
   });
 });
--- a/packages/relay/src/target/workReporter.ts
+++ b/packages/relay/src/target/workReporter.ts
@@ -4,7 +4,7 @@
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
 import { relayEvents } from '../events.js';
-import type { PromptWork, TargetSights } from './targetState.js';
+import type { Backlog, PromptWork } from './backlog.js';
 
 /**
  * Pause between two looks, milliseconds, for each eight entries: a target gets a prompt each 100 ms, and reads it in 30.
@@ -26,7 +26,7 @@
 /** What the reporter works with. */
 export interface WorkReporterParts {
   readonly name: string;
-  readonly sights: TargetSights;
+  readonly backlog: Backlog;
   /** Entries that serve now. */
   readonly entries: () => number;
   /** Control instances, host:port. */
@@ -65,8 +65,8 @@
   }
 
   private async look(): Promise<void> {
-    const { sights, clock } = this.parts;
-    const work = sights.ownWork();
+    const { backlog, clock } = this.parts;
+    const work = backlog.ownWork();
     const now = clock.monotonic();
     const isOld = now - this.toldAt >= REPEAT_MS && work.length > 0;
     if (!isOld && changeOf(this.told, work) < LEAST_CHANGE) return;
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -21,6 +21,7 @@
 import type { RelayContext } from './context.js';
 import { brokenOff, passAnswer, passFailure } from './pass.js';
 import type { Outcome } from './pass.js';
+import { overrunText, sendingReport } from './report.js';
 import { Stream } from './stream.js';
 
 /** Largest body where the configuration names none, bytes. */
@@ -44,11 +45,6 @@
 const SUCCESS = 200;
 const SERVER_ERROR = 500;
 
-/** What a refusal was decided on. */
-const overrunText = ({ target, load, waiting, expectedMs }: Placement): string =>
-  `all targets are overrun: the best, ${target.id}, has ${load} requests with ${waiting ?? 0} tokens to read, ` +
-  `and a first token would take ${expectedMs ?? 0} ms`;
-
 /** Handles one request. */
 export class RelayWork {
   private readonly abort = new AbortController();
@@ -265,32 +261,9 @@
     if (outcome.state === 'answered') sights.succeeded(target.id);
     const result = outcome.state === 'answered' ? 'answered' : outcome.fault.kind;
     metrics.count(relayMetrics.attempts, 1, { outcome: result });
-    log.event(relayEvents.attempted, {
-      request: job.request.id,
-      route: job.route.name,
-      customer: job.customer?.name,
-      target: target.id,
-      reason: placement.reason,
-      candidates: placement.candidates,
-      load: placement.load,
-      loadAgeMs: placement.loadAgeMs,
-      tokens: placement.tokens,
-      waiting: placement.waiting,
-      slowness: placement.slowness,
-      parts: placement.parts,
-      expectedMs: placement.expectedMs,
-      send: this.sends,
-      deadlineMs: Math.round(addition.deadlineMs),
-      outcome: result,
-      problem: outcome.state === 'answered' ? undefined : outcome.fault.message,
-      status,
-      copied: addition.cacheCopy !== undefined,
-      events: this.stream.lastEventId,
-      pauseMs: Math.round(this.stream.pauseMs),
-      tookMs: Math.round(clock.monotonic() - begunAt),
-      firstByteMs: this.answer.firstByteMs === undefined ? undefined : Math.round(this.answer.firstByteMs),
-      ageMs: Math.round(this.answer.age()),
-    });
+    const tookMs = clock.monotonic() - begunAt;
+    const sending = { job, placement, addition, outcome, status, send: this.sends, tookMs };
+    log.event(relayEvents.attempted, sendingReport(sending, this.stream, this.answer));
     return outcome;
   }
 
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -70,7 +70,7 @@
     const now = this.context.clock.monotonic();
     this.lastEventId = eventId;
     if (this.eventAt !== undefined) this.pauseMs = Math.max(this.pauseMs, now - this.eventAt);
-    if (this.targetEventAt !== undefined) this.context.sights.paused(targetId, now - this.targetEventAt);
+    if (this.targetEventAt !== undefined) this.context.sights.pace.paused(targetId, now - this.targetEventAt);
     this.eventAt = now;
     this.targetEventAt = now;
   }
