Read again what would wait long for the store's link, and count what is fetched over it

Cause: all fetches go one after the other over the store's link, and take nine tenths of it at usual load.

--- a/packages/configuration/src/schema/schema.ts
+++ b/packages/configuration/src/schema/schema.ts
@@ -49,6 +49,8 @@
   slots: z.number().int().min(1),
   /** Prompt and output tokens that fit in memory. */
   cacheTokens: z.number().min(0),
+  /** Bytes of memory of one token. */
+  tokenBytes: z.number().optional(),
   models: z.array(z.object({ name })),
 });
 
@@ -62,6 +64,8 @@
   engine: engine.optional(),
   /** The address of a store of kept KV cache, host:port; such a service has no targets. */
   storeAddress: z.string().optional(),
+  /** Speed of a store's link, Mbit/s. */
+  linkMbps: z.number().optional(),
 });
 
 /** A customer and the keys that name it. */
--- a/packages/relay/src/cache/index.ts
+++ b/packages/relay/src/cache/index.ts
@@ -1,1 +1,2 @@
 export * from './copies.js';
+export * from './storeLink.js';
--- a/packages/relay/src/placement/lack.ts
+++ b/packages/relay/src/placement/lack.ts
@@ -20,8 +20,11 @@
 /** The same when the shared parts must be read: what was read somewhere for these weights is better not read again. */
 const READ_AGAIN_PART = 0.5;
 
-/** Where a prompt's shared parts are: in the target's own cache, in a store, nowhere, or nobody tells. */
-export type PartsPlace = 'here' | 'store' | 'nowhere' | 'unknown';
+/**
+ * Where a prompt's shared parts are: in the target's own cache, in a store, in a store whose link is too busy to fetch
+ * them, nowhere, or nobody tells.
+ */
+export type PartsPlace = 'here' | 'store' | 'busy' | 'nowhere' | 'unknown';
 
 /** A prompt's shared parts, as seen from one target. */
 export interface PartsView {
@@ -38,6 +41,8 @@
   readonly place: PartsPlace;
   /** Tokens that it reads. */
   readonly tokens: number;
+  /** Tokens that it fetches. */
+  readonly fetched: number;
   /** What bringing the rest there costs, or leaving the home, in tokens. */
   readonly penalty: number;
 }
@@ -73,8 +78,9 @@
 export function lackOf(prompt: PromptOutline, { place, cachedTokens }: PartsView, isHome: boolean): Lack {
   const own = prompt.parts.at(-1)?.tokens ?? prompt.promptTokens;
   const shared = sharedTokens(prompt);
-  if (place === 'here' || (place === 'unknown' && isHome)) return { place, tokens: own, penalty: 0 };
-  if (place === 'store') return { place, tokens: own, penalty: shared * FETCH_PART };
+  if (place === 'here' || (place === 'unknown' && isHome))
+    return { place, tokens: own, fetched: 0, penalty: 0 };
   const unread = shared - cachedTokens;
-  return { place, tokens: own + unread, penalty: isHome ? 0 : unread * READ_AGAIN_PART };
+  if (place === 'store') return { place, tokens: own, fetched: unread, penalty: shared * FETCH_PART };
+  return { place, tokens: own + unread, fetched: 0, penalty: isHome ? 0 : unread * READ_AGAIN_PART };
 }
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -64,6 +64,8 @@
   readonly candidates: number;
   /** Tokens of this request's prompt that are to be read there. */
   readonly tokens: number;
+  /** Tokens that it fetches from a store. */
+  readonly fetched?: number;
   /** Tokens of prompts that wait there already, and how much slower than the fastest the target is. */
   readonly waiting?: number;
   readonly slowness?: number;
@@ -146,11 +148,11 @@
     const near = costs.filter(({ total }) => total <= least + EVEN_TOKENS);
     const drawn = near.find(({ target }) => target === home) ?? near[Math.floor(this.random() * near.length)];
     if (drawn === undefined) throw new Error('no candidate');
-    const { target, place, tokens, waiting, slowness } = drawn;
+    const { target, place, tokens, fetched, waiting, slowness } = drawn;
     const reason = home === undefined ? 'least-work' : target === home ? 'home' : 'elsewhere';
     const expectedMs = Math.round((waiting + tokens) * this.sights.backlog.tokenMs(target.id));
     const placed = this.placed(target, reason, usable.length);
-    return { ...placed, parts: place, tokens, waiting, slowness, expectedMs };
+    return { ...placed, parts: place, tokens, fetched, waiting, slowness, expectedMs };
   }
 
   private costOf(target: Target, lack: Lack, fastestMs: number): Cost {
--- a/packages/relay/src/target/targetState.ts
+++ b/packages/relay/src/target/targetState.ts
@@ -17,6 +17,13 @@
  */
 export const QUIET_MS = 800;
 
+/** What a request fetches from a store of kept cache before its prompt is read. */
+export interface Fetch {
+  /** host:port. */
+  readonly store: string;
+  readonly tokens: number;
+}
+
 /** A request that is open at a target. */
 export interface OpenRequest {
   /** Its prompt has been read: the first event came. */
@@ -91,17 +98,23 @@
     this.of(id).heardAt = this.clock.monotonic();
   }
 
-  /** A request goes out, with `tokens` of its prompt to be read. */
-  began(id: string, tokens = 0): OpenRequest {
+  /** A request goes out, with `tokens` of its prompt to be read, and some to be fetched first. */
+  began(id: string, tokens = 0, fetch?: Fetch): OpenRequest {
     const sight = this.of(id);
     if (sight.open === 0) sight.heardAt = this.clock.monotonic();
     sight.open += 1;
     const prompt = this.backlog.began(id, tokens);
+    const fetched = fetch === undefined ? undefined : this.backlog.began(fetch.store, fetch.tokens);
+    const read = (): void => {
+      prompt.read();
+      fetched?.forget();
+    };
     const ended = (): void => {
       prompt.forget();
+      fetched?.forget();
       sight.open -= 1;
     };
-    return { read: prompt.read, ended };
+    return { read, ended };
   }
 
   /** A target told its load, which counts the answered request and this entry's others too. */
--- a/packages/relay/src/work/addition.ts
+++ b/packages/relay/src/work/addition.ts
@@ -1,11 +1,11 @@
 /** What the system adds to a request that it sends to a target. */
 import type { Target } from '@jasmineroute/knowledge';
-import { storeAddress } from '../cache/index.js';
+import { fetchMs, isLinkBusy, storeAddress } from '../cache/index.js';
 import type { StoreUse } from '../cache/index.js';
 import type { StoredPart } from '@jasmineroute/protocol';
 import type { Addition } from '../dialect/index.js';
 import { UNKNOWN_PARTS } from '../placement/index.js';
-import type { PartsView } from '../placement/index.js';
+import type { PartsPlace, PartsView } from '../placement/index.js';
 import type { Job } from './attempt.js';
 import type { RelayContext } from './context.js';
 
@@ -51,7 +51,7 @@
 }
 
 /** Where the shared parts of a request are, as seen from one target. */
-export function partsView({ knowledge }: RelayContext, job: Job, target: Target): PartsView {
+export function partsView({ knowledge, sights }: RelayContext, job: Job, target: Target): PartsView {
   const parts = sharedPartsAt(target, job);
   const last = parts.at(-1);
   if (last === undefined) return UNKNOWN_PARTS;
@@ -59,10 +59,13 @@
   if (knowledge.isCached(target.address, last)) return { place: 'here', cachedTokens };
   const table = knowledge.table();
   const store = table === undefined ? undefined : storeAddress(table.configuration);
-  if (store === undefined || knowledge.isStoreLost(store)) return { place: 'nowhere', cachedTokens };
+  if (table === undefined || store === undefined || knowledge.isStoreLost(store))
+    return { place: 'nowhere', cachedTokens };
   const isKept = knowledge.isKept(store, last);
   if (isKept === undefined) return { place: 'unknown', cachedTokens };
-  return { place: isKept ? 'store' : 'nowhere', cachedTokens };
+  if (!isKept) return { place: 'nowhere', cachedTokens };
+  const tokenMs = fetchMs(table.configuration, job.service, store);
+  return { place: isLinkBusy(sights.backlog, store, tokenMs) ? 'busy' : 'store', cachedTokens };
 }
 
 /**
@@ -93,6 +96,7 @@
   target: Target,
   leftMs: number,
   resumeAfter: string | undefined,
+  place: PartsPlace | undefined,
 ): Addition {
   const { customer, route } = job;
   const weightsVersion = versionAt(target, job);
@@ -104,7 +108,7 @@
     targetId: target.id,
     customer: customer?.name,
     cacheSalt,
-    cacheSource: neighbour ?? source,
+    cacheSource: neighbour ?? (place === 'busy' ? undefined : source),
     cacheCopy: copy,
     urgency: route.hasPrompt ? Math.min(LEAST_URGENT, customer?.priority ?? route.priority) : undefined,
     lastEventId: route.resumable ? resumeAfter : undefined,
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -7,7 +7,8 @@
 import { readBody } from '@jasmineroute/entry';
 import type { Target } from '@jasmineroute/knowledge';
 import type { CallerAnswer } from '../answer/index.js';
-import type { RelayRequest } from '../dialect/index.js';
+import { storeAddress } from '../cache/index.js';
+import type { Addition, RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
 import { relayMetrics } from '../metrics.js';
 import { drawService, withWeights } from '../placement/index.js';
@@ -17,7 +18,7 @@
 import type { Admitted } from './admit.js';
 import { send } from './attempt.js';
 import type { Job, TargetAnswer } from './attempt.js';
-import type { OpenRequest } from '../target/index.js';
+import type { Fetch, OpenRequest } from '../target/index.js';
 import type { RelayContext } from './context.js';
 import { brokenOff, passAnswer, passFailure } from './pass.js';
 import type { Outcome } from './pass.js';
@@ -239,14 +240,22 @@
     };
   }
 
+  /** What a sending fetches over a store's link. */
+  private fetchOf({ fetched = 0 }: Placement, { cacheSource }: Addition): Fetch | undefined {
+    const table = this.context.knowledge.table();
+    const store = table === undefined ? undefined : storeAddress(table.configuration);
+    return store === undefined || cacheSource !== store ? undefined : { store, tokens: fetched };
+  }
+
   private async attempt(job: Job, placement: Placement): Promise<Outcome> {
     const { clock, log, metrics, sights } = this.context;
     const { target } = placement;
     const begunAt = clock.monotonic();
     const { lastEventId } = this.stream;
     const resumeAfter = lastEventId === undefined ? job.request.lastEventId : String(lastEventId);
-    const addition = additionFor(this.context, job, target, job.until - begunAt, resumeAfter);
-    const open = sights.began(target.id, placement.tokens);
+    const leftMs = job.until - begunAt;
+    const addition = additionFor(this.context, job, target, leftMs, resumeAfter, placement.parts);
+    const open = sights.began(target.id, placement.tokens, this.fetchOf(placement, addition));
     let outcome: Outcome;
     let status = 0;
     try {
