--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -1,6 +1,8 @@
 import { Agent, request as send } from 'node:http';
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { create } from '@bufbuild/protobuf';
+import { controlMessage } from '@jasmineroute/protocol';
 import { afterEach, describe, expect, it } from 'vitest';
 import { Bed, answered, routeTo, until } from './testing/bed.js';
 import type { Script } from './testing/bed.js';
@@ -349,6 +351,28 @@
     expect(headers['t-salt']).toContain('weights-1');
   });
 
+  it('names a target that has the shared part as the source, while it has the same weights', async () => {
+    // Symptom: a request runs on cache that was made under other weights.
+    // Sequence: a target has a part in its cache, and loads new weights; what told of the part is older than that.
+    // Cause: it was named as a source by what was told alone, without a look at its weights.
+    const url = await start([routeTo({ ...stream, maxAttempts: 1 })], 2);
+    const [first, second] = [bed.target(1), bed.target(2)];
+    for (const target of bed.targets) target.script = events(0, 0, () => undefined);
+    const asked = (): Promise<unknown> => {
+      const before = bed.arrivals();
+      ask(url, { headers: { 't-prompt': 'a,b' } }).catch(() => undefined);
+      return until(() => bed.arrivals() > before);
+    };
+    const source = (): unknown => first.requests.at(-1)?.headers['t-source'];
+    bed.cache(second, { salt: 'weights-1', model: 'm', part: 'a' });
+    for (let n = 0; n < 20 && source() !== second.address; n += 1) await asked();
+    expect(source()).toBe(second.address);
+    const weights = [create(controlMessage.NamedWeightsSchema, { model: 'm', version: 2n })];
+    bed.announce({ t2: { sequence: 2n, weights } });
+    for (let n = 0; n < 20 && source() !== ''; n += 1) await asked();
+    expect(source()).toBe('');
+  });
+
   it('sends long streams to the next entry once a planned stop has begun, and serves short ones', async () => {
     // Symptom: a planned stop cuts a stream in its middle.
     // Sequence: the stop begins; the balancer sends a long stream still; the time to stop is over before its end.
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -5,8 +5,8 @@
 import { create } from '@bufbuild/protobuf';
 import type { Configuration, Route } from '@jasmineroute/configuration';
 import { silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
-import { Peers, controlMessage, listen } from '@jasmineroute/protocol';
-import type { RpcServer } from '@jasmineroute/protocol';
+import { Peers, controlMessage, listen, partKey } from '@jasmineroute/protocol';
+import type { RpcServer, StoredPart } from '@jasmineroute/protocol';
 import { Relay } from '../relay.js';
 import { relaySettings } from '../setting/index.js';
 import { testDialect } from './dialect.js';
@@ -115,6 +115,11 @@
   }
 }
 
+/** Fields of an announcement that a test changes. */
+type AnnouncedChange = Partial<
+  Pick<controlMessage.AnnouncedTarget, 'paused' | 'observation' | 'weights' | 'sequence'>
+>;
+
 /** Waits for a condition, within a bound. */
 export async function until(condition: () => boolean, ms = 5_000): Promise<void> {
   const end = performance.now() + ms;
@@ -185,7 +190,7 @@
   }
 
   /** Announces all targets; `changes` by id. */
-  announce(changes: Record<string, { paused?: boolean; observation?: bigint }> = {}): void {
+  announce(changes: Record<string, AnnouncedChange> = {}): void {
     const targets = this.targets.map(({ id, address }) =>
       create(AnnouncedTargetSchema, {
         id,
@@ -202,6 +207,12 @@
     this.teller.tell({ targets });
   }
 
+  /** Tells that a target has a part in its cache. */
+  cache(target: StandIn, part: StoredPart): void {
+    const added = [partKey(target.address, part)];
+    this.teller.tell({ cached: create(controlMessage.KeptChangesSchema, { whole: true, added }) });
+  }
+
   drain(): Promise<void> {
     return this.relay.drain();
   }
--- a/packages/relay/src/testing/dialect.ts
+++ b/packages/relay/src/testing/dialect.ts
@@ -42,6 +42,7 @@
     't-salt': addition.cacheSalt ?? '',
     't-version': String(addition.weightsVersion ?? ''),
     't-after': addition.lastEventId ?? '',
+    't-source': addition.cacheSource ?? '',
   }),
   readAnswer: (_status, headers) => ({
     requestId: headerOf(headers, 't-id'),
