--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -351,6 +351,26 @@
     expect(headers['t-salt']).toContain('weights-1');
   });
 
+  it('keeps the cache of a customer apart that shares with nobody', async () => {
+    // Symptom: a customer's prompt is answered from what another customer's request left in a cache.
+    // Sequence: two customers, one of them isolated, send the same prompt to one target.
+    // Cause: one salt for all.
+    const customers = ['alone', 'other', 'third'].map((name) => ({
+      name,
+      keys: [`key-${name}`],
+      isolated: name === 'alone',
+    }));
+    const url = await start([routeTo({ ...stream, open: false })], 1, { customers });
+    bed.target(1).script = events(0, 0, (response) => response.end());
+    for (const { keys } of customers) {
+      await ask(url, { headers: { 't-prompt': 'a,b', 't-key': keys[0] ?? '' } });
+    }
+    const [alone, other, third] = bed.target(1).requests.map(({ headers }) => headers['t-salt']);
+    expect(alone).toContain('alone');
+    expect(other).toBe(third);
+    expect(other).not.toBe(alone);
+  });
+
   it('names a target that has the shared part as the source, while it has the same weights', async () => {
     // Symptom: a request runs on cache that was made under other weights.
     // Sequence: a target has a part in its cache, and loads new weights; what told of the part is older than that.
