--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -13,7 +13,7 @@
 import { relayMetrics } from '../metrics.js';
 import { drawService, withWeights } from '../placement/index.js';
 import type { Placement, PlacementInput } from '../placement/index.js';
-import { additionFor, partsView, saltOf } from './addition.js';
+import { additionFor } from './addition.js';
 import { admit } from './admit.js';
 import type { Admitted } from './admit.js';
 import { send } from './attempt.js';
@@ -22,6 +22,7 @@
 import type { RelayContext } from './context.js';
 import { brokenOff, passAnswer, passFailure } from './pass.js';
 import type { Outcome } from './pass.js';
+import { partsView, saltOf } from './parts.js';
 import { overrunText, sendingReport } from './report.js';
 import { Stream } from './stream.js';
 
