Tell a control instance all of a target's cache every 5 s, as it may have restarted between two calls

Found by reading: nothing fails when an instance restarts between two calls, and it would be told changes alone. The test fails without the change.

--- a/packages/rollout/src/keeper/cacheReporter.spec.ts
+++ b/packages/rollout/src/keeper/cacheReporter.spec.ts
@@ -1,4 +1,4 @@
-import { silentLog, systemClock } from '@jasmineroute/core';
+import { ManualClock, silentLog } from '@jasmineroute/core';
 import { KeptParts, Peers, controlMessage, listen, partKey } from '@jasmineroute/protocol';
 import type { CacheNews, RpcServer } from '@jasmineroute/protocol';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
@@ -14,6 +14,7 @@
   let boards: KeptParts[];
   let peers: Peers;
   let news: CacheNews | undefined;
+  const clock = new ManualClock();
 
   beforeEach(async () => {
     boards = [new KeptParts(), new KeptParts()];
@@ -43,7 +44,7 @@
       port: { cacheNews: () => Promise.resolve(news) } as unknown as TargetPort,
       controls: () => servers.map(({ address }) => address),
       peers,
-      clock: systemClock,
+      clock,
       log: silentLog,
     });
 
@@ -72,6 +73,23 @@
     expect(keysAt(1)).toEqual([keyOf('b'), keyOf('c')].sort());
   });
 
+  it('is told whole again to an instance that lost what it knew', async () => {
+    // Symptom: parts that a target has are read again, for as long as they stay in its cache.
+    // Sequence: a control instance restarts between two calls; it is told what changed since the last one only.
+    // Cause: no call failed, so nothing showed that it had lost the rest.
+    const one = reporter();
+    news = told({ a: true });
+    await one.look();
+    boards[0]?.forget(ADDRESS);
+    news = told({ b: true });
+    await one.look();
+    expect(keysAt(0)).toEqual([keyOf('b')]);
+    await clock.advance(5_001);
+    news = told({});
+    await one.look();
+    expect(keysAt(0)).toEqual([keyOf('a'), keyOf('b')].sort());
+  });
+
   it('is nothing after a restart or a gap', async () => {
     const one = reporter();
     news = told({ a: true });
--- a/packages/rollout/src/keeper/cacheReporter.ts
+++ b/packages/rollout/src/keeper/cacheReporter.ts
@@ -17,9 +17,31 @@
 /** Pause before a target that did not answer is called again, milliseconds. */
 const PAUSE_MS = 500;
 
+/**
+ * A control instance is told all of it at least so often, milliseconds: one that restarted between two calls knows only
+ * what changed since, and nothing else shows that.
+ */
+const WHOLE_MS = 5_000;
+
 /** A control instance is told at least so often, milliseconds: it believes what it was told for 5 s. */
 const REPEAT_MS = 1_500;
 
+/** What a control instance was told last, and when. */
+interface Told {
+  readonly control: string;
+  /** Place of the last change that it was told. */
+  readonly place: number;
+  readonly at: number;
+  readonly wholeAt: number;
+}
+
+const NOT_TOLD: Told = {
+  control: '',
+  place: 0,
+  at: Number.NEGATIVE_INFINITY,
+  wholeAt: Number.NEGATIVE_INFINITY,
+};
+
 /** What the reporter works with. */
 export interface CacheReporterParts extends TellerParts {
   readonly address: string;
@@ -35,7 +57,7 @@
   private readonly kept = new KeptParts();
   private last: CacheNews | undefined;
   /** The control instance that was told last, and up to which place. */
-  private told = { control: '', place: 0, at: Number.NEGATIVE_INFINITY };
+  private told = NOT_TOLD;
   private readonly teller: Teller;
 
   constructor(private readonly parts: CacheReporterParts) {
@@ -76,11 +98,14 @@
     if (this.told.place === place && now - this.told.at <= REPEAT_MS) return;
     const told = this.told;
     // Without an answer an instance may have taken the changes or not: it is told all of it the next time.
-    this.told = { control: '', place: 0, at: Number.NEGATIVE_INFINITY };
+    this.told = NOT_TOLD;
+    const isDue = now - told.wholeAt > WHOLE_MS;
+    const isWhole = (to: string): boolean => isDue || to !== told.control;
     const control = await this.teller.tell((client, options, to) => {
-      const changes = this.kept.since(to === told.control ? told.place : 0);
+      const changes = this.kept.since(isWhole(to) ? 0 : told.place);
       return client.reportCache({ address, changes }, options);
     }, told.control);
-    if (control !== undefined) this.told = { control, place, at: now };
+    if (control === undefined) return;
+    this.told = { control, place, at: now, wholeAt: isWhole(control) ? now : told.wholeAt };
   }
 }
