--- a/packages/rollout/src/events.ts
+++ b/packages/rollout/src/events.ts
@@ -9,4 +9,6 @@
   notLoaded: { id: 8204, level: 'warn', message: 'the weights are not there in time; looked at again' },
   unreachable: { id: 8205, level: 'warn', message: 'the target beside this process does not answer' },
   unobserved: { id: 8206, level: 'warn', message: 'a control instance did not take an observation' },
+  cacheUnheard: { id: 8207, level: 'warn', message: 'the target tells nothing of its cache' },
+  cacheHeard: { id: 8208, level: 'info', message: 'the target tells of its cache again' },
 });
--- a/packages/rollout/src/keeper/cacheReporter.spec.ts
+++ b/packages/rollout/src/keeper/cacheReporter.spec.ts
@@ -14,7 +14,9 @@
   let boards: KeptParts[];
   let peers: Peers;
   let news: CacheNews | undefined;
+  let problem: string | undefined;
   const clock = new ManualClock();
+  let logged: number[];
 
   beforeEach(async () => {
     boards = [new KeptParts(), new KeptParts()];
@@ -31,6 +33,7 @@
       ),
     );
     peers = new Peers();
+    logged = [];
   });
 
   afterEach(async () => {
@@ -41,11 +44,13 @@
   const reporter = (): CacheReporter =>
     new CacheReporter({
       address: ADDRESS,
-      port: { cacheNews: () => Promise.resolve(news) } as unknown as TargetPort,
+      port: {
+        cacheNews: () => (problem === undefined ? Promise.resolve(news) : Promise.reject(new Error(problem))),
+      } as unknown as TargetPort,
       controls: () => servers.map(({ address }) => address),
       peers,
       clock,
-      log: silentLog,
+      log: { ...silentLog, event: ({ id }) => void logged.push(id) },
     });
 
   const told = (events: Record<string, boolean>, change: Partial<CacheNews> = {}): CacheNews => ({
@@ -90,6 +95,20 @@
     expect(keysAt(0)).toEqual([keyOf('a'), keyOf('b')].sort());
   });
 
+  it('is logged once when it is no longer told, with the reason, and when it is told again', async () => {
+    // Symptom: prompts are fetched or read again for no reason that any log shows.
+    // Sequence: a target's events can't be read; the process beside it asks again and again.
+    // Cause: the error was dropped.
+    const one = reporter();
+    news = told({ a: true });
+    await one.look();
+    problem = 'it can not be read';
+    for (let n = 0; n < 3; n += 1) expect(await one.look()).toBe(false);
+    problem = undefined;
+    await one.look();
+    expect(logged).toEqual([8207, 8208]);
+  });
+
   it('is nothing after a restart or a gap', async () => {
     const one = reporter();
     news = told({ a: true });
--- a/packages/rollout/src/keeper/cacheReporter.ts
+++ b/packages/rollout/src/keeper/cacheReporter.ts
@@ -3,6 +3,7 @@
 import type { TellerParts } from '@jasmineroute/knowledge';
 import { KeptParts } from '@jasmineroute/protocol';
 import type { CacheNews } from '@jasmineroute/protocol';
+import { rolloutEvents } from '../events.js';
 import type { TargetPort } from '../port/index.js';
 
 /** How long the target may hold a call until it has news, milliseconds. */
@@ -56,6 +57,7 @@
   private readonly stopped = new AbortController();
   private readonly kept = new KeptParts();
   private last: CacheNews | undefined;
+  private isHeard = true;
   /** The control instance that was told last, and up to which place. */
   private told = NOT_TOLD;
   private readonly teller: Teller;
@@ -82,14 +84,26 @@
   async look(): Promise<boolean> {
     const { address, port } = this.parts;
     const since = this.last?.next ?? 0;
-    // The reporter of loads logs a target that does not answer, and control forgets its cache soon.
-    const news = await port.cacheNews(since, WAIT_MS, WAIT_MS + ANSWER_MS).catch(() => undefined);
-    if (news === undefined) return false;
-    this.last = this.kept.take(address, news, this.last);
+    const told = await port.cacheNews(since, WAIT_MS, WAIT_MS + ANSWER_MS).then(
+      (news) => ({ news, problem: 'too many calls wait there' }),
+      (problem: unknown) => ({ news: undefined, problem: String(problem) }),
+    );
+    this.note(told.news !== undefined, told.problem);
+    if (told.news === undefined) return false;
+    this.last = this.kept.take(address, told.news, this.last);
     await this.tell();
     return true;
   }
 
+  /** Logs the loss of the target's news, and its return, once each. Control forgets the cache soon after the loss. */
+  private note(isHeard: boolean, problem: string): void {
+    if (isHeard === this.isHeard) return;
+    this.isHeard = isHeard;
+    const { address, log } = this.parts;
+    if (isHeard) log.event(rolloutEvents.cacheHeard, { address });
+    else log.event(rolloutEvents.cacheUnheard, { address, problem });
+  }
+
   /** Tells the control instance that knows the rest already what is new, or else all of it to the first that answers. */
   private async tell(): Promise<void> {
     const { address, clock } = this.parts;
