--- a/packages/relay/src/cache/storeLink.ts
+++ b/packages/relay/src/cache/storeLink.ts
@@ -6,7 +6,7 @@
  * Longest wait for a store's link that a prompt is sent into, milliseconds. What was fetched counts until its first token
  * came, so about half of it is over; the rest still leaves an objective of 400 ms. Fetches go one after the other. When
  * all that waits after an outage comes at once, each waits for those before it, and as fetches take nine tenths of the
- * link at usual load, the queue of 1.5 s stayed for 4 s and made every first token late. What finds the link that busy is
+ * link at usual load by estimate, the queue of 1.5 s stayed for 4 s and made every first token late. What finds the link that busy is
  * read again instead: 34 ms of one target, which is dear, so not before. With 120 ms three times as much was read again.
  */
 const MOST_WAIT_MS = 600;
--- a/packages/relay/src/placement/lack.ts
+++ b/packages/relay/src/placement/lack.ts
@@ -11,13 +11,16 @@
 
 /**
  * What a prompt costs at a target that fetches its shared parts, as a part of their tokens. All fetches go one after the
- * other over the store's link, 14 ms each and 28 ms between data centres (3,780 tokens of 192,512 B at 420 Gbit/s), and
- * 36 of them a second fill it. A target has a third of its parts in its own cache: under load one stays there for two
- * seconds.
+ * other over the store's link, 14 ms each and 28 ms between data centres (3,780 tokens of 192,512 B at 420 Gbit/s), so by
+ * estimate 36 of them a second fill it. With 1,500 tokens for a prompt of 6,300 it filled up: first tokens came 0.5 s late
+ * at every target. Other parts than this one were not compared.
  */
 const FETCH_PART = 0.8;
 
-/** The same when the shared parts must be read: what was read somewhere for these weights is better not read again. */
+/**
+ * The same when the shared parts must be read: what was read somewhere for these weights is better not read again. Chosen,
+ * not compared.
+ */
 const READ_AGAIN_PART = 0.5;
 
 /**
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -9,7 +9,7 @@
 
 /**
  * What each request costs that a target has already, tokens: it adds 0.0413 ms to each step of about 7 ms, and holds a
- * place.
+ * place. Chosen so that ten of them weigh less than one prompt of usual size.
  */
 const REQUEST_TOKENS = 200;
 
@@ -30,7 +30,8 @@
 /**
  * Times its objective after which a first token is too late for the request to be sent, and the mean part of the engines'
  * places that are taken then. What is sent into a queue of a second is late for certain, and so is all that comes behind
- * it, until the queue is gone; what is refused leaves the place to what can be in time. With free places nothing is.
+ * it, until the queue is gone; what is refused leaves the place to what can be in time. With free places nothing is. An
+ * expectation errs by half and more, so a request that seems a little late is sent; both chosen, not compared.
  */
 const LATE = 1.5;
 const BUSY = 0.5;
--- a/packages/rollout/src/keeper/cacheReporter.ts
+++ b/packages/rollout/src/keeper/cacheReporter.ts
@@ -50,8 +50,8 @@
 }
 
 /**
- * One control instance is told, which tells all entries. A cache turns over in two seconds under load, so where a part
- * was read last says little; a request that goes where its parts are costs neither the store's link nor a second reading.
+ * One control instance is told, which tells all entries. Under load a cache turns over in some two seconds by
+ * estimate, so where a part was read last says little; a request that goes where its parts are costs neither the store's link nor a second reading.
  */
 export class CacheReporter {
   private readonly stopped = new AbortController();
