--- a/packages/relay/src/work/addition.ts
+++ b/packages/relay/src/work/addition.ts
@@ -1,12 +1,11 @@
 /** What the system adds to a request that it sends to a target. */
 import type { Target } from '@jasmineroute/knowledge';
-import { storeAddress } from '../cache/index.js';
 import type { StoreUse } from '../cache/index.js';
 import type { Addition } from '../dialect/index.js';
 import type { PartsPlace } from '../placement/index.js';
 import type { Job } from './attempt.js';
 import type { RelayContext } from './context.js';
-import { cacheSaltAt, neighbourWith, versionAt } from './parts.js';
+import { cacheSaltAt, neighbourWith, storeInForce, versionAt } from './parts.js';
 
 /** Least urgent place that a target knows. */
 const LEAST_URGENT = 9;
@@ -38,14 +37,8 @@
   };
 }
 
-function storeUse(
-  { knowledge, copies }: RelayContext,
-  { request }: Job,
-  cacheSalt: string | undefined,
-): StoreUse {
-  const table = knowledge.table();
-  if (cacheSalt === undefined || request.prompt === undefined || table === undefined) return {};
-  const store = storeAddress(table.configuration);
-  const isLost = store !== undefined && knowledge.isStoreLost(store);
-  return copies.use(isLost ? undefined : store, request.prompt, cacheSalt);
+function storeUse(context: RelayContext, { request }: Job, cacheSalt: string | undefined): StoreUse {
+  if (cacheSalt === undefined || request.prompt === undefined) return {};
+  const store = storeInForce(context);
+  return context.copies.use(store?.isLost === false ? store.address : undefined, request.prompt, cacheSalt);
 }
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -1,4 +1,5 @@
 /** Where the shared parts of a request's prompt are, and under which text they are found. */
+import type { Configuration } from '@jasmineroute/configuration';
 import type { Target } from '@jasmineroute/knowledge';
 import type { StoredPart } from '@jasmineroute/protocol';
 import { fetchMs, isLinkBusy, storeAddress } from '../cache/index.js';
@@ -7,6 +8,14 @@
 import type { Job } from './attempt.js';
 import type { RelayContext } from './context.js';
 
+/** A store of kept KV cache. */
+export interface StoreInForce {
+  /** host:port. */
+  readonly address: string;
+  readonly configuration: Configuration;
+  readonly isLost: boolean;
+}
+
 /** Keeps cached blocks apart of a customer that shares with nobody. */
 export function saltOf({ customer }: Job): string {
   return customer?.isolated === true ? `customer-${customer.name} ` : '';
@@ -27,6 +36,14 @@
   return `${saltOf(job)}weights-${versionAt(target, job) ?? 0}`;
 }
 
+/** The store that the configuration in force names, and whether it answers; undefined: there is none. */
+export function storeInForce({ knowledge }: RelayContext): StoreInForce | undefined {
+  const configuration = knowledge.table()?.configuration;
+  const address = configuration === undefined ? undefined : storeAddress(configuration);
+  if (configuration === undefined || address === undefined) return undefined;
+  return { address, configuration, isLost: knowledge.isStoreLost(address) };
+}
+
 /** A part that a prompt shares with others, as a target would have it. */
 type SharedPart = StoredPart & { readonly tokens: number };
 
@@ -46,21 +63,22 @@
 }
 
 /** Where the shared parts of a request are, as seen from one target. */
-export function partsView({ knowledge, sights }: RelayContext, job: Job, target: Target): PartsView {
+export function partsView(context: RelayContext, job: Job, target: Target): PartsView {
+  const { knowledge, sights } = context;
   const parts = sharedPartsAt(target, job);
   const last = parts.at(-1);
   if (last === undefined) return UNKNOWN_PARTS;
-  const cachedTokens = tokensUntil(parts, (part) => knowledge.isCached(target.address, part));
-  if (knowledge.isCached(target.address, last)) return { place: 'here', cachedTokens };
-  const table = knowledge.table();
-  const store = table === undefined ? undefined : storeAddress(table.configuration);
-  if (table === undefined || store === undefined || knowledge.isStoreLost(store))
-    return { place: 'nowhere', cachedTokens };
-  const isKept = knowledge.isKept(store, last);
+  const isCached = (part: StoredPart): boolean => knowledge.isCached(target.address, part);
+  // Blocks are found only with all before them, so the last part stands for all.
+  if (isCached(last)) return { place: 'here', cachedTokens: tokensUntil(parts, () => true) };
+  const cachedTokens = tokensUntil(parts, isCached);
+  const store = storeInForce(context);
+  if (store === undefined || store.isLost) return { place: 'nowhere', cachedTokens };
+  const isKept = knowledge.isKept(store.address, last);
   if (isKept === undefined) return { place: 'unknown', cachedTokens };
   if (!isKept) return { place: 'nowhere', cachedTokens };
-  const tokenMs = fetchMs(table.configuration, job.service, store);
-  return { place: isLinkBusy(sights.backlog, store, tokenMs) ? 'busy' : 'store', cachedTokens };
+  const tokenMs = fetchMs(store.configuration, job.service, store.address);
+  return { place: isLinkBusy(sights.backlog, store.address, tokenMs) ? 'busy' : 'store', cachedTokens };
 }
 
 /**
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -7,7 +7,6 @@
 import { readBody } from '@jasmineroute/entry';
 import type { Target } from '@jasmineroute/knowledge';
 import type { CallerAnswer } from '../answer/index.js';
-import { storeAddress } from '../cache/index.js';
 import type { Addition, RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
 import { relayMetrics } from '../metrics.js';
@@ -22,7 +21,7 @@
 import type { RelayContext } from './context.js';
 import { brokenOff, passAnswer, passFailure } from './pass.js';
 import type { Outcome } from './pass.js';
-import { partsView, saltOf } from './parts.js';
+import { partsView, saltOf, storeInForce } from './parts.js';
 import { overrunText, sendingReport } from './report.js';
 import { Stream } from './stream.js';
 
@@ -243,8 +242,7 @@
 
   /** What a sending fetches over a store's link. */
   private fetchOf({ fetched = 0 }: Placement, { cacheSource }: Addition): Fetch | undefined {
-    const table = this.context.knowledge.table();
-    const store = table === undefined ? undefined : storeAddress(table.configuration);
+    const store = storeInForce(this.context)?.address;
     return store === undefined || cacheSource !== store ? undefined : { store, tokens: fetched };
   }
 
