--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -7,7 +7,7 @@
 import type { ConfigurationState } from '../configuration/index.js';
 import { controlEvents } from '../events.js';
 import type { CommandLog } from '../log/index.js';
-import type { LoadBoard } from '../loads/index.js';
+import type { RecentBoard } from '../recent/index.js';
 import type { TargetBook } from '../targets/index.js';
 
 /** Time between two events when nothing changes, milliseconds: how a follower knows that it still hears. */
@@ -24,9 +24,9 @@
   readonly configuration: ConfigurationState;
   readonly targets: TargetBook;
   /** Loads of targets, by their ids. */
-  readonly loads: LoadBoard<controlMessage.TargetLoad>;
+  readonly loads: RecentBoard<controlMessage.TargetLoad>;
   /** Work of entries, by their names. */
-  readonly work: LoadBoard<controlMessage.EntryWork>;
+  readonly work: RecentBoard<controlMessage.EntryWork>;
   /** Addresses of stores that do not answer. */
   readonly lostStores: () => readonly string[];
   /** What stores keep; undefined where no store is watched. */
--- a/packages/control/src/loads/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export * from './loadBoard.js';
--- /dev/null
+++ b/packages/control/src/recent/index.ts
@@ -0,0 +1,1 @@
+export * from './recentBoard.js';
--- a/packages/control/src/loads/loadBoard.spec.ts
+++ b/packages/control/src/recent/recentBoard.spec.ts
@@ -2,15 +2,15 @@
 import { ManualClock } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import { describe, expect, it } from 'vitest';
-import { LoadBoard } from './loadBoard.js';
+import { RecentBoard } from './recentBoard.js';
 
 const load = (targetId: string, running: number): controlMessage.TargetLoad =>
   create(controlMessage.TargetLoadSchema, { targetId, running, waiting: 0 });
 
-describe('the board of loads', () => {
+describe('the board of what was told last', () => {
   it('tells the newest of each target, gathered', async () => {
     const clock = new ManualClock();
-    const board = new LoadBoard<controlMessage.TargetLoad>(clock, 150);
+    const board = new RecentBoard<controlMessage.TargetLoad>(clock, 150);
     let told = 0;
     board.onChange(() => {
       told += 1;
--- a/packages/control/src/loads/loadBoard.ts
+++ b/packages/control/src/recent/recentBoard.ts
@@ -10,7 +10,7 @@
 }
 
 /** The last that was told under each key. Nothing of it must last. */
-export class LoadBoard<Told> {
+export class RecentBoard<Told> {
   private readonly entries = new Map<string, Entry<Told>>();
   private readonly listeners = new Set<() => void>();
   private lastPlace = 0;
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -10,7 +10,7 @@
 import { DocumentService, DocumentView } from '../documents/index.js';
 import { controlEvents } from '../events.js';
 import { FollowService, enlist } from '../follow/index.js';
-import { LoadBoard } from '../loads/index.js';
+import { RecentBoard } from '../recent/index.js';
 import { Proposer } from '../log/index.js';
 import type { CommandLog } from '../log/index.js';
 import { controlMetrics } from '../metrics.js';
@@ -52,8 +52,8 @@
   readonly configurations: ConfigurationService;
   /** Announced targets, for interfaces in this process that targets call. */
   readonly targets: TargetBook;
-  private readonly loads: LoadBoard<controlMessage.TargetLoad>;
-  private readonly work: LoadBoard<controlMessage.EntryWork>;
+  private readonly loads: RecentBoard<controlMessage.TargetLoad>;
+  private readonly work: RecentBoard<controlMessage.EntryWork>;
   private readonly stores: StoreWatch | undefined;
   private readonly ended = new AbortController();
   private draining = false;
@@ -75,8 +75,8 @@
     this.source = new ControlDocumentSource(state.documents, commandLog);
     this.timeKeeper = new TimeKeeper(state.machine, commandLog, this.proposer, clock, log);
     this.replicaKeeper = new ReplicaKeeper(this.view, commandLog, clock, log);
-    this.loads = new LoadBoard(clock, GATHER_LOADS_MS);
-    this.work = new LoadBoard(clock, GATHER_WORK_MS);
+    this.loads = new RecentBoard(clock, GATHER_LOADS_MS);
+    this.work = new RecentBoard(clock, GATHER_WORK_MS);
     if (storePort !== undefined) {
       this.stores = new StoreWatch(state.configuration, storePort, clock, log);
     }
--- a/packages/relay/src/cache/copies.spec.ts
+++ b/packages/relay/src/cache/copies.spec.ts
@@ -4,9 +4,9 @@
 
 const STORE = '10.0.0.9:80';
 const part = (id: string, tokens: number) => ({ id, tokens });
-const prompt = (collection: string) => ({
+const prompt = (inner: string) => ({
   model: 'm',
-  parts: [part('house', 2_520), part(collection, 3_780), part('own', 2_890)],
+  parts: [part('outer', 2_520), part(inner, 3_780), part('own', 2_890)],
   promptTokens: 9_190,
   maxOutputTokens: 13,
 });
@@ -14,7 +14,7 @@
 describe('the use of the store', () => {
   it('fetches always and copies only what the store lacks', () => {
     // Symptom: a seventh of the shared parts is read again, though there is a store with room for all of them.
-    // Sequence: eight entries, 36 requests a second over 177 collections; each entry copies a part every 8 s, with the
+    // Sequence: eight entries, 36 requests a second over 177 shared parts; each entry copies a part every 8 s, with the
     // request's own part, and the store turns over before a part is asked for again.
     // Cause: no entry knew what the others had copied.
     const kept = new Set(['old']);
--- a/packages/relay/src/cache/copies.ts
+++ b/packages/relay/src/cache/copies.ts
@@ -18,7 +18,7 @@
  */
 const COPY_SHOWS_MS = 1_500;
 
-/** Shared parts that are remembered, some for each customer's collections; 100 bytes each. */
+/** Shared parts that are remembered, some for each customer; 100 bytes each. */
 const MOST_PARTS = 20_000;
 
 /** What a request is told of the store. */
--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -120,7 +120,7 @@
           priority: 1,
           salt: '',
           objectiveMs: 400,
-          parts: (one) => ({ place: place(one), cachedTokens: 0 }),
+          partsAt: (one) => ({ place: place(one), cachedTokens: 0 }),
         }),
       );
     const atOld = chosen(({ id }) => (id === 'old' ? 'here' : 'store'));
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -54,7 +54,7 @@
   /** Time within which its first token should come, milliseconds. */
   readonly objectiveMs: number;
   /** Where the shared parts are, as seen from a target. */
-  readonly parts?: (target: Target) => PartsView;
+  readonly partsAt?: (target: Target) => PartsView;
 }
 
 /** What was chosen and why, for the log. */
@@ -70,7 +70,7 @@
   /** Tokens of prompts that wait there already, and how much slower than the fastest the target is. */
   readonly waiting?: number;
   readonly slowness?: number;
-  readonly parts?: PartsPlace;
+  readonly partsPlace?: PartsPlace;
   /** When its first token will come, as it seems, milliseconds. */
   readonly expectedMs?: number;
   /** Requests that it probably has. */
@@ -142,7 +142,7 @@
       ...usable.map(({ id }) => this.sights.pace.pauseOf(id) ?? Number.POSITIVE_INFINITY),
     );
     const costs = usable.map((target) => {
-      const view = input.parts?.(target) ?? UNKNOWN_PARTS;
+      const view = input.partsAt?.(target) ?? UNKNOWN_PARTS;
       return this.costOf(target, lackOf(prompt, view, target === home), fastest);
     });
     const least = Math.min(...costs.map(({ total }) => total));
@@ -153,7 +153,7 @@
     const reason = home === undefined ? 'least-work' : target === home ? 'home' : 'elsewhere';
     const expectedMs = Math.round((waiting + tokens) * this.sights.backlog.tokenMs(target.id));
     const placed = this.placed(target, reason, usable.length);
-    return { ...placed, parts: place, tokens, fetched, waiting, slowness, expectedMs };
+    return { ...placed, partsPlace: place, tokens, fetched, waiting, slowness, expectedMs };
   }
 
   private costOf(target: Target, lack: Lack, fastestMs: number): Cost {
--- a/packages/relay/src/target/backlog.ts
+++ b/packages/relay/src/target/backlog.ts
@@ -16,6 +16,7 @@
 
 /** Tokens of prompts that wait at one target to be read, of one entry. */
 export interface PromptWork {
+  /** Or the address of a store, host:port, for what is fetched from it. */
   readonly targetId: string;
   readonly tokens: number;
 }
@@ -33,7 +34,10 @@
   readonly byTarget: ReadonlyMap<string, number>;
 }
 
-/** What this entry has under way, and what the others told of theirs. */
+/**
+ * What this entry has under way, and what the others told of theirs. What is fetched over a store's link is counted in the
+ * same way, under the store's address.
+ */
 export class Backlog {
   /** This entry's tokens by target id. */
   private readonly own = new Map<string, number>();
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -236,7 +236,7 @@
       priority: job.customer?.priority ?? job.route.priority,
       salt: saltOf(job),
       objectiveMs: job.route.objectiveMs,
-      parts: (target) => partsView(this.context, job, target),
+      partsAt: (target) => partsView(this.context, job, target),
     };
   }
 
@@ -253,7 +253,7 @@
     const { lastEventId } = this.stream;
     const resumeAfter = lastEventId === undefined ? job.request.lastEventId : String(lastEventId);
     const leftMs = job.until - begunAt;
-    const addition = additionFor(this.context, job, target, leftMs, resumeAfter, placement.parts);
+    const addition = additionFor(this.context, job, target, leftMs, resumeAfter, placement.partsPlace);
     const open = sights.began(target.id, placement.tokens, this.fetchOf(placement, addition));
     let outcome: Outcome;
     let status = 0;
--- a/packages/rollout/src/keeper/loadReporter.ts
+++ b/packages/rollout/src/keeper/loadReporter.ts
@@ -31,7 +31,6 @@
   /** The target did not answer the last time; logged once for each loss. */
   private lost = false;
   private toldAt = Number.NEGATIVE_INFINITY;
-
   private readonly teller: Teller;
 
   constructor(private readonly parts: LoadReporterParts) {
--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -192,7 +192,7 @@
 
   it('does not wait for a target that is next and does nothing', async () => {
     // Symptom: a rollout stands still for 3 s, and then several targets load at once.
-    // Sequence: the target that is next goes dark; it counts as ready until its heartbeats are missed.
+    // Sequence: the target that is next falls silent; it counts as ready until its heartbeats are missed.
     // Cause: the others waited for it as if it were loading.
     const one = keeper();
     announce('t0', '10.0.0.2:80', 1);
