Tell the starts of a target apart, and leave out what can not be read

Cause: a heartbeat whose count was not above the last was dropped, and an id that left never came back. A target that starts again under its id counts from 1, so it was lost until its count overtook.

Change: a start of a target is its name and what it tells of its start (TargetStart). A newer start counts for good, in whichever order and from whichever control instance the two are heard; a late word of an older one, also its leave, changes nothing. Lists are read entry by entry; what can not be read is left out, counted, and logged at 1, 10, 100.

--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -45,5 +45,7 @@
   },
   storeLost: { id: 3022, level: 'warn', message: 'a store of kept cache does not answer' },
   storeFound: { id: 3023, level: 'info', message: 'a store of kept cache answers again' },
+  unreadableCall: { id: 3024, level: 'warn', message: "a call in a target's name can not be read" },
+  unreadableEvents: { id: 3025, level: 'warn', message: "some of a store's events can not be read" },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- a/packages/control/src/follow/follow.spec.ts
+++ b/packages/control/src/follow/follow.spec.ts
@@ -43,7 +43,7 @@
     const heard = [first, second, third].map(follow);
     const accepted = await second.control.configurations.put(configuration(4), source(4));
     expect(accepted._unsafeUnwrap()).toEqual({ number: 4, stored: true });
-    const target = { id: 't1', service: 's', address: 'a:1', dataCentre: 'x', capacity: 1 };
+    const target = { name: 't1', service: 's', address: 'a:1', dataCentre: 'x', capacity: 1 };
     const rest = { draining: false, sequence: 1, coldMs: 0, weights: [] };
     third.control.targets.beat({ ...target, ...rest });
     await until(() => heard.every(({ numbers }) => numbers.includes(4)));
--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -6,6 +6,11 @@
   applyTime: { name: 'control.document.duration', type: 'timing', help: 'Time from apply to outcome' },
   claims: { name: 'control.claim.requests', type: 'counter', help: 'Claims, by state answered' },
   claimTime: { name: 'control.claim.duration', type: 'timing', help: 'Time of a claim' },
+  unreadableCalls: {
+    name: 'control.target.unreadable',
+    type: 'counter',
+    help: 'Calls in the name of targets that could not be read',
+  },
   claimsHeld: { name: 'control.claim.held', type: 'gauge', help: 'Claims in the table' },
   turns: { name: 'control.turn.requests', type: 'counter', help: 'Turns asked for, by whether granted' },
   revision: { name: 'control.revision', type: 'gauge', help: 'Revision of the documents' },
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -1,6 +1,8 @@
 /** The control role: documents, claims and turns over the replicated log, and the directory's feed. */
 import type { ConnectRouter } from '@connectrpc/connect';
 import { create } from '@bufbuild/protobuf';
+import { ProblemTally } from '@jasmineroute/core';
+import type { Fault } from '@jasmineroute/core';
 import { serveDirectory } from '@jasmineroute/directory';
 import type { InstanceMessage, Membership } from '@jasmineroute/directory';
 import { controlMessage } from '@jasmineroute/protocol';
@@ -55,6 +57,7 @@
   private readonly loads: RecentBoard<controlMessage.TargetLoad>;
   private readonly work: RecentBoard<controlMessage.EntryWork>;
   private readonly stores: StoreWatch | undefined;
+  private readonly unreadableCalls: ProblemTally;
   private readonly ended = new AbortController();
   private draining = false;
   /** Control instances known from the settings, host:port. */
@@ -81,6 +84,7 @@
       this.stores = new StoreWatch(state.configuration, storePort, clock, log);
     }
     this.configurations = new ConfigurationService(this.proposer, clock, log);
+    this.unreadableCalls = new ProblemTally(log, controlEvents.unreadableCall);
     this.targets = new TargetBook(clock, log, settings.targetHeartbeatMs);
     this.source.onChange(() => {
       this.measure();
@@ -187,6 +191,12 @@
     return this.readiness().ready;
   }
 
+  /** A call that says it is of the target `source` can't be read: it names no target to use. */
+  unreadable(source: string, { message }: Fault): void {
+    this.unreadableCalls.note(source, message);
+    this.context.metrics.count(controlMetrics.unreadableCalls, 1);
+  }
+
   /** Ends the streams of watchers, who move to other instances, and finishes the proposals under way. */
   async drain(): Promise<void> {
     this.draining = true;
--- a/packages/control/src/stores/storeWatch.ts
+++ b/packages/control/src/stores/storeWatch.ts
@@ -1,5 +1,6 @@
 /** Watches the stores of kept KV cache that the configuration names. */
 import { configuration } from '@jasmineroute/configuration';
+import { ProblemTally } from '@jasmineroute/core';
 import type { Clock, Log } from '@jasmineroute/core';
 import { KeptParts } from '@jasmineroute/protocol';
 import type { CacheNews } from '@jasmineroute/protocol';
@@ -39,6 +40,7 @@
   private readonly watched = new Set<string>();
   private readonly listeners = new Set<() => void>();
   private readonly stopped = new AbortController();
+  private readonly unreadable: ProblemTally;
   private read: { readonly number: bigint; readonly addresses: readonly string[] } = {
     number: 0n,
     addresses: [],
@@ -49,7 +51,9 @@
     private readonly port: StorePort,
     private readonly clock: Clock,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.unreadable = new ProblemTally(log, controlEvents.unreadableEvents);
+  }
 
   /** Addresses of stores that give no answer. */
   lost(): string[] {
@@ -99,6 +103,7 @@
         (problem: unknown) => ({ news: undefined, problem: String(problem) }),
       );
       this.note(address, told.problem);
+      if (told.news?.unread !== undefined) this.unreadable.note(address, told.news.unread.problem);
       if (told.news === undefined) await this.clock.sleep(PAUSE_MS, signal).catch(() => undefined);
       else last = this.kept.take(address, told.news, last);
     }
--- a/packages/control/src/targets/targetBook.spec.ts
+++ b/packages/control/src/targets/targetBook.spec.ts
@@ -8,7 +8,7 @@
 const { Announcement } = controlMessage;
 
 const heartbeat = (sequence: number, change: Partial<Heartbeat> = {}): Heartbeat => ({
-  id: 't1',
+  name: 't1',
   service: 's',
   address: '10.0.0.1:80',
   dataCentre: 'here',
@@ -59,11 +59,50 @@
   });
 
   it('keeps a leave, also of a target that it did not know', () => {
-    book.leave('t1');
+    book.leave({ name: 't1' });
     book.beat(heartbeat(9));
     expect(state()).toBe(Announcement.LEFT);
   });
 
+  it('hears a target that starts again under its id, and ends the start before', () => {
+    // Symptom: a target gets no work for minutes after a crash.
+    // Sequence: it crashes and starts again under its id; it counts its heartbeats from 1 again.
+    // Cause: all heartbeats up to the count of before were taken for late ones, and one that had left never came back.
+    book.beat(heartbeat(40, { born: 1_000 }));
+    book.beat(heartbeat(1, { born: 2_000 }));
+    expect(state('t1/1000')).toBe(Announcement.LEFT);
+    expect(state('t1/2000')).toBe(Announcement.READY);
+    book.leave({ name: 't1', born: 2_000 });
+    book.beat(heartbeat(1, { born: 3_000 }));
+    expect(state('t1/2000')).toBe(Announcement.LEFT);
+    expect(state('t1/3000')).toBe(Announcement.READY);
+  });
+
+  it('takes no late word of an older start', async () => {
+    // Symptom: a target that has just started gets no work, or a dead one does.
+    // Sequence: a heartbeat, or the leave, of the start before is held up on the way, and comes after the new start's.
+    // Cause: it was believed of the target, whichever start had sent it.
+    book.beat(heartbeat(40, { born: 1_000 }));
+    book.beat(heartbeat(1, { born: 2_000 }));
+    const place = book.place();
+    book.beat(heartbeat(41, { born: 1_000 }));
+    book.beat(heartbeat(42));
+    book.leave({ name: 't1', born: 1_000 });
+    book.leave({ name: 't1' });
+    expect(book.since(place)).toEqual([]);
+    expect(state('t1/2000')).toBe(Announcement.READY);
+    await clock.advance(5_000);
+    book.beat(heartbeat(5, { born: 2_000 }));
+    book.leave({ name: 't1' });
+    expect(state('t1/2000')).toBe(Announcement.LEFT);
+  });
+
+  it('takes a leave that tells no start as of the one that is known, however new', () => {
+    book.beat(heartbeat(1, { born: 1_000 }));
+    book.leave({ name: 't1' });
+    expect(state('t1/1000')).toBe(Announcement.LEFT);
+  });
+
   it('finds a target silent that says nothing for three heartbeats, and hears it again', async () => {
     book.beat(heartbeat(1));
     await clock.advance(3 * HEARTBEAT_MS);
--- a/packages/control/src/targets/targetBook.ts
+++ b/packages/control/src/targets/targetBook.ts
@@ -1,7 +1,8 @@
 /** Targets that announced themselves to this control instance. */
 import { create } from '@bufbuild/protobuf';
 import type { Clock, Log } from '@jasmineroute/core';
-import { controlMessage } from '@jasmineroute/protocol';
+import { NewestStarts, compareStarts, controlMessage, startId } from '@jasmineroute/protocol';
+import type { TargetStart } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
 
 /** Heartbeats that may be missed before a target counts as silent: one lost and one late. */
@@ -13,20 +14,25 @@
 /** A pause that was not renewed for so long is over, milliseconds: whoever asked for it is gone. */
 const PAUSE_MS = 6_000;
 
+/**
+ * A leave that does not tell its start is taken for one of the start before while the newest was first heard of less than
+ * so long ago, milliseconds: calls arrive seconds late, and no target is stopped as planned as soon as it has started.
+ */
+const LATE_LEAVE_MS = 5_000;
+
 /** How often silence is looked for, milliseconds. */
 const LOOK_MS = 300;
 
 const { Announcement, AnnouncedTargetSchema } = controlMessage;
 
 /** What a target says of itself in a heartbeat. */
-export interface Heartbeat {
-  readonly id: string;
+export interface Heartbeat extends TargetStart {
   readonly service: string;
   readonly address: string;
   readonly dataCentre: string;
   readonly capacity: number;
   readonly draining: boolean;
-  /** Grows with each heartbeat of the target. */
+  /** Grows with each heartbeat of one start of the target. */
   readonly sequence: number;
   readonly coldMs: number;
   readonly weights: readonly { readonly model: string; readonly version: number }[];
@@ -35,6 +41,7 @@
 interface Entry {
   readonly target: controlMessage.AnnouncedTarget;
   readonly heardAt: number;
+  readonly firstHeardAt: number;
   /** When the last observation came; absent: none. */
   readonly observedAt?: number;
   /** Place of the last change that followers must hear of. */
@@ -54,6 +61,7 @@
  */
 export class TargetBook {
   private readonly entries = new Map<string, Entry>();
+  private readonly newest = new NewestStarts();
   private readonly listeners = new Set<() => void>();
   private lastPlace = 0;
   private readonly ended = new AbortController();
@@ -80,9 +88,14 @@
     return () => this.listeners.delete(listener);
   }
 
-  /** Takes a heartbeat. One that was overtaken by a newer one, or by the target's leave, changes nothing. */
+  /**
+   * Takes a heartbeat. One that was overtaken by a newer one, by the target's leave or by a newer start of the target
+   * changes nothing.
+   */
   beat(heartbeat: Heartbeat): void {
-    const known = this.entries.get(heartbeat.id);
+    if (this.newest.isOld(heartbeat)) return;
+    this.endOlder(heartbeat);
+    const known = this.entries.get(startId(heartbeat));
     const { sequence } = heartbeat;
     if (known !== undefined && this.isOvertaken(known.target, sequence)) return;
     this.put(targetOf(heartbeat, known?.target));
@@ -99,11 +112,19 @@
     return true;
   }
 
-  /** Takes a target's leave, also of one that this instance has not heard of. */
-  leave(id: string): void {
-    const known = this.entries.get(id)?.target;
-    if (known?.announcement === Announcement.LEFT) return;
-    const base = known ?? create(AnnouncedTargetSchema, { id });
+  /**
+   * Takes a target's leave, also of one that this instance has not heard of. One that tells no start is of the newest
+   * start, unless that is so new that it must be a late call of the one before.
+   */
+  leave(told: TargetStart): void {
+    const start = told.born === undefined ? (this.newest.of(told.name) ?? told) : told;
+    if (this.newest.isOld(start)) return;
+    this.endOlder(start);
+    const id = startId(start);
+    const known = this.entries.get(id);
+    if (told.born !== start.born && known !== undefined && this.isLateLeave(known)) return;
+    if (known?.target.announcement === Announcement.LEFT) return;
+    const base = known?.target ?? emptyTarget(start);
     this.put({ ...base, announcement: Announcement.LEFT });
   }
 
@@ -129,7 +150,7 @@
         this.put({ ...target, paused: false }, heardAt);
         continue;
       }
-      if (silentMs > FORGET_MS) this.entries.delete(target.id);
+      if (silentMs > FORGET_MS) this.forget(target);
       else if (this.isSilent(target, silentMs))
         this.put({ ...target, announcement: Announcement.SILENT }, heardAt);
     }
@@ -140,7 +161,29 @@
     return speaks && silentMs > MISSED_HEARTBEATS * this.heartbeatMs;
   }
 
-  /** A target that left never comes back under its id: each start of a target has a new one. */
+  private forget(target: controlMessage.AnnouncedTarget): void {
+    this.entries.delete(target.id);
+    this.newest.forget(startOf(target));
+  }
+
+  /** Older starts of a target are over: whoever hears of the newer one must not use them. */
+  private endOlder(start: TargetStart): void {
+    for (const { target } of [...this.entries.values()]) {
+      const isOlder = target.name === start.name && compareStarts(startOf(target), start) < 0;
+      if (isOlder && target.announcement !== Announcement.LEFT)
+        this.put({ ...target, announcement: Announcement.LEFT });
+    }
+  }
+
+  /** Whether a leave without a start is too early for the newest one, and another start was known before it. */
+  private isLateLeave({ target, firstHeardAt }: Entry): boolean {
+    const hasOlder = [...this.entries.values()].some(
+      (other) => other.target.name === target.name && other.target.id !== target.id,
+    );
+    return hasOlder && this.clock.monotonic() - firstHeardAt < LATE_LEAVE_MS;
+  }
+
+  /** A start of a target that left never comes back. */
   private isOvertaken(known: controlMessage.AnnouncedTarget, sequence: number): boolean {
     return known.announcement === Announcement.LEFT || known.sequence >= BigInt(sequence);
   }
@@ -154,7 +197,8 @@
     const isNews = known === undefined || essence(known.target) !== essence(target);
     if (isNews) this.lastPlace += 1;
     const place = isNews ? this.lastPlace : known.place;
-    this.entries.set(target.id, { target, heardAt, observedAt, place });
+    const firstHeardAt = known?.firstHeardAt ?? heardAt;
+    this.entries.set(target.id, { target, heardAt, firstHeardAt, observedAt, place });
     if (!isNews) return;
     this.log.event(controlEvents.targetAnnounced, {
       target: target.id,
@@ -183,16 +227,33 @@
   return [...newest.values()];
 }
 
+/** The start that an announced target is. */
+const startOf = ({ name, born }: controlMessage.AnnouncedTarget): TargetStart => ({
+  name,
+  born: born === undefined ? undefined : Number(born),
+});
+
+/** A target of which nothing is known but its start. */
+function emptyTarget(start: TargetStart): controlMessage.AnnouncedTarget {
+  const { name, born } = start;
+  return create(AnnouncedTargetSchema, { id: startId(start), name, born: bornOf(born) });
+}
+
+const bornOf = (born: number | undefined): bigint | undefined =>
+  born === undefined ? undefined : BigInt(born);
+
 function targetOf(
   heartbeat: Heartbeat,
   known?: controlMessage.AnnouncedTarget,
 ): controlMessage.AnnouncedTarget {
-  const { draining, sequence, weights, ...rest } = heartbeat;
+  const { draining, sequence, weights, born, ...rest } = heartbeat;
   const told = weights.map(({ model, version }) =>
     create(controlMessage.NamedWeightsSchema, { model, version: BigInt(version) }),
   );
   return create(AnnouncedTargetSchema, {
     ...rest,
+    id: startId(heartbeat),
+    born: bornOf(born),
     announcement: draining ? Announcement.DRAINING : Announcement.READY,
     sequence: BigInt(sequence),
     weights: newerWeights(known?.weights ?? [], told),
--- a/packages/core/src/event/index.ts
+++ b/packages/core/src/event/index.ts
@@ -1,1 +1,2 @@
 export * from './event.js';
+export * from './problemTally.js';
--- /dev/null
+++ b/packages/core/src/event/problemTally.spec.ts
@@ -0,0 +1,31 @@
+import { describe, expect, it } from 'vitest';
+import { silentLog } from './event.js';
+import { ProblemTally } from './problemTally.js';
+
+const event = { id: 1, level: 'warn', message: 'can not be read' } as const;
+
+describe('a tally of problems', () => {
+  it('logs the first, the tenth and the hundredth of a source, and counts all', () => {
+    const lines: unknown[] = [];
+    const log = { ...silentLog, event: (_kind: unknown, fields: unknown) => lines.push(fields) };
+    const tally = new ProblemTally(log, event);
+    for (let n = 0; n < 150; n += 1) tally.note('a', 'no state');
+    tally.note('b', 'no address');
+    expect(lines).toEqual([
+      { source: 'a', problem: 'no state', count: 1 },
+      { source: 'a', problem: 'no state', count: 10 },
+      { source: 'a', problem: 'no state', count: 100 },
+      { source: 'b', problem: 'no address', count: 1 },
+    ]);
+    expect(tally.countOf('a')).toBe(150);
+  });
+
+  it('tells a bounded number of sources apart', () => {
+    const lines: { source?: string }[] = [];
+    const log = { ...silentLog, event: (_kind: unknown, fields = {}) => void lines.push(fields) };
+    const tally = new ProblemTally(log, event);
+    for (let n = 0; n < 5_000; n += 1) tally.note(`s${n}`, 'no state');
+    expect(lines.length).toBeLessThan(1_010);
+    expect(tally.countOf('others')).toBe(4_000);
+  });
+});
--- a/packages/knowledge/src/targetList.spec.ts
+++ b/packages/knowledge/src/targetList.spec.ts
@@ -80,6 +80,29 @@
     expect(ready()).toEqual([]);
   });
 
+  it('uses the newer of two starts, whichever is heard of first and at whichever control instance', () => {
+    // Symptom: requests go to a start of a target that is over, or the new one gets none.
+    // Sequence: a target starts again under its id; one control instance hears the old start last, another the new one.
+    // Cause: what the instances said was merged by the target's id alone.
+    const start = (born: number, sequence: number, announcement = Announcement.READY) => ({
+      ...announced(`t1/${born}`, sequence, announcement),
+      name: 't1',
+      born: BigInt(born),
+    });
+    list.apply('c1', [start(1_000, 40)], true);
+    list.apply('c2', [start(2_000, 1)], true);
+    expect(ready()).toEqual(['t1/2000']);
+    list.apply('c1', [start(1_000, 41)], false);
+    list.apply('c1', [start(1_000, 41, Announcement.LEFT)], false);
+    expect(ready()).toEqual(['t1/2000']);
+
+    const other = new TargetList(clock, silentLog);
+    other.apply('c2', [start(2_000, 1)], true);
+    other.apply('c1', [start(1_000, 40)], true);
+    expect(other.ready('s').map(({ id, name }) => [id, name])).toEqual([['t1/2000', 't1']]);
+    expect(other.at('10.0.0.1:80')?.id).toBe('t1/2000');
+  });
+
   it('tells of a pause once, and ends it by a newer observation only', () => {
     const paused: string[] = [];
     list.onPause((id) => paused.push(id));
--- a/packages/knowledge/src/targetList.ts
+++ b/packages/knowledge/src/targetList.ts
@@ -1,6 +1,7 @@
 /** Announced targets as this process believes them, merged from all control instances. */
 import type { Clock, Log } from '@jasmineroute/core';
-import { controlMessage } from '@jasmineroute/protocol';
+import { NewestStarts, compareStarts, controlMessage } from '@jasmineroute/protocol';
+import type { TargetStart } from '@jasmineroute/protocol';
 import { knowledgeEvents } from './events.js';
 
 const { Announcement } = controlMessage;
@@ -11,9 +12,9 @@
 /** Targets that left or fell silent are forgotten after so long, milliseconds. */
 const FORGET_MS = 120_000;
 
-/** A target as it announced itself. */
-export interface Target {
-  /** New for each start of the target. */
+/** One start of a target, as it announced itself. */
+export interface Target extends TargetStart {
+  /** New for each start of the target: what is held, counted or believed of a target is kept under it. */
   readonly id: string;
   readonly service: string;
   /** host:port. */
@@ -50,11 +51,12 @@
 const finalityOf = (announcement: controlMessage.Announcement): number => finality[announcement] ?? 0;
 
 /**
- * Targets by id. Addresses are given out again, so nothing is kept by address. A target counts as alive as long
+ * Targets by the id of their start. Addresses are given out again, so nothing is kept by address. A target counts as alive as long
  * as any control instance hears it: heartbeats go to one instance at a time, and the others fall silent about it.
  */
 export class TargetList {
   private readonly targets = new Map<string, Known>();
+  private readonly newest = new NewestStarts();
   private readonly lostAt = new Map<string, number>();
   private readonly pauseListeners = new Set<(id: string) => void>();
 
@@ -116,7 +118,7 @@
     this.lostAt.set(control, this.clock.monotonic());
   }
 
-  /** A target's address answered for another target: this one is gone for good. */
+  /** A target's address answered for another target, or it started again: this one is gone for good. */
   replaced(id: string): void {
     const known = this.targets.get(id);
     if (known === undefined || known.replaced) return;
@@ -125,8 +127,15 @@
     this.log.event(knowledgeEvents.targetChanged, { target: id, state: 'replaced' });
   }
 
+  /** Of two starts of one target the newer one counts, in whichever order and from whomever they are heard. */
   private take(control: string, announced: controlMessage.AnnouncedTarget): void {
     const now = this.clock.monotonic();
+    const start = startOf(announced);
+    if (this.newest.isOld(start)) {
+      this.replaced(announced.id);
+      return;
+    }
+    this.endOlder(start);
     const known = this.targets.get(announced.id) ?? {
       target: targetOf(announced),
       sequence: 0n,
@@ -149,6 +158,12 @@
     this.log.event(knowledgeEvents.targetChanged, { target: id, service, address, state, before, control });
   }
 
+  private endOlder(start: TargetStart): void {
+    for (const { target } of this.targets.values()) {
+      if (target.name === start.name && compareStarts(target, start) < 0) this.replaced(target.id);
+    }
+  }
+
   /** The newest word counts; what is final stays, also against a newer sequence from a process that thawed late. */
   private believe(known: Known, announced: controlMessage.AnnouncedTarget): void {
     const isWord = announced.announcement !== Announcement.SILENT;
@@ -175,7 +190,9 @@
       this.lostAt.delete(control);
     }
     for (const [id, known] of this.targets) {
-      if (!isReady(known) && now - known.changedAt > FORGET_MS) this.targets.delete(id);
+      if (isReady(known) || now - known.changedAt <= FORGET_MS) continue;
+      this.targets.delete(id);
+      this.newest.forget(known.target);
     }
   }
 
@@ -208,8 +225,14 @@
   return merged;
 }
 
+/** The start that is announced; a sender that names none is told of under its id. */
+const startOf = ({ id, name, born }: controlMessage.AnnouncedTarget): TargetStart => ({
+  name: name === '' ? id : name,
+  born: born === undefined ? undefined : Number(born),
+});
+
 function targetOf(announced: controlMessage.AnnouncedTarget): Target {
   const { id, service, address, dataCentre, capacity, weights, paused } = announced;
   const versions = new Map(weights.map(({ model, version }) => [model, Number(version)]));
-  return { id, service, address, dataCentre, capacity, weights: versions, paused };
+  return { ...startOf(announced), id, service, address, dataCentre, capacity, weights: versions, paused };
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,3 +5,4 @@
 export * from './transport/index.js';
 export * from './role/index.js';
 export * from './part/index.js';
+export * from './start/index.js';
--- a/packages/protocol/src/part/cacheNews.ts
+++ b/packages/protocol/src/part/cacheNews.ts
@@ -11,4 +11,6 @@
   readonly hasGap: boolean;
   /** In order; not kept: there is less of the part than before. */
   readonly events: readonly (StoredPart & { readonly isKept: boolean })[];
+  /** Events beside these that could not be read: how many, and why the first could not; absent: none. */
+  readonly unread?: { readonly count: number; readonly problem: string };
 }
--- /dev/null
+++ b/packages/protocol/src/start/index.ts
@@ -0,0 +1,1 @@
+export * from './targetStart.js';
--- a/packages/relay/src/dialect/dialect.ts
+++ b/packages/relay/src/dialect/dialect.ts
@@ -41,8 +41,8 @@
 export interface Addition {
   /** What is left of the deadline, milliseconds. */
   readonly deadlineMs: number;
-  /** Only this start of a target may run the request. */
-  readonly targetId: string;
+  /** Only the target of this name may run the request. */
+  readonly targetName: string;
   /** Only these weights may run it. */
   readonly weightsVersion?: number;
   /** Name of the customer. */
@@ -73,8 +73,8 @@
   readonly notRun: boolean;
   /** Carries a target's signature, without which a success is none. */
   readonly signed: boolean;
-  /** Target that stands at the address, when it is another one than was asked for. */
-  readonly otherTargetId?: string;
+  /** Name of the target that stands at the address, when it is another one than was asked for. */
+  readonly otherTargetName?: string;
   readonly load?: ToldLoad;
 }
 
--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -12,6 +12,7 @@
 
 const target = (id: string, version = 1, dataCentre = 'here'): Target => ({
   id,
+  name: id,
   service: 's',
   address: `${id}:1`,
   dataCentre,
--- a/packages/relay/src/testing/dialect.ts
+++ b/packages/relay/src/testing/dialect.ts
@@ -36,7 +36,7 @@
     }),
   targetHeaders: (request, addition) => ({
     ...request.headers,
-    't-target': addition.targetId,
+    't-target': addition.targetName,
     't-deadline': String(addition.deadlineMs),
     't-customer': addition.customer ?? '',
     't-salt': addition.cacheSalt ?? '',
@@ -48,7 +48,7 @@
     requestId: headerOf(headers, 't-id'),
     notRun: headerOf(headers, 't-not-run') !== undefined,
     signed: headerOf(headers, 't-signed') !== undefined,
-    otherTargetId: headerOf(headers, 't-target'),
+    otherTargetName: headerOf(headers, 't-target'),
   }),
   callerHeaders: (headers) => headers.filter(({ name }) => name.startsWith('t-')),
   ownAnswer: (status, { kind, ran, retryAfterMs }, requestId) => ({
--- a/packages/relay/src/work/addition.ts
+++ b/packages/relay/src/work/addition.ts
@@ -26,7 +26,7 @@
   const neighbour = neighbourWith(context, job, target);
   return {
     deadlineMs: Math.max(1, Math.floor(leftMs)),
-    targetId: target.id,
+    targetName: target.name,
     customer: customer?.name,
     cacheSalt,
     cacheSource: neighbour ?? (place === 'busy' ? undefined : source),
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -74,9 +74,9 @@
     sights.failed(target.id);
     return refuse(fault('answer-mismatch', 'the target answered another request'));
   }
-  if (marks.otherTargetId !== undefined && marks.otherTargetId !== target.id && marks.notRun) {
+  if (marks.otherTargetName !== undefined && marks.otherTargetName !== target.name && marks.notRun) {
     knowledge.targets.replaced(target.id);
-    return refuse(fault('wrong-incarnation', `the address belongs to ${marks.otherTargetId} now`));
+    return refuse(fault('wrong-incarnation', `the address belongs to ${marks.otherTargetName} now`));
   }
   if (marks.notRun) return refuse(fault('overloaded', `the target refused with ${wire.status}`));
   const isSuccess = wire.status >= SUCCESS && wire.status < REDIRECT;
--- a/packages/rollout/src/events.ts
+++ b/packages/rollout/src/events.ts
@@ -10,5 +10,6 @@
   unreachable: { id: 8205, level: 'warn', message: 'the target beside this process does not answer' },
   unobserved: { id: 8206, level: 'warn', message: 'a control instance did not take an observation' },
   cacheUnheard: { id: 8207, level: 'warn', message: 'the target tells nothing of its cache' },
+  unreadableEvents: { id: 8209, level: 'warn', message: "some of the target's events can not be read" },
   cacheHeard: { id: 8208, level: 'info', message: 'the target tells of its cache again' },
 });
--- a/packages/rollout/src/keeper/cacheReporter.ts
+++ b/packages/rollout/src/keeper/cacheReporter.ts
@@ -1,4 +1,5 @@
 /** Tells what the target beside this process has in its cache. */
+import { ProblemTally } from '@jasmineroute/core';
 import { Teller } from '@jasmineroute/knowledge';
 import type { TellerParts } from '@jasmineroute/knowledge';
 import { KeptParts } from '@jasmineroute/protocol';
@@ -62,7 +63,10 @@
   private told = NOT_TOLD;
   private readonly teller: Teller;
 
+  private readonly unreadable: ProblemTally;
+
   constructor(private readonly parts: CacheReporterParts) {
+    this.unreadable = new ProblemTally(parts.log, rolloutEvents.unreadableEvents);
     this.teller = new Teller(parts);
   }
 
@@ -90,6 +94,7 @@
     );
     this.note(told.news !== undefined, told.problem);
     if (told.news === undefined) return false;
+    if (told.news.unread !== undefined) this.unreadable.note(address, told.news.unread.problem);
     this.last = this.kept.take(address, told.news, this.last);
     await this.tell();
     return true;
--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -121,7 +121,15 @@
     name(3);
     await look();
     expect(target.orders).toEqual([
-      { model: 'm', version: 3, runs: 'finish', holder: 'a1', fence: 1n, expectedOrders: 0, targetId: 't1' },
+      {
+        model: 'm',
+        version: 3,
+        runs: 'finish',
+        holder: 'a1',
+        fence: 1n,
+        expectedOrders: 0,
+        targetName: 't1',
+      },
     ]);
     expect(told.map(({ paused, number }) => [paused, number])).toEqual([
       [true, 1n],
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -249,7 +249,7 @@
         holder: name,
         fence: turn.fence,
         expectedOrders: report.orders,
-        targetId: target.id,
+        targetName: target.name,
       },
       CALL_MS,
     );
--- a/packages/rollout/src/port/port.ts
+++ b/packages/rollout/src/port/port.ts
@@ -35,8 +35,8 @@
   readonly fence: bigint;
   /** Orders that the target must have accepted before: makes an order that arrives late void. */
   readonly expectedOrders: number;
-  /** Only this start of the target may carry it out. */
-  readonly targetId: string;
+  /** Only the target of this name may carry it out; `expectedOrders` keeps it from most other starts of it. */
+  readonly targetName: string;
 }
 
 /**
