Name a source of shared parts only for what it has; know targets and the store's parts at once after a restart

Each prompt named the store, also for what it lacked, and all waited for its one link. Beside that: no target was known for 0.5 s after control was up, and 63 of 291 callers of two seconds were refused for good meanwhile; the store's newest 4,000 events told of a part of what it had.

Change: a neighbour or the store is named only when it has more than the target itself (sourceOf); whoever has a part has those before it; the process beside a target announces it while nobody tells of it; an entry that has just started lets requests wait for what it learns, for 2 s at most; a store is listed once when its events are gone.

--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -47,5 +47,11 @@
   storeFound: { id: 3023, level: 'info', message: 'a store of kept cache answers again' },
   unreadableCall: { id: 3024, level: 'warn', message: "a call in a target's name can not be read" },
   unreadableEvents: { id: 3025, level: 'warn', message: "some of a store's events can not be read" },
+  storeListed: {
+    id: 3026,
+    level: 'info',
+    message: 'listed all that a store keeps, as events of it are gone',
+  },
+  storeNotListed: { id: 3027, level: 'warn', message: 'a store did not list what it keeps' },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -81,6 +81,12 @@
     return create(controlMessage.ObserveResponseSchema, { known });
   }
 
+  /** Takes a target from the process beside it. */
+  announce(announced: controlMessage.AnnouncedTarget): controlMessage.AnnounceResponse {
+    this.sources.targets.announce(announced);
+    return create(controlMessage.AnnounceResponseSchema, {});
+  }
+
   /** Takes a target's load. */
   reportLoad(load: controlMessage.TargetLoad): controlMessage.ReportLoadResponse {
     this.sources.loads.take(load.targetId, load);
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -152,6 +152,7 @@
       follow: (request, call) => follow.follow(request, call),
       enlist: (request) => follow.enlist(request),
       observe: (request) => follow.observe(request),
+      announce: (request) => follow.announce(request),
       reportLoad: (request) => follow.reportLoad(request),
       reportWork: (request) => follow.reportWork(request),
       reportCache: (request) => follow.reportCache(request),
--- a/packages/control/src/stores/storeWatch.spec.ts
+++ b/packages/control/src/stores/storeWatch.spec.ts
@@ -23,6 +23,7 @@
     const news = { incarnation: 1, next: 0, hasGap: false, events: [] };
     const port = {
       news: () => clock.sleep(50).then(() => (answers ? news : Promise.reject(new Error('gone')))),
+      list: () => Promise.reject(new Error('not listed')),
     };
     const watch = new StoreWatch(state.configuration, port, clock, silentLog);
     const configure = (number: bigint, address: string | undefined): void => {
@@ -66,6 +67,7 @@
         next = { ...none, incarnation: told.incarnation };
         return told;
       },
+      list: () => Promise.reject(new Error('not listed')),
     };
     const watch = new StoreWatch(state.configuration, port, clock, silentLog);
     const keys = (): number[] => watch.kept.since(0).added;
@@ -87,4 +89,40 @@
     expect(asked.slice(1)).toContain(0);
     watch.stop();
   });
+
+  it('asks for the whole list once when events are gone', async () => {
+    // Symptom: after a restart of control most shared parts are read again, though the store has them.
+    // Sequence: control starts; the store tells its newest events only; parts that it got before them are taken to be
+    // missing.
+    // Cause: what the remembered events did not tell was taken not to be there.
+    const clock = new ManualClock();
+    const state = createState();
+    const part = (id: string) => ({ salt: 's', model: 'm', part: id, isKept: true });
+    let lists = 0;
+    const port = {
+      news: async (_address: string, since: number): Promise<CacheNews> => {
+        await clock.sleep(100);
+        return { incarnation: 1, next: Math.max(since, 9_000), hasGap: true, events: [part('new')] };
+      },
+      list: (): Promise<CacheNews> => {
+        lists += 1;
+        return Promise.resolve({
+          incarnation: 1,
+          next: 9_001,
+          hasGap: true,
+          events: [part('old'), part('new')],
+        });
+      },
+    };
+    const watch = new StoreWatch(state.configuration, port, clock, silentLog);
+    const value = { number: 1n, content: content(STORE), source: new Uint8Array(0) };
+    watch.start();
+    applyOne(state.machine, { case: 'configure', value });
+    await clock.advance(150);
+    const keys = ['old', 'new'].map((id) => partKey(STORE, part(id)));
+    expect(new Set(watch.kept.since(0).added)).toEqual(new Set(keys));
+    await clock.advance(5_000);
+    expect(lists).toBe(1);
+    watch.stop();
+  });
 });
--- a/packages/control/src/stores/storeWatch.ts
+++ b/packages/control/src/stores/storeWatch.ts
@@ -16,6 +16,15 @@
 /** Pause before a store that did not answer, or has too many calls, is called again, milliseconds. */
 const PAUSE_MS = 400;
 
+/** Longest wait for the whole list of a store, milliseconds: some thousand parts. */
+const LIST_MS = 1_000;
+
+/**
+ * Least time between two whole lists of one store, milliseconds: a list stalls the store's work, and a store whose events
+ * are lost all the time would be stalled all the time. Chosen: some times what a store takes to turn over.
+ */
+const LIST_PAUSE_MS = 30_000;
+
 /** Calls to stores. */
 export interface StorePort {
   /**
@@ -23,6 +32,8 @@
    * Rejects when it can't be reached within `timeoutMs`.
    */
   news(address: string, since: number, waitMs: number, timeoutMs: number): Promise<CacheNews | undefined>;
+  /** All that a store keeps, as if it had just been kept. Rejects when it does not come within `timeoutMs`. */
+  list(address: string, timeoutMs: number): Promise<CacheNews>;
 }
 
 const decoder = new TextDecoder();
@@ -39,6 +50,8 @@
   private readonly lostAddresses = new Set<string>();
   private readonly watched = new Set<string>();
   private readonly listeners = new Set<() => void>();
+  /** Monotonic time at which a store was listed last, by its address. */
+  private readonly listedAt = new Map<string, number>();
   private readonly stopped = new AbortController();
   private readonly unreadable: ProblemTally;
   private read: { readonly number: bigint; readonly addresses: readonly string[] } = {
@@ -105,13 +118,32 @@
       this.note(address, told.problem);
       if (told.news?.unread !== undefined) this.unreadable.note(address, told.news.unread.problem);
       if (told.news === undefined) await this.clock.sleep(PAUSE_MS, signal).catch(() => undefined);
-      else last = this.kept.take(address, told.news, last);
+      else last = (await this.filled(address, told.news)) ?? this.kept.take(address, told.news, last);
     }
     this.watched.delete(address);
     this.kept.forget(address);
     this.note(address, '');
   }
 
+  /**
+   * All that a store keeps, when some of its events are gone; undefined: none is, or it does not tell. A store remembers its
+   * newest few thousand events, fewer than it has parts: an instance that starts took most parts for missing, and 2.3 M of
+   * 16 M tokens were in the store though nobody knew of them (a day with a loss of power).
+   */
+  private async filled(address: string, { hasGap }: CacheNews): Promise<CacheNews | undefined> {
+    const now = this.clock.monotonic();
+    const isSoon = now - (this.listedAt.get(address) ?? Number.NEGATIVE_INFINITY) < LIST_PAUSE_MS;
+    if (!hasGap || isSoon) return undefined;
+    this.listedAt.set(address, now);
+    const list = await this.port.list(address, LIST_MS).catch((problem: unknown) => {
+      this.log.event(controlEvents.storeNotListed, { store: address, problem: String(problem) });
+      return undefined;
+    });
+    if (list === undefined) return undefined;
+    this.log.event(controlEvents.storeListed, { store: address, parts: list.events.length });
+    return this.kept.take(address, list, undefined);
+  }
+
   /** @param problem why the store did not answer; empty: it did. */
   private note(address: string, problem: string): void {
     const isLost = problem !== '';
--- a/packages/control/src/targets/targetBook.spec.ts
+++ b/packages/control/src/targets/targetBook.spec.ts
@@ -1,3 +1,4 @@
+import { create } from '@bufbuild/protobuf';
 import { ManualClock, silentLog } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import { beforeEach, describe, expect, it } from 'vitest';
@@ -103,6 +104,23 @@
     expect(state('t1/1000')).toBe(Announcement.LEFT);
   });
 
+  it('takes a target from the process beside it, as older than all of its own calls', () => {
+    const announced = create(controlMessage.AnnouncedTargetSchema, {
+      name: 't1',
+      service: 's',
+      address: '10.0.0.1:80',
+      capacity: 4,
+    });
+    book.announce(announced);
+    expect(state()).toBe(Announcement.READY);
+    book.beat(heartbeat(1, { draining: true }));
+    book.announce(announced);
+    expect(state()).toBe(Announcement.DRAINING);
+    book.leave({ name: 't1' });
+    book.announce(announced);
+    expect(state()).toBe(Announcement.LEFT);
+  });
+
   it('finds a target silent that says nothing for three heartbeats, and hears it again', async () => {
     book.beat(heartbeat(1));
     await clock.advance(3 * HEARTBEAT_MS);
--- a/packages/control/src/targets/targetBook.ts
+++ b/packages/control/src/targets/targetBook.ts
@@ -101,6 +101,17 @@
     this.put(targetOf(heartbeat, known?.target));
   }
 
+  /**
+   * Takes a target from the process beside it, as a heartbeat before all of the target's own: it brings nothing back, and
+   * any call of the target's is newer.
+   */
+  announce(announced: controlMessage.AnnouncedTarget): void {
+    const { service, address, dataCentre, capacity, weights } = announced;
+    const versions = weights.map(({ model, version }) => ({ model, version: Number(version) }));
+    const told = { service, address, dataCentre, capacity, weights: versions };
+    this.beat({ ...startOf(announced), ...told, draining: false, sequence: 0, coldMs: 0 });
+  }
+
   /** Takes what the process beside a target says of it. @returns whether the target is known here. */
   observe({ targetId, observation, paused, weights }: controlMessage.ObserveRequest): boolean {
     const known = this.entries.get(targetId);
--- a/packages/knowledge/src/knowledge.ts
+++ b/packages/knowledge/src/knowledge.ts
@@ -32,6 +32,7 @@
   private readonly kept = new Map<string, Set<number>>();
   private readonly cached = new Map<string, Set<number>>();
   private readonly listeners = new Set<() => void>();
+  private readonly newsListeners = new Set<() => void>();
   private readonly loadListeners = new Set<(load: controlMessage.TargetLoad) => void>();
   private readonly workListeners = new Set<(work: controlMessage.EntryWork) => void>();
 
@@ -97,6 +98,12 @@
     return hasKey(this.cached, partKey(address, part));
   }
 
+  /** Calls back after each event of a control instance. Returns the way to stop. */
+  onNews(listener: () => void): () => void {
+    this.newsListeners.add(listener);
+    return () => this.newsListeners.delete(listener);
+  }
+
   /** Calls back with each load that is told. Returns the way to stop. */
   onLoad(listener: (load: controlMessage.TargetLoad) => void): () => void {
     this.loadListeners.add(listener);
@@ -124,6 +131,7 @@
       this.isConfirmed = true;
       this.log.event(knowledgeEvents.confirmed, { control, number: this.current?.number });
     }
+    for (const listener of this.newsListeners) listener();
   }
 
   /** The stream of a control instance ended. */
--- a/packages/relay/src/cache/copies.spec.ts
+++ b/packages/relay/src/cache/copies.spec.ts
@@ -11,41 +11,40 @@
   maxOutputTokens: 13,
 });
 
-describe('the use of the store', () => {
-  it('fetches always and copies only what the store lacks', () => {
+describe('copies to the store', () => {
+  it('copies only what the store lacks', () => {
     // Symptom: a seventh of the shared parts is read again, though there is a store with room for all of them.
     // Sequence: eight entries, 36 requests a second over 177 shared parts; each entry copies a part every 8 s, with the
     // request's own part, and the store turns over before a part is asked for again.
     // Cause: no entry knew what the others had copied.
     const kept = new Set(['old']);
     const copies = new Copies(new ManualClock(), (_store, { part: id }) => kept.has(id));
-    expect(copies.use(STORE, prompt('old'), 's')).toEqual({ source: STORE });
-    expect(copies.use(STORE, prompt('new'), 's')).toEqual({ source: STORE, copy: STORE });
+    expect(copies.isDue(STORE, prompt('old'), 's')).toBe(false);
+    expect(copies.isDue(STORE, prompt('new'), 's')).toBe(true);
   });
 
   it('copies again what still does not show at the store', async () => {
     const clock = new ManualClock();
     const copies = new Copies(clock, () => false);
-    expect(copies.use(STORE, prompt('a'), 's').copy).toBe(STORE);
+    expect(copies.isDue(STORE, prompt('a'), 's')).toBe(true);
     await clock.advance(1_000);
-    expect(copies.use(STORE, prompt('a'), 's').copy).toBeUndefined();
+    expect(copies.isDue(STORE, prompt('a'), 's')).toBe(false);
     await clock.advance(1_000);
-    expect(copies.use(STORE, prompt('a'), 's').copy).toBe(STORE);
+    expect(copies.isDue(STORE, prompt('a'), 's')).toBe(true);
   });
 
   it('copies what it has not copied for a while when nobody tells what the store keeps', async () => {
     const clock = new ManualClock();
     const copies = new Copies(clock, () => undefined);
-    expect(copies.use(STORE, prompt('a'), 's').copy).toBe(STORE);
+    expect(copies.isDue(STORE, prompt('a'), 's')).toBe(true);
     await clock.advance(7_000);
-    expect(copies.use(STORE, prompt('a'), 's').copy).toBeUndefined();
+    expect(copies.isDue(STORE, prompt('a'), 's')).toBe(false);
     await clock.advance(2_000);
-    expect(copies.use(STORE, prompt('a'), 's').copy).toBe(STORE);
+    expect(copies.isDue(STORE, prompt('a'), 's')).toBe(true);
   });
 
-  it('leaves prompts without shared parts, and lost stores, alone', () => {
+  it('leaves prompts without shared parts alone', () => {
     const copies = new Copies(new ManualClock(), () => false);
-    expect(copies.use(undefined, prompt('a'), 's')).toEqual({});
-    expect(copies.use(STORE, { ...prompt('a'), parts: [part('own', 10)] }, 's')).toEqual({});
+    expect(copies.isDue(STORE, { ...prompt('a'), parts: [part('own', 10)] }, 's')).toBe(false);
   });
 });
--- a/packages/relay/src/cache/copies.ts
+++ b/packages/relay/src/cache/copies.ts
@@ -1,4 +1,4 @@
-/** Use of the store of kept KV cache. */
+/** What is copied to the store of kept KV cache. */
 import type { Configuration } from '@jasmineroute/configuration';
 import type { Clock } from '@jasmineroute/core';
 import type { StoredPart } from '@jasmineroute/protocol';
@@ -21,16 +21,6 @@
 /** Shared parts that are remembered, some for each customer; 100 bytes each. */
 const MOST_PARTS = 20_000;
 
-/** What a request is told of the store. */
-export interface StoreUse {
-  /** Where to fetch what the target lacks. */
-  readonly source?: string;
-  /** Where to keep a copy of what is read. */
-  readonly copy?: string;
-}
-
-const NO_USE: StoreUse = {};
-
 /** The address of the store, if there is one. */
 export function storeAddress({ services }: Configuration): string | undefined {
   return services.find(({ storeAddress: address }) => address !== undefined)?.storeAddress;
@@ -40,11 +30,10 @@
 export type KeptLookup = (store: string, part: StoredPart) => boolean | undefined;
 
 /**
- * Decides which requests use the store. Fetching a shared part costs a target 14 ms of its link where reading it again
- * costs 34 ms of its processor (3,780 tokens, 420 Gbit/s, 110 tokens a ms); a miss costs 1 ms. So every prompt with
- * shared parts may fetch. Only a part that the store lacks is copied: a copy holds the request's own part too, which
- * nobody else asks for, and pushes out what others do. With eight entries that each copied a part every 8 s, nearly
- * every request copied, and the store turned over before a seventh of the shared parts were asked for again.
+ * Decides which requests copy to the store what they read. Only a part that the store lacks is copied: a copy holds the
+ * request's own part too, which nobody else asks for, and pushes out what others do. With eight entries that each copied
+ * a part every 8 s, nearly every request copied, and the store turned over before a seventh of the shared parts were asked
+ * for again.
  */
 export class Copies {
   /** Monotonic time at which a copy was asked for last, by part. */
@@ -55,17 +44,17 @@
     private readonly isKept: KeptLookup,
   ) {}
 
-  /** The use of a store for a prompt; `salt` as the target gets it. */
-  use(store: string | undefined, { model, parts }: PromptOutline, salt: string): StoreUse {
+  /** Whether a prompt's parts are to be copied now; `salt` as the target gets it. */
+  isDue(store: string, { model, parts }: PromptOutline, salt: string): boolean {
     const shared = parts.length < 2 ? undefined : parts.at(-2);
-    if (store === undefined || shared === undefined) return NO_USE;
+    if (shared === undefined) return false;
     const isKept = this.isKept(store, { salt, model, part: shared.id });
-    if (isKept === true) return { source: store };
+    if (isKept === true) return false;
     const key = `${salt} ${model} ${shared.id}`;
     const now = this.clock.monotonic();
     const sinceMs = now - (this.copiedAt.get(key) ?? Number.NEGATIVE_INFINITY);
-    if (sinceMs < (isKept === false ? COPY_SHOWS_MS : COPY_LASTS_MS)) return { source: store };
+    if (sinceMs < (isKept === false ? COPY_SHOWS_MS : COPY_LASTS_MS)) return false;
     this.copiedAt.set(key, now);
-    return { source: store, copy: store };
+    return true;
   }
 }
--- a/packages/relay/src/cache/index.ts
+++ b/packages/relay/src/cache/index.ts
@@ -1,2 +1,3 @@
 export * from './copies.js';
 export * from './storeLink.js';
+export * from './source.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -15,6 +15,7 @@
 import { TargetPools, TargetSights, WorkReporter } from './target/index.js';
 import { RelayWork } from './work/index.js';
 import type { RelayContext } from './work/index.js';
+import { Learning } from './work/learning.js';
 import { ServiceBudgets } from './work/serviceBudgets.js';
 
 /** Bounds of callers until a configuration names others. */
@@ -67,6 +68,7 @@
       pools: new TargetPools(),
       budgets: new ServiceBudgets(allowance, () => knowledge.entries()),
       copies: new Copies(clock, (store, part) => knowledge.isKept(store, part)),
+      learning: new Learning(knowledge, clock),
       stopsAt: () => this.stopsAt,
       bodies: new BodyBudget(settings.maxBufferedBytes),
       random,
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -7,6 +7,7 @@
 import type { Knowledge } from '@jasmineroute/knowledge';
 import type { Placements } from '../placement/index.js';
 import type { TargetPools, TargetSights } from '../target/index.js';
+import type { Learning } from './learning.js';
 import type { ServiceBudgets } from './serviceBudgets.js';
 
 /** What all requests of one relaying entry share. */
@@ -18,6 +19,7 @@
   readonly pools: TargetPools;
   readonly budgets: ServiceBudgets;
   readonly copies: Copies;
+  readonly learning: Learning;
   /** Monotonic time at which a planned stop is over; undefined: none has begun. */
   readonly stopsAt: () => number | undefined;
   readonly bodies: BodyBudget;
--- /dev/null
+++ b/packages/relay/src/work/learning.ts
@@ -0,0 +1,48 @@
+/** Lets requests wait that come before an entry which has just started knows where they go. */
+import type { Clock } from '@jasmineroute/core';
+import type { Knowledge } from '@jasmineroute/knowledge';
+
+/**
+ * Time from its start in which an entry learns of the configuration and of targets, milliseconds: control instances that
+ * start at the same moment answer after some 0.4 s, and each target calls one of them within its heartbeat of 1.2 s.
+ */
+export const LEARN_MS = 2_000;
+
+/**
+ * When all instances are lost at once, callers return to the first entry that listens, half a second before it knows a
+ * target. Refused, they use up their last retry: of 291 callers in the two seconds after a loss of power 63 were refused
+ * for good. Later than that a lack of targets is a fact, and refused at once.
+ */
+export class Learning {
+  private readonly endsAt: number;
+  private readonly waiting = new Set<() => void>();
+
+  constructor(
+    knowledge: Knowledge,
+    private readonly clock: Clock,
+  ) {
+    this.endsAt = clock.monotonic() + LEARN_MS;
+    knowledge.onNews(() => {
+      for (const look of this.waiting) look();
+    });
+  }
+
+  /** Waits until something is known, at most until the time to learn is over. @returns whether it is known. */
+  async until(isKnown: () => boolean, signal: AbortSignal): Promise<boolean> {
+    const leftMs = this.endsAt - this.clock.monotonic();
+    if (isKnown() || leftMs <= 0 || signal.aborted) return isKnown();
+    await new Promise<void>((resolve) => {
+      const look = (): void => {
+        if (!isKnown() && !signal.aborted && this.clock.monotonic() < this.endsAt) return;
+        calledOff();
+        this.waiting.delete(look);
+        signal.removeEventListener('abort', look);
+        resolve();
+      };
+      const calledOff = this.clock.after(leftMs, look);
+      this.waiting.add(look);
+      signal.addEventListener('abort', look);
+    });
+    return isKnown();
+  }
+}
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -2,7 +2,8 @@
 import type { Configuration } from '@jasmineroute/configuration';
 import type { Target } from '@jasmineroute/knowledge';
 import type { StoredPart } from '@jasmineroute/protocol';
-import { fetchMs, isLinkBusy, storeAddress } from '../cache/index.js';
+import { fetchMs, isLinkBusy, sourceOf, storeAddress } from '../cache/index.js';
+import type { Holders, Source } from '../cache/index.js';
 import { UNKNOWN_PARTS } from '../placement/index.js';
 import type { PartsView } from '../placement/index.js';
 import type { Job } from './attempt.js';
@@ -56,10 +57,50 @@
   return prompt.parts.slice(0, -1).map(({ id, tokens }) => ({ salt, model, part: id, tokens }));
 }
 
-/** Tokens of the parts up to the first that `has` denies. */
-function tokensUntil(parts: readonly SharedPart[], has: (part: StoredPart) => boolean): number {
-  const end = parts.findIndex((part) => !has(part));
-  return parts.slice(0, end < 0 ? parts.length : end).reduce((sum, { tokens }) => sum + tokens, 0);
+/**
+ * Tokens of the parts up to the last that `has` confirms. A cache finds a part only with all before it, and drops what was
+ * used least recently, so whoever has a part has those before it. What nobody told says nothing: after a restart of
+ * control only the newest few thousand events of a cache are known, and the parts that all prompts begin with came before.
+ */
+function tokensUpTo(parts: readonly SharedPart[], has: (part: StoredPart) => boolean): number {
+  const end = parts.findLastIndex((part) => has(part));
+  return parts.slice(0, end + 1).reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
+/** Who has the shared parts of a request, as seen from one target. */
+function holdersFor(context: RelayContext, job: Job, target: Target): Holders {
+  const { knowledge, sights } = context;
+  const parts = sharedPartsAt(target, job);
+  const tokensAt = (address: string): number =>
+    tokensUpTo(parts, (part) => knowledge.isCached(address, part));
+  // Only with the same weights: what a target made under others may stand under the same salt.
+  const version = versionAt(target, job);
+  const others = knowledge.targets
+    .ready(job.service.name)
+    .filter((one) => one.id !== target.id && versionAt(one, job) === version && !sights.isAvoided(one.id));
+  const isNear = ({ dataCentre }: Target): number => Number(dataCentre === target.dataCentre);
+  const neighbours = [...others]
+    .sort((a, b) => isNear(b) - isNear(a))
+    .map(({ address }) => ({ address, tokens: tokensAt(address) }));
+  return { here: tokensAt(target.address), neighbours, store: storeHolder(context, job, parts) };
+}
+
+/** What the store has of some parts; undefined when there is none that answers. */
+function storeHolder(
+  context: RelayContext,
+  { service }: Job,
+  parts: readonly SharedPart[],
+): Holders['store'] {
+  const { knowledge, sights } = context;
+  const store = storeInForce(context);
+  if (store === undefined || store.isLost) return undefined;
+  const { address, configuration } = store;
+  const tokens = tokensUpTo(parts, (part) => knowledge.isKept(address, part) !== false);
+  return {
+    address,
+    tokens,
+    isBusy: isLinkBusy(sights.backlog, address, fetchMs(configuration, service, address)),
+  };
 }
 
 /** Where the shared parts of a request are, as seen from one target. */
@@ -69,9 +110,8 @@
   const last = parts.at(-1);
   if (last === undefined) return UNKNOWN_PARTS;
   const isCached = (part: StoredPart): boolean => knowledge.isCached(target.address, part);
-  // Blocks are found only with all before them, so the last part stands for all.
-  if (isCached(last)) return { place: 'here', cachedTokens: tokensUntil(parts, () => true) };
-  const cachedTokens = tokensUntil(parts, isCached);
+  const cachedTokens = tokensUpTo(parts, isCached);
+  if (isCached(last)) return { place: 'here', cachedTokens };
   const store = storeInForce(context);
   if (store === undefined || store.isLost) return { place: 'nowhere', cachedTokens };
   const isKept = knowledge.isKept(store.address, last);
@@ -81,27 +121,7 @@
   return { place: isLinkBusy(sights.backlog, store.address, tokenMs) ? 'busy' : 'store', cachedTokens };
 }
 
-/**
- * Another target that has the shared parts in its cache, the nearest: its link is its own, while all share the store's.
- * Only one with the same weights: what it made under others may stand under the same salt.
- */
-export function neighbourWith(
-  { knowledge, sights }: RelayContext,
-  job: Job,
-  target: Target,
-): string | undefined {
-  const part = sharedPartsAt(target, job).at(-1);
-  if (part === undefined || knowledge.isCached(target.address, part)) return undefined;
-  const version = versionAt(target, job);
-  const having = knowledge.targets
-    .ready(job.service.name)
-    .filter(
-      (other) =>
-        other.id !== target.id &&
-        versionAt(other, job) === version &&
-        knowledge.isCached(other.address, part) &&
-        !sights.isAvoided(other.id),
-    );
-  const near = having.find(({ dataCentre }) => dataCentre === target.dataCentre);
-  return (near ?? having[0])?.address;
+/** Where a target fetches what it lacks of a request's shared parts; undefined: nowhere. */
+export function sourceFor(context: RelayContext, job: Job, target: Target): Source | undefined {
+  return sharedPartsAt(target, job).length === 0 ? undefined : sourceOf(holdersFor(context, job, target));
 }
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -7,7 +7,8 @@
 import { readBody } from '@jasmineroute/entry';
 import type { Target } from '@jasmineroute/knowledge';
 import type { CallerAnswer } from '../answer/index.js';
-import type { Addition, RelayRequest } from '../dialect/index.js';
+import type { Source } from '../cache/index.js';
+import type { RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
 import { relayMetrics } from '../metrics.js';
 import { drawService, withWeights } from '../placement/index.js';
@@ -21,7 +22,7 @@
 import type { RelayContext } from './context.js';
 import { brokenOff, passAnswer, passFailure } from './pass.js';
 import type { Outcome } from './pass.js';
-import { partsView, saltOf, storeInForce } from './parts.js';
+import { partsView, saltOf, sourceFor } from './parts.js';
 import { overrunText, sendingReport } from './report.js';
 import { Stream } from './stream.js';
 
@@ -46,6 +47,10 @@
 const SUCCESS = 200;
 const SERVER_ERROR = 500;
 
+/** What a sending fetches over a store's link. */
+const fetchOf = (source: Source | undefined): Fetch | undefined =>
+  source?.isStore === true ? { store: source.address, tokens: source.tokens } : undefined;
+
 /** Handles one request. */
 export class RelayWork {
   private readonly abort = new AbortController();
@@ -64,7 +69,9 @@
 
   /** Answers the request, whatever happens. */
   async run(): Promise<void> {
-    const { dialect, knowledge } = this.context;
+    const { dialect, knowledge, learning } = this.context;
+    const isConfigured = (): boolean => knowledge.confirmed() && knowledge.table() !== undefined;
+    await learning.until(isConfigured, this.answer.gone);
     const table = knowledge.table();
     if (table === undefined || !knowledge.confirmed()) {
       this.answer.fail(fault('not-configured', 'no configuration is confirmed yet'));
@@ -157,7 +164,10 @@
     for (;;) {
       const input = this.inputFor(job, tried);
       const placement = this.abort.signal.aborted ? undefined : placements.choose(input);
-      if (placement === undefined) break;
+      if (placement === undefined) {
+        if (this.sends === 0 && (await this.learnsTarget(job, tried))) continue;
+        break;
+      }
       if (this.sends === 0 && placements.isOverrun(input, placement)) {
         const retryAfterMs = FULL_RETURN_MS * (0.5 + random());
         last = { state: 'fault', fault: fault('overloaded', overrunText(placement), { retryAfterMs }) };
@@ -186,6 +196,12 @@
     else this.refuse(job.request, this.finalFault(last.fault), job.route);
   }
 
+  /** Waits for a target while the entry has just started. @returns whether there is one. */
+  private async learnsTarget(job: Job, tried: ReadonlySet<string>): Promise<boolean> {
+    const isKnown = (): boolean => this.inputFor(job, tried).candidates.length > 0;
+    return (await this.context.learning.until(isKnown, this.abort.signal)) && !this.abort.signal.aborted;
+  }
+
   /**
    * Whether a sending counts against the route's attempts. One that never left does not; nor does a refusal of the rest of
    * a stream that has begun: it left a target on our wish, and would break off for want of one that has room.
@@ -240,12 +256,6 @@
     };
   }
 
-  /** What a sending fetches over a store's link. */
-  private fetchOf({ fetched = 0 }: Placement, { cacheSource }: Addition): Fetch | undefined {
-    const store = storeInForce(this.context)?.address;
-    return store === undefined || cacheSource !== store ? undefined : { store, tokens: fetched };
-  }
-
   private async attempt(job: Job, placement: Placement): Promise<Outcome> {
     const { clock, log, metrics, sights } = this.context;
     const { target } = placement;
@@ -253,8 +263,9 @@
     const { lastEventId } = this.stream;
     const resumeAfter = lastEventId === undefined ? job.request.lastEventId : String(lastEventId);
     const leftMs = job.until - begunAt;
-    const addition = additionFor(this.context, job, target, leftMs, resumeAfter, placement.partsPlace);
-    const open = sights.began(target.id, placement.tokens, this.fetchOf(placement, addition));
+    const source = job.route.hasPrompt ? sourceFor(this.context, job, target) : undefined;
+    const addition = additionFor(this.context, job, target, leftMs, resumeAfter, source);
+    const open = sights.began(target.id, placement.tokens, fetchOf(source));
     let outcome: Outcome;
     let status = 0;
     try {
--- a/packages/rollout/src/events.ts
+++ b/packages/rollout/src/events.ts
@@ -11,5 +11,6 @@
   unobserved: { id: 8206, level: 'warn', message: 'a control instance did not take an observation' },
   cacheUnheard: { id: 8207, level: 'warn', message: 'the target tells nothing of its cache' },
   unreadableEvents: { id: 8209, level: 'warn', message: "some of the target's events can not be read" },
+  announced: { id: 8210, level: 'info', message: 'announced the target, which nobody told of' },
   cacheHeard: { id: 8208, level: 'info', message: 'the target tells of its cache again' },
 });
--- /dev/null
+++ b/packages/rollout/src/keeper/announcer.spec.ts
@@ -0,0 +1,98 @@
+import { create } from '@bufbuild/protobuf';
+import { ManualClock, fault, silentLog } from '@jasmineroute/core';
+import { Knowledge } from '@jasmineroute/knowledge';
+import { Peers, controlMessage, listen } from '@jasmineroute/protocol';
+import type { RpcServer } from '@jasmineroute/protocol';
+import { err, ok } from 'neverthrow';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { TargetPort } from '../port/index.js';
+import { Announcer } from './announcer.js';
+
+const ADDRESS = '10.0.0.1:80';
+
+describe('the announcer of a target', () => {
+  let server: RpcServer;
+  let peers: Peers;
+  let announced: controlMessage.AnnouncedTarget[];
+  let knowledge: Knowledge;
+  let isUp: boolean;
+  let checks: string[];
+  const clock = new ManualClock();
+
+  beforeEach(async () => {
+    announced = [];
+    checks = [];
+    isUp = true;
+    server = await listen('127.0.0.1', 0, (router) => {
+      router.service(controlMessage.Configurations, {
+        announce: (target) => {
+          announced.push(target);
+          return {};
+        },
+      });
+    });
+    peers = new Peers();
+    knowledge = new Knowledge(clock, silentLog);
+  });
+
+  afterEach(async () => {
+    peers.close();
+    await server.close();
+  });
+
+  const configure = (): void => {
+    const services = [{ name: 's', healthPath: '/alive' }];
+    const content = Buffer.from(JSON.stringify({ number: 1, routes: [], services, customers: [] }));
+    knowledge.apply('c1', create(controlMessage.FollowEventSchema, { number: 1n, content }), true);
+  };
+
+  const announcer = (): Announcer => {
+    const report = {
+      weights: new Map([['m', 3]]),
+      busy: false,
+      orders: 0,
+      waiting: 0,
+      running: 0,
+      unstarted: 0,
+    };
+    const down = err(fault('target-unreachable', 'it is down'));
+    const port = {
+      report: () => Promise.resolve(isUp ? ok(report) : down),
+      identity: (path: string) => {
+        checks.push(path);
+        return Promise.resolve(ok({ name: 't1', born: 7, capacity: 96 }));
+      },
+    } as unknown as TargetPort;
+    const place = { address: ADDRESS, service: 's', dataCentre: 'here' };
+    const controls = (): string[] => [server.address];
+    return new Announcer({ ...place, port, knowledge, controls, peers, clock, log: silentLog });
+  };
+
+  it('tells of a target that nobody has heard of, with its weights', async () => {
+    // Symptom: after a loss of all instances callers are refused, or all sent to the first targets that called.
+    // Sequence: control starts; each target found nobody with its last heartbeat, and sends the next 1.2 s later.
+    // Cause: a target was known by its own calls only, though a process of the system stands beside it.
+    configure();
+    expect(await announcer().look()).toBe(true);
+    expect(announced).toMatchObject([
+      { name: 't1', born: 7n, service: 's', address: ADDRESS, dataCentre: 'here', capacity: 96 },
+    ]);
+    expect(announced[0]?.weights).toMatchObject([{ model: 'm', version: 3n }]);
+    expect(checks).toEqual(['/alive']);
+  });
+
+  it('checks no target that is known, down, or of no configured service', async () => {
+    expect(await announcer().look()).toBe(false);
+    configure();
+    isUp = false;
+    expect(await announcer().look()).toBe(false);
+    isUp = true;
+    const { READY } = controlMessage.Announcement;
+    const known = { id: 't1', service: 's', address: ADDRESS, announcement: READY };
+    const targets = [create(controlMessage.AnnouncedTargetSchema, known)];
+    knowledge.apply('c1', create(controlMessage.FollowEventSchema, { targets }), false);
+    expect(await announcer().look()).toBe(false);
+    expect(checks).toEqual([]);
+    expect(announced).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/rollout/src/keeper/announcer.ts
@@ -0,0 +1,85 @@
+/** Announces the target beside this process while no control instance tells of it. */
+import type { Clock, Log } from '@jasmineroute/core';
+import { Teller } from '@jasmineroute/knowledge';
+import type { Knowledge, TellerParts } from '@jasmineroute/knowledge';
+import { rolloutEvents } from '../events.js';
+import type { TargetIdentity, TargetPort } from '../port/index.js';
+
+/** Pause between two looks, milliseconds: a tenth of the time between two heartbeats of a target. */
+const LOOK_MS = 100;
+
+/** Longest wait for an answer of the target, milliseconds: it comes from the same instance. */
+const CALL_MS = 400;
+
+/**
+ * Pause after an announcement before another one, milliseconds: the target is asked who it is for each, which counts as a
+ * health check. By then it has called a control instance itself.
+ */
+const PAUSE_MS = 2_000;
+
+/** What the announcer works with. */
+export interface AnnouncerParts extends TellerParts {
+  /** host:port of the target. */
+  readonly address: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly port: TargetPort;
+  readonly knowledge: Knowledge;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/**
+ * A control instance that starts knows no target until each has called it: heartbeats are 1.2 s apart, and one that found
+ * nobody there is followed by the next after that time. After a loss of all instances the first targets that called got
+ * all requests, the others none for up to half a second. The process beside a target needs not wait for its call.
+ */
+export class Announcer {
+  private readonly stopped = new AbortController();
+  private readonly teller: Teller;
+
+  constructor(private readonly parts: AnnouncerParts) {
+    this.teller = new Teller(parts);
+  }
+
+  /** Runs until `stop`. */
+  async run(): Promise<void> {
+    const { clock } = this.parts;
+    const { signal } = this.stopped;
+    while (!signal.aborted) {
+      const isAnnounced = await this.look();
+      await clock.sleep(isAnnounced ? PAUSE_MS : LOOK_MS, signal).catch(() => undefined);
+    }
+  }
+
+  stop(): void {
+    this.stopped.abort();
+  }
+
+  /** Announces the target if it serves and nobody tells of it. @returns whether a control instance was told. */
+  async look(): Promise<boolean> {
+    const { knowledge, address, service, port, log } = this.parts;
+    const healthPath = knowledge.table()?.serviceOf(service)?.healthPath;
+    if (healthPath === undefined || knowledge.targets.at(address) !== undefined) return false;
+    const report = await port.report(CALL_MS);
+    // While the target is down it is asked again; its loss is logged by what follows its load.
+    if (report.isErr()) return false;
+    const identity = await port.identity(healthPath, CALL_MS);
+    if (identity.isErr()) return false;
+    const told = await this.tell(identity.value, report.value.weights);
+    if (told) log.event(rolloutEvents.announced, { target: identity.value.name, address });
+    return told;
+  }
+
+  private async tell(
+    { name, born, capacity }: TargetIdentity,
+    weights: ReadonlyMap<string, number>,
+  ): Promise<boolean> {
+    const { address, service, dataCentre } = this.parts;
+    const versions = [...weights].map(([model, version]) => ({ model, version: BigInt(version) }));
+    const start = { name, born: born === undefined ? undefined : BigInt(born) };
+    const announced = { ...start, address, service, dataCentre, capacity, weights: versions };
+    const control = await this.teller.tell((client, options) => client.announce(announced, options));
+    return control !== undefined;
+  }
+}
--- a/packages/rollout/src/keeper/index.ts
+++ b/packages/rollout/src/keeper/index.ts
@@ -1,3 +1,4 @@
+export * from './announcer.js';
 export * from './loadReporter.js';
 export * from './observer.js';
 export * from './weightsKeeper.js';
--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -40,6 +40,8 @@
 
   cacheNews: TargetPort['cacheNews'] = () => Promise.resolve(undefined);
 
+  identity: TargetPort['identity'] = () => Promise.resolve(ok({ name: 't1', capacity: 4 }));
+
   order: TargetPort['order'] = (order) => {
     this.orders.push(order);
     if (this.outcome === 'accepted') {
--- a/packages/rollout/src/port/port.ts
+++ b/packages/rollout/src/port/port.ts
@@ -1,6 +1,6 @@
 /** Port to the target beside this process: its state and its orders. */
 import type { Fault } from '@jasmineroute/core';
-import type { CacheNews } from '@jasmineroute/protocol';
+import type { CacheNews, TargetStart } from '@jasmineroute/protocol';
 import type { Result } from 'neverthrow';
 
 /** What a target says of itself when it is asked. */
@@ -18,6 +18,12 @@
   readonly orders: number;
 }
 
+/** Who a target is. */
+export interface TargetIdentity extends TargetStart {
+  /** Requests that it runs at once. */
+  readonly capacity: number;
+}
+
 /**
  * What becomes of the requests that run when weights are replaced:
  * - finish: they end first, and the target takes no work until then;
@@ -52,6 +58,8 @@
 /** The target beside this process. */
 export interface TargetPort {
   report(timeoutMs: number): Promise<Result<TargetReport, Fault>>;
+  /** By its health check at a path. Errors: no answer, or the target takes no new work. */
+  identity(healthPath: string, timeoutMs: number): Promise<Result<TargetIdentity, Fault>>;
   /**
    * What happened to its cache after `since`, or nothing after `waitMs`; undefined when it takes no further call. Rejects
    * when it can't be reached within `timeoutMs`.
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -3,7 +3,7 @@
 import { Follower, Knowledge } from '@jasmineroute/knowledge';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { rolloutEvents } from './events.js';
-import { CacheReporter, LoadReporter, Observer, WeightsKeeper } from './keeper/index.js';
+import { Announcer, CacheReporter, LoadReporter, Observer, WeightsKeeper } from './keeper/index.js';
 import type { TargetPort } from './port/index.js';
 
 /** The target that the process stands beside. */
@@ -20,6 +20,7 @@
   private readonly keeper: WeightsKeeper;
   private readonly reporter: LoadReporter;
   private readonly cacheReporter: CacheReporter;
+  private readonly announcer: Announcer;
 
   constructor(
     private readonly context: RoleContext,
@@ -34,6 +35,15 @@
     const { address, port } = neighbour;
     this.reporter = new LoadReporter({ address, port, knowledge, controls: known, peers, clock, log });
     this.cacheReporter = new CacheReporter({ address, port, controls: known, peers, clock, log });
+    const told = { controls: known, peers, clock, log };
+    this.announcer = new Announcer({
+      address,
+      service: neighbour.service,
+      dataCentre,
+      port,
+      knowledge,
+      ...told,
+    });
     this.keeper = new WeightsKeeper({
       ...neighbour,
       name,
@@ -57,6 +67,7 @@
     void this.keeper.run();
     void this.reporter.run();
     void this.cacheReporter.run();
+    void this.announcer.run();
     this.context.log.event(rolloutEvents.started, { target: address, service });
     return Promise.resolve();
   }
@@ -74,6 +85,7 @@
     this.keeper.stop();
     this.reporter.stop();
     this.cacheReporter.stop();
+    this.announcer.stop();
     return Promise.resolve();
   }
 
@@ -81,6 +93,7 @@
     this.keeper.stop();
     this.reporter.stop();
     this.cacheReporter.stop();
+    this.announcer.stop();
     this.follower.stop();
     return Promise.resolve();
   }
