--- a/packages/relay/src/cache/source.ts
+++ b/packages/relay/src/cache/source.ts
@@ -37,18 +37,19 @@
 }
 
 /**
- * The source that spares the target most reading; undefined: none has more than the target itself. A target waits for
- * what it fetches before it reads, and each store has one link for all: a fetch that brings nothing waits there behind all
- * others. So a source is named only for what it has, a neighbour before the store, and no store whose link is busy. With
- * the store named for every prompt, first tokens after a loss of all caches took 795 ms where those of prompts without a
- * source took 108 ms at the same targets (medians of 285 and 28 requests in 2.7 s).
+ * The source that spares the target most reading; undefined: none. A target waits for what it fetches before it reads, and
+ * a store has one link for all. So a neighbour that has as much goes before the store, and a store whose link is busy is
+ * not named: first tokens after a loss of all caches took 795 ms at targets that waited for the store, and 108 ms at the
+ * same targets for prompts without a source (medians of 285 and 28 requests in 2.7 s). A store whose link is free is named
+ * also for what nobody knows it to have: a miss costs it a ms, and what was copied in the last half second is not told
+ * yet. Without that 1.28 M shared tokens were read again in a day where 0.37 M were with it.
  */
 export function sourceOf({ here, neighbours, store }: Holders): Source | undefined {
   const neighbour = bestOf(neighbours);
   const near = neighbour?.tokens ?? 0;
-  const kept = store === undefined || store.isBusy ? 0 : store.tokens;
-  if (Math.max(near, kept) <= here) return undefined;
-  if (neighbour !== undefined && near >= kept)
+  const free = store === undefined || store.isBusy ? undefined : store;
+  if (neighbour !== undefined && near > here && near >= (free?.tokens ?? 0)) {
     return { address: neighbour.address, tokens: near - here, isStore: false };
-  return store === undefined ? undefined : { address: store.address, tokens: kept - here, isStore: true };
+  }
+  return free && { address: free.address, tokens: Math.max(0, free.tokens - here), isStore: true };
 }
