Learn when first tokens come, refuse by the wait behind others; load weights by what is agreed here

FirstTokenModel (packages/routing): a line through the last 64 first tokens and a factor for each target, in place of the time divided by all tokens. Of 23 prompts with 56,000 tokens ahead the old figure expected 786 ms, 460 came. A prompt is refused when it would wait behind others for more than half of its objective (0.8 for the most urgent), whatever its own size and however many places are taken: with 96 places a service was never found overrun. A pause is told until one control instance has answered, not all; a turn is asked of the next one after 0.5 s.

--- a/packages/directory/src/call/controls.ts
+++ b/packages/directory/src/call/controls.ts
@@ -10,7 +10,7 @@
 import { ControlAddresses } from './controlAddresses.js';
 import { faultOf } from './faultError.js';
 
-/** Longest wait for one instance before the next one is asked, in milliseconds. */
+/** Longest wait for one instance before the next one is asked, in milliseconds, unless the caller wishes otherwise. */
 const ATTEMPT_MS = 1_500;
 /** Shortest wait that makes an attempt worth sending. */
 const LEAST_ATTEMPT_MS = 20;
@@ -26,6 +26,8 @@
   /** Shared with the directory client, so that both know which instances fail. */
   readonly addresses?: ControlAddresses;
   readonly dataCentre?: string;
+  /** Longest wait for one instance before the next one is asked, milliseconds. */
+  readonly attemptMs?: number;
 }
 
 /** One call over a transport. It must carry what makes a resend harmless, as an attempt's id. */
@@ -35,8 +37,10 @@
 export class Controls {
   private readonly addresses: ControlAddresses;
   private preferred = '';
+  private readonly attemptMs: number;
 
   constructor(private readonly options: ControlsOptions) {
+    this.attemptMs = options.attemptMs ?? ATTEMPT_MS;
     this.addresses =
       options.addresses ?? new ControlAddresses(options.controls, () => options.clock.monotonic());
   }
@@ -59,7 +63,7 @@
     while (left() > LEAST_ATTEMPT_MS) {
       for (const address of this.order()) {
         if (left() <= LEAST_ATTEMPT_MS) break;
-        const outcome = await this.attempt(address, call, Math.min(left(), ATTEMPT_MS));
+        const outcome = await this.attempt(address, call, Math.min(left(), this.attemptMs));
         if (outcome.isOk()) return ok(outcome.value);
         last = outcome.error;
         mayHaveRun ||= last.ran !== 'not-run';
@@ -98,7 +102,7 @@
     if (isTransportFault(problem)) this.addresses.failed(address);
     // A connection can go silent for good while new ones work: only a new one can tell. One on which
     // something else was heard meanwhile is left to its other calls.
-    const dead = silent && ms >= ATTEMPT_MS && this.addresses.silentFor(address) >= ATTEMPT_MS;
+    const dead = silent && ms >= this.attemptMs && this.addresses.silentFor(address) >= ATTEMPT_MS;
     if (dead) this.drop(address);
     return problem;
   }
--- a/packages/relay/src/cache/storeLink.ts
+++ b/packages/relay/src/cache/storeLink.ts
@@ -3,13 +3,13 @@
 import type { Backlog } from '../target/index.js';
 
 /**
- * Longest wait for a store's link that a prompt is sent into, milliseconds. What was fetched counts until its first token
- * came, so about half of it is over; the rest still leaves an objective of 400 ms. Fetches go one after the other. When
- * all that waits after an outage comes at once, each waits for those before it, and as fetches take nine tenths of the
+ * Longest wait for a store's link that a prompt is sent into, as a part of its objective. What was fetched counts until its
+ * first token came, so about half of it is over; the rest still leaves half of the objective. Fetches go one after the
+ * other. When all that waits after an outage comes at once, each waits for those before it, and as fetches take nine tenths of the
  * link at usual load by estimate, the queue of 1.5 s stayed for 4 s and made every first token late. What finds the link that busy is
- * read again instead: 34 ms of one target, which is dear, so not before. With 120 ms three times as much was read again.
+ * read again instead, which is dear, so not before: with a third of the objective three times as much was read again.
  */
-const MOST_WAIT_MS = 600;
+const MOST_WAIT = 1;
 
 /** Memory of one token and speed of a link where the configuration names none: bytes, Mbit/s. */
 const DEFAULT_TOKEN_BYTES = 192_512;
@@ -28,7 +28,12 @@
   return bits / ((linkMbps ?? DEFAULT_LINK_MBPS) * BITS_PER_MS_AND_MBPS);
 }
 
-/** Whether what waits at a store's link takes too long; what waits there is counted like a target's prompts. */
-export function isLinkBusy(backlog: Backlog, store: string, tokenMs: number): boolean {
-  return backlog.tokensAt(store) * tokenMs > MOST_WAIT_MS;
+/** How long what waits at a store's link takes, milliseconds; it is counted like a target's prompts. */
+export function linkWaitMs(backlog: Backlog, store: string, tokenMs: number): number {
+  return backlog.tokensAt(store) * tokenMs;
+}
+
+/** Whether a wait for a store's link is too long for a prompt with an objective, milliseconds both. */
+export function isLinkBusy(waitMs: number, objectiveMs: number): boolean {
+  return waitMs > objectiveMs * MOST_WAIT;
 }
--- a/packages/relay/src/placement/lack.ts
+++ b/packages/relay/src/placement/lack.ts
@@ -34,6 +34,8 @@
   readonly place: PartsPlace;
   /** Tokens of the shared parts that the target has or can fetch, from the first one on. */
   readonly cachedTokens: number;
+  /** How long a fetch from the store takes, the wait for its link included, milliseconds. */
+  readonly fetchMs?: number;
 }
 
 /** Nobody tells where the parts are. */
@@ -48,6 +50,8 @@
   readonly fetched: number;
   /** What bringing the rest there costs, or leaving the home, in tokens. */
   readonly penalty: number;
+  /** How long it waits for what it fetches, milliseconds. */
+  readonly fetchMs: number;
 }
 
 /** Two numbers of 32 bits from a text (FNV-1a with two offsets), as rendezvous hashing takes them. */
@@ -78,12 +82,15 @@
  * What a target lacks of a prompt. While nobody tells where the parts are, the home is taken to have them; where nobody
  * has them, it is the place to read them, so that all read them in one place.
  */
-export function lackOf(prompt: PromptOutline, { place, cachedTokens }: PartsView, isHome: boolean): Lack {
+export function lackOf(prompt: PromptOutline, view: PartsView, isHome: boolean): Lack {
+  const { place, cachedTokens, fetchMs = 0 } = view;
   const own = prompt.parts.at(-1)?.tokens ?? prompt.promptTokens;
   const shared = sharedTokens(prompt);
   if (place === 'here' || (place === 'unknown' && isHome))
-    return { place, tokens: own, fetched: 0, penalty: 0 };
+    return { place, tokens: own, fetched: 0, penalty: 0, fetchMs: 0 };
   const unread = shared - cachedTokens;
-  if (place === 'store') return { place, tokens: own, fetched: unread, penalty: shared * FETCH_PART };
-  return { place, tokens: own + unread, fetched: 0, penalty: isHome ? 0 : unread * READ_AGAIN_PART };
+  if (place === 'store')
+    return { place, tokens: own, fetched: unread, penalty: shared * FETCH_PART, fetchMs };
+  const penalty = isHome ? 0 : unread * READ_AGAIN_PART;
+  return { place, tokens: own + unread, fetched: 0, penalty, fetchMs: 0 };
 }
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -28,13 +28,15 @@
 const FULL = 0.75;
 
 /**
- * Times its objective after which a first token is too late for the request to be sent, and the mean part of the engines'
- * places that are taken then. What is sent into a queue of a second is late for certain, and so is all that comes behind
- * it, until the queue is gone; what is refused leaves the place to what can be in time. With free places nothing is. An
- * expectation errs by half and more, so a request that seems a little late is sent; both chosen, not compared.
+ * Part of its objective that a prompt may wait behind others to be read, for the most urgent and for others. What is sent
+ * into a longer queue is late, and so is all that comes behind it, until the queue is gone; what is refused leaves the
+ * queue to what can be in time, and comes back. The rest of the objective is for its own reading and for what entries don't
+ * know of each other's work in the last 50 ms. Less urgent prompts leave room for the most urgent, which tend to be short:
+ * with one bound for all, two of five short prompts were late in the seconds after new weights. It is the wait behind
+ * others alone that counts, not the prompt's own size: a large one is not refused where a small one is sent.
  */
-const LATE = 1.5;
-const BUSY = 0.5;
+const QUEUE_URGENT = 0.8;
+const QUEUE = 0.5;
 
 /** Load that a target in another data centre seems to have more: one way there costs 0.9 ms, a request 40 and more. */
 const DISTANCE_LOAD = 0.05;
@@ -71,8 +73,9 @@
   readonly waiting?: number;
   readonly slowness?: number;
   readonly partsPlace?: PartsPlace;
-  /** When its first token will come, as it seems, milliseconds. */
+  /** When its first token will come, as it seems, and how long it waits behind others, milliseconds. */
   readonly expectedMs?: number;
+  readonly queueMs?: number;
   /** Requests that it probably has. */
   readonly load: number;
   /** Age of the told load, milliseconds. */
@@ -110,14 +113,13 @@
   /** Whether a prompt is better refused than sent where it was placed: it would be late, and make others late. */
   isOverrun(
     { candidates, prompt, priority, objectiveMs }: PlacementInput,
-    { expectedMs = 0 }: Placement,
+    { queueMs = 0 }: Placement,
   ): boolean {
     if (prompt === undefined || candidates.length === 0) return false;
+    const isUrgent = priority === 0;
     const taken = candidates.map(({ id, capacity }) => this.sights.requestsAt(id) / Math.max(1, capacity));
-    const part = priority === 0 ? FULL_URGENT : FULL;
-    if (taken.every((one) => one >= part)) return true;
-    const mean = taken.reduce((sum, one) => sum + one, 0) / taken.length;
-    return mean >= BUSY && expectedMs > objectiveMs * LATE;
+    if (taken.every((one) => one >= (isUrgent ? FULL_URGENT : FULL))) return true;
+    return queueMs > objectiveMs * (isUrgent ? QUEUE_URGENT : QUEUE);
   }
 
   /** The target for a request; undefined when there is none. */
@@ -151,9 +153,11 @@
     if (drawn === undefined) throw new Error('no candidate');
     const { target, place, tokens, fetched, waiting, slowness } = drawn;
     const reason = home === undefined ? 'least-work' : target === home ? 'home' : 'elsewhere';
-    const expectedMs = Math.round((waiting + tokens) * this.sights.backlog.tokenMs(target.id));
+    const model = this.sights.firstTokens(input.service);
+    const expectedMs = Math.round(model.predict(target.id, waiting + tokens) + drawn.fetchMs);
+    const queueMs = Math.round(waiting * model.tokenMs(target.id));
     const placed = this.placed(target, reason, usable.length);
-    return { ...placed, partsPlace: place, tokens, fetched, waiting, slowness, expectedMs };
+    return { ...placed, partsPlace: place, tokens, fetched, waiting, slowness, expectedMs, queueMs };
   }
 
   private costOf(target: Target, lack: Lack, fastestMs: number): Cost {
--- a/packages/relay/src/placement/weights.ts
+++ b/packages/relay/src/placement/weights.ts
@@ -7,11 +7,8 @@
  */
 const PREFER_MS = 1_000;
 
-/**
- * Time from which on replaced weights serve nothing, milliseconds: 8 s are agreed, and a request may wait at a target
- * before it begins.
- */
-const REFUSE_MS = 6_500;
+/** Time before that limit from which on replaced weights serve nothing, milliseconds: a request may wait at a target. */
+const MARGIN_MS = 1_500;
 
 /** Part of the targets that must have the newest weights before the others are left out: fewer would be overrun. */
 const ENOUGH = 0.5;
@@ -36,7 +33,8 @@
 }
 
 /**
- * Candidates for a request; `now` is monotonic time. Targets load in the order of their ids, and before a target loads,
+ * Candidates for a request; `now` is monotonic time, `limitMs` the time after the naming of newer weights from which on
+ * nothing may begin on older ones. Targets load in the order of their ids, and before a target loads,
  * its streams leave it or are waited for. So long streams go to targets that have loaded or load last; on one that is
  * next they would be moved, and a second time they can only be waited for, while the target takes no other work.
  */
@@ -45,10 +43,11 @@
   wish: ModelWish | undefined,
   knowledge: Knowledge,
   now: number,
+  limitMs: number,
 ): readonly Target[] {
   if (wish === undefined) return candidates;
   const standings = candidates.map((target) => standingOf(target, wish.model, knowledge, now));
-  const usable = standings.filter(({ staleMs }) => staleMs < REFUSE_MS);
+  const usable = standings.filter(({ staleMs }) => staleMs < limitMs - MARGIN_MS);
   const newest = usable.filter(({ staleMs }) => staleMs < 0);
   const old = usable.filter(({ staleMs }) => staleMs >= 0);
   if (old.length === 0) return targetsOf(usable);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -70,6 +70,7 @@
       copies: new Copies(clock, (store, part) => knowledge.isKept(store, part)),
       learning: new Learning(knowledge, clock),
       stopsAt: () => this.stopsAt,
+      weightsLimitMs: settings.weightsLimitMs,
       bodies: new BodyBudget(settings.maxBufferedBytes),
       random,
       clock,
--- a/packages/relay/src/target/targetState.ts
+++ b/packages/relay/src/target/targetState.ts
@@ -1,5 +1,6 @@
 /** What this entry sees of targets: its own open requests, told load, and recent failures. */
 import type { Clock } from '@jasmineroute/core';
+import { FirstTokenModel } from '@jasmineroute/routing';
 import { Backlog } from './backlog.js';
 import { Pace } from './pace.js';
 import type { ToldLoad } from '../dialect/index.js';
@@ -52,6 +53,8 @@
   private readonly sights = new Map<string, Sight>();
   /** Prompts that wait there. */
   readonly backlog: Backlog;
+  /** When their first tokens come, by service. */
+  private readonly models = new Map<string, FirstTokenModel>();
   /** How fast they make tokens. */
   readonly pace = new Pace();
 
@@ -98,12 +101,26 @@
     this.of(id).heardAt = this.clock.monotonic();
   }
 
-  /** A request goes out, with `tokens` of its prompt to be read, and some to be fetched first. */
-  began(id: string, tokens = 0, fetch?: Fetch): OpenRequest {
+  /** When the first tokens of a service's targets come. */
+  firstTokens(service: string): FirstTokenModel {
+    const known = this.models.get(service) ?? new FirstTokenModel();
+    this.models.set(service, known);
+    return known;
+  }
+
+  /** A request of a service goes out, with `tokens` of its prompt to be read, and some to be fetched first. */
+  began(id: string, tokens = 0, fetch?: Fetch, service = ''): OpenRequest {
     const sight = this.of(id);
     if (sight.open === 0) sight.heardAt = this.clock.monotonic();
     sight.open += 1;
-    const prompt = this.backlog.began(id, tokens);
+    const begunAt = this.clock.monotonic();
+    const ahead = this.backlog.tokensAt(id) + tokens;
+    // The wait for a store says nothing of the time to read.
+    const isRead = fetch === undefined || fetch.tokens === 0;
+    const learn = (): void => {
+      this.firstTokens(service).came(id, ahead, this.clock.monotonic() - begunAt);
+    };
+    const prompt = this.backlog.began(id, tokens, isRead ? learn : undefined);
     const fetched = fetch === undefined ? undefined : this.backlog.began(fetch.store, fetch.tokens);
     const read = (): void => {
       prompt.read();
@@ -140,7 +157,8 @@
   /** Forgets targets that are gone. */
   keep(ids: ReadonlySet<string>): void {
     for (const [id, { open }] of this.sights) if (!ids.has(id) && open === 0) this.sights.delete(id);
-    this.backlog.keep(ids);
+    this.backlog.keep();
+    for (const model of this.models.values()) model.keep(ids);
     this.pace.keep(ids);
   }
 }
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -22,6 +22,8 @@
   readonly learning: Learning;
   /** Monotonic time at which a planned stop is over; undefined: none has begun. */
   readonly stopsAt: () => number | undefined;
+  /** Time after the naming of newer weights from which on nothing may begin on older ones, milliseconds. */
+  readonly weightsLimitMs: number;
   readonly bodies: BodyBudget;
   readonly random: Random;
   readonly clock: Clock;
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -2,7 +2,7 @@
 import type { Configuration } from '@jasmineroute/configuration';
 import type { Target } from '@jasmineroute/knowledge';
 import type { StoredPart } from '@jasmineroute/protocol';
-import { fetchMs, isLinkBusy, sourceOf, storeAddress } from '../cache/index.js';
+import { fetchMs, isLinkBusy, linkWaitMs, sourceOf, storeAddress } from '../cache/index.js';
 import type { Holders, Source } from '../cache/index.js';
 import { UNKNOWN_PARTS } from '../placement/index.js';
 import type { PartsView } from '../placement/index.js';
@@ -86,26 +86,29 @@
 }
 
 /** What the store has of some parts; undefined when there is none that answers. */
-function storeHolder(
-  context: RelayContext,
-  { service }: Job,
-  parts: readonly SharedPart[],
-): Holders['store'] {
-  const { knowledge, sights } = context;
+function storeHolder(context: RelayContext, job: Job, parts: readonly SharedPart[]): Holders['store'] {
+  const { knowledge } = context;
   const store = storeInForce(context);
   if (store === undefined || store.isLost) return undefined;
-  const { address, configuration } = store;
+  const { address } = store;
   const tokens = tokensUpTo(parts, (part) => knowledge.isKept(address, part) !== false);
-  return {
-    address,
-    tokens,
-    isBusy: isLinkBusy(sights.backlog, address, fetchMs(configuration, service, address)),
-  };
+  const { waitMs } = linkOf(context, job, store);
+  return { address, tokens, isBusy: isLinkBusy(waitMs, job.route.objectiveMs) };
+}
+
+/** A store's link: the time for one token, and for all that waits there, milliseconds. */
+function linkOf(
+  { sights }: RelayContext,
+  { service }: Job,
+  { address, configuration }: StoreInForce,
+): { readonly tokenMs: number; readonly waitMs: number } {
+  const tokenMs = fetchMs(configuration, service, address);
+  return { tokenMs, waitMs: linkWaitMs(sights.backlog, address, tokenMs) };
 }
 
 /** Where the shared parts of a request are, as seen from one target. */
 export function partsView(context: RelayContext, job: Job, target: Target): PartsView {
-  const { knowledge, sights } = context;
+  const { knowledge } = context;
   const parts = sharedPartsAt(target, job);
   const last = parts.at(-1);
   if (last === undefined) return UNKNOWN_PARTS;
@@ -117,8 +120,10 @@
   const isKept = knowledge.isKept(store.address, last);
   if (isKept === undefined) return { place: 'unknown', cachedTokens };
   if (!isKept) return { place: 'nowhere', cachedTokens };
-  const tokenMs = fetchMs(store.configuration, job.service, store.address);
-  return { place: isLinkBusy(sights.backlog, store.address, tokenMs) ? 'busy' : 'store', cachedTokens };
+  const { tokenMs, waitMs } = linkOf(context, job, store);
+  const unread = tokensUpTo(parts, () => true) - cachedTokens;
+  const place = isLinkBusy(waitMs, job.route.objectiveMs) ? 'busy' : 'store';
+  return { place, cachedTokens, fetchMs: waitMs + unread * tokenMs };
 }
 
 /** Where a target fetches what it lacks of a request's shared parts; undefined: nowhere. */
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -235,7 +235,7 @@
   }
 
   private inputFor(job: Job, tried: ReadonlySet<string>): PlacementInput {
-    const { knowledge } = this.context;
+    const { knowledge, clock, weightsLimitMs } = this.context;
     const ready = knowledge.targets.ready(job.service.name);
     const untried = ready.filter(({ id }) => !tried.has(id));
     const model = job.route.hasPrompt ? job.request.prompt?.model : undefined;
@@ -243,7 +243,7 @@
       model === undefined
         ? undefined
         : { model, resumable: job.route.resumable, moving: this.stream.lastEventId !== undefined };
-    const fresh = withWeights(untried, wish, knowledge, this.context.clock.monotonic());
+    const fresh = withWeights(untried, wish, knowledge, clock.monotonic(), weightsLimitMs);
     const { prompt } = job.request;
     return {
       service: job.service.name,
@@ -265,7 +265,7 @@
     const leftMs = job.until - begunAt;
     const source = job.route.hasPrompt ? sourceFor(this.context, job, target) : undefined;
     const addition = additionFor(this.context, job, target, leftMs, resumeAfter, source);
-    const open = sights.began(target.id, placement.tokens, fetchOf(source));
+    const open = sights.began(target.id, placement.tokens, fetchOf(source), job.service.name);
     let outcome: Outcome;
     let status = 0;
     try {
--- a/packages/relay/src/work/report.ts
+++ b/packages/relay/src/work/report.ts
@@ -49,6 +49,6 @@
 }
 
 /** What the refusal of an overrun service was decided on. */
-export const overrunText = ({ target, load, waiting, expectedMs }: Placement): string =>
+export const overrunText = ({ target, load, waiting, queueMs, expectedMs }: Placement): string =>
   `all targets are overrun: the best, ${target.id}, has ${load} requests with ${waiting ?? 0} tokens to read, ` +
-  `and a first token would take ${expectedMs ?? 0} ms`;
+  `which take ${queueMs ?? 0} ms, and a first token would take ${expectedMs ?? 0} ms`;
--- a/packages/rollout/src/keeper/observer.ts
+++ b/packages/rollout/src/keeper/observer.ts
@@ -24,11 +24,17 @@
     private readonly log: Log,
   ) {}
 
-  /** Resolves once each control instance has answered or was waited for long enough. */
+  /**
+   * Tells all control instances. Resolves once one has answered, or each was waited for long enough: entries follow all of
+   * them, so one is enough for each to hear of it. Waiting for all held up each load by 0.8 s while one instance was frozen,
+   * and after some seconds twice as many targets loaded at once, to be in time.
+   */
   async tell({ targetId, number, paused, weights }: Observation): Promise<void> {
     const versions = [...weights].map(([model, version]) => ({ model, version: BigInt(version) }));
     const request = { targetId, observation: number, paused, weights: versions };
-    await Promise.all(this.controls().map((address) => this.tellOne(address, request)));
+    const told = this.controls().map((address) => this.tellOne(address, request));
+    // Each failure has its own log line.
+    await Promise.any(told).catch(() => undefined);
   }
 
   private async tellOne(
@@ -40,6 +46,7 @@
       await client.observe(request, { timeoutMs: CALL_MS });
     } catch (error) {
       this.log.event(rolloutEvents.unobserved, { control: address, problem: String(error) });
+      throw error;
     }
   }
 }
--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -90,6 +90,7 @@
       incarnation: 1n,
       address: ADDRESS,
       service: 's',
+      weightsLimitMs: 8_000,
       port: target,
       knowledge,
       turns: {
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -15,10 +15,10 @@
 const LOADING_PART = 0.25;
 
 /**
- * Time after which twice as many load at once, milliseconds: under load each round takes 2 s and more, and weights that
- * were replaced 8 s ago may serve nothing.
+ * Part of the time in which replaced weights may serve after which twice as many load at once: under load each round takes
+ * 2 s and more, and what is behind at the end of that time serves nothing.
  */
-const HURRY_MS = 4_500;
+const HURRY = 0.56;
 
 /** Time of a turn, milliseconds: how long a process that was killed keeps others from loading. */
 const TURN_MS = 3_000;
@@ -63,6 +63,8 @@
   /** host:port of the target. */
   readonly address: string;
   readonly service: string;
+  /** Time after the naming of newer weights from which on nothing may begin on older ones, milliseconds. */
+  readonly weightsLimitMs: number;
   readonly port: TargetPort;
   readonly knowledge: Knowledge;
   readonly turns: TurnSource;
@@ -168,9 +170,9 @@
 
   /** How many of the service's targets may load at once. */
   private limitFor(target: Target, { model }: Wish): number {
-    const { knowledge, service, clock } = this.parts;
+    const { knowledge, service, clock, weightsLimitMs } = this.parts;
     const since = knowledge.staleSince(model, target.weights.get(model) ?? 0) ?? clock.monotonic();
-    const hurry = clock.monotonic() - since > HURRY_MS ? 2 : 1;
+    const hurry = clock.monotonic() - since > weightsLimitMs * HURRY ? 2 : 1;
     return Math.max(1, Math.round(knowledge.targets.count(service) * LOADING_PART * hurry));
   }
 
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -6,12 +6,20 @@
 import { Announcer, CacheReporter, LoadReporter, Observer, WeightsKeeper } from './keeper/index.js';
 import type { TargetPort } from './port/index.js';
 
+/**
+ * Longest wait for one control instance with a turn, milliseconds, before the next is asked: some ten times what a quorum
+ * takes with slow disks. Behind a frozen instance a turn was asked for, and given back, 1.5 s late, while all others waited.
+ */
+const TURN_ATTEMPT_MS = 500;
+
 /** The target that the process stands beside. */
 export interface Neighbour {
   /** host:port. */
   readonly address: string;
   readonly service: string;
   readonly port: TargetPort;
+  /** Time after the naming of newer weights from which on nothing may begin on older ones, milliseconds. */
+  readonly weightsLimitMs: number;
 }
 
 /** Follows control and keeps one target's weights. */
@@ -29,7 +37,8 @@
     const { name, incarnation, controls, peers, clock, log, metrics, dataCentre } = context;
     const knowledge = new Knowledge(clock, log);
     this.follower = new Follower({ name, role: 'agent', controls, knowledge, peers, clock, log });
-    const turns = new TurnClient(new Controls({ controls, peers, clock, metrics, dataCentre }));
+    const attemptMs = TURN_ATTEMPT_MS;
+    const turns = new TurnClient(new Controls({ controls, peers, clock, metrics, dataCentre, attemptMs }));
     const observer = new Observer(() => this.follower.controls(), peers, log);
     const known = (): readonly string[] => this.follower.controls();
     const { address, port } = neighbour;
--- /dev/null
+++ b/packages/routing/src/firstToken/index.ts
@@ -0,0 +1,1 @@
+export * from './firstToken.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,7 @@
 export * from './admission/index.js';
 export * from './blockIndex/index.js';
 export * from './fairness/index.js';
+export * from './firstToken/index.js';
 export * from './limit/index.js';
 export * from './policy/index.js';
 export * from './prefix/index.js';
