--- a/packages/relay/src/placement/weights.ts
+++ b/packages/relay/src/placement/weights.ts
@@ -7,8 +7,8 @@
  */
 const PREFER_MS = 1_000;
 
-/** Time before that limit from which on replaced weights serve nothing, milliseconds: a request may wait at a target. */
-const MARGIN_MS = 1_500;
+/** Part of the agreed time from which on replaced weights serve nothing: a request may wait at a target before it begins. */
+const MOST_STALE = 0.8;
 
 /** Part of the targets that must have the newest weights before the others are left out: fewer would be overrun. */
 const ENOUGH = 0.5;
@@ -47,7 +47,7 @@
 ): readonly Target[] {
   if (wish === undefined) return candidates;
   const standings = candidates.map((target) => standingOf(target, wish.model, knowledge, now));
-  const usable = standings.filter(({ staleMs }) => staleMs < limitMs - MARGIN_MS);
+  const usable = standings.filter(({ staleMs }) => staleMs < limitMs * MOST_STALE);
   const newest = usable.filter(({ staleMs }) => staleMs < 0);
   const old = usable.filter(({ staleMs }) => staleMs >= 0);
   if (old.length === 0) return targetsOf(usable);
--- a/packages/relay/src/setting/setting.ts
+++ b/packages/relay/src/setting/setting.ts
@@ -25,7 +25,7 @@
   retrySlack: count(0, 100_000)
     .default(10)
     .describe('retries in a window beyond that share, shared by all entries together'),
-  weightsLimitMs: count(2_000, 86_400_000)
+  weightsLimitMs: count(1, 86_400_000)
     .default(8_000)
     .describe('time after the naming of newer weights from which on nothing may begin on older ones'),
   seed: count(0, 4_294_967_295).default(0).describe('seed of routing decisions; 0: from the name'),
