Count what can not be read as often as it is left out, and bound the health checks of an announcer

A list with five bad entries counted as one, and models of heartbeats and reports were left out without a word. Decoders tell what they left out (Unread), and whoever reads notes it. An announcer whose target refused its health check, or whose control did not answer, asked again each 100 ms; it waits 2 s now.

--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -9,7 +9,7 @@
   unreadableCalls: {
     name: 'control.target.unreadable',
     type: 'counter',
-    help: 'Calls in the name of targets that could not be read',
+    help: 'Calls in the name of targets, and entries of their lists, that could not be read',
   },
   claimsHeld: { name: 'control.claim.held', type: 'gauge', help: 'Claims in the table' },
   turns: { name: 'control.turn.requests', type: 'counter', help: 'Turns asked for, by whether granted' },
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -2,11 +2,10 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { create } from '@bufbuild/protobuf';
 import { ProblemTally } from '@jasmineroute/core';
-import type { Fault } from '@jasmineroute/core';
 import { serveDirectory } from '@jasmineroute/directory';
 import type { InstanceMessage, Membership } from '@jasmineroute/directory';
 import { controlMessage } from '@jasmineroute/protocol';
-import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
+import type { Readiness, RoleContext, RoleProcess, Unread } from '@jasmineroute/protocol';
 import { ClaimService } from '../claims/index.js';
 import { ConfigurationService } from '../configuration/index.js';
 import { DocumentService, DocumentView } from '../documents/index.js';
@@ -192,10 +191,10 @@
     return this.readiness().ready;
   }
 
-  /** A call that says it is of the target `source` can't be read: it names no target to use. */
-  unreadable(source: string, { message }: Fault): void {
-    this.unreadableCalls.note(source, message);
-    this.context.metrics.count(controlMetrics.unreadableCalls, 1);
+  /** A call that says it is of the target `source`, or a part of it, can't be read: that names no target to use. */
+  unreadable(source: string, { problem, count }: Unread): void {
+    this.unreadableCalls.note(source, problem, count);
+    this.context.metrics.count(controlMetrics.unreadableCalls, count);
   }
 
   /** Ends the streams of watchers, who move to other instances, and finishes the proposals under way. */
--- a/packages/control/src/stores/storeWatch.ts
+++ b/packages/control/src/stores/storeWatch.ts
@@ -116,7 +116,7 @@
         (problem: unknown) => ({ news: undefined, problem: String(problem) }),
       );
       this.note(address, told.problem);
-      if (told.news?.unread !== undefined) this.unreadable.note(address, told.news.unread.problem);
+      this.noteUnread(address, told.news);
       if (told.news === undefined) await this.clock.sleep(PAUSE_MS, signal).catch(() => undefined);
       else last = (await this.filled(address, told.news)) ?? this.kept.take(address, told.news, last);
     }
@@ -139,10 +139,15 @@
       return undefined;
     });
     if (list === undefined) return undefined;
+    this.noteUnread(address, list);
     this.log.event(controlEvents.storeListed, { store: address, parts: list.events.length });
     return this.kept.take(address, list, undefined);
   }
 
+  private noteUnread(address: string, news: CacheNews | undefined): void {
+    if (news?.unread !== undefined) this.unreadable.note(address, news.unread.problem, news.unread.count);
+  }
+
   /** @param problem why the store did not answer; empty: it did. */
   private note(address: string, problem: string): void {
     const isLost = problem !== '';
--- a/packages/control/src/targets/targetBook.ts
+++ b/packages/control/src/targets/targetBook.ts
@@ -2,7 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { Clock, Log } from '@jasmineroute/core';
 import { NewestStarts, controlMessage, startFields, startId, startOf } from '@jasmineroute/protocol';
-import type { TargetStart } from '@jasmineroute/protocol';
+import type { TargetStart, Unread } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
 
 /** Heartbeats that may be missed before a target counts as silent: one lost and one late. */
@@ -36,6 +36,8 @@
   readonly sequence: number;
   readonly coldMs: number;
   readonly weights: readonly { readonly model: string; readonly version: number }[];
+  /** Models of its list that could not be read; absent: none. */
+  readonly unread?: Unread;
 }
 
 interface Entry {
@@ -246,14 +248,18 @@
   heartbeat: Heartbeat,
   known?: controlMessage.AnnouncedTarget,
 ): controlMessage.AnnouncedTarget {
-  const { draining, sequence, weights, name, born, ...rest } = heartbeat;
+  const { service, address, dataCentre, capacity, draining, sequence, coldMs, weights } = heartbeat;
   const told = weights.map(({ model, version }) =>
     create(controlMessage.NamedWeightsSchema, { model, version: BigInt(version) }),
   );
   return create(AnnouncedTargetSchema, {
-    ...rest,
+    service,
+    address,
+    dataCentre,
+    capacity,
+    coldMs,
     id: startId(heartbeat),
-    ...startFields({ name, born }),
+    ...startFields(heartbeat),
     announcement: draining ? Announcement.DRAINING : Announcement.READY,
     sequence: BigInt(sequence),
     weights: newerWeights(known?.weights ?? [], told),
--- a/packages/core/src/event/problemTally.spec.ts
+++ b/packages/core/src/event/problemTally.spec.ts
@@ -20,6 +20,17 @@
     expect(tally.countOf('a')).toBe(150);
   });
 
+  it('counts problems that come together', () => {
+    const lines: unknown[] = [];
+    const log = { ...silentLog, event: (_kind: unknown, fields: unknown) => lines.push(fields) };
+    const tally = new ProblemTally(log, event);
+    tally.note('a', 'no state', 7);
+    tally.note('a', 'no state', 7);
+    tally.note('a', 'no state', 7);
+    expect(lines).toMatchObject([{ count: 7 }, { count: 14 }]);
+    expect(tally.countOf('a')).toBe(21);
+  });
+
   it('tells a bounded number of sources apart', () => {
     const lines: { source?: string }[] = [];
     const log = { ...silentLog, event: (_kind: unknown, fields = {}) => void lines.push(fields) };
--- a/packages/core/src/event/problemTally.ts
+++ b/packages/core/src/event/problemTally.ts
@@ -7,14 +7,8 @@
 /** Source under which the rest is counted. */
 const OTHERS = 'others';
 
-const BASE = 10;
-
-/** Whether a count is 1, 10, 100 and so on. */
-function isPowerOfTen(count: number): boolean {
-  let left = count;
-  while (left >= BASE && left % BASE === 0) left /= BASE;
-  return left === 1;
-}
+/** Digits of a count: it grows when a count reaches 1, 10, 100 and so on. */
+const digitsOf = (count: number): number => (count === 0 ? 0 : String(count).length);
 
 /**
  * The first problem of a source is logged with its reason, then the tenth, the hundredth and so on, each with the count. A
@@ -28,13 +22,14 @@
     private readonly event: EventKind,
   ) {}
 
-  /** A problem came from a source: an address or a name. */
-  note(source: string, problem: string): void {
+  /** Problems came from a source, an address or a name: the reason of the first, and how many. */
+  note(source: string, problem: string, more = 1): void {
     const isTold = this.counts.has(source) || this.counts.size < MOST_SOURCES;
     const key = isTold ? source : OTHERS;
-    const count = this.countOf(key) + 1;
+    const before = this.countOf(key);
+    const count = before + more;
     this.counts.set(key, count);
-    if (isPowerOfTen(count)) this.log.event(this.event, { source: key, problem, count });
+    if (digitsOf(count) > digitsOf(before)) this.log.event(this.event, { source: key, problem, count });
   }
 
   /** Problems of a source so far. */
--- a/packages/protocol/src/part/cacheNews.ts
+++ b/packages/protocol/src/part/cacheNews.ts
@@ -1,5 +1,6 @@
 /** What a store or a target tells of its cache. */
 import type { StoredPart } from './partKey.js';
+import type { Unread } from './unread.js';
 
 /** What happened to a cache since the last call. */
 export interface CacheNews {
@@ -11,6 +12,6 @@
   readonly hasGap: boolean;
   /** In order; not kept: there is less of the part than before. */
   readonly events: readonly (StoredPart & { readonly isKept: boolean })[];
-  /** Events beside these that could not be read: how many, and why the first could not; absent: none. */
-  readonly unread?: { readonly count: number; readonly problem: string };
+  /** Events beside these that could not be read; absent: none. */
+  readonly unread?: Unread;
 }
--- a/packages/protocol/src/part/index.ts
+++ b/packages/protocol/src/part/index.ts
@@ -1,3 +1,4 @@
 export * from './cacheNews.js';
 export * from './keptParts.js';
 export * from './partKey.js';
+export * from './unread.js';
--- a/packages/rollout/src/events.ts
+++ b/packages/rollout/src/events.ts
@@ -12,5 +12,7 @@
   cacheUnheard: { id: 8207, level: 'warn', message: 'the target tells nothing of its cache' },
   unreadableEvents: { id: 8209, level: 'warn', message: "some of the target's events can not be read" },
   announced: { id: 8210, level: 'info', message: 'announced the target, which nobody told of' },
+  unreadableReport: { id: 8211, level: 'warn', message: "some of the target's models can not be read" },
+  notAnnounced: { id: 8212, level: 'info', message: 'the target beside this process does not say who it is' },
   cacheHeard: { id: 8208, level: 'info', message: 'the target tells of its cache again' },
 });
--- a/packages/rollout/src/keeper/announcer.spec.ts
+++ b/packages/rollout/src/keeper/announcer.spec.ts
@@ -16,6 +16,7 @@
   let announced: controlMessage.AnnouncedTarget[];
   let knowledge: Knowledge;
   let isUp: boolean;
+  let isServing: boolean;
   let checks: string[];
   const clock = new ManualClock();
 
@@ -23,6 +24,7 @@
     announced = [];
     checks = [];
     isUp = true;
+    isServing = true;
     server = await listen('127.0.0.1', 0, (router) => {
       router.service(controlMessage.Configurations, {
         announce: (target) => {
@@ -60,7 +62,7 @@
       report: () => Promise.resolve(isUp ? ok(report) : down),
       identity: (path: string) => {
         checks.push(path);
-        return Promise.resolve(ok({ name: 't1', born: 7, capacity: 96 }));
+        return Promise.resolve(isServing ? ok({ name: 't1', born: 7, capacity: 96 }) : down);
       },
     } as unknown as TargetPort;
     const place = { address: ADDRESS, service: 's', dataCentre: 'here' };
@@ -81,6 +83,16 @@
     expect(checks).toEqual(['/alive']);
   });
 
+  it('leaves a target alone for a while that does not say who it is', async () => {
+    // Symptom: a target that drains gets ten health checks a second.
+    // Sequence: nobody tells of it, as it drains; each look asks it who it is, and it refuses.
+    // Cause: only a target that was announced was left alone.
+    configure();
+    isServing = false;
+    expect(await announcer().look()).toBe(true);
+    expect(announced).toEqual([]);
+  });
+
   it('checks no target that is known, down, or of no configured service', async () => {
     expect(await announcer().look()).toBe(false);
     configure();
--- a/packages/rollout/src/keeper/announcer.ts
+++ b/packages/rollout/src/keeper/announcer.ts
@@ -1,7 +1,7 @@
 /** Announces the target beside this process while no control instance tells of it. */
-import type { Clock, Log } from '@jasmineroute/core';
 import { Teller } from '@jasmineroute/knowledge';
 import type { Knowledge, TellerParts } from '@jasmineroute/knowledge';
+import { startFields } from '@jasmineroute/protocol';
 import { rolloutEvents } from '../events.js';
 import type { TargetIdentity, TargetPort } from '../port/index.js';
 
@@ -12,8 +12,8 @@
 const CALL_MS = 400;
 
 /**
- * Pause after an announcement before another one, milliseconds: the target is asked who it is for each, which counts as a
- * health check. By then it has called a control instance itself.
+ * Pause after the target was asked who it is, milliseconds: that counts as a health check, and costs what one does. By then
+ * the target has called a control instance itself.
  */
 const PAUSE_MS = 2_000;
 
@@ -25,8 +25,6 @@
   readonly dataCentre: string;
   readonly port: TargetPort;
   readonly knowledge: Knowledge;
-  readonly clock: Clock;
-  readonly log: Log;
 }
 
 /**
@@ -47,8 +45,8 @@
     const { clock } = this.parts;
     const { signal } = this.stopped;
     while (!signal.aborted) {
-      const isAnnounced = await this.look();
-      await clock.sleep(isAnnounced ? PAUSE_MS : LOOK_MS, signal).catch(() => undefined);
+      const isAsked = await this.look();
+      await clock.sleep(isAsked ? PAUSE_MS : LOOK_MS, signal).catch(() => undefined);
     }
   }
 
@@ -56,7 +54,7 @@
     this.stopped.abort();
   }
 
-  /** Announces the target if it serves and nobody tells of it. @returns whether a control instance was told. */
+  /** Announces the target if it serves and nobody tells of it. @returns whether it was asked who it is. */
   async look(): Promise<boolean> {
     const { knowledge, address, service, port, log } = this.parts;
     const healthPath = knowledge.table()?.serviceOf(service)?.healthPath;
@@ -65,20 +63,22 @@
     // While the target is down it is asked again; its loss is logged by what follows its load.
     if (report.isErr()) return false;
     const identity = await port.identity(healthPath, CALL_MS);
-    if (identity.isErr()) return false;
+    if (identity.isErr()) {
+      log.event(rolloutEvents.notAnnounced, { address, problem: identity.error.message });
+      return true;
+    }
+    // A control instance that can't be told is logged by the teller.
     const told = await this.tell(identity.value, report.value.weights);
     if (told) log.event(rolloutEvents.announced, { target: identity.value.name, address });
-    return told;
+    return true;
   }
 
-  private async tell(
-    { name, born, capacity }: TargetIdentity,
-    weights: ReadonlyMap<string, number>,
-  ): Promise<boolean> {
+  private async tell(identity: TargetIdentity, weights: ReadonlyMap<string, number>): Promise<boolean> {
     const { address, service, dataCentre } = this.parts;
     const versions = [...weights].map(([model, version]) => ({ model, version: BigInt(version) }));
-    const start = { name, born: born === undefined ? undefined : BigInt(born) };
-    const announced = { ...start, address, service, dataCentre, capacity, weights: versions };
+    const { capacity } = identity;
+    const place = { address, service, dataCentre, capacity };
+    const announced = { ...startFields(identity), ...place, weights: versions };
     const control = await this.teller.tell((client, options) => client.announce(announced, options));
     return control !== undefined;
   }
--- a/packages/rollout/src/keeper/cacheReporter.ts
+++ b/packages/rollout/src/keeper/cacheReporter.ts
@@ -94,7 +94,8 @@
     );
     this.note(told.news !== undefined, told.problem);
     if (told.news === undefined) return false;
-    if (told.news.unread !== undefined) this.unreadable.note(address, told.news.unread.problem);
+    const { unread } = told.news;
+    if (unread !== undefined) this.unreadable.note(address, unread.problem, unread.count);
     this.last = this.kept.take(address, told.news, this.last);
     await this.tell();
     return true;
--- a/packages/rollout/src/keeper/loadReporter.ts
+++ b/packages/rollout/src/keeper/loadReporter.ts
@@ -1,4 +1,5 @@
 /** Tells the load of the target beside this process. */
+import { ProblemTally } from '@jasmineroute/core';
 import { Teller } from '@jasmineroute/knowledge';
 import type { Knowledge, TellerParts } from '@jasmineroute/knowledge';
 import { rolloutEvents } from '../events.js';
@@ -32,8 +33,10 @@
   private lost = false;
   private toldAt = Number.NEGATIVE_INFINITY;
   private readonly teller: Teller;
+  private readonly unreadable: ProblemTally;
 
   constructor(private readonly parts: LoadReporterParts) {
+    this.unreadable = new ProblemTally(parts.log, rolloutEvents.unreadableReport);
     this.teller = new Teller(parts);
   }
 
@@ -62,7 +65,8 @@
       return;
     }
     this.lost = false;
-    const { running, waiting } = report.value;
+    const { running, waiting, unread } = report.value;
+    if (unread !== undefined) this.unreadable.note(address, unread.problem, unread.count);
     const load = `${target.id} ${running} ${waiting}`;
     const now = clock.monotonic();
     if (load === this.told && now - this.toldAt < REPEAT_MS) return;
--- a/packages/rollout/src/port/port.ts
+++ b/packages/rollout/src/port/port.ts
@@ -1,6 +1,6 @@
 /** Port to the target beside this process: its state and its orders. */
 import type { Fault } from '@jasmineroute/core';
-import type { CacheNews, TargetStart } from '@jasmineroute/protocol';
+import type { CacheNews, TargetStart, Unread } from '@jasmineroute/protocol';
 import type { Result } from 'neverthrow';
 
 /** What a target says of itself when it is asked. */
@@ -16,6 +16,8 @@
   readonly busy: boolean;
   /** Orders that it accepted since its start. */
   readonly orders: number;
+  /** Models of its list that could not be read; absent: none. */
+  readonly unread?: Unread;
 }
 
 /** Who a target is. */
