--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -7,6 +7,7 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import { TargetSights } from '../target/index.js';
 import { Placements, drawService } from './placement.js';
+import type { Placement, PlacementInput } from './placement.js';
 import type { PartsPlace } from './lack.js';
 import { withWeights } from './weights.js';
 
@@ -34,6 +35,12 @@
     placements = new Placements(sights, 'here', createRandom(1));
   });
 
+  const choose = (
+    candidates: readonly Target[],
+    change: Partial<PlacementInput> = {},
+  ): Placement | undefined =>
+    placements.choose({ service: 's', candidates, priority: 1, salt: '', objectiveMs: 400, ...change });
+
   const prompt = (shared: string, own: string, tokens = 1_000) => ({
     model: 'm',
     parts: [shared, own].map((id) => ({ id, tokens })),
@@ -42,14 +49,7 @@
   });
 
   const home = (shared: string, own = 'own'): string | undefined =>
-    placements.choose({
-      service: 's',
-      candidates: targets,
-      prompt: prompt(shared, own),
-      priority: 1,
-      salt: '',
-      objectiveMs: 400,
-    })?.target.id;
+    choose(targets, { prompt: prompt(shared, own) })?.target.id;
 
   it('keeps prompts with one shared part together, and others apart', () => {
     const homes = new Set(Array.from({ length: 20 }, (_, at) => home('one', `own-${at}`)));
@@ -61,14 +61,7 @@
     const drawn = new Set(
       Array.from({ length: 40 }, () => {
         const short = prompt('short', 'own', 100);
-        return placements.choose({
-          service: 's',
-          candidates: targets,
-          prompt: short,
-          priority: 1,
-          salt: '',
-          objectiveMs: 400,
-        })?.target.id;
+        return choose(targets, { prompt: short })?.target.id;
       }),
     );
     expect(drawn.size).toBeGreaterThan(1);
@@ -91,20 +84,12 @@
     // that come; each is read whole there, as its cache is empty.
     // Cause: the target with the fewest requests was taken for the one with the least work.
     const [a, b] = [target('a'), target('b')];
-    const choose = () =>
-      placements.choose({
-        service: 's',
-        candidates: [a, b],
-        prompt: prompt('short', 'own', 400),
-        priority: 1,
-        salt: '',
-        objectiveMs: 400,
-      })?.target.id;
+    const chosen = () => choose([a, b], { prompt: prompt('short', 'own', 400) })?.target.id;
     sights.began('a', 18_000);
     for (let n = 0; n < 3; n += 1) sights.began('b', 300);
-    expect(choose()).toBe('b');
+    expect(chosen()).toBe('b');
     sights.backlog.told('e2', [{ targetId: 'b', tokens: 40_000 }]);
-    expect(choose()).toBe('a');
+    expect(chosen()).toBe('a');
   });
 
   it('goes where the shared parts are, and reads them at home when they are nowhere', () => {
@@ -114,13 +99,8 @@
     const candidates = [target('new', 2), target('old', 1)];
     const chosen = (place: (one: Target) => PartsPlace) =>
       Array.from({ length: 20 }, (_, at) =>
-        placements.choose({
-          service: 's',
-          candidates,
+        choose(candidates, {
           prompt: prompt(`part-${at}`, 'own', 4_000),
-          priority: 1,
-          salt: '',
-          objectiveMs: 400,
           partsAt: (one) => ({ place: place(one), cachedTokens: 0 }),
         }),
       );
@@ -138,21 +118,13 @@
       sights.pace.paused('a', 26);
       sights.pace.paused('b', 34);
     }
-    const choose = () =>
-      placements.choose({
-        service: 's',
-        candidates: [target('a'), target('b')],
-        prompt: prompt('short', 'own', 400),
-        priority: 1,
-        salt: '',
-        objectiveMs: 400,
-      });
+    const chosen = () => choose([target('a'), target('b')], { prompt: prompt('short', 'own', 400) });
     sights.began('a', 4_000);
     sights.began('b', 4_000);
-    expect(choose()?.target.id).toBe('a');
+    expect(chosen()?.target.id).toBe('a');
     sights.began('a', 4_000);
-    expect(choose()?.target.id).toBe('b');
-    expect(choose()?.slowness).toBeCloseTo(34 / 26, 1);
+    expect(chosen()?.target.id).toBe('b');
+    expect(chosen()?.slowness).toBeCloseTo(34 / 26, 1);
   });
 
   it('forgets the work of an entry that tells nothing any more, and what was read', async () => {
@@ -171,42 +143,31 @@
     // Symptom: most requests of some seconds are refused, while other targets have room.
     // Sequence: an order to load weights was given up, and is carried out seconds later; the target refuses all at once.
     // Cause: a target that refuses has no work, and the one with the least work gets the next request.
-    const choose = (): string | undefined =>
-      placements.choose({
-        service: 's',
-        candidates: [target('a'), target('b')],
-        prompt: prompt('short', 'own', 400),
-        priority: 1,
-        salt: '',
-        objectiveMs: 400,
-      })?.target.id;
+    const chosen = (): string | undefined =>
+      choose([target('a'), target('b')], { prompt: prompt('short', 'own', 400) })?.target.id;
     sights.began('b', 30_000);
-    expect(choose()).toBe('a');
+    expect(chosen()).toBe('a');
     for (let n = 0; n < 5; n += 1) sights.refused('a');
-    expect(choose()).toBe('b');
+    expect(chosen()).toBe('b');
     await clock.advance(250);
-    expect(choose()).toBe('a');
+    expect(chosen()).toBe('a');
     sights.refused('a');
     await clock.advance(499);
-    expect(choose()).toBe('b');
+    expect(chosen()).toBe('b');
     await clock.advance(1);
     sights.succeeded('a');
     sights.refused('a');
     await clock.advance(250);
-    expect(choose()).toBe('a');
+    expect(chosen()).toBe('a');
   });
 
   it('takes the least loaded for requests without a prompt, the nearest of equals', () => {
     const far = targets.map(({ id }) => target(id, 1, 'there'));
     const near = target('near');
     const candidates = [...far, near];
-    expect(
-      placements.choose({ service: 's', candidates, priority: 1, salt: '', objectiveMs: 400 })?.target.id,
-    ).toBe('near');
+    expect(choose(candidates)?.target.id).toBe('near');
     sights.told('near', { running: 3, waiting: 0 });
-    expect(
-      placements.choose({ service: 's', candidates, priority: 1, salt: '', objectiveMs: 400 })?.target.id,
-    ).not.toBe('near');
+    expect(choose(candidates)?.target.id).not.toBe('near');
   });
 
   it('forgets told load with its age', async () => {
@@ -275,13 +236,8 @@
       open.ended();
     }
     const expected = (fetchMs: number): number | undefined =>
-      placements.choose({
-        service: 's',
-        candidates: [target('a')],
+      choose([target('a')], {
         prompt: prompt('one', 'own', 4_000),
-        priority: 1,
-        salt: '',
-        objectiveMs: 400,
         partsAt: () => ({ place: 'store', cachedTokens: 0, fetchMs }),
       })?.expectedMs;
     expect(Math.abs((expected(0) ?? 0) - 110)).toBeLessThan(10);
@@ -297,10 +253,7 @@
     await clock.advance(250);
     expect(sights.isAvoided('a')).toBe(true);
     const only = [target('a')];
-    expect(
-      placements.choose({ service: 's', candidates: only, priority: 1, salt: '', objectiveMs: 400 })?.target
-        .id,
-    ).toBe('a');
+    expect(choose(only)?.target.id).toBe('a');
   });
 
   it('avoids a target that has gone quiet while it has requests', async () => {
