Test that a lost store is neither a source nor copied to, and that an entry that has just started waits

When copies were told apart from sources their test lost the case of a store that does not answer; it stands in the entry's own tests again. The wait of an entry that has just started was tested by itself only; without it the new test gets 503.

--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -393,6 +393,36 @@
     expect(source()).toBe('');
   });
 
+  it('names a store that answers as the source and for a copy, and none for a prompt that shares nothing', async () => {
+    // Symptom: every first token is some hundred ms late.
+    // Sequence: the store of kept cache goes down; requests go on naming it.
+    // Cause: a store that does not answer was named.
+    const store = '127.0.0.1:9';
+    const services = [{ name: 's' }, { name: 'kept', storeAddress: store }];
+    const url = await start([routeTo({ ...stream, maxAttempts: 1 })], 1, { services });
+    bed.target(1).script = events(0, 0, (response) => response.end());
+    const named = async (parts: string): Promise<unknown[]> => {
+      await ask(url, { headers: { 't-prompt': parts } });
+      const headers = bed.target(1).requests.at(-1)?.headers;
+      return [headers?.['t-source'], headers?.['t-copy']];
+    };
+    expect(await named('a,b')).toEqual([store, store]);
+    expect(await named('b')).toEqual(['', '']);
+    bed.loseStores([store]);
+    let other = 0;
+    await expect.poll(() => named(`other-${(other += 1)},b`)).toEqual(['', '']);
+  });
+
+  it('lets a request wait for a target while it has just started', async () => {
+    // Symptom: after a loss of all instances callers are refused for good, though targets are there.
+    // Sequence: they return to an entry that has a configuration and knows no target yet, and have one retry.
+    // Cause: a target that is not known yet was taken not to be there.
+    bed = await Bed.startUntold([routeTo()], 1);
+    const asked = ask(bed.url);
+    bed.announce();
+    expect(await asked).toMatchObject({ status: 200, whole: true });
+  });
+
   it('sends long streams to the next entry once a planned stop has begun, and serves short ones', async () => {
     // Symptom: a planned stop cuts a stream in its middle.
     // Sequence: the stop begins; the balancer sends a long stream still; the time to stop is over before its end.
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -156,14 +156,27 @@
 
   /** Starts an entry before some targets, by one route and configuration. */
   static async start(routes: Route[], targets = 1, extra: Partial<Configuration> = {}): Promise<Bed> {
+    const bed = await Bed.begin(targets);
+    bed.announce();
+    bed.configure(routes, extra);
+    await until(() => bed.relay.readiness().ready);
+    return bed;
+  }
+
+  /** The same, with nothing told of the targets yet. */
+  static async startUntold(routes: Route[], targets = 1): Promise<Bed> {
+    const bed = await Bed.begin(targets);
+    bed.configure(routes);
+    await until(() => bed.relay.readiness().ready);
+    return bed;
+  }
+
+  private static async begin(targets: number): Promise<Bed> {
     const starting = new Teller();
     const bed = new Bed(await starting.start());
     Object.assign(bed, { teller: starting });
     for (let n = 1; n <= targets; n += 1) bed.targets.push(await standIn(`t${n}`));
     await bed.relay.start();
-    bed.announce();
-    bed.configure(routes, extra);
-    await until(() => bed.relay.readiness().ready);
     return bed;
   }
 
@@ -213,6 +226,11 @@
     this.teller.tell({ cached: create(controlMessage.KeptChangesSchema, { whole: true, added }) });
   }
 
+  /** Tells which stores do not answer. */
+  loseStores(lostStores: string[]): void {
+    this.teller.tell({ lostStores });
+  }
+
   drain(): Promise<void> {
     return this.relay.drain();
   }
--- a/packages/relay/src/testing/dialect.ts
+++ b/packages/relay/src/testing/dialect.ts
@@ -43,6 +43,7 @@
     't-version': String(addition.weightsVersion ?? ''),
     't-after': addition.lastEventId ?? '',
     't-source': addition.cacheSource ?? '',
+    't-copy': addition.cacheCopy ?? '',
   }),
   readAnswer: (_status, headers) => ({
     requestId: headerOf(headers, 't-id'),
