Log that a request waits for what an entry learns; a test of it that can fail

The entry logs a line now when a request begins to wait, with its id and what is known, and the test announces the target after that line; with no time to learn it fails.

--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -4,6 +4,7 @@
 import { create } from '@bufbuild/protobuf';
 import { controlMessage } from '@jasmineroute/protocol';
 import { afterEach, describe, expect, it } from 'vitest';
+import { relayEvents } from './events.js';
 import { Bed, answered, routeTo, until } from './testing/bed.js';
 import type { Script } from './testing/bed.js';
 
@@ -419,6 +420,7 @@
     // Cause: a target that is not known yet was taken not to be there.
     bed = await Bed.startUntold([routeTo()], 1);
     const asked = ask(bed.url);
+    await until(() => bed.logged.includes(relayEvents.waits.id));
     bed.announce();
     expect(await asked).toMatchObject({ status: 200, whole: true });
   });
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -132,6 +132,8 @@
 /** Everything that a test of a relaying entry needs. */
 export class Bed {
   readonly targets: StandIn[] = [];
+  /** Numbers of the events that the entry has logged. */
+  readonly logged: number[] = [];
   private readonly teller = new Teller();
   private readonly peers = new Peers();
   private readonly relay: Relay;
@@ -145,7 +147,7 @@
         dataCentre: 'here',
         controls: [control],
         clock: systemClock,
-        log: silentLog,
+        log: { ...silentLog, event: ({ id }) => void this.logged.push(id) },
         metrics: silentMetrics,
         peers: this.peers,
       },
--- a/packages/relay/src/work/learning.ts
+++ b/packages/relay/src/work/learning.ts
@@ -27,10 +27,18 @@
     });
   }
 
-  /** Waits until something is known, at most until the time to learn is over. @returns whether it is known. */
-  async until(isKnown: () => boolean, signal: AbortSignal): Promise<boolean> {
+  /**
+   * Waits until something is known, at most until the time to learn is over; `onWait` hears when it is not known at once.
+   * @returns whether it is known.
+   */
+  async until(
+    isKnown: () => boolean,
+    signal: AbortSignal,
+    onWait: (leftMs: number) => void = () => undefined,
+  ): Promise<boolean> {
     const leftMs = this.endsAt - this.clock.monotonic();
     if (isKnown() || leftMs <= 0 || signal.aborted) return isKnown();
+    onWait(leftMs);
     await new Promise<void>((resolve) => {
       const look = (): void => {
         if (!isKnown() && !signal.aborted && this.clock.monotonic() < this.endsAt) return;
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -70,14 +70,16 @@
   /** Answers the request, whatever happens. */
   async run(): Promise<void> {
     const { dialect, knowledge, learning } = this.context;
+    const request = dialect.readRequest(this.incoming);
     const isConfigured = (): boolean => knowledge.confirmed() && knowledge.table() !== undefined;
-    await learning.until(isConfigured, this.answer.gone);
+    await learning.until(isConfigured, this.answer.gone, (leftMs) => {
+      this.noteWait(request.isOk() ? request.value.id : undefined, leftMs);
+    });
     const table = knowledge.table();
     if (table === undefined || !knowledge.confirmed()) {
       this.answer.fail(fault('not-configured', 'no configuration is confirmed yet'));
       return;
     }
-    const request = dialect.readRequest(this.incoming);
     if (request.isErr()) {
       this.answer.fail(request.error);
       return;
@@ -199,7 +201,22 @@
   /** Waits for a target while the entry has just started. @returns whether there is one. */
   private async learnsTarget(job: Job, tried: ReadonlySet<string>): Promise<boolean> {
     const isKnown = (): boolean => this.inputFor(job, tried).candidates.length > 0;
-    return (await this.context.learning.until(isKnown, this.abort.signal)) && !this.abort.signal.aborted;
+    const { signal } = this.abort;
+    const isLearnt = await this.context.learning.until(isKnown, signal, (leftMs) => {
+      this.noteWait(job.request.id, leftMs);
+    });
+    return isLearnt && !signal.aborted;
+  }
+
+  private noteWait(request: string | undefined, leftMs: number): void {
+    const { log, knowledge } = this.context;
+    const configuration = knowledge.table()?.number;
+    log.event(relayEvents.waits, {
+      request,
+      configuration,
+      service: this.service,
+      mostMs: Math.round(leftMs),
+    });
   }
 
   /**
