Tell of voters that are lost, and of votes that are not given

Cause: a replica that finds too few votes logged nothing, so a record did not tell a quorum that is lost from votes that are refused; and a leader said nothing of a voter that is gone as long as the others were a quorum, so the first sign was the stop itself.

Change: 2018 names who gave a vote, refused, was silent or was replaced, and how many are needed, on each change; 2019 and 2020 and the gauge coordination.voters.spare tell of voters without an answer for 3 s and how many more may be lost. Nothing decides by it yet.

--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -8,8 +8,17 @@
 import type { PeerClient } from './peerClient.js';
 import type { Replica } from './replica.js';
 
+/** What a voter did that was asked; `replaced`: another replica answers in its place. */
+type Vote = 'granted' | 'refused' | 'silent' | 'replaced';
+
+/** Names of the other voters, by what they did. */
+type Ballot = Record<Vote, string[]>;
+
 /** One replica's part in elections. */
 export class Election {
+  /** The last vote that was lost and reported. */
+  private told = '';
+
   constructor(
     private readonly replica: Replica,
     private readonly peers: PeerClient,
@@ -98,20 +107,37 @@
     const needed = quorumOf(voters.length) - 1;
     if (needed <= 0) return Promise.resolve(true);
     return new Promise((resolve) => {
-      let granted = 0;
+      const ballot: Ballot = { granted: [], refused: [], silent: [], replaced: [] };
       let open = others.length;
-      const count = (isGranted: boolean): void => {
+      const count = (voter: Voter, vote: Vote): void => {
         open -= 1;
-        if (isGranted) granted += 1;
+        ballot[vote].push(voter.name);
+        const granted = ballot.granted.length;
         if (granted >= needed) resolve(true);
-        else if (granted + open < needed) resolve(false);
+        else if (granted + open < needed) {
+          this.reportLost(ballot, voters.length);
+          resolve(false);
+        }
       };
-      for (const voter of others) void this.ask(voter, term, probe).then(count);
+      for (const voter of others) {
+        void this.ask(voter, term, probe).then((vote) => {
+          count(voter, vote);
+        });
+      }
     });
   }
 
+  /** Told when it changes only: without a quorum the voters are asked again several times a second. */
+  private reportLost(ballot: Ballot, voters: number): void {
+    const { replica } = this;
+    const told = JSON.stringify(ballot);
+    if (told === this.told) return;
+    this.told = told;
+    replica.log.event(coordinationEvents.tooFewVotes, { ...ballot, voters, needed: quorumOf(voters) });
+  }
+
   /** Asks one voter. A vote of another replica under the voter's name does not count. */
-  private async ask(voter: Voter, term: bigint, probe: boolean): Promise<boolean> {
+  private async ask(voter: Voter, term: bigint, probe: boolean): Promise<Vote> {
     const { replica } = this;
     const { index: lastIndex, term: lastTerm } = replica.entries.last;
     const { clusterId, name: candidate, id: replicaId } = replica;
@@ -119,11 +145,11 @@
     const answer = await this.peers.call(voter.address, replica.tuning.rpcTimeoutMs, (client, signal) =>
       client.vote(create(VoteRequestSchema, request), { signal }),
     );
-    if (answer.isErr()) return false;
+    if (answer.isErr()) return 'silent';
     const { granted, term: theirs, replicaId: answering } = answer.value;
-    if (answering !== voter.replicaId) return false;
+    if (answering !== voter.replicaId) return 'replaced';
     if (!granted && theirs > replica.term) await replica.exclusive(() => replica.observeTerm(theirs));
-    return granted;
+    return granted ? 'granted' : 'refused';
   }
 
   /**
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -15,6 +15,7 @@
 import type { Replica } from './replica.js';
 import { replicate } from './replication.js';
 import { Signal } from './signal.js';
+import { VoterWatch } from './voterWatch.js';
 import type { Snapshot } from '../storage/index.js';
 
 const NO_COMMAND = new Uint8Array();
@@ -35,6 +36,7 @@
   readonly progress = new Map<string, Progress>();
   private pending: Proposal[] = [];
   private readonly arrived = new Signal();
+  private readonly voterWatch = new VoterWatch(this);
   private readonly begunAt: number;
   /** Index of the term's first entry; 0 until it is written. */
   private firstIndex = 0n;
@@ -101,6 +103,14 @@
     return replica.clock.monotonic() - answeredAt < windowMs;
   }
 
+  /** Whether a replica has given no answer for so long that it counts as lost. */
+  isSilent(replicaId: string): boolean {
+    const { replica } = this.parts;
+    const heardAt = this.progress.get(replicaId)?.heardAt;
+    if (heardAt === undefined) return false;
+    return replica.clock.monotonic() - heardAt >= replica.tuning.silentMs;
+  }
+
   /** Commits what a quorum has synced. */
   advance(): void {
     const { replica } = this.parts;
@@ -212,6 +222,7 @@
         replica.becomeFollower('no answers of a quorum');
         return;
       }
+      this.voterWatch.look();
       await replica.changed.waitFor(replica.clock, heartbeatMs);
     }
   }
@@ -235,7 +246,8 @@
       known.voter = member;
       return;
     }
-    const progress = new Progress(member, this.parts.replica.entries.last.index);
+    const { replica } = this.parts;
+    const progress = new Progress(member, replica.entries.last.index, replica.clock.monotonic());
     this.progress.set(member.replicaId, progress);
     void replicate(this, progress);
   }
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -25,6 +25,9 @@
   rpcTimeoutMs: milliseconds(500).describe('a call without an answer for so long loses its connection'),
   quorumWindowMs: milliseconds(800).describe('a leader without answers of a quorum for so long steps down'),
   vouchWindowMs: milliseconds(1_200).describe('a replica without contact for so long vouches no longer'),
+  silentMs: milliseconds(3_000).describe(
+    'a voter without an answer for so long counts as lost; a process that is killed is back sooner',
+  ),
   storageRestMs: milliseconds(10_000).describe('after a storage error, no candidacy for so long'),
   reconfigureMs: milliseconds(250).describe('pause between steps of a change of replicas'),
   changeTimeoutMs: milliseconds(30_000).describe('longest wait of a change of replicas'),
--- a/packages/coordination/src/agreement/progress.ts
+++ b/packages/coordination/src/agreement/progress.ts
@@ -14,6 +14,8 @@
   round = 0;
   /** When the newest message that it answered was sent; -Infinity: none. */
   answeredAt = -Infinity;
+  /** When it was last heard, or became known to this leader. */
+  heardAt: number;
   /** When the last message was sent. */
   sentAt = -Infinity;
   /** No message before this time, after one that failed. */
@@ -26,13 +28,16 @@
   constructor(
     public voter: Voter,
     lastIndex: bigint,
+    now: number,
   ) {
     this.next = lastIndex + 1n;
+    this.heardAt = now;
   }
 
   /** It answered a message sent at `sentAt`. */
   answered(sentAt: number): void {
     if (sentAt > this.answeredAt) this.answeredAt = sentAt;
+    if (sentAt > this.heardAt) this.heardAt = sentAt;
   }
 
   /** It has everything up to `index`. */
--- /dev/null
+++ b/packages/coordination/src/agreement/voterWatch.ts
@@ -0,0 +1,32 @@
+/** Tells of voters that are lost, while there still is a quorum without them. */
+import { coordinationEvents } from '../events.js';
+import { coordinationMetrics } from '../metrics.js';
+import { quorumOf } from './configuration.js';
+import type { Leadership } from './leadership.js';
+
+/**
+ * A leader's watch over the voters. Without it the first sign of a lost voter is the loss of the quorum, when one more is
+ * lost: until then all that was proposed is committed.
+ */
+export class VoterWatch {
+  private readonly silent = new Set<string>();
+
+  constructor(private readonly leadership: Leadership) {}
+
+  /** Looks now; tells what changed since the last look. */
+  look(): void {
+    const { replica } = this.leadership.parts;
+    const voters = replica.configuration?.voters ?? [];
+    const lost = voters.filter(({ replicaId }) => this.leadership.isSilent(replicaId));
+    const spare = voters.length - lost.length - quorumOf(voters.length);
+    replica.metrics.gauge(coordinationMetrics.spareVoters, spare);
+    for (const { name, replicaId } of voters) {
+      const isLost = this.leadership.isSilent(replicaId);
+      if (isLost === this.silent.has(replicaId)) continue;
+      if (isLost) this.silent.add(replicaId);
+      else this.silent.delete(replicaId);
+      const kind = isLost ? coordinationEvents.voterSilent : coordinationEvents.voterAnswers;
+      replica.log.event(kind, { name, voters: voters.length, spare });
+    }
+  }
+}
--- a/packages/coordination/src/events.ts
+++ b/packages/coordination/src/events.ts
@@ -24,5 +24,8 @@
     level: 'error',
     message: 'a replica no longer has entries that it acknowledged: its disk lost them; they are sent again',
   },
+  tooFewVotes: { id: 2018, level: 'warn', message: 'too few voters give their vote: no leader' },
+  voterSilent: { id: 2019, level: 'warn', message: 'a voter has given no answer for long' },
+  voterAnswers: { id: 2020, level: 'info', message: 'a voter answers again' },
   taskFailed: { id: 2016, level: 'error', message: 'a task of the replica failed' },
 });
--- a/packages/coordination/src/metrics.ts
+++ b/packages/coordination/src/metrics.ts
@@ -15,5 +15,10 @@
     help: 'Connections to replicas that were cut because they gave no answer',
   },
   snapshots: { name: 'coordination.snapshots', type: 'counter', help: 'Snapshots taken' },
+  spareVoters: {
+    name: 'coordination.voters.spare',
+    type: 'gauge',
+    help: 'Voters that may still be lost before the leader has no quorum',
+  },
   commitIndex: { name: 'coordination.commit.index', type: 'gauge', help: 'Last committed entry' },
 });
