--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -52,6 +52,7 @@
     level: 'info',
     message: 'listed all that a store keeps, as events of it are gone',
   },
+  withoutDisk: { id: 3028, level: 'warn', message: 'no data folder: stands by without a vote' },
   storeNotListed: { id: 3027, level: 'warn', message: 'a store did not list what it keeps' },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- a/packages/control/src/follow/follow.spec.ts
+++ b/packages/control/src/follow/follow.spec.ts
@@ -148,4 +148,16 @@
     cluster.heal();
     await until(() => voters.includes(cut.name) && cluster.isVouched(cut));
   });
+
+  it('stand beside an instance without a disk, which is not ready and refuses truly', async () => {
+    // Symptom: a process ends at its start, is started again, and ends again.
+    // Sequence: the platform starts control on a machine without a disk.
+    // Cause: the role took its data folder for granted.
+    const added = await cluster.add('c4', { dataFolder: undefined });
+    await until(() => cluster.nodes.filter((node) => cluster.isVouched(node)).length === 3);
+    expect(added.control.readiness().ready).toBe(false);
+    const refused = await added.control.configurations.put(configuration(3), source(3));
+    expect(refused._unsafeUnwrapErr()).toMatchObject({ kind: 'no-quorum', ran: 'not-run' });
+    expect(voters).toEqual(['c1', 'c2', 'c3']);
+  });
 });
--- a/packages/control/src/log/index.ts
+++ b/packages/control/src/log/index.ts
@@ -1,2 +1,3 @@
 export * from './commandLog.js';
+export * from './disklessLog.js';
 export * from './proposer.js';
--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -5,8 +5,10 @@
 import { fault } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import type { RoleContext } from '@jasmineroute/protocol';
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { controlEvents } from '../events.js';
+import { DisklessLog } from '../log/index.js';
 import type { ControlSettings } from '../setting/index.js';
 import type { StorePort } from '../stores/index.js';
 import { Control } from './control.js';
@@ -24,6 +26,7 @@
 /**
  * Opens the data folder and restores the state. `disk` is the machine's own but for tests and benchmarks; without a
  * `storePort` no store is watched.
+ * An instance that asks to vote may be without a data folder: it stands by, unready.
  * @returns the role; or 'invalid-request' without a data folder, 'storage-failed' when it can't be used.
  */
 export async function createControl(
@@ -33,8 +36,12 @@
   storePort?: StorePort,
 ): Promise<Result<Control, Fault>> {
   const { name, dataFolder, clock, log, metrics, peers } = context;
-  if (dataFolder === undefined) return err(fault('invalid-request', 'control needs a data folder'));
   const state = createState();
+  if (dataFolder === undefined) {
+    if (!settings.enlists) return err(fault('invalid-request', 'control needs a data folder'));
+    log.event(controlEvents.withoutDisk);
+    return ok(new Control(context, { ...settings, enlists: false }, state, new DisklessLog(name)));
+  }
   const opened = await ReplicatedLog.open({
     name,
     folder: join(dataFolder, LOG_FOLDER),
@@ -48,6 +55,7 @@
     metrics,
     stateMachine: state.machine,
     disk: settings.exclusiveFolder ? disk : withoutLock(disk),
+    lossesToBear: settings.lossesToBear,
     ...SNAPSHOT,
   });
   return opened.map((replicatedLog) => new Control(context, settings, state, replicatedLog, storePort));
--- a/packages/control/src/setting/controlSettings.ts
+++ b/packages/control/src/setting/controlSettings.ts
@@ -35,6 +35,9 @@
   exclusiveFolder: flag(true).describe(
     'whether the data folder is locked against a second process; "false" where the platform never starts two and the disk has no hard links',
   ),
+  lossesToBear: count()
+    .default(1)
+    .describe('control instances that may be lost at once; a warning is logged where too few vote for that'),
   targetHeartbeatMs: count()
     .default(1_000)
     .describe('milliseconds between two heartbeats of a target that announces itself by calls'),
--- a/packages/coordination/src/agreement/failures.spec.ts
+++ b/packages/coordination/src/agreement/failures.spec.ts
@@ -4,6 +4,7 @@
 import { coordinationEvents } from '../events.js';
 import { MemoryCluster } from '../testing/index.js';
 import type { Node } from '../testing/index.js';
+import { routesWithoutDisk } from './withoutDisk.js';
 
 const clusters: MemoryCluster[] = [];
 
@@ -177,6 +178,23 @@
   expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
 });
 
+test('a cluster is founded without those of its initial replicas that have no disk', async () => {
+  // Symptom: nothing is served from the first start on.
+  // Sequence: one of the three addresses in the settings is that of a process without a disk.
+  // Cause: it has no log to be empty, so the founder waited for it for ever.
+  const cluster = new MemoryCluster(3, ['a', 'b', 'c']);
+  clusters.push(cluster);
+  cluster.network.serve('a', (router) => {
+    routesWithoutDisk(router, 'a', () => 'a');
+  });
+  await cluster.start(cluster.find('b'));
+  await cluster.clock.advance(2_000);
+  expect(cluster.leader()).toBeUndefined();
+  await cluster.start(cluster.find('c'));
+  expect(await cluster.until(() => cluster.leader() !== undefined, 5_000)).toBe(true);
+  expect(leaderOf(cluster).replica?.members().length).toBe(2);
+});
+
 test('a founder that crashes goes on with the same cluster', async () => {
   // Symptom: replicas wait for ever for a cluster that its founder forgot.
   // Sequence: power cut at the founder just as the first of the others has heard of the cluster.
--- a/packages/coordination/src/agreement/joining.ts
+++ b/packages/coordination/src/agreement/joining.ts
@@ -13,6 +13,7 @@
 import type { ReplicaAddress } from './options.js';
 import type { PeerClient } from './peerClient.js';
 import type { Replica } from './replica.js';
+import { WITHOUT_DISK } from './withoutDisk.js';
 
 /** Term of the founding entry; elections use later ones. */
 const FOUNDING_TERM = 1n;
@@ -26,6 +27,10 @@
     .sort()
     .join(' ');
 
+/** Names of those that answered that they have no disk. */
+const namesWithoutDisk = (answers: readonly (JoinResponse | undefined)[]): string[] =>
+  answers.flatMap((answer) => (answer?.state === WITHOUT_DISK ? [answer.replica?.name ?? ''] : []));
+
 /** One replica's way into a cluster. */
 export class Joining {
   constructor(
@@ -37,7 +42,7 @@
 
   /**
    * Looks for a cluster to belong to, until there is one. A cluster is founded only when all its initial
-   * replicas answer and all are empty: with fewer, an absent one could hold the log of an older cluster, and
+   * replicas answer, and all are empty or have no disk: with fewer, an absent one could hold the log of an older cluster, and
    * its accepted commands would be forgotten. Only the lowest name founds, so that no two are founded.
    */
   async run(): Promise<void> {
@@ -80,10 +85,12 @@
       await this.accept(known);
       return;
     }
-    const found = answers.map((answer) => answer?.replica).filter((other) => other !== undefined);
-    const members = [this.replica.self, ...found];
-    const isComplete = sortedNames(members) === sortedNames(this.initial);
-    const lowest = this.initial.map(({ name }) => name).sort()[0];
+    const found = answers.filter((answer) => answer?.state !== WITHOUT_DISK);
+    const others = found.map((answer) => answer?.replica).filter((other) => other !== undefined);
+    const members = [this.replica.self, ...others];
+    const able = this.initial.filter(({ name }) => !namesWithoutDisk(answers).includes(name));
+    const isComplete = sortedNames(members) === sortedNames(able);
+    const lowest = able.map(({ name }) => name).sort()[0];
     if (isComplete && lowest === this.replica.name) await this.found(members);
   }
 
--- a/packages/coordination/src/agreement/replacement.spec.ts
+++ b/packages/coordination/src/agreement/replacement.spec.ts
@@ -2,6 +2,7 @@
 import type { Log } from '@jasmineroute/core';
 import { afterEach, describe, expect, test } from 'vitest';
 import { coordinationEvents } from '../events.js';
+import type { Tuning } from './options.js';
 import { MemoryCluster } from '../testing/index.js';
 import type { Node } from '../testing/index.js';
 
@@ -14,7 +15,7 @@
 let cluster: MemoryCluster;
 let told: { readonly id: number; readonly fields: Readonly<Record<string, unknown>> }[];
 
-async function started(names: readonly string[]): Promise<void> {
+async function started(names: readonly string[], tuning: Partial<Tuning> = {}): Promise<void> {
   told = [];
   const log: Log = {
     event: ({ id }, fields = {}) => {
@@ -22,7 +23,7 @@
     },
     with: () => log,
   };
-  cluster = new MemoryCluster(7, names, {}, log);
+  cluster = new MemoryCluster(7, names, tuning, log);
   await cluster.startAll();
   expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
 }
@@ -200,6 +201,16 @@
     expect(told.some(({ id }) => id === coordinationEvents.voterAnswers.id)).toBe(true);
   });
 
+  test('tells when fewer vote than the losses to be borne ask for', async () => {
+    // Symptom: four voters where two may be lost at once; nothing said so before the second loss.
+    await started(['a', 'b', 'c', 'd'], { lossesToBear: 2 });
+    const expected = { id: coordinationEvents.tooFewVoters.id, fields: { voters: 4, lossesToBear: 2 } };
+    expect(told.filter(({ id }) => id === expected.id)).toEqual([expected]);
+    await add('e');
+    await cluster.until(() => votersOf(leaderOf()).length === 5, 5_000);
+    expect(told.filter(({ id }) => id === expected.id)).toHaveLength(1);
+  });
+
   test('tells who gave no vote, and why, when nobody can be elected', async () => {
     // Symptom: a replica without a leader logs nothing at all, and its record does not tell a lost quorum from votes
     // that are refused.
--- a/packages/coordination/src/agreement/voterWatch.ts
+++ b/packages/coordination/src/agreement/voterWatch.ts
@@ -10,6 +10,7 @@
  */
 export class VoterWatch {
   private readonly silent = new Set<string>();
+  private isShort = false;
 
   constructor(private readonly leadership: Leadership) {}
 
@@ -20,6 +21,7 @@
     const lost = voters.filter(({ replicaId }) => this.leadership.isSilent(replicaId));
     const spare = voters.length - lost.length - quorumOf(voters.length);
     replica.metrics.gauge(coordinationMetrics.spareVoters, spare);
+    this.compare(voters.length);
     for (const { name, replicaId } of voters) {
       const isLost = this.leadership.isSilent(replicaId);
       if (isLost === this.silent.has(replicaId)) continue;
@@ -29,4 +31,15 @@
       replica.log.event(kind, { name, voters: voters.length, spare });
     }
   }
+
+  /** Of n voters a quorum is left after so many losses only if n is more than twice as many. */
+  private compare(voters: number): void {
+    const { replica } = this.leadership.parts;
+    const { lossesToBear } = replica.tuning;
+    const isShort = voters <= 2 * lossesToBear;
+    if (isShort && !this.isShort) {
+      replica.log.event(coordinationEvents.tooFewVoters, { voters, lossesToBear });
+    }
+    this.isShort = isShort;
+  }
 }
--- a/packages/coordination/src/events.ts
+++ b/packages/coordination/src/events.ts
@@ -27,5 +27,6 @@
   tooFewVotes: { id: 2018, level: 'warn', message: 'too few voters give their vote: no leader' },
   voterSilent: { id: 2019, level: 'warn', message: 'a voter has given no answer for long' },
   voterAnswers: { id: 2020, level: 'info', message: 'a voter answers again' },
+  tooFewVoters: { id: 2021, level: 'warn', message: 'fewer voters than the losses to be borne ask for' },
   taskFailed: { id: 2016, level: 'error', message: 'a task of the replica failed' },
 });
