Let the timer end the wait of a request by itself

Cause: the timer's action looked at the clock again and, fired a fraction of a millisecond early, found the time not over; it had no other timer, so the request was never answered and a planned stop waited for it.

Change: the timer ends the wait; news only look. Every other action of a timer was read for the same: those that look at the clock again set a new timer.

--- a/packages/relay/src/work/learning.ts
+++ b/packages/relay/src/work/learning.ts
@@ -40,16 +40,19 @@
     if (isKnown() || leftMs <= 0 || signal.aborted) return isKnown();
     onWait(leftMs);
     await new Promise<void>((resolve) => {
-      const look = (): void => {
-        if (!isKnown() && !signal.aborted && this.clock.monotonic() < this.endsAt) return;
+      const end = (): void => {
         calledOff();
         this.waiting.delete(look);
-        signal.removeEventListener('abort', look);
+        signal.removeEventListener('abort', end);
         resolve();
       };
-      const calledOff = this.clock.after(leftMs, look);
+      const look = (): void => {
+        if (isKnown()) end();
+      };
+      // The timer ends the wait by itself: it may fire a fraction of a millisecond before the clock says so.
+      const calledOff = this.clock.after(leftMs, end);
       this.waiting.add(look);
-      signal.addEventListener('abort', look);
+      signal.addEventListener('abort', end);
     });
     return isKnown();
   }
