--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -108,22 +108,16 @@
     if (needed <= 0) return Promise.resolve(true);
     return new Promise((resolve) => {
       const ballot: Ballot = { granted: [], refused: [], silent: [], replaced: [] };
-      let open = others.length;
-      const count = (voter: Voter, vote: Vote): void => {
-        open -= 1;
+      const asked = others.map(async (voter) => {
+        const vote = await this.ask(voter, term, probe);
         ballot[vote].push(voter.name);
-        const granted = ballot.granted.length;
-        if (granted >= needed) resolve(true);
-        else if (granted + open < needed) {
-          this.reportLost(ballot, voters.length);
-          resolve(false);
-        }
-      };
-      for (const voter of others) {
-        void this.ask(voter, term, probe).then((vote) => {
-          count(voter, vote);
-        });
-      }
+        const open = others.length - Object.values(ballot).flat().length;
+        if (ballot.granted.length >= needed) resolve(true);
+        else if (ballot.granted.length + open < needed) resolve(false);
+      });
+      void Promise.all(asked).then(() => {
+        if (ballot.granted.length < needed) this.reportLost(ballot, voters.length);
+      });
     });
   }
 
