Spread shared parts over all stores that answer

Cause: a configuration may name several stores of kept KV cache; only the first was ever used.

Change: a prompt's store is found by rendezvous hashing of the last part that it shares, of the stores that answer, by their room. All entries name the same; the loss of one moves only its own prompts. It is looked up once a placement. One function makes the key of a text for the homes of prompts and for their stores.

--- a/packages/configuration/src/schema/schema.ts
+++ b/packages/configuration/src/schema/schema.ts
@@ -64,6 +64,8 @@
   engine: engine.optional(),
   /** The address of a store of kept KV cache, host:port; such a service has no targets. */
   storeAddress: z.string().optional(),
+  /** Tokens that a store has room for. */
+  cacheTokens: z.number().min(0).optional(),
   /** Speed of a store's link, Mbit/s. */
   linkMbps: z.number().optional(),
 });
--- a/packages/relay/src/cache/copies.ts
+++ b/packages/relay/src/cache/copies.ts
@@ -1,5 +1,4 @@
 /** What is copied to the store of kept KV cache. */
-import type { Configuration } from '@jasmineroute/configuration';
 import type { Clock } from '@jasmineroute/core';
 import type { StoredPart } from '@jasmineroute/protocol';
 import { LRUCache } from 'lru-cache';
@@ -21,11 +20,6 @@
 /** Shared parts that are remembered, some for each customer; 100 bytes each. */
 const MOST_PARTS = 20_000;
 
-/** The address of the store, if there is one. */
-export function storeAddress({ services }: Configuration): string | undefined {
-  return services.find(({ storeAddress: address }) => address !== undefined)?.storeAddress;
-}
-
 /** Whether a store keeps a part; undefined while nobody tells. */
 export type KeptLookup = (store: string, part: StoredPart) => boolean | undefined;
 
--- a/packages/relay/src/placement/lack.ts
+++ b/packages/relay/src/placement/lack.ts
@@ -1,5 +1,5 @@
 /** What a target lacks of a prompt: where its shared parts are, and what it costs to bring them there. */
-import { homesOf } from '@jasmineroute/routing';
+import { homesOf, textKey } from '@jasmineroute/routing';
 import type { Target } from '@jasmineroute/knowledge';
 import type { PromptOutline } from '../dialect/index.js';
 
@@ -54,18 +54,6 @@
   readonly fetchMs: number;
 }
 
-/** Two numbers of 32 bits from a text (FNV-1a with two offsets), as rendezvous hashing takes them. */
-function keyOf(text: string): { low: number; high: number } {
-  let low = 0x811c9dc5;
-  let high = 0x01000193;
-  for (let index = 0; index < text.length; index += 1) {
-    const code = text.charCodeAt(index);
-    low = Math.imul(low ^ code, 0x01000193);
-    high = Math.imul(high ^ code, 0x85ebca6b);
-  }
-  return { low: low >>> 0, high: high >>> 0 };
-}
-
 /** Tokens of the parts that a prompt shares with others: all but the last, which is its own. */
 const sharedTokens = ({ parts }: PromptOutline): number =>
   parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
@@ -75,7 +63,7 @@
   const last = prompt.parts.length < 2 ? undefined : prompt.parts.at(-2);
   if (last === undefined || sharedTokens(prompt) < HOME_TOKENS) return undefined;
   const named = usable.map((target) => ({ name: target.id, capacity: target.capacity, target }));
-  return homesOf(keyOf(`${salt} ${prompt.model} ${last.id}`), named, 1)[0]?.target;
+  return homesOf(textKey(`${salt} ${prompt.model} ${last.id}`), named, 1)[0]?.target;
 }
 
 /**
--- a/packages/relay/src/work/addition.ts
+++ b/packages/relay/src/work/addition.ts
@@ -38,9 +38,9 @@
 }
 
 /** The store that what is read is copied to; undefined: none. */
-function copyTo(context: RelayContext, { request }: Job, cacheSalt: string | undefined): string | undefined {
-  const store = storeInForce(context);
-  if (cacheSalt === undefined || request.prompt === undefined || store === undefined) return undefined;
-  if (store.isLost || !context.copies.isDue(store.address, request.prompt, cacheSalt)) return undefined;
-  return store.address;
+function copyTo(context: RelayContext, job: Job, cacheSalt: string | undefined): string | undefined {
+  const { prompt } = job.request;
+  const store = storeInForce(context, job);
+  if (cacheSalt === undefined || prompt === undefined || store === undefined) return undefined;
+  return context.copies.isDue(store.address, prompt, cacheSalt) ? store.address : undefined;
 }
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -2,7 +2,7 @@
 import type { Configuration } from '@jasmineroute/configuration';
 import type { Target } from '@jasmineroute/knowledge';
 import type { StoredPart } from '@jasmineroute/protocol';
-import { fetchMs, isLinkBusy, linkWaitMs, sourceOf, storeAddress } from '../cache/index.js';
+import { fetchMs, isLinkBusy, linkWaitMs, sourceOf, storeFor, storesOf } from '../cache/index.js';
 import type { Holders, Source } from '../cache/index.js';
 import { UNKNOWN_PARTS } from '../placement/index.js';
 import type { PartsView } from '../placement/index.js';
@@ -14,7 +14,6 @@
   /** host:port. */
   readonly address: string;
   readonly configuration: Configuration;
-  readonly isLost: boolean;
 }
 
 /** Keeps cached blocks apart of a customer that shares with nobody. */
@@ -37,12 +36,14 @@
   return `${saltOf(job)}weights-${versionAt(target, job) ?? 0}`;
 }
 
-/** The store that the configuration in force names, and whether it answers; undefined: there is none. */
-export function storeInForce({ knowledge }: RelayContext): StoreInForce | undefined {
+/** The store for a request's shared parts, of those that answer; undefined: there is none, or it shares nothing. */
+export function storeInForce({ knowledge }: RelayContext, job: Job): StoreInForce | undefined {
   const configuration = knowledge.table()?.configuration;
-  const address = configuration === undefined ? undefined : storeAddress(configuration);
-  if (configuration === undefined || address === undefined) return undefined;
-  return { address, configuration, isLost: knowledge.isStoreLost(address) };
+  const { prompt } = job.request;
+  if (configuration === undefined || prompt === undefined) return undefined;
+  const stores = storesOf(configuration).filter(({ address }) => !knowledge.isStoreLost(address));
+  const store = storeFor(prompt, saltOf(job), stores);
+  return store && { address: store.address, configuration };
 }
 
 /** A part that a prompt shares with others, as a target would have it. */
@@ -88,8 +89,8 @@
 /** What the store has of some parts; undefined when there is none that answers. */
 function storeHolder(context: RelayContext, job: Job, parts: readonly SharedPart[]): Holders['store'] {
   const { knowledge } = context;
-  const store = storeInForce(context);
-  if (store === undefined || store.isLost) return undefined;
+  const store = storeInForce(context, job);
+  if (store === undefined) return undefined;
   const { address } = store;
   const tokens = tokensUpTo(parts, (part) => knowledge.isKept(address, part) !== false);
   const { waitMs } = linkOf(context, job, store);
@@ -106,8 +107,13 @@
   return { tokenMs, waitMs: linkWaitMs(sights.backlog, address, tokenMs) };
 }
 
-/** Where the shared parts of a request are, as seen from one target. */
-export function partsView(context: RelayContext, job: Job, target: Target): PartsView {
+/** Where the shared parts of a request are, as seen from one target; `store`: the one for the request. */
+export function partsView(
+  context: RelayContext,
+  job: Job,
+  target: Target,
+  store: StoreInForce | undefined,
+): PartsView {
   const { knowledge } = context;
   const parts = sharedPartsAt(target, job);
   const last = parts.at(-1);
@@ -115,8 +121,7 @@
   const isCached = (part: StoredPart): boolean => knowledge.isCached(target.address, part);
   const cachedTokens = tokensUpTo(parts, isCached);
   if (isCached(last)) return { place: 'here', cachedTokens };
-  const store = storeInForce(context);
-  if (store === undefined || store.isLost) return { place: 'nowhere', cachedTokens };
+  if (store === undefined) return { place: 'nowhere', cachedTokens };
   const isKept = knowledge.isKept(store.address, last);
   if (isKept === undefined) return { place: 'unknown', cachedTokens };
   if (!isKept) return { place: 'nowhere', cachedTokens };
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -22,7 +22,7 @@
 import type { RelayContext } from './context.js';
 import { brokenOff, passAnswer, passFailure } from './pass.js';
 import type { Outcome } from './pass.js';
-import { partsView, saltOf, sourceFor } from './parts.js';
+import { partsView, saltOf, sourceFor, storeInForce } from './parts.js';
 import { overrunText, sendingReport } from './report.js';
 import { Stream } from './stream.js';
 
@@ -262,6 +262,7 @@
         : { model, resumable: job.route.resumable, moving: this.stream.lastEventId !== undefined };
     const fresh = withWeights(untried, wish, knowledge, clock.monotonic(), weightsLimitMs);
     const { prompt } = job.request;
+    const store = storeInForce(this.context, job);
     return {
       service: job.service.name,
       candidates: fresh,
@@ -269,7 +270,7 @@
       priority: job.customer?.priority ?? job.route.priority,
       salt: saltOf(job),
       objectiveMs: job.route.objectiveMs,
-      partsAt: (target) => partsView(this.context, job, target),
+      partsAt: (target) => partsView(this.context, job, target, store),
     };
   }
 
--- a/packages/routing/src/policy/rendezvousHash.ts
+++ b/packages/routing/src/policy/rendezvousHash.ts
@@ -37,6 +37,18 @@
   return mix(hash);
 }
 
+/** The key of a text: two numbers of 32 bits (FNV-1a with two offsets). */
+export function textKey(text: string): Pick<Level, 'low' | 'high'> {
+  let low = 0x811c9dc5;
+  let high = 0x01000193;
+  for (let index = 0; index < text.length; index += 1) {
+    const code = text.charCodeAt(index);
+    low = Math.imul(low ^ code, 0x01000193);
+    high = Math.imul(high ^ code, 0x85ebca6b);
+  }
+  return { low: low >>> 0, high: high >>> 0 };
+}
+
 /** Draw of a target for a key, 0 to 2^32: larger is nearer to the key. */
 function drawOf(low: number, high: number, candidate: Home): number {
   return mix(mix(hashName(candidate.name) ^ low) ^ high);
