--- a/packages/coordination/src/agreement/configuration.ts
+++ b/packages/coordination/src/agreement/configuration.ts
@@ -126,8 +126,8 @@
 
 /**
  * A lost voter of an even number of them. Left in place it goes on counting: four voters with one gone for good need all
- * that are left, and one disk more stops everything for ever. Without it a quorum is one less, so nothing is given up:
- * what is left bears as many losses as before, and one more if it never comes back. Of an odd number it would be none less.
+ * that are left, and one disk more stops everything for ever. Taking its vote gives nothing up: with it back or without
+ * it, half of the number, among the others, is what a quorum needs. Of an odd number a quorum would be none less.
  */
 const demoteLost: Step = ({ current, isLost }) => {
   if (current.voters.length % 2 === 1) return undefined;
@@ -163,6 +163,7 @@
   return gone && withVoters(current, without(current.voters, gone));
 };
 
+/** In the order in which they are tried: a vote is given before others are taken away for good. */
 const steps: readonly Step[] = [
   readdress,
   removeLearner,
--- a/packages/coordination/src/agreement/joining.ts
+++ b/packages/coordination/src/agreement/joining.ts
@@ -42,8 +42,8 @@
 
   /**
    * Looks for a cluster to belong to, until there is one. A cluster is founded only when all its initial
-   * replicas answer, and all are empty or have no disk: with fewer, an absent one could hold the log of an older cluster, and
-   * its accepted commands would be forgotten. Only the lowest name founds, so that no two are founded.
+   * replicas answer, and all are empty or have no disk: with fewer, an absent one could hold the log of an older
+   * cluster, and its accepted commands would be forgotten. Only the lowest name founds, so that no two are founded.
    */
   async run(): Promise<void> {
     const { replica } = this;
