Let the processes beside targets tell another control instance than entries tell

Hypothesis: entries tell the first of all control instances and targets' processes the first of the settings, which is often the same; with 32 entries and 39 targets it hears some hundred calls a second of each kind and tells all of it late.

Change: targets' processes take the order the other way round. The same number of events goes to entries.

--- a/packages/relay/src/target/workReporter.ts
+++ b/packages/relay/src/target/workReporter.ts
@@ -1,5 +1,5 @@
 /** Tells the other entries what this one has under way at targets. */
-import { Teller } from '@jasmineroute/knowledge';
+import { Teller, orderForEntries } from '@jasmineroute/knowledge';
 import type { TellerParts } from '@jasmineroute/knowledge';
 import type { Backlog, PromptWork } from './backlog.js';
 
@@ -35,8 +35,7 @@
   private readonly teller: Teller;
 
   constructor(private readonly parts: WorkReporterParts) {
-    // All entries tell the same instance, whose events then hold more at once.
-    this.teller = new Teller({ ...parts, controls: () => [...parts.controls()].sort() });
+    this.teller = new Teller({ ...parts, controls: () => orderForEntries(parts.controls()) });
   }
 
   /** Runs until `stop`. */
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -1,6 +1,6 @@
 /** The process beside a target, as a role. */
 import { Controls, TurnClient } from '@jasmineroute/directory';
-import { Follower, Knowledge } from '@jasmineroute/knowledge';
+import { Follower, Knowledge, orderForTargets } from '@jasmineroute/knowledge';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { rolloutEvents } from './events.js';
 import { Announcer, CacheReporter, LoadReporter, Observer, WeightsKeeper } from './keeper/index.js';
@@ -42,9 +42,9 @@
     const observer = new Observer(() => this.follower.controls(), peers, log);
     const known = (): readonly string[] => this.follower.controls();
     const { address, port } = neighbour;
-    this.reporter = new LoadReporter({ address, port, knowledge, controls: known, peers, clock, log });
-    this.cacheReporter = new CacheReporter({ address, port, controls: known, peers, clock, log });
-    const told = { controls: known, peers, clock, log };
+    const told = { controls: () => orderForTargets(known()), peers, clock, log };
+    this.reporter = new LoadReporter({ address, port, knowledge, ...told });
+    this.cacheReporter = new CacheReporter({ address, port, ...told });
     this.announcer = new Announcer({
       address,
       service: neighbour.service,
