--- a/packages/control/src/setting/controlSettings.ts
+++ b/packages/control/src/setting/controlSettings.ts
@@ -35,7 +35,10 @@
   exclusiveFolder: flag(true).describe(
     'whether the data folder is locked against a second process; "false" where the platform never starts two and the disk has no hard links',
   ),
-  lossesToBear: count()
+  lossesToBear: z.coerce
+    .number()
+    .int()
+    .min(0)
     .default(1)
     .describe('control instances that may be lost at once; a warning is logged where too few vote for that'),
   targetHeartbeatMs: count()
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -28,9 +28,12 @@
   silentMs: milliseconds(3_000).describe(
     'a voter without an answer for so long counts as lost; a process that is killed is back sooner',
   ),
-  lossesToBear: count(1).describe(
-    'voters that may be lost at once; with fewer than twice as many and one a warning is logged',
-  ),
+  lossesToBear: z
+    .number()
+    .int()
+    .min(0)
+    .default(1)
+    .describe('voters that may be lost at once; where no more than twice as many vote, a warning is logged'),
   storageRestMs: milliseconds(10_000).describe('after a storage error, no candidacy for so long'),
   reconfigureMs: milliseconds(250).describe('pause between steps of a change of replicas'),
   changeTimeoutMs: milliseconds(30_000).describe('longest wait of a change of replicas'),
--- a/packages/coordination/src/agreement/voterWatch.ts
+++ b/packages/coordination/src/agreement/voterWatch.ts
@@ -9,6 +9,7 @@
  * lost: until then all that was proposed is committed.
  */
 export class VoterWatch {
+  /** Ids of voters that were told to be silent. */
   private readonly silent = new Set<string>();
   private isShort = false;
 
@@ -21,9 +22,9 @@
     const lost = voters.filter(({ replicaId }) => this.leadership.isSilent(replicaId));
     const spare = voters.length - lost.length - quorumOf(voters.length);
     replica.metrics.gauge(coordinationMetrics.spareVoters, spare);
-    this.compare(voters.length);
+    this.warnIfTooFew(voters.length);
     for (const { name, replicaId } of voters) {
-      const isLost = this.leadership.isSilent(replicaId);
+      const isLost = lost.some((voter) => voter.replicaId === replicaId);
       if (isLost === this.silent.has(replicaId)) continue;
       if (isLost) this.silent.add(replicaId);
       else this.silent.delete(replicaId);
@@ -33,7 +34,7 @@
   }
 
   /** Of n voters a quorum is left after so many losses only if n is more than twice as many. */
-  private compare(voters: number): void {
+  private warnIfTooFew(voters: number): void {
     const { replica } = this.leadership.parts;
     const { lossesToBear } = replica.tuning;
     const isShort = voters <= 2 * lossesToBear;
