--- a/packages/testkit/src/process/managedProcess.spec.ts
+++ b/packages/testkit/src/process/managedProcess.spec.ts
@@ -46,9 +46,10 @@
     expect(await managed.stop()).toEqual({ code: null, signal: 'SIGTERM' });
   });
 
-  it('rejects with the log file when the process ends before it is ready', async () => {
+  it('rejects with the log file and its end when the process ends before it is ready', async () => {
     const failing = options('failing', "console.error('broken setting'); process.exit(2);");
-    await expect(ManagedProcess.start(failing)).rejects.toThrow(/failing ended with code 2.*failing\.log/);
+    const start = ManagedProcess.start(failing);
+    await expect(start).rejects.toThrow(/failing ended with code 2.*failing\.log.*\n.*broken setting/);
     expect(readFileSync(failing.logFile, 'utf8')).toContain('broken setting');
   });
 
--- a/packages/testkit/src/process/managedProcess.ts
+++ b/packages/testkit/src/process/managedProcess.ts
@@ -1,7 +1,7 @@
 /** A child process of a test or bench run: started, waited for, broken, and always ended. */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { closeSync, mkdirSync, openSync, writeSync } from 'node:fs';
+import { closeSync, mkdirSync, openSync, readFileSync, writeSync } from 'node:fs';
 import { dirname } from 'node:path';
 import { createInterface } from 'node:readline';
 import { systemClock } from '@jasmineroute/core';
@@ -46,6 +46,9 @@
   return Object.fromEntries(entries);
 }
 
+/** Characters of a log that an error quotes: a few lines, of which the last says why a process ended. */
+const QUOTED_CHARACTERS = 2_000;
+
 const live = new Set<ChildProcess>();
 
 process.once('exit', () => {
@@ -151,18 +154,25 @@
     this.signal('SIGCONT');
   }
 
+  /** Names the log and quotes its end: a test's folder may be gone when somebody reads the error. */
+  private notReady(what: string): Error {
+    const { logFile } = this.options;
+    const lines = readFileSync(logFile, 'utf8').slice(-QUOTED_CHARACTERS);
+    return new Error(`${this.name} ${what}; see ${logFile}, which ends with\n${lines}`);
+  }
+
   private waitUntilReady(child: ChildProcess, log: number, timeoutMs: number): Promise<Ready> {
     return new Promise((resolve, reject) => {
       const { stdout } = child;
       if (stdout === null) throw new Error('no standard output');
       const cancel = systemClock.after(timeoutMs, () => {
         child.kill('SIGKILL');
-        reject(new Error(`${this.name} was not ready in ${timeoutMs} ms; see ${this.options.logFile}`));
+        reject(this.notReady(`was not ready in ${timeoutMs} ms`));
       });
       child.once('exit', (code, signal) => {
         cancel();
         const how = signal ?? `code ${code ?? 'unknown'}`;
-        reject(new Error(`${this.name} ended with ${how} before it was ready; see ${this.options.logFile}`));
+        reject(this.notReady(`ended with ${how} before it was ready`));
       });
       createInterface({ input: stdout }).on('line', (line) => {
         writeSync(log, `${line}\n`);
