Claim the ports of tests for the whole machine

A port that was given out was known to the test process that drew it.

Change: each given port is claimed by a listener on an address that nothing else uses, held for the life of the process; the kernel ends the claim with it. A block of ports for an installation is claimed whole (its fourteen ports were not looked at but for the first).

Whether this was the cause of the one failure seen can't be told any more, its log is gone.

--- a/packages/testkit/src/port/port.spec.ts
+++ b/packages/testkit/src/port/port.spec.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { createInterface } from 'node:readline';
 import { afterEach, describe, expect, it, vi } from 'vitest';
-import { freePort } from './port.js';
+import { freePort, freePorts } from './port.js';
 
 const BUILT = new URL('../../dist/port/index.js', import.meta.url).href;
 /** Where both processes look first, as a share of the range. */
@@ -21,6 +21,15 @@
     vi.restoreAllMocks();
   });
 
+  it('gives ports that follow each other, each once', async () => {
+    const draws = [0.7, 0.7, 0.1];
+    const random = vi.spyOn(Math, 'random').mockImplementation(() => draws.shift() ?? 0.2);
+    const first = await freePorts(3);
+    const second = await freePorts(3);
+    expect(random).toHaveBeenCalledTimes(3);
+    expect(Math.abs(second - first)).toBeGreaterThanOrEqual(3);
+  });
+
   it('gives no port that another process was given and does not listen on yet', async () => {
     // Symptom: a process of a test ends with code 1 before it is ready, in one of many runs of all tests.
     // Sequence: a test process draws a port and starts what is to listen there some seconds later; until then
