Log an answer to the wish to vote when it differs from the last one

Cause: without a quorum each control instance asks all others twice a second and logged each question (3020, 3021); with eight of them that is 112 lines a second that say the same, worked out, at the time when the log is read.

Change: the last line of each address that is asked is remembered. Whom the others name as the leader is sorted out by one set in place of two lists, and leaders are asked at once too.

Before: the new test counts 10 lines in five rounds of two questions. After: 2, and one more when an answer changes.

--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -37,11 +37,11 @@
   targetAnnounced: { id: 3017, level: 'info', message: 'a target changed its state' },
   followed: { id: 3018, level: 'info', message: 'a follower opened its stream' },
   enlisted: { id: 3019, level: 'info', message: 'an instance asked to vote' },
-  enlisting: { id: 3020, level: 'info', message: 'asked to be taken in as a voter' },
+  enlisting: { id: 3020, level: 'info', message: 'another answer to the wish to vote' },
   enlistUnanswered: {
     id: 3021,
     level: 'info',
-    message: 'a control instance did not answer the wish to vote',
+    message: 'a control instance no longer answers the wish to vote',
   },
   storeLost: { id: 3022, level: 'warn', message: 'a store of kept cache does not answer' },
   storeFound: { id: 3023, level: 'info', message: 'a store of kept cache answers again' },
--- /dev/null
+++ b/packages/control/src/follow/enlisting.spec.ts
@@ -0,0 +1,93 @@
+import { Code, ConnectError, createRouterTransport } from '@connectrpc/connect';
+import type { Transport } from '@connectrpc/connect';
+import { ManualClock } from '@jasmineroute/core';
+import type { Log } from '@jasmineroute/core';
+import { Peers, controlMessage } from '@jasmineroute/protocol';
+import { describe, expect, it } from 'vitest';
+import { controlEvents } from '../events.js';
+import { until } from '../fixture/index.js';
+import { DisklessLog } from '../log/index.js';
+import { enlist } from './enlisting.js';
+
+const OWN = '10.0.0.1:1';
+const ANSWERS = '10.0.0.2:1';
+const SILENT = '10.0.0.3:1';
+const LEADS = '10.0.0.4:1';
+const PAUSE_MS = 500;
+
+/** Control instances by address: whom each names as the leader; none for one that gives no answer. */
+class NamedLeaders extends Peers {
+  readonly leaders = new Map<string, string>();
+  readonly asked: string[] = [];
+
+  override transport(address: string): Transport {
+    return createRouterTransport(({ service }) => {
+      service(controlMessage.Configurations, {
+        enlist: () => {
+          this.asked.push(address);
+          const leader = this.leaders.get(address);
+          if (leader === undefined) throw new ConnectError('nobody is there', Code.Unavailable);
+          return { leader };
+        },
+      });
+    });
+  }
+}
+
+/** An instance that doesn't vote and asks the others; runs as many rounds of questions as are asked for. */
+function asking() {
+  const peers = new NamedLeaders();
+  const clock = new ManualClock();
+  const lines: [number, unknown][] = [];
+  const log: Log = { event: ({ id }, fields = {}) => lines.push([id, fields.asked]), with: () => log };
+  const ending = new AbortController();
+  const commandLog = new DisklessLog('c1');
+  const known = () => [OWN, ANSWERS, SILENT];
+  void enlist({ name: 'c1', address: OWN, known, commandLog, peers, clock, log }, ending.signal);
+  const round = async (questions: number): Promise<void> => {
+    peers.asked.length = 0;
+    await until(async () => {
+      await clock.advance(PAUSE_MS);
+      return peers.asked.length >= questions;
+    });
+  };
+  const end = (): void => {
+    ending.abort();
+  };
+  return { peers, lines, round, end };
+}
+
+describe('enlisting', () => {
+  it('asks all others, and the leader that one of them names', async () => {
+    const { peers, round, end } = asking();
+    peers.leaders.set(ANSWERS, LEADS).set(LEADS, '');
+    await round(3);
+    end();
+    expect(peers.asked.slice(0, 2)).toEqual([ANSWERS, SILENT]);
+    expect(peers.asked[2]).toBe(LEADS);
+  });
+
+  it('logs an answer when it differs from the last one', async () => {
+    // Symptom: thousands of lines that say the same, at the time when a log is read: nobody is served.
+    // Sequence: there is no quorum; each instance asks all others twice a second, for as long as that lasts.
+    // Cause: each question was logged, whatever came of it.
+    const { peers, lines, round, end } = asking();
+    peers.leaders.set(ANSWERS, '');
+    for (let rounds = 0; rounds < 5; rounds += 1) await round(2);
+    const [unanswered, answered] = [controlEvents.enlistUnanswered.id, controlEvents.enlisting.id];
+    expect(lines).toHaveLength(2);
+    expect(lines).toEqual(
+      expect.arrayContaining([
+        [unanswered, SILENT],
+        [answered, ANSWERS],
+      ]),
+    );
+    peers.leaders.set(SILENT, '');
+    await until(async () => {
+      await round(2);
+      return lines.length > 2;
+    });
+    end();
+    expect(lines.slice(2)).toEqual([[answered, SILENT]]);
+  });
+});
--- a/packages/control/src/follow/enlisting.ts
+++ b/packages/control/src/follow/enlisting.ts
@@ -1,6 +1,6 @@
 /** The way of a control instance that is no voter yet into the cluster. */
 import { Code, ConnectError, createClient } from '@connectrpc/connect';
-import type { Clock, Log } from '@jasmineroute/core';
+import type { Clock, EventKind, Log } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
@@ -35,38 +35,56 @@
  */
 export async function enlist(parts: EnlistingParts, signal: AbortSignal): Promise<void> {
   const { commandLog, clock } = parts;
+  const asking = new Asking(parts);
   for (;;) {
     await clock.sleep(RETRY_MS, signal).catch(() => undefined);
     if (signal.aborted) return;
     const { state, vouched } = commandLog.status();
-    if (!VOTING.has(state) || !vouched) await askAll(parts);
+    if (!VOTING.has(state) || !vouched) await asking.askAll();
   }
 }
 
-/**
- * Asks all that are known, then the leader that they name, if it is another one. All at once: the settings may name
- * instances that are gone, and one after the other each of them would cost the time of a call.
- */
-async function askAll(parts: EnlistingParts): Promise<void> {
-  const known = [...new Set(parts.known())].filter((address) => address !== parts.address);
-  const leaders = await Promise.all(known.map((address) => ask(parts, address)));
-  const asked = [...known, parts.address, ''];
-  const others = new Set(leaders.filter((leader) => leader !== undefined && !asked.includes(leader)));
-  for (const leader of others) if (leader !== undefined) await ask(parts, leader);
-}
+/** The questions of one instance, with what it has logged of their answers. */
+class Asking {
+  /** What was logged last, by the address that was asked: without a quorum the same comes twice a second. */
+  private readonly logged = new Map<string, string>();
+
+  constructor(private readonly parts: EnlistingParts) {}
+
+  /**
+   * Asks all that are known, then the leaders that they name. All at once: the settings may name instances that are
+   * gone, and one after the other each of them would cost the time of a call.
+   */
+  async askAll(): Promise<void> {
+    const { address, known } = this.parts;
+    const others = new Set(known());
+    others.delete(address);
+    const named = await Promise.all([...others].map((other) => this.ask(other)));
+    const leaders = new Set(named.filter((leader) => leader !== address && !others.has(leader)));
+    leaders.delete('');
+    await Promise.all([...leaders].map((leader) => this.ask(leader)));
+  }
+
+  /** One question. @returns the leader's address; empty without an answer, and when the asked one leads. */
+  private async ask(asked: string): Promise<string> {
+    const { name, address, peers } = this.parts;
+    const client = createClient(controlMessage.Configurations, peers.transport(asked));
+    try {
+      const { leader } = await client.enlist({ name, address }, { timeoutMs: CALL_MS });
+      this.logOnce(asked, controlEvents.enlisting, { leader });
+      return leader;
+    } catch (error) {
+      this.logOnce(asked, controlEvents.enlistUnanswered, { problem: String(error) });
+      // A connection that went silent is closed by nobody; the next question makes a new one.
+      if (ConnectError.from(error).code === Code.DeadlineExceeded) peers.drop(asked);
+      return '';
+    }
+  }
 
-/** One question. Undefined without an answer; the leader's address, or empty when the asked one leads. */
-async function ask(parts: EnlistingParts, address: string): Promise<string | undefined> {
-  const { name, peers, log } = parts;
-  const client = createClient(controlMessage.Configurations, peers.transport(address));
-  try {
-    const { leader } = await client.enlist({ name, address: parts.address }, { timeoutMs: CALL_MS });
-    log.event(controlEvents.enlisting, { asked: address, leader });
-    return leader;
-  } catch (error) {
-    log.event(controlEvents.enlistUnanswered, { asked: address, problem: String(error) });
-    // A connection that went silent is closed by nobody; the next question makes a new one.
-    if (ConnectError.from(error).code === Code.DeadlineExceeded) peers.drop(address);
-    return undefined;
+  private logOnce(asked: string, event: EventKind, fields: Record<string, string>): void {
+    const line = JSON.stringify([event.id, fields]);
+    if (this.logged.get(asked) === line) return;
+    this.logged.set(asked, line);
+    this.parts.log.event(event, { asked, ...fields });
   }
 }
--- a/packages/coordination/src/agreement/replacement.spec.ts
+++ b/packages/coordination/src/agreement/replacement.spec.ts
@@ -92,7 +92,7 @@
   });
 
   test('is no voter any more when it leaves after its successor has come', async () => {
-    // Symptom: as above.
+    // Symptom: one more lost disk, some time after a replacement, and nobody is served any more.
     // Sequence: the successor comes first and votes, then the old instance is stopped and taken away.
     // Cause: nobody takes the vote from an instance that is gone; only its return under the same name did.
     await started(['a', 'b', 'c']);
