Report loads, work and caches over one open stream in place of a call each

Change: one stream a process, to the instance that it told before too. The control instance beats on it twice a second, which replaces the answers: a sender gives up a silent stream after 1.2 s (a call: 0.4 s). What is told by changes is told whole on each new stream, so a restart of the instance shows at once.

Tests: the order, the way back to the first instance, staying for changes, a frozen instance (it fails without the beats), nobody there; the tests of caches, work and followers hold on, and wait for what arrives.

--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -43,6 +43,7 @@
     level: 'info',
     message: 'a control instance no longer answers the wish to vote',
   },
+  reportsEnded: { id: 3029, level: 'debug', message: "a process's reports ended" },
   storeLost: { id: 3022, level: 'warn', message: 'a store of kept cache does not answer' },
   storeFound: { id: 3023, level: 'info', message: 'a store of kept cache answers again' },
   unreadableCall: { id: 3024, level: 'warn', message: "a call in a target's name can not be read" },
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -2,17 +2,15 @@
 import { create } from '@bufbuild/protobuf';
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
 import { ChangeSignal } from '@jasmineroute/directory';
-import { KeptParts, controlMessage } from '@jasmineroute/protocol';
+import { controlMessage } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
 import { FollowerPlace, isEntry } from './followerPlace.js';
 import type { FollowSources } from './followerPlace.js';
+import { ReportIntake } from './reportIntake.js';
 
 /** Time between two events when nothing changes, milliseconds: how a follower knows that it still hears. */
 const HEARTBEAT_MS = 800;
 
-/** What a target has in its cache is believed for so long, milliseconds: it is told again three times as often. */
-const CACHE_LASTS_MS = 5_000;
-
 /** Serves followers, and control instances that want to vote. */
 export class FollowService implements ServiceImpl<typeof controlMessage.Configurations> {
   /** Raised with each change that all followers hear of. */
@@ -24,12 +22,11 @@
   private readonly changedForEntries = new ChangeSignal();
   /** Streams of entries that are open now, by the entry's name. */
   private readonly entries = new Map<string, number>();
-  /** What targets have in their caches, as the processes beside them tell it. */
-  private readonly cached = new KeptParts();
-  private readonly cacheEnds = new Map<string, () => void>();
+  private readonly intake: ReportIntake;
 
   constructor(private readonly sources: FollowSources) {
     const raise = this.raise;
+    this.intake = new ReportIntake(sources);
     sources.configuration.onChange(raise);
     sources.targets.onChange(raise);
     for (const board of [sources.loads, sources.work]) {
@@ -53,7 +50,7 @@
   ): AsyncGenerator<controlMessage.FollowEvent> {
     const { log, clock, ended } = this.sources;
     const signal = AbortSignal.any([ended, context.signal]);
-    const follower = new FollowerPlace(this.sources, this.cached, request);
+    const follower = new FollowerPlace(this.sources, this.intake.cached, request);
     log.event(controlEvents.followed, { follower: request.name, number: Number(request.number) });
     const news = isEntry(request) ? this.changedForEntries : this.changed;
     if (isEntry(request)) this.count(request.name, 1);
@@ -87,28 +84,12 @@
     return create(controlMessage.AnnounceResponseSchema, {});
   }
 
-  /** Takes a target's load. */
-  reportLoad(load: controlMessage.TargetLoad): controlMessage.ReportLoadResponse {
-    this.sources.loads.take(load.targetId, load);
-    return create(controlMessage.ReportLoadResponseSchema, {});
-  }
-
-  /** Takes an entry's work. */
-  reportWork(work: controlMessage.EntryWork): controlMessage.ReportWorkResponse {
-    this.sources.work.take(work.entry, work);
-    return create(controlMessage.ReportWorkResponseSchema, {});
-  }
-
-  /** Takes what a target has in its cache. */
-  reportCache({ address, changes }: controlMessage.TargetCache): controlMessage.ReportCacheResponse {
-    this.cacheEnds.get(address)?.();
-    const end = this.sources.clock.after(CACHE_LASTS_MS, () => {
-      this.cached.forget(address);
-      this.cacheEnds.delete(address);
-    });
-    this.cacheEnds.set(address, end);
-    if (changes !== undefined) this.cached.apply(address, changes);
-    return create(controlMessage.ReportCacheResponseSchema, {});
+  /** Takes what one process reports for others. */
+  report(
+    requests: AsyncIterable<controlMessage.ReportRequest>,
+    context: HandlerContext,
+  ): AsyncGenerator<controlMessage.ReportResponse> {
+    return this.intake.take(requests, context);
   }
 
   /** Makes the asking instance a voter, if this one leads. */
--- a/packages/control/src/follow/followerPlace.ts
+++ b/packages/control/src/follow/followerPlace.ts
@@ -1,12 +1,11 @@
 /** What one follower has been told, and what it lacks. */
 import { create } from '@bufbuild/protobuf';
-import type { Clock, Log } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { KeptParts } from '@jasmineroute/protocol';
 import type { ConfigurationState } from '../configuration/index.js';
 import type { CommandLog } from '../log/index.js';
-import type { RecentBoard } from '../recent/index.js';
 import type { TargetBook } from '../targets/index.js';
+import type { ReportBoards } from './reportIntake.js';
 
 /** Role of the followers that are counted, and hear of loads, work and caches. */
 const ENTRY = 'entry';
@@ -15,22 +14,14 @@
 export const isEntry = ({ role }: Pick<controlMessage.FollowRequest, 'role'>): boolean => role === ENTRY;
 
 /** What the streams tell of. */
-export interface FollowSources {
+export interface FollowSources extends ReportBoards {
   readonly configuration: ConfigurationState;
   readonly targets: TargetBook;
-  /** Loads of targets, by their ids. */
-  readonly loads: RecentBoard<controlMessage.TargetLoad>;
-  /** Work of entries, by their names. */
-  readonly work: RecentBoard<controlMessage.EntryWork>;
   /** Addresses of stores that do not answer. */
   readonly lostStores: () => readonly string[];
   /** What stores keep; undefined where no store is watched. */
   readonly kept: KeptParts | undefined;
   readonly commandLog: CommandLog;
-  readonly clock: Clock;
-  readonly log: Log;
-  /** Aborted when this process stops: streams end, and followers go on with the other instances. */
-  readonly ended: AbortSignal;
 }
 
 /** How far one follower has been told. */
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -158,9 +158,7 @@
       enlist: (request) => follow.enlist(request),
       observe: (request) => follow.observe(request),
       announce: (request) => follow.announce(request),
-      reportLoad: (request) => follow.reportLoad(request),
-      reportWork: (request) => follow.reportWork(request),
-      reportCache: (request) => follow.reportCache(request),
+      report: (requests, call) => follow.report(requests, call),
     });
     serveDirectory(router, {
       documents: this.source,
--- a/packages/knowledge/src/events.ts
+++ b/packages/knowledge/src/events.ts
@@ -10,5 +10,6 @@
   controlLost: { id: 8110, level: 'warn', message: 'lost a control instance' },
   confirmed: { id: 8111, level: 'info', message: 'a quorum confirms what is held' },
   notTold: { id: 8112, level: 'warn', message: 'a control instance does not take what it is told' },
+  reportsEnded: { id: 8114, level: 'info', message: 'a stream of reports to a control instance ended' },
   toldAgain: { id: 8113, level: 'info', message: 'a control instance takes what it is told again' },
 });
--- a/packages/knowledge/src/index.ts
+++ b/packages/knowledge/src/index.ts
@@ -2,5 +2,7 @@
 export * from './events.js';
 export * from './follower.js';
 export * from './knowledge.js';
+export * from './reportSender.js';
+export * from './reportStream.js';
 export * from './targetList.js';
 export * from './teller.js';
--- /dev/null
+++ b/packages/knowledge/src/reportSender.spec.ts
@@ -0,0 +1,147 @@
+import { create } from '@bufbuild/protobuf';
+import { ManualClock } from '@jasmineroute/core';
+import type { Log } from '@jasmineroute/core';
+import { Peers, controlMessage, listen } from '@jasmineroute/protocol';
+import type { RpcServer } from '@jasmineroute/protocol';
+import { reportTaker, waitFor } from '@jasmineroute/testkit';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { knowledgeEvents } from './events.js';
+import { ReportSender } from './reportSender.js';
+
+const { reportsEnded, notTold } = knowledgeEvents;
+
+describe('reports over one stream', () => {
+  const clock = new ManualClock();
+  let peers: Peers;
+  /** Ids of the events that were logged. */
+  let logged: number[];
+  /** Loads that the control instances took, by their place in the order. */
+  let taken: number[][];
+  let servers: RpcServer[];
+  let sender: ReportSender;
+
+  /** A control instance that takes loads. */
+  const start = (at: number, port = 0): Promise<RpcServer> =>
+    listen('127.0.0.1', port, (router) => {
+      router.service(controlMessage.Configurations, {
+        report: reportTaker((report) => {
+          if (report.case === 'load') taken[at]?.push(report.value.running);
+        }),
+      });
+    });
+
+  /** One that takes the stream, beats once and then does nothing more, as when it is frozen. */
+  const startFrozen = (): Promise<RpcServer> =>
+    listen('127.0.0.1', 0, (router) => {
+      router.service(controlMessage.Configurations, {
+        async *report(_requests, { signal }) {
+          yield {};
+          await new Promise((resolve) => {
+            signal.addEventListener('abort', resolve, { once: true });
+          });
+        },
+      });
+    });
+
+  const log: Log = {
+    event: ({ id }) => {
+      logged.push(id);
+    },
+    with: () => log,
+  };
+
+  const senderThat = (stays: boolean): ReportSender =>
+    new ReportSender({
+      stays,
+      controls: () => servers.map(({ address }) => address),
+      peers,
+      clock,
+      log,
+    });
+
+  const send = async (running: number): Promise<string | undefined> => {
+    const value = create(controlMessage.TargetLoadSchema, { targetId: 't', running });
+    return (await sender.send(() => ({ case: 'load', value })))?.address;
+  };
+
+  const addressOf = (at: number): string => servers[at]?.address ?? '';
+
+  beforeEach(() => {
+    peers = new Peers();
+    logged = [];
+    taken = [[], []];
+  });
+
+  afterEach(async () => {
+    sender.close();
+    peers.close();
+    await Promise.all(servers.map((server) => server.close()));
+  });
+
+  /** Ends an instance and waits until the sender knows. */
+  async function lose(at: number): Promise<void> {
+    await servers[at]?.close();
+    await waitFor('the end of the stream', () => logged.includes(reportsEnded.id));
+  }
+
+  async function comesBack(at: number): Promise<void> {
+    servers[at] = await start(at, Number(addressOf(at).split(':')[1]));
+    await clock.advance(2_000);
+  }
+
+  it('arrive in order at the first instance', async () => {
+    servers = await Promise.all([start(0), start(1)]);
+    sender = senderThat(false);
+    await Promise.all([1, 2, 3, 4, 5].map(send));
+    await waitFor('all five', () => taken[0]?.length === 5);
+    expect(taken).toEqual([[1, 2, 3, 4, 5], []]);
+  });
+
+  it('go to the next instance when the first one ends, and back to it once it is there again', async () => {
+    servers = await Promise.all([start(0), start(1)]);
+    sender = senderThat(false);
+    expect(await send(1)).toBe(addressOf(0));
+    await waitFor('the first', () => taken[0]?.includes(1) === true);
+    await lose(0);
+    expect(await send(2)).toBe(addressOf(1));
+    expect(logged).toEqual([reportsEnded.id, notTold.id]);
+    await waitFor('the second', () => taken[1]?.includes(2) === true);
+    await comesBack(0);
+    expect(await send(3)).toBe(addressOf(0));
+    await waitFor('the third', () => taken[0]?.includes(3) === true);
+    expect(taken).toEqual([[1, 3], [2]]);
+  });
+
+  it('stay where they are taken when they are changes', async () => {
+    servers = await Promise.all([start(0), start(1)]);
+    sender = senderThat(true);
+    expect(await send(1)).toBe(addressOf(0));
+    await lose(0);
+    expect(await send(2)).toBe(addressOf(1));
+    await comesBack(0);
+    expect(await send(3)).toBe(addressOf(1));
+  });
+
+  it('leave an instance that keeps the connection open and does nothing', async () => {
+    // Symptom: entries and targets know nothing of each other for as long as one control instance is frozen.
+    // Sequence: the instance that takes the reports freezes; its connection stays open, so each report seems sent.
+    // Cause: nobody waits for an answer to a single report.
+    servers = await Promise.all([startFrozen(), start(1)]);
+    sender = senderThat(false);
+    expect(await send(1)).toBe(addressOf(0));
+    await clock.advance(1_300);
+    await waitFor('the end of the stream', () => logged.includes(reportsEnded.id));
+    // It beats once for each stream that it is given: the next one is left in the same way.
+    servers.reverse();
+    expect(await send(2)).toBe(addressOf(0));
+    await waitFor('the second', () => taken[1]?.includes(2) === true);
+  });
+
+  it('are taken by nobody when no instance is there', async () => {
+    servers = [await start(0)];
+    await servers[0]?.close();
+    sender = senderThat(false);
+    expect(await send(1)).toBeUndefined();
+    expect(logged).toEqual([notTold.id]);
+  });
+});
--- a/packages/relay/src/target/workReporter.ts
+++ b/packages/relay/src/target/workReporter.ts
@@ -1,6 +1,8 @@
 /** Tells the other entries what this one has under way at targets. */
-import { Teller, orderForEntries } from '@jasmineroute/knowledge';
+import { create } from '@bufbuild/protobuf';
+import { ReportSender, orderForEntries } from '@jasmineroute/knowledge';
 import type { TellerParts } from '@jasmineroute/knowledge';
+import { controlMessage } from '@jasmineroute/protocol';
 import type { Backlog, PromptWork } from './backlog.js';
 
 /**
@@ -32,10 +34,11 @@
   private readonly stopped = new AbortController();
   private told = new Map<string, number>();
   private toldAt = Number.NEGATIVE_INFINITY;
-  private readonly teller: Teller;
+  private readonly sender: ReportSender;
 
   constructor(private readonly parts: WorkReporterParts) {
-    this.teller = new Teller({ ...parts, controls: () => orderForEntries(parts.controls()) });
+    const controls = (): string[] => orderForEntries(parts.controls());
+    this.sender = new ReportSender({ ...parts, controls, stays: false });
   }
 
   /** Runs until `stop`. */
@@ -51,6 +54,7 @@
 
   stop(): void {
     this.stopped.abort();
+    this.sender.close();
   }
 
   private async look(): Promise<void> {
@@ -59,9 +63,9 @@
     const now = clock.monotonic();
     const isOld = now - this.toldAt >= REPEAT_MS && work.length > 0;
     if (!isOld && changeOf(this.told, work) < LEAST_CHANGE) return;
-    const message = { entry: name, targets: work };
-    const heardBy = await this.teller.tell((client, options) => client.reportWork(message, options));
-    if (heardBy === undefined) return;
+    const value = create(controlMessage.EntryWorkSchema, { entry: name, targets: work });
+    const taken = await this.sender.send(() => ({ case: 'work', value }));
+    if (taken === undefined) return;
     this.told = new Map(work.map(({ targetId, tokens }) => [targetId, tokens]));
     this.toldAt = now;
   }
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -7,6 +7,7 @@
 import { silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
 import { Peers, controlMessage, listen, partKey } from '@jasmineroute/protocol';
 import type { RpcServer, StoredPart } from '@jasmineroute/protocol';
+import { reportTaker } from '@jasmineroute/testkit';
 import { Relay } from '../relay.js';
 import { relaySettings } from '../setting/index.js';
 import { testDialect } from './dialect.js';
@@ -83,9 +84,7 @@
     this.server = await listen('127.0.0.1', 0, (router) => {
       router.service(controlMessage.Configurations, {
         follow: (_request, { signal }) => this.follow(signal),
-        reportLoad: () => ({}),
-        reportWork: () => ({}),
-        reportCache: () => ({}),
+        report: reportTaker(),
         enlist: () => ({}),
         observe: () => ({}),
       });
--- a/packages/rollout/src/keeper/cacheReporter.ts
+++ b/packages/rollout/src/keeper/cacheReporter.ts
@@ -1,8 +1,9 @@
 /** Tells what the target beside this process has in its cache. */
+import { create } from '@bufbuild/protobuf';
 import { ProblemTally } from '@jasmineroute/core';
-import { Teller } from '@jasmineroute/knowledge';
-import type { TellerParts } from '@jasmineroute/knowledge';
-import { KeptParts } from '@jasmineroute/protocol';
+import type { Clock, Log } from '@jasmineroute/core';
+import type { ReportSender, ReportStream } from '@jasmineroute/knowledge';
+import { KeptParts, controlMessage } from '@jasmineroute/protocol';
 import type { CacheNews } from '@jasmineroute/protocol';
 import { rolloutEvents } from '../events.js';
 import type { TargetPort } from '../port/index.js';
@@ -28,26 +29,30 @@
 /** A control instance is told at least so often, milliseconds: it believes what it was told for 5 s. */
 const REPEAT_MS = 1_500;
 
-/** What a control instance was told last, and when. */
+/** What was told last, and when. */
 interface Told {
-  readonly control: string;
-  /** Place of the last change that it was told. */
+  /** The control instance at the other end of another one knows nothing of what was told on this one. */
+  readonly stream: ReportStream | undefined;
+  /** Place of the last change that was told. */
   readonly place: number;
   readonly at: number;
   readonly wholeAt: number;
 }
 
 const NOT_TOLD: Told = {
-  control: '',
+  stream: undefined,
   place: 0,
   at: Number.NEGATIVE_INFINITY,
   wholeAt: Number.NEGATIVE_INFINITY,
 };
 
 /** What the reporter works with. */
-export interface CacheReporterParts extends TellerParts {
+export interface CacheReporterParts {
   readonly address: string;
   readonly port: TargetPort;
+  readonly sender: ReportSender;
+  readonly clock: Clock;
+  readonly log: Log;
 }
 
 /**
@@ -59,15 +64,11 @@
   private readonly kept = new KeptParts();
   private last: CacheNews | undefined;
   private isHeard = true;
-  /** The control instance that was told last, and up to which place. */
   private told = NOT_TOLD;
-  private readonly teller: Teller;
-
   private readonly unreadable: ProblemTally;
 
   constructor(private readonly parts: CacheReporterParts) {
     this.unreadable = new ProblemTally(parts.log, rolloutEvents.unreadableEvents);
-    this.teller = new Teller(parts);
   }
 
   /** Runs until `stop`. */
@@ -110,22 +111,22 @@
     else log.event(rolloutEvents.cacheUnheard, { address, problem });
   }
 
-  /** Tells the control instance that knows the rest already what is new, or else all of it to the first that answers. */
+  /** Tells what is new to the control instance that knows the rest already, or else all of it to another one. */
   private async tell(): Promise<void> {
-    const { address, clock } = this.parts;
+    const { address, clock, sender } = this.parts;
     const place = this.kept.place();
     const now = clock.monotonic();
-    if (this.told.place === place && now - this.told.at <= REPEAT_MS) return;
-    const told = this.told;
-    // Without an answer an instance may have taken the changes or not: it is told all of it the next time.
-    this.told = NOT_TOLD;
+    const { told } = this;
+    const isKnown = told.stream?.isOpen === true && told.place === place;
+    if (isKnown && now - told.at <= REPEAT_MS) return;
     const isDue = now - told.wholeAt > WHOLE_MS;
-    const isWhole = (to: string): boolean => isDue || to !== told.control;
-    const control = await this.teller.tell((client, options, to) => {
+    const isWhole = (stream: ReportStream): boolean => isDue || stream !== told.stream;
+    const stream = await sender.send((to) => {
       const changes = this.kept.since(isWhole(to) ? 0 : told.place);
-      return client.reportCache({ address, changes }, options);
-    }, told.control);
-    if (control === undefined) return;
-    this.told = { control, place, at: now, wholeAt: isWhole(control) ? now : told.wholeAt };
+      const value = create(controlMessage.TargetCacheSchema, { address, changes });
+      return { case: 'cache', value };
+    });
+    if (stream === undefined) return;
+    this.told = { stream, place, at: now, wholeAt: isWhole(stream) ? now : told.wholeAt };
   }
 }
--- a/packages/rollout/src/keeper/loadReporter.ts
+++ b/packages/rollout/src/keeper/loadReporter.ts
@@ -1,7 +1,9 @@
 /** Tells the load of the target beside this process. */
+import { create } from '@bufbuild/protobuf';
 import { ProblemTally } from '@jasmineroute/core';
-import { Teller } from '@jasmineroute/knowledge';
-import type { Knowledge, TellerParts } from '@jasmineroute/knowledge';
+import type { Clock, Log } from '@jasmineroute/core';
+import type { Knowledge, ReportSender } from '@jasmineroute/knowledge';
+import { controlMessage } from '@jasmineroute/protocol';
 import { rolloutEvents } from '../events.js';
 import type { TargetPort } from '../port/index.js';
 
@@ -15,10 +17,13 @@
 const CALL_MS = 400;
 
 /** What the reporter works with. */
-export interface LoadReporterParts extends TellerParts {
+export interface LoadReporterParts {
   readonly address: string;
   readonly port: TargetPort;
   readonly knowledge: Knowledge;
+  readonly sender: ReportSender;
+  readonly clock: Clock;
+  readonly log: Log;
 }
 
 /**
@@ -32,12 +37,10 @@
   /** The target did not answer the last time; logged once for each loss. */
   private lost = false;
   private toldAt = Number.NEGATIVE_INFINITY;
-  private readonly teller: Teller;
   private readonly unreadable: ProblemTally;
 
   constructor(private readonly parts: LoadReporterParts) {
     this.unreadable = new ProblemTally(parts.log, rolloutEvents.unreadableReport);
-    this.teller = new Teller(parts);
   }
 
   /** Runs until `stop`. */
@@ -70,9 +73,9 @@
     const load = `${target.id} ${running} ${waiting}`;
     const now = clock.monotonic();
     if (load === this.told && now - this.toldAt < REPEAT_MS) return;
-    const message = { targetId: target.id, running, waiting };
-    const heardBy = await this.teller.tell((client, options) => client.reportLoad(message, options));
-    if (heardBy === undefined) return;
+    const value = create(controlMessage.TargetLoadSchema, { targetId: target.id, running, waiting });
+    const taken = await this.parts.sender.send(() => ({ case: 'load', value }));
+    if (taken === undefined) return;
     this.told = load;
     this.toldAt = now;
   }
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -1,6 +1,6 @@
 /** The process beside a target, as a role. */
 import { Controls, TurnClient } from '@jasmineroute/directory';
-import { Follower, Knowledge, orderForTargets } from '@jasmineroute/knowledge';
+import { Follower, Knowledge, ReportSender, orderForTargets } from '@jasmineroute/knowledge';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { rolloutEvents } from './events.js';
 import { Announcer, CacheReporter, LoadReporter, Observer, WeightsKeeper } from './keeper/index.js';
@@ -26,6 +26,7 @@
 export class Rollout implements RoleProcess {
   private readonly follower: Follower;
   private readonly keeper: WeightsKeeper;
+  private readonly sender: ReportSender;
   private readonly reporter: LoadReporter;
   private readonly cacheReporter: CacheReporter;
   private readonly announcer: Announcer;
@@ -43,8 +44,10 @@
     const known = (): readonly string[] => this.follower.controls();
     const { address, port } = neighbour;
     const told = { controls: () => orderForTargets(known()), peers, clock, log };
-    this.reporter = new LoadReporter({ address, port, knowledge, ...told });
-    this.cacheReporter = new CacheReporter({ address, port, ...told });
+    this.sender = new ReportSender({ ...told, stays: true });
+    const reported = { address, port, sender: this.sender, clock, log };
+    this.reporter = new LoadReporter({ ...reported, knowledge });
+    this.cacheReporter = new CacheReporter(reported);
     this.announcer = new Announcer({
       address,
       service: neighbour.service,
@@ -95,15 +98,12 @@
     this.reporter.stop();
     this.cacheReporter.stop();
     this.announcer.stop();
+    this.sender.close();
     return Promise.resolve();
   }
 
-  close(): Promise<void> {
-    this.keeper.stop();
-    this.reporter.stop();
-    this.cacheReporter.stop();
-    this.announcer.stop();
+  async close(): Promise<void> {
+    await this.drain();
     this.follower.stop();
-    return Promise.resolve();
   }
 }
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -3,5 +3,6 @@
 export * from './port/index.js';
 export * from './process/index.js';
 export * from './proxy/index.js';
+export * from './report/index.js';
 export * from './wait/index.js';
 export * from './certificate/index.js';
--- /dev/null
+++ b/packages/testkit/src/report/index.ts
@@ -0,0 +1,1 @@
+export * from './report.js';
