--- a/packages/knowledge/src/reportSender.spec.ts
+++ b/packages/knowledge/src/reportSender.spec.ts
@@ -137,6 +137,14 @@
     await waitFor('the second', () => taken[1]?.includes(2) === true);
   });
 
+  it('go nowhere once the sender is closed', async () => {
+    servers = [await start(0)];
+    sender = senderThat(false);
+    expect(await send(1)).toBe(addressOf(0));
+    sender.close();
+    expect(await send(2)).toBeUndefined();
+  });
+
   it('are taken by nobody when no instance is there', async () => {
     servers = [await start(0)];
     await servers[0]?.close();
--- a/packages/knowledge/src/reportSender.ts
+++ b/packages/knowledge/src/reportSender.ts
@@ -20,6 +20,7 @@
  */
 export class ReportSender {
   private stream: ReportStream | undefined;
+  private isClosed = false;
   private choosing: Promise<ReportStream | undefined> | undefined;
   private readonly teller: Teller;
 
@@ -28,8 +29,8 @@
   }
 
   /**
-   * Sends a report, which may depend on what the stream was sent before. @returns the stream that took it; undefined while no control instance takes
-   * any.
+   * Sends a report, which may depend on what its stream was sent before.
+   * @returns the stream that took it; undefined while no control instance takes any.
    */
   async send(reportFor: (stream: ReportStream) => Report): Promise<ReportStream | undefined> {
     const stream = await this.current();
@@ -37,13 +38,16 @@
     return stream;
   }
 
+  /** Ends the stream; what is sent afterwards goes nowhere. */
   close(): void {
+    this.isClosed = true;
     this.stream?.end();
   }
 
   private current(): Promise<ReportStream | undefined> {
     const { controls, stays } = this.parts;
     const { stream } = this;
+    if (this.isClosed) return Promise.resolve(undefined);
     const isChosen = stream?.isOpen === true && (stays || stream.address === controls()[0]);
     if (isChosen) return Promise.resolve(stream);
     this.choosing ??= this.choose().finally(() => {
@@ -59,10 +63,10 @@
     return address === undefined ? undefined : this.stream;
   }
 
-  private readonly open: Telling = async (client, { timeoutMs = 0 }, address) => {
+  private readonly open: Telling = async (client, _options, address) => {
     if (this.stream?.isOpen === true && this.stream.address === address) return;
     const opened = new ReportStream({ ...this.parts, address });
-    await opened.open(client, timeoutMs);
+    await opened.open(client);
     this.stream?.finish();
     this.stream = opened;
   };
--- a/packages/knowledge/src/reportStream.ts
+++ b/packages/knowledge/src/reportStream.ts
@@ -12,6 +12,9 @@
  */
 const SILENCE_MS = 1_200;
 
+/** Longest wait for the first beat, milliseconds: some ten times the way there and back. */
+const FIRST_BEAT_MS = 400;
+
 /** What is reported: a target's load, an entry's work, or a target's cache. */
 export type Report = controlMessage.ReportRequest['report'];
 
@@ -44,9 +47,9 @@
   }
 
   /** Resolves at the first beat. @throws Error without one in time. */
-  async open(client: Client<typeof controlMessage.Configurations>, timeoutMs: number): Promise<void> {
+  async open(client: Client<typeof controlMessage.Configurations>): Promise<void> {
     const beats = client.report(this.requests(), { signal: this.ended.signal })[Symbol.asyncIterator]();
-    const calledOff = this.endAfter(timeoutMs);
+    const calledOff = this.endAfter(FIRST_BEAT_MS);
     try {
       const first = await beats.next();
       if (first.done === true) throw new Error('it takes no reports');
