Leave the connection alone when a stream of reports is given up

Cause: a control instance that is late with its first beat by 0.4 s, or with later ones by 1.2 s, had its connection cut, and with it the stream on which the process follows it: it was told all again by an instance that is short of processor time. Calls that time out never cut it either.

Test: the connection is the same after a frozen instance was left; it fails on the code before.

--- a/packages/knowledge/src/reportSender.spec.ts
+++ b/packages/knowledge/src/reportSender.spec.ts
@@ -129,8 +129,11 @@
     servers = await Promise.all([startFrozen(), start(1)]);
     sender = senderThat(false);
     expect(await send(1)).toBe(addressOf(0));
+    const connection = peers.transport(addressOf(0));
     await clock.advance(1_300);
     await waitFor('the end of the stream', () => logged.includes(reportsEnded.id));
+    // What others do on the connection goes on.
+    expect(peers.transport(addressOf(0))).toBe(connection);
     // It beats once for each stream that it is given: the next one is left in the same way.
     servers.reverse();
     expect(await send(2)).toBe(addressOf(0));
--- a/packages/knowledge/src/reportStream.ts
+++ b/packages/knowledge/src/reportStream.ts
@@ -3,7 +3,6 @@
 import type { Client } from '@connectrpc/connect';
 import type { Clock, Log } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
-import type { Peers } from '@jasmineroute/protocol';
 import { knowledgeEvents } from './events.js';
 
 /**
@@ -24,7 +23,6 @@
 export interface ReportStreamParts {
   /** Of the control instance, host:port. */
   readonly address: string;
-  readonly peers: Peers;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -97,11 +95,12 @@
     log.event(knowledgeEvents.reportsEnded, { control: address, problem });
   }
 
-  /** Gives the stream up after a silence. What goes silent is closed by nobody: the next stream makes a new connection. */
+  /**
+   * Gives the stream up after a silence, and leaves the connection to those that follow on it: cut with it, they would be
+   * told all again by an instance that is late already. When the connection is silent itself they drop it.
+   */
   private endAfter(ms: number): () => void {
-    const { address, peers, clock } = this.parts;
-    return clock.after(ms, () => {
-      peers.drop(address);
+    return this.parts.clock.after(ms, () => {
       this.end();
     });
   }
