--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -191,6 +191,34 @@
     expect(told.map(({ paused }) => paused)).toEqual([true, false]);
   });
 
+  /** How often a turn is asked for in ten seconds in which others have it, beside so many other targets. */
+  async function asksBeside(others: number): Promise<number> {
+    for (let n = 2; n < others + 2; n += 1) announce(`t${n}`, `10.0.0.${n}:80`, 1);
+    granted = false;
+    name(2);
+    const one = keeper();
+    void one.run();
+    await clock.advance(10_000);
+    one.stop();
+    return Number(fence);
+  }
+
+  it('asks for a turn less often the more targets ask', async () => {
+    // Symptom: weights come to no target for seconds after they were named, and once older ones may serve no longer all
+    // requests are refused, as no target is ready.
+    // Sequence: 39 targets, the leader of the log is lost or late for a moment; no target loads, so none lets others go first.
+    // Cause: each asked ten times a second, whatever came of it: 390 entries of the log a second, with their syncs and their
+    // appends to seven replicas, on machines that are late already, so the next leader is late too.
+    // Proved by: ten seconds of one target's asking; the refusals and elections of a played day.
+    const asks = await asksBeside(38);
+    expect(asks).toBeGreaterThan(4);
+    expect(asks).toBeLessThan(25);
+  });
+
+  it('asks often where few do', async () => {
+    expect(await asksBeside(2)).toBeGreaterThan(60);
+  });
+
   it('lets lower ids go first among equals', async () => {
     announce('t0', '10.0.0.2:80', 1);
     name(2);
