Ask for turns forty times a second in all, however many targets wait

Change: after a turn that was not granted or not answered a target waits 25 ms for each target of its service, half as long to one and a half times as long.

Before: the test counts 100 questions in ten seconds beside 38 others.

--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -23,9 +23,17 @@
 /** Time of a turn, milliseconds: how long a process that was killed keeps others from loading. */
 const TURN_MS = 3_000;
 
-/** Pause between two looks at what is wanted, milliseconds: also the pause before a turn is asked for again. */
+/** Pause between two looks at what is wanted, milliseconds. */
 const LOOK_MS = 100;
 
+/**
+ * Pause before a turn is asked for again, milliseconds for each target of the service, spread by half to either side. Each
+ * question is an entry of the replicated log, so all targets together ask forty times a second, however many there are: a
+ * turn that was given back is taken after some 25 ms. Ten times a second for each target was 390 entries a second with 39
+ * of them: the log fell behind, no target loaded, and so none let others go first.
+ */
+const ASK_MS = 25;
+
 /** How long targets that are further behind go first, milliseconds: one of them may have nobody to give it orders. */
 const YIELD_MS = 3_000;
 
@@ -160,7 +168,10 @@
       limit,
       ttlMs: TURN_MS,
     });
-    if (turn === undefined) return;
+    if (turn === undefined) {
+      await this.pauseBeforeAsking();
+      return;
+    }
     try {
       await this.load(target, wish, turn);
     } finally {
@@ -168,6 +179,13 @@
     }
   }
 
+  /** What is left of the pause after the next look's own. */
+  private async pauseBeforeAsking(): Promise<void> {
+    const { knowledge, service, clock } = this.parts;
+    const pauseMs = ASK_MS * knowledge.targets.count(service) * (0.5 + Math.random());
+    await clock.sleep(Math.max(0, pauseMs - LOOK_MS), this.stopped.signal).catch(() => undefined);
+  }
+
   /** How many of the service's targets may load at once. */
   private limitFor(target: Target, { model }: Wish): number {
     const { knowledge, service, clock, weightsLimitMs } = this.parts;
