Tell each process by three control instances, which tell each other what they hear

Cause: everything was told to all by all. Each entry and each process beside a target followed every voter (744 streams with 70 entries, 54 targets' processes and six voters), one control instance passed all loads to all entries, another one all work.

Change: a process follows three control instances, in an order by rendezvous hashing; one of them tells an entry loads, work and caches, at a cadence that grows with the number of entries. Control instances follow each other and pass on what they were told themselves. Work of other entries goes out as one sum a target. Reports go to the first of that order, so the option to stay where a stream was first opened is gone. Where eight entries or fewer serve, all have the same first instance, as before. The end of a pause has a number of its own, so that a late word of its begin brings no pause back.

--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -1,48 +1,87 @@
 /** Streams of configurations, weights and targets to those that route by them. */
 import { create } from '@bufbuild/protobuf';
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
-import { ChangeSignal } from '@jasmineroute/directory';
 import { controlMessage } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
-import { FollowerPlace, isEntry } from './followerPlace.js';
-import type { FollowSources } from './followerPlace.js';
+import { Gathering } from '../recent/index.js';
+import { FollowerPlace, shareOf } from './followerPlace.js';
+import type { FollowSources, Share } from './followerPlace.js';
+import { News } from './news.js';
 import { ReportIntake } from './reportIntake.js';
 
 /** Time between two events when nothing changes, milliseconds: how a follower knows that it still hears. */
 const HEARTBEAT_MS = 800;
 
+/** Entries for which the times below hold; with more each event goes to as many more, and is gathered for longer. */
+const ENTRIES_AT_ONCE = 8;
+
+/**
+ * Loads, work and caches that are told within this time go to an entry as one event, milliseconds: a target gets a prompt
+ * each 100 ms and reads it in 30, so what is older than that says little.
+ */
+const GATHER_BULK_MS = 25;
+
+/** Changes of targets that an entry hears of together, milliseconds. */
+const GATHER_TARGETS_MS = 5;
+
+/** The same over streams that the follower keeps as spares, milliseconds. */
+const GATHER_SPARE_MS = 15;
+
+/** What is told to the other control instances together, milliseconds. */
+const GATHER_OWN_MS = 100;
+
 /** Serves followers, and control instances that want to vote. */
 export class FollowService implements ServiceImpl<typeof controlMessage.Configurations> {
-  /** Raised with each change that all followers hear of. */
-  private readonly changed = new ChangeSignal();
-  /**
-   * Raised with those, and with what entries alone hear of, some ten times a second. Each stream waits for one signal: a
-   * wait for another one beside it would stay until its time is over, thirty of them for each entry.
-   */
-  private readonly changedForEntries = new ChangeSignal();
-  /** Streams of entries that are open now, by the entry's name. */
+  private readonly news: Record<Share, News> = { own: new News(), bulk: new News(), spare: new News() };
+  /** Streams of entries that ask for loads, work and caches, by the entry's name. */
   private readonly entries = new Map<string, number>();
   private readonly intake: ReportIntake;
 
   constructor(private readonly sources: FollowSources) {
-    const raise = this.raise;
-    this.intake = new ReportIntake(sources);
-    sources.configuration.onChange(raise);
-    sources.targets.onChange(raise);
-    for (const board of [sources.loads, sources.work]) {
-      board.onChange(() => {
-        this.changedForEntries.raise();
-      });
-    }
-    sources.commandLog.onStatus(raise);
+    this.intake = new ReportIntake(sources, sources.others.cached);
+    sources.configuration.onChange(this.raise);
+    sources.commandLog.onStatus(this.raise);
+    this.gatherTargets();
+    this.gatherBulk();
   }
 
-  /** Tells followers that there is news. */
+  /** Tells followers at once that there is news. */
   readonly raise = (): void => {
-    this.changed.raise();
-    this.changedForEntries.raise();
+    for (const news of Object.values(this.news)) news.raise();
   };
 
+  private gatherTargets(): void {
+    const { targets, relayed } = this.sources;
+    const own = this.gathering(GATHER_TARGETS_MS, this.news.own);
+    const bulk = this.gathering(GATHER_TARGETS_MS, this.news.bulk);
+    const spare = this.gathering(GATHER_SPARE_MS, this.news.spare);
+    for (const gathering of [own, bulk, spare]) targets.onChange(gathering.note);
+    for (const gathering of [bulk, spare]) relayed.onChange(gathering.note);
+  }
+
+  private gatherBulk(): void {
+    const { loads, work, others, clock } = this.sources;
+    const bulk = this.gathering(GATHER_BULK_MS, this.news.bulk);
+    const own = new Gathering(clock, () => GATHER_OWN_MS, this.news.own.raise);
+    for (const gathering of [bulk, own]) {
+      loads.onChange(gathering.note);
+      work.onChange(gathering.note);
+      this.intake.onCached(gathering.note);
+    }
+    others.onCached(bulk.note);
+  }
+
+  /** Gathers for a time that grows with the number of entries. */
+  private gathering(ms: number, news: News): Gathering {
+    const times = (): number => Math.max(1, Math.ceil(this.allEntries() / ENTRIES_AT_ONCE));
+    return new Gathering(this.sources.clock, () => ms * times(), news.raise);
+  }
+
+  /** Entries that serve now, as far as the instances that are heard know. */
+  private allEntries(): number {
+    return this.entries.size + this.sources.others.entries();
+  }
+
   /** What is held now, then what changes. */
   async *follow(
     request: controlMessage.FollowRequest,
@@ -51,17 +90,18 @@
     const { log, clock, ended } = this.sources;
     const signal = AbortSignal.any([ended, context.signal]);
     const follower = new FollowerPlace(this.sources, this.intake.cached, request);
-    log.event(controlEvents.followed, { follower: request.name, number: Number(request.number) });
-    const news = isEntry(request) ? this.changedForEntries : this.changed;
-    if (isEntry(request)) this.count(request.name, 1);
+    const share = shareOf(request);
+    const news = this.news[share];
+    log.event(controlEvents.followed, { follower: request.name, share, number: Number(request.number) });
+    if (share === 'bulk') this.count(request.name, 1);
     try {
       while (!signal.aborted) {
-        yield follower.event(this.entries.size);
-        // What changed while the event was on its way out raised no signal that anybody waited for.
-        if (!follower.isBehind()) await news.wait(clock, HEARTBEAT_MS, signal);
+        const version = news.version();
+        yield follower.event(share === 'own' ? this.entries.size : this.allEntries());
+        await news.after(version, clock, HEARTBEAT_MS, signal);
       }
     } finally {
-      if (isEntry(request)) this.count(request.name, -1);
+      if (share === 'bulk') this.count(request.name, -1);
     }
   }
 
@@ -74,8 +114,10 @@
 
   /** Takes what the process beside a target says of it. */
   observe(request: controlMessage.ObserveRequest): controlMessage.ObserveResponse {
-    const known = this.sources.targets.observe(request);
-    return create(controlMessage.ObserveResponseSchema, { known });
+    const { targets, relayed } = this.sources;
+    const target = relayed.find(request.targetId);
+    if (target !== undefined) targets.adopt(target);
+    return create(controlMessage.ObserveResponseSchema, { known: targets.observe(request) });
   }
 
   /** Takes a target from the process beside it. */
--- a/packages/control/src/follow/followerPlace.ts
+++ b/packages/control/src/follow/followerPlace.ts
@@ -4,19 +4,23 @@
 import type { KeptParts } from '@jasmineroute/protocol';
 import type { ConfigurationState } from '../configuration/index.js';
 import type { CommandLog } from '../log/index.js';
-import type { TargetBook } from '../targets/index.js';
+import type { RelayedTargets, TargetBook } from '../targets/index.js';
+import type { OtherControls } from './otherControls.js';
 import type { ReportBoards } from './reportIntake.js';
 
-/** Role of the followers that are counted, and hear of loads, work and caches. */
-const ENTRY = 'entry';
+/** Work that was told is believed for so long, milliseconds: it is told again twice as often. */
+const WORK_LASTS_MS = 1_000;
 
-/** Whether a follower is an entry. */
-export const isEntry = ({ role }: Pick<controlMessage.FollowRequest, 'role'>): boolean => role === ENTRY;
+/** Under this name an entry hears the work of all others. */
+const OTHERS = 'others';
 
 /** What the streams tell of. */
 export interface FollowSources extends ReportBoards {
   readonly configuration: ConfigurationState;
   readonly targets: TargetBook;
+  /** What other control instances tell of targets. */
+  readonly relayed: RelayedTargets;
+  readonly others: OtherControls;
   /** Addresses of stores that do not answer. */
   readonly lostStores: () => readonly string[];
   /** What stores keep; undefined where no store is watched. */
@@ -24,89 +28,123 @@
   readonly commandLog: CommandLog;
 }
 
+/**
+ * What a follower is told:
+ * - own: a control instance, what this one was told itself;
+ * - bulk: an entry, all that it needs for its decisions;
+ * - spare: the configuration, weights and targets.
+ */
+export type Share = 'own' | 'bulk' | 'spare';
+
+type EventFields = Partial<Omit<controlMessage.FollowEvent, '$typeName' | '$unknown'>>;
+
+/** The share that a follower asks for. */
+export function shareOf({ role, bulk }: Pick<controlMessage.FollowRequest, 'role' | 'bulk'>): Share {
+  if (role === 'control') return 'own';
+  return bulk ? 'bulk' : 'spare';
+}
+
 /** How far one follower has been told. */
 export class FollowerPlace {
   private place = 0;
+  private relayedPlace = 0;
   private loadPlace = 0;
   private keptPlace = 0;
   private workPlace = 0;
   private cachedPlace = 0;
   private number: bigint;
-  private readonly hearsLoads: boolean;
-  private readonly name: string;
-  private weights = 0;
-  private vouched = false;
 
+  private readonly fields: Record<Share, () => EventFields> = {
+    own: () => this.own(),
+    bulk: () => ({ ...this.news(), ...this.bulk() }),
+    spare: () => this.news(),
+  };
+
+  /** @param ownCached what this instance was told of caches itself. */
   constructor(
     private readonly sources: FollowSources,
-    private readonly cached: KeptParts,
-    request: controlMessage.FollowRequest,
+    private readonly ownCached: KeptParts,
+    private readonly request: controlMessage.FollowRequest,
   ) {
     this.number = request.number;
-    this.hearsLoads = isEntry(request);
-    this.name = request.name;
-  }
-
-  /** Whether there is something that it must hear of at once. */
-  isBehind(): boolean {
-    const { configuration, targets, commandLog } = this.sources;
-    const isOld =
-      configuration.held().number > this.number ||
-      targets.place() > this.place ||
-      configuration.weightsVersion() > this.weights;
-    return isOld || commandLog.status().vouched !== this.vouched;
   }
 
-  /** What it lacks, which counts as told from then on; `entries`: how many follow this instance. */
+  /** What it lacks, which counts as told from then on; `entries`: how many it is to know of. */
   event(entries: number): controlMessage.FollowEvent {
-    const { configuration, targets, commandLog, loads, lostStores } = this.sources;
-    const held = configuration.held();
-    const { vouched } = commandLog.status();
-    const event = create(controlMessage.FollowEventSchema, {
-      vouched,
-      number: held.number,
-      content: held.number > this.number ? held.content : undefined,
-      weights: configuration.recentWeights(this.sources.clock.monotonic()),
+    const { targets, commandLog, configuration } = this.sources;
+    const fields = {
+      ...this.fields[shareOf(this.request)](),
+      vouched: commandLog.status().vouched,
+      number: configuration.held().number,
       targets: targets.since(this.place),
       controls: commandLog.members().map(({ address }) => address),
       entries,
-      loads: this.hearsLoads ? loads.since(this.loadPlace) : [],
-      lostStores: [...lostStores()],
-      kept: this.kept(),
-      work: this.work(),
-      cached: this.cachedParts(),
-    });
-    this.loadPlace = loads.place();
+    };
     this.place = targets.place();
-    this.vouched = vouched;
-    this.weights = configuration.weightsVersion();
-    if (held.number > this.number) this.number = held.number;
-    return event;
+    return create(controlMessage.FollowEventSchema, fields);
   }
 
-  private cachedParts(): controlMessage.KeptChanges | undefined {
-    const place = this.cachedPlace;
-    this.cachedPlace = this.cached.place();
-    return this.hearsLoads && place !== this.cachedPlace ? this.cached.since(place) : undefined;
+  private own(): EventFields {
+    const { loads, work } = this.sources;
+    const told = {
+      loads: loads.ownSince(this.loadPlace),
+      work: work.ownSince(this.workPlace),
+      cached: this.cached(this.ownCached),
+    };
+    this.loadPlace = loads.place();
+    this.workPlace = work.place();
+    return told;
   }
 
-  private work(): controlMessage.EntryWork[] {
-    const place = this.workPlace;
-    this.workPlace = this.sources.work.place();
-    return this.hearsLoads ? this.sources.work.since(place).filter(({ entry }) => entry !== this.name) : [];
+  private news(): EventFields {
+    const { configuration, relayed, lostStores, clock } = this.sources;
+    const held = configuration.held();
+    const isNewer = held.number > this.number;
+    if (isNewer) this.number = held.number;
+    const told = relayed.since(this.relayedPlace);
+    this.relayedPlace = relayed.place();
+    return {
+      ...(isNewer && { content: held.content }),
+      weights: configuration.recentWeights(clock.monotonic()),
+      relayed: told,
+      heard: relayed.heard(),
+      lostStores: [...lostStores()],
+    };
+  }
+
+  private bulk(): EventFields {
+    const { loads, others } = this.sources;
+    const told = loads.since(this.loadPlace);
+    this.loadPlace = loads.place();
+    return { loads: told, work: this.work(), cached: this.cached(others.cached), kept: this.kept() };
+  }
+
+  private cached(parts: KeptParts): controlMessage.KeptChanges | undefined {
+    const place = this.cachedPlace;
+    this.cachedPlace = parts.place();
+    return place === this.cachedPlace ? undefined : parts.since(place);
   }
 
-  /**
-   * What stores keep, from the leader alone: all instances know it, and each telling it would cost as many times the
-   * bytes. An instance that leads no longer takes back what it told.
-   */
   private kept(): controlMessage.KeptChanges | undefined {
-    const { kept, commandLog } = this.sources;
-    if (!this.hearsLoads || kept === undefined) return undefined;
+    const { kept } = this.sources;
     const place = this.keptPlace;
-    const leads = commandLog.status().state === 'leader';
-    this.keptPlace = leads ? kept.place() : 0;
-    if (leads) return place === this.keptPlace && place > 0 ? undefined : kept.since(place);
-    return place > 0 ? create(controlMessage.KeptChangesSchema, { whole: true }) : undefined;
+    this.keptPlace = kept?.place() ?? 0;
+    return place === this.keptPlace && place > 0 ? undefined : kept?.since(place);
+  }
+
+  /** One sum for each target: what single entries have there would be as many times as much. */
+  private work(): controlMessage.EntryWork[] {
+    const { work } = this.sources;
+    if (work.place() === this.workPlace) return [];
+    this.workPlace = work.place();
+    const sums = new Map<string, number>();
+    for (const { entry, targets } of work.within(WORK_LASTS_MS)) {
+      if (entry === this.request.name) continue;
+      for (const { targetId, tokens } of targets) sums.set(targetId, (sums.get(targetId) ?? 0) + tokens);
+    }
+    const targets = [...sums].map(([targetId, tokens]) =>
+      create(controlMessage.TargetTokensSchema, { targetId, tokens }),
+    );
+    return [create(controlMessage.EntryWorkSchema, { entry: OTHERS, targets })];
   }
 }
--- a/packages/control/src/follow/index.ts
+++ b/packages/control/src/follow/index.ts
@@ -1,2 +1,3 @@
 export * from './followService.js';
 export * from './enlisting.js';
+export * from './otherControls.js';
--- a/packages/control/src/follow/reportIntake.ts
+++ b/packages/control/src/follow/reportIntake.ts
@@ -30,8 +30,19 @@
   /** What targets have in their caches, as the processes beside them tell it. */
   readonly cached = new KeptParts();
   private readonly cacheEnds = new Map<string, () => void>();
+  private readonly listeners = new Set<() => void>();
 
-  constructor(private readonly boards: ReportBoards) {}
+  /** @param allCached what all instances were told of caches, to which it adds what is told here. */
+  constructor(
+    private readonly boards: ReportBoards,
+    private readonly allCached: KeptParts,
+  ) {}
+
+  /** Calls back after news of caches. Returns the way to stop. */
+  onCached(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
 
   /** Takes one process's reports, and beats until it ends them. */
   async *take(
@@ -79,10 +90,23 @@
   private keep({ address, changes }: controlMessage.TargetCache): void {
     this.cacheEnds.get(address)?.();
     const end = this.boards.clock.after(CACHE_LASTS_MS, () => {
-      this.cached.forget(address);
       this.cacheEnds.delete(address);
+      this.changeCached((cached) => {
+        cached.forget(address);
+      });
     });
     this.cacheEnds.set(address, end);
-    if (changes !== undefined) this.cached.apply(address, changes);
+    if (changes === undefined) return;
+    this.changeCached((cached) => {
+      cached.apply(address, changes);
+    });
+  }
+
+  private changeCached(change: (cached: KeptParts) => void): void {
+    const place = this.cached.place();
+    change(this.cached);
+    change(this.allCached);
+    if (this.cached.place() === place) return;
+    for (const listener of this.listeners) listener();
   }
 }
--- a/packages/control/src/recent/index.ts
+++ b/packages/control/src/recent/index.ts
@@ -1,1 +1,2 @@
+export * from './gathering.js';
 export * from './recentBoard.js';
--- a/packages/control/src/recent/recentBoard.ts
+++ b/packages/control/src/recent/recentBoard.ts
@@ -7,6 +7,8 @@
 interface Entry<Told> {
   readonly told: Told;
   readonly place: number;
+  readonly isOwn: boolean;
+  readonly at: number;
 }
 
 /** The last that was told under each key. Nothing of it must last. */
@@ -14,49 +16,56 @@
   private readonly entries = new Map<string, Entry<Told>>();
   private readonly listeners = new Set<() => void>();
   private lastPlace = 0;
-  private gathering = false;
-
-  /**
-   * @param gatherMs what is told within this time goes to followers as one event.
-   * @param keysAtOnce number of keys for each of which so long is waited once more: with many tellers, each of whom tells
-   * less often, an event for each of them would go to all.
-   */
-  constructor(
-    private readonly clock: Clock,
-    private readonly gatherMs: number,
-    private readonly keysAtOnce = Number.POSITIVE_INFINITY,
-  ) {}
+
+  constructor(private readonly clock: Clock) {}
 
   /** Place of the newest. */
   place(): number {
     return this.lastPlace;
   }
 
-  /** What was told after a place. */
+  /** What was told after a place, to this instance and to others. */
   since(place: number): Told[] {
-    if (place === this.lastPlace) return [];
-    return [...this.entries.values()].filter((entry) => entry.place > place).map(({ told }) => told);
+    return this.after(place).map(({ told }) => told);
+  }
+
+  /** What was told after a place to this instance. */
+  ownSince(place: number): Told[] {
+    return this.after(place)
+      .filter(({ isOwn }) => isOwn)
+      .map(({ told }) => told);
+  }
+
+  /** What was told within the last `ms` milliseconds. */
+  within(ms: number): Told[] {
+    const since = this.clock.monotonic() - ms;
+    return [...this.entries.values()].filter(({ at }) => at > since).map(({ told }) => told);
   }
 
-  /** Takes what was told; followers hear of it a moment later, together with others. */
-  take(key: string, told: Told): void {
+  /** Whether something was told under a key within the last `ms` milliseconds. */
+  isRecent(key: string, ms: number): boolean {
+    const entry = this.entries.get(key);
+    return entry !== undefined && this.clock.monotonic() - entry.at < ms;
+  }
+
+  /** Takes what was told; `isOwn`: to this instance, and not to another one that passes it on. */
+  take(key: string, told: Told, isOwn = true): void {
     this.lastPlace += 1;
     this.entries.delete(key);
-    this.entries.set(key, { told, place: this.lastPlace });
+    this.entries.set(key, { told, place: this.lastPlace, isOwn, at: this.clock.monotonic() });
     const [oldest] = this.entries.keys();
     if (this.entries.size > MOST_KEYS && oldest !== undefined) this.entries.delete(oldest);
-    if (this.gathering) return;
-    this.gathering = true;
-    const times = Math.max(1, Math.ceil(this.entries.size / this.keysAtOnce));
-    this.clock.after(this.gatherMs * times, () => {
-      this.gathering = false;
-      for (const listener of this.listeners) listener();
-    });
+    for (const listener of this.listeners) listener();
   }
 
-  /** Calls back when something was gathered. Returns the way to stop. */
+  /** Calls back when something was told. Returns the way to stop. */
   onChange(listener: () => void): () => void {
     this.listeners.add(listener);
     return () => this.listeners.delete(listener);
   }
+
+  private after(place: number): Entry<Told>[] {
+    if (place === this.lastPlace) return [];
+    return [...this.entries.values()].filter((entry) => entry.place > place);
+  }
 }
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -4,13 +4,14 @@
 import { ProblemTally } from '@jasmineroute/core';
 import { serveDirectory } from '@jasmineroute/directory';
 import type { InstanceMessage, Membership } from '@jasmineroute/directory';
+import { Follower } from '@jasmineroute/knowledge';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Readiness, RoleContext, RoleProcess, Unread } from '@jasmineroute/protocol';
 import { ClaimService } from '../claims/index.js';
 import { ConfigurationService } from '../configuration/index.js';
 import { DocumentService, DocumentView } from '../documents/index.js';
 import { controlEvents } from '../events.js';
-import { FollowService, enlist } from '../follow/index.js';
+import { FollowService, OtherControls, enlist } from '../follow/index.js';
 import { RecentBoard } from '../recent/index.js';
 import { Proposer } from '../log/index.js';
 import type { CommandLog } from '../log/index.js';
@@ -20,7 +21,7 @@
 import { ControlDocumentSource, localStatus, wholeStatus } from '../status/index.js';
 import { StoreWatch } from '../stores/index.js';
 import type { StorePort } from '../stores/index.js';
-import { TargetBook } from '../targets/index.js';
+import { RelayedTargets, TargetBook } from '../targets/index.js';
 import { TimeKeeper } from '../time/index.js';
 import { TurnService } from '../turns/index.js';
 import { createMembership } from './createMembership.js';
@@ -32,21 +33,6 @@
  */
 const PROPOSER_LIMITS = { inFlight: 2, batch: 512, batchBytes: 1024 * 1024, waitingBytes: 64 * 1024 * 1024 };
 
-/** Loads of targets that are told within this time go to entries as one event, milliseconds. */
-const GATHER_LOADS_MS = 150;
-
-/**
- * The same for the work of entries, milliseconds: a target gets a prompt each 100 ms and reads it in 30, so what is older
- * than that says little.
- */
-const GATHER_WORK_MS = 25;
-
-/**
- * Entries for which that holds; with more each tells less often, and its work is gathered for as much longer. An event goes
- * to all of them, so with 32 of them forty events a second were 1,280 messages a second of one control instance.
- */
-const ENTRIES_AT_ONCE = 8;
-
 /** A running control instance. */
 export class Control implements RoleProcess {
   private readonly proposer: Proposer;
@@ -61,6 +47,9 @@
   readonly targets: TargetBook;
   private readonly loads: RecentBoard<controlMessage.TargetLoad>;
   private readonly work: RecentBoard<controlMessage.EntryWork>;
+  private readonly relayed: RelayedTargets;
+  private readonly others: OtherControls;
+  private follower: Follower | undefined;
   private readonly stores: StoreWatch | undefined;
   private readonly unreadableCalls: ProblemTally;
   private readonly ended = new AbortController();
@@ -83,8 +72,17 @@
     this.source = new ControlDocumentSource(state.documents, commandLog);
     this.timeKeeper = new TimeKeeper(state.machine, commandLog, this.proposer, clock, log);
     this.replicaKeeper = new ReplicaKeeper(this.view, commandLog, clock, log);
-    this.loads = new RecentBoard(clock, GATHER_LOADS_MS);
-    this.work = new RecentBoard(clock, GATHER_WORK_MS, ENTRIES_AT_ONCE);
+    this.loads = new RecentBoard(clock);
+    this.work = new RecentBoard(clock);
+    this.relayed = new RelayedTargets(clock);
+    const vouched = (): boolean => this.commandLog.status().vouched;
+    this.others = new OtherControls({
+      relayed: this.relayed,
+      loads: this.loads,
+      work: this.work,
+      vouched,
+      clock,
+    });
     if (storePort !== undefined) {
       this.stores = new StoreWatch(state.configuration, storePort, clock, log);
     }
@@ -139,10 +137,12 @@
     const { commandLog, targets } = this;
     const ended = this.ended.signal;
     const lostStores = (): readonly string[] => this.stores?.lost() ?? [];
-    const { loads, work } = this;
+    const { loads, work, relayed, others } = this;
     const follow = new FollowService({
       configuration,
       targets,
+      relayed,
+      others,
       loads,
       work,
       lostStores,
@@ -174,7 +174,10 @@
     if (this.settings.gossip) this.members.start(() => this.self(address));
     void this.targets.run();
     this.stores?.start();
-    if (this.settings.enlists) void this.enlist(address);
+    if (this.settings.enlists) {
+      void this.enlist(address);
+      this.followOthers(address);
+    }
     void this.timeKeeper.run();
     void this.replicaKeeper.run();
     this.context.log.event(controlEvents.started, { address });
@@ -215,6 +218,7 @@
     this.replicaKeeper.stop();
     this.targets.stop();
     this.stores?.stop();
+    this.follower?.stop();
     this.ended.abort();
     await this.members.stop();
     await this.commandLog.close();
@@ -223,6 +227,15 @@
   /** Replaces the control instances known from the settings. */
   reseed(controls: readonly string[]): void {
     this.seeds = controls;
+    this.follower?.reseed(controls);
+  }
+
+  /** Hears what all other control instances are told, so that whoever follows this one hears it too. */
+  private followOthers(own: string): void {
+    const { name, peers, clock, log } = this.context;
+    const parts = { name, role: 'control', listener: this.others, peers, clock, log } as const;
+    this.follower = new Follower({ ...parts, controls: this.seeds, most: Number.POSITIVE_INFINITY, own });
+    this.follower.start();
   }
 
   private enlist(address: string): Promise<void> {
--- a/packages/control/src/targets/index.ts
+++ b/packages/control/src/targets/index.ts
@@ -1,1 +1,2 @@
+export * from './relayedTargets.js';
 export * from './targetBook.js';
--- a/packages/control/src/targets/targetBook.ts
+++ b/packages/control/src/targets/targetBook.ts
@@ -113,6 +113,12 @@
     this.beat({ ...startOf(announced), ...told, draining: false, sequence: 0, coldMs: 0 });
   }
 
+  /** Takes a target that only another instance hears, so that what is observed of it can be told here too. */
+  adopt(target: controlMessage.AnnouncedTarget): void {
+    if (this.entries.has(target.id) || this.isOld(startOf(target))) return;
+    this.put({ ...target, announcement: Announcement.SILENT });
+  }
+
   /** Takes what the process beside a target says of it. @returns whether the target is known here. */
   observe({ targetId, observation, paused, weights }: controlMessage.ObserveRequest): boolean {
     const known = this.entries.get(targetId);
--- /dev/null
+++ b/packages/knowledge/src/followTask.ts
@@ -0,0 +1,166 @@
+/** Follows one control instance, over one stream after the other. */
+import { createClient } from '@connectrpc/connect';
+import type { Clock, Log } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { Peers } from '@jasmineroute/protocol';
+import { knowledgeEvents } from './events.js';
+
+/**
+ * Silence after which a stream is given up, milliseconds: two heartbeats of the sender and a pause. A connection can
+ * go silent for good while new ones work; neither end gets an error, so only the missing heartbeats show it.
+ */
+const SILENCE_MS = 2_000;
+
+/**
+ * Silence after which a stream that has told nothing yet is given up, milliseconds: what it holds comes at once. An opening
+ * packet to a host that has no power yet is lost, and sent again after a second only.
+ */
+const FIRST_EVENT_MS = 700;
+
+/** Pause before the first and the last repeated attempt, milliseconds. */
+const FIRST_PAUSE_MS = 50;
+const LAST_PAUSE_MS = 1_000;
+
+/** The last pause while nothing is confirmed, milliseconds: a process that has just started serves nobody until then. */
+const EARLY_PAUSE_MS = 100;
+
+/** The last pause while enough others are followed, milliseconds. */
+const SPARE_PAUSE_MS = 4_000;
+
+/** What learns from the streams. */
+export interface Listener {
+  /** Number of the configuration that is held already; 0: none. */
+  number(): number;
+  /** Whether a quorum has confirmed what is held. */
+  confirmed(): boolean;
+  /** Entries that serve now. */
+  entries(): number;
+  /** Takes an event of a control instance; `whole`: the first of its stream. */
+  apply(control: string, event: controlMessage.FollowEvent, whole: boolean): void;
+  /** The stream of a control instance ended. */
+  lost(control: string): void;
+}
+
+/** What a task works with. */
+export interface FollowTaskParts {
+  readonly name: string;
+  readonly role: 'entry' | 'agent' | 'control';
+  readonly listener: Listener;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** What a task tells its owner. */
+export interface FollowTaskOwner {
+  /** Whether enough other control instances are followed, so that this one may be looked for seldom. */
+  hasEnough(): boolean;
+  /** The control instances that an event names. */
+  heard(address: string, controls: readonly string[]): void;
+  /** The instance came into contact with a quorum, or out of it, or was lost. */
+  changed(): void;
+}
+
+/** Runs from `run` to `stop`. */
+export class FollowTask {
+  /** It is heard, and in contact with a quorum. */
+  isUp = false;
+  private readonly stopped = new AbortController();
+  private stream = new AbortController();
+  private isReopening = false;
+
+  /** @param bulk whether it is asked for loads, work and caches. */
+  constructor(
+    private readonly address: string,
+    private readonly parts: FollowTaskParts,
+    private readonly owner: FollowTaskOwner,
+    private bulk: boolean,
+  ) {}
+
+  /** Asks for loads, work and caches from now on, or no more: the stream is opened anew. */
+  ask(bulk: boolean): void {
+    if (bulk === this.bulk) return;
+    this.bulk = bulk;
+    this.isReopening = true;
+    this.stream.abort();
+  }
+
+  async run(): Promise<void> {
+    const { clock, listener } = this.parts;
+    const { signal } = this.stopped;
+    let pauseMs = FIRST_PAUSE_MS;
+    while (!signal.aborted) {
+      const events = await this.follow();
+      if (events > 0) {
+        listener.lost(this.address);
+        pauseMs = FIRST_PAUSE_MS;
+      }
+      if (this.isReopening) {
+        this.isReopening = false;
+        continue;
+      }
+      this.note(false);
+      await clock.sleep(pauseMs * (0.5 + Math.random() / 2), signal).catch(() => undefined);
+      pauseMs = Math.min(this.lastPauseMs(), pauseMs * 2);
+    }
+    listener.lost(this.address);
+  }
+
+  stop(): void {
+    this.isUp = false;
+    this.stopped.abort();
+  }
+
+  private lastPauseMs(): number {
+    if (!this.parts.listener.confirmed()) return EARLY_PAUSE_MS;
+    return this.owner.hasEnough() ? SPARE_PAUSE_MS : LAST_PAUSE_MS;
+  }
+
+  private note(isUp: boolean): void {
+    if (isUp === this.isUp) return;
+    this.isUp = isUp;
+    this.owner.changed();
+  }
+
+  /** One stream until its end. Returns how many events came. */
+  private async follow(): Promise<number> {
+    const { address, bulk } = this;
+    const { name, role, listener, peers, clock, log } = this.parts;
+    const client = createClient(controlMessage.Configurations, peers.transport(address));
+    this.stream = new AbortController();
+    const { stream } = this;
+    const silent = (): void => {
+      peers.drop(address);
+      stream.abort();
+    };
+    let calledOff = clock.after(FIRST_EVENT_MS, silent);
+    const request = { number: BigInt(listener.number()), name, role, bulk };
+    let events = 0;
+    let problem = 'the sender ended it';
+    try {
+      const signal = AbortSignal.any([this.stopped.signal, stream.signal]);
+      for await (const event of client.follow(request, { signal })) {
+        calledOff();
+        calledOff = clock.after(SILENCE_MS, silent);
+        if (events === 0)
+          log.event(knowledgeEvents.controlFollowed, {
+            control: address,
+            number: Number(event.number),
+            bulk,
+          });
+        listener.apply(address, event, events === 0);
+        events += 1;
+        this.owner.heard(address, event.controls);
+        this.note(event.vouched);
+      }
+    } catch (error) {
+      problem = String(error);
+    } finally {
+      calledOff();
+    }
+    // While an instance is down each attempt fails; only the loss of one that spoke is news.
+    const isLoss = events > 0 && !this.isReopening && !this.stopped.signal.aborted;
+    if (isLoss) log.event(knowledgeEvents.controlLost, { control: address, events, problem });
+    return events;
+  }
+}
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -1,65 +1,49 @@
-/** Follows every control instance that is known, one task each. */
-import { createClient } from '@connectrpc/connect';
-import type { Clock, Log } from '@jasmineroute/core';
-import { controlMessage } from '@jasmineroute/protocol';
-import type { Peers } from '@jasmineroute/protocol';
-import { knowledgeEvents } from './events.js';
-import type { Knowledge } from './knowledge.js';
+/** Follows some of the control instances that are known, one task each. */
+import { controlOrder } from './controlOrder.js';
+import { FollowTask } from './followTask.js';
+import type { FollowTaskOwner, FollowTaskParts } from './followTask.js';
 
 /**
- * Silence after which a stream is given up, milliseconds: two heartbeats of the sender and a pause. A connection can
- * go silent for good while new ones work; neither end gets an error, so only the missing heartbeats show it.
+ * Control instances that a process follows: two may be lost at once. Each tells what all others hear, so that the streams
+ * of one of them grow with the processes alone.
  */
-const SILENCE_MS = 2_000;
+const MOST_FOLLOWED = 3;
 
-/**
- * Silence after which a stream that has told nothing yet is given up, milliseconds: what it holds comes at once. An opening
- * packet to a host that has no power yet is lost, and sent again after a second only.
- */
-const FIRST_EVENT_MS = 700;
-
-/** Pause before the first and the last repeated attempt, milliseconds. */
-const FIRST_PAUSE_MS = 50;
-const LAST_PAUSE_MS = 1_000;
-
-/**
- * The last pause while nothing is confirmed, milliseconds. A process that has just started serves nobody until then: when
- * all are started again at once, half of the entries were ready 0.4 s after the others, as control was up a moment later.
- */
-const EARLY_PAUSE_MS = 100;
+/** How often the choice of the followed is looked at again, milliseconds: entries come and go. */
+const LOOK_MS = 1_000;
 
 /** What a follower works with. */
-export interface FollowerParts {
-  readonly name: string;
-  readonly role: 'entry' | 'agent';
+export interface FollowerParts extends FollowTaskParts {
   /** Control instances that are known from the start, host:port. */
   readonly controls: readonly string[];
-  readonly knowledge: Knowledge;
-  readonly peers: Peers;
-  readonly clock: Clock;
-  readonly log: Log;
+  /** How many it follows; absent: as many as may be lost at once, and one more. */
+  readonly most?: number;
+  /** Its own address, where it is a control instance itself. */
+  readonly own?: string;
 }
 
-/** One stream's addresses of control instances, kept to know which instances there still are. */
-type Told = ReadonlyMap<string, readonly string[]>;
-
 /**
- * Reads from all control instances at once: each hears other targets, and the first to know of a configuration
- * is the first to tell.
+ * Follows a few control instances. One of them tells an entry loads, work and caches too. Until enough of them are in
+ * contact with a quorum all that are known are tried at once.
  */
-export class Follower {
+export class Follower implements FollowTaskOwner {
   private readonly stopped = new AbortController();
-  private readonly tasks = new Map<string, AbortController>();
-  private told: Told = new Map();
+  private readonly tasks = new Map<string, FollowTask>();
+  /** Addresses that each stream told, to know which instances there are. */
+  private told: ReadonlyMap<string, readonly string[]> = new Map();
   private seeds: readonly string[];
 
+  private readonly most: number;
+
   constructor(private readonly parts: FollowerParts) {
     this.seeds = parts.controls;
+    this.most = parts.most ?? MOST_FOLLOWED;
   }
 
   /** Begins to follow. */
   start(): void {
     this.adjust();
+    void this.look();
   }
 
   /** Replaces the addresses known from the settings. */
@@ -70,91 +54,101 @@
 
   stop(): void {
     this.stopped.abort();
-    for (const task of this.tasks.values()) task.abort();
+    for (const task of this.tasks.values()) task.stop();
   }
 
-  /** Addresses of the control instances that are followed. */
+  /** Addresses of control instances, those that are in contact with a quorum first, in the order to ask them. */
   controls(): string[] {
-    return [...this.tasks.keys()];
+    return [...new Set([...this.order(), ...this.tasks.keys()])];
+  }
+
+  hasEnough(): boolean {
+    return this.order().length >= this.most;
+  }
+
+  heard(address: string, controls: readonly string[]): void {
+    const before = this.told.get(address) ?? [];
+    if (before.length === controls.length && controls.every((one) => before.includes(one))) return;
+    this.told = new Map(this.told).set(address, controls);
+    this.adjust();
+  }
+
+  changed(): void {
+    this.adjust();
+  }
+
+  private async look(): Promise<void> {
+    const { signal } = this.stopped;
+    while (!signal.aborted) {
+      await this.parts.clock.sleep(LOOK_MS, signal).catch(() => undefined);
+      this.adjust();
+    }
+  }
+
+  private isUp(address: string): boolean {
+    return this.tasks.get(address)?.isUp === true;
+  }
+
+  /** Those that are up, in the order to ask them. */
+  private order(): string[] {
+    return this.ranked(this.known()).filter((address) => this.isUp(address));
+  }
+
+  private ranked(controls: Iterable<string>): string[] {
+    return controlOrder(this.parts, [...controls], this.parts.listener.entries());
+  }
+
+  private known(): ReadonlySet<string> {
+    const known = new Set([...this.seeds, ...this.toldAddresses()]);
+    known.delete(this.parts.own ?? '');
+    return known;
+  }
+
+  private toldAddresses(): Set<string> {
+    return new Set([...this.told.values()].flat());
   }
 
   /** Starts and ends tasks as control instances come and go. */
   private adjust(): void {
     if (this.stopped.signal.aborted) return;
-    const wanted = new Set([...this.seeds, ...[...this.told.values()].flat()]);
+    const wanted = this.wanted();
     for (const [address, task] of this.tasks) {
       if (wanted.has(address)) continue;
-      task.abort();
+      task.stop();
       this.tasks.delete(address);
+      this.forget(address);
     }
+    const [first] = this.order();
+    const wantsBulk = this.parts.role === 'entry';
     for (const address of wanted) {
-      if (this.tasks.has(address)) continue;
-      const task = new AbortController();
-      this.tasks.set(address, task);
-      void this.follow(address, task.signal);
+      const bulk = wantsBulk && address === first;
+      const known = this.tasks.get(address);
+      if (known === undefined) this.begin(address, bulk);
+      else known.ask(bulk);
     }
   }
 
-  private async follow(address: string, signal: AbortSignal): Promise<void> {
-    const { clock, knowledge } = this.parts;
-    let pauseMs = FIRST_PAUSE_MS;
-    while (!signal.aborted) {
-      const events = await this.stream(address, signal);
-      if (events > 0) {
-        knowledge.lost(address);
-        pauseMs = FIRST_PAUSE_MS;
-      }
-      await clock.sleep(pauseMs * (0.5 + Math.random() / 2), signal).catch(() => undefined);
-      pauseMs = Math.min(knowledge.confirmed() ? LAST_PAUSE_MS : EARLY_PAUSE_MS, pauseMs * 2);
-    }
-    this.forget(address);
-  }
-
-  /** One stream until its end. Returns how many events came. */
-  private async stream(address: string, signal: AbortSignal): Promise<number> {
-    const { name, role, knowledge, peers, clock, log } = this.parts;
-    const client = createClient(controlMessage.Configurations, peers.transport(address));
-    const end = new AbortController();
-    const silent = (): void => {
-      peers.drop(address);
-      end.abort();
-    };
-    let calledOff = clock.after(FIRST_EVENT_MS, silent);
-    const number = BigInt(knowledge.table()?.number ?? 0);
-    let events = 0;
-    let problem = 'the sender ended it';
-    try {
-      const stream = client.follow({ number, name, role }, { signal: AbortSignal.any([signal, end.signal]) });
-      for await (const event of stream) {
-        calledOff();
-        calledOff = clock.after(SILENCE_MS, silent);
-        if (events === 0)
-          log.event(knowledgeEvents.controlFollowed, { control: address, number: Number(event.number) });
-        knowledge.apply(address, event, events === 0);
-        events += 1;
-        this.hear(address, event.controls);
-      }
-    } catch (error) {
-      problem = String(error);
-    } finally {
-      calledOff();
-    }
-    // While an instance is down each attempt fails; only the loss of one that spoke is news.
-    if (events > 0) log.event(knowledgeEvents.controlLost, { control: address, events, problem });
-    return events;
+  private begin(address: string, bulk: boolean): void {
+    const task = new FollowTask(address, this.parts, this, bulk);
+    this.tasks.set(address, task);
+    void task.run();
   }
 
-  private hear(address: string, controls: readonly string[]): void {
-    const before = this.told.get(address) ?? [];
-    if (before.length === controls.length && controls.every((one) => before.includes(one))) return;
-    this.told = new Map(this.told).set(address, controls);
-    this.adjust();
+  /**
+   * All that are known while too few are up. Then the first ones of the order in which this process would ask all of them,
+   * and those that are down and come before them: a seed that is no instance any more is left alone.
+   */
+  private wanted(): ReadonlySet<string> {
+    const known = this.known();
+    if (!this.hasEnough()) return known;
+    const ranked = this.ranked(this.toldAddresses());
+    const last = ranked.filter((address) => this.isUp(address))[this.most - 1];
+    return last === undefined ? known : new Set(ranked.slice(0, ranked.indexOf(last) + 1));
   }
 
   private forget(address: string): void {
     const told = new Map(this.told);
     told.delete(address);
     this.told = told;
-    this.parts.knowledge.lost(address);
   }
 }
--- a/packages/knowledge/src/knowledge.ts
+++ b/packages/knowledge/src/knowledge.ts
@@ -5,6 +5,7 @@
 import { partKey } from '@jasmineroute/protocol';
 import type { StoredPart, controlMessage } from '@jasmineroute/protocol';
 import { knowledgeEvents } from './events.js';
+import type { Listener } from './followTask.js';
 import { TargetList } from './targetList.js';
 
 const decoder = new TextDecoder();
@@ -20,7 +21,7 @@
 }
 
 /** Replaced piece by piece by what control instances tell; never goes back to an older configuration. */
-export class Knowledge {
+export class Knowledge implements Listener {
   readonly targets: TargetList;
   private current: RoutingTable | undefined;
   private isConfirmed = false;
@@ -28,6 +29,8 @@
   private readonly named = new Map<string, NamedVersion[]>();
   private readonly entryCounts = new Map<string, number>();
   private readonly lostStores = new Map<string, readonly string[]>();
+  /** Control instances that a followed one hears, by that one. */
+  private readonly heardBy = new Map<string, readonly string[]>();
   /** What stores keep, and what targets have in their caches, by the control instance that tells it. */
   private readonly kept = new Map<string, Set<number>>();
   private readonly cached = new Map<string, Set<number>>();
@@ -48,6 +51,11 @@
     return this.current;
   }
 
+  /** Number of the configuration in force; 0 when none is known. */
+  number(): number {
+    return this.current?.number ?? 0;
+  }
+
   /**
    * Whether a quorum has confirmed since the start that what is held is the newest. Without that, a process that
    * starts beside an isolated control instance would serve by an old configuration.
@@ -127,6 +135,7 @@
     for (const load of event.loads) for (const listener of this.loadListeners) listener(load);
     for (const work of event.work) for (const listener of this.workListeners) listener(work);
     if (whole || event.targets.length > 0) this.targets.apply(control, event.targets, whole);
+    this.relay(control, event, whole);
     if (event.vouched && !this.isConfirmed) {
       this.isConfirmed = true;
       this.log.event(knowledgeEvents.confirmed, { control, number: this.current?.number });
@@ -141,6 +150,20 @@
     this.kept.delete(control);
     this.cached.delete(control);
     this.targets.lost(control);
+    for (const other of this.heardBy.get(control) ?? []) this.targets.lost(relayName(control, other));
+    this.heardBy.delete(control);
+  }
+
+  /**
+   * What other control instances told the sender. Each of them counts by itself, as the sender tells of it: a target lives
+   * as long as any of them hears it, and one that the sender hears no more is as good as lost.
+   */
+  private relay(control: string, { relayed, heard }: controlMessage.FollowEvent, whole: boolean): void {
+    for (const told of relayed)
+      this.targets.apply(relayName(control, told.control), told.targets, whole || told.whole);
+    for (const other of this.heardBy.get(control) ?? [])
+      if (!heard.includes(other)) this.targets.lost(relayName(control, other));
+    this.heardBy.set(control, heard);
   }
 
   private configure({ number, content }: controlMessage.FollowEvent): void {
@@ -177,6 +200,9 @@
   }
 }
 
+/** Under what name a control instance counts that another one tells of. */
+const relayName = (sender: string, control: string): string => `${control} by ${sender}`;
+
 type KeysByControl = Map<string, Set<number>>;
 
 function note(kept: KeysByControl, control: string, changes: controlMessage.KeptChanges): void {
--- a/packages/knowledge/src/reportSender.ts
+++ b/packages/knowledge/src/reportSender.ts
@@ -4,19 +4,9 @@
 import { Teller } from './teller.js';
 import type { TellerParts, Telling } from './teller.js';
 
-/** What a sender works with. */
-export interface ReportSenderParts extends TellerParts {
-  /**
-   * Whether it stays with the instance that takes its reports when one that comes before it is back. For reports of
-   * changes, moving costs all that they rest upon; what many processes tell is told on in fewest events by one instance.
-   */
-  readonly stays: boolean;
-}
-
 /**
- * Reports go over one stream that stays open. A call for each costs its two ends some three times as much processor
- * time as a message of a stream (3 to 4 ms and 0.9 ms, 25 ms apart, measured on one machine): a process beside a target
- * reports some ten times a second, an entry up to forty times, and a control instance takes them all.
+ * Reports go over one stream that stays open, to the first control instance of the order that takes them. A call for each
+ * report costs its two ends several times the processor time of a message.
  */
 export class ReportSender {
   private stream: ReportStream | undefined;
@@ -24,7 +14,7 @@
   private choosing: Promise<ReportStream | undefined> | undefined;
   private readonly teller: Teller;
 
-  constructor(private readonly parts: ReportSenderParts) {
+  constructor(private readonly parts: TellerParts) {
     this.teller = new Teller(parts);
   }
 
@@ -45,11 +35,10 @@
   }
 
   private current(): Promise<ReportStream | undefined> {
-    const { controls, stays } = this.parts;
     const { stream } = this;
     if (this.isClosed) return Promise.resolve(undefined);
-    const isChosen = stream?.isOpen === true && (stays || stream.address === controls()[0]);
-    if (isChosen) return Promise.resolve(stream);
+    if (stream?.isOpen === true && stream.address === this.parts.controls()[0])
+      return Promise.resolve(stream);
     this.choosing ??= this.choose().finally(() => {
       this.choosing = undefined;
     });
@@ -58,8 +47,7 @@
 
   /** The first control instance that takes reports. */
   private async choose(): Promise<ReportStream | undefined> {
-    const preferred = this.parts.stays ? this.stream?.address : undefined;
-    const address = await this.teller.tell(this.open, preferred);
+    const address = await this.teller.tell(this.open);
     return address === undefined ? undefined : this.stream;
   }
 
--- a/packages/knowledge/src/teller.ts
+++ b/packages/knowledge/src/teller.ts
@@ -12,18 +12,6 @@
 /** How long one that did not answer is passed over, milliseconds: twice the time in which its loss is noticed otherwise. */
 const PASS_OVER_MS = 2_000;
 
-/**
- * The order in which entries tell of their work: the same for all, so that one instance hears all of it and tells it on in
- * few events.
- */
-export const orderForEntries = (controls: readonly string[]): string[] => [...controls].sort();
-
-/**
- * The order in which the processes beside targets tell of loads and caches: the other way round. With some thirty entries
- * and targets each of the two is some hundred calls a second, and an instance that hears both is the last to tell either.
- */
-export const orderForTargets = (controls: readonly string[]): string[] => orderForEntries(controls).reverse();
-
 /** What a teller works with. */
 export interface TellerParts {
   /** Control instances, host:port, in the order in which they are tried. */
--- a/packages/protocol/src/part/keptParts.ts
+++ b/packages/protocol/src/part/keptParts.ts
@@ -53,6 +53,8 @@
     if (kept.has(key) === isKept) return;
     if (isKept) kept.add(key);
     else kept.delete(key);
+    // Told by another one too: a target's process that moves on tells the next control instance before the last forgets it.
+    if (this.isKeptElsewhere(kept, key)) return;
     this.changes.push({ key, isKept });
     if (this.changes.length <= MOST_CHANGES) return;
     this.first += MOST_CHANGES / 2;
@@ -68,7 +70,7 @@
   since(place: number): KeptChanges {
     const isWhole = place === 0 || place < this.first - 1;
     if (isWhole) {
-      const added = [...this.byAddress.values()].flatMap((kept) => [...kept]);
+      const added = [...new Set([...this.byAddress.values()].flatMap((kept) => [...kept]))];
       return create(KeptChangesSchema, { whole: true, added });
     }
     const last = new Map<number, boolean>();
@@ -78,6 +80,10 @@
     return create(KeptChangesSchema, { dropped: keysOf(false), added: keysOf(true) });
   }
 
+  private isKeptElsewhere(kept: ReadonlySet<number>, key: number): boolean {
+    return [...this.byAddress.values()].some((other) => other !== kept && other.has(key));
+  }
+
   private keptAt(address: string): Set<number> {
     const known = this.byAddress.get(address);
     if (known !== undefined) return known;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -56,7 +56,7 @@
     const { name, dataCentre, clock, log, metrics, peers, controls } = context;
     this.knowledge = new Knowledge(clock, log);
     const { knowledge } = this;
-    this.follower = new Follower({ name, role: 'entry', controls, knowledge, peers, clock, log });
+    this.follower = new Follower({ name, role: 'entry', controls, listener: knowledge, peers, clock, log });
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
     const sights = new TargetSights(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
--- a/packages/relay/src/target/workReporter.ts
+++ b/packages/relay/src/target/workReporter.ts
@@ -1,6 +1,6 @@
 /** Tells the other entries what this one has under way at targets. */
 import { create } from '@bufbuild/protobuf';
-import { ReportSender, orderForEntries } from '@jasmineroute/knowledge';
+import { ReportSender } from '@jasmineroute/knowledge';
 import type { TellerParts } from '@jasmineroute/knowledge';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Backlog, PromptWork } from './backlog.js';
@@ -37,8 +37,7 @@
   private readonly sender: ReportSender;
 
   constructor(private readonly parts: WorkReporterParts) {
-    const controls = (): string[] => orderForEntries(parts.controls());
-    this.sender = new ReportSender({ ...parts, controls, stays: false });
+    this.sender = new ReportSender(parts);
   }
 
   /** Runs until `stop`. */
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -87,6 +87,9 @@
   readonly version: number;
 }
 
+/** Number of an observation in a turn: the end of a pause counts against a later word of its begin, told by a detour. */
+const observationOf = (fence: bigint, paused: boolean): bigint => fence * 2n + (paused ? 0n : 1n);
+
 /** One task that pulls the wanted state, so that a late message never brings an older one back. */
 export class WeightsKeeper {
   private readonly stopped = new AbortController();
@@ -228,7 +231,7 @@
   private async load(target: Target, wish: Wish, turn: Turn): Promise<void> {
     const { observer, clock } = this.parts;
     const tell = (paused: boolean, weights: ReadonlyMap<string, number> = new Map()): Promise<void> =>
-      observer.tell({ targetId: target.id, number: turn.fence, paused, weights });
+      observer.tell({ targetId: target.id, number: observationOf(turn.fence, paused), paused, weights });
     await tell(true);
     await clock.sleep(PAUSE_LEAD_MS);
     await this.settle();
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -1,6 +1,6 @@
 /** The process beside a target, as a role. */
 import { Controls, TurnClient } from '@jasmineroute/directory';
-import { Follower, Knowledge, ReportSender, orderForTargets } from '@jasmineroute/knowledge';
+import { Follower, Knowledge, ReportSender } from '@jasmineroute/knowledge';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { rolloutEvents } from './events.js';
 import { Announcer, CacheReporter, LoadReporter, Observer, WeightsKeeper } from './keeper/index.js';
@@ -37,14 +37,13 @@
   ) {
     const { name, incarnation, controls, peers, clock, log, metrics, dataCentre } = context;
     const knowledge = new Knowledge(clock, log);
-    this.follower = new Follower({ name, role: 'agent', controls, knowledge, peers, clock, log });
+    this.follower = new Follower({ name, role: 'agent', controls, listener: knowledge, peers, clock, log });
     const attemptMs = TURN_ATTEMPT_MS;
     const turns = new TurnClient(new Controls({ controls, peers, clock, metrics, dataCentre, attemptMs }));
     const observer = new Observer(() => this.follower.controls(), peers, log);
-    const known = (): readonly string[] => this.follower.controls();
     const { address, port } = neighbour;
-    const told = { controls: () => orderForTargets(known()), peers, clock, log };
-    this.sender = new ReportSender({ ...told, stays: true });
+    const told = { controls: () => this.follower.controls(), peers, clock, log };
+    this.sender = new ReportSender(told);
     const reported = { address, port, sender: this.sender, clock, log };
     this.reporter = new LoadReporter({ ...reported, knowledge });
     this.cacheReporter = new CacheReporter(reported);
