Bring weights to targets that have no process beside them, from the control instance that leads

Cause: only the process beside a target gave it orders.

Change: the right to order a target is a lease of its own in the log, orders/<address>, one holder, its fence in the order. It is left to lapse, so that the next holder's order follows by the gap that the settings name; it is confirmed by the quorum right before an order, as a suspended process's clock stands still; a process that starts again is the same holder. The control instance that leads looks for targets of which nothing was reported for 3 s and keeps their weights until reports are back.

--- a/packages/agent/src/order/turn.ts
+++ b/packages/agent/src/order/turn.ts
@@ -72,6 +72,28 @@
     return turn;
   }
 
+  /**
+   * Asks the quorum whether it is still held, and renews it. After a suspension the monotonic clock stood still, so that its
+   * own time says nothing.
+   */
+  async confirm(): Promise<boolean> {
+    if (!this.held) return false;
+    const { clock, source, wish, ttlMs } = this;
+    const asked = clock.monotonic();
+    const answer = await source.take({ ...wish, ttlMs }, CALL_TIMEOUT_MS);
+    if (answer.isErr()) return false;
+    // Another fence is another grant: between the two, somebody else may have acted.
+    const isSame = answer.value.granted && answer.value.fence === this.fence;
+    if (isSame) this.until = Math.max(this.until, asked + ttlMs);
+    else this.ended.abort(new Error('the turn was lost'));
+    return isSame && this.held;
+  }
+
+  /** Renews it no more and does not give it back either: nobody else has it until its time is over. */
+  lapse(): void {
+    this.ended.abort(new Error('left to lapse'));
+  }
+
   /** Gives the turn back. */
   async release(): Promise<void> {
     if (this.ended.signal.aborted) return;
@@ -81,21 +103,12 @@
   }
 
   private async renew(): Promise<void> {
-    const { clock, source, wish, ttlMs } = this;
     while (await this.pause()) {
       if (!this.held) {
         this.ended.abort(new Error('the turn has run out'));
         return;
       }
-      const asked = clock.monotonic();
-      const answer = await source.take({ ...wish, ttlMs }, CALL_TIMEOUT_MS);
-      if (answer.isErr()) continue;
-      // Another fence is another grant: between the two, somebody else may have acted.
-      if (!answer.value.granted || answer.value.fence !== this.fence) {
-        this.ended.abort(new Error('the turn was lost'));
-        return;
-      }
-      this.until = asked + ttlMs;
+      await this.confirm();
     }
   }
 
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -85,7 +85,7 @@
   /** What is held now, then what changes. */
   async *follow(
     request: controlMessage.FollowRequest,
-    context: HandlerContext,
+    context: Pick<HandlerContext, 'signal'>,
   ): AsyncGenerator<controlMessage.FollowEvent> {
     const { log, clock, ended } = this.sources;
     const signal = AbortSignal.any([ended, context.signal]);
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -5,6 +5,7 @@
 import { serveDirectory } from '@jasmineroute/directory';
 import type { InstanceMessage, Membership } from '@jasmineroute/directory';
 import { Follower } from '@jasmineroute/knowledge';
+import type { RemoteOrders } from '@jasmineroute/rollout';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Readiness, RoleContext, RoleProcess, Unread } from '@jasmineroute/protocol';
 import { ClaimService } from '../claims/index.js';
@@ -24,6 +25,7 @@
 import { RelayedTargets, TargetBook } from '../targets/index.js';
 import { TimeKeeper } from '../time/index.js';
 import { TurnService } from '../turns/index.js';
+import { RemoteWeights } from '../weights/index.js';
 import { createMembership } from './createMembership.js';
 import type { StateParts } from './createState.js';
 
@@ -33,6 +35,13 @@
  */
 const PROPOSER_LIMITS = { inFlight: 2, batch: 512, batchBytes: 1024 * 1024, waitingBytes: 64 * 1024 * 1024 };
 
+/** What a control instance calls outside the system. */
+export interface OutsidePorts {
+  readonly stores?: StorePort;
+  /** Orders to targets that have no process beside them. */
+  readonly orders?: RemoteOrders;
+}
+
 /** A running control instance. */
 export class Control implements RoleProcess {
   private readonly proposer: Proposer;
@@ -50,6 +59,8 @@
   private readonly relayed: RelayedTargets;
   private readonly others: OtherControls;
   private follower: Follower | undefined;
+  private readonly follow: FollowService;
+  private weights: RemoteWeights | undefined;
   private readonly stores: StoreWatch | undefined;
   private readonly unreadableCalls: ProblemTally;
   private readonly ended = new AbortController();
@@ -62,7 +73,7 @@
     private readonly settings: ControlSettings,
     private readonly state: StateParts,
     private readonly commandLog: CommandLog,
-    storePort?: StorePort,
+    private readonly outside: OutsidePorts = {},
   ) {
     const { clock, log } = context;
     this.seeds = context.controls;
@@ -72,6 +83,7 @@
     this.source = new ControlDocumentSource(state.documents, commandLog);
     this.timeKeeper = new TimeKeeper(state.machine, commandLog, this.proposer, clock, log);
     this.replicaKeeper = new ReplicaKeeper(this.view, commandLog, clock, log);
+    this.targets = new TargetBook(clock, log, settings.targetHeartbeatMs);
     this.loads = new RecentBoard(clock);
     this.work = new RecentBoard(clock);
     this.relayed = new RelayedTargets(clock);
@@ -83,12 +95,11 @@
       vouched,
       clock,
     });
-    if (storePort !== undefined) {
-      this.stores = new StoreWatch(state.configuration, storePort, clock, log);
-    }
+    const { stores } = outside;
+    if (stores !== undefined) this.stores = new StoreWatch(state.configuration, stores, clock, log);
+    this.follow = this.createFollow();
     this.configurations = new ConfigurationService(this.proposer, clock, log);
     this.unreadableCalls = new ProblemTally(log, controlEvents.unreadableCall);
-    this.targets = new TargetBook(clock, log, settings.targetHeartbeatMs);
     this.source.onChange(() => {
       this.measure();
       // Not within the step of the log, which others wait for.
@@ -133,26 +144,7 @@
       take: (request) => turns.take(request),
       release: (request) => turns.release(request),
     });
-    const { configuration } = state;
-    const { commandLog, targets } = this;
-    const ended = this.ended.signal;
-    const lostStores = (): readonly string[] => this.stores?.lost() ?? [];
-    const { loads, work, relayed, others } = this;
-    const follow = new FollowService({
-      configuration,
-      targets,
-      relayed,
-      others,
-      loads,
-      work,
-      lostStores,
-      kept: this.stores?.kept,
-      commandLog,
-      clock,
-      log,
-      ended,
-    });
-    this.stores?.onChange(follow.raise);
+    const { follow } = this;
     router.service(controlMessage.Configurations, {
       follow: (request, call) => follow.follow(request, call),
       enlist: (request) => follow.enlist(request),
@@ -177,6 +169,7 @@
     if (this.settings.enlists) {
       void this.enlist(address);
       this.followOthers(address);
+      if (this.outside.orders !== undefined) this.startWeights(this.outside.orders);
     }
     void this.timeKeeper.run();
     void this.replicaKeeper.run();
@@ -219,6 +212,7 @@
     this.targets.stop();
     this.stores?.stop();
     this.follower?.stop();
+    this.weights?.stop();
     this.ended.abort();
     await this.members.stop();
     await this.commandLog.close();
@@ -230,6 +224,36 @@
     this.follower?.reseed(controls);
   }
 
+  private createFollow(): FollowService {
+    const { clock, log } = this.context;
+    const { targets, relayed, others, loads, work, stores, commandLog } = this;
+    const follow = new FollowService({
+      configuration: this.state.configuration,
+      targets,
+      relayed,
+      others,
+      loads,
+      work,
+      lostStores: () => stores?.lost() ?? [],
+      kept: stores?.kept,
+      commandLog,
+      clock,
+      log,
+      ended: this.ended.signal,
+    });
+    stores?.onChange(follow.raise);
+    return follow;
+  }
+
+  /** Brings weights to targets that no process beside them reports of. */
+  private startWeights(orders: RemoteOrders): void {
+    const { name, incarnation, clock, log } = this.context;
+    const { follow, proposer, commandLog, loads } = this;
+    const parts = { name, incarnation, follow, proposer, commandLog, loads, orders, clock, log };
+    this.weights = new RemoteWeights(parts);
+    this.weights.start();
+  }
+
   /** Hears what all other control instances are told, so that whoever follows this one hears it too. */
   private followOthers(own: string): void {
     const { name, peers, clock, log } = this.context;
--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -10,8 +10,8 @@
 import { controlEvents } from '../events.js';
 import { DisklessLog } from '../log/index.js';
 import type { ControlSettings } from '../setting/index.js';
-import type { StorePort } from '../stores/index.js';
 import { Control } from './control.js';
+import type { OutsidePorts } from './control.js';
 import { createState } from './createState.js';
 
 /** Folder of the log inside the data folder. */
@@ -24,8 +24,8 @@
 const SNAPSHOT = { snapshotEntries: 20_000, snapshotBytes: 32 * 1024 * 1024 };
 
 /**
- * Opens the data folder and restores the state. `disk` is the machine's own but for tests and benchmarks; without a
- * `storePort` no store is watched.
+ * Opens the data folder and restores the state. `disk` is the machine's own but for tests and benchmarks; what of
+ * `outside` is absent is not watched, and gets no orders.
  * An instance that asks to vote may be without a data folder: it stands by, unready.
  * @returns the role; or 'invalid-request' without a data folder, 'storage-failed' when it can't be used.
  */
@@ -33,7 +33,7 @@
   context: RoleContext,
   settings: ControlSettings,
   disk: Disk = fileDisk,
-  storePort?: StorePort,
+  outside: OutsidePorts = {},
 ): Promise<Result<Control, Fault>> {
   const { name, dataFolder, clock, log, metrics, peers } = context;
   const state = createState();
@@ -58,5 +58,5 @@
     lossesToBear: settings.lossesToBear,
     ...SNAPSHOT,
   });
-  return opened.map((replicatedLog) => new Control(context, settings, state, replicatedLog, storePort));
+  return opened.map((replicatedLog) => new Control(context, settings, state, replicatedLog, outside));
 }
--- /dev/null
+++ b/packages/control/src/weights/index.ts
@@ -0,0 +1,1 @@
+export * from './remoteWeights.js';
--- /dev/null
+++ b/packages/control/src/weights/remoteWeights.ts
@@ -0,0 +1,90 @@
+/** A control instance in the place of processes that are to stand beside targets. */
+import { create } from '@bufbuild/protobuf';
+import type { TurnSource } from '@jasmineroute/agent';
+import type { Clock, Log } from '@jasmineroute/core';
+import { Knowledge } from '@jasmineroute/knowledge';
+import { controlMessage } from '@jasmineroute/protocol';
+import { UnattendedTargets } from '@jasmineroute/rollout';
+import type { Observation, RemoteOrders } from '@jasmineroute/rollout';
+import type { FollowService } from '../follow/index.js';
+import type { CommandLog, Proposer } from '../log/index.js';
+import type { RecentBoard } from '../recent/index.js';
+
+/** What it works with. */
+export interface RemoteWeightsParts {
+  readonly name: string;
+  readonly incarnation: bigint;
+  readonly follow: FollowService;
+  readonly proposer: Proposer;
+  readonly commandLog: CommandLog;
+  readonly loads: RecentBoard<controlMessage.TargetLoad>;
+  readonly orders: RemoteOrders;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Follows its own instance as a process beside a target would, and acts while that instance leads the log. */
+export class RemoteWeights {
+  private readonly stopped = new AbortController();
+  private readonly knowledge: Knowledge;
+  private readonly unattended: UnattendedTargets;
+
+  constructor(private readonly parts: RemoteWeightsParts) {
+    const { name, incarnation, proposer, commandLog, loads, orders, clock, log } = parts;
+    this.knowledge = new Knowledge(clock, log);
+    this.unattended = new UnattendedTargets({
+      ...orders,
+      name,
+      incarnation,
+      knowledge: this.knowledge,
+      turns: turnsOf(proposer),
+      observer: { tell: (observation) => this.observe(observation) },
+      isReported: (id, withinMs) => loads.isRecent(id, withinMs),
+      acts: () => commandLog.status().state === 'leader' && commandLog.status().vouched,
+      clock,
+      log,
+    });
+  }
+
+  start(): void {
+    void this.hear();
+    void this.unattended.run();
+  }
+
+  stop(): void {
+    this.stopped.abort();
+    this.unattended.stop();
+  }
+
+  private async hear(): Promise<void> {
+    const { name, follow } = this.parts;
+    const { signal } = this.stopped;
+    const request = create(controlMessage.FollowRequestSchema, { name, role: 'agent' });
+    let isFirst = true;
+    for await (const event of follow.follow(request, { signal })) {
+      this.knowledge.apply(name, event, isFirst);
+      isFirst = false;
+    }
+  }
+
+  private observe({ targetId, number, paused, weights }: Observation): Promise<void> {
+    const versions = [...weights].map(([model, version]) => ({ model, version: BigInt(version) }));
+    const observed = { targetId, observation: number, paused, weights: versions };
+    this.parts.follow.observe(create(controlMessage.ObserveRequestSchema, observed));
+    return Promise.resolve();
+  }
+}
+
+/** Turns straight from the log that this instance leads. */
+function turnsOf(proposer: Proposer): TurnSource {
+  return {
+    take: (request) => proposer.propose('take', create(controlMessage.TakeRequestSchema, request)),
+    release: async (request) => {
+      const released = await proposer.propose(
+        'release',
+        create(controlMessage.ReleaseRequestSchema, request),
+      );
+      return released.map(() => undefined);
+    },
+  };
+}
--- a/packages/knowledge/src/targetList.ts
+++ b/packages/knowledge/src/targetList.ts
@@ -90,11 +90,18 @@
 
   /** How many targets of a service take work or are paused. */
   count(service: string): number {
-    const alive = (known: Known): boolean => isReady(known) || known.target.paused;
-    return [...this.targets.values()].filter((known) => known.target.service === service && alive(known))
+    return [...this.targets.values()].filter((known) => known.target.service === service && isServing(known))
       .length;
   }
 
+  /** Targets that have weights and take work, or are paused. */
+  weighted(): Target[] {
+    this.expire();
+    return [...this.targets.values()]
+      .filter((known) => known.target.weights.size > 0 && isServing(known))
+      .map(({ target }) => target);
+  }
+
   /** Calls back with the id of each target that begins to pause. Returns the way to stop. */
   onPause(listener: (id: string) => void): () => void {
     this.pauseListeners.add(listener);
@@ -202,6 +209,8 @@
   return [...known.heardBy.values()].some((hears) => hears);
 }
 
+const isServing = (known: Known): boolean => isReady(known) || known.target.paused;
+
 function stateOf(known: Known): string {
   if (known.replaced) return 'replaced';
   if (known.announcement !== Announcement.READY) return Announcement[known.announcement].toLowerCase();
--- a/packages/rollout/src/events.ts
+++ b/packages/rollout/src/events.ts
@@ -1,4 +1,4 @@
-/** Numbered events of the process beside a target that replaces its weights. */
+/** Numbered events of whoever replaces a target's weights: the process beside it, or a control instance in its place. */
 import { defineEvents } from '@jasmineroute/core';
 
 export const rolloutEvents = defineEvents({
@@ -14,5 +14,11 @@
   announced: { id: 8210, level: 'info', message: 'announced the target, which nobody told of' },
   unreadableReport: { id: 8211, level: 'warn', message: "some of the target's models can not be read" },
   notAnnounced: { id: 8212, level: 'info', message: 'the target beside this process does not say who it is' },
+  unattended: {
+    id: 8213,
+    level: 'warn',
+    message: 'no process beside the target reports: this control instance brings it weights',
+  },
+  attended: { id: 8214, level: 'info', message: 'brings the target weights no more' },
   cacheHeard: { id: 8208, level: 'info', message: 'the target tells of its cache again' },
 });
--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -5,7 +5,7 @@
 import { err, ok } from 'neverthrow';
 import { beforeEach, describe, expect, it } from 'vitest';
 import type { OrderOutcome, TargetPort, WeightsOrder } from '../port/index.js';
-import type { Observation, Observer } from './observer.js';
+import type { Observation } from './observer.js';
 import { WeightsKeeper } from './weightsKeeper.js';
 
 const ADDRESS = '10.0.0.1:80';
@@ -60,6 +60,10 @@
   let told: Observation[];
   let granted: boolean;
   let fence: bigint;
+  /** Fences of the turns that it holds, and names of those that others hold. */
+  let held: Map<string, bigint>;
+  let denied: Set<string>;
+  let asks: number;
 
   beforeEach(() => {
     clock = new ManualClock();
@@ -68,6 +72,9 @@
     told = [];
     granted = true;
     fence = 0n;
+    held = new Map();
+    denied = new Set();
+    asks = 0;
     announce('t1', ADDRESS, 1);
   });
 
@@ -90,22 +97,31 @@
       incarnation: 1n,
       address: ADDRESS,
       service: 's',
+      orderGapMs: 3_000,
       weightsLimitMs: 8_000,
       port: target,
       knowledge,
       turns: {
-        take: () => {
-          fence += 1n;
-          return Promise.resolve(ok({ granted, fence }));
+        take: ({ name: turn = '' }) => {
+          asks += 1;
+          const isGranted = granted && !denied.has(turn);
+          if (isGranted && !held.has(turn)) {
+            fence += 1n;
+            held.set(turn, fence);
+          }
+          return Promise.resolve(ok({ granted: isGranted, fence: held.get(turn) ?? 0n }));
+        },
+        release: ({ name: turn }) => {
+          held.delete(turn);
+          return Promise.resolve(ok());
         },
-        release: () => Promise.resolve(ok()),
       },
       observer: {
         tell: (observation: Observation) => {
           told.push(observation);
           return Promise.resolve();
         },
-      } as unknown as Observer,
+      },
       clock,
       log: silentLog,
     });
@@ -129,7 +145,7 @@
         version: 3,
         runs: 'finish',
         holder: 'a1',
-        fence: 1n,
+        fence: 2n,
         expectedOrders: 0,
         targetName: 't1',
       },
@@ -186,6 +202,45 @@
     expect(told).toEqual([]);
   });
 
+  it('gives no order while another holder has the right to, and asks again', async () => {
+    // Symptom: two holders give one target orders by turns.
+    // Sequence: a control instance brought it weights while its process was away; the process is back, and has a turn.
+    // Cause: a turn of the service says nothing of who orders the target.
+    denied.add(`orders/${ADDRESS}`);
+    name(2);
+    await look();
+    expect(target.orders).toEqual([]);
+    expect(told).toEqual([]);
+    denied.clear();
+    await look();
+    expect(target.orders).toHaveLength(1);
+  });
+
+  it('keeps the right to order after its last order, until its time is over', async () => {
+    // Cause: given back at once, it would go to another holder within the gap that is agreed between two of them.
+    name(2);
+    await look();
+    expect([...held.keys()]).toEqual([`orders/${ADDRESS}`]);
+    const kept = asks;
+    await clock.advance(20_000);
+    expect(asks).toBe(kept);
+  });
+
+  it('gives no order when the right to was lost while the target was made ready', async () => {
+    // Symptom: a process that was suspended gives an order after another one has taken its place.
+    // Sequence: it takes the right, is suspended, and its monotonic clock stands still meanwhile.
+    // Cause: its own clock says that the right has time left.
+    target.unstarted = 1;
+    name(2);
+    const looking = look();
+    await clock.advance(100);
+    held.set(`orders/${ADDRESS}`, 99n);
+    target.unstarted = 0;
+    await looking;
+    expect(target.orders).toEqual([]);
+    expect(told.at(-1)).toMatchObject({ paused: false });
+  });
+
   it('goes by what the target reports when an order gets no answer', async () => {
     // Symptom: an order is given twice, or a target stays paused for good.
     // Sequence: the answer to an order is lost; the target carries it out.
@@ -214,7 +269,7 @@
     void one.run();
     for (let step = 0; step < 1_000; step += 1) await clock.advance(10);
     one.stop();
-    return Number(fence);
+    return asks;
   }
 
   it('asks for a turn less often the more targets ask', async () => {
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -23,6 +23,9 @@
 /** Time of a turn, milliseconds: how long a process that was killed keeps others from loading. */
 const TURN_MS = 3_000;
 
+/** Time beyond the gap between two holders for which the right to order is taken, milliseconds: two renewals may be late. */
+const ORDERS_SPARE_MS = 2_000;
+
 /** Pause between two looks at what is wanted, milliseconds. */
 const LOOK_MS = 100;
 
@@ -76,7 +79,9 @@
   readonly port: TargetPort;
   readonly knowledge: Knowledge;
   readonly turns: TurnSource;
-  readonly observer: Observer;
+  readonly observer: Pick<Observer, 'tell'>;
+  /** Shortest time between the orders of two holders to one target, milliseconds. */
+  readonly orderGapMs: number;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -87,6 +92,12 @@
   readonly version: number;
 }
 
+/** What an order needs: one of the service's turns to load, and the right to order the target. */
+interface Rights {
+  readonly turn: Turn;
+  readonly orders: Turn;
+}
+
 /** Number of an observation in a turn: the end of a pause counts against a later word of its begin, told by a detour. */
 const observationOf = (fence: bigint, paused: boolean): bigint => fence * 2n + (paused ? 0n : 1n);
 
@@ -176,12 +187,33 @@
       return;
     }
     try {
-      await this.load(target, wish, turn);
+      await this.loadAlone(target, wish, turn);
     } finally {
       await turn.release();
     }
   }
 
+  /**
+   * With the right to order this target, which one process has at a time: the one beside it, or a control instance in its
+   * place. It is left to lapse, so that another holder's order follows the last one by the gap that is agreed. Its start does
+   * not count: a process that starts again is the same holder, and need not wait for what it held itself.
+   */
+  private async loadAlone(target: Target, wish: Wish, turn: Turn): Promise<void> {
+    const { name, address, turns, clock, orderGapMs } = this.parts;
+    const ttlMs = orderGapMs + ORDERS_SPARE_MS;
+    const right = { name: `orders/${address}`, holder: name, incarnation: 0n, limit: 1, ttlMs };
+    const orders = await Turn.take(turns, clock, right);
+    if (orders === undefined) {
+      await this.pauseBeforeAsking();
+      return;
+    }
+    try {
+      await this.load(target, wish, { turn, orders });
+    } finally {
+      orders.lapse();
+    }
+  }
+
   /** What is left of the pause after the next look's own. */
   private async pauseBeforeAsking(): Promise<void> {
     const { knowledge, service, clock } = this.parts;
@@ -228,14 +260,14 @@
    * Entries hear of the pause before the order goes out: requests that reach a target whose weights are being
    * replaced are refused there, and one that may be sent only once is lost to its caller.
    */
-  private async load(target: Target, wish: Wish, turn: Turn): Promise<void> {
+  private async load(target: Target, wish: Wish, { turn, orders }: Rights): Promise<void> {
     const { observer, clock } = this.parts;
     const tell = (paused: boolean, weights: ReadonlyMap<string, number> = new Map()): Promise<void> =>
       observer.tell({ targetId: target.id, number: observationOf(turn.fence, paused), paused, weights });
     await tell(true);
     await clock.sleep(PAUSE_LEAD_MS);
     await this.settle();
-    const ordered = await this.order(target, wish, turn);
+    const ordered = await this.order(target, wish, { turn, orders });
     const weights = ordered ? await this.awaitWeights(wish, turn, () => tell(true)) : undefined;
     await tell(false, weights);
   }
@@ -259,10 +291,12 @@
    * once, and the others had 70 requests for 48 places; what a run makes after the change is worth nothing, but those
    * that are left are few: long streams that may go on elsewhere have left.
    */
-  private async order(target: Target, wish: Wish, turn: Turn): Promise<boolean> {
+  private async order(target: Target, wish: Wish, { turn, orders }: Rights): Promise<boolean> {
     const { port, name, log } = this.parts;
+    const isConfirmed = await orders.confirm();
     const report = await this.report();
-    if (report === undefined || report.busy || !turn.held) return false;
+    const mayOrder = isConfirmed && turn.held && !this.stopped.signal.aborted;
+    if (!mayOrder || report === undefined || report.busy) return false;
     const newest = this.wishOf(report) ?? wish;
     const runs = report.running > 0 ? 'continue' : 'finish';
     const sent = await port.order(
@@ -270,7 +304,7 @@
         ...newest,
         runs,
         holder: name,
-        fence: turn.fence,
+        fence: orders.fence,
         expectedOrders: report.orders,
         targetName: target.name,
       },
@@ -280,7 +314,7 @@
     log.event(rolloutEvents.ordered, {
       target: target.id,
       ...newest,
-      fence: Number(turn.fence),
+      fence: Number(orders.fence),
       orders: report.orders,
       running: report.running,
       unstarted: report.unstarted,
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -20,6 +20,8 @@
   readonly port: TargetPort;
   /** Time after the naming of newer weights from which on nothing may begin on older ones, milliseconds. */
   readonly weightsLimitMs: number;
+  /** Shortest time between the orders of two holders to one target, milliseconds. */
+  readonly orderGapMs: number;
 }
 
 /** Follows control and keeps one target's weights. */
--- /dev/null
+++ b/packages/rollout/src/unattended/index.ts
@@ -0,0 +1,1 @@
+export * from './unattendedTargets.js';
--- /dev/null
+++ b/packages/rollout/src/unattended/unattendedTargets.spec.ts
@@ -0,0 +1,113 @@
+import { create } from '@bufbuild/protobuf';
+import { ManualClock, silentLog } from '@jasmineroute/core';
+import { Knowledge } from '@jasmineroute/knowledge';
+import { controlMessage } from '@jasmineroute/protocol';
+import { err, ok } from 'neverthrow';
+import { fault } from '@jasmineroute/core';
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { TargetPort } from '../port/index.js';
+import { UnattendedTargets } from './unattendedTargets.js';
+
+describe('targets without a process beside them', () => {
+  let clock: ManualClock;
+  let knowledge: Knowledge;
+  /** Targets that a process beside them reports of. */
+  let reported: Set<string>;
+  let leads: boolean;
+  /** Addresses of targets that were given an order. */
+  let ordered: string[];
+  let unattended: UnattendedTargets;
+
+  const targetAt = (address: string): TargetPort => ({
+    report: () =>
+      Promise.resolve(
+        ok({ weights: new Map([['m', 1]]), busy: false, orders: 0, waiting: 0, running: 0, unstarted: 0 }),
+      ),
+    identity: () => Promise.resolve(err(fault('target-unreachable', 'not asked'))),
+    cacheNews: () => Promise.resolve(undefined),
+    order: () => {
+      ordered.push(address);
+      return Promise.resolve(ok('accepted'));
+    },
+  });
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    knowledge = new Knowledge(clock, silentLog);
+    reported = new Set();
+    ordered = [];
+    leads = true;
+    const targets = ['t1', 't2'].map((id, at) => {
+      const weights = [{ model: 'm', version: 1n }];
+      const announcement = controlMessage.Announcement.READY;
+      const place = { service: 's', address: `10.0.0.${at + 1}:80`, dataCentre: 'here', capacity: 4 };
+      return { id, ...place, announcement, weights, sequence: 1n };
+    });
+    const weights = [{ model: 'm', version: 2n, ageMs: 0 }];
+    knowledge.apply('c1', create(controlMessage.FollowEventSchema, { targets, weights }), true);
+    let fence = 0n;
+    const fences = new Map<string, bigint>();
+    unattended = new UnattendedTargets({
+      name: 'c1',
+      incarnation: 1n,
+      weightsLimitMs: 8_000,
+      orderGapMs: 3_000,
+      knowledge,
+      targetAt,
+      turns: {
+        take: ({ name = '' }) => {
+          fence += 1n;
+          fences.set(name, fences.get(name) ?? fence);
+          return Promise.resolve(ok({ granted: true, fence: fences.get(name) ?? 0n }));
+        },
+        release: ({ name }) => {
+          fences.delete(name);
+          return Promise.resolve(ok());
+        },
+      },
+      observer: { tell: () => Promise.resolve() },
+      isReported: (id) => reported.has(id),
+      acts: () => leads,
+      clock,
+      log: silentLog,
+    });
+  });
+
+  /** Runs for a time. */
+  async function run(ms: number): Promise<void> {
+    void unattended.run();
+    for (let step = 0; step < ms; step += 50) await clock.advance(50);
+  }
+
+  it('are brought weights, and no others', async () => {
+    reported.add('t1');
+    await run(6_000);
+    expect(new Set(ordered)).toEqual(new Set(['10.0.0.2:80']));
+    unattended.stop();
+  });
+
+  it('are left alone while a process that has just started may not have been heard yet', async () => {
+    // Symptom: after a loss of power of all, control instances and the processes beside targets order them by turns.
+    // Sequence: control is back first, and knows no report of any target.
+    // Cause: a target was taken for unattended as soon as nothing was heard of it.
+    await run(2_500);
+    expect(ordered).toEqual([]);
+    unattended.stop();
+  });
+
+  it('are left to other instances by one that does not lead, and to their process when it is back', async () => {
+    leads = false;
+    await run(6_000);
+    expect(ordered).toEqual([]);
+    leads = true;
+    for (let step = 0; step < 2_000; step += 50) await clock.advance(50);
+    expect(ordered.length).toBeGreaterThan(0);
+    reported.add('t1').add('t2');
+    await clock.advance(300);
+    await clock.advance(2_000);
+    const orders = ordered.length;
+    for (let step = 0; step < 6_000; step += 50) await clock.advance(50);
+    expect(ordered.length).toBe(orders);
+    unattended.stop();
+  });
+});
