--- a/packages/relay/src/cache/source.ts
+++ b/packages/relay/src/cache/source.ts
@@ -39,10 +39,8 @@
 /**
  * The source that spares the target most reading; undefined: none. A target waits for what it fetches before it reads, and
  * a store has one link for all. So a neighbour that has as much goes before the store, and a store whose link is busy is
- * not named: first tokens after a loss of all caches took 795 ms at targets that waited for the store, and 108 ms at the
- * same targets for prompts without a source (medians of 285 and 28 requests in 2.7 s). A store whose link is free is named
- * also for what nobody knows it to have: a miss costs it a ms, and what was copied in the last half second is not told
- * yet. Without that 1.28 M of 18 M tokens read were shared ones read again, and 0.73 M of 17 M with it.
+ * not named: after a loss of all caches targets would wait longer for it than they need to read. A store whose link is free
+ * is named also for what nobody knows it to have: a miss costs little, and what was just copied is not told yet.
  */
 export function sourceOf({ here, neighbours, store }: Holders): Source | undefined {
   const neighbour = bestOf(neighbours);
--- a/packages/relay/src/placement/lack.ts
+++ b/packages/relay/src/placement/lack.ts
@@ -3,24 +3,16 @@
 import type { Target } from '@jasmineroute/knowledge';
 import type { PromptOutline } from '../dialect/index.js';
 
-/**
- * Shared tokens from which on a prompt has a home. Reading 1,000 tokens takes a server 9 ms; less than that is worth no
- * unevenness.
- */
+/** Shared tokens from which on a prompt has a home: reading less than that again is worth no unevenness. */
 const HOME_TOKENS = 1_000;
 
 /**
- * What a prompt costs at a target that fetches its shared parts, as a part of their tokens. All fetches go one after the
- * other over the store's link, 14 ms each and 28 ms between data centres (3,780 tokens of 192,512 B at 420 Gbit/s), so by
- * estimate 36 of them a second fill it. With 1,500 tokens for a prompt of 6,300 it filled up: first tokens came 0.5 s late
- * at every target. Other parts than this one were not compared.
+ * What a prompt costs at a target that fetches its shared parts, as a part of their tokens: all fetches go one after the
+ * other over the store's one link, and a full link delays first tokens at every target.
  */
 const FETCH_PART = 0.8;
 
-/**
- * The same when the shared parts must be read: what was read somewhere for these weights is better not read again. Chosen,
- * not compared.
- */
+/** The same when the shared parts must be read: what was read somewhere for these weights is better not read again. */
 const READ_AGAIN_PART = 0.5;
 
 /**
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -7,10 +7,7 @@
 import { UNKNOWN_PARTS, homeOf, lackOf } from './lack.js';
 import type { Lack, PartsPlace, PartsView } from './lack.js';
 
-/**
- * What each request costs that a target has already, tokens: it adds 0.0413 ms to each step of about 7 ms, and holds a
- * place. Chosen so that ten of them weigh less than one prompt of usual size.
- */
+/** What each request costs that a target has already, tokens: it lengthens each step and holds a place. */
 const REQUEST_TOKENS = 200;
 
 /** Costs that differ by less are taken for equal, and drawn, tokens: entries that know the same must not all choose one. */
@@ -20,25 +17,22 @@
 const MOST_SLOWNESS = 3;
 
 /**
- * Part of an engine's places from which on it takes no more requests, for the most urgent and for others. Of requests
- * that met up to 30 others on an engine of 48 places, 8 in 10 and more got their first token in 390 ms; of those that met
- * 40 or more, 1 in 10 (entries' logs under load): they wait for a place, and hold up all that come after.
+ * Part of an engine's places from which on it takes no more requests, for the most urgent and for others: beyond it they
+ * wait for a place, and hold up all that come after.
  */
 const FULL_URGENT = 0.85;
 const FULL = 0.75;
 
 /**
  * Part of its objective that a prompt may wait behind others to be read, for the most urgent and for others. What is sent
- * into a longer queue is late, and so is all that comes behind it, until the queue is gone; what is refused leaves the
- * queue to what can be in time, and comes back. The rest of the objective is for its own reading and for what entries don't
- * know of each other's work in the last 50 ms. Less urgent prompts leave room for the most urgent. It is the wait
- * behind others alone that counts, not the prompt's own size: a large one is not refused where a small one is sent. Both
- * chosen, not compared.
+ * into a longer queue is late, and so is all that comes behind it; what is refused leaves the queue to what can be in time,
+ * and comes back. Only the wait behind others counts, not the prompt's own size: a large one is not refused where a small
+ * one is sent.
  */
 const QUEUE_URGENT = 0.8;
 const QUEUE = 0.5;
 
-/** Load that a target in another data centre seems to have more: one way there costs 0.9 ms, a request 40 and more. */
+/** Load that a target in another data centre seems to have more: the way there is short beside a request. */
 const DISTANCE_LOAD = 0.05;
 
 /** Load differences below this are taken for equal, and drawn. */
@@ -136,8 +130,8 @@
 
   /**
    * The target that would have read the prompt first. Requests differ by a hundred times in what there is to read, so
-   * their number says little: of two targets with ten requests one had 200 tokens to read and the other 40,000, and a
-   * target that had just loaded weights, without requests and with an empty cache, got all that came in a second.
+   * their number says little: a target that has just loaded weights, without requests and with an empty cache, would get all
+   * that come in a second.
    */
   private leastWork(input: PlacementInput, prompt: PromptOutline, usable: readonly Target[]): Placement {
     const home = homeOf(prompt, input.salt, usable);
--- a/packages/relay/src/target/targetState.ts
+++ b/packages/relay/src/target/targetState.ts
@@ -156,8 +156,7 @@
 
   /**
    * A target stated that it did not run a request. One that loads weights without our knowledge, or has others than we
-   * know, refuses all at once, so it seems to have no work and draws all requests: with orders that
-   * were carried out late, such targets refused 246 requests in 4 s. Requests under way together count once.
+   * know, refuses all at once, so it seems to have no work and draws all requests. Requests under way together count once.
    */
   refused(id: string): void {
     const sight = this.of(id);
--- a/packages/relay/src/work/learning.ts
+++ b/packages/relay/src/work/learning.ts
@@ -4,14 +4,13 @@
 
 /**
  * Time from its start in which an entry learns of the configuration and of targets, milliseconds: control instances that
- * start at the same moment answer after some 0.4 s, and each target calls one of them within its heartbeat of 1.2 s.
+ * start at the same moment have to answer first, and each target calls one of them within a heartbeat.
  */
 export const LEARN_MS = 2_000;
 
 /**
- * When all instances are lost at once, callers return to the first entry that listens, half a second before it knows a
- * target. Refused, they use up their last retry: of 291 callers in the two seconds after a loss of power 63 were refused
- * for good. Later than that a lack of targets is a fact, and refused at once.
+ * When all instances are lost at once, callers return to the first entry that listens, before it knows a target. Refused,
+ * they use up their last retry. Later than that a lack of targets is a fact, and refused at once.
  */
 export class Learning {
   private readonly endsAt: number;
--- a/packages/rollout/src/keeper/announcer.ts
+++ b/packages/rollout/src/keeper/announcer.ts
@@ -28,9 +28,9 @@
 }
 
 /**
- * A control instance that starts knows no target until each has called it: heartbeats are 1.2 s apart, and one that found
- * nobody there is followed by the next after that time. After a loss of all instances the first targets that called got
- * all requests, the others none for up to half a second. The process beside a target needs not wait for its call.
+ * A control instance that starts knows no target until each has called it, and a call that found nobody there is followed by
+ * the next a heartbeat later. After a loss of all instances the first targets that call would get all requests. The
+ * process beside a target needs not wait for its call.
  */
 export class Announcer {
   private readonly stopped = new AbortController();
--- a/packages/rollout/src/keeper/cacheReporter.ts
+++ b/packages/rollout/src/keeper/cacheReporter.ts
@@ -63,8 +63,8 @@
 }
 
 /**
- * One control instance is told, which tells all entries. Under load a cache turns over in some two seconds by
- * estimate, so where a part was read last says little; a request that goes where its parts are costs neither the store's link nor a second reading.
+ * One control instance is told, which tells all entries. Under load a cache turns over within seconds, so where a part was
+ * read last says little; a request that goes where its parts are costs neither the store's link nor a second reading.
  */
 export class CacheReporter {
   private readonly stopped = new AbortController();
--- a/packages/rollout/src/keeper/loadReporter.ts
+++ b/packages/rollout/src/keeper/loadReporter.ts
@@ -29,9 +29,8 @@
 }
 
 /**
- * One control instance is told, which tells all entries. Entries see only the answers to their own requests: of eight,
- * each knew what a target had a second ago, and a target that all of them thought idle got 40 requests for its 48
- * places, where one in ten is on time.
+ * One control instance is told, which tells all entries. Each entry sees only the answers to its own requests: a target that
+ * all of them think idle would get more requests than it has places.
  */
 export class LoadReporter {
   private readonly stopped = new AbortController();
--- a/packages/rollout/src/keeper/observer.ts
+++ b/packages/rollout/src/keeper/observer.ts
@@ -16,7 +16,7 @@
   readonly weights: ReadonlyMap<string, number>;
 }
 
-/** Sends observations to all control instances. */
+/** Sends observations to the control instances that this process follows. */
 export class Observer {
   constructor(
     private readonly controls: () => readonly string[],
@@ -25,9 +25,8 @@
   ) {}
 
   /**
-   * Tells all control instances. Resolves once one has answered, or each was waited for long enough: entries follow all of
-   * them, so one is enough for each to hear of it. Waiting for all holds up each load by up to 0.8 s while one instance is frozen: the
-   * longest wait at its begin and at its end.
+   * Tells all control instances that this process follows. Resolves once one has answered, or each was waited for long
+   * enough: one that has heard tells the others. Waiting for all would hold up each load while one of them is frozen.
    */
   async tell({ targetId, number, paused, weights }: Observation): Promise<void> {
     const versions = [...weights].map(([model, version]) => ({ model, version: BigInt(version) }));
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -32,8 +32,7 @@
 /**
  * Pause before a turn is asked for again, milliseconds for each target of the service, spread by half to either side. Each
  * question is an entry of the replicated log, synced by a quorum, so all targets together ask forty times a second, however
- * many there are: a turn that was given back is taken after some 25 ms. Ten times a second for each target was up to 390
- * entries a second with 39 of them, while none loaded and so none let others go first.
+ * many there are: a turn that was given back is taken after some 25 ms.
  */
 const ASK_MS = 25;
 
@@ -287,9 +286,9 @@
   }
 
   /**
-   * Runs that are left go on under the new weights. Waiting for them took a target out for up to 3.7 s, two of five at
-   * once, and the others had 70 requests for 48 places; what a run makes after the change is worth nothing, but those
-   * that are left are few: long streams that may go on elsewhere have left.
+   * Runs that are left go on under the new weights: waiting for them would take a target out for seconds, and overrun the
+   * others. What a run makes after the change is worth nothing, but those that are left are few: long streams that may go
+   * on elsewhere have left.
    */
   private async order(target: Target, wish: Wish, { turn, orders }: Rights): Promise<boolean> {
     const { port, name, log } = this.parts;
