Look at a target's weights when something is told, not ten times a second

Change: the keeper of weights and the announcer wait for news, a second at most; they look ten times a second while there is something to do. A process beside a target follows two control instances: without any for a moment only a load of weights waits.

--- a/packages/rollout/src/keeper/announcer.spec.ts
+++ b/packages/rollout/src/keeper/announcer.spec.ts
@@ -1,5 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import { ManualClock, fault, silentLog } from '@jasmineroute/core';
+import { ChangeSignal } from '@jasmineroute/directory';
 import { Knowledge } from '@jasmineroute/knowledge';
 import { Peers, controlMessage, listen } from '@jasmineroute/protocol';
 import type { RpcServer } from '@jasmineroute/protocol';
@@ -67,7 +68,8 @@
     } as unknown as TargetPort;
     const place = { address: ADDRESS, service: 's', dataCentre: 'here' };
     const controls = (): string[] => [server.address];
-    return new Announcer({ ...place, port, knowledge, controls, peers, clock, log: silentLog });
+    const news = new ChangeSignal();
+    return new Announcer({ ...place, news, port, knowledge, controls, peers, clock, log: silentLog });
   };
 
   it('tells of a target that nobody has heard of, with its weights', async () => {
--- a/packages/rollout/src/keeper/announcer.ts
+++ b/packages/rollout/src/keeper/announcer.ts
@@ -1,13 +1,17 @@
 /** Announces the target beside this process while no control instance tells of it. */
+import type { ChangeSignal } from '@jasmineroute/directory';
 import { Teller } from '@jasmineroute/knowledge';
 import type { Knowledge, TellerParts } from '@jasmineroute/knowledge';
 import { startFields } from '@jasmineroute/protocol';
 import { rolloutEvents } from '../events.js';
 import type { TargetIdentity, TargetPort } from '../port/index.js';
 
-/** Pause between two looks, milliseconds: a tenth of the time between two heartbeats of a target. */
+/** Pause between two looks while nobody tells of the target, milliseconds: a tenth of the time between two heartbeats. */
 const LOOK_MS = 100;
 
+/** Longest pause between two looks while somebody does, milliseconds. */
+const IDLE_LOOK_MS = 1_000;
+
 /** Longest wait for an answer of the target, milliseconds: it comes from the same instance. */
 const CALL_MS = 400;
 
@@ -25,6 +29,8 @@
   readonly dataCentre: string;
   readonly port: TargetPort;
   readonly knowledge: Knowledge;
+  /** Raised with each event of a control instance. */
+  readonly news: ChangeSignal;
 }
 
 /**
@@ -42,11 +48,12 @@
 
   /** Runs until `stop`. */
   async run(): Promise<void> {
-    const { clock } = this.parts;
+    const { clock, news } = this.parts;
     const { signal } = this.stopped;
     while (!signal.aborted) {
       const isAsked = await this.look();
-      await clock.sleep(isAsked ? PAUSE_MS : LOOK_MS, signal).catch(() => undefined);
+      if (this.isKnown()) await news.wait(clock, IDLE_LOOK_MS, signal);
+      else await clock.sleep(isAsked ? PAUSE_MS : LOOK_MS, signal).catch(() => undefined);
     }
   }
 
@@ -58,7 +65,7 @@
   async look(): Promise<boolean> {
     const { knowledge, address, service, port, log } = this.parts;
     const healthPath = knowledge.table()?.serviceOf(service)?.healthPath;
-    if (healthPath === undefined || knowledge.targets.at(address) !== undefined) return false;
+    if (healthPath === undefined || this.isKnown()) return false;
     const report = await port.report(CALL_MS);
     // While the target is down it is asked again; its loss is logged by what follows its load.
     if (report.isErr()) return false;
@@ -73,6 +80,11 @@
     return true;
   }
 
+  private isKnown(): boolean {
+    const { knowledge, address } = this.parts;
+    return knowledge.targets.at(address) !== undefined;
+  }
+
   private async tell(identity: TargetIdentity, weights: ReadonlyMap<string, number>): Promise<boolean> {
     const { address, service, dataCentre } = this.parts;
     const versions = [...weights].map(([model, version]) => ({ model, version: BigInt(version) }));
--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -1,5 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import { ManualClock, fault, silentLog } from '@jasmineroute/core';
+import { ChangeSignal } from '@jasmineroute/directory';
 import { Knowledge } from '@jasmineroute/knowledge';
 import { controlMessage } from '@jasmineroute/protocol';
 import { err, ok } from 'neverthrow';
@@ -98,6 +99,7 @@
       address: ADDRESS,
       service: 's',
       orderGapMs: 3_000,
+      news: new ChangeSignal(),
       weightsLimitMs: 8_000,
       port: target,
       knowledge,
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -2,6 +2,7 @@
 import { Turn } from '@jasmineroute/agent';
 import type { TurnSource } from '@jasmineroute/agent';
 import type { Clock, Log } from '@jasmineroute/core';
+import type { ChangeSignal } from '@jasmineroute/directory';
 import type { Knowledge, Target } from '@jasmineroute/knowledge';
 import { rolloutEvents } from '../events.js';
 import type { TargetPort, TargetReport } from '../port/index.js';
@@ -26,9 +27,12 @@
 /** Time beyond the gap between two holders for which the right to order is taken, milliseconds: two renewals may be late. */
 const ORDERS_SPARE_MS = 2_000;
 
-/** Pause between two looks at what is wanted, milliseconds. */
+/** Pause between two looks at what is wanted while the target is behind, milliseconds. */
 const LOOK_MS = 100;
 
+/** Longest pause between two looks while nothing is told, milliseconds. */
+const IDLE_LOOK_MS = 1_000;
+
 /**
  * Pause before a turn is asked for again, milliseconds for each target of the service, spread by half to either side. Each
  * question is an entry of the replicated log, synced by a quorum, so all targets together ask forty times a second, however
@@ -79,6 +83,8 @@
   readonly knowledge: Knowledge;
   readonly turns: TurnSource;
   readonly observer: Pick<Observer, 'tell'>;
+  /** Raised with each event of a control instance. */
+  readonly news: ChangeSignal;
   /** Shortest time between the orders of two holders to one target, milliseconds. */
   readonly orderGapMs: number;
   readonly clock: Clock;
@@ -110,11 +116,12 @@
 
   /** Runs until `stop`. */
   async run(): Promise<void> {
-    const { clock } = this.parts;
+    const { clock, news } = this.parts;
     const { signal } = this.stopped;
     while (!signal.aborted) {
-      await this.look();
-      await clock.sleep(LOOK_MS, signal).catch(() => undefined);
+      const isBehind = await this.look();
+      if (isBehind) await clock.sleep(LOOK_MS, signal).catch(() => undefined);
+      else await news.wait(clock, IDLE_LOOK_MS, signal);
     }
   }
 
@@ -122,19 +129,20 @@
     this.stopped.abort();
   }
 
-  /** Compares what was named with what the target has, and acts on a difference. */
-  async look(): Promise<void> {
+  /** Compares what was named with what the target has, and acts on a difference. @returns whether there may be one. */
+  async look(): Promise<boolean> {
     const { knowledge, address } = this.parts;
     const target = knowledge.targets.at(address);
     if (target === undefined || !this.mayBeBehind(target)) {
       this.idleSince = undefined;
-      return;
+      return false;
     }
     const report = await this.report();
-    if (report === undefined) return;
+    if (report === undefined) return true;
     const wish = this.wishOf(report);
     if (wish === undefined) await this.correct(target, report);
     else if (!report.busy) await this.replace(target, wish);
+    return true;
   }
 
   private mayBeBehind({ weights }: Target): boolean {
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -1,5 +1,5 @@
 /** The process beside a target, as a role. */
-import { Controls, TurnClient } from '@jasmineroute/directory';
+import { ChangeSignal, Controls, TurnClient } from '@jasmineroute/directory';
 import { Follower, Knowledge, ReportSender } from '@jasmineroute/knowledge';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { rolloutEvents } from './events.js';
@@ -12,6 +12,9 @@
  */
 const TURN_ATTEMPT_MS = 500;
 
+/** Control instances that it follows: one that tells, and a spare. Without any for a moment only a load of weights waits. */
+const MOST_FOLLOWED = 2;
+
 /** The target that the process stands beside. */
 export interface Neighbour {
   /** host:port. */
@@ -39,7 +42,12 @@
   ) {
     const { name, incarnation, controls, peers, clock, log, metrics, dataCentre } = context;
     const knowledge = new Knowledge(clock, log);
-    this.follower = new Follower({ name, role: 'agent', controls, listener: knowledge, peers, clock, log });
+    const news = new ChangeSignal();
+    knowledge.onNews(() => {
+      news.raise();
+    });
+    const follower = { name, role: 'agent', listener: knowledge, peers, clock, log } as const;
+    this.follower = new Follower({ ...follower, controls, most: MOST_FOLLOWED });
     const attemptMs = TURN_ATTEMPT_MS;
     const turns = new TurnClient(new Controls({ controls, peers, clock, metrics, dataCentre, attemptMs }));
     const observer = new Observer(() => this.follower.controls(), peers, log);
@@ -55,6 +63,7 @@
       dataCentre,
       port,
       knowledge,
+      news,
       ...told,
     });
     this.keeper = new WeightsKeeper({
@@ -62,6 +71,7 @@
       name,
       incarnation,
       knowledge,
+      news,
       turns,
       observer,
       clock,
--- a/packages/rollout/src/unattended/unattendedTargets.ts
+++ b/packages/rollout/src/unattended/unattendedTargets.ts
@@ -1,6 +1,7 @@
 /** Brings weights to targets that have no process beside them. */
 import type { TurnSource } from '@jasmineroute/agent';
 import type { Clock, Log } from '@jasmineroute/core';
+import { ChangeSignal } from '@jasmineroute/directory';
 import type { Knowledge, Target } from '@jasmineroute/knowledge';
 import { rolloutEvents } from '../events.js';
 import { WeightsKeeper } from '../keeper/index.js';
@@ -52,7 +53,13 @@
   /** Monotonic time since which a target is known here without a report. */
   private readonly unreportedSince = new Map<string, number>();
 
-  constructor(private readonly parts: UnattendedParts) {}
+  private readonly news = new ChangeSignal();
+
+  constructor(private readonly parts: UnattendedParts) {
+    parts.knowledge.onNews(() => {
+      this.news.raise();
+    });
+  }
 
   /** Runs until `stop`. */
   async run(): Promise<void> {
@@ -98,7 +105,8 @@
   private take({ id, address, service }: Target): void {
     if (this.keepers.has(id)) return;
     const { targetAt, log } = this.parts;
-    const keeper = new WeightsKeeper({ ...this.parts, address, service, port: targetAt(address) });
+    const { news } = this;
+    const keeper = new WeightsKeeper({ ...this.parts, news, address, service, port: targetAt(address) });
     this.keepers.set(id, keeper);
     log.event(rolloutEvents.unattended, { target: id, address });
     void keeper.run();
