--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -19,6 +19,13 @@
   conditions: ['source'],
   // A role's code is run when the role is started; a script that is compiled ahead has no way to import at run time.
   supported: { 'dynamic-import': false },
+  // Loaded only where traces are exported, and then from node_modules: each process keeps the whole source in memory.
+  external: ['sdk-trace-node', 'sdk-trace-base', 'exporter-trace-otlp-http', 'resources'].map(
+    (name) => `@opentelemetry/${name}`,
+  ),
+  legalComments: 'none',
+  banner: { js: '(function (exports, require, module) {' },
+  footer: { js: '})' },
   logLevel: 'warning',
 });
 copyFileSync('scripts/bundle/start.cjs', `${OUT}/jasminerouted.cjs`);
--- a/scripts/bundle/start.cjs
+++ b/scripts/bundle/start.cjs
@@ -9,7 +9,7 @@
 
 /** The program's exports, and the script that they come from. */
 function load() {
-  const source = `(function (exports, require, module) {${readFileSync(PROGRAM, 'utf8')}\n})`;
+  const source = readFileSync(PROGRAM, 'utf8');
   const cachedData = existsSync(COMPILED) ? readFileSync(COMPILED) : undefined;
   const script = new Script(source, { filename: PROGRAM, cachedData });
   if (script.cachedDataRejected === true)
