Keep to the control instance that tells all until the next look, and hold no second configuration in control instances

Cause: after a loss of power of all, each instance that came up moved the streams of all processes, which were told all again; and a control instance parsed and held each configuration for its own followers' sake.

--- a/packages/control/src/weights/remoteWeights.ts
+++ b/packages/control/src/weights/remoteWeights.ts
@@ -10,6 +10,9 @@
 import type { CommandLog, Proposer } from '../log/index.js';
 import type { RecentBoard } from '../recent/index.js';
 
+/** Higher than any configuration's number: its content is not needed here, and would be held a second time. */
+const NO_CONTENT = BigInt(Number.MAX_SAFE_INTEGER);
+
 /** What it works with. */
 export interface RemoteWeightsParts {
   readonly name: string;
@@ -59,7 +62,7 @@
   private async hear(): Promise<void> {
     const { name, follow } = this.parts;
     const { signal } = this.stopped;
-    const request = create(controlMessage.FollowRequestSchema, { name, role: 'agent' });
+    const request = create(controlMessage.FollowRequestSchema, { name, role: 'agent', number: NO_CONTENT });
     let isFirst = true;
     for await (const event of follow.follow(request, { signal })) {
       this.knowledge.apply(name, event, isFirst);
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -44,6 +44,11 @@
   private readonly most: number;
   /** Those that are up, in the order to ask them, as it was at the last change. */
   private order: readonly string[] = [];
+  /**
+   * The one that is asked first, kept until the next look while it is up: when all instances start at once each that comes
+   * up would move streams for a moment, and be told all again.
+   */
+  private asked: string | undefined;
   /** Entries for which the order is made. */
   private entries = 0;
 
@@ -99,6 +104,7 @@
     const { signal } = this.stopped;
     while (!signal.aborted) {
       await this.parts.clock.sleep(LOOK_MS, signal).catch(() => undefined);
+      this.asked = undefined;
       this.adjust();
     }
   }
@@ -126,8 +132,11 @@
     if (this.stopped.signal.aborted) return;
     const entries = this.parts.listener.entries();
     if (Math.abs(entries - this.entries) > this.entries * NOTICED_CHANGE) this.entries = entries;
-    this.order = this.ranked(this.known()).filter((address) => this.isUp(address));
-    const wanted = this.wanted();
+    const up = this.ranked(this.known()).filter((address) => this.isUp(address));
+    if (this.asked === undefined || !up.includes(this.asked)) this.asked = up[0];
+    this.order = up.sort((a, b) => Number(b === this.asked) - Number(a === this.asked));
+    const wanted = new Set(this.wanted());
+    if (this.asked !== undefined) wanted.add(this.asked);
     for (const [address, task] of this.tasks) {
       if (wanted.has(address)) continue;
       task.stop();
