Cancel no stream before the other end has taken it up, and count nothing as lost that a newer one has told

Change: a stream that is not wanted any more, or is wanted with another share, is cancelled by its first event. A task that is stopped tells of the loss at once, not when its stream ends: a newer stream to the same instance may have told all by then (test: 'counts nothing as lost that a newer stream ...').

--- a/packages/knowledge/src/followTask.ts
+++ b/packages/knowledge/src/followTask.ts
@@ -67,7 +67,11 @@
   isUp = false;
   private readonly stopped = new AbortController();
   private stream = new AbortController();
+  private isOpen = false;
+  /** The stream that is open has told something. */
+  private isHeard = false;
   private isReopening = false;
+  private isStopped = false;
 
   /** @param bulk whether it is asked for loads, work and caches. */
   constructor(
@@ -81,8 +85,7 @@
   ask(bulk: boolean): void {
     if (bulk === this.bulk) return;
     this.bulk = bulk;
-    this.isReopening = true;
-    this.stream.abort();
+    if (this.isHeard) this.reopen();
   }
 
   async run(): Promise<void> {
@@ -90,7 +93,11 @@
     const { signal } = this.stopped;
     let pauseMs = FIRST_PAUSE_MS;
     while (!signal.aborted) {
+      this.isOpen = true;
       const events = await this.follow();
+      this.isOpen = false;
+      this.isHeard = false;
+      if (this.isStopped) return;
       if (events > 0) {
         listener.lost(this.address);
         pauseMs = FIRST_PAUSE_MS;
@@ -103,12 +110,23 @@
       await clock.sleep(pauseMs * (0.5 + Math.random() / 2), signal).catch(() => undefined);
       pauseMs = Math.min(this.lastPauseMs(), pauseMs * 2);
     }
-    listener.lost(this.address);
   }
 
+  /**
+   * What it told counts as lost at once: another task may follow the same instance before this one's stream has ended. A
+   * stream that is being opened is ended by its first event: one that is cancelled before the other end has taken it up
+   * stays open there for good.
+   */
   stop(): void {
     this.isUp = false;
-    this.stopped.abort();
+    this.isStopped = true;
+    this.parts.listener.lost(this.address);
+    if (!this.isOpen || this.isHeard) this.stopped.abort();
+  }
+
+  private reopen(): void {
+    this.isReopening = true;
+    this.stream.abort();
   }
 
   private lastPauseMs(): number {
@@ -141,7 +159,12 @@
       const signal = AbortSignal.any([this.stopped.signal, stream.signal]);
       for await (const event of client.follow(request, { signal })) {
         calledOff();
+        if (this.isStopped) {
+          this.stopped.abort();
+          break;
+        }
         calledOff = clock.after(SILENCE_MS, silent);
+        this.isHeard = true;
         if (events === 0)
           log.event(knowledgeEvents.controlFollowed, {
             control: address,
@@ -152,6 +175,7 @@
         events += 1;
         this.owner.heard(address, event.controls);
         this.note(event.vouched);
+        if (this.bulk !== bulk) this.reopen();
       }
     } catch (error) {
       problem = String(error);
@@ -159,7 +183,7 @@
       calledOff();
     }
     // While an instance is down each attempt fails; only the loss of one that spoke is news.
-    const isLoss = events > 0 && !this.isReopening && !this.stopped.signal.aborted;
+    const isLoss = events > 0 && !this.isReopening && !this.isStopped;
     if (isLoss) log.event(knowledgeEvents.controlLost, { control: address, events, problem });
     return events;
   }
--- a/packages/knowledge/src/follower.spec.ts
+++ b/packages/knowledge/src/follower.spec.ts
@@ -4,6 +4,8 @@
 import type { RpcServer } from '@jasmineroute/protocol';
 import { waitFor } from '@jasmineroute/testkit';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { FollowTask } from './followTask.js';
+import type { Listener } from './followTask.js';
 import { Follower } from './follower.js';
 import { Knowledge } from './knowledge.js';
 
@@ -219,4 +221,34 @@
     await until('it to tell again', () => tellers().length === 1 && tellers()[0] === first);
     await settled(follower);
   });
+
+  it('counts nothing as lost that a newer stream to the same instance has told', async () => {
+    // Symptom: a target gets no work from an entry, though it is well and its control instance tells of it.
+    // Sequence: an instance is followed no more, and followed again before its first stream has ended.
+    // Cause: the end of the first stream counted as the loss of the instance, after the second one had told all.
+    const told: string[] = [];
+    const [one] = instances;
+    if (one === undefined) throw new Error('no instance');
+    const listener: Listener = {
+      number: () => 0,
+      confirmed: () => true,
+      entries: () => 1,
+      apply: () => told.push('told'),
+      lost: () => told.push('lost'),
+    };
+    const owner = { hasEnough: () => true, heard: () => undefined, changed: () => undefined };
+    const parts = { name: 'e1', role: 'entry', listener, peers, clock: systemClock, log: silentLog } as const;
+    const task = (): FollowTask => new FollowTask(one.address, parts, owner, true);
+    const first = task();
+    const ended = first.run();
+    await until('the first stream', () => told.includes('told'));
+    first.stop();
+    expect(told.at(-1)).toBe('lost');
+    const second = task();
+    void second.run();
+    await ended;
+    await until('the second stream', () => told.at(-1) === 'told');
+    expect(told.filter((what) => what === 'lost')).toHaveLength(1);
+    second.stop();
+  });
 });
