--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -15,10 +15,7 @@
 /** Entries for which the times below hold; with more each event goes to as many more, and is gathered for longer. */
 const ENTRIES_AT_ONCE = 8;
 
-/**
- * Work that is told within this time goes to an entry as one event, milliseconds: a target gets a prompt each 100 ms and
- * reads it in 30, so what is older than that says little.
- */
+/** Work that is told within this time goes to an entry as one event, milliseconds: about as long as a prompt is read. */
 const GATHER_WORK_MS = 25;
 
 /** Changes of targets that an entry hears of together, milliseconds. */
