--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -5,7 +5,7 @@
 
 const REPORT = '.bench/tests.json';
 const KNOWN_RED = 'KNOWN-RED.txt';
-/** Entries that name a day of the users' bench, which is no test of this list. */
+/** Entries that begin so name a day that was played, which is no test. */
 const PLAYED = 'played day ';
 
 const steps = [
