Log each new peak of a process's memory, with its parts

A line (7008) at each peak 4 MB above the last one: resident, heap, buffers, and what the runtime's compilers hold, of which there is a gauge of the peak too.

--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -17,6 +17,7 @@
 import type { Role, RunningRole } from '../role/index.js';
 import type { DaemonSettings } from '../setting/index.js';
 import { drawIncarnation } from './incarnation.js';
+import { ownMemory, watchMemory } from './memoryWatch.js';
 
 /** Exit code of a process that could not start or broke. */
 export const EXIT_FAULT = 1;
@@ -49,13 +50,13 @@
   readonly server: HealthServer | undefined;
 }
 
-/** What is resident beyond the heap and the buffers is the runtime's own. */
 function measureMemory(metrics: Metrics): void {
-  const { rss, heapUsed, heapTotal, external } = process.memoryUsage();
+  const { rss, heapUsed, heapTotal, external, compilersPeak } = ownMemory.usage();
   metrics.gauge(daemonMetrics.resident, rss);
   metrics.gauge(daemonMetrics.heapUsed, heapUsed);
   metrics.gauge(daemonMetrics.heapReserved, heapTotal);
   metrics.gauge(daemonMetrics.external, external);
+  metrics.gauge(daemonMetrics.compilersPeak, compilersPeak);
 }
 
 async function measuringOf(settings: DaemonSettings): Promise<Measuring> {
@@ -193,6 +194,7 @@
   const { role, name, dataCentre, logLevel, logStream } = plan.daemon;
   const log = createLog(logLevel, { role, name, dataCentre }, logStream);
   logBreaks(log);
+  watchMemory(systemClock, log);
   const stopping = new Stopping(log);
   try {
     const parts = await assemble(plan, log, stopping.ask);
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -18,4 +18,9 @@
     help: 'Heap that the runtime has reserved, bytes',
   },
   external: { name: 'process.memory.external', type: 'gauge', help: 'Buffers outside the heap, bytes' },
+  compilersPeak: {
+    name: 'process.memory.compilers.peak',
+    type: 'gauge',
+    help: "Most that the runtime's compilers held at once, bytes",
+  },
 });
