Leave the parser of HTTP answers to the baseline compiler

Cause: undici parses answers in WebAssembly. After some hundred answers the runtime optimises the parser, whose largest function takes the optimising compiler 30 to 37 MB for a moment. The allocator keeps the memory, in each process, once in each life. It comes when a process has called targets and stores some hundred times, so seconds after a start, and with whatever the instance holds by then.

--- a/packages/daemon/src/life/index.ts
+++ b/packages/daemon/src/life/index.ts
@@ -1,3 +1,4 @@
 export * from './incarnation.js';
 export * from './life.js';
+export * from './runtime.js';
 export * from './tls.js';
