A program for each role

Each process held the source of all three roles (2.8 MB, 1.9 MB of compiled code) and ran their modules at each start, which all processes pay at once after a loss of power.

The bundle is one for each role now; the command names the role. Only the program that runs from compiled sources looks the role up in the settings.

--- a/scripts/bundle/compile.cjs
+++ b/scripts/bundle/compile.cjs
@@ -1,13 +1,13 @@
-// Compiles the bundled program ahead. To be run with the flags that the program is started with: code that was compiled
-// under others is not taken.
+// Compiles the bundled programs ahead. To be run with the flags that they are started with: code that was compiled under
+// others is not taken.
 const { rmSync, writeFileSync } = require('node:fs');
 const { resolve } = require('node:path');
 
-const { COMPILED, load } = require(resolve('target/jasminerouted.cjs'));
-rmSync(COMPILED, { force: true });
-const { script, program } = load();
+const { ROLES, compiledOf, load } = require(resolve('target/jasminerouted.cjs'));
 
-// What was never run is compiled when it is first called: so the roles are loaded before the code is kept.
-program.loadRoles().then(() => {
-  writeFileSync(COMPILED, script.createCachedData());
-});
+for (const role of ROLES) {
+  rmSync(compiledOf(role), { force: true });
+  const { script } = load(role);
+  // What was never run is compiled when it is first called: so the code is kept once its modules were loaded.
+  writeFileSync(compiledOf(role), script.createCachedData());
+}
--- a/scripts/bundle/start.cjs
+++ b/scripts/bundle/start.cjs
@@ -1,17 +1,20 @@
-// Starts the bundled program. Compiling its sources is a good part of a start, and all processes start at once after a loss
-// of power: so the build leaves compiled code beside them, which V8 takes when its version and flags are the same.
+// Starts the bundled program of the role that the first argument names. Compiling its sources is a good part of a start, and
+// all processes start at once after a loss of power: so the build leaves compiled code beside them, which V8 takes when its
+// version and flags are the same.
 const { existsSync, readFileSync } = require('node:fs');
 const { join } = require('node:path');
 const { Script } = require('node:vm');
 
-const PROGRAM = join(__dirname, 'program.cjs');
-const COMPILED = join(__dirname, 'program.compiled');
+const ROLES = ['entry', 'control', 'agent'];
 
-/** The program's exports, and the script that they come from. */
-function load() {
-  const source = readFileSync(PROGRAM, 'utf8');
-  const cachedData = existsSync(COMPILED) ? readFileSync(COMPILED) : undefined;
-  const script = new Script(source, { filename: PROGRAM, cachedData });
+const compiledOf = (role) => join(__dirname, `${role}.compiled`);
+
+/** The exports of a role's program, and the script that they come from. */
+function load(role) {
+  const filename = join(__dirname, `${role}.cjs`);
+  const compiled = compiledOf(role);
+  const cachedData = existsSync(compiled) ? readFileSync(compiled) : undefined;
+  const script = new Script(readFileSync(filename, 'utf8'), { filename, cachedData });
   if (script.cachedDataRejected === true)
     process.stderr.write(
       'jasminerouted: the compiled code does not fit this runtime, it starts more slowly\n',
@@ -22,7 +25,12 @@
 }
 
 if (require.main === module) {
-  load()
+  const [, , role] = process.argv;
+  if (!ROLES.includes(role)) {
+    process.stderr.write(`jasminerouted: the role is one of ${ROLES.join(', ')}, not "${role}"\n`);
+    process.exit(2);
+  }
+  load(role)
     .program.start()
     .catch((error) => {
       process.stderr.write(`jasminerouted: ${error?.stack ?? String(error)}\n`);
@@ -30,4 +38,4 @@
     });
 }
 
-module.exports = { COMPILED, load };
+module.exports = { ROLES, compiledOf, load };
