Import zod as a namespace, so that a bundle holds what is used of it

`import { z }` takes the library as one object: all of it, with the messages of 50 languages, was in each program (614 KB) and was run at each start.

--- a/packages/agent/src/setting/setting.ts
+++ b/packages/agent/src/setting/setting.ts
@@ -1,6 +1,6 @@
 /** Settings of the agent role. */
 import { engineAdapters } from '@jasmineroute/engine';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MINUTE_MS = 60_000;
 
--- a/packages/bench/src/chaos/plainSend.ts
+++ b/packages/bench/src/chaos/plainSend.ts
@@ -3,7 +3,7 @@
 import { customerKey } from '../deployment/index.js';
 import { parseAnswer } from '../load/index.js';
 import type { RequestRecord, SendOptions } from '../load/index.js';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PlannedCall } from './plan.js';
 
 const echo = z.object({ method: z.string(), path: z.string(), body: z.string() });
--- a/packages/bench/src/chaos/settings.ts
+++ b/packages/bench/src/chaos/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a chaos run. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Kinds of things that go wrong. */
 export const troubleNames = [
--- a/packages/bench/src/engine/executions.ts
+++ b/packages/bench/src/engine/executions.ts
@@ -1,6 +1,6 @@
 /** Counts of executions, by which a checker proves that nothing ran twice. A file keeps them over a crash. */
 import { appendFileSync, existsSync, readFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const line = z.object({ id: z.string(), nonce: z.string(), at: z.number() });
 
--- a/packages/bench/src/engine/inventory.ts
+++ b/packages/bench/src/engine/inventory.ts
@@ -1,7 +1,7 @@
 /** Models and adapters in the stand-in's memory, and the orders that change them. */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { EngineSettings, Tuning } from './settings.js';
 
 /** A version of weights by name. */
--- a/packages/bench/src/engine/kvExport.ts
+++ b/packages/bench/src/engine/kvExport.ts
@@ -1,5 +1,5 @@
 /** The form in which engines and stores hand blocks of KV cache to each other. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Block } from './cache.js';
 import { BLOCK_TOKENS } from './prompt.js';
 
--- a/packages/bench/src/engine/prompt.ts
+++ b/packages/bench/src/engine/prompt.ts
@@ -1,5 +1,5 @@
 /** From a request body to the prompt that the engine runs. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Bytes of one token, as docs/engine-protocol.md states. */
 export const BYTES_PER_TOKEN = 4;
--- a/packages/bench/src/engine/server.ts
+++ b/packages/bench/src/engine/server.ts
@@ -2,7 +2,7 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
 import type { Context } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 import { systemClock } from '@jasmineroute/core';
 import { listenHttp } from '../ready/index.js';
 import type { Listening, NodeEnvironment } from '../ready/index.js';
--- a/packages/bench/src/engine/settings.ts
+++ b/packages/bench/src/engine/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the engine stand-in. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const flag = z.enum(['true', 'false']).transform((text) => text === 'true');
 
--- a/packages/bench/src/experiment/result.ts
+++ b/packages/bench/src/experiment/result.ts
@@ -1,5 +1,5 @@
 /** Schema of saved results. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { requestRecord } from '../load/index.js';
 
 const quantiles = z.object({
--- a/packages/bench/src/experiment/run.ts
+++ b/packages/bench/src/experiment/run.ts
@@ -1,7 +1,7 @@
 /** One run of one row: a fresh cluster, the load, the fault, the figures. */
 import { loadavg } from 'node:os';
 import { Cluster } from '@jasmineroute/testkit';
-import { z } from 'zod';
+import * as z from 'zod';
 import { controlsOf, entriesOf, modelDocument, modelTargets, shapes } from '../deployment/index.js';
 import type { Shape, ShapeName } from '../deployment/index.js';
 import { freshFolder } from '../folder/index.js';
--- a/packages/bench/src/experiment/settings.ts
+++ b/packages/bench/src/experiment/settings.ts
@@ -1,6 +1,6 @@
 /** Settings of an experiment. */
 import { policies } from '@jasmineroute/routing';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const list = (allowed: readonly string[], fallback: readonly string[]) =>
   z
--- a/packages/bench/src/latency/settings.ts
+++ b/packages/bench/src/latency/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the measurement of the router's own cost. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** One field for each flag. */
 export const latencySettings = z.object({
--- a/packages/bench/src/load/reader.ts
+++ b/packages/bench/src/load/reader.ts
@@ -1,6 +1,6 @@
 /** Reads a streaming answer event by event. */
 import { createParser } from 'eventsource-parser';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const chunk = z.looseObject({
   choices: z
--- a/packages/bench/src/load/record.ts
+++ b/packages/bench/src/load/record.ts
@@ -1,5 +1,5 @@
 /** What became of one request, as its caller saw it. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /**
  * complete: whole, in order, its own. refused: an error answer. failed: an explicit error inside the stream.
--- a/packages/bench/src/load/settings.ts
+++ b/packages/bench/src/load/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a load run against entries, or against one engine, that run already. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const numbers = z
   .string()
--- a/packages/bench/src/plain/server.ts
+++ b/packages/bench/src/plain/server.ts
@@ -2,7 +2,7 @@
 import { randomBytes } from 'node:crypto';
 import { systemClock } from '@jasmineroute/core';
 import { Hono } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ExecutionLedger } from '../engine/index.js';
 import { listenHttp } from '../ready/index.js';
 import type { Listening, NodeEnvironment } from '../ready/index.js';
--- a/packages/bench/src/plain/settings.ts
+++ b/packages/bench/src/plain/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the plain service stand-in. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** One field for each flag. */
 export const plainSettings = z.object({
--- a/packages/bench/src/standInCommands.ts
+++ b/packages/bench/src/standInCommands.ts
@@ -1,6 +1,6 @@
 /** Commands that run a stand-in until it is told to stop. */
 import type { Command } from 'commander';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { addOptions, EXIT_USAGE, readSettings } from '@jasmineroute/core';
 import type { SettingsSchema } from '@jasmineroute/core';
 import { engineSettings, startEngine } from './engine/index.js';
--- a/packages/bench/src/store/settings.ts
+++ b/packages/bench/src/store/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the store stand-in: weights at a limited rate, and kept KV cache. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** One field for each flag. */
 export const storeSettings = z.object({
--- a/packages/configuration/src/schema/schema.ts
+++ b/packages/configuration/src/schema/schema.ts
@@ -1,5 +1,5 @@
 /** What a numbered configuration holds: routes, services, customers and limits, replaced as a whole. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Largest number that arithmetic keeps exact. */
 const wholeNumber = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
--- a/packages/control/src/follow/follow.spec.ts
+++ b/packages/control/src/follow/follow.spec.ts
@@ -4,7 +4,7 @@
 import type { Log } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { z } from 'zod';
+import * as z from 'zod';
 import { Cluster, until } from '../fixture/index.js';
 import type { Node } from '../fixture/index.js';
 
--- a/packages/control/src/setting/controlSettings.ts
+++ b/packages/control/src/setting/controlSettings.ts
@@ -1,5 +1,5 @@
 /** Settings of the control role. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ReplicaAddress } from '../log/index.js';
 
 const REPLICA = /^([a-z0-9][a-z0-9._-]*)=([^\s=,]+:\d+)$/;
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -1,7 +1,7 @@
 /** Options of a replicated log. */
 import type { Transport } from '@connectrpc/connect';
 import type { Clock, Log, Metrics } from '@jasmineroute/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Disk } from '../storage/index.js';
 import type { StateMachine } from './stateMachine.js';
 
--- a/packages/coordination/src/membership/settings.ts
+++ b/packages/coordination/src/membership/settings.ts
@@ -1,5 +1,5 @@
 /** Thresholds of the failure detector. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const milliseconds = (value: number, description: string) =>
   z.coerce.number().int().positive().default(value).describe(description);
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -4,7 +4,7 @@
 import type { Fault } from '@jasmineroute/core';
 import { errAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Entry } from '../gen/agreement/agreement_pb.js';
 import type { Disk, Release } from './disk.js';
 import { Journal } from './journal.js';
--- a/packages/core/src/setting/setting.spec.ts
+++ b/packages/core/src/setting/setting.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { z } from 'zod';
+import * as z from 'zod';
 import { readSettings, settingsOf } from './setting.js';
 
 const schema = z.object({
--- a/packages/core/src/setting/setting.ts
+++ b/packages/core/src/setting/setting.ts
@@ -2,7 +2,7 @@
 import { Command, Option } from 'commander';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 /** Prefix of the environment variables. */
 export const ENVIRONMENT_PREFIX = 'JASMINEROUTE_';
--- a/packages/ctl/src/command/context.ts
+++ b/packages/ctl/src/command/context.ts
@@ -1,6 +1,6 @@
 /** What every command is made of, and what it runs with. */
 import type { Clock, Fault, SettingsSchema } from '@jasmineroute/core';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import type { DocumentControls, Vouched } from '../control/index.js';
 import { exitCodeOf } from '../exit/index.js';
 import type { ExitCode } from '../exit/index.js';
--- a/packages/ctl/src/command/version.ts
+++ b/packages/ctl/src/command/version.ts
@@ -1,6 +1,6 @@
 /** The version of the tool. */
 import { readFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const manifest = z.object({ version: z.string() });
 
--- a/packages/ctl/src/setting/setting.ts
+++ b/packages/ctl/src/setting/setting.ts
@@ -1,6 +1,6 @@
 /** Settings of the commands: each a flag and an environment variable. */
 import { duration } from '@jasmineroute/document';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** For every command. */
 export const outputSettings = z.object({
--- a/packages/daemon/src/role/role.ts
+++ b/packages/daemon/src/role/role.ts
@@ -3,7 +3,7 @@
 import type { Fault, SettingsSchema } from '@jasmineroute/core';
 import type { RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import type { Result } from 'neverthrow';
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 /** A role process, with the caller-facing HTTP address where it has one. */
 export interface RunningRole extends RoleProcess {
--- a/packages/daemon/src/setting/setting.ts
+++ b/packages/daemon/src/setting/setting.ts
@@ -1,5 +1,5 @@
 /** Settings that every role has. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const optionalText = z.string().min(1).optional();
 
--- a/packages/document/src/parse/issue.ts
+++ b/packages/document/src/parse/issue.ts
@@ -1,5 +1,5 @@
 /** Turns what the schema says into faults that name one field each. */
-import type { z } from 'zod';
+import type * as z from 'zod';
 import type { Path, PathFault } from './problem.js';
 import { isRecord } from '../raw/index.js';
 
--- a/packages/document/src/parse/parse.ts
+++ b/packages/document/src/parse/parse.ts
@@ -1,7 +1,7 @@
 /** Reads and checks one document. */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { documentKinds, documentSchema } from '../schema/index.js';
 import type { Document, DocumentKind } from '../schema/index.js';
 import { crossFieldFaults } from './crossField.js';
--- a/packages/document/src/reference/field.ts
+++ b/packages/document/src/reference/field.ts
@@ -1,5 +1,5 @@
 /** Lists the fields of a schema, as its JSON schema gives them. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The parts of a JSON schema that the reference shows. */
 interface JsonSchema {
--- a/packages/document/src/schema/primitive.ts
+++ b/packages/document/src/schema/primitive.ts
@@ -1,5 +1,5 @@
 /** Scalars that the parts of a document share. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { patternFault } from '../pattern/index.js';
 
 /** Names of services, teams, customers, operators, priorities and adapters. */
--- a/packages/document/src/schema/schema.ts
+++ b/packages/document/src/schema/schema.ts
@@ -1,5 +1,5 @@
 /** The one schema of service documents. Types and the reference pages are taken from it. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { address, host, name, pathPattern } from './primitive.js';
 import { customer, nonIdempotentRule, owner, shared } from './shared.js';
 
--- a/packages/document/src/schema/shared.ts
+++ b/packages/document/src/schema/shared.ts
@@ -1,5 +1,5 @@
 /** The parts that documents of model services and of plain services share. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { duration, keyHash, name, pathPattern } from './primitive.js';
 
 const KIB = 1_024;
--- a/packages/engine/src/http/calls.ts
+++ b/packages/engine/src/http/calls.ts
@@ -3,7 +3,7 @@
 import type { Clock, Fault } from '@jasmineroute/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { exchange, readWhole } from '../wire/index.js';
 import type { Connections, WireAnswer } from '../wire/index.js';
 
--- a/packages/engine/src/http/schema.ts
+++ b/packages/engine/src/http/schema.ts
@@ -1,5 +1,5 @@
 /** Messages of docs/engine-protocol.md, as far as the adapter reads them. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { CacheEvent } from '../port/index.js';
 
 const named = z.object({ name: z.string(), version: z.string() });
--- a/packages/engine/src/prompt/prompt.ts
+++ b/packages/engine/src/prompt/prompt.ts
@@ -3,7 +3,7 @@
 import type { Fault } from '@jasmineroute/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { chatBody, completionBody } from './schema.js';
 import type { ChatBody, ChatMessage, CompletionBody } from './schema.js';
 
--- a/packages/engine/src/prompt/schema.ts
+++ b/packages/engine/src/prompt/schema.ts
@@ -1,5 +1,5 @@
 /** The part of OpenAI-compatible bodies that routing needs. Everything else passes unread. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const modelName = z.string().min(1).max(256);
 const tokenCount = z.number().int().nonnegative().nullish();
--- a/packages/entry/src/answer/continuation.ts
+++ b/packages/entry/src/answer/continuation.ts
@@ -1,5 +1,5 @@
 /** The request that continues a broken answer on another target. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Call } from '../call/index.js';
 import type { Progress } from './progress.js';
 
--- a/packages/entry/src/answer/progress.ts
+++ b/packages/entry/src/answer/progress.ts
@@ -1,6 +1,6 @@
 /** How far a streamed answer has come, read from the bytes that the caller has. */
 import { createParser } from 'eventsource-parser';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Data of the event that ends an answer. */
 export const DONE = '[DONE]';
--- a/packages/proof/src/document/document.spec.ts
+++ b/packages/proof/src/document/document.spec.ts
@@ -1,7 +1,7 @@
 import { mkdir, rm, writeFile } from 'node:fs/promises';
 import { waitFor } from '@jasmineroute/testkit';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { z } from 'zod';
+import * as z from 'zod';
 import { OPERATOR_KEY, Scene, applyMany, modelDocument } from '../fixture/index.js';
 
 /** Bound on finding out that one is cut off. */
--- a/packages/proof/src/example/example.spec.ts
+++ b/packages/proof/src/example/example.spec.ts
@@ -5,7 +5,7 @@
 import { checkTls, readTls } from '@jasmineroute/protocol';
 import { programs } from '@jasmineroute/testkit';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { z } from 'zod';
+import * as z from 'zod';
 import { Scene } from '../fixture/index.js';
 import {
   ROOT,
--- a/packages/proof/src/membership/membership.spec.ts
+++ b/packages/proof/src/membership/membership.spec.ts
@@ -1,6 +1,6 @@
 import { waitFor } from '@jasmineroute/testkit';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { z } from 'zod';
+import * as z from 'zod';
 import { Scene, ask } from '../fixture/index.js';
 
 /** Detection is meant to take under 3 s; `jasminectl` itself needs up to a second on a busy machine. */
--- a/packages/proof/src/rollout/rollout.spec.ts
+++ b/packages/proof/src/rollout/rollout.spec.ts
@@ -1,6 +1,6 @@
 import { waitFor } from '@jasmineroute/testkit';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { z } from 'zod';
+import * as z from 'zod';
 import { OPERATOR_KEY, Scene, ask, modelDocument } from '../fixture/index.js';
 import type { Answer } from '../fixture/index.js';
 
--- a/packages/proof/src/storage/lines.ts
+++ b/packages/proof/src/storage/lines.ts
@@ -1,6 +1,6 @@
 /** What a process logged since a moment. */
 import { readFile } from 'node:fs/promises';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Level of errors in a log line. */
 const ERROR_LEVEL = 50;
--- a/packages/proof/src/storage/storage.spec.ts
+++ b/packages/proof/src/storage/storage.spec.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path';
 import { ManagedProcess, waitFor } from '@jasmineroute/testkit';
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest';
-import { z } from 'zod';
+import * as z from 'zod';
 import { OPERATOR_KEY, Scene, applyMany, modelDocument, plainDocument } from '../fixture/index.js';
 import { LogMark, beginRecord, cutTail, flipBit } from './index.js';
 
--- a/packages/relay/src/setting/setting.ts
+++ b/packages/relay/src/setting/setting.ts
@@ -1,5 +1,5 @@
 /** Settings of the relaying entry. Durations in milliseconds, sizes in bytes. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const count = (least: number, most: number) => z.coerce.number().int().min(least).max(most);
 
--- a/packages/testkit/src/cluster/cluster.ts
+++ b/packages/testkit/src/cluster/cluster.ts
@@ -1,7 +1,7 @@
 /** A whole system on loopback as real processes: started, driven, broken and stopped. */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { z } from 'zod';
+import * as z from 'zod';
 import { waitFor } from '../wait/index.js';
 import { MemberBuilder } from './build.js';
 import { runCtl } from './ctl.js';
--- a/packages/testkit/src/process/managedProcess.ts
+++ b/packages/testkit/src/process/managedProcess.ts
@@ -5,7 +5,7 @@
 import { dirname } from 'node:path';
 import { createInterface } from 'node:readline';
 import { systemClock } from '@jasmineroute/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The line that a process prints on standard output once it listens. */
 const readyLine = z.looseObject({
