Bundle the part of undici that is used

The index of undici loads and runs the fetch API, web sockets, caches and mocks (762 KB of source); the programs use its pool and its connector. The bundle takes these two modules.

--- a/scripts/bundle/options.mjs
+++ b/scripts/bundle/options.mjs
@@ -6,6 +6,14 @@
 
 const root = resolve(import.meta.dirname, '../..');
 
+/** Of undici only what is used: its index runs all of it, the fetch API, web sockets and caches included. */
+const usedOfUndici = {
+  name: 'used-of-undici',
+  setup: ({ onResolve }) => {
+    onResolve({ filter: /^undici$/ }, () => ({ path: resolve(import.meta.dirname, 'undici.cjs') }));
+  },
+};
+
 /** Options of esbuild, without the place where the result goes. */
 export const bundleOptions = {
   absWorkingDir: root,
@@ -24,6 +32,7 @@
   external: ['sdk-trace-node', 'sdk-trace-base', 'exporter-trace-otlp-http', 'resources'].map(
     (name) => `@opentelemetry/${name}`,
   ),
+  plugins: [usedOfUndici],
   legalComments: 'none',
   banner: { js: '(function (exports, require, module) {' },
   footer: { js: '})' },
--- /dev/null
+++ b/scripts/bundle/undici.cjs
@@ -0,0 +1,3 @@
+// What the programs use of undici.
+exports.Pool = require('undici/lib/dispatcher/pool.js');
+exports.buildConnector = require('undici/lib/core/connect.js');
