Start without flags of V8

The runtime takes its own modules as they were compiled ahead only under the flags of that build.

The flag for WebAssembly is set by the program once its modules are loaded.

--- a/packages/daemon/src/command.ts
+++ b/packages/daemon/src/command.ts
@@ -2,7 +2,7 @@
 import { EXIT_USAGE, addOptions, readSettings, settingsOf } from '@jasmineroute/core';
 import type { SettingsSchema } from '@jasmineroute/core';
 import { Command } from 'commander';
-import { openTls, prepareRuntime, run } from './life/index.js';
+import { openTls, run } from './life/index.js';
 import { roles } from './role/index.js';
 import { daemonSettings } from './setting/index.js';
 
@@ -45,7 +45,6 @@
 
 /** Parses the command line and runs the process. */
 export async function main(argv: readonly string[], environment: NodeJS.ProcessEnv): Promise<void> {
-  prepareRuntime();
   const named = roleNamed(argv, environment);
   const load = named === undefined ? undefined : roles.find(named);
   const role = await load?.();
--- a/packages/daemon/src/life/index.ts
+++ b/packages/daemon/src/life/index.ts
@@ -1,4 +1,3 @@
 export * from './incarnation.js';
 export * from './life.js';
-export * from './runtime.js';
 export * from './tls.js';
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -18,6 +18,7 @@
 import type { DaemonSettings } from '../setting/index.js';
 import { drawIncarnation } from './incarnation.js';
 import { ownMemory, watchMemory } from './memoryWatch.js';
+import { prepareRuntime } from './runtime.js';
 
 /** Exit code of a process that could not start or broke. */
 export const EXIT_FAULT = 1;
@@ -191,6 +192,7 @@
 
 /** Runs a process until a signal ends it. Prints one JSON line on standard output once it serves. */
 export async function run(plan: Plan): Promise<void> {
+  prepareRuntime();
   const { role, name, dataCentre, logLevel, logStream } = plan.daemon;
   const log = createLog(logLevel, { role, name, dataCentre }, logStream);
   logBreaks(log);
