--- a/packages/coordination/src/agreement/restart.spec.ts
+++ b/packages/coordination/src/agreement/restart.spec.ts
@@ -5,7 +5,7 @@
 import { MemoryCluster } from '../testing/index.js';
 
 /** How slowly machines answer after a start, and in what time a quorum must confirm a leader; both milliseconds. */
-const BURDENS = [
+const SLOWNESS = [
   { maxDelayMs: 100, withinMs: 1_000 },
   { maxDelayMs: 240, withinMs: 4_000 },
   { maxDelayMs: 400, withinMs: 8_000 },
@@ -23,15 +23,15 @@
 const SEEDS = Array.from({ length: 20 }, (_, at) => at + 1);
 
 /** Whether a leader is confirmed in time after a restart of all, and stays. */
-async function agree(seed: number, count: number, burden: (typeof BURDENS)[number]): Promise<boolean> {
+async function agree(seed: number, count: number, slowness: (typeof SLOWNESS)[number]): Promise<boolean> {
   const cluster = new MemoryCluster(seed, ['a', 'b', 'c', 'd', 'e', 'f'].slice(0, count));
   await cluster.startAll();
   expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
   for (const node of cluster.nodes) cluster.crash(node);
   await cluster.clock.advance(DARK_MS);
-  cluster.network.maxDelayMs = burden.maxDelayMs;
+  cluster.network.maxDelayMs = slowness.maxDelayMs;
   for (const node of cluster.nodes) await cluster.start(node);
-  const isConfirmed = await cluster.until(() => cluster.leader() !== undefined, burden.withinMs);
+  const isConfirmed = await cluster.until(() => cluster.leader() !== undefined, slowness.withinMs);
   const leader = cluster.leader();
   const isUnseated = await cluster.until(() => cluster.leader() !== leader, STABLE_MS);
   for (const node of cluster.nodes) cluster.crash(node);
@@ -39,11 +39,11 @@
   return isConfirmed && !isUnseated;
 }
 
-describe.each(BURDENS)('replicas that all start again at once, messages take $maxDelayMs ms', (burden) => {
+describe.each(SLOWNESS)('replicas that all start again at once, messages take $maxDelayMs ms', (slowness) => {
   // Guards against candidates that unseat each other round after round, so that no quorum confirms anything.
   test.each([3, 5, 6])('agree in time on a leader that stays, %i of them', async (count) => {
     const failed: number[] = [];
-    for (const seed of SEEDS) if (!(await agree(seed, count, burden))) failed.push(seed);
+    for (const seed of SEEDS) if (!(await agree(seed, count, slowness))) failed.push(seed);
     expect(failed).toEqual([]);
   });
 });
