--- a/packages/control/src/follow/enlisting.spec.ts
+++ b/packages/control/src/follow/enlisting.spec.ts
@@ -83,10 +83,8 @@
     expect(peers.asked[2]).toBe(LEADS);
   });
 
+  // Guards against thousands of lines that say the same while there is no quorum.
   it('logs an answer when it differs from the last one', async () => {
-    // Symptom: thousands of lines that say the same, at the time when a log is read: nobody is served.
-    // Sequence: there is no quorum; each instance asks all others twice a second, for as long as that lasts.
-    // Cause: each question was logged, whatever came of it.
     const { peers, lines, round, end } = asking();
     peers.leaders.set(ANSWERS, '');
     for (let rounds = 0; rounds < 5; rounds += 1) await round(2);
--- a/packages/control/src/follow/follow.spec.ts
+++ b/packages/control/src/follow/follow.spec.ts
@@ -147,10 +147,8 @@
     },
   );
 
+  // Guards against requests to a target that drains, where the process follows another instance than the target called.
   it('hear of a target that called another instance, its pause, and that nobody hears that instance any more', async () => {
-    // Symptom: requests go to a target that drains or whose weights are replaced, or to none that called one instance only.
-    // Sequence: a process follows one instance; a target calls another one; that one is lost.
-    // Cause: a process knew only what the instances that it follows were told themselves.
     const [first, second, third] = cluster.nodes;
     if (first === undefined || second === undefined || third === undefined) throw new Error('no instances');
     const heard = new Map<string, string>();
@@ -187,10 +185,8 @@
     expect(sources).toEqual([second.address]);
   });
 
+  // Guards against an operator who reads an older configuration from an instance that is cut off.
   it('read the newest configuration, or nothing without a quorum', async () => {
-    // Symptom: an operator reads an older configuration than the one that was accepted.
-    // Sequence: an instance is cut off; a newer configuration is accepted by the others; it is asked.
-    // Cause: an answer from the instance's own memory.
     const [first, second, third] = cluster.nodes;
     if (first === undefined || second === undefined || third === undefined) throw new Error('no instances');
     await first.control.configurations.put(configuration(1), source(1));
@@ -213,10 +209,8 @@
     await until(async () => (await added.control.configurations.read())._unsafeUnwrap()?.number === 8);
   });
 
+  // Guards against an instance that was dropped while it was cut off, and never votes again.
   it('lose their vote while they are cut off and others come, and ask for it again', async () => {
-    // Symptom: an instance that was out of reach for some seconds never votes again, and says nothing of it.
-    // Sequence: it is cut off; two others come in its place; the cut heals.
-    // Cause: an instance takes itself for a voter until it is told otherwise, and nobody calls one that was dropped.
     const [first, second, cut] = cluster.nodes;
     if (first === undefined || second === undefined || cut === undefined) throw new Error('no instances');
     cluster.isolate(cut);
@@ -230,10 +224,8 @@
     await until(() => voters.includes(cut.name) && cluster.isVouched(cut));
   });
 
+  // Guards against a process that ends at its start on a machine without a disk, again and again.
   it('stand beside an instance without a disk, which is not ready and refuses truly', async () => {
-    // Symptom: a process ends at its start, is started again, and ends again.
-    // Sequence: the platform starts control on a machine without a disk.
-    // Cause: the role took its data folder for granted.
     const added = await cluster.add('c4', { dataFolder: undefined });
     await until(() => cluster.nodes.filter((node) => cluster.isVouched(node)).length === 3);
     expect(added.control.readiness().ready).toBe(false);
