Say when the event loop of a process stood still

Each process watches its event loop now: 7009 with the length, and the timing process.stall. No decision uses it yet.

--- a/packages/agent/src/role/agent.spec.ts
+++ b/packages/agent/src/role/agent.spec.ts
@@ -1,5 +1,5 @@
 import { createClient } from '@connectrpc/connect';
-import { silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
+import { StallWatch, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
 import { Peers, controlMessage, gateMessage, listen } from '@jasmineroute/protocol';
 import type { RoleContext, RoleProcess, RpcServer } from '@jasmineroute/protocol';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -65,6 +65,7 @@
     dataCentre: 'here',
     controls,
     clock: systemClock,
+    stalls: new StallWatch(systemClock),
     log: silentLog,
     metrics: silentMetrics,
     peers,
--- a/packages/control/src/role/control.spec.ts
+++ b/packages/control/src/role/control.spec.ts
@@ -1,6 +1,6 @@
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import { createClient } from '@connectrpc/connect';
-import { silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
+import { StallWatch, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
 import { faultOf } from '@jasmineroute/directory';
 import { parseDocument } from '@jasmineroute/document';
 import { Peers, controlMessage, listen } from '@jasmineroute/protocol';
@@ -29,6 +29,7 @@
       dataCentre: 'here',
       controls: [],
       clock: systemClock,
+      stalls: new StallWatch(systemClock),
       log: silentLog,
       metrics: silentMetrics,
       peers,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,4 +6,5 @@
 export * from './metric/index.js';
 export * from './registry/index.js';
 export * from './setting/index.js';
+export * from './stall/index.js';
 export * from './trace/index.js';
--- /dev/null
+++ b/packages/core/src/stall/index.ts
@@ -0,0 +1,1 @@
+export * from './stallWatch.js';
--- /dev/null
+++ b/packages/core/src/stall/stallWatch.spec.ts
@@ -0,0 +1,84 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { ManualClock } from '../clock/index.js';
+import { StallWatch } from './stallWatch.js';
+import type { Stall } from './stallWatch.js';
+
+/** A clock whose time moves without its timers, as it does for a process that stands still. */
+class StallingClock extends ManualClock {
+  private skippedMs = 0;
+  private jumpedMs = 0;
+
+  override monotonic(): number {
+    return super.monotonic() + this.skippedMs;
+  }
+
+  override now(): Date {
+    return new Date(super.now().getTime() + this.skippedMs + this.jumpedMs);
+  }
+
+  standStill(ms: number): void {
+    this.skippedMs += ms;
+  }
+
+  /** The machine is suspended, and its monotonic clock with it. */
+  suspend(ms: number): void {
+    this.jumpedMs += ms;
+  }
+}
+
+describe('a watch over the event loop', () => {
+  let clock: StallingClock;
+  let stalls: Stall[];
+  let watch: StallWatch;
+
+  beforeEach(() => {
+    clock = new StallingClock();
+    stalls = [];
+    watch = new StallWatch(clock, (stall) => stalls.push(stall));
+    watch.start();
+  });
+
+  afterEach(() => {
+    watch.stop();
+  });
+
+  it('sees nothing while its looks come in time', async () => {
+    await clock.advance(1_000);
+    expect(watch.isBehind()).toBe(false);
+    expect(watch.readSince()).toBe(1_000);
+    expect(stalls).toEqual([]);
+  });
+
+  it('knows of a stall before its next look, and since when it may be', async () => {
+    await clock.advance(500);
+    clock.standStill(2_000);
+    expect(watch.isBehind()).toBe(true);
+    expect(watch.readSince()).toBe(500);
+    expect(stalls).toEqual([{ from: 500, ms: 1_950 }]);
+  });
+
+  it('is caught up some turns later', async () => {
+    clock.standStill(2_000);
+    await watch.caughtUp();
+    expect(watch.isBehind()).toBe(false);
+    expect(watch.readSince()).toBe(2_000);
+  });
+
+  it('sees a stall in which the monotonic clock stood still too', async () => {
+    await clock.advance(500);
+    clock.suspend(3_000);
+    expect(watch.isBehind()).toBe(true);
+    expect(watch.readSince()).toBe(500);
+    await watch.caughtUp();
+    expect(stalls).toHaveLength(1);
+  });
+
+  it('reports each stall once', async () => {
+    clock.standStill(400);
+    watch.isBehind();
+    await clock.advance(200);
+    clock.standStill(400);
+    await clock.advance(200);
+    expect(stalls).toHaveLength(2);
+  });
+});
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -9,5 +9,10 @@
   startFailed: { id: 7005, level: 'error', message: 'start failed' },
   uncaught: { id: 7006, level: 'error', message: 'uncaught exception; the process ends' },
   unhandledRejection: { id: 7007, level: 'error', message: 'unhandled rejection' },
+  stalled: {
+    id: 7009,
+    level: 'warn',
+    message: 'the event loop stood still, or the wall clock jumped by so much',
+  },
   memoryGrew: { id: 7008, level: 'info', message: 'the memory of the process has a new peak' },
 });
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -1,5 +1,6 @@
 /** A process from checked settings to its end. */
 import {
+  StallWatch,
   createLog,
   createMetrics,
   createTextMetrics,
@@ -82,11 +83,21 @@
   return startTracing(settings.otlpUrl, `jasmineroute-${settings.role}`, settings.name);
 }
 
+function watchStalls(log: Log, metrics: Metrics): StallWatch {
+  const stalls = new StallWatch(systemClock, ({ ms }) => {
+    log.event(daemonEvents.stalled, { ms: Math.round(ms) });
+    metrics.timing(daemonMetrics.stall, ms);
+  });
+  stalls.start();
+  return stalls;
+}
+
 async function assemble(plan: Plan, log: Log, stop: (reason: string) => void): Promise<Parts> {
   const settings = plan.daemon;
   const endTraces = await endTracesOf(settings);
   const { metrics, server } = await measuringOf(settings);
   const peers = new Peers(plan.tls, settings.sourceAddress);
+  const stalls = watchStalls(log, metrics);
   const context: RoleContext = {
     name: settings.name,
     incarnation: drawIncarnation(systemClock),
@@ -94,6 +105,7 @@
     dataFolder: settings.dataFolder,
     controls: settings.controls,
     clock: systemClock,
+    stalls,
     log,
     metrics,
     peers,
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -18,6 +18,11 @@
     help: 'Heap that the runtime has reserved, bytes',
   },
   external: { name: 'process.memory.external', type: 'gauge', help: 'Buffers outside the heap, bytes' },
+  stall: {
+    name: 'process.stall',
+    type: 'timing',
+    help: 'Time for which the event loop stood still, milliseconds',
+  },
   compilersPeak: {
     name: 'process.memory.compilers.peak',
     type: 'gauge',
--- a/packages/entry/src/testing/world.ts
+++ b/packages/entry/src/testing/world.ts
@@ -2,7 +2,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { create } from '@bufbuild/protobuf';
-import { fault, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
+import { StallWatch, fault, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import { documentSchema, hashKey } from '@jasmineroute/document';
 import type { Document } from '@jasmineroute/document';
@@ -189,6 +189,7 @@
     dataCentre: 'dc1',
     controls: [],
     clock: systemClock,
+    stalls: new StallWatch(systemClock),
     log: silentLog,
     metrics: silentMetrics,
     peers,
--- a/packages/protocol/src/role/role.ts
+++ b/packages/protocol/src/role/role.ts
@@ -1,6 +1,6 @@
 /** What the daemon asks of a role, and what it gives it. */
 import type { ConnectRouter } from '@connectrpc/connect';
-import type { Clock, Log, Metrics } from '@jasmineroute/core';
+import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import type { Peers } from '../transport/index.js';
 
 /** What every role is made with. */
@@ -14,6 +14,7 @@
   /** Addresses of control instances, host:port. */
   readonly controls: readonly string[];
   readonly clock: Clock;
+  readonly stalls: StallWatch;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly peers: Peers;
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { create } from '@bufbuild/protobuf';
 import type { Configuration, Route } from '@jasmineroute/configuration';
-import { silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
+import { StallWatch, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
 import { Peers, controlMessage, listen, partKey } from '@jasmineroute/protocol';
 import type { RpcServer, StoredPart } from '@jasmineroute/protocol';
 import { reportTaker } from '@jasmineroute/testkit';
@@ -135,10 +135,12 @@
   readonly logged: number[] = [];
   private readonly teller = new Teller();
   private readonly peers = new Peers();
+  private readonly stalls = new StallWatch(systemClock);
   private readonly relay: Relay;
   private number = 0;
 
   private constructor(control: string) {
+    this.stalls.start();
     this.relay = new Relay(
       {
         name: 'e1',
@@ -146,6 +148,7 @@
         dataCentre: 'here',
         controls: [control],
         clock: systemClock,
+        stalls: this.stalls,
         log: { ...silentLog, event: ({ id }) => void this.logged.push(id) },
         metrics: silentMetrics,
         peers: this.peers,
@@ -237,6 +240,7 @@
   }
 
   async stop(): Promise<void> {
+    this.stalls.stop();
     await this.relay.close();
     this.peers.close();
     await Promise.all(this.targets.map((target) => target.close()));
