After a stall, send nothing on before it is known which callers have left

Cause: a process that stood still decides before it has read. The system hands over one connection in a turn of the event loop, its bytes in the next, its end in one more, and the runtime tells of the end two turns later; an entry sent in the turn in which it read the request, and the check for callers that left came too early by construction. The class: what was true before a wait and is not looked at again after it; a stop of the process is a wait that the code doesn't see. It held in a second place: a request that waits for a connection to its target is written in the turn in which that comes up. Change: an entry that stood still lets each request wait for the four turns in which its caller's end is told, before a target is chosen, and a request whose connection comes up after a stall once more before it is written. While connections come one in each turn the stall is not over. Without a stall nothing waits. Evidence: stall.spec.ts.

--- a/packages/core/src/stall/stallWatch.spec.ts
+++ b/packages/core/src/stall/stallWatch.spec.ts
@@ -26,6 +26,10 @@
   }
 }
 
+const turns = async (count: number): Promise<void> => {
+  for (let turn = 0; turn < count; turn += 1) await new Promise((resolve) => setImmediate(resolve));
+};
+
 describe('a watch over the event loop', () => {
   let clock: StallingClock;
   let stalls: Stall[];
@@ -44,7 +48,7 @@
 
   it('sees nothing while its looks come in time', async () => {
     await clock.advance(1_000);
-    expect(watch.isBehind()).toBe(false);
+    expect(watch.current()).toBeUndefined();
     expect(watch.readSince()).toBe(1_000);
     expect(stalls).toEqual([]);
   });
@@ -52,7 +56,7 @@
   it('knows of a stall before its next look, and since when it may be', async () => {
     await clock.advance(500);
     clock.standStill(2_000);
-    expect(watch.isBehind()).toBe(true);
+    expect(watch.current()).toBeDefined();
     expect(watch.readSince()).toBe(500);
     expect(stalls).toEqual([{ from: 500, ms: 1_950 }]);
   });
@@ -60,14 +64,27 @@
   it('is caught up some turns later', async () => {
     clock.standStill(2_000);
     await watch.caughtUp();
-    expect(watch.isBehind()).toBe(false);
+    await turns(2);
+    expect(watch.current()).toBeUndefined();
+    expect(watch.readSince()).toBe(2_000);
+  });
+
+  it('goes on reading while connections are taken', async () => {
+    clock.standStill(2_000);
+    expect(watch.current()).toBeDefined();
+    for (let taken = 0; taken < 50; taken += 1) {
+      watch.noteConnection();
+      await turns(1);
+    }
+    expect(watch.readSince()).toBe(0);
+    await turns(6);
     expect(watch.readSince()).toBe(2_000);
   });
 
   it('sees a stall in which the monotonic clock stood still too', async () => {
     await clock.advance(500);
     clock.suspend(3_000);
-    expect(watch.isBehind()).toBe(true);
+    expect(watch.current()).toBeDefined();
     expect(watch.readSince()).toBe(500);
     await watch.caughtUp();
     expect(stalls).toHaveLength(1);
@@ -75,7 +92,7 @@
 
   it('reports each stall once', async () => {
     clock.standStill(400);
-    watch.isBehind();
+    watch.current();
     await clock.advance(200);
     clock.standStill(400);
     await clock.advance(200);
--- a/packages/core/src/stall/stallWatch.ts
+++ b/packages/core/src/stall/stallWatch.ts
@@ -8,13 +8,13 @@
 const LEAST_STALL_MS = 100;
 
 /**
- * Turns of the event loop after which all that arrived in a stall is read. The system hands a connection over in one turn, its
- * bytes in the next and its end in one more; the runtime tells of an end two turns later.
+ * Turns of the event loop from the reading of a request to the moment at which it is known whether its sender has closed the
+ * connection meanwhile: the end is read one turn later, and the runtime tells of it in the two that follow.
  */
-const CATCH_UP_TURNS = 6;
+const CATCH_UP_TURNS = 4;
 
-/** Most turns of one catching up: where each turn takes as long as a stall, the process is slow and waiting helps nobody. */
-const MOST_TURNS = 18;
+/** Most turns until all connections are taken that wait: more than the system lets wait. */
+const MOST_TURNS = 1_024;
 
 /** A time in which a process did nothing. */
 export interface Stall {
@@ -37,8 +37,10 @@
   /** Wall-clock time of the last look: while a machine is suspended the monotonic clock may stand still. */
   private wallAt: number;
   private stall: Stall | undefined;
-  private turnsLeft = 0;
-  private catchingUp = Promise.resolve();
+  /** Where what is read now may have come since; kept while the stall lasts. */
+  private from = 0;
+  /** Turns in a row in which no connection was taken. */
+  private quietTurns = 0;
   private callOff = (): void => undefined;
 
   constructor(
@@ -61,42 +63,49 @@
     this.callOff();
   }
 
-  /** Whether the loop stood still and has not read yet all that came meanwhile. */
-  isBehind(): boolean {
+  /** The last stall, until all is read that came while it lasted. */
+  current(): Stall | undefined {
     this.look();
-    return this.stall !== undefined;
+    return this.stall;
   }
 
-  /** Resolves once all is read that came while the loop stood still; at once when it did not. */
+  /** After a stall, resolves once it is known which connections were closed of those that are read by now; else at once. */
   async caughtUp(): Promise<void> {
-    if (this.isBehind()) await this.catchingUp;
+    if (this.current() === undefined) return;
+    for (let turns = 0; turns < CATCH_UP_TURNS; turns += 1) await turn();
   }
 
   /** Monotonic time before which nothing came that is read now. */
   readSince(): number {
-    return this.isBehind() && this.stall !== undefined ? this.stall.from : this.clock.monotonic();
+    return this.current() === undefined ? this.clock.monotonic() : this.from;
+  }
+
+  /** A connection was taken. The system hands over one in each turn, so after a stall others may wait. */
+  noteConnection(): void {
+    this.quietTurns = 0;
   }
 
   private look(): void {
     const now = this.clock.monotonic();
     const wall = this.clock.now().getTime();
     const from = this.lookedAt;
-    const lateMs = Math.max(now - from, wall - this.wallAt) - LOOK_MS;
+    const ms = Math.max(now - from, wall - this.wallAt) - LOOK_MS;
     this.lookedAt = now;
     this.wallAt = wall;
-    if (lateMs < LEAST_STALL_MS) return;
-    const stall = { from, ms: lateMs };
-    this.onStall(stall);
-    this.turnsLeft = CATCH_UP_TURNS;
-    if (this.stall !== undefined) return;
-    this.stall = stall;
-    this.catchingUp = this.catchUp();
+    if (ms < LEAST_STALL_MS) return;
+    const isFirst = this.stall === undefined;
+    this.stall = { from, ms };
+    this.quietTurns = 0;
+    if (isFirst) {
+      this.from = from;
+      void this.readAll();
+    }
+    this.onStall(this.stall);
   }
 
-  /** A stall on the way begins the turns anew; what is read may still have come since the first one. */
-  private async catchUp(): Promise<void> {
-    for (let turns = 0; this.turnsLeft > 0 && turns < MOST_TURNS; turns += 1) {
-      this.turnsLeft -= 1;
+  private async readAll(): Promise<void> {
+    for (let turns = 0; this.quietTurns < CATCH_UP_TURNS && turns < MOST_TURNS; turns += 1) {
+      this.quietTurns += 1;
       await turn();
     }
     this.stall = undefined;
--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -1,6 +1,6 @@
 /** One request and its answer over undici, with backpressure, a bound on silence and no hidden resend. */
 import { fault } from '@jasmineroute/core';
-import type { Clock, Fault } from '@jasmineroute/core';
+import type { Clock, Fault, Stall, StallWatch } from '@jasmineroute/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
@@ -12,6 +12,9 @@
 const HIGH_WATER = 64 * 1024;
 const LOW_WATER = 16 * 1024;
 
+/** Keeps a request unwritten, and its connection open, while the process has not read all that came in a stall. */
+class HeldBackError extends Error {}
+
 /**
  * The state of one exchange. It is the handler that undici calls, and the body that the caller reads.
  * Aborting destroys the connection: an answer that comes late can then never be taken for the next one's.
@@ -29,6 +32,8 @@
   private stopTimer?: () => void;
   private headSeen = false;
   private sent = false;
+  /** The last stall after which it was looked whether the request is still wanted. */
+  private seenStall: Stall | undefined;
   readonly head: Promise<Result<WireAnswer, Fault>>;
   private settleHead: (result: Result<WireAnswer, Fault>) => void = () => undefined;
 
@@ -36,8 +41,11 @@
     private readonly request: WireRequest,
     private readonly clock: Clock,
     private readonly signal: AbortSignal,
+    private readonly dispatch: (handler: Exchange) => void,
+    private readonly stalls: StallWatch | undefined,
   ) {
     this.lastByte = clock.monotonic();
+    this.seenStall = stalls?.current();
     this.head = new Promise((resolve) => {
       this.settleHead = resolve;
     });
@@ -45,6 +53,15 @@
     if (request.headSilenceMs !== undefined) this.watchSilence(request.headSilenceMs);
   }
 
+  /** Gives the request to the pool. Whatever fails before its first byte leaves it unsent. */
+  start(): void {
+    try {
+      this.dispatch(this);
+    } catch (error) {
+      this.fail(error instanceof Error ? error : new Error(String(error)));
+    }
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     if (this.failed !== undefined) {
       controller.abort(this.failed);
@@ -55,6 +72,8 @@
       controller.abort(new Error('a second sending was stopped'));
       return;
     }
+    // What is thrown leaves the request unwritten and its connection open; an abort would close that.
+    if (this.isUnsure()) throw new HeldBackError('not all is read that came in a stall');
     this.sent = true;
     this.controller = controller;
   }
@@ -93,6 +112,10 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    if (error instanceof HeldBackError) {
+      void this.startCaughtUp();
+      return;
+    }
     this.failed ??= error;
     this.finish();
     this.settleHead(err(this.headFault(this.failed)));
@@ -127,6 +150,20 @@
     return Promise.resolve({ done: true, value: undefined });
   }
 
+  /** Whether the process stood still since the request was made, and may not have read yet that it is not wanted any more. */
+  private isUnsure(): boolean {
+    const stall = this.stalls?.current();
+    const isNew = stall !== undefined && stall !== this.seenStall;
+    this.seenStall = stall;
+    return isNew;
+  }
+
+  /** Starts again once the signal has had the time to tell that nobody waits for an answer any more. */
+  private async startCaughtUp(): Promise<void> {
+    await this.stalls?.caughtUp();
+    if (this.failed === undefined) this.start();
+  }
+
   private take(): Uint8Array | undefined {
     const [first] = this.queue;
     if (first === undefined) return undefined;
@@ -191,27 +228,27 @@
   };
 }
 
-/** Sends a request. The answer's body must be read to its end or abandoned. */
+/**
+ * Sends a request, where `stalls` is given not before all is read that came while the process stood still. The answer's body
+ * must be read to its end or abandoned.
+ */
 export async function exchange(
   pool: Dispatcher,
   request: WireRequest,
   clock: Clock,
   signal: AbortSignal,
+  stalls?: StallWatch,
 ): Promise<Result<WireAnswer, Fault>> {
   if (signal.aborted) return err(fault('cancelled', 'given up before it was sent'));
-  const handler = new Exchange(request, clock, signal);
-  try {
-    pool.dispatch(
-      {
-        method: request.method,
-        path: request.path,
-        headers: { ...request.headers },
-        body: request.body === undefined || request.body.length === 0 ? null : request.body,
-      },
-      handler,
-    );
-  } catch (error) {
-    handler.fail(error instanceof Error ? error : new Error(String(error)));
-  }
+  const { method, path, headers, body } = request;
+  const options = {
+    method,
+    path,
+    headers: { ...headers },
+    body: body === undefined || body.length === 0 ? null : body,
+  };
+  const dispatch = (handler: Exchange): void => void pool.dispatch(options, handler);
+  const handler = new Exchange(request, clock, signal, dispatch, stalls);
+  handler.start();
   return handler.head;
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -103,7 +103,8 @@
       models: (bindings) => this.callers.models(bindings),
       call: (bindings) => this.callers.call(bindings),
     });
-    this.server = new CallerServer(listenerOf(app, settings.httpHost), settings, context.clock, context.log);
+    const { clock, stalls, log } = context;
+    this.server = new CallerServer(listenerOf(app, settings.httpHost), settings, clock, stalls, log);
   }
 
   /** Serves its view to neighbours that can't reach a control instance. */
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
-import type { Clock, Log } from '@jasmineroute/core';
+import type { Clock, Log, StallWatch } from '@jasmineroute/core';
 import { entryEvents } from '../events.js';
 import type { EntrySettings } from '../setting/index.js';
 import { refuseConnection, statusOf } from './badConnection.js';
@@ -55,6 +55,7 @@
     listener: RequestListener,
     private readonly settings: CallerServerSettings,
     private readonly clock: Clock,
+    private readonly stalls: StallWatch,
     private readonly log: Log,
   ) {
     this.server = createServer(
@@ -169,6 +170,7 @@
 
   private watchConnections(): void {
     this.server.on('connection', (socket: Socket) => {
+      this.stalls.noteConnection();
       this.lastConnectionAt = this.clock.monotonic();
       this.answering.set(socket, { answers: new Set(), bytesRead: 0, activeAt: this.lastConnectionAt });
       socket.once('close', () => this.answering.delete(socket));
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -53,7 +53,7 @@
     private readonly settings: RelaySettings,
     dialect: Dialect,
   ) {
-    const { name, dataCentre, clock, log, metrics, peers, controls } = context;
+    const { name, dataCentre, clock, stalls, log, metrics, peers, controls } = context;
     this.knowledge = new Knowledge(clock, log);
     const { knowledge } = this;
     this.follower = new Follower({ name, role: 'entry', controls, listener: knowledge, peers, clock, log });
@@ -74,6 +74,7 @@
       bodies: new BodyBudget(settings.maxBufferedBytes),
       random,
       clock,
+      stalls,
       log,
       metrics,
     };
@@ -92,6 +93,7 @@
         idleTimeoutMs: FIRST_IDLE_MS,
       },
       clock,
+      stalls,
       log,
     );
     knowledge.onLoad(({ targetId, running, waiting }) => {
--- /dev/null
+++ b/packages/relay/src/stall.spec.ts
@@ -0,0 +1,108 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { systemClock } from '@jasmineroute/core';
+import { afterEach, describe, expect, it } from 'vitest';
+import { Bed, routeTo } from './testing/bed.js';
+
+const CALLERS = 40;
+
+/** Longer than what counts as a stall, milliseconds. */
+const STALL_MS = 300;
+
+/** Time in which a request that is sent on has reached its target, milliseconds. */
+const ARRIVAL_MS = 300;
+
+const requestText = (id: number): string =>
+  `POST /x HTTP/1.1\r\nhost: a.example\r\nt-id: q${id}\r\ncontent-length: 8\r\n\r\nquestion`;
+
+/** Opens connections; the entry has not taken them yet. */
+async function openConnections(url: string): Promise<Socket[]> {
+  const { hostname, port } = new URL(url);
+  const callers = Array.from({ length: CALLERS }, () => connect(Number(port), hostname));
+  for (const caller of callers) caller.on('error', () => undefined);
+  await Promise.all(callers.map((caller) => once(caller, 'connect')));
+  return callers;
+}
+
+function writeRequests(callers: readonly Socket[]): void {
+  for (const [id, caller] of callers.entries()) caller.write(requestText(id));
+}
+
+/** Holds the event loop of this process, and so of the entry. */
+function blockLoop(): void {
+  const end = performance.now() + STALL_MS;
+  while (performance.now() < end);
+}
+
+const leave: Record<string, (caller: Socket) => void> = {
+  close: (caller) => caller.destroy(),
+  reset: (caller) => caller.resetAndDestroy(),
+};
+
+// Requests of callers that left while the entry stood still were sent to targets afterwards.
+describe.each(Object.keys(leave))('callers that %s while the event loop stands still', (way) => {
+  let bed: Bed;
+
+  afterEach(async () => {
+    await bed.stop();
+  });
+
+  /** The loop stands still while they leave. @returns how many requests reach a target from then on. */
+  const arrivalsAfterLeaving = async (callers: readonly Socket[]): Promise<number> => {
+    const before = bed.arrivals();
+    blockLoop();
+    for (const caller of callers) leave[way]?.(caller);
+    await systemClock.sleep(ARRIVAL_MS);
+    return bed.arrivals() - before;
+  };
+
+  it('are not served where nothing of them is read before', async () => {
+    bed = await Bed.start([routeTo()]);
+    const callers = await openConnections(bed.url);
+    writeRequests(callers);
+    expect(await arrivalsAfterLeaving(callers)).toBe(0);
+  });
+
+  it('are not served on connections that were taken before', async () => {
+    bed = await Bed.start([routeTo()]);
+    const callers = await openConnections(bed.url);
+    await systemClock.sleep(50);
+    writeRequests(callers);
+    expect(await arrivalsAfterLeaving(callers)).toBe(0);
+  });
+
+  it('are not served where the entry has just learnt of its targets', async () => {
+    bed = await Bed.startUntold([routeTo()]);
+    const callers = await openConnections(bed.url);
+    writeRequests(callers);
+    await systemClock.sleep(100);
+    bed.announce();
+    expect(await arrivalsAfterLeaving(callers)).toBe(0);
+  });
+
+  it('are not served on connections to targets that come up meanwhile', async () => {
+    bed = await Bed.start([routeTo()]);
+    const callers = await openConnections(bed.url);
+    const areSent = new Promise<void>((resolve) => {
+      let sendings = 0;
+      bed.onSending = () => {
+        sendings += 1;
+        if (sendings === CALLERS) resolve();
+      };
+    });
+    writeRequests(callers);
+    await areSent;
+    expect(await arrivalsAfterLeaving(callers)).toBe(0);
+  });
+});
+
+it('serves callers that stay while the event loop stands still', async () => {
+  const bed = await Bed.start([routeTo()]);
+  const callers = await openConnections(bed.url);
+  writeRequests(callers);
+  blockLoop();
+  const answers = await Promise.all(callers.map((caller) => once(caller, 'data')));
+  expect(answers.filter((answer) => String(answer[0]).startsWith('HTTP/1.1 200'))).toHaveLength(CALLERS);
+  await bed.stop();
+});
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -133,6 +133,8 @@
   readonly targets: StandIn[] = [];
   /** Numbers of the events that the entry has logged. */
   readonly logged: number[] = [];
+  /** Hears of each sending in the turn of the event loop in which it begins. */
+  onSending: () => void = () => undefined;
   private readonly teller = new Teller();
   private readonly peers = new Peers();
   private readonly stalls = new StallWatch(systemClock);
@@ -154,7 +156,13 @@
         peers: this.peers,
       },
       relaySettings.parse({ httpPort: 0, drainDelayMs: 300 }),
-      testDialect,
+      {
+        ...testDialect,
+        targetHeaders: (...sending) => {
+          this.onSending();
+          return testDialect.targetHeaders(...sending);
+        },
+      },
     );
   }
 
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -40,12 +40,13 @@
   addition: Addition,
   signal: AbortSignal,
 ): Promise<Result<TargetAnswer, Fault>> {
-  const { dialect, pools, knowledge, sights, clock } = context;
+  const { dialect, pools, knowledge, sights, clock, stalls } = context;
   const { request, service, body } = job;
   const most = connectionShare(service.maxConnections, knowledge.entries());
   const { method, path } = request;
   const headers = dialect.targetHeaders(request, addition);
-  const wire = await exchange(pools.of(target, most).pool(), { method, path, headers, body }, clock, signal);
+  const wireRequest = { method, path, headers, body };
+  const wire = await exchange(pools.of(target, most).pool(), wireRequest, clock, signal, stalls);
   if (wire.isErr()) {
     const { kind } = wire.error;
     if (kind === 'target-unreachable' || kind === 'target-lost') sights.failed(target.id);
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -1,5 +1,5 @@
 /** What all requests of one relaying entry share. */
-import type { Clock, Log, Metrics } from '@jasmineroute/core';
+import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import type { BodyBudget } from '@jasmineroute/entry';
 import type { Random } from '@jasmineroute/routing';
 import type { Copies } from '../cache/index.js';
@@ -27,6 +27,7 @@
   readonly bodies: BodyBudget;
   readonly random: Random;
   readonly clock: Clock;
+  readonly stalls: StallWatch;
   readonly log: Log;
   readonly metrics: Metrics;
 }
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -158,12 +158,14 @@
   }
 
   private async attempts(job: Job): Promise<void> {
-    const { budgets, log, metrics, placements, random } = this.context;
+    const { budgets, log, metrics, placements, random, stalls } = this.context;
     const tried = new Set<string>();
     this.maxAttempts = job.route.resumable ? job.route.maxAttempts : 0;
     budgets.deposit(this.service);
     let last: Outcome = { state: 'fault', fault: fault('no-target', 'no target is ready') };
     for (;;) {
+      // A caller that left while the process stood still is known to be gone some turns later.
+      await stalls.caughtUp();
       const input = this.inputFor(job, tried);
       const placement = this.abort.signal.aborted ? undefined : placements.choose(input);
       if (placement === undefined) {
