Count the age of a request from when it can have come, not from when it was read

Callers saw targets work for them after their deadline: a process that stood still for two seconds counted what lay in its sockets as new, waited for it and told targets two seconds more than was left. Cause: the age began with the reading. What a process knows is that nothing which it reads is older than its last look at its sockets. Change: after a stall the age counts from then, so a request whose time may be over is refused, not run, and a target is told of what is surely left.

--- a/packages/relay/src/answer/callerAnswer.ts
+++ b/packages/relay/src/answer/callerAnswer.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { answerOf } from '@jasmineroute/core';
-import type { Clock, Fault } from '@jasmineroute/core';
+import type { Clock, Fault, StallWatch } from '@jasmineroute/core';
 import type { HeaderField } from '@jasmineroute/engine';
 import type { Dialect } from '../dialect/index.js';
 
@@ -30,8 +30,9 @@
     private readonly response: ServerResponse,
     private readonly dialect: Dialect,
     private readonly clock: Clock,
+    stalls: StallWatch,
   ) {
-    this.startedAt = clock.monotonic();
+    this.startedAt = stalls.readSince();
     response.on('error', () => {
       this.left.abort(new Error('caller left'));
     });
@@ -60,7 +61,7 @@
     return this.fault;
   }
 
-  /** Milliseconds since the request came. */
+  /** Milliseconds since the request came; after a stall, in which that is not known, since the earliest time. */
   age(): number {
     return this.clock.monotonic() - this.startedAt;
   }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -169,8 +169,8 @@
   }
 
   private async serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    const { dialect, clock, log } = this.work;
-    const answer = new CallerAnswer(outgoing, dialect, clock);
+    const { dialect, clock, stalls, log } = this.work;
+    const answer = new CallerAnswer(outgoing, dialect, clock, stalls);
     this.open += 1;
     try {
       await new RelayWork(this.work, incoming, answer).run();
--- a/packages/relay/src/stall.spec.ts
+++ b/packages/relay/src/stall.spec.ts
@@ -13,8 +13,11 @@
 /** Time in which a request that is sent on has reached its target, milliseconds. */
 const ARRIVAL_MS = 300;
 
-const requestText = (id: number): string =>
-  `POST /x HTTP/1.1\r\nhost: a.example\r\nt-id: q${id}\r\ncontent-length: 8\r\n\r\nquestion`;
+function requestText(id: number, extra: Record<string, string>): string {
+  const fields = { host: 'a.example', 't-id': `q${id}`, 'content-length': '8', ...extra };
+  const lines = Object.entries(fields).map(([name, value]) => `${name}: ${value}`);
+  return ['POST /x HTTP/1.1', ...lines, '', 'question'].join('\r\n');
+}
 
 /** Opens connections; the entry has not taken them yet. */
 async function openConnections(url: string): Promise<Socket[]> {
@@ -25,8 +28,8 @@
   return callers;
 }
 
-function writeRequests(callers: readonly Socket[]): void {
-  for (const [id, caller] of callers.entries()) caller.write(requestText(id));
+function writeRequests(callers: readonly Socket[], extra: Record<string, string> = {}): void {
+  for (const [id, caller] of callers.entries()) caller.write(requestText(id, extra));
 }
 
 /** Holds the event loop of this process, and so of the entry. */
@@ -97,12 +100,30 @@
   });
 });
 
-it('serves callers that stay while the event loop stands still', async () => {
-  const bed = await Bed.start([routeTo()]);
-  const callers = await openConnections(bed.url);
-  writeRequests(callers);
-  blockLoop();
-  const answers = await Promise.all(callers.map((caller) => once(caller, 'data')));
-  expect(answers.filter((answer) => String(answer[0]).startsWith('HTTP/1.1 200'))).toHaveLength(CALLERS);
-  await bed.stop();
+describe('callers that stay while the event loop stands still', () => {
+  let bed: Bed;
+
+  afterEach(async () => {
+    await bed.stop();
+  });
+
+  it('are served', async () => {
+    bed = await Bed.start([routeTo()]);
+    const callers = await openConnections(bed.url);
+    writeRequests(callers);
+    blockLoop();
+    const answers = await Promise.all(callers.map((caller) => once(caller, 'data')));
+    expect(answers.filter((answer) => String(answer[0]).startsWith('HTTP/1.1 200'))).toHaveLength(CALLERS);
+  });
+
+  // A target was told of more time than its caller had left, as a request counted as new when it was read.
+  it('have no more time left than their targets are told of', async () => {
+    bed = await Bed.start([routeTo()]);
+    const callers = await openConnections(bed.url);
+    writeRequests(callers, { 't-deadline': '2000' });
+    blockLoop();
+    await Promise.all(callers.map((caller) => once(caller, 'data')));
+    const told = bed.target(1).requests.map(({ headers }) => Number(headers['t-deadline']));
+    expect(Math.max(...told)).toBeLessThanOrEqual(2_000 - STALL_MS);
+  });
 });
