Take the successor of an emptied disk in as soon as it is seen, one step right after the other

Until an emptied replica votes again, the loss of one more disk ends a quorum of three for good; the time for it was most of the margin. Cause: the leader asked who listens at a voter's address only after the old replica had not answered for 1.5 s, though another one had answered in its place by then; and it slept 250 ms before each of the four steps, due or not. Change: an answer of another replica in a voter's place is asked after at once; steps follow as they become due (a stranger answers, a learner has caught up, a wish comes, the last step is committed), the pause is only the wait for none of these.

--- a/packages/coordination/src/agreement/progress.ts
+++ b/packages/coordination/src/agreement/progress.ts
@@ -20,7 +20,7 @@
   sentAt = -Infinity;
   /** No message before this time, after one that failed. */
   pausedUntil = -Infinity;
-  /** Another replica that answered in its place. */
+  /** Another replica that answered in its place, after its own last answer. */
   strangerId: string | undefined;
   /** Set while the replica is a member. */
   isMember = true;
@@ -36,14 +36,17 @@
 
   /** It answered a message sent at `sentAt`. */
   answered(sentAt: number): void {
+    this.strangerId = undefined;
     if (sentAt > this.answeredAt) this.answeredAt = sentAt;
     if (sentAt > this.heardAt) this.heardAt = sentAt;
   }
 
-  /** It has everything up to `index`. */
-  matched(index: bigint): void {
-    if (index > this.match) this.match = index;
+  /** It has everything up to `index`. @returns whether it had less before. */
+  matched(index: bigint): boolean {
+    const isMore = index > this.match;
+    if (isMore) this.match = index;
     if (this.next <= this.match) this.next = this.match + 1n;
+    return isMore;
   }
 
   /**
--- a/packages/coordination/src/agreement/reconfiguration.ts
+++ b/packages/coordination/src/agreement/reconfiguration.ts
@@ -26,6 +26,7 @@
   /** Wants one more replica, or a known name at its address. Others may be added at the same time. */
   add(added: ReplicaAddress): void {
     this.added.set(added.name, added);
+    this.replica.memberNews.notify();
   }
 
   /** Drops the wish for one more replica, unless a newer one for the same name has come. */
@@ -45,12 +46,24 @@
     return voters.some((member) => member.name === name && member.address === address);
   }
 
-  /** Steps as long as the term lasts. */
+  /** Steps as long as the term lasts: until a replica that came back votes, one more loss may be one too many. */
   async run(leadership: Leadership): Promise<void> {
     const { replica } = this;
+    const { clock, tuning, memberNews } = replica;
     while (leadership.isActive) {
-      if (this.mayStep(leadership)) await this.step(leadership);
-      await replica.clock.sleep(replica.tuning.reconfigureMs);
+      // Begun before the step, so that no news is missed that comes while replicas are asked.
+      const news = memberNews.waitFor(clock, tuning.reconfigureMs);
+      const hasStepped = this.mayStep(leadership) && (await this.step(leadership));
+      if (hasStepped) await this.settled(leadership);
+      else await news;
+    }
+  }
+
+  /** Waits until the last step is committed, or the term is over. */
+  private async settled(leadership: Leadership): Promise<void> {
+    const { replica } = this;
+    while (leadership.isActive && !this.mayStep(leadership)) {
+      await replica.changed.waitFor(replica.clock, replica.tuning.reconfigureMs);
     }
   }
 
@@ -64,14 +77,15 @@
     return leadership.isEstablished && index <= this.replica.commitIndex;
   }
 
-  private async step(leadership: Leadership): Promise<void> {
+  /** Takes the next step. @returns whether one was due. */
+  private async step(leadership: Leadership): Promise<boolean> {
     const { replica } = this;
     const current = replica.configuration;
-    if (current === undefined) return;
+    if (current === undefined) return false;
     const wanted = this.allWanted(current);
     const found = await this.identify(leadership, wanted);
     // The term may have ended, or the configuration changed, while the replicas were asked.
-    if (!this.mayStep(leadership) || replica.configuration !== current) return;
+    if (!this.mayStep(leadership) || replica.configuration !== current) return false;
     const windowMs = replica.tuning.quorumWindowMs;
     const next = nextStep({
       current,
@@ -82,7 +96,7 @@
       isReachable: (replicaId) => leadership.isReachable({ replicaId }, windowMs),
       isLost: (replicaId) => leadership.isSilent(replicaId),
     });
-    if (next !== undefined) await leadership.changeConfiguration(next);
+    return next !== undefined && (await leadership.changeConfiguration(next)).isOk();
   }
 
   private allWanted(current: Configuration): ReplicaAddress[] {
@@ -102,7 +116,10 @@
     return isRecent && match >= this.replica.commitIndex;
   }
 
-  /** Which replica listens at each wanted address. Members that answer appends are known without asking. */
+  /**
+   * Which replica listens at each wanted address. Members that answer appends are known without asking, unless another one
+   * has answered in their place since.
+   */
   private async identify(
     leadership: Leadership,
     wanted: readonly ReplicaAddress[],
@@ -118,6 +135,7 @@
       ({ name, address, replicaId }) =>
         name === wanted.name &&
         address === wanted.address &&
+        leadership.progress.get(replicaId)?.strangerId === undefined &&
         leadership.isReachable({ replicaId }, replica.tuning.quorumWindowMs),
     );
     if (member !== undefined) return member;
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -38,6 +38,8 @@
   readonly entries = new EntryLog();
   /** Fires on every change of role, term, leader, commit index or configuration, and on stop. */
   readonly changed = new Signal();
+  /** Fires when a step of a change of replicas may have become due. */
+  readonly memberNews = new Signal();
   address = '';
   role: Role = 'follower';
   /** Name of the leader of the current term, once known. */
--- a/packages/coordination/src/agreement/replication.ts
+++ b/packages/coordination/src/agreement/replication.ts
@@ -4,6 +4,7 @@
 import { AppendRequestSchema, InstallRequestSchema } from '../gen/agreement/agreement_pb.js';
 import type { AppendRequest, AppendResponse } from '../gen/agreement/agreement_pb.js';
 import type { Snapshot } from '../storage/index.js';
+import { isVoter } from './configuration.js';
 import type { Leadership } from './leadership.js';
 import type { AgreementClient } from './peerClient.js';
 import type { Progress } from './progress.js';
@@ -118,8 +119,9 @@
     if (progress.strangerId !== answer.replicaId) {
       const { name } = progress.voter;
       replica.log.event(coordinationEvents.wrongReplica, { name, found: answer.replicaId });
+      progress.strangerId = answer.replicaId;
+      replica.memberNews.notify();
     }
-    progress.strangerId = answer.replicaId;
     retryLater(leadership, progress, sent);
     return;
   }
@@ -129,8 +131,7 @@
   }
   progress.answered(sent.at);
   if (answer.success) {
-    progress.matched(answer.matchIndex);
-    leadership.advance();
+    noteMatch(leadership, progress, answer.matchIndex);
     return;
   }
   /*
@@ -161,8 +162,16 @@
       return;
     }
   }
-  progress.matched(parcel.lastIndex);
+  noteMatch(leadership, progress, parcel.lastIndex);
+}
+
+/** Commits what a quorum has now; a learner that has all that is committed may vote. */
+function noteMatch(leadership: Leadership, progress: Progress, index: bigint): void {
+  const { replica } = leadership.parts;
+  const isMore = progress.matched(index);
   leadership.advance();
+  const isLearner = !isVoter(replica.configuration, progress.voter.replicaId);
+  if (isMore && isLearner && progress.match >= replica.commitIndex) replica.memberNews.notify();
 }
 
 async function sendPiece(
