Send no call on from an entry with gates before it is known which callers left in a stall

The same cause as in the relaying entry, found by looking for it: the entry that sends over gates chose and sent in the turn in which a process that had stood still read a call. It waits now where it looked before whether the caller is there.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -154,7 +154,7 @@
   }
 
   private createWork(): WorkContext {
-    const { name, incarnation, dataCentre, peers, clock, log, metrics } = this.context;
+    const { name, incarnation, dataCentre, peers, clock, stalls, log, metrics } = this.context;
     const { settings } = this;
     const view = () => this.parts.directory.view();
     const clients = new GateClients(peers, clock, settings.cancelTimeoutMs);
@@ -171,6 +171,7 @@
       background: new Background(),
       view,
       clock,
+      stalls,
       log,
       metrics,
     };
--- a/packages/entry/src/testing/world.ts
+++ b/packages/entry/src/testing/world.ts
@@ -183,13 +183,15 @@
 ): Promise<World> {
   const directory = new FakeDirectory(documents, instances);
   const peers = new Peers();
+  const stalls = new StallWatch(systemClock);
+  stalls.start();
   const context = {
     name,
     incarnation: 7n,
     dataCentre: 'dc1',
     controls: [],
     clock: systemClock,
-    stalls: new StallWatch(systemClock),
+    stalls,
     log: silentLog,
     metrics: silentMetrics,
     peers,
@@ -205,6 +207,7 @@
     peers,
     close: async () => {
       await entry.close();
+      stalls.stop();
       peers.close();
     },
   };
--- a/packages/entry/src/work/attempts.ts
+++ b/packages/entry/src/work/attempts.ts
@@ -82,6 +82,8 @@
     const decide = startHop('decide', 'internal', { parent: span });
     const placed = await this.place(model, job);
     endHop(decide, placed.isErr() ? placed.error.kind : undefined);
+    // A caller that left while the process stood still is known to be gone some turns later.
+    await this.context.stalls.caughtUp();
     if (stop.aborted) return undefined;
     if (placed.isErr()) return this.fail(this.lastFault ?? placed.error);
     const placement = placed.value;
--- a/packages/entry/src/work/context.ts
+++ b/packages/entry/src/work/context.ts
@@ -1,5 +1,5 @@
 /** What the calls of one entry process share. */
-import type { Clock, Log, Metrics } from '@jasmineroute/core';
+import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import type { View } from '@jasmineroute/directory';
 import type { RetryBudget } from '@jasmineroute/routing';
 import type { AttemptIds, Claims } from '../claim/index.js';
@@ -21,6 +21,7 @@
   readonly background: Background;
   readonly view: () => View;
   readonly clock: Clock;
+  readonly stalls: StallWatch;
   readonly log: Log;
   readonly metrics: Metrics;
 }
--- a/packages/relay/src/stall.spec.ts
+++ b/packages/relay/src/stall.spec.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events';
-import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { systemClock } from '@jasmineroute/core';
+import { blockLoop, openConnections } from '@jasmineroute/testkit';
 import { afterEach, describe, expect, it } from 'vitest';
 import { Bed, routeTo } from './testing/bed.js';
 
@@ -19,24 +19,11 @@
   return ['POST /x HTTP/1.1', ...lines, '', 'question'].join('\r\n');
 }
 
-/** Opens connections; the entry has not taken them yet. */
-async function openConnections(url: string): Promise<Socket[]> {
-  const { hostname, port } = new URL(url);
-  const callers = Array.from({ length: CALLERS }, () => connect(Number(port), hostname));
-  for (const caller of callers) caller.on('error', () => undefined);
-  await Promise.all(callers.map((caller) => once(caller, 'connect')));
-  return callers;
-}
-
 function writeRequests(callers: readonly Socket[], extra: Record<string, string> = {}): void {
   for (const [id, caller] of callers.entries()) caller.write(requestText(id, extra));
 }
 
-/** Holds the event loop of this process, and so of the entry. */
-function blockLoop(): void {
-  const end = performance.now() + STALL_MS;
-  while (performance.now() < end);
-}
+const callersOf = ({ url }: Bed): Promise<Socket[]> => openConnections(new URL(url).host, CALLERS);
 
 const leave: Record<string, (caller: Socket) => void> = {
   close: (caller) => caller.destroy(),
@@ -54,7 +41,7 @@
   /** The loop stands still while they leave. @returns how many requests reach a target from then on. */
   const arrivalsAfterLeaving = async (callers: readonly Socket[]): Promise<number> => {
     const before = bed.arrivals();
-    blockLoop();
+    blockLoop(STALL_MS);
     for (const caller of callers) leave[way]?.(caller);
     await systemClock.sleep(ARRIVAL_MS);
     return bed.arrivals() - before;
@@ -62,14 +49,14 @@
 
   it('are not served where nothing of them is read before', async () => {
     bed = await Bed.start([routeTo()]);
-    const callers = await openConnections(bed.url);
+    const callers = await callersOf(bed);
     writeRequests(callers);
     expect(await arrivalsAfterLeaving(callers)).toBe(0);
   });
 
   it('are not served on connections that were taken before', async () => {
     bed = await Bed.start([routeTo()]);
-    const callers = await openConnections(bed.url);
+    const callers = await callersOf(bed);
     await systemClock.sleep(50);
     writeRequests(callers);
     expect(await arrivalsAfterLeaving(callers)).toBe(0);
@@ -77,7 +64,7 @@
 
   it('are not served where the entry has just learnt of its targets', async () => {
     bed = await Bed.startUntold([routeTo()]);
-    const callers = await openConnections(bed.url);
+    const callers = await callersOf(bed);
     writeRequests(callers);
     await systemClock.sleep(100);
     bed.announce();
@@ -86,7 +73,7 @@
 
   it('are not served on connections to targets that come up meanwhile', async () => {
     bed = await Bed.start([routeTo()]);
-    const callers = await openConnections(bed.url);
+    const callers = await callersOf(bed);
     const areSent = new Promise<void>((resolve) => {
       let sendings = 0;
       bed.onSending = () => {
@@ -109,9 +96,9 @@
 
   it('are served', async () => {
     bed = await Bed.start([routeTo()]);
-    const callers = await openConnections(bed.url);
+    const callers = await callersOf(bed);
     writeRequests(callers);
-    blockLoop();
+    blockLoop(STALL_MS);
     const answers = await Promise.all(callers.map((caller) => once(caller, 'data')));
     expect(answers.filter((answer) => String(answer[0]).startsWith('HTTP/1.1 200'))).toHaveLength(CALLERS);
   });
@@ -119,9 +106,9 @@
   // A target was told of more time than its caller had left, as a request counted as new when it was read.
   it('have no more time left than their targets are told of', async () => {
     bed = await Bed.start([routeTo()]);
-    const callers = await openConnections(bed.url);
+    const callers = await callersOf(bed);
     writeRequests(callers, { 't-deadline': '2000' });
-    blockLoop();
+    blockLoop(STALL_MS);
     await Promise.all(callers.map((caller) => once(caller, 'data')));
     const told = bed.target(1).requests.map(({ headers }) => Number(headers['t-deadline']));
     expect(Math.max(...told)).toBeLessThanOrEqual(2_000 - STALL_MS);
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -4,5 +4,6 @@
 export * from './process/index.js';
 export * from './proxy/index.js';
 export * from './report/index.js';
+export * from './stall/index.js';
 export * from './wait/index.js';
 export * from './certificate/index.js';
--- /dev/null
+++ b/packages/testkit/src/stall/index.ts
@@ -0,0 +1,1 @@
+export * from './stall.js';
