Confirm the right to order a target last, after its report

Found by looking for the class of requests sent for callers that left: what was true before a wait and is not looked at again after it. A holder asked the quorum whether its right to order still held, then asked the target for its report, for up to half a second or a suspension, and ordered by the answer of before. The order of the two questions is turned round. Its test fails on the code before.

--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -11,6 +11,9 @@
 
 const ADDRESS = '10.0.0.1:80';
 
+/** A look at what it has, one at what runs there, and one for the order itself. */
+const REPORTS_BEFORE_ORDER = 3;
+
 /** A target that loads in 100 ms. */
 class FakeTarget implements TargetPort {
   version = 1;
@@ -243,6 +246,22 @@
     expect(told.at(-1)).toMatchObject({ paused: false });
   });
 
+  // Guards against an order of a holder whose right another has taken while it waited for the target's report.
+  it('gives no order when the right to was lost while the target reported', async () => {
+    name(2);
+    const { report } = target;
+    const reports: number[] = [];
+    target.report = (timeoutMs) => {
+      reports.push(clock.monotonic());
+      const isLast = reports.length === REPORTS_BEFORE_ORDER;
+      if (isLast) denied.add(`orders/${ADDRESS}`);
+      return report(timeoutMs);
+    };
+    await look();
+    expect(reports.length).toBeGreaterThanOrEqual(REPORTS_BEFORE_ORDER);
+    expect(target.orders).toEqual([]);
+  });
+
   it('goes by what the target reports when an order gets no answer', async () => {
     // Symptom: an order is given twice, or a target stays paused for good.
     // Sequence: the answer to an order is lost; the target carries it out.
--- a/packages/rollout/src/keeper/weightsKeeper.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.ts
@@ -300,10 +300,11 @@
    */
   private async order(target: Target, wish: Wish, { turn, orders }: Rights): Promise<boolean> {
     const { port, name, log } = this.parts;
-    const isConfirmed = await orders.confirm();
     const report = await this.report();
-    const mayOrder = isConfirmed && turn.held && !this.stopped.signal.aborted;
-    if (!mayOrder || report === undefined || report.busy) return false;
+    if (report === undefined || report.busy) return false;
+    // Last of all: whatever is waited for after it, the right may be another's by then.
+    const isConfirmed = await orders.confirm();
+    if (!isConfirmed || !turn.held || this.stopped.signal.aborted) return false;
     const newest = this.wishOf(report) ?? wish;
     const runs = report.running > 0 ? 'continue' : 'finish';
     const sent = await port.order(
