An instance that does not vote asks for its vote at its start, not half a second later

The same time to vote as before, for one that comes at an address of its own: until it votes one more lost disk may be one too many. An instance whose disk holds its vote waits as before, as it hears of a leader by itself. The test failed before.

--- a/packages/control/src/follow/enlisting.spec.ts
+++ b/packages/control/src/follow/enlisting.spec.ts
@@ -83,6 +83,14 @@
     expect(peers.asked[2]).toBe(LEADS);
   });
 
+  // Guards against a replaced instance whose vote is missing for longer than it takes to give it one.
+  it('asks at once where it does not vote', async () => {
+    const { peers, end } = asking();
+    await until(() => peers.asked.length === 2);
+    end();
+    expect(peers.asked).toEqual([ANSWERS, SILENT]);
+  });
+
   // Guards against thousands of lines that say the same while there is no quorum.
   it('logs an answer when it differs from the last one', async () => {
     const { peers, lines, round, end } = asking();
--- a/packages/control/src/follow/enlisting.ts
+++ b/packages/control/src/follow/enlisting.ts
@@ -36,6 +36,8 @@
 export async function enlist(parts: EnlistingParts, signal: AbortSignal): Promise<void> {
   const { commandLog, clock } = parts;
   const asking = new Asking(parts);
+  // One that votes hears of a leader by itself; one with an empty disk leaves the others without a vote until it is taken in.
+  if (!VOTING.has(commandLog.status().state)) await asking.askAll();
   for (;;) {
     await clock.sleep(RETRY_MS, signal).catch(() => undefined);
     if (signal.aborted) return;
