Tell one follower in a turn of the event loop, so that the log is answered in between

Cause: a control instance handled all followers that had asked, or were waiting for news, in one turn of its event loop. On 0.32 of a core a leader's loop stood still for 1.1 s while it took 24 entries on (7009, 3018), so it read no answer of a quorum and stepped down right after its election. Change: followers are told one in a turn, in the order in which they came; heartbeats are read and answered in between.

--- /dev/null
+++ b/packages/control/src/follow/followService.spec.ts
@@ -0,0 +1,72 @@
+import { create } from '@bufbuild/protobuf';
+import { silentLog, systemClock } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import { afterEach, beforeEach, expect, it } from 'vitest';
+import { LocalLog } from '../fixture/index.js';
+import { RecentBoard } from '../recent/index.js';
+import { createState } from '../role/createState.js';
+import { RelayedTargets, TargetBook } from '../targets/index.js';
+import { FollowService } from './followService.js';
+import { OtherControls } from './otherControls.js';
+
+const FOLLOWERS = 24;
+const HEARTBEAT_MS = 1_000;
+
+let stopped: AbortController;
+let service: FollowService;
+
+beforeEach(() => {
+  stopped = new AbortController();
+  const { configuration, machine } = createState();
+  const commandLog = new LocalLog(machine);
+  const boards = {
+    loads: new RecentBoard<controlMessage.TargetLoad>(systemClock),
+    work: new RecentBoard<controlMessage.EntryWork>(systemClock),
+  };
+  const relayed = new RelayedTargets(systemClock);
+  const vouched = (): boolean => true;
+  service = new FollowService({
+    ...boards,
+    configuration,
+    targets: new TargetBook(systemClock, silentLog, HEARTBEAT_MS),
+    relayed,
+    others: new OtherControls({ ...boards, relayed, vouched, clock: systemClock }),
+    lostStores: () => [],
+    kept: undefined,
+    commandLog,
+    clock: systemClock,
+    log: silentLog,
+    ended: stopped.signal,
+  });
+});
+
+afterEach(() => {
+  stopped.abort();
+});
+
+const turn = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+
+type Events = AsyncGenerator<controlMessage.FollowEvent>;
+
+/** Reads one event of each stream. @returns how many came in each turn of the event loop. */
+async function eventsByTurn(streams: readonly Events[]): Promise<number[]> {
+  const byTurn: number[] = [];
+  let events = 0;
+  for (const stream of streams) void stream.next().then(() => (events += 1));
+  for (let told = 0; told < streams.length; told = events) {
+    await turn();
+    byTurn.push(events - told);
+  }
+  return byTurn;
+}
+
+// Guards against a leader that loses its quorum, as it answers no heartbeat while it tells all entries in one turn.
+it('tells one follower in a turn of the event loop, when they come and when there is news', async () => {
+  const request = create(controlMessage.FollowRequestSchema, { role: 'entry', bulk: true });
+  const names = Array.from({ length: FOLLOWERS }, (_, at) => `entry-${at}`);
+  const streams = names.map((name) => service.follow({ ...request, name }, { signal: stopped.signal }));
+  expect(Math.max(...(await eventsByTurn(streams)))).toBe(1);
+  const told = eventsByTurn(streams);
+  service.raise();
+  expect(Math.max(...(await told))).toBe(1);
+});
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -7,6 +7,7 @@
 import { FollowerPlace, shareOf } from './followerPlace.js';
 import type { FollowSources, Share } from './followerPlace.js';
 import { News } from './news.js';
+import { Pacer } from './pacer.js';
 import { ReportIntake } from './reportIntake.js';
 
 /** Time between two events when nothing changes, milliseconds: how a follower knows that it still hears. */
@@ -46,6 +47,8 @@
   /** Streams of entries that ask for loads, work and caches, by the entry's name. */
   private readonly entries = new Map<string, number>();
   private readonly intake: ReportIntake;
+  /** Heartbeats of the log are read and answered between two events. */
+  private readonly pacer = new Pacer();
 
   constructor(private readonly sources: FollowSources) {
     this.intake = new ReportIntake(sources, sources.others.cached);
@@ -101,6 +104,7 @@
   ): AsyncGenerator<controlMessage.FollowEvent> {
     const { log, clock, ended } = this.sources;
     const signal = AbortSignal.any([ended, context.signal]);
+    await this.pacer.next();
     const follower = new FollowerPlace(this.sources, this.intake.cached, request);
     const share = shareOf(request);
     const news = this.news[share];
@@ -111,6 +115,7 @@
         const version = news.version();
         yield follower.event(isForControl(share) ? this.entries.size : this.allEntries());
         await news.after(version, clock, HEARTBEAT_MS, signal);
+        await this.pacer.next();
       }
     } finally {
       if (share === 'bulk') this.count(request.name, -1);
