Start again after a loss of power that took an earlier write and left a later one

Cause: of the writes since the last sync each is present, missing or torn by itself. Change: a gap that an interrupted write leaves is repaired like a torn end. Each record tells up to where the log was synced when it was written (Entry.synced_index, in journals only), so a gap in what was synced stays an error.

--- a/packages/coordination/src/storage/frame.ts
+++ b/packages/coordination/src/storage/frame.ts
@@ -16,6 +16,8 @@
   | 'whole'
   /** With a record whose write was cut off: nobody was told that it lasts. */
   | 'torn'
+  /** With a record whose write is missing or was cut off, and later ones behind it. */
+  | 'gap'
   /** With bytes that no interrupted write leaves: data that was synced has changed. */
   | 'corrupt';
 
@@ -27,6 +29,8 @@
   /** Offset behind the last whole record. */
   readonly end: number;
   readonly ending: FrameEnd;
+  /** Payloads of whole records behind a gap. */
+  readonly later: Uint8Array[];
 }
 
 /** Makes one record. */
@@ -73,17 +77,55 @@
   return crc32(payload) === header.readUInt32LE(8) ? payload : undefined;
 }
 
-/** Reads all records up to the first that is not whole. */
-export function decodeFrames(bytes: Uint8Array): Frames {
-  const data = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+/** Whole records, one behind the other. */
+interface Run {
+  readonly payloads: Uint8Array[];
+  readonly offsets: number[];
+  readonly end: number;
+}
+
+/** Reads the records from `start` on, up to the first that is not whole. */
+function readRun(data: Buffer, start: number): Run {
   const payloads: Uint8Array[] = [];
   const offsets: number[] = [];
-  let end = 0;
+  let end = start;
   for (;;) {
     const payload = payloadAt(data, end);
-    if (payload === undefined) return { payloads, offsets, end, ending: endingOf(data.subarray(end)) };
+    if (payload === undefined) return { payloads, offsets, end };
     payloads.push(payload);
     offsets.push(end);
     end += payload.length + FRAME_OVERHEAD_BYTES;
   }
 }
+
+/** Payloads of whole records anywhere in `rest`. */
+function recordsIn(rest: Buffer): Uint8Array[] {
+  const payloads: Uint8Array[] = [];
+  for (let offset = 0; offset < rest.length; offset += 1) {
+    const run = readRun(rest, offset);
+    payloads.push(...run.payloads);
+    if (run.payloads.length > 0) offset = run.end - 1;
+  }
+  return payloads;
+}
+
+/**
+ * Whether a record is what a missing write leaves, or one that was cut off, though others stand behind it: each write since the
+ * last sync reaches the disk or not, whatever becomes of the others. The first byte of a payload is never zero, nor is the
+ * closing byte, so a zero in the place of the first one that is missing tells such a write from changed data.
+ */
+function isInterrupted(rest: Buffer): boolean {
+  const isHeaderWhole = crc32(rest.subarray(0, 4)) === rest.readUInt32LE(4);
+  const lastByte = isHeaderWhole ? rest.readUInt32LE(0) + HEADER_BYTES : HEADER_BYTES;
+  return rest[lastByte] === 0;
+}
+
+/** Reads all records up to the first that is not whole. */
+export function decodeFrames(bytes: Uint8Array): Frames {
+  const data = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  const run = readRun(data, 0);
+  const rest = data.subarray(run.end);
+  const ending = endingOf(rest);
+  if (ending !== 'corrupt' || !isInterrupted(rest)) return { ...run, ending, later: [] };
+  return { ...run, ending: 'gap', later: recordsIn(rest) };
+}
--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -37,6 +37,8 @@
   private queued: Promise<void> | undefined;
   /** Why a half-written record could not be taken back. */
   private broken: unknown;
+  /** The last entry that is known to be synced; 0: none is. */
+  private syncedIndex = 0n;
 
   private constructor(
     private readonly disk: Disk,
@@ -67,7 +69,8 @@
     if (head === undefined) return;
     this.checkWhole();
     const tail = this.segments.at(-1) ?? (await this.begin(head.index));
-    const frames = entries.map((entry) => encodeFrame(toBinary(EntrySchema, entry)));
+    const { syncedIndex } = this;
+    const frames = entries.map((entry) => encodeFrame(toBinary(EntrySchema, { ...entry, syncedIndex })));
     const start = tail.length;
     try {
       await tail.file.write(Buffer.concat(frames), start);
@@ -84,7 +87,7 @@
     }
   }
 
-  /** Drops all entries from `index` on. Lasting after the next sync. */
+  /** Drops all entries from `index` on, synced. */
   async truncate(index: bigint): Promise<void> {
     for (let tail = this.segments.at(-1); tail !== undefined; tail = this.segments.at(-1)) {
       if (tail.first < index || this.segments.length === 1) break;
@@ -98,6 +101,9 @@
     await tail.file.truncate(length);
     tail.offsets.length = kept;
     tail.length = length;
+    this.syncedIndex = 0n;
+    // Before anything is written in its place: with the cut lost and a later write kept, old bytes would stand behind it.
+    await this.sync();
   }
 
   /** Begins a new segment for entries from `index` on, once all before is synced. */
@@ -152,9 +158,15 @@
   private startSync(): Promise<void> {
     const tail = this.segments.at(-1);
     if (tail === undefined) return Promise.resolve();
-    const running = tail.file.sync().finally(() => {
-      if (this.running === running) this.running = undefined;
-    });
+    const last = endOf(tail) - 1n;
+    const running = tail.file
+      .sync()
+      .then(() => {
+        this.syncedIndex = last;
+      })
+      .finally(() => {
+        if (this.running === running) this.running = undefined;
+      });
     this.running = running;
     return running;
   }
@@ -183,17 +195,23 @@
 
   private async load(path: string, isNewest: boolean, entries: Entry[]): Promise<number> {
     const frames = decodeFrames(await this.disk.read(path));
-    const isDamaged = frames.ending === 'corrupt' || (frames.ending === 'torn' && !isNewest);
+    const isDamaged = frames.ending === 'corrupt' || (frames.ending !== 'whole' && !isNewest);
     if (isDamaged) throw new CorruptFile(path, `checksum mismatch at byte ${frames.end}`);
     const first = BigInt(path.slice(-DIGITS));
+    const next = (): bigint => (entries.at(-1)?.index ?? first - 1n) + 1n;
     for (const payload of frames.payloads) {
       const entry = fromBinary(EntrySchema, payload);
-      const expected = (entries.at(-1)?.index ?? first - 1n) + 1n;
+      const expected = next();
       if (entry.index !== expected) {
         throw new CorruptFile(path, `entry ${entry.index.toString()} where ${expected.toString()} belongs`);
       }
       entries.push(entry);
     }
+    // A record behind the gap tells what was synced before it was written: that is not repaired, as it was acknowledged.
+    const synced = frames.later.map((payload) => fromBinary(EntrySchema, payload).syncedIndex);
+    if (synced.some((index) => index >= next())) {
+      throw new CorruptFile(path, `entry ${next().toString()} was synced and is gone`);
+    }
     const file = await this.disk.open(path);
     const excess = (await file.size()) - frames.end;
     if (excess > 0) {
--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -11,10 +11,14 @@
 import { LogStorage } from './logStorage.js';
 import type { OpenedStorage } from './logStorage.js';
 import { MemoryDisk } from './memoryDisk.js';
+import { seeded } from '../testing/memoryCluster.js';
 
 const FOLDER = '/replica';
 const JOURNAL = 'journal-0000000000000001';
 
+/** Crashes of one test, each with another seed. */
+const CRASHES = 200;
+
 const entry = (index: number, text = `command ${index}`): Entry =>
   create(EntrySchema, {
     index: BigInt(index),
@@ -74,6 +78,37 @@
     }
   });
 
+  // Guards against a replica that does not start after a loss of power which took an earlier write and left a later one.
+  test('writes that were not synced, each lost, torn or kept, are no error', async () => {
+    for (let seed = 1; seed <= CRASHES; seed += 1) {
+      const disk = MemoryDisk.empty();
+      const { storage } = await open(disk);
+      await storage.write(entries(1, 3));
+      await storage.sync();
+      for (const index of [4, 6, 8, 10]) await storage.write(entries(index, index + 1));
+      const after = await open(disk.crash(seeded(seed)));
+      expect(indexes(after).slice(0, 3)).toEqual([1, 2, 3]);
+      expect(indexes(after)).toEqual(indexes(after).map((_, position) => position + 1));
+      await after.storage.close();
+    }
+  });
+
+  test('a record that was synced and is gone, with later ones behind it, is an error', async () => {
+    const disk = MemoryDisk.empty();
+    const { storage } = await open(disk);
+    for (const one of entries(1, 5)) {
+      await storage.write([one]);
+      await storage.sync();
+    }
+    await storage.close();
+    const path = join(FOLDER, JOURNAL);
+    const { length } = await disk.read(path);
+    const second = Math.floor(length / 5);
+    const file = await disk.open(path);
+    await file.write(new Uint8Array(second), second);
+    expect(await refusal(disk)).toContain('entry 2 was synced and is gone');
+  });
+
   test('a changed byte anywhere in synced data is an error, never fewer entries', async () => {
     // Symptom: a replica comes back with fewer entries than it acknowledged.
     // Sequence: one bit of the file flips while the replica is down.
--- a/packages/coordination/src/storage/memoryDisk.ts
+++ b/packages/coordination/src/storage/memoryDisk.ts
@@ -5,10 +5,27 @@
 
 const NO_BYTES = new Uint8Array();
 
+/** A change of a file's content. */
+type Change = (content: Uint8Array) => Uint8Array;
+
+/** What a loss of power makes of a change of a file: nothing, a part, or all of it. */
+interface Write {
+  readonly whole: Change;
+  readonly torn: (part: number) => Change;
+}
+
 /** Content now and content that survives a crash. */
 interface Inode {
   current: Uint8Array;
   synced: Uint8Array;
+  /** Changes since the last sync, in their order. */
+  unsynced: Write[];
+}
+
+/** A change of names in a folder that is not synced yet. */
+interface Renaming {
+  readonly folder: string;
+  readonly apply: (names: Map<string, Inode>) => void;
 }
 
 /** A random number in [0, 1). */
@@ -19,17 +36,32 @@
   return Object.assign(new Error(`${code}: made by the test`), { code });
 }
 
-const isPrefix = (short: Uint8Array, long: Uint8Array): boolean =>
-  short.length <= long.length && Buffer.compare(short, long.subarray(0, short.length)) === 0;
-
-/** What a crash leaves of a file: the synced content and a part of what was appended, or either version. */
-function contentAfterCrash(inode: Inode, random: Random): Uint8Array {
-  const { current, synced } = inode;
-  if (isPrefix(synced, current)) {
-    const extra = Math.floor(random() * (current.length - synced.length + 1));
-    return current.slice(0, synced.length + extra);
-  }
-  return random() < 0.5 ? synced.slice() : current.slice();
+const writing =
+  (data: Uint8Array, position: number): Change =>
+  (content) => {
+    const grown = new Uint8Array(Math.max(content.length, position + data.length));
+    grown.set(content);
+    grown.set(data, position);
+    return grown;
+  };
+
+const cutting =
+  (length: number): Change =>
+  (content) =>
+    content.slice(0, length);
+
+const unchanged: Change = (content) => content;
+
+/** Share of crashes after which nothing is left that was not synced. */
+const NOTHING_LEFT = 0.25;
+
+/** What a crash leaves of a file: the synced content, and of each later change all, a beginning or nothing. */
+function contentAfterCrash({ synced, unsynced }: Inode, random: Random): Uint8Array {
+  const left = unsynced.map(({ whole, torn }) => {
+    const fate = Math.floor(random() * 3);
+    return [unchanged, whole, torn(random())][fate] ?? unchanged;
+  });
+  return left.reduce((content, change) => change(content), synced);
 }
 
 /** One machine's disk between two crashes. */
@@ -46,6 +78,7 @@
   private constructor(
     private readonly names: Map<string, Inode>,
     private readonly lasting: Map<string, Inode>,
+    private renamings: Renaming[] = [],
   ) {}
 
   /** An empty disk. */
@@ -56,10 +89,14 @@
   /** Ends this disk; returns the one found after the restart, without all or some of what was not synced. */
   crash(random: Random): MemoryDisk {
     this.dead = true;
+    const isNothingLeft = random() < NOTHING_LEFT;
+    const lasting = new Map(this.lasting);
+    const kept = this.renamings.filter(() => !isNothingLeft && random() < 0.5);
+    for (const { apply } of kept) apply(lasting);
     const names = new Map<string, Inode>();
-    for (const [path, inode] of this.lasting) {
-      const content = contentAfterCrash(inode, random);
-      names.set(path, { current: content, synced: content });
+    for (const [path, inode] of lasting) {
+      const content = isNothingLeft ? inode.synced : contentAfterCrash(inode, random);
+      names.set(path, { current: content, synced: content, unsynced: [] });
     }
     return new MemoryDisk(names, new Map(names));
   }
@@ -88,8 +125,10 @@
 
   async open(path: string): Promise<DiskFile> {
     return this.act(() => {
-      const inode = this.names.get(path) ?? { current: NO_BYTES, synced: NO_BYTES };
-      this.names.set(path, inode);
+      const known = this.names.get(path);
+      if (known !== undefined) return this.handle(known);
+      const inode: Inode = { current: NO_BYTES, synced: NO_BYTES, unsynced: [] };
+      this.rearrange(path, (names) => names.set(path, inode));
       return this.handle(inode);
     });
   }
@@ -97,21 +136,23 @@
   async rename(from: string, to: string): Promise<void> {
     return this.act(() => {
       const inode = this.inodeOf(from);
-      this.names.delete(from);
-      this.names.set(to, inode);
+      this.rearrange(to, (names) => {
+        names.delete(from);
+        names.set(to, inode);
+      });
     });
   }
 
   async remove(path: string): Promise<void> {
     return this.act(() => {
-      this.names.delete(path);
+      this.rearrange(path, (names) => names.delete(path));
     });
   }
 
   async syncFolder(folder: string): Promise<void> {
     return this.act(() => {
-      for (const path of [...this.lasting.keys()]) if (dirname(path) === folder) this.lasting.delete(path);
-      for (const [path, inode] of this.names) if (dirname(path) === folder) this.lasting.set(path, inode);
+      for (const renaming of this.renamings) if (renaming.folder === folder) renaming.apply(this.lasting);
+      this.renamings = this.renamings.filter((renaming) => renaming.folder !== folder);
     });
   }
 
@@ -132,6 +173,17 @@
     return inode;
   }
 
+  /** Changes names, lasting once the folder of `path` is synced. */
+  private rearrange(path: string, apply: (names: Map<string, Inode>) => unknown): void {
+    apply(this.names);
+    this.renamings.push({ folder: dirname(path), apply });
+  }
+
+  private change(inode: Inode, write: Write): void {
+    inode.current = write.whole(inode.current);
+    inode.unsynced.push(write);
+  }
+
   /** One operation, in a turn of its own; none succeeds after the crash. */
   private async act<T>(action: () => T): Promise<T> {
     await Promise.resolve();
@@ -148,7 +200,7 @@
         }),
       truncate: (length) =>
         this.act(() => {
-          inode.current = inode.current.slice(0, length);
+          this.change(inode, { whole: cutting(length), torn: () => unchanged });
         }),
       sync: () => this.sync(inode),
       close: () => Promise.resolve(),
@@ -158,19 +210,21 @@
   /** What was written before the call lasts afterwards; what came later need not. */
   private async sync(inode: Inode): Promise<void> {
     const { current } = inode;
+    const covered = new Set(inode.unsynced);
     await this.syncDelay();
     await this.act(() => {
       if (this.syncError !== undefined) throw systemError(this.syncError);
       inode.synced = current;
+      inode.unsynced = inode.unsynced.filter((write) => !covered.has(write));
     });
   }
 
   private write(inode: Inode, data: Uint8Array, position: number): void {
     const part = this.writeError === undefined ? data : data.subarray(0, data.length / 2);
-    const grown = new Uint8Array(Math.max(inode.current.length, position + part.length));
-    grown.set(inode.current);
-    grown.set(part, position);
-    inode.current = grown;
+    this.change(inode, {
+      whole: writing(part, position),
+      torn: (share) => writing(part.subarray(0, Math.floor(share * part.length)), position),
+    });
     if (this.writeError !== undefined) throw systemError(this.writeError);
   }
 }
--- a/packages/proof/src/storage/journalFile.ts
+++ b/packages/proof/src/storage/journalFile.ts
@@ -9,6 +9,9 @@
 /** More than a record's header, less than the shortest record of a document. */
 const TORN_BYTES = 40;
 
+/** Bytes of a record beyond its payload, whose length comes first. */
+const FRAME_OVERHEAD_BYTES = 13;
+
 /** Path of the newest segment. @throws Error when there is none. */
 async function newestSegment(dataFolder: string): Promise<string> {
   const folder = join(dataFolder, LOG_FOLDER);
@@ -27,6 +30,14 @@
   await appendFile(path, bytes.subarray(0, TORN_BYTES));
 }
 
+/** Leaves zeros in the place of a write that is missing, and a whole record of a later one behind them. */
+export async function loseWrite(dataFolder: string): Promise<void> {
+  const path = await newestSegment(dataFolder);
+  const bytes = await readFile(path);
+  const length = bytes.readUInt32LE(0) + FRAME_OVERHEAD_BYTES;
+  await appendFile(path, Buffer.concat([Buffer.alloc(TORN_BYTES), bytes.subarray(0, length)]));
+}
+
 /** Cuts the last bytes off, in the middle of the last record. */
 export async function cutTail(dataFolder: string): Promise<void> {
   const path = await newestSegment(dataFolder);
--- a/packages/proof/src/storage/storage.spec.ts
+++ b/packages/proof/src/storage/storage.spec.ts
@@ -4,7 +4,7 @@
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 import * as z from 'zod';
 import { OPERATOR_KEY, Scene, applyMany, modelDocument, plainDocument } from '../fixture/index.js';
-import { LogMark, beginRecord, cutTail, flipBit } from './index.js';
+import { LogMark, beginRecord, cutTail, flipBit, loseWrite } from './index.js';
 
 const RECOVERY_BOUND_MS = 20_000;
 /** Changes of the document "lm" before each damage. */
@@ -117,6 +117,7 @@
   it.each([
     { what: 'the beginning of a record at its end', damage: beginRecord },
     { what: 'its last record cut short', damage: cutTail },
+    { what: 'a write that is missing before a later one', damage: loseWrite },
   ])('repairs a journal with $what, and holds all accepted documents', async ({ damage }) => {
     // Symptom: after a power cut an instance does not start, or what was accepted is gone.
     // Sequence: the power goes while a record is written; the file ends in a part of it.
