--- a/packages/coordination/src/agreement/replacement.spec.ts
+++ b/packages/coordination/src/agreement/replacement.spec.ts
@@ -67,12 +67,8 @@
 });
 
 describe('a voter that is gone for good', () => {
+  // Guards against a voter that is gone for good and goes on counting, so that the next lost disk leaves no quorum.
   test('is no voter any more once another instance has come in its place', async () => {
-    // Symptom: after a loss of power of all, nothing is served ever again, though one disk only was lost.
-    // Sequence: the leader of three is gone for good and another instance, at another address, comes in its place;
-    // later all lose power at once, and one comes back with an empty disk.
-    // Cause: the one that was gone went on counting as a voter, so four voters needed three votes, and two were left.
-    // Proved by: the list of voters after the replacement, and that nobody stood for election after the power came back.
     await started(['a', 'b', 'c']);
     expect(await accepted('kept')).toBe(true);
     const gone = leaderOf();
@@ -91,10 +87,8 @@
     cluster.checkEnd(remaining);
   });
 
+  // Guards against an instance that is taken away after its successor came and keeps its vote.
   test('is no voter any more when it leaves after its successor has come', async () => {
-    // Symptom: one more lost disk, some time after a replacement, and nobody is served any more.
-    // Sequence: the successor comes first and votes, then the old instance is stopped and taken away.
-    // Cause: nobody takes the vote from an instance that is gone; only its return under the same name did.
     await started(['a', 'b', 'c']);
     await add('d');
     expect(await cluster.until(() => votersOf(leaderOf()).length === 4, 10_000)).toBe(true);
@@ -108,9 +102,8 @@
 });
 
 describe('a voter that is lost for a while', () => {
+  // Guards against a voter that was cut off for some seconds and never votes again.
   test('gives its vote up beside an even number of voters, and has it again when it is back', async () => {
-    // What would go wrong without the second half: an instance that was cut off for some seconds never votes again,
-    // and each further loss brings the stop of all nearer.
     await started(['a', 'b', 'c', 'd']);
     const cut = cluster.nodes.find((node) => node !== cluster.leader());
     if (cut === undefined) throw new Error('no follower');
@@ -137,9 +130,8 @@
     cluster.checkEnd();
   });
 
+  // Guards against a leader that goes on calling each instance that was ever replaced.
   test('is called no more once others have come in its place', async () => {
-    // Symptom: the leader goes on calling each instance that was ever replaced.
-    // Cause: a replica that lost its vote stayed a learner for ever.
     await started(['a', 'b', 'c']);
     const gone = leaderOf();
     cluster.wipe(gone);
@@ -157,10 +149,8 @@
 });
 
 describe('six voters', () => {
+  // Guards against the same with six voters, two of which may be lost at once.
   test('bear two lost disks after two of them were replaced by others', async () => {
-    // Symptom: as for three, where two may be lost at once.
-    // Sequence: two of six are gone for good and two others come in their places; then all lose power, and two others
-    // of the old ones come back with empty disks.
     await started(['a', 'b', 'c', 'd', 'e', 'f']);
     expect(await accepted('kept')).toBe(true);
     const gone = cluster.nodes.filter((node) => node !== cluster.leader()).slice(0, 2);
@@ -201,8 +191,8 @@
     expect(told.some(({ id }) => id === coordinationEvents.voterAnswers.id)).toBe(true);
   });
 
+  // Guards against too few voters for the losses that may come, of which nothing tells before the last one.
   test('tells when fewer vote than the losses to be borne ask for', async () => {
-    // Symptom: four voters where two may be lost at once; nothing said so before the second loss.
     await started(['a', 'b', 'c', 'd'], { lossesToBear: 2 });
     const expected = { id: coordinationEvents.tooFewVoters.id, fields: { voters: 4, lossesToBear: 2 } };
     expect(told.filter(({ id }) => id === expected.id)).toEqual([expected]);
@@ -211,9 +201,8 @@
     expect(told.filter(({ id }) => id === expected.id)).toHaveLength(1);
   });
 
+  // Guards against a record that does not tell a lost quorum from votes that are refused.
   test('tells who gave no vote, and why, when nobody can be elected', async () => {
-    // Symptom: a replica without a leader logs nothing at all, and its record does not tell a lost quorum from votes
-    // that are refused.
     await started(['a', 'b', 'c']);
     const [left, down, wiped] = [cluster.find('a'), cluster.find('b'), cluster.find('c')];
     for (const node of cluster.nodes) cluster.crash(node);
--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -51,10 +51,8 @@
 }
 
 describe('in memory', () => {
+  // Guards against a replica that forgets what it promised, as a write without a sync reached the disk in part.
   test('synced entries and the vote survive a power cut, whatever becomes of the rest', async () => {
-    // Symptom: a replica forgets what it promised.
-    // Sequence: entries synced, more written but not synced, power cut at any length of them.
-    // Cause: a write without a sync may reach the disk in part or not at all.
     for (let part = 0; part <= 20; part += 1) {
       const disk = MemoryDisk.empty();
       const { storage, recovered } = await open(disk);
@@ -128,10 +126,8 @@
     }
   });
 
+  // Guards against a replica with fewer entries than it acknowledged, as changed data is taken for a write that was cut off.
   test('a changed byte anywhere in synced data is an error, never fewer entries', async () => {
-    // Symptom: a replica comes back with fewer entries than it acknowledged.
-    // Sequence: one bit of the file flips while the replica is down.
-    // Cause: a reader that stops at the first bad checksum takes changed data for an interrupted write.
     const { length } = await (await written()).read(join(FOLDER, JOURNAL));
     for (let offset = 0; offset < length; offset += 1) {
       const disk = await written();
@@ -140,10 +136,8 @@
     }
   });
 
+  // Guards against a second vote in one term, or an empty state, as a file that can't be read counts as one never written.
   test('a changed vote, a missing vote and a changed snapshot are errors', async () => {
-    // Symptom: a replica votes twice in a term, or starts with an empty state.
-    // Sequence: the file changes or disappears while the replica is down.
-    // Cause: a file that can't be read taken for one that was never written.
     const flipped = await written();
     flipped.flip(join(FOLDER, 'replica'), 20);
     expect(await refusal(flipped)).toContain('checksum mismatch');
@@ -159,10 +153,8 @@
     expect(await refusal(snapshot)).toContain('checksum mismatch');
   });
 
+  // Guards against a journal that can't be read from the half record on that a full disk left in it.
   test('a full disk refuses, keeps what was there, and works again with room', async () => {
-    // Symptom: everything after a full disk is unreadable at the next start.
-    // Sequence: half of a write fits, the next write succeeds behind it.
-    // Cause: the half record stays in the middle of the file.
     const disk = MemoryDisk.empty();
     const { storage } = await open(disk);
     await storage.write(entries(1, 2));
@@ -176,10 +168,8 @@
     expect(indexes(await open(disk))).toEqual([1, 2, 3]);
   });
 
+  // Guards against an acknowledged entry that is lost, as the sync after a failed one has nothing left to complain of.
   test('a failed sync is final', async () => {
-    // Symptom: an acknowledged entry is gone after a power cut.
-    // Sequence: a sync fails, the next one succeeds.
-    // Cause: the system drops pages that it could not write, and the next sync has nothing to complain of.
     const disk = MemoryDisk.empty();
     const { storage } = await open(disk);
     await storage.write(entries(1, 1));
@@ -190,10 +180,8 @@
     expect((await storage.write(entries(2, 2))).isErr()).toBe(true);
   });
 
+  // Guards against a replica on a read-only file system that starts and fails at its first command.
   test('a read-only folder is a clear error', async () => {
-    // Symptom: a replica that starts and then fails at the first command.
-    // Sequence: the file system was mounted read-only.
-    // Cause: nothing was written at the start.
     const disk = MemoryDisk.empty();
     disk.writeError = 'EROFS';
     expect(await refusal(disk)).toContain('the file system is read-only');
@@ -224,10 +212,8 @@
     expect(Buffer.from(after.recovered.entries[2]?.command ?? []).toString()).toBe('another');
   });
 
+  // Guards against entries that are skipped where a file of the folder was removed, as each file is whole in itself.
   test('segments that are missing in between are an error', async () => {
-    // Symptom: a replica applies entry 9 after entry 4.
-    // Sequence: somebody removes a file of the folder.
-    // Cause: each file is whole in itself.
     const disk = await written();
     const { storage } = await open(disk);
     const data = Buffer.from('state');
@@ -267,19 +253,15 @@
     await again.storage.close();
   });
 
+  // Guards against a replica that starts empty where the volume with its data is not mounted.
   test('a missing folder above is a clear error', async () => {
-    // Symptom: a replica starts empty beside its data.
-    // Sequence: the volume that holds the data is not mounted.
-    // Cause: all missing folders were created without a word.
     expect(await refusal(fileDisk, join(parent, 'not mounted', 'replica'))).toContain(
       'the folder is missing',
     );
   });
 
+  // Guards against two processes that write one journal, or a lock of a dead one that keeps its successor out.
   test('a second process on one folder is refused; a lock left by a dead one is taken over', async () => {
-    // Symptom: two processes write one journal; or nothing starts after a crash.
-    // Sequence: a second start, then a crash that leaves the lock, then the same process id given out again.
-    // Cause: no lock; or a lock that does not tell whether its holder lives.
     const folder = join(parent, 'replica');
     const { storage } = await open(fileDisk, folder);
     expect(await refusal(fileDisk, folder)).toContain(`in use by process ${process.pid}`);
--- a/packages/proof/src/storage/storage.spec.ts
+++ b/packages/proof/src/storage/storage.spec.ts
@@ -114,14 +114,12 @@
     await voting();
   };
 
+  // Guards against an instance that does not start after a power cut, or has lost what was accepted.
   it.each([
     { what: 'the beginning of a record at its end', damage: beginRecord },
     { what: 'its last record cut short', damage: cutTail },
     { what: 'a write that is missing before a later one', damage: loseWrite },
   ])('repairs a journal with $what, and holds all accepted documents', async ({ damage }) => {
-    // Symptom: after a power cut an instance does not start, or what was accepted is gone.
-    // Sequence: the power goes while a record is written; the file ends in a part of it.
-    // Cause: a part of a record taken for damage, or for a record.
     await change(CHANGES);
     await victim().kill();
     await damage(data());
@@ -143,10 +141,8 @@
     await scene.cluster.settled();
   });
 
+  // Guards against an instance that quietly forgets what it promised, and with it a quorum.
   it('serves nothing from a journal with a flipped bit, and comes back from an empty folder as a learner first', async () => {
-    // Symptom: an instance quietly forgets what it had promised, and with it a quorum does.
-    // Sequence: one bit in the middle of the journal flips while the process is down.
-    // Cause: a reader that takes the first bad checksum for the end of the file.
     await change(CHANGES);
     await victim().kill();
     await flipBit(data());
@@ -166,10 +162,8 @@
     expect(parts.slice(learning)).toContain('true false');
   });
 
+  // Guards against an instance with a lost mount that starts as if it were new, or ends with a stack trace.
   it('says clearly that its folder is missing, or is a file', async () => {
-    // Symptom: an instance with a lost mount starts as if it were new, or ends with a stack trace.
-    // Sequence: the data folder's mount is gone; or a file lies where the folder belongs.
-    // Cause: a start that makes whatever is missing.
     await victim().kill();
     await rm(data(), { recursive: true });
     const missing = await refusedStart();
@@ -188,10 +182,8 @@
     expect(await told(VICTIM)).toEqual(everything());
   });
 
+  // Guards against two processes that write one journal, and both promise what neither holds.
   it('ends a second process on a folder, and the first goes on', async () => {
-    // Symptom: two processes write one journal, and both promise what neither holds.
-    // Sequence: an operator or a platform starts the instance again while it runs.
-    // Cause: a folder without a lock, or a lock that the second one takes away.
     const { name, script, args } = victim().spec;
     const logFile = join(scene.dataOf('second'), '..', 'second.log');
     const second = new ManagedProcess({ name, script, args, logFile });
--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -130,10 +130,8 @@
     expect(new Set(bed.reasons).size).toBe(bed.reasons.length);
   });
 
+  // Guards against a request that ran and is reported as not run, so that its caller sends it again.
   it('says not run only when the target has stated it', async () => {
-    // Symptom: a request that ran is reported as not run, and its caller sends it again.
-    // Sequence: a target reads a request and resets the connection; another one answers 503 without more.
-    // Cause: every failure, or every 503, was passed on as a refusal.
     const url = await start([routeTo()], 1);
     bed.target(1).script = refusal;
     const refused = await ask(url);
@@ -204,10 +202,8 @@
     expect(bed.target(2).requests.length).toBeGreaterThanOrEqual(19);
   });
 
+  // Guards against half an answer that looks whole to its caller.
   it('takes an answer without a length for whole when its connection ends, and for broken when it is reset', async () => {
-    // Symptom: a caller gets half an answer that looks whole.
-    // Sequence: a target answers without a length, crashes half way, and its connection is reset.
-    // Cause: the HTTP library takes the reset for the end of such an answer.
     const url = await start([routeTo()], 1);
     const unframed =
       (finish: (socket: Socket) => void): Script =>
@@ -247,10 +243,8 @@
     await until(() => closed);
   });
 
+  // Guards against events of a stream that are lost, come twice or come in part.
   it('goes on with a stream at another target after the last event, as one answer', async () => {
-    // Symptom: a caller loses events, gets one twice, or half of one.
-    // Sequence: a target breaks off inside an event; another one goes on.
-    // Cause: bytes passed on as they came, and a second answer from the start.
     const url = await start([routeTo(stream)], 2);
     const broken = events(0, 2, (response) => {
       response.write('id: 3\nda', () => response.socket?.resetAndDestroy());
@@ -263,10 +257,8 @@
     expect(bed.arrivals()).toBe(2);
   });
 
+  // Guards against an answer that bears the signatures of two targets.
   it('shows nothing of a target that was lost before its first event', async () => {
-    // Symptom: an answer bears the signatures of two targets.
-    // Sequence: a target sends its head and crashes; another one answers.
-    // Cause: the first head was written before there was an event.
     const url = await start([routeTo(stream)], 2);
     const lost = events(0, -1, (response) => {
       response.flushHeaders();
@@ -294,10 +286,8 @@
     expect(bed.arrivals()).toBe(1);
   });
 
+  // Guards against a caller that waits until its deadline, or finds an error page inside its stream.
   it('adds nothing but events to a stream that has begun', async () => {
-    // Symptom: a caller waits until its deadline, or finds an error page inside its stream.
-    // Sequence: a stream breaks; the target that is to go on answers with a failure of its own.
-    // Cause: the failure was to be passed on as a whole answer, or as the rest of the stream.
     const url = await start([routeTo(stream)], 2);
     const broken = events(0, 1, (response) => {
       response.write('id: 2\nda', () => response.socket?.resetAndDestroy());
@@ -332,10 +322,8 @@
     expect(await answer).toMatchObject({ body: text(0, 3), whole: true });
   });
 
+  // Guards against streams that break off while weights are replaced.
   it('takes the rest of a moved stream to a third target when the second has no room', async () => {
-    // Symptom: streams break off while weights are replaced.
-    // Sequence: a stream leaves a target that pauses; the next one refuses it, as it is full or pauses too.
-    // Cause: the refusal counted as the last attempt that the route allows.
     const url = await start([routeTo(stream)], 3);
     for (const target of bed.targets) {
       target.script = (request, response, body) => {
@@ -360,10 +348,8 @@
     expect(headers['t-salt']).toContain('weights-1');
   });
 
+  // Guards against a prompt that is answered from what another customer's request left in a cache.
   it('keeps the cache of a customer apart that shares with nobody', async () => {
-    // Symptom: a customer's prompt is answered from what another customer's request left in a cache.
-    // Sequence: two customers, one of them isolated, send the same prompt to one target.
-    // Cause: one salt for all.
     const customers = ['alone', 'other', 'third'].map((name) => ({
       name,
       keys: [`key-${name}`],
@@ -380,10 +366,8 @@
     expect(other).not.toBe(alone);
   });
 
+  // Guards against a request that runs on cache made under other weights.
   it('names a target that has the shared part as the source, while it has the same weights', async () => {
-    // Symptom: a request runs on cache that was made under other weights.
-    // Sequence: a target has a part in its cache, and loads new weights; what told of the part is older than that.
-    // Cause: it was named as a source by what was told alone, without a look at its weights.
     const url = await start([routeTo({ ...stream, maxAttempts: 1 })], 2);
     const [first, second] = [bed.target(1), bed.target(2)];
     for (const target of bed.targets) target.script = events(0, 0, () => undefined);
@@ -402,10 +386,8 @@
     expect(source()).toBe('');
   });
 
+  // Guards against first tokens that are all some hundred ms late.
   it('names a store that answers as the source and for a copy, and none for a prompt that shares nothing', async () => {
-    // Symptom: every first token is some hundred ms late.
-    // Sequence: the store of kept cache goes down; requests go on naming it.
-    // Cause: a store that does not answer was named.
     const store = '127.0.0.1:9';
     const services = [{ name: 's' }, { name: 'kept', storeAddress: store }];
     const url = await start([routeTo({ ...stream, maxAttempts: 1 })], 1, { services });
@@ -422,12 +404,8 @@
     await expect.poll(() => named(`other-${(other += 1)},b`)).toEqual(['', '']);
   });
 
+  // Guards against shared parts that are read again though the stores together have room for them.
   it('spreads shared parts over all stores that answer, each part to one of them', async () => {
-    // Symptom: nearly all shared parts are read again, though three stores have room for them.
-    // Sequence: the configuration names several stores; each prompt is copied to the first, which turns over before a part
-    // is asked for again, so the next prompt is copied too.
-    // Cause: only the first store of the configuration was ever named.
-    // Proved by: one address in all of 10,194 sendings that named a store, of three that were watched.
     const stores = ['127.0.0.1:9', '127.0.0.1:10', '127.0.0.1:11'];
     const kept = stores.map((storeAddress, at) => ({
       name: `kept-${at}`,
@@ -454,10 +432,8 @@
     }
   });
 
+  // Guards against callers that are refused for good after a loss of all instances, though targets are there.
   it('lets a request wait for a target while it has just started', async () => {
-    // Symptom: after a loss of all instances callers are refused for good, though targets are there.
-    // Sequence: they return to an entry that has a configuration and knows no target yet, and have one retry.
-    // Cause: a target that is not known yet was taken not to be there.
     bed = await Bed.startUntold([routeTo()], 1);
     const asked = ask(bed.url);
     await until(() => bed.logged.includes(relayEvents.waits.id));
@@ -465,10 +441,8 @@
     expect(await asked).toMatchObject({ status: 200, whole: true });
   });
 
+  // Guards against a planned stop that cuts a stream in its middle.
   it('sends long streams to the next entry once a planned stop has begun, and serves short ones', async () => {
-    // Symptom: a planned stop cuts a stream in its middle.
-    // Sequence: the stop begins; the balancer sends a long stream still; the time to stop is over before its end.
-    // Cause: taken in, however long it may take.
     const url = await start([routeTo(stream)], 1);
     bed.target(1).script = events(0, 1, (response) => response.end());
     const drained = bed.drain();
@@ -481,10 +455,8 @@
     await drained;
   });
 
+  // Guards against a planned stop that cuts a request which was sent seconds after it began.
   it('takes no request on a connection whose stream outlived the begin of a planned stop', async () => {
-    // Symptom: a planned stop cuts a request that was sent seconds after it began.
-    // Sequence: a stream is under way; the stop begins; the stream ends; its caller uses the connection again.
-    // Cause: the stream's head went out before it could say that the connection closes.
     const url = await start([routeTo(stream)], 1);
     let finish: () => void = () => undefined;
     bed.target(1).script = events(0, 0, (response) => {
--- a/packages/rollout/src/keeper/weightsKeeper.spec.ts
+++ b/packages/rollout/src/keeper/weightsKeeper.spec.ts
@@ -162,10 +162,8 @@
     expect(told.at(-1)?.weights.get('m')).toBe(3);
   });
 
+  // Guards against a target that has its new weights and gets no work for a moment.
   it('numbers the end of a pause higher than its begin, and the next begin higher still', async () => {
-    // Symptom: a target that has its new weights gets no work for a moment.
-    // Sequence: the begin of its pause reaches an entry by a detour over another control instance, after its end.
-    // Cause: both had the number of the turn, and of equal numbers the last heard counted.
     name(2);
     await look();
     name(3);
@@ -176,10 +174,8 @@
     expect([...numbers].sort((a, b) => Number(a - b))).toEqual(numbers);
   });
 
+  // Guards against first tokens that are nearly all late while weights are replaced under load.
   it('does not take the target out for long runs, and waits for what has made nothing yet', async () => {
-    // Symptom: while weights are replaced under load, nearly all first tokens are late.
-    // Sequence: some streams of seconds run at a target that is to load; the order waits for them; it takes no work.
-    // Cause: an order that lets runs finish first.
     name(2);
     target.running = 3;
     target.unstarted = 1;
@@ -207,10 +203,8 @@
     expect(told).toEqual([]);
   });
 
+  // Guards against two holders that give one target orders by turns.
   it('gives no order while another holder has the right to, and asks again', async () => {
-    // Symptom: two holders give one target orders by turns.
-    // Sequence: a control instance brought it weights while its process was away; the process is back, and has a turn.
-    // Cause: a turn of the service says nothing of who orders the target.
     denied.add(`orders/${ADDRESS}`);
     name(2);
     await look();
@@ -231,10 +225,8 @@
     expect(asks).toBe(kept);
   });
 
+  // Guards against a process that was suspended and gives an order after another one has taken its place.
   it('gives no order when the right to was lost while the target was made ready', async () => {
-    // Symptom: a process that was suspended gives an order after another one has taken its place.
-    // Sequence: it takes the right, is suspended, and its monotonic clock stands still meanwhile.
-    // Cause: its own clock says that the right has time left.
     target.unstarted = 1;
     name(2);
     const looking = look();
@@ -262,10 +254,8 @@
     expect(target.orders).toEqual([]);
   });
 
+  // Guards against an order that is given twice, or a target that stays paused for good.
   it('goes by what the target reports when an order gets no answer', async () => {
-    // Symptom: an order is given twice, or a target stays paused for good.
-    // Sequence: the answer to an order is lost; the target carries it out.
-    // Cause: no answer was taken for no order.
     target.silent = true;
     name(2);
     await look();
@@ -293,12 +283,8 @@
     return asks;
   }
 
+  // Guards against a log that takes hundreds of entries a second which change nothing.
   it('asks for a turn less often the more targets ask', async () => {
-    // Symptom: the log takes hundreds of entries a second that change nothing, while control instances are short of
-    // processor time and weights come to targets late. (That the entries make them late is not shown.)
-    // Sequence: 39 targets, the leader of the log is lost or late for a moment; no target loads, so none lets others go first.
-    // Cause: each asked ten times a second, whatever came of it.
-    // Proved by: ten seconds of one target's asking.
     const asks = await asksBeside(38);
     expect(asks).toBeGreaterThan(4);
     expect(asks).toBeLessThan(25);
@@ -318,10 +304,8 @@
     expect(target.orders).toHaveLength(1);
   });
 
+  // Guards against a rollout that stands still for seconds, after which several targets load at once.
   it('does not wait for a target that is next and does nothing', async () => {
-    // Symptom: a rollout stands still for 3 s, and then several targets load at once.
-    // Sequence: the target that is next falls silent; it counts as ready until its heartbeats are missed.
-    // Cause: the others waited for it as if it were loading.
     const one = keeper();
     announce('t0', '10.0.0.2:80', 1);
     name(2);
@@ -334,10 +318,8 @@
     expect(target.orders).toHaveLength(1);
   });
 
+  // Guards against a target that stays on the first of several versions named in quick succession.
   it('lets targets go first that are further behind, for a while', async () => {
-    // Symptom: when versions are named in quick succession, one target stays on the first for many seconds.
-    // Sequence: agents of targets that have just loaded ask for the next turn, and get it.
-    // Cause: turns in the order of asking.
     target.version = 2;
     announce('t1', ADDRESS, 2);
     announce('t2', '10.0.0.2:80', 1);
