--- a/packages/core/src/stall/stallWatch.ts
+++ b/packages/core/src/stall/stallWatch.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../clock/index.js';
 
 /** Pause between two looks at the clock, milliseconds. */
-const LOOK_MS = 50;
+const LOOK_MS = 100;
 
 /** A look that comes so much too late tells of a stall, milliseconds. */
 const LEAST_STALL_MS = 100;
