--- a/packages/coordination/src/agreement/returnToVote.spec.ts
+++ b/packages/coordination/src/agreement/returnToVote.spec.ts
@@ -1,5 +1,5 @@
 /** Replicas that come back with an empty disk: until they vote, the loss of one more disk can be the end of the quorum. */
-import { afterEach, describe, expect, test } from 'vitest';
+import { describe, expect, test } from 'vitest';
 import { MemoryCluster } from '../testing/index.js';
 import type { Node } from '../testing/index.js';
 
@@ -22,10 +22,11 @@
 
 let cluster: MemoryCluster;
 
-afterEach(() => {
+/** Ends a history, in which no promise may have been broken. */
+function end(): void {
   expect(cluster.violations).toEqual([]);
   for (const node of cluster.nodes) cluster.crash(node);
-});
+}
 
 const isVoting = (node: Node): boolean => {
   const id = node.replica?.status().replicaId;
@@ -53,7 +54,7 @@
   'a follower': (node) => node !== cluster.leader(),
 };
 
-// A disk that is lost while the replacement of another one has no vote yet ends the quorum of three for good.
+// Guards against the loss of a second disk while the replacement of a first one has no vote yet: no quorum is left for good.
 describe.each(Object.keys(emptied))('the empty disk of %s', (which) => {
   test.each(BOUNDS)(
     'votes within $boundMs ms where a message takes $delayMs ms',
@@ -64,6 +65,7 @@
         cluster.network.maxDelayMs = delayMs;
         await cluster.startAll();
         times.push(await timeToVote(emptied[which] ?? (() => false)));
+        end();
       }
       expect(Math.max(...times)).toBeLessThanOrEqual(boundMs);
     },
--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -91,6 +91,7 @@
     }
   });
 
+  // Guards against an acknowledged entry that is dropped like a write that never reached the disk.
   test('a record that was synced and is gone, with later ones behind it, is an error', async () => {
     const disk = MemoryDisk.empty();
     const { storage } = await open(disk);
--- a/packages/relay/src/stall.spec.ts
+++ b/packages/relay/src/stall.spec.ts
@@ -30,7 +30,7 @@
   reset: (caller) => caller.resetAndDestroy(),
 };
 
-// Requests of callers that left while the entry stood still were sent to targets afterwards.
+// Guards against requests that are sent on for callers that left while the entry stood still.
 describe.each(Object.keys(leave))('callers that %s while the event loop stands still', (way) => {
   let bed: Bed;
 
@@ -103,7 +103,7 @@
     expect(answers.filter((answer) => String(answer[0]).startsWith('HTTP/1.1 200'))).toHaveLength(CALLERS);
   });
 
-  // A target was told of more time than its caller had left, as a request counted as new when it was read.
+  // Guards against targets that are told of more time than is left, as a request counts as new when it is read.
   it('have no more time left than their targets are told of', async () => {
     bed = await Bed.start([routeTo()]);
     const callers = await callersOf(bed);
