Show from the logs how control came back after a restart of all its instances

A read that is answered is logged now (3031), so that the time to the first one can be told from the logs alone.

--- a/packages/control/src/configuration/configurationService.spec.ts
+++ b/packages/control/src/configuration/configurationService.spec.ts
@@ -11,14 +11,15 @@
 
 describe('what operators do with configurations', () => {
   // Guards against a read that is refused without a trace, so that a lost quorum can't be told from a late answer.
-  it('logs why a read was not answered', async () => {
+  it('logs each read, and why one was not answered', async () => {
     const told: unknown[] = [];
     const log: Log = { event: ({ id }, fields) => told.push({ id, ...fields }), with: () => log };
     const { machine } = createState();
     const replicas = new LocalLog(machine);
     const service = new ConfigurationService(new Proposer(replicas, LIMITS), new ManualClock(), log);
     expect((await service.read())._unsafeUnwrap()).toBeUndefined();
-    expect(told).toEqual([]);
+    const { id: readId } = controlEvents.configurationRead;
+    expect(told.splice(0)).toEqual([{ id: readId, number: 0, tookMs: 0 }]);
     replicas.isolate(true);
     expect((await service.read())._unsafeUnwrapErr().kind).toBe('no-quorum');
     const { id } = controlEvents.configurationUnread;
--- a/packages/control/src/configuration/configurationService.ts
+++ b/packages/control/src/configuration/configurationService.ts
@@ -62,11 +62,15 @@
   async read(): Promise<Result<SentConfiguration | undefined, Fault>> {
     const begunAt = this.clock.monotonic();
     const outcome = await this.proposer.propose('readConfiguration', {});
-    if (outcome.isErr()) {
-      const tookMs = Math.round(this.clock.monotonic() - begunAt);
-      const { kind, message } = outcome.error;
-      this.log.event(controlEvents.configurationUnread, { kind, message, tookMs });
-    }
+    const tookMs = Math.round(this.clock.monotonic() - begunAt);
+    outcome.match(
+      ({ number }) => {
+        this.log.event(controlEvents.configurationRead, { number: Number(number), tookMs });
+      },
+      ({ kind, message }) => {
+        this.log.event(controlEvents.configurationUnread, { kind, message, tookMs });
+      },
+    );
     return outcome.map(({ number, source }) =>
       number === 0n ? undefined : { number: Number(number), source },
     );
--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -38,6 +38,7 @@
     level: 'warn',
     message: 'the configuration was not read: no quorum confirmed which is the newest',
   },
+  configurationRead: { id: 3031, level: 'info', message: 'the configuration was read back' },
   weightsNamed: { id: 3016, level: 'info', message: 'weights named' },
   targetAnnounced: { id: 3017, level: 'info', message: 'a target changed its state' },
   followed: { id: 3018, level: 'info', message: 'a follower opened its stream' },
--- /dev/null
+++ b/packages/ctl/src/returns/index.ts
@@ -0,0 +1,2 @@
+export * from './logLine.js';
+export * from './returns.js';
