A stream that nobody waits for any more leaves the connection to the newer one

What callers saw: entries that were told by a control instance a moment ago lost it, and were told all again. Cause: a follow task that is stopped before its stream has told something waits on, and at the end of its wait it dropped the connection to the address, which a newer task for the same instance may use by then, with the reports that go over it. Change: a stopped task ends its own stream only. The test failed before: a third stream was opened.

--- a/packages/knowledge/src/followTask.ts
+++ b/packages/knowledge/src/followTask.ts
@@ -156,7 +156,8 @@
     this.stream = new AbortController();
     const { stream } = this;
     const silent = (): void => {
-      peers.drop(address);
+      // Another task may follow the same instance by now, over the same connection.
+      if (!this.isStopped) peers.drop(address);
       stream.abort();
     };
     let calledOff = clock.after(this.firstEventMs, () => {
--- a/packages/knowledge/src/follower.spec.ts
+++ b/packages/knowledge/src/follower.spec.ts
@@ -86,6 +86,22 @@
     expect(streams).toBeLessThanOrEqual(4);
   });
 
+  // Guards against a stream that nobody waits for any more cutting the connection of the one that took its place.
+  it('leaves the connection to a newer stream when an older one has told nothing', async () => {
+    const { address } = await control('mute');
+    const listener = new Knowledge(systemClock, silentLog);
+    const owner = { hasEnough: () => true, heard: () => undefined, changed: () => undefined };
+    const parts = { name: 'e1', role: 'entry', listener, peers, clock: systemClock, log: silentLog } as const;
+    const [old, newer] = [0, 1].map(() => new FollowTask(address, parts, owner, true));
+    void old?.run();
+    expect(await within(SILENCE_MS, () => streams === 1)).toBe(true);
+    old?.stop();
+    void newer?.run();
+    expect(await within(SILENCE_MS, () => listener.confirmed())).toBe(true);
+    expect(await within(SILENCE_MS, () => streams > 2)).toBe(false);
+    newer?.stop();
+  });
+
   // Guards against an entry that serves nobody for as long as a stream may be silent, as its first connection hangs.
   it('gives up a stream that tells nothing at first', async () => {
     const { address } = await control('mute');
