Open as many streams to control instances as are needed, not one to each

What callers saw: after a loss of power of all, refusals for seconds, and no configuration read back. Cause: until enough instances were in contact with a quorum, each process opened a stream to all that it knew, gave those up that did not tell in 0.7 s, and opened them anew; the number of entries, which is not known then and grows with each that comes, moved all of them from one instance to the next.

Change: a follower begins with the first ones of its order, and with one more for each that is lost, is late to tell, or stays out of contact for 1 s. What is followed stays followed; a better place is approached one stream a second. While nobody knows the number of entries all instances share them. The one that is asked for everything stays so for 3 s.

--- a/packages/knowledge/src/controlOrder.spec.ts
+++ b/packages/knowledge/src/controlOrder.spec.ts
@@ -33,6 +33,12 @@
     expect(most).toBeLessThanOrEqual(150);
   });
 
+  // Guards against all entries asking one instance for everything after a restart of all, while it is being elected.
+  it('spreads entries over all instances while nobody knows how many there are', () => {
+    const most = Math.max(...firsts('entry', 600, addresses(6), 0));
+    expect(most).toBeLessThanOrEqual(150);
+  });
+
   it('moves no other process when an instance is lost', () => {
     const controls = addresses(6);
     for (let at = 0; at < 50; at += 1) {
--- a/packages/knowledge/src/controlOrder.ts
+++ b/packages/knowledge/src/controlOrder.ts
@@ -20,7 +20,8 @@
 
 /**
  * Control instances in the order in which a process asks them: first the one that tells it loads, work and caches and takes
- * its reports, then its spares. With `entries` entries the first ones are as many as are needed to share them.
+ * its reports, then its spares. With `entries` entries the first ones are as many as are needed to share them; 0: nobody knows
+ * yet how many there are, as after a restart of all, and all instances share them.
  */
 export function controlOrder(
   { name, role }: FollowerName,
@@ -29,7 +30,7 @@
 ): string[] {
   const sorted = [...controls].sort();
   if (FROM_END.has(role)) sorted.reverse();
-  const sharing = Math.max(1, Math.ceil(entries / ENTRIES_EACH));
+  const sharing = entries === 0 ? controls.length : Math.ceil(entries / ENTRIES_EACH);
   const byScore = (some: readonly string[]): string[] =>
     [...some].sort((a, b) => score(name, b) - score(name, a));
   const [first, ...spares] = byScore(sorted.slice(0, sharing));
--- a/packages/knowledge/src/followTask.ts
+++ b/packages/knowledge/src/followTask.ts
@@ -23,6 +23,12 @@
  */
 const LAST_FIRST_EVENT_MS = 5_600;
 
+/**
+ * Time for which an instance may be out of contact with a quorum before another one is looked for, milliseconds: without a
+ * leader all instances are, and streams to more of them would only keep them busy.
+ */
+export const OUT_OF_CONTACT_MS = 1_000;
+
 /** Pause before the first and the last repeated attempt, milliseconds. */
 const FIRST_PAUSE_MS = 50;
 const LAST_PAUSE_MS = 1_000;
@@ -63,7 +69,7 @@
   hasEnough(): boolean;
   /** The control instances that an event names. */
   heard(address: string, controls: readonly string[]): void;
-  /** The instance came into contact with a quorum, or out of it, or was lost. */
+  /** The instance came into contact with a quorum, or out of it, or is no longer expected to come into contact. */
   changed(): void;
 }
 
@@ -71,6 +77,9 @@
 export class FollowTask {
   /** It is heard, and in contact with a quorum. */
   isUp = false;
+  /** It is up, was so a moment ago, or may be soon. */
+  isHopeful = false;
+  private endHope = (): void => undefined;
   private readonly stopped = new AbortController();
   private stream = new AbortController();
   /** The stream that is open has told something. */
@@ -102,6 +111,7 @@
     let pauseMs = FIRST_PAUSE_MS;
     while (!signal.aborted) {
       this.isOpen = true;
+      this.hope(FIRST_EVENT_MS);
       const events = await this.follow();
       this.isOpen = false;
       this.isHeard = false;
@@ -114,7 +124,7 @@
         this.isReopening = false;
         continue;
       }
-      this.note(false);
+      this.loseHope();
       await clock.sleep(pauseMs * (0.5 + Math.random() / 2), signal).catch(() => undefined);
       pauseMs = Math.min(this.lastPauseMs(), pauseMs * 2);
     }
@@ -127,6 +137,8 @@
    */
   stop(): void {
     this.isUp = false;
+    this.isHopeful = false;
+    this.endHope();
     this.isStopped = true;
     this.parts.listener.lost(this.address);
     if (!this.isOpen || this.isHeard) this.stopped.abort();
@@ -142,9 +154,30 @@
     return this.owner.hasEnough() ? SPARE_PAUSE_MS : LAST_PAUSE_MS;
   }
 
-  private note(isUp: boolean): void {
-    if (isUp === this.isUp) return;
+  /** Notes what an event says of the instance's contact with a quorum. */
+  private note(isUp: boolean, isFirst: boolean): void {
+    if (isUp === this.isUp && !isFirst) return;
     this.isUp = isUp;
+    if (isUp) this.endHope();
+    else this.hope(OUT_OF_CONTACT_MS);
+    this.isHopeful = true;
+    this.owner.changed();
+  }
+
+  /** It may come up within so many milliseconds. */
+  private hope(ms: number): void {
+    this.endHope();
+    this.isHopeful = true;
+    this.endHope = this.parts.clock.after(ms, () => {
+      this.loseHope();
+    });
+  }
+
+  private loseHope(): void {
+    this.endHope();
+    if (!this.isHopeful) return;
+    this.isHopeful = false;
+    this.isUp = false;
     this.owner.changed();
   }
 
@@ -187,7 +220,7 @@
         listener.apply(address, event, events === 0);
         events += 1;
         this.owner.heard(address, event.controls);
-        this.note(event.vouched);
+        this.note(event.vouched, events === 1);
         if (this.bulk !== bulk) this.reopen();
       }
     } catch (error) {
--- a/packages/knowledge/src/follower.spec.ts
+++ b/packages/knowledge/src/follower.spec.ts
@@ -172,14 +172,13 @@
     await Promise.all(instances.map(({ server }) => server.close()));
   });
 
-  function follow(role: 'entry' | 'agent' = 'entry'): Follower {
+  function follow(role: 'entry' | 'agent' = 'entry', controls = addresses().slice(0, 2)): Follower {
     const parts = {
       listener: new Knowledge(systemClock, silentLog),
       peers,
       clock: systemClock,
       log: silentLog,
     };
-    const controls = addresses().slice(0, 2);
     const follower = new Follower({ name: 'e1', role, controls, ...parts });
     followers.push(follower);
     follower.start();
@@ -205,6 +204,21 @@
     expect(new Set(follower.controls())).toEqual(new Set(followed()));
   });
 
+  // Guards against control instances that can't elect a leader, as all processes open streams to each of them after a restart of all.
+  it('opens as many streams as it needs while no instance is in contact with a quorum', async () => {
+    for (const one of instances) one.vouched = false;
+    const follower = follow('entry', addresses());
+    await until('three of them', () => followed().length === 3);
+    const end = systemClock.monotonic() + 700;
+    while (systemClock.monotonic() < end) {
+      expect(opened).toBe(3);
+      await systemClock.sleep(20);
+    }
+    for (const one of instances) one.vouched = true;
+    await until('contact with a quorum', () => follower.hasEnough());
+    expect(opened).toBe(3);
+  });
+
   // Guards against streams that end and are opened anew all the time, as the order follows each count of entries.
   it('stays where it is while the number of entries goes up and down by one', async () => {
     entries = 24;
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -1,6 +1,6 @@
 /** Follows some of the control instances that are known, one task each. */
 import { controlOrder } from './controlOrder.js';
-import { FollowTask } from './followTask.js';
+import { FollowTask, OUT_OF_CONTACT_MS } from './followTask.js';
 import type { FollowTaskOwner, FollowTaskParts } from './followTask.js';
 
 /**
@@ -13,16 +13,10 @@
 const LOOK_MS = 1_000;
 
 /**
- * Looks after which the one that is asked first may be another that is well: it is told all again. When all instances start
- * at once the order changes with each that comes up.
+ * Time after which the one that is asked first may be another that is well, milliseconds: it is told all again. When all
+ * instances start at once the order changes with each that comes up.
  */
-const LOOKS_BEFORE_MOVE = 3;
-
-/**
- * Time for which those that are followed may be out of contact with a quorum before others are looked for, milliseconds:
- * without a leader all instances are, and streams to more of them would only keep them busy.
- */
-const OUT_OF_CONTACT_MS = 1_000;
+const MOVE_MS = 3_000;
 
 /**
  * Part by which the number of entries must differ from the one that the order was made with. An entry that goes from one
@@ -43,8 +37,9 @@
 }
 
 /**
- * Follows a few control instances. One of them tells an entry loads, work and caches too. Until enough of them are in
- * contact with a quorum all that are known are tried at once.
+ * Follows a few control instances. One of them tells an entry loads, work and caches too. It begins with the first ones of
+ * the order, and with one more for each that is lost, stays out of contact with a quorum or is late to tell: a stream to each
+ * of all instances would keep them from electing a leader after a restart of all.
  */
 export class Follower implements FollowTaskOwner {
   private readonly stopped = new AbortController();
@@ -56,14 +51,12 @@
   private readonly most: number;
   /** Those that are up, in the order to ask them, as it was at the last change. */
   private order: readonly string[] = [];
-  /**
-   * The one that is asked first, kept for some looks while it is heard: when all instances start at once, or change their
-   * leader, each that comes up would move streams for a moment, and be told all again.
-   */
+  /** The one that is asked first, kept for some time while it may be up, and since when, by the clock. */
   private asked: string | undefined;
-  /** When enough of them were last in contact with a quorum, by the clock. */
-  private enoughAt: number | undefined;
-  /** Entries for which the order is made. */
+  private askedAt = 0;
+  /** When one came up while none was, by the clock: the others may be about to, after a leader was elected. */
+  private contactAt = 0;
+  /** Entries for which the order is made; 0: not known yet. */
   private entries = 0;
 
   constructor(private readonly parts: FollowerParts) {
@@ -73,6 +66,7 @@
 
   /** Begins to follow. */
   start(): void {
+    this.askedAt = this.parts.clock.monotonic();
     this.adjust();
     void this.look();
   }
@@ -115,31 +109,33 @@
   }
 
   private async look(): Promise<void> {
+    const { clock } = this.parts;
     const { signal } = this.stopped;
-    for (let looks = 1; !signal.aborted; looks += 1) {
-      await this.parts.clock.sleep(LOOK_MS, signal).catch(() => undefined);
-      const mayMove = looks % LOOKS_BEFORE_MOVE === 0 || !this.isUp(this.asked ?? '');
-      if (mayMove && this.order.length > 0) this.asked = undefined;
+    while (!signal.aborted) {
+      await clock.sleep(LOOK_MS, signal).catch(() => undefined);
+      if (clock.monotonic() - this.askedAt >= MOVE_MS) this.reorder();
+      this.approach();
       this.adjust();
     }
   }
 
-  private isUp(address: string): boolean {
-    return this.tasks.get(address)?.isUp === true;
+  /** Makes the order anew, and lets another one be the first. */
+  private reorder(): void {
+    const entries = this.parts.listener.entries();
+    if (Math.abs(entries - this.entries) > this.entries * NOTICED_CHANGE) this.entries = entries;
+    if (this.order.length > 0) this.asked = undefined;
   }
 
-  private isHeard(address: string): boolean {
-    return this.tasks.get(address)?.isHeard === true;
+  private isUp(address: string): boolean {
+    return this.tasks.get(address)?.isUp === true;
   }
 
-  /** Enough are heard, and were in contact with a quorum a moment ago. */
-  private isWaiting(): boolean {
-    const { clock } = this.parts;
-    if (this.enoughAt === undefined || clock.monotonic() - this.enoughAt >= OUT_OF_CONTACT_MS) return false;
-    return [...this.tasks.values()].filter(({ isHeard }) => isHeard).length >= this.most;
+  private isHopeful(address: string): boolean {
+    return this.tasks.get(address)?.isHopeful === true;
   }
 
-  private ranked(controls: Iterable<string>): string[] {
+  /** All that are known, in the order in which this process would ask all of them. */
+  private ranked(controls: Iterable<string> = this.known()): string[] {
     return controlOrder(this.parts, [...controls], this.entries);
   }
 
@@ -156,46 +152,77 @@
   /** Starts and ends tasks as control instances come and go. */
   private adjust(): void {
     if (this.stopped.signal.aborted) return;
-    const entries = this.parts.listener.entries();
-    if (Math.abs(entries - this.entries) > this.entries * NOTICED_CHANGE) this.entries = entries;
-    const up = this.ranked(this.known()).filter((address) => this.isUp(address));
-    if (this.asked === undefined || !this.isHeard(this.asked)) this.asked = up[0];
+    this.choose();
+    this.endSurplus();
+    this.beginMissing();
+    for (const [address, task] of this.tasks) task.ask(this.asksForBulk(address));
+  }
+
+  /** Chooses the one that is asked first, and the order of the others. */
+  private choose(): void {
+    const ranked = this.ranked();
+    const up = ranked.filter((address) => this.isUp(address));
+    const now = this.parts.clock.monotonic();
+    if (this.order.length === 0) this.contactAt = now;
+    if (!this.isWorthKeeping(this.asked, now) && up.length > 0) {
+      [this.asked] = up;
+      this.askedAt = now;
+    }
+    this.asked ??= ranked[0];
     this.order = up.sort((a, b) => Number(b === this.asked) - Number(a === this.asked));
-    if (this.hasEnough()) this.enoughAt = this.parts.clock.monotonic();
-    const wanted = new Set(this.wanted());
-    if (this.asked !== undefined) wanted.add(this.asked);
+  }
+
+  /** Whether the one that is asked first stays so. */
+  private isWorthKeeping(asked: string | undefined, now: number): boolean {
+    if (asked === undefined) return false;
+    const isFollowing = this.tasks.get(asked)?.isHeard === true;
+    return this.isHopeful(asked) || (isFollowing && now - this.contactAt < OUT_OF_CONTACT_MS);
+  }
+
+  private asksForBulk(address: string): boolean {
+    const { role, wantsBulk } = this.parts;
+    return (role === 'entry' && address === this.asked) || wantsBulk?.() === true;
+  }
+
+  /** Ends what is not wanted any more. */
+  private endSurplus(): void {
+    const wanted = this.hasEnough() ? this.preferred() : this.known();
     for (const [address, task] of this.tasks) {
-      if (wanted.has(address)) continue;
+      if (wanted.has(address) || address === this.asked) continue;
       task.stop();
       this.tasks.delete(address);
       this.forget(address);
     }
-    const { role, wantsBulk } = this.parts;
-    for (const address of wanted) {
-      const bulk = (role === 'entry' && address === this.asked) || wantsBulk?.() === true;
-      const known = this.tasks.get(address);
-      if (known === undefined) this.begin(address, bulk);
-      else known.ask(bulk);
-    }
-  }
-
-  private begin(address: string, bulk: boolean): void {
-    const task = new FollowTask(address, this.parts, this, bulk);
-    this.tasks.set(address, task);
-    void task.run();
   }
 
   /**
-   * All that are known while too few are up; for a moment only those that are heard. Then the first ones of the order in
-   * which this process would ask all of them, and those that are down and come before them: a seed that is no instance any
-   * more is left alone.
+   * Once enough are up: the first of them in the order, and those that are not up and come before them. A seed that is no
+   * instance any more is left alone.
    */
-  private wanted(): ReadonlySet<string> {
-    const known = this.known();
-    if (!this.hasEnough()) return this.isWaiting() ? new Set(this.tasks.keys()) : known;
+  private preferred(): ReadonlySet<string> {
     const ranked = this.ranked(this.toldAddresses());
     const last = ranked.filter((address) => this.isUp(address))[this.most - 1];
-    return last === undefined ? known : new Set(ranked.slice(0, ranked.indexOf(last) + 1));
+    return last === undefined ? this.known() : new Set(ranked.slice(0, ranked.indexOf(last) + 1));
+  }
+
+  /** Begins with as many as are needed and are not hoped for yet. */
+  private beginMissing(): void {
+    const hopeful = [...this.tasks.values()].filter(({ isHopeful }) => isHopeful).length;
+    const others = this.ranked().filter((address) => !this.tasks.has(address));
+    for (const address of others.slice(0, Math.max(0, this.most - hopeful))) this.begin(address);
+  }
+
+  /** Begins with one that comes before another that is followed: one at a time, as each is told all. */
+  private approach(): void {
+    if (!this.hasEnough()) return;
+    const next = [...this.preferred()].find((address) => !this.tasks.has(address));
+    if (next !== undefined) this.begin(next);
+  }
+
+  private begin(address: string): void {
+    const task = new FollowTask(address, this.parts, this, this.asksForBulk(address));
+    this.tasks.set(address, task);
+    void task.run();
   }
 
   private forget(address: string): void {
