Tell followers that are well before those that have just come, and say when a stream is queued

What callers saw: refusals for seconds after a restart of all, as entries lost the control instances that they followed. Cause: one queue for all: heartbeats of streams that are well, and what control instances pass on to each other, waited behind first events of everything (20 to 60 ms each on a small part); streams that heard nothing for 2 s, or had no first event after 0.7 s, were given up and opened anew, at the end of the same queue. Evidence: logs of entries on slow parts, 85 streams lost after their first event in one return, connections cut by the silence.

An opening that has to wait is answered at once, with an event that says so, and the follower keeps that stream; one that was given up meanwhile is not told any more.

--- a/packages/control/src/follow/followService.spec.ts
+++ b/packages/control/src/follow/followService.spec.ts
@@ -48,11 +48,17 @@
 
 type Events = AsyncGenerator<controlMessage.FollowEvent>;
 
+/** The next event of a stream that tells something. */
+async function nextTold(stream: Events): Promise<void> {
+  for await (const { queued } of { [Symbol.asyncIterator]: () => ({ next: () => stream.next() }) })
+    if (!queued) return;
+}
+
 /** Reads one event of each stream. @returns how many came in each turn of the event loop. */
 async function eventsByTurn(streams: readonly Events[]): Promise<number[]> {
   const byTurn: number[] = [];
   let events = 0;
-  for (const stream of streams) void stream.next().then(() => (events += 1));
+  for (const stream of streams) void nextTold(stream).then(() => (events += 1));
   for (let told = 0; told < streams.length; told = events) {
     await turn();
     byTurn.push(events - told);
@@ -70,3 +76,33 @@
   service.raise();
   expect(Math.max(...(await told))).toBe(1);
 });
+
+// Guards against followers that give a stream up and open it anew while the instance is busy with others.
+it('says at once that it has taken a stream up which others come before', async () => {
+  const request = create(controlMessage.FollowRequestSchema, { role: 'entry', bulk: true });
+  const names = Array.from({ length: FOLLOWERS }, (_, at) => `entry-${at}`);
+  const streams = names.map((name) => service.follow({ ...request, name }, { signal: stopped.signal }));
+  let queued = 0;
+  for (const stream of streams) {
+    void stream.next().then(({ value }) => {
+      if ((value as controlMessage.FollowEvent).queued) queued += 1;
+    });
+  }
+  await turn();
+  expect(queued).toBe(FOLLOWERS - 1);
+});
+
+// Guards against followers that are well hearing nothing while others are told all, so that they open their streams anew too.
+it('tells followers that it told before ahead of those that have just come', async () => {
+  const request = create(controlMessage.FollowRequestSchema, { role: 'entry', bulk: true });
+  const follow = (name: string): Events => service.follow({ ...request, name }, { signal: stopped.signal });
+  const known = follow('known');
+  await nextTold(known);
+  const order: string[] = [];
+  const others = Array.from({ length: FOLLOWERS }, (_, at) => follow(`entry-${at}`));
+  const told = others.map((stream) => nextTold(stream).then(() => order.push('new')));
+  service.raise();
+  void nextTold(known).then(() => order.push('known'));
+  await Promise.all(told);
+  expect(order.slice(0, 3)).toContain('known');
+});
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -104,18 +104,22 @@
   ): AsyncGenerator<controlMessage.FollowEvent> {
     const { log, clock, ended } = this.sources;
     const signal = AbortSignal.any([ended, context.signal]);
-    await this.pacer.next();
-    const follower = new FollowerPlace(this.sources, this.intake.cached, request);
+    const isGone = (): boolean => signal.aborted;
     const share = shareOf(request);
+    const urgency = isForControl(share) ? 'control' : 'told';
+    if (this.pacer.isBusy) yield create(controlMessage.FollowEventSchema, { queued: true });
+    await this.pacer.next(isForControl(share) ? 'control' : 'first');
+    if (isGone()) return;
+    const follower = new FollowerPlace(this.sources, this.intake.cached, request);
     const news = this.news[share];
     log.event(controlEvents.followed, { follower: request.name, share, number: Number(request.number) });
     if (share === 'bulk') this.count(request.name, 1);
     try {
-      while (!signal.aborted) {
+      while (!isGone()) {
         const version = news.version();
         yield follower.event(isForControl(share) ? this.entries.size : this.allEntries());
         await news.after(version, clock, HEARTBEAT_MS, signal);
-        await this.pacer.next();
+        await this.pacer.next(urgency);
       }
     } finally {
       if (share === 'bulk') this.count(request.name, -1);
@@ -162,7 +166,7 @@
     const status = commandLog.status();
     const members = commandLog.members();
     if (status.state === 'leader') {
-      log.event(controlEvents.enlisted, { name: request.name, address: request.address });
+      log.event(controlEvents.enlisted, { instance: request.name, address: request.address });
       void commandLog.enlist({ name: request.name, address: request.address });
       return create(controlMessage.EnlistResponseSchema, {});
     }
--- a/packages/knowledge/src/followTask.ts
+++ b/packages/knowledge/src/followTask.ts
@@ -18,8 +18,8 @@
 const FIRST_EVENT_MS = 700;
 
 /**
- * The same at most, milliseconds. Each stream that is given up makes the next one wait twice as long: an instance that is
- * busy tells the later the more streams are opened.
+ * The same at most, milliseconds, and for a stream that the instance has queued. Each stream that is given up makes the next one
+ * wait twice as long: an instance that is busy tells the later the more streams are opened.
  */
 const LAST_FIRST_EVENT_MS = 5_600;
 
@@ -85,6 +85,8 @@
   /** The stream that is open has told something. */
   isHeard = false;
   private isOpen = false;
+  /** The stream that is open was taken up. */
+  private isTaken = false;
   /** How long the first event of the next stream is waited for, milliseconds. */
   private firstEventMs = FIRST_EVENT_MS;
   private isReopening = false;
@@ -114,6 +116,7 @@
       this.hope(FIRST_EVENT_MS);
       const events = await this.follow();
       this.isOpen = false;
+      this.isTaken = false;
       this.isHeard = false;
       if (this.isStopped) return;
       if (events > 0) {
@@ -132,7 +135,7 @@
 
   /**
    * What it told counts as lost at once: another task may follow the same instance before this one's stream has ended. A
-   * stream that is being opened is ended by its first event: one that is cancelled before the other end has taken it up
+   * stream that is being opened is ended by the first word of the other end: one that is cancelled before that has taken it up
    * stays open there for good.
    */
   stop(): void {
@@ -141,7 +144,7 @@
     this.endHope();
     this.isStopped = true;
     this.parts.listener.lost(this.address);
-    if (!this.isOpen || this.isHeard) this.stopped.abort();
+    if (!this.isOpen || this.isTaken) this.stopped.abort();
   }
 
   private reopen(): void {
@@ -204,10 +207,16 @@
       const signal = AbortSignal.any([this.stopped.signal, stream.signal]);
       for await (const event of client.follow(request, { signal })) {
         calledOff();
+        this.isTaken = true;
         if (this.isStopped) {
           this.stopped.abort();
           break;
         }
+        if (event.queued) {
+          calledOff = clock.after(LAST_FIRST_EVENT_MS, silent);
+          this.hope(OUT_OF_CONTACT_MS);
+          continue;
+        }
         calledOff = clock.after(SILENCE_MS, silent);
         this.isHeard = true;
         this.firstEventMs = FIRST_EVENT_MS;
--- a/packages/knowledge/src/follower.spec.ts
+++ b/packages/knowledge/src/follower.spec.ts
@@ -36,14 +36,15 @@
   });
 
   /** A control instance whose streams all end at once, tell something late, or whose first one tells nothing. */
-  async function control(way: 'ends' | 'mute' | 'slow'): Promise<RpcServer> {
+  async function control(way: 'ends' | 'mute' | 'slow' | 'queues'): Promise<RpcServer> {
     server = await listen('127.0.0.1', 0, (router) => {
       router.service(controlMessage.Configurations, {
         follow: async function* (_request, { signal }) {
           streams += 1;
           if (way === 'ends') return;
-          if (way === 'slow') await systemClock.sleep(SLOW_MS);
-          if (streams > 1 || way === 'slow')
+          if (way === 'queues') yield create(controlMessage.FollowEventSchema, { queued: true });
+          if (way !== 'mute') await systemClock.sleep(SLOW_MS);
+          if (streams > 1 || way !== 'mute')
             yield create(controlMessage.FollowEventSchema, { vouched: true });
           await new Promise((resolve) => {
             signal.addEventListener('abort', resolve, { once: true });
@@ -86,6 +87,14 @@
     expect(streams).toBeLessThanOrEqual(4);
   });
 
+  // Guards against an instance that is busy being asked for everything again and again by those that wait for it.
+  it('keeps the stream that an instance has queued', async () => {
+    const { address } = await control('queues');
+    const knowledge = follow(address);
+    expect(await within(2 * SLOW_MS, () => knowledge.confirmed())).toBe(true);
+    expect(streams).toBe(1);
+  });
+
   // Guards against a stream that nobody waits for any more cutting the connection of the one that took its place.
   it('leaves the connection to a newer stream when an older one has told nothing', async () => {
     const { address } = await control('mute');
