Give an instance that has told nothing up after 1.4 s, and try another beside it after 0.7

What callers saw: entries on small parts of a core that asked one control instance after the other for everything after a restart of all. Cause: an entry that is slow reads late itself, and took that for silence of the instance; the one that it asks for everything moved with each such silence, and again 3 s later. Evidence: logs of an entry on 0.07 of a core: eight streams given up while its own event loop stood still for 110 to 400 ms at a time, five moves.

Change: after 0.7 s another instance is tried as before, the stream itself is given up after 1.4 s; the one asked for everything is kept while its stream is being opened, and for 5 s then.

--- a/packages/knowledge/src/followTask.ts
+++ b/packages/knowledge/src/followTask.ts
@@ -12,10 +12,13 @@
 const SILENCE_MS = 2_000;
 
 /**
- * Silence after which a stream that has told nothing yet is given up, milliseconds: what it holds comes at once. An opening
- * packet to a host that has no power yet is lost, and sent again after a second only.
+ * Time after which another instance is tried beside one that has told nothing yet, milliseconds: what it holds comes at once.
+ * An opening packet to a host that has no power yet is lost, and sent again after a second only.
  */
-const FIRST_EVENT_MS = 700;
+const EXPECTED_MS = 700;
+
+/** Silence after which a stream that has told nothing yet is given up, milliseconds: a process that is slow reads late itself. */
+const FIRST_EVENT_MS = 1_400;
 
 /**
  * The same at most, milliseconds, and for a stream that the instance has queued. Each stream that is given up makes the next one
@@ -100,6 +103,11 @@
     private bulk: boolean,
   ) {}
 
+  /** A stream is being opened that has told nothing yet. */
+  get isOpening(): boolean {
+    return this.isOpen && !this.isHeard;
+  }
+
   /** Asks for loads, work and caches from now on, or no more: the stream is opened anew. */
   ask(bulk: boolean): void {
     if (bulk === this.bulk) return;
@@ -113,7 +121,7 @@
     let pauseMs = FIRST_PAUSE_MS;
     while (!signal.aborted) {
       this.isOpen = true;
-      this.hope(FIRST_EVENT_MS);
+      this.hope(EXPECTED_MS);
       const events = await this.follow();
       this.isOpen = false;
       this.isTaken = false;
@@ -178,7 +186,6 @@
 
   private loseHope(): void {
     this.endHope();
-    if (!this.isHopeful) return;
     this.isHopeful = false;
     this.isUp = false;
     this.owner.changed();
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -16,7 +16,7 @@
  * Time after which the one that is asked first may be another that is well, milliseconds: it is told all again. When all
  * instances start at once the order changes with each that comes up.
  */
-const MOVE_MS = 3_000;
+const MOVE_MS = 5_000;
 
 /**
  * Part by which the number of entries must differ from the one that the order was made with. An entry that goes from one
@@ -130,10 +130,6 @@
     return this.tasks.get(address)?.isUp === true;
   }
 
-  private isHopeful(address: string): boolean {
-    return this.tasks.get(address)?.isHopeful === true;
-  }
-
   /** All that are known, in the order in which this process would ask all of them. */
   private ranked(controls: Iterable<string> = this.known()): string[] {
     return controlOrder(this.parts, [...controls], this.entries);
@@ -174,9 +170,10 @@
 
   /** Whether the one that is asked first stays so. */
   private isWorthKeeping(asked: string | undefined, now: number): boolean {
-    if (asked === undefined) return false;
-    const isFollowing = this.tasks.get(asked)?.isHeard === true;
-    return this.isHopeful(asked) || (isFollowing && now - this.contactAt < OUT_OF_CONTACT_MS);
+    const task = this.tasks.get(asked ?? '');
+    if (task === undefined) return false;
+    if (task.isHopeful || task.isOpening) return true;
+    return task.isHeard && now - this.contactAt < OUT_OF_CONTACT_MS;
   }
 
   private asksForBulk(address: string): boolean {
