Encode what all followers lack alike once

What callers saw: control instances on parts of a core that are busy telling followers when they should elect a leader and answer reads. Cause: each follower's news was gathered, summed and encoded for it alone, so a round of news cost entries times entries.

Change: news is made into numbered bulletins, each encoded once; a follower gets the bytes of those that it lacks, one that comes everything as it was encoded for others up to 8 bulletins ago and what came since, one that lags more than 32 everything anew. The sum of work is one for all, and the follower takes off what it told itself, which comes with it. Both ends have to be of this release.

The test of what is gathered once has no form on the code before.

--- /dev/null
+++ b/packages/control/src/bench/followers.ts
@@ -0,0 +1,112 @@
+/** What one round of news costs a control instance, by the followers that are told. */
+import { create, toBinary } from '@bufbuild/protobuf';
+import { silentLog, systemClock } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import { LocalLog } from '../fixture/index.js';
+import { FollowService, OtherControls } from '../follow/index.js';
+import { RecentBoard } from '../recent/index.js';
+import { createState } from '../role/createState.js';
+import { RelayedTargets, TargetBook } from '../targets/index.js';
+
+/** Entries and targets of a run. */
+const SIZES = [
+  [24, 25],
+  [70, 55],
+  [360, 55],
+  [360, 490],
+] as const;
+
+/** Targets that each entry has work at. */
+const TARGETS_EACH = 20;
+
+const WARM_UP_ROUNDS = 5;
+const ROUNDS = 7;
+const HEARTBEAT_MS = 1_000;
+
+const median = (values: readonly number[]): number =>
+  [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+
+type Events = AsyncGenerator<controlMessage.FollowEvent>;
+
+/** Boards of one instance, all of whose entries follow it. */
+function setUp() {
+  const { configuration, machine } = createState();
+  const loads = new RecentBoard<controlMessage.TargetLoad>(systemClock);
+  const work = new RecentBoard<controlMessage.EntryWork>(systemClock);
+  const relayed = new RelayedTargets(systemClock);
+  const ended = new AbortController();
+  const service = new FollowService({
+    configuration,
+    targets: new TargetBook(systemClock, silentLog, HEARTBEAT_MS),
+    relayed,
+    others: new OtherControls({ relayed, loads, work, vouched: () => true, clock: systemClock }),
+    loads,
+    work,
+    lostStores: () => [],
+    kept: undefined,
+    commandLog: new LocalLog(machine),
+    clock: systemClock,
+    log: silentLog,
+    ended: ended.signal,
+  });
+  return { loads, work, service, ended };
+}
+
+async function run(entries: number, targets: number): Promise<void> {
+  const { loads, work, service, ended } = setUp();
+  const request = create(controlMessage.FollowRequestSchema, { role: 'entry', bulk: true });
+  const names = Array.from({ length: entries }, (_, at) => `entry-${at}`);
+  const streams = names.map((name) => service.follow({ ...request, name }, { signal: ended.signal }));
+  const spent: number[] = [];
+  let bytes = 0;
+  for (let round = 0; round < WARM_UP_ROUNDS + ROUNDS; round += 1) {
+    report(round, names, targets, loads, work);
+    service.raise();
+    const begun = process.cpuUsage();
+    bytes = await tellAll(streams);
+    const { user, system } = process.cpuUsage(begun);
+    if (round >= WARM_UP_ROUNDS) spent.push((user + system) / 1_000);
+  }
+  ended.abort();
+  const ms = median(spent);
+  const each = Math.round((ms * 1_000) / entries);
+  console.log(`| ${entries}, ${targets} | ${ms.toFixed(1)} | ${each} | ${Math.round(bytes / 1_024)} |`);
+}
+
+/** What entries and targets tell between two rounds. */
+function report(
+  round: number,
+  names: readonly string[],
+  targets: number,
+  loads: RecentBoard<controlMessage.TargetLoad>,
+  work: RecentBoard<controlMessage.EntryWork>,
+): void {
+  for (let at = 0; at < targets; at += 1) {
+    const targetId = `i-${at.toString().padStart(10, '0')}`;
+    loads.take(targetId, create(controlMessage.TargetLoadSchema, { targetId, running: round, waiting: 0 }));
+  }
+  for (const [at, entry] of names.entries()) {
+    const told = Array.from({ length: Math.min(TARGETS_EACH, targets) }, (_, n) =>
+      create(controlMessage.TargetTokensSchema, {
+        targetId: `i-${((at + n * 7) % targets).toString().padStart(10, '0')}`,
+        tokens: 1_000 + round,
+      }),
+    );
+    work.take(entry, create(controlMessage.EntryWorkSchema, { entry, targets: told }));
+  }
+}
+
+/** Reads the next event that tells something of each stream and encodes it. @returns bytes in all. */
+async function tellAll(streams: readonly Events[]): Promise<number> {
+  const sizes = streams.map(async (stream) => {
+    for (;;) {
+      const next = await stream.next();
+      if (next.done === true) return 0;
+      if (!next.value.queued) return toBinary(controlMessage.FollowEventSchema, next.value).length;
+    }
+  });
+  return (await Promise.all(sizes)).reduce((sum, size) => sum + size, 0);
+}
+
+console.log('| entries, targets | ms a round | us a follower | KB |');
+for (const [entries, targets] of SIZES) await run(entries, targets);
--- a/packages/control/src/follow/follow.spec.ts
+++ b/packages/control/src/follow/follow.spec.ts
@@ -2,6 +2,7 @@
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import { coordinationEvents } from '@jasmineroute/coordination';
 import type { Log } from '@jasmineroute/core';
+import { readShared } from '@jasmineroute/knowledge';
 import { controlMessage } from '@jasmineroute/protocol';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import * as z from 'zod';
@@ -46,7 +47,7 @@
       const request = { number: 0n, name: 'e1', role: 'entry' };
       for await (const event of client.follow(request, { signal: stopped.signal })) {
         if (event.content.length > 0) heard.numbers.push(Number(event.number));
-        for (const { id, announcement } of event.targets) {
+        for (const { id, announcement } of readShared(event).flatMap(({ targets }) => targets)) {
           heard.targets.push(`${id} ${controlMessage.Announcement[announcement]}`);
         }
       }
@@ -101,7 +102,7 @@
       const client = cluster.clientOf(controlMessage.Configurations, second);
       const request = { number: 0n, name, role: 'entry', bulk: true };
       for await (const event of client.follow(request, { signal: stopped.signal })) {
-        for (const { targets } of event.work)
+        for (const { targets } of readShared(event).flatMap(({ work }) => work))
           for (const { targetId, tokens } of targets) heard.push(`${name} ${targetId} ${tokens}`);
       }
     };
@@ -128,9 +129,11 @@
       const keys = new Set<number>();
       const read = async (): Promise<void> => {
         const request = { number: 0n, name: 'e1', role: 'entry', bulk: true };
-        for await (const { cached } of client.follow(request, { signal: stopped.signal })) {
-          for (const key of cached?.dropped ?? []) keys.delete(key);
-          for (const key of cached?.added ?? []) keys.add(key);
+        for await (const event of client.follow(request, { signal: stopped.signal })) {
+          for (const { cached } of readShared(event)) {
+            for (const key of cached?.dropped ?? []) keys.delete(key);
+            for (const key of cached?.added ?? []) keys.add(key);
+          }
         }
       };
       read().catch(() => undefined);
@@ -157,12 +160,14 @@
     const read = async (): Promise<void> => {
       const request = { number: 0n, name: 'e1', role: 'entry' };
       for await (const event of client.follow(request, { signal: stopped.signal })) {
-        sources = event.heard?.controls ?? sources;
-        const own = event.targets.map((target) => ({ control: first.address, target }));
-        const others = event.relayed.flatMap(({ control, targets }) =>
+        const shared = readShared(event);
+        for (const { heard: controls } of shared) sources = controls?.controls ?? sources;
+        const own = shared.flatMap(({ targets }) => ({ control: first.address, targets }));
+        const others = shared.flatMap(({ relayed }) => relayed);
+        const told = [...own, ...others].flatMap(({ control, targets }) =>
           targets.map((target) => ({ control, target })),
         );
-        for (const { control, target } of [...own, ...others]) {
+        for (const { control, target } of told) {
           const state = controlMessage.Announcement[target.announcement];
           heard.set(control, `${target.id} ${state}${target.paused ? ' paused' : ''}`);
         }
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -4,11 +4,13 @@
 import { controlMessage } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
 import { Gathering } from '../recent/index.js';
+import { Bulletins } from './bulletins.js';
 import { FollowerPlace, shareOf } from './followerPlace.js';
-import type { FollowSources, Share } from './followerPlace.js';
+import type { FollowSources, Share, SharedNews } from './followerPlace.js';
 import { News } from './news.js';
 import { Pacer } from './pacer.js';
 import { ReportIntake } from './reportIntake.js';
+import { SharedFieldsSource } from './sharedFields.js';
 
 /** Time between two events when nothing changes, milliseconds: how a follower knows that it still hears. */
 const HEARTBEAT_MS = 800;
@@ -36,6 +38,11 @@
 
 const isForControl = (share: Share): boolean => share === 'own' || share === 'loads';
 
+function sharedNews(sources: FollowSources, isBulk: boolean): SharedNews {
+  const source = new SharedFieldsSource(sources, isBulk);
+  return { bulletins: new Bulletins(source), workOf: (entry) => source.workOf(entry) };
+}
+
 /** Serves followers, and control instances that want to vote. */
 export class FollowService implements ServiceImpl<typeof controlMessage.Configurations> {
   private readonly news: Record<Share, News> = {
@@ -44,6 +51,7 @@
     bulk: new News(),
     spare: new News(),
   };
+  private readonly shared: Partial<Record<Share, SharedNews>>;
   /** Streams of entries that ask for loads, work and caches, by the entry's name. */
   private readonly entries = new Map<string, number>();
   private readonly intake: ReportIntake;
@@ -52,6 +60,7 @@
 
   constructor(private readonly sources: FollowSources) {
     this.intake = new ReportIntake(sources, sources.others.cached);
+    this.shared = { bulk: sharedNews(sources, true), spare: sharedNews(sources, false) };
     sources.configuration.onChange(this.raise);
     sources.commandLog.onStatus(this.raise);
     this.gatherTargets();
@@ -110,14 +119,14 @@
     if (this.pacer.isBusy) yield create(controlMessage.FollowEventSchema, { queued: true });
     await this.pacer.next(isForControl(share) ? 'control' : 'first');
     if (isGone()) return;
-    const follower = new FollowerPlace(this.sources, this.intake.cached, request);
+    const follower = new FollowerPlace(this.sources, this.intake.cached, request, this.shared[share]);
     const news = this.news[share];
     log.event(controlEvents.followed, { follower: request.name, share, number: Number(request.number) });
     if (share === 'bulk') this.count(request.name, 1);
     try {
       while (!isGone()) {
         const version = news.version();
-        yield follower.event(isForControl(share) ? this.entries.size : this.allEntries());
+        yield follower.event(isForControl(share) ? this.entries.size : this.allEntries(), version);
         await news.after(version, clock, HEARTBEAT_MS, signal);
         await this.pacer.next(urgency);
       }
--- a/packages/control/src/follow/followerPlace.ts
+++ b/packages/control/src/follow/followerPlace.ts
@@ -5,14 +5,10 @@
 import type { ConfigurationState } from '../configuration/index.js';
 import type { CommandLog } from '../log/index.js';
 import type { RelayedTargets, TargetBook } from '../targets/index.js';
+import type { Bulletins } from './bulletins.js';
 import type { OtherControls } from './otherControls.js';
 import type { ReportBoards } from './reportIntake.js';
-
-/** Work that was told is believed for so long, milliseconds: it is told again twice as often. */
-const WORK_LASTS_MS = 1_000;
-
-/** Under this name an entry hears the work of all others. */
-const OTHERS = 'others';
+import { changesOf } from './sharedFields.js';
 
 /** What the streams tell of. */
 export interface FollowSources extends ReportBoards {
@@ -45,49 +41,60 @@
   return bulk ? 'bulk' : 'spare';
 }
 
+/** What followers of a kind are told alike. */
+export interface SharedNews {
+  readonly bulletins: Bulletins;
+  /** What an entry told itself of the work that they tell. */
+  readonly workOf: (entry: string) => controlMessage.EntryWork | undefined;
+}
+
 /** How far one follower has been told. */
 export class FollowerPlace {
-  private place = 0;
-  private relayedPlace = 0;
+  private targetPlace = 0;
   private loadPlace = 0;
-  private keptPlace = 0;
   private workPlace = 0;
   private cachedPlace = 0;
   private weightsVersion = -1;
+  /** Number of the last bulletin that it was told; undefined: none was. */
+  private bulletin: number | undefined;
   /** Joined addresses that were told last; undefined: none were. */
   private toldControls: string | undefined;
-  private toldHeard: string | undefined;
   private number: bigint;
 
-  private readonly fields: Record<Share, () => EventFields> = {
+  private readonly fields: Record<Share, (version: number) => EventFields> = {
     loads: () => this.ownLoads(),
     own: () => ({ ...this.ownLoads(), ...this.ownWork() }),
-    bulk: () => ({ ...this.news(), ...this.bulk() }),
-    spare: () => this.news(),
+    bulk: (version) => this.news(version),
+    spare: (version) => this.news(version),
   };
 
-  /** @param ownCached what this instance was told of caches itself. */
+  /**
+   * @param ownCached what this instance was told of caches itself.
+   * @param shared for followers that are no control instances.
+   */
   constructor(
     private readonly sources: FollowSources,
     private readonly ownCached: KeptParts,
     private readonly request: controlMessage.FollowRequest,
+    private readonly shared: SharedNews | undefined,
   ) {
     this.number = request.number;
   }
 
-  /** What it lacks, which counts as told from then on; `entries`: how many it is to know of. */
-  event(entries: number): controlMessage.FollowEvent {
-    const { targets, commandLog, configuration } = this.sources;
-    const fields = {
-      ...this.fields[shareOf(this.request)](),
+  /**
+   * What it lacks, which counts as told from then on.
+   * @param entries how many it is to know of.
+   * @param version of the news that it is told.
+   */
+  event(entries: number, version: number): controlMessage.FollowEvent {
+    const { commandLog, configuration } = this.sources;
+    return create(controlMessage.FollowEventSchema, {
+      ...this.fields[shareOf(this.request)](version),
       vouched: commandLog.status().vouched,
       number: configuration.held().number,
-      targets: targets.since(this.place),
       controls: this.controls(),
       entries,
-    };
-    this.place = targets.place();
-    return create(controlMessage.FollowEventSchema, fields);
+    });
   }
 
   private controls(): string[] {
@@ -98,14 +105,6 @@
     return controls;
   }
 
-  private heard(): controlMessage.HeardControls | undefined {
-    const controls = this.sources.relayed.heard();
-    const told = controls.join();
-    if (told === this.toldHeard) return undefined;
-    this.toldHeard = told;
-    return create(controlMessage.HeardControlsSchema, { controls });
-  }
-
   private weights(): controlMessage.NamedWeights[] {
     const { configuration, clock } = this.sources;
     const version = configuration.weightsVersion();
@@ -115,68 +114,42 @@
   }
 
   private ownLoads(): EventFields {
-    const { loads } = this.sources;
-    const told = loads.ownSince(this.loadPlace);
+    const { targets, loads } = this.sources;
+    const fields = { targets: targets.since(this.targetPlace), loads: loads.ownSince(this.loadPlace) };
+    this.targetPlace = targets.place();
     this.loadPlace = loads.place();
-    return { loads: told };
+    return fields;
   }
 
   private ownWork(): EventFields {
     const { work } = this.sources;
-    const told = work.ownSince(this.workPlace);
+    const fields = {
+      work: work.ownSince(this.workPlace),
+      cached: changesOf(this.ownCached, this.cachedPlace),
+    };
     this.workPlace = work.place();
-    return { work: told, cached: this.cached(this.ownCached) };
+    this.cachedPlace = this.ownCached.place();
+    return fields;
   }
 
-  private news(): EventFields {
-    const { configuration, relayed, lostStores } = this.sources;
+  private news(version: number): EventFields {
+    const { configuration, lostStores } = this.sources;
     const held = configuration.held();
     const isNewer = held.number > this.number;
     if (isNewer) this.number = held.number;
-    const told = relayed.since(this.relayedPlace);
-    this.relayedPlace = relayed.place();
     return {
       ...(isNewer && { content: held.content }),
+      ...this.bulletins(version),
       weights: this.weights(),
-      relayed: told,
-      heard: this.heard(),
       lostStores: [...lostStores()],
     };
   }
 
-  private bulk(): EventFields {
-    const { loads, others } = this.sources;
-    const told = loads.since(this.loadPlace);
-    this.loadPlace = loads.place();
-    return { loads: told, work: this.work(), cached: this.cached(others.cached), kept: this.kept() };
-  }
-
-  private cached(parts: KeptParts): controlMessage.KeptChanges | undefined {
-    const place = this.cachedPlace;
-    this.cachedPlace = parts.place();
-    return place === this.cachedPlace ? undefined : parts.since(place);
-  }
-
-  private kept(): controlMessage.KeptChanges | undefined {
-    const { kept } = this.sources;
-    const place = this.keptPlace;
-    this.keptPlace = kept?.place() ?? 0;
-    return place === this.keptPlace && place > 0 ? undefined : kept?.since(place);
-  }
-
-  /** One sum for each target: what single entries have there would be as many times as much. */
-  private work(): controlMessage.EntryWork[] {
-    const { work } = this.sources;
-    if (work.place() === this.workPlace) return [];
-    this.workPlace = work.place();
-    const sums = new Map<string, number>();
-    for (const { entry, targets } of work.within(WORK_LASTS_MS)) {
-      if (entry === this.request.name) continue;
-      for (const { targetId, tokens } of targets) sums.set(targetId, (sums.get(targetId) ?? 0) + tokens);
-    }
-    const targets = [...sums].map(([targetId, tokens]) =>
-      create(controlMessage.TargetTokensSchema, { targetId, tokens }),
-    );
-    return [create(controlMessage.EntryWorkSchema, { entry: OTHERS, targets })];
+  private bulletins(version: number): EventFields {
+    const news = this.shared?.bulletins.since(this.bulletin, version);
+    if (news === undefined || news.shared.length === 0) return {};
+    this.bulletin = news.number;
+    const ownWork = this.shared?.workOf(this.request.name);
+    return { shared: [...news.shared], ownWork };
   }
 }
--- a/packages/knowledge/src/index.ts
+++ b/packages/knowledge/src/index.ts
@@ -6,5 +6,6 @@
 export * from './knowledge.js';
 export * from './reportSender.js';
 export * from './reportStream.js';
+export * from './sharedNews.js';
 export * from './targetList.js';
 export * from './teller.js';
--- a/packages/knowledge/src/knowledge.ts
+++ b/packages/knowledge/src/knowledge.ts
@@ -6,6 +6,7 @@
 import type { StoredPart, controlMessage } from '@jasmineroute/protocol';
 import { knowledgeEvents } from './events.js';
 import type { Listener } from './followTask.js';
+import { readShared } from './sharedNews.js';
 import { TargetList } from './targetList.js';
 
 const decoder = new TextDecoder();
@@ -130,17 +131,23 @@
     this.nameWeights(event.weights);
     this.entryCounts.set(control, event.entries);
     this.lostStores.set(control, event.lostStores);
+    if (event.shared.length === 0) this.take(control, event, whole);
+    for (const news of readShared(event)) this.take(control, news, news.whole);
+    if (event.vouched && !this.isConfirmed) {
+      this.isConfirmed = true;
+      this.log.event(knowledgeEvents.confirmed, { control, number: this.current?.number });
+    }
+    for (const listener of this.newsListeners) listener();
+  }
+
+  /** Takes what an event tells of targets, loads, work and caches; `whole`: all that the control instance knows. */
+  private take(control: string, event: controlMessage.FollowEvent, whole: boolean): void {
     if (event.kept !== undefined) note(this.kept, control, event.kept);
     if (event.cached !== undefined) note(this.cached, control, event.cached);
     for (const load of event.loads) for (const listener of this.loadListeners) listener(load);
     for (const work of event.work) for (const listener of this.workListeners) listener(work);
     if (whole || event.targets.length > 0) this.targets.apply(control, event.targets, whole);
     this.relay(control, event, whole);
-    if (event.vouched && !this.isConfirmed) {
-      this.isConfirmed = true;
-      this.log.event(knowledgeEvents.confirmed, { control, number: this.current?.number });
-    }
-    for (const listener of this.newsListeners) listener();
   }
 
   /** The stream of a control instance ended. */
--- /dev/null
+++ b/packages/knowledge/src/sharedNews.spec.ts
@@ -0,0 +1,38 @@
+import { create, toBinary } from '@bufbuild/protobuf';
+import { controlMessage } from '@jasmineroute/protocol';
+import { describe, expect, it } from 'vitest';
+import { readShared } from './sharedNews.js';
+
+const { EntryWorkSchema, FollowEventSchema } = controlMessage;
+
+describe('news that all followers are told alike', () => {
+  // Guards against an entry that counts its own work twice, once as that of others.
+  it('holds the work of others alone', () => {
+    const all = create(EntryWorkSchema, {
+      entry: 'all',
+      targets: [
+        { targetId: 'shared', tokens: 900 },
+        { targetId: 'own', tokens: 300 },
+        { targetId: 'other', tokens: 50 },
+      ],
+    });
+    const ownWork = create(EntryWorkSchema, {
+      entry: 'e1',
+      targets: [
+        { targetId: 'shared', tokens: 200 },
+        { targetId: 'own', tokens: 300 },
+      ],
+    });
+    const bytes = toBinary(FollowEventSchema, create(FollowEventSchema, { work: [all] }));
+    const [event] = readShared(create(FollowEventSchema, { shared: [bytes], ownWork }));
+    expect(event?.work).toEqual([
+      create(EntryWorkSchema, {
+        entry: 'others',
+        targets: [
+          { targetId: 'shared', tokens: 700 },
+          { targetId: 'other', tokens: 50 },
+        ],
+      }),
+    ]);
+  });
+});
