--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,5 +1,6 @@
 /** Fault-injecting proxy, process launcher and cluster launcher for tests and benches. Not for products. */
 export * from './cluster/index.js';
+export * from './machine/index.js';
 export * from './port/index.js';
 export * from './process/index.js';
 export * from './proxy/index.js';
--- /dev/null
+++ b/packages/testkit/src/machine/index.ts
@@ -0,0 +1,1 @@
+export * from './processorShare.js';
