--- a/packages/core/src/stall/stallWatch.spec.ts
+++ b/packages/core/src/stall/stallWatch.spec.ts
@@ -33,12 +33,19 @@
 describe('a watch over the event loop', () => {
   let clock: StallingClock;
   let stalls: Stall[];
+  /** Processor time of the process, milliseconds. */
+  let used: number;
   let watch: StallWatch;
 
   beforeEach(() => {
     clock = new StallingClock();
     stalls = [];
-    watch = new StallWatch(clock, (stall) => stalls.push(stall));
+    used = 0;
+    watch = new StallWatch(
+      clock,
+      (stall) => stalls.push(stall),
+      () => used,
+    );
     watch.start();
   });
 
@@ -56,9 +63,10 @@
   it('knows of a stall before its next look, and since when it may be', async () => {
     await clock.advance(500);
     clock.standStill(2_000);
+    used = 300;
     expect(watch.current()).toBeDefined();
     expect(watch.readSince()).toBe(500);
-    expect(stalls).toEqual([{ from: 500, ms: 1_900 }]);
+    expect(stalls).toEqual([{ from: 500, ms: 1_900, usedMs: 300 }]);
   });
 
   it('is caught up some turns later', async () => {
--- a/packages/core/src/stall/stallWatch.ts
+++ b/packages/core/src/stall/stallWatch.ts
@@ -21,6 +21,16 @@
   /** Monotonic time at which the process was last seen at work. */
   readonly from: number;
   readonly ms: number;
+  /** Processor time that the process used since then, milliseconds: much less than it lasted when others had the processor. */
+  readonly usedMs: number;
+}
+
+const US_PER_MS = 1_000;
+
+/** Processor time of this process since its start, milliseconds. */
+function ownProcessorMs(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / US_PER_MS;
 }
 
 const turn = (): Promise<void> =>
@@ -36,6 +46,8 @@
   private lookedAt: number;
   /** Wall-clock time of the last look: while a machine is suspended the monotonic clock may stand still. */
   private wallAt: number;
+  /** Processor time at the last look, milliseconds. */
+  private usedAt: number;
   private stall: Stall | undefined;
   /** Where what is read now may have come since; kept while the stall lasts. */
   private from = 0;
@@ -46,9 +58,11 @@
   constructor(
     private readonly clock: Clock,
     private readonly onStall: (stall: Stall) => void = () => undefined,
+    private readonly processorMs: () => number = ownProcessorMs,
   ) {
     this.lookedAt = clock.monotonic();
     this.wallAt = clock.now().getTime();
+    this.usedAt = processorMs();
   }
 
   /** Looks at the clock regularly until `stop`. */
@@ -89,12 +103,15 @@
     const now = this.clock.monotonic();
     const wall = this.clock.now().getTime();
     const from = this.lookedAt;
+    const used = this.processorMs();
+    const usedMs = used - this.usedAt;
+    this.usedAt = used;
     const ms = Math.max(now - from, wall - this.wallAt) - LOOK_MS;
     this.lookedAt = now;
     this.wallAt = wall;
     if (ms < LEAST_STALL_MS) return;
     const isFirst = this.stall === undefined;
-    this.stall = { from, ms };
+    this.stall = { from, ms, usedMs };
     this.quietTurns = 0;
     if (isFirst) {
       this.from = from;
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -84,8 +84,8 @@
 }
 
 function watchStalls(log: Log, metrics: Metrics): StallWatch {
-  const stalls = new StallWatch(systemClock, ({ ms }) => {
-    log.event(daemonEvents.stalled, { ms: Math.round(ms) });
+  const stalls = new StallWatch(systemClock, ({ ms, usedMs }) => {
+    log.event(daemonEvents.stalled, { ms: Math.round(ms), usedMs: Math.round(usedMs) });
     metrics.timing(daemonMetrics.stall, ms);
   });
   stalls.start();
