--- a/packages/control/src/follow/sharedFields.ts
+++ b/packages/control/src/follow/sharedFields.ts
@@ -3,7 +3,7 @@
 import { controlMessage } from '@jasmineroute/protocol';
 import type { KeptParts } from '@jasmineroute/protocol';
 import type { BulletinSource, SharedFields } from './bulletins.js';
-import type { FollowSources } from './followerPlace.js';
+import type { FollowSources } from './followSources.js';
 
 /** Work that was told is believed for so long, milliseconds: it is told again twice as often. */
 const WORK_LASTS_MS = 1_000;
--- a/packages/knowledge/src/followTask.ts
+++ b/packages/knowledge/src/followTask.ts
@@ -80,9 +80,9 @@
 export class FollowTask {
   /** It is heard, and in contact with a quorum. */
   isUp = false;
-  /** It is up, was so a moment ago, or may be soon. */
-  isHopeful = false;
-  private endHope = (): void => undefined;
+  /** It is up, was so a moment ago, or is expected to be so soon. */
+  isExpected = false;
+  private callOffExpectation = (): void => undefined;
   private readonly stopped = new AbortController();
   private stream = new AbortController();
   /** The stream that is open has told something. */
@@ -121,7 +121,7 @@
     let pauseMs = FIRST_PAUSE_MS;
     while (!signal.aborted) {
       this.isOpen = true;
-      this.hope(EXPECTED_MS);
+      this.expect(EXPECTED_MS);
       const events = await this.follow();
       this.isOpen = false;
       this.isTaken = false;
@@ -135,7 +135,7 @@
         this.isReopening = false;
         continue;
       }
-      this.loseHope();
+      this.expectNoMore();
       await clock.sleep(pauseMs * (0.5 + Math.random() / 2), signal).catch(() => undefined);
       pauseMs = Math.min(this.lastPauseMs(), pauseMs * 2);
     }
@@ -148,8 +148,8 @@
    */
   stop(): void {
     this.isUp = false;
-    this.isHopeful = false;
-    this.endHope();
+    this.isExpected = false;
+    this.callOffExpectation();
     this.isStopped = true;
     this.parts.listener.lost(this.address);
     if (!this.isOpen || this.isTaken) this.stopped.abort();
@@ -169,24 +169,24 @@
   private note(isUp: boolean, isFirst: boolean): void {
     if (isUp === this.isUp && !isFirst) return;
     this.isUp = isUp;
-    if (isUp) this.endHope();
-    else this.hope(OUT_OF_CONTACT_MS);
-    this.isHopeful = true;
+    if (isUp) this.callOffExpectation();
+    else this.expect(OUT_OF_CONTACT_MS);
+    this.isExpected = true;
     this.owner.changed();
   }
 
-  /** It may come up within so many milliseconds. */
-  private hope(ms: number): void {
-    this.endHope();
-    this.isHopeful = true;
-    this.endHope = this.parts.clock.after(ms, () => {
-      this.loseHope();
+  /** It is expected to come up within so many milliseconds. */
+  private expect(ms: number): void {
+    this.callOffExpectation();
+    this.isExpected = true;
+    this.callOffExpectation = this.parts.clock.after(ms, () => {
+      this.expectNoMore();
     });
   }
 
-  private loseHope(): void {
-    this.endHope();
-    this.isHopeful = false;
+  private expectNoMore(): void {
+    this.callOffExpectation();
+    this.isExpected = false;
     this.isUp = false;
     this.owner.changed();
   }
@@ -221,7 +221,7 @@
         }
         if (event.queued) {
           calledOff = clock.after(LAST_FIRST_EVENT_MS, silent);
-          this.hope(OUT_OF_CONTACT_MS);
+          this.expect(OUT_OF_CONTACT_MS);
           continue;
         }
         calledOff = clock.after(SILENCE_MS, silent);
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -172,7 +172,7 @@
   private isWorthKeeping(asked: string | undefined, now: number): boolean {
     const task = this.tasks.get(asked ?? '');
     if (task === undefined) return false;
-    if (task.isHopeful || task.isOpening) return true;
+    if (task.isExpected || task.isOpening) return true;
     return task.isHeard && now - this.contactAt < OUT_OF_CONTACT_MS;
   }
 
@@ -202,11 +202,11 @@
     return last === undefined ? this.known() : new Set(ranked.slice(0, ranked.indexOf(last) + 1));
   }
 
-  /** Begins with as many as are needed and are not hoped for yet. */
+  /** Begins with as many as are needed beyond those that are expected to come up. */
   private beginMissing(): void {
-    const hopeful = [...this.tasks.values()].filter(({ isHopeful }) => isHopeful).length;
+    const expected = [...this.tasks.values()].filter(({ isExpected }) => isExpected).length;
     const others = this.ranked().filter((address) => !this.tasks.has(address));
-    for (const address of others.slice(0, Math.max(0, this.most - hopeful))) this.begin(address);
+    for (const address of others.slice(0, Math.max(0, this.most - expected))) this.begin(address);
   }
 
   /** Begins with one that comes before another that is followed: one at a time, as each is told all. */
