Move to the first instance of the order in one step

What callers see: an entry that decides by what an instance tells it which its neighbours don't use, for 5 s longer, and that is told all twice. Cause, by the code and the order of the test's ports: 5 s after the start the number of entries is known, and the one to be asked first is not followed yet in that order; so the entry moved to the next best, and only 5 s later to the first.

Change: the first one that is up or expected to be so is moved to once it is up. A test chooses a name for which it is another instance; it failed before: not within 10 s.

--- a/packages/knowledge/src/follower.spec.ts
+++ b/packages/knowledge/src/follower.spec.ts
@@ -181,14 +181,18 @@
     await Promise.all(instances.map(({ server }) => server.close()));
   });
 
-  function follow(role: 'entry' | 'agent' = 'entry', controls = addresses().slice(0, 2)): Follower {
+  function follow(
+    role: 'entry' | 'agent' = 'entry',
+    controls = addresses().slice(0, 2),
+    name = 'e1',
+  ): Follower {
     const parts = {
       listener: new Knowledge(systemClock, silentLog),
       peers,
       clock: systemClock,
       log: silentLog,
     };
-    const follower = new Follower({ name: 'e1', role, controls, ...parts });
+    const follower = new Follower({ name, role, controls, ...parts });
     followers.push(follower);
     follower.start();
     return follower;
@@ -257,6 +261,25 @@
     expect(opened).toBe(before);
   });
 
+  // Guards against an entry that is told all by another instance than those that share the entries, as it moves to the wrong one first.
+  it('moves to its place in one step once the number of entries is known', async () => {
+    entries = 24;
+    const orderOf = (name: string, count: number): string[] =>
+      controlOrder({ name, role: 'entry' }, addresses(), count);
+    const isElsewhere = (name: string): boolean =>
+      !orderOf(name, 0)
+        .slice(0, 3)
+        .includes(orderOf(name, entries)[0] ?? '');
+    const name = Array.from({ length: 100 }, (_, at) => `e${at}`).find(isElsewhere) ?? '';
+    follow('entry', addresses(), name);
+    const first = new Set<string>();
+    await waitFor('its place', () => {
+      for (const address of tellers()) first.add(address);
+      return tellers().length === 1 && tellers()[0] === orderOf(name, entries)[0];
+    });
+    expect(first.size).toBe(2);
+  });
+
   // Guards against all entries being told all again a second after a restart, by another instance than the first that was up.
   it('stays with the first that came up while the others come up after it', async () => {
     for (const one of instances) one.vouched = false;
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -113,17 +113,28 @@
     const { signal } = this.stopped;
     while (!signal.aborted) {
       await clock.sleep(LOOK_MS, signal).catch(() => undefined);
-      if (clock.monotonic() - this.askedAt >= MOVE_MS) this.reorder();
+      const mayMove = clock.monotonic() - this.askedAt >= MOVE_MS;
+      if (mayMove) this.countEntries();
       this.approach();
+      if (mayMove) this.moveToFirst();
       this.adjust();
     }
   }
 
-  /** Makes the order anew, and lets another one be the first. */
-  private reorder(): void {
+  /** Makes the order by the number of entries that serve now. */
+  private countEntries(): void {
     const entries = this.parts.listener.entries();
     if (Math.abs(entries - this.entries) > this.entries * NOTICED_CHANGE) this.entries = entries;
-    if (this.order.length > 0) this.asked = undefined;
+  }
+
+  /** Lets the first one of the order be asked for everything, once it is up: a move to another one would be followed by a second. */
+  private moveToFirst(): void {
+    const first = this.ranked(this.toldAddresses()).find((address) => this.isExpected(address));
+    if (first !== undefined && this.isUp(first)) this.asked = undefined;
+  }
+
+  private isExpected(address: string): boolean {
+    return this.tasks.get(address)?.isExpected === true;
   }
 
   private isUp(address: string): boolean {
