--- a/packages/coordination/src/testing/memoryNetwork.ts
+++ b/packages/coordination/src/testing/memoryNetwork.ts
@@ -8,6 +8,21 @@
 type Handler = (request: unknown) => Promise<unknown>;
 type Handlers = Record<string, Handler>;
 
+/** A request on its way, or the answer to it. */
+export interface Message {
+  readonly from: string;
+  readonly to: string;
+  readonly method: string;
+  readonly isAnswer: boolean;
+  readonly content: unknown;
+}
+
+/** A message that does not arrive before it is released. */
+interface HeldMessage {
+  readonly message: Message;
+  readonly release: () => void;
+}
+
 /** One connection; `silent` ones carry nothing and never fail. */
 interface Connection {
   readonly transport: Transport;
@@ -25,6 +40,9 @@
   loss = 0;
   /** Longest delay one way, in milliseconds; each message has its own. */
   maxDelayMs = 10;
+  /** Messages that arrive only once they are released. */
+  isHeld: (message: Message) => boolean = () => false;
+  private held: HeldMessage[] = [];
   private readonly servers = new Map<string, Handlers>();
   private readonly connections = new Map<string, Connection>();
   private readonly cuts = new Set<string>();
@@ -94,6 +112,14 @@
     this.cuts.clear();
   }
 
+  /** Lets messages arrive that were held, and returns them. */
+  release(isReleased: (message: Message) => boolean = () => true): Message[] {
+    const released = this.held.filter(({ message }) => isReleased(message));
+    this.held = this.held.filter((held) => !released.includes(held));
+    for (const { release } of released) release();
+    return released.map(({ message }) => message);
+  }
+
   private transport(from: string, to: string): Transport {
     const unary = async <I extends DescMessage, O extends DescMessage>(
       method: DescMethodUnary<I, O>,
@@ -104,11 +130,13 @@
     ): Promise<UnaryResponse<I, O>> => {
       const connection = this.connections.get(linkOf(from, to));
       const request = copy(method.input, create(method.input, input));
-      await this.carry(from, to, connection, signal);
+      const asked = { from, to, method: method.localName, isAnswer: false, content: request };
+      await this.carry(asked, connection, signal);
       const handler = this.servers.get(to)?.[method.localName];
       if (handler === undefined) throw refused();
       const message = copy(method.output, (await handler(request)) as MessageShape<O>);
-      await this.carry(to, from, connection, signal);
+      const answered = { from: to, to: from, method: method.localName, isAnswer: true, content: message };
+      await this.carry(answered, connection, signal);
       const headers = { header: new Headers(), trailer: new Headers() };
       return { stream: false, service: method.parent, method, message, ...headers };
     };
@@ -117,26 +145,46 @@
 
   /** Resolves when the message arrives; a lost one ends with the caller's patience. */
   private async carry(
-    from: string,
-    to: string,
+    message: Message,
     connection: Connection | undefined,
     signal: AbortSignal | undefined,
   ): Promise<void> {
+    const { from, to } = message;
     const isLost = connection?.silent === true || this.random() < this.loss;
     if (!isLost) await this.clock.sleep(this.random() * this.maxDelayMs);
     if (signal?.aborted === true || connection?.isDropped === true) throw aborted();
-    if (!isLost && !this.cuts.has(linkOf(from, to))) return;
-    await new Promise((_, reject) => {
-      const end = (): void => {
-        connection?.open.delete(end);
-        reject(aborted());
-      };
-      connection?.open.add(end);
-      signal?.addEventListener('abort', end);
+    if (isLost || this.cuts.has(linkOf(from, to))) await unlessEnded(never(), connection, signal);
+    if (this.isHeld(message)) await unlessEnded(this.released(message), connection, signal);
+  }
+
+  private released(message: Message): Promise<void> {
+    return new Promise((release) => {
+      this.held.push({ message, release });
     });
   }
 }
 
+const never = (): Promise<void> => new Promise(() => undefined);
+
+/** Waits for an arrival; rejects when the call or its connection ends before. */
+const unlessEnded = (
+  arrival: Promise<void>,
+  connection: Connection | undefined,
+  signal: AbortSignal | undefined,
+): Promise<void> =>
+  new Promise((resolve, reject) => {
+    const end = (): void => {
+      connection?.open.delete(end);
+      reject(aborted());
+    };
+    connection?.open.add(end);
+    signal?.addEventListener('abort', end);
+    void arrival.then(() => {
+      connection?.open.delete(end);
+      resolve();
+    });
+  });
+
 const aborted = (): ConnectError => new ConnectError('aborted', Code.Canceled);
 
 function refused(): ConnectError {
