--- a/packages/coordination/src/agreement/lostLeader.spec.ts
+++ b/packages/coordination/src/agreement/lostLeader.spec.ts
@@ -4,7 +4,7 @@
 import { describe, expect, test } from 'vitest';
 import { coordinationEvents } from '../events.js';
 import { VoteRequestSchema, VoteResponseSchema } from '../gen/agreement/agreement_pb.js';
-import { MemoryCluster } from '../testing/index.js';
+import { MemoryCluster, seeded } from '../testing/index.js';
 import type { Message, Node } from '../testing/index.js';
 import { quorumOf } from './configuration.js';
 import { tuning } from './options.js';
@@ -154,3 +154,56 @@
     expect(failed).toEqual([]);
   });
 });
+
+/** A span of time, milliseconds. */
+type Span = readonly [number, number];
+
+/** When processes begin to stand still, counted from the first confirmed leader, and for how long. */
+interface Stalls {
+  readonly leader: { readonly afterMs: Span; readonly forMs: Span };
+  readonly voters: { readonly afterMs: Span; readonly forMs: Span };
+}
+
+const STALLS: Record<string, Stalls> = {
+  'all at once': {
+    leader: { afterMs: [0, 200], forMs: [400, 900] },
+    voters: { afterMs: [0, 200], forMs: [400, 950] },
+  },
+  'the voters as the leader goes on': {
+    leader: { afterMs: [0, 0], forMs: [480, 480] },
+    voters: { afterMs: [550, 680], forMs: [875, 950] },
+  },
+};
+
+describe.each(Object.entries(STALLS))('processes that stand still behind an election, %s', (_, stalls) => {
+  /** Lets each process stand still once. Resolves when all run again. */
+  async function stallAll(seed: number): Promise<void> {
+    const random = seeded(seed);
+    const within = ([leastMs, mostMs]: Span): number => leastMs + random() * (mostMs - leastMs);
+    const leader = cluster.leader();
+    const ends = cluster.nodes.map((node) => {
+      const { afterMs, forMs } = node === leader ? stalls.leader : stalls.voters;
+      const [begin, length] = [within(afterMs), within(forMs)];
+      cluster.clock.after(begin, () => {
+        cluster.stall(node, length);
+      });
+      return begin + length;
+    });
+    await cluster.clock.advance(Math.max(...ends));
+  }
+
+  // Guards against a leader that is lost, or control that stays without one, as processes are late for a second.
+  test.each([100, 150])('are led again soon after it, messages take %i ms', async (maxDelayMs) => {
+    const failed: string[] = [];
+    for (const seed of SEEDS) {
+      await found(seed);
+      await endAll();
+      cluster.network.maxDelayMs = maxDelayMs;
+      await cluster.startAll();
+      expect(await cluster.until(isLed, PATIENCE_MS)).toBe(true);
+      await stallAll(seed);
+      failed.push(...(await judge(seed)));
+    }
+    expect(failed).toEqual([]);
+  });
+});
--- a/packages/coordination/src/testing/memoryCluster.ts
+++ b/packages/coordination/src/testing/memoryCluster.ts
@@ -1,10 +1,12 @@
 /** Replicas on a manual clock, disks and a network in memory; checks what must hold at every step. For tests. */
+import type { ConnectRouter } from '@connectrpc/connect';
 import { ManualClock, silentLog } from '@jasmineroute/core';
 import type { Log } from '@jasmineroute/core';
 import { ReplicatedLog } from '../agreement/index.js';
 import type { ReplicaAddress, StateMachine, Tuning } from '../agreement/index.js';
 import { MemoryDisk } from '../storage/index.js';
 import { MemoryNetwork } from './memoryNetwork.js';
+import { ProcessClock } from './processClock.js';
 
 const FOLDER = '/replica';
 
@@ -39,6 +41,8 @@
   disk: MemoryDisk;
   recorder: Recorder;
   replica: ReplicatedLog | undefined;
+  /** The clock of its process. */
+  clock: ProcessClock;
 }
 
 /** What became of a command. */
@@ -103,6 +107,8 @@
   async start(node: Node): Promise<void> {
     if (node.replica !== undefined) return;
     node.recorder = this.recorder();
+    const clock = new ProcessClock(this.clock);
+    node.clock = clock;
     const { name, address } = node.address;
     const opened = await ReplicatedLog.open({
       ...this.tuning,
@@ -113,25 +119,31 @@
       drop: (to) => {
         this.network.drop(address, to);
       },
-      clock: this.clock,
+      clock,
       log: this.log.with({ name }),
       stateMachine: node.recorder,
       disk: node.disk,
       random: this.random,
     });
     if (opened.isErr()) throw new Error(opened.error.message);
-    node.disk.syncDelay = () => this.clock.sleep(this.random() * MAX_SYNC_MS);
+    node.disk.syncDelay = () => clock.sleep(this.random() * MAX_SYNC_MS);
     const replica = opened.value;
     node.replica = replica;
-    this.network.serve(address, (router) => {
+    const routes = (router: ConnectRouter): void => {
       replica.routes(router);
-    });
+    };
+    this.network.serve(address, routes, clock);
     replica.onStatus(() => {
       this.checkLeader(replica);
     });
     await replica.start(address);
   }
 
+  /** The process stands still for so long: it takes and sends nothing, and its timers are late. */
+  stall(node: Node, ms: number): void {
+    node.clock.stall(ms);
+  }
+
   /** Power cut. */
   crash(node: Node): void {
     const { replica } = node;
@@ -200,7 +212,8 @@
   }
 
   private node(address: ReplicaAddress): Node {
-    return { address, disk: MemoryDisk.empty(), recorder: this.recorder(), replica: undefined };
+    const clock = new ProcessClock(this.clock);
+    return { address, disk: MemoryDisk.empty(), recorder: this.recorder(), replica: undefined, clock };
   }
 
   private recorder(): Recorder {
--- a/packages/coordination/src/testing/memoryNetwork.ts
+++ b/packages/coordination/src/testing/memoryNetwork.ts
@@ -4,6 +4,7 @@
 import { Code, ConnectError } from '@connectrpc/connect';
 import type { ConnectRouter, Transport, UnaryResponse } from '@connectrpc/connect';
 import type { Clock } from '@jasmineroute/core';
+import type { ProcessClock } from './processClock.js';
 
 type Handler = (request: unknown) => Promise<unknown>;
 type Handlers = Record<string, Handler>;
@@ -43,6 +44,7 @@
   /** Messages that arrive only once they are released. */
   isHeld: (message: Message) => boolean = () => false;
   private held: HeldMessage[] = [];
+  private readonly clocks = new Map<string, ProcessClock>();
   private readonly servers = new Map<string, Handlers>();
   private readonly connections = new Map<string, Connection>();
   private readonly cuts = new Set<string>();
@@ -52,19 +54,21 @@
     private readonly random: () => number,
   ) {}
 
-  /** Serves what `routes` registers at an address. */
-  serve(address: string, routes: (router: ConnectRouter) => void): void {
+  /** Serves what `routes` registers at an address; a process takes messages only while its clock runs. */
+  serve(address: string, routes: (router: ConnectRouter) => void, clock?: ProcessClock): void {
     const handlers: Handlers = {};
     const service = (_: unknown, implementation: Handlers): void => {
       Object.assign(handlers, implementation);
     };
     routes({ service } as unknown as ConnectRouter);
     this.servers.set(address, handlers);
+    if (clock !== undefined) this.clocks.set(address, clock);
   }
 
   /** Nobody listens at the address any more. */
   unserve(address: string): void {
     this.servers.delete(address);
+    this.clocks.delete(address);
   }
 
   connect(from: string, to: string): Transport {
@@ -155,6 +159,8 @@
     if (signal?.aborted === true || connection?.isDropped === true) throw aborted();
     if (isLost || this.cuts.has(linkOf(from, to))) await unlessEnded(never(), connection, signal);
     if (this.isHeld(message)) await unlessEnded(this.released(message), connection, signal);
+    const clock = this.clocks.get(to);
+    if (clock?.isStalled === true) await unlessEnded(clock.turn(), connection, signal);
   }
 
   private released(message: Message): Promise<void> {
