--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -104,9 +104,10 @@
     const isAbstaining = replica.clock.monotonic() < replica.abstainUntil;
     if (replica.stopped || !replica.isVoter || isAbstaining) return;
     const askedAt = replica.clock.monotonic();
-    if (!(await this.gather(replica.term + 1n, true))) return;
-    const term = await replica.exclusive(() => this.begin(askedAt));
-    if (term === undefined) return;
+    const term = replica.term + 1n;
+    if (!(await this.gather(term, true))) return;
+    const isBegun = await replica.exclusive(() => this.begin(term, askedAt));
+    if (!isBegun) return;
     const isWon = await this.gather(term, false);
     this.noteCandidacy(isWon);
     if (replica.term !== term || replica.role !== 'candidate') return;
@@ -120,21 +121,22 @@
   }
 
   /**
-   * Raises the term and votes for itself; returns the term, or undefined when a leader, or a candidate that has this one's
-   * vote, came first since the others were asked.
+   * Raises the term and votes for itself. Returns false when a leader, or a candidate that has this one's vote, came first
+   * since the others were asked, or when the term moved on: they were asked about `term`, and a candidate of a later one
+   * would unseat whoever is elected in it.
    */
-  private async begin(askedAt: number): Promise<bigint | undefined> {
+  private async begin(term: bigint, askedAt: number): Promise<boolean> {
     const { replica } = this;
-    if (replica.role !== 'follower' || this.hearsLeader()) return undefined;
-    if (this.votedAt !== undefined && this.votedAt >= askedAt) return undefined;
-    const term = replica.term + 1n;
+    if (replica.role !== 'follower' || this.hearsLeader()) return false;
+    if (this.votedAt !== undefined && this.votedAt >= askedAt) return false;
+    if (replica.term + 1n !== term) return false;
     replica.log.event(coordinationEvents.campaign, { term: term.toString() });
     replica.metrics.count(coordinationMetrics.elections);
     const saved = await replica.save({ term, votedFor: replica.id });
-    if (saved.isErr()) return undefined;
+    if (saved.isErr()) return false;
     replica.role = 'candidate';
     replica.leader = undefined;
-    return term;
+    return true;
   }
 
   /** Asks all voters; resolves true at a quorum of votes, false once it can't be reached. */
