--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -5,6 +5,9 @@
 import type { VoteRequest, VoteResponse, Voter } from '../gen/agreement/agreement_pb.js';
 import { coordinationMetrics } from '../metrics.js';
 import { quorumOf } from './configuration.js';
+import { Endorsement } from './endorsement.js';
+import type { Candidate } from './endorsement.js';
+import type { Position } from './entryLog.js';
 import type { PeerClient } from './peerClient.js';
 import type { Replica } from './replica.js';
 
@@ -26,12 +29,15 @@
   private lostAt = -Infinity;
   /** When this replica last gave its vote to another one, by the clock. */
   private votedAt: number | undefined;
+  private readonly endorsement: Endorsement;
 
   constructor(
     private readonly replica: Replica,
     private readonly peers: PeerClient,
     private readonly lead: (term: bigint) => Promise<void>,
-  ) {}
+  ) {
+    this.endorsement = new Endorsement(replica.clock, replica.tuning.electionMinMs);
+  }
 
   /** Stands for election whenever no leader was heard for a random time, until the replica stops. */
   async run(): Promise<void> {
@@ -81,18 +87,17 @@
       return [electionMinMs, electionMinMs + (electionMaxMs - electionMinMs) * 2 ** doublings];
     }
     const isFirst = leaderHeardAt === undefined && this.votedAt === undefined;
-    const leastMs = (isFirst ? firstElectionMs : electionMinMs) + this.rank() * electionStepMs;
+    const leastMs =
+      (isFirst ? firstElectionMs : electionMinMs) + this.place(this.replica.id) * electionStepMs;
     return [leastMs, leastMs + electionSpreadMs];
   }
 
-  /** Place of this replica among the voters without the leader that was lost, the same on all of them. */
-  private rank(): number {
-    const { configuration, id, leader } = this.replica;
+  /** Place of a replica among the voters without the leader that was lost, the same on all of them; others come last. */
+  private place(id: string): number {
+    const { configuration, leader } = this.replica;
     const voters = (configuration?.voters ?? []).filter(({ name }) => name !== leader);
-    return Math.max(
-      0,
-      voters.findIndex(({ replicaId }) => replicaId === id),
-    );
+    const at = voters.findIndex(({ replicaId }) => replicaId === id);
+    return at < 0 ? voters.length : at;
   }
 
   /**
@@ -104,6 +109,7 @@
     const isAbstaining = replica.clock.monotonic() < replica.abstainUntil;
     if (replica.stopped || !replica.isVoter || isAbstaining) return;
     const askedAt = replica.clock.monotonic();
+    if (!this.endorsement.give(this.candidate(replica.id, replica.entries.last))) return;
     const term = replica.term + 1n;
     if (!(await this.gather(term, true))) return;
     const isBegun = await replica.exclusive(() => this.begin(term, askedAt));
@@ -121,15 +127,16 @@
   }
 
   /**
-   * Raises the term and votes for itself. Returns false when a leader, or a candidate that has this one's vote, came first
-   * since the others were asked, or when the term moved on: they were asked about `term`, and a candidate of a later one
-   * would unseat whoever is elected in it.
+   * Raises the term and votes for itself. Returns false when a leader, or a candidate that has this one's vote or endorsement,
+   * came first since the others were asked, or when the term moved on: they were asked about `term`, and a candidate of a
+   * later one would unseat whoever is elected in it.
    */
   private async begin(term: bigint, askedAt: number): Promise<boolean> {
     const { replica } = this;
     if (replica.role !== 'follower' || this.hearsLeader()) return false;
     if (this.votedAt !== undefined && this.votedAt >= askedAt) return false;
     if (replica.term + 1n !== term) return false;
+    if (!this.endorsement.isOf(replica.id)) return false;
     replica.log.event(coordinationEvents.campaign, { term: term.toString() });
     replica.metrics.count(coordinationMetrics.elections);
     const saved = await replica.save({ term, votedFor: replica.id });
@@ -207,7 +214,10 @@
     const { replica } = this;
     const last = { index: request.lastIndex, term: request.lastTerm };
     const isUpToDate = replica.entries.isCoveredBy(last);
-    if (request.probe) return isUpToDate && request.term > replica.term && !this.isElecting(request);
+    if (request.probe) {
+      const mayWin = isUpToDate && request.term > replica.term && !this.isElecting(request);
+      return mayWin && this.endorsement.give(this.candidate(request.replicaId, last));
+    }
     if (request.term < replica.term) return false;
     const moved = await replica.observeTerm(request.term);
     if (moved.isErr() || !isUpToDate) return false;
@@ -220,6 +230,10 @@
     return true;
   }
 
+  private candidate(replicaId: string, last: Position): Candidate {
+    return { replicaId, last, place: this.place(replicaId) };
+  }
+
   /** Whether another replica than the asking one is being elected: one more candidate would unseat it at once. */
   private isElecting({ replicaId }: VoteRequest): boolean {
     const { role, clock, tuning, votedFor } = this.replica;
--- a/packages/coordination/src/agreement/restart.spec.ts
+++ b/packages/coordination/src/agreement/restart.spec.ts
@@ -2,7 +2,7 @@
 import type { Log } from '@jasmineroute/core';
 import { describe, expect, test } from 'vitest';
 import { coordinationEvents } from '../events.js';
-import { MemoryCluster } from '../testing/index.js';
+import { MemoryCluster, seeded } from '../testing/index.js';
 
 /** How slowly machines answer after a start, and in what time a quorum must confirm a leader; both milliseconds. */
 const SLOWNESS = [
@@ -17,6 +17,9 @@
 /** How long no replica runs, milliseconds: longer than a message is on its way. */
 const DARK_MS = 1_000;
 
+/** Time over which replicas start one after the other, milliseconds. */
+const SPREAD_MS = 550;
+
 /** Time for which it must lead from then on, milliseconds. */
 const STABLE_MS = 3_000;
 
@@ -48,6 +51,43 @@
   });
 });
 
+/** Terms that replicas stand for until a quorum confirms a leader, as all start again one after the other. */
+async function terms(seed: number, maxDelayMs: number): Promise<number> {
+  const random = seeded(seed);
+  const stoodFor = new Set<unknown>();
+  const log: Log = {
+    event: ({ id }, fields) => {
+      if (id === coordinationEvents.campaign.id) stoodFor.add(fields?.term);
+    },
+    with: () => log,
+  };
+  const cluster = new MemoryCluster(seed, ['a', 'b', 'c', 'd', 'e', 'f'], {}, log);
+  await cluster.startAll();
+  expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
+  for (const node of cluster.nodes) cluster.crash(node);
+  await cluster.clock.advance(DARK_MS);
+  cluster.network.maxDelayMs = maxDelayMs;
+  stoodFor.clear();
+  for (const node of cluster.nodes) {
+    cluster.clock.after(random() * SPREAD_MS, () => {
+      void cluster.start(node);
+    });
+  }
+  expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
+  for (const node of cluster.nodes) cluster.crash(node);
+  expect(cluster.violations).toEqual([]);
+  return stoodFor.size;
+}
+
+describe('replicas that start again one after the other', () => {
+  // Guards against votes that are split between candidates that were all encouraged to stand.
+  test.each([100, 240])('elect a leader in one term, messages take %i ms', async (maxDelayMs) => {
+    const contested: number[] = [];
+    for (const seed of SEEDS) if ((await terms(seed, maxDelayMs)) > 1) contested.push(seed);
+    expect(contested).toEqual([]);
+  });
+});
+
 describe('a replica that has started beside a leader', () => {
   // Guards against waiting only as long for a leader that was heard as for the first one, and asking for votes in vain.
   test('asks nobody for votes while heartbeats come late', async () => {
