--- a/packages/coordination/src/agreement/peerClient.ts
+++ b/packages/coordination/src/agreement/peerClient.ts
@@ -1,7 +1,7 @@
 /** Calls to other replicas: each has a timeout, and a connection that gives no answer is not used again. */
 import { Code, ConnectError, createClient } from '@connectrpc/connect';
 import type { Client, Transport } from '@connectrpc/connect';
-import { fault } from '@jasmineroute/core';
+import { afterActive, fault } from '@jasmineroute/core';
 import type { Clock, Fault, Log, Metrics } from '@jasmineroute/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -66,7 +66,7 @@
     const { clock } = this.parts;
     const controller = new AbortController();
     const boundMs = timeoutMs ?? this.answerTimes.waitMs(address) * waits;
-    const cancel = clock.after(boundMs, () => {
+    const cancel = afterActive(clock, boundMs, () => {
       controller.abort();
     });
     const transport = this.parts.connect(address);
