--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -62,7 +62,7 @@
   private async silence(): Promise<void> {
     const { replica } = this;
     const part = replica.random();
-    while (!replica.stopped) {
+    while (!replica.stopped && !replica.isUnseated) {
       const [leastMs, mostMs] = this.patience();
       const patience = leastMs + part * (mostMs - leastMs);
       const left = replica.quietSince + patience - replica.clock.monotonic();
@@ -102,16 +102,19 @@
 
   /**
    * Asks first whether votes would be given: a replica that was cut off would otherwise come back with a term
-   * raised by its lonely candidacies and unseat a leader that works.
+   * raised by its lonely candidacies and unseat a leader that works. A leader that was unseated by one voter's term had a
+   * quorum a moment ago and asks at once.
    */
   private async stand(): Promise<void> {
     const { replica } = this;
     const isAbstaining = replica.clock.monotonic() < replica.abstainUntil;
     if (replica.stopped || !replica.isVoter || isAbstaining) return;
+    const { isUnseated } = replica;
+    replica.isUnseated = false;
     const askedAt = replica.clock.monotonic();
     if (!this.endorsement.give(this.candidate(replica.id, replica.entries.last))) return;
     const term = replica.term + 1n;
-    if (!(await this.gather(term, true))) return;
+    if (!isUnseated && !(await this.gather(term, true))) return;
     const isBegun = await replica.exclusive(() => this.begin(term, askedAt));
     if (!isBegun) return;
     const isWon = await this.gather(term, false);
@@ -189,10 +192,15 @@
     if (answer.isErr()) return 'silent';
     const { granted, term: theirs, replicaId: answering } = answer.value;
     if (answering !== voter.replicaId) return 'replaced';
-    if (!granted && theirs > replica.term) await replica.exclusive(() => replica.observeTerm(theirs));
+    if (!granted) await replica.exclusive(() => this.observe(theirs));
     return granted ? 'granted' : 'refused';
   }
 
+  /** A late refusal may find this replica elected: its term then ends with the answers to its messages, or not at all. */
+  private async observe(term: bigint): Promise<void> {
+    if (this.replica.role !== 'leader') await this.replica.observeTerm(term);
+  }
+
   /**
    * A replica that hears a leader gives no votes: it knows that none is needed, and a removed replica that was
    * never told keeps asking.
@@ -200,7 +208,15 @@
   private mayAnswer(request: VoteRequest): boolean {
     const { replica } = this;
     const isOurs = replica.clusterId !== '' && request.clusterId === replica.clusterId;
-    return isOurs && request.replicaId !== '' && !this.hearsLeader();
+    return isOurs && request.replicaId !== '' && (this.isOfLeader(request) || !this.hearsLeader());
+  }
+
+  /** Whether the candidate is the leader that this replica follows: it has stepped down, and nobody else was elected. */
+  private isOfLeader({ replicaId }: VoteRequest): boolean {
+    const { configuration, leader, role } = this.replica;
+    if (role !== 'follower') return false;
+    const voters = configuration?.voters ?? [];
+    return voters.some((voter) => voter.name === leader && voter.replicaId === replicaId);
   }
 
   private hearsLeader(): boolean {
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -131,7 +131,13 @@
   /** A replica that answered with a higher term ends this one. */
   async observeTerm(term: bigint): Promise<void> {
     const { replica } = this.parts;
-    if (term > replica.term) await replica.exclusive(() => replica.observeTerm(term));
+    const hadQuorum = this.isEstablished && this.hasQuorum(replica.tuning.electionMinMs);
+    await replica.exclusive(async () => {
+      if (!this.isActive || term <= replica.term) return;
+      await replica.observeTerm(term);
+      replica.isUnseated = hadQuorum;
+      replica.changed.notify();
+    });
   }
 
   private syncedAt(voter: Voter): bigint {
