--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -221,15 +221,21 @@
    */
   private async keepQuorum(): Promise<void> {
     const { replica } = this.parts;
+    const { clock } = replica;
     const { quorumWindowMs, heartbeatMs } = replica.tuning;
+    // Answers that came during a stall are read only after it, so its length is added to the window.
+    let lateMs = 0;
     while (this.isActive) {
-      const age = replica.clock.monotonic() - this.begunAt;
-      if (age > quorumWindowMs && !this.hasQuorum(quorumWindowMs)) {
+      const age = clock.monotonic() - this.begunAt;
+      if (age > quorumWindowMs && !this.hasQuorum(quorumWindowMs + lateMs)) {
         replica.becomeFollower('no answers of a quorum');
         return;
       }
       this.voterWatch.look();
-      await replica.changed.waitFor(replica.clock, heartbeatMs);
+      const lookedAt = clock.monotonic();
+      await replica.changed.waitFor(clock, heartbeatMs);
+      const overdueMs = clock.monotonic() - lookedAt - heartbeatMs;
+      lateMs = Math.min(quorumWindowMs, Math.max(overdueMs, lateMs - heartbeatMs, 0));
     }
   }
 
--- a/packages/coordination/src/agreement/lostLeader.spec.ts
+++ b/packages/coordination/src/agreement/lostLeader.spec.ts
@@ -207,3 +207,35 @@
     expect(failed).toEqual([]);
   });
 });
+
+describe('processes that stand still again and again', () => {
+  const STALLS_EACH = 6;
+  const PAUSE_MS = 300;
+  const FOR_MS: Span = [100, 950];
+
+  // Guards against a leader that gives up for want of answers which came while it stood still itself.
+  test('keep their leader as long as it is answered', async () => {
+    const failed: string[] = [];
+    for (const seed of SEEDS) {
+      const random = seeded(seed);
+      await found(seed);
+      await endAll();
+      for (const node of cluster.nodes) {
+        let atMs = random() * PAUSE_MS;
+        for (let stalls = 0; stalls < STALLS_EACH; stalls += 1) {
+          const forMs = FOR_MS[0] + random() * (FOR_MS[1] - FOR_MS[0]);
+          cluster.clock.after(atMs, () => {
+            cluster.stall(node, forMs);
+          });
+          atMs += forMs + random() * PAUSE_MS;
+        }
+      }
+      await cluster.startAll();
+      await cluster.clock.advance(WATCH_MS);
+      if (reasons.includes('no answers of a quorum')) failed.push(`seed ${seed.toString()}`);
+      for (const node of cluster.nodes) cluster.crash(node);
+      expect(cluster.violations).toEqual([]);
+    }
+    expect(failed).toEqual([]);
+  });
+});
