--- a/packages/ctl/src/command/returns.spec.ts
+++ b/packages/ctl/src/command/returns.spec.ts
@@ -35,8 +35,8 @@
   line(32_100, 'e1', eventIds.confirmed, { role: 'entry' }),
   line(32_200, 'c2', eventIds.readAnswered),
   line(32_300, 'c2', eventIds.streamOpened, { follower: 'e1' }),
-  line(33_000, 'c2', eventIds.memoryPeak, { residentMb: 61.5 }),
-  line(34_000, 'c2', eventIds.memoryPeak, { residentMb: 70 }),
+  line(33_000, 'c2', eventIds.memoryPeak, { residentMb: 61.5, anonymousMb: 30 }),
+  line(34_000, 'c2', eventIds.memoryPeak, { residentMb: 70, anonymousMb: 28.5 }),
   line(38_000, 'c3', eventIds.started),
 ];
 
@@ -56,6 +56,7 @@
       at: START + 30_000,
       controls: 3,
       peakMb: { c2: 70 },
+      anonymousPeakMb: { c2: 30 },
       ended: ['control c3'],
       stallMs: 640,
       leaders: 2,
@@ -68,7 +69,7 @@
       refused: { 'no leader in time': 2 },
     });
     const table = await run('returns all.log', files);
-    expect(table.out.split('\n')[2]).toMatch(/^2026-01-01T00:00:30\.000Z +3 +70 +1 +640 +2 +1 +2000 /);
+    expect(table.out.split('\n')[2]).toMatch(/^2026-01-01T00:00:30\.000Z +3 +70 +30 +1 +640 +2 +1 +2000 /);
   });
 
   it('says what can not be read', async () => {
--- a/packages/ctl/src/command/returns.ts
+++ b/packages/ctl/src/command/returns.ts
@@ -35,6 +35,7 @@
   'first start',
   'controls',
   'peak MB',
+  'anonymous MB',
   'ended',
   'stall ms',
   'leaders',
@@ -53,13 +54,16 @@
   return formatTable(HEAD, returns.map(cells));
 }
 
+const most = (peaks: Readonly<Record<string, number>>): number | string =>
+  Object.keys(peaks).length === 0 ? NONE : Math.max(...Object.values(peaks));
+
 function cells(one: ControlReturn): string[] {
-  const peak = Math.max(0, ...Object.values(one.peakMb));
   const refused = Object.entries(one.refused).map(([reason, count]) => `${count} ${reason}`);
   const texts = [
     new Date(one.at).toISOString(),
     one.controls,
-    peak,
+    most(one.peakMb),
+    most(one.anonymousPeakMb),
     one.ended.length,
     one.stallMs,
     one.leaders,
--- a/packages/ctl/src/returns/logLine.ts
+++ b/packages/ctl/src/returns/logLine.ts
@@ -26,6 +26,7 @@
   ms: z.number().optional(),
   message: z.string().optional(),
   residentMb: z.number().optional(),
+  anonymousMb: z.number().optional(),
 });
 
 /** One line; `time`: Unix milliseconds by the clock of its machine. */
--- a/packages/ctl/src/returns/returns.ts
+++ b/packages/ctl/src/returns/returns.ts
@@ -15,6 +15,8 @@
   readonly controls: number;
   /** Most resident memory of each control instance, MB, as it was logged. */
   readonly peakMb: Readonly<Record<string, number>>;
+  /** Most anonymous memory of each, MB: what a limit of a process counts. */
+  readonly anonymousPeakMb: Readonly<Record<string, number>>;
   /** Processes that ended without being asked to after the return and started again, each as often as it did. */
   readonly ended: readonly string[];
   /** Longest stall of a control instance. */
@@ -70,10 +72,12 @@
   const quorumMs = after(eventIds.inContact);
   const opened = of(eventIds.streamOpened);
   const stalls = of(eventIds.stalled).filter(isOfControl);
+  const memory = of(eventIds.memoryPeak).filter(isOfControl);
   return {
     at,
     controls,
-    peakMb: peaks(of(eventIds.memoryPeak).filter(isOfControl)),
+    peakMb: peaks(memory, 'residentMb'),
+    anonymousPeakMb: peaks(memory, 'anonymousMb'),
     stallMs: Math.max(0, ...stalls.map(({ ms }) => ms ?? 0)),
     leaders: of(eventIds.leading).length,
     stepsDown: of(eventIds.steppedDown).length,
@@ -88,9 +92,10 @@
 
 const isOfControl = ({ role }: LogLine): boolean => role === 'control';
 
-function peaks(lines: readonly LogLine[]): Record<string, number> {
+function peaks(lines: readonly LogLine[], field: 'residentMb' | 'anonymousMb'): Record<string, number> {
   const most: Record<string, number> = {};
-  for (const { name, residentMb = 0 } of lines) most[name] = Math.max(most[name] ?? 0, residentMb);
+  for (const { name, [field]: memory } of lines)
+    if (memory !== undefined) most[name] = Math.max(most[name] ?? 0, memory);
   return most;
 }
 
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -53,8 +53,9 @@
 }
 
 function measureMemory(metrics: Metrics): void {
-  const { rss, heapUsed, heapTotal, external, compilersPeak } = ownMemory.usage();
+  const { rss, anonymous, heapUsed, heapTotal, external, compilersPeak } = ownMemory.usage();
   metrics.gauge(daemonMetrics.resident, rss);
+  if (anonymous !== undefined) metrics.gauge(daemonMetrics.anonymous, anonymous);
   metrics.gauge(daemonMetrics.heapUsed, heapUsed);
   metrics.gauge(daemonMetrics.heapReserved, heapTotal);
   metrics.gauge(daemonMetrics.external, external);
--- a/packages/daemon/src/life/memoryWatch.spec.ts
+++ b/packages/daemon/src/life/memoryWatch.spec.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from '@jasmineroute/core';
 import type { Log } from '@jasmineroute/core';
 import { describe, expect, it } from 'vitest';
-import { watchMemory } from './memoryWatch.js';
+import { ownMemory, watchMemory } from './memoryWatch.js';
 import type { MemoryReader } from './memoryWatch.js';
 
 const MB = 1024 * 1024;
@@ -14,6 +14,7 @@
       resident: () => residentMb * MB,
       usage: () => ({
         rss: residentMb * MB,
+        anonymous: (residentMb - 40) * MB,
         heapUsed: 20 * MB,
         heapTotal: 24 * MB,
         external: 3 * MB,
@@ -32,6 +33,7 @@
     expect(peaks).toMatchObject([{ residentMb: 60 }, { residentMb: 64 }, { residentMb: 90 }]);
     expect(peaks[0]).toEqual({
       residentMb: 60,
+      anonymousMb: 20,
       heapUsedMb: 20,
       heapReservedMb: 24,
       externalMb: 3,
@@ -39,4 +41,24 @@
       compilersPeakMb: 36,
     });
   });
+
+  // Guards against a limit that is compared with a figure which holds the pages of the program's file, too.
+  it('tells anonymous memory from what is resident', () => {
+    const before = ownMemory.usage();
+    const held = Buffer.alloc(32 * MB, 1);
+    const { rss, anonymous = 0 } = ownMemory.usage();
+    expect(held.byteLength).toBe(32 * MB);
+    expect(anonymous - (before.anonymous ?? Infinity)).toBeGreaterThan(24 * MB);
+    expect(anonymous).toBeLessThan(rss);
+  });
+
+  // Guards against a process that fails where the kernel doesn't tell anonymous memory.
+  it('leaves anonymous memory out where it is not told', () => {
+    const peaks: object[] = [];
+    const log: Log = { event: (_kind, fields) => peaks.push(fields ?? {}), with: () => log };
+    const usage = { ...ownMemory.usage(), anonymous: undefined };
+    watchMemory(new ManualClock(), log, { resident: () => 60 * MB, usage: () => usage })();
+    expect(peaks).toHaveLength(1);
+    expect(JSON.parse(JSON.stringify(peaks[0]))).not.toHaveProperty('anonymousMb');
+  });
 });
--- a/packages/daemon/src/life/memoryWatch.ts
+++ b/packages/daemon/src/life/memoryWatch.ts
@@ -1,4 +1,5 @@
 /** What a process writes of its memory as it grows: the metrics of one that was ended over its limit are gone. */
+import { readFileSync } from 'node:fs';
 import { getHeapStatistics } from 'node:v8';
 import type { Clock, Log } from '@jasmineroute/core';
 import { daemonEvents } from '../events.js';
@@ -10,9 +11,12 @@
 const STEP_BYTES = 4 * 1024 * 1024;
 
 const BYTES_PER_MB = 1024 * 1024;
+const BYTES_PER_KB = 1024;
 
 /** Memory of a process, bytes. What is resident beyond the heap and the buffers is the runtime's own. */
 export interface MemoryUsage extends Pick<NodeJS.MemoryUsage, 'rss' | 'heapUsed' | 'heapTotal' | 'external'> {
+  /** Without the pages of files, such as the program's own: what a limit of a process counts. Undefined: not told here. */
+  readonly anonymous: number | undefined;
   /** What the runtime's compilers hold at the moment, and held at most. */
   readonly compilers: number;
   readonly compilersPeak: number;
@@ -25,19 +29,30 @@
   usage(): MemoryUsage;
 }
 
+/** Anonymous memory of this process, bytes. */
+function readAnonymous(): number | undefined {
+  try {
+    const [, kilobytes] = /^RssAnon:\s+(\d+) kB$/m.exec(readFileSync('/proc/self/status', 'utf8')) ?? [];
+    return kilobytes === undefined ? undefined : Number(kilobytes) * BYTES_PER_KB;
+  } catch {
+    return undefined;
+  }
+}
+
 /** Reads the memory of this process. */
 export const ownMemory: MemoryReader = {
   resident: () => process.memoryUsage.rss(),
   usage: () => {
     const { malloced_memory: compilers, peak_malloced_memory: compilersPeak } = getHeapStatistics();
-    return { ...process.memoryUsage(), compilers, compilersPeak };
+    return { ...process.memoryUsage(), anonymous: readAnonymous(), compilers, compilersPeak };
   },
 };
 
 const inMb = (bytes: number): number => Math.round((bytes / BYTES_PER_MB) * 10) / 10;
 
-const fieldsOf = (usage: MemoryUsage): Record<string, number> => ({
+const fieldsOf = (usage: MemoryUsage): Record<string, number | undefined> => ({
   residentMb: inMb(usage.rss),
+  anonymousMb: usage.anonymous === undefined ? undefined : inMb(usage.anonymous),
   heapUsedMb: inMb(usage.heapUsed),
   heapReservedMb: inMb(usage.heapTotal),
   externalMb: inMb(usage.external),
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -7,6 +7,11 @@
     type: 'gauge',
     help: 'Memory that the process takes, bytes',
   },
+  anonymous: {
+    name: 'process.memory.anonymous',
+    type: 'gauge',
+    help: 'Memory that the process takes without the pages of files, bytes',
+  },
   heapUsed: {
     name: 'process.memory.heap.used',
     type: 'gauge',
