--- a/packages/ctl/src/command/returns.spec.ts
+++ b/packages/ctl/src/command/returns.spec.ts
@@ -26,11 +26,14 @@
   line(30_400, 'c1', eventIds.streamOpened, { follower: 'e1' }),
   line(30_500, 'c1', eventIds.readRefused, { message: 'no leader in time' }),
   line(30_600, 'c1', eventIds.readRefused, { message: 'no leader in time' }),
-  line(30_700, 'c1', eventIds.leading),
+  line(30_600, 'c1', eventIds.candidacy, { term: '2' }),
+  line(30_650, 'c2', eventIds.candidacy, { term: '2' }),
+  line(30_700, 'c1', eventIds.leading, { term: '2' }),
   line(30_800, 'c1', eventIds.stalled, { ms: 640 }),
   line(30_900, 'e1', eventIds.stalled, { ms: 2_000, role: 'entry' }),
-  line(31_000, 'c1', eventIds.steppedDown),
-  line(31_500, 'c2', eventIds.leading),
+  line(31_000, 'c1', eventIds.steppedDown, { term: '2', reason: 'no answers of a quorum' }),
+  line(31_400, 'c2', eventIds.candidacy, { term: '3' }),
+  line(31_500, 'c2', eventIds.leading, { term: '3' }),
   line(32_000, 'c2', eventIds.inContact),
   line(32_100, 'e1', eventIds.confirmed, { role: 'entry' }),
   line(32_200, 'c2', eventIds.readAnswered),
@@ -59,8 +62,9 @@
       anonymousPeakMb: { c2: 30 },
       ended: ['control c3'],
       stallMs: 640,
+      candidacies: { 2: 2, 3: 1 },
       leaders: 2,
-      stepsDown: 1,
+      stepsDown: [{ name: 'c1', term: '2', reason: 'no answers of a quorum', ledMs: 300, nextMs: 500 }],
       quorumMs: 2_000,
       entryMs: 2_100,
       readMs: 2_200,
@@ -69,7 +73,36 @@
       refused: { 'no leader in time': 2 },
     });
     const table = await run('returns all.log', files);
-    expect(table.out.split('\n')[2]).toMatch(/^2026-01-01T00:00:30\.000Z +3 +70 +30 +1 +640 +2 +1 +2000 /);
+    expect(table.out.split('\n')[2]).toMatch(
+      /^2026-01-01T00:00:30\.000Z +3 +70 +30 +1 +640 +2 for 2, 1 for 3 +2 +2000 /,
+    );
+    expect(table.out.split('\n')[2]).toMatch(
+      / c1 of term 2 after 300 ms \(no answers of a quorum\), next after 500 ms *$/,
+    );
+  });
+
+  // Guards against a leader that is lost after the return and goes unseen, as the configuration was read back before or after.
+  it('tells of each leader that steps down, and when the next one is elected', async () => {
+    const lines = [
+      line(0, 'c1', eventIds.folderOpened),
+      line(300, 'c1', eventIds.leading, { term: '1' }),
+      line(400, 'c1', eventIds.readAnswered),
+      // Unseated by one that is elected before it learns of it.
+      line(1_000, 'c2', eventIds.leading, { term: '2' }),
+      line(1_050, 'c1', eventIds.steppedDown, { term: '1', reason: 'higher term' }),
+      line(4_000, 'c2', eventIds.steppedDown, { term: '2', reason: 'no answers of a quorum' }),
+    ];
+    const { out } = await run('returns all.log --output json', { 'all.log': lines.join('\n') });
+    const { returns } = JSON.parse(out) as { returns: unknown[] };
+    expect(returns).toMatchObject([
+      {
+        leaders: 2,
+        stepsDown: [
+          { name: 'c1', term: '1', reason: 'higher term', ledMs: 750, nextMs: 0 },
+          { name: 'c2', term: '2', reason: 'no answers of a quorum', ledMs: 3_000 },
+        ],
+      },
+    ]);
   });
 
   it('says what can not be read', async () => {
@@ -80,6 +113,7 @@
     const catalogue = readFileSync(new URL('../../../../docs/EVENTS.md', import.meta.url), 'utf8');
     const known: Record<string, RegExp> = {
       folderOpened: /opened its folder/,
+      candidacy: /standing for election/,
       leading: /elected leader/,
       steppedDown: /stopped leading/,
       inContact: /in contact with a quorum/,
--- a/packages/ctl/src/command/returns.ts
+++ b/packages/ctl/src/command/returns.ts
@@ -3,7 +3,7 @@
 import type { ExitCode } from '../exit/index.js';
 import { formatTable } from '../format/index.js';
 import { findReturns, parseLog } from '../returns/index.js';
-import type { ControlReturn, LogLine } from '../returns/index.js';
+import type { ControlReturn, LogLine, StepDown } from '../returns/index.js';
 import { outputSettings } from '../setting/index.js';
 import type { OutputSettings } from '../setting/index.js';
 import type { CommandContext, LocalCommand } from './context.js';
@@ -38,14 +38,15 @@
   'anonymous MB',
   'ended',
   'stall ms',
+  'candidacies',
   'leaders',
-  'steps down',
   'quorum ms',
   'entry ms',
   'read ms',
   'streams before',
   'streams',
   'reads refused',
+  'steps down',
 ];
 
 const NONE = '-';
@@ -54,11 +55,16 @@
   return formatTable(HEAD, returns.map(cells));
 }
 
+function formatStepDown({ name, term, reason, ledMs, nextMs }: StepDown): string {
+  return `${name} of term ${term} after ${ledMs ?? NONE} ms (${reason}), next after ${nextMs ?? NONE} ms`;
+}
+
 const most = (peaks: Readonly<Record<string, number>>): number | string =>
   Object.keys(peaks).length === 0 ? NONE : Math.max(...Object.values(peaks));
 
 function cells(one: ControlReturn): string[] {
   const refused = Object.entries(one.refused).map(([reason, count]) => `${count} ${reason}`);
+  const candidacies = Object.entries(one.candidacies).map(([term, count]) => `${count} for ${term}`);
   const texts = [
     new Date(one.at).toISOString(),
     one.controls,
@@ -66,14 +72,15 @@
     most(one.anonymousPeakMb),
     one.ended.length,
     one.stallMs,
+    candidacies.join(', '),
     one.leaders,
-    one.stepsDown,
     one.quorumMs ?? NONE,
     one.entryMs ?? NONE,
     one.readMs ?? NONE,
     one.openedBefore,
     one.opened,
     refused.join('; '),
+    one.stepsDown.map(formatStepDown).join('; '),
   ];
   return texts.map(String);
 }
--- a/packages/ctl/src/returns/logLine.ts
+++ b/packages/ctl/src/returns/logLine.ts
@@ -4,6 +4,7 @@
 /** Events that tell how a return went; their fields stand in docs/OPERATIONS.md. */
 export const eventIds = {
   folderOpened: 2000,
+  candidacy: 2004,
   leading: 2005,
   steppedDown: 2006,
   inContact: 2013,
@@ -25,6 +26,8 @@
   event: z.number(),
   ms: z.number().optional(),
   message: z.string().optional(),
+  term: z.string().optional().catch(undefined),
+  reason: z.string().optional().catch(undefined),
   residentMb: z.number().optional(),
   anonymousMb: z.number().optional(),
 });
--- a/packages/ctl/src/returns/returns.ts
+++ b/packages/ctl/src/returns/returns.ts
@@ -5,9 +5,23 @@
 /** Starts of control instances that lie no further apart than this are one return, milliseconds. */
 const TOGETHER_MS = 5_000;
 
+/** What a line leaves out. */
+const UNKNOWN = '?';
+
 /** Part of the control instances that must start for a return. */
 const LEAST_PART = 0.5;
 
+/** A leader that stepped down. Times in milliseconds. */
+export interface StepDown {
+  readonly name: string;
+  readonly term: string;
+  readonly reason: string;
+  /** From its election; undefined: it was elected before the return. */
+  readonly ledMs: number | undefined;
+  /** To the next election; undefined: there is none. */
+  readonly nextMs: number | undefined;
+}
+
 /** One return of the control instances. Times are from the first folder that was opened, milliseconds. */
 export interface ControlReturn {
   /** Unix milliseconds of the first folder that was opened. */
@@ -21,8 +35,11 @@
   readonly ended: readonly string[];
   /** Longest stall of a control instance. */
   readonly stallMs: number;
+  /** Candidacies by the term that was stood for: more than one for a term split its votes. */
+  readonly candidacies: Readonly<Record<string, number>>;
   readonly leaders: number;
-  readonly stepsDown: number;
+  /** Each leader that stepped down, also where the configuration was read. */
+  readonly stepsDown: readonly StepDown[];
   /** To the first instance that is in contact with a quorum; undefined: none is. */
   readonly quorumMs: number | undefined;
   /** To the first entry that holds a configuration which a quorum confirms, and to the first answer to an operator. */
@@ -79,8 +96,9 @@
     peakMb: peaks(memory, 'residentMb'),
     anonymousPeakMb: peaks(memory, 'anonymousMb'),
     stallMs: Math.max(0, ...stalls.map(({ ms }) => ms ?? 0)),
+    candidacies: tally(of(eventIds.candidacy).map(({ term }) => term ?? UNKNOWN)),
     leaders: of(eventIds.leading).length,
-    stepsDown: of(eventIds.steppedDown).length,
+    stepsDown: of(eventIds.steppedDown).map((line) => stepDown(line, of(eventIds.leading))),
     quorumMs,
     entryMs: after(eventIds.confirmed),
     readMs: after(eventIds.readAnswered),
@@ -90,6 +108,22 @@
   };
 }
 
+function stepDown(
+  { name, time, term = UNKNOWN, reason = UNKNOWN }: LogLine,
+  elections: readonly LogLine[],
+): StepDown {
+  const elected = elections.findLast((one) => one.time <= time && one.name === name && one.term === term);
+  // A candidate may win a later term before the leader of an earlier one learns of it.
+  const next = elections.find((one) => one.time > (elected?.time ?? time) && one !== elected);
+  return {
+    name,
+    term,
+    reason,
+    ledMs: elected === undefined ? undefined : time - elected.time,
+    nextMs: next === undefined ? undefined : Math.max(0, next.time - time),
+  };
+}
+
 const isOfControl = ({ role }: LogLine): boolean => role === 'control';
 
 function peaks(lines: readonly LogLine[], field: 'residentMb' | 'anonymousMb'): Record<string, number> {
