--- a/packages/control/src/follow/followService.spec.ts
+++ b/packages/control/src/follow/followService.spec.ts
@@ -2,9 +2,10 @@
 import { silentLog, systemClock } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import { afterEach, beforeEach, expect, it } from 'vitest';
-import { LocalLog } from '../fixture/index.js';
+import { LocalLog, applyOne } from '../fixture/index.js';
 import { RecentBoard } from '../recent/index.js';
 import { createState } from '../role/createState.js';
+import type { ControlState } from '../state/index.js';
 import { RelayedTargets, TargetBook } from '../targets/index.js';
 import { FollowService } from './followService.js';
 import { OtherControls } from './otherControls.js';
@@ -14,11 +15,15 @@
 
 let stopped: AbortController;
 let service: FollowService;
+let machine: ControlState;
+let commandLog: LocalLog;
 
 beforeEach(() => {
   stopped = new AbortController();
-  const { configuration, machine } = createState();
-  const commandLog = new LocalLog(machine);
+  const state = createState();
+  const { configuration } = state;
+  ({ machine } = state);
+  commandLog = new LocalLog(machine);
   const boards = {
     loads: new RecentBoard<controlMessage.TargetLoad>(systemClock),
     work: new RecentBoard<controlMessage.EntryWork>(systemClock),
@@ -106,3 +111,52 @@
   await Promise.all(told);
   expect(order.slice(0, 3)).toContain('known');
 });
+
+// Guards against entries that put configurations in force which were replaced long ago, one after the other after a restart.
+it('tells of no configuration while the log is replayed', async () => {
+  commandLog.isolate(true);
+  commandLog.behind = 1n;
+  const request = create(controlMessage.FollowRequestSchema, { name: 'entry', role: 'entry', bulk: true });
+  const stream = service.follow(request, { signal: stopped.signal });
+  const told: number[] = [];
+  const reading = (async () => {
+    for await (const { content } of stream) if (content.length > 0) told.push(content[0] ?? 0);
+  })();
+  for (const number of [1, 2, 3]) {
+    if (number === 3) commandLog.behind = 0n;
+    const content = new Uint8Array([number]);
+    applyOne(machine, { case: 'configure', value: { number: BigInt(number), content, source: content } });
+    for (let turns = 0; turns < 4; turns += 1) await turn();
+    service.raise();
+    for (let turns = 0; turns < 4; turns += 1) await turn();
+  }
+  expect(told).toEqual([3]);
+  stopped.abort();
+  await reading;
+});
+
+// Guards against an election that is late, as each of its steps is told to all followers.
+it('tells followers nothing of the steps of an election but the contact with a quorum', async () => {
+  const request = create(controlMessage.FollowRequestSchema, { name: 'entry', role: 'entry', bulk: true });
+  const stream = service.follow(request, { signal: stopped.signal });
+  const told: boolean[] = [];
+  const reading = (async () => {
+    for await (const { vouched } of stream) told.push(vouched);
+  })();
+  const change = async (action: () => void): Promise<void> => {
+    action();
+    for (let turns = 0; turns < 6; turns += 1) await turn();
+  };
+  await change(() => undefined);
+  for (let steps = 0; steps < 3; steps += 1) {
+    await change(() => {
+      commandLog.step();
+    });
+  }
+  await change(() => {
+    commandLog.isolate(true);
+  });
+  expect(told).toEqual([true, false]);
+  stopped.abort();
+  await reading;
+});
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -3,6 +3,7 @@
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
 import { controlMessage } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
+import { isCaughtUp } from '../log/index.js';
 import { Gathering } from '../recent/index.js';
 import { Bulletins } from './bulletins.js';
 import { FollowerPlace, shareOf } from './followerPlace.js';
@@ -56,14 +57,19 @@
   /** Streams of entries that ask for loads, work and caches, by the entry's name. */
   private readonly entries = new Map<string, number>();
   private readonly intake: ReportIntake;
+  /** Contact and members as they were told last. */
+  private toldStatus: string;
   /** Heartbeats of the log are read and answered between two events. */
   private readonly pacer = new Pacer();
 
   constructor(private readonly sources: FollowSources) {
     this.intake = new ReportIntake(sources, sources.others.cached);
+    this.toldStatus = this.statusToTell();
     this.shared = { bulk: sharedNews(sources, true), spare: sharedNews(sources, false) };
-    sources.configuration.onChange(this.raise);
-    sources.commandLog.onStatus(this.raise);
+    sources.configuration.onChange(() => {
+      if (isCaughtUp(sources.commandLog.status())) this.raise();
+    });
+    sources.commandLog.onStatus(this.raiseStatus);
     this.gatherTargets();
     this.gatherBulk();
   }
@@ -73,6 +79,20 @@
     for (const news of Object.values(this.news)) news.raise();
   };
 
+  /** Followers are told of the contact with a quorum and of the members only, not of each step of an election. */
+  private readonly raiseStatus = (): void => {
+    const status = this.statusToTell();
+    if (status === this.toldStatus) return;
+    this.toldStatus = status;
+    this.raise();
+  };
+
+  private statusToTell(): string {
+    const { commandLog } = this.sources;
+    const members = commandLog.members().map(({ address }) => address);
+    return [commandLog.status().vouched, ...members].join();
+  }
+
   private gatherTargets(): void {
     const { targets, relayed } = this.sources;
     const { loads, own, bulk, spare } = this.news;
--- a/packages/control/src/follow/followerPlace.ts
+++ b/packages/control/src/follow/followerPlace.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { KeptParts } from '@jasmineroute/protocol';
+import { isCaughtUp } from '../log/index.js';
 import type { Bulletins } from './bulletins.js';
 import type { FollowSources } from './followSources.js';
 import { changesOf } from './sharedFields.js';
@@ -115,9 +116,9 @@
   }
 
   private news(version: number): EventFields {
-    const { configuration, lostStores } = this.sources;
+    const { commandLog, configuration, lostStores } = this.sources;
     const held = configuration.held();
-    const isNewer = held.number > this.number;
+    const isNewer = held.number > this.number && isCaughtUp(commandLog.status());
     if (isNewer) this.number = held.number;
     return {
       ...(isNewer && { content: held.content }),
--- a/packages/control/src/log/commandLog.ts
+++ b/packages/control/src/log/commandLog.ts
@@ -22,6 +22,10 @@
   readonly vouched: boolean;
 }
 
+/** Whether the state may be told: while a log is replayed it passes through all that it once was. */
+export const isCaughtUp = ({ vouched, lastApplied, commitIndex }: LogStatus): boolean =>
+  vouched || lastApplied >= commitIndex;
+
 /** One row of the report over all replicas. */
 export interface LogReplica extends ReplicaAddress {
   readonly replicaId: string;
--- /dev/null
+++ b/packages/coordination/src/agreement/applier.spec.ts
@@ -0,0 +1,116 @@
+import { ManualClock, silentLog } from '@jasmineroute/core';
+import { expect, it } from 'vitest';
+import { MemoryDisk } from '../storage/index.js';
+import { MemoryCluster, MemoryNetwork, seeded } from '../testing/index.js';
+import { ReplicatedLog } from './index.js';
+
+const COMMANDS = 300;
+
+/** Time that the state machine takes for a command, milliseconds. */
+const COMMAND_MS = 1;
+
+/** Time for which the event loop may be held up, milliseconds: a twentieth of the time between heartbeats. */
+const TURN_MS = 5;
+
+/** A clock that also moves on with the work that is done. */
+class WorkingClock extends ManualClock {
+  private workedMs = 0;
+
+  override monotonic(): number {
+    return super.monotonic() + this.workedMs;
+  }
+
+  work(ms: number): void {
+    this.workedMs += ms;
+  }
+}
+
+const turn = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+
+// Guards against a leader that is lost after a restart of all, as each replica applies the whole log in one turn.
+it('a replayed log leaves turns of the event loop to others, and contact is told of behind it', async () => {
+  const clock = new WorkingClock();
+  const disk = MemoryDisk.empty();
+  const random = seeded(1);
+  const network = new MemoryNetwork(clock, random);
+  let applied = 0;
+  const open = async (): Promise<ReplicatedLog> => {
+    applied = 0;
+    const opened = await ReplicatedLog.open({
+      name: 'a',
+      folder: '/replica',
+      initialReplicas: [{ name: 'a', address: 'a' }],
+      connect: (to) => network.connect('a', to),
+      drop: () => undefined,
+      clock,
+      log: silentLog,
+      disk,
+      random,
+      stateMachine: {
+        apply: () => {
+          applied += 1;
+          clock.work(COMMAND_MS);
+          return new Uint8Array();
+        },
+        snapshot: () => new Uint8Array(),
+        restore: () => undefined,
+      },
+    });
+    const log = opened._unsafeUnwrap();
+    await log.start('a');
+    return log;
+  };
+  const first = await open();
+  const proposed = Array.from({ length: COMMANDS }, () => first.propose(new Uint8Array([1]), 10_000));
+  await clock.advance(2_000);
+  for (const outcome of await Promise.all(proposed)) expect(outcome.isOk()).toBe(true);
+  await first.close();
+
+  const second = await open();
+  let appliedAtContact: number | undefined;
+  second.onStatus(({ vouched }) => {
+    if (vouched) appliedAtContact ??= applied;
+  });
+  let most = 0;
+  for (let steps = 0; steps < 2_000 && appliedAtContact === undefined; steps += 1) {
+    const before = applied;
+    await (steps % 2 === 0 ? turn() : clock.advance(1));
+    most = Math.max(most, applied - before);
+  }
+  expect(appliedAtContact).toBe(COMMANDS);
+  // A step of this test spans a few turns.
+  expect(most * COMMAND_MS).toBeLessThanOrEqual(4 * TURN_MS);
+  await second.close();
+});
+
+const ENTRIES = 2_000;
+
+/** Entries that may be applied in one turn of the event loop. */
+const MOST_IN_TURN = 256;
+
+// Guards against a replica that reads no message and sends no heartbeat while it applies a whole log after its election.
+it('a long log is applied over several turns of the event loop', async () => {
+  const cluster = new MemoryCluster(3, ['a']);
+  await cluster.startAll();
+  expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
+  const node = cluster.find('a');
+  for (let count = 0; count < ENTRIES; count += 1) cluster.propose(node, count.toString());
+  expect(await cluster.until(() => node.recorder.commands.length === ENTRIES, 10_000)).toBe(true);
+  cluster.crash(node);
+  await cluster.start(node);
+  let applied = node.recorder.commands.length;
+  let mostInTurn = 0;
+  let isOver = false;
+  const look = (): void => {
+    const now = node.recorder.commands.length;
+    mostInTurn = Math.max(mostInTurn, now - applied);
+    applied = now;
+    if (!isOver) setImmediate(look);
+  };
+  look();
+  expect(await cluster.until(() => node.recorder.commands.length === ENTRIES, 10_000)).toBe(true);
+  isOver = true;
+  cluster.crash(node);
+  expect(cluster.violations).toEqual([]);
+  expect(mostInTurn).toBeLessThanOrEqual(MOST_IN_TURN);
+});
--- a/packages/coordination/src/agreement/applier.ts
+++ b/packages/coordination/src/agreement/applier.ts
@@ -10,8 +10,17 @@
 
 const NO_RESULT = new Uint8Array();
 
-/** Entries applied before other tasks get a turn. */
+/**
+ * Entries that are applied at most, and milliseconds after which no further one is begun, before the event loop turns: after a
+ * restart the whole log is applied at once, and heartbeats must be read and sent meanwhile.
+ */
 const TURN_ENTRIES = 256;
+const TURN_MS = 5;
+
+const nextTurn = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
 
 /** Hears of each applied index. */
 export type AppliedListener = (index: bigint) => void;
@@ -46,7 +55,7 @@
     const { replica } = this;
     while (!replica.stopped) {
       if (this.lastApplied >= replica.commitIndex) await replica.changed.wait();
-      else await this.applySome();
+      else await this.applyAll();
     }
   }
 
@@ -62,12 +71,26 @@
     };
   }
 
+  private async applyAll(): Promise<void> {
+    const { replica } = this;
+    await this.applySome();
+    if (this.lastApplied >= replica.commitIndex) return;
+    while (!replica.stopped && this.lastApplied < replica.commitIndex) {
+      await nextTurn();
+      await this.applySome();
+    }
+    // Contact with the leader counts only once all that was missed is applied.
+    replica.changed.notify();
+  }
+
   private async applySome(): Promise<void> {
     const { replica } = this;
+    const endsAt = replica.clock.monotonic() + TURN_MS;
     for (let applied = 0; applied < TURN_ENTRIES && this.lastApplied < replica.commitIndex; applied += 1) {
       const entry = replica.entries.at(this.lastApplied + 1n);
       if (entry === undefined) return replica.changed.wait();
       this.apply(entry);
+      if (replica.clock.monotonic() >= endsAt) break;
     }
     replica.metrics.gauge(coordinationMetrics.commitIndex, Number(this.lastApplied));
     if (this.isSnapshotDue()) await this.takeSnapshot();
--- a/packages/coordination/src/agreement/contact.ts
+++ b/packages/coordination/src/agreement/contact.ts
@@ -42,8 +42,8 @@
   private leads(): boolean {
     const leadership = this.leadership();
     if (leadership?.isActive !== true) return false;
-    // A new leader heard its predecessor a moment ago: that contact holds until its own is made.
-    if (!leadership.isEstablished) return this.vouched && this.hearsLeader();
+    // A new leader heard its predecessor a moment ago: that contact holds until its own is made and all is applied before it.
+    if (!leadership.hasBegun(this.applier.lastApplied)) return this.vouched && this.hearsLeader();
     return leadership.hasQuorum(this.replica.tuning.vouchWindowMs);
   }
 
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -56,7 +56,12 @@
 
   /** Whether an entry of this term is committed: only then is the commit index known to be current. */
   get isEstablished(): boolean {
-    return this.firstIndex > 0n && this.parts.replica.commitIndex >= this.firstIndex;
+    return this.hasBegun(this.parts.replica.commitIndex);
+  }
+
+  /** Whether the entries up to `index` include the first one of this term, and so all that earlier terms committed. */
+  hasBegun(index: bigint): boolean {
+    return this.firstIndex > 0n && index >= this.firstIndex;
   }
 
   /** Leads until the replica is no longer leader of this term. */
