--- a/packages/control/src/stores/storeWatch.spec.ts
+++ b/packages/control/src/stores/storeWatch.spec.ts
@@ -125,4 +125,31 @@
     expect(lists).toBe(1);
     watch.stop();
   });
+
+  // Guards against a control instance that reads each configuration of a replayed log, and stands still meanwhile.
+  it('reads the first and the last of the configurations that come in one turn', async () => {
+    const clock = new ManualClock();
+    const state = createState();
+    const asked: string[] = [];
+    const port = {
+      news: (address: string) => {
+        asked.push(address);
+        return clock.sleep(50).then(() => ({ incarnation: 1, next: 0, hasGap: false, events: [] }));
+      },
+      list: () => Promise.reject(new Error('not listed')),
+    };
+    const watch = new StoreWatch(state.configuration, port, clock, silentLog);
+    watch.start();
+    for (const last of [1, 2, 3, 4, 5]) {
+      const value = {
+        number: BigInt(last),
+        content: content(`10.0.0.${last}:80`),
+        source: new Uint8Array(0),
+      };
+      applyOne(state.machine, { case: 'configure', value });
+    }
+    await clock.advance(10);
+    expect(asked).toEqual(['10.0.0.1:80', '10.0.0.5:80']);
+    watch.stop();
+  });
 });
--- a/packages/control/src/stores/storeWatch.ts
+++ b/packages/control/src/stores/storeWatch.ts
@@ -53,6 +53,9 @@
   /** Monotonic time at which a store was listed last, by its address. */
   private readonly listedAt = new Map<string, number>();
   private readonly stopped = new AbortController();
+  /** Whether this turn's changes were followed, and whether there were more since. */
+  private isAdjusted = false;
+  private isToAdjust = false;
   private readonly unreadable: ProblemTally;
   private read: { readonly number: bigint; readonly addresses: readonly string[] } = {
     number: 0n,
@@ -83,7 +86,7 @@
   start(): void {
     this.adjust();
     this.state.onChange(() => {
-      this.adjust();
+      this.noteChange();
     });
   }
 
@@ -98,6 +101,24 @@
     return this.read.addresses;
   }
 
+  /**
+   * At the first change of a turn of the event loop, and once for all others: reading a configuration takes time, and after a
+   * restart all that there were are applied one after the other.
+   */
+  private noteChange(): void {
+    if (this.isAdjusted) {
+      this.isToAdjust = true;
+      return;
+    }
+    this.adjust();
+    this.isAdjusted = true;
+    queueMicrotask(() => {
+      this.isAdjusted = false;
+      if (this.isToAdjust && !this.stopped.signal.aborted) this.adjust();
+      this.isToAdjust = false;
+    });
+  }
+
   private adjust(): void {
     for (const address of this.addresses()) {
       if (this.watched.has(address)) continue;
