--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -239,8 +239,8 @@
       this.voterWatch.look();
       const lookedAt = clock.monotonic();
       await replica.changed.waitFor(clock, heartbeatMs);
-      const overdueMs = clock.monotonic() - lookedAt - heartbeatMs;
-      lateMs = Math.min(quorumWindowMs, Math.max(overdueMs, lateMs - heartbeatMs, 0));
+      const passedMs = clock.monotonic() - lookedAt;
+      lateMs = Math.min(quorumWindowMs, Math.max(passedMs - heartbeatMs, lateMs - passedMs, 0));
     }
   }
 
