--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -30,6 +30,8 @@
   /** When this replica last gave its vote to another one, by the clock. */
   private votedAt: number | undefined;
   private readonly endorsement: Endorsement;
+  /** Whether the next candidacy neither waits nor asks first. */
+  private isUnseated = false;
 
   constructor(
     private readonly replica: Replica,
@@ -49,6 +51,15 @@
     }
   }
 
+  /**
+   * Stands without waiting or asking first. For a leader that had a quorum a moment ago and met a higher term: that another one
+   * was elected since is unlikely, and no promise depends on it.
+   */
+  standAtOnce(): void {
+    this.isUnseated = true;
+    this.replica.changed.notify();
+  }
+
   /** Answers a candidate. */
   async vote(request: VoteRequest): Promise<VoteResponse> {
     const { replica } = this;
@@ -62,7 +73,7 @@
   private async silence(): Promise<void> {
     const { replica } = this;
     const part = replica.random();
-    while (!replica.stopped && !replica.isUnseated) {
+    while (!replica.stopped && !this.isUnseated) {
       const [leastMs, mostMs] = this.patience();
       const patience = leastMs + part * (mostMs - leastMs);
       const left = replica.quietSince + patience - replica.clock.monotonic();
@@ -87,13 +98,12 @@
       return [electionMinMs, electionMinMs + (electionMaxMs - electionMinMs) * 2 ** doublings];
     }
     const isFirst = leaderHeardAt === undefined && this.votedAt === undefined;
-    const leastMs =
-      (isFirst ? firstElectionMs : electionMinMs) + this.place(this.replica.id) * electionStepMs;
+    const leastMs = (isFirst ? firstElectionMs : electionMinMs) + this.rank(this.replica.id) * electionStepMs;
     return [leastMs, leastMs + electionSpreadMs];
   }
 
-  /** Place of a replica among the voters without the leader that was lost, the same on all of them; others come last. */
-  private place(id: string): number {
+  /** Place of a replica among the voters without the leader that was lost; others come last. */
+  private rank(id: string): number {
     const { configuration, leader } = this.replica;
     const voters = (configuration?.voters ?? []).filter(({ name }) => name !== leader);
     const at = voters.findIndex(({ replicaId }) => replicaId === id);
@@ -102,17 +112,15 @@
 
   /**
    * Asks first whether votes would be given: a replica that was cut off would otherwise come back with a term
-   * raised by its lonely candidacies and unseat a leader that works. A leader that was unseated by one voter's term had a
-   * quorum a moment ago and asks at once.
+   * raised by its lonely candidacies and unseat a leader that works.
    */
   private async stand(): Promise<void> {
-    const { replica } = this;
+    const { replica, isUnseated } = this;
+    this.isUnseated = false;
     const isAbstaining = replica.clock.monotonic() < replica.abstainUntil;
     if (replica.stopped || !replica.isVoter || isAbstaining) return;
-    const { isUnseated } = replica;
-    replica.isUnseated = false;
     const askedAt = replica.clock.monotonic();
-    if (!this.endorsement.give(this.candidate(replica.id, replica.entries.last))) return;
+    if (!this.endorsement.support(this.candidate(replica.id, replica.entries.last))) return;
     const term = replica.term + 1n;
     if (!isUnseated && !(await this.gather(term, true))) return;
     const isBegun = await replica.exclusive(() => this.begin(term, askedAt));
@@ -139,7 +147,7 @@
     if (replica.role !== 'follower' || this.hearsLeader()) return false;
     if (this.votedAt !== undefined && this.votedAt >= askedAt) return false;
     if (replica.term + 1n !== term) return false;
-    if (!this.endorsement.isOf(replica.id)) return false;
+    if (!this.endorsement.wasOf(replica.id)) return false;
     replica.log.event(coordinationEvents.campaign, { term: term.toString() });
     replica.metrics.count(coordinationMetrics.elections);
     const saved = await replica.save({ term, votedFor: replica.id });
@@ -192,7 +200,7 @@
     if (answer.isErr()) return 'silent';
     const { granted, term: theirs, replicaId: answering } = answer.value;
     if (answering !== voter.replicaId) return 'replaced';
-    if (!granted) await replica.exclusive(() => this.observe(theirs));
+    if (!granted && theirs > replica.term) await replica.exclusive(() => this.observe(theirs));
     return granted ? 'granted' : 'refused';
   }
 
@@ -211,7 +219,7 @@
     return isOurs && request.replicaId !== '' && (this.isOfLeader(request) || !this.hearsLeader());
   }
 
-  /** Whether the candidate is the leader that this replica follows: it has stepped down, and nobody else was elected. */
+  /** Whether the candidate is the leader that this replica follows, which has stepped down then. */
   private isOfLeader({ replicaId }: VoteRequest): boolean {
     const { configuration, leader, role } = this.replica;
     if (role !== 'follower') return false;
@@ -232,7 +240,7 @@
     const isUpToDate = replica.entries.isCoveredBy(last);
     if (request.probe) {
       const mayWin = isUpToDate && request.term > replica.term && !this.isElecting(request);
-      return mayWin && this.endorsement.give(this.candidate(request.replicaId, last));
+      return mayWin && this.endorsement.support(this.candidate(request.replicaId, last));
     }
     if (request.term < replica.term) return false;
     const moved = await replica.observeTerm(request.term);
@@ -247,7 +255,7 @@
   }
 
   private candidate(replicaId: string, last: Position): Candidate {
-    return { replicaId, last, place: this.place(replicaId) };
+    return { replicaId, last, rank: this.rank(replicaId) };
   }
 
   /** Whether another replica than the asking one is being elected: one more candidate would unseat it at once. */
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -27,6 +27,8 @@
   readonly waiters: Waiters;
   /** The applied state, for replicas that lag too far. */
   readonly snapshot: () => Snapshot;
+  /** Called when one voter's higher term ended this one although a quorum had just answered. */
+  readonly unseated: () => void;
 }
 
 /** A term in which this replica leads. */
@@ -135,14 +137,15 @@
 
   /** A replica that answered with a higher term ends this one. */
   async observeTerm(term: bigint): Promise<void> {
-    const { replica } = this.parts;
-    const hadQuorum = this.isEstablished && this.hasQuorum(replica.tuning.electionMinMs);
-    await replica.exclusive(async () => {
-      if (!this.isActive || term <= replica.term) return;
-      await replica.observeTerm(term);
-      replica.isUnseated = hadQuorum;
-      replica.changed.notify();
+    const { replica, unseated } = this.parts;
+    const wasBacked = await replica.exclusive(async () => {
+      if (term <= replica.term) return false;
+      const hadQuorum = this.isEstablished && this.hasQuorum(replica.tuning.electionMinMs);
+      const isLeading = this.isActive;
+      const moved = await replica.observeTerm(term);
+      return isLeading && hadQuorum && moved.isOk();
     });
+    if (wasBacked) unseated();
   }
 
   private syncedAt(voter: Voter): bigint {
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -55,8 +55,6 @@
   leaderHeardAt: number | undefined;
   /** Monotonic time until which the replica does not stand for election. */
   abstainUntil = 0;
-  /** It led with a quorum behind it when a voter told of a higher term: nobody else can have been elected yet. */
-  isUnseated = false;
   stopped = false;
   private state: PersistentState;
   private readonly mutex = new Mutex();
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -230,7 +230,10 @@
   private async lead(term: bigint): Promise<void> {
     const { replica, peers, waiters } = this;
     const snapshot = () => this.applier.snapshot();
-    const leadership = new Leadership({ replica, peers, waiters, snapshot }, term);
+    const unseated = (): void => {
+      this.election.standAtOnce();
+    };
+    const leadership = new Leadership({ replica, peers, waiters, snapshot, unseated }, term);
     const isLeader = await replica.exclusive(() => {
       if (replica.role !== 'candidate' || replica.term !== term) return Promise.resolve(false);
       replica.role = 'leader';
