--- a/packages/coordination/src/agreement/peerClient.ts
+++ b/packages/coordination/src/agreement/peerClient.ts
@@ -66,9 +66,11 @@
     const { clock } = this.parts;
     const controller = new AbortController();
     const boundMs = timeoutMs ?? this.answerTimes.waitMs(address) * waits;
-    const cancel = afterActive(clock, boundMs, () => {
+    const abort = (): void => {
       controller.abort();
-    });
+    };
+    // What is said of the connection must not depend on how long this process stood still; a caller's deadline does.
+    const cancel = timeoutMs === undefined ? afterActive(clock, boundMs, abort) : clock.after(boundMs, abort);
     const transport = this.parts.connect(address);
     const isTimed = timeoutMs === undefined && waits === 1;
     const begunAt = clock.monotonic();
