--- a/packages/coordination/src/agreement/applier.ts
+++ b/packages/coordination/src/agreement/applier.ts
@@ -10,12 +10,14 @@
 
 const NO_RESULT = new Uint8Array();
 
+/** Entries that are applied at most before the event loop turns. */
+const TURN_ENTRIES = 256;
+
 /**
- * Entries that are applied at most, and milliseconds after which no further one is begun, before the event loop turns: after a
- * restart the whole log is applied at once, and heartbeats must be read and sent meanwhile.
+ * The same in time, as part of the time between heartbeats: after a restart the whole log is applied at once, and heartbeats
+ * must be read and sent meanwhile. Many short turns would make it late on a busy machine, where each brings other work.
  */
-const TURN_ENTRIES = 256;
-const TURN_MS = 5;
+const TURN_PART = 0.5;
 
 const nextTurn = (): Promise<void> =>
   new Promise((resolve) => {
@@ -85,7 +87,7 @@
 
   private async applySome(): Promise<void> {
     const { replica } = this;
-    const endsAt = replica.clock.monotonic() + TURN_MS;
+    const endsAt = replica.clock.monotonic() + replica.tuning.heartbeatMs * TURN_PART;
     for (let applied = 0; applied < TURN_ENTRIES && this.lastApplied < replica.commitIndex; applied += 1) {
       const entry = replica.entries.at(this.lastApplied + 1n);
       if (entry === undefined) return replica.changed.wait();
