--- a/packages/daemon/src/life/memoryWatch.ts
+++ b/packages/daemon/src/life/memoryWatch.ts
@@ -29,7 +29,7 @@
   usage(): MemoryUsage;
 }
 
-/** Anonymous memory of this process, bytes. */
+/** Anonymous memory of this process, bytes; undefined on systems without this file, as it is only told of in addition. */
 function readAnonymous(): number | undefined {
   try {
     const [, kilobytes] = /^RssAnon:\s+(\d+) kB$/m.exec(readFileSync('/proc/self/status', 'utf8')) ?? [];
