Refuse two routes at one place whose hosts differ by a port

What operators saw: a configuration with routes for a.example and a.example:80 and one prefix was acknowledged; the routing table compares hosts without a port, so one of the two was in force and the other was not served.

Cause: the check compared hosts as they were written, the table without port and case. Change: both compare hosts by the same function.

--- a/packages/configuration/src/check/check.spec.ts
+++ b/packages/configuration/src/check/check.spec.ts
@@ -32,6 +32,11 @@
   it.each([
     ['an unknown service', { routes: [{ ...route, services: [{ service: 'gone', weight: 1 }] }] }, 'unknown'],
     ['two routes at one place', { routes: [route, { ...route, host: 'A.example' }] }, 'two routes'],
+    [
+      'two routes at one place, one with a port',
+      { routes: [route, { ...route, host: 'a.example:80' }] },
+      'two routes',
+    ],
     ['weights of 0', { routes: [{ ...route, services: [{ service: 's1', weight: 0 }] }] }, 'add up to 0'],
     ['no time', { routes: [{ ...route, timeoutMs: 0 }] }, 'no time'],
     [
--- a/packages/configuration/src/check/check.ts
+++ b/packages/configuration/src/check/check.ts
@@ -3,7 +3,7 @@
 import type { Fault } from '@jasmineroute/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { configuration } from '../schema/index.js';
+import { configuration, hostOf } from '../schema/index.js';
 import type { Configuration, Route } from '../schema/index.js';
 
 /** Gives what is wrong, in the words of an operator's error message. */
@@ -20,7 +20,7 @@
   return [...twice];
 }
 
-const placeOf = ({ host, pathPrefix }: Route): string => `${host.toLowerCase()}${pathPrefix}`;
+const placeOf = ({ host, pathPrefix }: Route): string => `${hostOf(host)}${pathPrefix}`;
 
 const unknownServices: Check = ({ routes, services }) => {
   const known = new Set(services.map(({ name }) => name));
--- a/packages/configuration/src/schema/index.ts
+++ b/packages/configuration/src/schema/index.ts
@@ -1,1 +1,2 @@
+export * from './host.js';
 export * from './schema.js';
--- a/packages/configuration/src/table/table.ts
+++ b/packages/configuration/src/table/table.ts
@@ -1,4 +1,5 @@
 /** A configuration as lookups, made once when it comes into force. */
+import { hostOf } from '../schema/index.js';
 import type { Configuration, Customer, Route, Service } from '../schema/index.js';
 
 /** Routes, services and customers by what requests name. */
@@ -14,8 +15,6 @@
   readonly needsKeys: boolean;
 }
 
-const hostOf = (host: string): string => host.replace(/:\d+$/, '').toLowerCase();
-
 /** Routes of one host, the longest prefix first. */
 function byHost(routes: readonly Route[]): Map<string, Route[]> {
   const table = new Map<string, Route[]>();
