Survive the signal for changed settings from the first statement on

What operators saw: a process that was told of changed settings (SIGHUP) while it started ended by itself. A control instance that ends so is missing for good where nobody starts it again: with one more lost, of three, no change is confirmed and no configuration is read back.

Cause: the program listened for the signal only once its role was made, after loading its code and opening its disk. What remains is the time in which the runtime itself starts, before any statement of ours.

--- a/scripts/bundle/start.cjs
+++ b/scripts/bundle/start.cjs
@@ -25,6 +25,8 @@
 }
 
 if (require.main === module) {
+  // Settings may change at any time: until the program listens for the signal itself, it would end the process.
+  process.on('SIGHUP', () => undefined);
   const [, , role] = process.argv;
   if (!ROLES.includes(role)) {
     process.stderr.write(`jasminerouted: the role is one of ${ROLES.join(', ')}, not "${role}"\n`);
