--- a/packages/testkit/src/machine/processorShare.ts
+++ b/packages/testkit/src/machine/processorShare.ts
@@ -31,7 +31,7 @@
 }
 
 /** Processor time of a process's first thread, milliseconds; undefined: it is gone. */
-function usedBy(pid: number): number | undefined {
+export function processorMsOf(pid: number): number | undefined {
   try {
     return Number(readFileSync(`/proc/${pid}/schedstat`, 'utf8').split(' ')[0]) / NS_PER_MS;
   } catch {
@@ -69,7 +69,7 @@
   private hold(process: SharedProcess, passedMs: number): void {
     if (!process.running) return;
     const { pid } = process;
-    const usedMs = usedBy(pid);
+    const usedMs = processorMsOf(pid);
     if (usedMs === undefined) return;
     const share = this.shareOf(process);
     const account = this.accounts.get(process);
