Let a megabyte under way on a connection between processes

What operators saw: a configuration of 0.7 MB was never acknowledged over links of 20 ms one way between control instances, nor were small ones behind it: each attempt put one more entry of 1.4 MB into the log.

Cause: HTTP/2's first window is 64 KB for a stream and for a connection, and nothing raised it. An entry of 1.4 MB takes 22 round trips, 0.9 s at 40 ms each, twice where it is passed on to the leader first; a proposal is given up after 0.9 s. Evidence: largeConfiguration.spec.ts, red before (waited 4000 ms for change 5 to be acknowledged), green 2 of 2 with this change alone (2.1 and 2.4 s for three large and three small changes).

--- a/packages/protocol/src/transport/server.ts
+++ b/packages/protocol/src/transport/server.ts
@@ -20,6 +20,12 @@
 /** Bounds on one connection. */
 const MAX_STREAMS = 10_000;
 
+/**
+ * Bytes that the other side may send of a message, and on a connection, before they are read. The protocol's own 64 KB make
+ * each further 64 KB wait for a round trip.
+ */
+const WINDOW_BYTES = 1024 * 1024;
+
 /** @throws Error when the material does not fit together. */
 export function checkTls(material: TlsMaterial): void {
   createSecureContext(material);
@@ -46,7 +52,7 @@
   tls?: TlsStore,
 ): Promise<RpcServer> {
   const handler = connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES });
-  const settings = { maxConcurrentStreams: MAX_STREAMS };
+  const settings = { maxConcurrentStreams: MAX_STREAMS, initialWindowSize: WINDOW_BYTES };
   const server =
     tls === undefined ? http2.createServer({ settings }, handler) : secureServer(tls, settings, handler);
   const sockets = new Set<Socket>();
@@ -57,6 +63,7 @@
   const sessions = new Set<http2.ServerHttp2Session>();
   server.on('session', (session: http2.ServerHttp2Session) => {
     sessions.add(session);
+    session.setLocalWindowSize(WINDOW_BYTES);
     session.on('close', () => sessions.delete(session));
     session.on('error', () => undefined);
   });
