Bring long entries over slow connections one after the other

Cause, in four parts, each shown by taking its change out alone (longMessages.spec.ts): - Up to 8 MB are under way to a replica at once. They share a connection, so all are late, and all are given up together after 3 s, again and again ('arrive one after the other' red). - A message is given up after the same time however long it is ('arrive when a single one takes long' red). - A heartbeat that overtakes a long message finds it missing, and has it sent again while it is on its way ('arrive once' red). - So does the late answer to a heartbeat from before, which counted as lost entries ('arrive once' red). Change: messages without an answer hold 1 MB in all, or one entry; an answer is waited for longer by the bytes under way at 500 KB/s; what may still be arriving is not missing; entries count as lost only by answers to messages sent after they were acknowledged.

--- /dev/null
+++ b/packages/coordination/src/agreement/longMessages.spec.ts
@@ -0,0 +1,64 @@
+/** Entries of hundreds of kilobytes over connections that take seconds for them. */
+import { beforeEach, describe, expect, it } from 'vitest';
+import { MemoryCluster } from '../testing/index.js';
+import type { Message, Node } from '../testing/index.js';
+
+const COMMAND_BYTES = 300_000;
+
+/** Bytes a millisecond: a command takes 0.5 s when it is alone. */
+const BYTES_PER_MS = 600;
+
+describe('long messages on a slow connection', () => {
+  let cluster: MemoryCluster;
+  let leader: Node;
+
+  beforeEach(async () => {
+    cluster = new MemoryCluster(1, ['a', 'b', 'c']);
+    await cluster.startAll();
+    expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
+    const found = cluster.leader();
+    if (found === undefined) throw new Error('no leader');
+    leader = found;
+    expect(await cluster.until(() => leader.replica?.status().vouched === true, 10_000)).toBe(true);
+    cluster.network.bytesPerMs = BYTES_PER_MS;
+  });
+
+  const command = (count: number, bytes = COMMAND_BYTES): string => `${count}`.padEnd(bytes, '.');
+
+  const haveAll = (count: number): boolean =>
+    cluster.nodes.every(({ recorder }) => recorder.commands.length === count);
+
+  // Guards against heartbeats that overtake a long message, find it missing, and have it sent again.
+  it('arrive once', async () => {
+    let arrived = 0;
+    cluster.network.isHeld = ({ method, isAnswer, content }: Message) => {
+      const { entries = [] } = content as { entries?: unknown[] };
+      if (method === 'append' && !isAnswer && entries.length > 0) arrived += 1;
+      return false;
+    };
+    cluster.propose(leader, command(1));
+    expect(await cluster.until(() => haveAll(1), 5_000)).toBe(true);
+    await cluster.clock.advance(3_000);
+    expect(arrived).toBe(cluster.nodes.length - 1);
+    expect(cluster.violations).toEqual([]);
+  });
+
+  // Guards against messages that share a connection and are all given up before any of them has come whole, again and again.
+  it('arrive one after the other, and the leader stays', async () => {
+    const term = leader.replica?.status().term;
+    const COMMANDS = 12;
+    for (let count = 0; count < COMMANDS; count += 1) cluster.propose(leader, command(count));
+    const leastMs = (COMMANDS * COMMAND_BYTES) / BYTES_PER_MS;
+    expect(await cluster.until(() => haveAll(COMMANDS), 1.5 * leastMs)).toBe(true);
+    expect(leader.replica?.status()).toMatchObject({ state: 'leader', term });
+    expect(cluster.violations).toEqual([]);
+  });
+
+  // Guards against a message that is given up in the same time however long it is, and so never arrives.
+  it('arrive when a single one takes long', async () => {
+    const bytes = 2_000_000;
+    cluster.propose(leader, command(1, bytes));
+    expect(await cluster.until(() => haveAll(1), (1.5 * bytes) / BYTES_PER_MS)).toBe(true);
+    expect(cluster.violations).toEqual([]);
+  });
+});
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -41,8 +41,13 @@
   changeTimeoutMs: milliseconds(30_000).describe('longest wait of a change of replicas'),
   joinMs: milliseconds(200).describe('pause between attempts of an empty replica to join'),
   maxBatchEntries: count(512).describe('entries in one message or write'),
-  maxBatchBytes: count(1_048_576).describe('bytes in one message or write'),
+  maxBatchBytes: count(1_048_576).describe(
+    'bytes in one write, and in all appends to one replica without an answer yet; a longer entry goes alone',
+  ),
   maxInFlight: count(8).describe('appends to one replica without an answer yet'),
+  leastBytesPerMs: count(500).describe(
+    'an answer is waited for longer by the bytes under way, at this speed',
+  ),
   maxPending: count(10_000).describe('commands waiting at the leader; more are refused'),
   pieceBytes: count(262_144).describe('bytes of one piece of a snapshot'),
   snapshotEntries: count(4_096).describe('a snapshot is taken after so many entries'),
--- a/packages/coordination/src/agreement/peerClient.ts
+++ b/packages/coordination/src/agreement/peerClient.ts
@@ -42,6 +42,8 @@
   readonly timeoutMs?: number;
   /** So many times as long, where the answer waits for a disk. */
   readonly waits?: number;
+  /** And so much longer, milliseconds, where many bytes have to arrive first. */
+  readonly moreMs?: number;
 }
 
 /** Calls by address. */
@@ -61,11 +63,11 @@
   async call<T>(
     address: string,
     action: (client: AgreementClient, signal: AbortSignal) => Promise<T>,
-    { timeoutMs, waits = 1 }: CallOptions = {},
+    { timeoutMs, waits = 1, moreMs = 0 }: CallOptions = {},
   ): Promise<Result<T, Fault>> {
     const { clock } = this.parts;
     const controller = new AbortController();
-    const boundMs = timeoutMs ?? this.answerTimes.waitMs(address) * waits;
+    const boundMs = timeoutMs ?? this.answerTimes.waitMs(address) * waits + moreMs;
     const abort = (): void => {
       controller.abort();
     };
--- a/packages/coordination/src/agreement/progress.ts
+++ b/packages/coordination/src/agreement/progress.ts
@@ -7,9 +7,15 @@
   next: bigint;
   /** Entries up to here are synced there. */
   match = 0n;
+  /** When this became known. */
+  matchedAt = -Infinity;
   /** Commit index it was last told of. */
   toldCommit = 0n;
   inFlight = 0;
+  /** Bytes of the commands in messages without an answer yet. */
+  bytesInFlight = 0;
+  /** When these bytes have arrived at the latest, over a connection that is slow. */
+  arrivingUntil = -Infinity;
   /** Raised when `next` was set back: answers to earlier messages don't set it back once more. */
   round = 0;
   /** When the newest message that it answered was sent; -Infinity: none. */
@@ -41,10 +47,13 @@
     if (sentAt > this.heardAt) this.heardAt = sentAt;
   }
 
-  /** It has everything up to `index`. @returns whether it had less before. */
-  matched(index: bigint): boolean {
+  /** It has everything up to `index`, as is known now. @returns whether it had less before. */
+  matched(index: bigint, now: number): boolean {
     const isMore = index > this.match;
-    if (isMore) this.match = index;
+    if (isMore) {
+      this.match = index;
+      this.matchedAt = now;
+    }
     if (this.next <= this.match) this.next = this.match + 1n;
     return isMore;
   }
--- a/packages/coordination/src/agreement/replication.ts
+++ b/packages/coordination/src/agreement/replication.ts
@@ -57,16 +57,28 @@
   if (now < progress.pausedUntil) return false;
   if (now - progress.sentAt >= heartbeatMs) return true;
   if (progress.inFlight >= (groupCommit ? maxInFlight : 1)) return false;
-  if (progress.next <= replica.entries.last.index) return true;
+  if (progress.next <= replica.entries.last.index) return hasRoom(leadership, progress);
   return isNoticeOpen(leadership, progress) && now >= replica.committedAt + commitNoticeMs;
 }
 
+/**
+ * Whether the next entry may be sent beside those that are under way. Messages share a connection: with too many of them each
+ * is late, and all are given up together.
+ */
+function hasRoom(leadership: Leadership, progress: Progress): boolean {
+  const { entries, tuning } = leadership.parts.replica;
+  const bytes = entries.at(progress.next)?.command.length ?? 0;
+  return progress.bytesInFlight === 0 || progress.bytesInFlight + bytes <= tuning.maxBatchBytes;
+}
+
 function nextRequest(leadership: Leadership, progress: Progress): AppendRequest {
   const { replica } = leadership.parts;
   const { maxBatchEntries, maxBatchBytes, maxInFlight, groupCommit } = replica.tuning;
-  const isFull = progress.inFlight >= maxInFlight;
+  const isFull = progress.inFlight >= maxInFlight || !hasRoom(leadership, progress);
   const limit = groupCommit ? maxBatchEntries : 1;
-  const entries = isFull ? [] : replica.entries.slice(progress.next, limit, maxBatchBytes);
+  const entries = isFull
+    ? []
+    : replica.entries.slice(progress.next, limit, maxBatchBytes - progress.bytesInFlight);
   return create(AppendRequestSchema, {
     clusterId: replica.clusterId,
     leader: replica.name,
@@ -87,11 +99,16 @@
   progress.sentAt = sent.at;
   progress.next += BigInt(request.entries.length);
   progress.toldCommit = request.commitIndex;
+  const bytes = request.entries.reduce((sum, { command }) => sum + command.length, 0);
   progress.inFlight += 1;
+  progress.bytesInFlight += bytes;
+  progress.arrivingUntil = Math.max(progress.arrivingUntil, sent.at) + bytes / replica.tuning.leastBytesPerMs;
   const waits = request.entries.length > 0 ? APPEND_WAITS : 1;
+  const moreMs = request.entries.length > 0 ? progress.arrivingUntil - sent.at : 0;
   const append = (client: AgreementClient, signal: AbortSignal) => client.append(request, { signal });
-  const answer = await peers.call(progress.voter.address, append, { waits });
+  const answer = await peers.call(progress.voter.address, append, { waits, moreMs });
   progress.inFlight -= 1;
+  progress.bytesInFlight -= bytes;
   if (answer.isOk()) await take(leadership, progress, answer.value, sent);
   else retryLater(leadership, progress, sent);
   leadership.work.notify();
@@ -139,12 +156,17 @@
    * acknowledged. Taken for an old answer it would be sent the same message for ever, and stay out of contact.
    */
   if (answer.matchIndex < progress.match) {
+    // One that was sent before may have overtaken what it is said to lack.
+    if (sent.at < progress.matchedAt) return;
     const { match, voter } = progress;
     if (!progress.lost(answer.matchIndex, sent.round)) return;
     const range = { acknowledged: match.toString(), held: answer.matchIndex.toString() };
     replica.log.event(coordinationEvents.lostEntries, { name: voter.name, ...range });
     return;
   }
+  // A heartbeat overtakes long messages: what they bring is not missing, it is under way.
+  const isArriving = progress.bytesInFlight > 0 && replica.clock.monotonic() < progress.arrivingUntil;
+  if (isArriving && sent.request.entries.length === 0) return;
   const isBehind = answer.matchIndex < sent.request.previousIndex;
   if (isBehind) progress.setBack(answer.matchIndex, sent.round);
   else retryLater(leadership, progress, sent);
@@ -168,7 +190,7 @@
 /** Commits what a quorum has now; a learner that has all that is committed may vote. */
 function noteMatch(leadership: Leadership, progress: Progress, index: bigint): void {
   const { replica } = leadership.parts;
-  const isMore = progress.matched(index);
+  const isMore = progress.matched(index, replica.clock.monotonic());
   leadership.advance();
   const isLearner = !isVoter(replica.configuration, progress.voter.replicaId);
   if (isMore && isLearner && progress.match >= replica.commitIndex) replica.memberNews.notify();
--- a/packages/coordination/src/testing/memoryNetwork.ts
+++ b/packages/coordination/src/testing/memoryNetwork.ts
@@ -29,6 +29,8 @@
   readonly transport: Transport;
   /** Ends the calls that are open on it. */
   readonly open: Set<() => void>;
+  /** Messages on their way. */
+  carrying: number;
   isDropped: boolean;
   silent: boolean;
 }
@@ -41,6 +43,8 @@
   loss = 0;
   /** Longest delay one way, in milliseconds; each message has its own. */
   maxDelayMs = 10;
+  /** Bytes that a connection carries in a millisecond; the messages on it share them. */
+  bytesPerMs = Infinity;
   /** Messages that arrive only once they are released. */
   isHeld: (message: Message) => boolean = () => false;
   private held: HeldMessage[] = [];
@@ -78,6 +82,7 @@
     const connection: Connection = {
       transport: this.transport(from, to),
       open: new Set(),
+      carrying: 0,
       isDropped: false,
       silent: false,
     };
@@ -135,6 +140,8 @@
       const connection = this.connections.get(linkOf(from, to));
       const request = copy(method.input, create(method.input, input));
       const asked = { from, to, method: method.localName, isAnswer: false, content: request };
+      if (this.bytesPerMs < Infinity)
+        await this.transfer(toBinary(method.input, request).length, connection, signal);
       await this.carry(asked, connection, signal);
       const handler = this.servers.get(to)?.[method.localName];
       if (handler === undefined) throw refused();
@@ -147,6 +154,20 @@
     return { unary, stream: () => Promise.reject(new Error('not used')) };
   }
 
+  /** Resolves when the bytes of a request have left, unless it is given up. */
+  private async transfer(
+    bytes: number,
+    connection: Connection | undefined,
+    signal: AbortSignal | undefined,
+  ): Promise<void> {
+    if (connection === undefined) return;
+    const isGivenUp = (): boolean => signal?.aborted === true || connection.isDropped;
+    connection.carrying += 1;
+    for (let left = bytes; left > 0 && !isGivenUp(); left -= this.bytesPerMs / connection.carrying)
+      await this.clock.sleep(1);
+    connection.carrying -= 1;
+  }
+
   /** Resolves when the message arrives; a lost one ends with the caller's patience. */
   private async carry(
     message: Message,
