Acknowledge a configuration that is held without a place in the log

Change: an instance that has applied the number, or a higher one, acknowledges at once. What is applied was confirmed by a quorum and numbers only rise, so this says nothing that the log would not say; it holds without a quorum too. Test: configurationService.spec.ts, red before ('Called _unsafeUnwrap on an Err': an isolated instance did not acknowledge what it holds).

--- a/packages/control/src/configuration/configurationService.spec.ts
+++ b/packages/control/src/configuration/configurationService.spec.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from '@jasmineroute/core';
+import { ManualClock, silentLog } from '@jasmineroute/core';
 import type { Log } from '@jasmineroute/core';
 import { describe, expect, it } from 'vitest';
 import { controlEvents } from '../events.js';
@@ -14,9 +14,10 @@
   it('logs each read, and why one was not answered', async () => {
     const told: unknown[] = [];
     const log: Log = { event: ({ id }, fields) => told.push({ id, ...fields }), with: () => log };
-    const { machine } = createState();
+    const { machine, configuration } = createState();
     const replicas = new LocalLog(machine);
-    const service = new ConfigurationService(new Proposer(replicas, LIMITS), new ManualClock(), log);
+    const proposer = new Proposer(replicas, LIMITS);
+    const service = new ConfigurationService(configuration, proposer, new ManualClock(), log);
     expect((await service.read())._unsafeUnwrap()).toBeUndefined();
     const { id: readId } = controlEvents.configurationRead;
     expect(told.splice(0)).toEqual([{ id: readId, number: 0, tookMs: 0 }]);
@@ -25,4 +26,22 @@
     const { id } = controlEvents.configurationUnread;
     expect(told).toEqual([{ id, kind: 'no-quorum', message: 'isolated', tookMs: 0 }]);
   });
+
+  // Guards against resends of a configuration that fill the log with its content while it is slow to be confirmed.
+  it('acknowledges what is held already without another entry of the log, also without a quorum', async () => {
+    const { machine, configuration } = createState();
+    const replicas = new LocalLog(machine);
+    const proposer = new Proposer(replicas, LIMITS);
+    const service = new ConfigurationService(configuration, proposer, new ManualClock(), silentLog);
+    const put = (number: number, source: string) =>
+      service.put({ number, routes: [], services: [] }, Buffer.from(source));
+    expect((await put(7, 'first'))._unsafeUnwrap()).toEqual({ number: 7, stored: true });
+    const entries = replicas.entries.length;
+    expect((await put(7, 'first'))._unsafeUnwrap()).toEqual({ number: 7, stored: false });
+    replicas.isolate(true);
+    expect((await put(5, 'older'))._unsafeUnwrap()).toEqual({ number: 7, stored: false });
+    expect((await put(8, 'newer'))._unsafeUnwrapErr().kind).toBe('no-quorum');
+    expect(replicas.entries.length).toBe(entries);
+    expect(Buffer.from(configuration.held().source).toString()).toBe('first');
+  });
 });
--- a/packages/control/src/configuration/configurationService.ts
+++ b/packages/control/src/configuration/configurationService.ts
@@ -5,6 +5,7 @@
 import type { Result } from 'neverthrow';
 import { controlEvents } from '../events.js';
 import type { Proposer } from '../log/index.js';
+import type { ConfigurationState } from './configurationState.js';
 
 /** The newest configuration as an operator sent it. */
 export interface SentConfiguration {
@@ -25,6 +26,7 @@
 /** Numbered configurations over the replicated log. Every answer is one of a quorum. */
 export class ConfigurationService {
   constructor(
+    private readonly state: ConfigurationState,
     private readonly proposer: Proposer,
     private readonly clock: Clock,
     private readonly log: Log,
@@ -33,10 +35,12 @@
   /** Replaces the configuration. Errors: no-quorum, storage-failed, overloaded: send it again. */
   async put(configuration: Configuration, source: Uint8Array): Promise<Result<ConfigurationOutcome, Fault>> {
     const begunAt = this.clock.monotonic();
+    const known = Number(this.state.held().number);
+    // What is held was confirmed by a quorum, and numbers only rise: a resend needs no place in the log.
+    if (known >= configuration.number) return this.accepted(configuration.number, known, false, begunAt);
     const content = encoder.encode(JSON.stringify(configuration));
     const number = BigInt(configuration.number);
     const outcome = await this.proposer.propose('configure', { number, content, source });
-    const tookMs = Math.round(this.clock.monotonic() - begunAt);
     if (outcome.isErr()) {
       const { kind, ran, message } = outcome.error;
       this.log.event(controlEvents.configurationUnknown, {
@@ -47,15 +51,8 @@
       });
       return err(outcome.error);
     }
-    const held = Number(outcome.value.number);
-    const { stored } = outcome.value;
-    this.log.event(controlEvents.configurationAccepted, {
-      number: configuration.number,
-      held,
-      stored,
-      tookMs,
-    });
-    return ok({ number: held, stored });
+    const { number: held, stored } = outcome.value;
+    return this.accepted(configuration.number, Number(held), stored, begunAt);
   }
 
   /** The newest configuration, read at its place in the log; undefined when there is none. Errors: as for `put`. */
@@ -90,4 +87,15 @@
     });
     return held;
   }
+
+  private accepted(
+    number: number,
+    held: number,
+    stored: boolean,
+    begunAt: number,
+  ): Result<ConfigurationOutcome, Fault> {
+    const tookMs = Math.round(this.clock.monotonic() - begunAt);
+    this.log.event(controlEvents.configurationAccepted, { number, held, stored, tookMs });
+    return ok({ number: held, stored });
+  }
 }
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -99,7 +99,7 @@
     const { stores } = outside;
     if (stores !== undefined) this.stores = new StoreWatch(state.configuration, stores, clock, log);
     this.follow = this.createFollow();
-    this.configurations = new ConfigurationService(this.proposer, clock, log);
+    this.configurations = new ConfigurationService(state.configuration, this.proposer, clock, log);
     this.unreadableCalls = new ProblemTally(log, controlEvents.unreadableCall);
     this.source.onChange(() => {
       this.measure();
