Refuse commands while more than 4 MB wait for a quorum

As long as each resend adds to the log faster than a quorum takes it, nothing that comes later is confirmed, however long the log is worked on.

Change: a leader refuses further commands ('overloaded', surely not run) while those that no quorum has yet hold 4 MB; a single longer one is taken when nothing waits. Test: longMessages.spec.ts, 'leave room for commands that come later', red with the bound a hundred times as high.

--- a/packages/coordination/src/agreement/entryLog.ts
+++ b/packages/coordination/src/agreement/entryLog.ts
@@ -74,6 +74,14 @@
     return end < 0 ? candidates : candidates.slice(0, end);
   }
 
+  /** Bytes of the commands behind an index. */
+  bytesAfter(index: bigint): number {
+    const start = Math.max(0, Number(index - this.base.index));
+    let bytes = 0;
+    for (let at = start; at < this.entries.length; at += 1) bytes += this.entries[at]?.command.length ?? 0;
+    return bytes;
+  }
+
   append(entries: readonly Entry[]): void {
     for (const entry of entries) {
       this.entries.push(entry);
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -37,6 +37,7 @@
   readonly work = new Signal();
   readonly progress = new Map<string, Progress>();
   private pending: Proposal[] = [];
+  private pendingBytes = 0;
   private readonly arrived = new Signal();
   private readonly voterWatch = new VoterWatch(this);
   private readonly begunAt: number;
@@ -79,15 +80,22 @@
 
   /** Queues a command; the outcome comes when it is applied here. */
   propose(proposal: Proposal): void {
-    const { tuning } = this.parts.replica;
-    if (!this.isActive || this.pending.length >= tuning.maxPending) {
+    if (!this.isActive || this.isFull()) {
       proposal.settle(this.isActive ? tooMany() : notWritten('no longer the leader'));
       return;
     }
     this.pending.push(proposal);
+    this.pendingBytes += proposal.command.length;
     this.arrived.notify();
   }
 
+  /** Whether more waits for a quorum than may: what a proposer sends again and again would keep it from ever catching up. */
+  private isFull(): boolean {
+    const { tuning, entries, commitIndex } = this.parts.replica;
+    if (this.pending.length >= tuning.maxPending) return true;
+    return this.pendingBytes + entries.bytesAfter(commitIndex) >= tuning.maxUncommittedBytes;
+  }
+
   /** Puts a configuration into the log; in force here as soon as it is written. */
   async changeConfiguration(configuration: Configuration): Promise<Result<bigint, Fault>> {
     return this.append([{ kind: EntryKind.CONFIGURATION, configuration }]);
@@ -170,6 +178,7 @@
         continue;
       }
       const batch = this.pending.splice(0, tuning.groupCommit ? tuning.maxBatchEntries : 1);
+      for (const { command } of batch) this.pendingBytes -= command.length;
       await this.write(batch);
     }
   }
--- a/packages/coordination/src/agreement/longMessages.spec.ts
+++ b/packages/coordination/src/agreement/longMessages.spec.ts
@@ -61,4 +61,19 @@
     expect(await cluster.until(() => haveAll(1), (1.5 * bytes) / BYTES_PER_MS)).toBe(true);
     expect(cluster.violations).toEqual([]);
   });
+
+  // Guards against a log that grows faster than a quorum can take it, by commands that are sent again and again.
+  it('leave room for commands that come later, however often they are sent again', async () => {
+    const bytes = 1_500_000;
+    const send = (): void => {
+      cluster.propose(leader, command(1, bytes), 900);
+    };
+    for (let sent = 0; sent < 15; sent += 1) {
+      send();
+      await cluster.clock.advance(500);
+    }
+    const later = cluster.propose(leader, 'later', 20_000);
+    expect(await cluster.until(() => later.outcome === 'done', 15_000)).toBe(true);
+    expect(cluster.violations).toEqual([]);
+  });
 });
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -49,6 +49,9 @@
     'an answer is waited for longer by the bytes under way, at this speed',
   ),
   maxPending: count(10_000).describe('commands waiting at the leader; more are refused'),
+  maxUncommittedBytes: count(4_194_304).describe(
+    'bytes of commands that no quorum has yet, from which on the leader refuses more',
+  ),
   pieceBytes: count(262_144).describe('bytes of one piece of a snapshot'),
   snapshotEntries: count(4_096).describe('a snapshot is taken after so many entries'),
   snapshotBytes: count(16_777_216).describe('a snapshot is taken after so many bytes of commands'),
