--- a/packages/coordination/src/agreement/applier.spec.ts
+++ b/packages/coordination/src/agreement/applier.spec.ts
@@ -114,3 +114,26 @@
   expect(cluster.violations).toEqual([]);
   expect(mostInTurn).toBeLessThanOrEqual(MOST_IN_TURN);
 });
+
+const MB = 1024 * 1024;
+
+/** Most that the folder of a replica may take, MB: what a snapshot is taken after, what is kept behind it, and some more. */
+const FOLDER_MB = 32;
+
+// Guards against a disk and a memory that are filled by long entries, of which as many are kept as of short ones.
+it('long entries behind a snapshot are kept for their bytes, not for their number', async () => {
+  const cluster = new MemoryCluster(1, ['a', 'b', 'c']);
+  await cluster.startAll();
+  expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
+  const leader = cluster.leader() ?? cluster.find('a');
+  // The state of these replicas holds all commands, as snapshots of it do; those of a configuration hold one.
+  leader.recorder.snapshot = () => new Uint8Array();
+  for (let count = 0; count < 60; count += 1) {
+    cluster.propose(leader, `${count}`.padEnd(MB, '.'));
+    expect(await cluster.until(() => leader.recorder.commands.length === count + 1, 10_000)).toBe(true);
+  }
+  const names = await leader.disk.list('/replica');
+  const files = await Promise.all(names.map((name) => leader.disk.read(`/replica/${name}`)));
+  const bytes = files.reduce((sum, file) => sum + file.length, 0);
+  expect(bytes / MB).toBeLessThan(FOLDER_MB);
+});
--- a/packages/coordination/src/agreement/applier.ts
+++ b/packages/coordination/src/agreement/applier.ts
@@ -125,8 +125,8 @@
     this.bytesSince = 0;
     await replica.exclusive(async () => {
       const snapshot = this.snapshot();
-      const retained = BigInt(replica.tuning.retainedEntries);
-      const keepFrom = snapshot.lastIndex > retained ? snapshot.lastIndex - retained + 1n : 1n;
+      const { retainedEntries, retainedBytes } = replica.tuning;
+      const keepFrom = replica.entries.firstWithin(snapshot.lastIndex, retainedEntries, retainedBytes);
       const saved = await replica.storage.saveSnapshot(snapshot, keepFrom, replica.entries.last.index + 1n);
       if (saved.isErr()) {
         replica.failed(saved.error);
--- a/packages/coordination/src/agreement/entryLog.ts
+++ b/packages/coordination/src/agreement/entryLog.ts
@@ -82,6 +82,19 @@
     return bytes;
   }
 
+  /** The first index from which on the entries up to `last` are bounded in number and bytes of commands. */
+  firstWithin(last: bigint, maxEntries: number, maxBytes: number): bigint {
+    let first = last + 1n;
+    let bytes = 0;
+    for (let count = 0; count < maxEntries; count += 1) {
+      const entry = this.at(first - 1n);
+      bytes += entry?.command.length ?? 0;
+      if (entry === undefined || bytes > maxBytes) break;
+      first -= 1n;
+    }
+    return first;
+  }
+
   append(entries: readonly Entry[]): void {
     for (const entry of entries) {
       this.entries.push(entry);
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -56,6 +56,7 @@
   snapshotEntries: count(4_096).describe('a snapshot is taken after so many entries'),
   snapshotBytes: count(16_777_216).describe('a snapshot is taken after so many bytes of commands'),
   retainedEntries: count(1_024).describe('entries kept behind a snapshot for replicas that lag'),
+  retainedBytes: count(4_194_304).describe('bytes of commands in these entries'),
   groupCommit: z.boolean().default(true).describe('one sync and message for all commands at hand'),
 });
 
