--- a/packages/configuration/src/table/table.ts
+++ b/packages/configuration/src/table/table.ts
@@ -20,7 +20,9 @@
   const table = new Map<string, Route[]>();
   for (const route of routes) {
     const host = hostOf(route.host);
-    table.set(host, [...(table.get(host) ?? []), route]);
+    const known = table.get(host);
+    if (known === undefined) table.set(host, [route]);
+    else known.push(route);
   }
   for (const list of table.values()) list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
   return table;
