Read what control told during a stall before requests are handled

What callers saw: after an entry had stood still for 2.2 s, requests that were sent 2.2 s after a confirmed change were handled by the configuration before it: removed routes and keys work, added ones don't. No signal is needed for that: a processor that is lent to others does it.

Cause, in two parts: - After a stall the sockets of callers are read in no order with those of control, so that kept connections are answered first. - The timers that fell due meanwhile fire before any socket is read: the one for silence gave up the streams of all control instances, whose events lay in the sockets. Change: a request waits for the turns of the event loop that reading takes after a stall, as sends to targets do already; silence counts only time in which the process was at work.

--- a/packages/knowledge/src/followTask.ts
+++ b/packages/knowledge/src/followTask.ts
@@ -1,5 +1,6 @@
 /** Follows one control instance, over one stream after the other. */
 import { createClient } from '@connectrpc/connect';
+import { afterActive } from '@jasmineroute/core';
 import type { Clock, Log } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
@@ -224,7 +225,8 @@
           this.expect(OUT_OF_CONTACT_MS);
           continue;
         }
-        calledOff = clock.after(SILENCE_MS, silent);
+        // What came while this process stood still is read after its timers have fired.
+        calledOff = afterActive(clock, SILENCE_MS, silent);
         this.isHeard = true;
         this.firstEventMs = FIRST_EVENT_MS;
         if (events === 0)
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -69,8 +69,10 @@
 
   /** Answers the request, whatever happens. */
   async run(): Promise<void> {
-    const { dialect, knowledge, learning } = this.context;
+    const { dialect, knowledge, learning, stalls } = this.context;
     const request = dialect.readRequest(this.incoming);
+    // What control told while the process stood still may be read after what callers sent: the configuration may be older.
+    await stalls.caughtUp();
     const isConfigured = (): boolean => knowledge.confirmed() && knowledge.table() !== undefined;
     await learning.until(isConfigured, this.answer.gone, (leftMs) => {
       this.noteWait(request.isOk() ? request.value.id : undefined, leftMs);
