Put the test of a route's time back on the list, and have it ask for an arrival

Now requests are sent until one leaves, five at most, and that one is answered 504. All tests of the file pass.

--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -72,6 +72,9 @@
 const text = (from: number, to: number): string =>
   Array.from({ length: to - from + 1 }, (_, at) => `id: ${from + at}\ndata: ${from + at}\n\n`).join('');
 
+/** Requests that are sent until one leaves in time. */
+const MOST_SENT = 5;
+
 describe('a relaying entry', () => {
   let bed: Bed;
 
@@ -225,13 +228,17 @@
   it('answers when the time of a route is over', async () => {
     const url = await start([routeTo({ timeoutMs: 150 })], 1);
     bed.target(1).script = () => undefined;
-    const begun = performance.now();
-    const { status } = await ask(url);
-    expect(performance.now() - begun).toBeLessThan(500);
-    // On a machine that stands still for so long it never leaves, and is surely not run.
-    expect(status).toBe(bed.arrivals() === 0 ? 503 : 504);
+    for (let sent = 0; sent < MOST_SENT && bed.arrivals() === 0; sent += 1) {
+      const begun = performance.now();
+      const { status } = await ask(url);
+      expect(performance.now() - begun).toBeLessThan(500);
+      // On a machine that stands still for so long a request never leaves, and is surely not run.
+      expect(status).toBe(bed.arrivals() === 0 ? 503 : 504);
+    }
+    expect(bed.arrivals()).toBe(1);
   });
 
+  // Guards against a request that never left and is said to have run, so that its caller gives up.
   it('says that a request was not run whose time was over before it left', async () => {
     const url = await start([routeTo({ timeoutMs: 150 })], 1);
     const asked = ask(url);
