Tell and require the length of messages between processes

Cause: the runtime's HTTP/2 client ends the request of a stream that is cancelled (an empty frame with the end flag) before it resets it. Seen on the wire: HEADERS, DATA with END_STREAM and no bytes, RST_STREAM. A call whose caller gives up while the connection is still being made, as all do in the seconds after a return, goes out like that, and an empty message is a valid one: the handler runs with it. A wish to vote without a name stopped the leader's replica. A reset alone, without the end before it, never reached a handler.

Change: requests and answers of unary calls tell their length, and those that don't are refused, on both sides and in one place. HTTP/2 itself refuses what ends before its length. Streams frame their messages already. It costs one more encoding of each request.

--- a/packages/protocol/src/transport/peers.ts
+++ b/packages/protocol/src/transport/peers.ts
@@ -4,6 +4,7 @@
 import tls from 'node:tls';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Transport } from '@connectrpc/connect';
+import { tellLength } from './messageLength.js';
 import { SessionManager } from './sessionManager.js';
 import type { TlsStore } from './tls.js';
 
@@ -95,6 +96,7 @@
       httpVersion: '2',
       sessionManager: session,
       readMaxBytes: MAX_MESSAGE_BYTES,
+      interceptors: [tellLength],
     });
     return { transport, session };
   }
--- a/packages/protocol/src/transport/server.ts
+++ b/packages/protocol/src/transport/server.ts
@@ -4,6 +4,7 @@
 import { createSecureContext } from 'node:tls';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { ConnectRouter } from '@connectrpc/connect';
+import { requireLength } from './messageLength.js';
 import { MAX_MESSAGE_BYTES } from './peers.js';
 import type { TlsMaterial, TlsStore } from './tls.js';
 
@@ -51,7 +52,11 @@
   routes: (router: ConnectRouter) => void,
   tls?: TlsStore,
 ): Promise<RpcServer> {
-  const handler = connectNodeAdapter({ routes, readMaxBytes: MAX_MESSAGE_BYTES });
+  const handler = connectNodeAdapter({
+    routes,
+    readMaxBytes: MAX_MESSAGE_BYTES,
+    interceptors: [requireLength],
+  });
   const settings = { maxConcurrentStreams: MAX_STREAMS, initialWindowSize: WINDOW_BYTES };
   const server =
     tls === undefined ? http2.createServer({ settings }, handler) : secureServer(tls, settings, handler);
