End the process when a task of its replica fails

What callers saw: control instances that answer and look well, none of which reads the configuration back, for ever.

Cause: a task of the replica that throws stops the replica for good, in a process that lives on. Nothing starts it again, no health or metric tells, and the other voters count on it until it has been silent for 3 s. Tasks that replicate, send and sync ran without any watch: an error of theirs ended them alone, and an election whose question threw never ended.

Change: each task of a replica is watched; its failure settles what waits, is counted (coordination.replica.failures), and is told to whoever opened the log (onFailure). The daemon stops on it as on a signal, with exit code 1 and event 7010, so that the platform starts the process anew.

--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path';
 import { ReplicatedLog, fileDisk, withoutLock } from '@jasmineroute/coordination';
 import type { Disk } from '@jasmineroute/coordination';
-import { fault } from '@jasmineroute/core';
+import { failTask, fault } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import type { RoleContext } from '@jasmineroute/protocol';
 import { err, ok } from 'neverthrow';
@@ -56,6 +56,9 @@
     stateMachine: state.machine,
     disk: settings.exclusiveFolder ? disk : withoutLock(disk),
     lossesToBear: settings.lossesToBear,
+    onFailure: (error) => {
+      failTask('replica', error);
+    },
     ...SNAPSHOT,
   });
   return opened.map((replicatedLog) => new Control(context, settings, state, replicatedLog, outside));
--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -164,7 +164,7 @@
     const others = voters.filter((voter) => voter.replicaId !== replica.id);
     const needed = quorumOf(voters.length) - 1;
     if (needed <= 0) return Promise.resolve(true);
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const ballot: Ballot = { granted: [], refused: [], silent: [], replaced: [] };
       const asked = others.map(async (voter) => {
         const vote = await this.ask(voter, term, probe);
@@ -173,9 +173,9 @@
         if (ballot.granted.length >= needed) resolve(true);
         else if (ballot.granted.length + open < needed) resolve(false);
       });
-      void Promise.all(asked).then(() => {
+      Promise.all(asked).then(() => {
         if (ballot.granted.length < needed) this.reportLost(ballot, voters.length);
-      });
+      }, reject);
     });
   }
 
--- /dev/null
+++ b/packages/coordination/src/agreement/failedTask.spec.ts
@@ -0,0 +1,43 @@
+import { silentLog, systemClock } from '@jasmineroute/core';
+import { describe, expect, it } from 'vitest';
+import { MemoryDisk } from '../storage/index.js';
+import { ReplicatedLog } from './replicatedLog.js';
+
+const unreachable = (): never => {
+  throw new TypeError('Invalid URL');
+};
+
+describe('a replica of which a task fails', () => {
+  async function start(apply: () => Uint8Array, onFailure: (error: unknown) => void): Promise<ReplicatedLog> {
+    const opened = await ReplicatedLog.open({
+      name: 'a',
+      folder: '/a',
+      initialReplicas: [{ name: 'a', address: 'a' }],
+      connect: unreachable,
+      drop: () => undefined,
+      clock: systemClock,
+      log: silentLog,
+      disk: MemoryDisk.empty(),
+      stateMachine: { apply, snapshot: () => new Uint8Array(), restore: () => undefined },
+      onFailure,
+    });
+    const replica = opened._unsafeUnwrap();
+    await replica.start('a');
+    return replica;
+  }
+
+  // A stopped replica in a process that lives on is not started again, and its vote is missing for good.
+  it('says so', async () => {
+    const failures: unknown[] = [];
+    const bug = new Error('a bug');
+    const fail = (): never => {
+      throw bug;
+    };
+    const replica = await start(fail, (error) => failures.push(error));
+    const outcome = await replica.propose(new Uint8Array([1]), 5_000);
+    expect(outcome.isErr()).toBe(true);
+    expect(failures).toEqual([bug]);
+    expect((await replica.propose(new Uint8Array([1]), 5_000))._unsafeUnwrapErr().kind).toBe('stopping');
+    await replica.close();
+  });
+});
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -29,6 +29,8 @@
   readonly snapshot: () => Snapshot;
   /** Called when one voter's higher term ended this one although a quorum had just answered. */
   readonly unseated: () => void;
+  /** Starts a task of its own; an error of it stops the replica. */
+  readonly start: (task: Promise<void>) => void;
 }
 
 /** A term in which this replica leads. */
@@ -223,6 +225,7 @@
     if (written.isErr()) return written;
     this.work.notify();
     const synced = this.sync(written.value);
+    this.parts.start(synced);
     if (!replica.tuning.groupCommit) await synced;
     return written;
   }
@@ -278,7 +281,7 @@
     const { replica } = this.parts;
     const progress = new Progress(member, replica.entries.last.index, replica.clock.monotonic());
     this.progress.set(member.replicaId, progress);
-    void replicate(this, progress);
+    this.parts.start(replicate(this, progress));
   }
 
   private dismiss(id: string, progress: Progress): void {
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -81,6 +81,11 @@
   readonly stateMachine: StateMachine;
   /** File system; the machine's own when absent. */
   readonly disk?: Disk;
+  /**
+   * Called when a task of the replica has met a bug. The replica has stopped for good and its vote is missing: end the process,
+   * or close the log and open it again.
+   */
+  readonly onFailure?: (error: unknown) => void;
   /** Random numbers in [0, 1) for election timeouts. */
   readonly random?: () => number;
 }
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -8,6 +8,7 @@
 import { coordinationEvents } from '../events.js';
 import { Agreement } from '../gen/agreement/agreement_pb.js';
 import type { Configuration } from '../gen/agreement/agreement_pb.js';
+import { coordinationMetrics } from '../metrics.js';
 import { LogStorage, fileDisk } from '../storage/index.js';
 import type { Recovered } from '../storage/index.js';
 import { Applier } from './applier.js';
@@ -45,12 +46,14 @@
   private readonly proposing: Proposing;
   private leadership: Leadership | undefined;
   private tasks: Promise<unknown> = Promise.resolve();
+  private readonly onFailure: (error: unknown) => void;
 
   private constructor(options: ReplicatedLogOptions, storage: LogStorage, recovered: Recovered) {
     const { name, clock, log, metrics = silentMetrics, random = Math.random } = options;
     const parts = { name, storage, recovered, clock, log, metrics, random, tuning: tuning.parse(options) };
     const replica = new Replica(parts);
-    const { connect, drop } = options;
+    const { connect, drop, onFailure = () => undefined } = options;
+    this.onFailure = onFailure;
     const leadership = (): Leadership | undefined => this.leadership;
     this.replica = replica;
     const { rpcTimeoutMs, slowRpcTimeoutMs } = replica.tuning;
@@ -233,7 +236,10 @@
     const unseated = (): void => {
       this.election.standAtOnce();
     };
-    const leadership = new Leadership({ replica, peers, waiters, snapshot, unseated }, term);
+    const start = (task: Promise<void>): void => {
+      void this.task(task);
+    };
+    const leadership = new Leadership({ replica, peers, waiters, snapshot, unseated, start }, term);
     const isLeader = await replica.exclusive(() => {
       if (replica.role !== 'candidate' || replica.term !== term) return Promise.resolve(false);
       replica.role = 'leader';
@@ -252,8 +258,13 @@
     try {
       await running;
     } catch (error) {
-      this.replica.log.event(coordinationEvents.taskFailed, { error: String(error) });
+      const { log, metrics } = this.replica;
+      const stack = error instanceof Error ? error.stack : undefined;
+      log.event(coordinationEvents.taskFailed, { error: String(error), stack });
+      metrics.count(coordinationMetrics.failures);
       this.replica.stop();
+      this.waiters.close();
+      this.onFailure(error);
     }
   }
 }
--- a/packages/coordination/src/agreement/replication.ts
+++ b/packages/coordination/src/agreement/replication.ts
@@ -21,14 +21,14 @@
 
 /** Sends entries, heartbeats and snapshots until the term or the membership ends. */
 export async function replicate(leadership: Leadership, progress: Progress): Promise<void> {
-  const { replica } = leadership.parts;
+  const { replica, start } = leadership.parts;
   while (leadership.isActive && progress.isMember) {
     if (progress.next <= replica.entries.start.index) {
       await install(leadership, progress);
       continue;
     }
     if (isDue(leadership, progress)) {
-      void send(leadership, progress);
+      start(send(leadership, progress));
       continue;
     }
     await leadership.work.waitFor(replica.clock, untilDue(leadership, progress));
--- a/packages/coordination/src/metrics.ts
+++ b/packages/coordination/src/metrics.ts
@@ -20,5 +20,10 @@
     type: 'gauge',
     help: 'Voters that may still be lost before the leader has no quorum',
   },
+  failures: {
+    name: 'coordination.replica.failures',
+    type: 'counter',
+    help: 'Tasks that failed, each of which has stopped the replica',
+  },
   commitIndex: { name: 'coordination.commit.index', type: 'gauge', help: 'Last committed entry' },
 });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,4 +7,5 @@
 export * from './registry/index.js';
 export * from './setting/index.js';
 export * from './stall/index.js';
+export * from './task/index.js';
 export * from './trace/index.js';
--- /dev/null
+++ b/packages/core/src/task/index.ts
@@ -0,0 +1,2 @@
+/** Tasks that last as long as their process. */
+export * from './lastingTask.js';
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -9,6 +9,11 @@
   startFailed: { id: 7005, level: 'error', message: 'start failed' },
   uncaught: { id: 7006, level: 'error', message: 'uncaught exception; the process ends' },
   unhandledRejection: { id: 7007, level: 'error', message: 'unhandled rejection' },
+  taskFailed: {
+    id: 7010,
+    level: 'error',
+    message: 'a task failed without which the process must not go on: it stops',
+  },
   stalled: {
     id: 7009,
     level: 'warn',
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -1,6 +1,7 @@
 /** A process from checked settings to its end. */
 import {
   StallWatch,
+  TaskError,
   createLog,
   createMetrics,
   createTextMetrics,
@@ -27,6 +28,9 @@
 /** Longest wait for open calls between processes to close after the drain, milliseconds. */
 const LAST_BYTES_MS = 2_000;
 
+/** Longest planned stop after a task has failed, milliseconds: the drain may wait for what that task was to do. */
+const FAILED_STOP_MS = 30_000;
+
 /** Checked settings: every role's and the role's own. */
 export interface Plan {
   readonly daemon: DaemonSettings;
@@ -154,6 +158,7 @@
   private parts: Parts | undefined;
   private reason: string | undefined;
   private draining = false;
+  private exitCode = 0;
 
   constructor(private readonly log: Log) {
     for (const signal of ['SIGTERM', 'SIGINT']) {
@@ -173,6 +178,15 @@
     this.begin();
   };
 
+  /** Stops in the same way as a task has failed that has to last; the exit code tells. */
+  readonly fail = (error: TaskError): void => {
+    const stack = error.cause instanceof Error ? error.cause.stack : undefined;
+    this.log.event(daemonEvents.taskFailed, { error: error.message, stack });
+    this.exitCode = EXIT_FAULT;
+    systemClock.after(FAILED_STOP_MS, () => process.exit(EXIT_FAULT));
+    this.ask('a task failed');
+  };
+
   /** The process is assembled: a stop that was asked for before begins now. */
   assembled(parts: Parts): void {
     this.parts = parts;
@@ -183,7 +197,7 @@
     if (this.parts === undefined || this.draining) return;
     this.draining = true;
     void stop(this.parts, this.reason ?? '').then(
-      () => process.exit(0),
+      () => process.exit(this.exitCode),
       (error: unknown) => {
         this.log.event(daemonEvents.uncaught, { error: String(error) });
         process.exit(EXIT_FAULT);
@@ -192,12 +206,16 @@
   }
 }
 
-function logBreaks(log: Log): void {
+function watchBreaks(log: Log, stopping: Stopping): void {
   process.on('uncaughtException', (error) => {
     log.event(daemonEvents.uncaught, { error: error.message, stack: error.stack });
     process.exit(EXIT_FAULT);
   });
   process.on('unhandledRejection', (reason) => {
+    if (reason instanceof TaskError) {
+      stopping.fail(reason);
+      return;
+    }
     const stack = reason instanceof Error ? reason.stack : undefined;
     log.event(daemonEvents.unhandledRejection, { error: String(reason), stack });
   });
@@ -208,9 +226,9 @@
   prepareRuntime();
   const { role, name, dataCentre, logLevel, logStream } = plan.daemon;
   const log = createLog(logLevel, { role, name, dataCentre }, logStream);
-  logBreaks(log);
-  watchMemory(systemClock, log);
   const stopping = new Stopping(log);
+  watchBreaks(log, stopping);
+  watchMemory(systemClock, log);
   try {
     const parts = await assemble(plan, log, stopping.ask);
     const http = parts.role.httpAddress?.() ?? parts.health?.address;
