End the process when any other task fails that it needs

One that throws was logged as an unhandled rejection (7007), and the process went on without it: targets that are no longer watched, weights that nobody brings.

Change: they are started by runLasting, whose error stops the process as that of a replica does. Rejections of single requests are logged as before.

--- a/packages/agent/src/role/agent.ts
+++ b/packages/agent/src/role/agent.ts
@@ -1,5 +1,6 @@
 /** The agent role: gate, watches and announcement of one target, put together. */
 import type { ConnectRouter } from '@connectrpc/connect';
+import { runLasting } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import { DirectoryClient } from '@jasmineroute/directory';
 import type { Announcement, Target } from '@jasmineroute/directory';
@@ -133,10 +134,10 @@
   async start(address: string): Promise<void> {
     this.address = address;
     await this.watch.look(this.stopping.signal);
-    this.tasks.push(this.watch.run(this.stopping.signal));
+    this.keep('watch over the engine', this.watch.run(this.stopping.signal));
     await this.directory.start(() => this.announcement());
     if (this.kind === 'plain') return;
-    this.tasks.push(this.orders.run());
+    this.keep('orders', this.orders.run());
   }
 
   readiness(): Readiness {
@@ -217,7 +218,12 @@
     this.gate.engineReplaced(incarnation, oldSeenAt);
     this.cacheRound.abort(new Error('the engine has restarted'));
     this.cacheRound = new AbortController();
-    this.tasks.push(this.cache.run(this.cacheRound.signal));
+    this.keep('cache', this.cache.run(this.cacheRound.signal));
+  }
+
+  private keep(name: string, task: Promise<void>): void {
+    runLasting(name, task);
+    this.tasks.push(task);
   }
 
   private changed(): void {
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -1,7 +1,7 @@
 /** The control role: documents, claims and turns over the replicated log, and the directory's feed. */
 import type { ConnectRouter } from '@connectrpc/connect';
 import { create } from '@bufbuild/protobuf';
-import { ProblemTally } from '@jasmineroute/core';
+import { ProblemTally, runLasting } from '@jasmineroute/core';
 import { serveDirectory } from '@jasmineroute/directory';
 import type { InstanceMessage, Membership } from '@jasmineroute/directory';
 import { Follower } from '@jasmineroute/knowledge';
@@ -165,16 +165,16 @@
   async start(address: string): Promise<void> {
     await this.commandLog.start(address);
     if (this.settings.gossip) this.members.start(() => this.self(address));
-    void this.targets.run();
+    runLasting('targets', this.targets.run());
     this.stores?.start();
     if (this.commandLog instanceof DisklessLog) this.refer(address);
     if (this.settings.enlists) {
-      void this.enlist(address);
+      runLasting('wish to vote', this.enlist(address));
       this.followOthers(address);
       if (this.outside.orders !== undefined) this.startWeights(this.outside.orders);
     }
-    void this.timeKeeper.run();
-    void this.replicaKeeper.run();
+    runLasting('time of the log', this.timeKeeper.run());
+    runLasting('replicas of the document', this.replicaKeeper.run());
     this.context.log.event(controlEvents.started, { address });
   }
 
--- a/packages/control/src/stores/storeWatch.ts
+++ b/packages/control/src/stores/storeWatch.ts
@@ -1,6 +1,6 @@
 /** Watches the stores of kept KV cache that the configuration names. */
 import { configuration } from '@jasmineroute/configuration';
-import { ProblemTally } from '@jasmineroute/core';
+import { ProblemTally, runLasting } from '@jasmineroute/core';
 import type { Clock, Log } from '@jasmineroute/core';
 import { KeptParts } from '@jasmineroute/protocol';
 import type { CacheNews } from '@jasmineroute/protocol';
@@ -123,7 +123,7 @@
     for (const address of this.addresses()) {
       if (this.watched.has(address)) continue;
       this.watched.add(address);
-      void this.watch(address);
+      runLasting('watch over a store', this.watch(address));
     }
   }
 
--- a/packages/control/src/weights/remoteWeights.ts
+++ b/packages/control/src/weights/remoteWeights.ts
@@ -1,6 +1,7 @@
 /** A control instance in the place of processes that are to stand beside targets. */
 import { create } from '@bufbuild/protobuf';
 import type { TurnSource } from '@jasmineroute/agent';
+import { runLasting } from '@jasmineroute/core';
 import type { Clock, Log } from '@jasmineroute/core';
 import { Knowledge } from '@jasmineroute/knowledge';
 import { controlMessage } from '@jasmineroute/protocol';
@@ -50,8 +51,8 @@
   }
 
   start(): void {
-    void this.hear();
-    void this.unattended.run();
+    runLasting('knowledge of targets', this.hear());
+    runLasting('unattended targets', this.unattended.run());
   }
 
   stop(): void {
--- a/packages/directory/src/client/directoryClient.ts
+++ b/packages/directory/src/client/directoryClient.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
+import { runLasting } from '@jasmineroute/core';
 import type { Clock, Log, Metrics } from '@jasmineroute/core';
 import { ControlAddresses } from '../call/index.js';
 import { directoryEvents } from '../events.js';
@@ -99,6 +100,7 @@
     });
     const { signal } = this.stopping;
     this.tasks = [watch.run(signal), this.beats.run(signal)];
+    for (const task of this.tasks) runLasting('directory', task);
   }
 
   view(): View {
--- a/packages/directory/src/membership/membership.ts
+++ b/packages/directory/src/membership/membership.ts
@@ -3,6 +3,7 @@
 import { Code, ConnectError } from '@connectrpc/connect';
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { FailureDetector, Transition } from '@jasmineroute/coordination';
+import { runLasting } from '@jasmineroute/core';
 import type { Clock, Log } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
@@ -75,6 +76,7 @@
   /** Starts to judge and to exchange. `self` gives this control instance's own entry in the list. */
   start(self: () => InstanceMessage): void {
     this.ticking = this.run(self);
+    runLasting('membership', this.ticking);
   }
 
   /** Ends all tasks. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,6 +2,7 @@
 import { ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { ConnectRouter } from '@connectrpc/connect';
+import { runLasting } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { ClaimClient, Controls, DirectoryClient, serveDirectory, viewSource } from '@jasmineroute/directory';
@@ -117,7 +118,7 @@
     await this.parts.directory.start(() => ({ address, dataCentre }));
     this.address = await this.server.listen();
     log.event(entryEvents.listening, { address: this.address });
-    void this.reportGauges();
+    runLasting('gauges', this.reportGauges());
   }
 
   httpAddress(): string {
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -1,4 +1,5 @@
 /** Follows some of the control instances that are known, one task each. */
+import { runLasting } from '@jasmineroute/core';
 import { controlOrder } from './controlOrder.js';
 import { FollowTask, OUT_OF_CONTACT_MS } from './followTask.js';
 import type { FollowTaskOwner, FollowTaskParts } from './followTask.js';
@@ -68,7 +69,7 @@
   start(): void {
     this.askedAt = this.parts.clock.monotonic();
     this.adjust();
-    void this.look();
+    runLasting('choice of control instances', this.look());
   }
 
   /** Replaces the addresses known from the settings. */
@@ -230,7 +231,7 @@
   private begin(address: string): void {
     const task = new FollowTask(address, this.parts, this, this.asksForBulk(address));
     this.tasks.set(address, task);
-    void task.run();
+    runLasting('stream of a control instance', task.run());
   }
 
   private forget(address: string): void {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,6 @@
 /** The relaying entry as a role: callers in, targets out, control followed. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { fault } from '@jasmineroute/core';
+import { fault, runLasting } from '@jasmineroute/core';
 import { BodyBudget, CallerServer, seedOf } from '@jasmineroute/entry';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { createRandom } from '@jasmineroute/routing';
@@ -128,8 +128,8 @@
     this.follower.start();
     this.address = await this.server.listen();
     this.context.log.event(relayEvents.listening, { address: this.address });
-    void this.sweep();
-    void this.reporter.run();
+    runLasting('sweep of pools', this.sweep());
+    runLasting('work reports', this.reporter.run());
   }
 
   /** host:port that callers reach; known after `start`. */
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -1,4 +1,5 @@
 /** The process beside a target, as a role. */
+import { runLasting } from '@jasmineroute/core';
 import { ChangeSignal, Controls, TurnClient } from '@jasmineroute/directory';
 import { Follower, Knowledge, ReportSender } from '@jasmineroute/knowledge';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
@@ -87,10 +88,10 @@
   start(): Promise<void> {
     const { address, service } = this.neighbour;
     this.follower.start();
-    void this.keeper.run();
-    void this.reporter.run();
-    void this.cacheReporter.run();
-    void this.announcer.run();
+    runLasting('weights', this.keeper.run());
+    runLasting('load reports', this.reporter.run());
+    runLasting('cache reports', this.cacheReporter.run());
+    runLasting('announcements', this.announcer.run());
     this.context.log.event(rolloutEvents.started, { target: address, service });
     return Promise.resolve();
   }
--- a/packages/rollout/src/unattended/unattendedTargets.ts
+++ b/packages/rollout/src/unattended/unattendedTargets.ts
@@ -1,5 +1,6 @@
 /** Brings weights to targets that have no process beside them. */
 import type { TurnSource } from '@jasmineroute/agent';
+import { runLasting } from '@jasmineroute/core';
 import type { Clock, Log } from '@jasmineroute/core';
 import { ChangeSignal } from '@jasmineroute/directory';
 import type { Knowledge, Target } from '@jasmineroute/knowledge';
@@ -109,7 +110,7 @@
     const keeper = new WeightsKeeper({ ...this.parts, news, address, service, port: targetAt(address) });
     this.keepers.set(id, keeper);
     log.event(rolloutEvents.unattended, { target: id, address });
-    void keeper.run();
+    runLasting('weights of an unattended target', keeper.run());
   }
 
   private leave(id: string): void {
