--- a/packages/testkit/src/certificate/certificate.spec.ts
+++ b/packages/testkit/src/certificate/certificate.spec.ts
@@ -31,7 +31,7 @@
     });
     const client = createClient(controlMessage.Turns, peers.transport(server.address));
     try {
-      await client.take({}, { timeoutMs: 2_000 });
+      await client.take({ name: 't', holder: 'h', limit: 1, ttlMs: 1_000 }, { timeoutMs: 2_000 });
       return 'answered';
     } catch (error) {
       return ConnectError.from(error).code === Code.Unimplemented ? 'answered' : 'refused';
