Choose the step to the wanted replicas by the voters that it leaves to spare

A learner was given its vote first, so that four of six voters were needed and four were there; each slow one ended the leader's term. Voters that were known to be replaced kept their votes for 10 to 20 s.

Cause: rules in a fixed order, each right by itself. A voter in whose place another replica answers can never vote again, but it was taken out only once its successor had caught up, and after a learner had got its vote.

Change: a replaced voter loses its vote at once, and its successor becomes a learner in the same step, so that its name isn't forgotten. Of all steps that are due the one is taken that leaves the most voters to spare, then the one that needs the fewest; one that needs more voters and leaves no more to spare waits until all answer. A step that can't be committed no longer holds up the others.

Evidence: nextStep.spec.ts walks all 600 configurations of up to seven voters and two learners whose leader has a quorum. Red before: 44 needed more voters while a replaced one still counted, and some ended with a replaced voter.

--- a/packages/coordination/src/agreement/configuration.ts
+++ b/packages/coordination/src/agreement/configuration.ts
@@ -98,8 +98,23 @@
   !current.voters.some(({ name }) => name === learner.name);
 
 /**
- * A voter whose disk is gone, once its successor has caught up. Removed before the successor votes: with the
- * successor added first, a set of four with one lost for good would stop at the next failure.
+ * A voter in whose place another replica answers: its disk is gone, and it can never vote again. Its successor takes its name in
+ * the same step, as it would be forgotten otherwise.
+ */
+const dropReplaced: Step = ({ current, found, isReachable }) => {
+  const replaced = current.voters.find(({ name, replicaId }) => {
+    const now = found.get(name);
+    return now !== undefined && now.replicaId !== replicaId && !isReachable(replicaId);
+  });
+  const successor = replaced && found.get(replaced.name);
+  if (replaced === undefined || successor === undefined) return undefined;
+  const learners = [...without(current.learners, successor), successor];
+  return configurationOf(current.clusterId, without(current.voters, replaced), learners);
+};
+
+/**
+ * A voter that still answers and that another replica of its name is to follow, once that one has caught up. Removed before the
+ * successor votes: with the successor added first, a set of four with one lost for good would stop at the next failure.
  */
 const removeSuperseded: Step = ({ current, isCaughtUp }) => {
   const superseded = current.voters.find((old) =>
@@ -163,8 +178,9 @@
   return gone && withVoters(current, without(current.voters, gone));
 };
 
-/** In the order in which they are tried: a vote is given before others are taken away for good. */
+/** Of steps that are worth the same the first one is taken: a vote is given before others are taken away for good. */
 const steps: readonly Step[] = [
+  dropReplaced,
   readdress,
   removeLearner,
   addLearner,
@@ -176,19 +192,52 @@
   removeVoter,
 ];
 
+/** What a configuration is worth. */
+interface Worth {
+  /** Voters that answer. */
+  readonly alive: number;
+  /** Voters that a decision needs. */
+  readonly needed: number;
+  /** Voters that may be lost before there is no quorum; negative: there is none. */
+  readonly spare: number;
+}
+
+function worthOf({ voters }: Configuration, { isReachable }: Outlook): Worth {
+  const alive = voters.filter(({ replicaId }) => isReachable(replicaId)).length;
+  const needed = quorumOf(voters.length);
+  return { alive, needed, spare: alive - needed };
+}
+
+/**
+ * Whether a step may be taken from one configuration to another. One whose own quorum does not answer could never be committed,
+ * nor undone. One that needs more voters and leaves no more to spare waits until all voters answer: each slow one would cost
+ * the leader its quorum.
+ */
+function isTakeable(next: Worth, now: Worth, voters: number): boolean {
+  if (next.spare < 0) return false;
+  return next.spare > now.spare || next.needed <= now.needed || now.alive === voters;
+}
+
+const isWorthMore = (a: Worth, b: Worth): boolean =>
+  a.spare > b.spare || (a.spare === b.spare && a.needed < b.needed);
+
 /**
  * The next single step towards the wanted replicas, or undefined when none is due or safe. At most one voter
- * is added or removed, so that any quorum before and any quorum after share a replica. A step whose own
- * quorum does not answer is not taken: it could never be committed, nor undone.
+ * is added or removed, so that any quorum before and any quorum after share a replica. Of several steps the one is taken that
+ * leaves the most voters to spare, and of those the one that needs the fewest.
  */
 export function nextStep(outlook: Outlook): Configuration | undefined {
+  const { current } = outlook;
+  const now = worthOf(current, outlook);
+  let best: { readonly next: Configuration; readonly worth: Worth } | undefined;
   for (const step of steps) {
     const next = step(outlook);
     if (next === undefined) continue;
-    const isLive = isQuorum(next, ({ replicaId }) => outlook.isReachable(replicaId));
-    return isLive ? next : undefined;
+    const worth = worthOf(next, outlook);
+    if (!isTakeable(worth, now, current.voters.length)) continue;
+    if (best === undefined || isWorthMore(worth, best.worth)) best = { next, worth };
   }
-  return undefined;
+  return best?.next;
 }
 
 /** Whether the voters are the wanted replicas, and nobody is learning. */
--- a/packages/coordination/src/agreement/reconfiguration.ts
+++ b/packages/coordination/src/agreement/reconfiguration.ts
@@ -86,14 +86,13 @@
     const found = await this.identify(leadership, wanted);
     // The term may have ended, or the configuration changed, while the replicas were asked.
     if (!this.mayStep(leadership) || replica.configuration !== current) return false;
-    const windowMs = replica.tuning.quorumWindowMs;
     const next = nextStep({
       current,
       wanted,
       self: replica.id,
       found,
       isCaughtUp: (id) => this.isCaughtUp(leadership, id),
-      isReachable: (replicaId) => leadership.isReachable({ replicaId }, windowMs),
+      isReachable: (replicaId) => this.answers(leadership, replicaId),
       isLost: (replicaId) => leadership.isSilent(replicaId),
     });
     return next !== undefined && (await leadership.changeConfiguration(next)).isOk();
@@ -112,8 +111,13 @@
 
   private isCaughtUp(leadership: Leadership, replicaId: string): boolean {
     const match = leadership.progress.get(replicaId)?.match ?? 0n;
-    const isRecent = leadership.isReachable({ replicaId }, this.replica.tuning.quorumWindowMs);
-    return isRecent && match >= this.replica.commitIndex;
+    return this.answers(leadership, replicaId) && match >= this.replica.commitIndex;
+  }
+
+  /** Whether a replica answered lately, and no other one in its place since. */
+  private answers(leadership: Leadership, replicaId: string): boolean {
+    const isReplaced = leadership.progress.get(replicaId)?.strangerId !== undefined;
+    return !isReplaced && leadership.isReachable({ replicaId }, this.replica.tuning.quorumWindowMs);
   }
 
   /**
@@ -133,10 +137,7 @@
     const { replica } = this;
     const member = [replica.self, ...replica.others].find(
       ({ name, address, replicaId }) =>
-        name === wanted.name &&
-        address === wanted.address &&
-        leadership.progress.get(replicaId)?.strangerId === undefined &&
-        leadership.isReachable({ replicaId }, replica.tuning.quorumWindowMs),
+        name === wanted.name && address === wanted.address && this.answers(leadership, replicaId),
     );
     if (member !== undefined) return member;
     const answer = await this.joining.ask(wanted.address);
