--- a/packages/coordination/src/agreement/nextStep.spec.ts
+++ b/packages/coordination/src/agreement/nextStep.spec.ts
@@ -150,11 +150,11 @@
 
   const failing = (check: (before: Scene, after: Configuration, scene: Scene) => boolean): Situation[] =>
     led.filter((situation) => {
-      let holds = true;
+      const results: boolean[] = [];
       walk(situation, (before, after, scene) => {
-        holds &&= check(before, after, scene);
+        results.push(check(before, after, scene));
       });
-      return !holds;
+      return results.includes(false);
     });
 
   // Two configurations that follow one another have quorums without a common voter.
