Take a learner for caught up by what was committed when its last message was sent

Cause: a learner had to have all that was committed at the very moment of the look. While entries come all the time and its answers take long, what it has is always a little old.

Change: its last answer must have had all that was committed when the message was sent; the rest is on its way. Raft's promises don't depend on it.

--- a/packages/coordination/src/agreement/progress.ts
+++ b/packages/coordination/src/agreement/progress.ts
@@ -9,6 +9,11 @@
   match = 0n;
   /** When this became known. */
   matchedAt = -Infinity;
+  /**
+   * Whether its last answer had all that was committed when the message was sent. What has been committed since is on its way:
+   * one that must have that too would never catch up while entries come faster than its answers.
+   */
+  isCaughtUp = false;
   /** Commit index it was last told of. */
   toldCommit = 0n;
   inFlight = 0;
--- a/packages/coordination/src/agreement/reconfiguration.ts
+++ b/packages/coordination/src/agreement/reconfiguration.ts
@@ -110,8 +110,7 @@
   }
 
   private isCaughtUp(leadership: Leadership, replicaId: string): boolean {
-    const match = leadership.progress.get(replicaId)?.match ?? 0n;
-    return this.answers(leadership, replicaId) && match >= this.replica.commitIndex;
+    return this.answers(leadership, replicaId) && leadership.progress.get(replicaId)?.isCaughtUp === true;
   }
 
   /** Whether a replica answered lately, and no other one in its place since. */
--- a/packages/coordination/src/agreement/replication.ts
+++ b/packages/coordination/src/agreement/replication.ts
@@ -147,6 +147,7 @@
     return;
   }
   progress.answered(sent.at);
+  progress.isCaughtUp = answer.success && answer.matchIndex >= sent.request.commitIndex;
   if (answer.success) {
     noteMatch(leadership, progress, answer.matchIndex);
     return;
--- a/packages/coordination/src/agreement/returnToVote.spec.ts
+++ b/packages/coordination/src/agreement/returnToVote.spec.ts
@@ -17,6 +17,9 @@
   { delayMs: 120, boundMs: 2_000 },
 ];
 
+/** Pause between commands of a busy cluster, milliseconds. */
+const COMMAND_MS = 5;
+
 /** Time after which a replica that does not vote is given up, milliseconds. */
 const GIVEN_UP_MS = 20_000;
 
@@ -49,6 +52,21 @@
   return cluster.clock.monotonic() - begunAt;
 }
 
+/** Empties a follower's disk while commands come all the time. @returns the time from its start until it votes, milliseconds. */
+async function busyTimeToVote(): Promise<number> {
+  expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
+  const back = cluster.nodes.find((node) => node !== cluster.leader()) ?? cluster.find('a');
+  cluster.wipe(back);
+  await cluster.clock.advance(AWAY_MS);
+  const begunAt = cluster.clock.monotonic();
+  await cluster.start(back);
+  for (let n = 0; !isVoting(back) && cluster.clock.monotonic() - begunAt < GIVEN_UP_MS; n += 1) {
+    cluster.propose(cluster.leader() ?? cluster.find('a'), `command ${n}`);
+    await cluster.clock.advance(COMMAND_MS);
+  }
+  return cluster.clock.monotonic() - begunAt;
+}
+
 const emptied: Record<string, (node: Node) => boolean> = {
   'the leader': (node) => node === cluster.leader(),
   'a follower': (node) => node !== cluster.leader(),
@@ -71,3 +89,16 @@
     },
   );
 });
+
+// Guards against a learner that has never caught up, as entries are committed faster than its answers come.
+test('an empty disk votes within 3 s while commands come all the time and messages take up to 500 ms', async () => {
+  const times: number[] = [];
+  for (const seed of SEEDS) {
+    cluster = new MemoryCluster(seed, ['a', 'b', 'c', 'd']);
+    cluster.network.maxDelayMs = 500;
+    await cluster.startAll();
+    times.push(await busyTimeToVote());
+    end();
+  }
+  expect(Math.max(...times)).toBeLessThanOrEqual(3_000);
+});
