Cut an answer by the latest time at which its request can have come

Cause: after a stall it isn't known when a request came. One bound, the earliest time, served two decisions that need opposite ones: whether work may begin for a caller that may be gone, and when a running answer is given up.

Change: nothing begins after the earliest time is over, and nothing is sent at all when it is over before the first sending; a running answer goes on until the latest one, or until its caller leaves.

--- a/packages/relay/src/answer/callerAnswer.ts
+++ b/packages/relay/src/answer/callerAnswer.ts
@@ -22,7 +22,9 @@
 /** One answer to a caller. Every method is harmless once the caller is gone. */
 export class CallerAnswer {
   private readonly left = new AbortController();
+  /** Earliest and latest time at which the request can have come: they differ by a stall. */
   private readonly startedAt: number;
+  private readonly readAt: number;
   private firstByte: number | undefined;
   private fault: Fault | undefined;
 
@@ -33,6 +35,7 @@
     stalls: StallWatch,
   ) {
     this.startedAt = stalls.readSince();
+    this.readAt = clock.monotonic();
     response.on('error', () => {
       this.left.abort(new Error('caller left'));
     });
@@ -66,6 +69,11 @@
     return this.clock.monotonic() - this.startedAt;
   }
 
+  /** The same at least, after a stall: since the request was read. */
+  leastAge(): number {
+    return this.clock.monotonic() - this.readAt;
+  }
+
   /** Milliseconds from the request to the first byte of the body. */
   get firstByteMs(): number | undefined {
     return this.firstByte;
--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -1,8 +1,10 @@
+import { once } from 'node:events';
 import { Agent, request as send } from 'node:http';
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { create } from '@bufbuild/protobuf';
 import { controlMessage } from '@jasmineroute/protocol';
+import { blockLoop, openConnections } from '@jasmineroute/testkit';
 import { afterEach, describe, expect, it } from 'vitest';
 import { relayEvents } from './events.js';
 import { Bed, answered, routeTo, until } from './testing/bed.js';
@@ -241,12 +243,14 @@
   // Guards against a request that never left and is said to have run, so that its caller gives up.
   it('says that a request was not run whose time was over before it left', async () => {
     const url = await start([routeTo({ timeoutMs: 150 })], 1);
-    const asked = ask(url);
-    await new Promise((resolve) => setImmediate(resolve));
-    const until = performance.now() + 200;
-    while (performance.now() < until);
-    const { status } = await asked;
-    expect([status, bed.arrivals()]).toEqual([503, 0]);
+    const [caller] = await openConnections(new URL(url).host, 1);
+    if (caller === undefined) throw new Error('no connection');
+    // Nothing of it is read before the loop stands still.
+    caller.write('GET /x HTTP/1.1\r\nhost: a.example\r\nt-id: q1\r\n\r\n');
+    blockLoop(250);
+    const [answer] = (await once(caller, 'data')) as [Buffer];
+    caller.destroy();
+    expect([answer.toString().slice(0, 12), bed.arrivals()]).toEqual(['HTTP/1.1 503', 0]);
   });
 
   it('stops the work of a caller that left', async () => {
--- a/packages/relay/src/stall.spec.ts
+++ b/packages/relay/src/stall.spec.ts
@@ -139,6 +139,28 @@
     expect(answers.filter((answer) => String(answer[0]).startsWith('HTTP/1.1 200'))).toHaveLength(CALLERS);
   });
 
+  // Guards against streams that are cut before their callers give up, as a request counts as older than it is.
+  it('get streams whole that end within their time', async () => {
+    bed = await Bed.start([routeTo({ kind: 'stream', timeoutMs: 2 * STALL_MS })]);
+    bed.target(1).script = (request, response) => {
+      response.writeHead(200, {
+        't-id': request.headers['t-id'],
+        't-signed': 'yes',
+        'content-type': 'text/event-stream',
+      });
+      response.write('id: 1\ndata: a\n\n');
+      setTimeout(() => response.end('id: 2\ndata: b\n\n'), STALL_MS + 100);
+    };
+    const [caller] = await openConnections(new URL(bed.url).host, 1);
+    if (caller === undefined) throw new Error('no connection');
+    let answer = '';
+    caller.on('data', (part: Buffer) => (answer += part.toString()));
+    caller.write(requestText(1, { connection: 'close' }));
+    blockLoop(STALL_MS + 100);
+    await once(caller, 'close');
+    expect(answer).toContain('data: b');
+  });
+
   // Guards against targets that are told of more time than is left, as a request counts as new when it is read.
   it('have no more time left than their targets are told of', async () => {
     bed = await Bed.start([routeTo()]);
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -19,7 +19,7 @@
   readonly route: Route;
   readonly service: Service;
   readonly customer?: Customer;
-  /** Monotonic time at which the request must have its final answer. */
+  /** Monotonic time at which the caller may be gone at the earliest: nothing begins after it. */
   readonly until: number;
 }
 
--- a/packages/relay/src/work/relayWork.ts
+++ b/packages/relay/src/work/relayWork.ts
@@ -124,6 +124,8 @@
     const limit = table.configuration.limits?.maxBodyBytes ?? DEFAULT_BODY_BYTES;
     const waitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const until = clock.monotonic() - this.answer.age() + waitMs;
+    // What runs goes on for as long as its caller may still wait for it.
+    const lastUntil = clock.monotonic() - this.answer.leastAge() + waitMs;
     const body = await readBody(this.incoming, limit, bodies);
     if (body.isErr()) {
       this.refuse(request, body.error, route);
@@ -132,7 +134,7 @@
     const name = drawService(route, this.context.random);
     const service = table.serviceOf(name);
     this.service = name;
-    const calledOff = clock.after(until - clock.monotonic(), () => {
+    const calledOff = clock.after(lastUntil - clock.monotonic(), () => {
       this.abort.abort(new FaultError(fault('deadline-exceeded', 'the time of the request is over')));
     });
     const onGone = (): void => {
@@ -168,6 +170,10 @@
     for (;;) {
       // A caller that left while the process stood still is known to be gone some turns later.
       await stalls.caughtUp();
+      if (this.sends === 0 && !this.hasTime(job)) {
+        last = { state: 'fault', fault: fault('deadline-unmeetable', 'its caller may be gone') };
+        break;
+      }
       const input = this.inputFor(job, tried);
       const placement = this.abort.signal.aborted ? undefined : placements.choose(input);
       if (placement === undefined) {
@@ -239,10 +245,15 @@
     return reason.fault;
   }
 
+  /** Whether its caller surely waits long enough for an answer of what is begun now. */
+  private hasTime({ until }: Job): boolean {
+    return until - this.context.clock.monotonic() >= LEAST_MS;
+  }
+
   private mayRepeat(job: Job, problem: Fault): boolean {
-    const { clock, budgets } = this.context;
-    const { route, until } = job;
-    if (this.abort.signal.aborted || until - clock.monotonic() < LEAST_MS) return false;
+    const { budgets } = this.context;
+    const { route } = job;
+    if (this.abort.signal.aborted || !this.hasTime(job)) return false;
     if (this.sends >= route.maxAttempts) return false;
     const isRepeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
     if (!isRepeatable && problem.ran !== 'not-run') return false;
