Read the configuration from the leader's state, confirmed by a quorum

Cause: a read was a command of the log. It waited behind the two batches that a proposer has under way, for the syncs of a quorum's disks, and for room.

Change: a query. The leader notes its commit index, has a quorum answer a message that it sends after the question, waits until all up to that index is applied, and answers from its state (read index, section 6.4 of the Raft dissertation). It asks at once rather than with the next heartbeat.

--- a/packages/control/src/configuration/configurationService.ts
+++ b/packages/control/src/configuration/configurationService.ts
@@ -55,10 +55,10 @@
     return this.accepted(configuration.number, Number(held), stored, begunAt);
   }
 
-  /** The newest configuration, read at its place in the log; undefined when there is none. Errors: as for `put`. */
+  /** The newest configuration, as the leader holds it once a quorum has confirmed it; undefined when there is none. Errors: as for `put`. */
   async read(): Promise<Result<SentConfiguration | undefined, Fault>> {
     const begunAt = this.clock.monotonic();
-    const outcome = await this.proposer.propose('readConfiguration', {});
+    const outcome = await this.proposer.query('readConfiguration', {});
     const tookMs = Math.round(this.clock.monotonic() - begunAt);
     outcome.match(
       ({ number }) => {
--- a/packages/control/src/log/commandLog.ts
+++ b/packages/control/src/log/commandLog.ts
@@ -45,6 +45,8 @@
   start(address: string): Promise<void>;
   /** Resolves with the result of applying, once a quorum holds the command. */
   propose(command: Uint8Array, timeoutMs: number): Promise<Result<Uint8Array, Fault>>;
+  /** Resolves with the answer to a command that changes nothing; all that was accepted before shows in it. */
+  query(command: Uint8Array, timeoutMs: number): Promise<Result<Uint8Array, Fault>>;
   status(): LogStatus;
   onStatus(listener: () => void): () => void;
   onApplied(listener: (index: bigint) => void): () => void;
--- a/packages/control/src/log/disklessLog.ts
+++ b/packages/control/src/log/disklessLog.ts
@@ -37,6 +37,10 @@
     return Promise.resolve(err(fault('no-quorum', 'this instance has no disk', { ran: 'not-run' })));
   }
 
+  query(): Promise<Result<Uint8Array, Fault>> {
+    return this.propose();
+  }
+
   status(): LogStatus {
     return STATUS;
   }
--- a/packages/control/src/log/proposer.ts
+++ b/packages/control/src/log/proposer.ts
@@ -67,10 +67,16 @@
       this.waitingBytes += command.byteLength;
       this.send();
     });
-    return outcome.andThen((union) => {
-      if (union.case !== name) return err(fault('internal', `outcome "${String(union.case)}" of "${name}"`));
-      return ok(union.value as OutcomeOf<C>);
-    });
+    return outcome.andThen((union) => valueOf(name, union));
+  }
+
+  /** Has a command answered that changes nothing. It waits behind no batch. */
+  async query<C extends CommandCase>(name: C, value: CommandFields<C>): Promise<Result<OutcomeOf<C>, Fault>> {
+    const batch = encodeBatch([encode({ case: name, value } as CommandInit)]);
+    const answer = await this.log.query(batch, this.limits.timeoutMs);
+    return answer
+      .andThen((outcomes) => pick(decodeOutcomes(outcomes), 0))
+      .andThen((union) => valueOf(name, union));
   }
 
   /** Resolves when nothing waits and nothing is on its way. */
@@ -118,9 +124,7 @@
 
   private async submit(commands: readonly Uint8Array[]): Promise<Result<OutcomeUnion[], Fault>> {
     const result = await this.log.propose(encodeBatch(commands), this.limits.timeoutMs);
-    return result.map((answer) =>
-      fromBinary(stateMessage.OutcomeBatchSchema, answer).outcomes.map(({ outcome }) => outcome),
-    );
+    return result.map(decodeOutcomes);
   }
 }
 
@@ -136,6 +140,15 @@
   return writer.finish();
 }
 
+function decodeOutcomes(answer: Uint8Array): OutcomeUnion[] {
+  return fromBinary(stateMessage.OutcomeBatchSchema, answer).outcomes.map(({ outcome }) => outcome);
+}
+
+function valueOf<C extends CommandCase>(name: C, union: OutcomeUnion): Result<OutcomeOf<C>, Fault> {
+  if (union.case !== name) return err(fault('internal', `outcome "${String(union.case)}" of "${name}"`));
+  return ok(union.value as OutcomeOf<C>);
+}
+
 function pick(outcomes: OutcomeUnion[], position: number): Result<OutcomeUnion, Fault> {
   const outcome = outcomes[position];
   if (outcome === undefined) return err(fault('internal', 'an outcome is missing'));
--- a/packages/control/src/state/controlState.ts
+++ b/packages/control/src/state/controlState.ts
@@ -7,6 +7,9 @@
 type KnownCommand = Exclude<stateMessage.Command['command'], { case: undefined }>;
 type Handler = (value: unknown, now: LogTime) => OutcomeValue;
 
+/** Commands that change nothing. */
+const QUERIES: ReadonlySet<CommandCase> = new Set(['readConfiguration']);
+
 /** Longest step of the state's time in one command, milliseconds. */
 export const MAX_STEP_MS = 2_000;
 
@@ -67,6 +70,14 @@
     return toBinary(stateMessage.OutcomeBatchSchema, create(stateMessage.OutcomeBatchSchema, { outcomes }));
   }
 
+  /** Answers commands that change nothing from the state as it is; never throws. */
+  query(batch: Uint8Array): Uint8Array {
+    const commands = readBatch(batch) ?? [];
+    const answered = commands.filter((command) => QUERIES.has(command.case));
+    const outcomes = answered.map((command) => ({ outcome: this.run(command) }));
+    return toBinary(stateMessage.OutcomeBatchSchema, create(stateMessage.OutcomeBatchSchema, { outcomes }));
+  }
+
   /**
    * The whole state.
    * @throws Error when broken: the log would take the entries that were not applied for part of the snapshot,
--- a/packages/coordination/src/agreement/agreementModel.spec.ts
+++ b/packages/coordination/src/agreement/agreementModel.spec.ts
@@ -7,7 +7,7 @@
 const RUNS = Number(process.env.MODEL_RUNS ?? 40);
 const LIMIT_MS = 900_000;
 
-type NodeAction = 'propose' | 'crash' | 'start' | 'isolate' | 'silence' | 'enlist' | 'wipe';
+type NodeAction = 'propose' | 'query' | 'crash' | 'start' | 'isolate' | 'silence' | 'enlist' | 'wipe';
 
 type Action =
   | { readonly kind: 'advance'; readonly ms: number }
@@ -23,6 +23,7 @@
   const node = fc.nat(nodes - 1);
   const weights: Record<Exclude<NodeAction, 'enlist' | 'wipe'>, number> = {
     propose: 6,
+    query: 4,
     crash: 2,
     start: 3,
     isolate: 2,
@@ -119,6 +120,9 @@
     const attempt = node && cluster.propose(node, 'last');
     await cluster.clock.advance(4_000);
     if (attempt?.outcome !== 'done') cluster.violations.push('no commit after the repair');
+    const query = node && cluster.query(node);
+    await cluster.clock.advance(4_000);
+    if (query?.outcome !== 'answered') cluster.violations.push('no answer after the repair');
     cluster.checkEnd(this.wanted);
   }
 
@@ -132,6 +136,9 @@
         this.count += 1;
         cluster.propose(node, `c${this.count}`);
         return;
+      case 'query':
+        cluster.query(node);
+        return;
       case 'crash':
         cluster.crash(node);
         return;
@@ -187,7 +194,7 @@
   fc.array(fc.oneof(...actions), { minLength: 20, maxLength: 80 });
 
 test(
-  'no history loses, reverts or doubles a committed entry, or has two leaders in a term',
+  'no history loses, reverts or doubles a committed entry, answers without one, or has two leaders in a term',
   async () => {
     const steps = histories(...actionsOn(3), wipes);
     const property = fc.asyncProperty(fc.integer(), steps, (seed, actions) => check(seed, actions, []));
--- a/packages/coordination/src/agreement/applier.ts
+++ b/packages/coordination/src/agreement/applier.ts
@@ -6,6 +6,7 @@
 import type { Snapshot } from '../storage/index.js';
 import type { Waiters } from './proposal.js';
 import type { Replica } from './replica.js';
+import { Signal } from './signal.js';
 import type { StateMachine } from './stateMachine.js';
 
 const NO_RESULT = new Uint8Array();
@@ -31,6 +32,7 @@
 export class Applier {
   lastApplied = 0n;
   readonly listeners = new Set<AppliedListener>();
+  private readonly appliedSome = new Signal();
   private configuration: Configuration | undefined;
   private entriesSince = 0;
   private bytesSince = 0;
@@ -61,6 +63,17 @@
     }
   }
 
+  /** Answers a query once all up to `index` is applied; undefined when that takes longer, or there are no queries. */
+  async query(command: Uint8Array, index: bigint, timeoutMs: number): Promise<Uint8Array | undefined> {
+    const { clock, tuning } = this.replica;
+    const endsAt = clock.monotonic() + timeoutMs;
+    while (this.lastApplied < index) {
+      if (this.replica.stopped || clock.monotonic() >= endsAt) return undefined;
+      await this.appliedSome.waitFor(clock, tuning.heartbeatMs);
+    }
+    return this.machine.query?.(command);
+  }
+
   /** The state up to the last applied entry. */
   snapshot(): Snapshot {
     const { replica, lastApplied: lastIndex } = this;
@@ -95,6 +108,7 @@
       if (replica.clock.monotonic() >= endsAt) break;
     }
     replica.metrics.gauge(coordinationMetrics.commitIndex, Number(this.lastApplied));
+    this.appliedSome.notify();
     if (this.isSnapshotDue()) await this.takeSnapshot();
   }
 
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -43,6 +43,8 @@
   private readonly arrived = new Signal();
   private readonly voterWatch = new VoterWatch(this);
   private readonly begunAt: number;
+  /** When a message was last wanted that confirms the lead, by the clock. */
+  private confirmAskedAt = -Infinity;
   /** Index of the term's first entry; 0 until it is written. */
   private firstIndex = 0n;
 
@@ -112,6 +114,41 @@
     );
   }
 
+  /**
+   * Confirms that this replica still led after the call. @returns the index of the last entry that was committed at the call;
+   * undefined when the term ended, or no quorum answered in time.
+   */
+  async confirm(timeoutMs: number): Promise<bigint | undefined> {
+    const { clock, tuning } = this.parts.replica;
+    const begunAt = clock.monotonic();
+    const endsAt = begunAt + timeoutMs;
+    while (this.isActive && !this.isEstablished && clock.monotonic() < endsAt) {
+      await this.parts.replica.changed.waitFor(clock, tuning.heartbeatMs);
+    }
+    const askedAt = clock.monotonic();
+    const index = this.parts.replica.commitIndex;
+    this.confirmAskedAt = askedAt;
+    this.work.notify();
+    while (this.isActive && this.isEstablished && clock.monotonic() < endsAt) {
+      if (this.hasAnswersSince(askedAt)) return index;
+      await this.work.waitFor(clock, tuning.heartbeatMs);
+    }
+    return undefined;
+  }
+
+  /** Whether a message is wanted that is newer than one sent at `sentAt`. */
+  wantsMessage(sentAt: number): boolean {
+    return sentAt < this.confirmAskedAt;
+  }
+
+  /** Whether a quorum answered messages that were sent after `askedAt`. */
+  private hasAnswersSince(askedAt: number): boolean {
+    const { configuration, id } = this.parts.replica;
+    const isAnswered = ({ replicaId }: Voter): boolean =>
+      replicaId === id || (this.progress.get(replicaId)?.answeredAt ?? -Infinity) >= askedAt;
+    return configuration !== undefined && isQuorum(configuration, isAnswered);
+  }
+
   /** Whether a replica answered a message sent within the last `windowMs` milliseconds. */
   isReachable(voter: Pick<Voter, 'replicaId'>, windowMs: number): boolean {
     const { replica } = this.parts;
--- a/packages/coordination/src/agreement/proposing.ts
+++ b/packages/coordination/src/agreement/proposing.ts
@@ -24,6 +24,15 @@
   readonly peers: PeerClient;
   readonly joining: Joining;
   readonly leadership: () => Leadership | undefined;
+  /** Answers a query once all up to an index is applied; undefined when that takes too long. */
+  readonly query: (command: Uint8Array, index: bigint, timeoutMs: number) => Promise<Uint8Array | undefined>;
+}
+
+/** What is brought to the leader. */
+interface Brought {
+  readonly command: Uint8Array;
+  /** Answered from the state of the leader, without a place in the log. */
+  readonly query: boolean;
 }
 
 /** Takes commands at one replica. */
@@ -34,7 +43,19 @@
    * Brings a command to the leader and waits for its result. As long as it surely did not run, it is tried
    * again, until `timeoutMs` is over.
    */
-  async propose(command: Uint8Array, timeoutMs: number): Promise<Outcome> {
+  propose(command: Uint8Array, timeoutMs: number): Promise<Outcome> {
+    return this.bring({ command, query: false }, timeoutMs);
+  }
+
+  /**
+   * Has the leader answer a command that changes nothing. It waits behind no other command, and needs no room in the log: only
+   * that a quorum answers a message of the leader's that was sent after the call.
+   */
+  query(command: Uint8Array, timeoutMs: number): Promise<Outcome> {
+    return this.bring({ command, query: true }, timeoutMs);
+  }
+
+  private async bring(brought: Brought, timeoutMs: number): Promise<Outcome> {
     const { replica } = this.parts;
     const end = replica.clock.monotonic() + timeoutMs;
     let last: Outcome = err(fault('no-quorum', 'no leader in time', { ran: 'not-run' }));
@@ -42,7 +63,7 @@
       const left = end - replica.clock.monotonic();
       if (left <= 0) return last;
       if (replica.stopped) return err(fault('stopping', 'the replica closed'));
-      const outcome = await this.attempt(command, left);
+      const outcome = await this.attempt(brought, left);
       if (outcome !== undefined) {
         const isFinal = outcome.isOk() || outcome.error.ran !== 'not-run' || !isTransient(outcome.error.kind);
         if (isFinal) return outcome;
@@ -67,11 +88,11 @@
   }
 
   /** Answers a command that another replica forwarded; never forwards it once more. */
-  async answer(command: Uint8Array): Promise<ProposeResponse> {
+  async answer({ command, query }: Brought): Promise<ProposeResponse> {
     const { replica } = this.parts;
     const leader = replica.leader ?? '';
     if (replica.stopped) return create(ProposeResponseSchema, { redirected: true, leader });
-    const outcome = await this.local(command, MAX_FORWARDED_MS);
+    const outcome = await this.local({ command, query }, MAX_FORWARDED_MS);
     if (outcome === undefined) return create(ProposeResponseSchema, { redirected: true, leader });
     if (outcome.isOk()) return create(ProposeResponseSchema, { result: outcome.value });
     const isNotRun = outcome.error.ran === 'not-run';
@@ -79,11 +100,11 @@
   }
 
   /** One attempt; undefined when there is no leader to try. */
-  private attempt(command: Uint8Array, timeoutMs: number): Promise<Outcome | undefined> {
+  private attempt(brought: Brought, timeoutMs: number): Promise<Outcome | undefined> {
     const { replica } = this.parts;
-    if (replica.role === 'leader') return this.local(command, timeoutMs);
+    if (replica.role === 'leader') return this.local(brought, timeoutMs);
     const address = this.leaderAddress();
-    return address === undefined ? Promise.resolve(undefined) : this.forward(address, command, timeoutMs);
+    return address === undefined ? Promise.resolve(undefined) : this.forward(address, brought, timeoutMs);
   }
 
   private leaderAddress(): string | undefined {
@@ -91,10 +112,23 @@
     return replica.others.find(({ name }) => name === replica.leader)?.address;
   }
 
-  private async local(command: Uint8Array, timeoutMs: number): Promise<Outcome | undefined> {
-    const { replica, leadership } = this.parts;
-    const current = leadership();
+  private async local({ command, query }: Brought, timeoutMs: number): Promise<Outcome | undefined> {
+    const current = this.parts.leadership();
     if (current?.isActive !== true) return undefined;
+    return query ? this.ask(current, command, timeoutMs) : this.commit(current, command, timeoutMs);
+  }
+
+  private async ask(current: Leadership, command: Uint8Array, timeoutMs: number): Promise<Outcome> {
+    const { clock } = this.parts.replica;
+    const endsAt = clock.monotonic() + timeoutMs;
+    const index = await current.confirm(timeoutMs);
+    if (index === undefined) return notConfirmed();
+    const answer = await this.parts.query(command, index, endsAt - clock.monotonic());
+    return answer === undefined ? notConfirmed() : ok(answer);
+  }
+
+  private async commit(current: Leadership, command: Uint8Array, timeoutMs: number): Promise<Outcome> {
+    const { replica } = this.parts;
     const begunAt = replica.clock.monotonic();
     const outcome = await new Promise<Outcome>((resolve) => {
       const cancel = replica.clock.after(timeoutMs, () => {
@@ -112,9 +146,9 @@
     return outcome;
   }
 
-  private async forward(address: string, command: Uint8Array, timeoutMs: number): Promise<Outcome> {
+  private async forward(address: string, brought: Brought, timeoutMs: number): Promise<Outcome> {
     const { peers, replica } = this.parts;
-    const request = create(ProposeRequestSchema, { command });
+    const request = create(ProposeRequestSchema, brought);
     const answer = await peers.call(address, (client, signal) => client.propose(request, { signal }), {
       timeoutMs,
     });
@@ -130,5 +164,9 @@
   }
 }
 
+/** A query changes nothing, so it is known not to have run when it was not answered. */
+const notConfirmed = (): Outcome =>
+  err(fault('no-quorum', 'no quorum confirmed the leader in time', { ran: 'not-run' }));
+
 /** Kinds after which another attempt can succeed within the caller's time. */
 const isTransient = (kind: string): boolean => kind !== 'storage-failed';
--- /dev/null
+++ b/packages/coordination/src/agreement/query.spec.ts
@@ -0,0 +1,78 @@
+/** Commands that change nothing, answered from the leader's state. */
+import { afterEach, expect, test } from 'vitest';
+import { MemoryCluster } from '../testing/index.js';
+import type { Node } from '../testing/index.js';
+
+/** Longest wait of an operator for one answer, milliseconds. */
+const PATIENCE_MS = 900;
+
+let cluster: MemoryCluster;
+
+async function started(names: readonly string[], tuning = {}): Promise<Node> {
+  cluster = new MemoryCluster(7, names, tuning);
+  await cluster.startAll();
+  expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
+  const leader = cluster.leader();
+  if (leader === undefined) throw new Error('no leader');
+  return leader;
+}
+
+function isolate(node: Node): void {
+  for (const other of cluster.nodes) {
+    if (other !== node) cluster.network.cut(node.address.address, other.address.address);
+  }
+}
+
+async function outcomeAt(node: Node): Promise<string> {
+  const query = cluster.query(node, PATIENCE_MS);
+  await cluster.until(() => query.outcome !== 'open', 2 * PATIENCE_MS);
+  return query.outcome;
+}
+
+afterEach(() => {
+  expect(cluster.violations).toEqual([]);
+  for (const node of cluster.nodes) cluster.crash(node);
+});
+
+test('a query is answered at every replica, with all that was accepted before', async () => {
+  const leader = await started(['a', 'b', 'c']);
+  const attempt = cluster.propose(leader, 'accepted');
+  await cluster.until(() => attempt.outcome === 'done', 5_000);
+  for (const node of cluster.nodes) expect(await outcomeAt(node)).toBe('answered');
+});
+
+// Guards against answers of a leader that others have replaced: they lack what was accepted since.
+test('a leader that is cut off answers no query', async () => {
+  const old = await started(['a', 'b', 'c']);
+  isolate(old);
+  const leads = (node: Node): boolean => node !== old && node.replica?.status().state === 'leader';
+  await cluster.until(() => cluster.nodes.some(leads), 1_400);
+  const next = cluster.nodes.find(leads);
+  const attempt = next && cluster.propose(next, 'accepted since');
+  await cluster.until(() => attempt?.outcome === 'done', 500);
+  expect(old.replica?.status().state).toBe('leader');
+  expect(await outcomeAt(old)).toBe('refused');
+});
+
+// Guards against a read that waits behind commands which wait for a quorum's disks.
+test('a query is answered while commands wait for slow disks', async () => {
+  const leader = await started(['a', 'b', 'c'], { maxUncommittedBytes: 1_000 });
+  for (const node of cluster.nodes) node.disk.syncDelay = () => cluster.clock.sleep(5_000);
+  cluster.propose(leader, 'x'.repeat(1_000), 20_000);
+  await cluster.clock.advance(300);
+  for (const node of cluster.nodes) expect(await outcomeAt(node)).toBe('answered');
+});
+
+// Guards against an answer of a leader that has not committed anything in its term, and may not know of what was accepted.
+test('a query at a new leader waits for what the last one accepted', async () => {
+  const old = await started(['a', 'b', 'c']);
+  const attempt = cluster.propose(old, 'accepted');
+  await cluster.until(() => attempt.outcome === 'done', 5_000);
+  cluster.crash(old);
+  await cluster.until(
+    () => cluster.nodes.some(({ replica }) => replica?.status().state === 'leader'),
+    10_000,
+  );
+  const next = cluster.nodes.find(({ replica }) => replica?.status().state === 'leader');
+  expect(next && (await outcomeAt(next))).toBe('answered');
+});
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -81,7 +81,9 @@
     this.joining = new Joining(replica, this.peers, options.initialReplicas, () => this.report());
     this.reconfiguration = new Reconfiguration(replica, this.joining);
     this.contact = new Contact(replica, this.applier, this.follower, leadership);
-    this.proposing = new Proposing({ replica, peers: this.peers, joining: this.joining, leadership });
+    const query = (command: Uint8Array, index: bigint, timeoutMs: number) =>
+      this.applier.query(command, index, timeoutMs);
+    this.proposing = new Proposing({ replica, peers: this.peers, joining: this.joining, leadership, query });
     if (recovered.snapshot !== undefined) this.applier.restore(recovered.snapshot);
   }
 
@@ -103,7 +105,7 @@
       append: checked(requestChecks.append, (request) => this.serve(() => this.follower.append(request))),
       install: checked(requestChecks.install, (request) => this.serve(() => this.follower.install(request))),
       join: checked(requestChecks.join, (request) => this.serve(() => this.joining.answer(request))),
-      propose: checked(requestChecks.propose, ({ command }) => this.proposing.answer(command)),
+      propose: checked(requestChecks.propose, (request) => this.proposing.answer(request)),
     });
   }
 
@@ -128,6 +130,14 @@
     return this.proposing.propose(command, timeoutMs);
   }
 
+  /**
+   * Has the leader answer a command that changes nothing, from any replica: all that was accepted before the call shows in the
+   * answer. Errors: not-leader, no-quorum, stopping.
+   */
+  query(command: Uint8Array, timeoutMs: number): Promise<Result<Uint8Array, Fault>> {
+    return this.proposing.query(command, timeoutMs);
+  }
+
   /** What this replica knows of itself. */
   status(): ReplicaStatus {
     const { replica } = this;
--- a/packages/coordination/src/agreement/replication.ts
+++ b/packages/coordination/src/agreement/replication.ts
@@ -40,7 +40,10 @@
   const { clock, tuning, committedAt } = leadership.parts.replica;
   const heartbeat = progress.sentAt + tuning.heartbeatMs;
   const notice = isNoticeOpen(leadership, progress) ? committedAt + tuning.commitNoticeMs : heartbeat;
-  const due = Math.max(Math.min(heartbeat, notice), progress.pausedUntil);
+  const confirmation = leadership.wantsMessage(progress.sentAt)
+    ? progress.sentAt + tuning.commitNoticeMs
+    : heartbeat;
+  const due = Math.max(Math.min(heartbeat, notice, confirmation), progress.pausedUntil);
   return Math.max(1, due - clock.monotonic());
 }
 
@@ -56,6 +59,7 @@
   const now = replica.clock.monotonic();
   if (now < progress.pausedUntil) return false;
   if (now - progress.sentAt >= heartbeatMs) return true;
+  if (leadership.wantsMessage(progress.sentAt) && now - progress.sentAt >= commitNoticeMs) return true;
   if (progress.inFlight >= (groupCommit ? maxInFlight : 1)) return false;
   if (progress.next <= replica.entries.last.index) return hasRoom(leadership, progress);
   return isNoticeOpen(leadership, progress) && now >= replica.committedAt + commitNoticeMs;
--- a/packages/coordination/src/agreement/stateMachine.ts
+++ b/packages/coordination/src/agreement/stateMachine.ts
@@ -7,6 +7,8 @@
 export interface StateMachine {
   /** Runs a command; the result goes to whoever proposed it. Must not throw. */
   apply(index: bigint, command: Uint8Array): Uint8Array;
+  /** Answers a command that changes nothing, from the state as it is. Must not throw. Without it there are no queries. */
+  query?(command: Uint8Array): Uint8Array;
   /** The whole state. */
   snapshot(): Uint8Array;
   /** Replaces the whole state. */
--- a/packages/coordination/src/testing/memoryCluster.ts
+++ b/packages/coordination/src/testing/memoryCluster.ts
@@ -26,6 +26,11 @@
     return Buffer.from(`done ${text}`);
   }
 
+  /** All commands, whatever is asked. */
+  query(): Uint8Array {
+    return this.snapshot();
+  }
+
   snapshot(): Uint8Array {
     return Buffer.from(JSON.stringify(this.commands));
   }
@@ -51,6 +56,11 @@
   outcome: 'open' | 'done' | 'not-run' | 'may-have-run';
 }
 
+/** What became of a query. */
+export interface Query {
+  outcome: 'open' | 'answered' | 'refused';
+}
+
 /** A repeatable source of random numbers in [0, 1) (mulberry32). */
 export function seeded(seed: number): () => number {
   let state = seed;
@@ -177,6 +187,20 @@
     return attempt;
   }
 
+  /** Asks at a node; an answer in which something is missing that was accepted before is noted. */
+  query(node: Node, timeoutMs = 3_000): Query {
+    const query: Query = { outcome: 'open' };
+    const accepted = this.attempts.filter(({ outcome }) => outcome === 'done');
+    void node.replica?.query(Buffer.from('all'), timeoutMs).then((result) => {
+      query.outcome = result.isOk() ? 'answered' : 'refused';
+      if (result.isErr()) return;
+      const told = JSON.parse(Buffer.from(result.value).toString()) as string[];
+      const missing = accepted.filter(({ command }) => !told.includes(command));
+      for (const { command } of missing) this.violations.push(`${command} was accepted and is not told`);
+    });
+    return query;
+  }
+
   /** Moves time on until the condition holds. Returns whether it did within `limitMs`. */
   async until(condition: () => boolean, limitMs: number): Promise<boolean> {
     const end = this.clock.monotonic() + limitMs;
