Log and count what tells the hypotheses apart: software versions, and streams taken up

Cause: no process of ours knew the software version of a target: the platform's translation dropped it, and no message, view or log line held it. A request that takes up a stream was logged like any other. Change: the version travels with the announcement (an optional field; a process of an older release drops it, and one that knows it keeps it); 8108, 3017 and 8002 name it. 8002 also names the request that is taken up and the event after which. No decision uses any of it yet.

--- a/packages/control/src/targets/targetRegistry.spec.ts
+++ b/packages/control/src/targets/targetRegistry.spec.ts
@@ -50,6 +50,12 @@
     expect(registry.since(position).map(({ announcement }) => announcement)).toEqual([Announcement.DRAINING]);
   });
 
+  it('relays the software version, and keeps it when the process beside the target announces it without', () => {
+    registry.beat(heartbeat(1, { softwareVersion: 'v1.1' }));
+    registry.beat(heartbeat(2));
+    expect(registry.since(0).map(({ softwareVersion }) => softwareVersion)).toEqual(['v1.1']);
+  });
+
   it('ignores a heartbeat that arrives after a newer one', () => {
     // Guards against new work for a draining target: an older heartbeat is delayed and arrives after the newer one.
     registry.beat(heartbeat(5, { draining: true }));
--- a/packages/control/src/targets/targetRegistry.ts
+++ b/packages/control/src/targets/targetRegistry.ts
@@ -30,6 +30,8 @@
   readonly service: string;
   readonly address: string;
   readonly dataCentre: string;
+  /** Version of the target's software; absent or empty: not known. */
+  readonly softwareVersion?: string;
   readonly capacity: number;
   readonly draining: boolean;
   /** Grows with each heartbeat of the same start of the target. */
@@ -52,9 +54,9 @@
 
 /** A target's state without the fields that change with each heartbeat, for comparison. */
 function comparableState(target: controlMessage.AnnouncedTarget): string {
-  const { service, address, announcement, capacity, weights, paused } = target;
+  const { service, address, softwareVersion, announcement, capacity, weights, paused } = target;
   const versions = weights.map(({ model, version }) => `${model}@${version}`);
-  return [service, address, announcement, capacity, paused, ...versions].join(' ');
+  return [service, address, softwareVersion, announcement, capacity, paused, ...versions].join(' ');
 }
 
 /**
@@ -109,9 +111,9 @@
    * never reverts a call of the target.
    */
   announce(announced: controlMessage.AnnouncedTarget): void {
-    const { service, address, dataCentre, capacity, weights } = announced;
+    const { service, address, dataCentre, softwareVersion, capacity, weights } = announced;
     const versions = weights.map(({ model, version }) => ({ model, version: Number(version) }));
-    const fields = { service, address, dataCentre, capacity, weights: versions };
+    const fields = { service, address, dataCentre, softwareVersion, capacity, weights: versions };
     this.beat({ ...startOf(announced), ...fields, draining: false, sequence: 0, coldMs: 0 });
   }
 
@@ -230,6 +232,7 @@
       target: target.id,
       service: target.service,
       address: target.address,
+      softwareVersion: target.softwareVersion,
       state: Announcement[target.announcement],
       before: known === undefined ? undefined : Announcement[known.target.announcement],
       paused: target.paused,
@@ -263,6 +266,7 @@
   known?: controlMessage.AnnouncedTarget,
 ): controlMessage.AnnouncedTarget {
   const { service, address, dataCentre, capacity, draining, sequence, coldMs, weights } = heartbeat;
+  const { softwareVersion = '' } = heartbeat;
   const versions = weights.map(({ model, version }) =>
     create(controlMessage.NamedWeightsSchema, { model, version: BigInt(version) }),
   );
@@ -270,6 +274,8 @@
     service,
     address,
     dataCentre,
+    // The process beside a target announces it without its version.
+    softwareVersion: softwareVersion === '' ? known?.softwareVersion : softwareVersion,
     capacity,
     coldMs,
     id: startId(heartbeat),
--- a/packages/knowledge/src/targetList.spec.ts
+++ b/packages/knowledge/src/targetList.spec.ts
@@ -10,7 +10,7 @@
   id: string,
   sequence: number,
   announcement = Announcement.READY,
-  change: { address?: string; paused?: boolean; observation?: bigint } = {},
+  change: { address?: string; softwareVersion?: string; paused?: boolean; observation?: bigint } = {},
 ): controlMessage.AnnouncedTarget =>
   create(AnnouncedTargetSchema, {
     id,
@@ -52,6 +52,13 @@
     expect(ready()).toEqual([]);
   });
 
+  // Guards against a known software version that is lost when a process of an older release relays the target without it.
+  it.each([1, 3])('keeps the software version when announcement %i comes without it', (sequence) => {
+    list.apply('c1', [announced('t1', 2, Announcement.READY, { softwareVersion: 'v1.1' })], true);
+    list.apply('c2', [announced('t1', sequence)], true);
+    expect(list.ready('s').map(({ softwareVersion }) => softwareVersion)).toEqual(['v1.1']);
+  });
+
   it('keeps the known targets while no control instance is left', async () => {
     list.apply('c1', [announced('t1', 1)], true);
     list.lost('c1');
--- a/packages/knowledge/src/targetList.ts
+++ b/packages/knowledge/src/targetList.ts
@@ -20,6 +20,8 @@
   /** host:port. */
   readonly address: string;
   readonly dataCentre: string;
+  /** Version of the target's software; empty: not known. */
+  readonly softwareVersion: string;
   /** Requests that may run at once. */
   readonly capacity: number;
   /** Version of the weights of each model, as announced. */
@@ -160,9 +162,10 @@
     const state = stateOf(known);
     if (state === before) return;
     known.changedAt = now;
-    const { id, service, address, paused } = known.target;
+    const { id, service, address, softwareVersion, paused } = known.target;
     if (paused) for (const listener of this.pauseListeners) listener(id);
-    this.log.event(knowledgeEvents.targetChanged, { target: id, service, address, state, before, control });
+    const target = { target: id, service, address, softwareVersion };
+    this.log.event(knowledgeEvents.targetChanged, { ...target, state, before, control });
   }
 
   /** The newest announcement counts. Final ones stay, even against a newer sequence of a process that was suspended. */
@@ -177,7 +180,9 @@
     const received = targetOf(announced);
     const weights = newestVersions(known.target.weights, received.weights);
     const paused = hasNewestObservation ? received.paused : known.target.paused;
-    known.target = { ...(isNewer ? received : known.target), weights, paused };
+    // A process of an older release relays announcements without the version.
+    const softwareVersion = newestText(isNewer, received.softwareVersion, known.target.softwareVersion);
+    known.target = { ...(isNewer ? received : known.target), softwareVersion, weights, paused };
     if (isNewer) known.sequence = announced.sequence;
     if (hasNewestObservation) known.observation = announced.observation;
   }
@@ -220,6 +225,11 @@
   return isReady(known) ? 'ready' : 'silent';
 }
 
+/** The received text if it is newer or the known one is empty; never an empty text in place of a known one. */
+function newestText(isNewer: boolean, received: string, known: string): string {
+  return (isNewer && received !== '') || known === '' ? received : known;
+}
+
 /** The newer version of each model: versions of weights only grow. */
 function newestVersions(
   first: ReadonlyMap<string, number>,
@@ -231,7 +241,8 @@
 }
 
 function targetOf(announced: controlMessage.AnnouncedTarget): Target {
-  const { id, service, address, dataCentre, capacity, weights, paused } = announced;
+  const { id, service, address, dataCentre, softwareVersion, capacity, weights, paused } = announced;
   const versions = new Map(weights.map(({ model, version }) => [model, Number(version)]));
-  return { ...startOf(announced), id, service, address, dataCentre, capacity, weights: versions, paused };
+  const place = { service, address, dataCentre, softwareVersion };
+  return { ...startOf(announced), ...place, id, capacity, weights: versions, paused };
 }
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -14,5 +14,15 @@
     help: 'Time from the request to the first body byte',
   },
   attempts: { name: 'relay.attempt.count', type: 'counter', help: 'Requests sent to targets, by outcome' },
+  takeUps: {
+    name: 'relay.stream.take_ups',
+    type: 'counter',
+    help: 'Requests to go on with a stream that broke, by outcome',
+  },
+  continued: {
+    name: 'relay.stream.continued',
+    type: 'counter',
+    help: 'Streams that went on at another target within one answer, by whether that has the same software version',
+  },
   open: { name: 'relay.request.open', type: 'gauge', help: 'Requests in progress' },
 });
--- a/packages/relay/src/placement/placement.spec.ts
+++ b/packages/relay/src/placement/placement.spec.ts
@@ -17,6 +17,7 @@
   service: 's',
   address: `${id}:1`,
   dataCentre,
+  softwareVersion: 'v1',
   capacity: 4,
   weights: new Map([['m', version]]),
   paused: false,
--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -297,6 +297,18 @@
     expect(answer.headers['t-signed']).toBe('yes');
   });
 
+  it('logs the software version of each target, and what a request takes up', async () => {
+    const url = await start([routeTo(stream)], 1);
+    scriptInTurn(
+      events(3, 5, (response) => response.end()),
+      reset,
+    );
+    await ask(url, { id: 'q2', headers: { 't-resumes': 'q1', 't-last': '2' } });
+    expect(bed.attempts).toMatchObject([
+      { request: 'q2', target: 't1', softwareVersion: 'v1', resumes: 'q1', resumesAfter: '2' },
+    ]);
+  });
+
   it('breaks off a stream that is not resumable, so that it never appears complete', async () => {
     const url = await start([routeTo({ ...stream, resumable: false })], 2);
     const interruptedStream = events(0, 1, (response) => {
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -117,7 +117,7 @@
 
 /** Fields of a target's announcement that a test can change. */
 type AnnouncementChange = Partial<
-  Pick<controlMessage.AnnouncedTarget, 'paused' | 'observation' | 'weights' | 'sequence'>
+  Pick<controlMessage.AnnouncedTarget, 'paused' | 'observation' | 'weights' | 'sequence' | 'softwareVersion'>
 >;
 
 /** Counts the connections that the entry accepts. */
@@ -144,6 +144,8 @@
   readonly targets: ScriptedTarget[] = [];
   /** Ids of the events that the entry has logged. */
   readonly logged: number[] = [];
+  /** Fields of the log lines for requests sent to targets. */
+  readonly attempts: Readonly<Record<string, unknown>>[] = [];
   /** Readiness reasons that the entry has logged. */
   readonly readinessReasons: unknown[] = [];
   /** Called for each request sent to a target, in the event loop turn in which it is sent. */
@@ -166,9 +168,10 @@
         stalls: this.stalls,
         log: {
           ...silentLog,
-          event: ({ id }, { reason } = {}) => {
+          event: ({ id }, fields = {}) => {
             this.logged.push(id);
-            if (id === relayEvents.readiness.id) this.readinessReasons.push(reason);
+            if (id === relayEvents.attempted.id) this.attempts.push(fields);
+            if (id === relayEvents.readiness.id) this.readinessReasons.push(fields.reason);
           },
         },
         metrics: silentMetrics,
@@ -251,6 +254,7 @@
         service: 's',
         address,
         dataCentre: 'here',
+        softwareVersion: 'v1',
         capacity: 4,
         announcement: Announcement.READY,
         sequence: 1n,
--- a/packages/relay/src/testing/dialect.ts
+++ b/packages/relay/src/testing/dialect.ts
@@ -32,6 +32,8 @@
       deadlineMs: numberOf(incoming.headers['t-deadline']),
       key: firstOf(incoming.headers['t-key']),
       prompt: promptOf(incoming),
+      lastEventId: firstOf(incoming.headers['t-last']),
+      resumes: firstOf(incoming.headers['t-resumes']),
       headers: { 't-id': firstOf(incoming.headers['t-id']) ?? '' },
     }),
   targetHeaders: (request, addedFields) => ({
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -196,12 +196,14 @@
       last = await this.attempt(job, placement);
       if (last.state === 'answered') {
         metrics.count(relayMetrics.requests, 1, { kind: job.route.kind, outcome: 'answered' });
+        this.countTakeUp(job.request, 'answered');
         this.recordTimings();
         return;
       }
       if (!this.countsAsAttempt(last.fault)) this.sends -= 1;
       if (!this.mayRetry(job, last.fault)) break;
     }
+    this.countTakeUp(job.request, 'unanswered');
     if (this.answer.gone.aborted) {
       log.event(relayEvents.callerGone, {
         request: job.request.id,
@@ -344,6 +346,10 @@
       : forwardAnswer(this.context, this.answer, answer);
   }
 
+  private countTakeUp({ lastEventId }: RelayRequest, outcome: 'answered' | 'unanswered'): void {
+    if (lastEventId !== undefined) this.context.metrics.count(relayMetrics.takeUps, 1, { outcome });
+  }
+
   /** Whether a stream may move to another target; takes the retry for it from the budget. */
   private reserveMove(): boolean {
     return this.sends < this.maxAttempts && this.context.budgets.withdraw(this.service);
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -5,6 +5,7 @@
 import type { Target } from '@jasmineroute/knowledge';
 import { EventFramer } from '../answer/index.js';
 import type { CallerAnswer } from '../answer/index.js';
+import { relayMetrics } from '../metrics.js';
 import { UNRESPONSIVE_MS } from '../target/index.js';
 import type { OpenRequest } from '../target/index.js';
 import type { TargetAnswer } from './attempt.js';
@@ -24,6 +25,8 @@
   /** Whether the current answer was abandoned so that the stream can resume at another target. */
   isMoving = false;
   private eventAt: number | undefined;
+  /** Target that sent the last event. */
+  private eventFrom: Target | undefined;
   /** Monotonic time of the last event from the current target. */
   private targetEventAt: number | undefined;
 
@@ -51,6 +54,7 @@
         if (events.length === 0) continue;
         open.markRead();
         begin();
+        this.recordTarget(target);
         this.recordEvent(target.id, framer.lastId);
         await this.answer.write(events);
         if (this.isMoving) wire.abandon();
@@ -78,6 +82,15 @@
     this.targetEventAt = now;
   }
 
+  /** Counts a stream that goes on at another target. */
+  private recordTarget(target: Target): void {
+    const before = this.eventFrom;
+    this.eventFrom = target;
+    if (before === undefined || before === target) return;
+    const isSame = before.softwareVersion !== '' && before.softwareVersion === target.softwareVersion;
+    this.context.metrics.count(relayMetrics.continued, 1, { version: isSame ? 'same' : 'other' });
+  }
+
   private startMove(): boolean {
     this.isMoving ||= this.reserveMove();
     return this.isMoving;
