--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -297,6 +297,72 @@
     expect(answer.headers['t-signed']).toBe('yes');
   });
 
+  // Guards against one answer with events of two software versions.
+  it('resumes a stream at no target of another software version', async () => {
+    const url = await start([routeTo({ ...stream, maxAttempts: 3 })], 3);
+    const versions = { t1: 'v1', t2: 'v1', t3: 'v1.1' };
+    bed.announceVersions(versions);
+    const interruptedStream = events(0, 2, (response) => response.socket?.resetAndDestroy());
+    scriptInTurn(interruptedStream, (request, response, body) => {
+      events(Number(request.headers['t-after']) + 1, 5, (written) => written.end())(request, response, body);
+    });
+    for (let n = 0; n < 12; n += 1) {
+      for (const target of bed.targets) target.requests.length = 0;
+      const { whole } = await ask(url, { id: `q${n}` });
+      const used = bed.targets.filter(({ requests }) => requests.length > 0).map(({ id }) => id);
+      expect([['t1', 't2'], ['t3']]).toContainEqual(used);
+      expect(whole).toBe(used.length === 2);
+    }
+  });
+
+  // Guards against a stream that leaves its target for one of another software version, or that breaks off for lack of another.
+  it('keeps a stream at a target that pauses when no other one has its software version', async () => {
+    const url = await start([routeTo(stream)], 2);
+    bed.announceVersions({ t1: 'v1', t2: 'v1.1' });
+    let end = (): void => undefined;
+    scriptInTurn(
+      events(0, 1, (response) => {
+        end = (): void => {
+          response.write(text(2, 3));
+          response.end();
+        };
+      }),
+      reset,
+    );
+    const asked = ask(url, {
+      onData: (seen) => {
+        if (seen !== text(0, 1)) return;
+        const [begun] = bed.targets.filter(({ requests }) => requests.length > 0);
+        bed.announce({ [begun?.id ?? '']: { paused: true, observation: 1n } });
+        setTimeout(() => {
+          end();
+        }, 400);
+      },
+    });
+    expect(await asked).toMatchObject({ status: 200, body: text(0, 3), whole: true });
+    expect(bed.arrivalCount()).toBe(1);
+  });
+
+  // Guards against an entry out of touch that takes the one software version it knows for the only one.
+  it('refuses to take up a stream whose software version nobody tells', async () => {
+    const url = await start([routeTo(stream)], 2);
+    scriptInTurn(
+      events(3, 5, (response) => response.end()),
+      reset,
+    );
+    const answer = await ask(url, { id: 'q2', headers: { 't-resumes': 'q1', 't-last': '2' } });
+    expect(answer).toMatchObject({ status: 503, headers: { 't-ran': 'not-run' } });
+    expect(bed.arrivalCount()).toBe(0);
+  });
+
+  // Guards against a guess: without the request that began it, nobody knows which version a stream has.
+  it('refuses to take up a stream without the name of the request that began it', async () => {
+    const url = await start([routeTo(stream)], 1);
+    const answer = await ask(url, { id: 'q2', headers: { 't-last': '2' } });
+    expect(answer).toMatchObject({ status: 503, headers: { 't-ran': 'not-run' } });
+    expect(bed.arrivalCount()).toBe(0);
+  });
+
   it('logs the software version of each target, and what a request takes up', async () => {
     const url = await start([routeTo(stream)], 1);
     scriptInTurn(
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -265,6 +265,15 @@
     this.controlStub.publish({ targets });
   }
 
+  /** Announces the software versions of targets, by id. */
+  announceVersions(versions: Readonly<Record<string, string>>): void {
+    const changes = Object.entries(versions).map(([id, softwareVersion]) => [
+      id,
+      { softwareVersion, sequence: 2n },
+    ]);
+    this.announce(Object.fromEntries(changes) as Record<string, AnnouncementChange>);
+  }
+
   /** Reports that a target has a part in its cache. */
   reportCached(target: ScriptedTarget, part: StoredPart): void {
     const added = [partKey(target.address, part)];
