A stream goes on within one answer only at the software version that began it

Callers saw one answer with events of two versions. A stream also left a paused target when nobody else could take it over. Change: the first event sent to the caller binds the stream to the version of its target; only targets of that version are candidates from then on, and an unknown version equals none. A stream leaves a target on its own accord only if such a candidate is there, as the target itself may still finish it. The versions of two starts are equal only if both are known, so no view, however old, can join two versions here.

--- a/packages/knowledge/src/targetList.ts
+++ b/packages/knowledge/src/targetList.ts
@@ -90,6 +90,11 @@
     return there.sort((a, b) => b.since - a.since)[0]?.target;
   }
 
+  /** Software version of a start of a target, of one that has ended too; empty: not known. */
+  softwareVersionOf(id: string): string {
+    return this.targets.get(id)?.target.softwareVersion ?? '';
+  }
+
   /** Number of targets of a service that accept work or are paused. */
   count(service: string): number {
     return [...this.targets.values()].filter((known) => known.target.service === service && isServing(known))
--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -299,10 +299,10 @@
 
   // Guards against one answer with events of two software versions.
   it('resumes a stream at no target of another software version', async () => {
-    const url = await start([routeTo({ ...stream, maxAttempts: 3 })], 3);
-    const versions = { t1: 'v1', t2: 'v1', t3: 'v1.1' };
-    bed.announceVersions(versions);
-    const interruptedStream = events(0, 2, (response) => response.socket?.resetAndDestroy());
+    const url = await start([routeTo({ ...stream, maxAttempts: 3 })], 3, {}, { t3: 'v1.1' });
+    const interruptedStream = events(0, 2, (response) => {
+      response.write('id: 3\nda', () => response.socket?.resetAndDestroy());
+    });
     scriptInTurn(interruptedStream, (request, response, body) => {
       events(Number(request.headers['t-after']) + 1, 5, (written) => written.end())(request, response, body);
     });
@@ -317,8 +317,7 @@
 
   // Guards against a stream that leaves its target for one of another software version, or that breaks off for lack of another.
   it('keeps a stream at a target that pauses when no other one has its software version', async () => {
-    const url = await start([routeTo(stream)], 2);
-    bed.announceVersions({ t1: 'v1', t2: 'v1.1' });
+    const url = await start([routeTo(stream)], 2, {}, { t2: 'v1.1' });
     let end = (): void => undefined;
     scriptInTurn(
       events(0, 1, (response) => {
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -117,7 +117,7 @@
 
 /** Fields of a target's announcement that a test can change. */
 type AnnouncementChange = Partial<
-  Pick<controlMessage.AnnouncedTarget, 'paused' | 'observation' | 'weights' | 'sequence' | 'softwareVersion'>
+  Pick<controlMessage.AnnouncedTarget, 'paused' | 'observation' | 'weights' | 'sequence'>
 >;
 
 /** Counts the connections that the entry accepts. */
@@ -155,6 +155,8 @@
   private readonly stalls = new CountingStallWatch(systemClock);
   private readonly relay: Relay;
   private number = 0;
+  /** Software versions of targets by id, where they are others than v1. */
+  private softwareVersions: Readonly<Record<string, string>> = {};
 
   private constructor(control: string) {
     this.stalls.start();
@@ -189,8 +191,14 @@
   }
 
   /** Starts an entry with some targets and a configuration, and waits until it is ready. */
-  static async start(routes: Route[], targets = 1, extra: Partial<Configuration> = {}): Promise<RelayBed> {
+  static async start(
+    routes: Route[],
+    targets = 1,
+    extra: Partial<Configuration> = {},
+    softwareVersions: Readonly<Record<string, string>> = {},
+  ): Promise<RelayBed> {
     const bed = await RelayBed.create(targets);
+    bed.softwareVersions = softwareVersions;
     bed.announce();
     bed.configure(routes, extra);
     await until(() => bed.relay.readiness().ready);
@@ -254,7 +262,7 @@
         service: 's',
         address,
         dataCentre: 'here',
-        softwareVersion: 'v1',
+        softwareVersion: this.softwareVersions[id] ?? 'v1',
         capacity: 4,
         announcement: Announcement.READY,
         sequence: 1n,
@@ -265,15 +273,6 @@
     this.controlStub.publish({ targets });
   }
 
-  /** Announces the software versions of targets, by id. */
-  announceVersions(versions: Readonly<Record<string, string>>): void {
-    const changes = Object.entries(versions).map(([id, softwareVersion]) => [
-      id,
-      { softwareVersion, sequence: 2n },
-    ]);
-    this.announce(Object.fromEntries(changes) as Record<string, AnnouncementChange>);
-  }
-
   /** Reports that a target has a part in its cache. */
   reportCached(target: ScriptedTarget, part: StoredPart): void {
     const added = [partKey(target.address, part)];
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -57,7 +57,10 @@
   private sends = 0;
   private service = '';
   private maxAttempts = 0;
+  /** Ids of the targets that were chosen before. */
+  private readonly tried = new Set<string>();
   private readonly stream: Stream;
+  private job: Job | undefined;
 
   constructor(
     private readonly context: RelayContext,
@@ -166,7 +169,7 @@
 
   private async runAttempts(job: Job): Promise<void> {
     const { budgets, log, metrics, selector: placements, random, stalls } = this.context;
-    const tried = new Set<string>();
+    this.job = job;
     this.maxAttempts = job.route.resumable ? job.route.maxAttempts : 0;
     budgets.deposit(this.service);
     let last: Outcome = { state: 'fault', fault: fault('no-target', 'no target is ready') };
@@ -180,10 +183,10 @@
         };
         break;
       }
-      const input = this.placementInput(job, tried);
+      const input = this.placementInput(job);
       const placement = this.abort.signal.aborted ? undefined : placements.choose(input);
       if (placement === undefined) {
-        if (this.sends === 0 && (await this.waitForTarget(job, tried))) continue;
+        if (this.sends === 0 && (await this.waitForTarget(job))) continue;
         break;
       }
       if (this.sends === 0 && placements.isOverloaded(input, placement)) {
@@ -191,7 +194,7 @@
         last = { state: 'fault', fault: fault('overloaded', overloadMessage(placement), { retryAfterMs }) };
         break;
       }
-      tried.add(placement.target.id);
+      this.tried.add(placement.target.id);
       this.sends += 1;
       last = await this.attempt(job, placement);
       if (last.state === 'answered') {
@@ -217,8 +220,8 @@
   }
 
   /** Waits for a target during the startup grace period. @returns whether one is available. */
-  private async waitForTarget(job: Job, tried: ReadonlySet<string>): Promise<boolean> {
-    const isKnown = (): boolean => this.placementInput(job, tried).candidates.length > 0;
+  private async waitForTarget(job: Job): Promise<boolean> {
+    const isKnown = (): boolean => this.placementInput(job).candidates.length > 0;
     const { signal } = this.abort;
     const isFound = await this.context.startupGrace.until(isKnown, signal, (leftMs) => {
       this.logWait(job.request.id, leftMs);
@@ -276,10 +279,10 @@
     return problem.kind === 'target-unreachable' || budgets.withdraw(this.service);
   }
 
-  private placementInput(job: Job, tried: ReadonlySet<string>): PlacementInput {
+  private placementInput(job: Job): PlacementInput {
     const { knowledge, clock, weightsLimitMs } = this.context;
     const ready = knowledge.targets.ready(job.service.name);
-    const untried = ready.filter(({ id }) => !tried.has(id));
+    const untried = ready.filter((target) => !this.tried.has(target.id) && this.stream.mayGoOnAt(target));
     const model = job.route.hasPrompt ? job.request.prompt?.model : undefined;
     const modelRequest =
       model === undefined
@@ -350,9 +353,13 @@
     if (lastEventId !== undefined) this.context.metrics.count(relayMetrics.takeUps, 1, { outcome });
   }
 
-  /** Whether a stream may move to another target; takes the retry for it from the budget. */
+  /** Whether another target can take the stream over; takes the retry for it from the budget. */
   private reserveMove(): boolean {
-    return this.sends < this.maxAttempts && this.context.budgets.withdraw(this.service);
+    const { job } = this;
+    if (job === undefined || this.sends >= this.maxAttempts) return false;
+    // Without a successor the stream would break off, and its target may still finish it.
+    if (this.placementInput(job).candidates.length === 0) return false;
+    return this.context.budgets.withdraw(this.service);
   }
 
   private recordTimings(): void {
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -25,12 +25,12 @@
   /** Whether the current answer was abandoned so that the stream can resume at another target. */
   isMoving = false;
   private eventAt: number | undefined;
-  /** Target that sent the last event. */
+  /** Target that sent the last event; its software version is that of the whole stream. */
   private eventFrom: Target | undefined;
   /** Monotonic time of the last event from the current target. */
   private targetEventAt: number | undefined;
 
-  /** @param reserveMove whether the stream may move to another target; takes the retry for it from the budget. */
+  /** @param reserveMove whether another target can take the stream over; takes the retry for it from the budget. */
   constructor(
     private readonly context: RelayContext,
     private readonly answer: CallerAnswer,
@@ -82,13 +82,35 @@
     this.targetEventAt = now;
   }
 
+  /**
+   * Whether a target may send the next event. Events of two software versions don't fit together, so a stream goes on only
+   * at the version that began it; an unknown version equals no other.
+   */
+  mayGoOnAt(target: Target): boolean {
+    const version = this.softwareVersion();
+    return version === undefined || (version !== '' && version === target.softwareVersion);
+  }
+
+  /** Software version that began the stream; empty: not known, undefined: no event has been sent yet. */
+  private softwareVersion(): string | undefined {
+    const { eventFrom } = this;
+    if (eventFrom === undefined) return undefined;
+    // A target may be announced without its version first.
+    const { targets } = this.context.knowledge;
+    return eventFrom.softwareVersion === ''
+      ? targets.softwareVersionOf(eventFrom.id)
+      : eventFrom.softwareVersion;
+  }
+
   /** Counts a stream that goes on at another target. */
   private recordTarget(target: Target): void {
     const before = this.eventFrom;
+    if (before?.id === target.id) return;
+    if (before !== undefined) {
+      const version = this.mayGoOnAt(target) ? 'same' : 'other';
+      this.context.metrics.count(relayMetrics.continued, 1, { version });
+    }
     this.eventFrom = target;
-    if (before === undefined || before === target) return;
-    const isSame = before.softwareVersion !== '' && before.softwareVersion === target.softwareVersion;
-    this.context.metrics.count(relayMetrics.continued, 1, { version: isSame ? 'same' : 'other' });
   }
 
   private startMove(): boolean {
