A stream is taken up only at the software version that began it

The class: what was decided for one target is acted on at another that differs in a way nobody compares. Change: with the first event an entry reports the stream's origin (service and software version) to two control instances, under a hash of the customer and of the request that brought the event. A request that resumes a stream names that request; the entry asks all control instances at once and takes the first that knows it. An origin never changes, so any copy is valid, no leader and no agreement is needed, and what nobody knows is refused, not run, to begin anew at once - however few versions an entry knows. Where the route no longer leads to the service, or no target of the version serves, it is refused as well. Two reports that differ make a stream unknown.

--- a/packages/control/src/bench/followers.ts
+++ b/packages/control/src/bench/followers.ts
@@ -1,9 +1,10 @@
 /** Measures the processor time of one round of updates on a control instance, by the number of followers. */
 import { create, toBinary } from '@bufbuild/protobuf';
-import { silentLog, systemClock } from '@jasmineroute/core';
+import { silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import { LocalLog } from '../fixture/index.js';
 import { FollowService, OtherControls } from '../follow/index.js';
+import { OriginStore } from '../origins/index.js';
 import { RecentReports } from '../recent/index.js';
 import { createState } from '../role/createState.js';
 import { RelayedTargets, TargetRegistry } from '../targets/index.js';
@@ -44,6 +45,7 @@
     work,
     lostStores: () => [],
     kept: undefined,
+    origins: new OriginStore(systemClock, silentMetrics),
     commandLog: new LocalLog(machine),
     clock: systemClock,
     log: silentLog,
--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -78,5 +78,10 @@
     message: 'no data folder: this instance runs as a standby without a vote',
   },
   storeListFailed: { id: 3027, level: 'warn', message: 'a cache store did not list its content' },
+  originsNotStored: {
+    id: 3032,
+    level: 'warn',
+    message: 'origins of streams were not stored: streams may be unknown after a loss of power',
+  },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- a/packages/control/src/follow/followService.spec.ts
+++ b/packages/control/src/follow/followService.spec.ts
@@ -1,8 +1,9 @@
 import { create } from '@bufbuild/protobuf';
-import { silentLog, systemClock } from '@jasmineroute/core';
+import { silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { LocalLog, applyOne } from '../fixture/index.js';
+import { OriginStore } from '../origins/index.js';
 import { RecentReports } from '../recent/index.js';
 import { createState } from '../role/createState.js';
 import type { ControlState } from '../state/index.js';
@@ -38,6 +39,7 @@
     others: new OtherControls({ ...boards, relayed, vouched, clock: systemClock }),
     lostStores: () => [],
     kept: undefined,
+    origins: new OriginStore(systemClock, silentMetrics),
     commandLog,
     clock: systemClock,
     log: silentLog,
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -201,6 +201,11 @@
     return this.receiver.receive(requests, context);
   }
 
+  /** The origins of streams that are known here. */
+  findOrigins(request: controlMessage.FindOriginsRequest): controlMessage.FindOriginsResponse {
+    return this.sources.origins.find(request);
+  }
+
   /** Makes the requesting instance a voter if this one leads, else names the leader. */
   enlist(request: controlMessage.EnlistRequest): controlMessage.EnlistResponse {
     const { commandLog, log } = this.sources;
--- a/packages/control/src/follow/reportReceiver.ts
+++ b/packages/control/src/follow/reportReceiver.ts
@@ -1,10 +1,11 @@
-/** Receives the reports of processes: loads and caches of targets, work of entries. */
+/** Receives the reports of processes: loads and caches of targets, work of entries, origins of streams. */
 import { create } from '@bufbuild/protobuf';
 import type { HandlerContext } from '@connectrpc/connect';
 import type { Clock, Log } from '@jasmineroute/core';
 import { CachedParts, controlMessage } from '@jasmineroute/protocol';
 import { match } from 'ts-pattern';
 import { controlEvents } from '../events.js';
+import type { OriginStore } from '../origins/index.js';
 import type { RecentReports } from '../recent/index.js';
 
 /** Time between two responses, milliseconds, by which a sender knows that the stream is alive. */
@@ -19,6 +20,8 @@
   readonly loads: RecentReports<controlMessage.TargetLoad>;
   /** Work of entries, by their names. */
   readonly work: RecentReports<controlMessage.EntryWork>;
+  /** Origins of streams. */
+  readonly origins: OriginStore;
   readonly clock: Clock;
   readonly log: Log;
   /** Aborted when this process stops: streams end, and senders switch to other instances. */
@@ -71,7 +74,7 @@
   }
 
   private apply(report: controlMessage.ReportRequest['report']): void {
-    const { loads, work } = this.sinks;
+    const { loads, work, origins } = this.sinks;
     match(report)
       .with({ case: 'load' }, ({ value }) => {
         loads.take(value.targetId, value);
@@ -82,6 +85,9 @@
       .with({ case: 'cache' }, ({ value }) => {
         this.applyCache(value);
       })
+      .with({ case: 'origins' }, ({ value }) => {
+        origins.record(value);
+      })
       // A kind of report that only newer releases know.
       .with({ case: undefined }, () => undefined)
       .exhaustive();
--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -16,6 +16,12 @@
     help: 'Calls of targets, and entries of their lists, that could not be parsed',
   },
   claimsHeld: { name: 'control.claim.held', type: 'gauge', help: 'Claims in the table' },
+  originsHeld: { name: 'control.origin.held', type: 'gauge', help: 'Origins of streams held' },
+  originLookups: {
+    name: 'control.origin.lookups',
+    type: 'counter',
+    help: 'Streams whose origin was requested, by whether it is known here',
+  },
   turns: {
     name: 'control.turn.requests',
     type: 'counter',
--- /dev/null
+++ b/packages/control/src/origins/index.ts
@@ -0,0 +1,2 @@
+export * from './originFiles.js';
+export * from './originStore.js';
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -15,6 +15,7 @@
 import { FollowService, OtherControls, Referral, requestVoterRole } from '../follow/index.js';
 import { RecentReports } from '../recent/index.js';
 import { DisklessLog, Proposer } from '../log/index.js';
+import { OriginStore } from '../origins/index.js';
 import type { CommandLog } from '../log/index.js';
 import { controlMetrics } from '../metrics.js';
 import { ReplicaReconciler } from '../replicas/index.js';
@@ -75,6 +76,7 @@
     private readonly state: StateParts,
     private readonly commandLog: CommandLog,
     private readonly outside: OutsidePorts = {},
+    private readonly origins = new OriginStore(context.clock, context.metrics),
   ) {
     const { clock, log } = context;
     this.seeds = context.controls;
@@ -152,6 +154,7 @@
       observe: (request) => follow.observe(request),
       announce: (request) => follow.announce(request),
       report: (requests, call) => follow.report(requests, call),
+      findOrigins: (request) => follow.findOrigins(request),
     });
     serveDirectory(router, {
       documents: this.documentSource,
@@ -218,6 +221,7 @@
     this.referral?.stop();
     this.ended.abort();
     await this.members.stop();
+    await this.origins.close();
     await this.commandLog.close();
   }
 
@@ -242,7 +246,7 @@
 
   private createFollow(): FollowService {
     const { clock, log } = this.context;
-    const { targets, relayed, others, loads, work, stores, commandLog } = this;
+    const { targets, relayed, others, loads, work, stores, origins, commandLog } = this;
     const follow = new FollowService({
       configuration: this.state.configuration,
       targets,
@@ -252,6 +256,7 @@
       work,
       lostStores: () => stores?.lost() ?? [],
       kept: stores?.kept,
+      origins,
       commandLog,
       clock,
       log,
--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -9,13 +9,15 @@
 import type { Result } from 'neverthrow';
 import { controlEvents } from '../events.js';
 import { DisklessLog } from '../log/index.js';
+import { OriginFiles, OriginStore } from '../origins/index.js';
 import type { ControlSettings } from '../setting/index.js';
 import { Control } from './control.js';
 import type { OutsidePorts } from './control.js';
 import { createState } from './createState.js';
 
-/** Folder of the log inside the data folder. */
+/** Folders inside the data folder: of the log, and of the origins of streams. */
 const LOG_FOLDER = 'control';
+const ORIGINS_FOLDER = 'origins';
 
 /**
  * Entries and bytes between two snapshots. A snapshot writes the whole state, claims included, so it is taken less often than
@@ -61,5 +63,9 @@
     },
     ...SNAPSHOT_INTERVAL,
   });
-  return opened.map((replicatedLog) => new Control(context, settings, state, replicatedLog, outside));
+  if (opened.isErr()) return err(opened.error);
+  const files = new OriginFiles(disk, join(dataFolder, ORIGINS_FOLDER), clock, log);
+  const origins = new OriginStore(clock, metrics, files);
+  await origins.open();
+  return ok(new Control(context, settings, state, opened.value, outside, origins));
 }
--- a/packages/core/src/fault/fault.ts
+++ b/packages/core/src/fault/fault.ts
@@ -72,6 +72,7 @@
   'no-target': refusal(503, 'overloaded_error', 1_000),
   'target-leaving': refusal(503, 'overloaded_error', 500, true),
   'wrong-incarnation': refusal(503, 'overloaded_error', 500, true),
+  'stream-not-resumable': refusal(503, 'server_error', 500),
   'model-not-loaded': refusal(503, 'overloaded_error', 1_000, true),
   'target-unreachable': refusal(503, 'overloaded_error', 500, true),
   cancelled: refusal(499, 'server_error', 0),
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -88,6 +88,12 @@
     return [...new Set([...this.order, ...this.tasks.keys()])];
   }
 
+  /** Addresses of all control instances that the followed ones report; of the seeds while none has reported any. */
+  allControls(): string[] {
+    const reported = this.reportedAddresses();
+    return [...(reported.size > 0 ? reported : this.known())];
+  }
+
   /** Address of the first instance in contact with a quorum; undefined: none is. */
   first(): string | undefined {
     return this.order[0];
--- a/packages/knowledge/src/reportSender.ts
+++ b/packages/knowledge/src/reportSender.ts
@@ -18,12 +18,17 @@
     this.client = new FailoverClient(parts);
   }
 
+  /** host:port of the control instance that gets the reports; undefined: none does now. */
+  get address(): string | undefined {
+    return this.stream?.isOpen === true ? this.stream.address : undefined;
+  }
+
   /**
    * Sends a report, which may depend on what was sent on its stream before.
    * @returns the stream that it was sent on; undefined while no control instance accepts reports.
    */
   async send(reportFor: (stream: ReportStream) => Report): Promise<ReportStream | undefined> {
-    const stream = await this.current();
+    const stream = await this.openStream();
     stream?.send(reportFor(stream));
     return stream;
   }
@@ -34,19 +39,20 @@
     this.stream?.end();
   }
 
-  private current(): Promise<ReportStream | undefined> {
+  /** The stream that the next report is sent on; undefined while no control instance accepts reports. */
+  openStream(): Promise<ReportStream | undefined> {
     const { stream } = this;
     if (this.isClosed) return Promise.resolve(undefined);
     if (stream?.isOpen === true && stream.address === this.parts.controls()[0])
       return Promise.resolve(stream);
-    this.opening ??= this.openStream().finally(() => {
+    this.opening ??= this.connect().finally(() => {
       this.opening = undefined;
     });
     return this.opening;
   }
 
   /** Opens a stream to the first control instance that accepts it. */
-  private async openStream(): Promise<ReportStream | undefined> {
+  private async connect(): Promise<ReportStream | undefined> {
     const address = await this.client.call(this.open);
     return address === undefined ? undefined : this.stream;
   }
--- a/packages/knowledge/src/targetList.ts
+++ b/packages/knowledge/src/targetList.ts
@@ -95,6 +95,16 @@
     return this.targets.get(id)?.target.softwareVersion ?? '';
   }
 
+  /** Whether a target of a software version accepts work or is paused. */
+  hasVersion(service: string, softwareVersion: string): boolean {
+    return [...this.targets.values()].some(
+      (known) =>
+        known.target.service === service &&
+        known.target.softwareVersion === softwareVersion &&
+        isServing(known),
+    );
+  }
+
   /** Number of targets of a service that accept work or are paused. */
   count(service: string): number {
     return [...this.targets.values()].filter((known) => known.target.service === service && isServing(known))
--- a/packages/protocol/src/check/requiredFields.ts
+++ b/packages/protocol/src/check/requiredFields.ts
@@ -14,7 +14,8 @@
 
 /** Zero, an empty string and an empty list mean that the field was not sent. */
 const isPresent: Check = (value) => {
-  if (typeof value === 'string' || Array.isArray(value)) return value.length > 0;
+  if (typeof value === 'string' || Array.isArray(value) || value instanceof Uint8Array)
+    return value.length > 0;
   return value !== undefined && value !== 0 && value !== 0n;
 };
 
@@ -60,6 +61,8 @@
   checksOf(control.TargetLoadSchema, { targetId: isPresent }),
   checksOf(control.EntryWorkSchema, { entry: isPresent }),
   checksOf(control.TargetCacheSchema, { address: isPresent }),
+  checksOf(control.StreamOriginSchema, { stream: isPresent, service: isPresent, softwareVersion: isPresent }),
+  checksOf(control.FindOriginsRequestSchema, { streams: isPresent }),
   checksOf(gate.RunRequestSchema, { requestId: isPresent, attemptId: isPresent }),
   checksOf(gate.ResumeRequestSchema, { attemptId: isPresent }),
   checksOf(gate.CancelRequestSchema, { attemptId: isPresent }),
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,5 +4,6 @@
 export * as stateMessage from './gen/jasmineroute/state_pb.js';
 export * from './transport/index.js';
 export * from './role/index.js';
+export * from './origin/index.js';
 export * from './part/index.js';
 export * from './start/index.js';
--- /dev/null
+++ b/packages/protocol/src/origin/index.ts
@@ -0,0 +1,2 @@
+export * from './originTable.js';
+export * from './streamKey.js';
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -12,6 +12,16 @@
     level: 'info',
     message: 'request waits for the configuration or a target after the start of the entry',
   },
+  originsUnanswered: {
+    id: 8007,
+    level: 'info',
+    message: 'a control instance did not answer which software versions began streams',
+  },
+  resumed: {
+    id: 8008,
+    level: 'info',
+    message: 'the software version of a stream that a caller resumes is known',
+  },
   readiness: { id: 8006, level: 'info', message: 'readiness changed' },
   draining: { id: 8012, level: 'info', message: 'planned stop: finishing open requests' },
   drained: { id: 8013, level: 'info', message: 'planned stop: all requests finished' },
--- /dev/null
+++ b/packages/relay/src/origin/index.ts
@@ -0,0 +1,3 @@
+export * from './originLookup.js';
+export * from './originReporter.js';
+export * from './streamOrigins.js';
--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -1,6 +1,5 @@
 import { once } from 'node:events';
-import { Agent, request as send } from 'node:http';
-import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+import { Agent } from 'node:http';
 import type { Socket } from 'node:net';
 import { create } from '@bufbuild/protobuf';
 import { controlMessage } from '@jasmineroute/protocol';
@@ -8,72 +7,9 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { relayEvents } from './events.js';
 import { RelayBed, answered, routeTo, until } from './testing/bed.js';
+import { ask, events, refusal, reset, stream, text } from './testing/caller.js';
 import type { Script } from './testing/bed.js';
 
-interface Answer {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-  readonly body: string;
-  /** Whether the answer was received to its end. */
-  readonly whole: boolean;
-}
-
-interface Question {
-  readonly id?: string;
-  readonly path?: string;
-  readonly host?: string;
-  readonly method?: string;
-  readonly body?: string;
-  readonly headers?: Record<string, string>;
-  readonly agent?: Agent;
-  readonly signal?: AbortSignal;
-  readonly onData?: (text: string) => void;
-}
-
-function ask(url: string, question: Question = {}): Promise<Answer> {
-  const { id = 'q1', path = '/x', host = 'a.example', method = 'POST', body = 'question' } = question;
-  const { agent, signal, onData } = question;
-  const headers = { host, 't-id': id, ...question.headers };
-  return new Promise((resolve, reject) => {
-    const sent = send(`${url}${path}`, { method, headers, agent, signal }, (answer) => {
-      let text = '';
-      const end = (whole: boolean) => () => {
-        resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body: text, whole });
-      };
-      answer.on('data', (part: Buffer) => {
-        text += part.toString();
-        onData?.(text);
-      });
-      answer.on('end', end(true));
-      answer.on('error', end(false));
-    });
-    sent.on('error', reject);
-    sent.end(method === 'GET' ? undefined : body);
-  });
-}
-
-const reset: Script = (request) => {
-  request.socket.resetAndDestroy();
-};
-
-const refusal: Script = (request, response) => {
-  response.writeHead(503, { 't-id': request.headers['t-id'], 't-not-run': '1' });
-  response.end();
-};
-
-/** Writes events `from` to `to`, then calls `then`. */
-function events(from: number, to: number, then: (response: ServerResponse) => void): Script {
-  return (request, response) => {
-    response.writeHead(200, { 't-id': request.headers['t-id'], 't-signed': 'yes', 't-made-by': 'target' });
-    for (let n = from; n <= to; n += 1) response.write(`id: ${n}\ndata: ${n}\n\n`);
-    then(response);
-  };
-}
-
-const stream = { kind: 'stream' as const, resumable: true, maxAttempts: 2, hasPrompt: true };
-const text = (from: number, to: number): string =>
-  Array.from({ length: to - from + 1 }, (_, at) => `id: ${from + at}\ndata: ${from + at}\n\n`).join('');
-
 /** Maximum number of requests sent until one reaches a target in time. */
 const MAX_TRIES = 5;
 
@@ -342,38 +278,6 @@
     expect(bed.arrivalCount()).toBe(1);
   });
 
-  // Guards against an entry out of touch that takes the one software version it knows for the only one.
-  it('refuses to take up a stream whose software version nobody tells', async () => {
-    const url = await start([routeTo(stream)], 2);
-    scriptInTurn(
-      events(3, 5, (response) => response.end()),
-      reset,
-    );
-    const answer = await ask(url, { id: 'q2', headers: { 't-resumes': 'q1', 't-last': '2' } });
-    expect(answer).toMatchObject({ status: 503, headers: { 't-ran': 'not-run' } });
-    expect(bed.arrivalCount()).toBe(0);
-  });
-
-  // Guards against a guess: without the request that began it, nobody knows which version a stream has.
-  it('refuses to take up a stream without the name of the request that began it', async () => {
-    const url = await start([routeTo(stream)], 1);
-    const answer = await ask(url, { id: 'q2', headers: { 't-last': '2' } });
-    expect(answer).toMatchObject({ status: 503, headers: { 't-ran': 'not-run' } });
-    expect(bed.arrivalCount()).toBe(0);
-  });
-
-  it('logs the software version of each target, and what a request takes up', async () => {
-    const url = await start([routeTo(stream)], 1);
-    scriptInTurn(
-      events(3, 5, (response) => response.end()),
-      reset,
-    );
-    await ask(url, { id: 'q2', headers: { 't-resumes': 'q1', 't-last': '2' } });
-    expect(bed.attempts).toMatchObject([
-      { request: 'q2', target: 't1', softwareVersion: 'v1', resumes: 'q1', resumesAfter: '2' },
-    ]);
-  });
-
   it('breaks off a stream that is not resumable, so that it never appears complete', async () => {
     const url = await start([routeTo({ ...stream, resumable: false })], 2);
     const interruptedStream = events(0, 1, (response) => {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -8,8 +8,9 @@
 import { CopySchedule } from './cache/index.js';
 import type { Dialect } from './dialect/index.js';
 import { relayEvents } from './events.js';
-import { Follower, ClusterView } from '@jasmineroute/knowledge';
+import { Follower, ClusterView, ReportSender } from '@jasmineroute/knowledge';
 import { relayMetrics } from './metrics.js';
+import { StreamOrigins } from './origin/index.js';
 import { TargetSelector } from './placement/index.js';
 import type { RelaySettings } from './setting/index.js';
 import { TargetPools, TargetMonitor, WorkReporter } from './target/index.js';
@@ -43,6 +44,8 @@
   private readonly knowledge: ClusterView;
   private readonly follower: Follower;
   private readonly reporter: WorkReporter;
+  private readonly sender: ReportSender;
+  private readonly origins: StreamOrigins;
   private readonly stopped = new AbortController();
   private address = '';
   private draining = false;
@@ -61,6 +64,11 @@
     this.knowledge = new ClusterView(clock, log);
     const { knowledge } = this;
     this.follower = new Follower({ name, role: 'entry', controls, listener: knowledge, peers, clock, log });
+    const followed = (): string[] => this.follower.controls();
+    const reports = { controls: followed, peers, clock, log };
+    this.sender = new ReportSender(reports);
+    const { sender } = this;
+    this.origins = new StreamOrigins({ ...reports, sender, allControls: () => this.follower.allControls() });
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
     const monitor = new TargetMonitor(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
@@ -72,6 +80,7 @@
       pools: new TargetPools(),
       budgets: new ServiceBudgets(allowance, () => knowledge.entries()),
       copySchedule: new CopySchedule(clock, (store, part) => knowledge.isKept(store, part)),
+      origins: this.origins,
       startupGrace: new StartupGrace(knowledge, clock),
       stopsAt: () => this.stopsAt,
       weightsLimitMs: settings.weightsLimitMs,
@@ -110,10 +119,8 @@
       name,
       backlog: monitor.backlog,
       entries: () => knowledge.entries(),
-      controls: () => this.follower.controls(),
-      peers,
+      sender,
       clock,
-      log,
     });
     knowledge.onChange(() => {
       const limits = knowledge.table()?.configuration.limits;
@@ -132,6 +139,7 @@
     this.context.log.event(relayEvents.listening, { address: this.address });
     runCriticalTask('sweep of pools', this.sweep());
     runCriticalTask('work reports', this.reporter.run());
+    runCriticalTask('origins of streams', this.origins.run());
   }
 
   /** host:port that callers reach; known after `start`. */
@@ -178,6 +186,8 @@
   async close(): Promise<void> {
     this.stopped.abort();
     this.reporter.stop();
+    this.origins.stop();
+    this.sender.close();
     this.follower.stop();
     await this.server.close();
     await this.requestContext.pools.close();
--- a/packages/relay/src/target/workReporter.spec.ts
+++ b/packages/relay/src/target/workReporter.spec.ts
@@ -1,4 +1,5 @@
 import { silentLog, systemClock } from '@jasmineroute/core';
+import { ReportSender } from '@jasmineroute/knowledge';
 import { Peers, controlMessage, listen } from '@jasmineroute/protocol';
 import type { RpcServer } from '@jasmineroute/protocol';
 import { reportTaker } from '@jasmineroute/testkit';
@@ -13,6 +14,7 @@
   let server: RpcServer;
   let peers: Peers;
   let reporter: WorkReporter;
+  let sender: ReportSender;
 
   beforeEach(async () => {
     reports.length = 0;
@@ -26,21 +28,16 @@
       });
     });
     peers = new Peers();
-    reporter = new WorkReporter({
-      name: 'e1',
-      backlog,
-      entries: () => 1,
-      // Nothing listens at the first address.
-      controls: () => ['127.0.0.1:1', server.address],
-      peers,
-      clock: systemClock,
-      log: silentLog,
-    });
+    // Nothing listens at the first address.
+    const controls = (): string[] => ['127.0.0.1:1', server.address];
+    sender = new ReportSender({ controls, peers, clock: systemClock, log: silentLog });
+    reporter = new WorkReporter({ name: 'e1', backlog, entries: () => 1, sender, clock: systemClock });
     void reporter.run();
   });
 
   afterEach(async () => {
     reporter.stop();
+    sender.close();
     peers.close();
     await server.close();
   });
--- a/packages/relay/src/target/workReporter.ts
+++ b/packages/relay/src/target/workReporter.ts
@@ -1,7 +1,7 @@
 /** Reports this entry's pending work at targets to the other entries. */
 import { create } from '@bufbuild/protobuf';
-import { ReportSender } from '@jasmineroute/knowledge';
-import type { FailoverParts } from '@jasmineroute/knowledge';
+import type { Clock } from '@jasmineroute/core';
+import type { ReportSender } from '@jasmineroute/knowledge';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Backlog, PromptWork } from './backlog.js';
 
@@ -20,11 +20,13 @@
 const MIN_CHANGE_TOKENS = 500;
 
 /** Dependencies of the reporter. */
-export interface WorkReporterParts extends FailoverParts {
+export interface WorkReporterParts {
   readonly name: string;
   readonly backlog: Backlog;
   /** Number of entries currently serving. */
   readonly entries: () => number;
+  readonly sender: ReportSender;
+  readonly clock: Clock;
 }
 
 /**
@@ -36,11 +38,8 @@
   private readonly stopped = new AbortController();
   private reported = new Map<string, number>();
   private reportedAt = Number.NEGATIVE_INFINITY;
-  private readonly sender: ReportSender;
 
-  constructor(private readonly parts: WorkReporterParts) {
-    this.sender = new ReportSender(parts);
-  }
+  constructor(private readonly parts: WorkReporterParts) {}
 
   /** Runs until `stop`. */
   async run(): Promise<void> {
@@ -55,17 +54,16 @@
 
   stop(): void {
     this.stopped.abort();
-    this.sender.close();
   }
 
   private async reportIfDue(): Promise<void> {
-    const { name, backlog, clock } = this.parts;
+    const { name, backlog, sender, clock } = this.parts;
     const work = backlog.ownWork();
     const now = clock.monotonic();
     const isRepeatDue = now - this.reportedAt >= REPEAT_INTERVAL_MS && work.length > 0;
     if (!isRepeatDue && changeOf(this.reported, work) < MIN_CHANGE_TOKENS) return;
     const value = create(controlMessage.EntryWorkSchema, { entry: name, targets: work });
-    const taken = await this.sender.send(() => ({ case: 'work', value }));
+    const taken = await sender.send(() => ({ case: 'work', value }));
     if (taken === undefined) return;
     this.reported = new Map(work.map(({ targetId, tokens }) => [targetId, tokens]));
     this.reportedAt = now;
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -5,7 +5,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { Configuration, Route } from '@jasmineroute/configuration';
 import { StallWatch, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
-import { Peers, controlMessage, listen, partKey } from '@jasmineroute/protocol';
+import { Peers, controlMessage, listen, partKey, streamKey } from '@jasmineroute/protocol';
 import type { RpcServer, StoredPart } from '@jasmineroute/protocol';
 import { reportTaker } from '@jasmineroute/testkit';
 import { relayEvents } from '../events.js';
@@ -80,12 +80,21 @@
   private event = create(FollowEventSchema, { vouched: true, entries: 1 });
   private waiting = new Set<() => void>();
   server?: RpcServer;
+  /** Origins of streams that it knows, those that were reported among them. */
+  readonly origins: controlMessage.StreamOrigin[] = [];
 
   async start(): Promise<string> {
     this.server = await listen('127.0.0.1', 0, (router) => {
       router.service(controlMessage.Configurations, {
         follow: (_request, { signal }) => this.follow(signal),
-        report: reportTaker(),
+        report: reportTaker((report) => {
+          if (report.case === 'origins') this.origins.push(...report.value.origins);
+        }),
+        findOrigins: ({ streams }) => ({
+          origins: this.origins.filter(({ stream }) =>
+            streams.some((one) => Buffer.compare(one, stream) === 0),
+          ),
+        }),
         enlist: () => ({}),
         observe: () => ({}),
       });
@@ -273,6 +282,19 @@
     this.controlStub.publish({ targets });
   }
 
+  /** Software versions of the streams that control knows, by the requests that began them. */
+  knownVersion(requestId: string): string | undefined {
+    const key = Buffer.from(streamKey('', requestId));
+    return this.controlStub.origins.find(({ stream }) => key.equals(stream))?.softwareVersion;
+  }
+
+  /** Lets control know a stream that began at another entry. */
+  knowStream(requestId: string, softwareVersion: string, service = 's'): void {
+    const stream = streamKey('', requestId);
+    const origin = { stream, service, softwareVersion, lifetimeMs: 5_000 };
+    this.controlStub.origins.push(create(controlMessage.StreamOriginSchema, origin));
+  }
+
   /** Reports that a target has a part in its cache. */
   reportCached(target: ScriptedTarget, part: StoredPart): void {
     const added = [partKey(target.address, part)];
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -5,6 +5,7 @@
 import type { CopySchedule } from '../cache/index.js';
 import type { Dialect } from '../dialect/index.js';
 import type { ClusterView } from '@jasmineroute/knowledge';
+import type { StreamOrigins } from '../origin/index.js';
 import type { TargetSelector } from '../placement/index.js';
 import type { TargetPools, TargetMonitor } from '../target/index.js';
 import type { StartupGrace } from './startupGrace.js';
@@ -19,6 +20,7 @@
   readonly pools: TargetPools;
   readonly budgets: ServiceBudgets;
   readonly copySchedule: CopySchedule;
+  readonly origins: StreamOrigins;
   readonly startupGrace: StartupGrace;
   /** Monotonic time at which a planned stop ends; undefined if none has started. */
   readonly stopsAt: () => number | undefined;
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -1,11 +1,13 @@
 /** Handles one request from its headers to the end of its answer. */
 import type { IncomingMessage } from 'node:http';
-import type { Route, RoutingTable } from '@jasmineroute/configuration';
+import type { Customer, Route, RoutingTable, Service } from '@jasmineroute/configuration';
 import { fault } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import { FaultError } from '@jasmineroute/engine';
 import { readBody } from '@jasmineroute/entry';
 import type { Target } from '@jasmineroute/knowledge';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import type { CallerAnswer } from '../answer/index.js';
 import type { Source } from '../cache/index.js';
 import type { RelayRequest } from '../dialect/index.js';
@@ -25,6 +27,7 @@
 import { partsAvailability, customerSalt, sourceFor, assignedStore } from './sharedParts.js';
 import { overloadMessage, attemptRecord } from './report.js';
 import { Stream } from './stream.js';
+import { notResumable, originOf, recordOrigin } from './takeUp.js';
 
 /** Maximum body size in bytes where the configuration sets none. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -67,7 +70,12 @@
     private readonly incoming: IncomingMessage,
     private readonly answer: CallerAnswer,
   ) {
-    this.stream = new Stream(context, answer, () => this.reserveMove());
+    this.stream = new Stream(context, answer, {
+      reserveMove: () => this.reserveMove(),
+      recordOrigin: (softwareVersion) => {
+        if (this.job !== undefined) recordOrigin(context, this.job, softwareVersion);
+      },
+    });
   }
 
   /** Answers the request in every case. */
@@ -137,9 +145,6 @@
       this.reject(request, body.error, route);
       return;
     }
-    const name = drawService(route, this.context.random);
-    const service = table.serviceOf(name);
-    this.service = name;
     const cancelDeadline = clock.after(abortAt - clock.monotonic(), () => {
       this.abort.abort(new FaultError(fault('deadline-exceeded', 'the deadline of the request has passed')));
     });
@@ -149,14 +154,38 @@
     this.answer.gone.addEventListener('abort', onGone, { once: true });
     if (this.answer.gone.aborted) onGone();
     try {
-      if (service === undefined) this.reject(request, fault('no-target', `unknown service ${name}`), route);
-      else await this.runAttempts({ request, body: body.value.bytes, route, service, customer, until });
+      const service = await this.serviceFor(table, request, route, customer);
+      if (service.isErr()) this.reject(request, service.error, route);
+      else
+        await this.runAttempts({
+          request,
+          body: body.value.bytes,
+          route,
+          service: service.value,
+          customer,
+          until,
+        });
     } finally {
       cancelDeadline();
       body.value.release();
     }
   }
 
+  /** The service for a request: one of the route's by weight, or the one that began the stream which it resumes. */
+  private async serviceFor(
+    table: RoutingTable,
+    request: RelayRequest,
+    route: Route,
+    customer: Customer | undefined,
+  ): Promise<Result<Service, Fault>> {
+    const origin = await originOf(this.context, request, route, customer, this.abort.signal);
+    if (origin.isErr()) return err(origin.error);
+    this.stream.resumedVersion = origin.value?.softwareVersion;
+    this.service = origin.value?.service ?? drawService(route, this.context.random);
+    const service = table.serviceOf(this.service);
+    return service === undefined ? err(fault('no-target', `unknown service ${this.service}`)) : ok(service);
+  }
+
   /**
    * Whether a planned stop would probably interrupt the stream: the load balancer keeps sending requests for two
    * seconds, and a long stream would be cut off midway. The caller should use another entry instead.
@@ -187,6 +216,7 @@
       const placement = this.abort.signal.aborted ? undefined : placements.choose(input);
       if (placement === undefined) {
         if (this.sends === 0 && (await this.waitForTarget(job))) continue;
+        if (this.sends === 0) last = { state: 'fault', fault: this.noTarget(job) };
         break;
       }
       if (this.sends === 0 && placements.isOverloaded(input, placement)) {
@@ -219,6 +249,15 @@
     else this.reject(job.request, this.finalFault(last.fault), job.route);
   }
 
+  /** The fault for a request that no target can take. */
+  private noTarget({ service }: Job): Fault {
+    const { resumedVersion } = this.stream;
+    const { targets } = this.context.knowledge;
+    if (resumedVersion === undefined || targets.hasVersion(service.name, resumedVersion))
+      return fault('no-target', 'no target is ready');
+    return notResumable(`no target of software version ${resumedVersion} serves`);
+  }
+
   /** Waits for a target during the startup grace period. @returns whether one is available. */
   private async waitForTarget(job: Job): Promise<boolean> {
     const isKnown = (): boolean => this.placementInput(job).candidates.length > 0;
--- a/packages/relay/src/work/startupGrace.ts
+++ b/packages/relay/src/work/startupGrace.ts
@@ -13,7 +13,8 @@
  * would use up their last retry. After the grace period missing targets are real, and requests are refused at once.
  */
 export class StartupGrace {
-  private readonly endsAt: number;
+  /** Monotonic time at which the grace period ends. */
+  readonly endsAt: number;
   private readonly waiting = new Set<() => void>();
 
   constructor(
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -16,6 +16,14 @@
 /** How long a stream that leaves a target waits for its next event, milliseconds: some steps of a busy engine. */
 const MOVE_TIMEOUT_MS = 250;
 
+/** What a stream calls back. */
+export interface StreamHooks {
+  /** Whether another target can take the stream over; takes the retry for it from the budget. */
+  readonly reserveMove: () => boolean;
+  /** Records the software version that began the stream. */
+  readonly recordOrigin: (softwareVersion: string) => void;
+}
+
 /** The event stream of one request, across all targets that run it. */
 export class Stream {
   /** Id of the last event sent to the caller; undefined if there is none yet. */
@@ -30,11 +38,14 @@
   /** Monotonic time of the last event from the current target. */
   private targetEventAt: number | undefined;
 
-  /** @param reserveMove whether another target can take the stream over; takes the retry for it from the budget. */
+  /** Software version that began the stream at another entry; undefined: the stream begins here. */
+  resumedVersion: string | undefined;
+  private isRecorded = false;
+
   constructor(
     private readonly context: RelayContext,
     private readonly answer: CallerAnswer,
-    private readonly reserveMove: () => boolean,
+    private readonly hooks: StreamHooks,
   ) {}
 
   /** Forwards events as they arrive, each only once it is complete. */
@@ -93,8 +104,8 @@
 
   /** Software version that began the stream; empty: not known, undefined: no event has been sent yet. */
   private softwareVersion(): string | undefined {
-    const { eventFrom } = this;
-    if (eventFrom === undefined) return undefined;
+    const { eventFrom, resumedVersion } = this;
+    if (eventFrom === undefined || resumedVersion !== undefined) return resumedVersion;
     // A target may be announced without its version first.
     const { targets } = this.context.knowledge;
     return eventFrom.softwareVersion === ''
@@ -105,16 +116,24 @@
   /** Counts a stream that goes on at another target. */
   private recordTarget(target: Target): void {
     const before = this.eventFrom;
-    if (before?.id === target.id) return;
-    if (before !== undefined) {
+    if (before !== undefined && before.id !== target.id) {
       const version = this.mayGoOnAt(target) ? 'same' : 'other';
       this.context.metrics.count(relayMetrics.continued, 1, { version });
     }
     this.eventFrom = target;
+    this.recordOrigin();
+  }
+
+  /** Records the version that began the stream as soon as it is known, so that callers can resume it at other entries. */
+  private recordOrigin(): void {
+    const version = this.softwareVersion() ?? '';
+    if (this.isRecorded || version === '') return;
+    this.isRecorded = true;
+    this.hooks.recordOrigin(version);
   }
 
   private startMove(): boolean {
-    this.isMoving ||= this.reserveMove();
+    this.isMoving ||= this.hooks.reserveMove();
     return this.isMoving;
   }
 
--- /dev/null
+++ b/packages/relay/src/work/takeUp.spec.ts
@@ -0,0 +1,93 @@
+/** Requests that resume a stream of one of several software versions at an entry that did not begin it. */
+import { afterEach, describe, expect, it } from 'vitest';
+import { RelayBed, routeTo, until } from '../testing/bed.js';
+import { ask, events, stream, text } from '../testing/caller.js';
+import type { Answer } from '../testing/caller.js';
+
+const NOT_RUN = { status: 503, headers: { 't-ran': 'not-run' } };
+const VERSIONS = { t3: 'v1.1', t4: 'v1.1' };
+
+describe('a request that resumes a stream', () => {
+  let bed: RelayBed;
+
+  afterEach(async () => {
+    await bed.stop();
+  });
+
+  async function start(...args: Parameters<typeof RelayBed.start>): Promise<void> {
+    bed = await RelayBed.start(...args);
+    for (const target of bed.targets) {
+      target.script = (request, response, body) => {
+        const after = String(request.headers['t-after']);
+        const first = after === '' ? 0 : Number(after) + 1;
+        events(first, 5, (written) => written.end())(request, response, body);
+      };
+    }
+  }
+
+  const resume = (id: string, resumes: string, last = '2'): Promise<Answer> =>
+    ask(bed.url, { id, headers: { 't-resumes': resumes, 't-last': last } });
+
+  const used = (): string[] => bed.targets.filter(({ requests }) => requests.length > 0).map(({ id }) => id);
+
+  // Guards against events of two software versions over a caller's tries.
+  it('goes to targets of the version that began the stream only', async () => {
+    await start([routeTo(stream)], 4, {}, VERSIONS);
+    bed.knowStream('old', 'v1.1');
+    for (let n = 0; n < 10; n += 1)
+      expect(await resume(`q${n}`, 'old')).toMatchObject({ status: 200, body: text(3, 5) });
+    expect(VERSIONS).toMatchObject(Object.fromEntries(used().map((id) => [id, 'v1.1'])));
+    expect(bed.attempts[0]).toMatchObject({ resumes: 'old', resumesAfter: '2', softwareVersion: 'v1.1' });
+  });
+
+  // Guards against a stream that no other entry knows.
+  it('finds the version that an entry reported with the first event', async () => {
+    await start([routeTo(stream)], 4, {}, VERSIONS);
+    await ask(bed.url, { id: 'begun' });
+    const [began] = bed.attempts;
+    await until(() => bed.knownVersion('begun') !== undefined);
+    expect(bed.knownVersion('begun')).toBe(began?.softwareVersion);
+    expect(await resume('q2', 'begun')).toMatchObject({ status: 200, body: text(3, 5) });
+    expect(bed.attempts[1]?.softwareVersion).toBe(began?.softwareVersion);
+  });
+
+  // Guards against an entry out of touch that takes the one software version it knows for the only one.
+  it('is refused when nobody knows the version that began the stream', async () => {
+    await start([routeTo(stream)], 2);
+    expect(await resume('q2', 'q1')).toMatchObject(NOT_RUN);
+    expect(bed.arrivalCount()).toBe(0);
+  });
+
+  // Guards against a guess: without the request that began it, nobody knows which version a stream has.
+  it('is refused without the name of the request that began the stream', async () => {
+    await start([routeTo(stream)], 1);
+    const answer = await ask(bed.url, { id: 'q2', headers: { 't-last': '2' } });
+    expect(answer).toMatchObject(NOT_RUN);
+    expect(bed.arrivalCount()).toBe(0);
+  });
+
+  // Guards against a caller that waits for a version that has left.
+  it('is refused at once, to begin anew, when no target of the version serves', async () => {
+    await start([routeTo(stream)], 2);
+    bed.knowStream('old', 'v0.9');
+    const answer = await resume('q2', 'old');
+    expect(answer).toMatchObject(NOT_RUN);
+    expect(Number(answer.headers['retry-after'])).toBeLessThan(0.1);
+    expect(bed.arrivalCount()).toBe(0);
+  });
+
+  // Guards against a stream that goes on at another service of a split route.
+  it('goes to the service that began the stream, while the route leads there', async () => {
+    const split = [
+      { service: 'other', weight: 1_000 },
+      { service: 's', weight: 1 },
+    ];
+    const services = [{ name: 's' }, { name: 'other' }];
+    await start([routeTo({ ...stream, services: split })], 1, { services });
+    bed.knowStream('old', 'v1');
+    bed.knowStream('moved', 'v1', 'elsewhere');
+    expect(await resume('q2', 'old')).toMatchObject({ status: 200, body: text(3, 5) });
+    expect(await resume('q3', 'moved')).toMatchObject(NOT_RUN);
+    expect(bed.arrivalCount()).toBe(1);
+  });
+});
