A stream that its caller does not name goes on while all targets have one software version

Cause: callers of older releases resume a stream by its last event alone. Change: for such a request the entry asks all control instances now which versions the targets of the service had, those that left in the last two minutes and those that began streams among them. It goes on only if all answer, each has listened for as long as the caller may hold a stream (or found origins of before on its disk), and all together know exactly one version. Every target that an entry uses announced itself to some control instance, which is why all have to answer.

--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -5,6 +5,7 @@
 import { controlEvents } from '../events.js';
 import { isCaughtUp } from '../log/index.js';
 import { Coalescer } from '../recent/index.js';
+import { SoftwareVersions } from '../softwareVersions/index.js';
 import { SharedUpdates } from './sharedUpdates.js';
 import { FollowerCursor, streamKindOf } from './followerCursor.js';
 import type { FollowSources } from './followSources.js';
@@ -63,12 +64,14 @@
   /** Number of streams of entries that request loads, work and caches, by the entry's name. */
   private readonly entries = new Map<string, number>();
   private readonly receiver: ReportReceiver;
+  private readonly versions: SoftwareVersions;
   /** Quorum contact and members at the last notification. */
   private lastStatus: string;
   /** Leaves time between two events to read and answer heartbeats of the log. */
   private readonly scheduler = new EventLoopScheduler();
 
   constructor(private readonly sources: FollowSources) {
+    this.versions = new SoftwareVersions(sources);
     this.receiver = new ReportReceiver(sources, sources.others.cached);
     this.lastStatus = this.relevantStatus();
     this.shared = { bulk: sharedStream(sources, true), spare: sharedStream(sources, false) };
@@ -206,6 +209,13 @@
     return this.sources.origins.find(request);
   }
 
+  /** The software versions of a service that are known here. */
+  listSoftwareVersions(
+    request: controlMessage.ListSoftwareVersionsRequest,
+  ): controlMessage.ListSoftwareVersionsResponse {
+    return this.versions.list(request);
+  }
+
   /** Makes the requesting instance a voter if this one leads, else names the leader. */
   enlist(request: controlMessage.EnlistRequest): controlMessage.EnlistResponse {
     const { commandLog, log } = this.sources;
--- a/packages/control/src/origins/originStore.ts
+++ b/packages/control/src/origins/originStore.ts
@@ -13,6 +13,8 @@
  * changes, so each copy is valid by itself, and a missing one only means that the stream is unknown here.
  */
 export class OriginStore {
+  /** Whether origins of an earlier start were found on the disk. */
+  isRestored = false;
   private readonly table: OriginTable;
 
   /** @param files where origins are stored; undefined without a disk. */
@@ -26,7 +28,9 @@
 
   /** Reads what the disk holds. */
   async open(): Promise<void> {
-    for (const origin of (await this.files?.load()) ?? []) this.table.record(origin);
+    const origins = (await this.files?.load()) ?? [];
+    for (const origin of origins) this.table.record(origin);
+    this.isRestored = origins.length > 0;
   }
 
   /** Records reported origins. */
@@ -45,6 +49,11 @@
     return create(controlMessage.FindOriginsResponseSchema, { origins });
   }
 
+  /** Software versions of a service that began streams. */
+  versionsOf(service: string): string[] {
+    return this.table.versionsOf(service);
+  }
+
   /** Writes what is pending. */
   async close(): Promise<void> {
     await this.files?.close();
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -155,6 +155,7 @@
       announce: (request) => follow.announce(request),
       report: (requests, call) => follow.report(requests, call),
       findOrigins: (request) => follow.findOrigins(request),
+      listSoftwareVersions: (request) => follow.listSoftwareVersions(request),
     });
     serveDirectory(router, {
       documents: this.documentSource,
--- /dev/null
+++ b/packages/control/src/softwareVersions/index.ts
@@ -0,0 +1,1 @@
+export * from './softwareVersions.js';
--- /dev/null
+++ b/packages/control/src/softwareVersions/softwareVersions.spec.ts
@@ -0,0 +1,59 @@
+import { create } from '@bufbuild/protobuf';
+import { ManualClock, silentLog, silentMetrics } from '@jasmineroute/core';
+import { controlMessage, streamKey } from '@jasmineroute/protocol';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { OriginStore } from '../origins/index.js';
+import { RelayedTargets, TargetRegistry } from '../targets/index.js';
+import { SoftwareVersions } from './softwareVersions.js';
+
+const WITHIN_MS = 10_000;
+const HEARTBEAT_MS = 1_000;
+
+describe('the software versions that a control instance knows', () => {
+  let clock: ManualClock;
+  let targets: TargetRegistry;
+  let relayed: RelayedTargets;
+  let origins: OriginStore;
+  let versions: SoftwareVersions;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    targets = new TargetRegistry(clock, silentLog, HEARTBEAT_MS);
+    relayed = new RelayedTargets(clock);
+    origins = new OriginStore(clock, silentMetrics);
+    versions = new SoftwareVersions({ targets, relayed, origins, clock });
+  });
+
+  const list = (withinMs = WITHIN_MS): { versions: string[]; complete: boolean } =>
+    versions.list(create(controlMessage.ListSoftwareVersionsRequestSchema, { service: 's', withinMs }));
+
+  const announce = (name: string, softwareVersion: string): void => {
+    const place = { service: 's', address: `${name}:80`, dataCentre: 'here', capacity: 4 };
+    targets.beat({ name, ...place, softwareVersion, draining: false, sequence: 1, coldMs: 0, weights: [] });
+  };
+
+  // Guards against a stream of a target that has just left, which goes on at the version of those that stay.
+  it('include those of targets that have left, that others relay, and that began streams', () => {
+    announce('t1', 'v1');
+    announce('t2', 'v1.1');
+    targets.leave({ name: 't2' });
+    const other = { id: 't3', name: 't3', service: 's', address: 't3:80', softwareVersion: 'v1.2' };
+    relayed.apply('c2', [create(controlMessage.AnnouncedTargetSchema, other)], true);
+    const began = { stream: streamKey('', 'q1'), service: 's', softwareVersion: 'v0', lifetimeMs: 1_000 };
+    origins.record(
+      create(controlMessage.StreamOriginsSchema, {
+        origins: [create(controlMessage.StreamOriginSchema, began)],
+      }),
+    );
+    expect(list().versions.sort()).toEqual(['v0', 'v1', 'v1.1', 'v1.2']);
+  });
+
+  // Guards against an instance that has just started and takes what it has heard for all there is.
+  it('are complete only once it has listened for as long as is asked for', async () => {
+    announce('t1', 'v1');
+    expect(list().complete).toBe(false);
+    await clock.advance(WITHIN_MS);
+    expect(list().complete).toBe(true);
+    expect(list(600_000).complete).toBe(false);
+  });
+});
--- a/packages/control/src/targets/relayedTargets.ts
+++ b/packages/control/src/targets/relayedTargets.ts
@@ -2,9 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { Clock } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
-
-/** Time after which a target that left or is silent is removed, milliseconds; the reporting instance uses the same. */
-const REMOVAL_DELAY_MS = 120_000;
+import { REMOVAL_DELAY_MS } from './targetRegistry.js';
 
 const { Announcement } = controlMessage;
 
--- a/packages/control/src/targets/targetRegistry.ts
+++ b/packages/control/src/targets/targetRegistry.ts
@@ -9,7 +9,7 @@
 const MISSED_HEARTBEATS = 3;
 
 /** Time after which a target that left or is silent is removed, milliseconds: longer than a call may be late. */
-const REMOVAL_DELAY_MS = 120_000;
+export const REMOVAL_DELAY_MS = 120_000;
 
 /** Time after which a pause ends unless renewed, milliseconds: the process that requested it is gone. */
 const PAUSE_LIFETIME_MS = 6_000;
--- a/packages/protocol/src/check/requiredFields.ts
+++ b/packages/protocol/src/check/requiredFields.ts
@@ -63,6 +63,7 @@
   checksOf(control.TargetCacheSchema, { address: isPresent }),
   checksOf(control.StreamOriginSchema, { stream: isPresent, service: isPresent, softwareVersion: isPresent }),
   checksOf(control.FindOriginsRequestSchema, { streams: isPresent }),
+  checksOf(control.ListSoftwareVersionsRequestSchema, { service: isPresent, withinMs: isPresent }),
   checksOf(gate.RunRequestSchema, { requestId: isPresent, attemptId: isPresent }),
   checksOf(gate.ResumeRequestSchema, { attemptId: isPresent }),
   checksOf(gate.CancelRequestSchema, { attemptId: isPresent }),
--- a/packages/protocol/src/origin/originTable.ts
+++ b/packages/protocol/src/origin/originTable.ts
@@ -78,6 +78,13 @@
     return known.map(([key, version]) => this.messageOf(key, version));
   }
 
+  /** Software versions of a service that began streams. */
+  versionsOf(service: string): string[] {
+    return [...this.versions.values()]
+      .filter((version) => version.service === service)
+      .map(({ softwareVersion }) => softwareVersion);
+  }
+
   private held(key: string): Version | undefined {
     return this.current.get(key) ?? this.previous.get(key);
   }
@@ -96,12 +103,18 @@
     return create(StreamOriginSchema, { stream, ...version, lifetimeMs: this.retentionMs });
   }
 
+  private dropUnusedVersions(): void {
+    const used = new Set(this.previous.values());
+    for (const [text, version] of this.versions) if (!used.has(version)) this.versions.delete(text);
+  }
+
   private rotateIfDue(): void {
     const now = this.clock.monotonic();
     const isOld = now - this.currentSince >= this.retentionMs;
     if (!isOld && this.current.size < this.capacity / 2) return;
     this.previous = this.current;
     this.current = new Map();
+    this.dropUnusedVersions();
     this.currentSince = now;
     this.onRotate();
   }
--- a/packages/relay/src/origin/streamOrigins.ts
+++ b/packages/relay/src/origin/streamOrigins.ts
@@ -6,6 +6,7 @@
 import type { Peers } from '@jasmineroute/protocol';
 import { OriginLookup } from './originLookup.js';
 import { OriginReporter } from './originReporter.js';
+import { soleVersion } from './soleVersion.js';
 
 /** Maximum number of origins held by an entry. */
 const MAX_ORIGINS = 4_000;
@@ -62,6 +63,12 @@
     if (stored !== undefined && stored.softwareVersion !== '') this.reporter.report(stored);
   }
 
+  /** The software version of all targets of a service; undefined if they have several, or one may be unknown. */
+  soleVersion(service: string, withinMs: number): Promise<string | undefined> {
+    const { allControls, ...parts } = this.parts;
+    return soleVersion({ ...parts, controls: allControls }, service, withinMs);
+  }
+
   /**
    * The origin of a stream. Without one, the stream may have begun at any version, also at one that this entry has never
    * heard of, however few it knows.
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -82,6 +82,9 @@
   server?: RpcServer;
   /** Origins of streams that it knows, those that were reported among them. */
   readonly origins: controlMessage.StreamOrigin[] = [];
+  /** Software versions that it lists, and whether the list is complete. */
+  softwareVersions: string[] = [];
+  knowsVersions = false;
 
   async start(): Promise<string> {
     this.server = await listen('127.0.0.1', 0, (router) => {
@@ -95,6 +98,7 @@
             streams.some((one) => Buffer.compare(one, stream) === 0),
           ),
         }),
+        listSoftwareVersions: () => ({ versions: this.softwareVersions, complete: this.knowsVersions }),
         enlist: () => ({}),
         observe: () => ({}),
       });
@@ -288,6 +292,12 @@
     return this.controlStub.origins.find(({ stream }) => key.equals(stream))?.softwareVersion;
   }
 
+  /** Lets control list software versions of all services. */
+  listVersions(versions: readonly string[], isComplete = true): void {
+    this.controlStub.softwareVersions = [...versions];
+    this.controlStub.knowsVersions = isComplete;
+  }
+
   /** Lets control know a stream that began at another entry. */
   knowStream(requestId: string, softwareVersion: string, service = 's'): void {
     const stream = streamKey('', requestId);
--- a/packages/relay/src/work/takeUp.ts
+++ b/packages/relay/src/work/takeUp.ts
@@ -14,11 +14,14 @@
 /** Delay after which a caller may ask again, milliseconds: another entry may know the stream, and a new one can begin at once. */
 const RETRY_MS = 10;
 
+/** Attempts, each as long as its route allows, after which a caller has given up a stream. */
+const MAX_STREAM_ATTEMPTS = 2;
+
 /** Whether a request resumes a stream. */
 const resumesStream = ({ lastEventId, resumes }: RelayRequest, { resumable }: Route): boolean =>
   resumable && (lastEventId !== undefined || resumes !== undefined);
 
-/** Key of the stream that a request begins or resumes. */
+/** Key of the stream that a request begins or resumes; of one that it does not name, its own. */
 const streamOf = ({ id, resumes }: RelayRequest, customer?: Customer): Uint8Array =>
   streamKey(customer?.name ?? '', resumes ?? id);
 
@@ -35,25 +38,41 @@
   origins.record({ stream, service: service.name, softwareVersion, lifetimeMs });
 }
 
+/** The service and software version that may continue a stream. */
+export type ResumedOrigin = Pick<controlMessage.StreamOrigin, 'service' | 'softwareVersion'>;
+
 /**
  * The origin of the stream that a request resumes; undefined if it resumes none. What is not known for certain is refused:
  * a target of another software version would continue it with events that don't fit. Errors: stream-not-resumable.
  */
 export async function originOf(
-  { origins, startupGrace, log }: RelayContext,
+  context: RelayContext,
   request: RelayRequest,
   route: Route,
   customer: Customer | undefined,
   signal: AbortSignal,
-): Promise<Result<controlMessage.StreamOrigin | undefined, Fault>> {
+): Promise<Result<ResumedOrigin | undefined, Fault>> {
   if (!resumesStream(request, route)) return ok(undefined);
-  if (request.resumes === undefined)
-    return err(notResumable('the request does not name the one that began its stream'));
-  const origin = await origins.find(streamOf(request, customer), startupGrace.endsAt, signal);
-  if (origin === undefined)
-    return err(notResumable('no control instance knows the software version of the stream'));
+  const { origins, startupGrace, log } = context;
+  const origin =
+    request.resumes === undefined
+      ? await soleOrigin(context, route)
+      : await origins.find(streamOf(request, customer), startupGrace.endsAt, signal);
+  if (origin === undefined) return err(notResumable('the software version of the stream is not known'));
   const { service, softwareVersion } = origin;
   log.event(relayEvents.resumed, { request: request.id, resumes: request.resumes, service, softwareVersion });
-  const isRouted = route.services.some((share) => share.service === service && share.weight > 0);
+  const isRouted = servicesOf(route).includes(service);
   return isRouted ? ok(origin) : err(notResumable(`the route no longer leads to ${service}`));
 }
+
+/** Services that a route leads to. */
+const servicesOf = ({ services }: Route): string[] =>
+  services.filter(({ weight }) => weight > 0).map(({ service }) => service);
+
+/** The origin of a stream that a caller does not name: known only while all targets have the same software version. */
+async function soleOrigin({ origins }: RelayContext, route: Route): Promise<ResumedOrigin | undefined> {
+  const [service, ...others] = servicesOf(route);
+  if (service === undefined || others.length > 0) return undefined;
+  const softwareVersion = await origins.soleVersion(service, route.timeoutMs * MAX_STREAM_ATTEMPTS);
+  return softwareVersion === undefined ? undefined : { service, softwareVersion };
+}
