An answer that has begun is continued only by an engine of the same software version

Found by looking for the class; no caller reported it. Change: engines may publish software_version on /health; the agent announces it, and an answer that has begun goes on only at targets with the version of the one that began it. Engines that publish none count as one version, as those of today do.

--- a/packages/agent/src/role/agent.ts
+++ b/packages/agent/src/role/agent.ts
@@ -208,6 +208,7 @@
       })),
       capacity: this.capacity(),
       role: this.engineMonitor.status().state?.role ?? '',
+      softwareVersion: this.engineMonitor.status().state?.softwareVersion ?? '',
     };
   }
 
--- a/packages/directory/src/message/instance.ts
+++ b/packages/directory/src/message/instance.ts
@@ -78,6 +78,7 @@
     models,
     capacity: message.capacity,
     role: message.role,
+    softwareVersion: message.softwareVersion,
   };
 }
 
--- a/packages/directory/src/message/instanceDigest.ts
+++ b/packages/directory/src/message/instanceDigest.ts
@@ -34,9 +34,11 @@
     target === undefined
       ? []
       : [target.service, target.kind, target.engineIncarnation, target.ready, target.capacity, target.role];
-  const digest = hash(
-    JSON.stringify([name, String(incarnation), role, address, dataCentre, health, state, models]),
-  );
+  // Without a version the digest is that of processes of releases that know none.
+  const version =
+    target?.softwareVersion === undefined || target.softwareVersion === '' ? [] : [target.softwareVersion];
+  const fields = [name, String(incarnation), role, address, dataCentre, health, state, models, ...version];
+  const digest = hash(JSON.stringify(fields));
   digests.set(instance, digest);
   return digest;
 }
--- a/packages/directory/src/view/view.ts
+++ b/packages/directory/src/view/view.ts
@@ -26,6 +26,8 @@
   /** Maximum concurrent requests. */
   readonly capacity: number;
   readonly role: string;
+  /** Version of the engine's software; empty or absent: it publishes none. */
+  readonly softwareVersion?: string;
 }
 
 /** A process of the system. An agent's instance includes its target. */
--- a/packages/engine/src/http/httpEngine.ts
+++ b/packages/engine/src/http/httpEngine.ts
@@ -115,8 +115,9 @@
     );
   }
 
-  state(signal: AbortSignal): Promise<Result<EngineState, Fault>> {
-    return this.client.read(healthBody, '/health', signal, [200, UNAVAILABLE]);
+  async state(signal: AbortSignal): Promise<Result<EngineState, Fault>> {
+    const body = await this.client.read(healthBody, '/health', signal, [200, UNAVAILABLE]);
+    return body.map(({ software_version: softwareVersion, ...rest }) => ({ ...rest, softwareVersion }));
   }
 
   async load(signal: AbortSignal): Promise<Result<EngineLoad, Fault>> {
--- a/packages/engine/src/http/schema.ts
+++ b/packages/engine/src/http/schema.ts
@@ -10,6 +10,7 @@
   ready: z.boolean().default(true),
   capacity: z.number().int().positive().default(1),
   role: z.string().default(''),
+  software_version: z.string().default(''),
   models: z
     .array(z.object({ model: z.string(), version: z.string(), adapters: z.array(versionedName).default([]) }))
     .default([]),
--- a/packages/engine/src/port/engine.ts
+++ b/packages/engine/src/port/engine.ts
@@ -63,6 +63,8 @@
   readonly capacity: number;
   /** "prefill", "decode" or empty for both. */
   readonly role?: string;
+  /** Version of its software; empty or absent: it publishes none. */
+  readonly softwareVersion?: string;
 }
 
 /** Load as the engine reports it, with a lag. */
--- a/packages/entry/src/call/candidates.ts
+++ b/packages/entry/src/call/candidates.ts
@@ -1,6 +1,6 @@
 /** Finds the targets that can run a call. */
 import type { Candidate } from '@jasmineroute/routing';
-import type { Health, Instance, LoadedModel, View } from '@jasmineroute/directory';
+import type { Health, Instance, LoadedModel, Target, View } from '@jasmineroute/directory';
 import type { Call, RequestedModel } from './call.js';
 
 /** A candidate with the address of its gate. */
@@ -27,12 +27,15 @@
     const { target } = instance;
     if (target === undefined || !isAvailable(instance, call.service.service)) continue;
     if (model !== undefined && !target.models.some((loaded) => hasWantedModel(loaded, model))) continue;
-    found.push(candidateFrom(instance, target.engineIncarnation, target.capacity));
+    found.push(candidateFrom(instance, target));
   }
   return found;
 }
 
-function candidateFrom(instance: Instance, engineIncarnation: string, capacity: number): GateCandidate {
+function candidateFrom(
+  instance: Instance,
+  { engineIncarnation, capacity, softwareVersion }: Target,
+): GateCandidate {
   return {
     name: instance.name,
     address: instance.address,
@@ -40,6 +43,7 @@
     capacity,
     dataCentre: instance.dataCentre,
     suspect: instance.health === 'suspect',
+    softwareVersion,
   };
 }
 
--- a/packages/entry/src/stream.spec.ts
+++ b/packages/entry/src/stream.spec.ts
@@ -208,6 +208,35 @@
     });
   });
 
+  // Guards against one answer that engines of two software versions wrote.
+  it.each([
+    ['v1', 2],
+    ['v1.1', 1],
+    ['', 1],
+  ])(
+    'that began at software version v1 beside one of "%s" is written by targets: %d',
+    async (version, writers) => {
+      const [one, two] = [await startGate(), await startGate()];
+      const { url, directory } = await startEntry([one, two]);
+      const instances = [one, two].map(({ address }, at) => {
+        const instance = target(`agent-${at}`, address);
+        return {
+          ...instance,
+          target: instance.target && { ...instance.target, softwareVersion: at === 0 ? 'v1' : version },
+        };
+      });
+      directory.set(instances);
+      const script = ({ resumeTokens }: gateMessage.RunRequest) =>
+        resumeTokens === 0
+          ? [accepted, sse, chunk(delta('a')), cut]
+          : [accepted, sse, chunk(delta('b') + doneEvent), end];
+      one.script = script;
+      two.script = script;
+      expect(contentOf(await (await chat(url)).text())).toBe('ab');
+      expect([one, two].filter(({ runs }) => runs.length > 0)).toHaveLength(writers);
+    },
+  );
+
   // Guards against a second execution of a non-idempotent call. The agent is killed in the middle of its answer, and
   // continuing it on another target would run it again.
   it('gives an explicit error where the call may not be repeated', async () => {
--- a/packages/entry/src/work/attempts.ts
+++ b/packages/entry/src/work/attempts.ts
@@ -45,6 +45,8 @@
   private lastFault: Fault | undefined;
   /** The model version that the last attempt asked for. */
   private model: RequestedModel | undefined;
+  /** Software version of the target that began the answer; undefined: it has not begun. */
+  private softwareVersion: string | undefined;
 
   constructor(
     private readonly context: EntryContext,
@@ -78,7 +80,8 @@
     const { call, span, stop, remainingMs } = this.active;
     this.attemptCount += 1;
     const model = this.currentModel();
-    const job = jobOf(call, model, this.promptOf(plan), this.excluded, remainingMs());
+    const prompt = this.promptOf(plan);
+    const job = jobOf(call, model, prompt, this.excluded, remainingMs(), this.softwareVersion);
     const decide = startHop('decide', 'internal', { parent: span });
     const placed = await this.place(model, job);
     endHop(decide, placed.isErr() ? placed.error.kind : undefined);
@@ -164,6 +167,7 @@
     this.ran = combineRunStates(this.ran, problem.ran);
     this.lastFault = problem;
     this.excluded.add(placement.candidate.name);
+    if (this.answer.hasStarted) this.softwareVersion ??= placement.candidate.softwareVersion ?? '';
     if (this.answer.isEndMarkerSent) return this.finishAnswer();
     if (!this.mayRetry(problem.kind)) return giveUp();
     const recovery = this.answer.recover();
--- a/packages/entry/src/work/decisions.ts
+++ b/packages/entry/src/work/decisions.ts
@@ -41,6 +41,10 @@
   readonly policy: Policy;
 }
 
+/** Whether a candidate has the software version that began the answer. Engines that publish none are taken as one version. */
+const mayContinue = ({ softwareVersion }: Job, candidate: GateCandidate): boolean =>
+  softwareVersion === undefined || softwareVersion === (candidate.softwareVersion ?? '');
+
 /** Chooses targets for all services of one entry. */
 export class Decisions {
   private readonly policyByService = new Map<string, NamedPolicy>();
@@ -51,7 +55,7 @@
   async place(call: Call, model: RequestedModel | undefined, job: Job): Promise<Result<Placement, Fault>> {
     const { view, clock, metrics } = this.options;
     const all = candidatesOf(call, model, view());
-    const open = all.filter(({ name }) => !job.excluded.has(name));
+    const open = all.filter((candidate) => !job.excluded.has(candidate.name) && mayContinue(job, candidate));
     if (open.length === 0) return err(this.noTargetFault(call, all.length));
     const policy = this.policyOf(call.service);
     const began = clock.monotonic();
--- a/packages/entry/src/work/job.ts
+++ b/packages/entry/src/work/job.ts
@@ -8,6 +8,7 @@
  * Describes a call for a routing policy.
  * @param model model version of this attempt.
  * @param prompt prompt of this attempt; undefined for a plain service.
+ * @param softwareVersion version of the software that began the answer; undefined if it has not begun.
  */
 export function jobOf(
   call: Call,
@@ -15,6 +16,7 @@
   prompt: Prompt | undefined,
   excluded: ReadonlySet<string>,
   deadlineMs: number,
+  softwareVersion: string | undefined,
 ): Job {
   const { service, customer, priority } = call;
   const bytes = prompt?.bytes ?? new Uint8Array(0);
@@ -35,5 +37,6 @@
     deadlineMs,
     objective: service.kind === 'model' ? service.objective : 'latency',
     excluded,
+    softwareVersion,
   };
 }
--- a/packages/routing/src/policy/policy.ts
+++ b/packages/routing/src/policy/policy.ts
@@ -26,6 +26,8 @@
   readonly dataCentre: string;
   readonly capacity: number;
   readonly suspect: boolean;
+  /** Version of the engine's software; empty or absent: it publishes none. */
+  readonly softwareVersion?: string;
 }
 
 /** Properties of a request that a policy may use. */
@@ -44,6 +46,8 @@
   readonly objective: Objective;
   /** Targets on which this request has already failed. */
   readonly excluded: ReadonlySet<string>;
+  /** Software version that began the answer: no other may continue it. Absent: the answer has not begun. */
+  readonly softwareVersion?: string;
 }
 
 /** An agent's answer to a probe. */
