A stream that its caller does not name is looked up again while a control instance starts

Change: the list has to reach back to the beginning of the attempt that broke only, as the attempt before it was resumed under the same condition, at the same version; requests that come together share a call, and are repeated like lookups of named streams.

--- a/packages/relay/src/origin/streamOrigins.ts
+++ b/packages/relay/src/origin/streamOrigins.ts
@@ -6,7 +6,8 @@
 import type { Peers } from '@jasmineroute/protocol';
 import { OriginLookup } from './originLookup.js';
 import { OriginReporter } from './originReporter.js';
-import { soleVersion } from './soleVersion.js';
+import { VersionLookup } from './versionLookup.js';
+import type { VersionResult } from './versionLookup.js';
 
 /** Maximum number of origins held by an entry. */
 const MAX_ORIGINS = 4_000;
@@ -36,6 +37,7 @@
   private readonly secondSender: ReportSender;
   private readonly reporter: OriginReporter;
   private readonly lookup: OriginLookup;
+  private readonly versions: VersionLookup;
 
   constructor(private readonly parts: StreamOriginsParts) {
     const { sender, controls, allControls, peers, clock, log } = parts;
@@ -44,7 +46,9 @@
     this.secondSender = new ReportSender({ controls: others, peers, clock, log });
     const held = (): controlMessage.StreamOrigin[] => this.table.all();
     this.reporter = new OriginReporter({ senders: [sender, this.secondSender], held, clock });
-    this.lookup = new OriginLookup({ controls: allControls, peers, clock, log });
+    const asked = { controls: allControls, peers, clock, log };
+    this.lookup = new OriginLookup(asked);
+    this.versions = new VersionLookup(asked);
   }
 
   /** Runs until `stop`. */
@@ -63,12 +67,6 @@
     if (stored !== undefined && stored.softwareVersion !== '') this.reporter.report(stored);
   }
 
-  /** The software version of all targets of a service; undefined if they have several, or one may be unknown. */
-  soleVersion(service: string, withinMs: number): Promise<string | undefined> {
-    const { allControls, ...parts } = this.parts;
-    return soleVersion({ ...parts, controls: allControls }, service, withinMs);
-  }
-
   /**
    * The origin of a stream. Without one, the stream may have begun at any version, also at one that this entry has never
    * heard of, however few it knows.
@@ -79,14 +77,35 @@
     waitUntil: number,
     signal: AbortSignal,
   ): Promise<controlMessage.StreamOrigin | undefined> {
-    const { clock } = this.parts;
-    const endsAt = Math.max(waitUntil, clock.monotonic() + LOOKUP_MS);
     const held = this.table.find(stream);
     if (held !== undefined) return held;
+    const { origin } = await this.untilComplete(() => this.lookup.find(stream), waitUntil, signal);
+    return origin;
+  }
+
+  /** The only software version of a service's targets within the last `withinMs` milliseconds; undefined if not certain. */
+  async soleVersion(
+    service: string,
+    withinMs: number,
+    waitUntil: number,
+    signal: AbortSignal,
+  ): Promise<string | undefined> {
+    const ask = (): Promise<VersionResult> => this.versions.soleVersion(service, withinMs);
+    const { version } = await this.untilComplete(ask, waitUntil, signal);
+    return version;
+  }
+
+  /** Asks again while some control instance does not answer, as it may have just started. */
+  private async untilComplete<R extends { readonly isComplete: boolean }>(
+    ask: () => Promise<R>,
+    waitUntil: number,
+    signal: AbortSignal,
+  ): Promise<R> {
+    const { clock } = this.parts;
+    const endsAt = Math.max(waitUntil, clock.monotonic() + LOOKUP_MS);
     for (;;) {
-      const { origin, isComplete } = await this.lookup.find(stream);
-      const isOver = isComplete || signal.aborted || clock.monotonic() >= endsAt;
-      if (origin !== undefined || isOver) return origin;
+      const result = await ask();
+      if (result.isComplete || signal.aborted || clock.monotonic() >= endsAt) return result;
       await clock.sleep(RETRY_MS, signal).catch(() => undefined);
     }
   }
--- /dev/null
+++ b/packages/relay/src/origin/versionLookup.ts
@@ -0,0 +1,66 @@
+/** Asks control instances which software versions the targets of a service had. */
+import { createClient } from '@connectrpc/connect';
+import { controlMessage } from '@jasmineroute/protocol';
+import { relayEvents } from '../events.js';
+import type { OriginLookupParts } from './originLookup.js';
+
+/** Time for which lookups are gathered into one call, milliseconds. */
+const GATHER_MS = 2;
+
+/** Timeout of a call, milliseconds. */
+const CALL_TIMEOUT_MS = 250;
+
+/** What control instances know of a service's software versions. */
+export interface VersionResult {
+  /** The only version; absent: there were several, or one is not known. */
+  readonly version?: string;
+  /** Whether all instances answered. */
+  readonly isComplete: boolean;
+}
+
+type Answer = controlMessage.ListSoftwareVersionsResponse | undefined;
+
+/**
+ * Every target that an entry ever used announced itself to some control instance, so all of them are asked, and asked anew:
+ * what an entry knows itself, or knew before, may be out of date.
+ */
+export class VersionLookup {
+  /** Calls that have not been made yet, by service and time. */
+  private readonly pending = new Map<string, Promise<VersionResult>>();
+
+  constructor(private readonly parts: OriginLookupParts) {}
+
+  /** The only software version that the targets of a service had within the last `withinMs` milliseconds. */
+  soleVersion(service: string, withinMs: number): Promise<VersionResult> {
+    const key = JSON.stringify([service, withinMs]);
+    const known = this.pending.get(key);
+    if (known !== undefined) return known;
+    const result = this.parts.clock.sleep(GATHER_MS).then(() => {
+      this.pending.delete(key);
+      return this.callAll(service, withinMs);
+    });
+    this.pending.set(key, result);
+    return result;
+  }
+
+  private async callAll(service: string, withinMs: number): Promise<VersionResult> {
+    const controls = this.parts.controls();
+    const answers = await Promise.all(controls.map((control) => this.call(control, service, withinMs)));
+    const answered = answers.filter((answer) => answer !== undefined);
+    const isComplete = answered.length > 0 && answered.length === answers.length;
+    const isCertain = isComplete && answered.every(({ complete }) => complete);
+    const [version, ...others] = new Set(answered.flatMap(({ versions }) => versions));
+    return isCertain && others.length === 0 && version !== '' ? { version, isComplete } : { isComplete };
+  }
+
+  private async call(control: string, service: string, withinMs: number): Promise<Answer> {
+    const { peers, log } = this.parts;
+    const client = createClient(controlMessage.Configurations, peers.transport(control));
+    try {
+      return await client.listSoftwareVersions({ service, withinMs }, { timeoutMs: CALL_TIMEOUT_MS });
+    } catch (error) {
+      log.event(relayEvents.originsUnanswered, { control, service, problem: String(error) });
+      return undefined;
+    }
+  }
+}
--- a/packages/relay/src/work/takeUp.ts
+++ b/packages/relay/src/work/takeUp.ts
@@ -14,8 +14,8 @@
 /** Delay after which a caller may ask again, milliseconds: another entry may know the stream, and a new one can begin at once. */
 const RETRY_MS = 10;
 
-/** Attempts, each as long as its route allows, after which a caller has given up a stream. */
-const MAX_STREAM_ATTEMPTS = 2;
+/** Time after which a caller whose stream broke has resumed it, or never does, milliseconds. */
+const MAX_RETURN_MS = 5_000;
 
 /** Whether a request resumes a stream. */
 const resumesStream = ({ lastEventId, resumes }: RelayRequest, { resumable }: Route): boolean =>
@@ -56,7 +56,7 @@
   const { origins, startupGrace, log } = context;
   const origin =
     request.resumes === undefined
-      ? await soleOrigin(context, route)
+      ? await soleOrigin(context, route, signal)
       : await origins.find(streamOf(request, customer), startupGrace.endsAt, signal);
   if (origin === undefined) return err(notResumable('the software version of the stream is not known'));
   const { service, softwareVersion } = origin;
@@ -69,10 +69,18 @@
 const servicesOf = ({ services }: Route): string[] =>
   services.filter(({ weight }) => weight > 0).map(({ service }) => service);
 
-/** The origin of a stream that a caller does not name: known only while all targets have the same software version. */
-async function soleOrigin({ origins }: RelayContext, route: Route): Promise<ResumedOrigin | undefined> {
+/**
+ * The origin of a stream that a caller does not name: known only if all targets have had the same software version since
+ * the attempt that broke began. An earlier attempt of the same stream was resumed under the same condition, at that version.
+ */
+async function soleOrigin(
+  { origins, startupGrace }: RelayContext,
+  route: Route,
+  signal: AbortSignal,
+): Promise<ResumedOrigin | undefined> {
   const [service, ...others] = servicesOf(route);
   if (service === undefined || others.length > 0) return undefined;
-  const softwareVersion = await origins.soleVersion(service, route.timeoutMs * MAX_STREAM_ATTEMPTS);
+  const withinMs = Math.ceil(route.timeoutMs) + MAX_RETURN_MS;
+  const softwareVersion = await origins.soleVersion(service, withinMs, startupGrace.endsAt, signal);
   return softwareVersion === undefined ? undefined : { service, softwareVersion };
 }
