Software versions: a target announced here without its version has the one that it told elsewhere

Change: versions are listed by the start of each target, and a known one wins over none. Result: softwareVersions.spec.ts, the new test fails without the change.

--- a/packages/control/src/softwareVersions/softwareVersions.spec.ts
+++ b/packages/control/src/softwareVersions/softwareVersions.spec.ts
@@ -48,6 +48,22 @@
     expect(list().versions.sort()).toEqual(['v0', 'v1', 'v1.1', 'v1.2']);
   });
 
+  // Guards against a version taken for unknown because the process beside a target announced it here without one.
+  it('are those that the targets told any instance', () => {
+    announce('t1', '');
+    announce('t2', '');
+    expect(list().versions).toEqual(['']);
+    const told = { id: 't1', name: 't1', service: 's', address: 't1:80', softwareVersion: 'v1' };
+    relayed.apply('c2', [create(controlMessage.AnnouncedTargetSchema, told)], true);
+    expect(list().versions).toEqual(['v1', '']);
+    relayed.apply(
+      'c2',
+      [create(controlMessage.AnnouncedTargetSchema, { ...told, id: 't2', name: 't2' })],
+      false,
+    );
+    expect(list().versions).toEqual(['v1']);
+  });
+
   // Guards against an instance that has just started and takes what it has heard for all there is.
   it('are complete only once it has listened for as long as is asked for', async () => {
     announce('t1', 'v1');
--- a/packages/control/src/softwareVersions/softwareVersions.ts
+++ b/packages/control/src/softwareVersions/softwareVersions.ts
@@ -29,7 +29,7 @@
     const { targets, relayed, origins } = this.sources;
     const known = [...targets.since(0), ...relayed.since(0).flatMap((report) => report.targets)];
     const announced = known.filter((target) => target.service === service);
-    const versions = new Set(announced.map(({ softwareVersion }) => softwareVersion));
+    const versions = new Set(versionsById(announced).values());
     for (const version of origins.versionsOf(service)) versions.add(version);
     return create(controlMessage.ListSoftwareVersionsResponseSchema, {
       versions: [...versions],
@@ -43,3 +43,14 @@
     return this.sources.origins.isRestored || this.sources.clock.monotonic() - this.startedAt >= withinMs;
   }
 }
+
+/**
+ * The version of each start of a target. The process beside a target announces it without its version, often to another
+ * control instance than the target calls itself.
+ */
+function versionsById(announced: readonly controlMessage.AnnouncedTarget[]): Map<string, string> {
+  const versions = new Map<string, string>();
+  for (const { id, softwareVersion } of announced)
+    if (softwareVersion !== '' || !versions.has(id)) versions.set(id, softwareVersion);
+  return versions;
+}
