A resumed stream is refused for lack of capacity later than new work

Cause: a resumed stream can go to targets of its own version only, and was refused by the bounds of new requests, which may go to all versions. Change: a resumed stream is judged by the bounds of the most urgent requests: its work was admitted before.

--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -329,12 +329,14 @@
         : { model, resumable: job.route.resumable, moving: this.stream.lastEventId !== undefined };
     const candidates = eligibleByWeights(untried, modelRequest, knowledge, clock.monotonic(), weightsLimitMs);
     const { prompt } = job.request;
+    const priority = job.customer?.priority ?? job.route.priority;
     const store = assignedStore(this.context, job);
     return {
       service: job.service.name,
       candidates,
       prompt: job.route.hasPrompt ? prompt : undefined,
-      priority: job.customer?.priority ?? job.route.priority,
+      // What was admitted before is finished before new work of its class begins.
+      priority: this.stream.resumedVersion === undefined ? priority : 0,
       salt: customerSalt(job),
       objectiveMs: job.route.objectiveMs,
       availabilityAt: (target) => partsAvailability(this.context, job, target, store),
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -32,14 +32,13 @@
   pauseMs = 0;
   /** Whether the current answer was abandoned so that the stream can resume at another target. */
   isMoving = false;
+  /** Software version that began the stream at another entry; undefined: the stream begins here. */
+  resumedVersion: string | undefined;
   private eventAt: number | undefined;
   /** Target that sent the last event; its software version is that of the whole stream. */
   private eventFrom: Target | undefined;
   /** Monotonic time of the last event from the current target. */
   private targetEventAt: number | undefined;
-
-  /** Software version that began the stream at another entry; undefined: the stream begins here. */
-  resumedVersion: string | undefined;
   private isRecorded = false;
 
   constructor(
--- a/packages/relay/src/work/takeUp.spec.ts
+++ b/packages/relay/src/work/takeUp.spec.ts
@@ -93,6 +93,25 @@
     expect(bed.arrivalCount()).toBe(0);
   });
 
+  // Guards against streams that are given up half-way while new ones begin at targets of other versions.
+  it('goes on where a new request is refused for lack of capacity', async () => {
+    await start([routeTo(stream)], 1);
+    const [only] = bed.targets;
+    const goOn = only?.script;
+    if (only === undefined || goOn === undefined) throw new Error('no target');
+    only.script = events(0, 0, () => undefined);
+    const prompt = { 't-prompt': 'a,b' };
+    const open = ['q1', 'q2', 'q3'].map((id) => ask(bed.url, { id, headers: prompt }));
+    await until(() => bed.arrivalCount() === open.length);
+    only.script = goOn;
+    expect(await ask(bed.url, { id: 'new', headers: prompt })).toMatchObject(NOT_RUN);
+    bed.knowStream('old', 'v1');
+    const headers = { ...prompt, 't-resumes': 'old', 't-last': '2' };
+    expect(await ask(bed.url, { id: 'q4', headers })).toMatchObject({ status: 200, body: text(3, 5) });
+    for (const socket of only.sockets) socket.destroy();
+    await Promise.all(open);
+  });
+
   // Guards against a stream that goes on at another service of a split route.
   it('goes to the service that began the stream, while the route leads there', async () => {
     const split = [
