A stream that its caller does not name waits until targets have told their versions

Targets are announced first by the process beside them, without a version; control answered that, and it was taken as final. Change: a list with an unknown version is not complete, and is asked for again for as long as one that an instance did not answer. Result: takeUp.spec.ts: the new test fails without the change.

--- a/packages/relay/src/origin/versionLookup.ts
+++ b/packages/relay/src/origin/versionLookup.ts
@@ -14,7 +14,7 @@
 export interface VersionResult {
   /** The only version; absent: there were several, or one is not known. */
   readonly version?: string;
-  /** Whether all instances answered. */
+  /** Whether all instances answered, and know the versions of all targets. */
   readonly isComplete: boolean;
 }
 
@@ -47,10 +47,12 @@
     const controls = this.parts.controls();
     const answers = await Promise.all(controls.map((control) => this.call(control, service, withinMs)));
     const answered = answers.filter((answer) => answer !== undefined);
-    const isComplete = answered.length > 0 && answered.length === answers.length;
+    const versions = new Set(answered.flatMap((answer) => answer.versions));
+    // After a loss of all instances targets are announced without their versions, until each has called an instance.
+    const isComplete = answered.length > 0 && answered.length === answers.length && !versions.has('');
     const isCertain = isComplete && answered.every(({ complete }) => complete);
-    const [version, ...others] = new Set(answered.flatMap(({ versions }) => versions));
-    return isCertain && others.length === 0 && version !== '' ? { version, isComplete } : { isComplete };
+    const [version, ...others] = versions;
+    return isCertain && others.length === 0 ? { version, isComplete } : { isComplete };
   }
 
   private async call(control: string, service: string, withinMs: number): Promise<Answer> {
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -85,6 +85,8 @@
   /** Software versions that it lists, and whether the list is complete. */
   softwareVersions: string[] = [];
   knowsVersions = false;
+  /** How often it was asked for them. */
+  versionLists = 0;
 
   async start(): Promise<string> {
     this.server = await listen('127.0.0.1', 0, (router) => {
@@ -98,7 +100,10 @@
             streams.some((one) => Buffer.compare(one, stream) === 0),
           ),
         }),
-        listSoftwareVersions: () => ({ versions: this.softwareVersions, complete: this.knowsVersions }),
+        listSoftwareVersions: () => {
+          this.versionLists += 1;
+          return { versions: this.softwareVersions, complete: this.knowsVersions };
+        },
         enlist: () => ({}),
         observe: () => ({}),
       });
@@ -292,6 +297,11 @@
     return this.controlStub.origins.find(({ stream }) => key.equals(stream))?.softwareVersion;
   }
 
+  /** How often control was asked for software versions. */
+  get versionLists(): number {
+    return this.controlStub.versionLists;
+  }
+
   /** Lets control list software versions of all services. */
   listVersions(versions: readonly string[], isComplete = true): void {
     this.controlStub.softwareVersions = [...versions];
--- a/packages/relay/src/work/takeUp.spec.ts
+++ b/packages/relay/src/work/takeUp.spec.ts
@@ -75,6 +75,16 @@
     },
   );
 
+  // Guards against streams that are refused after a loss of all instances, before each target has told its version.
+  it('goes on once control knows the versions of targets that were announced without', async () => {
+    await start([routeTo(stream)], 2);
+    bed.listVersions(['', 'v1']);
+    const asked = ask(bed.url, { id: 'q2', headers: { 't-last': '2' } });
+    await until(() => bed.versionLists > 0);
+    bed.listVersions(['v1']);
+    expect(await asked).toMatchObject({ status: 200, body: text(3, 5) });
+  });
+
   // Guards against callers of older releases whose streams never go on although all targets have one version.
   it('goes on without the name of the request that began the stream while all targets have one version', async () => {
     await start([routeTo(stream)], 2);
