Reports begin as soon as a control instance takes connections

Cause: a control instance that refused one connection was skipped for 2 s. An entry that started a moment before control told it nothing for 2.1 s (a probe with real processes: refused at 10.301, taken at 12.399), so streams that it began were unknown elsewhere when it was killed. Change: an instance is skipped for ten times as long as the failed call took, 0.1 to 2 s: a refusal costs next to nothing, a timeout does.

--- a/packages/knowledge/src/failoverClient.spec.ts
+++ b/packages/knowledge/src/failoverClient.spec.ts
@@ -49,4 +49,28 @@
     for (const one of ['a', 'b', 'c']) down.add(one);
     expect(await call()).toBeUndefined();
   });
+
+  // Guards against reports that are dropped for 2 s after a start, as control instances refused the first connections.
+  it.each([
+    ['a moment when it refused the connection', 0, 100],
+    ['longer when the call timed out', 400, 2_000],
+  ])('skips an instance for %s', async (_title, tookMs, skipMs) => {
+    const own = new ManualClock();
+    const peers = { transport: () => ({}) } as unknown as Peers;
+    const silent = { event: () => undefined } as unknown as Log;
+    const failing = new FailoverClient({ controls: () => ['a'], peers, clock: own, log: silent });
+    let calls = 0;
+    const fail = async (): Promise<unknown> => {
+      calls += 1;
+      await own.advance(tookMs);
+      throw new Error('down');
+    };
+    await failing.call(fail);
+    await own.advance(skipMs - 1);
+    await failing.call(fail);
+    expect(calls).toBe(1);
+    await own.advance(1);
+    await failing.call(fail);
+    expect(calls).toBe(2);
+  });
 });
--- a/packages/knowledge/src/failoverClient.ts
+++ b/packages/knowledge/src/failoverClient.ts
@@ -9,8 +9,15 @@
 /** Timeout of a call, milliseconds: about ten round trips. */
 const CALL_TIMEOUT_MS = 400;
 
-/** Time for which an instance that did not answer is skipped, milliseconds: twice the time in which its loss is detected. */
-const SKIP_MS = 2_000;
+/** Longest time for which an instance that did not answer is skipped, milliseconds: twice the time in which its loss is detected. */
+const MAX_SKIP_MS = 2_000;
+
+/**
+ * Shortest such time, milliseconds, and the ratio to the duration of the failed call. A refused connection costs next to
+ * nothing, and an instance that refuses it is often about to start.
+ */
+const MIN_SKIP_MS = 100;
+const SKIP_RATIO = 10;
 
 /** Dependencies of the client. */
 export interface FailoverParts {
@@ -50,13 +57,16 @@
   private async callOne(address: string, call: ControlCall): Promise<boolean> {
     const { peers, clock, log } = this.parts;
     const client = createClient(controlMessage.Configurations, peers.transport(address));
+    const calledAt = clock.monotonic();
     try {
       await call(client, { timeoutMs: CALL_TIMEOUT_MS }, address);
     } catch (error) {
       if (!this.skippedUntil.has(address)) {
         log.event(knowledgeEvents.controlUnreachable, { control: address, problem: String(error) });
       }
-      this.skippedUntil.set(address, clock.monotonic() + SKIP_MS);
+      const now = clock.monotonic();
+      const skipMs = Math.max(MIN_SKIP_MS, (now - calledAt) * SKIP_RATIO);
+      this.skippedUntil.set(address, now + Math.min(MAX_SKIP_MS, skipMs));
       return false;
     }
     if (this.skippedUntil.delete(address)) log.event(knowledgeEvents.controlReachable, { control: address });
