--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -166,7 +166,7 @@
     file: 'packages/control/src/role/createControl.ts',
     find: 'new OriginStore(clock, metrics, files)',
     put: 'new OriginStore(clock, metrics)',
-    spec: 'platform/src/softwareVersions.spec.ts',
+    spec: 'softwareVersions.spec',
     test: 'after a loss of power of all',
   },
   {
