--- a/packages/relay/src/dialect/dialect.ts
+++ b/packages/relay/src/dialect/dialect.ts
@@ -36,7 +36,7 @@
   readonly prompt?: PromptOutline;
   /** Id of the last event that the caller received from an earlier stream. */
   readonly lastEventId?: string;
-  /** Id of the request whose answer began the stream that this request takes up. */
+  /** Id of the request whose answer began the stream that this request resumes. */
   readonly resumes?: string;
   /** Headers that are forwarded unchanged. */
   readonly headers: Readonly<Record<string, string>>;
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -14,8 +14,8 @@
     help: 'Time from the request to the first body byte',
   },
   attempts: { name: 'relay.attempt.count', type: 'counter', help: 'Requests sent to targets, by outcome' },
-  takeUps: {
-    name: 'relay.stream.take_ups',
+  resumed: {
+    name: 'relay.stream.resumed',
     type: 'counter',
     help: 'Requests to go on with a stream that broke, by outcome',
   },
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -27,7 +27,7 @@
 import { partsAvailability, customerSalt, sourceFor, assignedStore } from './sharedParts.js';
 import { overloadMessage, attemptRecord } from './report.js';
 import { Stream } from './stream.js';
-import { notResumable, originOf, recordOrigin } from './takeUp.js';
+import { notResumable, originOf, recordOrigin } from './resumption.js';
 
 /** Maximum body size in bytes where the configuration sets none. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -229,14 +229,14 @@
       last = await this.attempt(job, placement);
       if (last.state === 'answered') {
         metrics.count(relayMetrics.requests, 1, { kind: job.route.kind, outcome: 'answered' });
-        this.countTakeUp(job.request, 'answered');
+        this.countResumed(job.request, 'answered');
         this.recordTimings();
         return;
       }
       if (!this.countsAsAttempt(last.fault)) this.sends -= 1;
       if (!this.mayRetry(job, last.fault)) break;
     }
-    this.countTakeUp(job.request, 'unanswered');
+    this.countResumed(job.request, 'unanswered');
     if (this.answer.gone.aborted) {
       log.event(relayEvents.callerGone, {
         request: job.request.id,
@@ -390,8 +390,8 @@
       : forwardAnswer(this.context, this.answer, answer);
   }
 
-  private countTakeUp({ lastEventId }: RelayRequest, outcome: 'answered' | 'unanswered'): void {
-    if (lastEventId !== undefined) this.context.metrics.count(relayMetrics.takeUps, 1, { outcome });
+  private countResumed({ lastEventId }: RelayRequest, outcome: 'answered' | 'unanswered'): void {
+    if (lastEventId !== undefined) this.context.metrics.count(relayMetrics.resumed, 1, { outcome });
   }
 
   /** Whether another target can take the stream over; takes the retry for it from the budget. */
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -147,10 +147,10 @@
   },
   {
     name: 'refusal of a stream of unknown origin',
-    file: 'packages/relay/src/work/takeUp.ts',
+    file: 'packages/relay/src/work/resumption.ts',
     find: "if (origin === undefined) return err(notResumable('the software version of the stream is not known'));",
     put: 'if (origin === undefined) return ok(undefined);',
-    spec: 'packages/relay/src/work/takeUp.spec.ts',
+    spec: 'packages/relay/src/work/resumption.spec.ts',
     test: 'is refused when nobody knows the version',
   },
   {
