Log whether a target that broke off an answer has ended, and the fingerprint of the request

Callers saw the same request end one server after another; no line of ours said which request was running where a target ended, nor whether the target ended at all or only a connection. An entry now opens one connection to a target that broke off an answer: a refusal, or another start at the address, means that it has ended. 8009 names the fate, 8010 each request that was running, by a fingerprint of caller, path and body, which all processes share. Metric relay.target.broken.

--- a/packages/knowledge/src/targetList.ts
+++ b/packages/knowledge/src/targetList.ts
@@ -30,6 +30,9 @@
   readonly paused: boolean;
 }
 
+/** What is known of a start of a target. */
+export type TargetLife = 'announced' | 'silent' | 'leaving' | 'replaced';
+
 interface KnownTarget {
   target: Target;
   sequence: bigint;
@@ -90,6 +93,16 @@
     return there.sort((a, b) => b.since - a.since)[0]?.target;
   }
 
+  /** What is known of a start of a target: whether it is announced, silent, leaving, or another start took its place. */
+  lifeOf({ id, address }: Target): TargetLife {
+    const known = this.targets.get(id);
+    if (known === undefined) return 'silent';
+    const successor = this.at(address);
+    if (known.isReplaced || (successor !== undefined && successor.id !== id)) return 'replaced';
+    if (finalityOf(known.announcement) > 0) return 'leaving';
+    return [...known.heartbeatsAt.values()].some((isHeard) => isHeard) ? 'announced' : 'silent';
+  }
+
   /** Software version of a start of a target, of one that has ended too; empty: not known. */
   softwareVersionOf(id: string): string {
     return this.targets.get(id)?.target.softwareVersion ?? '';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -6,4 +6,5 @@
 export * from './role/index.js';
 export * from './origin/index.js';
 export * from './part/index.js';
+export * from './quarantine/index.js';
 export * from './start/index.js';
--- /dev/null
+++ b/packages/protocol/src/quarantine/index.ts
@@ -0,0 +1,1 @@
+export * from './fingerprint.js';
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -22,6 +22,12 @@
     level: 'info',
     message: 'the software version of a stream that a caller resumes is known',
   },
+  targetFate: { id: 8009, level: 'info', message: 'whether a target that broke off an answer has ended' },
+  brokenUnder: {
+    id: 8010,
+    level: 'info',
+    message: 'an answer was broken off by its target, with the fingerprint of the request',
+  },
   readiness: { id: 8006, level: 'info', message: 'readiness changed' },
   draining: { id: 8012, level: 'info', message: 'planned stop: finishing open requests' },
   drained: { id: 8013, level: 'info', message: 'planned stop: all requests finished' },
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -24,5 +24,10 @@
     type: 'counter',
     help: 'Streams that went on at another target within one answer, by whether that has the same software version',
   },
+  brokenTargets: {
+    name: 'relay.target.broken',
+    type: 'counter',
+    help: 'Targets that broke off answers, by whether they had ended, were alive or had announced to leave',
+  },
   open: { name: 'relay.request.open', type: 'gauge', help: 'Requests in progress' },
 });
--- /dev/null
+++ b/packages/relay/src/quarantine/crashWatch.ts
@@ -0,0 +1,90 @@
+/** Finds out whether a target that broke off an answer has ended. */
+import type { Clock, Log, Metrics } from '@jasmineroute/core';
+import type { Target, TargetList } from '@jasmineroute/knowledge';
+import { relayEvents } from '../events.js';
+import { relayMetrics } from '../metrics.js';
+import { probeTarget } from './targetProbe.js';
+import type { ProbeResult } from './targetProbe.js';
+
+/** Interval between two checks of a target whose fate is not known yet, milliseconds. */
+const CHECK_INTERVAL_MS = 300;
+
+/** Time after which a target that was not found to have ended counts as alive, milliseconds: some missed heartbeats. */
+const WATCH_MS = 5_000;
+
+/** Time for which the result for a target is reused, milliseconds: all its connections break at about the same time. */
+const REUSE_MS = 1_000;
+
+/** What became of a target whose connection broke. */
+export interface Fate {
+  /** Whether it has ended, as far as the first probe shows. */
+  readonly first: Promise<boolean>;
+  /** Whether it has ended. */
+  readonly final: Promise<boolean>;
+}
+
+/** Dependencies of the watch. */
+export interface CrashWatchParts {
+  readonly targets: Pick<TargetList, 'lifeOf'>;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Replaced in tests. */
+  readonly probe?: typeof probeTarget;
+}
+
+/**
+ * A broken connection alone says nothing about the target: links are cut, connections are reset, processes of this system
+ * restart. A target has ended when its address refuses connections, or when another start is announced there.
+ */
+export class CrashWatch {
+  private readonly fates = new Map<string, Fate>();
+
+  constructor(private readonly parts: CrashWatchParts) {}
+
+  /** The fate of a target that just broke off an answer. One that announced to leave ends as planned: it does not crash. */
+  fateOf(target: Target): Fate {
+    const known = this.fates.get(target.id);
+    if (known !== undefined) return known;
+    const fate = this.watch(target);
+    this.fates.set(target.id, fate);
+    this.parts.clock.after(REUSE_MS, () => this.fates.delete(target.id));
+    return fate;
+  }
+
+  private watch(target: Target): Fate {
+    const { clock, targets, probe = probeTarget } = this.parts;
+    if (targets.lifeOf(target) === 'leaving') {
+      this.record(target, 'left', undefined);
+      return { first: Promise.resolve(false), final: Promise.resolve(false) };
+    }
+    const first = probe(target.address, clock);
+    const final = first.then((result) => this.follow(target, result));
+    return { first: first.then((result) => result === 'refused'), final };
+  }
+
+  /** Follows a target until it is known to have ended, or long enough to count as alive. */
+  private async follow(target: Target, first: ProbeResult): Promise<boolean> {
+    const { clock, targets, probe = probeTarget } = this.parts;
+    const until = clock.monotonic() + WATCH_MS;
+    let result = first;
+    while (clock.monotonic() < until) {
+      if (result === 'refused' || targets.lifeOf(target) === 'replaced') {
+        this.record(target, 'ended', first);
+        return true;
+      }
+      await clock.sleep(CHECK_INTERVAL_MS);
+      // Once the address accepts connections, only the announcement of another start shows that this one ended.
+      if (result === 'unanswered') result = await probe(target.address, clock);
+    }
+    const isSilent = result === 'unanswered' && targets.lifeOf(target) === 'silent';
+    this.record(target, isSilent ? 'ended' : 'alive', first);
+    return isSilent;
+  }
+
+  private record(target: Target, fate: 'ended' | 'alive' | 'left', probe: ProbeResult | undefined): void {
+    const { log, metrics } = this.parts;
+    metrics.count(relayMetrics.brokenTargets, 1, { fate });
+    log.event(relayEvents.targetFate, { target: target.id, service: target.service, fate, probe });
+  }
+}
--- /dev/null
+++ b/packages/relay/src/quarantine/index.ts
@@ -0,0 +1,1 @@
+export * from './crashWatch.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -11,6 +11,7 @@
 import { Follower, ClusterView, ReportSender } from '@jasmineroute/knowledge';
 import { relayMetrics } from './metrics.js';
 import { StreamOrigins } from './origin/index.js';
+import { CrashWatch } from './quarantine/index.js';
 import { TargetSelector } from './placement/index.js';
 import type { RelaySettings } from './setting/index.js';
 import { TargetPools, TargetMonitor, WorkReporter } from './target/index.js';
@@ -81,6 +82,7 @@
       budgets: new ServiceBudgets(allowance, () => knowledge.entries()),
       copySchedule: new CopySchedule(clock, (store, part) => knowledge.isKept(store, part)),
       origins: this.origins,
+      crashWatch: new CrashWatch({ targets: knowledge.targets, clock, log, metrics }),
       startupGrace: new StartupGrace(knowledge, clock),
       stopsAt: () => this.stopsAt,
       weightsLimitMs: settings.weightsLimitMs,
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -12,6 +12,7 @@
 import type { Source } from '../cache/index.js';
 import type { RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
+import { fingerprintText, requestFingerprint } from '@jasmineroute/protocol';
 import { relayMetrics } from '../metrics.js';
 import { drawService, eligibleByWeights } from '../placement/index.js';
 import type { Placement, PlacementInput } from '../placement/index.js';
@@ -355,6 +356,7 @@
     const open = monitor.startRequest(target.id, placement.tokens, fetchOf(source), job.service.name);
     let outcome: Outcome;
     let status = 0;
+    let wasUnresponsive: boolean;
     try {
       const sent = await send(this.context, job, target, addedFields, this.abort.signal);
       if (sent.isOk()) status = sent.value.wire.status;
@@ -362,9 +364,11 @@
         ? await this.forward(job, target, sent.value, open)
         : { state: 'fault', fault: sent.error };
     } finally {
+      wasUnresponsive = monitor.isUnresponsive(target.id);
       open.finish();
     }
     if (outcome.state === 'answered') monitor.recordSuccess(target.id);
+    else if (this.mayHaveEnded(outcome.fault, wasUnresponsive)) this.recordBroken(job, target);
     const result = outcome.state === 'answered' ? 'answered' : outcome.fault.kind;
     metrics.count(relayMetrics.attempts, 1, { outcome: result });
     const tookMs = clock.monotonic() - begunAt;
@@ -373,6 +377,22 @@
     return outcome;
   }
 
+  /** Whether a target that broke off an answer may have ended, rather than this entry having given the answer up. */
+  private mayHaveEnded({ kind }: Fault, wasUnresponsive: boolean): boolean {
+    if (this.abort.signal.aborted) return false;
+    if (this.stream.isMoving) return wasUnresponsive;
+    return kind === 'target-lost' || kind === 'stream-broken';
+  }
+
+  private recordBroken(job: Job, target: Target): void {
+    const { crashWatch, log } = this.context;
+    const { request, body, customer } = job;
+    const fingerprint = fingerprintText(requestFingerprint(customer?.name ?? '', request.path, body));
+    void crashWatch.fateOf(target).final.then((hasEnded) => {
+      log.event(relayEvents.brokenUnder, { request: request.id, fingerprint, target: target.id, hasEnded });
+    });
+  }
+
   /** Forwards an answer to the caller. */
   private forward(job: Job, target: Target, answer: TargetAnswer, open: OpenRequest): Promise<Outcome> {
     const { status } = answer.wire;
