--- a/packages/control/src/bench/followers.ts
+++ b/packages/control/src/bench/followers.ts
@@ -5,6 +5,7 @@
 import { LocalLog } from '../fixture/index.js';
 import { FollowService, OtherControls } from '../follow/index.js';
 import { OriginStore } from '../origins/index.js';
+import { EvidenceStore } from '../quarantine/index.js';
 import { RecentReports } from '../recent/index.js';
 import { createState } from '../role/createState.js';
 import { RelayedTargets, TargetRegistry } from '../targets/index.js';
@@ -35,17 +36,19 @@
   const loads = new RecentReports<controlMessage.TargetLoad>(systemClock);
   const work = new RecentReports<controlMessage.EntryWork>(systemClock);
   const relayed = new RelayedTargets(systemClock);
+  const evidence = new EvidenceStore(silentLog, silentMetrics);
   const ended = new AbortController();
   const service = new FollowService({
     configuration,
     targets: new TargetRegistry(systemClock, silentLog, HEARTBEAT_MS),
     relayed,
-    others: new OtherControls({ relayed, loads, work, vouched: () => true, clock: systemClock }),
+    others: new OtherControls({ relayed, loads, work, evidence, vouched: () => true, clock: systemClock }),
     loads,
     work,
     lostStores: () => [],
     kept: undefined,
     origins: new OriginStore(systemClock, silentMetrics),
+    evidence,
     commandLog: new LocalLog(machine),
     clock: systemClock,
     log: silentLog,
--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -78,10 +78,20 @@
     message: 'no data folder: this instance runs as a standby without a vote',
   },
   storeListFailed: { id: 3027, level: 'warn', message: 'a cache store did not list its content' },
-  originsNotStored: {
+  recordsNotStored: {
     id: 3032,
     level: 'warn',
-    message: 'origins of streams were not stored: streams may be unknown after a loss of power',
+    message: 'records were not stored: they may be unknown after a loss of power',
+  },
+  quarantined: {
+    id: 3033,
+    level: 'warn',
+    message: 'a request is no longer sent to targets: several of them crashed while they ran it',
+  },
+  quarantineEnded: {
+    id: 3034,
+    level: 'info',
+    message: 'a request that crashed targets may be sent again',
   },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- /dev/null
+++ b/packages/control/src/files/index.ts
@@ -0,0 +1,1 @@
+export * from './recordFiles.js';
--- a/packages/control/src/origins/originFiles.ts
+++ b/packages/control/src/files/recordFiles.ts
@@ -1,41 +1,42 @@
-/** Origins of streams on the disk: files of checksummed records, appended to and dropped as a whole. */
+/** Records of a table on the disk: files of checksummed batches, appended to and dropped as a whole. */
 import { join } from 'node:path';
-import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { decodeFrames, encodeFrame } from '@jasmineroute/coordination';
 import type { Disk, DiskFile } from '@jasmineroute/coordination';
 import type { Clock, Log } from '@jasmineroute/core';
-import { controlMessage } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
 
-const PREFIX = 'origins-';
 const DIGITS = 10;
 
-/** Files kept beside the one that is written: the older generation of the table. */
-const KEPT_FILES = 1;
-
-/**
- * Interval between two syncs, milliseconds. A loss of power loses the origins since the last one; a sync for each batch would
- * hold up the log on the same disk.
- */
-const SYNC_INTERVAL_MS = 200;
-
-/** Maximum number of origins that wait for a disk that hangs or is full; the oldest are dropped. */
+/** Maximum number of records that wait for a disk that hangs or is full; the oldest are dropped. */
 const MAX_PENDING = 10_000;
 
-const { StreamOriginsSchema } = controlMessage;
-
 interface OpenFile {
   readonly path: string;
   readonly file: DiskFile;
   length: number;
 }
 
+/** What the files hold. */
+export interface RecordFormat<T> {
+  /** Beginning of the files' names. */
+  readonly prefix: string;
+  readonly encode: (records: T[]) => Uint8Array;
+  readonly decode: (batch: Uint8Array) => T[];
+  /**
+   * Time from a write to its sync, milliseconds. A loss of power loses the records since the last sync; a sync for each batch
+   * of frequent ones would hold up the log on the same disk.
+   */
+  readonly syncDelayMs: number;
+  /** Files kept beside the one that is written. */
+  readonly keptFiles: number;
+}
+
 /**
- * Appends origins without waiting for the disk. A disk that fails costs only what it does not hold: the origins stay in memory
+ * Appends records without waiting for the disk. A disk that fails costs only what it does not hold: the records stay in memory
  * and at another instance, so a failure is logged and the next batch is tried again.
  */
-export class OriginFiles {
-  private pending: controlMessage.StreamOrigin[] = [];
+export class RecordFiles<T> {
+  private pending: T[] = [];
   /** Number of the next file. */
   private next = 0;
   private older: string[] = [];
@@ -48,26 +49,28 @@
   constructor(
     private readonly disk: Disk,
     private readonly folder: string,
+    private readonly format: RecordFormat<T>,
     private readonly clock: Clock,
     private readonly log: Log,
   ) {}
 
-  /** Reads the origins of all files, the oldest first. */
-  async load(): Promise<controlMessage.StreamOrigin[]> {
-    const origins: controlMessage.StreamOrigin[] = [];
+  /** Reads the records of all files, the oldest first. */
+  async load(): Promise<T[]> {
+    const { prefix } = this.format;
+    const records: T[] = [];
     await this.attempt(async () => {
       await this.disk.ensureFolder(this.folder);
-      const names = (await this.disk.list(this.folder)).filter((name) => name.startsWith(PREFIX)).sort();
+      const names = (await this.disk.list(this.folder)).filter((name) => name.startsWith(prefix)).sort();
       this.older = names.map((name) => join(this.folder, name));
-      this.next = Number(names.at(-1)?.slice(PREFIX.length) ?? 0) + 1;
-      for (const path of this.older) origins.push(...(await this.read(path)));
+      this.next = Number(names.at(-1)?.slice(prefix.length) ?? 0) + 1;
+      for (const path of this.older) records.push(...(await this.read(path)));
     });
-    return origins;
+    return records;
   }
 
-  /** Appends origins; they are synced soon. */
-  append(origins: readonly controlMessage.StreamOrigin[]): void {
-    this.pending.push(...origins);
+  /** Appends records; they are synced soon. */
+  append(records: readonly T[]): void {
+    this.pending.push(...records);
     if (this.pending.length > MAX_PENDING) this.pending = this.pending.slice(-MAX_PENDING);
     this.writing ??= this.attempt(() => this.writePending()).finally(() => {
       this.writing = undefined;
@@ -90,9 +93,9 @@
 
   private async writePending(): Promise<void> {
     while (this.pending.length > 0) {
-      const origins = this.pending;
+      const records = this.pending;
       this.pending = [];
-      await this.write(await this.writable(), origins);
+      await this.write(await this.writable(), records);
     }
     this.scheduleSync();
   }
@@ -100,7 +103,7 @@
   private scheduleSync(): void {
     if (this.isSyncDue) return;
     this.isSyncDue = true;
-    this.clock.after(SYNC_INTERVAL_MS, () => {
+    this.clock.after(this.format.syncDelayMs, () => {
       this.isSyncDue = false;
       void this.attempt(async () => {
         await this.current?.file.sync();
@@ -120,8 +123,8 @@
     }
     this.isRollDue = false;
     if (this.current !== undefined) return this.current;
-    while (this.older.length > KEPT_FILES) await this.disk.remove(this.older.shift() ?? '');
-    const path = join(this.folder, `${PREFIX}${String(this.next).padStart(DIGITS, '0')}`);
+    while (this.older.length > this.format.keptFiles) await this.disk.remove(this.older.shift() ?? '');
+    const path = join(this.folder, `${this.format.prefix}${String(this.next).padStart(DIGITS, '0')}`);
     const file = await this.disk.open(path);
     await this.disk.syncFolder(this.folder);
     this.next += 1;
@@ -129,17 +132,17 @@
     return this.current;
   }
 
-  private async write(target: OpenFile, origins: controlMessage.StreamOrigin[]): Promise<void> {
-    const frame = encodeFrame(toBinary(StreamOriginsSchema, create(StreamOriginsSchema, { origins })));
+  private async write(target: OpenFile, records: T[]): Promise<void> {
+    const frame = encodeFrame(this.format.encode(records));
     // A write that fails may leave a part of it; the next one starts at the same place.
     await target.file.write(frame, target.length);
     target.length += frame.length;
   }
 
-  private async read(path: string): Promise<controlMessage.StreamOrigin[]> {
+  private async read(path: string): Promise<T[]> {
     const { payloads, laterPayloads } = decodeFrames(await this.disk.read(path));
     const batches = [...payloads, ...laterPayloads];
-    return batches.flatMap((payload) => fromBinary(StreamOriginsSchema, payload).origins);
+    return batches.flatMap((payload) => this.format.decode(payload));
   }
 
   /** Runs an operation on the disk; a failure is logged once until a sync succeeds. */
@@ -147,7 +150,8 @@
     try {
       await operation();
     } catch (error) {
-      if (!this.isFailing) this.log.event(controlEvents.originsNotStored, { problem: String(error) });
+      if (!this.isFailing)
+        this.log.event(controlEvents.recordsNotStored, { folder: this.folder, problem: String(error) });
       this.isFailing = true;
     }
   }
--- a/packages/control/src/follow/followService.spec.ts
+++ b/packages/control/src/follow/followService.spec.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { LocalLog, applyOne } from '../fixture/index.js';
 import { OriginStore } from '../origins/index.js';
+import { EvidenceStore } from '../quarantine/index.js';
 import { RecentReports } from '../recent/index.js';
 import { createState } from '../role/createState.js';
 import type { ControlState } from '../state/index.js';
@@ -31,15 +32,17 @@
   };
   const relayed = new RelayedTargets(systemClock);
   const vouched = (): boolean => true;
+  const evidence = new EvidenceStore(silentLog, silentMetrics);
   service = new FollowService({
     ...boards,
     configuration,
     targets: new TargetRegistry(systemClock, silentLog, HEARTBEAT_MS),
     relayed,
-    others: new OtherControls({ ...boards, relayed, vouched, clock: systemClock }),
+    others: new OtherControls({ ...boards, relayed, evidence, vouched, clock: systemClock }),
     lostStores: () => [],
     kept: undefined,
     origins: new OriginStore(systemClock, silentMetrics),
+    evidence,
     commandLog,
     clock: systemClock,
     log: silentLog,
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -103,11 +103,14 @@
   }
 
   private subscribeToTargets(): void {
-    const { targets, relayed } = this.sources;
+    const { targets, relayed, evidence } = this.sources;
     const { loads, own, bulk, spare } = this.signals;
     const quick = [loads, own, bulk].map((signal) => this.coalescer(TARGETS_DELAY_MS, signal));
     const slow = this.coalescer(SPARE_DELAY_MS, spare);
-    for (const coalescer of [...quick, slow]) targets.onChange(coalescer.recordChange);
+    for (const coalescer of [...quick, slow]) {
+      targets.onChange(coalescer.recordChange);
+      evidence.onChange(coalescer.recordChange);
+    }
     for (const coalescer of [this.coalescer(TARGETS_DELAY_MS, bulk), slow])
       relayed.onChange(coalescer.recordChange);
   }
--- a/packages/control/src/follow/followerCursor.ts
+++ b/packages/control/src/follow/followerCursor.ts
@@ -40,6 +40,7 @@
   private loadPosition = 0;
   private workPosition = 0;
   private cachedPosition = 0;
+  private evidencePosition = 0;
   private weightsVersion = -1;
   /** Number of the last shared update that was sent; undefined: none. */
   private updateNumber: number | undefined;
@@ -79,10 +80,18 @@
       vouched: commandLog.status().vouched,
       number: configuration.held().number,
       controls: this.controls(),
+      evidence: this.evidence(),
       entries,
     });
   }
 
+  private evidence(): controlMessage.CrashEvidence[] {
+    const { evidence } = this.sources;
+    const changed = evidence.since(this.evidencePosition);
+    this.evidencePosition = evidence.lastChangeNumber;
+    return changed;
+  }
+
   private controls(): string[] {
     const controls = this.sources.commandLog.members().map(({ address }) => address);
     const joined = controls.join();
--- a/packages/control/src/follow/otherControls.ts
+++ b/packages/control/src/follow/otherControls.ts
@@ -3,6 +3,7 @@
 import type { Listener } from '@jasmineroute/knowledge';
 import { CachedParts } from '@jasmineroute/protocol';
 import type { controlMessage } from '@jasmineroute/protocol';
+import type { EvidenceStore } from '../quarantine/index.js';
 import type { RecentReports } from '../recent/index.js';
 import type { RelayedTargets } from '../targets/index.js';
 
@@ -19,6 +20,8 @@
   readonly loads: RecentReports<controlMessage.TargetLoad>;
   /** Work of entries, by their names. */
   readonly work: RecentReports<controlMessage.EntryWork>;
+  /** Evidence on requests that crash targets. */
+  readonly evidence: EvidenceStore;
   /** Whether this instance is in contact with a quorum. */
   readonly vouched: () => boolean;
   readonly clock: Clock;
@@ -49,13 +52,14 @@
   }
 
   apply(control: string, event: controlMessage.FollowEvent, whole: boolean): void {
-    const { relayed, loads, work } = this.parts;
+    const { relayed, loads, work, evidence } = this.parts;
     this.pendingRemovals.get(control)?.();
     this.pendingRemovals.delete(control);
     this.entryCounts.set(control, event.entries);
     relayed.apply(control, event.targets, whole);
     for (const load of event.loads) loads.take(load.targetId, load, false);
     for (const report of event.work) work.take(report.entry, report, false);
+    evidence.record(event.evidence);
     if (event.cached === undefined) return;
     this.cached.applyChanges(control, event.cached);
     for (const listener of this.listeners) listener();
--- a/packages/control/src/follow/reportReceiver.ts
+++ b/packages/control/src/follow/reportReceiver.ts
@@ -1,4 +1,4 @@
-/** Receives the reports of processes: loads and caches of targets, work of entries, origins of streams. */
+/** Receives the reports of processes: loads and caches of targets, work of entries, origins of streams, crashes. */
 import { create } from '@bufbuild/protobuf';
 import type { HandlerContext } from '@connectrpc/connect';
 import type { Clock, Log } from '@jasmineroute/core';
@@ -6,6 +6,7 @@
 import { match } from 'ts-pattern';
 import { controlEvents } from '../events.js';
 import type { OriginStore } from '../origins/index.js';
+import type { EvidenceStore } from '../quarantine/index.js';
 import type { RecentReports } from '../recent/index.js';
 
 /** Time between two responses, milliseconds, by which a sender knows that the stream is alive. */
@@ -22,6 +23,8 @@
   readonly work: RecentReports<controlMessage.EntryWork>;
   /** Origins of streams. */
   readonly origins: OriginStore;
+  /** Evidence on requests that crash targets. */
+  readonly evidence: EvidenceStore;
   readonly clock: Clock;
   readonly log: Log;
   /** Aborted when this process stops: streams end, and senders switch to other instances. */
@@ -74,7 +77,7 @@
   }
 
   private apply(report: controlMessage.ReportRequest['report']): void {
-    const { loads, work, origins } = this.sinks;
+    const { loads, work, origins, evidence } = this.sinks;
     match(report)
       .with({ case: 'load' }, ({ value }) => {
         loads.take(value.targetId, value);
@@ -88,6 +91,9 @@
       .with({ case: 'origins' }, ({ value }) => {
         origins.record(value);
       })
+      .with({ case: 'evidence' }, ({ value }) => {
+        evidence.record(value.evidence);
+      })
       // A kind of report that only newer releases know.
       .with({ case: undefined }, () => undefined)
       .exhaustive();
--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -16,6 +16,16 @@
     help: 'Calls of targets, and entries of their lists, that could not be parsed',
   },
   claimsHeld: { name: 'control.claim.held', type: 'gauge', help: 'Claims in the table' },
+  suspects: {
+    name: 'control.quarantine.suspects',
+    type: 'gauge',
+    help: 'Requests that were running at targets when these crashed, and have not ended well since',
+  },
+  quarantined: {
+    name: 'control.quarantine.held',
+    type: 'gauge',
+    help: 'Requests that are no longer sent to targets',
+  },
   originsHeld: { name: 'control.origin.held', type: 'gauge', help: 'Origins of streams held' },
   originLookups: {
     name: 'control.origin.lookups',
--- a/packages/control/src/origins/index.ts
+++ b/packages/control/src/origins/index.ts
@@ -1,2 +1,2 @@
-export * from './originFiles.js';
+export * from './originFormat.js';
 export * from './originStore.js';
--- a/packages/control/src/origins/originStore.spec.ts
+++ b/packages/control/src/origins/originStore.spec.ts
@@ -4,7 +4,8 @@
 import { controlMessage, streamKey } from '@jasmineroute/protocol';
 import fc from 'fast-check';
 import { beforeEach, describe, expect, it } from 'vitest';
-import { OriginFiles } from './originFiles.js';
+import { RecordFiles } from '../files/index.js';
+import { originFormat } from './originFormat.js';
 import { OriginStore } from './originStore.js';
 
 const SYNC_MS = 200;
@@ -30,7 +31,11 @@
   });
 
   async function open(): Promise<OriginStore> {
-    const store = new OriginStore(clock, silentMetrics, new OriginFiles(disk, '/origins', clock, silentLog));
+    const store = new OriginStore(
+      clock,
+      silentMetrics,
+      new RecordFiles(disk, '/origins', originFormat, clock, silentLog),
+    );
     await store.open();
     return store;
   }
--- a/packages/control/src/origins/originStore.ts
+++ b/packages/control/src/origins/originStore.ts
@@ -2,8 +2,8 @@
 import { create } from '@bufbuild/protobuf';
 import type { Clock, Metrics } from '@jasmineroute/core';
 import { OriginTable, controlMessage } from '@jasmineroute/protocol';
+import type { RecordFiles } from '../files/index.js';
 import { controlMetrics } from '../metrics.js';
-import type { OriginFiles } from './originFiles.js';
 
 /** Maximum number of origins: about 10 MB. */
 const MAX_ORIGINS = 100_000;
@@ -21,7 +21,7 @@
   constructor(
     clock: Clock,
     private readonly metrics: Metrics,
-    private readonly files?: OriginFiles,
+    private readonly files?: RecordFiles<controlMessage.StreamOrigin>,
   ) {
     this.table = new OriginTable(clock, MAX_ORIGINS, () => files?.roll());
   }
--- /dev/null
+++ b/packages/control/src/quarantine/index.ts
@@ -0,0 +1,2 @@
+export * from './evidenceFormat.js';
+export * from './evidenceStore.js';
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -16,6 +16,7 @@
 import { RecentReports } from '../recent/index.js';
 import { DisklessLog, Proposer } from '../log/index.js';
 import { OriginStore } from '../origins/index.js';
+import { EvidenceStore } from '../quarantine/index.js';
 import type { CommandLog } from '../log/index.js';
 import { controlMetrics } from '../metrics.js';
 import { ReplicaReconciler } from '../replicas/index.js';
@@ -77,6 +78,7 @@
     private readonly commandLog: CommandLog,
     private readonly outside: OutsidePorts = {},
     private readonly origins = new OriginStore(context.clock, context.metrics),
+    private readonly evidence = new EvidenceStore(context.log, context.metrics),
   ) {
     const { clock, log } = context;
     this.seeds = context.controls;
@@ -95,6 +97,7 @@
       relayed: this.relayed,
       loads: this.loads,
       work: this.work,
+      evidence,
       vouched,
       clock,
     });
@@ -223,6 +226,7 @@
     this.ended.abort();
     await this.members.stop();
     await this.origins.close();
+    await this.evidence.close();
     await this.commandLog.close();
   }
 
@@ -247,7 +251,7 @@
 
   private createFollow(): FollowService {
     const { clock, log } = this.context;
-    const { targets, relayed, others, loads, work, stores, origins, commandLog } = this;
+    const { targets, relayed, others, loads, work, stores, origins, evidence, commandLog } = this;
     const follow = new FollowService({
       configuration: this.state.configuration,
       targets,
@@ -258,6 +262,7 @@
       lostStores: () => stores?.lost() ?? [],
       kept: stores?.kept,
       origins,
+      evidence,
       commandLog,
       clock,
       log,
--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -9,15 +9,18 @@
 import type { Result } from 'neverthrow';
 import { controlEvents } from '../events.js';
 import { DisklessLog } from '../log/index.js';
-import { OriginFiles, OriginStore } from '../origins/index.js';
+import { RecordFiles } from '../files/index.js';
+import { OriginStore, originFormat } from '../origins/index.js';
+import { EvidenceStore, evidenceFormat } from '../quarantine/index.js';
 import type { ControlSettings } from '../setting/index.js';
 import { Control } from './control.js';
 import type { OutsidePorts } from './control.js';
 import { createState } from './createState.js';
 
-/** Folders inside the data folder: of the log, and of the origins of streams. */
+/** Folders inside the data folder: of the log, of the origins of streams, and of evidence on crashes. */
 const LOG_FOLDER = 'control';
 const ORIGINS_FOLDER = 'origins';
+const EVIDENCE_FOLDER = 'evidence';
 
 /**
  * Entries and bytes between two snapshots. A snapshot writes the whole state, claims included, so it is taken less often than
@@ -64,8 +67,11 @@
     ...SNAPSHOT_INTERVAL,
   });
   if (opened.isErr()) return err(opened.error);
-  const files = new OriginFiles(disk, join(dataFolder, ORIGINS_FOLDER), clock, log);
-  const origins = new OriginStore(clock, metrics, files);
+  const originFiles = new RecordFiles(disk, join(dataFolder, ORIGINS_FOLDER), originFormat, clock, log);
+  const origins = new OriginStore(clock, metrics, originFiles);
   await origins.open();
-  return ok(new Control(context, settings, state, opened.value, outside, origins));
+  const evidenceFiles = new RecordFiles(disk, join(dataFolder, EVIDENCE_FOLDER), evidenceFormat, clock, log);
+  const evidence = new EvidenceStore(log, metrics, evidenceFiles);
+  await evidence.open();
+  return ok(new Control(context, settings, state, opened.value, outside, origins, evidence));
 }
--- a/packages/core/src/fault/fault.ts
+++ b/packages/core/src/fault/fault.ts
@@ -73,6 +73,8 @@
   'target-leaving': refusal(503, 'overloaded_error', 500, true),
   'wrong-incarnation': refusal(503, 'overloaded_error', 500, true),
   'stream-not-resumable': refusal(503, 'server_error', 500),
+  // An operator has to release it, which takes a while.
+  'request-quarantined': refusal(503, 'server_error', 60_000),
   'model-not-loaded': refusal(503, 'overloaded_error', 1_000, true),
   'target-unreachable': refusal(503, 'overloaded_error', 500, true),
   cancelled: refusal(499, 'server_error', 0),
--- a/packages/knowledge/src/clusterView.ts
+++ b/packages/knowledge/src/clusterView.ts
@@ -40,6 +40,7 @@
   private readonly eventListeners = new Set<() => void>();
   private readonly loadListeners = new Set<(load: controlMessage.TargetLoad) => void>();
   private readonly workListeners = new Set<(work: controlMessage.EntryWork) => void>();
+  private readonly evidenceListeners = new Set<(evidence: readonly controlMessage.CrashEvidence[]) => void>();
 
   constructor(
     private readonly clock: Clock,
@@ -126,8 +127,15 @@
     return () => this.workListeners.delete(listener);
   }
 
+  /** Subscribes to evidence on requests that crash targets. Returns a function that unsubscribes. */
+  onEvidence(listener: (evidence: readonly controlMessage.CrashEvidence[]) => void): () => void {
+    this.evidenceListeners.add(listener);
+    return () => this.evidenceListeners.delete(listener);
+  }
+
   /** Applies an event of a control instance; `isFirst`: the first of its stream. */
   apply(control: string, event: controlMessage.FollowEvent, isFirst: boolean): void {
+    if (event.evidence.length > 0) for (const listener of this.evidenceListeners) listener(event.evidence);
     this.configure(event);
     this.nameWeights(event.weights);
     this.entryCounts.set(control, event.entries);
--- /dev/null
+++ b/packages/protocol/src/quarantine/evidenceTable.ts
@@ -0,0 +1,112 @@
+/** Evidence on requests that may have crashed targets. Used by entries and control instances alike. */
+import { create } from '@bufbuild/protobuf';
+import { CrashEvidenceSchema } from '../gen/jasmineroute/control_pb.js';
+import type { CrashEvidence } from '../gen/jasmineroute/control_pb.js';
+import { fingerprintText } from './fingerprint.js';
+
+/** Crashes after which a request is no longer sent: one or two may have another cause. */
+export const MAX_CRASHES = 3;
+
+/** Starts kept of one request; the oldest cleared ones are dropped. */
+const MAX_STARTS = 16;
+
+interface Entry {
+  readonly evidence: CrashEvidence;
+  /** Number of the last change. */
+  readonly changeNumber: number;
+}
+
+/** Starts that crashed under a request and for which it is held responsible. */
+export function chargedStarts({ crashed, cleared }: CrashEvidence): string[] {
+  return crashed.filter((start) => !cleared.includes(start));
+}
+
+/** Whether a request is no longer sent. */
+export const isQuarantined = (evidence: CrashEvidence): boolean =>
+  chargedStarts(evidence).length >= MAX_CRASHES;
+
+/**
+ * Evidence by the fingerprint of the request. Evidence does not expire: a request that crashes targets may come again at any
+ * time.
+ */
+export class EvidenceTable {
+  /** In the order of the last change. */
+  private readonly entries = new Map<string, Entry>();
+  private changeNumber = 0;
+
+  /** @param capacity maximum number of requests. */
+  constructor(private readonly capacity: number) {}
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  /** Number of the newest change. */
+  get lastChangeNumber(): number {
+    return this.changeNumber;
+  }
+
+  /** The evidence on a request; undefined: none. */
+  find(request: Uint8Array): CrashEvidence | undefined {
+    return this.entries.get(fingerprintText(request))?.evidence;
+  }
+
+  /** All evidence, that of the oldest change first. */
+  all(): CrashEvidence[] {
+    return this.since(0);
+  }
+
+  /** Evidence that changed after a change number; 0 gives all. */
+  since(changeNumber: number): CrashEvidence[] {
+    if (changeNumber >= this.changeNumber) return [];
+    return [...this.entries.values()]
+      .filter((entry) => entry.changeNumber > changeNumber)
+      .map(({ evidence }) => evidence);
+  }
+
+  /** Adds evidence to what is known. @returns the union; undefined if it adds nothing. */
+  merge(received: CrashEvidence): CrashEvidence | undefined {
+    const key = fingerprintText(received.request);
+    const known = this.entries.get(key)?.evidence;
+    const merged = known === undefined ? received : unionOf(known, received);
+    if (merged === undefined) return undefined;
+    this.changeNumber += 1;
+    this.entries.delete(key);
+    this.entries.set(key, { evidence: merged, changeNumber: this.changeNumber });
+    if (this.entries.size > this.capacity) this.evict();
+    return merged;
+  }
+
+  /**
+   * Evicts the oldest of the requests with the fewest crashes. Among these, one of the customer with the most goes first, so that
+   * no customer's requests displace those of others.
+   */
+  private evict(): void {
+    const ranked = [...this.entries].map(([key, { evidence }]) => ({
+      key,
+      customer: evidence.customer,
+      crashes: chargedStarts(evidence).length,
+    }));
+    const fewest = Math.min(...ranked.map(({ crashes }) => crashes));
+    const candidates = ranked.filter(({ crashes }) => crashes === fewest);
+    const counts = new Map<string, number>();
+    for (const { customer } of candidates) counts.set(customer, (counts.get(customer) ?? 0) + 1);
+    const most = Math.max(...counts.values());
+    const evicted = candidates.find(({ customer }) => counts.get(customer) === most);
+    if (evicted !== undefined) this.entries.delete(evicted.key);
+  }
+}
+
+/** The union of two pieces of evidence on a request; undefined if the second adds nothing to the first. */
+function unionOf(known: CrashEvidence, received: CrashEvidence): CrashEvidence | undefined {
+  const crashed = [...new Set([...known.crashed, ...received.crashed])];
+  const cleared = [...new Set([...known.cleared, ...received.cleared])];
+  if (crashed.length === known.crashed.length && cleared.length === known.cleared.length) return undefined;
+  const excess = Math.max(0, crashed.length - MAX_STARTS);
+  const surplus = new Set(crashed.filter((start) => cleared.includes(start)).slice(0, excess));
+  return create(CrashEvidenceSchema, {
+    ...known,
+    crashed: crashed.filter((start) => !surplus.has(start)),
+    cleared: cleared.filter((start) => !surplus.has(start)),
+  });
+}
--- a/packages/protocol/src/quarantine/index.ts
+++ b/packages/protocol/src/quarantine/index.ts
@@ -1,1 +1,2 @@
+export * from './evidenceTable.js';
 export * from './fingerprint.js';
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -29,5 +29,10 @@
     type: 'counter',
     help: 'Targets that broke off answers, by whether they had ended, were alive or had announced to leave',
   },
+  suspects: {
+    name: 'relay.quarantine.suspects',
+    type: 'gauge',
+    help: 'Requests that were running at targets when these crashed, as far as this entry knows',
+  },
   open: { name: 'relay.request.open', type: 'gauge', help: 'Requests in progress' },
 });
--- a/packages/relay/src/origin/index.ts
+++ b/packages/relay/src/origin/index.ts
@@ -1,3 +1,2 @@
 export * from './originLookup.js';
-export * from './originReporter.js';
 export * from './streamOrigins.js';
--- a/packages/relay/src/origin/streamOrigins.spec.ts
+++ b/packages/relay/src/origin/streamOrigins.spec.ts
@@ -1,9 +1,9 @@
-import { ReportSender } from '@jasmineroute/knowledge';
 import { silentLog, systemClock } from '@jasmineroute/core';
 import { Peers, controlMessage, listen, streamKey } from '@jasmineroute/protocol';
 import type { RpcServer } from '@jasmineroute/protocol';
 import { reportTaker } from '@jasmineroute/testkit';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { copySenders } from '../report/index.js';
 import { until } from '../testing/bed.js';
 import { StreamOrigins } from './streamOrigins.js';
 
@@ -59,12 +59,12 @@
 
   function startOrigins(): StreamOrigins {
     const parts = { controls: addresses, peers, clock: systemClock, log: silentLog };
-    const sender = new ReportSender(parts);
-    const origins = new StreamOrigins({ ...parts, sender, allControls: addresses });
+    const senders = copySenders(parts);
+    const origins = new StreamOrigins({ ...parts, senders, allControls: addresses });
     void origins.run();
     stops.push(() => {
       origins.stop();
-      sender.close();
+      for (const sender of senders) sender.close();
     });
     return origins;
   }
--- a/packages/relay/src/origin/streamOrigins.ts
+++ b/packages/relay/src/origin/streamOrigins.ts
@@ -1,11 +1,11 @@
 /** Origins of the streams of this entry, and of those that callers resume here. */
 import { create } from '@bufbuild/protobuf';
 import type { Clock, Log } from '@jasmineroute/core';
-import { ReportSender } from '@jasmineroute/knowledge';
+import type { Report, ReportSender } from '@jasmineroute/knowledge';
 import { OriginTable, controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
+import { CopiedReporter } from '../report/index.js';
 import { OriginLookup } from './originLookup.js';
-import { OriginReporter } from './originReporter.js';
 import { VersionLookup } from './versionLookup.js';
 import type { VersionResult } from './versionLookup.js';
 
@@ -20,10 +20,8 @@
 
 /** Dependencies of the origins. */
 export interface StreamOriginsParts {
-  /** Sends reports to the preferred control instance; shared with other reports. */
-  readonly sender: ReportSender;
-  /** Control instances that accept reports, host:port, in order of preference. */
-  readonly controls: () => readonly string[];
+  /** One for each copy, each to another control instance; shared with other reports. */
+  readonly senders: readonly ReportSender[];
   /** All known control instances. */
   readonly allControls: () => readonly string[];
   readonly peers: Peers;
@@ -31,21 +29,23 @@
   readonly log: Log;
 }
 
+const reportOf = (origins: controlMessage.StreamOrigin[]): Report => ({
+  case: 'origins',
+  value: create(controlMessage.StreamOriginsSchema, { origins }),
+});
+
 /** Records origins at two control instances, and finds them again. */
 export class StreamOrigins {
   private readonly table: OriginTable;
-  private readonly secondSender: ReportSender;
-  private readonly reporter: OriginReporter;
+  private readonly reporter: CopiedReporter<controlMessage.StreamOrigin>;
   private readonly lookup: OriginLookup;
   private readonly versions: VersionLookup;
 
   constructor(private readonly parts: StreamOriginsParts) {
-    const { sender, controls, allControls, peers, clock, log } = parts;
+    const { senders, allControls, peers, clock, log } = parts;
     this.table = new OriginTable(clock, MAX_ORIGINS);
-    const others = (): string[] => controls().filter((address) => address !== sender.address);
-    this.secondSender = new ReportSender({ controls: others, peers, clock, log });
     const held = (): controlMessage.StreamOrigin[] => this.table.all();
-    this.reporter = new OriginReporter({ senders: [sender, this.secondSender], held, clock });
+    this.reporter = new CopiedReporter({ senders, held, reportOf, clock });
     const asked = { controls: allControls, peers, clock, log };
     this.lookup = new OriginLookup(asked);
     this.versions = new VersionLookup(asked);
@@ -58,7 +58,6 @@
 
   stop(): void {
     this.reporter.stop();
-    this.secondSender.close();
   }
 
   /** Records the origin of a stream whose first event goes to its caller. */
--- a/packages/relay/src/quarantine/index.ts
+++ b/packages/relay/src/quarantine/index.ts
@@ -1,1 +1,2 @@
 export * from './crashWatch.js';
+export * from './quarantine.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -8,10 +8,12 @@
 import { CopySchedule } from './cache/index.js';
 import type { Dialect } from './dialect/index.js';
 import { relayEvents } from './events.js';
-import { Follower, ClusterView, ReportSender } from '@jasmineroute/knowledge';
+import { Follower, ClusterView } from '@jasmineroute/knowledge';
+import type { ReportSender } from '@jasmineroute/knowledge';
 import { relayMetrics } from './metrics.js';
 import { StreamOrigins } from './origin/index.js';
-import { CrashWatch } from './quarantine/index.js';
+import { CrashWatch, Quarantine } from './quarantine/index.js';
+import { copySenders } from './report/index.js';
 import { TargetSelector } from './placement/index.js';
 import type { RelaySettings } from './setting/index.js';
 import { TargetPools, TargetMonitor, WorkReporter } from './target/index.js';
@@ -45,8 +47,9 @@
   private readonly knowledge: ClusterView;
   private readonly follower: Follower;
   private readonly reporter: WorkReporter;
-  private readonly sender: ReportSender;
+  private readonly senders: readonly [ReportSender, ReportSender];
   private readonly origins: StreamOrigins;
+  private readonly quarantine: Quarantine;
   private readonly stopped = new AbortController();
   private address = '';
   private draining = false;
@@ -67,9 +70,12 @@
     this.follower = new Follower({ name, role: 'entry', controls, listener: knowledge, peers, clock, log });
     const followed = (): string[] => this.follower.controls();
     const reports = { controls: followed, peers, clock, log };
-    this.sender = new ReportSender(reports);
-    const { sender } = this;
-    this.origins = new StreamOrigins({ ...reports, sender, allControls: () => this.follower.allControls() });
+    this.senders = copySenders(reports);
+    const { senders } = this;
+    const allControls = (): readonly string[] => this.follower.allControls();
+    this.origins = new StreamOrigins({ senders, allControls, peers, clock, log });
+    const crashWatch = new CrashWatch({ targets: knowledge.targets, clock, log, metrics });
+    this.quarantine = new Quarantine({ crashWatch, senders, clock, log, metrics });
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
     const monitor = new TargetMonitor(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
@@ -82,7 +88,7 @@
       budgets: new ServiceBudgets(allowance, () => knowledge.entries()),
       copySchedule: new CopySchedule(clock, (store, part) => knowledge.isKept(store, part)),
       origins: this.origins,
-      crashWatch: new CrashWatch({ targets: knowledge.targets, clock, log, metrics }),
+      quarantine: this.quarantine,
       startupGrace: new StartupGrace(knowledge, clock),
       stopsAt: () => this.stopsAt,
       weightsLimitMs: settings.weightsLimitMs,
@@ -114,6 +120,9 @@
     knowledge.onLoad(({ targetId, running, waiting }) => {
       monitor.recordLoad(targetId, { running, waiting });
     });
+    knowledge.onEvidence((evidence) => {
+      this.quarantine.apply(evidence);
+    });
     knowledge.onWork(({ entry, targets }) => {
       monitor.backlog.recordRemote(entry, targets);
     });
@@ -121,7 +130,7 @@
       name,
       backlog: monitor.backlog,
       entries: () => knowledge.entries(),
-      sender,
+      sender: senders[0],
       clock,
     });
     knowledge.onChange(() => {
@@ -142,6 +151,7 @@
     runCriticalTask('sweep of pools', this.sweep());
     runCriticalTask('work reports', this.reporter.run());
     runCriticalTask('origins of streams', this.origins.run());
+    runCriticalTask('evidence on crashes', this.quarantine.run());
   }
 
   /** host:port that callers reach; known after `start`. */
@@ -189,7 +199,8 @@
     this.stopped.abort();
     this.reporter.stop();
     this.origins.stop();
-    this.sender.close();
+    this.quarantine.stop();
+    for (const sender of this.senders) sender.close();
     this.follower.stop();
     await this.server.close();
     await this.requestContext.pools.close();
--- a/packages/relay/src/origin/originReporter.ts
+++ b/packages/relay/src/report/copiedReporter.ts
@@ -1,11 +1,9 @@
-/** Stores the origins of this entry's streams at control instances. */
-import { create } from '@bufbuild/protobuf';
+/** Stores records of this entry at several control instances. */
 import type { Clock } from '@jasmineroute/core';
 import { ChangeSignal } from '@jasmineroute/directory';
-import type { ReportSender, ReportStream } from '@jasmineroute/knowledge';
-import { controlMessage } from '@jasmineroute/protocol';
+import type { Report, ReportSender, ReportStream } from '@jasmineroute/knowledge';
 
-/** Shortest interval between two reports, milliseconds: an origin is sent at once unless others were sent just before. */
+/** Shortest interval between two reports, milliseconds: a record is sent at once unless others were sent just before. */
 const MIN_INTERVAL_MS = 10;
 
 /** Interval between two checks whether the report stream has changed, milliseconds. */
@@ -15,24 +13,26 @@
 const RETRY_MS = 100;
 
 /** Dependencies of the reporter. */
-export interface OriginReporterParts {
+export interface CopiedReporterParts<T> {
   /** One for each copy, each to another control instance. */
   readonly senders: readonly ReportSender[];
-  /** All origins that this entry holds. */
-  readonly held: () => controlMessage.StreamOrigin[];
+  /** All records that this entry holds. */
+  readonly held: () => T[];
+  /** The report of some records. */
+  readonly reportOf: (records: T[]) => Report;
   readonly clock: Clock;
 }
 
-/** Keeps as many copies of each origin as there are senders, so that a lost control instance loses none. */
-export class OriginReporter {
-  private readonly copies: readonly OriginCopy[];
+/** Keeps as many copies of each record as there are senders, so that a lost control instance loses none. */
+export class CopiedReporter<T> {
+  private readonly copies: readonly ReportedCopy<T>[];
 
-  constructor({ senders, held, clock }: OriginReporterParts) {
-    this.copies = senders.map((sender) => new OriginCopy(sender, held, clock));
+  constructor(parts: CopiedReporterParts<T>) {
+    this.copies = parts.senders.map((sender) => new ReportedCopy(sender, parts));
   }
 
-  report(origin: controlMessage.StreamOrigin): void {
-    for (const copy of this.copies) copy.add(origin);
+  report(record: T): void {
+    for (const copy of this.copies) copy.add(record);
   }
 
   /** Runs until `stop`. */
@@ -46,28 +46,27 @@
 }
 
 /** One copy, at the control instance of one report stream. */
-class OriginCopy {
-  private queued: controlMessage.StreamOrigin[] = [];
-  /** Stream on which all origins held so far were sent. */
+class ReportedCopy<T> {
+  private queued: T[] = [];
+  /** Stream on which all records held so far were sent. */
   private stream: ReportStream | undefined;
   private readonly changes = new ChangeSignal();
   private readonly stopped = new AbortController();
 
   constructor(
     private readonly sender: ReportSender,
-    private readonly held: () => controlMessage.StreamOrigin[],
-    private readonly clock: Clock,
+    private readonly parts: CopiedReporterParts<T>,
   ) {}
 
-  add(origin: controlMessage.StreamOrigin): void {
+  add(record: T): void {
     // Without a stream, the next one gets everything that is held.
     if (this.stream === undefined) return;
-    this.queued.push(origin);
+    this.queued.push(record);
     this.changes.raise();
   }
 
   async run(): Promise<void> {
-    const { clock } = this;
+    const { clock } = this.parts;
     const { signal } = this.stopped;
     while (!signal.aborted) {
       const stream = await this.sender.openStream();
@@ -86,10 +85,10 @@
 
   /** Sends what is new; on a new stream everything, as reports on a lost one may not have arrived. */
   private sendOn(stream: ReportStream): void {
-    const origins = stream === this.stream ? this.queued : this.held();
+    const { held, reportOf } = this.parts;
+    const records = stream === this.stream ? this.queued : held();
     this.queued = [];
     this.stream = stream;
-    if (origins.length === 0) return;
-    stream.send({ case: 'origins', value: create(controlMessage.StreamOriginsSchema, { origins }) });
+    if (records.length > 0) stream.send(reportOf(records));
   }
 }
--- /dev/null
+++ b/packages/relay/src/report/index.ts
@@ -0,0 +1,2 @@
+export * from './copiedReporter.js';
+export * from './copySenders.js';
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -79,9 +79,13 @@
 class ControlStub {
   private event = create(FollowEventSchema, { vouched: true, entries: 1 });
   private waiting = new Set<() => void>();
+  /** Called after an event is sent. */
+  onSent: () => void = () => undefined;
   server?: RpcServer;
   /** Origins of streams that it knows, those that were reported among them. */
   readonly origins: controlMessage.StreamOrigin[] = [];
+  /** Evidence on crashes that was reported to it. */
+  readonly evidence: controlMessage.CrashEvidence[] = [];
   /** Software versions that it lists, and whether the list is complete. */
   softwareVersions: string[] = [];
   knowsVersions = false;
@@ -94,6 +98,7 @@
         follow: (_request, { signal }) => this.follow(signal),
         report: reportTaker((report) => {
           if (report.case === 'origins') this.origins.push(...report.value.origins);
+          if (report.case === 'evidence') this.evidence.push(...report.value.evidence);
         }),
         findOrigins: ({ streams }) => ({
           origins: this.origins.filter(({ stream }) =>
@@ -119,6 +124,8 @@
   private async *follow(signal: AbortSignal): AsyncGenerator<controlMessage.FollowEvent> {
     while (!signal.aborted) {
       yield this.event;
+      // The follower has taken the event when it asks for the next one.
+      this.onSent();
       await new Promise<void>((resolve) => {
         const wake = (): void => {
           this.waiting.delete(wake);
@@ -164,6 +171,8 @@
   readonly logged: number[] = [];
   /** Fields of the log lines for requests sent to targets. */
   readonly attempts: Readonly<Record<string, unknown>>[] = [];
+  /** Whether the entry has received the crashes that it was told of. */
+  evidenceTold = false;
   /** Readiness reasons that the entry has logged. */
   readonly readinessReasons: unknown[] = [];
   /** Called for each request sent to a target, in the event loop turn in which it is sent. */
@@ -315,6 +324,21 @@
     this.controlStub.origins.push(create(controlMessage.StreamOriginSchema, origin));
   }
 
+  /** Tells the entry of crashes that other entries saw. */
+  tellEvidence(evidence: controlMessage.CrashEvidence[]): void {
+    this.evidenceTold = false;
+    this.controlStub.publish({ evidence });
+    this.controlStub.onSent = () => {
+      this.evidenceTold = true;
+    };
+  }
+
+  /** What the entry reported last of a request. */
+  reportedEvidence(request: Uint8Array): Pick<controlMessage.CrashEvidence, 'crashed' | 'cleared'> {
+    const reported = this.controlStub.evidence.filter((one) => Buffer.compare(one.request, request) === 0);
+    return reported.at(-1) ?? { crashed: [], cleared: [] };
+  }
+
   /** Reports that a target has a part in its cache. */
   reportCached(target: ScriptedTarget, part: StoredPart): void {
     const added = [partKey(target.address, part)];
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -9,6 +9,7 @@
 import { NOT_RUN_STATUSES } from '../answer/index.js';
 import type { AddedFields, AnswerMetadata, RelayRequest } from '../dialect/index.js';
 import type { Target } from '@jasmineroute/knowledge';
+import type { SentRequest } from '../quarantine/index.js';
 import { connectionShare } from '../target/index.js';
 import type { RelayContext } from './context.js';
 
@@ -19,6 +20,7 @@
   readonly route: Route;
   readonly service: Service;
   readonly customer?: Customer;
+  readonly sent: SentRequest;
   /** Earliest monotonic time at which the caller may stop waiting: no attempt starts after it. */
   readonly until: number;
 }
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -6,7 +6,7 @@
 import type { Dialect } from '../dialect/index.js';
 import type { ClusterView } from '@jasmineroute/knowledge';
 import type { StreamOrigins } from '../origin/index.js';
-import type { CrashWatch } from '../quarantine/index.js';
+import type { Quarantine } from '../quarantine/index.js';
 import type { TargetSelector } from '../placement/index.js';
 import type { TargetPools, TargetMonitor } from '../target/index.js';
 import type { StartupGrace } from './startupGrace.js';
@@ -22,7 +22,7 @@
   readonly budgets: ServiceBudgets;
   readonly copySchedule: CopySchedule;
   readonly origins: StreamOrigins;
-  readonly crashWatch: CrashWatch;
+  readonly quarantine: Quarantine;
   readonly startupGrace: StartupGrace;
   /** Monotonic time at which a planned stop ends; undefined if none has started. */
   readonly stopsAt: () => number | undefined;
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -4,6 +4,8 @@
 import { fault } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import { FaultError } from '@jasmineroute/engine';
+import { requestFingerprint } from '@jasmineroute/protocol';
+import type { SentRequest } from '../quarantine/index.js';
 import { readBody } from '@jasmineroute/entry';
 import type { Target } from '@jasmineroute/knowledge';
 import { err, ok } from 'neverthrow';
@@ -12,7 +14,6 @@
 import type { Source } from '../cache/index.js';
 import type { RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
-import { fingerprintText, requestFingerprint } from '@jasmineroute/protocol';
 import { relayMetrics } from '../metrics.js';
 import { drawService, eligibleByWeights } from '../placement/index.js';
 import type { Placement, PlacementInput } from '../placement/index.js';
@@ -55,6 +56,13 @@
 const fetchOf = (source: Source | undefined): Fetch | undefined =>
   source?.isStore === true ? { store: source.address, tokens: source.tokens } : undefined;
 
+/** A request as its caller repeats it: the same path and body, of the same customer. */
+function sentRequest({ id, path }: RelayRequest, body: Uint8Array, customer?: Customer): SentRequest {
+  const name = customer?.name ?? '';
+  let fingerprint: Uint8Array | undefined;
+  return { id, customer: name, fingerprint: () => (fingerprint ??= requestFingerprint(name, path, body)) };
+}
+
 /** Handles one request of a caller. */
 export class RequestHandler {
   private readonly abort = new AbortController();
@@ -165,6 +173,7 @@
           service: service.value,
           customer,
           until,
+          sent: sentRequest(request, body.value.bytes, customer),
         });
     } finally {
       cancelDeadline();
@@ -198,11 +207,16 @@
   }
 
   private async runAttempts(job: Job): Promise<void> {
-    const { budgets, log, metrics, selector: placements, random, stalls } = this.context;
+    const { budgets, log, metrics, quarantine, selector: placements, random, stalls } = this.context;
     this.job = job;
     this.maxAttempts = job.route.resumable ? job.route.maxAttempts : 0;
     budgets.deposit(this.service);
     let last: Outcome = { state: 'fault', fault: fault('no-target', 'no target is ready') };
+    if (quarantine.refuses(job.sent)) {
+      const message = 'targets crashed while they ran this request; it was not sent';
+      this.reject(job.request, fault('request-quarantined', message), job.route);
+      return;
+    }
     for (;;) {
       // A caller that left during an event loop stall is noticed only some turns of the loop later.
       await stalls.waitUntilCaughtUp();
@@ -304,10 +318,10 @@
   }
 
   private mayRetry(job: Job, problem: Fault): boolean {
-    const { budgets } = this.context;
+    const { budgets, quarantine } = this.context;
     const { route } = job;
     if (this.abort.signal.aborted || !this.hasTime(job)) return false;
-    if (this.sends >= route.maxAttempts) return false;
+    if (this.sends >= route.maxAttempts || quarantine.refuses(job.sent)) return false;
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
     if (!isRetryable && problem.ran !== 'not-run') return false;
     // The retry for a moving stream was already taken from the budget when it left its target.
@@ -345,7 +359,7 @@
   }
 
   private async attempt(job: Job, placement: Placement): Promise<Outcome> {
-    const { clock, log, metrics, monitor } = this.context;
+    const { clock, log, metrics, monitor, quarantine } = this.context;
     const { target } = placement;
     const begunAt = clock.monotonic();
     const { lastEventId } = this.stream;
@@ -367,8 +381,12 @@
       wasUnresponsive = monitor.isUnresponsive(target.id);
       open.finish();
     }
-    if (outcome.state === 'answered') monitor.recordSuccess(target.id);
-    else if (this.mayHaveEnded(outcome.fault, wasUnresponsive)) this.recordBroken(job, target);
+    if (outcome.state === 'answered') {
+      monitor.recordSuccess(target.id);
+      quarantine.recordSuccess(job.sent);
+    } else if (this.mayHaveEnded(outcome.fault, wasUnresponsive)) {
+      await quarantine.recordBroken(job.sent, target);
+    }
     const result = outcome.state === 'answered' ? 'answered' : outcome.fault.kind;
     metrics.count(relayMetrics.attempts, 1, { outcome: result });
     const tookMs = clock.monotonic() - begunAt;
@@ -384,15 +402,6 @@
     return kind === 'target-lost' || kind === 'stream-broken';
   }
 
-  private recordBroken(job: Job, target: Target): void {
-    const { crashWatch, log } = this.context;
-    const { request, body, customer } = job;
-    const fingerprint = fingerprintText(requestFingerprint(customer?.name ?? '', request.path, body));
-    void crashWatch.fateOf(target).final.then((hasEnded) => {
-      log.event(relayEvents.brokenUnder, { request: request.id, fingerprint, target: target.id, hasEnded });
-    });
-  }
-
   /** Forwards an answer to the caller. */
   private forward(job: Job, target: Target, answer: TargetAnswer, open: OpenRequest): Promise<Outcome> {
     const { status } = answer.wire;
