--- a/packages/protocol/src/quarantine/index.ts
+++ b/packages/protocol/src/quarantine/index.ts
@@ -1,2 +1,3 @@
 export * from './evidenceTable.js';
 export * from './fingerprint.js';
+export * from './verdict.js';
--- a/packages/relay/src/quarantine/quarantine.spec.ts
+++ b/packages/relay/src/quarantine/quarantine.spec.ts
@@ -1,5 +1,6 @@
 /** Requests under which targets end, at one entry. */
 import { create } from '@bufbuild/protobuf';
+import type { Route } from '@jasmineroute/configuration';
 import { controlMessage, requestFingerprint } from '@jasmineroute/protocol';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RelayBed, answered, routeTo, until } from '../testing/bed.js';
@@ -17,8 +18,8 @@
   });
 
   /** Starts targets that end under the deadly request, and answer all others. */
-  async function start(targets: number): Promise<void> {
-    bed = await RelayBed.start([routeTo()], targets);
+  async function start(targets: number, route: Partial<Route> = {}): Promise<void> {
+    bed = await RelayBed.start([routeTo(route)], targets);
     for (const target of bed.targets)
       target.script = (request, response, body) => {
         if (body === DEADLY) void target.close();
@@ -70,6 +71,13 @@
     );
   });
 
+  // Guards against an entry that sends a request to one target after another, all of which end under it.
+  it('ends at most one more target by the retries of one attempt of its caller', async () => {
+    await start(6, { kind: 'idempotent', maxAttempts: 6 });
+    expect((await send('q1')).status).toBe(502);
+    expect(bed.arrivalCount()).toBeLessThanOrEqual(2);
+  });
+
   // Guards against ordinary requests that are refused because connections were reset under them.
   it('is not taken for one whose connections are reset', async () => {
     await start(2);
