--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -88,10 +88,11 @@
     level: 'warn',
     message: 'a request is no longer sent to targets: several of them crashed while they ran it',
   },
-  quarantineEnded: {
+  released: { id: 3035, level: 'info', message: 'an operator released a request that crashed targets' },
+  verdictChanged: {
     id: 3034,
     level: 'info',
-    message: 'a request that crashed targets may be sent again',
+    message: 'the verdict on a request that was running at targets when these crashed has changed',
   },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -219,6 +219,18 @@
     return this.versions.list(request);
   }
 
+  /** Requests that crashed targets, as known here. */
+  listQuarantine(): controlMessage.ListQuarantineResponse {
+    return this.sources.evidence.list();
+  }
+
+  /** Releases a request that crashed targets. */
+  releaseQuarantined(
+    request: controlMessage.ReleaseQuarantinedRequest,
+  ): controlMessage.ReleaseQuarantinedResponse {
+    return this.sources.evidence.release(request);
+  }
+
   /** Makes the requesting instance a voter if this one leads, else names the leader. */
   enlist(request: controlMessage.EnlistRequest): controlMessage.EnlistResponse {
     const { commandLog, log } = this.sources;
--- a/packages/control/src/quarantine/evidenceStore.ts
+++ b/packages/control/src/quarantine/evidenceStore.ts
@@ -1,7 +1,15 @@
 /** Evidence on requests that crash targets, as entries and other control instances reported it to this instance. */
+import { create } from '@bufbuild/protobuf';
 import type { Log, Metrics } from '@jasmineroute/core';
-import { EvidenceTable, chargedStarts, fingerprintText, isQuarantined } from '@jasmineroute/protocol';
-import type { controlMessage } from '@jasmineroute/protocol';
+import {
+  EvidenceTable,
+  chargedStarts,
+  controlMessage,
+  fingerprintText,
+  isHeld,
+  verdictOf,
+} from '@jasmineroute/protocol';
+import type { Verdict } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
 import type { RecordFiles } from '../files/index.js';
 import { controlMetrics } from '../metrics.js';
@@ -12,6 +20,9 @@
 /** Records appended to a file before the next one begins. */
 const MAX_FILE_RECORDS = 10 * MAX_EVIDENCE;
 
+const { CrashEvidenceSchema, ListQuarantineResponseSchema, ReleaseQuarantinedResponseSchema } =
+  controlMessage;
+
 type CrashEvidence = controlMessage.CrashEvidence;
 
 /** Holds evidence in memory, and on the disk where there is one. Any copy of it is valid by itself. */
@@ -59,25 +70,47 @@
     for (const listener of this.listeners) listener();
   }
 
+  /** All requests with crashes that count against them, with the verdicts. */
+  list(): controlMessage.ListQuarantineResponse {
+    const entries = this.table
+      .all()
+      .map((evidence) => ({ evidence, verdict: verdictOf(this.table, evidence.request) }))
+      .filter(({ verdict }) => verdict !== 'allowed');
+    return create(ListQuarantineResponseSchema, { entries });
+  }
+
+  /** Clears a request of all crashes so far. */
+  release({ request }: controlMessage.ReleaseQuarantinedRequest): controlMessage.ReleaseQuarantinedResponse {
+    const evidence = this.table.find(request);
+    if (evidence !== undefined) {
+      this.log.event(controlEvents.released, {
+        request: fingerprintText(request),
+        crashed: evidence.crashed,
+      });
+      this.record([create(CrashEvidenceSchema, { ...evidence, cleared: evidence.crashed })]);
+    }
+    return create(ReleaseQuarantinedResponseSchema, { known: evidence !== undefined });
+  }
+
   /** Writes what is pending. */
   async close(): Promise<void> {
     await this.files?.close();
   }
 
   private merge(received: CrashEvidence): CrashEvidence | undefined {
-    const known = this.table.find(received.request);
+    const before = verdictOf(this.table, received.request);
     const merged = this.table.merge(received);
     if (merged === undefined) return undefined;
-    const wasQuarantined = known !== undefined && isQuarantined(known);
-    if (wasQuarantined !== isQuarantined(merged)) this.logChange(merged);
+    const verdict = verdictOf(this.table, received.request);
+    if (verdict !== before) this.logChange(merged, before, verdict);
     return merged;
   }
 
-  private logChange(evidence: CrashEvidence): void {
-    const { customer, service, crashed, cleared } = evidence;
-    const request = fingerprintText(evidence.request);
-    const event = isQuarantined(evidence) ? controlEvents.quarantined : controlEvents.quarantineEnded;
-    this.log.event(event, { request, customer, service, crashed, cleared });
+  private logChange(evidence: CrashEvidence, before: Verdict, verdict: Verdict): void {
+    const { customer, service, crashed, cleared, coincident } = evidence;
+    const fields = { request: fingerprintText(evidence.request), customer, service, before, verdict };
+    const event = verdict === 'quarantined' ? controlEvents.quarantined : controlEvents.verdictChanged;
+    this.log.event(event, { ...fields, crashed, cleared, coincident });
   }
 
   private append(evidence: readonly CrashEvidence[]): void {
@@ -94,6 +127,6 @@
   private recordMetrics(): void {
     const all = this.table.all();
     this.metrics.gauge(controlMetrics.suspects, all.filter((one) => chargedStarts(one).length > 0).length);
-    this.metrics.gauge(controlMetrics.quarantined, all.filter(isQuarantined).length);
+    this.metrics.gauge(controlMetrics.quarantined, all.filter(isHeld).length);
   }
 }
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -159,6 +159,8 @@
       report: (requests, call) => follow.report(requests, call),
       findOrigins: (request) => follow.findOrigins(request),
       listSoftwareVersions: (request) => follow.listSoftwareVersions(request),
+      listQuarantine: () => follow.listQuarantine(),
+      releaseQuarantined: (request) => follow.releaseQuarantined(request),
     });
     serveDirectory(router, {
       documents: this.documentSource,
--- a/packages/protocol/src/quarantine/evidenceTable.spec.ts
+++ b/packages/protocol/src/quarantine/evidenceTable.spec.ts
@@ -3,7 +3,7 @@
 import { describe, expect, it } from 'vitest';
 import { CrashEvidenceSchema } from '../gen/jasmineroute/control_pb.js';
 import type { CrashEvidence } from '../gen/jasmineroute/control_pb.js';
-import { EvidenceTable, chargedStarts, isQuarantined } from './evidenceTable.js';
+import { EvidenceTable, chargedStarts, isHeld } from './evidenceTable.js';
 import { requestFingerprint } from './fingerprint.js';
 
 const REQUESTS = 3;
@@ -68,8 +68,8 @@
 
   it('puts a request in quarantine after three crashes, not after two', () => {
     const table = tableOf([evidenceOf(1, ['s1']), evidenceOf(1, ['s2'])]);
-    expect(isQuarantined(heldOf(table))).toBe(false);
-    expect(isQuarantined(heldOf(tableOf([...table.all(), evidenceOf(1, ['s3'])])))).toBe(true);
+    expect(isHeld(heldOf(table))).toBe(false);
+    expect(isHeld(heldOf(tableOf([...table.all(), evidenceOf(1, ['s3'])])))).toBe(true);
     expect(table.merge(evidenceOf(1, ['s2']))).toBeUndefined();
   });
 
--- a/packages/protocol/src/quarantine/evidenceTable.ts
+++ b/packages/protocol/src/quarantine/evidenceTable.ts
@@ -21,9 +21,8 @@
   return crashed.filter((start) => !cleared.includes(start));
 }
 
-/** Whether a request is no longer sent. */
-export const isQuarantined = (evidence: CrashEvidence): boolean =>
-  chargedStarts(evidence).length >= MAX_CRASHES;
+/** Whether enough targets crashed under a request that it is no longer sent like others. */
+export const isHeld = (evidence: CrashEvidence): boolean => chargedStarts(evidence).length >= MAX_CRASHES;
 
 /**
  * Evidence by the fingerprint of the request. Evidence does not expire: a request that crashes targets may come again at any
@@ -101,12 +100,18 @@
 function unionOf(known: CrashEvidence, received: CrashEvidence): CrashEvidence | undefined {
   const crashed = [...new Set([...known.crashed, ...received.crashed])];
   const cleared = [...new Set([...known.cleared, ...received.cleared])];
-  if (crashed.length === known.crashed.length && cleared.length === known.cleared.length) return undefined;
+  const coincident = [...new Set([...known.coincident, ...received.coincident])];
+  const hasGrown =
+    crashed.length > known.crashed.length ||
+    cleared.length > known.cleared.length ||
+    coincident.length > known.coincident.length;
+  if (!hasGrown) return undefined;
   const excess = Math.max(0, crashed.length - MAX_STARTS);
   const surplus = new Set(crashed.filter((start) => cleared.includes(start)).slice(0, excess));
   return create(CrashEvidenceSchema, {
     ...known,
     crashed: crashed.filter((start) => !surplus.has(start)),
     cleared: cleared.filter((start) => !surplus.has(start)),
+    coincident: coincident.filter((start) => !surplus.has(start)),
   });
 }
--- a/packages/protocol/src/quarantine/verdict.spec.ts
+++ b/packages/protocol/src/quarantine/verdict.spec.ts
@@ -4,12 +4,12 @@
 import { CrashEvidenceSchema } from '../gen/jasmineroute/control_pb.js';
 import { EvidenceTable } from './evidenceTable.js';
 import { requestFingerprint } from './fingerprint.js';
-import { verdictOf } from './verdict.js';
+import { needsTurn, trialNumber, verdictOf } from './verdict.js';
 
-/** One step of a schedule, milliseconds. */
-const TICK_MS = 50;
+/** Steps of a schedule, of 50 ms each. */
 const TICKS = 1_200;
 const TARGETS = 8;
+const ENTRIES = 4;
 const RETURN_TICKS = 50;
 const CRASH_TICKS = 2;
 
@@ -23,7 +23,7 @@
 const MOST_CONDEMNED = 0.001;
 
 const MOST_SENDINGS = 3;
-const SCHEDULES = 120;
+const SCHEDULES = 400;
 
 /** Numbers of a linear congruential generator, so that each schedule can be run again by its seed. */
 function numbers(seed: number): () => number {
@@ -48,6 +48,10 @@
 
 interface Run {
   readonly caller: Caller;
+  /** The entry that sent it, which knows of its own suspects only. */
+  readonly entry: number;
+  readonly isSuspect: boolean;
+  readonly isTrial: boolean;
   readonly endsAt: number;
 }
 
@@ -57,6 +61,14 @@
   runs: Run[];
 }
 
+/** The targets with the fewest suspects of an entry. */
+function withFewestSuspects(targets: readonly Target[], entry: number): Target[] {
+  const suspectsAt = ({ runs }: Target): number =>
+    runs.filter((run) => run.isSuspect && run.entry === entry).length;
+  const fewest = Math.min(...targets.map(suspectsAt));
+  return targets.filter((target) => suspectsAt(target) === fewest);
+}
+
 /** Plays one schedule. @returns the callers that were near a crash. */
 function play(seed: number): Caller[] {
   const random = numbers(seed);
@@ -107,9 +119,8 @@
     const due = targets.map((target) =>
       target.runs.filter(({ caller, endsAt }) => caller.isDeadly && endsAt <= now),
     );
-    for (const [at, deadlyRuns] of due.entries())
-      if (deadlyRuns.length > 0)
-        crash(targets[at] as Target, now, due.filter((runs) => runs.length > 0).length > 2);
+    const isTogether = due.filter((runs) => runs.length > 0).length > 2;
+    for (const target of targets.filter((_target, at) => due[at]?.length)) crash(target, now, isTogether);
     for (const target of targets) {
       for (const { caller } of target.runs.filter(({ endsAt }) => endsAt <= now)) {
         caller.nextAt = undefined;
@@ -122,20 +133,34 @@
     }
     for (const caller of callers.filter(({ nextAt }) => nextAt !== undefined && nextAt <= now)) {
       const verdict = verdictOf(table, caller.fingerprint);
-      const trial = `${callers.indexOf(caller)} ${table.find(caller.fingerprint)?.crashed.length ?? 0}`;
+      const held = table.find(caller.fingerprint);
+      const trial = `${callers.indexOf(caller)} ${held === undefined ? 0 : trialNumber(held)}`;
+      const isTrialRunning = targets.some(({ runs }) => runs.some((run) => run.isTrial));
       const mayRun =
-        verdict === 'allowed' || verdict === 'suspect' || (verdict === 'doubtful' && !trials.has(trial));
-      if (verdict === 'doubtful') trials.add(trial);
+        verdict === 'allowed' ||
+        verdict === 'suspect' ||
+        (verdict === 'doubtful' &&
+          !trials.has(trial) &&
+          !(isTrialRunning && held !== undefined && needsTurn(held)));
+      const entry = Math.floor(random() * ENTRIES);
       const up = targets.filter(({ upAt }) => upAt <= now);
-      const target = up[Math.floor(random() * up.length)];
+      const usable = verdict === 'allowed' ? up : withFewestSuspects(up, entry);
+      const target = usable[Math.floor(random() * usable.length)];
       caller.nextAt = now + 20;
-      caller.isCondemned = verdict === 'quarantined' || (verdict === 'doubtful' && !mayRun);
+      caller.isCondemned = verdict === 'quarantined' || (verdict === 'doubtful' && trials.has(trial));
       if (!mayRun || target === undefined) continue;
+      if (verdict === 'doubtful') trials.add(trial);
       caller.attempts += 1;
       const [, , third = Number.POSITIVE_INFINITY] = caller.crashes;
       if (caller.isDeadly && now > third + CONTACT_TICKS) caller.lateSendings += 1;
       caller.nextAt = undefined;
-      target.runs.push({ caller, endsAt: now + (caller.isDeadly ? CRASH_TICKS : caller.workTicks) });
+      target.runs.push({
+        caller,
+        entry,
+        isSuspect: verdict !== 'allowed',
+        isTrial: verdict === 'doubtful',
+        endsAt: now + (caller.isDeadly ? CRASH_TICKS : caller.workTicks),
+      });
     }
   }
   return callers.filter(({ crashes }) => crashes.length > 0);
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -28,6 +28,16 @@
     level: 'info',
     message: 'an answer was broken off by its target, with the fingerprint of the request',
   },
+  trial: {
+    id: 8011,
+    level: 'info',
+    message: 'a request that may have crashed targets asked to run as a trial',
+  },
+  leaseFailed: {
+    id: 8015,
+    level: 'info',
+    message: 'control did not answer to a lease for the trial of a request',
+  },
   readiness: { id: 8006, level: 'info', message: 'readiness changed' },
   draining: { id: 8012, level: 'info', message: 'planned stop: finishing open requests' },
   drained: { id: 8013, level: 'info', message: 'planned stop: all requests finished' },
--- a/packages/relay/src/quarantine/crashWatch.ts
+++ b/packages/relay/src/quarantine/crashWatch.ts
@@ -15,6 +15,15 @@
 /** Time for which the result for a target is reused, milliseconds: all its connections break at about the same time. */
 const REUSE_MS = 1_000;
 
+/** Targets of a service that end within so many milliseconds are taken to have ended together, if there are so many. */
+const COINCIDENCE_MS = 1_000;
+const MIN_COINCIDENT = 3;
+
+interface End {
+  readonly service: string;
+  readonly at: number;
+}
+
 /** What became of a target whose connection broke. */
 export interface Fate {
   /** Whether it has ended, as far as the first probe shows. */
@@ -39,6 +48,8 @@
  */
 export class CrashWatch {
   private readonly fates = new Map<string, Fate>();
+  /** Targets that ended lately, by id. */
+  private readonly ends = new Map<string, End>();
 
   constructor(private readonly parts: CrashWatchParts) {}
 
@@ -52,6 +63,17 @@
     return fate;
   }
 
+  /** Resolves, some time after a target ended, to whether several of its service ended together, as by a loss of power. */
+  async isCoincident({ id, service }: Target): Promise<boolean> {
+    const end = this.ends.get(id);
+    if (end === undefined) return false;
+    await this.parts.clock.sleep(COINCIDENCE_MS);
+    const together = [...this.ends.values()].filter(
+      (other) => other.service === service && Math.abs(other.at - end.at) <= COINCIDENCE_MS,
+    );
+    return together.length >= MIN_COINCIDENT;
+  }
+
   private watch(target: Target): Fate {
     const { clock, targets, probe = probeTarget } = this.parts;
     if (targets.lifeOf(target) === 'leaving') {
@@ -82,8 +104,15 @@
     return isSilent;
   }
 
+  private recordEnd({ id, service }: Target): void {
+    const { clock } = this.parts;
+    this.ends.set(id, { service, at: clock.monotonic() });
+    clock.after(3 * COINCIDENCE_MS, () => this.ends.delete(id));
+  }
+
   private record(target: Target, fate: 'ended' | 'alive' | 'left', probe: ProbeResult | undefined): void {
     const { log, metrics } = this.parts;
+    if (fate === 'ended') this.recordEnd(target);
     metrics.count(relayMetrics.brokenTargets, 1, { fate });
     log.event(relayEvents.targetFate, { target: target.id, service: target.service, fate, probe });
   }
--- a/packages/relay/src/quarantine/quarantine.ts
+++ b/packages/relay/src/quarantine/quarantine.ts
@@ -7,16 +7,30 @@
   chargedStarts,
   controlMessage,
   fingerprintText,
-  isQuarantined,
+  needsTurn,
+  trialNumber,
+  verdictOf,
 } from '@jasmineroute/protocol';
+import type { Verdict } from '@jasmineroute/protocol';
 import { relayEvents } from '../events.js';
 import { relayMetrics } from '../metrics.js';
 import { CopiedReporter } from '../report/index.js';
 import type { CrashWatch } from './crashWatch.js';
+import { SuspectRuns } from './suspectRuns.js';
+import type { Trial, Trials } from './trials.js';
 
 /** Maximum number of requests that an entry holds evidence on. */
 const MAX_EVIDENCE = 1_000;
 
+/** Crashes after which a request may still go to another target at once: it is more often beside the cause than the cause. */
+const MAX_RETRIED_CRASHES = 1;
+
+/** Delay after which the trial of a request is over, milliseconds. */
+const TRIAL_MS = 1_000;
+
+/** Delay after which an operator may have released a request, milliseconds. */
+const RELEASE_MS = 60_000;
+
 type CrashEvidence = controlMessage.CrashEvidence;
 
 /** A request as its caller repeats it. */
@@ -28,9 +42,19 @@
   readonly customer: string;
 }
 
+/** Whether a request may be sent. */
+export interface Admission {
+  readonly isAdmitted: boolean;
+  /** The trial that the request runs as. */
+  readonly trial?: Trial;
+  /** Delay after which a refused caller may come again, milliseconds. */
+  readonly retryAfterMs?: number;
+}
+
 /** Dependencies of the quarantine. */
 export interface QuarantineParts {
   readonly crashWatch: CrashWatch;
+  readonly trials: Trials;
   /** One for each copy of the evidence, each to another control instance; shared with other reports. */
   readonly senders: readonly ReportSender[];
   readonly clock: Clock;
@@ -45,6 +69,8 @@
 
 /** Evidence of this entry and, through control, of all others. */
 export class Quarantine {
+  /** Suspects that this entry has sent to targets. */
+  readonly runs = new SuspectRuns();
   private readonly table = new EvidenceTable(MAX_EVIDENCE);
   private readonly reporter: CopiedReporter<CrashEvidence>;
 
@@ -67,10 +93,29 @@
     for (const one of evidence) this.table.merge(one);
   }
 
-  /** Whether a request may not be sent. */
-  refuses({ fingerprint }: SentRequest): boolean {
+  /** Whether a request may be sent. */
+  async admit({ fingerprint }: SentRequest): Promise<Admission> {
+    const verdict = this.verdictOf(fingerprint);
+    if (verdict === 'allowed' || verdict === 'suspect') return { isAdmitted: true };
+    if (verdict === 'quarantined') return { isAdmitted: false, retryAfterMs: RELEASE_MS };
+    const evidence = this.table.find(fingerprint());
+    if (evidence === undefined) return { isAdmitted: true };
+    const request = fingerprintText(fingerprint());
+    const { service } = evidence;
+    const number = trialNumber(evidence);
+    const trial = await this.parts.trials.take({ request, service, number, needsTurn: needsTurn(evidence) });
+    return trial === undefined ? { isAdmitted: false, retryAfterMs: TRIAL_MS } : { isAdmitted: true, trial };
+  }
+
+  /** Whether a request that was sent may be sent on within the same attempt of its caller. */
+  mayRetry({ fingerprint }: SentRequest): boolean {
     const evidence = this.table.size === 0 ? undefined : this.table.find(fingerprint());
-    return evidence !== undefined && isQuarantined(evidence);
+    return evidence === undefined || chargedStarts(evidence).length <= MAX_RETRIED_CRASHES;
+  }
+
+  /** Whether targets crashed while they ran a request. */
+  isSuspect({ fingerprint }: SentRequest): boolean {
+    return this.verdictOf(fingerprint) !== 'allowed';
   }
 
   /**
@@ -92,6 +137,10 @@
     this.add(create(controlMessage.CrashEvidenceSchema, { ...evidence, cleared: evidence.crashed }));
   }
 
+  private verdictOf(fingerprint: () => Uint8Array): Verdict {
+    return this.table.size === 0 ? 'allowed' : verdictOf(this.table, fingerprint());
+  }
+
   private recordFate(request: SentRequest, target: Target, hasEnded: boolean): void {
     const fingerprint = fingerprintText(request.fingerprint());
     this.parts.log.event(relayEvents.brokenUnder, {
@@ -103,9 +152,13 @@
     if (hasEnded) this.recordCrash(request, target);
   }
 
-  private recordCrash({ fingerprint, customer }: SentRequest, { id, service }: Target): void {
+  private recordCrash({ fingerprint, customer }: SentRequest, target: Target): void {
+    const { id, service } = target;
     const fields = { request: fingerprint(), customer, service, crashed: [id] };
     this.add(create(controlMessage.CrashEvidenceSchema, fields));
+    void this.parts.crashWatch.isCoincident(target).then((isCoincident) => {
+      if (isCoincident) this.add(create(controlMessage.CrashEvidenceSchema, { ...fields, coincident: [id] }));
+    });
   }
 
   private add(evidence: CrashEvidence): void {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -12,7 +12,7 @@
 import type { ReportSender } from '@jasmineroute/knowledge';
 import { relayMetrics } from './metrics.js';
 import { StreamOrigins } from './origin/index.js';
-import { CrashWatch, Quarantine } from './quarantine/index.js';
+import { CrashWatch, Quarantine, Trials } from './quarantine/index.js';
 import { copySenders } from './report/index.js';
 import { TargetSelector } from './placement/index.js';
 import type { RelaySettings } from './setting/index.js';
@@ -64,7 +64,7 @@
     private readonly settings: RelaySettings,
     dialect: Dialect,
   ) {
-    const { name, dataCentre, clock, stalls, log, metrics, peers, controls } = context;
+    const { name, incarnation, dataCentre, clock, stalls, log, metrics, peers, controls } = context;
     this.knowledge = new ClusterView(clock, log);
     const { knowledge } = this;
     this.follower = new Follower({ name, role: 'entry', controls, listener: knowledge, peers, clock, log });
@@ -75,7 +75,8 @@
     const allControls = (): readonly string[] => this.follower.allControls();
     this.origins = new StreamOrigins({ senders, allControls, peers, clock, log });
     const crashWatch = new CrashWatch({ targets: knowledge.targets, clock, log, metrics });
-    this.quarantine = new Quarantine({ crashWatch, senders, clock, log, metrics });
+    const trials = new Trials({ name, incarnation, controls: allControls, peers, clock, log });
+    this.quarantine = new Quarantine({ crashWatch, trials, senders, clock, log, metrics });
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
     const monitor = new TargetMonitor(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -207,61 +207,67 @@
   }
 
   private async runAttempts(job: Job): Promise<void> {
-    const { budgets, log, metrics, quarantine, selector: placements, random, stalls } = this.context;
+    const { budgets, quarantine } = this.context;
     this.job = job;
     this.maxAttempts = job.route.resumable ? job.route.maxAttempts : 0;
     budgets.deposit(this.service);
-    let last: Outcome = { state: 'fault', fault: fault('no-target', 'no target is ready') };
-    if (quarantine.refuses(job.sent)) {
+    const { isAdmitted, trial, retryAfterMs } = await quarantine.admit(job.sent);
+    if (!isAdmitted) {
       const message = 'targets crashed while they ran this request; it was not sent';
-      this.reject(job.request, fault('request-quarantined', message), job.route);
+      this.reject(job.request, fault('request-quarantined', message, { retryAfterMs }), job.route);
       return;
     }
+    const last = await this.attemptInTurn(job);
+    trial?.end(last.state === 'answered' || last.fault.ran !== 'not-run');
+    if (last.state === 'answered') this.recordAnswered(job);
+    else this.failUnanswered(job, last);
+  }
+
+  /** Sends the request to one target after the other until one answers or no further attempt is allowed. */
+  private async attemptInTurn(job: Job): Promise<Outcome> {
+    const { selector: placements, random, stalls } = this.context;
+    let last: Outcome = { state: 'fault', fault: fault('no-target', 'no target is ready') };
     for (;;) {
       // A caller that left during an event loop stall is noticed only some turns of the loop later.
       await stalls.waitUntilCaughtUp();
       if (this.sends === 0 && !this.hasTime(job)) {
-        last = {
-          state: 'fault',
-          fault: fault('deadline-unmeetable', 'the remaining time is too short to send the request'),
-        };
-        break;
+        const message = 'the remaining time is too short to send the request';
+        return { state: 'fault', fault: fault('deadline-unmeetable', message) };
       }
       const input = this.placementInput(job);
       const placement = this.abort.signal.aborted ? undefined : placements.choose(input);
       if (placement === undefined) {
         if (this.sends === 0 && (await this.waitForTarget(job))) continue;
-        if (this.sends === 0) last = { state: 'fault', fault: this.noTarget(job) };
-        break;
+        return this.sends === 0 ? { state: 'fault', fault: this.noTarget(job) } : last;
       }
       if (this.sends === 0 && placements.isOverloaded(input, placement)) {
         const retryAfterMs = OVERLOAD_RETRY_MS * (0.5 + random());
-        last = { state: 'fault', fault: fault('overloaded', overloadMessage(placement), { retryAfterMs }) };
-        break;
+        return { state: 'fault', fault: fault('overloaded', overloadMessage(placement), { retryAfterMs }) };
       }
       this.tried.add(placement.target.id);
       this.sends += 1;
       last = await this.attempt(job, placement);
-      if (last.state === 'answered') {
-        metrics.count(relayMetrics.requests, 1, { kind: job.route.kind, outcome: 'answered' });
-        this.countResumed(job.request, 'answered');
-        this.recordTimings();
-        return;
-      }
+      if (last.state === 'answered') return last;
       if (!this.countsAsAttempt(last.fault)) this.sends -= 1;
-      if (!this.mayRetry(job, last.fault)) break;
+      if (!this.mayRetry(job, last.fault)) return last;
     }
-    this.countResumed(job.request, 'unanswered');
+  }
+
+  private recordAnswered({ request, route }: Job): void {
+    this.context.metrics.count(relayMetrics.requests, 1, { kind: route.kind, outcome: 'answered' });
+    this.countResumed(request, 'answered');
+    this.recordTimings();
+  }
+
+  private failUnanswered({ request, route }: Job, last: Exclude<Outcome, { state: 'answered' }>): void {
+    this.countResumed(request, 'unanswered');
     if (this.answer.gone.aborted) {
-      log.event(relayEvents.callerGone, {
-        request: job.request.id,
-        sends: this.sends,
-        ageMs: Math.round(this.answer.age()),
-      });
+      const ageMs = Math.round(this.answer.age());
+      this.context.log.event(relayEvents.callerGone, { request: request.id, sends: this.sends, ageMs });
       return;
     }
     if (last.state === 'failure') last.answer();
-    else this.reject(job.request, this.finalFault(last.fault), job.route);
+    else this.reject(request, this.finalFault(last.fault), route);
   }
 
   /** The fault for a request that no target can take. */
@@ -321,7 +327,8 @@
     const { budgets, quarantine } = this.context;
     const { route } = job;
     if (this.abort.signal.aborted || !this.hasTime(job)) return false;
-    if (this.sends >= route.maxAttempts || quarantine.refuses(job.sent)) return false;
+    if (this.sends >= route.maxAttempts) return false;
+    if (problem.ran !== 'not-run' && !quarantine.mayRetry(job.sent)) return false;
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
     if (!isRetryable && problem.ran !== 'not-run') return false;
     // The retry for a moving stream was already taken from the budget when it left its target.
@@ -334,7 +341,7 @@
   }
 
   private placementInput(job: Job): PlacementInput {
-    const { knowledge, clock, weightsLimitMs } = this.context;
+    const { knowledge, clock, monitor, quarantine, weightsLimitMs } = this.context;
     const ready = knowledge.targets.ready(job.service.name);
     const untried = ready.filter((target) => !this.tried.has(target.id) && this.stream.mayGoOnAt(target));
     const model = job.route.hasPrompt ? job.request.prompt?.model : undefined;
@@ -342,7 +349,10 @@
       model === undefined
         ? undefined
         : { model, resumable: job.route.resumable, moving: this.stream.lastEventId !== undefined };
-    const candidates = eligibleByWeights(untried, modelRequest, knowledge, clock.monotonic(), weightsLimitMs);
+    const eligible = eligibleByWeights(untried, modelRequest, knowledge, clock.monotonic(), weightsLimitMs);
+    const candidates = quarantine.isSuspect(job.sent)
+      ? quarantine.runs.targetsFor(eligible, (id) => monitor.isAvoided(id))
+      : eligible;
     const { prompt } = job.request;
     const priority = job.customer?.priority ?? job.route.priority;
     const store = assignedStore(this.context, job);
@@ -368,6 +378,7 @@
     const source = job.route.hasPrompt ? sourceFor(this.context, job, target) : undefined;
     const addedFields = addedFieldsFor(this.context, job, target, leftMs, resumeAfterId, source);
     const open = monitor.startRequest(target.id, placement.tokens, fetchOf(source), job.service.name);
+    const endRun = quarantine.isSuspect(job.sent) ? quarantine.runs.begin(target.id) : undefined;
     let outcome: Outcome;
     let status = 0;
     let wasUnresponsive: boolean;
@@ -380,6 +391,7 @@
     } finally {
       wasUnresponsive = monitor.isUnresponsive(target.id);
       open.finish();
+      endRun?.();
     }
     if (outcome.state === 'answered') {
       monitor.recordSuccess(target.id);
