--- a/packages/ctl/src/command/program.ts
+++ b/packages/ctl/src/command/program.ts
@@ -13,6 +13,7 @@
 import { getCommand } from './get.js';
 import { hashKeyCommand } from './hashKey.js';
 import { historyCommand } from './history.js';
+import { quarantineCommand, releaseCommand } from './quarantine.js';
 import { returnsCommand } from './returns.js';
 import { statusCommand } from './status.js';
 import { VERSION } from './version.js';
@@ -83,6 +84,8 @@
   add(getCommand, connectedAction(getCommand, surroundings));
   add(historyCommand, connectedAction(historyCommand, surroundings));
   add(statusCommand, connectedAction(statusCommand, surroundings));
+  add(quarantineCommand, connectedAction(quarantineCommand, surroundings));
+  add(releaseCommand, connectedAction(releaseCommand, surroundings));
   add(returnsCommand, localAction(returnsCommand, surroundings));
   add(hashKeyCommand, localAction(hashKeyCommand, surroundings));
   return program;
--- a/packages/ctl/src/control/controls.ts
+++ b/packages/ctl/src/control/controls.ts
@@ -13,6 +13,9 @@
 /** The documents service of one control instance. */
 export type DocumentsClient = Client<typeof controlMessage.Documents>;
 
+/** The configurations service of one control instance. */
+export type ConfigurationsClient = Client<typeof controlMessage.Configurations>;
+
 /** One attempt at a call. Faults that another instance may not have are tried there. */
 export type Attempt<T> = (client: DocumentsClient, options: CallOptions) => Promise<Result<T, Fault>>;
 
@@ -56,6 +59,17 @@
     return result.mapErr(unreachable);
   }
 
+  /** Calls the configurations service of an instance that answers. The call may be repeated. */
+  async configurations<T>(
+    call: (client: ConfigurationsClient, options: CallOptions) => Promise<T>,
+  ): Promise<Result<T, Fault>> {
+    const result = await this.controls.call((transport, signal) => {
+      const client = createClient(controlMessage.Configurations, transport);
+      return call(client, { signal }).catch(rethrowFinal);
+    }, this.timeoutMs);
+    return result.mapErr(unreachable);
+  }
+
   /** Calls something that changes nothing. */
   async read<T>(
     call: (client: DocumentsClient, options: CallOptions) => Promise<T>,
