--- a/packages/relay/src/quarantine/quarantine.ts
+++ b/packages/relay/src/quarantine/quarantine.ts
@@ -25,6 +25,9 @@
 /** Crashes after which a request may still go to another target at once: it is more often beside the cause than the cause. */
 const MAX_RETRIED_CRASHES = 1;
 
+/** Time for which a request waits for the probe of its target, milliseconds: some round trips. */
+const PROBE_WAIT_MS = 25;
+
 /** Delay after which the trial of a request is over, milliseconds. */
 const TRIAL_MS = 1_000;
 
@@ -119,15 +122,17 @@
   }
 
   /**
-   * Records that a target broke off the answer to a request. Resolves once it is known whether the target accepts connections;
-   * if it does not answer, its fate is recorded when it is known.
+   * Records that a target broke off the answer to a request. Resolves soon: a host that still runs accepts or refuses a
+   * connection within a round trip. The fate of another one is recorded when it is known, as its requests may not wait for it.
    */
   async recordBroken(request: SentRequest, target: Target): Promise<void> {
     const { first, final } = this.parts.crashWatch.fateOf(target);
     void final.then((hasEnded) => {
       this.recordFate(request, target, hasEnded);
     });
-    if (await first) this.recordCrash(request, target);
+    const { clock } = this.parts;
+    const hasEnded = await Promise.race([first, clock.sleep(PROBE_WAIT_MS).then(() => false)]);
+    if (hasEnded) this.recordCrash(request, target);
   }
 
   /** Records that a request ended well: the crashes under it had other causes. */
