--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -220,8 +220,8 @@
   }
 
   /** Requests that crashed targets, as known here. */
-  listQuarantine(): controlMessage.ListQuarantineResponse {
-    return this.sources.evidence.list();
+  listQuarantine(request: controlMessage.ListQuarantineRequest): controlMessage.ListQuarantineResponse {
+    return this.sources.evidence.list(request);
   }
 
   /** Releases a request that crashed targets. */
--- a/packages/control/src/quarantine/evidenceStore.ts
+++ b/packages/control/src/quarantine/evidenceStore.ts
@@ -73,12 +73,13 @@
     for (const listener of this.listeners) listener();
   }
 
-  /** All requests with crashes that count against them, with the verdicts. */
-  list(): controlMessage.ListQuarantineResponse {
+  /** Requests with crashes that count against them, with the verdicts. */
+  list({ limit }: controlMessage.ListQuarantineRequest): controlMessage.ListQuarantineResponse {
     const entries = this.table
       .all()
       .map((evidence) => ({ evidence, verdict: verdictOf(this.table, evidence.request) }))
-      .filter(({ verdict }) => verdict !== 'allowed');
+      .filter(({ verdict }) => verdict !== 'allowed')
+      .slice(-limit);
     return create(ListQuarantineResponseSchema, { entries });
   }
 
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -159,7 +159,7 @@
       report: (requests, call) => follow.report(requests, call),
       findOrigins: (request) => follow.findOrigins(request),
       listSoftwareVersions: (request) => follow.listSoftwareVersions(request),
-      listQuarantine: () => follow.listQuarantine(),
+      listQuarantine: (request) => follow.listQuarantine(request),
       releaseQuarantined: (request) => follow.releaseQuarantined(request),
     });
     serveDirectory(router, {
--- a/packages/ctl/src/command/quarantine.ts
+++ b/packages/ctl/src/command/quarantine.ts
@@ -9,6 +9,9 @@
 import type { ConnectedCommand, ConnectedContext } from './context.js';
 import { report, reportFault } from './context.js';
 
+/** Maximum number of requests that are listed: all that a control instance holds. */
+const MAX_LISTED = 1_000;
+
 const FINGERPRINT = /^[0-9a-f]{32}$/;
 
 export const quarantineCommand: ConnectedCommand<ConnectionSettings> = {
@@ -31,7 +34,7 @@
 
 async function list(context: ConnectedContext<ConnectionSettings>): Promise<ExitCode> {
   const response = await context.controls.configurations((client, options) =>
-    client.listQuarantine({}, options),
+    client.listQuarantine({ limit: MAX_LISTED }, options),
   );
   if (response.isErr()) return reportFault(context, response.error);
   const requests = response.value.entries.map(({ evidence, verdict }) => ({
