--- a/packages/relay/src/quarantine/quarantine.ts
+++ b/packages/relay/src/quarantine/quarantine.ts
@@ -142,6 +142,18 @@
     this.add(create(controlMessage.CrashEvidenceSchema, { ...evidence, cleared: evidence.crashed }));
   }
 
+  /**
+   * Ends a trial.
+   * @param target the one that did not answer it; undefined: it was answered, or not sent.
+   */
+  endTrial(trial: Trial, target: Target | undefined): void {
+    if (target === undefined) trial.end(false);
+    else
+      void this.parts.crashWatch.fateOf(target).final.then((hasEnded) => {
+        trial.end(hasEnded);
+      });
+  }
+
   private verdictOf(fingerprint: () => Uint8Array): Verdict {
     return this.table.size === 0 ? 'allowed' : verdictOf(this.table, fingerprint());
   }
--- a/packages/relay/src/quarantine/trials.spec.ts
+++ b/packages/relay/src/quarantine/trials.spec.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { until } from '../testing/bed.js';
 import { Trials } from './trials.js';
+import type { Trial, TrialRequest } from './trials.js';
 
 const trialOf = (request: string, number = 3, needsTurn = true) => ({
   request,
@@ -15,24 +16,35 @@
 describe('the trials of doubtful requests', () => {
   let control: RpcServer;
   let peers: Peers;
-  /** Holders by the names of leases. */
-  let leases: Map<string, string>;
+  /** Leases by their names. */
+  let leases: Map<string, { readonly holder: string; readonly expiresAt: number }>;
   let asked: number;
+  let running: Trial[];
+  /** Time that control takes to grant a lease, milliseconds. */
+  let grantMs: number;
+
+  const holderOf = (name: string): string | undefined => {
+    const lease = leases.get(name);
+    return lease !== undefined && lease.expiresAt > systemClock.monotonic() ? lease.holder : undefined;
+  };
 
   beforeEach(async () => {
     leases = new Map();
     asked = 0;
+    running = [];
+    grantMs = 0;
     peers = new Peers();
     control = await listen('127.0.0.1', 0, (router) => {
       router.service(controlMessage.Turns, {
-        take: ({ name, holder }) => {
+        take: async ({ name, holder, ttlMs }) => {
           asked += 1;
-          const granted = !leases.has(name) || leases.get(name) === holder;
-          if (granted) leases.set(name, holder);
+          await systemClock.sleep(grantMs);
+          const granted = holderOf(name) === undefined || holderOf(name) === holder;
+          if (granted) leases.set(name, { holder, expiresAt: systemClock.monotonic() + ttlMs });
           return { granted, fence: 1n };
         },
         release: ({ name, holder }) => {
-          if (leases.get(name) === holder) leases.delete(name);
+          if (holderOf(name) === holder) leases.delete(name);
           return {};
         },
       });
@@ -40,6 +52,7 @@
   });
 
   afterEach(async () => {
+    for (const trial of running) trial.end(false);
     peers.close();
     await control.close();
   });
@@ -54,35 +67,62 @@
       log: silentLog,
     });
 
+  async function take(entry: string, request: TrialRequest): Promise<Trial | undefined> {
+    const trial = await trialsOf(entry).take(request);
+    if (trial !== undefined) running.push(trial);
+    return trial;
+  }
+
   // Guards against a request that each entry tries once.
   it('are granted to one entry each', async () => {
-    const first = await trialsOf('e1').take(trialOf('a'));
+    const first = await take('e1', trialOf('a'));
     first?.end(true);
     await until(() => leases.size === 1);
     expect(first).toBeDefined();
-    expect(await trialsOf('e2').take(trialOf('a'))).toBeUndefined();
-    expect(await trialsOf('e2').take(trialOf('a', 4))).toBeDefined();
+    expect(await take('e2', trialOf('a'))).toBeUndefined();
+    expect(await take('e2', trialOf('a', 4))).toBeDefined();
   });
 
   // Guards against a request that is taken for the cause of the crash under another one's trial.
   it('run one after the other', async () => {
-    const first = await trialsOf('e1').take(trialOf('a'));
-    expect(await trialsOf('e2').take(trialOf('b'))).toBeUndefined();
+    const first = await take('e1', trialOf('a'));
+    expect(await take('e2', trialOf('b'))).toBeUndefined();
     first?.end(true);
     await until(() => leases.size === 1);
-    expect(await trialsOf('e2').take(trialOf('b'))).toBeDefined();
+    expect(await take('e2', trialOf('b'))).toBeDefined();
   });
 
   // Guards against ordinary requests that wait for each other for long after targets lost power several times.
   it('run side by side where they need no turn', async () => {
-    expect(await trialsOf('e1').take(trialOf('a', 3, false))).toBeDefined();
-    expect(await trialsOf('e2').take(trialOf('b', 3, false))).toBeDefined();
+    expect(await take('e1', trialOf('a', 3, false))).toBeDefined();
+    expect(await take('e2', trialOf('b', 3, false))).toBeDefined();
+  });
+
+  // Guards against an ordinary request that is refused for minutes after its trial ended well.
+  it('are granted again when they crashed no target', async () => {
+    (await take('e1', trialOf('a')))?.end(false);
+    await until(() => leases.size === 0);
+    expect(await take('e2', trialOf('a'))).toBeDefined();
+  });
+
+  // Guards against an ordinary request that is refused for minutes as control granted its trial too late.
+  it('are granted again soon when control granted them too late', async () => {
+    grantMs = 1_500;
+    expect(await take('e1', trialOf('a', 3, false))).toBeUndefined();
+    await systemClock.sleep(grantMs);
+    grantMs = 0;
+    await systemClock.sleep(4_000);
+    expect(await take('e2', trialOf('a', 3, false))).toBeDefined();
   });
 
-  it('are granted again when they did not run', async () => {
-    (await trialsOf('e1').take(trialOf('a')))?.end(false);
+  // Guards against two trials at once of one that takes long.
+  it('are not granted to another entry while they run', async () => {
+    const first = await take('e1', trialOf('a'));
+    await systemClock.sleep(4_000);
+    expect(await take('e2', trialOf('a', 3, false))).toBeUndefined();
+    expect(await take('e2', trialOf('b'))).toBeUndefined();
+    first?.end(false);
     await until(() => leases.size === 0);
-    expect(await trialsOf('e2').take(trialOf('a'))).toBeDefined();
   });
 
   // Guards against callers that repeat at once and cost control a command of the log each time.
@@ -95,6 +135,6 @@
   // Guards against an entry out of touch with control that runs a trial which another one runs too.
   it('are not granted while control does not answer', async () => {
     await control.close();
-    expect(await trialsOf('e1').take(trialOf('a'))).toBeUndefined();
+    expect(await take('e1', trialOf('a'))).toBeUndefined();
   });
 });
--- a/packages/relay/src/quarantine/trials.ts
+++ b/packages/relay/src/quarantine/trials.ts
@@ -3,20 +3,27 @@
  * time, so that its outcome is due to its request.
  */
 import { silentMetrics } from '@jasmineroute/core';
-import type { Clock, Log } from '@jasmineroute/core';
+import type { Cancellation, Clock, Fault, Log } from '@jasmineroute/core';
 import { ControlClient, TurnClient } from '@jasmineroute/directory';
 import type { TakeRequest } from '@jasmineroute/directory';
 import type { Peers } from '@jasmineroute/protocol';
 import { relayEvents } from '../events.js';
 
-/** Lease of a trial, milliseconds: the longest that control grants. A trial that crashes its target is not granted again. */
-const TRIAL_LEASE_MS = 600_000;
+/**
+ * Lease of a trial and of a turn, milliseconds, renewed while the trial runs. Control may grant one so late that its entry does
+ * not learn of it, and the request waits for so long then.
+ */
+const LEASE_MS = 3_000;
+const RENEWAL_INTERVAL_MS = 1_000;
 
-/** Lease of a service's turn to run a trial, milliseconds: the longest for which the loss of an entry holds up others. */
-const TURN_LEASE_MS = 10_000;
+/** Lease of a trial that crashed its target, milliseconds: until all entries know of the crash. */
+const CRASHED_LEASE_MS = 10_000;
 
-/** Time within which control answers, milliseconds: the caller waits meanwhile. */
-const CALL_TIMEOUT_MS = 400;
+/** Time within which control grants a lease, milliseconds: the caller waits meanwhile. */
+const TAKE_TIMEOUT_MS = 1_000;
+
+/** Time after which another control instance is asked, milliseconds. */
+const ATTEMPT_TIMEOUT_MS = 400;
 
 /** Time after which this entry asks for the same trial again, milliseconds. */
 const ASK_INTERVAL_MS = 2_000;
@@ -35,8 +42,8 @@
 
 /** A trial that this entry runs. */
 export interface Trial {
-  /** Ends the trial. One that did not run may be granted again. */
-  end(hasRun: boolean): void;
+  /** Ends the trial. One that did not crash its target may be granted again. */
+  end(hasCrashed: boolean): void;
 }
 
 /** A request whose trial is asked for. */
@@ -67,43 +74,81 @@
     if (this.asked.has(name)) return undefined;
     this.asked.add(name);
     clock.after(ASK_INTERVAL_MS, () => this.asked.delete(name));
-    const turn = needsTurn ? await this.takeLease(`trials of ${service}`, TURN_LEASE_MS) : undefined;
+    const turn = needsTurn ? await this.takeLease(`trials of ${service}`) : undefined;
     const mayRun = turn !== undefined || !needsTurn;
-    const trial = mayRun ? await this.takeLease(name, TRIAL_LEASE_MS) : undefined;
+    const trial = mayRun ? await this.takeLease(name) : undefined;
     log.event(relayEvents.trial, { request, number, needsTurn, isGranted: trial !== undefined });
-    if (trial === undefined) {
-      if (turn !== undefined) this.release(turn);
-      return undefined;
-    }
+    if (trial !== undefined) return this.start(trial, turn);
+    if (turn !== undefined) this.release(turn);
+    return undefined;
+  }
+
+  /** Renews the leases of a trial until its end. */
+  private start(trial: Lease, turn: Lease | undefined): Trial {
+    const endTrial = this.renew(trial);
+    const endTurn = turn === undefined ? undefined : this.renew(turn);
     return {
-      end: (hasRun) => {
-        if (turn !== undefined) this.release(turn);
-        if (!hasRun) this.release(trial);
+      end: (hasCrashed) => {
+        void endTrial().then(() => {
+          if (hasCrashed) void this.request(trial, CRASHED_LEASE_MS);
+          else this.release(trial);
+        });
+        if (turn !== undefined)
+          void endTurn?.().then(() => {
+            this.release(turn);
+          });
       },
     };
   }
 
-  private async takeLease(name: string, ttlMs: number): Promise<Lease | undefined> {
+  /** Renews a lease. @returns a function that ends this, and resolves when no renewal is under way. */
+  private renew(lease: Lease): () => Promise<void> {
+    const { clock } = this.parts;
+    let last: Promise<unknown> = Promise.resolve();
+    const renew = (): void => {
+      cancel = clock.after(RENEWAL_INTERVAL_MS, renew);
+      last = this.request(lease, LEASE_MS);
+    };
+    let cancel = clock.after(RENEWAL_INTERVAL_MS, renew);
+    return async () => {
+      cancel();
+      await last;
+    };
+  }
+
+  private async takeLease(name: string): Promise<Lease | undefined> {
     const { name: entry, incarnation } = this.parts;
     this.count += 1;
     // A holder that asks again renews its lease, so each trial has a holder of its own.
     const lease = { name, holder: `${entry}/${this.count}`, incarnation };
-    const taken = await this.client().take({ ...lease, limit: 1, ttlMs }, CALL_TIMEOUT_MS);
-    if (taken.isErr()) this.parts.log.event(relayEvents.leaseFailed, { name, problem: taken.error.message });
-    return taken.isOk() && taken.value.granted ? lease : undefined;
+    const isGranted = await this.request(lease, LEASE_MS);
+    if (isGranted === undefined) this.release(lease);
+    return isGranted === true ? lease : undefined;
+  }
+
+  /** Asks control for a lease. @returns whether it is granted; undefined: not known. */
+  private async request(lease: Lease, ttlMs: number): Promise<boolean | undefined> {
+    const answer = await this.client().take({ ...lease, limit: 1, ttlMs }, TAKE_TIMEOUT_MS);
+    if (answer.isOk()) return answer.value.granted;
+    this.logFailure(lease, answer.error);
+    return undefined;
   }
 
   private release(lease: Lease): void {
     void this.client()
-      .release(lease, CALL_TIMEOUT_MS)
+      .release(lease, TAKE_TIMEOUT_MS)
       .then((released) => {
-        if (released.isOk()) return;
-        this.parts.log.event(relayEvents.leaseFailed, { name: lease.name, problem: released.error.message });
+        if (released.isErr()) this.logFailure(lease, released.error);
       });
   }
 
+  private logFailure({ name }: Lease, { message }: Fault): void {
+    this.parts.log.event(relayEvents.leaseFailed, { lease: name, problem: message });
+  }
+
   private client(): TurnClient {
     const { controls, peers, clock } = this.parts;
-    return new TurnClient(new ControlClient({ controls: controls(), peers, clock, metrics: silentMetrics }));
+    const options = { controls: controls(), peers, clock, metrics: silentMetrics };
+    return new TurnClient(new ControlClient({ ...options, attemptMs: ATTEMPT_TIMEOUT_MS }));
   }
 }
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -73,6 +73,8 @@
   private readonly tried = new Set<string>();
   private readonly stream: Stream;
   private job: Job | undefined;
+  /** Target of the last attempt. */
+  private target: Target | undefined;
 
   constructor(
     private readonly context: RelayContext,
@@ -218,7 +220,7 @@
       return;
     }
     const last = await this.attemptInTurn(job);
-    trial?.end(last.state === 'answered' || last.fault.ran !== 'not-run');
+    if (trial !== undefined) quarantine.endTrial(trial, last.state === 'answered' ? undefined : this.target);
     if (last.state === 'answered') this.recordAnswered(job);
     else this.failUnanswered(job, last);
   }
@@ -371,6 +373,7 @@
   private async attempt(job: Job, placement: Placement): Promise<Outcome> {
     const { clock, log, metrics, monitor, quarantine } = this.context;
     const { target } = placement;
+    this.target = target;
     const begunAt = clock.monotonic();
     const { lastEventId } = this.stream;
     const resumeAfterId = lastEventId === undefined ? job.request.lastEventId : String(lastEventId);
