--- a/packages/relay/src/quarantine/trials.ts
+++ b/packages/relay/src/quarantine/trials.ts
@@ -3,7 +3,7 @@
  * time, so that its outcome is due to its request.
  */
 import { silentMetrics } from '@jasmineroute/core';
-import type { Cancellation, Clock, Fault, Log } from '@jasmineroute/core';
+import type { Clock, Fault, Log } from '@jasmineroute/core';
 import { ControlClient, TurnClient } from '@jasmineroute/directory';
 import type { TakeRequest } from '@jasmineroute/directory';
 import type { Peers } from '@jasmineroute/protocol';
