--- a/packages/relay/src/quarantine/quarantine.spec.ts
+++ b/packages/relay/src/quarantine/quarantine.spec.ts
@@ -71,6 +71,20 @@
     );
   });
 
+  // Guards against a request whose caller leaves before it ends a target, and that is sent for good therefore.
+  it('is held to have ended a target that ends after its caller has left', async () => {
+    bed = await RelayBed.start([routeTo({})]);
+    const [target] = bed.targets;
+    if (target === undefined) throw new Error('no target');
+    target.script = () => undefined;
+    bed.tellEvidence([evidence(DEADLY, ['a'])]);
+    await until(() => bed.evidenceTold);
+    await ask(bed.url, { id: 'q1', body: DEADLY, signal: AbortSignal.timeout(100) }).catch(() => undefined);
+    bed.announce({ [target.id]: { id: `${target.id}/2` } });
+    const request = requestFingerprint('', '/x', Buffer.from(DEADLY));
+    await until(() => bed.reportedEvidence(request).crashed.includes(target.id));
+  });
+
   // Guards against an entry that sends a request to one target after another, all of which end under it.
   it('ends at most one more target by the retries of one attempt of its caller', async () => {
     await start(6, { kind: 'idempotent', maxAttempts: 6 });
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -142,7 +142,7 @@
 
 /** Fields of a target's announcement that a test can change. */
 type AnnouncementChange = Partial<
-  Pick<controlMessage.AnnouncedTarget, 'paused' | 'observation' | 'weights' | 'sequence'>
+  Pick<controlMessage.AnnouncedTarget, 'id' | 'paused' | 'observation' | 'weights' | 'sequence'>
 >;
 
 /** Counts the connections that the entry accepts. */
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -399,7 +399,7 @@
     if (outcome.state === 'answered') {
       monitor.recordSuccess(target.id);
       quarantine.recordSuccess(job.sent);
-    } else if (this.mayHaveEnded(outcome.fault, wasUnresponsive)) {
+    } else if (this.mayHaveEnded(job, outcome.fault, wasUnresponsive)) {
       await quarantine.recordBroken(job.sent, target);
     }
     const result = outcome.state === 'answered' ? 'answered' : outcome.fault.kind;
@@ -411,8 +411,9 @@
   }
 
   /** Whether a target that broke off an answer may have ended, rather than this entry having given the answer up. */
-  private mayHaveEnded({ kind }: Fault, wasUnresponsive: boolean): boolean {
-    if (this.abort.signal.aborted) return false;
+  private mayHaveEnded(job: Job, { kind }: Fault, wasUnresponsive: boolean): boolean {
+    // A suspect whose caller leaves before the target ends would never be held to have crashed it.
+    if (this.abort.signal.aborted) return this.context.quarantine.isSuspect(job.sent);
     if (this.stream.isMoving) return wasUnresponsive;
     return kind === 'target-lost' || kind === 'stream-broken';
   }
