--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -191,7 +191,7 @@
     find: 'new EvidenceStore(log, metrics, evidenceFiles)',
     put: 'new EvidenceStore(log, metrics)',
     spec: 'crashingRequests.spec',
-    test: 'after a loss of power of all',
+    test: 'after losses of power of all',
   },
   {
     name: 'a broken connection is no crash',
@@ -209,6 +209,22 @@
     spec: 'packages/relay/src/quarantine',
     test: 'at most one more target',
   },
+  {
+    name: 'short leases of trials',
+    file: 'packages/relay/src/quarantine/trials.ts',
+    find: 'const LEASE_MS = 3_000;',
+    put: 'const LEASE_MS = 600_000;',
+    spec: 'packages/relay/src/quarantine',
+    test: 'granted again soon when control granted them too late',
+  },
+  {
+    name: 'crashes after a caller has left',
+    file: 'packages/relay/src/work/requestHandler.ts',
+    find: 'return this.context.quarantine.isSuspect(job.sent);',
+    put: 'return false;',
+    spec: 'packages/relay/src/quarantine',
+    test: 'after its caller has left',
+  },
   {
     name: 'trials of requests beside a cause',
     file: 'packages/protocol/src/quarantine/verdict.ts',
