Second matter: a trial ends also where its attempt ends by an error

Found on the last reading: an error thrown while a trial ran would have left its lease renewed for good, and the request refused as long as the entry runs. Not seen in any run, and without a test: no way is known to make an attempt throw. The specs of the quarantine and of the relay pass.

--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -73,7 +73,7 @@
   private readonly tried = new Set<string>();
   private readonly stream: Stream;
   private job: Job | undefined;
-  /** Target of the last attempt. */
+  /** Target of the last attempt, until it has answered. */
   private target: Target | undefined;
 
   constructor(
@@ -219,8 +219,9 @@
       this.reject(job.request, fault('request-quarantined', message, { retryAfterMs }), job.route);
       return;
     }
-    const last = await this.attemptInTurn(job);
-    if (trial !== undefined) quarantine.endTrial(trial, last.state === 'answered' ? undefined : this.target);
+    const last = await this.attemptInTurn(job).finally(() => {
+      if (trial !== undefined) quarantine.endTrial(trial, this.target);
+    });
     if (last.state === 'answered') this.recordAnswered(job);
     else this.failUnanswered(job, last);
   }
@@ -397,6 +398,7 @@
       endRun?.();
     }
     if (outcome.state === 'answered') {
+      this.target = undefined;
       monitor.recordSuccess(target.id);
       quarantine.recordSuccess(job.sent);
     } else if (this.mayHaveEnded(job, outcome.fault, wasUnresponsive)) {
