--- a/packages/relay/src/quarantine/quarantine.spec.ts
+++ b/packages/relay/src/quarantine/quarantine.spec.ts
@@ -1,13 +1,28 @@
 /** Requests under which targets end, at one entry. */
 import { create } from '@bufbuild/protobuf';
 import type { Route } from '@jasmineroute/configuration';
+import { systemClock } from '@jasmineroute/core';
 import { controlMessage, requestFingerprint } from '@jasmineroute/protocol';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RelayBed, answered, routeTo, until } from '../testing/bed.js';
+import type { Script } from '../testing/bed.js';
 import { ask, reset } from '../testing/caller.js';
 import type { Answer } from '../testing/caller.js';
 
 const DEADLY = 'ends a target';
+
+/** Longer than the interval at which an entry asks for a trial. */
+const ATTEMPT_INTERVAL_MS = 2_500;
+
+/** Longer than the time for which the fate of a target is followed. */
+const AFTER_FATE_MS = 5_500;
+
+/** A target's answer that it has not run the request. */
+const refused: Script = (request, response) => {
+  response.writeHead(503, { 't-id': request.headers['t-id'], 't-not-run': 'yes' });
+  response.end();
+};
+
 const REFUSED = { status: 503, headers: { 't-ran': 'not-run' } };
 
 describe('a request under which targets end', () => {
@@ -49,7 +64,7 @@
   // Guards against a request that is sent by an entry which has not seen it crash anything.
   it('is refused at once when other entries saw the crashes', async () => {
     await start(2);
-    bed.tellEvidence([evidence(DEADLY, ['a', 'b', 'c']), evidence('ordinary', ['a', 'b'])]);
+    bed.tellEvidence([evidence(DEADLY, ['a', 'b', 'c']), evidence('ordinary', ['d', 'e'])]);
     await until(() => bed.evidenceTold);
     expect(await send('q1')).toMatchObject(REFUSED);
     expect(bed.arrivalCount()).toBe(0);
@@ -92,6 +107,34 @@
     expect(bed.arrivalCount()).toBeLessThanOrEqual(2);
   });
 
+  // Guards against a request that reaches targets without end, as no crash counts an attempt which they refuse.
+  it('reaches targets three times at most while it is doubtful, though they refuse it', async () => {
+    await start(6, { kind: 'idempotent', maxAttempts: 6 });
+    for (const target of bed.targets) target.script = refused;
+    bed.tellEvidence([evidence(DEADLY, ['a', 'b', 'c']), evidence('beside', ['a', 'b', 'c'])]);
+    await until(() => bed.evidenceTold);
+    for (let attempt = 1; attempt <= 6; attempt += 1) {
+      await send(`q${attempt}`);
+      await systemClock.sleep(ATTEMPT_INTERVAL_MS);
+    }
+    expect(bed.arrivalCount()).toBe(3);
+    expect(await send('q7')).toMatchObject(REFUSED);
+  }, 30_000);
+
+  // Guards against a request that reaches targets without end, as its callers leave before a target ends under it.
+  it('reaches targets three times at most while it is doubtful, though its callers leave', async () => {
+    await start(1);
+    bed.target(1).script = () => undefined;
+    bed.tellEvidence([evidence(DEADLY, ['a', 'b', 'c']), evidence('beside', ['a', 'b', 'c'])]);
+    await until(() => bed.evidenceTold);
+    for (let attempt = 1; attempt <= 4; attempt += 1) {
+      const leaves = AbortSignal.timeout(100);
+      await ask(bed.url, { id: `q${attempt}`, body: DEADLY, signal: leaves }).catch(() => undefined);
+      await systemClock.sleep(AFTER_FATE_MS);
+    }
+    expect(bed.arrivalCount()).toBe(3);
+  }, 60_000);
+
   // Guards against ordinary requests that are refused because connections were reset under them.
   it('is not taken for one whose connections are reset', async () => {
     await start(4);
--- a/packages/relay/src/quarantine/trials.spec.ts
+++ b/packages/relay/src/quarantine/trials.spec.ts
@@ -3,6 +3,7 @@
 import type { RpcServer } from '@jasmineroute/protocol';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { until } from '../testing/bed.js';
+import { LeaseStub } from '../testing/leaseStub.js';
 import { Trials } from './trials.js';
 import type { Trial, TrialRequest } from './trials.js';
 
@@ -16,37 +17,17 @@
 describe('the trials of doubtful requests', () => {
   let control: RpcServer;
   let peers: Peers;
-  /** Leases by their names. */
-  let leases: Map<string, { readonly holder: string; readonly expiresAt: number }>;
-  let asked: number;
+  let leases: LeaseStub;
   let running: Trial[];
-  /** Time that control takes to grant a lease, milliseconds. */
-  let grantMs: number;
-
-  const holderOf = (name: string): string | undefined => {
-    const lease = leases.get(name);
-    return lease !== undefined && lease.expiresAt > systemClock.monotonic() ? lease.holder : undefined;
-  };
 
   beforeEach(async () => {
-    leases = new Map();
-    asked = 0;
+    leases = new LeaseStub();
     running = [];
-    grantMs = 0;
     peers = new Peers();
     control = await listen('127.0.0.1', 0, (router) => {
       router.service(controlMessage.Turns, {
-        take: async ({ name, holder, ttlMs }) => {
-          asked += 1;
-          await systemClock.sleep(grantMs);
-          const granted = holderOf(name) === undefined || holderOf(name) === holder;
-          if (granted) leases.set(name, { holder, expiresAt: systemClock.monotonic() + ttlMs });
-          return { granted, fence: 1n };
-        },
-        release: ({ name, holder }) => {
-          if (holderOf(name) === holder) leases.delete(name);
-          return {};
-        },
+        take: (request) => leases.take(request),
+        release: (request) => leases.release(request),
       });
     });
   });
@@ -107,10 +88,10 @@
 
   // Guards against an ordinary request that is refused for minutes as control granted its trial too late.
   it('are granted again soon when control granted them too late', async () => {
-    grantMs = 1_500;
+    leases.grantMs = 1_500;
     expect(await take('e1', trialOf('a', 3, false))).toBeUndefined();
-    await systemClock.sleep(grantMs);
-    grantMs = 0;
+    await systemClock.sleep(leases.grantMs);
+    leases.grantMs = 0;
     await systemClock.sleep(4_000);
     expect(await take('e2', trialOf('a', 3, false))).toBeDefined();
   });
@@ -129,7 +110,7 @@
   it('are asked for once in a while, however often callers come', async () => {
     const trials = trialsOf('e1');
     await Promise.all(Array.from({ length: 20 }, () => trials.take(trialOf('a'))));
-    expect(asked).toBe(2);
+    expect(leases.asked).toBe(2);
   });
 
   // Guards against an entry out of touch with control that runs a trial which another one runs too.
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -12,6 +12,7 @@
 import { Relay } from '../relay.js';
 import { relaySettings } from '../setting/index.js';
 import { testDialect } from './dialect.js';
+import { LeaseStub } from './leaseStub.js';
 
 const { AnnouncedTargetSchema, Announcement, FollowEventSchema } = controlMessage;
 
@@ -112,6 +113,11 @@
         enlist: () => ({}),
         observe: () => ({}),
       });
+      const leases = new LeaseStub();
+      router.service(controlMessage.Turns, {
+        take: (request) => leases.take(request),
+        release: (request) => leases.release(request),
+      });
     });
     return this.server.address;
   }
