--- a/packages/control/src/quarantine/evidenceStore.ts
+++ b/packages/control/src/quarantine/evidenceStore.ts
@@ -4,6 +4,7 @@
 import {
   EvidenceTable,
   chargedStarts,
+  clearedEvidence,
   controlMessage,
   fingerprintText,
   isHeld,
@@ -20,8 +21,7 @@
 /** Records appended to a file before the next one begins. */
 const MAX_FILE_RECORDS = 10 * MAX_EVIDENCE;
 
-const { CrashEvidenceSchema, ListQuarantineResponseSchema, ReleaseQuarantinedResponseSchema } =
-  controlMessage;
+const { ListQuarantineResponseSchema, ReleaseQuarantinedResponseSchema } = controlMessage;
 
 type CrashEvidence = controlMessage.CrashEvidence;
 
@@ -91,7 +91,7 @@
         request: fingerprintText(request),
         crashed: evidence.crashed,
       });
-      this.record([create(CrashEvidenceSchema, { ...evidence, cleared: evidence.crashed })]);
+      this.record([clearedEvidence(evidence)]);
     }
     return create(ReleaseQuarantinedResponseSchema, { known: evidence !== undefined });
   }
@@ -110,9 +110,19 @@
       if (verdict === before || (before === undefined && !isHeld(evidence))) continue;
       if (isHeld(evidence)) this.logged.set(request, verdict);
       else this.logged.delete(request);
-      const { customer, service, crashed, cleared, coincident } = evidence;
+      const { customer, service, crashed, cleared, coincident, sent } = evidence;
       const event = verdict === 'quarantined' ? controlEvents.quarantined : controlEvents.verdictChanged;
-      this.log.event(event, { request, customer, service, before, verdict, crashed, cleared, coincident });
+      this.log.event(event, {
+        request,
+        customer,
+        service,
+        before,
+        verdict,
+        crashed,
+        cleared,
+        coincident,
+        sent,
+      });
     }
   }
 
--- a/packages/ctl/src/command/quarantine.ts
+++ b/packages/ctl/src/command/quarantine.ts
@@ -44,6 +44,7 @@
     service: evidence?.service ?? '',
     crashed: evidence?.crashed ?? [],
     cleared: evidence?.cleared ?? [],
+    sent: evidence?.sent ?? [],
   }));
   const rows = requests.map(({ request, verdict, customer, service, crashed }) => [
     request,
--- a/packages/protocol/src/quarantine/evidenceTable.spec.ts
+++ b/packages/protocol/src/quarantine/evidenceTable.spec.ts
@@ -3,11 +3,12 @@
 import { describe, expect, it } from 'vitest';
 import { CrashEvidenceSchema } from '../gen/jasmineroute/control_pb.js';
 import type { CrashEvidence } from '../gen/jasmineroute/control_pb.js';
-import { EvidenceTable, chargedStarts, isHeld } from './evidenceTable.js';
+import { EvidenceTable, chargedSendings, chargedStarts, clearedEvidence, isHeld } from './evidenceTable.js';
 import { requestFingerprint } from './fingerprint.js';
 
 const REQUESTS = 3;
 const STARTS = ['s1', 's2', 's3', 's4', 's5'];
+const SENDINGS = ['e1/1/1', 'e1/2/1', 'e2/1/1'];
 
 const fingerprintOf = (request: number, customer = 'harbour'): Uint8Array =>
   requestFingerprint(customer, `/r/${request}`, Buffer.from('question'));
@@ -17,8 +18,10 @@
   crashed: readonly string[],
   cleared: readonly string[] = [],
   customer = 'harbour',
+  sent: readonly string[] = [],
 ): CrashEvidence =>
   create(CrashEvidenceSchema, {
+    sent: [...sent],
     request: fingerprintOf(request, customer),
     customer,
     service: 's',
@@ -27,8 +30,13 @@
   });
 
 const anyEvidence = fc
-  .record({ request: fc.nat(REQUESTS - 1), crashed: fc.subarray(STARTS), cleared: fc.subarray(STARTS) })
-  .map(({ request, crashed, cleared }) => evidenceOf(request, crashed, cleared));
+  .record({
+    request: fc.nat(REQUESTS - 1),
+    crashed: fc.subarray(STARTS),
+    cleared: fc.subarray([...STARTS, ...SENDINGS]),
+    sent: fc.subarray(SENDINGS),
+  })
+  .map(({ request, crashed, cleared, sent }) => evidenceOf(request, crashed, cleared, 'harbour', sent));
 
 /** What a table holds, without the order in which it came. */
 function contentOf(table: EvidenceTable): unknown {
@@ -36,6 +44,7 @@
     request: Buffer.from(evidence.request).toString('hex'),
     crashed: [...evidence.crashed].sort(),
     cleared: [...evidence.cleared].sort(),
+    sent: [...evidence.sent].sort(),
   }));
   return held.sort((a, b) => a.request.localeCompare(b.request));
 }
@@ -78,6 +87,13 @@
     expect(chargedStarts(heldOf(table))).toEqual(['s3']);
   });
 
+  it('counts no sendings of before once it is cleared', () => {
+    const sent = evidenceOf(1, ['s1'], [], 'harbour', SENDINGS);
+    const table = tableOf([sent, clearedEvidence(sent), evidenceOf(1, ['s2'])]);
+    expect(chargedSendings(heldOf(table))).toEqual([]);
+    expect(chargedStarts(heldOf(table))).toEqual(['s2']);
+  });
+
   it('lists what changed since a number', () => {
     const table = tableOf([evidenceOf(1, ['s1']), evidenceOf(2, ['s1'])]);
     const before = table.lastChangeNumber;
--- a/packages/protocol/src/quarantine/evidenceTable.ts
+++ b/packages/protocol/src/quarantine/evidenceTable.ts
@@ -7,8 +7,8 @@
 /** Crashes after which a request is no longer sent: one or two may have another cause. */
 export const MAX_CRASHES = 3;
 
-/** Starts kept of one request; the oldest cleared ones are dropped. */
-const MAX_STARTS = 16;
+/** Starts, and sendings, kept of one request; the oldest cleared ones are dropped. */
+const MAX_KEPT = 16;
 
 interface Entry {
   readonly evidence: CrashEvidence;
@@ -21,6 +21,15 @@
   return crashed.filter((start) => !cleared.includes(start));
 }
 
+/** Sendings of a request as a trial that count against it. */
+export function chargedSendings({ sent, cleared }: CrashEvidence): string[] {
+  return sent.filter((id) => !cleared.includes(id));
+}
+
+/** The evidence on a request once nothing of it counts any more. */
+export const clearedEvidence = (evidence: CrashEvidence): CrashEvidence =>
+  create(CrashEvidenceSchema, { ...evidence, cleared: [...evidence.crashed, ...evidence.sent] });
+
 /** Whether enough targets crashed under a request that it is no longer sent like others. */
 export const isHeld = (evidence: CrashEvidence): boolean => chargedStarts(evidence).length >= MAX_CRASHES;
 
@@ -96,22 +105,21 @@
   }
 }
 
+const SETS = ['crashed', 'cleared', 'coincident', 'sent'] as const;
+
 /** The union of two pieces of evidence on a request; undefined if the second adds nothing to the first. */
 function unionOf(known: CrashEvidence, received: CrashEvidence): CrashEvidence | undefined {
-  const crashed = [...new Set([...known.crashed, ...received.crashed])];
-  const cleared = [...new Set([...known.cleared, ...received.cleared])];
-  const coincident = [...new Set([...known.coincident, ...received.coincident])];
-  const hasGrown =
-    crashed.length > known.crashed.length ||
-    cleared.length > known.cleared.length ||
-    coincident.length > known.coincident.length;
-  if (!hasGrown) return undefined;
-  const excess = Math.max(0, crashed.length - MAX_STARTS);
-  const surplus = new Set(crashed.filter((start) => cleared.includes(start)).slice(0, excess));
-  return create(CrashEvidenceSchema, {
-    ...known,
-    crashed: crashed.filter((start) => !surplus.has(start)),
-    cleared: cleared.filter((start) => !surplus.has(start)),
-    coincident: coincident.filter((start) => !surplus.has(start)),
-  });
+  const union = create(CrashEvidenceSchema, { ...known });
+  for (const set of SETS) union[set] = [...new Set([...known[set], ...received[set]])];
+  if (SETS.every((set) => union[set].length === known[set].length)) return undefined;
+  const { crashed, sent, cleared } = union;
+  const surplus = new Set([...surplusOf(crashed, cleared), ...surplusOf(sent, cleared)]);
+  for (const set of SETS) union[set] = union[set].filter((id) => !surplus.has(id));
+  return union;
+}
+
+/** The oldest cleared ids of a set that is too large. */
+function surplusOf(ids: readonly string[], cleared: readonly string[]): string[] {
+  const excess = Math.max(0, ids.length - MAX_KEPT);
+  return ids.filter((id) => cleared.includes(id)).slice(0, excess);
 }
--- a/packages/protocol/src/quarantine/verdict.spec.ts
+++ b/packages/protocol/src/quarantine/verdict.spec.ts
@@ -23,6 +23,10 @@
 const MOST_CONDEMNED = 0.001;
 
 const MOST_SENDINGS = 3;
+
+/** Share of the attempts that targets refuse, as they have no capacity. */
+const REFUSED_SHARE = 0.1;
+
 /** Time for a verdict, milliseconds: small against the tenth of a millisecond that an entry spends on a request. */
 const MOST_VERDICT_MS = 0.1;
 
@@ -92,7 +96,7 @@
   };
   const report = (
     now: number,
-    fields: { crashed: string[]; coincident?: string[]; cleared?: string[] },
+    fields: { crashed?: string[]; coincident?: string[]; cleared?: string[]; sent?: string[] },
     caller: Caller,
   ): void => {
     const evidence = create(CrashEvidenceSchema, { request: caller.fingerprint, customer: 'c', ...fields });
@@ -128,8 +132,8 @@
       for (const { caller } of target.runs.filter(({ endsAt }) => endsAt <= now)) {
         caller.nextAt = undefined;
         if (caller.crashes.length > 0) {
-          const crashed = table.find(caller.fingerprint)?.crashed ?? [];
-          report(now, { crashed, cleared: crashed }, caller);
+          const { crashed = [], sent = [] } = table.find(caller.fingerprint) ?? {};
+          report(now, { crashed, sent, cleared: [...crashed, ...sent] }, caller);
         }
       }
       target.runs = target.runs.filter(({ endsAt }) => endsAt > now);
@@ -152,10 +156,14 @@
       caller.nextAt = now + 20;
       caller.isCondemned = verdict === 'quarantined' || (verdict === 'doubtful' && trials.has(trial));
       if (!mayRun || target === undefined) continue;
-      if (verdict === 'doubtful') trials.add(trial);
+      if (verdict === 'doubtful') {
+        trials.add(trial);
+        report(now, { sent: [trial] }, caller);
+      }
       caller.attempts += 1;
       const [, , third = Number.POSITIVE_INFINITY] = caller.crashes;
       if (caller.isDeadly && now > third + CONTACT_TICKS) caller.lateSendings += 1;
+      if (random() < REFUSED_SHARE) continue;
       caller.nextAt = undefined;
       target.runs.push({
         caller,
--- a/packages/protocol/src/quarantine/verdict.ts
+++ b/packages/protocol/src/quarantine/verdict.ts
@@ -1,12 +1,15 @@
 /** Decides from evidence whether a request may be sent. */
 import type { CrashEvidence } from '../gen/jasmineroute/control_pb.js';
-import { MAX_CRASHES, chargedStarts, isHeld } from './evidenceTable.js';
+import { MAX_CRASHES, chargedSendings, chargedStarts, isHeld } from './evidenceTable.js';
 import type { EvidenceTable } from './evidenceTable.js';
 
 /** Crashes after which a request is not sent again, and the same where others that were convicted explain some of them. */
 const MAX_DOUBTFUL_CRASHES = MAX_CRASHES + 2;
 const MAX_EXPLAINED_CRASHES = MAX_CRASHES + 3;
 
+/** Trials of a request in all, whatever became of them: each may reach a target that it crashes. */
+const MAX_TRIALS = 3;
+
 /** Crashes of which a request must be the only likely cause, the first one left out. */
 const MIN_SOLE_CRASHES = MAX_CRASHES - 1;
 
@@ -33,6 +36,7 @@
   const charged = evidence === undefined ? [] : chargedStarts(evidence);
   if (evidence === undefined || charged.length === 0) return 'allowed';
   if (!isHeld(evidence)) return 'suspect';
+  if (chargedSendings(evidence).length >= MAX_TRIALS) return 'quarantined';
   const { convicted, explained } = conclusionsOf(table);
   if (charged.length >= MAX_EXPLAINED_CRASHES || convicted.has(evidence)) return 'quarantined';
   const unexplained = charged.filter((start) => !explained.has(start));
@@ -41,7 +45,7 @@
 }
 
 /** Number of the next trial of a doubtful request, which at most one entry may run. */
-export const trialNumber = (evidence: CrashEvidence): number => chargedStarts(evidence).length;
+export const trialNumber = (evidence: CrashEvidence): number => chargedSendings(evidence).length;
 
 /**
  * Whether the trial of a request must be the only one of its service, so that its outcome is due to this request. Many requests
--- a/packages/relay/src/quarantine/quarantine.ts
+++ b/packages/relay/src/quarantine/quarantine.ts
@@ -4,9 +4,12 @@
 import type { Report, ReportSender, Target } from '@jasmineroute/knowledge';
 import {
   EvidenceTable,
+  chargedSendings,
   chargedStarts,
+  clearedEvidence,
   controlMessage,
   fingerprintText,
+  isHeld,
   needsTurn,
   trialNumber,
   verdictOf,
@@ -110,10 +113,26 @@
     return trial === undefined ? { isAdmitted: false, retryAfterMs: TRIAL_MS } : { isAdmitted: true, trial };
   }
 
-  /** Whether a request that was sent may be sent on within the same attempt of its caller. */
-  mayRetry({ fingerprint }: SentRequest): boolean {
+  /**
+   * Whether a request that was sent may be sent on within the same attempt of its caller.
+   * @param hasRun false: the last target refused it, or was not reached.
+   */
+  mayRetry({ fingerprint }: SentRequest, hasRun: boolean): boolean {
     const evidence = this.table.size === 0 ? undefined : this.table.find(fingerprint());
-    return evidence === undefined || chargedStarts(evidence).length <= MAX_RETRIED_CRASHES;
+    if (evidence === undefined) return true;
+    // A sending that is refused counts as one, and a trial is one sending.
+    if (isHeld(evidence)) return false;
+    return !hasRun || chargedStarts(evidence).length <= MAX_RETRIED_CRASHES;
+  }
+
+  /** Records that a trial is sent to a target. @returns a function that takes this back where no target was reached. */
+  recordSending({ fingerprint }: SentRequest, { id }: Trial): () => void {
+    const evidence = this.table.find(fingerprint());
+    if (evidence === undefined) return () => undefined;
+    this.add(create(controlMessage.CrashEvidenceSchema, { ...evidence, sent: [id] }));
+    return () => {
+      this.add(create(controlMessage.CrashEvidenceSchema, { ...evidence, sent: [id], cleared: [id] }));
+    };
   }
 
   /** Whether targets crashed while they ran a request. */
@@ -139,18 +158,20 @@
   recordSuccess({ fingerprint }: SentRequest): void {
     const evidence = this.table.size === 0 ? undefined : this.table.find(fingerprint());
     if (evidence === undefined || chargedStarts(evidence).length === 0) return;
-    this.add(create(controlMessage.CrashEvidenceSchema, { ...evidence, cleared: evidence.crashed }));
+    this.add(clearedEvidence(evidence));
   }
 
   /**
    * Ends a trial.
-   * @param target the one that did not answer it; undefined: it was answered, or not sent.
+   * @param target the one that broke it off; undefined: none did.
    */
-  endTrial(trial: Trial, target: Target | undefined): void {
-    if (target === undefined) trial.end(false);
+  endTrial({ fingerprint }: SentRequest, trial: Trial, target: Target | undefined): void {
+    const evidence = this.table.find(fingerprint());
+    const counts = evidence !== undefined && chargedSendings(evidence).includes(trial.id);
+    if (target === undefined) trial.end(counts);
     else
-      void this.parts.crashWatch.fateOf(target).final.then((hasEnded) => {
-        trial.end(hasEnded);
+      void this.parts.crashWatch.fateOf(target).final.then(() => {
+        trial.end(counts);
       });
   }
 
--- a/packages/relay/src/quarantine/trials.ts
+++ b/packages/relay/src/quarantine/trials.ts
@@ -16,8 +16,8 @@
 const LEASE_MS = 3_000;
 const RENEWAL_INTERVAL_MS = 1_000;
 
-/** Lease of a trial that crashed its target, milliseconds: until all entries know of the crash. */
-const CRASHED_LEASE_MS = 10_000;
+/** Lease of a trial that counts, milliseconds: until all entries know that it was sent. */
+const SENT_LEASE_MS = 10_000;
 
 /** Time within which control grants a lease, milliseconds: the caller waits meanwhile. */
 const TAKE_TIMEOUT_MS = 1_000;
@@ -25,7 +25,7 @@
 /** Time after which another control instance is asked, milliseconds. */
 const ATTEMPT_TIMEOUT_MS = 400;
 
-/** Time after which this entry asks for the same trial again, milliseconds. */
+/** Time after which this entry asks for another trial of a request, milliseconds. */
 const ASK_INTERVAL_MS = 2_000;
 
 /** Dependencies of the trials. */
@@ -42,8 +42,10 @@
 
 /** A trial that this entry runs. */
 export interface Trial {
-  /** Ends the trial. One that did not crash its target may be granted again. */
-  end(hasCrashed: boolean): void;
+  /** Differs from that of every other trial. */
+  readonly id: string;
+  /** Ends the trial. @param counts whether it counts against the request; otherwise it may be granted again. */
+  end(counts: boolean): void;
 }
 
 /** A request whose trial is asked for. */
@@ -61,7 +63,7 @@
 
 /** Takes and releases the leases of trials. */
 export class Trials {
-  /** Names of trials that were asked for lately. */
+  /** Requests of which a trial was asked for lately. */
   private readonly asked = new Set<string>();
   private count = 0;
 
@@ -71,9 +73,9 @@
   async take({ request, service, number, needsTurn }: TrialRequest): Promise<Trial | undefined> {
     const { clock, log } = this.parts;
     const name = `trial/${request}/${number}`;
-    if (this.asked.has(name)) return undefined;
-    this.asked.add(name);
-    clock.after(ASK_INTERVAL_MS, () => this.asked.delete(name));
+    if (this.asked.has(request)) return undefined;
+    this.asked.add(request);
+    clock.after(ASK_INTERVAL_MS, () => this.asked.delete(request));
     const turn = needsTurn ? await this.takeLease(`trials of ${service}`) : undefined;
     const mayRun = turn !== undefined || !needsTurn;
     const trial = mayRun ? await this.takeLease(name) : undefined;
@@ -88,9 +90,10 @@
     const endTrial = this.renew(trial);
     const endTurn = turn === undefined ? undefined : this.renew(turn);
     return {
-      end: (hasCrashed) => {
+      id: `${trial.holder}/${trial.incarnation}`,
+      end: (counts) => {
         void endTrial().then(() => {
-          if (hasCrashed) void this.request(trial, CRASHED_LEASE_MS);
+          if (counts) void this.request(trial, SENT_LEASE_MS);
           else this.release(trial);
         });
         if (turn !== undefined)
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -5,7 +5,7 @@
 import type { Fault } from '@jasmineroute/core';
 import { FaultError } from '@jasmineroute/engine';
 import { requestFingerprint } from '@jasmineroute/protocol';
-import type { SentRequest } from '../quarantine/index.js';
+import type { SentRequest, Trial } from '../quarantine/index.js';
 import { readBody } from '@jasmineroute/entry';
 import type { Target } from '@jasmineroute/knowledge';
 import { err, ok } from 'neverthrow';
@@ -73,8 +73,10 @@
   private readonly tried = new Set<string>();
   private readonly stream: Stream;
   private job: Job | undefined;
-  /** Target of the last attempt, until it has answered. */
+  /** Target of the last attempt, unless it has answered or refused. */
   private target: Target | undefined;
+  /** The trial that the request runs as. */
+  private trial: Trial | undefined;
 
   constructor(
     private readonly context: RelayContext,
@@ -219,8 +221,9 @@
       this.reject(job.request, fault('request-quarantined', message, { retryAfterMs }), job.route);
       return;
     }
+    this.trial = trial;
     const last = await this.attemptInTurn(job).finally(() => {
-      if (trial !== undefined) quarantine.endTrial(trial, this.target);
+      if (trial !== undefined) quarantine.endTrial(job.sent, trial, this.target);
     });
     if (last.state === 'answered') this.recordAnswered(job);
     else this.failUnanswered(job, last);
@@ -331,7 +334,7 @@
     const { route } = job;
     if (this.abort.signal.aborted || !this.hasTime(job)) return false;
     if (this.sends >= route.maxAttempts) return false;
-    if (problem.ran !== 'not-run' && !quarantine.mayRetry(job.sent)) return false;
+    if (!quarantine.mayRetry(job.sent, problem.ran !== 'not-run')) return false;
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
     if (!isRetryable && problem.ran !== 'not-run') return false;
     // The retry for a moving stream was already taken from the budget when it left its target.
@@ -382,6 +385,7 @@
     const source = job.route.hasPrompt ? sourceFor(this.context, job, target) : undefined;
     const addedFields = addedFieldsFor(this.context, job, target, leftMs, resumeAfterId, source);
     const open = monitor.startRequest(target.id, placement.tokens, fetchOf(source), job.service.name);
+    const takeBack = this.trial === undefined ? undefined : quarantine.recordSending(job.sent, this.trial);
     const endRun = quarantine.isSuspect(job.sent) ? quarantine.runs.begin(target.id) : undefined;
     let outcome: Outcome;
     let status = 0;
@@ -397,13 +401,14 @@
       open.finish();
       endRun?.();
     }
+    if (outcome.state === 'answered' || outcome.fault.ran === 'not-run') this.target = undefined;
     if (outcome.state === 'answered') {
-      this.target = undefined;
       monitor.recordSuccess(target.id);
       quarantine.recordSuccess(job.sent);
     } else if (this.mayHaveEnded(job, outcome.fault, wasUnresponsive)) {
       await quarantine.recordBroken(job.sent, target);
     }
+    if (outcome.state !== 'answered' && outcome.fault.kind === 'target-unreachable') takeBack?.();
     const result = outcome.state === 'answered' ? 'answered' : outcome.fault.kind;
     metrics.count(relayMetrics.attempts, 1, { outcome: result });
     const tookMs = clock.monotonic() - begunAt;
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -204,7 +204,7 @@
   {
     name: 'one more target by the retries of one attempt',
     file: 'packages/relay/src/work/requestHandler.ts',
-    find: "    if (problem.ran !== 'not-run' && !quarantine.mayRetry(job.sent)) return false;\n",
+    find: "    if (!quarantine.mayRetry(job.sent, problem.ran !== 'not-run')) return false;\n",
     put: '    void quarantine;\n',
     spec: 'packages/relay/src/quarantine',
     test: 'at most one more target',
@@ -233,4 +233,12 @@
     spec: 'packages/protocol/src/quarantine',
     test: 'fewer than one in a thousand',
   },
+  {
+    name: 'sendings that crash nothing',
+    file: 'packages/protocol/src/quarantine/verdict.ts',
+    find: "  if (chargedSendings(evidence).length >= MAX_TRIALS) return 'quarantined';\n",
+    put: '  void MAX_TRIALS;\n',
+    spec: 'packages/relay/src/quarantine/quarantine.spec.ts',
+    test: 'three times at most while it is doubtful',
+  },
 ];
