--- a/packages/relay/src/quarantine/quarantine.spec.ts
+++ b/packages/relay/src/quarantine/quarantine.spec.ts
@@ -5,8 +5,7 @@
 import { controlMessage, requestFingerprint } from '@jasmineroute/protocol';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RelayBed, answered, routeTo, until } from '../testing/bed.js';
-import type { Script } from '../testing/bed.js';
-import { ask, reset } from '../testing/caller.js';
+import { ask, events, refusal, reset, stream, text } from '../testing/caller.js';
 import type { Answer } from '../testing/caller.js';
 
 const DEADLY = 'ends a target';
@@ -14,15 +13,12 @@
 /** Longer than the interval at which an entry asks for a trial. */
 const ATTEMPT_INTERVAL_MS = 2_500;
 
+/** Longer than a stream that leaves its target waits for the next event, milliseconds. */
+const AFTER_MOVE_MS = 400;
+
 /** Longer than the time for which the fate of a target is followed. */
 const AFTER_FATE_MS = 5_500;
 
-/** A target's answer that it has not run the request. */
-const refused: Script = (request, response) => {
-  response.writeHead(503, { 't-id': request.headers['t-id'], 't-not-run': 'yes' });
-  response.end();
-};
-
 const REFUSED = { status: 503, headers: { 't-ran': 'not-run' } };
 
 describe('a request under which targets end', () => {
@@ -110,7 +106,7 @@
   // Guards against a request that reaches targets without end, as no crash counts an attempt which they refuse.
   it('reaches targets three times at most while it is doubtful, though they refuse it', async () => {
     await start(6, { kind: 'idempotent', maxAttempts: 6 });
-    for (const target of bed.targets) target.script = refused;
+    for (const target of bed.targets) target.script = refusal;
     bed.tellEvidence([evidence(DEADLY, ['a', 'b', 'c']), evidence('beside', ['a', 'b', 'c'])]);
     await until(() => bed.evidenceTold);
     for (let attempt = 1; attempt <= 6; attempt += 1) {
@@ -135,6 +131,24 @@
     expect(bed.arrivalCount()).toBe(3);
   }, 60_000);
 
+  // Guards against streams near crashes that break off while weights are replaced, as no other target may take them over.
+  it('stays at a target that pauses when it is not sent on', async () => {
+    bed = await RelayBed.start([routeTo(stream)], 2);
+    bed.tellEvidence([evidence(DEADLY, ['a', 'b'])]);
+    await until(() => bed.evidenceTold);
+    for (const target of bed.targets)
+      target.script = events(0, 1, (response) => {
+        systemClock.after(AFTER_MOVE_MS, () => response.end(text(2, 3)));
+      });
+    let begun = '';
+    const answer = ask(bed.url, { body: DEADLY, onData: (part) => (begun = part) });
+    await until(() => begun === text(0, 1));
+    const paused = bed.targets.find(({ requests }) => requests.length > 0)?.id ?? '';
+    bed.announce({ [paused]: { paused: true, observation: 1n } });
+    expect(await answer).toMatchObject({ body: text(0, 3), whole: true });
+    expect(bed.arrivalCount()).toBe(1);
+  });
+
   // Guards against ordinary requests that are refused because connections were reset under them.
   it('is not taken for one whose connections are reset', async () => {
     await start(4);
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -85,6 +85,7 @@
   ) {
     this.stream = new Stream(context, answer, {
       reserveMove: () => this.reserveMove(),
+      mayBeSentOn: () => this.job !== undefined && context.quarantine.mayRetry(this.job.sent, true),
       recordOrigin: (softwareVersion) => {
         if (this.job !== undefined) recordOrigin(context, this.job, softwareVersion);
       },
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -20,6 +20,8 @@
 export interface StreamHooks {
   /** Whether another target can take the stream over; takes the retry for it from the budget. */
   readonly reserveMove: () => boolean;
+  /** Whether the request may be sent to another target once one has run it. */
+  readonly mayBeSentOn: () => boolean;
   /** Records the software version that began the stream. */
   readonly recordOrigin: (softwareVersion: string) => void;
 }
@@ -146,7 +148,7 @@
     const { knowledge, clock } = this.context;
     let cancelTimer = (): void => undefined;
     const stop = knowledge.targets.onPause((id) => {
-      if (id !== target.id || this.isMoving || !this.startMove()) return;
+      if (id !== target.id || this.isMoving || !this.hooks.mayBeSentOn() || !this.startMove()) return;
       cancelTimer = clock.after(MOVE_TIMEOUT_MS, () => {
         wire.abandon();
       });
