--- a/packages/relay/src/quarantine/quarantine.spec.ts
+++ b/packages/relay/src/quarantine/quarantine.spec.ts
@@ -4,6 +4,7 @@
 import { systemClock } from '@jasmineroute/core';
 import { controlMessage, requestFingerprint } from '@jasmineroute/protocol';
 import { afterEach, describe, expect, it } from 'vitest';
+import { relayEvents } from '../events.js';
 import { RelayBed, answered, routeTo, until } from '../testing/bed.js';
 import { ask, events, refusal, reset, stream, text } from '../testing/caller.js';
 import type { Answer } from '../testing/caller.js';
@@ -131,6 +132,18 @@
     expect(bed.arrivalCount()).toBe(3);
   }, 60_000);
 
+  // Guards against a request that is sent after its third crash is known, as it came before and waited for a target.
+  it('is refused when the crashes become known while it waits for a target', async () => {
+    bed = await RelayBed.startUnannounced([routeTo()], 2);
+    const answer = send('q1');
+    await until(() => bed.logged.includes(relayEvents.waiting.id));
+    bed.tellEvidence([evidence(DEADLY, ['a', 'b', 'c'])]);
+    await until(() => bed.evidenceTold);
+    bed.announce();
+    expect(await answer).toMatchObject(REFUSED);
+    expect(bed.arrivalCount()).toBe(0);
+  });
+
   // Guards against streams near crashes that break off while weights are replaced, as no other target may take them over.
   it('stays at a target that pauses when it is not sent on', async () => {
     bed = await RelayBed.start([routeTo(stream)], 2);
--- a/packages/relay/src/quarantine/quarantine.ts
+++ b/packages/relay/src/quarantine/quarantine.ts
@@ -125,6 +125,12 @@
     return !hasRun || chargedStarts(evidence).length <= MAX_RETRIED_CRASHES;
   }
 
+  /** Whether a request may be sent as a trial only, or not at all. */
+  isHeld({ fingerprint }: SentRequest): boolean {
+    const evidence = this.table.size === 0 ? undefined : this.table.find(fingerprint());
+    return evidence !== undefined && isHeld(evidence);
+  }
+
   /** Records that a trial is sent to a target. @returns a function that takes this back where no target was reached. */
   recordSending({ fingerprint }: SentRequest, { id }: Trial): () => void {
     const evidence = this.table.find(fingerprint());
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -46,6 +46,9 @@
 /** Delay after which a caller may try another entry, milliseconds: practically at once. */
 const NEXT_ENTRY_RETRY_MS = 10;
 
+/** Delay after which a caller may come again whose request may run as a trial next time, milliseconds. */
+const RECHECK_RETRY_MS = 1_000;
+
 /** Minimum remaining time for sending a request, milliseconds: one round trip. */
 const MIN_REMAINING_MS = 10;
 
@@ -56,6 +59,11 @@
 const fetchOf = (source: Source | undefined): Fetch | undefined =>
   source?.isStore === true ? { store: source.address, tokens: source.tokens } : undefined;
 
+const quarantined = (retryAfterMs: number | undefined): Fault =>
+  fault('request-quarantined', 'targets crashed while they ran this request; it was not sent', {
+    retryAfterMs,
+  });
+
 /** A request as its caller repeats it: the same path and body, of the same customer. */
 function sentRequest({ id, path }: RelayRequest, body: Uint8Array, customer?: Customer): SentRequest {
   const name = customer?.name ?? '';
@@ -218,8 +226,7 @@
     budgets.deposit(this.service);
     const { isAdmitted, trial, retryAfterMs } = await quarantine.admit(job.sent);
     if (!isAdmitted) {
-      const message = 'targets crashed while they ran this request; it was not sent';
-      this.reject(job.request, fault('request-quarantined', message, { retryAfterMs }), job.route);
+      this.reject(job.request, quarantined(retryAfterMs), job.route);
       return;
     }
     this.trial = trial;
@@ -232,7 +239,7 @@
 
   /** Sends the request to one target after the other until one answers or no further attempt is allowed. */
   private async attemptInTurn(job: Job): Promise<Outcome> {
-    const { selector: placements, random, stalls } = this.context;
+    const { selector: placements, random, stalls, quarantine } = this.context;
     let last: Outcome = { state: 'fault', fault: fault('no-target', 'no target is ready') };
     for (;;) {
       // A caller that left during an event loop stall is noticed only some turns of the loop later.
@@ -251,6 +258,9 @@
         const retryAfterMs = OVERLOAD_RETRY_MS * (0.5 + random());
         return { state: 'fault', fault: fault('overloaded', overloadMessage(placement), { retryAfterMs }) };
       }
+      // The crashes may have become known while the request waited.
+      if (this.trial === undefined && quarantine.isHeld(job.sent))
+        return this.sends === 0 ? { state: 'fault', fault: quarantined(RECHECK_RETRY_MS) } : last;
       this.tried.add(placement.target.id);
       this.sends += 1;
       last = await this.attempt(job, placement);
