--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -241,4 +241,12 @@
     spec: 'packages/relay/src/quarantine/quarantine.spec.ts',
     test: 'three times at most while it is doubtful',
   },
+  {
+    name: 'streams that are not sent on stay',
+    file: 'packages/relay/src/work/stream.ts',
+    find: ' || !this.hooks.mayBeSentOn()',
+    put: '',
+    spec: 'packages/relay/src/quarantine/quarantine.spec.ts',
+    test: 'stays at a target that pauses',
+  },
 ];
