--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -241,6 +241,14 @@
     spec: 'packages/relay/src/quarantine/quarantine.spec.ts',
     test: 'three times at most while it is doubtful',
   },
+  {
+    name: 'the verdict right before a sending',
+    file: 'packages/relay/src/work/requestHandler.ts',
+    find: 'if (this.trial === undefined && quarantine.isHeld(job.sent))',
+    put: 'if (this.trial !== undefined && quarantine.isHeld(job.sent))',
+    spec: 'packages/relay/src/quarantine/quarantine.spec.ts',
+    test: 'while it waits for a target',
+  },
   {
     name: 'streams that are not sent on stay',
     file: 'packages/relay/src/work/stream.ts',
