--- a/packages/protocol/src/quarantine/evidenceTable.ts
+++ b/packages/protocol/src/quarantine/evidenceTable.ts
@@ -105,6 +105,7 @@
   }
 }
 
+/** Fields that are merged by union. */
 const SETS = ['crashed', 'cleared', 'coincident', 'sent'] as const;
 
 /** The union of two pieces of evidence on a request; undefined if the second adds nothing to the first. */
