--- a/packages/relay/src/quarantine/quarantine.spec.ts
+++ b/packages/relay/src/quarantine/quarantine.spec.ts
@@ -121,12 +121,15 @@
   // Guards against a request that reaches targets without end, as its callers leave before a target ends under it.
   it('reaches targets three times at most while it is doubtful, though its callers leave', async () => {
     await start(1);
-    bed.target(1).script = () => undefined;
     bed.tellEvidence([evidence(DEADLY, ['a', 'b', 'c']), evidence('beside', ['a', 'b', 'c'])]);
     await until(() => bed.evidenceTold);
     for (let attempt = 1; attempt <= 4; attempt += 1) {
-      const leaves = AbortSignal.timeout(100);
-      await ask(bed.url, { id: `q${attempt}`, body: DEADLY, signal: leaves }).catch(() => undefined);
+      const leaves = new AbortController();
+      bed.target(1).script = () => {
+        leaves.abort();
+      };
+      const question = { id: `q${attempt}`, body: DEADLY, signal: leaves.signal };
+      await ask(bed.url, question).catch(() => undefined);
       await systemClock.sleep(AFTER_FATE_MS);
     }
     expect(bed.arrivalCount()).toBe(3);
