--- a/packages/protocol/src/quarantine/evidenceTable.spec.ts
+++ b/packages/protocol/src/quarantine/evidenceTable.spec.ts
@@ -87,6 +87,7 @@
     expect(chargedStarts(heldOf(table))).toEqual(['s3']);
   });
 
+  // Guards against a request that an operator released, or that ended well, and that is refused for its earlier trials.
   it('counts no sendings of before once it is cleared', () => {
     const sent = evidenceOf(1, ['s1'], [], 'harbour', SENDINGS);
     const table = tableOf([sent, clearedEvidence(sent), evidenceOf(1, ['s2'])]);
--- a/packages/relay/src/quarantine/quarantine.ts
+++ b/packages/relay/src/quarantine/quarantine.ts
@@ -120,7 +120,7 @@
   mayRetry({ fingerprint }: SentRequest, hasRun: boolean): boolean {
     const evidence = this.table.size === 0 ? undefined : this.table.find(fingerprint());
     if (evidence === undefined) return true;
-    // A sending that is refused counts as one, and a trial is one sending.
+    // A trial is a single sending, and a refused one counts too.
     if (isHeld(evidence)) return false;
     return !hasRun || chargedStarts(evidence).length <= MAX_RETRIED_CRASHES;
   }
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -46,7 +46,7 @@
 /** Delay after which a caller may try another entry, milliseconds: practically at once. */
 const NEXT_ENTRY_RETRY_MS = 10;
 
-/** Delay after which a caller may come again whose request may run as a trial next time, milliseconds. */
+/** Delay after which a caller may send a request again that may run as a trial then, milliseconds. */
 const RECHECK_RETRY_MS = 1_000;
 
 /** Minimum remaining time for sending a request, milliseconds: one round trip. */
