--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -15,6 +15,11 @@
     type: 'counter',
     help: 'Calls of targets, and entries of their lists, that could not be parsed',
   },
+  leaves: {
+    name: 'control.target.leaves',
+    type: 'counter',
+    help: 'Leave calls of targets, by effect',
+  },
   claimsHeld: { name: 'control.claim.held', type: 'gauge', help: 'Claims in the table' },
   suspects: {
     name: 'control.quarantine.suspects',
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -7,7 +7,13 @@
 import { Follower } from '@jasmineroute/knowledge';
 import type { RemoteOrders } from '@jasmineroute/rollout';
 import { controlMessage } from '@jasmineroute/protocol';
-import type { Readiness, RoleContext, RoleProcess, UnreadableEntries } from '@jasmineroute/protocol';
+import type {
+  Readiness,
+  RoleContext,
+  RoleProcess,
+  TargetStart,
+  UnreadableEntries,
+} from '@jasmineroute/protocol';
 import { ClaimService } from '../claims/index.js';
 import { ConfigurationService } from '../configuration/index.js';
 import { DocumentService, DocumentView } from '../documents/index.js';
@@ -202,6 +208,12 @@
     return this.readiness().ready;
   }
 
+  /** Applies a target's leave call. */
+  leave(left: TargetStart): void {
+    const effect = this.targets.leave(left);
+    this.context.metrics.count(controlMetrics.leaves, 1, { effect });
+  }
+
   /** Counts and logs calls, or parts of calls, that can't be read; `source` is the target that the caller claims to be. */
   unreadable(source: string, { problem, count }: UnreadableEntries): void {
     this.unreadableCalls.record(source, problem, count);
--- a/packages/control/src/targets/targetRegistry.ts
+++ b/packages/control/src/targets/targetRegistry.ts
@@ -25,6 +25,12 @@
 
 const { Announcement, AnnouncedTargetSchema } = controlMessage;
 
+/**
+ * Effect of a leave call: the start is marked as left, was before, is older than the newest one, is not known here, or the call
+ * is attributed to the previous start.
+ */
+export type LeaveEffect = 'left' | 'repeated' | 'outdated' | 'unknown' | 'late';
+
 /** The content of a heartbeat of a target. */
 export interface Heartbeat extends TargetStart {
   readonly service: string;
@@ -138,15 +144,28 @@
    * Applies a target's leave call, also for an unknown target. A call without a start means the newest start, unless that is so
    * new that the call must be a late one of the previous start.
    */
-  leave(left: TargetStart): void {
+  leave(left: TargetStart): LeaveEffect {
     const start = left.born === undefined ? (this.newestStarts.newestOf(left.name) ?? left) : left;
-    if (this.isOld(start)) return;
-    const id = startId(start);
-    const known = this.entries.get(id);
-    if (left.born !== start.born && known !== undefined && this.isLateLeave(known)) return;
-    if (known?.target.announcement === Announcement.LEFT) return;
+    const known = this.entries.get(startId(start));
+    const effect = this.applyLeave(left, start, known);
+    this.log.event(controlEvents.leaveReceived, {
+      target: left.name,
+      born: left.born,
+      start: startId(start),
+      effect,
+      before: known === undefined ? undefined : Announcement[known.target.announcement],
+      sinceMs: known === undefined ? undefined : this.clock.monotonic() - known.firstHeartbeatAt,
+    });
+    return effect;
+  }
+
+  private applyLeave(left: TargetStart, start: TargetStart, known?: TargetRecord): LeaveEffect {
+    if (this.isOld(start)) return 'outdated';
+    if (left.born !== start.born && known !== undefined && this.isLateLeave(known)) return 'late';
+    if (known?.target.announcement === Announcement.LEFT) return 'repeated';
     const base = known?.target ?? emptyTarget(start);
     this.put({ ...base, announcement: Announcement.LEFT });
+    return known === undefined ? 'unknown' : 'left';
   }
 
   /** Checks for expired heartbeats and pauses until `stop`. */
--- a/packages/engine/src/wire/answer.ts
+++ b/packages/engine/src/wire/answer.ts
@@ -16,6 +16,8 @@
   readonly headSilenceMs?: number;
   /** Longest silence inside the answer's body, milliseconds; absent: bounded by the signal only. */
   readonly bodySilenceMs?: number;
+  /** Called right before the first byte is written, with the connection in hand. */
+  readonly onSend?: () => void;
 }
 
 /** An HTTP answer. Its body can be read once. */
--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -75,6 +75,7 @@
     // Throwing leaves the request unwritten and its connection open; an abort would close the connection.
     if (this.mayHaveMissedAbort())
       throw new DeferredError('input that arrived during a stall is still unread');
+    this.request.onSend?.();
     this.sent = true;
     this.controller = controller;
   }
--- a/packages/knowledge/src/targetList.ts
+++ b/packages/knowledge/src/targetList.ts
@@ -33,6 +33,10 @@
 /** What is known of a start of a target. */
 export type TargetLife = 'announced' | 'silent' | 'leaving' | 'replaced';
 
+/** State of a start of a target, for the choice of targets and the log. */
+export type TargetState =
+  'ready' | 'paused' | 'draining' | 'left' | 'silent' | 'replaced' | 'unspecified' | 'unknown';
+
 interface KnownTarget {
   target: Target;
   sequence: bigint;
@@ -103,6 +107,12 @@
     return [...known.heartbeatsAt.values()].some((isHeard) => isHeard) ? 'announced' : 'silent';
   }
 
+  /** State of a start of a target; 'unknown' if it was never announced or was removed. */
+  stateOf(id: string): TargetState {
+    const known = this.targets.get(id);
+    return known === undefined ? 'unknown' : stateOf(known);
+  }
+
   /** Software version of a start of a target, of one that has ended too; empty: not known. */
   softwareVersionOf(id: string): string {
     return this.targets.get(id)?.target.softwareVersion ?? '';
@@ -246,9 +256,17 @@
 
 const isServing = (known: KnownTarget): boolean => isReady(known) || known.target.paused;
 
-function stateOf(known: KnownTarget): string {
+const announcedStates: Record<controlMessage.Announcement, TargetState> = {
+  [Announcement.UNSPECIFIED]: 'unspecified',
+  [Announcement.READY]: 'ready',
+  [Announcement.DRAINING]: 'draining',
+  [Announcement.LEFT]: 'left',
+  [Announcement.SILENT]: 'silent',
+};
+
+function stateOf(known: KnownTarget): TargetState {
   if (known.isReplaced) return 'replaced';
-  if (known.announcement !== Announcement.READY) return Announcement[known.announcement].toLowerCase();
+  if (known.announcement !== Announcement.READY) return announcedStates[known.announcement];
   if (known.target.paused) return 'paused';
   return isReady(known) ? 'ready' : 'silent';
 }
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -14,6 +14,16 @@
     help: 'Time from the request to the first body byte',
   },
   attempts: { name: 'relay.attempt.count', type: 'counter', help: 'Requests sent to targets, by outcome' },
+  sendingWait: {
+    name: 'relay.sending.wait',
+    type: 'timing',
+    help: 'Time from the choice of a target to the first byte that is written to it',
+  },
+  sendings: {
+    name: 'relay.sending.count',
+    type: 'counter',
+    help: 'Requests written to targets, by the state of the target as known then',
+  },
   resumed: {
     name: 'relay.stream.resumed',
     type: 'counter',
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -12,6 +12,7 @@
 import type { SentRequest } from '../quarantine/index.js';
 import { connectionShare } from '../target/index.js';
 import type { RelayContext } from './context.js';
+import type { Sending } from './sending.js';
 
 /** A request with its route, service and customer. */
 export interface Job {
@@ -38,16 +39,20 @@
 export async function send(
   context: RelayContext,
   job: Job,
-  target: Target,
+  sending: Sending,
   addedFields: AddedFields,
   signal: AbortSignal,
 ): Promise<Result<TargetAnswer, Fault>> {
   const { dialect, pools, knowledge, monitor, clock, stalls } = context;
   const { request, service, body } = job;
+  const { target } = sending;
   const maxConnections = connectionShare(service.maxConnections, knowledge.entries());
   const { method, path } = request;
   const headers = dialect.targetHeaders(request, addedFields);
-  const wireRequest = { method, path, headers, body };
+  const onSend = (): void => {
+    sending.recordFirstByte();
+  };
+  const wireRequest = { method, path, headers, body, onSend };
   const wire = await exchange(
     pools.poolFor(target, maxConnections).pool(),
     wireRequest,
--- a/packages/relay/src/work/report.ts
+++ b/packages/relay/src/work/report.ts
@@ -4,12 +4,14 @@
 import type { Placement } from '../placement/index.js';
 import type { Job } from './attempt.js';
 import type { Outcome } from './forward.js';
+import type { Sending } from './sending.js';
 import type { Stream } from './stream.js';
 
 /** One finished attempt of a request. */
 export interface Attempt {
   readonly job: Job;
   readonly placement: Placement;
+  readonly sending: Sending;
   readonly addedFields: AddedFields;
   readonly outcome: Outcome;
   /** Status of the target's answer; 0 if there was none. */
@@ -21,12 +23,13 @@
 
 /** Fields of the log line for an attempt. */
 export function attemptRecord(
-  { job, placement, addedFields, outcome, status, send, tookMs }: Attempt,
+  { job, placement, sending, addedFields, outcome, status, send, tookMs }: Attempt,
   stream: Stream,
   answer: CallerAnswer,
 ): Record<string, unknown> {
   const { target, ...decision } = placement;
   const { firstByteMs } = answer;
+  const { waitedMs, targetState } = sending;
   return {
     request: job.request.id,
     route: job.route.name,
@@ -37,6 +40,8 @@
     resumesAfter: addedFields.lastEventId,
     ...decision,
     send,
+    waitedMs: waitedMs === undefined ? undefined : Math.round(waitedMs),
+    targetState,
     deadlineMs: Math.round(addedFields.deadlineMs),
     outcome: outcome.state === 'answered' ? 'answered' : outcome.fault.kind,
     problem: outcome.state === 'answered' ? undefined : outcome.fault.message,
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -28,6 +28,7 @@
 import type { Outcome } from './forward.js';
 import { partsAvailability, customerSalt, sourceFor, assignedStore } from './sharedParts.js';
 import { overloadMessage, attemptRecord } from './report.js';
+import { Sending } from './sending.js';
 import { Stream } from './stream.js';
 import { notResumable, originOf, recordOrigin } from './resumption.js';
 
@@ -398,11 +399,12 @@
     const open = monitor.startRequest(target.id, placement.tokens, fetchOf(source), job.service.name);
     const takeBack = this.trial === undefined ? undefined : quarantine.recordSending(job.sent, this.trial);
     const endRun = quarantine.isSuspect(job.sent) ? quarantine.runs.begin(target.id) : undefined;
+    const sending = new Sending(this.context, target);
     let outcome: Outcome;
     let status = 0;
     let wasUnresponsive: boolean;
     try {
-      const sent = await send(this.context, job, target, addedFields, this.abort.signal);
+      const sent = await send(this.context, job, sending, addedFields, this.abort.signal);
       if (sent.isOk()) status = sent.value.wire.status;
       outcome = sent.isOk()
         ? await this.forward(job, target, sent.value, open)
@@ -423,7 +425,7 @@
     const result = outcome.state === 'answered' ? 'answered' : outcome.fault.kind;
     metrics.count(relayMetrics.attempts, 1, { outcome: result });
     const tookMs = clock.monotonic() - begunAt;
-    const finished = { job, placement, addedFields, outcome, status, send: this.sends, tookMs };
+    const finished = { job, placement, sending, addedFields, outcome, status, send: this.sends, tookMs };
     log.event(relayEvents.attempted, attemptRecord(finished, this.stream, this.answer));
     return outcome;
   }
