A request is checked against its target when its first byte is due, and waits where it can be taken back

Cause: a target was chosen once; the request then waited inside the connection pool, which wrote it whenever a connection was free. A decision was checked when it was made, not when it took effect.

Requests now wait in a queue of the relay's own, the earliest arrival first. When the target stops accepting work they are given back at once; and what waits for a connection that opens, or for the process after a stall, is checked again right before the first byte. What is given back goes on to another target without counting as an attempt or against the retry budget, and is refused as not run at once where there is none. A request withheld with the connection in hand leaves that open.

--- a/packages/engine/src/wire/answer.ts
+++ b/packages/engine/src/wire/answer.ts
@@ -16,8 +16,8 @@
   readonly headSilenceMs?: number;
   /** Longest silence inside the answer's body, milliseconds; absent: bounded by the signal only. */
   readonly bodySilenceMs?: number;
-  /** Called right before the first byte is written, with the connection in hand. */
-  readonly onSend?: () => void;
+  /** Called right before the first byte is written, with the connection in hand. A returned fault keeps it unwritten. */
+  readonly beforeSend?: () => Fault | undefined;
 }
 
 /** An HTTP answer. Its body can be read once. */
--- a/packages/engine/src/wire/exchange.spec.ts
+++ b/packages/engine/src/wire/exchange.spec.ts
@@ -1,12 +1,15 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
-import { silentLog, systemClock } from '@jasmineroute/core';
+import { fault, silentLog, systemClock } from '@jasmineroute/core';
+import type { Fault } from '@jasmineroute/core';
 import type { Dispatcher } from 'undici';
 import { afterEach, describe, expect, it } from 'vitest';
 import { createHttpEngine } from '../http/index.js';
 import { createPlainTarget } from '../plain/index.js';
 import type { Engine, EngineAnswer, EngineRequest } from '../port/index.js';
+import { readWhole } from './answer.js';
+import { Connections } from './connections.js';
 import { exchange } from './exchange.js';
 import { FaultError } from './failure.js';
 
@@ -272,6 +275,29 @@
     expect(new Set(ports).size).toBe(3);
   });
 
+  it('keeps the connection of a request that is withheld before its first byte', async () => {
+    // Guards against a new connection for each request that is taken back, as the one in hand is closed with it.
+    const received: (string | undefined)[] = [];
+    const { url, sockets } = await serve((request, response) => {
+      received.push(request.url);
+      response.end('ok');
+    });
+    const connections = new Connections(url, 1);
+    closers.push(() => connections.close());
+    const ask = async (path: string, problem?: Fault) => {
+      const wire = { method: 'GET', path, headers: {}, beforeSend: () => problem };
+      const answer = await exchange(connections.pool(), wire, systemClock, neverAborted);
+      if (answer.isErr()) return answer.error;
+      return (await readWhole(answer.value, 100))._unsafeUnwrap().toString();
+    };
+    expect(await ask('/first')).toBe('ok');
+    const withheld = await ask('/withheld', fault('target-leaving', 'drains', { ran: 'may-have-run' }));
+    expect(withheld).toMatchObject({ kind: 'target-leaving', ran: 'not-run' });
+    expect(await ask('/last')).toBe('ok');
+    expect(received).toEqual(['/first', '/last']);
+    expect(sockets.size).toBe(1);
+  });
+
   it('pauses the target when the reader is slow', async () => {
     // Guards against a process beside the target that grows until it is killed: a reader stops reading while the target goes on
     // writing megabytes, and chunks are queued without a bound.
--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -63,10 +63,8 @@
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
-    if (this.failed !== undefined) {
-      controller.abort(this.failed);
-      return;
-    }
+    // An abort would close the connection, which has written nothing of this request.
+    if (this.failed !== undefined) throw this.failed;
     // undici must never send a request a second time on its own: a run could then happen twice unnoticed.
     if (this.sent) {
       controller.abort(new Error('stopped a second send of the request'));
@@ -75,7 +73,8 @@
     // Throwing leaves the request unwritten and its connection open; an abort would close the connection.
     if (this.mayHaveMissedAbort())
       throw new DeferredError('input that arrived during a stall is still unread');
-    this.request.onSend?.();
+    const problem = this.request.beforeSend?.();
+    if (problem !== undefined) throw new FaultError(problem);
     this.sent = true;
     this.controller = controller;
   }
--- a/packages/knowledge/src/targetList.ts
+++ b/packages/knowledge/src/targetList.ts
@@ -37,6 +37,9 @@
 export type TargetState =
   'ready' | 'paused' | 'draining' | 'left' | 'silent' | 'replaced' | 'unspecified' | 'unknown';
 
+/** Receives the id and the new state of a target that stopped accepting work. */
+export type UnreadyListener = (id: string, state: TargetState) => void;
+
 interface KnownTarget {
   target: Target;
   sequence: bigint;
@@ -68,6 +71,7 @@
   private readonly newestStarts = new NewestStarts();
   private readonly lostAt = new Map<string, number>();
   private readonly pauseListeners = new Set<(id: string) => void>();
+  private readonly unreadyListeners = new Set<UnreadyListener>();
 
   constructor(
     private readonly clock: Clock,
@@ -148,6 +152,12 @@
     return () => this.pauseListeners.delete(listener);
   }
 
+  /** Subscribes to targets that stop accepting work. Returns a function that unsubscribes. */
+  onUnready(listener: UnreadyListener): () => void {
+    this.unreadyListeners.add(listener);
+    return () => this.unreadyListeners.delete(listener);
+  }
+
   /** Ids of all known targets. */
   ids(): ReadonlySet<string> {
     return new Set(this.targets.keys());
@@ -169,9 +179,17 @@
   replaced(id: string): void {
     const known = this.targets.get(id);
     if (known === undefined || known.isReplaced) return;
+    const before = stateOf(known);
     known.isReplaced = true;
     known.changedAt = this.clock.monotonic();
     this.log.event(knowledgeEvents.targetChanged, { target: id, state: 'replaced' });
+    this.notifyUnready(known, before);
+  }
+
+  private notifyUnready(known: KnownTarget, before: TargetState): void {
+    const state = stateOf(known);
+    if (before !== 'ready' || state === 'ready') return;
+    for (const listener of this.unreadyListeners) listener(known.target.id, state);
   }
 
   /** Of two starts of one target the newer one counts, whatever the order and the instance that reports them. */
@@ -204,6 +222,7 @@
     if (paused) for (const listener of this.pauseListeners) listener(id);
     const target = { target: id, service, address, softwareVersion };
     this.log.event(knowledgeEvents.targetChanged, { ...target, state, before, control });
+    this.notifyUnready(known, before);
   }
 
   /** The newest announcement counts. Final ones stay, even against a newer sequence of a process that was suspended. */
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -19,10 +19,10 @@
     type: 'timing',
     help: 'Time from the choice of a target to the first byte that is written to it',
   },
-  sendings: {
-    name: 'relay.sending.count',
+  takenBack: {
+    name: 'relay.sending.taken_back',
     type: 'counter',
-    help: 'Requests written to targets, by the state of the target as known then',
+    help: 'Requests that were not written because their target had stopped accepting work meanwhile, by its state',
   },
   resumed: {
     name: 'relay.stream.resumed',
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -121,6 +121,9 @@
     knowledge.onLoad(({ targetId, running, waiting }) => {
       monitor.recordLoad(targetId, { running, waiting });
     });
+    knowledge.targets.onUnready((id, state) => {
+      this.requestContext.pools.giveBack(id, state);
+    });
     knowledge.onEvidence((evidence) => {
       this.quarantine.apply(evidence);
     });
@@ -160,6 +163,11 @@
     return this.address;
   }
 
+  /** Number of requests in progress. */
+  openRequests(): number {
+    return this.open;
+  }
+
   /** The current readiness. It is logged only when it changes, as load balancers query it continuously. */
   readiness(): Readiness {
     const now = this.currentReadiness();
--- a/packages/relay/src/target/index.ts
+++ b/packages/relay/src/target/index.ts
@@ -1,3 +1,4 @@
+export * from './connectionQueue.js';
 export * from './backlog.js';
 export * from './pace.js';
 export * from './targetPools.js';
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -148,7 +148,10 @@
 
 /** Fields of a target's announcement that a test can change. */
 type AnnouncementChange = Partial<
-  Pick<controlMessage.AnnouncedTarget, 'id' | 'paused' | 'observation' | 'weights' | 'sequence'>
+  Pick<
+    controlMessage.AnnouncedTarget,
+    'id' | 'announcement' | 'paused' | 'observation' | 'weights' | 'sequence'
+  >
 >;
 
 /** Counts the connections that the entry accepts. */
@@ -259,6 +262,11 @@
     return `http://${this.relay.httpAddress()}`;
   }
 
+  /** Requests in progress. */
+  get open(): number {
+    return this.relay.openRequests();
+  }
+
   /** Total number of caller connections that the entry has accepted. */
   get connections(): number {
     return this.stalls.connections;
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -22,6 +22,8 @@
   readonly service: Service;
   readonly customer?: Customer;
   readonly sent: SentRequest;
+  /** Monotonic time at which the request arrived at this entry. */
+  readonly arrivedAt: number;
   /** Earliest monotonic time at which the caller may stop waiting: no attempt starts after it. */
   readonly until: number;
 }
@@ -47,19 +49,13 @@
   const { request, service, body } = job;
   const { target } = sending;
   const maxConnections = connectionShare(service.maxConnections, knowledge.entries());
+  const { connections, queue } = pools.poolFor(target, maxConnections);
+  const granted = await sending.waitForConnection(queue, job.arrivedAt, signal);
+  if (granted.isErr()) return err(granted.error);
   const { method, path } = request;
   const headers = dialect.targetHeaders(request, addedFields);
-  const onSend = (): void => {
-    sending.recordFirstByte();
-  };
-  const wireRequest = { method, path, headers, body, onSend };
-  const wire = await exchange(
-    pools.poolFor(target, maxConnections).pool(),
-    wireRequest,
-    clock,
-    signal,
-    stalls,
-  );
+  const wireRequest = { method, path, headers, body, beforeSend: () => sending.check() };
+  const wire = await exchange(connections.pool(), wireRequest, clock, signal, stalls);
   if (wire.isErr()) {
     const { kind } = wire.error;
     if (kind === 'target-unreachable' || kind === 'target-lost') monitor.recordFailure(target.id);
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Customer, Route, RoutingTable, Service } from '@jasmineroute/configuration';
 import { fault } from '@jasmineroute/core';
-import type { Fault } from '@jasmineroute/core';
+import type { Fault, FaultKind } from '@jasmineroute/core';
 import { FaultError } from '@jasmineroute/engine';
 import { requestFingerprint } from '@jasmineroute/protocol';
 import type { SentRequest, Trial } from '../quarantine/index.js';
@@ -56,6 +56,9 @@
 const SUCCESS = 200;
 const SERVER_ERROR = 500;
 
+/** Faults of attempts whose request was not written to the target. */
+const neverReached: ReadonlySet<FaultKind> = new Set<FaultKind>(['target-unreachable', 'target-leaving']);
+
 /** The fetch that an attempt makes over a store's link. */
 const fetchOf = (source: Source | undefined): Fetch | undefined =>
   source?.isStore === true ? { store: source.address, tokens: source.tokens } : undefined;
@@ -160,7 +163,8 @@
     }
     const limit = table.configuration.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     const waitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
-    const until = clock.monotonic() - this.answer.age() + waitMs;
+    const arrivedAt = clock.monotonic() - this.answer.age();
+    const until = arrivedAt + waitMs;
     // A running request may continue for as long as its caller may still wait for it.
     const abortAt = clock.monotonic() - this.answer.minAge() + waitMs;
     const body = await readBody(this.incoming, limit, bodyBudget);
@@ -186,6 +190,7 @@
           route,
           service: service.value,
           customer,
+          arrivedAt,
           until,
           sent: sentRequest(request, body.value.bytes, customer),
         });
@@ -319,12 +324,12 @@
   }
 
   /**
-   * Whether a failed attempt counts against the route's maximum. It does not if the request was never sent, nor if a
+   * Whether a failed attempt counts against the route's maximum. It does not if the request was never written, nor if a
    * target refused the rest of a stream that has begun: the relay moved that stream itself, and counting the refusal
    * would break the stream off for lack of a target with capacity.
    */
   private countsAsAttempt({ kind, ran }: Fault): boolean {
-    return kind !== 'target-unreachable' && !(this.answer.begun && ran === 'not-run');
+    return !neverReached.has(kind) && !(this.answer.begun && ran === 'not-run');
   }
 
   /** Reports an expired deadline as such, and as proof that the request did not run if it was never sent. */
@@ -355,7 +360,7 @@
       return true;
     }
     // An attempt that never reached a target adds no load.
-    return problem.kind === 'target-unreachable' || budgets.withdraw(this.service);
+    return neverReached.has(problem.kind) || budgets.withdraw(this.service);
   }
 
   private placementInput(job: Job): PlacementInput {
@@ -387,7 +392,7 @@
   }
 
   private async attempt(job: Job, placement: Placement): Promise<Outcome> {
-    const { clock, log, metrics, monitor, quarantine } = this.context;
+    const { clock, knowledge, log, metrics, monitor, quarantine } = this.context;
     const { target } = placement;
     this.target = target;
     const begunAt = clock.monotonic();
@@ -411,6 +416,7 @@
         : { state: 'fault', fault: sent.error };
     } finally {
       wasUnresponsive = monitor.isUnresponsive(target.id);
+      sending.end();
       open.finish();
       endRun?.();
     }
@@ -421,7 +427,9 @@
     } else if (this.mayHaveEnded(job, outcome.fault, wasUnresponsive)) {
       await quarantine.recordBroken(job.sent, target);
     }
-    if (outcome.state !== 'answered' && outcome.fault.kind === 'target-unreachable') takeBack?.();
+    if (outcome.state !== 'answered' && neverReached.has(outcome.fault.kind)) takeBack?.();
+    if (outcome.state !== 'answered' && outcome.fault.kind === 'target-leaving')
+      metrics.count(relayMetrics.takenBack, 1, { state: knowledge.targets.stateOf(target.id) });
     const result = outcome.state === 'answered' ? 'answered' : outcome.fault.kind;
     metrics.count(relayMetrics.attempts, 1, { outcome: result });
     const tookMs = clock.monotonic() - begunAt;
