A leave call without a start means the newest one that any instance knows, or is refused

Cause: the start was taken from what the called instance had heard itself; one that never heard the target marked a start that nobody has, and one that had just begun took the target's start for a new one and dropped the call. Both answered 200. Class: an acknowledgement of something that has no effect.

The start is looked up in what all instances know, with the time for which they have known it (known_ms of AnnouncedTarget). Where nobody knows the target, or the call may be a late one of the start before, the answer is 503, so that the target calls again.

--- /dev/null
+++ b/packages/control/src/departures/index.ts
@@ -0,0 +1,1 @@
+export * from './departureService.js';
--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -46,7 +46,11 @@
   configurationRead: { id: 3031, level: 'info', message: 'the configuration was read back' },
   weightsNamed: { id: 3016, level: 'info', message: 'new version of weights named' },
   targetAnnounced: { id: 3017, level: 'info', message: 'a target changed its state' },
-  leaveReceived: { id: 3036, level: 'info', message: "a target's leave call was received" },
+  leaveReceived: {
+    id: 3036,
+    level: 'info',
+    message: "a target's leave call was applied, or refused as its start is not certain",
+  },
   followerConnected: { id: 3018, level: 'info', message: 'a follower opened its stream' },
   voterRequested: { id: 3019, level: 'info', message: 'an instance requested to become a voter' },
   voterRequestAnswered: {
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -17,6 +17,7 @@
 import { ClaimService } from '../claims/index.js';
 import { ConfigurationService } from '../configuration/index.js';
 import { DocumentService, DocumentView } from '../documents/index.js';
+import { DepartureService } from '../departures/index.js';
 import { controlEvents } from '../events.js';
 import { FollowService, OtherControls, Referral, requestVoterRole } from '../follow/index.js';
 import { RecentReports } from '../recent/index.js';
@@ -65,6 +66,7 @@
   private readonly loads: RecentReports<controlMessage.TargetLoad>;
   private readonly work: RecentReports<controlMessage.EntryWork>;
   private readonly relayed: RelayedTargets;
+  private readonly departures: DepartureService;
   private readonly others: OtherControls;
   private follower: Follower | undefined;
   private readonly follow: FollowService;
@@ -98,6 +100,8 @@
     this.loads = new RecentReports(clock);
     this.work = new RecentReports(clock);
     this.relayed = new RelayedTargets(clock);
+    const { targets, relayed } = this;
+    this.departures = new DepartureService({ targets, relayed, log, metrics: context.metrics });
     const vouched = (): boolean => this.commandLog.status().vouched;
     this.others = new OtherControls({
       relayed: this.relayed,
@@ -208,10 +212,9 @@
     return this.readiness().ready;
   }
 
-  /** Applies a target's leave call. */
-  leave(left: TargetStart): void {
-    const effect = this.targets.leave(left);
-    this.context.metrics.count(controlMetrics.leaves, 1, { effect });
+  /** Applies a target's leave call. @returns whether it took effect. */
+  leave(left: TargetStart): boolean {
+    return this.departures.leave(left);
   }
 
   /** Counts and logs calls, or parts of calls, that can't be read; `source` is the target that the caller claims to be. */
--- a/packages/control/src/targets/relayedTargets.ts
+++ b/packages/control/src/targets/relayedTargets.ts
@@ -1,8 +1,9 @@
 /** Targets that other control instances report. */
 import { create } from '@bufbuild/protobuf';
 import type { Clock } from '@jasmineroute/core';
-import { controlMessage } from '@jasmineroute/protocol';
+import { controlMessage, startOf } from '@jasmineroute/protocol';
 import { REMOVAL_DELAY_MS } from './targetRegistry.js';
+import type { KnownStart } from './targetRegistry.js';
 
 const { Announcement } = controlMessage;
 
@@ -10,6 +11,8 @@
   readonly target: controlMessage.AnnouncedTarget;
   readonly changeNumber: number;
   readonly receivedAt: number;
+  /** Monotonic time since which the other instance knows the start. */
+  readonly knownSince: number;
 }
 
 interface ControlSource {
@@ -58,6 +61,15 @@
     return reports.sort((a, b) => Number(b.sequence - a.sequence)).at(0);
   }
 
+  /** The starts of a target that other instances know. */
+  startsOf(name: string): KnownStart[] {
+    const now = this.clock.monotonic();
+    return [...this.sources.values()]
+      .flatMap(({ targets }) => [...targets.values()])
+      .map(({ target, knownSince }) => ({ start: startOf(target), knownMs: now - knownSince }))
+      .filter(({ start }) => start.name === name);
+  }
+
   /** Applies a report of an instance; `whole`: it lists all of its targets. */
   apply(control: string, targets: readonly controlMessage.AnnouncedTarget[], whole: boolean): void {
     const source = this.sourceOf(control);
@@ -69,9 +81,12 @@
       source.targets.clear();
       source.snapshotChangeNumber = this.changeNumber;
     }
+    const { changeNumber } = this;
     const receivedAt = this.clock.monotonic();
-    for (const target of targets)
-      source.targets.set(target.id, { target, changeNumber: this.changeNumber, receivedAt });
+    for (const target of targets) {
+      const knownSince = receivedAt - target.knownMs;
+      source.targets.set(target.id, { target, changeNumber, receivedAt, knownSince });
+    }
     this.removeExpired(source);
     this.notify();
   }
--- a/packages/control/src/targets/targetRegistry.ts
+++ b/packages/control/src/targets/targetRegistry.ts
@@ -14,22 +14,13 @@
 /** Time after which a pause ends unless renewed, milliseconds: the process that requested it is gone. */
 const PAUSE_LIFETIME_MS = 6_000;
 
-/**
- * Time after the first report on a start of a target during which a leave call without a start is attributed to the previous
- * start, milliseconds: calls arrive seconds late, and no target is stopped as planned right after its start.
- */
-const LATE_LEAVE_WINDOW_MS = 5_000;
-
 /** Interval between two checks for expired heartbeats and pauses, milliseconds. */
 const EXPIRY_CHECK_MS = 300;
 
 const { Announcement, AnnouncedTargetSchema } = controlMessage;
 
-/**
- * Effect of a leave call: the start is marked as left, was before, is older than the newest one, is not known here, or the call
- * is attributed to the previous start.
- */
-export type LeaveEffect = 'left' | 'repeated' | 'outdated' | 'unknown' | 'late';
+/** Effect of a leave call: the start is marked as left, was before, or is older than the newest one. */
+export type LeaveEffect = 'left' | 'repeated' | 'outdated';
 
 /** The content of a heartbeat of a target. */
 export interface Heartbeat extends TargetStart {
@@ -48,6 +39,13 @@
   readonly unread?: UnreadableEntries;
 }
 
+/** A known start of a target. */
+export interface KnownStart {
+  readonly start: TargetStart;
+  /** Time for which it is known, milliseconds. */
+  readonly knownMs: number;
+}
+
 interface TargetRecord {
   readonly target: controlMessage.AnnouncedTarget;
   readonly lastHeartbeatAt: number;
@@ -89,9 +87,10 @@
 
   /** Targets that changed after a change number; 0 gives all. */
   since(changeNumber: number): controlMessage.AnnouncedTarget[] {
+    const now = this.clock.monotonic();
     return [...this.entries.values()]
       .filter((entry) => entry.changeNumber > changeNumber)
-      .map(({ target }) => target);
+      .map(({ target, firstHeartbeatAt }) => ({ ...target, knownMs: Math.round(now - firstHeartbeatAt) }));
   }
 
   /** Calls back after each change. @returns a function that unsubscribes. */
@@ -140,32 +139,24 @@
     return true;
   }
 
-  /**
-   * Applies a target's leave call, also for an unknown target. A call without a start means the newest start, unless that is so
-   * new that the call must be a late one of the previous start.
-   */
-  leave(left: TargetStart): LeaveEffect {
-    const start = left.born === undefined ? (this.newestStarts.newestOf(left.name) ?? left) : left;
+  /** Marks a start as left, also one that is not known here yet. */
+  leave(start: TargetStart): LeaveEffect {
+    if (this.isOld(start)) return 'outdated';
     const known = this.entries.get(startId(start));
-    const effect = this.applyLeave(left, start, known);
-    this.log.event(controlEvents.leaveReceived, {
-      target: left.name,
-      born: left.born,
-      start: startId(start),
-      effect,
-      before: known === undefined ? undefined : Announcement[known.target.announcement],
-      sinceMs: known === undefined ? undefined : this.clock.monotonic() - known.firstHeartbeatAt,
-    });
-    return effect;
+    if (known?.target.announcement === Announcement.LEFT) return 'repeated';
+    this.put({ ...(known?.target ?? emptyTarget(start)), announcement: Announcement.LEFT });
+    return 'left';
   }
 
-  private applyLeave(left: TargetStart, start: TargetStart, known?: TargetRecord): LeaveEffect {
-    if (this.isOld(start)) return 'outdated';
-    if (left.born !== start.born && known !== undefined && this.isLateLeave(known)) return 'late';
-    if (known?.target.announcement === Announcement.LEFT) return 'repeated';
-    const base = known?.target ?? emptyTarget(start);
-    this.put({ ...base, announcement: Announcement.LEFT });
-    return known === undefined ? 'unknown' : 'left';
+  /** The known starts of a target. */
+  startsOf(name: string): KnownStart[] {
+    const now = this.clock.monotonic();
+    return [...this.entries.values()]
+      .filter(({ target }) => target.name === name)
+      .map(({ target, firstHeartbeatAt }) => ({
+        start: startOf(target),
+        knownMs: now - firstHeartbeatAt,
+      }));
   }
 
   /** Checks for expired heartbeats and pauses until `stop`. */
@@ -216,14 +207,6 @@
     return isOld;
   }
 
-  /** Whether a leave without a start comes too early for the newest start, and an older start is known. */
-  private isLateLeave({ target, firstHeartbeatAt }: TargetRecord): boolean {
-    const hasOlder = [...this.entries.values()].some(
-      (other) => other.target.name === target.name && other.target.id !== target.id,
-    );
-    return hasOlder && this.clock.monotonic() - firstHeartbeatAt < LATE_LEAVE_WINDOW_MS;
-  }
-
   /** Whether a heartbeat is out of date. A start that left never returns. */
   private isStale(known: controlMessage.AnnouncedTarget, sequence: number): boolean {
     return known.announcement === Announcement.LEFT || known.sequence >= BigInt(sequence);
