A departure is acknowledged once a majority of the control instances has stored it

Cause: a departure was in the memory of one instance when it was acknowledged, and what was left said that the target was ready. Class: an acknowledgement of what one process knows, in memory.

A leave call, and the first heartbeat that says draining, is marked at once and told directly to all other instances; each syncs it before it answers, and the target gets its 200 when a majority has it, or 503 after 700 ms. Instances restore departures at their start. They are final, so a copy needs no agreement, and an instance of an older release is not waited for. A late heartbeat no longer turns a draining start back to ready. Records of files are now written in the same turn in which they are found pending, so that a stored one is on the disk.

--- /dev/null
+++ b/packages/control/src/departures/departureCopies.ts
@@ -0,0 +1,75 @@
+/** Copies of departures at the other control instances. */
+import { Code, ConnectError, createClient } from '@connectrpc/connect';
+import type { Clock, Log } from '@jasmineroute/core';
+import { controlMessage } from '@jasmineroute/protocol';
+import type { Peers } from '@jasmineroute/protocol';
+import { controlEvents } from '../events.js';
+import type { CommandLog } from '../log/index.js';
+
+/** Time within which a majority has to hold a departure, milliseconds: targets wait a second for the answer to a call. */
+const COPY_TIMEOUT_MS = 700;
+
+/** What copies are made with. */
+export interface DepartureCopiesParts {
+  /** Name of this instance. */
+  readonly name: string;
+  readonly commandLog: CommandLog;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Sends departures to the other members. */
+export class DepartureCopies {
+  constructor(private readonly parts: DepartureCopiesParts) {}
+
+  /**
+   * Waits until a majority of the members holds a departure: any disks that may be lost at once leave one copy.
+   * @param stored whether this instance has stored it.
+   * @returns whether a majority held it in time.
+   */
+  async spread(departure: controlMessage.Departure, stored: Promise<boolean>): Promise<boolean> {
+    const { name, commandLog, clock } = this.parts;
+    const members = commandLog.members();
+    const others = members.filter((member) => member.name !== name);
+    const needed = Math.floor(members.length / 2) + 1;
+    const ended = new AbortController();
+    const copies = [stored, ...others.map(({ address }) => this.send(address, departure))];
+    const late = clock.sleep(COPY_TIMEOUT_MS, ended.signal).then(
+      () => false,
+      () => false,
+    );
+    return Promise.race([majorityOf(copies, needed), late]).finally(() => {
+      ended.abort();
+    });
+  }
+
+  /** Sends a departure to an instance. @returns whether that has stored it. */
+  private async send(address: string, departure: controlMessage.Departure): Promise<boolean> {
+    const client = createClient(controlMessage.Departures, this.parts.peers.transport(address));
+    try {
+      const request = { departures: [departure] };
+      return (await client.record(request, { timeoutMs: COPY_TIMEOUT_MS })).stored;
+    } catch (error) {
+      // An instance of an older release keeps no departures; waiting for it would refuse every leave until it is replaced.
+      if (ConnectError.from(error).code === Code.Unimplemented) return true;
+      this.parts.log.event(controlEvents.departureNotCopied, { address, problem: String(error) });
+      return false;
+    }
+  }
+}
+
+/** Whether so many of the promises resolve with true, as soon as that is certain. */
+function majorityOf(copies: readonly Promise<boolean>[], needed: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    let stored = 0;
+    let open = copies.length;
+    for (const copy of copies)
+      void copy.then((isStored) => {
+        open -= 1;
+        if (isStored) stored += 1;
+        if (stored >= needed) resolve(true);
+        else if (stored + open < needed) resolve(false);
+      });
+  });
+}
--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -51,6 +51,11 @@
     level: 'info',
     message: "a target's leave call was applied, or refused as its start is not certain",
   },
+  departureNotCopied: {
+    id: 3037,
+    level: 'info',
+    message: 'another control instance did not store that a target drains or has left',
+  },
   followerConnected: { id: 3018, level: 'info', message: 'a follower opened its stream' },
   voterRequested: { id: 3019, level: 'info', message: 'an instance requested to become a voter' },
   voterRequestAnswered: {
--- a/packages/control/src/files/recordFiles.ts
+++ b/packages/control/src/files/recordFiles.ts
@@ -44,7 +44,8 @@
   private isRollDue = false;
   private isSyncDue = false;
   private isFailing = false;
-  private writing: Promise<void> | undefined;
+  /** Resolves with whether all records appended so far were written. */
+  private writing: Promise<boolean> | undefined;
 
   constructor(
     private readonly disk: Disk,
@@ -70,11 +71,17 @@
 
   /** Appends records; they are synced soon. */
   append(records: readonly T[]): void {
+    if (records.length === 0) return;
     this.pending.push(...records);
     if (this.pending.length > MAX_PENDING) this.pending = this.pending.slice(-MAX_PENDING);
-    this.writing ??= this.attempt(() => this.writePending()).finally(() => {
-      this.writing = undefined;
-    });
+    this.writing ??= this.attempt(() => this.writePending());
+  }
+
+  /** Appends records and syncs them. @returns whether they are on the disk. */
+  async store(records: readonly T[]): Promise<boolean> {
+    this.append(records);
+    const isWritten = await this.writing;
+    return isWritten === true && this.attempt(() => this.sync());
   }
 
   /** Begins a new file with the next append, and drops the oldest. */
@@ -92,10 +99,15 @@
   }
 
   private async writePending(): Promise<void> {
-    while (this.pending.length > 0) {
-      const records = this.pending;
-      this.pending = [];
-      await this.write(await this.writable(), records);
+    try {
+      while (this.pending.length > 0) {
+        const records = this.pending;
+        this.pending = [];
+        await this.write(await this.writable(), records);
+      }
+    } finally {
+      // In the same turn as the last look at what is pending: an append must start a write of its own from here on.
+      this.writing = undefined;
     }
     this.scheduleSync();
   }
@@ -105,13 +117,15 @@
     this.isSyncDue = true;
     this.clock.after(this.format.syncDelayMs, () => {
       this.isSyncDue = false;
-      void this.attempt(async () => {
-        await this.current?.file.sync();
-        this.isFailing = false;
-      });
+      void this.attempt(() => this.sync());
     });
   }
 
+  private async sync(): Promise<void> {
+    await this.current?.file.sync();
+    this.isFailing = false;
+  }
+
   /** The file that is written. */
   private async writable(): Promise<OpenFile> {
     if (this.isRollDue && this.current !== undefined) {
@@ -145,14 +159,16 @@
     return batches.flatMap((payload) => this.format.decode(payload));
   }
 
-  /** Runs an operation on the disk; a failure is logged once until a sync succeeds. */
-  private async attempt(operation: () => Promise<void>): Promise<void> {
+  /** Runs an operation on the disk; a failure is logged once until a sync succeeds. @returns whether it succeeded. */
+  private async attempt(operation: () => Promise<void>): Promise<boolean> {
     try {
       await operation();
+      return true;
     } catch (error) {
       if (!this.isFailing)
         this.log.event(controlEvents.recordsNotStored, { folder: this.folder, problem: String(error) });
       this.isFailing = true;
+      return false;
     }
   }
 }
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -17,7 +17,7 @@
 import { ClaimService } from '../claims/index.js';
 import { ConfigurationService } from '../configuration/index.js';
 import { DocumentService, DocumentView } from '../documents/index.js';
-import { DepartureService } from '../departures/index.js';
+import { DepartureCopies, DepartureService, DepartureStore } from '../departures/index.js';
 import { controlEvents } from '../events.js';
 import { FollowService, OtherControls, Referral, requestVoterRole } from '../follow/index.js';
 import { RecentReports } from '../recent/index.js';
@@ -32,6 +32,7 @@
 import { StoreMonitor } from '../stores/index.js';
 import type { StorePort } from '../stores/index.js';
 import { RelayedTargets, TargetRegistry } from '../targets/index.js';
+import type { Heartbeat } from '../targets/index.js';
 import { LogTimeAdvancer } from '../time/index.js';
 import { TurnService } from '../turns/index.js';
 import { RemoteWeightUpdater } from '../weights/index.js';
@@ -87,6 +88,7 @@
     private readonly outside: OutsidePorts = {},
     private readonly origins = new OriginStore(context.clock, context.metrics),
     private readonly evidence = new EvidenceStore(context.log, context.metrics),
+    store = new DepartureStore(),
   ) {
     const { clock, log } = context;
     this.seeds = context.controls;
@@ -101,7 +103,9 @@
     this.work = new RecentReports(clock);
     this.relayed = new RelayedTargets(clock);
     const { targets, relayed } = this;
-    this.departures = new DepartureService({ targets, relayed, log, metrics: context.metrics });
+    const { name, peers, metrics } = context;
+    const copies = new DepartureCopies({ name, commandLog, peers, clock, log });
+    this.departures = new DepartureService({ targets, relayed, store, copies, log, metrics });
     const vouched = (): boolean => this.commandLog.status().vouched;
     this.others = new OtherControls({
       relayed: this.relayed,
@@ -172,6 +176,7 @@
       listQuarantine: (request) => follow.listQuarantine(request),
       releaseQuarantined: (request) => follow.releaseQuarantined(request),
     });
+    router.service(controlMessage.Departures, { record: (request) => this.departures.record(request) });
     serveDirectory(router, {
       documents: this.documentSource,
       instances: this.members,
@@ -208,13 +213,18 @@
    * Whether a target's call may be acknowledged. A call to an isolated instance would not reach the others, so it must fail for
    * the target to call the next instance.
    */
-  acknowledges(): boolean {
+  private acknowledges(): boolean {
     return this.readiness().ready;
   }
 
-  /** Applies a target's leave call. @returns whether it took effect. */
-  leave(left: TargetStart): boolean {
-    return this.departures.leave(left);
+  /** Applies a target's heartbeat. @returns whether it may be acknowledged. */
+  async beat(heartbeat: Heartbeat): Promise<boolean> {
+    return (await this.departures.beat(heartbeat)) && this.acknowledges();
+  }
+
+  /** Applies a target's leave call. @returns whether it may be acknowledged. */
+  async leave(left: TargetStart): Promise<boolean> {
+    return (await this.departures.leave(left)) && this.acknowledges();
   }
 
   /** Counts and logs calls, or parts of calls, that can't be read; `source` is the target that the caller claims to be. */
@@ -244,6 +254,7 @@
     await this.members.stop();
     await this.origins.close();
     await this.evidence.close();
+    await this.departures.close();
     await this.commandLog.close();
   }
 
--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -8,6 +8,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { controlEvents } from '../events.js';
+import { DepartureStore, departureFormat } from '../departures/index.js';
 import { DisklessLog } from '../log/index.js';
 import { RecordFiles } from '../files/index.js';
 import { OriginStore, originFormat } from '../origins/index.js';
@@ -17,10 +18,11 @@
 import type { OutsidePorts } from './control.js';
 import { createState } from './createState.js';
 
-/** Folders inside the data folder: of the log, of the origins of streams, and of evidence on crashes. */
+/** Folders inside the data folder: of the log, of the origins of streams, of evidence on crashes, and of departures. */
 const LOG_FOLDER = 'control';
 const ORIGINS_FOLDER = 'origins';
 const EVIDENCE_FOLDER = 'evidence';
+const DEPARTURES_FOLDER = 'departures';
 
 /**
  * Entries and bytes between two snapshots. A snapshot writes the whole state, claims included, so it is taken less often than
@@ -73,5 +75,14 @@
   const evidenceFiles = new RecordFiles(disk, join(dataFolder, EVIDENCE_FOLDER), evidenceFormat, clock, log);
   const evidence = new EvidenceStore(log, metrics, evidenceFiles);
   await evidence.open();
-  return ok(new Control(context, settings, state, opened.value, outside, origins, evidence));
+  const departureFiles = new RecordFiles(
+    disk,
+    join(dataFolder, DEPARTURES_FOLDER),
+    departureFormat,
+    clock,
+    log,
+  );
+  const departures = new DepartureStore(departureFiles);
+  await departures.open();
+  return ok(new Control(context, settings, state, opened.value, outside, origins, evidence, departures));
 }
--- a/packages/control/src/targets/targetRegistry.ts
+++ b/packages/control/src/targets/targetRegistry.ts
@@ -71,6 +71,7 @@
   private readonly entries = new Map<string, TargetRecord>();
   private readonly newestStarts = new NewestStarts();
   private readonly listeners = new Set<() => void>();
+  private readonly removalListeners = new Set<(start: TargetStart) => void>();
   private changeNumber = 0;
   private readonly ended = new AbortController();
 
@@ -148,6 +149,15 @@
     return 'left';
   }
 
+  /** Marks a start as draining or left, as another instance was told; also one that is not known here yet. */
+  depart(start: TargetStart, announcement: controlMessage.Announcement): void {
+    if (announcement === Announcement.LEFT) this.leave(start);
+    if (announcement !== Announcement.DRAINING || this.isOld(start)) return;
+    const known = this.entries.get(startId(start))?.target;
+    if (known === undefined || !isFinal(known.announcement))
+      this.put({ ...(known ?? emptyTarget(start)), announcement });
+  }
+
   /** The known starts of a target. */
   startsOf(name: string): KnownStart[] {
     const now = this.clock.monotonic();
@@ -192,9 +202,16 @@
     return isActive && silentMs > MISSED_HEARTBEATS * this.heartbeatMs;
   }
 
+  /** Calls back when a start is removed. */
+  onRemoved(listener: (start: TargetStart) => void): void {
+    this.removalListeners.add(listener);
+  }
+
   private remove(target: controlMessage.AnnouncedTarget): void {
+    const start = startOf(target);
     this.entries.delete(target.id);
-    this.newestStarts.remove(startOf(target));
+    this.newestStarts.remove(start);
+    for (const listener of this.removalListeners) listener(start);
   }
 
   /** Whether a newer start is known. A new start ends the previous one, which then counts as left. */
@@ -245,6 +262,10 @@
   }
 }
 
+/** Whether a target can't go back to accepting work. */
+const isFinal = (announcement: controlMessage.Announcement): boolean =>
+  announcement === Announcement.DRAINING || announcement === Announcement.LEFT;
+
 /** The newer version for each model: weight versions only grow, and a heartbeat may be older than an observation. */
 function newerWeights(
   some: readonly controlMessage.NamedWeights[],
@@ -282,7 +303,9 @@
     coldMs,
     id: startId(heartbeat),
     ...startFields(heartbeat),
-    announcement: draining ? Announcement.DRAINING : Announcement.READY,
+    // A target that drains does not go back: the heartbeat may be late, and the departure known from another instance.
+    announcement:
+      draining || known?.announcement === Announcement.DRAINING ? Announcement.DRAINING : Announcement.READY,
     sequence: BigInt(sequence),
     weights: newerWeights(known?.weights ?? [], versions),
     paused: known?.paused,
