That a target drains or has left outlasts its silence and late calls

A start that left became ready again two minutes later if its heartbeats went on. Cause: final states were kept by the time of the last heartbeat like all others. Both tests failed before.

--- a/packages/control/src/targets/relayedTargets.ts
+++ b/packages/control/src/targets/relayedTargets.ts
@@ -2,7 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { Clock } from '@jasmineroute/core';
 import { controlMessage, startOf } from '@jasmineroute/protocol';
-import { REMOVAL_DELAY_MS } from './targetRegistry.js';
+import { REMOVAL_DELAY_MS, isFinal } from './targetRegistry.js';
 import type { KnownStart } from './targetRegistry.js';
 
 const { Announcement } = controlMessage;
@@ -55,10 +55,12 @@
     return [...this.sources].filter(([, { isConnected }]) => isConnected).map(([control]) => control);
   }
 
-  /** The newest report on a target from any instance. */
+  /** The newest report on a target from any instance; that it drains or has left counts from any of them. */
   find(id: string): controlMessage.AnnouncedTarget | undefined {
     const reports = [...this.sources.values()].flatMap(({ targets }) => targets.get(id)?.target ?? []);
-    return reports.sort((a, b) => Number(b.sequence - a.sequence)).at(0);
+    const newest = reports.sort((a, b) => Number(b.sequence - a.sequence)).at(0);
+    const final = reports.find(({ announcement }) => isFinal(announcement));
+    return newest === undefined ? undefined : { ...newest, announcement: (final ?? newest).announcement };
   }
 
   /** The starts of a target that other instances know. */
@@ -116,11 +118,8 @@
 
   private removeExpired({ targets }: ControlSource): void {
     const before = this.clock.monotonic() - REMOVAL_DELAY_MS;
-    for (const [id, { target, receivedAt }] of targets) {
-      const isActive =
-        target.announcement === Announcement.READY || target.announcement === Announcement.DRAINING;
-      if (!isActive && receivedAt < before) targets.delete(id);
-    }
+    for (const [id, { target, receivedAt }] of targets)
+      if (target.announcement !== Announcement.READY && receivedAt < before) targets.delete(id);
   }
 
   private notify(): void {
--- a/packages/control/src/targets/targetRegistry.spec.ts
+++ b/packages/control/src/targets/targetRegistry.spec.ts
@@ -2,7 +2,7 @@
 import { ManualClock, silentLog } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import { beforeEach, describe, expect, it } from 'vitest';
-import { TargetRegistry } from './targetRegistry.js';
+import { REMOVAL_DELAY_MS, TargetRegistry } from './targetRegistry.js';
 import type { Heartbeat } from './targetRegistry.js';
 
 const HEARTBEAT_MS = 1_000;
@@ -124,6 +124,32 @@
     expect(state()).toBe(Announcement.READY);
   });
 
+  it('keeps that a silent target drains, for followers that come later', async () => {
+    // Guards against work for a target that was draining: its heartbeats ended or moved to another instance, and what is left of
+    // its state says that it is silent here and, by a late heartbeat, ready there.
+    registry.beat(heartbeat(1, { draining: true }));
+    await clock.advance(5 * HEARTBEAT_MS);
+    registry.checkExpiry();
+    expect(state()).toBe(Announcement.DRAINING);
+    const other = new TargetRegistry(clock, silentLog, HEARTBEAT_MS);
+    for (const target of registry.since(0)) other.adopt(target);
+    expect(other.since(0).map(({ announcement }) => announcement)).toEqual([Announcement.DRAINING]);
+  });
+
+  it('keeps a leave for as long as heartbeats of the start arrive', async () => {
+    // Guards against work for a target that left minutes ago and still sends heartbeats.
+    registry.leave({ name: 't1' });
+    for (let sequence = 1; sequence <= 300; sequence += 1) {
+      await clock.advance(HEARTBEAT_MS);
+      registry.beat(heartbeat(sequence));
+      registry.checkExpiry();
+    }
+    expect(state()).toBe(Announcement.LEFT);
+    await clock.advance(REMOVAL_DELAY_MS + 1);
+    registry.checkExpiry();
+    expect(state()).toBeUndefined();
+  });
+
   it('keeps the newer weights when a heartbeat predates their load', () => {
     registry.beat(heartbeat(1));
     observe(4, false, 2);
--- a/packages/control/src/targets/targetRegistry.ts
+++ b/packages/control/src/targets/targetRegistry.ts
@@ -108,8 +108,10 @@
     if (this.isOld(heartbeat)) return;
     const known = this.entries.get(startId(heartbeat));
     const { sequence } = heartbeat;
-    if (known !== undefined && this.isStale(known.target, sequence)) return;
-    this.put(targetOf(heartbeat, known?.target));
+    if (known === undefined || !this.isStale(known.target, sequence))
+      this.put(targetOf(heartbeat, known?.target));
+    // One that left is kept for as long as it calls, or a later heartbeat would count as the first one of a start.
+    else if (known.target.announcement === Announcement.LEFT) this.put(known.target);
   }
 
   /**
@@ -123,10 +125,14 @@
     this.beat({ ...startOf(announced), ...fields, draining: false, sequence: 0, coldMs: 0 });
   }
 
-  /** Adds a target that is known only from another instance, so that observations of it can be stored here. */
+  /**
+   * Adds a target that is known only from another instance, so that observations of it can be stored here. It does not count as
+   * heard here, but as draining or left if it is.
+   */
   adopt(target: controlMessage.AnnouncedTarget): void {
     if (this.entries.has(target.id) || this.isOld(startOf(target))) return;
-    this.put({ ...target, announcement: Announcement.SILENT });
+    const announcement = isFinal(target.announcement) ? target.announcement : Announcement.SILENT;
+    this.put({ ...target, announcement });
   }
 
   /** Applies an observation by the process beside a target. @returns whether the target is known here. */
@@ -197,9 +203,9 @@
     }
   }
 
+  /** A silent target that drains stays so: it may be heard of again, and followers that come later must know. */
   private isSilent({ announcement }: controlMessage.AnnouncedTarget, silentMs: number): boolean {
-    const isActive = announcement === Announcement.READY || announcement === Announcement.DRAINING;
-    return isActive && silentMs > MISSED_HEARTBEATS * this.heartbeatMs;
+    return announcement === Announcement.READY && silentMs > MISSED_HEARTBEATS * this.heartbeatMs;
   }
 
   /** Calls back when a start is removed. */
@@ -263,7 +269,7 @@
 }
 
 /** Whether a target can't go back to accepting work. */
-const isFinal = (announcement: controlMessage.Announcement): boolean =>
+export const isFinal = (announcement: controlMessage.Announcement): boolean =>
   announcement === Announcement.DRAINING || announcement === Announcement.LEFT;
 
 /** The newer version for each model: weight versions only grow, and a heartbeat may be older than an observation. */
