--- a/packages/relay/src/quarantine/quarantine.spec.ts
+++ b/packages/relay/src/quarantine/quarantine.spec.ts
@@ -147,6 +147,27 @@
     expect(bed.arrivalCount()).toBe(0);
   });
 
+  // Guards against a request that is sent after its third crash is known, as it waited for a connection to its target.
+  it('is refused when the crashes become known while it waits for a connection', async () => {
+    bed = await RelayBed.start([routeTo()], 1, { services: [{ name: 's', maxConnections: 2 }] });
+    let finish = (): void => undefined;
+    bed.target(1).script = (...exchange) => {
+      finish = () => {
+        answered()(...exchange);
+      };
+    };
+    const first = send('q1', 'ordinary');
+    await until(() => bed.arrivalCount() === 1);
+    const second = send('q2');
+    await until(() => bed.open === 2);
+    bed.tellEvidence([evidence(DEADLY, ['a', 'b', 'c'])]);
+    await until(() => bed.evidenceTold);
+    finish();
+    expect((await first).status).toBe(200);
+    expect(await second).toMatchObject(REFUSED);
+    expect(bed.arrivalCount()).toBe(1);
+  });
+
   // Guards against streams near crashes that break off while weights are replaced, as no other target may take them over.
   it('stays at a target that pauses when it is not sent on', async () => {
     bed = await RelayBed.start([routeTo(stream)], 2);
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -245,7 +245,7 @@
 
   /** Sends the request to one target after the other until one answers or no further attempt is allowed. */
   private async attemptInTurn(job: Job): Promise<Outcome> {
-    const { selector: placements, random, stalls, quarantine } = this.context;
+    const { selector: placements, random, stalls } = this.context;
     let last: Outcome = { state: 'fault', fault: fault('no-target', 'no target is ready') };
     for (;;) {
       // A caller that left during an event loop stall is noticed only some turns of the loop later.
@@ -264,9 +264,8 @@
         const retryAfterMs = OVERLOAD_RETRY_MS * (0.5 + random());
         return { state: 'fault', fault: fault('overloaded', overloadMessage(placement), { retryAfterMs }) };
       }
-      // The crashes may have become known while the request waited.
-      if (this.trial === undefined && quarantine.isHeld(job.sent))
-        return this.sends === 0 ? { state: 'fault', fault: quarantined(RECHECK_RETRY_MS) } : last;
+      const held = this.heldFault(job);
+      if (held !== undefined) return this.sends === 0 ? { state: 'fault', fault: held } : last;
       this.tried.add(placement.target.id);
       this.sends += 1;
       last = await this.attempt(job, placement);
@@ -276,6 +275,12 @@
     }
   }
 
+  /** The fault of a request under which targets crashed; that may have become known while it waited. */
+  private heldFault({ sent }: Job): Fault | undefined {
+    const isHeld = this.trial === undefined && this.context.quarantine.isHeld(sent);
+    return isHeld ? quarantined(RECHECK_RETRY_MS) : undefined;
+  }
+
   private recordAnswered({ request, route }: Job): void {
     this.context.metrics.count(relayMetrics.requests, 1, { kind: route.kind, outcome: 'answered' });
     this.countResumed(request, 'answered');
@@ -404,7 +409,7 @@
     const open = monitor.startRequest(target.id, placement.tokens, fetchOf(source), job.service.name);
     const takeBack = this.trial === undefined ? undefined : quarantine.recordSending(job.sent, this.trial);
     const endRun = quarantine.isSuspect(job.sent) ? quarantine.runs.begin(target.id) : undefined;
-    const sending = new Sending(this.context, target);
+    const sending = new Sending(this.context, target, () => this.heldFault(job));
     let outcome: Outcome;
     let status = 0;
     let wasUnresponsive: boolean;
--- a/packages/relay/src/work/sending.ts
+++ b/packages/relay/src/work/sending.ts
@@ -10,7 +10,7 @@
 
 /**
  * One sending of a request to a target. It may wait for a connection, or for this process after a stall, so whether the target
- * accepts work is checked again when the first byte is due.
+ * accepts work and whether the request may be sent are checked again when the first byte is due.
  */
 export class Sending {
   /** From the choice of the target to the first byte, milliseconds; undefined: nothing was written. */
@@ -23,6 +23,8 @@
   constructor(
     private readonly context: RelayContext,
     readonly target: Target,
+    /** The fault of a request that may not be sent any more. */
+    private readonly withheld: () => Fault | undefined,
   ) {
     this.chosenAt = context.clock.monotonic();
   }
@@ -39,11 +41,13 @@
     return ok();
   }
 
-  /** Checks the target when the first byte is due. @returns a fault when the request must not be written. */
+  /** Checks target and request when the first byte is due. @returns a fault when the request must not be written. */
   check(): Fault | undefined {
     const { clock, knowledge, metrics } = this.context;
     this.targetState = knowledge.targets.stateOf(this.target.id);
     if (this.targetState !== 'ready') return notAccepting(this.targetState);
+    const problem = this.withheld();
+    if (problem !== undefined) return problem;
     this.waitedMs = clock.monotonic() - this.chosenAt;
     metrics.timing(relayMetrics.sendingWait, this.waitedMs);
     return undefined;
