--- a/packages/relay/src/work/addedFields.ts
+++ b/packages/relay/src/work/addedFields.ts
@@ -25,7 +25,7 @@
   const weightsVersion = weightsVersionAt(target, job);
   const cacheSalt = route.hasPrompt ? cacheSaltAt(target, job) : undefined;
   return {
-    deadlineMs: Math.max(1, Math.floor(leftMs)),
+    deadlineMs: wholeMs(leftMs),
     targetName: target.name,
     customer: customer?.name,
     cacheSalt,
@@ -37,6 +37,9 @@
   };
 }
 
+/** The remaining time as it is sent, milliseconds. */
+export const wholeMs = (leftMs: number): number => Math.max(1, Math.floor(leftMs));
+
 /** The store to which the target copies the parts that it reads; undefined if it copies none. */
 function copyDestination(context: RelayContext, job: Job, cacheSalt: string | undefined): string | undefined {
   const { prompt } = job.request;
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -11,6 +11,7 @@
 import type { Target } from '@jasmineroute/knowledge';
 import type { SentRequest } from '../quarantine/index.js';
 import { connectionShare } from '../target/index.js';
+import { wholeMs } from './addedFields.js';
 import type { RelayContext } from './context.js';
 import type { Sending } from './sending.js';
 
@@ -53,7 +54,9 @@
   const granted = await sending.waitForConnection(queue, job.arrivedAt, signal);
   if (granted.isErr()) return err(granted.error);
   const { method, path } = request;
-  const headers = dialect.targetHeaders(request, addedFields);
+  // The wait for the connection counts against the request's time.
+  const deadlineMs = Math.min(addedFields.deadlineMs, wholeMs(job.until - clock.monotonic()));
+  const headers = dialect.targetHeaders(request, { ...addedFields, deadlineMs });
   const wireRequest = { method, path, headers, body, beforeSend: () => sending.check() };
   const wire = await exchange(connections.pool(), wireRequest, clock, signal, stalls);
   if (wire.isErr()) {
--- a/packages/relay/src/work/sending.spec.ts
+++ b/packages/relay/src/work/sending.spec.ts
@@ -1,3 +1,4 @@
+import { systemClock } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RelayBed, answered, routeTo, until } from '../testing/bed.js';
@@ -9,6 +10,9 @@
 /** One connection to each target for this entry. */
 const ONE_CONNECTION = { services: [{ name: 's', maxConnections: 2 }] };
 
+/** How long a request waits, milliseconds. */
+const WAIT_MS = 800;
+
 describe('a request that waits for a connection to its target', () => {
   let bed: RelayBed;
   let held: (() => void)[] = [];
@@ -59,6 +63,25 @@
     },
   );
 
+  // Guards against targets that work on requests whose callers have given up, as the wait for a connection was not counted.
+  it('is sent with the time that is left when it is written', async () => {
+    bed = await RelayBed.start([routeTo()], 1, ONE_CONNECTION);
+    bed.target(1).script = hold;
+    const headers = { 't-deadline': '3000' };
+    const asked = [ask(bed.url, { headers })];
+    await until(() => bed.arrivalCount() === 1);
+    asked.push(ask(bed.url, { headers }));
+    await until(() => bed.open === 2);
+    await systemClock.sleep(WAIT_MS);
+    for (const answer of held.splice(0)) answer();
+    await until(() => bed.arrivalCount() === 2);
+    const sent = bed.target(1).requests.map((request) => Number(request.headers['t-deadline']));
+    expect(sent[0]).toBeGreaterThan(3_000 - WAIT_MS);
+    expect(sent[1]).toBeLessThanOrEqual(3_000 - WAIT_MS);
+    for (const answer of held.splice(0)) answer();
+    await Promise.all(asked);
+  });
+
   // Guards against a caller who waits until a connection frees to learn that nothing can serve it.
   it('is refused as not run at once when no other target is left', async () => {
     const asked = await occupy('once');
