Readers of a target's answer are bounded in bytes, and a target that sends no answer is avoided

Callers of other requests waited, got 504 beside a free target, and an entry took up to 487 MB. Cause: HTTP bounds neither reason, informational heads, chunk sizes, extensions nor bodies, and answers were held whole.

The bytes beside the body are counted on each connection before each read and bounded; answers are held up to 256 KiB each and 8 MiB together, larger ones go on as they come; a larger failure is given up; what can't be parsed counts against the target. An answer that has begun is not replaced by another attempt, which left its caller waiting.

--- a/packages/engine/src/http/httpEngine.ts
+++ b/packages/engine/src/http/httpEngine.ts
@@ -18,7 +18,7 @@
 import type { WireAnswer, WireRequest } from '../wire/index.js';
 import { eventBody, nonStreamBody } from './body.js';
 import { readCacheEvents } from './cacheEvents.js';
-import { JsonClient, statusFault } from './jsonClient.js';
+import { JsonClient, MAX_SNAPSHOT_BYTES, statusFault } from './jsonClient.js';
 import { orderCall } from './order.js';
 import { INCARNATION, REQUEST_ID, answerHeaders, engineBody, engineHeaders } from './request.js';
 import { watchJsonAnswer } from './jsonAnswer.js';
@@ -109,14 +109,14 @@
   }
 
   async cancel(attemptId: string, signal: AbortSignal): Promise<Result<void, Fault>> {
-    const answer = await this.client.call('POST', '/abort_request', signal, { rid: attemptId });
+    const answer = await this.client.call('POST', '/abort_request', signal, { json: { rid: attemptId } });
     return answer.andThen(({ status, body }) =>
       status === OK ? ok() : err(statusFault('/abort_request', status, body)),
     );
   }
 
   async state(signal: AbortSignal): Promise<Result<EngineState, Fault>> {
-    const body = await this.client.read(healthBody, '/health', signal, [200, UNAVAILABLE]);
+    const body = await this.client.read(healthBody, '/health', signal, { statuses: [OK, UNAVAILABLE] });
     return body.map(({ software_version: softwareVersion, ...rest }) => ({ ...rest, softwareVersion }));
   }
 
@@ -131,12 +131,12 @@
   }
 
   cacheSnapshot(signal: AbortSignal): Promise<Result<CacheSnapshot, Fault>> {
-    return this.client.read(snapshotBody, '/kv_snapshot', signal);
+    return this.client.read(snapshotBody, '/kv_snapshot', signal, { maxBytes: MAX_SNAPSHOT_BYTES });
   }
 
   async order(order: EngineOrder, fence: bigint, signal: AbortSignal): Promise<Result<void, Fault>> {
     const { path, body } = orderCall(order, fence);
-    const answer = await this.client.call('POST', path, signal, body);
+    const answer = await this.client.call('POST', path, signal, { json: body });
     return answer.andThen((value) => {
       if (value.status === OK) return ok();
       const detail = statusFault(path, value.status, value.body);
@@ -149,7 +149,7 @@
     hashes: readonly string[],
     signal: AbortSignal,
   ): Promise<Result<void, Fault>> {
-    const answer = await this.client.call('POST', '/kv/import', signal, { from, hashes });
+    const answer = await this.client.call('POST', '/kv/import', signal, { json: { from, hashes } });
     return answer.andThen(({ status, body }) =>
       status === OK ? ok() : err(statusFault('/kv/import', status, body)),
     );
--- a/packages/engine/src/http/jsonClient.ts
+++ b/packages/engine/src/http/jsonClient.ts
@@ -5,11 +5,15 @@
 import type { Result } from 'neverthrow';
 import type * as z from 'zod';
 import { exchange, readWhole } from '../wire/index.js';
-import type { Connections, WireAnswer } from '../wire/index.js';
+import type { Connections } from '../wire/index.js';
 
-/** Largest JSON answer that is read. */
-const MAX_JSON_BYTES = 256 * 1024 * 1024;
+/** Largest JSON answer that is read, bytes. */
+const MAX_JSON_BYTES = 1024 * 1024;
+
+/** The same for a snapshot of a cache, bytes: about 200,000 blocks of an engine. */
+export const MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024;
 const MAX_DETAIL_BYTES = 200;
+const OK = 200;
 
 /** Status and body of an answer. */
 export interface CallAnswer {
@@ -17,6 +21,19 @@
   readonly body: Uint8Array;
 }
 
+/** What a call sends, and how much of an answer it reads. */
+interface CallOptions {
+  readonly json?: unknown;
+  readonly maxBytes?: number;
+}
+
+/** Which answers are read. */
+interface ReadOptions {
+  /** Absent: 200. */
+  readonly statuses?: readonly number[];
+  readonly maxBytes?: number;
+}
+
 /** JSON calls over the connections to one engine. */
 export class JsonClient {
   constructor(
@@ -29,7 +46,7 @@
     method: string,
     path: string,
     signal: AbortSignal,
-    json?: unknown,
+    { json, maxBytes = MAX_JSON_BYTES }: CallOptions = {},
   ): Promise<Result<CallAnswer, Fault>> {
     const opened = await exchange(
       this.connections.pool(),
@@ -43,7 +60,8 @@
       signal,
     );
     if (opened.isErr()) return err(opened.error);
-    return this.readAnswer(opened.value);
+    const body = await readWhole(opened.value, maxBytes);
+    return body.map((bytes) => ({ status: opened.value.status, body: bytes }));
   }
 
   /** Calls and checks the answer against a schema; a status outside `statuses` is a fault. */
@@ -51,19 +69,14 @@
     schema: S,
     path: string,
     signal: AbortSignal,
-    statuses: readonly number[] = [200],
+    { statuses = [OK], maxBytes }: ReadOptions = {},
   ): Promise<Result<z.output<S>, Fault>> {
-    const answer = await this.call('GET', path, signal);
+    const answer = await this.call('GET', path, signal, { maxBytes });
     if (answer.isErr()) return err(answer.error);
     const { status, body } = answer.value;
     if (!statuses.includes(status)) return err(statusFault(path, status, body));
     return parseAnswer(schema, path, body);
   }
-
-  private async readAnswer(answer: WireAnswer): Promise<Result<CallAnswer, Fault>> {
-    const body = await readWhole(answer, MAX_JSON_BYTES);
-    return body.map((bytes) => ({ status: answer.status, body: bytes }));
-  }
 }
 
 /** Checks a body against a schema. */
--- a/packages/engine/src/wire/connections.ts
+++ b/packages/engine/src/wire/connections.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { Pool, buildConnector } from 'undici';
 import type { Dispatcher } from 'undici';
+import { watchReads } from './overhead.js';
 
 /** Idle time after which a connection is closed: earlier than common servers do it, so that few requests meet a closing one. */
 const KEEP_ALIVE_TIMEOUT_MS = 3_000;
@@ -35,7 +36,10 @@
   return (options, callback) => {
     open(options, (...opened) => {
       const [problem, socket] = opened;
-      if (problem === null) failOnReset(socket);
+      if (problem === null) {
+        failOnReset(socket);
+        watchReads(socket);
+      }
       callback(...opened);
     });
   };
--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -1,17 +1,33 @@
 /** One HTTP request and its answer over undici, with backpressure, silence timeouts and without hidden retries. */
+import { subscribe } from 'node:diagnostics_channel';
+import type { Socket } from 'node:net';
 import { fault } from '@jasmineroute/core';
 import type { Clock, Fault, Stall, StallWatch } from '@jasmineroute/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { errors } from 'undici';
 import type { Dispatcher } from 'undici';
 import { fieldsOf, isFramed } from './answer.js';
 import type { RawHeaders, WireAnswer, WireRequest } from './answer.js';
 import { FaultError, brokenStreamFault } from './failure.js';
+import { MAX_INFORMATIONAL_HEADS, notAnAnswer, watchOverhead } from './overhead.js';
 
 /** Buffered bytes above which the target is paused, and below which it is resumed. */
 const HIGH_WATER_BYTES = 64 * 1024;
 const LOW_WATER_BYTES = 16 * 1024;
 
+/** Whether what a target sent could not be parsed. */
+const isNoHttp = (error: Error): boolean =>
+  error instanceof errors.HTTPParserError || error instanceof errors.HeadersOverflowError;
+
+/** The exchange whose request undici is about to write: its connection is named in the same turn. */
+let starting: Exchange | undefined;
+
+subscribe('undici:client:sendHeaders', (message) => {
+  starting?.watchConnection((message as { readonly socket: Socket }).socket);
+  starting = undefined;
+});
+
 /** Keeps a request from being written, and its connection open, until all events that arrived during a stall are read. */
 class DeferredError extends Error {}
 
@@ -30,6 +46,9 @@
   private wakeReader?: () => void;
   private lastByteAt: number;
   private stopTimer?: () => void;
+  private stopWatching?: () => void;
+  private bodyBytes = 0;
+  private informationalHeads = 0;
   private hasHead = false;
   private sent = false;
   /** The last stall after which the request was checked for an abort. */
@@ -77,10 +96,29 @@
     if (problem !== undefined) throw new FaultError(problem);
     this.sent = true;
     this.controller = controller;
+    // eslint-disable-next-line @typescript-eslint/no-this-alias -- the channel has no other way to name the exchange
+    starting = this;
+  }
+
+  /** Watches the connection to which the request is written. */
+  watchConnection(socket: Socket): void {
+    const stop = watchOverhead(
+      socket,
+      () => this.bodyBytes,
+      (error) => {
+        this.fail(error);
+      },
+    );
+    this.stopWatching = stop;
   }
 
   onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: RawHeaders): void {
-    if (status < 200) return;
+    if (status < 200) {
+      this.informationalHeads += 1;
+      if (this.informationalHeads > MAX_INFORMATIONAL_HEADS)
+        this.fail(notAnAnswer(`${this.informationalHeads} informational heads`));
+      return;
+    }
     this.hasHead = true;
     this.touch();
     this.stopTimer?.();
@@ -103,6 +141,7 @@
     this.touch();
     this.queue.push(chunk);
     this.queued += chunk.length;
+    this.bodyBytes += chunk.length;
     if (this.queued > HIGH_WATER_BYTES) controller.pause();
     this.wakeReader?.();
   }
@@ -117,7 +156,7 @@
       void this.startAfterCatchUp();
       return;
     }
-    this.failed ??= error;
+    this.failed ??= isNoHttp(error) ? notAnAnswer(`what is no HTTP: ${error.message}`) : error;
     this.cleanUp();
     this.resolveHead(err(this.headFault(this.failed)));
   }
@@ -205,6 +244,7 @@
   private cleanUp(): void {
     this.stopTimer?.();
     this.stopTimer = undefined;
+    this.stopWatching?.();
     this.signal.removeEventListener('abort', this.onAbort);
     this.wakeReader?.();
   }
--- /dev/null
+++ b/packages/relay/src/answer/answerBuffer.ts
@@ -0,0 +1,40 @@
+/** Holds an answer until it is complete, so that another attempt can replace one that breaks off. */
+import type { BodyBudget } from '@jasmineroute/entry';
+
+/** Largest answer that is held, bytes. */
+export const MAX_HELD_ANSWER_BYTES = 256 * 1024;
+
+/** Bytes that an entry holds for all answers together. */
+export const MAX_HELD_ANSWERS_BYTES = 8 * 1024 * 1024;
+
+/** The held part of one answer. */
+export class AnswerBuffer {
+  private readonly chunks: Uint8Array[] = [];
+  private size = 0;
+
+  /** @param budget shared by all answers. */
+  constructor(private readonly budget: BodyBudget) {}
+
+  /** Holds a chunk. @returns false if the answer would become too large, or all held answers together. */
+  tryAdd(chunk: Uint8Array): boolean {
+    if (this.size + chunk.length > MAX_HELD_ANSWER_BYTES || !this.budget.tryReserve(chunk.length))
+      return false;
+    this.chunks.push(chunk);
+    this.size += chunk.length;
+    return true;
+  }
+
+  /** Returns what is held, and holds nothing any more. */
+  take(): Uint8Array {
+    const held = Buffer.concat(this.chunks);
+    this.release();
+    return held;
+  }
+
+  /** Drops what is held. */
+  release(): void {
+    this.budget.release(this.size);
+    this.chunks.length = 0;
+    this.size = 0;
+  }
+}
--- a/packages/relay/src/answer/index.ts
+++ b/packages/relay/src/answer/index.ts
@@ -1,2 +1,3 @@
+export * from './answerBuffer.js';
 export * from './callerAnswer.js';
 export * from './eventFramer.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,7 +4,7 @@
 import { BodyBudget, CallerServer, seedOf } from '@jasmineroute/entry';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { createRandom } from '@jasmineroute/routing';
-import { CallerAnswer } from './answer/index.js';
+import { CallerAnswer, MAX_HELD_ANSWERS_BYTES } from './answer/index.js';
 import { CopySchedule } from './cache/index.js';
 import type { Dialect } from './dialect/index.js';
 import { relayEvents } from './events.js';
@@ -94,6 +94,7 @@
       stopsAt: () => this.stopsAt,
       weightsLimitMs: settings.weightsLimitMs,
       bodyBudget: new BodyBudget(settings.maxBufferedBytes),
+      answerBudget: new BodyBudget(MAX_HELD_ANSWERS_BYTES),
       random,
       clock,
       stalls,
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -83,10 +83,8 @@
     return err(problem);
   };
   // A late answer to an earlier request says nothing about this request.
-  if (metadata.requestId !== undefined && metadata.requestId !== request.id) {
-    monitor.recordFailure(target.id);
+  if (metadata.requestId !== undefined && metadata.requestId !== request.id)
     return reject(fault('answer-mismatch', 'the target sent the answer to another request'));
-  }
   if (metadata.otherTargetName !== undefined && metadata.otherTargetName !== target.name && metadata.notRun) {
     knowledge.targets.replaced(target.id);
     return reject(fault('wrong-incarnation', `the address now belongs to ${metadata.otherTargetName}`));
@@ -96,10 +94,8 @@
     return reject(fault('overloaded', `the target refused the request with status ${wire.status}`));
   }
   const isSuccess = wire.status >= SUCCESS && wire.status < REDIRECT;
-  if (isSuccess && (metadata.requestId === undefined || !metadata.signed)) {
-    monitor.recordFailure(target.id);
+  if (isSuccess && (metadata.requestId === undefined || !metadata.signed))
     return reject(fault('answer-mismatch', 'successful answer without a request id or signature'));
-  }
   // This status would tell the caller that the request did not run, which the target has not stated.
   if (NOT_RUN_STATUSES.has(wire.status)) {
     return reject(
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -29,6 +29,8 @@
   /** Time after newer weights are named from which no request may start on older ones, milliseconds. */
   readonly weightsLimitMs: number;
   readonly bodyBudget: BodyBudget;
+  /** Bytes of answers that are held until they are complete. */
+  readonly answerBudget: BodyBudget;
   readonly random: Random;
   readonly clock: Clock;
   readonly stalls: StallWatch;
--- a/packages/relay/src/work/forward.ts
+++ b/packages/relay/src/work/forward.ts
@@ -1,16 +1,12 @@
 /** Forwards answers of targets that are not streams to callers. */
 import { fault } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
-import { brokenStreamFault, headerOf } from '@jasmineroute/engine';
-import { err, ok } from 'neverthrow';
-import type { Result } from 'neverthrow';
+import { FaultError, brokenStreamFault, headerOf } from '@jasmineroute/engine';
+import { AnswerBuffer, MAX_HELD_ANSWER_BYTES } from '../answer/index.js';
 import type { CallerAnswer } from '../answer/index.js';
 import type { TargetAnswer } from './attempt.js';
 import type { RelayContext } from './context.js';
 
-/** Answers up to this size in bytes are buffered in full, so that another attempt can replace one that breaks off. */
-const MAX_BUFFERED_ANSWER_BYTES = 256 * 1024;
-
 /** Outcome of one attempt. */
 export type Outcome =
   | { readonly state: 'answered' }
@@ -25,58 +21,63 @@
 
 /** Buffers an error answer, to be forwarded if no other attempt succeeds. */
 export async function bufferFailure(
-  { dialect }: RelayContext,
+  { dialect, answerBudget }: RelayContext,
   answer: CallerAnswer,
   { wire }: TargetAnswer,
 ): Promise<Outcome> {
-  const body = await readWholeBody(wire.body);
-  if (body.isErr()) return { state: 'fault', fault: body.error };
+  const buffer = new AnswerBuffer(answerBudget);
+  try {
+    for await (const chunk of wire.body) if (!buffer.tryAdd(chunk)) throw tooLarge(wire.status);
+  } catch (error) {
+    buffer.release();
+    return { state: 'fault', fault: brokenStreamFault(error) };
+  }
   const headers = dialect.callerHeaders(wire.headers);
+  const body = buffer.take();
   return {
     state: 'failure',
     fault: fault('engine-failed', `the target answered ${wire.status}`, { ran: 'ran' }),
     answer: () => {
-      answer.whole(wire.status, headers, body.value);
+      answer.whole(wire.status, headers, body);
     },
   };
 }
 
-/** Forwards an answer. It is buffered in full before any of it is sent, unless it is large. */
+const tooLarge = (status: number): FaultError =>
+  new FaultError(
+    fault('answer-mismatch', `the target answered ${status} with more than is held of a failure`, {
+      ran: 'ran',
+    }),
+  );
+
+/**
+ * Forwards an answer. It is held until it is complete before any of it is sent, unless it is large: then it is sent as it
+ * comes, at the pace of the caller.
+ */
 export async function forwardAnswer(
-  { dialect }: RelayContext,
+  { dialect, answerBudget }: RelayContext,
   answer: CallerAnswer,
   { wire }: TargetAnswer,
 ): Promise<Outcome> {
   const headers = dialect.callerHeaders(wire.headers);
   const length = Number(headerOf(wire.headers, 'content-length') ?? Number.NaN);
-  if (length > MAX_BUFFERED_ANSWER_BYTES) return forwardChunks(answer, wire, headers);
-  const body = await readWholeBody(wire.body);
-  if (body.isErr()) return { state: 'fault', fault: body.error };
-  answer.whole(wire.status, headers, body.value);
-  return { state: 'answered' };
-}
-
-async function forwardChunks(
-  answer: CallerAnswer,
-  wire: TargetAnswer['wire'],
-  headers: Parameters<CallerAnswer['begin']>[1],
-): Promise<Outcome> {
-  answer.begin(wire.status, headers);
+  const buffer = new AnswerBuffer(answerBudget);
+  let isHeld = !(length > MAX_HELD_ANSWER_BYTES);
+  if (!isHeld) answer.begin(wire.status, headers);
   try {
-    for await (const chunk of wire.body) await answer.write(chunk);
+    for await (const chunk of wire.body) {
+      if (isHeld && buffer.tryAdd(chunk)) continue;
+      if (isHeld) answer.begin(wire.status, headers);
+      if (isHeld) await answer.write(buffer.take());
+      isHeld = false;
+      await answer.write(chunk);
+    }
   } catch (error) {
-    return interrupted(brokenStreamFault(error));
+    buffer.release();
+    const problem = brokenStreamFault(error);
+    return isHeld ? { state: 'fault', fault: problem } : interrupted(problem);
   }
-  answer.end();
+  if (isHeld) answer.whole(wire.status, headers, buffer.take());
+  else answer.end();
   return { state: 'answered' };
 }
-
-async function readWholeBody(body: AsyncIterable<Uint8Array>): Promise<Result<Uint8Array, Fault>> {
-  const chunks: Uint8Array[] = [];
-  try {
-    for await (const chunk of body) chunks.push(chunk);
-  } catch (error) {
-    return err(brokenStreamFault(error));
-  }
-  return ok(Buffer.concat(chunks));
-}
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -356,6 +356,8 @@
     const { route } = job;
     if (this.abort.signal.aborted || !this.hasTime(job)) return false;
     if (this.sends >= route.maxAttempts) return false;
+    // Only a stream can go on after what the caller already has.
+    if (this.answer.begun && route.kind !== 'stream') return false;
     if (!quarantine.mayRetry(job.sent, problem.ran !== 'not-run')) return false;
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
     if (!isRetryable && problem.ran !== 'not-run') return false;
@@ -433,6 +435,8 @@
       await quarantine.recordBroken(job.sent, target);
     }
     if (outcome.state !== 'answered' && neverReached.has(outcome.fault.kind)) takeBack?.();
+    if (outcome.state === 'fault' && outcome.fault.kind === 'answer-mismatch')
+      monitor.recordFailure(target.id);
     if (outcome.state !== 'answered' && outcome.fault.kind === 'target-leaving')
       metrics.count(relayMetrics.takenBack, 1, { state: knowledge.targets.stateOf(target.id) });
     const result = outcome.state === 'answered' ? 'answered' : outcome.fault.kind;
