--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -5,7 +5,6 @@
 import type { Clock, Fault, Stall, StallWatch } from '@jasmineroute/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { errors } from 'undici';
 import type { Dispatcher } from 'undici';
 import { fieldsOf, isFramed } from './answer.js';
 import type { RawHeaders, WireAnswer, WireRequest } from './answer.js';
@@ -16,9 +15,14 @@
 const HIGH_WATER_BYTES = 64 * 1024;
 const LOW_WATER_BYTES = 16 * 1024;
 
+/** Code of an error by headers that are too large, and beginning of the codes of the parser's errors. */
+const HEADERS_OVERFLOW = 'UND_ERR_HEADERS_OVERFLOW';
+const PARSER_ERRORS = 'HPE_';
+
 /** Whether what a target sent could not be parsed. */
-const isNoHttp = (error: Error): boolean =>
-  error instanceof errors.HTTPParserError || error instanceof errors.HeadersOverflowError;
+function isNoHttp({ code = '' }: NodeJS.ErrnoException): boolean {
+  return code === HEADERS_OVERFLOW || code.startsWith(PARSER_ERRORS);
+}
 
 /** The exchange whose request undici is about to write: its connection is named in the same turn. */
 let starting: Exchange | undefined;
