--- a/packages/relay/src/work/sending.spec.ts
+++ b/packages/relay/src/work/sending.spec.ts
@@ -1,5 +1,6 @@
 import { systemClock } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
+import { blockLoop, openConnections } from '@jasmineroute/testkit';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RelayBed, answered, routeTo, until } from '../testing/bed.js';
 import { ask } from '../testing/caller.js';
@@ -10,6 +11,14 @@
 /** One connection to each target for this entry. */
 const ONE_CONNECTION = { services: [{ name: 's', maxConnections: 2 }] };
 
+const CALLERS = 20;
+
+/** Longer than what counts as a stall, milliseconds. */
+const STALL_MS = 300;
+
+const requestText = (id: number): string =>
+  `POST /x HTTP/1.1\r\nhost: a.example\r\nt-id: w${id}\r\ncontent-length: 0\r\n\r\n`;
+
 /** How long a request waits, milliseconds. */
 const WAIT_MS = 800;
 
@@ -82,6 +91,23 @@
     await Promise.all(asked);
   });
 
+  // Guards against requests of callers that left while the process stood still: their connection is free before that is read.
+  it('is not written when its caller left during a stall', async () => {
+    bed = await RelayBed.start([routeTo()], 1, ONE_CONNECTION);
+    bed.target(1).script = hold;
+    const first = ask(bed.url);
+    await until(() => bed.arrivalCount() === 1);
+    const callers = await openConnections(new URL(bed.url).host, CALLERS);
+    for (const [id, caller] of callers.entries()) caller.write(requestText(id));
+    await until(() => bed.open === 1 + CALLERS);
+    for (const answer of held.splice(0)) answer();
+    blockLoop(STALL_MS);
+    for (const caller of callers) caller.destroy();
+    await first;
+    await until(() => bed.open === 0);
+    expect(bed.arrivalCount()).toBe(1);
+  });
+
   // Guards against a caller who waits until a connection frees to learn that nothing can serve it.
   it('is refused as not run at once when no other target is left', async () => {
     const asked = await occupy('once');
--- a/packages/relay/src/work/sending.ts
+++ b/packages/relay/src/work/sending.ts
@@ -38,6 +38,8 @@
     const granted = await queue.acquire(arrivedAt, signal);
     if (granted.isErr()) return err(granted.error);
     this.release = granted.value;
+    // A connection may be free before it is read that the caller has left, or that the target is leaving.
+    await this.context.stalls.waitUntilCaughtUp();
     return ok();
   }
 
