--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -323,8 +323,8 @@
     file: 'packages/control/src/departures/departureService.ts',
     find: '    this.apply(parts.store.all());\n',
     put: '',
-    spec: 'platform/src/leavingTargets.spec.ts',
-    test: 'after a loss of power of all processes',
+    spec: 'packages/control/src/departures/departures.property.spec.ts',
+    test: 'known to each follower',
   },
   {
     name: 'a draining start does not go back to ready',
