--- a/packages/relay/src/dialect/dialect.ts
+++ b/packages/relay/src/dialect/dialect.ts
@@ -22,6 +22,11 @@
   readonly maxOutputTokens: number;
 }
 
+/** Ids of the parts of a prompt that other requests may share, each once: all but the last one. */
+export const sharedPartIds = (prompt: PromptOutline | undefined): string[] => [
+  ...new Set(prompt?.parts.slice(0, -1).map(({ id }) => id)),
+];
+
 /** A parsed request of a caller. */
 export interface RelayRequest {
   /** Unique for each attempt of a caller. */
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -26,7 +26,8 @@
   brokenUnder: {
     id: 8010,
     level: 'info',
-    message: 'an answer was broken off by its target, with the fingerprint of the request',
+    message:
+      'an answer was broken off by its target, with the fingerprint and the shared prompt parts of the request',
   },
   trial: {
     id: 8011,
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -39,6 +39,11 @@
     type: 'counter',
     help: 'Targets that broke off answers, by whether they had ended, were alive or had announced to leave',
   },
+  brokenRequests: {
+    name: 'relay.target.broken_requests',
+    type: 'counter',
+    help: 'Requests whose answers targets broke off, by whether their target had ended and whether their prompts have shared parts',
+  },
   suspects: {
     name: 'relay.quarantine.suspects',
     type: 'gauge',
--- a/packages/relay/src/quarantine/quarantine.ts
+++ b/packages/relay/src/quarantine/quarantine.ts
@@ -46,6 +46,8 @@
   /** Computed when it is first needed: on a day without crashes none is. */
   readonly fingerprint: () => Uint8Array;
   readonly customer: string;
+  /** Ids of the parts of its prompt that other requests share; the last part is its own. */
+  readonly parts: readonly string[];
 }
 
 /** Whether a request may be sent. */
@@ -187,12 +189,11 @@
 
   private recordFate(request: SentRequest, target: Target, hasEnded: boolean): void {
     const fingerprint = fingerprintText(request.fingerprint());
-    this.parts.log.event(relayEvents.brokenUnder, {
-      request: request.id,
-      fingerprint,
-      target: target.id,
-      hasEnded,
-    });
+    const { log, metrics } = this.parts;
+    const { id, parts } = request;
+    log.event(relayEvents.brokenUnder, { request: id, fingerprint, parts, target: target.id, hasEnded });
+    const prompt = parts.length > 0 ? 'shared' : 'own';
+    metrics.count(relayMetrics.brokenRequests, 1, { fate: hasEnded ? 'ended' : 'alive', prompt });
     if (hasEnded) this.recordCrash(request, target);
   }
 
--- a/packages/relay/src/work/report.ts
+++ b/packages/relay/src/work/report.ts
@@ -34,6 +34,7 @@
     request: job.request.id,
     route: job.route.name,
     customer: job.customer?.name,
+    parts: job.sent.parts.length > 0 ? job.sent.parts : undefined,
     target: target.id,
     softwareVersion: target.softwareVersion,
     resumes: job.request.resumes,
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -12,6 +12,7 @@
 import type { Result } from 'neverthrow';
 import type { CallerAnswer } from '../answer/index.js';
 import type { Source } from '../cache/index.js';
+import { sharedPartIds } from '../dialect/index.js';
 import type { RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
 import { relayMetrics } from '../metrics.js';
@@ -69,10 +70,15 @@
   });
 
 /** A request as its caller repeats it: the same path and body, of the same customer. */
-function sentRequest({ id, path }: RelayRequest, body: Uint8Array, customer?: Customer): SentRequest {
+function sentRequest({ id, path, prompt }: RelayRequest, body: Uint8Array, customer?: Customer): SentRequest {
   const name = customer?.name ?? '';
   let fingerprint: Uint8Array | undefined;
-  return { id, customer: name, fingerprint: () => (fingerprint ??= requestFingerprint(name, path, body)) };
+  return {
+    id,
+    customer: name,
+    parts: sharedPartIds(prompt),
+    fingerprint: () => (fingerprint ??= requestFingerprint(name, path, body)),
+  };
 }
 
 /** Handles one request of a caller. */
