A trial is numbered by all before it, as the lease of one that no longer counts may still be held

What callers saw: after a trial of a request had counted and the request was cleared, a later doubt refused it for up to 10 s. Cause: the number began at 0 again, and the lease of that number is kept for 10 s after a trial that counts. Change: the number counts all sendings that are known, those that no longer count too. The test failed before: expected 0 to be 1.

--- a/packages/protocol/src/quarantine/evidenceTable.spec.ts
+++ b/packages/protocol/src/quarantine/evidenceTable.spec.ts
@@ -5,6 +5,7 @@
 import type { CrashEvidence } from '../gen/jasmineroute/control_pb.js';
 import { EvidenceTable, chargedSendings, chargedStarts, clearedEvidence, isHeld } from './evidenceTable.js';
 import { requestFingerprint } from './fingerprint.js';
+import { trialNumber } from './verdict.js';
 
 const REQUESTS = 3;
 const STARTS = ['s1', 's2', 's3', 's4', 's5'];
@@ -95,6 +96,12 @@
     expect(chargedStarts(heldOf(table))).toEqual(['s2']);
   });
 
+  // Guards against a trial that no entry may run, as the lease of an earlier one of the same number is still held.
+  it('gives a trial no number again when those before no longer count', () => {
+    const sent = evidenceOf(1, ['s1'], [], 'harbour', ['e1/1/1']);
+    expect(trialNumber(heldOf(tableOf([sent, clearedEvidence(sent)])))).toBe(1);
+  });
+
   it('lists what changed since a number', () => {
     const table = tableOf([evidenceOf(1, ['s1']), evidenceOf(2, ['s1'])]);
     const before = table.lastChangeNumber;
--- a/packages/protocol/src/quarantine/verdict.ts
+++ b/packages/protocol/src/quarantine/verdict.ts
@@ -44,8 +44,11 @@
   return charged.length >= MAX_DOUBTFUL_CRASHES && !isExplained ? 'quarantined' : 'doubtful';
 }
 
-/** Number of the next trial of a doubtful request, which at most one entry may run. */
-export const trialNumber = (evidence: CrashEvidence): number => chargedSendings(evidence).length;
+/**
+ * Number of the next trial of a doubtful request, which at most one entry may run. Those that no longer count are counted too: the
+ * lease of one may still be held when the next one is due.
+ */
+export const trialNumber = ({ sent }: CrashEvidence): number => sent.length;
 
 /**
  * Whether the trial of a request must be the only one of its service, so that its outcome is due to this request. Many requests
