Prompt parts that crash targets are held by themselves, whatever else the request holds

Cause: a crash was held against the fingerprint of caller, path and body. Requests that share only a part of their prompts have as many fingerprints, with one crash each. Change: evidence on each shared part beside that on the request, merged and kept in the same way; cleared by answers that ended well, of the crashes known when they began; the fewest parts that explain the crashes are suspected and go as trials, three for each part; targets that end at one moment count once. A held part explains its crashes for whole requests. Operators see and release parts.

--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -96,13 +96,19 @@
   quarantined: {
     id: 3033,
     level: 'warn',
-    message: 'a request is no longer sent to targets: several of them crashed while they ran it',
+    message:
+      'a request or prompt part is no longer sent to targets: several of them crashed while they ran it',
+  },
+  released: {
+    id: 3035,
+    level: 'info',
+    message: 'an operator released a request or prompt part that crashed targets',
   },
-  released: { id: 3035, level: 'info', message: 'an operator released a request that crashed targets' },
   verdictChanged: {
     id: 3034,
     level: 'info',
-    message: 'the verdict on a request that was running at targets when these crashed has changed',
+    message:
+      'the verdict on a request or prompt part that was running at targets when these crashed has changed',
   },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -31,6 +31,16 @@
     type: 'gauge',
     help: 'Requests that are no longer sent to targets',
   },
+  suspectParts: {
+    name: 'control.quarantine.suspect_parts',
+    type: 'gauge',
+    help: 'Prompt parts that were running at targets when these crashed, and have not been answered well since',
+  },
+  heldParts: {
+    name: 'control.quarantine.held_parts',
+    type: 'gauge',
+    help: 'Prompt parts that are sent to targets as trials only, or no longer',
+  },
   originsHeld: { name: 'control.origin.held', type: 'gauge', help: 'Origins of streams held' },
   originLookups: {
     name: 'control.origin.lookups',
--- a/packages/control/src/quarantine/evidenceStore.ts
+++ b/packages/control/src/quarantine/evidenceStore.ts
@@ -1,4 +1,4 @@
-/** Evidence on requests that crash targets, as entries and other control instances reported it to this instance. */
+/** Evidence on requests and prompt parts that crash targets, as entries and other control instances reported it to this instance. */
 import { create } from '@bufbuild/protobuf';
 import type { Log, Metrics } from '@jasmineroute/core';
 import {
@@ -8,6 +8,7 @@
   controlMessage,
   fingerprintText,
   isHeld,
+  isOnPart,
   verdictOf,
 } from '@jasmineroute/protocol';
 import type { Verdict } from '@jasmineroute/protocol';
@@ -15,7 +16,7 @@
 import type { RecordFiles } from '../files/index.js';
 import { controlMetrics } from '../metrics.js';
 
-/** Maximum number of requests: about 100 KB in the first event of a stream. */
+/** Maximum number of requests, and of prompt parts: about 100 KB each in the first event of a stream. */
 export const MAX_EVIDENCE = 1_000;
 
 /** Records appended to a file before the next one begins. */
@@ -73,7 +74,7 @@
     for (const listener of this.listeners) listener();
   }
 
-  /** Requests with crashes that count against them, with the verdicts. */
+  /** Requests and parts with crashes that count against them, with the verdicts. */
   list({ limit }: controlMessage.ListQuarantineRequest): controlMessage.ListQuarantineResponse {
     const entries = this.table
       .all()
@@ -83,12 +84,13 @@
     return create(ListQuarantineResponseSchema, { entries });
   }
 
-  /** Clears a request of all crashes so far. */
+  /** Clears a request or part of all crashes so far. */
   release({ request }: controlMessage.ReleaseQuarantinedRequest): controlMessage.ReleaseQuarantinedResponse {
     const evidence = this.table.find(request);
     if (evidence !== undefined) {
       this.log.event(controlEvents.released, {
         request: fingerprintText(request),
+        part: partOf(evidence),
         crashed: evidence.crashed,
       });
       this.record([clearedEvidence(evidence)]);
@@ -101,7 +103,7 @@
     await this.files?.close();
   }
 
-  /** Logs the verdicts that have changed, of held requests only: the others are many, and change with each crash. */
+  /** Logs the verdicts that have changed, where there are many crashes only: the others are many, and change with each crash. */
   private logVerdicts(changed: readonly CrashEvidence[]): void {
     for (const evidence of changed) {
       const request = fingerprintText(evidence.request);
@@ -114,6 +116,7 @@
       const event = verdict === 'quarantined' ? controlEvents.quarantined : controlEvents.verdictChanged;
       this.log.event(event, {
         request,
+        part: partOf(evidence),
         customer,
         service,
         before,
@@ -139,7 +142,17 @@
 
   private recordMetrics(): void {
     const all = this.table.all();
-    this.metrics.gauge(controlMetrics.suspects, all.filter((one) => chargedStarts(one).length > 0).length);
-    this.metrics.gauge(controlMetrics.quarantined, all.filter(isHeld).length);
+    const requests = all.filter((evidence) => !isOnPart(evidence));
+    const parts = all.filter(isOnPart).map(({ request }) => verdictOf(this.table, request));
+    const charged = requests.filter((evidence) => chargedStarts(evidence).length > 0);
+    this.metrics.gauge(controlMetrics.suspects, charged.length);
+    this.metrics.gauge(controlMetrics.quarantined, requests.filter(isHeld).length);
+    this.metrics.gauge(controlMetrics.suspectParts, parts.filter((verdict) => verdict !== 'allowed').length);
+    this.metrics.gauge(controlMetrics.heldParts, parts.filter(isHeldVerdict).length);
   }
 }
+
+const isHeldVerdict = (verdict: Verdict): boolean => verdict === 'doubtful' || verdict === 'quarantined';
+
+/** The prompt part that evidence is on, for the log; undefined: it is on a request. */
+const partOf = ({ part }: CrashEvidence): string | undefined => (part === '' ? undefined : part);
--- a/packages/ctl/src/command/quarantine.ts
+++ b/packages/ctl/src/command/quarantine.ts
@@ -1,4 +1,4 @@
-/** `quarantine` and `release`: requests that crashed targets. */
+/** `quarantine` and `release`: requests and prompt parts that crashed targets. */
 import { fault } from '@jasmineroute/core';
 import { fingerprintText } from '@jasmineroute/protocol';
 import { exitCodes } from '../exit/index.js';
@@ -9,15 +9,16 @@
 import type { ConnectedCommand, ConnectedContext } from './context.js';
 import { report, reportFault } from './context.js';
 
-/** Maximum number of requests that are listed: all that a control instance holds. */
-const MAX_LISTED = 1_000;
+/** Maximum number of requests and parts that are listed: all that a control instance holds. */
+const MAX_LISTED = 2_000;
 
 const FINGERPRINT = /^[0-9a-f]{32}$/;
 
 export const quarantineCommand: ConnectedCommand<ConnectionSettings> = {
   name: 'quarantine',
   operands: '',
-  summary: 'List requests that were running at targets when these crashed, with the verdicts on them',
+  summary:
+    'List requests and prompt parts that were running at targets when these crashed, with the verdicts on them',
   examples: ['jasminectl quarantine', 'jasminectl quarantine --output json'],
   settings: connectionSettings,
   run: list,
@@ -26,7 +27,8 @@
 export const releaseCommand: ConnectedCommand<ConnectionSettings> = {
   name: 'release',
   operands: '<request>',
-  summary: 'Hold a request responsible for none of the crashes so far, so that it is sent to targets again',
+  summary:
+    'Hold a request or prompt part responsible for none of the crashes so far, so that it is sent to targets again',
   examples: ['jasminectl release 5e02f42380845430fff1a9b45f592af7'],
   settings: connectionSettings,
   run: release,
@@ -39,6 +41,7 @@
   if (response.isErr()) return reportFault(context, response.error);
   const requests = response.value.entries.map(({ evidence, verdict }) => ({
     request: fingerprintText(evidence?.request ?? new Uint8Array()),
+    part: evidence?.part ?? '',
     verdict,
     customer: evidence?.customer ?? '',
     service: evidence?.service ?? '',
@@ -46,14 +49,19 @@
     cleared: evidence?.cleared ?? [],
     sent: evidence?.sent ?? [],
   }));
-  const rows = requests.map(({ request, verdict, customer, service, crashed }) => [
+  const rows = requests.map(({ request, part, verdict, customer, service, crashed }) => [
     request,
+    part,
     verdict,
     customer,
     service,
     crashed.join(),
   ]);
-  report(context, { requests }, formatTable(['REQUEST', 'VERDICT', 'CUSTOMER', 'SERVICE', 'CRASHED'], rows));
+  report(
+    context,
+    { requests },
+    formatTable(['REQUEST', 'PART', 'VERDICT', 'CUSTOMER', 'SERVICE', 'CRASHED'], rows),
+  );
   return exitCodes.ok;
 }
 
--- a/packages/protocol/src/quarantine/evidenceTable.ts
+++ b/packages/protocol/src/quarantine/evidenceTable.ts
@@ -1,4 +1,4 @@
-/** Evidence on requests that may have crashed targets. Used by entries and control instances alike. */
+/** Evidence on requests and prompt parts that may have crashed targets. Used by entries and control instances alike. */
 import { create } from '@bufbuild/protobuf';
 import { CrashEvidenceSchema } from '../gen/jasmineroute/control_pb.js';
 import type { CrashEvidence } from '../gen/jasmineroute/control_pb.js';
@@ -7,7 +7,7 @@
 /** Crashes after which a request is no longer sent: one or two may have another cause. */
 export const MAX_CRASHES = 3;
 
-/** Starts, and sendings, kept of one request; the oldest cleared ones are dropped. */
+/** Starts, and sendings, kept of one request or part; the oldest cleared ones are dropped. */
 const MAX_KEPT = 16;
 
 interface Entry {
@@ -21,6 +21,9 @@
   return crashed.filter((start) => !cleared.includes(start));
 }
 
+/** Whether evidence is on a prompt part rather than on a request. */
+export const isOnPart = ({ part }: CrashEvidence): boolean => part !== '';
+
 /** Sendings of a request as a trial that count against it. */
 export function chargedSendings({ sent, cleared }: CrashEvidence): string[] {
   return sent.filter((id) => !cleared.includes(id));
@@ -41,8 +44,9 @@
   /** In the order of the last change. */
   private readonly entries = new Map<string, Entry>();
   private changeNumber = 0;
+  private partCount = 0;
 
-  /** @param capacity maximum number of requests. */
+  /** @param capacity maximum number of requests, and of prompt parts: neither displace the other. */
   constructor(private readonly capacity: number) {}
 
   get size(): number {
@@ -54,7 +58,7 @@
     return this.changeNumber;
   }
 
-  /** The evidence on a request; undefined: none. */
+  /** The evidence on a request or part; undefined: none. */
   find(request: Uint8Array): CrashEvidence | undefined {
     return this.entries.get(fingerprintText(request))?.evidence;
   }
@@ -79,43 +83,57 @@
     const merged = known === undefined ? received : unionOf(known, received);
     if (merged === undefined) return undefined;
     this.changeNumber += 1;
-    this.entries.delete(key);
+    this.remove(key);
     this.entries.set(key, { evidence: merged, changeNumber: this.changeNumber });
-    if (this.entries.size > this.capacity) this.evict();
+    if (isOnPart(merged)) this.partCount += 1;
+    const size = isOnPart(merged) ? this.partCount : this.entries.size - this.partCount;
+    if (size > this.capacity) this.evict(isOnPart(merged));
     return merged;
   }
 
+  private remove(key: string): void {
+    const entry = this.entries.get(key);
+    if (entry !== undefined && isOnPart(entry.evidence)) this.partCount -= 1;
+    this.entries.delete(key);
+  }
+
   /**
-   * Evicts the oldest of the requests with the fewest crashes. Among these, one of the customer with the most goes first, so that
-   * no customer's requests displace those of others.
+   * Evicts the oldest of the requests, or of the parts, with the fewest crashes. Among these, one of the customer with the most goes
+   * first, so that no customer's requests displace those of others.
    */
-  private evict(): void {
-    const ranked = [...this.entries].map(([key, { evidence }]) => ({
-      key,
-      customer: evidence.customer,
-      crashes: chargedStarts(evidence).length,
-    }));
+  private evict(areParts: boolean): void {
+    const ranked = [...this.entries]
+      .filter(([, { evidence }]) => isOnPart(evidence) === areParts)
+      .map(([key, { evidence }]) => ({
+        key,
+        customer: evidence.customer,
+        crashes: chargedStarts(evidence).length,
+      }));
     const fewest = Math.min(...ranked.map(({ crashes }) => crashes));
     const candidates = ranked.filter(({ crashes }) => crashes === fewest);
     const counts = new Map<string, number>();
     for (const { customer } of candidates) counts.set(customer, (counts.get(customer) ?? 0) + 1);
     const most = Math.max(...counts.values());
     const evicted = candidates.find(({ customer }) => counts.get(customer) === most);
-    if (evicted !== undefined) this.entries.delete(evicted.key);
+    if (evicted !== undefined) this.remove(evicted.key);
   }
 }
 
 /** Fields that are merged by union. */
-const SETS = ['crashed', 'cleared', 'coincident', 'sent'] as const;
+const SETS = ['crashed', 'cleared', 'coincident', 'sent', 'together'] as const;
 
 /** The union of two pieces of evidence on a request; undefined if the second adds nothing to the first. */
 function unionOf(known: CrashEvidence, received: CrashEvidence): CrashEvidence | undefined {
   const union = create(CrashEvidenceSchema, { ...known });
   for (const set of SETS) union[set] = [...new Set([...known[set], ...received[set]])];
-  if (SETS.every((set) => union[set].length === known[set].length)) return undefined;
+  // A control instance of an earlier release passes evidence on without the part.
+  union.part = known.part === '' ? received.part : known.part;
+  if (union.part === known.part && SETS.every((set) => union[set].length === known[set].length))
+    return undefined;
   const { crashed, sent, cleared } = union;
   const surplus = new Set([...surplusOf(crashed, cleared), ...surplusOf(sent, cleared)]);
   for (const set of SETS) union[set] = union[set].filter((id) => !surplus.has(id));
+  union.together = union.together.filter((pair) => union.crashed.some((start) => pair.endsWith(` ${start}`)));
   return union;
 }
 
--- a/packages/protocol/src/quarantine/fingerprint.ts
+++ b/packages/protocol/src/quarantine/fingerprint.ts
@@ -1,4 +1,4 @@
-/** Fingerprints of requests, by which all processes recognise a request that its caller sends again. */
+/** Fingerprints of requests and prompt parts, by which all processes recognise those that come again. */
 import { createHash } from 'node:crypto';
 
 /** Bytes of a fingerprint: 128 bits, so that no caller can find a request that collides with another one's. */
@@ -15,5 +15,11 @@
   return hash.digest().subarray(0, FINGERPRINT_BYTES);
 }
 
+/** Fingerprint of a prompt part, whoever sends it. It equals that of no request, as the encodings differ. */
+export function partFingerprint(id: string): Uint8Array {
+  const hash = createHash('sha256').update(JSON.stringify({ part: id }));
+  return hash.digest().subarray(0, FINGERPRINT_BYTES);
+}
+
 /** A fingerprint as text, for logs and as a key. */
 export const fingerprintText = (fingerprint: Uint8Array): string => Buffer.from(fingerprint).toString('hex');
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -32,7 +32,8 @@
   trial: {
     id: 8011,
     level: 'info',
-    message: 'a request that may have crashed targets asked to run as a trial',
+    message:
+      'a request that may have crashed targets, or has a prompt part that may, asked to run as a trial',
   },
   leaseFailed: {
     id: 8015,
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -47,7 +47,7 @@
   suspects: {
     name: 'relay.quarantine.suspects',
     type: 'gauge',
-    help: 'Requests that were running at targets when these crashed, as far as this entry knows',
+    help: 'Requests and prompt parts that were running at targets when these crashed, as far as this entry knows',
   },
   open: { name: 'relay.request.open', type: 'gauge', help: 'Requests in progress' },
 });
--- a/packages/relay/src/quarantine/crashWatch.spec.ts
+++ b/packages/relay/src/quarantine/crashWatch.spec.ts
@@ -33,6 +33,7 @@
     const parts = {
       targets: { lifeOf: () => life },
       clock: systemClock,
+      stalls: { current: () => undefined },
       log: silentLog,
       metrics: silentMetrics,
     };
--- a/packages/relay/src/quarantine/crashWatch.ts
+++ b/packages/relay/src/quarantine/crashWatch.ts
@@ -1,5 +1,5 @@
 /** Finds out whether a target that broke off an answer has ended. */
-import type { Clock, Log, Metrics } from '@jasmineroute/core';
+import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import type { Target, TargetList } from '@jasmineroute/knowledge';
 import { relayEvents } from '../events.js';
 import { relayMetrics } from '../metrics.js';
@@ -19,6 +19,9 @@
 const COINCIDENCE_MS = 1_000;
 const MIN_COINCIDENT = 3;
 
+/** Targets of a service that break off answers within so many milliseconds have ended at the same moment, if they have ended. */
+const SAME_MOMENT_MS = 10;
+
 interface End {
   readonly service: string;
   readonly at: number;
@@ -30,12 +33,21 @@
   readonly first: Promise<boolean>;
   /** Whether it has ended. */
   readonly final: Promise<boolean>;
+  /** Id of another target of its service that broke off answers at the same moment. */
+  readonly together?: string;
+}
+
+interface Break {
+  readonly target: Target;
+  readonly at: number;
 }
 
 /** Dependencies of the watch. */
 export interface CrashWatchParts {
   readonly targets: Pick<TargetList, 'lifeOf'>;
   readonly clock: Clock;
+  /** After a stall, answers that broke off at different moments are read at once. */
+  readonly stalls: Pick<StallWatch, 'current'>;
   readonly log: Log;
   readonly metrics: Metrics;
   /** Replaced in tests. */
@@ -50,6 +62,8 @@
   private readonly fates = new Map<string, Fate>();
   /** Targets that ended lately, by id. */
   private readonly ends = new Map<string, End>();
+  /** The last target that broke off an answer, by its service. */
+  private readonly lastBreaks = new Map<string, Break>();
 
   constructor(private readonly parts: CrashWatchParts) {}
 
@@ -80,9 +94,21 @@
       this.record(target, 'left', undefined);
       return { first: Promise.resolve(false), final: Promise.resolve(false) };
     }
+    const together = this.togetherWith(target);
     const first = probe(target.address, clock);
     const final = first.then((result) => this.follow(target, result));
-    return { first: first.then((result) => result === 'refused'), final };
+    return { first: first.then((result) => result === 'refused'), final, together };
+  }
+
+  /** The target of the service that broke off answers right before this one, if that was at the same moment. */
+  private togetherWith(target: Target): string | undefined {
+    const { clock, stalls } = this.parts;
+    const at = clock.monotonic();
+    const last = this.lastBreaks.get(target.service);
+    this.lastBreaks.set(target.service, { target, at });
+    if (last === undefined || at - last.at > SAME_MOMENT_MS || stalls.current() !== undefined)
+      return undefined;
+    return last.target.id === target.id ? undefined : last.target.id;
   }
 
   /** Follows a target until it is known to have ended, or long enough to count as alive. */
--- a/packages/relay/src/quarantine/quarantine.ts
+++ b/packages/relay/src/quarantine/quarantine.ts
@@ -1,4 +1,4 @@
-/** Refuses requests that crashed several targets, whichever entries sent them. */
+/** Refuses requests, and prompt parts, that crashed several targets, whichever entries sent them. */
 import { create } from '@bufbuild/protobuf';
 import type { Clock, Log, Metrics } from '@jasmineroute/core';
 import type { Report, ReportSender, Target } from '@jasmineroute/knowledge';
@@ -9,20 +9,23 @@
   clearedEvidence,
   controlMessage,
   fingerprintText,
-  isHeld,
+  hasManyCrashes,
+  isOnPart,
   needsTurn,
+  standingOf,
+  togetherPair,
   trialNumber,
-  verdictOf,
 } from '@jasmineroute/protocol';
-import type { Verdict } from '@jasmineroute/protocol';
+import type { Standing } from '@jasmineroute/protocol';
 import { relayEvents } from '../events.js';
 import { relayMetrics } from '../metrics.js';
 import { CopiedReporter } from '../report/index.js';
-import type { CrashWatch } from './crashWatch.js';
+import type { CrashWatch, Fate } from './crashWatch.js';
+import { DoubtfulSets } from './doubtfulSets.js';
 import { SuspectRuns } from './suspectRuns.js';
 import type { Trial, Trials } from './trials.js';
 
-/** Maximum number of requests that an entry holds evidence on. */
+/** Maximum number of requests, and of prompt parts, that an entry holds evidence on. */
 const MAX_EVIDENCE = 1_000;
 
 /** Crashes after which a request may still go to another target at once: it is more often beside the cause than the cause. */
@@ -48,15 +51,26 @@
   readonly customer: string;
   /** Ids of the parts of its prompt that other requests share; the last part is its own. */
   readonly parts: readonly string[];
+  /** Fingerprints of these parts, in the same order; computed when they are first needed. */
+  readonly partFingerprints: () => readonly Uint8Array[];
+}
+
+/** A trial that a request runs as. */
+export interface AdmittedTrial {
+  readonly lease: Trial;
+  /** Evidence that it counts against. */
+  readonly tried: readonly CrashEvidence[];
 }
 
 /** Whether a request may be sent. */
 export interface Admission {
   readonly isAdmitted: boolean;
   /** The trial that the request runs as. */
-  readonly trial?: Trial;
+  readonly trial?: AdmittedTrial;
   /** Delay after which a refused caller may come again, milliseconds. */
   readonly retryAfterMs?: number;
+  /** Id of the prompt part for which the request is refused; absent: it is refused by itself. */
+  readonly part?: string;
 }
 
 /** Dependencies of the quarantine. */
@@ -80,10 +94,12 @@
   /** Suspects that this entry has sent to targets. */
   readonly runs = new SuspectRuns();
   private readonly table = new EvidenceTable(MAX_EVIDENCE);
+  private readonly doubtfulSets: DoubtfulSets;
   private readonly reporter: CopiedReporter<CrashEvidence>;
 
   constructor(private readonly parts: QuarantineParts) {
     const { senders, clock } = parts;
+    this.doubtfulSets = new DoubtfulSets(clock);
     this.reporter = new CopiedReporter({ senders, held: () => this.table.all(), reportOf, clock });
   }
 
@@ -102,50 +118,73 @@
   }
 
   /** Whether a request may be sent. */
-  async admit({ fingerprint }: SentRequest): Promise<Admission> {
-    const verdict = this.verdictOf(fingerprint);
+  async admit(request: SentRequest): Promise<Admission> {
+    const standing = this.standingOf(request);
+    const { verdict, tried } = standing;
     if (verdict === 'allowed' || verdict === 'suspect') return { isAdmitted: true };
-    if (verdict === 'quarantined') return { isAdmitted: false, retryAfterMs: RELEASE_MS };
-    const evidence = this.table.find(fingerprint());
-    if (evidence === undefined) return { isAdmitted: true };
-    const request = fingerprintText(fingerprint());
-    const { service } = evidence;
-    const number = trialNumber(evidence);
-    const trial = await this.parts.trials.take({ request, service, number, needsTurn: needsTurn(evidence) });
-    return trial === undefined ? { isAdmitted: false, retryAfterMs: TRIAL_MS } : { isAdmitted: true, trial };
+    const part = tried.find(isOnPart)?.part;
+    if (verdict === 'quarantined') return { isAdmitted: false, retryAfterMs: RELEASE_MS, part };
+    const lease = await this.takeTrial(standing);
+    if (lease === undefined) return { isAdmitted: false, retryAfterMs: TRIAL_MS, part };
+    return { isAdmitted: true, trial: { lease, tried } };
+  }
+
+  private async takeTrial(standing: Standing): Promise<Trial | undefined> {
+    const { tried, doubtfulParts, isLastJointTrial } = standing;
+    const parts = doubtfulParts.map((evidence) => ({
+      part: fingerprintText(evidence.request),
+      crashes: chargedStarts(evidence).length,
+    }));
+    if (!this.doubtfulSets.mayBeTried(parts, isLastJointTrial)) return undefined;
+    const requests = tried.map((evidence) => ({
+      request: fingerprintText(evidence.request),
+      service: evidence.service,
+      number: trialNumber(evidence),
+      needsTurn: needsTurn(evidence),
+    }));
+    return this.parts.trials.take(requests);
   }
 
   /**
    * Whether a request that was sent may be sent on within the same attempt of its caller.
    * @param hasRun false: the last target refused it, or was not reached.
    */
-  mayRetry({ fingerprint }: SentRequest, hasRun: boolean): boolean {
-    const evidence = this.table.size === 0 ? undefined : this.table.find(fingerprint());
-    if (evidence === undefined) return true;
+  mayRetry(request: SentRequest, hasRun: boolean): boolean {
     // A trial is a single sending, and a refused one counts too.
-    if (isHeld(evidence)) return false;
+    if (this.isHeld(request)) return false;
+    const evidence = this.table.size === 0 ? undefined : this.table.find(request.fingerprint());
+    if (evidence === undefined) return true;
     return !hasRun || chargedStarts(evidence).length <= MAX_RETRIED_CRASHES;
   }
 
   /** Whether a request may be sent as a trial only, or not at all. */
-  isHeld({ fingerprint }: SentRequest): boolean {
-    const evidence = this.table.size === 0 ? undefined : this.table.find(fingerprint());
-    return evidence !== undefined && isHeld(evidence);
+  isHeld(request: SentRequest): boolean {
+    return this.refusalOf(request) !== undefined;
   }
 
-  /** Records that a trial is sent to a target. @returns a function that takes this back where no target was reached. */
-  recordSending({ fingerprint }: SentRequest, { id }: Trial): () => void {
-    const evidence = this.table.find(fingerprint());
-    if (evidence === undefined) return () => undefined;
-    this.add(create(controlMessage.CrashEvidenceSchema, { ...evidence, sent: [id] }));
-    return () => {
-      this.add(create(controlMessage.CrashEvidenceSchema, { ...evidence, sent: [id], cleared: [id] }));
+  /** Why a request may be sent as a trial only, or not at all; undefined: it may be sent. */
+  refusalOf(request: SentRequest): Pick<Admission, 'part'> | undefined {
+    const { verdict, tried } = this.standingOf(request);
+    const isHeld = verdict === 'doubtful' || verdict === 'quarantined';
+    return isHeld ? { part: tried.find(isOnPart)?.part } : undefined;
+  }
+
+  /**
+   * Records that a trial is sent to a target.
+   * @returns a function that takes this back where no target was reached or, of what has crashed few, where it refused.
+   */
+  recordSending({ lease, tried }: AdmittedTrial): (wasReached: boolean) => void {
+    const sent = [lease.id];
+    for (const evidence of tried) this.add(create(controlMessage.CrashEvidenceSchema, { ...evidence, sent }));
+    return (wasReached) => {
+      for (const evidence of tried.filter((one) => !wasReached || (isOnPart(one) && !hasManyCrashes(one))))
+        this.add(create(controlMessage.CrashEvidenceSchema, { ...evidence, sent, cleared: sent }));
     };
   }
 
-  /** Whether targets crashed while they ran a request. */
-  isSuspect({ fingerprint }: SentRequest): boolean {
-    return this.verdictOf(fingerprint) !== 'allowed';
+  /** Whether targets crashed while they ran a request, or other requests with a part that explains it. */
+  isSuspect(request: SentRequest): boolean {
+    return this.standingOf(request).verdict !== 'allowed';
   }
 
   /**
@@ -153,13 +192,27 @@
    * connection within a round trip. The fate of another one is recorded when it is known, as its requests may not wait for it.
    */
   async recordBroken(request: SentRequest, target: Target): Promise<void> {
-    const { first, final } = this.parts.crashWatch.fateOf(target);
-    void final.then((hasEnded) => {
-      this.recordFate(request, target, hasEnded);
+    const fate = this.parts.crashWatch.fateOf(target);
+    void fate.final.then((hasEnded) => {
+      this.recordFate(request, target, fate, hasEnded);
     });
     const { clock } = this.parts;
-    const hasEnded = await Promise.race([first, clock.sleep(PROBE_WAIT_MS).then(() => false)]);
-    if (hasEnded) this.recordCrash(request, target);
+    const hasEnded = await Promise.race([fate.first, clock.sleep(PROBE_WAIT_MS).then(() => false)]);
+    if (hasEnded) this.recordCrash(request, target, fate);
+  }
+
+  /**
+   * Records that a target begins to answer a request.
+   * @returns a function that records that the answer ended well: the parts of the request did not cause the crashes that were known
+   * when it began. A part may be sound for long and crash targets from some moment on.
+   */
+  beginAnswer({ partFingerprints }: SentRequest): () => void {
+    if (this.table.size === 0) return () => undefined;
+    const known = partFingerprints().flatMap((part) => this.table.find(part) ?? []);
+    const cleared = known.filter((evidence) => chargedStarts(evidence).length > 0).map(clearedEvidence);
+    return () => {
+      for (const evidence of cleared) this.add(evidence);
+    };
   }
 
   /** Records that a request ended well: the crashes under it had other causes. */
@@ -173,37 +226,45 @@
    * Ends a trial.
    * @param target the one that broke it off; undefined: none did.
    */
-  endTrial({ fingerprint }: SentRequest, trial: Trial, target: Target | undefined): void {
-    const evidence = this.table.find(fingerprint());
-    const counts = evidence !== undefined && chargedSendings(evidence).includes(trial.id);
-    if (target === undefined) trial.end(counts);
+  endTrial({ lease, tried }: AdmittedTrial, target: Target | undefined): void {
+    const counts = tried.some(({ request }) => {
+      const evidence = this.table.find(request);
+      return evidence !== undefined && chargedSendings(evidence).includes(lease.id);
+    });
+    if (target === undefined) lease.end(counts);
     else
       void this.parts.crashWatch.fateOf(target).final.then(() => {
-        trial.end(counts);
+        lease.end(counts);
       });
   }
 
-  private verdictOf(fingerprint: () => Uint8Array): Verdict {
-    return this.table.size === 0 ? 'allowed' : verdictOf(this.table, fingerprint());
+  private standingOf({ fingerprint, partFingerprints }: SentRequest): Standing {
+    return standingOf(this.table, fingerprint, partFingerprints);
   }
 
-  private recordFate(request: SentRequest, target: Target, hasEnded: boolean): void {
+  private recordFate(request: SentRequest, target: Target, fate: Fate, hasEnded: boolean): void {
     const fingerprint = fingerprintText(request.fingerprint());
     const { log, metrics } = this.parts;
     const { id, parts } = request;
     log.event(relayEvents.brokenUnder, { request: id, fingerprint, parts, target: target.id, hasEnded });
     const prompt = parts.length > 0 ? 'shared' : 'own';
     metrics.count(relayMetrics.brokenRequests, 1, { fate: hasEnded ? 'ended' : 'alive', prompt });
-    if (hasEnded) this.recordCrash(request, target);
+    if (hasEnded) this.recordCrash(request, target, fate);
   }
 
-  private recordCrash({ fingerprint, customer }: SentRequest, target: Target): void {
+  private recordCrash(request: SentRequest, target: Target, { together }: Fate): void {
     const { id, service } = target;
-    const fields = { request: fingerprint(), customer, service, crashed: [id] };
+    const { customer } = request;
+    const fields = { request: request.fingerprint(), customer, service, crashed: [id] };
     this.add(create(controlMessage.CrashEvidenceSchema, fields));
     void this.parts.crashWatch.isCoincident(target).then((isCoincident) => {
       if (isCoincident) this.add(create(controlMessage.CrashEvidenceSchema, { ...fields, coincident: [id] }));
     });
+    const pairs = together === undefined ? [] : [togetherPair(together, id)];
+    for (const [at, part] of request.partFingerprints().entries()) {
+      const ofPart = { ...fields, request: part, part: request.parts[at], together: pairs };
+      this.add(create(controlMessage.CrashEvidenceSchema, ofPart));
+    }
   }
 
   private add(evidence: CrashEvidence): void {
--- a/packages/relay/src/quarantine/trials.spec.ts
+++ b/packages/relay/src/quarantine/trials.spec.ts
@@ -49,7 +49,7 @@
     });
 
   async function take(entry: string, request: TrialRequest): Promise<Trial | undefined> {
-    const trial = await trialsOf(entry).take(request);
+    const trial = await trialsOf(entry).take([request]);
     if (trial !== undefined) running.push(trial);
     return trial;
   }
@@ -109,7 +109,7 @@
   // Guards against callers that repeat at once and cost control a command of the log each time.
   it('are asked for once in a while, however often callers come', async () => {
     const trials = trialsOf('e1');
-    await Promise.all(Array.from({ length: 20 }, () => trials.take(trialOf('a'))));
+    await Promise.all(Array.from({ length: 20 }, () => trials.take([trialOf('a')])));
     expect(leases.asked).toBe(2);
   });
 
--- a/packages/relay/src/quarantine/trials.ts
+++ b/packages/relay/src/quarantine/trials.ts
@@ -48,12 +48,12 @@
   end(counts: boolean): void;
 }
 
-/** A request whose trial is asked for. */
+/** A request, or a part of its prompt, whose trial is asked for. */
 export interface TrialRequest {
   /** Fingerprint. */
   readonly request: string;
   readonly service: string;
-  /** Number of this trial of the request. */
+  /** Number of this trial of the request or part. */
   readonly number: number;
   /** Whether no other trial of the service may run meanwhile. */
   readonly needsTurn: boolean;
@@ -69,36 +69,51 @@
 
   constructor(private readonly parts: TrialsParts) {}
 
-  /** A trial, if no other entry has it. Asked for at intervals only: callers may repeat at once. */
-  async take({ request, service, number, needsTurn }: TrialRequest): Promise<Trial | undefined> {
+  /**
+   * A trial of one sending, if no other entry has that of any of what is tried by it. Asked for at intervals only: callers may
+   * repeat at once.
+   */
+  async take(tried: readonly TrialRequest[]): Promise<Trial | undefined> {
     const { clock, log } = this.parts;
-    const name = `trial/${request}/${number}`;
-    if (this.asked.has(request)) return undefined;
-    this.asked.add(request);
-    clock.after(ASK_INTERVAL_MS, () => this.asked.delete(request));
-    const turn = needsTurn ? await this.takeLease(`trials of ${service}`) : undefined;
-    const mayRun = turn !== undefined || !needsTurn;
-    const trial = mayRun ? await this.takeLease(name) : undefined;
-    log.event(relayEvents.trial, { request, number, needsTurn, isGranted: trial !== undefined });
-    if (trial !== undefined) return this.start(trial, turn);
-    if (turn !== undefined) this.release(turn);
-    return undefined;
+    const key = tried.map(({ request }) => request).join();
+    if (this.asked.has(key)) return undefined;
+    this.asked.add(key);
+    clock.after(ASK_INTERVAL_MS, () => this.asked.delete(key));
+    const turns = new Set(
+      tried.filter(({ needsTurn }) => needsTurn).map(({ service }) => `trials of ${service}`),
+    );
+    const names = tried.map(({ request, number }) => `trial/${request}/${number}`);
+    const leases = await this.takeAll([...turns, ...names.sort()]);
+    for (const { request, number, needsTurn } of tried)
+      log.event(relayEvents.trial, { request, number, needsTurn, isGranted: leases !== undefined });
+    return leases === undefined ? undefined : this.start(leases, turns.size);
+  }
+
+  /** Takes leases one after the other, always in the same order; none if one of them is not granted. */
+  private async takeAll(names: readonly string[]): Promise<Lease[] | undefined> {
+    const leases: Lease[] = [];
+    for (const name of names) {
+      const lease = await this.takeLease(name);
+      if (lease !== undefined) {
+        leases.push(lease);
+        continue;
+      }
+      for (const taken of leases) this.release(taken);
+      return undefined;
+    }
+    return leases;
   }
 
-  /** Renews the leases of a trial until its end. */
-  private start(trial: Lease, turn: Lease | undefined): Trial {
-    const endTrial = this.renew(trial);
-    const endTurn = turn === undefined ? undefined : this.renew(turn);
+  /** Renews the leases of a trial until its end. @param turns number of the leases that are turns, the first ones. */
+  private start(leases: readonly Lease[], turns: number): Trial {
+    const renewed = leases.map((lease, at) => ({ lease, isTurn: at < turns, end: this.renew(lease) }));
     return {
-      id: `${trial.holder}/${trial.incarnation}`,
+      id: leases.map(({ holder, incarnation }) => `${holder}/${incarnation}`).at(-1) ?? '',
       end: (counts) => {
-        void endTrial().then(() => {
-          if (counts) void this.request(trial, SENT_LEASE_MS);
-          else this.release(trial);
-        });
-        if (turn !== undefined)
-          void endTurn?.().then(() => {
-            this.release(turn);
+        for (const { lease, isTurn, end } of renewed)
+          void end().then(() => {
+            if (counts && !isTurn) void this.request(lease, SENT_LEASE_MS);
+            else this.release(lease);
           });
       },
     };
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -74,7 +74,7 @@
     const { senders } = this;
     const allControls = (): readonly string[] => this.follower.allControls();
     this.origins = new StreamOrigins({ senders, allControls, peers, clock, log });
-    const crashWatch = new CrashWatch({ targets: knowledge.targets, clock, log, metrics });
+    const crashWatch = new CrashWatch({ targets: knowledge.targets, clock, stalls, log, metrics });
     const trials = new Trials({ name, incarnation, controls: allControls, peers, clock, log });
     this.quarantine = new Quarantine({ crashWatch, trials, senders, clock, log, metrics });
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -4,8 +4,8 @@
 import { fault } from '@jasmineroute/core';
 import type { Fault, FaultKind } from '@jasmineroute/core';
 import { FaultError } from '@jasmineroute/engine';
-import { requestFingerprint } from '@jasmineroute/protocol';
-import type { SentRequest, Trial } from '../quarantine/index.js';
+import { partFingerprint, requestFingerprint } from '@jasmineroute/protocol';
+import type { AdmittedTrial, SentRequest } from '../quarantine/index.js';
 import { readBody } from '@jasmineroute/entry';
 import type { Target } from '@jasmineroute/knowledge';
 import { err, ok } from 'neverthrow';
@@ -55,6 +55,7 @@
 const MIN_REMAINING_MS = 10;
 
 const SUCCESS = 200;
+const REDIRECT = 300;
 const SERVER_ERROR = 500;
 
 /** Faults of attempts whose request was not written to the target. */
@@ -64,20 +65,29 @@
 const fetchOf = (source: Source | undefined): Fetch | undefined =>
   source?.isStore === true ? { store: source.address, tokens: source.tokens } : undefined;
 
-const quarantined = (retryAfterMs: number | undefined): Fault =>
-  fault('request-quarantined', 'targets crashed while they ran this request; it was not sent', {
+function quarantined(retryAfterMs: number | undefined, part: string | undefined): Fault {
+  const what = part === undefined ? 'this request' : `requests with the prompt part ${part}`;
+  return fault('request-quarantined', `targets crashed while they ran ${what}; it was not sent`, {
     retryAfterMs,
   });
+}
+
+/** Whether the end of an answer shows that the target finished it: a success that a lost connection can't look like. */
+const isProofOfEnd = ({ wire }: TargetAnswer): boolean =>
+  wire.isFramed && wire.status >= SUCCESS && wire.status < REDIRECT;
 
 /** A request as its caller repeats it: the same path and body, of the same customer. */
 function sentRequest({ id, path, prompt }: RelayRequest, body: Uint8Array, customer?: Customer): SentRequest {
   const name = customer?.name ?? '';
+  const parts = sharedPartIds(prompt);
   let fingerprint: Uint8Array | undefined;
+  let partFingerprints: Uint8Array[] | undefined;
   return {
     id,
     customer: name,
-    parts: sharedPartIds(prompt),
+    parts,
     fingerprint: () => (fingerprint ??= requestFingerprint(name, path, body)),
+    partFingerprints: () => (partFingerprints ??= parts.map(partFingerprint)),
   };
 }
 
@@ -94,7 +104,7 @@
   /** Target of the last attempt, unless it has answered or refused. */
   private target: Target | undefined;
   /** The trial that the request runs as. */
-  private trial: Trial | undefined;
+  private trial: AdmittedTrial | undefined;
 
   constructor(
     private readonly context: RelayContext,
@@ -236,14 +246,14 @@
     this.job = job;
     this.maxAttempts = job.route.resumable ? job.route.maxAttempts : 0;
     budgets.deposit(this.service);
-    const { isAdmitted, trial, retryAfterMs } = await quarantine.admit(job.sent);
+    const { isAdmitted, trial, retryAfterMs, part } = await quarantine.admit(job.sent);
     if (!isAdmitted) {
-      this.reject(job.request, quarantined(retryAfterMs), job.route);
+      this.reject(job.request, quarantined(retryAfterMs, part), job.route);
       return;
     }
     this.trial = trial;
     const last = await this.attemptInTurn(job).finally(() => {
-      if (trial !== undefined) quarantine.endTrial(job.sent, trial, this.target);
+      if (trial !== undefined) quarantine.endTrial(trial, this.target);
     });
     if (last.state === 'answered') this.recordAnswered(job);
     else this.failUnanswered(job, last);
@@ -283,8 +293,9 @@
 
   /** The fault of a request under which targets crashed; that may have become known while it waited. */
   private heldFault({ sent }: Job): Fault | undefined {
-    const isHeld = this.trial === undefined && this.context.quarantine.isHeld(sent);
-    return isHeld ? quarantined(RECHECK_RETRY_MS) : undefined;
+    if (this.trial !== undefined) return undefined;
+    const refusal = this.context.quarantine.refusalOf(sent);
+    return refusal === undefined ? undefined : quarantined(RECHECK_RETRY_MS, refusal.part);
   }
 
   private recordAnswered({ request, route }: Job): void {
@@ -415,15 +426,19 @@
     const source = job.route.hasPrompt ? sourceFor(this.context, job, target) : undefined;
     const addedFields = addedFieldsFor(this.context, job, target, leftMs, resumeAfterId, source);
     const open = monitor.startRequest(target.id, placement.tokens, fetchOf(source), job.service.name);
-    const takeBack = this.trial === undefined ? undefined : quarantine.recordSending(job.sent, this.trial);
+    const takeBack = this.trial === undefined ? undefined : quarantine.recordSending(this.trial);
     const endRun = quarantine.isSuspect(job.sent) ? quarantine.runs.begin(target.id) : undefined;
     const sending = new Sending(this.context, target, () => this.heldFault(job));
     let outcome: Outcome;
     let status = 0;
     let wasUnresponsive: boolean;
+    let clearParts = (): void => undefined;
     try {
       const sent = await send(this.context, job, sending, addedFields, this.abort.signal);
-      if (sent.isOk()) status = sent.value.wire.status;
+      if (sent.isOk()) {
+        status = sent.value.wire.status;
+        if (isProofOfEnd(sent.value)) clearParts = quarantine.beginAnswer(job.sent);
+      }
       outcome = sent.isOk()
         ? await this.forward(job, target, sent.value, open)
         : { state: 'fault', fault: sent.error };
@@ -437,10 +452,12 @@
     if (outcome.state === 'answered') {
       monitor.recordSuccess(target.id);
       quarantine.recordSuccess(job.sent);
+      clearParts();
     } else if (this.mayHaveEnded(job, outcome.fault, wasUnresponsive)) {
       await quarantine.recordBroken(job.sent, target);
     }
-    if (outcome.state !== 'answered' && neverReached.has(outcome.fault.kind)) takeBack?.();
+    if (outcome.state !== 'answered' && outcome.fault.ran === 'not-run')
+      takeBack?.(!neverReached.has(outcome.fault.kind));
     if (outcome.state === 'fault' && outcome.fault.kind === 'answer-mismatch')
       monitor.recordFailure(target.id);
     if (outcome.state !== 'answered' && outcome.fault.kind === 'target-leaving')
