A stream without length or chunks that ends before its first event is broken off, not empty

What callers saw: 200 with an empty stream that looks complete, where the target had ended right after its headers. Cause: without a length or chunks the end of the connection ends the answer, and only the rest of an event was taken for a break. Evidence: unframed.spec.ts cuts such a stream after each byte, in order and by a reset; at 0 bytes in order it looked complete. Change: such a stream has ended only if an event came before; otherwise it is broken off, and goes on elsewhere where it may. The tests failed before (2 of 3: complete at 0 bytes; an empty stream in place of one that goes on) and pass now.

--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -52,6 +52,7 @@
   /** Forwards events as they arrive, each only once it is complete. */
   async forward(target: Target, { wire }: TargetAnswer, open: OpenRequest): Promise<Outcome> {
     this.targetEventAt = undefined;
+    let hasEvents = false;
     const framer = new EventFramer(this.lastEventId);
     const stopWatching = [this.watchUnresponsive(target, wire), this.watchTargetPause(target, wire)];
     // Headers are sent with the first event, so that nothing of the answer of a target that is lost earlier reaches
@@ -64,6 +65,7 @@
         this.context.monitor.recordActivity(target.id);
         const events = framer.push(chunk);
         if (events.length === 0) continue;
+        hasEvents = true;
         open.markRead();
         begin();
         this.recordTarget(target);
@@ -79,6 +81,9 @@
     }
     if (framer.pending.length > 0)
       return interrupted(fault('stream-broken', 'the stream ended inside an event'));
+    // Without a length or chunks, the end of a target right after its headers looks like that of an empty stream.
+    if (!wire.isFramed && !hasEvents)
+      return interrupted(fault('stream-broken', 'the stream ended before its first event'));
     begin();
     this.answer.end();
     return { state: 'answered' };
