--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,5 +1,6 @@
 // An operator makes a tenant isolated; does another tenant's request still use KV cache that the isolated one made?
 import { createServer } from 'node:http';
+import { clearInterval, clearTimeout, setInterval, setTimeout } from 'node:timers';
 import { writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 
@@ -54,13 +55,14 @@
         method: 'POST',
         body,
         headers,
-        signal: AbortSignal.timeout(1000),
+        signal: globalThis.AbortSignal.timeout(1000),
       }).catch(() => undefined);
       if (answer?.ok) return;
     }
   }
   async serve(request, response) {
-    for await (const _ of request);
+    request.resume();
+    await new Promise((resolve) => request.once('end', resolve));
     const { headers } = request;
     const path = request.url.split('?')[0];
     const json = (status, body) =>
