--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -171,6 +171,26 @@
   ).length;
   const answer = await installation.ask('/s/1');
   note(`a request for the model is answered ${answer.status}`);
+  // Not judged: what a server of the other service is told that begins to drain.
+  const statuses = [];
+  for (const control of controls) {
+    const body = JSON.stringify({
+      service: 'desk',
+      address: installation.targets.find(({ id }) => id === 'plain-1').address,
+      zone: 'here',
+      version: 'v1',
+      slots: 4,
+      state: 'draining',
+      coldRemainingMs: 0,
+      seq: 1_000_000 + statuses.length,
+    });
+    const options = { method: 'POST', body, headers: { 'content-type': 'application/json' } };
+    const told = await globalThis
+      .fetch(`http://${control}/instances/plain-1/heartbeat`, options)
+      .catch(() => undefined);
+    statuses.push(told?.status ?? 0);
+  }
+  note(`a heartbeat of plain-1 that it drains is answered ${statuses.join(', ')} by the instances in turn`);
   if (behind > 1) {
     note(`VERSION broken: ${behind} of ${SERVERS} servers still have an older version`);
     code = 1;
