An agent asks the control instances that it follows for the right to order

What callers saw: after all control instances that agents were started with had been replaced, one after the other, weights that an operator named reached no target. 8 s later entries left out all of them, and a request for the model got 503.

Cause: an agent's client for turns was made once, of the addresses in the settings at its start. Follower, reports and observations use what the follower knows now. `reseed` told the follower only, so not even SIGHUP helped.

With the list of the follower and nothing else changed, the new test passes; with the list of the start put back it fails ("waited 8000 ms for the weights").

Change: `ControlClient` takes a function that gives the addresses known at the moment of a call, or the addresses that the directory client keeps up to date; a fixed list is no longer possible. The client of trials, made anew for each call to get round this, is made once.

Related clients: origins, trials, reports and observations of entry and agent already asked the follower; claims and turns of the own interface share the directory's addresses; `jasminectl` lives for one command.

--- a/packages/agent/src/role/orderTask.ts
+++ b/packages/agent/src/role/orderTask.ts
@@ -60,9 +60,9 @@
 
   private makeExecutor(): Executor {
     const { context, settings, engine, engineMonitor, directory, onModelsChanged } = this.parts;
-    const { name, incarnation, controls, peers, clock, log, metrics, dataCentre } = context;
+    const { name, incarnation, peers, clock, log, metrics, dataCentre } = context;
     const { service, settleMs } = settings;
-    const { addresses } = directory;
+    const { addresses: controls } = directory;
     const view = () => directory.view();
     const serving = { service, self: name, view, peers, clock };
     return new Executor({
@@ -70,7 +70,7 @@
       name,
       incarnation,
       engine,
-      turns: new TurnClient(new ControlClient({ controls, peers, clock, metrics, addresses, dataCentre })),
+      turns: new TurnClient(new ControlClient({ controls, peers, clock, metrics, dataCentre })),
       view,
       clock,
       log,
--- a/packages/control/src/role/controlCluster.spec.ts
+++ b/packages/control/src/role/controlCluster.spec.ts
@@ -192,7 +192,7 @@
       () => performance.now(),
       () => (draw += 0.1),
     );
-    const options = { controls, addresses, peers, clock: systemClock, metrics: silentMetrics };
+    const options = { controls: addresses, peers, clock: systemClock, metrics: silentMetrics };
     const client = new ClaimClient(new ControlClient(options));
     const state = async (attemptId: string): Promise<controlMessage.ClaimState> => {
       const fields = { service: 'desk', customer: 'lloyd', key: attemptId, attemptId, agent: 'a' };
--- a/packages/ctl/src/control/controls.ts
+++ b/packages/ctl/src/control/controls.ts
@@ -44,7 +44,7 @@
 
   constructor({ addresses, peers, clock, timeoutMs }: DocumentControlsOptions) {
     this.clock = clock;
-    this.controls = new ControlClient({ controls: addresses, peers, clock, metrics: silentMetrics });
+    this.controls = new ControlClient({ controls: () => addresses, peers, clock, metrics: silentMetrics });
     this.timeoutMs = timeoutMs;
   }
 
--- a/packages/directory/src/call/controlClient.spec.ts
+++ b/packages/directory/src/call/controlClient.spec.ts
@@ -53,7 +53,7 @@
     peers.close();
     return Promise.resolve();
   });
-  return new ControlClient({ controls, addresses, peers, clock: systemClock, metrics: silentMetrics });
+  return new ControlClient({ controls: addresses, peers, clock: systemClock, metrics: silentMetrics });
 }
 
 const turn = { name: 't', holder: 'h', limit: 1, ttlMs: 1_000 };
@@ -82,6 +82,27 @@
     expect(mixed._unsafeUnwrapErr()).toMatchObject({ kind: 'target-unreachable', ran: 'may-have-run' });
   });
 
+  // Guards against a client that calls only the instances known at its start after all of them have been replaced.
+  it('calls the instances that are known at the moment of the call', async () => {
+    const peers = new Peers();
+    closers.push(() => {
+      peers.close();
+      return Promise.resolve();
+    });
+    let known = [GONE];
+    const client = new ControlClient({
+      controls: () => known,
+      peers,
+      clock: systemClock,
+      metrics: silentMetrics,
+    });
+    expect((await take(client, 200)).isErr()).toBe(true);
+    const pending = take(client);
+    known = [await control()];
+    expect((await pending).isOk()).toBe(true);
+    expect((await take(client, 200)).isOk()).toBe(true);
+  });
+
   it('returns a decision of the service with its kind, without trying another instance', async () => {
     const forbidden = fault('forbidden', 'not yours');
     const answer = await take(controlsOf(await control(forbidden)));
--- a/packages/directory/src/call/controlClient.ts
+++ b/packages/directory/src/call/controlClient.ts
@@ -19,12 +19,14 @@
 
 /** Dependencies and settings of the calls. */
 export interface ControlClientOptions {
-  readonly controls: readonly string[];
+  /**
+   * Control instances, host:port: those known at the moment of a call, as instances are replaced while a process runs; or
+   * the addresses that the directory client keeps up to date, so that both see which instances fail.
+   */
+  readonly controls: (() => readonly string[]) | ControlAddresses;
   readonly peers: Peers;
   readonly clock: Clock;
   readonly metrics: Metrics;
-  /** Shared with the directory client, so that both see which instances fail. */
-  readonly addresses?: ControlAddresses;
   readonly dataCentre?: string;
   /** Timeout of one attempt before the next instance is tried, in milliseconds. */
   readonly attemptMs?: number;
@@ -41,8 +43,9 @@
 
   constructor(private readonly options: ControlClientOptions) {
     this.attemptMs = options.attemptMs ?? ATTEMPT_TIMEOUT_MS;
+    const { controls, clock } = options;
     this.addresses =
-      options.addresses ?? new ControlAddresses(options.controls, () => options.clock.monotonic());
+      controls instanceof ControlAddresses ? controls : new ControlAddresses([], () => clock.monotonic());
   }
 
   /** Tries an instance before all others until it fails. An unknown address is ignored. */
@@ -76,7 +79,10 @@
   }
 
   private orderedAddresses(): string[] {
-    const order = this.addresses.order(this.options.dataCentre);
+    const { controls, dataCentre } = this.options;
+    if (typeof controls === 'function')
+      this.addresses.setDiscovered(new Map(controls().map((address) => [address, ''])));
+    const order = this.addresses.order(dataCentre);
     const { preferred } = this;
     if (!order.includes(preferred)) return order;
     return [preferred, ...order.filter((address) => address !== preferred)];
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -79,10 +79,8 @@
     includeInstances: true,
     folder: dataFolder,
   });
-  const { addresses } = directory;
-  const store = new ClaimClient(
-    new ControlClient({ controls, peers, clock, metrics, addresses, dataCentre }),
-  );
+  const calls = { controls: directory.addresses, peers, clock, metrics, dataCentre };
+  const store = new ClaimClient(new ControlClient(calls));
   return { directory, claims: store };
 }
 
--- a/packages/relay/src/quarantine/trials.ts
+++ b/packages/relay/src/quarantine/trials.ts
@@ -65,9 +65,14 @@
 export class Trials {
   /** Requests of which a trial was asked for lately. */
   private readonly asked = new Set<string>();
+  private readonly turns: TurnClient;
   private count = 0;
 
-  constructor(private readonly parts: TrialsParts) {}
+  constructor(private readonly parts: TrialsParts) {
+    const { controls, peers, clock } = parts;
+    const options = { controls, peers, clock, metrics: silentMetrics, attemptMs: ATTEMPT_TIMEOUT_MS };
+    this.turns = new TurnClient(new ControlClient(options));
+  }
 
   /**
    * A trial of one sending, if no other entry has that of any of what is tried by it. Asked for at intervals only: callers may
@@ -146,27 +151,19 @@
 
   /** Asks control for a lease. @returns whether it is granted; undefined: not known. */
   private async request(lease: Lease, ttlMs: number): Promise<boolean | undefined> {
-    const answer = await this.client().take({ ...lease, limit: 1, ttlMs }, TAKE_TIMEOUT_MS);
+    const answer = await this.turns.take({ ...lease, limit: 1, ttlMs }, TAKE_TIMEOUT_MS);
     if (answer.isOk()) return answer.value.granted;
     this.logFailure(lease, answer.error);
     return undefined;
   }
 
   private release(lease: Lease): void {
-    void this.client()
-      .release(lease, TAKE_TIMEOUT_MS)
-      .then((released) => {
-        if (released.isErr()) this.logFailure(lease, released.error);
-      });
+    void this.turns.release(lease, TAKE_TIMEOUT_MS).then((released) => {
+      if (released.isErr()) this.logFailure(lease, released.error);
+    });
   }
 
   private logFailure({ name }: Lease, { message }: Fault): void {
     this.parts.log.event(relayEvents.leaseFailed, { lease: name, problem: message });
   }
-
-  private client(): TurnClient {
-    const { controls, peers, clock } = this.parts;
-    const options = { controls: controls(), peers, clock, metrics: silentMetrics };
-    return new TurnClient(new ControlClient({ ...options, attemptMs: ATTEMPT_TIMEOUT_MS }));
-  }
 }
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -49,13 +49,14 @@
     });
     const followerParts = { name, role: 'agent', listener: knowledge, peers, clock, log } as const;
     this.follower = new Follower({ ...followerParts, controls, maxFollowed: FOLLOWED_CONTROLS });
+    const followed = (): string[] => this.follower.controls();
     const attemptMs = TURN_ATTEMPT_TIMEOUT_MS;
     const turns = new TurnClient(
-      new ControlClient({ controls, peers, clock, metrics, dataCentre, attemptMs }),
+      new ControlClient({ controls: followed, peers, clock, metrics, dataCentre, attemptMs }),
     );
-    const observer = new Observer(() => this.follower.controls(), peers, log);
+    const observer = new Observer(followed, peers, log);
     const { address, port } = target;
-    const controlParts = { controls: () => this.follower.controls(), peers, clock, log };
+    const controlParts = { controls: followed, peers, clock, log };
     this.sender = new ReportSender(controlParts);
     const reporterParts = { address, port, sender: this.sender, clock, log };
     this.loadReporter = new LoadReporter({ ...reporterParts, knowledge });
