A follower forgets control instances that were replaced

What callers saw: nothing by itself yet; each trial of a doubtful request and each lookup of a stream's origin also called instances that are gone for good, and a lookup that all known instances have to answer stayed incomplete, so that a stream whose origin nobody knows could not be taken up.

Cause: the follower joins the lists of all instances that it follows. One that was replaced is in its own last report, is therefore still wanted where it comes early in the order, and so its report is kept for good.

Change: lists of instances in contact with a quorum count; the others count only while none is in contact, as for a process that was cut off while all were replaced.

--- a/packages/knowledge/src/follower.spec.ts
+++ b/packages/knowledge/src/follower.spec.ts
@@ -330,6 +330,18 @@
     await untilSettled(follower);
   });
 
+  // Guards against calls to replaced instances, and lookups that stay incomplete, for as long as a process runs.
+  it('forgets instances that were replaced while it followed them', async () => {
+    const follower = follow();
+    await untilSettled(follower);
+    const replaced = instances.filter(({ open }) => open > 0);
+    for (const one of replaced) one.isDown = true;
+    instances = instances.filter((one) => !replaced.includes(one));
+    const known = (): string[] => follower.allControls().sort();
+    await until('the others only', () => known().join() === addresses().sort().join());
+    await Promise.all(replaced.map(({ server }) => server.close()));
+  });
+
   // Guards against state that is discarded at the end of an old stream though a newer one to the same instance delivered it.
   it('keeps what a newer stream to the same instance has delivered', async () => {
     const calls: string[] = [];
--- a/packages/knowledge/src/follower.ts
+++ b/packages/knowledge/src/follower.ts
@@ -159,8 +159,14 @@
     return known;
   }
 
+  /**
+   * Addresses reported by the instances in contact with a quorum; by all followed ones while none is in contact. One that was
+   * replaced is still in its own last report.
+   */
   private reportedAddresses(): Set<string> {
-    return new Set([...this.reported.values()].flat());
+    const current = [...this.reported].filter(([address]) => this.isInContact(address));
+    const reports = current.length > 0 ? current : [...this.reported];
+    return new Set(reports.flatMap(([, controls]) => controls));
   }
 
   /** Starts and stops tasks as control instances come and go. */
