The leader orders where the process beside a target reports but can't order

While the processes beside all targets got no answer to their requests for turns, the leader of the control instances left their targets alone, and these stayed on superseded weights until entries left them out (503).

Cause: a target counted as attended when the process beside it reported its load within 3 s. Reports and the right to order go different ways, so a report does not show that the process can order.

Change: a report of a load says when no control instance answered the last request for a turn, at once with each change; such a target is unattended after 3 s as one without reports is. The right to order keeps the two apart as before, and the next answer that the process gets ends it. Reports of older builds lack the field and count as before.

--- a/packages/control/src/recent/recentReports.spec.ts
+++ b/packages/control/src/recent/recentReports.spec.ts
@@ -49,10 +49,7 @@
     board.take('b', load('b', 2));
     await clock.advance(500);
     expect(summary(board.within(1_000))).toEqual([['b', 2]]);
-    expect([board.isRecent('a', 1_000), board.isRecent('b', 1_000), board.isRecent('c', 1_000)]).toEqual([
-      false,
-      true,
-      false,
-    ]);
+    const recent = ['a', 'b', 'c'].map((key) => board.recent(key, 1_000)?.running);
+    expect(recent).toEqual([undefined, 2, undefined]);
   });
 });
--- a/packages/control/src/recent/recentReports.ts
+++ b/packages/control/src/recent/recentReports.ts
@@ -44,10 +44,11 @@
       .map(({ report }) => report);
   }
 
-  /** Whether a report arrived under a key within the last `ms` milliseconds. */
-  isRecent(key: string, ms: number): boolean {
+  /** The report that arrived under a key within the last `ms` milliseconds; undefined: none did. */
+  recent(key: string, ms: number): Report | undefined {
     const entry = this.entries.get(key);
-    return entry !== undefined && this.clock.monotonic() - entry.receivedAt < ms;
+    if (entry === undefined || this.clock.monotonic() - entry.receivedAt >= ms) return undefined;
+    return entry.report;
   }
 
   /** Records a report; `isDirect`: it was sent to this instance, not passed on by another one. */
--- a/packages/control/src/weights/remoteWeights.ts
+++ b/packages/control/src/weights/remoteWeights.ts
@@ -46,7 +46,7 @@
       knowledge: this.knowledge,
       turns: localTurns(proposer),
       observer: { tell: (observation) => this.observe(observation) },
-      isReported: (id, withinMs) => loads.isRecent(id, withinMs),
+      isAttended: (id, withinMs) => isAttended(loads, id, withinMs),
       acts: () => commandLog.status().state === 'leader' && commandLog.status().vouched,
       clock,
       log,
@@ -86,6 +86,15 @@
   }
 }
 
+/** Whether the process beside a target has reported within the last `withinMs`, and can get the right to order. */
+export function isAttended(
+  loads: RecentReports<controlMessage.TargetLoad>,
+  targetId: string,
+  withinMs: number,
+): boolean {
+  return loads.recent(targetId, withinMs)?.ordersBlocked === false;
+}
+
 /** Turns proposed directly to the log that this instance leads. */
 function localTurns(proposer: Proposer): TurnSource {
   return {
--- a/packages/rollout/src/rollout.ts
+++ b/packages/rollout/src/rollout.ts
@@ -4,7 +4,14 @@
 import { Follower, ClusterView, ReportSender } from '@jasmineroute/knowledge';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { rolloutEvents } from './events.js';
-import { Announcer, CacheReporter, LoadReporter, Observer, WeightsUpdater } from './sidecar/index.js';
+import {
+  Announcer,
+  AnsweredTurns,
+  CacheReporter,
+  LoadReporter,
+  Observer,
+  WeightsUpdater,
+} from './sidecar/index.js';
 import type { TargetPort } from './port/index.js';
 
 /**
@@ -51,15 +58,15 @@
     this.follower = new Follower({ ...followerParts, controls, maxFollowed: FOLLOWED_CONTROLS });
     const followed = (): string[] => this.follower.controls();
     const attemptMs = TURN_ATTEMPT_TIMEOUT_MS;
-    const turns = new TurnClient(
-      new ControlClient({ controls: followed, peers, clock, metrics, dataCentre, attemptMs }),
-    );
+    const turnParts = { controls: followed, peers, clock, metrics, dataCentre, attemptMs };
+    const turns = new AnsweredTurns(new TurnClient(new ControlClient(turnParts)));
     const observer = new Observer(followed, peers, log);
     const { address, port } = target;
     const controlParts = { controls: followed, peers, clock, log };
     this.sender = new ReportSender(controlParts);
     const reporterParts = { address, port, sender: this.sender, clock, log };
-    this.loadReporter = new LoadReporter({ ...reporterParts, knowledge });
+    const canOrder = (): boolean => turns.isAnswered;
+    this.loadReporter = new LoadReporter({ ...reporterParts, knowledge, canOrder });
     this.cacheReporter = new CacheReporter({ ...reporterParts, entries: () => knowledge.entries() });
     this.announcer = new Announcer({
       address,
--- a/packages/rollout/src/sidecar/loadReporter.ts
+++ b/packages/rollout/src/sidecar/loadReporter.ts
@@ -23,7 +23,9 @@
   readonly address: string;
   readonly port: TargetPort;
   readonly knowledge: ClusterView;
-  readonly sender: ReportSender;
+  readonly sender: Pick<ReportSender, 'send'>;
+  /** Whether this process gets an answer when it requests the right to order. */
+  readonly canOrder: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -74,10 +76,12 @@
     this.isUnreachable = false;
     const { running, waiting, unread } = report.value;
     if (unread !== undefined) this.unreadable.record(address, unread.problem, unread.count);
-    const load = `${target.id} ${running} ${waiting}`;
+    const ordersBlocked = !this.parts.canOrder();
+    const load = `${target.id} ${running} ${waiting} ${ordersBlocked}`;
     const now = clock.monotonic();
     if (load === this.sentLoad && now - this.sentAt < REPORT_INTERVAL_MS) return;
-    const value = create(controlMessage.TargetLoadSchema, { targetId: target.id, running, waiting });
+    const fields = { targetId: target.id, running, waiting, ordersBlocked };
+    const value = create(controlMessage.TargetLoadSchema, fields);
     const stream = await this.parts.sender.send(() => ({ case: 'load', value }));
     if (stream === undefined) return;
     this.sentLoad = load;
--- a/packages/rollout/src/unattended/unattendedTargets.spec.ts
+++ b/packages/rollout/src/unattended/unattendedTargets.spec.ts
@@ -66,7 +66,7 @@
         },
       },
       observer: { tell: () => Promise.resolve() },
-      isReported: (id) => reported.has(id),
+      isAttended: (id) => reported.has(id),
       acts: () => leads,
       clock,
       log: silentLog,
--- a/packages/rollout/src/unattended/unattendedTargets.ts
+++ b/packages/rollout/src/unattended/unattendedTargets.ts
@@ -9,12 +9,12 @@
 import type { Observer } from '../sidecar/index.js';
 import type { TargetPort } from '../port/index.js';
 
-/** Interval at which targets are checked for a process beside them, milliseconds. */
+/** Interval at which targets are checked for a process beside them that can order, milliseconds. */
 const CHECK_INTERVAL_MS = 250;
 
 /**
- * Time without a report after which a target counts as unattended, milliseconds: a process beside a target reports every
- * 0.8 s, and the first report of one that has just started takes a second.
+ * Time without a report of a process that can order after which a target counts as unattended, milliseconds: a process beside
+ * a target reports every 0.8 s, and the first report of one that has just started takes a second.
  */
 const UNATTENDED_AFTER_MS = 3_000;
 
@@ -35,8 +35,8 @@
   readonly knowledge: ClusterView;
   readonly turns: TurnSource;
   readonly observer: Pick<Observer, 'tell'>;
-  /** Whether the process beside a target has reported within the last `withinMs`. */
-  readonly isReported: (targetId: string, withinMs: number) => boolean;
+  /** Whether the process beside a target has reported within the last `withinMs`, and can get the right to order. */
+  readonly isAttended: (targetId: string, withinMs: number) => boolean;
   /** Whether this instance is the one that acts: the leader of the replicated log. */
   readonly acts: () => boolean;
   readonly clock: Clock;
@@ -44,15 +44,15 @@
 }
 
 /**
- * A target whose instance runs no process of the system, or whose process was killed or is frozen, would stay on old weights
- * and soon be excluded from serving. When its reports are missing, an updater runs here until they return. The right to order,
- * a lease in the replicated log, keeps the two from ordering at the same time.
+ * A target whose instance runs no process of the system, or whose process was killed, is frozen or can't get the right to
+ * order, would stay on old weights and soon be excluded from serving. An updater runs here until that process reports that it
+ * can order. The right to order, a lease in the replicated log, keeps the two from ordering at the same time.
  */
 export class UnattendedTargets {
   private readonly stopped = new AbortController();
   private readonly updaters = new Map<string, WeightsUpdater>();
-  /** Monotonic time since which a target has been known here without a report, by its id. */
-  private readonly unreportedSince = new Map<string, number>();
+  /** Monotonic time since which a target has been known here without a process that can order, by its id. */
+  private readonly unattendedSince = new Map<string, number>();
 
   private readonly changes = new ChangeSignal();
 
@@ -77,29 +77,29 @@
     for (const id of [...this.updaters.keys()]) this.stopUpdater(id);
   }
 
-  /** Starts updaters for unattended targets, and stops those of targets whose process reports again. */
+  /** Starts updaters for unattended targets, and stops those of targets whose process can order again. */
   check(): void {
     const { knowledge, acts } = this.parts;
     const targets = knowledge.targets.weighted();
     const unattended = new Set(targets.filter((target) => this.isUnattended(target)).map(({ id }) => id));
     const mayAct = acts();
     for (const id of [...this.updaters.keys()]) if (!mayAct || !unattended.has(id)) this.stopUpdater(id);
-    for (const id of this.unreportedSince.keys()) {
-      if (!targets.some((target) => target.id === id)) this.unreportedSince.delete(id);
+    for (const id of this.unattendedSince.keys()) {
+      if (!targets.some((target) => target.id === id)) this.unattendedSince.delete(id);
     }
     if (!mayAct) return;
     for (const target of targets) if (unattended.has(target.id)) this.startUpdater(target);
   }
 
   private isUnattended({ id }: Target): boolean {
-    const { isReported, clock } = this.parts;
-    if (isReported(id, UNATTENDED_AFTER_MS)) {
-      this.unreportedSince.delete(id);
+    const { isAttended, clock } = this.parts;
+    if (isAttended(id, UNATTENDED_AFTER_MS)) {
+      this.unattendedSince.delete(id);
       return false;
     }
     const now = clock.monotonic();
-    const since = this.unreportedSince.get(id) ?? now;
-    this.unreportedSince.set(id, since);
+    const since = this.unattendedSince.get(id) ?? now;
+    this.unattendedSince.set(id, since);
     return now - since >= UNATTENDED_AFTER_MS;
   }
 
