Departures are acknowledged after control instances were replaced

What callers saw: a target that reports that it drains, or leaves, got 503 at every control instance once all three had been replaced; it left without a confirmation, and entries went on sending to it until its heartbeats ceased.

Cause: a departure is acknowledged once a majority of voters and learners holds it. A voter that is gone for good becomes a learner when a successor takes its place, and was removed only beside an even number of voters; after three replacements there were six members, of which four were needed and three lived.

Change: a majority of the voters is waited for; learners are sent a copy as before. Of lost learners those are removed whose place another replica has taken; one beside an odd number of voters may have no successor, as before.

--- a/packages/control/src/departures/departureCopies.ts
+++ b/packages/control/src/departures/departureCopies.ts
@@ -6,7 +6,7 @@
 import { controlEvents } from '../events.js';
 import type { CommandLog } from '../log/index.js';
 
-/** Time within which a majority has to hold a departure, milliseconds: targets wait a second for the answer to a call. */
+/** Time within which a majority of the voters has to hold a departure, milliseconds: targets wait a second for the answer to a call. */
 const COPY_TIMEOUT_MS = 700;
 
 /** What copies are made with. */
@@ -24,17 +24,21 @@
   constructor(private readonly parts: DepartureCopiesParts) {}
 
   /**
-   * Waits until a majority of the members holds a departure: any disks that may be lost at once leave one copy.
+   * Sends a departure to all members, and waits until a majority of the voters holds it: any disks that may be lost at once
+   * leave one copy. Learners don't count, as one that is gone for good may stay a learner.
    * @param stored whether this instance has stored it.
-   * @returns whether a majority held it in time.
+   * @returns whether a majority of the voters held it in time.
    */
   async spread(departure: controlMessage.Departure, stored: Promise<boolean>): Promise<boolean> {
     const { name, commandLog, clock } = this.parts;
     const members = commandLog.members();
+    const voters = new Set(commandLog.voters().map((voter) => voter.name));
     const others = members.filter((member) => member.name !== name);
-    const needed = Math.floor(members.length / 2) + 1;
+    const sent = others.map((other) => ({ name: other.name, copy: this.send(other.address, departure) }));
+    const held = [{ name, copy: stored }, ...sent].filter((one) => voters.has(one.name));
+    const copies = held.map(({ copy }) => copy);
+    const needed = Math.floor(voters.size / 2) + 1;
     const ended = new AbortController();
-    const copies = [stored, ...others.map(({ address }) => this.send(address, departure))];
     const late = clock.sleep(COPY_TIMEOUT_MS, ended.signal).then(
       () => false,
       () => false,
--- a/packages/control/src/departures/departureService.ts
+++ b/packages/control/src/departures/departureService.ts
@@ -35,8 +35,8 @@
 }
 
 /**
- * Applies departures of targets. One is acknowledged once a majority of the control instances has it on the disk: whichever
- * processes end then, what is left tells the entries, and no late call of the target brings it back.
+ * Applies departures of targets. One is acknowledged once a majority of the voters has it on the disk: whichever processes
+ * end then, what is left tells the entries, and no late call of the target brings it back.
  */
 export class DepartureService {
   /** Departures that a majority holds, by the id of the start. */
--- a/packages/control/src/log/commandLog.ts
+++ b/packages/control/src/log/commandLog.ts
@@ -52,6 +52,8 @@
   onApplied(listener: (index: bigint) => void): () => void;
   /** Known voters and learners. */
   members(): readonly ReplicaAddress[];
+  /** Known voters. */
+  voters(): readonly ReplicaAddress[];
   /** Adds a voter, or re-adds one that has a new disk; only the leader does so. */
   enlist(replica: ReplicaAddress): Promise<Result<void, Fault>>;
   changeReplicas(wanted: ReplicaAddress[]): Promise<Result<void, Fault>>;
--- a/packages/control/src/log/disklessLog.ts
+++ b/packages/control/src/log/disklessLog.ts
@@ -60,6 +60,10 @@
     return [];
   }
 
+  voters(): readonly ReplicaAddress[] {
+    return [];
+  }
+
   enlist(): Promise<Result<void, Fault>> {
     return Promise.resolve(err(fault('not-leader', 'this instance has no disk')));
   }
--- a/packages/coordination/src/agreement/configuration.ts
+++ b/packages/coordination/src/agreement/configuration.ts
@@ -153,13 +153,15 @@
 };
 
 /**
- * Removes a lost learner when the number of voters is even: other replicas have taken its place, as without them the number
- * would be odd. Otherwise the leader would keep calling every instance that was ever replaced.
+ * Removes a lost learner whose place another replica has taken. Otherwise the leader would keep calling every instance that was
+ * ever replaced. Without successors at most one voter is demoted, and only from an even number of voters, so one lost learner
+ * beside an odd number may have no successor; the last one demoted is kept.
  */
 const removeLostLearner: Step = ({ current, isLost }) => {
-  if (current.voters.length % 2 === 1) return undefined;
-  const lost = current.learners.find(({ replicaId }) => isLost(replicaId));
-  return lost && withLearners(current, without(current.learners, lost));
+  const lost = current.learners.filter(({ replicaId }) => isLost(replicaId));
+  const withoutSuccessor = current.voters.length % 2;
+  const [superseded] = lost.slice(0, lost.length - withoutSuccessor);
+  return superseded && withLearners(current, without(current.learners, superseded));
 };
 
 /** Promotes a learner that has caught up to a voter. */
--- a/packages/coordination/src/agreement/replacement.spec.ts
+++ b/packages/coordination/src/agreement/replacement.spec.ts
@@ -148,6 +148,33 @@
   });
 });
 
+describe('voters that are all replaced, one after the other', () => {
+  // Guards against a list of learners that grows with each replacement, and counts wherever members are counted.
+  test('leave no more than the last one as a learner', async () => {
+    await started(['a', 'b', 'c']);
+    for (const [lost, successor] of [
+      ['a', 'd'],
+      ['b', 'e'],
+      ['c', 'f'],
+    ] as const) {
+      cluster.wipe(cluster.find(lost));
+      const isLed = (): boolean => ![undefined, cluster.find(lost)].includes(cluster.leader());
+      expect(await cluster.until(isLed, 5_000)).toBe(true);
+      await add(successor);
+      const votes = (): boolean =>
+        votersOf(leaderOf()).includes(successor) && votersOf(leaderOf()).length === 3;
+      expect(await cluster.until(votes, 10_000)).toBe(true);
+    }
+    await cluster.clock.advance(5_000);
+    expect(votersOf(leaderOf())).toEqual(['d', 'e', 'f']);
+    const { learners = [] } = leaderOf().replica?.status().configuration ?? {};
+    expect(learners.map(({ name }) => name)).toEqual(['c']);
+    expect(await accepted('after')).toBe(true);
+    await cluster.clock.advance(1_000);
+    cluster.checkFinalState(cluster.nodes.filter(({ address }) => ['d', 'e', 'f'].includes(address.name)));
+  });
+});
+
 describe('six voters', () => {
   // Guards against lost voters that still count, with six voters, two of which may be lost at once.
   test('tolerate two lost disks after two of them were replaced', async () => {
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -202,6 +202,11 @@
     return membersOf(this.replica.configuration).map(({ name, address }) => ({ name, address }));
   }
 
+  /** Voters of the newest configuration in the log. */
+  voters(): readonly ReplicaAddress[] {
+    return (this.replica.configuration?.voters ?? []).map(({ name, address }) => ({ name, address }));
+  }
+
   /**
    * Adds a voter; for a known name with an empty disk, replaces the old voter. Works on the leader only. The request is dropped
    * when the call ends; otherwise a former leader that is elected again could add an instance that no longer exists.
