A store that can't be called does not end the control instances

What callers saw: after a configuration that names a store at 127.0.0.1:87810 (or at no address) was acknowledged, all control instances ended, and ended again at every start. The configuration was read back from none, no other was accepted, and no call of the operator was answered.

Cause: the connections to an origin that is no URL throw as they are made, before there is a promise whose rejection is handled. The monitor of a store is a critical task, so the process stops; the configuration is committed, so it does so at each start, on each instance.

Change: connections to what can't be called fail each request before it is sent, as to any target that does not answer. The monitor of each store is supervised by itself: a failure is logged (3038), counted, and the monitor starts again.

--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -87,6 +87,11 @@
     level: 'warn',
     message: 'no data folder: this instance runs as a standby without a vote',
   },
+  storeMonitorFailed: {
+    id: 3038,
+    level: 'error',
+    message: 'the monitor of a cache store failed and is started again',
+  },
   storeListFailed: { id: 3027, level: 'warn', message: 'a cache store did not list its content' },
   recordsNotStored: {
     id: 3032,
--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -41,6 +41,11 @@
     type: 'gauge',
     help: 'Prompt parts that are sent to targets as trials only, or no longer',
   },
+  storeFailures: {
+    name: 'control.store.monitor_failures',
+    type: 'counter',
+    help: 'Failures of the monitor of a cache store',
+  },
   originsHeld: { name: 'control.origin.held', type: 'gauge', help: 'Origins of streams held' },
   originLookups: {
     name: 'control.origin.lookups',
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -116,7 +116,8 @@
       clock,
     });
     const { stores } = outside;
-    if (stores !== undefined) this.stores = new StoreMonitor(state.configuration, stores, clock, log);
+    if (stores !== undefined)
+      this.stores = new StoreMonitor(state.configuration, stores, clock, log, metrics);
     this.follow = this.createFollow();
     this.configurations = new ConfigurationService(state.configuration, this.proposer, clock, log);
     this.unreadableCalls = new ProblemTally(log, controlEvents.unreadableCall);
--- a/packages/control/src/stores/storeMonitor.spec.ts
+++ b/packages/control/src/stores/storeMonitor.spec.ts
@@ -1,4 +1,4 @@
-import { ManualClock, silentLog } from '@jasmineroute/core';
+import { ManualClock, silentLog, silentMetrics } from '@jasmineroute/core';
 import { partKey } from '@jasmineroute/protocol';
 import type { CacheUpdate } from '@jasmineroute/protocol';
 import { describe, expect, it } from 'vitest';
@@ -24,7 +24,7 @@
       news: () => clock.sleep(50).then(() => (answers ? update : Promise.reject(new Error('gone')))),
       list: () => Promise.reject(new Error('not listed')),
     };
-    const watch = new StoreMonitor(state.configuration, port, clock, silentLog);
+    const watch = new StoreMonitor(state.configuration, port, clock, silentLog, silentMetrics);
     const configure = (number: bigint, address: string | undefined): void => {
       const value = { number, content: content(address), source: new Uint8Array(0) };
       applyOne(state.machine, { case: 'configure', value });
@@ -48,6 +48,40 @@
     expect(state.configuration).toBeInstanceOf(ConfigurationState);
   });
 
+  it('goes on with the other stores when the monitor of one fails, and with that one once it can', async () => {
+    // Guards against control instances that end at every start, as a committed configuration makes a task throw.
+    const clock = new ManualClock();
+    const state = createState();
+    const update = { incarnation: 1, next: 0, hasGap: false, events: [] };
+    let isCallable = false;
+    const port = {
+      news: (address: string) => {
+        if (address === STORE && !isCallable) throw new Error('can not be called');
+        return clock.sleep(50).then(() => update);
+      },
+      list: () => Promise.reject(new Error('not listed')),
+    };
+    const counted: string[] = [];
+    const metrics = { ...silentMetrics, count: ({ name }: { name: string }) => void counted.push(name) };
+    const watch = new StoreMonitor(state.configuration, port, clock, silentLog, metrics);
+    const services = [STORE, '10.0.0.8:80'].map((storeAddress, at) => ({ name: `s${at}`, storeAddress }));
+    const value = {
+      number: 1n,
+      content: Buffer.from(JSON.stringify({ number: 1, routes: [], services })),
+      source: new Uint8Array(0),
+    };
+    applyOne(state.machine, { case: 'configure', value });
+    watch.start();
+    await clock.advance(2_500);
+    expect(watch.lost()).toEqual([STORE]);
+    expect(counted).toEqual(counted.map(() => 'control.store.monitor_failures'));
+    expect(counted).toHaveLength(3);
+    isCallable = true;
+    await clock.advance(2_000);
+    expect(watch.lost()).toEqual([]);
+    watch.stop();
+  });
+
   it('tracks what a store keeps, and discards it after a gap or a restart', async () => {
     // Guards against shared parts that are computed again and again despite a store: the store restarts or its events are
     // lost, and parts that it no longer keeps still count as present.
@@ -67,7 +101,7 @@
       },
       list: () => Promise.reject(new Error('not listed')),
     };
-    const watch = new StoreMonitor(state.configuration, port, clock, silentLog);
+    const watch = new StoreMonitor(state.configuration, port, clock, silentLog, silentMetrics);
     const keys = (): number[] => watch.kept.changesSince(0).added;
     const keyOf = (id: string): number => partKey(STORE, part(id, true));
     watch.start();
@@ -110,7 +144,7 @@
         });
       },
     };
-    const watch = new StoreMonitor(state.configuration, port, clock, silentLog);
+    const watch = new StoreMonitor(state.configuration, port, clock, silentLog, silentMetrics);
     const value = { number: 1n, content: content(STORE), source: new Uint8Array(0) };
     watch.start();
     applyOne(state.machine, { case: 'configure', value });
@@ -134,7 +168,7 @@
       },
       list: () => Promise.reject(new Error('not listed')),
     };
-    const watch = new StoreMonitor(state.configuration, port, clock, silentLog);
+    const watch = new StoreMonitor(state.configuration, port, clock, silentLog, silentMetrics);
     watch.start();
     for (const last of [1, 2, 3, 4, 5]) {
       const value = {
--- a/packages/control/src/stores/storeMonitor.ts
+++ b/packages/control/src/stores/storeMonitor.ts
@@ -1,11 +1,12 @@
 /** Monitors the KV cache stores of the configuration. */
 import { configuration } from '@jasmineroute/configuration';
-import { ProblemTally, runCriticalTask } from '@jasmineroute/core';
-import type { Clock, Log } from '@jasmineroute/core';
+import { ProblemTally, superviseTask } from '@jasmineroute/core';
+import type { Clock, Log, Metrics } from '@jasmineroute/core';
 import { CachedParts } from '@jasmineroute/protocol';
 import type { CacheUpdate } from '@jasmineroute/protocol';
 import type { ConfigurationState } from '../configuration/index.js';
 import { controlEvents } from '../events.js';
+import { controlMetrics } from '../metrics.js';
 
 /** How long a store may hold a call while it has no event, milliseconds. Determines how soon a lost store is noticed. */
 const LONG_POLL_MS = 600;
@@ -67,6 +68,7 @@
     private readonly port: StorePort,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly metrics: Metrics,
   ) {
     this.unreadableTally = new ProblemTally(log, controlEvents.unreadableEvents);
   }
@@ -124,10 +126,23 @@
     for (const address of this.addresses()) {
       if (this.monitoredAddresses.has(address)) continue;
       this.monitoredAddresses.add(address);
-      runCriticalTask('store monitor', this.monitor(address));
+      void superviseTask(() => this.monitor(address), {
+        clock: this.clock,
+        signal: this.stopped.signal,
+        onFailure: (error) => {
+          this.recordFailure(address, error);
+        },
+      });
     }
   }
 
+  private recordFailure(address: string, error: unknown): void {
+    const problem = String(error);
+    this.metrics.count(controlMetrics.storeFailures);
+    this.log.event(controlEvents.storeMonitorFailed, { store: address, problem });
+    this.recordReachability(address, problem);
+  }
+
   private async monitor(address: string): Promise<void> {
     const { signal } = this.stopped;
     let lastUpdate: CacheUpdate | undefined;
--- a/packages/core/src/task/index.ts
+++ b/packages/core/src/task/index.ts
@@ -1,2 +1,3 @@
-/** Tasks that must run as long as their process. */
+/** Tasks that must run as long as their process, and tasks that serve one of many. */
 export * from './criticalTask.js';
+export * from './supervisedTask.js';
--- a/packages/engine/src/wire/connections.spec.ts
+++ b/packages/engine/src/wire/connections.spec.ts
@@ -2,7 +2,9 @@
 import type { AddressInfo } from 'node:net';
 import { Client, buildConnector } from 'undici';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { failOnReset } from './connections.js';
+import { systemClock } from '@jasmineroute/core';
+import { Connections, failOnReset } from './connections.js';
+import { exchange } from './exchange.js';
 
 describe('a connection that was reset', () => {
   const server = createServer((socket) => {
@@ -49,3 +51,21 @@
     await expect(read(true)).rejects.toThrow('reset');
   });
 });
+
+describe('connections to an origin that can not be called', () => {
+  // Guards against a process that ends, or answers every request with an error of its own, as one address is no address.
+  it.each(['http://127.0.0.1:87810', 'http://', 'http://999.1.1.1:80', 'http://a b:80'])(
+    'fail each request as not run: %s',
+    async (origin) => {
+      const connections = new Connections(origin, 2);
+      for (const fresh of [false, true]) {
+        const request = { method: 'GET', path: '/', headers: {} };
+        const { signal } = new AbortController();
+        const answer = await exchange(connections.pool(fresh), request, systemClock, signal);
+        const expected = { kind: 'target-unreachable', ran: 'not-run' };
+        expect(answer._unsafeUnwrapErr()).toMatchObject(expected);
+      }
+      await connections.close();
+    },
+  );
+});
--- a/packages/engine/src/wire/connections.ts
+++ b/packages/engine/src/wire/connections.ts
@@ -1,7 +1,6 @@
 /** Connections to one target. */
 import type { Socket } from 'node:net';
-import { Pool, buildConnector } from 'undici';
-import type { Dispatcher } from 'undici';
+import { Dispatcher, Pool, buildConnector } from 'undici';
 import { watchReads } from './overhead.js';
 
 /** Idle time after which a connection is closed: earlier than common servers do it, so that few requests meet a closing one. */
@@ -45,19 +44,39 @@
   };
 }
 
+/** Stands for an origin that can't be called, such as a port above 65535: each request fails before it is sent. */
+class UncallableOrigin extends Dispatcher {
+  constructor(private readonly origin: string) {
+    super();
+  }
+
+  override dispatch(): boolean {
+    throw new Error(`${this.origin} can't be called`);
+  }
+
+  override destroy(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
 /**
  * Two pools: one reuses connections, one opens a connection for each request. The target may close a reused connection just
  * as a request is sent; whether it has read the request is then unknown. So requests that must not run twice use a new one.
  */
 export class Connections {
-  private readonly reusable: Pool;
-  private readonly fresh: Pool;
+  private readonly reusable: Dispatcher;
+  private readonly fresh: Dispatcher;
 
   /** @param maxConnections connections that may be open at once in each pool; further requests wait. Absent: any number. */
   constructor(
     readonly origin: string,
     maxConnections?: number,
   ) {
+    if (!URL.canParse(origin)) {
+      this.reusable = new UncallableOrigin(origin);
+      this.fresh = this.reusable;
+      return;
+    }
     const connect = resetAwareConnector();
     const bounds = { headersTimeout: 0, bodyTimeout: 0, connect, connections: maxConnections };
     const keepAlive = { keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS };
