The operator is told of what a configuration names that can't be used

Cause: a configuration was checked for its form only, and 0 stands for none in the replicated state.

Change: the acknowledgement and the log (3039) name the service and the address or health path. The users' page lists what is invalid, and this is not on it, so it isn't refused; the schema that reads what is held stays as it is. Refused are the number 0 while none is held, and a customer's name with control characters unless its configuration is held already: what was accepted once is never refused when it is sent again.

--- a/packages/configuration/src/check/index.ts
+++ b/packages/configuration/src/check/index.ts
@@ -1,1 +1,2 @@
 export * from './check.js';
+export * from './use.js';
--- a/packages/control/src/configuration/configurationService.spec.ts
+++ b/packages/control/src/configuration/configurationService.spec.ts
@@ -35,13 +35,25 @@
     const service = new ConfigurationService(configuration, proposer, new ManualClock(), silentLog);
     const put = (number: number, source: string) =>
       service.put({ number, routes: [], services: [] }, Buffer.from(source));
-    expect((await put(7, 'first'))._unsafeUnwrap()).toEqual({ number: 7, stored: true });
+    const warnings: string[] = [];
+    expect((await put(7, 'first'))._unsafeUnwrap()).toEqual({ number: 7, stored: true, warnings });
     const entries = replicas.entries.length;
-    expect((await put(7, 'first'))._unsafeUnwrap()).toEqual({ number: 7, stored: false });
+    expect((await put(7, 'first'))._unsafeUnwrap()).toEqual({ number: 7, stored: false, warnings });
     replicas.isolate(true);
-    expect((await put(5, 'older'))._unsafeUnwrap()).toEqual({ number: 7, stored: false });
+    expect((await put(5, 'older'))._unsafeUnwrap()).toEqual({ number: 7, stored: false, warnings });
     expect((await put(8, 'newer'))._unsafeUnwrapErr().kind).toBe('no-quorum');
     expect(replicas.entries.length).toBe(entries);
     expect(Buffer.from(configuration.held().source).toString()).toBe('first');
   });
+
+  // Guards against an acknowledged first configuration that is kept nowhere, as its number stands for none.
+  it('refuses the number 0 while it holds none', async () => {
+    const { machine, configuration } = createState();
+    const proposer = new Proposer(new LocalLog(machine), LIMITS);
+    const service = new ConfigurationService(configuration, proposer, new ManualClock(), silentLog);
+    const put = (number: number) => service.put({ number, routes: [], services: [] }, Buffer.from('x'));
+    expect((await put(0))._unsafeUnwrapErr().kind).toBe('invalid-document');
+    expect((await put(1)).isOk()).toBe(true);
+    expect((await put(0))._unsafeUnwrap()).toMatchObject({ number: 1, stored: false });
+  });
 });
--- a/packages/control/src/configuration/configurationService.ts
+++ b/packages/control/src/configuration/configurationService.ts
@@ -1,5 +1,7 @@
 /** Operators' calls for numbered configurations and model weights. */
+import { refusalsOf, warningsOf } from '@jasmineroute/configuration';
 import type { Configuration } from '@jasmineroute/configuration';
+import { fault } from '@jasmineroute/core';
 import type { Clock, Fault, Log } from '@jasmineroute/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -19,6 +21,8 @@
   readonly number: number;
   /** False when a higher or equal number was held already; nothing changed then. */
   readonly stored: boolean;
+  /** What the configuration names that can't be used, as messages for the operator. */
+  readonly warnings: readonly string[];
 }
 
 const encoder = new TextEncoder();
@@ -32,12 +36,18 @@
     private readonly log: Log,
   ) {}
 
-  /** Replaces the configuration. Errors: no-quorum, storage-failed, overloaded; the caller may resend after each. */
+  /**
+   * Replaces the configuration. Errors: invalid-document; no-quorum, storage-failed, overloaded, after which the caller may
+   * resend. What is held already is never refused: an older build may have accepted it.
+   */
   async put(configuration: Configuration, source: Uint8Array): Promise<Result<ConfigurationOutcome, Fault>> {
     const startedAt = this.clock.monotonic();
     const known = Number(this.state.held().number);
     // A quorum has confirmed the held configuration, and its number only rises: a resend needs no log entry.
-    if (known >= configuration.number) return this.accepted(configuration.number, known, false, startedAt);
+    if (known > 0 && known >= configuration.number)
+      return this.accepted(configuration, known, false, startedAt);
+    const refusals = refusalsOf(configuration);
+    if (refusals.length > 0) return err(fault('invalid-document', refusals.join('; ')));
     const content = encoder.encode(JSON.stringify(configuration));
     const number = BigInt(configuration.number);
     const outcome = await this.proposer.propose('configure', { number, content, source });
@@ -52,7 +62,7 @@
       return err(outcome.error);
     }
     const { number: held, stored } = outcome.value;
-    return this.accepted(configuration.number, Number(held), stored, startedAt);
+    return this.accepted(configuration, Number(held), stored, startedAt);
   }
 
   /**
@@ -92,13 +102,16 @@
   }
 
   private accepted(
-    number: number,
+    configuration: Configuration,
     held: number,
     stored: boolean,
     startedAt: number,
   ): Result<ConfigurationOutcome, Fault> {
     const tookMs = Math.round(this.clock.monotonic() - startedAt);
+    const { number } = configuration;
     this.log.event(controlEvents.configurationAccepted, { number, held, stored, tookMs });
-    return ok({ number: held, stored });
+    const warnings = warningsOf(configuration);
+    if (warnings.length > 0) this.log.event(controlEvents.configurationWarned, { number, warnings });
+    return ok({ number: held, stored, warnings });
   }
 }
--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -33,6 +33,11 @@
       'the log holds a command of a newer release: this instance is out of service until it is upgraded',
   },
   configurationAccepted: { id: 3014, level: 'info', message: 'configuration acknowledged' },
+  configurationWarned: {
+    id: 3039,
+    level: 'warn',
+    message: 'an acknowledged configuration names something that can not be used',
+  },
   configurationUnknown: {
     id: 3015,
     level: 'warn',
