An entry names no store that can't be called

What callers would see: prompts that wait, or are refused by their target, until control instances report the store as lost, when a configuration names a store at an impossible address; with a line break in it, no prompt is sent.

Cause: an entry took the address of a store as it stands.

Change: such a store is left out.

--- a/packages/relay/src/cache/stores.ts
+++ b/packages/relay/src/cache/stores.ts
@@ -1,5 +1,6 @@
 /** Assigns a prompt's shared parts to one of the KV cache stores. */
 import type { Configuration } from '@jasmineroute/configuration';
+import { isHostPort } from '@jasmineroute/core';
 import { homesOf, textKey } from '@jasmineroute/routing';
 import type { PromptOutline } from '../dialect/index.js';
 
@@ -14,10 +15,10 @@
 /** Capacity of a store without a configured one, tokens. */
 const DEFAULT_STORE_TOKENS = 1_000_000;
 
-/** The stores that the configuration names. */
+/** The stores that the configuration names and that can be called: targets would wait for any other, or refuse its name. */
 export function storesOf({ services }: Configuration): Store[] {
   return services.flatMap(({ storeAddress: address, cacheTokens = DEFAULT_STORE_TOKENS }) =>
-    address === undefined ? [] : [{ address, cacheTokens }],
+    address !== undefined && isHostPort(address) ? [{ address, cacheTokens }] : [],
   );
 }
 
