A planned stop refuses what it could cut

What callers saw: streams that were sent on kept connections seconds after SIGTERM ran at a target and were cut when the process was killed at the end of its grace; the caller had got 200 and up to 37 of 40 events.

Cause: whether a request may outlast the stop was estimated: 20 ms for each token that it may generate, for prompts only, when its head arrived. A target that is on time may take longer, and one that is late any time that the caller waits. A body still being uploaded, or a wait for a connection, came on top.

Change: from SIGTERM on a request whose caller may wait beyond the grace is refused as not run, at its head and again when its first byte is due. No retry is made that the stop could cut. The Retry-After names the next entry, or the end of the stop where no other entry is known.

The test of long and short streams is replaced: "long" is now what a caller may wait for beyond the grace, which the old one took for short when its estimate was; it is asked for streams, requests that run once and ones that may be repeated, each on a connection that was used before.

--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -1,7 +1,9 @@
 import { once } from 'node:events';
 import { Agent } from 'node:http';
+import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { create } from '@bufbuild/protobuf';
+import type { Configuration } from '@jasmineroute/configuration';
 import { controlMessage } from '@jasmineroute/protocol';
 import { blockLoop, openConnections } from '@jasmineroute/testkit';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -448,17 +450,96 @@
     expect(await asked).toMatchObject({ status: 200, whole: true });
   });
 
-  // Guards against a planned stop that cuts off a stream midway.
-  it('refuses long streams once a planned stop has begun, and serves short ones', async () => {
-    const url = await start([routeTo(stream)], 1);
-    bed.target(1).script = events(0, 1, (response) => response.end());
+  describe.each([
+    ['stream', { ...stream }],
+    ['request that runs once', { kind: 'once' as const }],
+    ['request that may be repeated', { kind: 'idempotent' as const, maxAttempts: 2 }],
+  ])('in a planned stop, of a %s', (_title, kind) => {
+    const LONG_MS = 15_000;
+
+    /** Starts an entry beside another one, with callers' connections that were used before. */
+    async function startKept(extra: Partial<Configuration> = {}): Promise<{ url: string; agents: Agent[] }> {
+      const routes = [routeTo({ ...kind, timeoutMs: LONG_MS })];
+      const url = await start(routes, 1, extra);
+      bed.reportEntries(2);
+      bed.target(1).script = events(0, 1, (response) => response.end());
+      const agents = [1, 2].map(() => new Agent({ keepAlive: true, maxSockets: 1 }));
+      for (const agent of agents) await ask(url, { agent, id: 'before' });
+      return { url, agents };
+    }
+
+    // Guards against an answer that the end of a planned stop cuts off, as its target took longer than was estimated.
+    it('refuses as not run what its caller may wait for beyond the stop, and serves the rest', async () => {
+      const { url, agents } = await startKept();
+      const [first, second] = agents;
+      const arrived = bed.arrivalCount();
+      const drained = bed.drain();
+      const prompt = { 't-prompt': 'a,b', 't-output': '10' };
+      const long = await ask(url, { agent: first, id: 'long', headers: prompt });
+      expect(long).toMatchObject({ status: 503 });
+      expect(long.headers['t-ran']).toBe('not-run');
+      expect(long.headers.connection).toBe('close');
+      expect(Number(long.headers['retry-after'])).toBeLessThan(0.1);
+      expect(bed.arrivalCount()).toBe(arrived);
+      const short = await ask(url, { agent: second, id: 'short', headers: { 't-deadline': '2000' } });
+      expect(short).toMatchObject({ status: 200, whole: true });
+      await drained;
+      for (const agent of agents) agent.destroy();
+    });
+
+    // Guards against a request that is sent on in a planned stop, as its head arrived before it.
+    it('refuses as not run what is uploaded when the stop begins', async () => {
+      const { url, agents } = await startKept();
+      const arrived = bed.arrivalCount();
+      const { hostname, port } = new URL(url);
+      const socket = connect(Number(port), hostname);
+      let received = '';
+      socket.on('data', (bytes) => (received += bytes.toString()));
+      const head = 'POST /x HTTP/1.1\r\nhost: a.example\r\nt-id: up\r\ncontent-length: 8\r\n\r\n';
+      socket.write(`${head}ques`);
+      await until(() => bed.open === 1);
+      const drained = bed.drain();
+      socket.write('tion');
+      await until(() => received !== '');
+      expect(received).toMatch(/^HTTP\/1.1 503 /);
+      expect(received).toContain('t-ran: not-run');
+      expect(bed.arrivalCount()).toBe(arrived);
+      await drained;
+      for (const agent of agents) agent.destroy();
+    });
+
+    // Guards against a request that is sent on in a planned stop, as it waited for a connection when that began.
+    it('refuses as not run what waits for a connection when the stop begins', async () => {
+      const { url, agents } = await startKept({ services: [{ name: 's', maxConnections: 1 }] });
+      const arrived = bed.arrivalCount();
+      let finish: () => void = () => undefined;
+      bed.target(1).script = events(0, 1, (response) => {
+        finish = () => response.end();
+      });
+      const begun = ask(url, { id: 'begun' });
+      await until(() => bed.arrivalCount() === arrived + 1);
+      const waiting = ask(url, { id: 'waiting' });
+      await until(() => bed.open === 2);
+      const drained = bed.drain();
+      finish();
+      expect(await begun).toMatchObject({ status: 200, whole: true });
+      const refused = await waiting;
+      expect(refused).toMatchObject({ status: 503 });
+      expect(refused.headers['t-ran']).toBe('not-run');
+      expect(bed.arrivalCount()).toBe(arrived + 1);
+      await drained;
+      for (const agent of agents) agent.destroy();
+    });
+  });
+
+  // Guards against callers who return at once, again and again, to the only entry, which refuses them all.
+  it('names the end of a planned stop where it knows no other entry', async () => {
+    const url = await start([routeTo({ timeoutMs: 15_000 })], 1);
     const drained = bed.drain();
-    const long = await ask(url, { headers: { 't-prompt': 'a,b', 't-output': '1000' } });
-    expect(long).toMatchObject({ status: 503 });
-    expect(long.headers['t-ran']).toBe('not-run');
-    expect(Number(long.headers['retry-after'])).toBeLessThan(0.1);
-    const short = await ask(url, { headers: { 't-prompt': 'a,b', 't-output': '10' } });
-    expect(short).toMatchObject({ status: 200, whole: true });
+    const refused = await ask(url);
+    expect(refused.status).toBe(503);
+    expect(Number(refused.headers['retry-after'])).toBeGreaterThan(7);
+    expect(Number(refused.headers['retry-after'])).toBeLessThanOrEqual(8);
     await drained;
   });
 
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -364,6 +364,11 @@
     this.controlStub.publish({ lostStores });
   }
 
+  /** Reports how many entries serve callers. */
+  reportEntries(entries: number): void {
+    this.controlStub.publish({ entries });
+  }
+
   drain(): Promise<void> {
     return this.relay.drain();
   }
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -36,9 +36,6 @@
 /** Maximum body size in bytes where the configuration sets none. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
-/** Time per token at a busy engine, milliseconds: an event of 4 tokens takes up to 80 ms in nine of ten cases. */
-const BUSY_TOKEN_MS = 20;
-
 /**
  * Delay after which a caller may retry when no target has capacity, milliseconds, with a random spread of half to
  * either side: the time in which an engine finishes about half of its requests.
@@ -51,6 +48,9 @@
 /** Delay after which a caller may send a request again that may run as a trial then, milliseconds. */
 const RECHECK_RETRY_MS = 1_000;
 
+/** Time before the end of a planned stop by which a request must have its answer, milliseconds: its last bytes still leave. */
+const STOP_MARGIN_MS = 250;
+
 /** Minimum remaining time for sending a request, milliseconds: one round trip. */
 const MIN_REMAINING_MS = 10;
 
@@ -95,6 +95,8 @@
 export class RequestHandler {
   private readonly abort = new AbortController();
   private sends = 0;
+  /** Whether an attempt may have run. */
+  private mayHaveRun = false;
   private service = '';
   private maxAttempts = 0;
   /** Ids of the targets that were chosen before. */
@@ -167,20 +169,15 @@
     { route, customer }: Admitted,
   ): Promise<void> {
     const { bodyBudget, clock } = this.context;
-    if (this.mayOutliveStop(request)) {
-      this.reject(
-        request,
-        fault('stopping', 'the request may outlast the planned stop of this entry', {
-          retryAfterMs: NEXT_ENTRY_RETRY_MS,
-        }),
-        route,
-      );
-      return;
-    }
     const limit = table.configuration.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     const waitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const arrivedAt = clock.monotonic() - this.answer.age();
     const until = arrivedAt + waitMs;
+    const stopping = this.stopFault(until);
+    if (stopping !== undefined) {
+      this.reject(request, stopping, route);
+      return;
+    }
     // A running request may continue for as long as its caller may still wait for it.
     const abortAt = clock.monotonic() - this.answer.minAge() + waitMs;
     const body = await readBody(this.incoming, limit, bodyBudget);
@@ -232,13 +229,16 @@
   }
 
   /**
-   * Whether a planned stop would probably interrupt the stream: the load balancer keeps sending requests for two
-   * seconds, and a long stream would be cut off midway. The caller should use another entry instead.
+   * The fault of a request whose answer a planned stop could cut off. A sound target may take as long as the caller waits, so
+   * an estimate of the work is no bound. The caller uses another entry at once, or this one after the stop if it knows none.
    */
-  private mayOutliveStop({ prompt }: RelayRequest): boolean {
-    const stopsAt = this.context.stopsAt();
-    if (stopsAt === undefined || prompt === undefined) return false;
-    return this.context.clock.monotonic() + prompt.maxOutputTokens * BUSY_TOKEN_MS > stopsAt;
+  private stopFault(until: number): Fault | undefined {
+    const { stopsAt, clock, knowledge } = this.context;
+    const end = stopsAt();
+    if (end === undefined || until <= end - STOP_MARGIN_MS) return undefined;
+    const retryAfterMs =
+      knowledge.entries() > 1 ? NEXT_ENTRY_RETRY_MS : Math.max(NEXT_ENTRY_RETRY_MS, end - clock.monotonic());
+    return fault('stopping', 'the request may outlast the planned stop of this entry', { retryAfterMs });
   }
 
   private async runAttempts(job: Job): Promise<void> {
@@ -287,10 +287,18 @@
       last = await this.attempt(job, placement);
       if (last.state === 'answered') return last;
       if (!this.countsAsAttempt(last.fault)) this.sends -= 1;
+      if (last.fault.ran !== 'not-run') this.mayHaveRun = true;
       if (!this.mayRetry(job, last.fault)) return last;
     }
   }
 
+  /** The fault of a request that must not be sent any more when its first byte is due. */
+  private withheldFault(job: Job): Fault | undefined {
+    // What has begun goes on here, and what may have run can't be refused as not run.
+    const mayBeRefused = !this.answer.begun && !this.mayHaveRun;
+    return (mayBeRefused ? this.stopFault(job.until) : undefined) ?? this.heldFault(job);
+  }
+
   /** The fault of a request under which targets crashed; that may have become known while it waited. */
   private heldFault({ sent }: Job): Fault | undefined {
     if (this.trial !== undefined) return undefined;
@@ -372,6 +380,7 @@
     const { budgets, quarantine } = this.context;
     const { route } = job;
     if (this.abort.signal.aborted || !this.hasTime(job)) return false;
+    if (!this.answer.begun && this.stopFault(job.until) !== undefined) return false;
     if (this.sends >= route.maxAttempts) return false;
     // Only a stream can go on after what the caller already has.
     if (this.answer.begun && route.kind !== 'stream') return false;
@@ -428,7 +437,7 @@
     const open = monitor.startRequest(target.id, placement.tokens, fetchOf(source), job.service.name);
     const takeBack = this.trial === undefined ? undefined : quarantine.recordSending(this.trial);
     const endRun = quarantine.isSuspect(job.sent) ? quarantine.runs.begin(target.id) : undefined;
-    const sending = new Sending(this.context, target, () => this.heldFault(job));
+    const sending = new Sending(this.context, target, () => this.withheldFault(job));
     let outcome: Outcome;
     let status = 0;
     let wasUnresponsive: boolean;
