A planned stop closes idle connections from its start

What callers saw: requests on kept connections were taken until 3.2 s after SIGTERM, a second after new connections were refused.

Cause: activity on connections was first observed when the listener had closed, so a connection that had been idle for long counted as just used.

Change: observation and closing begin with the stop. What has arrived is read before a connection is closed, so a request that is there is answered.

--- a/packages/entry/src/http/drain.spec.ts
+++ b/packages/entry/src/http/drain.spec.ts
@@ -106,6 +106,32 @@
     await entry.drain();
     agent.destroy();
   });
+
+  // Guards against requests that arrive seconds after the stop began, on connections that were idle all the time.
+  it('closes idle connections while it still accepts new ones', async () => {
+    const drainDelayMs = 2_200;
+    const { entry, url } = await start(() => [], { drainDelayMs });
+    const agent = new Agent({ keepAlive: true });
+    const list = (): Promise<number | undefined> =>
+      new Promise((resolve, reject) => {
+        request(`${url}/v1/models`, { agent, headers: { authorization: `Bearer ${KEY}` } }, (answer) => {
+          answer.resume().on('end', () => {
+            resolve(answer.statusCode);
+          });
+        })
+          .on('error', reject)
+          .end();
+      });
+    await list();
+    await waitUntil(() => Object.values(agent.freeSockets).flat().length === 1);
+    const begunAt = performance.now();
+    const drained = entry.drain();
+    await waitUntil(() => Object.values(agent.freeSockets).flat().length === 0);
+    expect(performance.now() - begunAt).toBeLessThan(drainDelayMs);
+    expect(await list()).toBe(200);
+    await drained;
+    agent.destroy();
+  });
 });
 
 describe('a slow reader', () => {
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -50,6 +50,7 @@
   private readonly openConnections = new Map<Socket, CallerConnection>();
   private lastConnectionAt = 0;
   private stopping = false;
+  private closed = false;
 
   constructor(
     listener: RequestListener,
@@ -105,17 +106,18 @@
   }
 
   /**
-   * From now on answers carry `Connection: close`, so that callers reconnect and the load balancer picks another
-   * entry.
+   * From now on answers carry `Connection: close`, and connections that stay idle are closed, so that callers reconnect and
+   * the load balancer picks another entry.
    */
   stopKeepAlive(): void {
+    if (this.stopping) return;
     this.stopping = true;
+    void this.closeIdleConnections();
   }
 
   /**
    * Closes the listener once no connection has arrived for a short time, because closing it resets connections that
-   * wait to be accepted. Then waits for active connections and closes each after an idle period, because the caller's
-   * next request may already be on its way.
+   * wait to be accepted. Then waits for the connections to close.
    * @param maxWaitMs maximum wait for new connections to cease.
    */
   async drain(maxWaitMs: number): Promise<void> {
@@ -128,7 +130,15 @@
     }
     // `close` of the HTTP server closes idle connections at once; that of the net server closes only the listener.
     NetServer.prototype.close.call(this.server);
-    while (this.openConnections.size > 0) {
+    this.stopKeepAlive();
+    while (this.openConnections.size > 0) await this.clock.sleep(DRAIN_POLL_MS);
+  }
+
+  /** Closes each connection after an idle period, because the caller's next request may already be on its way. */
+  private async closeIdleConnections(): Promise<void> {
+    while (!this.closed) {
+      // A request that has arrived is read first: closing its connection would break it.
+      await new Promise((resolve) => setImmediate(resolve));
       this.closeIdle();
       await this.clock.sleep(DRAIN_POLL_MS);
     }
@@ -148,6 +158,7 @@
 
   /** Closes the listener and all connections at once. */
   async close(): Promise<void> {
+    this.closed = true;
     const closed = new Promise<void>((resolve) => {
       this.server.close(() => {
         resolve();
