--- a/packages/control/src/follow/follow.spec.ts
+++ b/packages/control/src/follow/follow.spec.ts
@@ -84,7 +84,7 @@
     if (first === undefined || second === undefined || third === undefined) throw new Error('no instances');
     const received = [first, second, third].map(follow);
     const accepted = await second.control.configurations.put(configuration(4), source(4));
-    expect(accepted._unsafeUnwrap()).toEqual({ number: 4, stored: true });
+    expect(accepted._unsafeUnwrap()).toEqual({ number: 4, stored: true, warnings: [] });
     const target = { name: 't1', service: 's', address: 'a:1', dataCentre: 'x', capacity: 1 };
     const rest = { draining: false, sequence: 1, coldMs: 0, weights: [] };
     third.control.targets.beat({ ...target, ...rest });
