Software versions are on the disk before they begin streams

What callers could see: a stream taken up without naming its beginning, after all entries and control instances had lost power at once, goes on at another software version (ORDER).

Cause: a restarted control instance took its list of versions for complete when its disk held the origin of any stream. Origins are synced after 200 ms, so a version whose first streams were younger was missing until its targets called.

Evidence: three new tests of `softwareVersions.spec.ts` fail before: the list is complete and has v1 only.

--- a/packages/control/src/origins/originStore.ts
+++ b/packages/control/src/origins/originStore.ts
@@ -1,13 +1,25 @@
 /** Origins of streams that entries reported to this instance. */
 import { create } from '@bufbuild/protobuf';
 import type { Clock, Metrics } from '@jasmineroute/core';
-import { OriginTable, controlMessage } from '@jasmineroute/protocol';
+import { OriginTable, controlMessage, streamKey } from '@jasmineroute/protocol';
 import type { RecordFiles } from '../files/index.js';
 import { controlMetrics } from '../metrics.js';
 
 /** Maximum number of origins: about 10 MB. */
 const MAX_ORIGINS = 100_000;
 
+/** A software version of a service's targets. */
+export type ServiceVersion = Pick<controlMessage.StreamOrigin, 'service' | 'softwareVersion'>;
+
+/** Stands for a customer in the keys of versions; no customer's name holds the character. */
+const VERSION_KEY = '\0version';
+
+/** The record of a version, which is stored as the origin of a stream of its own. */
+function recordOf({ service, softwareVersion }: ServiceVersion): controlMessage.StreamOrigin {
+  const stream = streamKey(VERSION_KEY, JSON.stringify([service, softwareVersion]));
+  return create(controlMessage.StreamOriginSchema, { stream, service, softwareVersion });
+}
+
 /**
  * Holds origins in memory, and on the disk where there is one. It needs no agreement with other instances: an origin never
  * changes, so each copy is valid by itself, and a missing one only means that the stream is unknown here.
@@ -16,6 +28,8 @@
   /** Whether origins of an earlier start were found on the disk. */
   isRestored = false;
   private readonly table: OriginTable;
+  /** The versions that each new generation of origins holds from its beginning. */
+  private versionsInUse: () => readonly ServiceVersion[] = () => [];
 
   /** @param files where origins are stored; undefined without a disk. */
   constructor(
@@ -23,7 +37,27 @@
     private readonly metrics: Metrics,
     private readonly files?: RecordFiles<controlMessage.StreamOrigin>,
   ) {
-    this.table = new OriginTable(clock, MAX_ORIGINS, () => files?.roll());
+    this.table = new OriginTable(clock, MAX_ORIGINS, () => {
+      files?.roll();
+      // Deferred, as the generation begins while an origin is being recorded.
+      queueMicrotask(() => {
+        this.storeVersions(this.versionsInUse());
+      });
+    });
+  }
+
+  /** Sets the versions that are stored for as long as they are in use. */
+  keepVersions(inUse: () => readonly ServiceVersion[]): void {
+    this.versionsInUse = inUse;
+  }
+
+  /**
+   * Stores versions before they begin streams: after a loss of power of all, a version is known although no origin of its
+   * streams was reported and synced, and although its targets have not called yet.
+   */
+  storeVersions(versions: readonly ServiceVersion[]): void {
+    const stored = versions.flatMap((version) => this.table.record(recordOf(version)) ?? []);
+    if (stored.length > 0) void this.files?.store(stored);
   }
 
   /** Reads what the disk holds. */
--- a/packages/control/src/softwareVersions/softwareVersions.spec.ts
+++ b/packages/control/src/softwareVersions/softwareVersions.spec.ts
@@ -1,8 +1,10 @@
 import { create } from '@bufbuild/protobuf';
+import { MemoryDisk } from '@jasmineroute/coordination';
 import { ManualClock, silentLog, silentMetrics } from '@jasmineroute/core';
 import { controlMessage, streamKey } from '@jasmineroute/protocol';
 import { beforeEach, describe, expect, it } from 'vitest';
-import { OriginStore } from '../origins/index.js';
+import { RecordFiles } from '../files/index.js';
+import { OriginStore, originFormat } from '../origins/index.js';
 import { RelayedTargets, TargetRegistry } from '../targets/index.js';
 import { SoftwareVersions } from './softwareVersions.js';
 
@@ -64,6 +66,78 @@
     expect(list().versions).toEqual(['v1']);
   });
 
+  describe('after a loss of power', () => {
+    let disk: MemoryDisk;
+
+    beforeEach(() => {
+      disk = MemoryDisk.empty();
+    });
+
+    const settle = async (): Promise<void> => {
+      for (let turn = 0; turn < 20; turn += 1) await new Promise(setImmediate);
+    };
+
+    /** Starts the instance with what its disk holds; no target has called it yet. */
+    async function restart(): Promise<void> {
+      targets = new TargetRegistry(clock, silentLog, HEARTBEAT_MS);
+      relayed = new RelayedTargets(clock);
+      const files = new RecordFiles(disk, '/origins', originFormat, clock, silentLog);
+      origins = new OriginStore(clock, silentMetrics, files);
+      await origins.open();
+      versions = new SoftwareVersions({ targets, relayed, origins, clock });
+    }
+
+    const recordStream = (name: string, softwareVersion: string): void => {
+      const fields = { stream: streamKey('', name), service: 's', softwareVersion, lifetimeMs: 1_000 };
+      const began = create(controlMessage.StreamOriginSchema, fields);
+      origins.record(create(controlMessage.StreamOriginsSchema, { origins: [began] }));
+    };
+
+    // Guards against a stream that goes on at another version, as its origin was not reported or synced before the loss.
+    it.each([
+      ['called this instance', 'own'],
+      ['called another instance', 'relayed'],
+    ])(
+      'include the version of a target that %s, though no origin of its streams is on the disk',
+      async (_, way) => {
+        await restart();
+        announce('t1', 'v1');
+        recordStream('q1', 'v1');
+        await settle();
+        await clock.advance(1_000);
+        await settle();
+        if (way === 'own') announce('t2', 'v2');
+        else {
+          const other = { id: 't2', name: 't2', service: 's', address: 't2:80', softwareVersion: 'v2' };
+          relayed.apply('c2', [create(controlMessage.AnnouncedTargetSchema, other)], true);
+        }
+        await clock.advance(50);
+        await settle();
+        disk = disk.crash(() => 0);
+        await restart();
+        announce('t1', 'v1');
+        const { versions: known, complete } = list();
+        expect(complete ? known.sort() : 'incomplete').toEqual(['v1', 'v2']);
+      },
+    );
+
+    // Guards against versions that are known for some generations of origins only.
+    it('include the version of a target that has not changed for long', async () => {
+      await restart();
+      announce('t1', 'v1');
+      announce('t2', 'v2');
+      for (let round = 0; round < 6; round += 1) {
+        recordStream(`q${round}`, 'v1');
+        await settle();
+        await clock.advance(40_000);
+        await settle();
+      }
+      disk = disk.crash(() => 0);
+      await restart();
+      expect(list().versions.sort()).toEqual(['v1', 'v2']);
+    });
+  });
+
   // Guards against an instance that has just started and takes what it has heard for all there is.
   it('are complete only once it has listened for as long as is asked for', async () => {
     announce('t1', 'v1');
