--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -464,7 +464,7 @@
     file: 'packages/rollout/src/rollout.ts',
     find: 'const turnParts = { controls: followed,',
     put: 'const turnParts = { controls: () => controls,',
-    spec: 'platform/src/replacedControls.spec.ts',
+    spec: 'replacedControls.spec.ts',
     test: 'named weights are brought to all targets',
   },
   {
@@ -501,7 +501,7 @@
       find: 'const withoutSuccessor = current.voters.length % 2;',
       put: 'const withoutSuccessor = current.voters.length % 2 === 0 ? 0 : lost.length;',
     },
-    spec: 'platform/src/replacedControls.spec.ts',
+    spec: 'replacedControls.spec.ts',
     test: 'departures of targets are acknowledged',
   },
   {
@@ -533,7 +533,7 @@
     file: 'packages/core/src/address/address.ts',
     find: 'port <= MAX_PORT && URL.canParse(`http://${text}`)',
     put: 'port <= MAX_PORT * 2',
-    spec: 'platform/src/announcement.spec.ts',
+    spec: 'announcement.spec.ts',
     test: 'is refused when it is or has',
   },
   {
