Log and report how and since when a replica's storage fails

What an operator saw: event 2008 held the failed operation only in its text. Nothing told a failed write from a failed sync, whether the error was final, that the replica took no part in elections, or that the disk worked again.

Change: a storage error names its operation, system call, error code and whether it is final; 2008 logs them, once for each kind of error. New: 2022 (storage works again, after how long and how many failures), 2023 (does not stand or vote, logged once for each time that the storage fails), the gauge coordination.storage.failing and the counter coordination.storage.failures. The status of a replica, the report on all replicas (jasminectl status: "follower, storage fails") and the readiness text of control tell of it.

--- a/packages/control/src/log/commandLog.ts
+++ b/packages/control/src/log/commandLog.ts
@@ -20,6 +20,8 @@
   readonly leader?: string;
   /** Whether this replica is in touch with a quorum. */
   readonly vouched: boolean;
+  /** Why its storage fails; undefined while it works. */
+  readonly storageFailure?: string;
 }
 
 /** Whether the state may be reported: during a replay of the log it passes through outdated states. */
@@ -35,6 +37,8 @@
   /** False when the replica did not answer; the fields above are meaningless then. */
   readonly reachable: boolean;
   readonly vouched: boolean;
+  /** Why its storage fails; empty while it works. */
+  readonly storageFailure?: string;
 }
 
 /** A replicated, durable log that applies its entries to a state machine. */
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -206,8 +206,10 @@
   readiness(): Readiness {
     if (this.draining) return { ready: false, reason: 'draining' };
     if (this.state.machine.isHalted()) return { ready: false, reason: 'older than the log: upgrade' };
-    if (!this.commandLog.status().vouched) return { ready: false, reason: 'out of touch with a quorum' };
-    return { ready: true, reason: 'in touch with a quorum' };
+    const { vouched, storageFailure } = this.commandLog.status();
+    const storage = storageFailure === undefined ? '' : `, and its storage fails: ${storageFailure}`;
+    if (!vouched) return { ready: false, reason: `out of touch with a quorum${storage}` };
+    return { ready: true, reason: `in touch with a quorum${storage}` };
   }
 
   /**
--- a/packages/control/src/status/statusReport.ts
+++ b/packages/control/src/status/statusReport.ts
@@ -76,7 +76,8 @@
 /** States that are meaningful only while the replica is in touch with a quorum. */
 const STATES_NEEDING_QUORUM = new Set(['leader', 'follower', 'candidate']);
 
-function stateOf({ reachable, vouched, state }: LogReplica): string {
+function stateOf({ reachable, vouched, state, storageFailure = '' }: LogReplica): string {
   if (!reachable) return 'unreachable';
-  return !vouched && STATES_NEEDING_QUORUM.has(state) ? 'isolated' : state;
+  const contact = !vouched && STATES_NEEDING_QUORUM.has(state) ? 'isolated' : state;
+  return storageFailure === '' ? contact : `${contact}, storage fails`;
 }
--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -119,6 +119,7 @@
     const { replica, isCampaignImmediate: isImmediate } = this;
     this.isCampaignImmediate = false;
     const isAbstaining = replica.clock.monotonic() < replica.noCandidacyUntil;
+    if (isAbstaining) replica.storageHealth.reportAbstention('candidacy');
     if (replica.stopped || !replica.isVoter || isAbstaining) return;
     const startedAt = replica.clock.monotonic();
     if (!this.endorsement.support(this.candidate(replica.id, replica.entries.last))) return;
@@ -251,11 +252,15 @@
     }
     if (request.term < replica.term) return false;
     const observed = await replica.observeTerm(request.term);
+    if (observed.isErr()) replica.storageHealth.reportAbstention('vote');
     if (observed.isErr() || !isUpToDate) return false;
     const isVoteAvailable = replica.votedFor === '' || replica.votedFor === request.replicaId;
     if (!isVoteAvailable) return false;
     const saved = await replica.saveState({ votedFor: request.replicaId });
-    if (saved.isErr()) return false;
+    if (saved.isErr()) {
+      replica.storageHealth.reportAbstention('vote');
+      return false;
+    }
     this.votedAt = replica.clock.monotonic();
     replica.resetElectionTimer();
     return true;
--- a/packages/coordination/src/agreement/joining.ts
+++ b/packages/coordination/src/agreement/joining.ts
@@ -19,7 +19,10 @@
 const FOUNDING_TERM = 1n;
 
 /** Status of a replica, included in join answers. */
-export type Report = Pick<JoinResponse, 'state' | 'term' | 'commitIndex' | 'lastApplied' | 'vouched'>;
+export type Report = Pick<
+  JoinResponse,
+  'state' | 'term' | 'commitIndex' | 'lastApplied' | 'vouched' | 'storageFailure'
+>;
 
 const sortedNames = (members: readonly { name: string }[]): string =>
   members
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -5,11 +5,12 @@
 import type { Result } from 'neverthrow';
 import type { Configuration, Entry, Voter } from '../gen/agreement/agreement_pb.js';
 import { coordinationEvents } from '../events.js';
-import type { LogStorage, PersistentState, Recovered } from '../storage/index.js';
+import type { LogStorage, PersistentState, Recovered, StorageFault } from '../storage/index.js';
 import { isVoter, membersOf, voter } from './configuration.js';
 import { EntryLog } from './entryLog.js';
 import type { Tuning } from './options.js';
 import { Mutex, Signal } from './signal.js';
+import { StorageHealth } from './storageHealth.js';
 
 /** Role of a replica in its current term. */
 export type Role = 'follower' | 'candidate' | 'leader';
@@ -35,6 +36,7 @@
   readonly tuning: Tuning;
   readonly random: () => number;
   readonly storage: LogStorage;
+  readonly storageHealth: StorageHealth;
   readonly entries = new EntryLog();
   /** Fires on every change of role, term, leader, commit index or configuration, and on stop. */
   readonly changed = new Signal();
@@ -68,6 +70,7 @@
     this.tuning = options.tuning;
     this.random = options.random;
     this.storage = options.storage;
+    this.storageHealth = new StorageHealth(options.clock, options.log, options.metrics);
     this.state = recovered.state;
     this.electionTimerStart = options.clock.monotonic();
     const snapshot = recovered.snapshot;
@@ -136,6 +139,7 @@
       this.handleStorageFailure(saved.error);
       return saved;
     }
+    this.storageHealth.recordSuccess();
     this.state = next;
     this.changed.notify();
     return saved;
@@ -175,6 +179,7 @@
       this.handleStorageFailure(written.error);
       return written;
     }
+    if (entries.length > 0) this.storageHealth.recordSuccess();
     const previous = this.configuration;
     this.entries.append(entries);
     this.reportConfigurationChange(previous);
@@ -225,8 +230,8 @@
    * Steps down and pauses candidacy after a storage error. With a leader that can't write, every command would fail or wait
    * for the other replicas, so a replica with a working disk should be elected.
    */
-  handleStorageFailure(cause: Fault): void {
-    this.log.event(coordinationEvents.storageFailed, { reason: cause.message });
+  handleStorageFailure(cause: StorageFault): void {
+    this.storageHealth.recordFailure(cause);
     this.noCandidacyUntil = this.clock.monotonic() + this.tuning.storageRestMs;
     this.becomeFollower('storage failed');
   }
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -164,6 +164,7 @@
       lastApplied: this.applier.lastApplied,
       leader: replica.leader,
       vouched: this.contact.vouched,
+      storageFailure: replica.storageHealth.failure?.message,
       configuration: replica.configuration,
     };
   }
@@ -273,8 +274,8 @@
   }
 
   private report(): Report {
-    const { term, commitIndex, lastApplied, vouched, state } = this.status();
-    return { term, commitIndex, lastApplied, vouched, state };
+    const { term, commitIndex, lastApplied, vouched, state, storageFailure = '' } = this.status();
+    return { term, commitIndex, lastApplied, vouched, state, storageFailure };
   }
 
   /** Becomes leader of a term after winning its election, unless the term has ended since. */
--- a/packages/coordination/src/agreement/status.ts
+++ b/packages/coordination/src/agreement/status.ts
@@ -18,6 +18,8 @@
   readonly leader?: string;
   /** Whether the replica is in contact with a quorum and its state is current. */
   readonly vouched: boolean;
+  /** Why its storage fails; undefined while it works. */
+  readonly storageFailure?: string;
   readonly configuration?: Configuration;
 }
 
@@ -27,11 +29,20 @@
   readonly address: string;
   readonly replicaId: string;
   readonly voter: boolean;
+  /** Why its storage fails; empty while it works. */
+  readonly storageFailure: string;
   /** False if there was no answer, or another replica answered; the status fields are empty then. */
   readonly reachable: boolean;
 }
 
-const EMPTY_REPORT: Report = { state: '', term: 0n, commitIndex: 0n, lastApplied: 0n, vouched: false };
+const EMPTY_REPORT: Report = {
+  state: '',
+  term: 0n,
+  commitIndex: 0n,
+  lastApplied: 0n,
+  vouched: false,
+  storageFailure: '',
+};
 
 /** Creates the report on a member from its answer. */
 export function reportOf(
@@ -40,7 +51,7 @@
   answer: (Report & Pick<JoinResponse, 'replica'>) | undefined,
 ): ReplicaReport {
   const report = answer?.replica?.replicaId === member.replicaId ? answer : undefined;
-  const { state, term, commitIndex, lastApplied, vouched } = report ?? EMPTY_REPORT;
+  const { state, term, commitIndex, lastApplied, vouched, storageFailure } = report ?? EMPTY_REPORT;
   const { name, address, replicaId } = member;
   return {
     name,
@@ -53,5 +64,6 @@
     commitIndex,
     lastApplied,
     vouched,
+    storageFailure,
   };
 }
--- a/packages/coordination/src/events.ts
+++ b/packages/coordination/src/events.ts
@@ -28,5 +28,11 @@
   voterUnresponsive: { id: 2019, level: 'warn', message: 'a voter has not responded for a long time' },
   voterResponsive: { id: 2020, level: 'info', message: 'a voter responds again' },
   tooFewVoters: { id: 2021, level: 'warn', message: 'too few voters for the number of failures to tolerate' },
+  storageWorks: { id: 2022, level: 'info', message: 'storage works again' },
+  storageAbstention: {
+    id: 2023,
+    level: 'warn',
+    message: 'does not stand for election or vote while its storage fails',
+  },
   taskFailed: { id: 2016, level: 'error', message: 'a task of the replica failed' },
 });
--- a/packages/coordination/src/metrics.ts
+++ b/packages/coordination/src/metrics.ts
@@ -25,6 +25,16 @@
     type: 'counter',
     help: 'Failed tasks; each has stopped the replica',
   },
+  storageFailing: {
+    name: 'coordination.storage.failing',
+    type: 'gauge',
+    help: '1 while the storage of the replica fails, otherwise 0',
+  },
+  storageFailures: {
+    name: 'coordination.storage.failures',
+    type: 'counter',
+    help: 'Failed operations of the storage, by operation',
+  },
   commitIndex: {
     name: 'coordination.commit.index',
     type: 'gauge',
--- a/packages/coordination/src/storage/index.ts
+++ b/packages/coordination/src/storage/index.ts
@@ -5,4 +5,5 @@
 export { decodeFrames, encodeFrame } from './frame.js';
 export * from './logStorage.js';
 export * from './memoryDisk.js';
+export type { StorageFault, StorageOperation } from './storageFault.js';
 export type { Snapshot } from './snapshotFile.js';
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -1,8 +1,7 @@
 /** The durable state of a replica: identity and vote, snapshot, journal. */
 import { join } from 'node:path';
-import { fault, newId } from '@jasmineroute/core';
-import type { Fault } from '@jasmineroute/core';
-import { errAsync } from 'neverthrow';
+import { newId } from '@jasmineroute/core';
+import { err, errAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import * as z from 'zod';
 import type { Entry } from '../gen/agreement/agreement_pb.js';
@@ -11,7 +10,8 @@
 import { TEMPORARY_SUFFIX, readRecords, replaceFile } from './recordFile.js';
 import { readSnapshot, writeSnapshot } from './snapshotFile.js';
 import type { Snapshot } from './snapshotFile.js';
-import { CorruptFile, attempt } from './storageFault.js';
+import { CorruptFile, attempt, storageFault } from './storageFault.js';
+import type { StorageFault, StorageOperation } from './storageFault.js';
 
 const STATE_FILE = 'replica';
 
@@ -49,7 +49,7 @@
 /** Storage of one replica. The caller makes changes one at a time; `sync` may run concurrently. */
 export class LogStorage {
   /** Final: the error that left the disk's content unknown. */
-  private failure: Fault | undefined;
+  private failure: StorageFault | undefined;
 
   private constructor(
     private readonly disk: Disk,
@@ -59,8 +59,8 @@
   ) {}
 
   /** Locks and reads a folder, and creates it if it is missing. Errors: storage-failed, with file and reason. */
-  static async open(disk: Disk, folder: string): Promise<Result<OpenedStorage, Fault>> {
-    return attempt(`open ${folder}`, async () => {
+  static async open(disk: Disk, folder: string): Promise<Result<OpenedStorage, StorageFault>> {
+    return attempt('open', folder, async () => {
       await disk.ensureFolder(folder);
       const release = await disk.lock(folder);
       try {
@@ -73,31 +73,31 @@
   }
 
   /** Replaces identity, term and vote durably. */
-  saveState(state: PersistentState): Promise<Result<void, Fault>> {
-    return this.run('save the vote', () => writeState(this.disk, this.folder, state));
+  saveState(state: PersistentState): Promise<Result<void, StorageFault>> {
+    return this.run('vote', () => writeState(this.disk, this.folder, state));
   }
 
   /** Appends entries without a sync. After an error the journal is unchanged. */
-  write(entries: readonly Entry[]): Promise<Result<void, Fault>> {
-    return this.run('write the journal', () => this.journal.append(entries));
+  write(entries: readonly Entry[]): Promise<Result<void, StorageFault>> {
+    return this.run('write', () => this.journal.append(entries));
   }
 
   /** Drops the entries from `index` on. An error is final. */
-  async truncate(index: bigint): Promise<Result<void, Fault>> {
-    return this.failForGood(await this.run('truncate the journal', () => this.journal.truncate(index)));
+  async truncate(index: bigint): Promise<Result<void, StorageFault>> {
+    return this.failForGood(await this.run('truncate', () => this.journal.truncate(index)));
   }
 
   /**
    * Syncs everything written before the call. An error is final: the system may have dropped the pages that it could
    * not write, and a second sync would then report success for lost data.
    */
-  async sync(): Promise<Result<void, Fault>> {
-    return this.failForGood(await this.run('sync the journal', () => this.journal.sync()));
+  async sync(): Promise<Result<void, StorageFault>> {
+    return this.failForGood(await this.run('sync', () => this.journal.sync()));
   }
 
   /** Stores a snapshot and drops the journal's segments that hold only entries before `keepFrom`. */
-  saveSnapshot(snapshot: Snapshot, keepFrom: bigint, nextIndex: bigint): Promise<Result<void, Fault>> {
-    return this.run('write a snapshot', async () => {
+  saveSnapshot(snapshot: Snapshot, keepFrom: bigint, nextIndex: bigint): Promise<Result<void, StorageFault>> {
+    return this.run('snapshot', async () => {
       await writeSnapshot(this.disk, this.folder, snapshot);
       await this.journal.roll(nextIndex);
       await this.journal.dropBefore(keepFrom);
@@ -105,33 +105,29 @@
   }
 
   /** Replaces the whole journal by a snapshot. An error while clearing the journal is final. */
-  async installSnapshot(snapshot: Snapshot): Promise<Result<void, Fault>> {
-    const written = await this.run('install a snapshot', () =>
-      writeSnapshot(this.disk, this.folder, snapshot),
-    );
+  async installSnapshot(snapshot: Snapshot): Promise<Result<void, StorageFault>> {
+    const written = await this.run('install', () => writeSnapshot(this.disk, this.folder, snapshot));
     if (written.isErr()) return written;
-    return this.failForGood(
-      await this.run('clear the journal', () => this.journal.reset(snapshot.lastIndex + 1n)),
-    );
+    return this.failForGood(await this.run('clear', () => this.journal.reset(snapshot.lastIndex + 1n)));
   }
 
   /** Closes the files and releases the lock; later writes fail. */
   async close(): Promise<void> {
-    this.failure ??= fault('storage-failed', `${this.folder} is closed`);
+    this.failure ??= storageFault('open', this.folder, new Error('the storage is closed'));
     await this.journal.close().catch(() => undefined);
     await this.release().catch(() => undefined);
   }
 
   /** Makes an error final: the disk's content is unknown, so nothing more is written or acknowledged. */
-  private failForGood(result: Result<void, Fault>): Result<void, Fault> {
-    if (result.isErr()) this.failure ??= result.error;
-    return result;
+  private failForGood(result: Result<void, StorageFault>): Result<void, StorageFault> {
+    if (result.isOk()) return result;
+    this.failure ??= { ...result.error, isFinal: true };
+    return err(this.failure);
   }
 
-  private run(operation: string, action: () => Promise<void>): Promise<Result<void, Fault>> {
+  private run(operation: StorageOperation, action: () => Promise<void>): Promise<Result<void, StorageFault>> {
     const failed = this.failure;
-    const result =
-      failed === undefined ? attempt(`${operation} in ${this.folder}`, action) : errAsync(failed);
+    const result = failed === undefined ? attempt(operation, this.folder, action) : errAsync(failed);
     return Promise.resolve(result);
   }
 
--- a/packages/coordination/src/storage/memoryDisk.ts
+++ b/packages/coordination/src/storage/memoryDisk.ts
@@ -31,9 +31,9 @@
 /** A random number in [0, 1). */
 export type Random = () => number;
 
-/** A system error with a code. */
-export function systemError(code: string): Error {
-  return Object.assign(new Error(`${code}: made by the test`), { code });
+/** A system error with a code, of a system call. */
+export function systemError(code: string, syscall?: string): Error {
+  return Object.assign(new Error(`${code}: made by the test`), { code, syscall });
 }
 
 const writeAt =
@@ -213,7 +213,7 @@
     const covered = new Set(inode.unsynced);
     await this.syncDelay();
     await this.perform(() => {
-      if (this.syncError !== undefined) throw systemError(this.syncError);
+      if (this.syncError !== undefined) throw systemError(this.syncError, 'fdatasync');
       inode.synced = current;
       inode.unsynced = inode.unsynced.filter((write) => !covered.has(write));
     });
@@ -225,6 +225,6 @@
       whole: writeAt(part, position),
       torn: (share) => writeAt(part.subarray(0, Math.floor(share * part.length)), position),
     });
-    if (this.writeError !== undefined) throw systemError(this.writeError);
+    if (this.writeError !== undefined) throw systemError(this.writeError, 'write');
   }
 }
--- a/packages/coordination/src/storage/storageFault.ts
+++ b/packages/coordination/src/storage/storageFault.ts
@@ -16,6 +16,32 @@
   FOLDER_LOCKED: 'the folder is in use',
 };
 
+/** Operations of a replica's storage, with their names in messages. */
+const operations = {
+  open: 'open the folder',
+  vote: 'save the vote',
+  write: 'write the journal',
+  truncate: 'truncate the journal',
+  sync: 'sync the journal',
+  snapshot: 'write a snapshot',
+  install: 'install a snapshot',
+  clear: 'clear the journal',
+} as const;
+
+/** An operation of a replica's storage. */
+export type StorageOperation = keyof typeof operations;
+
+/** A fault of kind storage-failed. */
+export interface StorageFault extends Fault {
+  readonly operation: StorageOperation;
+  /** System call that failed; empty when unknown. */
+  readonly call: string;
+  /** System error code, such as ENOSPC; empty when unknown. */
+  readonly code: string;
+  /** Whether the content of the disk is unknown, so that the storage refuses all later operations. */
+  readonly isFinal: boolean;
+}
+
 /** A file whose content is not what was written. */
 export class CorruptFile extends Error {
   readonly code = 'CORRUPT';
@@ -29,16 +55,21 @@
   }
 }
 
-/** A fault of kind storage-failed with the failed operation and the reason. */
-export function storageFault(operation: string, error: unknown): Fault {
-  const code = (error as NodeJS.ErrnoException).code ?? '';
+/** A fault with the failed operation, the folder and the reason. */
+export function storageFault(operation: StorageOperation, folder: string, error: unknown): StorageFault {
+  const { code = '', syscall: call = '' } = error as NodeJS.ErrnoException;
   const text = error instanceof Error ? error.message : String(error);
   const explanation = explanations[code];
   const reason = explanation === undefined ? text : `${explanation} (${text})`;
-  return fault('storage-failed', `${operation}: ${reason}`, { cause: error });
+  const message = `${operations[operation]} in ${folder}: ${reason}`;
+  return { ...fault('storage-failed', message, { cause: error }), operation, call, code, isFinal: false };
 }
 
 /** Runs a disk operation; a thrown error becomes a storage fault. */
-export function attempt<T>(doing: string, action: () => Promise<T>): ResultAsync<T, Fault> {
-  return ResultAsync.fromThrowable(action, (error) => storageFault(doing, error))();
+export function attempt<T>(
+  operation: StorageOperation,
+  folder: string,
+  action: () => Promise<T>,
+): ResultAsync<T, StorageFault> {
+  return ResultAsync.fromThrowable(action, (error) => storageFault(operation, folder, error))();
 }
