Failing tests: replicas that do not recover after a storage error, and reads while a disk is full

The disk in memory follows real ones more closely: a failed sync drops the changes that it covers, which can still be read until a crash, and a later sync makes only later changes durable. A process can end without a loss of power, and other calls can fail.

--- a/packages/coordination/src/agreement/storageFaults.spec.ts
+++ b/packages/coordination/src/agreement/storageFaults.spec.ts
@@ -2,9 +2,18 @@
 import type { Log } from '@jasmineroute/core';
 import { afterEach, describe, expect, test } from 'vitest';
 import { coordinationEvents } from '../events.js';
+import type { FailingCall } from '../storage/index.js';
 import { MemoryCluster } from '../testing/index.js';
 import type { Node } from '../testing/index.js';
 
+const SEEDS = [1, 2, 3];
+
+/** Time within which a read must be answered after the storage works again, or while it fails. */
+const CONTACT_MS = 3_000;
+
+/** Timeout of one query. */
+const QUERY_MS = 900;
+
 const clusters: MemoryCluster[] = [];
 
 /** An event that a replica logged. */
@@ -20,8 +29,12 @@
   };
 }
 
-async function started(seed: number, events: LoggedEvent[] = []): Promise<MemoryCluster> {
-  const cluster = new MemoryCluster(seed, ['a', 'b', 'c'], {}, recordingLog(events));
+async function started(
+  seed: number,
+  events: LoggedEvent[] = [],
+  names = ['a', 'b', 'c'],
+): Promise<MemoryCluster> {
+  const cluster = new MemoryCluster(seed, names, {}, recordingLog(events));
   clusters.push(cluster);
   await cluster.startAll();
   expect(await cluster.until(() => cluster.leader() !== undefined, 10_000)).toBe(true);
@@ -36,27 +49,65 @@
   return leader;
 }
 
+const runningNodes = (cluster: MemoryCluster): Node[] =>
+  cluster.nodes.filter(({ replica }) => replica !== undefined);
+
+const followersOf = (cluster: MemoryCluster): Node[] =>
+  runningNodes(cluster).filter((node) => node !== cluster.leader());
+
 async function accepted(cluster: MemoryCluster, node: Node, command: string): Promise<boolean> {
   const attempt = cluster.propose(node, command, 8_000);
   await cluster.until(() => attempt.outcome !== 'open', 10_000);
   return attempt.outcome === 'done';
 }
 
+/** Queries all running replicas until one answers. @returns the milliseconds until then; Infinity beyond the limit. */
+async function firstReadMs(cluster: MemoryCluster, limitMs = CONTACT_MS): Promise<number> {
+  const startedAt = cluster.clock.monotonic();
+  const elapsedMs = (): number => cluster.clock.monotonic() - startedAt;
+  while (elapsedMs() < limitMs) {
+    const queries = runningNodes(cluster).map((node) => cluster.query(node, QUERY_MS));
+    const isAnswered = (): boolean => queries.some(({ outcome }) => outcome === 'answered');
+    const isRefused = (): boolean => queries.every(({ outcome }) => outcome === 'refused');
+    await cluster.until(() => isAnswered() || isRefused(), limitMs - elapsedMs());
+    if (isAnswered()) return elapsedMs();
+    await cluster.clock.advance(10);
+  }
+  return Infinity;
+}
+
 /** Refuses writes of a node's disk. */
 const refuseWrites = ({ disk }: Node): void => {
   disk.writeError = 'ENOSPC';
 };
 
+const refuseSyncs = ({ disk }: Node): void => {
+  disk.syncError = 'ENOSPC';
+};
+
+/** Fails a call, and writes with it. */
+const refuseCall =
+  (call: FailingCall) =>
+  (node: Node): void => {
+    refuseWrites(node);
+    node.disk.callErrors[call] = 'ENOSPC';
+  };
+
 const repair = ({ disk }: Node): void => {
   disk.writeError = undefined;
   disk.syncError = undefined;
+  for (const call of Object.keys(disk.callErrors)) disk.callErrors[call as FailingCall] = undefined;
+};
+
+const crash = (cluster: MemoryCluster, nodes: readonly Node[]): void => {
+  for (const node of nodes) cluster.crash(node);
 };
 
 /** Proposes a command every 50 ms for some time, so that disks are written. */
 async function traffic(cluster: MemoryCluster, ms: number): Promise<void> {
   const end = cluster.clock.monotonic() + ms;
   for (let count = 0; cluster.clock.monotonic() < end; count += 1) {
-    const running = cluster.nodes.filter(({ replica }) => replica !== undefined);
+    const running = runningNodes(cluster);
     const node = running[count % running.length];
     if (node !== undefined) cluster.propose(node, `t${end}-${count}`, 400);
     await cluster.clock.advance(50);
@@ -98,3 +149,108 @@
     expect(works[0]?.fields.failedForMs).toBeLessThan(6_000);
   });
 });
+
+const faults = [
+  { fault: 'refused syncs', refuse: refuseSyncs },
+  { fault: 'refused writes that leave a part', refuse: refuseCall('truncate') },
+  { fault: 'refused syncs of the folder', refuse: refuseCall('syncFolder') },
+  { fault: 'refused writes and renames', refuse: refuseCall('rename') },
+  { fault: 'refused writes and no file opened', refuse: refuseCall('open') },
+];
+
+const sizes = [
+  { size: 3, names: ['a', 'b', 'c'] },
+  { size: 5, names: ['a', 'b', 'c', 'd', 'e'] },
+];
+
+describe.each(faults)('after $fault', ({ refuse }) => {
+  // Guards against a replica that looks well, but writes and votes no more for as long as its process lives: the next loss
+  // of a replica leaves no majority.
+  test.each(SEEDS.flatMap((seed) => sizes.map((size) => ({ seed, ...size }))))(
+    'at as many as may be lost, others may be lost later (seed $seed, $size replicas)',
+    async ({ seed, names }) => {
+      const cluster = await started(seed, [], names);
+      const ill = followersOf(cluster).slice(0, (names.length - 1) / 2);
+      for (const node of ill) refuse(node);
+      await traffic(cluster, 1_000);
+      for (const node of ill) repair(node);
+      await traffic(cluster, 15_000);
+      const sound = followersOf(cluster).filter((node) => !ill.includes(node));
+      crash(cluster, [leaderOf(cluster), ...sound.slice(1)]);
+      expect(await firstReadMs(cluster)).toBeLessThanOrEqual(CONTACT_MS);
+    },
+  );
+
+  // Guards against a shared file system that was full for a second and leaves no replica that votes.
+  test.each(SEEDS)('at all replicas, a read is answered in time (seed %i)', async (seed) => {
+    const cluster = await started(seed);
+    for (const node of cluster.nodes) refuse(node);
+    await traffic(cluster, 1_000);
+    for (const node of cluster.nodes) repair(node);
+    expect(await firstReadMs(cluster)).toBeLessThanOrEqual(CONTACT_MS);
+    await cluster.clock.advance(5_000);
+    expect(await accepted(cluster, leaderOf(cluster), 'after')).toBe(true);
+    await cluster.clock.advance(1_000);
+    cluster.checkFinalState();
+  });
+});
+
+describe('after a full disk', () => {
+  // Guards against a fixed pause of all replicas that outlasts the fault.
+  test.each(SEEDS)('at all replicas, a read is answered in time (seed %i)', async (seed) => {
+    const cluster = await started(seed);
+    for (const node of cluster.nodes) refuseWrites(node);
+    await traffic(cluster, 4_000);
+    for (const node of cluster.nodes) repair(node);
+    expect(await firstReadMs(cluster)).toBeLessThanOrEqual(CONTACT_MS);
+  });
+
+  // Guards against a fixed pause of the only replica that has the newest entries and can be elected.
+  test.each(SEEDS)(
+    'of the only one that can be elected, a read is answered in time (seed %i)',
+    async (seed) => {
+      const cluster = await started(seed);
+      const full = leaderOf(cluster);
+      const [behind, other] = followersOf(cluster);
+      if (behind === undefined || other === undefined) throw new Error('no followers');
+      for (const node of [full, other]) cluster.network.cut(behind.address.address, node.address.address);
+      expect(await accepted(cluster, full, 'newest')).toBe(true);
+      refuseWrites(full);
+      await traffic(cluster, 500);
+      repair(full);
+      cluster.crash(other);
+      cluster.network.heal();
+      expect(await firstReadMs(cluster)).toBeLessThanOrEqual(CONTACT_MS);
+    },
+  );
+});
+
+describe('while a disk is full', () => {
+  /** Expects reads all the while. */
+  async function expectReads(cluster: MemoryCluster): Promise<void> {
+    for (let round = 0; round < 4; round += 1) {
+      expect(await firstReadMs(cluster)).toBeLessThanOrEqual(CONTACT_MS);
+      await traffic(cluster, 1_000);
+    }
+  }
+
+  // Guards against a leader that gives up its leadership, which nobody else can take over, at its first refused write.
+  test.each(SEEDS)('at the leader and a follower is lost, reads are answered (seed %i)', async (seed) => {
+    const cluster = await started(seed);
+    refuseWrites(leaderOf(cluster));
+    crash(cluster, followersOf(cluster).slice(0, 1));
+    await traffic(cluster, 500);
+    await expectReads(cluster);
+  });
+
+  // Guards against a configuration that can't be read because a vote can't be saved, although no read needs a write.
+  test.each(SEEDS)('at a follower and the leader is lost, reads are answered (seed %i)', async (seed) => {
+    const cluster = await started(seed);
+    const [full] = followersOf(cluster);
+    if (full === undefined) throw new Error('no follower');
+    await cluster.clock.advance(500);
+    refuseWrites(full);
+    cluster.crash(leaderOf(cluster));
+    await expectReads(cluster);
+  });
+});
--- a/packages/coordination/src/storage/memoryDisk.ts
+++ b/packages/coordination/src/storage/memoryDisk.ts
@@ -64,12 +64,17 @@
   return applied.reduce((content, change) => change(content), synced);
 }
 
+/** Calls of the disk that can be made to fail, beside writes and syncs of files. */
+export type FailingCall = 'open' | 'rename' | 'remove' | 'truncate' | 'syncFolder';
+
 /** The disk of a machine between two crashes. */
 export class MemoryDisk implements Disk {
   /** System error code for writes; they leave half of their data, as on a full disk. */
   writeError: string | undefined;
-  /** System error code for syncs. */
+  /** System error code for syncs. A failed sync drops the changes that it covers, which can still be read until a crash. */
   syncError: string | undefined;
+  /** System error codes for other calls. */
+  readonly callErrors: Partial<Record<FailingCall, string | undefined>> = {};
   /** Delay of each sync. */
   syncDelay: () => Promise<void> = () => Promise.resolve();
   private isCrashed = false;
@@ -108,6 +113,12 @@
     inode.current[offset] = (inode.current[offset] ?? 0) ^ 0x10;
   }
 
+  /** Ends the process that uses this disk, without a loss of power. Returns the disk for the next process. */
+  endProcess(): MemoryDisk {
+    this.isCrashed = true;
+    return new MemoryDisk(this.names, this.durableNames, this.nameChanges);
+  }
+
   async ensureFolder(): Promise<void> {
     return this.perform(() => undefined);
   }
@@ -124,7 +135,7 @@
   }
 
   async open(path: string): Promise<DiskFile> {
-    return this.perform(() => {
+    return this.performCall('open', () => {
       const known = this.names.get(path);
       if (known !== undefined) return this.handle(known);
       const inode: Inode = { current: NO_BYTES, synced: NO_BYTES, unsynced: [] };
@@ -134,7 +145,7 @@
   }
 
   async rename(from: string, to: string): Promise<void> {
-    return this.perform(() => {
+    return this.performCall('rename', () => {
       const inode = this.inodeOf(from);
       this.changeNames(to, (names) => {
         names.delete(from);
@@ -144,13 +155,13 @@
   }
 
   async remove(path: string): Promise<void> {
-    return this.perform(() => {
+    return this.performCall('remove', () => {
       this.changeNames(path, (names) => names.delete(path));
     });
   }
 
   async syncFolder(folder: string): Promise<void> {
-    return this.perform(() => {
+    return this.performCall('syncFolder', () => {
       for (const change of this.nameChanges) if (change.folder === folder) change.apply(this.durableNames);
       this.nameChanges = this.nameChanges.filter((change) => change.folder !== folder);
     });
@@ -191,6 +202,14 @@
     return action();
   }
 
+  private performCall<T>(call: FailingCall, action: () => T): Promise<T> {
+    return this.perform(() => {
+      const code = this.callErrors[call];
+      if (code !== undefined) throw systemError(code, call);
+      return action();
+    });
+  }
+
   private handle(inode: Inode): DiskFile {
     return {
       size: () => this.perform(() => inode.current.length),
@@ -199,7 +218,7 @@
           this.write(inode, data, position);
         }),
       truncate: (length) =>
-        this.perform(() => {
+        this.performCall('truncate', () => {
           this.change(inode, { whole: truncateTo(length), torn: () => unchanged });
         }),
       sync: () => this.sync(inode),
@@ -209,13 +228,13 @@
 
   /** Makes durable what was written before the call; later writes need not be. */
   private async sync(inode: Inode): Promise<void> {
-    const { current } = inode;
     const covered = new Set(inode.unsynced);
     await this.syncDelay();
     await this.perform(() => {
-      if (this.syncError !== undefined) throw systemError(this.syncError, 'fdatasync');
-      inode.synced = current;
+      const written = inode.unsynced.filter((write) => covered.has(write));
       inode.unsynced = inode.unsynced.filter((write) => !covered.has(write));
+      if (this.syncError !== undefined) throw systemError(this.syncError, 'fdatasync');
+      inode.synced = written.reduce((content, { whole }) => whole(content), inode.synced);
     });
   }
 
