--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -35,8 +35,8 @@
 export class Journal {
   private runningSync: Promise<void> | undefined;
   private queuedSync: Promise<void> | undefined;
-  /** Why an incomplete record could not be removed. */
-  private rollbackError: unknown;
+  /** Error after which the content of the disk is unknown; everything but closing is refused. */
+  private failure: Error | undefined;
   /** Index of the last entry that is known to be synced; 0: none. */
   private syncedIndex = 0n;
 
@@ -67,7 +67,7 @@
   async append(entries: readonly Entry[]): Promise<void> {
     const [head] = entries;
     if (head === undefined) return;
-    this.checkRollback();
+    this.checkContent();
     const tail = this.segments.at(-1) ?? (await this.beginSegment(head.index));
     const { syncedIndex } = this;
     const frames = entries.map((entry) => encodeFrame(toBinary(EntrySchema, { ...entry, syncedIndex })));
@@ -75,10 +75,7 @@
     try {
       await tail.file.write(Buffer.concat(frames), start);
     } catch (error) {
-      // A full disk accepts part of the write. If it stayed, entries after it could not be read at the next start.
-      await tail.file.truncate(start).catch((cause: unknown) => {
-        this.rollbackError = cause;
-      });
+      await this.removeAfter(tail, start);
       throw error;
     }
     for (const frame of frames) {
@@ -97,7 +94,7 @@
     if (tail === undefined || nextIndexOf(tail) <= index) return;
     const kept = index > tail.first ? Number(index - tail.first) : 0;
     const length = tail.offsets[kept] ?? tail.length;
-    await tail.file.truncate(length);
+    await this.orUnknown(() => tail.file.truncate(length));
     tail.offsets.length = kept;
     tail.length = length;
     this.syncedIndex = 0n;
@@ -148,19 +145,40 @@
     await Promise.all(this.segments.map((segment) => segment.file.close()));
   }
 
-  private checkRollback(): void {
-    if (this.rollbackError === undefined) return;
-    throw new Error('an incomplete write could not be removed from the journal', {
-      cause: this.rollbackError,
-    });
+  /** Whether an error left the content of the disk unknown. */
+  get isUnknown(): boolean {
+    return this.failure !== undefined;
+  }
+
+  private checkContent(): void {
+    if (this.failure !== undefined) throw this.failure;
+  }
+
+  /** Runs an action after whose failure the content of the disk is unknown. */
+  private async orUnknown<T>(action: () => Promise<T>): Promise<T> {
+    this.checkContent();
+    try {
+      return await action();
+    } catch (error) {
+      this.failure ??= error instanceof Error ? error : new Error(String(error));
+      throw error;
+    }
+  }
+
+  /** Removes the part that a failed write left. If it stayed, entries after it could not be read at the next start. */
+  private async removeAfter(tail: Segment, length: number): Promise<void> {
+    try {
+      await this.orUnknown(() => tail.file.truncate(length));
+    } catch {
+      // The journal now refuses everything, with this error.
+    }
   }
 
   private startSync(): Promise<void> {
     const tail = this.segments.at(-1);
     if (tail === undefined) return Promise.resolve();
     const last = nextIndexOf(tail) - 1n;
-    const running = tail.file
-      .sync()
+    const running = this.orUnknown(() => tail.file.sync())
       .then(() => {
         this.syncedIndex = last;
       })
@@ -176,21 +194,25 @@
     while (this.runningSync !== undefined) await this.runningSync.catch(() => undefined);
   }
 
-  private async beginSegment(first: bigint): Promise<Segment> {
-    const path = join(this.folder, segmentName(first));
-    const file = await this.disk.open(path);
-    await file.truncate(0);
-    await this.disk.syncFolder(this.folder);
-    const segment = { first, path, file, offsets: [], length: 0 };
-    this.segments.push(segment);
-    return segment;
+  private beginSegment(first: bigint): Promise<Segment> {
+    return this.orUnknown(async () => {
+      const path = join(this.folder, segmentName(first));
+      const file = await this.disk.open(path);
+      const segment = { first, path, file, offsets: [], length: 0 };
+      this.segments.push(segment);
+      await file.truncate(0);
+      await this.disk.syncFolder(this.folder);
+      return segment;
+    });
   }
 
   /** Syncs the folder after each removal: a power failure could otherwise undo any of several, leaving a gap between segments. */
   private async removeSegment(segment: Segment): Promise<void> {
     await this.waitForSync();
-    await this.disk.remove(segment.path);
-    await this.disk.syncFolder(this.folder);
+    await this.orUnknown(async () => {
+      await this.disk.remove(segment.path);
+      await this.disk.syncFolder(this.folder);
+    });
     this.segments.splice(this.segments.indexOf(segment), 1);
     await segment.file.close();
   }
--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -40,6 +40,16 @@
 const indexes = ({ recovered }: OpenedStorage): number[] =>
   recovered.entries.map(({ index }) => Number(index));
 
+/** Fails only the sync with a number, counted from now on. */
+function failSync(disk: MemoryDisk, failing: number): void {
+  let syncs = 0;
+  disk.syncDelay = () => {
+    syncs += 1;
+    disk.syncError = syncs === failing ? 'EIO' : undefined;
+    return Promise.resolve();
+  };
+}
+
 /** A disk with entries 1 to 5 synced, closed. */
 async function written(): Promise<MemoryDisk> {
   const disk = MemoryDisk.empty();
@@ -181,6 +191,31 @@
     expect((await storage.write(entries(2, 2))).isErr()).toBe(true);
   });
 
+  // Guards against losing an acknowledged entry: the sync that waited for a failed one reports success for pages that the
+  // failed one dropped.
+  test('a sync that waits for a failed one fails too', async () => {
+    const disk = MemoryDisk.empty();
+    const { storage } = await open(disk);
+    failSync(disk, 1);
+    await storage.write(entries(1, 1));
+    const first = storage.sync();
+    await storage.write(entries(2, 2));
+    const second = storage.sync();
+    expect((await first).isErr()).toBe(true);
+    expect((await second).isErr()).toBe(true);
+  });
+
+  // Guards against the same in a snapshot, before which the journal is synced.
+  test('a sync that failed for a snapshot is final', async () => {
+    const disk = MemoryDisk.empty();
+    const { storage } = await open(disk);
+    await storage.write(entries(1, 3));
+    const snapshot = { clusterId: 'c', lastIndex: 2n, lastTerm: 1n, data: Buffer.from('state') };
+    failSync(disk, 2);
+    expect((await storage.saveSnapshot(snapshot, 1n, 4n)).isErr()).toBe(true);
+    expect((await storage.sync()).isErr()).toBe(true);
+  });
+
   // Guards against a replica that starts on a read-only file system and fails at its first command.
   test('a read-only folder fails with a clear error', async () => {
     const disk = MemoryDisk.empty();
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -1,7 +1,7 @@
 /** The durable state of a replica: identity and vote, snapshot, journal. */
 import { join } from 'node:path';
 import { newId } from '@jasmineroute/core';
-import { err, errAsync } from 'neverthrow';
+import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import * as z from 'zod';
 import type { Entry } from '../gen/agreement/agreement_pb.js';
@@ -83,16 +83,16 @@
   }
 
   /** Drops the entries from `index` on. An error is final. */
-  async truncate(index: bigint): Promise<Result<void, StorageFault>> {
-    return this.failForGood(await this.run('truncate', () => this.journal.truncate(index)));
+  truncate(index: bigint): Promise<Result<void, StorageFault>> {
+    return this.run('truncate', () => this.journal.truncate(index));
   }
 
   /**
    * Syncs everything written before the call. An error is final: the system may have dropped the pages that it could
    * not write, and a second sync would then report success for lost data.
    */
-  async sync(): Promise<Result<void, StorageFault>> {
-    return this.failForGood(await this.run('sync', () => this.journal.sync()));
+  sync(): Promise<Result<void, StorageFault>> {
+    return this.run('sync', () => this.journal.sync());
   }
 
   /** Stores a snapshot and drops the journal's segments that hold only entries before `keepFrom`. */
@@ -108,7 +108,7 @@
   async installSnapshot(snapshot: Snapshot): Promise<Result<void, StorageFault>> {
     const written = await this.run('install', () => writeSnapshot(this.disk, this.folder, snapshot));
     if (written.isErr()) return written;
-    return this.failForGood(await this.run('clear', () => this.journal.reset(snapshot.lastIndex + 1n)));
+    return this.run('clear', () => this.journal.reset(snapshot.lastIndex + 1n));
   }
 
   /** Closes the files and releases the lock; later writes fail. */
@@ -118,19 +118,18 @@
     await this.release().catch(() => undefined);
   }
 
-  /** Makes an error final: the disk's content is unknown, so nothing more is written or acknowledged. */
-  private failForGood(result: Result<void, StorageFault>): Result<void, StorageFault> {
-    if (result.isOk()) return result;
+  /** Runs an operation. An error after which the content of the disk is unknown is final. */
+  private async run(
+    operation: StorageOperation,
+    action: () => Promise<void>,
+  ): Promise<Result<void, StorageFault>> {
+    if (this.failure !== undefined) return err(this.failure);
+    const result = await attempt(operation, this.folder, action);
+    if (result.isOk() || !this.journal.isUnknown) return result;
     this.failure ??= { ...result.error, isFinal: true };
     return err(this.failure);
   }
 
-  private run(operation: StorageOperation, action: () => Promise<void>): Promise<Result<void, StorageFault>> {
-    const failed = this.failure;
-    const result = failed === undefined ? attempt(operation, this.folder, action) : errAsync(failed);
-    return Promise.resolve(result);
-  }
-
   private static async load(disk: Disk, folder: string, release: ReleaseLock): Promise<OpenedStorage> {
     await removeTemporaryFiles(disk, folder);
     const state = await readState(disk, folder);
