A replica recovers its storage in place after a final error

What callers saw: a sync failed once at one control instance, for want of space. Its process lived on and looked well, but wrote, voted and acknowledged nothing more. At the next loss of another instance no majority was left, and no configuration was read back.

Cause: after a failed sync, an incomplete write that could not be removed, or a refused file, truncation or sync of the folder, the storage refuses everything for as long as the process lives, and nothing opens the folder again.

Change: a task of the replica tries again, after 100 ms and then ever later up to 1 s. After a final error it waits for running syncs, closes the files, keeps the lock, and reads the folder as at a start. Only then does anything count as synced. If an entry that was acknowledged is gone, the replica stops like after a failed task. After an error that is not final it saves the vote. While the storage fails, nothing is written beside that; heartbeats are answered.

A sync alone does not count for entries that were only read: truncating the surplus syncs the file before the rest is written again.

Five new tests of logStorage.spec.ts.

--- a/packages/coordination/src/agreement/entryLog.ts
+++ b/packages/coordination/src/agreement/entryLog.ts
@@ -74,6 +74,11 @@
     return end < 0 ? candidates : candidates.slice(0, end);
   }
 
+  /** All entries in memory. */
+  all(): readonly Entry[] {
+    return this.entries;
+  }
+
   /** Bytes of the commands after an index. */
   bytesAfter(index: bigint): number {
     const start = Math.max(0, Number(index - this.base.index));
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -47,6 +47,10 @@
       'number of simultaneous losses to tolerate; with no more than twice as many voters, a warning is logged',
     ),
   storageRestMs: milliseconds(10_000).describe('time after a storage error without candidacy'),
+  storageRetryMs: milliseconds(100).describe(
+    'pause before the first attempt to make a failing storage work; doubled with each further one',
+  ),
+  maxStorageRetryMs: milliseconds(1_000).describe('longest pause between these attempts'),
   reconfigureMs: milliseconds(250).describe('pause between steps of a membership change'),
   changeTimeoutMs: milliseconds(30_000).describe('timeout of a membership change'),
   joinMs: milliseconds(200).describe('pause between attempts of an empty replica to join'),
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'neverthrow';
 import type { Configuration, Entry, Voter } from '../gen/agreement/agreement_pb.js';
 import { coordinationEvents } from '../events.js';
-import type { LogStorage, PersistentState, Recovered, StorageFault } from '../storage/index.js';
+import type { LogStorage, PersistentState, Recovered, Snapshot, StorageFault } from '../storage/index.js';
 import { isVoter, membersOf, voter } from './configuration.js';
 import { EntryLog } from './entryLog.js';
 import type { Tuning } from './options.js';
@@ -133,13 +133,13 @@
 
   /** Persists term, vote or cluster id; the change takes effect only once synced. Call within `exclusive`. */
   async saveState(change: Partial<PersistentState>): Promise<Result<void, Fault>> {
+    if (this.storageHealth.failure !== undefined) return err(this.storageHealth.failure);
     const next = { ...this.state, ...change };
     const saved = await this.storage.saveState(next);
     if (saved.isErr()) {
       this.handleStorageFailure(saved.error);
       return saved;
     }
-    this.storageHealth.recordSuccess();
     this.state = next;
     this.changed.notify();
     return saved;
@@ -174,12 +174,13 @@
 
   /** Appends entries to the log without syncing them. Call within `exclusive`. */
   async appendEntries(entries: readonly Entry[]): Promise<Result<void, Fault>> {
+    if (entries.length === 0) return ok();
+    if (this.storageHealth.failure !== undefined) return err(this.storageHealth.failure);
     const written = await this.storage.write(entries);
     if (written.isErr()) {
       this.handleStorageFailure(written.error);
       return written;
     }
-    if (entries.length > 0) this.storageHealth.recordSuccess();
     const previous = this.configuration;
     this.entries.append(entries);
     this.reportConfigurationChange(previous);
@@ -190,6 +191,7 @@
   async truncateEntries(index: bigint): Promise<Result<void, Fault>> {
     if (index <= this.commitIndex)
       return err(fault('internal', `cannot truncate at ${index.toString()}: the entry is committed`));
+    if (this.storageHealth.failure !== undefined) return err(this.storageHealth.failure);
     const truncated = await this.storage.truncate(index);
     if (truncated.isErr()) {
       this.handleStorageFailure(truncated.error);
@@ -236,6 +238,32 @@
     this.becomeFollower('storage failed');
   }
 
+  /**
+   * Tries to make the storage work again after an error. Returns a snapshot of entries that this replica doesn't hold, if one
+   * was found, from which the state machine has to be restored. Call within `exclusive`.
+   */
+  async recoverStorage(): Promise<Result<Snapshot | undefined, StorageFault>> {
+    const { state, entries, commitIndex, syncedIndex } = this;
+    const held = { state, entries: entries.all(), commitIndex, syncedIndex };
+    const recovered = await this.storage.recover(held);
+    if (recovered.isErr()) {
+      this.storageHealth.recordFailure(recovered.error);
+      return err(recovered.error);
+    }
+    const { snapshot } = recovered.value;
+    if (recovered.value.state.term !== this.term) this.becomeFollower('higher term on the disk');
+    this.state = recovered.value.state;
+    if (snapshot !== undefined) {
+      entries.reset({ index: snapshot.lastIndex, term: snapshot.lastTerm }, snapshot.configuration);
+      entries.append(recovered.value.entries);
+      this.commitTo(snapshot.lastIndex);
+    }
+    if (this.storageHealth.failure?.isFinal === true) this.syncedIndex = entries.last.index;
+    this.storageHealth.recordSuccess();
+    this.changed.notify();
+    return ok(snapshot);
+  }
+
   stop(): void {
     this.stopped = true;
     this.becomeFollower('closing');
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -10,7 +10,7 @@
 import type { Configuration } from '../gen/agreement/agreement_pb.js';
 import { coordinationMetrics } from '../metrics.js';
 import { LogStorage, fileDisk } from '../storage/index.js';
-import type { Recovered } from '../storage/index.js';
+import type { Recovered, Snapshot } from '../storage/index.js';
 import { Applier } from './applier.js';
 import { membersOf } from './configuration.js';
 import { Contact } from './contact.js';
@@ -29,6 +29,7 @@
 import type { ReplicaReport, ReplicaState, ReplicaStatus } from './status.js';
 import { requestChecks } from './requestCheck.js';
 import { reportOf } from './status.js';
+import { StorageRecovery } from './storageRecovery.js';
 
 /** Interval at which a membership change is checked for completion. */
 const CHANGE_POLL_MS = 50;
@@ -61,6 +62,7 @@
   private readonly reconfiguration: Reconfiguration;
   private readonly contact: Contact;
   private readonly proposing: Proposing;
+  private readonly storageRecovery: StorageRecovery;
   private leadership: Leadership | undefined;
   private tasks: Promise<unknown> = Promise.resolve();
   private readonly onFailure: (error: unknown) => void;
@@ -86,9 +88,11 @@
     const timeoutBounds = { leastMs: rpcTimeoutMs, mostMs: slowRpcTimeoutMs };
     this.peers = new PeerClient({ connect, drop, clock, log, metrics, timeoutBounds });
     this.applier = new Applier(replica, options.stateMachine, this.waiters);
-    this.follower = new Follower(replica, (snapshot) => {
+    const restore = (snapshot: Snapshot): void => {
       this.applier.restore(snapshot);
-    });
+    };
+    this.follower = new Follower(replica, restore);
+    this.storageRecovery = new StorageRecovery(replica, restore);
     this.election = new Election(replica, this.peers, (term) => this.becomeLeader(term));
     this.joining = new Joining(replica, this.peers, options.initialReplicas, () => this.report());
     this.reconfiguration = new Reconfiguration(replica, this.joining);
@@ -131,6 +135,7 @@
       this.supervise(this.joining.run()),
       this.supervise(this.election.run()),
       this.supervise(this.contact.run()),
+      this.supervise(this.storageRecovery.run()),
     ]);
     void this.supervise(this.proposing.probeLeader());
     return Promise.resolve();
--- a/packages/coordination/src/agreement/storageHealth.ts
+++ b/packages/coordination/src/agreement/storageHealth.ts
@@ -23,7 +23,9 @@
   /** Records a failed operation; logged when it is the first one or of another kind than the last. */
   recordFailure(failure: StorageFault): void {
     const { operation, call, code, isFinal, message } = failure;
-    const isNew = this.failure?.operation !== operation || this.failure.code !== code;
+    const last = this.failure;
+    const isNew =
+      last === undefined || (operation !== 'recover' && last.operation !== operation) || last.code !== code;
     if (this.failure === undefined) {
       this.failingSince = this.clock.monotonic();
       this.metrics.gauge(coordinationMetrics.storageFailing, 1);
@@ -41,9 +43,9 @@
     });
   }
 
-  /** Records that an operation succeeded which shows that the storage works. */
+  /** Records that the storage works again. */
   recordSuccess(): void {
-    if (this.failure === undefined || this.failure.isFinal) return;
+    if (this.failure === undefined) return;
     const failedForMs = Math.round(this.clock.monotonic() - this.failingSince);
     const { operation } = this.failure;
     this.log.event(coordinationEvents.storageWorks, { operation, failedForMs, failures: this.failures });
--- a/packages/coordination/src/storage/index.ts
+++ b/packages/coordination/src/storage/index.ts
@@ -5,5 +5,6 @@
 export { decodeFrames, encodeFrame } from './frame.js';
 export * from './logStorage.js';
 export * from './memoryDisk.js';
+export { CORRUPT } from './storageFault.js';
 export type { StorageFault, StorageOperation } from './storageFault.js';
 export type { Snapshot } from './snapshotFile.js';
--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -29,6 +29,8 @@
 
 const nextIndexOf = (segment: Segment): bigint => segment.first + BigInt(segment.offsets.length);
 
+const min = (a: bigint, b: bigint): bigint => (a < b ? a : b);
+
 const segmentName = (first: bigint): string => PREFIX + String(first).padStart(DIGITS, '0');
 
 /** The caller appends and truncates one at a time; `sync` may run concurrently. */
@@ -38,7 +40,9 @@
   /** Error after which the content of the disk is unknown; everything but closing is refused. */
   private failure: Error | undefined;
   /** Index of the last entry that is known to be synced; 0: none. */
-  private syncedIndex = 0n;
+  private synced = 0n;
+  /** Whether entries after `synced` were only read, so that a sync does not make them durable. */
+  private isTailDoubtful = false;
 
   private constructor(
     private readonly disk: Disk,
@@ -48,19 +52,25 @@
 
   /**
    * Reads the folder's segments. Only the newest may end in an interrupted write, which is removed; older ones
-   * were synced as a whole before the next one was started.
+   * were synced as a whole before the next one was started. Entries after `synced`, if given, are not known to be synced.
    * @throws CorruptFile, or a system error.
    */
-  static async open(disk: Disk, folder: string): Promise<OpenedJournal> {
+  static async open(disk: Disk, folder: string, synced?: bigint): Promise<OpenedJournal> {
     const names = (await disk.list(folder)).filter((name) => name.startsWith(PREFIX)).sort();
     const journal = new Journal(disk, folder, []);
-    const entries: Entry[] = [];
-    let repairedBytes = 0;
-    for (const [position, name] of names.entries()) {
-      const isNewest = position === names.length - 1;
-      repairedBytes += await journal.loadSegment(join(folder, name), isNewest, entries);
+    journal.synced = synced ?? 0n;
+    journal.isTailDoubtful = synced !== undefined;
+    try {
+      return await journal.load(names);
+    } catch (error) {
+      await journal.close();
+      throw error;
     }
-    return { journal, entries, repairedBytes };
+  }
+
+  /** Index of the last entry that is known to be synced; 0: none. */
+  get syncedIndex(): bigint {
+    return this.synced;
   }
 
   /** Appends entries without a sync. If the write fails, the file is left as it was. */
@@ -69,7 +79,7 @@
     if (head === undefined) return;
     this.checkContent();
     const tail = this.segments.at(-1) ?? (await this.beginSegment(head.index));
-    const { syncedIndex } = this;
+    const { synced: syncedIndex } = this;
     const frames = entries.map((entry) => encodeFrame(toBinary(EntrySchema, { ...entry, syncedIndex })));
     const start = tail.length;
     try {
@@ -97,8 +107,20 @@
     await this.orUnknown(() => tail.file.truncate(length));
     tail.offsets.length = kept;
     tail.length = length;
-    this.syncedIndex = 0n;
     // Synced before the next write: if that survived a power failure and the truncation did not, old bytes would follow it.
+    await this.sync().finally(() => {
+      this.synced = min(this.synced, index - 1n);
+    });
+  }
+
+  /**
+   * Writes the entries after the last one that is known to be synced again, in place, and syncs them. They can be read, but may
+   * not be on the disk: the system keeps pages in memory that it failed to write, and does not write them at a further sync.
+   */
+  async rewriteTail(): Promise<void> {
+    const tail = this.segments.at(-1);
+    if (tail !== undefined) await this.rewrite(tail);
+    this.isTailDoubtful = false;
     await this.sync();
   }
 
@@ -123,6 +145,8 @@
       await this.removeSegment(tail);
     }
     await this.beginSegment(index);
+    this.synced = index - 1n;
+    this.isTailDoubtful = false;
   }
 
   /**
@@ -180,7 +204,7 @@
     const last = nextIndexOf(tail) - 1n;
     const running = this.orUnknown(() => tail.file.sync())
       .then(() => {
-        this.syncedIndex = last;
+        if (!this.isTailDoubtful) this.synced = last;
       })
       .finally(() => {
         if (this.runningSync === running) this.runningSync = undefined;
@@ -217,6 +241,24 @@
     await segment.file.close();
   }
 
+  private async load(names: readonly string[]): Promise<OpenedJournal> {
+    const entries: Entry[] = [];
+    let repairedBytes = 0;
+    for (const [position, name] of names.entries()) {
+      const isNewest = position === names.length - 1;
+      repairedBytes += await this.loadSegment(join(this.folder, name), isNewest, entries);
+    }
+    return { journal: this, entries, repairedBytes };
+  }
+
+  private async rewrite(tail: Segment): Promise<void> {
+    const position = this.synced < tail.first ? 0 : Number(this.synced - tail.first) + 1;
+    const start = tail.offsets[position];
+    if (start === undefined) return;
+    const data = (await this.disk.read(tail.path)).subarray(start, tail.length);
+    await this.orUnknown(() => tail.file.write(data, start));
+  }
+
   private async loadSegment(path: string, isNewest: boolean, entries: Entry[]): Promise<number> {
     const frames = decodeFrames(await this.disk.read(path));
     const isDamaged = frames.ending === 'corrupt' || (frames.ending !== 'whole' && !isNewest);
@@ -238,12 +280,12 @@
       throw new CorruptFile(path, `entry ${next().toString()} was synced and is gone`);
     }
     const file = await this.disk.open(path);
+    this.segments.push({ first, path, file, offsets: frames.offsets, length: frames.end });
     const excess = (await file.size()) - frames.end;
     if (excess > 0) {
       await file.truncate(frames.end);
       await file.sync();
     }
-    this.segments.push({ first, path, file, offsets: frames.offsets, length: frames.end });
     return excess;
   }
 }
--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -9,7 +9,7 @@
 import type { Disk } from './disk.js';
 import { fileDisk } from './fileDisk.js';
 import { LogStorage } from './logStorage.js';
-import type { OpenedStorage } from './logStorage.js';
+import type { HeldState, OpenedStorage } from './logStorage.js';
 import { MemoryDisk } from './memoryDisk.js';
 import { seeded } from '../testing/memoryCluster.js';
 
@@ -216,6 +216,89 @@
     expect((await storage.sync()).isErr()).toBe(true);
   });
 
+  describe('after a failed sync', () => {
+    /** Entries 1 and 2 synced; the sync of 3 and 4 failed and dropped them, though they can still be read. */
+    async function failed(): Promise<OpenedStorage & { disk: MemoryDisk; held: HeldState }> {
+      const disk = MemoryDisk.empty();
+      const { storage, recovered } = await open(disk);
+      await storage.write(entries(1, 2));
+      await storage.sync();
+      disk.syncError = 'EIO';
+      await storage.write(entries(3, 4));
+      expect((await storage.sync()).isErr()).toBe(true);
+      const held = { state: recovered.state, entries: entries(1, 4), commitIndex: 1n, syncedIndex: 2n };
+      return { disk, storage, recovered, held };
+    }
+
+    const afterPowerFailure = (disk: MemoryDisk): Promise<OpenedStorage> => open(disk.crash(() => 0));
+
+    // Guards against an acknowledged entry that only the system's memory holds, as a second sync does not write it.
+    test('a recovery writes the entries again', async () => {
+      const { disk, storage, held } = await failed();
+      expect((await storage.recover(held)).isErr()).toBe(true);
+      expect((await storage.write(entries(5, 5))).isErr()).toBe(true);
+      disk.syncError = undefined;
+      expect((await storage.recover(held)).isOk()).toBe(true);
+      await storage.write(entries(5, 5));
+      await storage.sync();
+      expect(indexes(await afterPowerFailure(disk))).toEqual([1, 2, 3, 4, 5]);
+    });
+
+    // Guards against a command that runs although it was reported as not run: a failed write left it on the disk.
+    test('a recovery removes entries that the replica does not hold, and adds those that only it holds', async () => {
+      const { disk, storage, held } = await failed();
+      disk.syncError = undefined;
+      const own = [...entries(1, 3), { ...entry(4, 'another'), term: 2n }, { ...entry(5), term: 2n }];
+      expect((await storage.recover({ ...held, entries: own })).isOk()).toBe(true);
+      const after = await afterPowerFailure(disk);
+      expect(after.recovered.entries.map(({ term }) => Number(term))).toEqual([1, 1, 1, 2, 2]);
+    });
+
+    // Guards against a second vote in a term: the first one is on the disk although saving it was reported as failed.
+    test('a recovery takes over a newer vote from the disk', async () => {
+      const { disk, storage, held } = await failed();
+      disk.syncError = undefined;
+      disk.callErrors.syncFolder = 'EIO';
+      const voted = { ...held.state, term: 9n, votedFor: 'other' };
+      expect((await storage.recover({ ...held, state: voted })).isErr()).toBe(true);
+      disk.callErrors.syncFolder = undefined;
+      const recovered = (await storage.recover(held))._unsafeUnwrap();
+      expect(recovered.state).toMatchObject({ term: 9n, votedFor: 'other' });
+      expect((await afterPowerFailure(disk)).recovered.state).toMatchObject({ term: 9n });
+    });
+
+    // Guards against a replica that goes on with fewer entries than it has acknowledged.
+    test('a recovery fails when a synced entry is gone', async () => {
+      const { disk, storage, held } = await failed();
+      disk.syncError = undefined;
+      const file = await disk.open(join(FOLDER, JOURNAL));
+      await file.truncate(0);
+      const error = (await storage.recover(held))._unsafeUnwrapErr();
+      expect(error).toMatchObject({ code: 'CORRUPT' });
+      expect(error.message).toContain('entry 1 was synced and is gone');
+      expect((await storage.write(entries(5, 5))).isErr()).toBe(true);
+    });
+
+    // Guards against a replica that can never recover: a snapshot was installed, and the old journal could not be removed.
+    test('a recovery takes over a newer snapshot', async () => {
+      const disk = MemoryDisk.empty();
+      const { storage, recovered } = await open(disk);
+      await storage.write(entries(1, 4));
+      await storage.sync();
+      disk.callErrors.remove = 'EIO';
+      const snapshot = { clusterId: 'c', lastIndex: 9n, lastTerm: 1n, data: Buffer.from('state') };
+      expect((await storage.installSnapshot(snapshot)).isErr()).toBe(true);
+      disk.callErrors.remove = undefined;
+      const held = { state: recovered.state, entries: entries(1, 4), commitIndex: 4n, syncedIndex: 4n };
+      const result = (await storage.recover(held))._unsafeUnwrap();
+      expect(result.snapshot?.lastIndex).toBe(9n);
+      expect(result.entries).toEqual([]);
+      await storage.write(entries(10, 10));
+      await storage.sync();
+      expect(indexes(await afterPowerFailure(disk))).toEqual([10]);
+    });
+  });
+
   // Guards against a replica that starts on a read-only file system and fails at its first command.
   test('a read-only folder fails with a clear error', async () => {
     const disk = MemoryDisk.empty();
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -40,6 +40,26 @@
   readonly repairedBytes: number;
 }
 
+/** Log and vote that a replica holds in memory, to which its folder is brought by `recover`. */
+export interface HeldState {
+  readonly state: PersistentState;
+  /** Entries in memory, without a gap. */
+  readonly entries: readonly Entry[];
+  readonly commitIndex: bigint;
+  /** Index up to which entries may have been acknowledged. */
+  readonly syncedIndex: bigint;
+}
+
+/** State after a recovery, durable. */
+export interface RecoveredState {
+  /** As held, or newer. */
+  readonly state: PersistentState;
+  /** A snapshot of entries that the replica doesn't hold, which replaces its log. */
+  readonly snapshot?: Snapshot;
+  /** The log after the snapshot, if there is one; otherwise the entries held. */
+  readonly entries: readonly Entry[];
+}
+
 /** An opened folder. */
 export interface OpenedStorage {
   readonly storage: LogStorage;
@@ -54,7 +74,7 @@
   private constructor(
     private readonly disk: Disk,
     private readonly folder: string,
-    private readonly journal: Journal,
+    private journal: Journal,
     private readonly release: ReleaseLock,
   ) {}
 
@@ -111,6 +131,23 @@
     return this.run('clear', () => this.journal.reset(snapshot.lastIndex + 1n));
   }
 
+  /**
+   * Makes the storage work again after an error; until it succeeds, a final error stays. Saves the vote. After a final error,
+   * reads the folder as at a start, brings it to what the replica holds, and writes again all that is not known to be synced.
+   * Error code CORRUPT: what was synced has changed.
+   */
+  async recover(held: HeldState): Promise<Result<RecoveredState, StorageFault>> {
+    const { disk, folder, failure } = this;
+    const result = await attempt('recover', folder, async () => {
+      const recovered = failure === undefined ? held : await this.reopen(held);
+      await writeState(disk, folder, recovered.state);
+      return recovered;
+    });
+    if (result.isErr()) return err({ ...result.error, isFinal: failure !== undefined });
+    this.failure = undefined;
+    return result;
+  }
+
   /** Closes the files and releases the lock; later writes fail. */
   async close(): Promise<void> {
     this.failure ??= storageFault('open', this.folder, new Error('the storage is closed'));
@@ -118,6 +155,46 @@
     await this.release().catch(() => undefined);
   }
 
+  private async reopen(held: HeldState): Promise<RecoveredState> {
+    const { disk, folder } = this;
+    await this.journal.close();
+    const opened = await Journal.open(disk, folder, this.journal.syncedIndex);
+    this.journal = opened.journal;
+    await removeTemporaryFiles(disk, folder);
+    const state = newerState(await readState(disk, folder), held.state, folder);
+    const snapshot = await readSnapshot(disk, folder);
+    const onDisk = await entriesAfterSnapshot(this.journal, opened.entries, snapshot, folder);
+    const isNewer = snapshot !== undefined && snapshot.lastIndex > held.commitIndex;
+    const entries = entriesHeldAfter(held, snapshot, isNewer);
+    // Entries may be gone that a snapshot was about to replace.
+    await this.reconcile(onDisk, entries, isNewer ? 0n : held.syncedIndex);
+    return { state, snapshot: isNewer ? snapshot : undefined, entries };
+  }
+
+  /** Makes the journal hold, synced, the entries that the replica holds after the snapshot. */
+  private async reconcile(
+    onDisk: readonly Entry[],
+    entries: readonly Entry[],
+    acknowledgedIndex: bigint,
+  ): Promise<void> {
+    const { journal } = this;
+    const different = onDisk.findIndex(
+      ({ index, term }, position) => entries[position]?.index !== index || entries[position].term !== term,
+    );
+    const agreeing = different < 0 ? onDisk.length : different;
+    const missing = entries.slice(agreeing);
+    const [firstMissing] = missing;
+    if (firstMissing !== undefined && firstMissing.index <= acknowledgedIndex) {
+      throw new CorruptFile(this.folder, `entry ${firstMissing.index.toString()} was synced and is gone`);
+    }
+    // Entries that the replica doesn't hold were left by a write that was reported as failed.
+    const surplus = onDisk[agreeing];
+    if (surplus !== undefined) await journal.truncate(surplus.index);
+    await journal.rewriteTail();
+    await journal.append(missing);
+    await journal.sync();
+  }
+
   /** Runs an operation. An error after which the content of the disk is unknown is final. */
   private async run(
     operation: StorageOperation,
@@ -150,6 +227,12 @@
 ): Promise<Entry[]> {
   const next = (snapshot?.lastIndex ?? 0n) + 1n;
   const first = entries[0]?.index;
+  const covered = entries.find(({ index }) => index === snapshot?.lastIndex);
+  // A snapshot was installed over another log, which was not cleared before the process ended.
+  if (covered !== undefined && covered.term !== snapshot?.lastTerm) {
+    await journal.reset(next);
+    return [];
+  }
   if (first !== undefined && first > next) {
     throw new CorruptFile(folder, `entries ${next.toString()} to ${(first - 1n).toString()} are missing`);
   }
@@ -158,6 +241,21 @@
   return entries.filter((entry) => entry.index >= next);
 }
 
+/** Entries in memory after the snapshot on the disk; none if the snapshot is newer and of another log. */
+function entriesHeldAfter(held: HeldState, snapshot: Snapshot | undefined, isNewer: boolean): Entry[] {
+  const covered = snapshot?.lastIndex ?? 0n;
+  const last = held.entries.find(({ index }) => index === covered);
+  if (isNewer && last?.term !== snapshot?.lastTerm) return [];
+  return held.entries.filter(({ index }) => index > covered);
+}
+
+/** The newer of two states: a vote can be on the disk although saving it was reported as failed. */
+function newerState(onDisk: PersistentState, held: PersistentState, folder: string): PersistentState {
+  if (onDisk.replicaId !== held.replicaId) throw new CorruptFile(folder, 'the identity is another one');
+  const isNewer = onDisk.term > held.term || (onDisk.term === held.term && held.votedFor === '');
+  return isNewer ? onDisk : held;
+}
+
 async function removeTemporaryFiles(disk: Disk, folder: string): Promise<void> {
   const temporary = (await disk.list(folder)).filter((name) => name.endsWith(TEMPORARY_SUFFIX));
   for (const name of temporary) await disk.remove(join(folder, name));
--- a/packages/coordination/src/storage/storageFault.ts
+++ b/packages/coordination/src/storage/storageFault.ts
@@ -26,6 +26,7 @@
   snapshot: 'write a snapshot',
   install: 'install a snapshot',
   clear: 'clear the journal',
+  recover: 'recover',
 } as const;
 
 /** An operation of a replica's storage. */
@@ -42,9 +43,12 @@
   readonly isFinal: boolean;
 }
 
+/** Error code of a file whose content is not what was written. */
+export const CORRUPT = 'CORRUPT';
+
 /** A file whose content is not what was written. */
 export class CorruptFile extends Error {
-  readonly code = 'CORRUPT';
+  readonly code = CORRUPT;
 
   constructor(path: string, detail: string) {
     super(
