Entries found at a start are written again before they are acknowledged

What callers could see: an acknowledged command lost at a power failure. A process that was ended between a write and its sync, or after a failed sync, leaves entries that can be read but are not durable; the next process took all it read for synced, and acknowledged it.

Change: each record names the index that was synced before it was written. What follows the last such index in the newest segment is written again, in place with the same bytes, and synced when the folder is opened. Where that fails, as on a full disk, the replica still starts: it acknowledges only up to that index, and its recovery of the storage tries again.

--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -79,7 +79,8 @@
     }
     this.entries.append(recovered.entries);
     this.commitIndex = this.entries.start.index;
-    this.syncedIndex = this.entries.last.index;
+    this.syncedIndex = recovered.syncedIndex;
+    if (recovered.failure !== undefined) this.storageHealth.recordFailure(recovered.failure);
   }
 
   get id(): string {
--- a/packages/coordination/src/agreement/storageFaults.spec.ts
+++ b/packages/coordination/src/agreement/storageFaults.spec.ts
@@ -195,6 +195,32 @@
   });
 });
 
+// Guards against an acknowledged command that is lost with the power: the process that wrote it was ended before its sync, and
+// the next one acknowledged what it found.
+test.each(SEEDS)(
+  'what an ended process had not synced is not acknowledged before it is (seed %i)',
+  async (seed) => {
+    const cluster = await started(seed);
+    const leader = leaderOf(cluster);
+    const [ended, down] = followersOf(cluster);
+    if (ended === undefined || down === undefined) throw new Error('no followers');
+    cluster.crash(down);
+    ended.disk.syncDelay = () => new Promise(() => undefined);
+    const attempt = cluster.propose(leader, 'unsynced', 8_000);
+    await cluster.clock.advance(300);
+    cluster.endProcess(ended);
+    await cluster.start(ended);
+    await cluster.until(() => attempt.outcome !== 'open', 9_000);
+    expect(attempt.outcome).toBe('done');
+    crash(cluster, [leader, ended]);
+    await cluster.start(ended);
+    await cluster.start(down);
+    expect(await cluster.until(() => cluster.leader() !== undefined, 5_000)).toBe(true);
+    await cluster.clock.advance(1_000);
+    cluster.checkFinalState();
+  },
+);
+
 describe('after a full disk', () => {
   // Guards against a fixed pause of all replicas that outlasts the fault.
   test.each(SEEDS)('at all replicas, a read is answered in time (seed %i)', async (seed) => {
--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -33,6 +33,15 @@
 
 const segmentName = (first: bigint): string => PREFIX + String(first).padStart(DIGITS, '0');
 
+/**
+ * Index up to which entries are known to be synced: those before the newest segment, and those that were synced before its last
+ * record was written.
+ */
+function syncedIndexAfter(known: bigint, first: bigint, last: Entry | undefined): bigint {
+  const indexes = [known, first - 1n, last?.syncedIndex ?? 0n];
+  return indexes.reduce((highest, index) => (index > highest ? index : highest));
+}
+
 /** The caller appends and truncates one at a time; `sync` may run concurrently. */
 export class Journal {
   private runningSync: Promise<void> | undefined;
@@ -42,7 +51,7 @@
   /** Index of the last entry that is known to be synced; 0: none. */
   private synced = 0n;
   /** Whether entries after `synced` were only read, so that a sync does not make them durable. */
-  private isTailDoubtful = false;
+  private isTailDoubtful = true;
 
   private constructor(
     private readonly disk: Disk,
@@ -52,14 +61,14 @@
 
   /**
    * Reads the folder's segments. Only the newest may end in an interrupted write, which is removed; older ones
-   * were synced as a whole before the next one was started. Entries after `synced`, if given, are not known to be synced.
+   * were synced as a whole before the next one was started. Entries up to `synced` are known to be synced. Later ones may only
+   * be in memory of the system until `rewriteTail`.
    * @throws CorruptFile, or a system error.
    */
-  static async open(disk: Disk, folder: string, synced?: bigint): Promise<OpenedJournal> {
+  static async open(disk: Disk, folder: string, synced = 0n): Promise<OpenedJournal> {
     const names = (await disk.list(folder)).filter((name) => name.startsWith(PREFIX)).sort();
     const journal = new Journal(disk, folder, []);
-    journal.synced = synced ?? 0n;
-    journal.isTailDoubtful = synced !== undefined;
+    journal.synced = synced;
     try {
       return await journal.load(names);
     } catch (error) {
@@ -281,6 +290,7 @@
     }
     const file = await this.disk.open(path);
     this.segments.push({ first, path, file, offsets: frames.offsets, length: frames.end });
+    if (isNewest) this.synced = syncedIndexAfter(this.synced, first, entries.at(-1));
     const excess = (await file.size()) - frames.end;
     if (excess > 0) {
       await file.truncate(frames.end);
--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -216,6 +216,44 @@
     expect((await storage.sync()).isErr()).toBe(true);
   });
 
+  // Guards against an acknowledged entry that is lost with the power: it was read at a start, but never synced.
+  test.each(['not synced', 'failed to sync'])(
+    'entries that an ended process had %s are durable after a start',
+    async (end) => {
+      const disk = MemoryDisk.empty();
+      const { storage } = await open(disk);
+      await storage.write(entries(1, 2));
+      await storage.sync();
+      await storage.write(entries(3, 4));
+      disk.syncError = 'EIO';
+      if (end === 'failed to sync') await storage.sync();
+      const next = disk.endProcess();
+      const started = await open(next);
+      expect(indexes(started)).toEqual([1, 2, 3, 4]);
+      expect(started.recovered.syncedIndex).toBe(4n);
+      expect(indexes(await open(next.crash(() => 0)))).toEqual([1, 2, 3, 4]);
+    },
+  );
+
+  // Guards against a replica that does not start, or acknowledges entries that it could not sync, while its disk is full.
+  test('a start on a full disk succeeds, and tells what is synced', async () => {
+    const disk = MemoryDisk.empty();
+    const { storage, recovered } = await open(disk);
+    await storage.write(entries(1, 2));
+    await storage.sync();
+    await storage.write(entries(3, 4));
+    const next = disk.endProcess();
+    next.writeError = 'ENOSPC';
+    const started = await open(next);
+    expect(indexes(started)).toEqual([1, 2, 3, 4]);
+    expect(started.recovered.syncedIndex).toBe(2n);
+    expect(started.recovered.failure).toMatchObject({ code: 'ENOSPC', isFinal: true });
+    next.writeError = undefined;
+    const held = { state: recovered.state, entries: entries(1, 4), commitIndex: 1n, syncedIndex: 2n };
+    expect((await started.storage.recover(held)).isOk()).toBe(true);
+    expect(indexes(await open(next.crash(() => 0)))).toEqual([1, 2, 3, 4]);
+  });
+
   describe('after a failed sync', () => {
     /** Entries 1 and 2 synced; the sync of 3 and 4 failed and dropped them, though they can still be read. */
     async function failed(): Promise<OpenedStorage & { disk: MemoryDisk; held: HeldState }> {
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -36,6 +36,10 @@
   readonly snapshot: Snapshot | undefined;
   /** Entries after the snapshot, without a gap. */
   readonly entries: Entry[];
+  /** Index up to which the entries are known to be synced. */
+  readonly syncedIndex: bigint;
+  /** Why later entries could not be synced; `recover` tries again. */
+  readonly failure?: StorageFault;
   /** Bytes of an interrupted write that were removed. */
   readonly repairedBytes: number;
 }
@@ -214,7 +218,14 @@
     const { journal, entries, repairedBytes } = await Journal.open(disk, folder);
     const remaining = await entriesAfterSnapshot(journal, entries, snapshot, folder);
     const storage = new LogStorage(disk, folder, journal, release);
-    return { storage, recovered: { state, snapshot, entries: remaining, repairedBytes } };
+    // A process that was ended leaves entries that were never synced; they must not be acknowledged before they are.
+    const rewritten = await storage.run('sync', () => journal.rewriteTail());
+    const failure = rewritten.isErr() ? rewritten.error : undefined;
+    const { syncedIndex } = journal;
+    return {
+      storage,
+      recovered: { state, snapshot, entries: remaining, syncedIndex, failure, repairedBytes },
+    };
   }
 }
 
--- a/packages/coordination/src/testing/memoryCluster.ts
+++ b/packages/coordination/src/testing/memoryCluster.ts
@@ -164,6 +164,16 @@
     void replica.close();
   }
 
+  /** Ends the process of a machine that keeps its power. */
+  endProcess(node: Node): void {
+    const { replica } = node;
+    if (replica === undefined) return;
+    node.replica = undefined;
+    this.network.unserve(node.address.address);
+    node.disk = node.disk.endProcess();
+    void replica.close();
+  }
+
   /** Simulates a power failure after which the disk is replaced by an empty one. */
   wipe(node: Node): void {
     this.crash(node);
