After a storage error a replica stands after the others, instead of not at all for 10 s

What callers saw: all disks full for 4 s, or the disk of the only replica with the newest entries full for half a second: no read for up to 10 s after there was space again, which is longer than a reader waits (3 s).

Cause: a replica did not stand for election for a fixed 10 s after a storage error, whether the disk worked again or not.

Change: a replica whose storage fails neither stands nor votes, in a pre-vote either: one that can't save its vote would make candidates raise their term in vain. Once a write has succeeded, it may stand, for 10 s with the election timeout of the last rank, so that a replica whose disk was sound all the while is preferred.

--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -79,6 +79,7 @@
       const remainingMs = replica.electionTimerStart + timeoutMs - replica.clock.monotonic();
       if (replica.role === 'leader') await replica.changed.wait();
       else if (remainingMs > 0) await replica.changed.waitFor(replica.clock, remainingMs);
+      else if (this.isAbstaining('candidacy')) await replica.changed.wait();
       else return;
     }
   }
@@ -92,25 +93,49 @@
    */
   private electionTimeoutRange(): readonly [number, number] {
     const { tuning, lastLeaderContact } = this.replica;
-    const { electionMinMs, electionMaxMs, firstElectionMs, electionStepMs, electionSpreadMs } = tuning;
+    const { electionMinMs, electionMaxMs, firstElectionMs, electionSpreadMs } = tuning;
     const hasLeaderSinceLoss = lastLeaderContact !== undefined && lastLeaderContact > this.lastLostAt;
     if (this.lostElections > 0 && !hasLeaderSinceLoss) {
       const doublings = Math.min(this.lostElections, MAX_TIMEOUT_DOUBLINGS);
       return [electionMinMs, electionMinMs + (electionMaxMs - electionMinMs) * 2 ** doublings];
     }
     const isFirst = lastLeaderContact === undefined && this.votedAt === undefined;
-    const minMs = (isFirst ? firstElectionMs : electionMinMs) + this.rank(this.replica.id) * electionStepMs;
+    const firstRankMs = isFirst ? firstElectionMs : electionMinMs;
+    const minMs = firstRankMs + this.delayMs(this.rank(this.replica.id));
     return [minMs, minMs + electionSpreadMs];
   }
 
+  /** Delay by rank. A replica whose storage failed not long ago stands after the others, so that a sound one is preferred. */
+  private delayMs(rank: number): number {
+    const { isResting, tuning } = this.replica;
+    if (!isResting) return rank * tuning.electionStepMs;
+    return this.lastRank() * tuning.electionStepMs + (rank + 1) * tuning.electionSpreadMs;
+  }
+
+  /** Whether the replica takes no part in elections, because it can't save a vote. */
+  private isAbstaining(from: 'candidacy' | 'vote'): boolean {
+    const { storageHealth } = this.replica;
+    if (storageHealth.failure === undefined) return false;
+    storageHealth.reportAbstention(from);
+    return true;
+  }
+
   /** Position of a replica among the voters, leaving out the lost leader; replicas that are not voters come last. */
   private rank(id: string): number {
-    const { configuration, leader } = this.replica;
-    const voters = (configuration?.voters ?? []).filter(({ name }) => name !== leader);
+    const voters = this.rankedVoters();
     const position = voters.findIndex(({ replicaId }) => replicaId === id);
     return position < 0 ? voters.length : position;
   }
 
+  private lastRank(): number {
+    return Math.max(0, this.rankedVoters().length - 1);
+  }
+
+  private rankedVoters(): Voter[] {
+    const { configuration, leader } = this.replica;
+    return (configuration?.voters ?? []).filter(({ name }) => name !== leader);
+  }
+
   /**
    * Runs one election, preceded by a pre-vote. Without the pre-vote, a replica that was isolated would return with a term
    * raised by its failed campaigns and depose a working leader.
@@ -118,9 +143,7 @@
   private async campaign(): Promise<void> {
     const { replica, isCampaignImmediate: isImmediate } = this;
     this.isCampaignImmediate = false;
-    const isAbstaining = replica.clock.monotonic() < replica.noCandidacyUntil;
-    if (isAbstaining) replica.storageHealth.reportAbstention('candidacy');
-    if (replica.stopped || !replica.isVoter || isAbstaining) return;
+    if (replica.stopped || !replica.isVoter || this.isAbstaining('candidacy')) return;
     const startedAt = replica.clock.monotonic();
     if (!this.endorsement.support(this.candidate(replica.id, replica.entries.last))) return;
     const term = replica.term + 1n;
@@ -244,6 +267,7 @@
 
   private async decideVote(request: VoteRequest): Promise<boolean> {
     const { replica } = this;
+    if (this.isAbstaining('vote')) return false;
     const last = { index: request.lastIndex, term: request.lastTerm };
     const isUpToDate = replica.entries.isCoveredBy(last);
     if (request.probe) {
@@ -252,15 +276,11 @@
     }
     if (request.term < replica.term) return false;
     const observed = await replica.observeTerm(request.term);
-    if (observed.isErr()) replica.storageHealth.reportAbstention('vote');
     if (observed.isErr() || !isUpToDate) return false;
     const isVoteAvailable = replica.votedFor === '' || replica.votedFor === request.replicaId;
     if (!isVoteAvailable) return false;
     const saved = await replica.saveState({ votedFor: request.replicaId });
-    if (saved.isErr()) {
-      replica.storageHealth.reportAbstention('vote');
-      return false;
-    }
+    if (saved.isErr()) return false;
     this.votedAt = replica.clock.monotonic();
     replica.resetElectionTimer();
     return true;
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -46,7 +46,9 @@
     .describe(
       'number of simultaneous losses to tolerate; with no more than twice as many voters, a warning is logged',
     ),
-  storageRestMs: milliseconds(10_000).describe('time after a storage error without candidacy'),
+  storageRestMs: milliseconds(10_000).describe(
+    'time after a storage error in which a replica stands for election after the others',
+  ),
   storageRetryMs: milliseconds(100).describe(
     'pause before the first attempt to make a failing storage work; doubled with each further one',
   ),
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -55,8 +55,8 @@
   electionTimerStart: number;
   /** Monotonic time of the last message from a leader; undefined if none since the start. */
   lastLeaderContact: number | undefined;
-  /** Monotonic time until which the replica does not stand for election. */
-  noCandidacyUntil = 0;
+  /** Monotonic time until which the replica stands after the others, as its storage failed not long ago. */
+  private restingUntil = -Infinity;
   stopped = false;
   private state: PersistentState;
   private readonly mutex = new Mutex();
@@ -230,15 +230,19 @@
   }
 
   /**
-   * Steps down and pauses candidacy after a storage error. With a leader that can't write, every command would fail or wait
-   * for the other replicas, so a replica with a working disk should be elected.
+   * Steps down after a storage error. With a leader that can't write, every command would fail or wait for the other replicas,
+   * so a replica with a working disk should be elected.
    */
   handleStorageFailure(cause: StorageFault): void {
     this.storageHealth.recordFailure(cause);
-    this.noCandidacyUntil = this.clock.monotonic() + this.tuning.storageRestMs;
     this.becomeFollower('storage failed');
   }
 
+  /** Whether the storage fails or failed not long ago, so that a replica with a sound disk is preferred as the leader. */
+  get isResting(): boolean {
+    return this.storageHealth.failure !== undefined || this.clock.monotonic() < this.restingUntil;
+  }
+
   /**
    * Tries to make the storage work again after an error. Returns a snapshot of entries that this replica doesn't hold, if one
    * was found, from which the state machine has to be restored. Call within `exclusive`.
@@ -261,6 +265,7 @@
     }
     if (this.storageHealth.failure?.isFinal === true) this.syncedIndex = entries.last.index;
     this.storageHealth.recordSuccess();
+    this.restingUntil = this.clock.monotonic() + this.tuning.storageRestMs;
     this.changed.notify();
     return ok(snapshot);
   }
