Random histories with failing disks and ended processes

Two properties of agreementModel.spec.ts: writes, syncs, truncations, renames, syncs of the folder and opened files are refused at one, some or all replicas, beside crashes, processes that end without a loss of power, cuts, lost messages and, in the second, membership changes. A replica that stops with an error counts as a violation, in all tests on the memory cluster.

--- a/packages/coordination/src/agreement/agreementModel.spec.ts
+++ b/packages/coordination/src/agreement/agreementModel.spec.ts
@@ -7,7 +7,20 @@
 const RUNS = Number(process.env.MODEL_RUNS ?? 40);
 const TIMEOUT_MS = 900_000;
 
-type NodeAction = 'propose' | 'query' | 'crash' | 'start' | 'isolate' | 'silence' | 'enlist' | 'wipe';
+type NodeAction =
+  | 'propose'
+  | 'query'
+  | 'crash'
+  | 'start'
+  | 'isolate'
+  | 'silence'
+  | 'enlist'
+  | 'wipe'
+  | 'endProcess'
+  | 'repair';
+
+/** Errors of a disk; a part of a refused write stays. */
+type DiskFault = 'write' | 'sync' | 'truncate' | 'rename' | 'syncFolder' | 'open';
 
 type Action =
   | { readonly kind: 'advance'; readonly ms: number }
@@ -15,13 +28,16 @@
   | { readonly kind: 'cut'; readonly node: number; readonly other: number }
   | { readonly kind: 'change'; readonly nodes: readonly number[] }
   | { readonly kind: NodeAction; readonly node: number }
+  | { readonly kind: 'refuse'; readonly nodes: readonly number[]; readonly faults: readonly DiskFault[] }
   | { readonly kind: 'heal' };
 
 type Weighted = fc.WeightedArbitrary<Action>;
 
+const DISK_FAULTS: readonly DiskFault[] = ['write', 'sync', 'truncate', 'rename', 'syncFolder', 'open'];
+
 function actionsOn(nodes: number): Weighted[] {
   const node = fc.nat(nodes - 1);
-  const weights: Record<Exclude<NodeAction, 'enlist' | 'wipe'>, number> = {
+  const weights: Record<Exclude<NodeAction, 'enlist' | 'wipe' | 'endProcess' | 'repair'>, number> = {
     propose: 6,
     query: 4,
     crash: 2,
@@ -62,6 +78,26 @@
   arbitrary: fc.record({ kind: fc.constant('enlist' as const), node: fc.nat(4) }),
 };
 
+/** Disks that fail at one replica, some or all, and processes that end without a loss of power. */
+const diskFaults = (nodes: number): Weighted[] => [
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant('refuse' as const),
+      nodes: fc.subarray([...Array(nodes).keys()], { minLength: 1 }),
+      faults: fc.subarray([...DISK_FAULTS], { minLength: 1, maxLength: 3 }),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({ kind: fc.constant('repair' as const), node: fc.nat(nodes - 1) }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({ kind: fc.constant('endProcess' as const), node: fc.nat(nodes - 1) }),
+  },
+];
+
 /** Long enough for a voter to count as lost. */
 const longWaits: Weighted = {
   weight: 2,
@@ -71,6 +107,25 @@
   }),
 };
 
+function refuse({ disk }: Node, faults: readonly DiskFault[]): void {
+  for (const fault of faults) {
+    if (fault === 'write') disk.writeError = 'ENOSPC';
+    else if (fault === 'sync') disk.syncError = 'ENOSPC';
+    else disk.callErrors[fault] = 'ENOSPC';
+  }
+}
+
+function repair({ disk }: Node): void {
+  disk.writeError = undefined;
+  disk.syncError = undefined;
+  for (const call of DISK_FAULTS) if (call !== 'write' && call !== 'sync') disk.callErrors[call] = undefined;
+}
+
+function isFailing({ disk }: Node): boolean {
+  const codes = [disk.writeError, disk.syncError, ...Object.values(disk.callErrors)];
+  return codes.some((code) => code !== undefined);
+}
+
 /** Runs the actions of a history on a cluster. */
 class History {
   /** At most one disk is lost: losing two of three disks can lose committed commands. */
@@ -97,6 +152,9 @@
       case 'cut':
         network.cut(this.at(step.node).address.address, this.at(step.other).address.address);
         return;
+      case 'refuse':
+        for (const node of step.nodes) refuse(this.at(node), step.faults);
+        return;
       case 'change':
         this.desired = step.nodes.map((node) => this.at(node));
         for (const { replica } of nodes) void replica?.changeReplicas(this.addresses());
@@ -111,6 +169,7 @@
     const { cluster } = this;
     cluster.network.heal();
     cluster.network.loss = 0;
+    for (const node of cluster.nodes) repair(node);
     await cluster.startAll();
     for (const { replica } of cluster.nodes) void replica?.changeReplicas(this.addresses());
     if (!(await cluster.until(() => this.isSettled(), 60_000))) cluster.violations.push('not settled');
@@ -143,7 +202,13 @@
         cluster.crash(node);
         return;
       case 'start':
-        return cluster.start(node);
+        return this.start(node);
+      case 'endProcess':
+        cluster.endProcess(node);
+        return;
+      case 'repair':
+        repair(node);
+        return;
       case 'wipe':
         if (!this.isDiskLost) cluster.wipe(node);
         this.isDiskLost = true;
@@ -160,6 +225,16 @@
     }
   }
 
+  /** Starts a node. A failing disk may refuse it, but must not be taken for one that has changed. */
+  private async start(node: Node): Promise<void> {
+    try {
+      await this.cluster.start(node);
+    } catch (error) {
+      const isRefused = isFailing(node) && !String(error).includes('has changed since');
+      if (!isRefused) throw error;
+    }
+  }
+
   private at(node: number): Node {
     const found = this.cluster.nodes[node];
     if (found === undefined) throw new Error(`no node ${node}`);
@@ -203,6 +278,28 @@
   TIMEOUT_MS,
 );
 
+test(
+  'nor does a history in which disks fail',
+  async () => {
+    const steps = histories(...actionsOn(3), ...diskFaults(3));
+    const property = fc.asyncProperty(fc.integer(), steps, (seed, actions) => check(seed, actions, []));
+    await fc.assert(property, { numRuns: RUNS });
+  },
+  TIMEOUT_MS,
+);
+
+test(
+  'nor does a history with membership changes in which disks fail',
+  async () => {
+    const steps = histories(...actionsOn(5), ...diskFaults(5), changes, wipes);
+    const property = fc.asyncProperty(fc.integer(), steps, (seed, actions) =>
+      check(seed, actions, ['d', 'e']),
+    );
+    await fc.assert(property, { numRuns: RUNS });
+  },
+  TIMEOUT_MS,
+);
+
 test(
   'nor does a history with membership changes',
   async () => {
--- a/packages/coordination/src/testing/memoryCluster.ts
+++ b/packages/coordination/src/testing/memoryCluster.ts
@@ -134,6 +134,7 @@
       stateMachine: node.createRecorder,
       disk: node.disk,
       random: this.random,
+      onFailure: (error) => this.violations.push(`${name} stopped: ${String(error)}`),
     });
     if (opened.isErr()) throw new Error(opened.error.message);
     node.disk.syncDelay = () => clock.sleep(this.random() * MAX_SYNC_MS);
