--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -120,5 +120,17 @@
     message:
       'the verdict on a request or prompt part that was running at targets when these crashed has changed',
   },
+  folderFilling: {
+    id: 3050,
+    level: 'warn',
+    message: 'the data folder holds most of what it may, or most of its disk',
+  },
+  folderRelieved: { id: 3051, level: 'info', message: 'the data folder has enough space again' },
+  folderGrown: { id: 3052, level: 'info', message: 'the data folder holds more than ever since the start' },
+  folderFreeUnknown: {
+    id: 3053,
+    level: 'info',
+    message: 'the file system does not tell how much space the data folder has left',
+  },
   commandFailed: { id: 3013, level: 'error', message: 'a command could not be applied' },
 });
--- a/packages/control/src/files/recordFiles.ts
+++ b/packages/control/src/files/recordFiles.ts
@@ -10,6 +10,12 @@
 /** Maximum number of records that wait for a disk that hangs or is full; the oldest are dropped. */
 const MAX_PENDING = 10_000;
 
+/** A file that is no longer written. */
+interface OlderFile {
+  readonly path: string;
+  readonly bytes: number;
+}
+
 interface OpenFile {
   readonly path: string;
   readonly file: DiskFile;
@@ -39,7 +45,7 @@
   private pending: T[] = [];
   /** Number of the next file. */
   private next = 0;
-  private older: string[] = [];
+  private older: OlderFile[] = [];
   private current: OpenFile | undefined;
   private isRollDue = false;
   private isSyncDue = false;
@@ -55,6 +61,11 @@
     private readonly log: Log,
   ) {}
 
+  /** Bytes of all files. */
+  heldBytes(): number {
+    return this.older.reduce((sum, { bytes }) => sum + bytes, this.current?.length ?? 0);
+  }
+
   /** Reads the records of all files, the oldest first. */
   async load(): Promise<T[]> {
     const { prefix } = this.format;
@@ -62,9 +73,13 @@
     await this.attempt(async () => {
       await this.disk.ensureFolder(this.folder);
       const names = (await this.disk.list(this.folder)).filter((name) => name.startsWith(prefix)).sort();
-      this.older = names.map((name) => join(this.folder, name));
       this.next = Number(names.at(-1)?.slice(prefix.length) ?? 0) + 1;
-      for (const path of this.older) records.push(...(await this.read(path)));
+      for (const name of names) {
+        const path = join(this.folder, name);
+        const content = await this.disk.read(path);
+        this.older.push({ path, bytes: content.length });
+        records.push(...this.decode(content));
+      }
     });
     return records;
   }
@@ -129,15 +144,15 @@
   /** The file that is written. */
   private async writable(): Promise<OpenFile> {
     if (this.isRollDue && this.current !== undefined) {
-      const { path, file } = this.current;
+      const { path, file, length: bytes } = this.current;
       this.current = undefined;
-      this.older.push(path);
+      this.older.push({ path, bytes });
       await file.sync();
       await file.close();
     }
     this.isRollDue = false;
     if (this.current !== undefined) return this.current;
-    while (this.older.length > this.format.keptFiles) await this.disk.remove(this.older.shift() ?? '');
+    while (this.older.length > this.format.keptFiles) await this.disk.remove(this.older.shift()?.path ?? '');
     const path = join(this.folder, `${this.format.prefix}${String(this.next).padStart(DIGITS, '0')}`);
     const file = await this.disk.open(path);
     await this.disk.syncFolder(this.folder);
@@ -153,8 +168,8 @@
     target.length += frame.length;
   }
 
-  private async read(path: string): Promise<T[]> {
-    const { payloads, laterPayloads } = decodeFrames(await this.disk.read(path));
+  private decode(content: Uint8Array): T[] {
+    const { payloads, laterPayloads } = decodeFrames(content);
     const batches = [...payloads, ...laterPayloads];
     return batches.flatMap((payload) => this.format.decode(payload));
   }
--- /dev/null
+++ b/packages/control/src/folder/index.ts
@@ -0,0 +1,1 @@
+export * from './folderMonitor.js';
--- a/packages/control/src/metrics.ts
+++ b/packages/control/src/metrics.ts
@@ -57,6 +57,21 @@
     type: 'counter',
     help: 'Turn requests, by whether the turn was granted',
   },
+  folderHeld: {
+    name: 'control.folder.held',
+    type: 'gauge',
+    help: 'Bytes that the data folder holds, by part',
+  },
+  folderLargest: {
+    name: 'control.folder.largest',
+    type: 'gauge',
+    help: 'The most bytes that the data folder has held since the start',
+  },
+  folderFree: {
+    name: 'control.folder.free',
+    type: 'gauge',
+    help: 'Bytes that the file system of the data folder has left; absent where it does not tell',
+  },
   revision: { name: 'control.revision', type: 'gauge', help: 'Newest document revision' },
   vouched: {
     name: 'control.vouched',
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -19,6 +19,7 @@
 import { DocumentService, DocumentView } from '../documents/index.js';
 import { DepartureCopies, DepartureService, DepartureStore } from '../departures/index.js';
 import { controlEvents } from '../events.js';
+import type { FolderMonitor } from '../folder/index.js';
 import { FollowService, OtherControls, Referral, requestVoterRole } from '../follow/index.js';
 import { RecentReports } from '../recent/index.js';
 import { DisklessLog, Proposer } from '../log/index.js';
@@ -89,6 +90,7 @@
     private readonly origins = new OriginStore(context.clock, context.metrics),
     private readonly evidence = new EvidenceStore(context.log, context.metrics),
     store = new DepartureStore(),
+    private readonly folder?: FolderMonitor,
   ) {
     const { clock, log } = context;
     this.seeds = context.controls;
@@ -198,6 +200,7 @@
       this.followOtherControls(address);
       if (this.outside.orders !== undefined) this.startWeightUpdater(this.outside.orders);
     }
+    if (this.folder !== undefined) runCriticalTask('folder', this.folder.run());
     runCriticalTask('log time', this.logTimeAdvancer.run());
     runCriticalTask('replica reconciliation', this.replicaReconciler.run());
     this.context.log.event(controlEvents.started, { address });
@@ -247,6 +250,7 @@
     this.logTimeAdvancer.stop();
     this.replicaReconciler.stop();
     this.targets.stop();
+    this.folder?.stop();
     this.stores?.stop();
     this.follower?.stop();
     this.weights?.stop();
--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -10,6 +10,7 @@
 import { controlEvents } from '../events.js';
 import { DepartureStore, departureFormat } from '../departures/index.js';
 import { DisklessLog } from '../log/index.js';
+import { FolderMonitor } from '../folder/index.js';
 import { RecordFiles } from '../files/index.js';
 import { OriginStore, originFormat } from '../origins/index.js';
 import { EvidenceStore, evidenceFormat } from '../quarantine/index.js';
@@ -84,5 +85,20 @@
   );
   const departures = new DepartureStore(departureFiles);
   await departures.open();
-  return ok(new Control(context, settings, state, opened.value, outside, origins, evidence, departures));
+  const held = () => {
+    const { journal, snapshots, largest: largestLog } = opened.value.heldBytes();
+    const parts = {
+      journal,
+      snapshots,
+      origins: originFiles.heldBytes(),
+      evidence: evidenceFiles.heldBytes(),
+      departures: departureFiles.heldBytes(),
+    };
+    return { parts, largestLog };
+  };
+  const free = (): Promise<number> => disk.freeBytes(dataFolder);
+  const folder = new FolderMonitor({ held, free }, clock, log, metrics);
+  return ok(
+    new Control(context, settings, state, opened.value, outside, origins, evidence, departures, folder),
+  );
 }
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -10,7 +10,7 @@
 import type { Configuration } from '../gen/agreement/agreement_pb.js';
 import { coordinationMetrics } from '../metrics.js';
 import { LogStorage, fileDisk } from '../storage/index.js';
-import type { Recovered } from '../storage/index.js';
+import type { HeldBytes, Recovered } from '../storage/index.js';
 import { Applier } from './applier.js';
 import { membersOf } from './configuration.js';
 import { Contact } from './contact.js';
@@ -152,6 +152,11 @@
     return this.proposing.query(command, timeoutMs);
   }
 
+  /** Bytes that the folder holds now, and the most so far. */
+  heldBytes(): HeldBytes {
+    return this.replica.storage.heldBytes();
+  }
+
   /** Current status of this replica. */
   status(): ReplicaStatus {
     const { replica } = this;
--- a/packages/coordination/src/storage/disk.ts
+++ b/packages/coordination/src/storage/disk.ts
@@ -30,6 +30,8 @@
   remove(path: string): Promise<void>;
   /** Makes created, renamed and removed names in a folder durable. */
   syncFolder(folder: string): Promise<void>;
+  /** Bytes that this process may still write to the folder's file system. Rejects where the system does not tell. */
+  freeBytes(folder: string): Promise<number>;
   /** Locks the folder for this process. Rejects with `FolderLocked` when another process holds the lock. */
   lock(folder: string): Promise<ReleaseLock>;
 }
--- a/packages/coordination/src/storage/fileDisk.ts
+++ b/packages/coordination/src/storage/fileDisk.ts
@@ -1,5 +1,5 @@
 /** The disk port on the machine's file system. */
-import { mkdir, open, readFile, readdir, rename, unlink } from 'node:fs/promises';
+import { mkdir, open, readFile, readdir, rename, statfs, unlink } from 'node:fs/promises';
 import type { FileHandle } from 'node:fs/promises';
 import { constants } from 'node:fs';
 import { dirname } from 'node:path';
@@ -48,6 +48,11 @@
   await syncFolder(dirname(path));
 }
 
+async function freeBytes(folder: string): Promise<number> {
+  const { bavail, bsize } = await statfs(folder);
+  return bavail * bsize;
+}
+
 /** Files on the machine's disk; `sync` calls `fdatasync`. */
 export const fileDisk: Disk = {
   ensureFolder,
@@ -57,6 +62,7 @@
   rename: (from, to) => rename(from, to),
   remove: (path) => unlink(path),
   syncFolder,
+  freeBytes,
   lock: lockFolder,
 };
 
--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -63,6 +63,11 @@
     return { journal, entries, repairedBytes };
   }
 
+  /** Bytes of all segments. */
+  get bytes(): number {
+    return this.segments.reduce((sum, { length }) => sum + length, 0);
+  }
+
   /** Appends entries without a sync. If the write fails, the file is left as it was. */
   async append(entries: readonly Entry[]): Promise<void> {
     const [head] = entries;
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -46,18 +46,35 @@
   readonly recovered: Recovered;
 }
 
+/** Bytes that the folder holds. */
+export interface HeldBytes {
+  readonly journal: number;
+  /** Of the newest snapshot; while another is written, of both. */
+  readonly snapshots: number;
+  /** The most that journal and snapshots have held together since the start. */
+  readonly largest: number;
+}
+
 /** Storage of one replica. The caller makes changes one at a time; `sync` may run concurrently. */
 export class LogStorage {
   /** Final: the error that left the disk's content unknown. */
   private failure: Fault | undefined;
+  private largestBytes = 0;
 
   private constructor(
     private readonly disk: Disk,
     private readonly folder: string,
     private readonly journal: Journal,
     private readonly release: ReleaseLock,
+    private snapshotBytes: number,
   ) {}
 
+  /** Bytes that the folder holds now, and the most so far. */
+  heldBytes(): HeldBytes {
+    this.recordLargest();
+    return { journal: this.journal.bytes, snapshots: this.snapshotBytes, largest: this.largestBytes };
+  }
+
   /** Locks and reads a folder, and creates it if it is missing. Errors: storage-failed, with file and reason. */
   static async open(disk: Disk, folder: string): Promise<Result<OpenedStorage, Fault>> {
     return attempt(`open ${folder}`, async () => {
@@ -98,7 +115,7 @@
   /** Stores a snapshot and drops the journal's segments that hold only entries before `keepFrom`. */
   saveSnapshot(snapshot: Snapshot, keepFrom: bigint, nextIndex: bigint): Promise<Result<void, Fault>> {
     return this.run('write a snapshot', async () => {
-      await writeSnapshot(this.disk, this.folder, snapshot);
+      await this.replaceSnapshot(snapshot);
       await this.journal.roll(nextIndex);
       await this.journal.dropBefore(keepFrom);
     });
@@ -106,9 +123,7 @@
 
   /** Replaces the whole journal by a snapshot. An error while clearing the journal is final. */
   async installSnapshot(snapshot: Snapshot): Promise<Result<void, Fault>> {
-    const written = await this.run('install a snapshot', () =>
-      writeSnapshot(this.disk, this.folder, snapshot),
-    );
+    const written = await this.run('install a snapshot', () => this.replaceSnapshot(snapshot));
     if (written.isErr()) return written;
     return this.failForGood(
       await this.run('clear the journal', () => this.journal.reset(snapshot.lastIndex + 1n)),
@@ -122,6 +137,25 @@
     await this.release().catch(() => undefined);
   }
 
+  /** Writes a snapshot; until it is saved, the folder holds the one before as well. */
+  private async replaceSnapshot(snapshot: Snapshot): Promise<void> {
+    const before = this.snapshotBytes;
+    const after = snapshot.data.length;
+    this.snapshotBytes = before + after;
+    this.recordLargest();
+    try {
+      await writeSnapshot(this.disk, this.folder, snapshot);
+      this.snapshotBytes = after;
+    } catch (error) {
+      this.snapshotBytes = before;
+      throw error;
+    }
+  }
+
+  private recordLargest(): void {
+    this.largestBytes = Math.max(this.largestBytes, this.journal.bytes + this.snapshotBytes);
+  }
+
   /** Makes an error final: the disk's content is unknown, so nothing more is written or acknowledged. */
   private failForGood(result: Result<void, Fault>): Result<void, Fault> {
     if (result.isErr()) this.failure ??= result.error;
@@ -141,7 +175,7 @@
     const snapshot = await readSnapshot(disk, folder);
     const { journal, entries, repairedBytes } = await Journal.open(disk, folder);
     const remaining = await entriesAfterSnapshot(journal, entries, snapshot, folder);
-    const storage = new LogStorage(disk, folder, journal, release);
+    const storage = new LogStorage(disk, folder, journal, release, snapshot?.data.length ?? 0);
     return { storage, recovered: { state, snapshot, entries: remaining, repairedBytes } };
   }
 }
--- a/packages/coordination/src/storage/memoryDisk.ts
+++ b/packages/coordination/src/storage/memoryDisk.ts
@@ -50,6 +50,12 @@
   (content) =>
     content.slice(0, length);
 
+/** Unit in which a file takes space. */
+const BLOCK_BYTES = 4_096;
+
+/** Bytes of the blocks that hold a content of `length` bytes. */
+const blocksOf = (length: number): number => Math.ceil(length / BLOCK_BYTES) * BLOCK_BYTES;
+
 const unchanged: Change = (content) => content;
 
 /** Fraction of crashes that lose all unsynced changes. */
@@ -70,6 +76,8 @@
   writeError: string | undefined;
   /** System error code for syncs. */
   syncError: string | undefined;
+  /** Bytes that all files may take together. */
+  capacityBytes = Number.POSITIVE_INFINITY;
   /** Delay of each sync. */
   syncDelay: () => Promise<void> = () => Promise.resolve();
   private isCrashed = false;
@@ -98,7 +106,15 @@
       const content = isTotalLoss ? inode.synced : contentAfterCrash(inode, random);
       names.set(path, { current: content, synced: content, unsynced: [] });
     }
-    return new MemoryDisk(names, new Map(names));
+    const after = new MemoryDisk(names, new Map(names));
+    after.capacityBytes = this.capacityBytes;
+    return after;
+  }
+
+  /** Bytes that all files take: whole blocks, as on a file system. */
+  usedBytes(): number {
+    const inodes = new Set(this.names.values());
+    return [...inodes].reduce((sum, { current }) => sum + blocksOf(current.length), 0);
   }
 
   /** Flips a bit of one byte of a file, as a failing disk does. */
@@ -156,6 +172,10 @@
     });
   }
 
+  async freeBytes(): Promise<number> {
+    return this.perform(() => Math.max(0, this.capacityBytes - this.usedBytes()));
+  }
+
   async lock(folder: string): Promise<ReleaseLock> {
     return this.perform(() => {
       if (this.locked.has(folder)) throw new FolderLocked(folder, 'here');
@@ -220,11 +240,22 @@
   }
 
   private write(inode: Inode, data: Uint8Array, position: number): void {
-    const part = this.writeError === undefined ? data : data.subarray(0, data.length / 2);
+    const room = this.roomFor(inode, position);
+    const isFull = data.length > room;
+    const whole = isFull ? data.subarray(0, room) : data;
+    const part = this.writeError === undefined ? whole : whole.subarray(0, data.length / 2);
     this.change(inode, {
       whole: writeAt(part, position),
       torn: (share) => writeAt(part.subarray(0, Math.floor(share * part.length)), position),
     });
     if (this.writeError !== undefined) throw systemError(this.writeError);
+    if (isFull) throw systemError('ENOSPC');
+  }
+
+  /** Bytes that can be written to a file from `position` on. */
+  private roomFor(inode: Inode, position: number): number {
+    const others = this.usedBytes() - blocksOf(inode.current.length);
+    const blocks = Math.floor((this.capacityBytes - others) / BLOCK_BYTES);
+    return Math.max(0, blocks * BLOCK_BYTES - position);
   }
 }
