--- a/packages/coordination/src/testing/memoryCluster.ts
+++ b/packages/coordination/src/testing/memoryCluster.ts
@@ -90,6 +90,8 @@
     names: readonly string[],
     private readonly tuning: Partial<Tuning> = {},
     private readonly log: Log = silentLog,
+    /** State machine of each replica; a `Recorder` when absent. */
+    private readonly createMachine?: () => StateMachine,
   ) {
     this.random = seeded(seed);
     this.network = new MemoryNetwork(this.clock, this.random);
@@ -131,7 +133,7 @@
       },
       clock,
       log: this.log.with({ name }),
-      stateMachine: node.createRecorder,
+      stateMachine: this.createMachine?.() ?? node.createRecorder,
       disk: node.disk,
       random: this.random,
     });
