--- a/packages/coordination/src/agreement/applier.ts
+++ b/packages/coordination/src/agreement/applier.ts
@@ -145,7 +145,9 @@
       const snapshot = this.snapshot();
       const { retainedEntries, retainedBytes } = replica.tuning;
       const keepFrom = replica.entries.firstWithin(snapshot.lastIndex, retainedEntries, retainedBytes);
-      const saved = await replica.storage.saveSnapshot(snapshot, keepFrom, replica.entries.last.index + 1n);
+      // The retained entries are sent from memory. A restart reads none that a snapshot covers.
+      const keptOnDisk = snapshot.lastIndex + 1n;
+      const saved = await replica.storage.saveSnapshot(snapshot, keptOnDisk, replica.entries.last.index + 1n);
       if (saved.isErr()) {
         replica.handleStorageFailure(saved.error);
         return;
--- a/packages/coordination/src/agreement/fullFolder.spec.ts
+++ b/packages/coordination/src/agreement/fullFolder.spec.ts
@@ -181,3 +181,18 @@
     cluster.crash(node);
   });
 });
+
+// Guards against a disk filled by entries that nobody reads again: a restart reads none that a snapshot covers.
+it('a journal holds no entry that a snapshot covers, also if lagging replicas may need it', async () => {
+  const tuning = { snapshotBytes: MB, retainedBytes: 16 * MB };
+  const cluster = new MemoryCluster(1, ['a'], tuning, silentLog, () => new LastChange());
+  const node = cluster.find('a');
+  await cluster.startAll();
+  await cluster.until(() => cluster.leader() !== undefined, 10_000);
+  for (let number = 1; number <= 20; number += 1) {
+    void node.replica?.propose(changeOf(number, MB / 4), 2_000);
+    await cluster.clock.advance(200);
+    expect(node.replica?.heldBytes().journal).toBeLessThan((MB * 3) / 2);
+  }
+  cluster.crash(node);
+});
