A planned stop says who ended connections, and what was left

The entry logged that all requests had finished, and a stream had no end.

A counter has the causes outside a stop, too. 8016 names requests that are in progress 150 ms before the end of the grace or when the process ends, 5018 connections closed under answers.

No behaviour changes.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -116,8 +116,9 @@
       models: (bindings) => this.callers.models(bindings),
       call: (bindings) => this.callers.call(bindings),
     });
-    const { clock, stalls, log } = context;
-    this.server = new CallerServer(listenerOf(app, settings.httpHost), settings, clock, stalls, log);
+    const { clock, stalls, log, metrics } = context;
+    const listener = listenerOf(app, settings.httpHost);
+    this.server = new CallerServer(listener, settings, clock, stalls, log, metrics);
   }
 
   /** Serves this entry's view to neighbours that can't reach a control instance. */
@@ -157,7 +158,7 @@
     await this.server.drain(ACCEPT_WAIT_MS);
     await this.work.background.idle();
     await this.work.claims.idle(SETTLE_TIMEOUT_MS);
-    log.event(entryEvents.drained);
+    log.event(entryEvents.drained, { open: this.callers.openRequests, ...this.server.stopRecord() });
   }
 
   async close(): Promise<void> {
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -18,5 +18,11 @@
   claimTakenOver: { id: 5013, level: 'info', message: 'claim taken over from an entry that no longer runs' },
   draining: { id: 5014, level: 'info', message: 'planned stop: finishing open requests' },
   drained: { id: 5015, level: 'info', message: 'planned stop: all requests finished' },
+  connectionEnded: {
+    id: 5017,
+    level: 'info',
+    message: "planned stop: a caller's connection has ended, by whom and with what was left",
+  },
+  unfinished: { id: 5018, level: 'warn', message: 'planned stop: connections are closed under answers' },
   unexpected: { id: 5016, level: 'error', message: 'unexpected error in a request' },
 });
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -3,10 +3,12 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
-import type { Clock, Log, StallWatch } from '@jasmineroute/core';
+import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import { entryEvents } from '../events.js';
 import type { EntrySettings } from '../setting/index.js';
 import { refuseConnection, statusOfParserError } from './badConnection.js';
+import { ConnectionEnds } from './connectionEnds.js';
+import type { EndCause } from './connectionEnds.js';
 
 /** Time for which a refused connection is still read before it is closed, milliseconds. */
 const REFUSED_LINGER_MS = 1_000;
@@ -28,6 +30,26 @@
   bytesRead: number;
   /** Monotonic time at which activity was last observed. */
   activeAt: number;
+  /** How this side began to end it; undefined: it has not. */
+  ending?: Ending;
+}
+
+/** The beginning of a connection's end. */
+interface Ending {
+  readonly cause: EndCause;
+  /** Monotonic time. */
+  readonly at: number;
+  readonly unsentBytes: number;
+  readonly bytesRead: number;
+}
+
+/** Open connections by state. */
+export interface ConnectionStates {
+  /** An answer is not complete. */
+  readonly answering: number;
+  readonly idle: number;
+  /** This side has begun to end them. */
+  readonly ending: number;
 }
 
 /** Settings of the server. */
@@ -51,6 +73,9 @@
   private lastConnectionAt = 0;
   private stopping = false;
   private closed = false;
+  private readonly ends: ConnectionEnds;
+  /** Monotonic time at which the last answer was complete. */
+  private answeredAt: number | undefined;
 
   constructor(
     listener: RequestListener,
@@ -58,7 +83,9 @@
     private readonly clock: Clock,
     private readonly stalls: StallWatch,
     private readonly log: Log,
+    metrics: Metrics,
   ) {
+    this.ends = new ConnectionEnds(log, metrics);
     this.server = createServer(
       {
         maxHeaderSize: settings.maxHeaderBytes,
@@ -105,6 +132,22 @@
     return this.openConnections.size;
   }
 
+  /** Open connections by state. */
+  get states(): ConnectionStates {
+    const open = [...this.openConnections.values()];
+    const ending = open.filter((one) => one.ending !== undefined).length;
+    const answering = open.filter((one) => one.ending === undefined && one.responses.size > 0).length;
+    return { answering, idle: open.length - ending - answering, ending };
+  }
+
+  /** What tells how a planned stop went: connections by state, ends by cause, and the age of the last complete answer. */
+  stopRecord(): Readonly<Record<string, unknown>> {
+    const { answeredAt } = this;
+    const lastAnswerMs =
+      answeredAt === undefined ? undefined : Math.round(this.clock.monotonic() - answeredAt);
+    return { connections: this.states, ended: this.ends.totals, lastAnswerMs };
+  }
+
   /**
    * From now on answers carry `Connection: close`, and connections that stay idle are closed, so that callers reconnect and
    * the load balancer picks another entry.
@@ -152,13 +195,19 @@
         connection.activeAt = now;
         continue;
       }
-      if (now - connection.activeAt >= DRAIN_IDLE_MS) socket.destroySoon();
+      if (now - connection.activeAt >= DRAIN_IDLE_MS) {
+        this.beginEnd(socket, 'idle');
+        socket.destroySoon();
+      }
     }
   }
 
   /** Closes the listener and all connections at once. */
   async close(): Promise<void> {
     this.closed = true;
+    const { answering } = this.states;
+    if (answering > 0) this.log.event(entryEvents.unfinished, { ...this.stopRecord() });
+    for (const socket of this.openConnections.keys()) this.beginEnd(socket, 'forced');
     const closed = new Promise<void>((resolve) => {
       this.server.close(() => {
         resolve();
@@ -174,6 +223,8 @@
     outgoing.once('close', () => answers?.delete(outgoing));
     if (this.stopping) outgoing.setHeader('connection', 'close');
     outgoing.once('finish', () => {
+      this.answeredAt = this.clock.monotonic();
+      if (outgoing.getHeader('connection') === 'close') this.beginEnd(socket, 'answered');
       this.closeAfter(socket, outgoing);
     });
   }
@@ -186,7 +237,30 @@
    */
   private closeAfter(socket: Socket, outgoing: ServerResponse): void {
     const others = (this.openConnections.get(socket)?.responses.size ?? 0) - 1;
-    if (this.stopping && others <= 0 && outgoing.getHeader('connection') !== 'close') socket.destroySoon();
+    if (!this.stopping || others > 0 || outgoing.getHeader('connection') === 'close') return;
+    this.beginEnd(socket, 'answered');
+    socket.destroySoon();
+  }
+
+  /** Notes that this side ends a connection; the first cause counts. */
+  private beginEnd(socket: Socket, cause: EndCause): void {
+    const connection = this.openConnections.get(socket);
+    if (connection === undefined || connection.ending !== undefined) return;
+    const { bytesRead, writableLength } = socket;
+    connection.ending = { cause, at: this.clock.monotonic(), unsentBytes: writableLength, bytesRead };
+  }
+
+  private recordEnd(socket: Socket, hadError: boolean): void {
+    const connection = this.openConnections.get(socket);
+    this.openConnections.delete(socket);
+    if (connection === undefined) return;
+    const unfinishedAnswers = [...connection.responses].filter((one) => !one.writableFinished).length;
+    const { ending } = connection;
+    const cause = ending?.cause ?? (hadError ? 'reset' : 'caller');
+    const closingMs = ending === undefined ? 0 : Math.round(this.clock.monotonic() - ending.at);
+    const lateBytes = ending === undefined ? 0 : socket.bytesRead - ending.bytesRead;
+    const unsentBytes = ending?.unsentBytes ?? socket.writableLength;
+    this.ends.record({ cause, unfinishedAnswers, unsentBytes, lateBytes, closingMs }, this.stopping);
   }
 
   private watchConnections(): void {
@@ -198,7 +272,9 @@
         bytesRead: 0,
         activeAt: this.lastConnectionAt,
       });
-      socket.once('close', () => this.openConnections.delete(socket));
+      socket.once('close', (hadError) => {
+        this.recordEnd(socket, hadError);
+      });
     });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       this.handleClientError(error, socket);
@@ -215,6 +291,7 @@
       return;
     }
     this.log.event(entryEvents.badConnection, { code: error.code, status: statusOfParserError(error.code) });
+    this.beginEnd(socket, 'invalid-input');
     const answers = [...(this.openConnections.get(socket)?.responses ?? [])];
     const hasRequestInProgress = answers.some((answer) => answer.headersSent || answer.req.complete);
     // Earlier requests of the connection are in progress: the caller would take an error for the answer to one of them.
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -16,6 +16,11 @@
   decision: { name: 'entry.decision.duration', type: 'timing', help: 'Time to choose a target' },
   open: { name: 'entry.request.open', type: 'gauge', help: 'Requests in progress' },
   connections: { name: 'entry.connection.open', type: 'gauge', help: "Callers' open connections" },
+  connectionEnds: {
+    name: 'entry.connection.ended',
+    type: 'counter',
+    help: "Ends of callers' connections, by who ended them and why",
+  },
   bufferedBytes: {
     name: 'entry.request.buffered_bytes',
     type: 'gauge',
--- /dev/null
+++ b/packages/entry/src/testing/callerServer.ts
@@ -0,0 +1,95 @@
+/** A server for callers with scripted answers, and a caller that writes bytes. For tests. */
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import type { RequestListener } from 'node:http';
+import { StallWatch, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
+import { CallerServer } from '../http/server.js';
+import type { CallerServerSettings } from '../http/server.js';
+
+const DEFAULTS: CallerServerSettings = {
+  httpHost: '127.0.0.1',
+  httpPort: 0,
+  maxHeaderBytes: 16_384,
+  maxConnections: 3_000,
+  headerTimeoutMs: 3_000,
+  requestTimeoutMs: 30_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** One line of the log: the event's id and its fields. */
+export type LogLine = Readonly<Record<string, unknown>>;
+
+/** A server under test. */
+export class TestServer {
+  readonly lines: LogLine[] = [];
+  /** Paths of the requests that were handled, in order. */
+  readonly handled: string[] = [];
+  readonly server: CallerServer;
+  private address = '';
+
+  constructor(listener: RequestListener, settings: Partial<CallerServerSettings> = {}) {
+    const log = {
+      ...silentLog,
+      event: ({ id }: { readonly id: number }, fields: object = {}) => {
+        this.lines.push({ id, ...fields });
+      },
+    };
+    this.server = new CallerServer(
+      (incoming, outgoing) => {
+        this.handled.push(incoming.url ?? '');
+        listener(incoming, outgoing);
+      },
+      { ...DEFAULTS, ...settings },
+      systemClock,
+      new StallWatch(systemClock),
+      log,
+      silentMetrics,
+    );
+  }
+
+  static async start(
+    listener: RequestListener,
+    settings: Partial<CallerServerSettings> = {},
+  ): Promise<TestServer> {
+    const test = new TestServer(listener, settings);
+    test.address = await test.server.listen();
+    return test;
+  }
+
+  /** Connects a caller. */
+  connect(): RawCaller {
+    const [host = '', port] = this.address.split(':');
+    return new RawCaller(connect({ host, port: Number(port), allowHalfOpen: true }));
+  }
+
+  /** Lines of an event. */
+  linesOf({ id }: { readonly id: number }): LogLine[] {
+    return this.lines.filter((line) => line.id === id);
+  }
+}
+
+/** A caller that writes bytes as they are and keeps its side open until told. */
+export class RawCaller {
+  text = '';
+  /** The server has ended its side. */
+  isEnded = false;
+  /** Code of the error that broke the connection; empty: none did. */
+  error = '';
+  isClosed = false;
+
+  constructor(readonly socket: Socket) {
+    socket.on('data', (bytes: Buffer) => (this.text += bytes.toString('latin1')));
+    socket.on('end', () => (this.isEnded = true));
+    socket.on('close', () => (this.isClosed = true));
+    socket.on('error', (error: NodeJS.ErrnoException) => (this.error = error.code ?? 'unknown'));
+  }
+
+  /** Writes the bytes of a request. */
+  ask(path: string, body = '', fields = ''): void {
+    this.socket.write(requestBytes(path, body, fields));
+  }
+}
+
+/** Bytes of a request; each field ends with a line break. */
+export const requestBytes = (path: string, body = '', fields = ''): string =>
+  `POST ${path} HTTP/1.1\r\nHost: a.example\r\n${fields}Content-Length: ${body.length}\r\n\r\n${body}`;
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -43,5 +43,6 @@
   readiness: { id: 8006, level: 'info', message: 'readiness changed' },
   draining: { id: 8012, level: 'info', message: 'planned stop: finishing open requests' },
   drained: { id: 8013, level: 'info', message: 'planned stop: all requests finished' },
+  unfinished: { id: 8016, level: 'warn', message: 'planned stop: a request is still in progress at the end' },
   unexpected: { id: 8014, level: 'error', message: 'unexpected error in a request' },
 });
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -40,6 +40,12 @@
 /** How long a planned stop waits for new connections to cease, milliseconds. */
 const CONNECTION_DRAIN_MS = 500;
 
+/** Time before the end of a planned stop at which requests that are still in progress are named, milliseconds. */
+const NAMING_MARGIN_MS = 150;
+
+/** Maximum number of requests that are named when a planned stop ends under them. */
+const MAX_NAMED_REQUESTS = 32;
+
 /** A relaying entry. */
 export class Relay implements RoleProcess {
   private readonly requestContext: RelayContext;
@@ -55,7 +61,7 @@
   private draining = false;
   /** Monotonic time at which a planned stop ends. */
   private stopsAt: number | undefined;
-  private open = 0;
+  private readonly open = new Set<RequestHandler>();
   /** Reason of the last reported readiness. */
   private lastReason = '';
 
@@ -118,6 +124,7 @@
       clock,
       stalls,
       log,
+      metrics,
     );
     knowledge.onLoad(({ targetId, running, waiting }) => {
       monitor.recordLoad(targetId, { running, waiting });
@@ -166,7 +173,7 @@
 
   /** Number of requests in progress. */
   openRequests(): number {
-    return this.open;
+    return this.open.size;
   }
 
   /** The current readiness. It is logged only when it changes, as load balancers query it continuously. */
@@ -198,14 +205,19 @@
     const { clock, log } = this.context;
     this.draining = true;
     this.stopsAt = clock.monotonic() + this.settings.graceMs;
-    log.event(relayEvents.draining, { open: this.open });
+    log.event(relayEvents.draining, { open: this.open.size });
     this.server.stopKeepAlive();
+    const cancelNaming = clock.after(this.settings.graceMs - NAMING_MARGIN_MS, () => {
+      this.logUnfinished();
+    });
     await clock.sleep(this.settings.drainDelayMs);
     await this.server.drain(CONNECTION_DRAIN_MS);
-    log.event(relayEvents.drained);
+    cancelNaming();
+    log.event(relayEvents.drained, { open: this.open.size, ...this.server.stopRecord() });
   }
 
   async close(): Promise<void> {
+    if (this.draining) this.logUnfinished();
     this.stopped.abort();
     this.reporter.stop();
     this.origins.stop();
@@ -216,18 +228,26 @@
     await this.requestContext.pools.close();
   }
 
+  /** Names requests that are still in progress when a planned stop ends. */
+  private logUnfinished(): void {
+    const { log } = this.context;
+    const named = [...this.open].slice(0, MAX_NAMED_REQUESTS);
+    for (const handler of named) log.event(relayEvents.unfinished, { ...handler.progress() });
+  }
+
   private async serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const { dialect, clock, stalls, log } = this.requestContext;
     const answer = new CallerAnswer(outgoing, dialect, clock, stalls);
-    this.open += 1;
+    const handler = new RequestHandler(this.requestContext, incoming, answer);
+    this.open.add(handler);
     try {
-      await new RequestHandler(this.requestContext, incoming, answer).run();
+      await handler.run();
     } catch (cause) {
       const stack = cause instanceof Error ? cause.stack : undefined;
       log.event(relayEvents.unexpected, { error: String(cause), stack });
       answer.fail(fault('internal', 'unexpected error', { cause }));
     } finally {
-      this.open -= 1;
+      this.open.delete(handler);
     }
   }
 
@@ -238,7 +258,7 @@
       const ids = this.knowledge.targets.ids();
       this.requestContext.monitor.retain(ids);
       await this.requestContext.pools.retain(ids);
-      metrics.gauge(relayMetrics.open, this.open);
+      metrics.gauge(relayMetrics.open, this.open.size);
       await clock.sleep(SWEEP_INTERVAL_MS, signal).catch(() => undefined);
     }
   }
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -94,6 +94,7 @@
 /** Handles one request of a caller. */
 export class RequestHandler {
   private readonly abort = new AbortController();
+  private requestId: string | undefined;
   private sends = 0;
   /** Whether an attempt may have run. */
   private mayHaveRun = false;
@@ -122,10 +123,24 @@
     });
   }
 
+  /** Where the request stands, for the log. */
+  progress(): Readonly<Record<string, unknown>> {
+    const { answer } = this;
+    return {
+      request: this.requestId,
+      target: this.target?.id,
+      sends: this.sends,
+      ageMs: Math.round(answer.age()),
+      isBegun: answer.begun,
+      hasCallerLeft: answer.gone.aborted,
+    };
+  }
+
   /** Answers the request in every case. */
   async run(): Promise<void> {
     const { dialect, knowledge, startupGrace, stalls } = this.context;
     const request = dialect.readRequest(this.incoming);
+    if (request.isOk()) this.requestId = request.value.id;
     // After an event loop stall, a caller's request may be read before control's updates: the configuration may be
     // out of date.
     await stalls.waitUntilCaughtUp();
