How the origin of a resumed stream was decided is logged and counted

What could not be told from the logs: whether an entry found a stream's software version in its own table, at control instances, or took the only version, and why one was refused (nobody knows it, somebody did not answer, several versions, a split route); nor which configuration and which targets the entry held then.

Change: 8008 names the way, the configuration and the targets of that and of other versions; 8020 is new for what is refused; relay.stream.origins counts both. streamOrigins.spec.ts compares the way, beside the version as before.

--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -22,6 +22,11 @@
     level: 'info',
     message: 'the software version of a stream that a caller resumes is known',
   },
+  notResumed: {
+    id: 8020,
+    level: 'info',
+    message: 'the software version of a stream that a caller resumes is not known for certain',
+  },
   targetFate: { id: 8009, level: 'info', message: 'whether a target that broke off an answer has ended' },
   brokenUnder: {
     id: 8010,
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -29,6 +29,11 @@
     type: 'counter',
     help: 'Requests to go on with a stream that broke, by outcome',
   },
+  originsDecided: {
+    name: 'relay.stream.origins',
+    type: 'counter',
+    help: 'Streams that callers resume, by how their software version was decided (own, lookup, sole) or why it was not',
+  },
   continued: {
     name: 'relay.stream.continued',
     type: 'counter',
--- a/packages/relay/src/origin/originLookup.ts
+++ b/packages/relay/src/origin/originLookup.ts
@@ -24,7 +24,7 @@
 export interface LookupResult {
   /** Absent: no instance that answered knows it. */
   readonly origin?: controlMessage.StreamOrigin;
-  /** Whether all instances answered. */
+  /** Whether all instances answered, or one knows it. */
   readonly isComplete: boolean;
 }
 
--- a/packages/relay/src/origin/streamOrigins.spec.ts
+++ b/packages/relay/src/origin/streamOrigins.spec.ts
@@ -85,7 +85,10 @@
     await until(() => holders(1) === 2);
     const [first] = controls.filter(({ origins }) => origins.length > 0);
     await first?.server.close();
-    expect((await find(startOrigins(), 'q1'))?.softwareVersion).toBe('v1');
+    expect(await find(startOrigins(), 'q1')).toMatchObject({
+      by: 'lookup',
+      origin: { softwareVersion: 'v1' },
+    });
   });
 
   // Guards against origins that were on their way to a control instance which was lost.
@@ -105,13 +108,16 @@
     begin(startOrigins(), 'q1');
     await until(() => holders(1) === 2);
     for (const control of controls) control.isSilent = control.origins.length === 0;
-    expect((await find(startOrigins(), 'q1'))?.softwareVersion).toBe('v1');
+    expect(await find(startOrigins(), 'q1')).toMatchObject({
+      by: 'lookup',
+      origin: { softwareVersion: 'v1' },
+    });
     expect(controls.map(({ lookups }) => lookups)).toEqual([1, 1, 1]);
   });
 
   // Guards against a caller that waits although nobody can know its stream.
   it('are unknown at once when all control instances answer that they do not know the stream', async () => {
-    expect(await find(startOrigins(), 'q9')).toBeUndefined();
+    expect(await find(startOrigins(), 'q9')).toEqual({ by: 'unknown' });
     expect(controls.map(({ lookups }) => lookups)).toEqual([1, 1, 1]);
   });
 
@@ -123,6 +129,6 @@
     const found = find(startOrigins(), 'q1');
     await until(() => controls.every(({ lookups }) => lookups > 0));
     for (const control of controls) control.isSilent = false;
-    expect((await found)?.softwareVersion).toBe('v1');
+    expect(await found).toMatchObject({ by: 'lookup', origin: { softwareVersion: 'v1' } });
   });
 });
--- a/packages/relay/src/origin/streamOrigins.ts
+++ b/packages/relay/src/origin/streamOrigins.ts
@@ -6,6 +6,7 @@
 import type { Peers } from '@jasmineroute/protocol';
 import { CopiedReporter } from '../report/index.js';
 import { OriginLookup } from './originLookup.js';
+import type { LookupResult } from './originLookup.js';
 import { VersionLookup } from './versionLookup.js';
 import type { VersionResult } from './versionLookup.js';
 
@@ -29,6 +30,15 @@
   readonly log: Log;
 }
 
+/** How the origin of a stream was decided, or why it was not. */
+export type OriginDecision =
+  | { readonly by: 'own' | 'lookup'; readonly origin: controlMessage.StreamOrigin }
+  | { readonly by: 'unknown' | 'unanswered' };
+
+/** How the only software version of a service was decided, or why it was not. */
+export type VersionDecision =
+  { readonly by: 'sole'; readonly version: string } | { readonly by: 'several' | 'unanswered' };
+
 const reportOf = (origins: controlMessage.StreamOrigin[]): Report => ({
   case: 'origins',
   value: create(controlMessage.StreamOriginsSchema, { origins }),
@@ -71,27 +81,26 @@
    * heard of, however few it knows.
    * @param waitUntil monotonic time until which an incomplete answer is not taken as final.
    */
-  async find(
-    stream: Uint8Array,
-    waitUntil: number,
-    signal: AbortSignal,
-  ): Promise<controlMessage.StreamOrigin | undefined> {
+  async find(stream: Uint8Array, waitUntil: number, signal: AbortSignal): Promise<OriginDecision> {
     const held = this.table.find(stream);
-    if (held !== undefined) return held;
-    const { origin } = await this.untilComplete(() => this.lookup.find(stream), waitUntil, signal);
-    return origin;
+    if (held !== undefined) return { by: 'own', origin: held };
+    const ask = (): Promise<LookupResult> => this.lookup.find(stream);
+    const { origin, isComplete } = await this.untilComplete(ask, waitUntil, signal);
+    if (origin !== undefined) return { by: 'lookup', origin };
+    return { by: isComplete ? 'unknown' : 'unanswered' };
   }
 
-  /** The only software version of a service's targets within the last `withinMs` milliseconds; undefined if not certain. */
+  /** The only software version of a service's targets within the last `withinMs` milliseconds, if that is certain. */
   async soleVersion(
     service: string,
     withinMs: number,
     waitUntil: number,
     signal: AbortSignal,
-  ): Promise<string | undefined> {
+  ): Promise<VersionDecision> {
     const ask = (): Promise<VersionResult> => this.versions.soleVersion(service, withinMs);
-    const { version } = await this.untilComplete(ask, waitUntil, signal);
-    return version;
+    const { version, isComplete } = await this.untilComplete(ask, waitUntil, signal);
+    if (version !== undefined) return { by: 'sole', version };
+    return { by: isComplete ? 'several' : 'unanswered' };
   }
 
   /** Asks again while some control instance does not answer, as it may have just started. */
--- a/packages/relay/src/work/resumption.ts
+++ b/packages/relay/src/work/resumption.ts
@@ -8,6 +8,7 @@
 import type { Result } from 'neverthrow';
 import type { RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
+import { relayMetrics } from '../metrics.js';
 import type { Job } from './attempt.js';
 import type { RelayContext } from './context.js';
 
@@ -41,6 +42,11 @@
 /** The service and software version that may continue a stream. */
 export type ResumedOrigin = Pick<controlMessage.StreamOrigin, 'service' | 'softwareVersion'>;
 
+/** How the origin of a resumed stream was decided, or why it was not. */
+type Decision =
+  | { readonly by: 'own' | 'lookup' | 'sole'; readonly origin: ResumedOrigin }
+  | { readonly by: 'unknown' | 'unanswered' | 'several' | 'split' };
+
 /**
  * The origin of the stream that a request resumes; undefined if it resumes none. What is not known for certain is refused:
  * a target of another software version would continue it with events that don't fit. Errors: stream-not-resumable.
@@ -53,16 +59,45 @@
   signal: AbortSignal,
 ): Promise<Result<ResumedOrigin | undefined, Fault>> {
   if (!resumesStream(request, route)) return ok(undefined);
-  const { origins, startupGrace, log } = context;
-  const origin =
-    request.resumes === undefined
-      ? await soleOrigin(context, route, signal)
-      : await origins.find(streamOf(request, customer), startupGrace.endsAt, signal);
-  if (origin === undefined) return err(notResumable('the software version of the stream is not known'));
-  const { service, softwareVersion } = origin;
-  log.event(relayEvents.resumed, { request: request.id, resumes: request.resumes, service, softwareVersion });
-  const isRouted = servicesOf(route).includes(service);
-  return isRouted ? ok(origin) : err(notResumable(`the route no longer leads to ${service}`));
+  const decision = await decide(context, request, route, customer, signal);
+  recordDecision(context, request, decision);
+  if (!('origin' in decision)) return err(notResumable('the software version of the stream is not known'));
+  const { origin } = decision;
+  const isRouted = servicesOf(route).includes(origin.service);
+  return isRouted ? ok(origin) : err(notResumable(`the route no longer leads to ${origin.service}`));
+}
+
+function decide(
+  context: RelayContext,
+  request: RelayRequest,
+  route: Route,
+  customer: Customer | undefined,
+  signal: AbortSignal,
+): Promise<Decision> {
+  const { origins, startupGrace } = context;
+  return request.resumes === undefined
+    ? soleOrigin(context, route, signal)
+    : origins.find(streamOf(request, customer), startupGrace.endsAt, signal);
+}
+
+/** Logs and counts how the origin was decided, with what this entry knew. */
+function recordDecision(
+  { knowledge, log, metrics }: RelayContext,
+  { id, resumes, lastEventId }: RelayRequest,
+  decision: Decision,
+): void {
+  const { by } = decision;
+  metrics.count(relayMetrics.originsDecided, 1, { by });
+  const known = { request: id, resumes, after: lastEventId, by, configuration: knowledge.number() };
+  if (!('origin' in decision)) {
+    log.event(relayEvents.notResumed, known);
+    return;
+  }
+  const { service, softwareVersion } = decision.origin;
+  const targets = knowledge.targets.ready(service);
+  const serving = targets.filter((target) => target.softwareVersion === softwareVersion).length;
+  const others = targets.length - serving;
+  log.event(relayEvents.resumed, { ...known, service, softwareVersion, serving, others });
 }
 
 /** Services that a route leads to. */
@@ -77,10 +112,11 @@
   { origins, startupGrace }: RelayContext,
   route: Route,
   signal: AbortSignal,
-): Promise<ResumedOrigin | undefined> {
+): Promise<Decision> {
   const [service, ...others] = servicesOf(route);
-  if (service === undefined || others.length > 0) return undefined;
+  if (service === undefined || others.length > 0) return { by: 'split' };
   const withinMs = Math.ceil(route.timeoutMs) + MAX_RETURN_MS;
-  const softwareVersion = await origins.soleVersion(service, withinMs, startupGrace.endsAt, signal);
-  return softwareVersion === undefined ? undefined : { service, softwareVersion };
+  const decision = await origins.soleVersion(service, withinMs, startupGrace.endsAt, signal);
+  if (decision.by !== 'sole') return decision;
+  return { by: 'sole', origin: { service, softwareVersion: decision.version } };
 }
