--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -70,18 +70,35 @@
   readonly recovered: Recovered;
 }
 
+/** Bytes that the folder holds. */
+export interface HeldBytes {
+  readonly journal: number;
+  /** Of the newest snapshot; while another is written, of both. */
+  readonly snapshots: number;
+  /** The most that journal and snapshots have held together since the start. */
+  readonly largest: number;
+}
+
 /** Storage of one replica. The caller makes changes one at a time; `sync` may run concurrently. */
 export class LogStorage {
   /** Final: the error that left the disk's content unknown. */
   private failure: StorageFault | undefined;
+  private largestBytes = 0;
 
   private constructor(
     private readonly disk: Disk,
     private readonly folder: string,
     private journal: Journal,
     private readonly release: ReleaseLock,
+    private snapshotBytes: number,
   ) {}
 
+  /** Bytes that the folder holds now, and the most so far. */
+  heldBytes(): HeldBytes {
+    this.recordLargest();
+    return { journal: this.journal.bytes, snapshots: this.snapshotBytes, largest: this.largestBytes };
+  }
+
   /** Locks and reads a folder, and creates it if it is missing. Errors: storage-failed, with file and reason. */
   static async open(disk: Disk, folder: string): Promise<Result<OpenedStorage, StorageFault>> {
     return attempt('open', folder, async () => {
@@ -122,7 +139,7 @@
   /** Stores a snapshot and drops the journal's segments that hold only entries before `keepFrom`. */
   saveSnapshot(snapshot: Snapshot, keepFrom: bigint, nextIndex: bigint): Promise<Result<void, StorageFault>> {
     return this.run('snapshot', async () => {
-      await writeSnapshot(this.disk, this.folder, snapshot);
+      await this.replaceSnapshot(snapshot);
       await this.journal.roll(nextIndex);
       await this.journal.dropBefore(keepFrom);
     });
@@ -130,7 +147,7 @@
 
   /** Replaces the whole journal by a snapshot. An error while clearing the journal is final. */
   async installSnapshot(snapshot: Snapshot): Promise<Result<void, StorageFault>> {
-    const written = await this.run('install', () => writeSnapshot(this.disk, this.folder, snapshot));
+    const written = await this.run('install', () => this.replaceSnapshot(snapshot));
     if (written.isErr()) return written;
     return this.run('clear', () => this.journal.reset(snapshot.lastIndex + 1n));
   }
@@ -159,6 +176,25 @@
     await this.release().catch(() => undefined);
   }
 
+  /** Writes a snapshot; until it is saved, the folder holds the one before as well. */
+  private async replaceSnapshot(snapshot: Snapshot): Promise<void> {
+    const before = this.snapshotBytes;
+    const after = snapshot.data.length;
+    this.snapshotBytes = before + after;
+    this.recordLargest();
+    try {
+      await writeSnapshot(this.disk, this.folder, snapshot);
+      this.snapshotBytes = after;
+    } catch (error) {
+      this.snapshotBytes = before;
+      throw error;
+    }
+  }
+
+  private recordLargest(): void {
+    this.largestBytes = Math.max(this.largestBytes, this.journal.bytes + this.snapshotBytes);
+  }
+
   private async reopen(held: HeldState): Promise<RecoveredState> {
     const { disk, folder } = this;
     await this.journal.close();
@@ -167,6 +203,7 @@
     await removeTemporaryFiles(disk, folder);
     const state = newerState(await readState(disk, folder), held.state, folder);
     const snapshot = await readSnapshot(disk, folder);
+    this.snapshotBytes = snapshot?.data.length ?? 0;
     const onDisk = await entriesAfterSnapshot(this.journal, opened.entries, snapshot, folder);
     const isNewer = snapshot !== undefined && snapshot.lastIndex > held.commitIndex;
     const entries = entriesHeldAfter(held, snapshot, isNewer);
@@ -217,7 +254,7 @@
     const snapshot = await readSnapshot(disk, folder);
     const { journal, entries, repairedBytes } = await Journal.open(disk, folder);
     const remaining = await entriesAfterSnapshot(journal, entries, snapshot, folder);
-    const storage = new LogStorage(disk, folder, journal, release);
+    const storage = new LogStorage(disk, folder, journal, release, snapshot?.data.length ?? 0);
     // A process that was ended leaves entries that were never synced; they must not be acknowledged before they are.
     const rewritten = await storage.run('sync', () => journal.rewriteTail());
     const failure = rewritten.isErr() ? rewritten.error : undefined;
--- a/packages/coordination/src/storage/memoryDisk.ts
+++ b/packages/coordination/src/storage/memoryDisk.ts
@@ -50,6 +50,12 @@
   (content) =>
     content.slice(0, length);
 
+/** Unit in which a file takes space. */
+const BLOCK_BYTES = 4_096;
+
+/** Bytes of the blocks that hold a content of `length` bytes. */
+const blocksOf = (length: number): number => Math.ceil(length / BLOCK_BYTES) * BLOCK_BYTES;
+
 const unchanged: Change = (content) => content;
 
 /** Fraction of crashes that lose all unsynced changes. */
@@ -75,6 +81,8 @@
   syncError: string | undefined;
   /** System error codes for other calls. */
   readonly callErrors: Partial<Record<FailingCall, string | undefined>> = {};
+  /** Bytes that all files may take together. */
+  capacityBytes = Number.POSITIVE_INFINITY;
   /** Delay of each sync. */
   syncDelay: () => Promise<void> = () => Promise.resolve();
   private isCrashed = false;
@@ -103,7 +111,15 @@
       const content = isTotalLoss ? inode.synced : contentAfterCrash(inode, random);
       names.set(path, { current: content, synced: content, unsynced: [] });
     }
-    return new MemoryDisk(names, new Map(names));
+    const after = new MemoryDisk(names, new Map(names));
+    after.capacityBytes = this.capacityBytes;
+    return after;
+  }
+
+  /** Bytes that all files take: whole blocks, as on a file system. */
+  usedBytes(): number {
+    const inodes = new Set(this.names.values());
+    return [...inodes].reduce((sum, { current }) => sum + blocksOf(current.length), 0);
   }
 
   /** Flips a bit of one byte of a file, as a failing disk does. */
@@ -116,7 +132,9 @@
   /** Ends the process that uses this disk, without a loss of power. Returns the disk for the next process. */
   endProcess(): MemoryDisk {
     this.isCrashed = true;
-    return new MemoryDisk(this.names, this.durableNames, this.nameChanges);
+    const after = new MemoryDisk(this.names, this.durableNames, this.nameChanges);
+    after.capacityBytes = this.capacityBytes;
+    return after;
   }
 
   async ensureFolder(): Promise<void> {
@@ -167,6 +185,10 @@
     });
   }
 
+  async freeBytes(): Promise<number> {
+    return this.perform(() => Math.max(0, this.capacityBytes - this.usedBytes()));
+  }
+
   async lock(folder: string): Promise<ReleaseLock> {
     return this.perform(() => {
       if (this.locked.has(folder)) throw new FolderLocked(folder, 'here');
@@ -239,11 +261,22 @@
   }
 
   private write(inode: Inode, data: Uint8Array, position: number): void {
-    const part = this.writeError === undefined ? data : data.subarray(0, data.length / 2);
+    const room = this.roomFor(inode, position);
+    const isFull = data.length > room;
+    const whole = isFull ? data.subarray(0, room) : data;
+    const part = this.writeError === undefined ? whole : whole.subarray(0, data.length / 2);
     this.change(inode, {
       whole: writeAt(part, position),
       torn: (share) => writeAt(part.subarray(0, Math.floor(share * part.length)), position),
     });
     if (this.writeError !== undefined) throw systemError(this.writeError, 'write');
+    if (isFull) throw systemError('ENOSPC', 'write');
+  }
+
+  /** Bytes that can be written to a file from `position` on. */
+  private roomFor(inode: Inode, position: number): number {
+    const others = this.usedBytes() - blocksOf(inode.current.length);
+    const blocks = Math.floor((this.capacityBytes - others) / BLOCK_BYTES);
+    return Math.max(0, blocks * BLOCK_BYTES - position);
   }
 }
