Commands whose refused write may stay on the disk are not reported as not run

What callers could see: several commands reported as not run, of which some ran later. A full disk takes a part of a write. If that part can't be removed before the process ends, or its removal is undone by a loss of power, the next process reads it as entries.

Change: the removal is synced. Where removal or sync fails, the commands are reported as storage-failed with may-have-run.

--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -233,13 +233,12 @@
       if (proposal !== undefined) waiters.add(index, this.term, proposal.settle);
     });
     if (appended.isOk()) return;
-    const outcome: Outcome = err({ ...appended.error, ran: 'not-run' });
-    for (const proposal of batch) proposal.settle(outcome);
+    for (const proposal of batch) proposal.settle(err(appended.error));
   }
 
   /**
    * Appends entries to the log and starts their sync. A failed write means that no entry was sent to any replica, so the
-   * commands have certainly not run.
+   * commands have not run, unless a part of the write stays on the disk.
    */
   private async append(
     drafts: readonly Partial<Pick<Entry, 'kind' | 'command' | 'configuration'>>[],
--- a/packages/coordination/src/agreement/storageFaults.spec.ts
+++ b/packages/coordination/src/agreement/storageFaults.spec.ts
@@ -221,6 +221,25 @@
   },
 );
 
+// Guards against commands that run although they were reported as not run: a refused write left them on the disk, and could not
+// be taken back before the process ended.
+test.each(SEEDS)('what stays of a refused write is not reported as not run (seed %i)', async (seed) => {
+  const cluster = await started(seed);
+  const leader = leaderOf(cluster);
+  refuseCall('truncate')(leader);
+  const attempts = Array.from({ length: 8 }, (_, count) => cluster.propose(leader, `left ${count}`));
+  await cluster.until(() => attempts.every(({ outcome }) => outcome !== 'open'), 5_000);
+  expect(attempts.map(({ outcome }) => outcome)).not.toContain('done');
+  const others = followersOf(cluster);
+  crash(cluster, others);
+  cluster.endProcess(leader);
+  repair(leader);
+  await cluster.startAll();
+  expect(await cluster.until(() => cluster.leader() !== undefined, 5_000)).toBe(true);
+  await cluster.clock.advance(1_000);
+  cluster.checkFinalState();
+});
+
 describe('after a full disk', () => {
   // Guards against a fixed pause of all replicas that outlasts the fault.
   test.each(SEEDS)('at all replicas, a read is answered in time (seed %i)', async (seed) => {
--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -203,10 +203,14 @@
     }
   }
 
-  /** Removes the part that a failed write left. If it stayed, entries after it could not be read at the next start. */
+  /**
+   * Removes the part that a failed write left, synced. If it stayed, entries after it could not be read at the next start; if it
+   * came back after a loss of power, commands that were reported as not run would run.
+   */
   private async removeAfter(tail: Segment, length: number): Promise<void> {
     try {
       await this.orUnknown(() => tail.file.truncate(length));
+      await this.sync();
     } catch {
       // The journal now refuses everything, with this error.
     }
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -118,9 +118,15 @@
     return this.run('vote', () => writeState(this.disk, this.folder, state));
   }
 
-  /** Appends entries without a sync. After an error the journal is unchanged. */
-  write(entries: readonly Entry[]): Promise<Result<void, StorageFault>> {
-    return this.run('write', () => this.journal.append(entries));
+  /**
+   * Appends entries without a sync. After an error the journal is unchanged, unless the error is final: then a part of the entries
+   * may be found at the next start, so they may have run.
+   */
+  async write(entries: readonly Entry[]): Promise<Result<void, StorageFault>> {
+    if (this.failure !== undefined) return err(this.failure);
+    const written = await this.run('write', () => this.journal.append(entries));
+    if (written.isOk() || !written.error.isFinal) return written;
+    return err({ ...written.error, ran: 'may-have-run' });
   }
 
   /** Drops the entries from `index` on. An error is final. */
