A leader whose disk refuses writes goes on answering reads, and hands over

What callers saw: the disk of the leader full and one of two followers lost: no read for as long as it lasted, although a majority answered. The leader gave up its leadership at the first refused write, and no other could be elected, as it could not save a vote.

Change: a leader stays when its storage fails. It refuses commands at once as not run, sends heartbeats, confirms reads, and counts itself for entries that it has synced. Its messages say that it yields (AppendRequest.yields, ignored by older replicas) while its storage fails and for storageRestMs after: a replica with a sound disk lets its election timeout elapse and takes over, and the others vote although they hear the leader. One whose own storage fails or failed not long ago doesn't stand against it, so that two of them don't depose each other in turns. A leader that can't write the first entry of its term steps down. A replica that can't save the term of a leader still forwards to it.

New: the same with two of five full and two lost; a sound replica takes over within 1.5 s with reads all the while; it also takes over from a leader whose disk refuses only long writes.

--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -169,7 +169,7 @@
    */
   private async startElection(term: bigint, campaignStartedAt: number): Promise<boolean> {
     const { replica } = this;
-    if (replica.role !== 'follower' || this.hasLeaderContact()) return false;
+    if (replica.role !== 'follower' || this.followsLeader()) return false;
     if (this.votedAt !== undefined && this.votedAt >= campaignStartedAt) return false;
     if (replica.term + 1n !== term) return false;
     if (!this.endorsement.wasOf(replica.id)) return false;
@@ -258,13 +258,23 @@
     return voters.some((voter) => voter.name === leader && voter.replicaId === replicaId);
   }
 
+  /** Whether there is a leader that nobody may depose: this replica, or one that was heard of and does not yield. */
   private hasLeaderContact(): boolean {
     const { replica } = this;
     if (replica.role === 'leader') return true;
-    if (replica.lastLeaderContact === undefined) return false;
+    if (replica.lastLeaderContact === undefined || replica.isLeaderYielding) return false;
     return replica.clock.monotonic() - replica.lastLeaderContact < replica.tuning.electionMinMs;
   }
 
+  /** Whether this replica does not stand because of a leader; against one that yields, only one with a sound disk stands. */
+  private followsLeader(): boolean {
+    const { replica } = this;
+    const { lastLeaderContact, clock, tuning } = replica;
+    if (this.hasLeaderContact()) return true;
+    if (lastLeaderContact === undefined || !replica.isResting) return false;
+    return clock.monotonic() - lastLeaderContact < tuning.electionMinMs;
+  }
+
   private async decideVote(request: VoteRequest): Promise<boolean> {
     const { replica } = this;
     if (this.isAbstaining('vote')) return false;
--- a/packages/coordination/src/agreement/follower.ts
+++ b/packages/coordination/src/agreement/follower.ts
@@ -15,7 +15,8 @@
 import type { Replica } from './replica.js';
 
 /** Fields common to append and install requests. */
-type LeaderMessage = Pick<AppendRequest, 'clusterId' | 'leader' | 'term' | 'replicaId'>;
+type LeaderMessage = Pick<AppendRequest, 'clusterId' | 'leader' | 'term' | 'replicaId'> &
+  Partial<Pick<AppendRequest, 'yields'>>;
 
 /** A snapshot of which some pieces have been received. */
 interface PartialSnapshot {
@@ -86,7 +87,11 @@
     if (message.term < replica.term) return false;
     const joined = await replica.adoptCluster(message.clusterId);
     const observed = await replica.observeTerm(message.term);
-    if (joined.isErr() || observed.isErr()) return false;
+    if (joined.isErr() || observed.isErr()) {
+      // Commands and queries are forwarded, although this replica can't save the leader's term.
+      replica.leader = message.leader;
+      return false;
+    }
     if (replica.role === 'candidate') replica.becomeFollower('a leader was elected');
     if (replica.leader !== message.leader) {
       replica.leader = message.leader;
@@ -96,7 +101,9 @@
       });
       replica.changed.notify();
     }
-    replica.resetElectionTimer();
+    replica.isLeaderYielding = message.yields === true;
+    // The election timeout of a replica with a sound disk elapses, so that it takes over.
+    if (!replica.isLeaderYielding || replica.isResting) replica.resetElectionTimer();
     replica.lastLeaderContact = replica.clock.monotonic();
     return true;
   }
@@ -113,7 +120,10 @@
     }
     const end = previousIndex + BigInt(request.entries.length);
     const written = await this.appendMissing(request.entries);
-    if (written.isErr()) return { success: false, index: replica.commitIndex };
+    if (written.isErr()) {
+      const held = min(previousIndex, replica.syncedIndex);
+      return { success: false, index: held > replica.commitIndex ? held : replica.commitIndex };
+    }
     // Entries covered by a snapshot are committed, so the leader has them too.
     const index = end > entries.start.index ? end : entries.start.index;
     replica.commitTo(min(request.commitIndex, index));
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -75,7 +75,11 @@
   async run(): Promise<void> {
     const { replica } = this.context;
     const appended = await this.append([{ kind: EntryKind.NOOP }]);
-    if (appended.isErr()) return;
+    if (appended.isErr()) {
+      // Without an entry of its term it could answer no query.
+      if (this.isActive) replica.becomeFollower('storage failed');
+      return;
+    }
     this.termStartIndex = appended.value;
     replica.log.event(coordinationEvents.leading, { term: this.term.toString() });
     await Promise.all([this.appendProposals(), this.checkQuorum(), this.replicateToMembers()]);
@@ -84,8 +88,10 @@
 
   /** Queues a command; it settles when the command is applied on this replica. */
   propose(proposal: Proposal): void {
-    if (!this.isActive || this.isFull()) {
-      proposal.settle(this.isActive ? overloaded() : notWritten('no longer the leader'));
+    const { failure } = this.context.replica.storageHealth;
+    if (!this.isActive || failure !== undefined || this.isFull()) {
+      const refused = failure === undefined ? overloaded() : err(failure);
+      proposal.settle(this.isActive ? refused : notWritten('no longer the leader'));
       return;
     }
     this.pending.push(proposal);
@@ -291,6 +297,8 @@
         return;
       }
       this.voterMonitor.check();
+      // Entries that a recovery of the storage has synced.
+      this.advanceCommitIndex();
       const checkedAt = clock.monotonic();
       await replica.changed.waitFor(clock, heartbeatMs);
       const elapsedMs = clock.monotonic() - checkedAt;
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -55,6 +55,8 @@
   electionTimerStart: number;
   /** Monotonic time of the last message from a leader; undefined if none since the start. */
   lastLeaderContact: number | undefined;
+  /** Whether the leader of that message lets a replica with a sound disk take over. */
+  isLeaderYielding = false;
   /** Monotonic time until which the replica stands after the others, as its storage failed not long ago. */
   private restingUntil = -Infinity;
   stopped = false;
@@ -230,12 +232,13 @@
   }
 
   /**
-   * Steps down after a storage error. With a leader that can't write, every command would fail or wait for the other replicas,
-   * so a replica with a working disk should be elected.
+   * Handles a storage error. A leader stays: without one, nobody could read where no other replica can be elected. It refuses
+   * commands, and lets a replica with a sound disk take over.
    */
   handleStorageFailure(cause: StorageFault): void {
     this.storageHealth.recordFailure(cause);
-    this.becomeFollower('storage failed');
+    if (this.role === 'candidate') this.becomeFollower('storage failed');
+    this.changed.notify();
   }
 
   /** Whether the storage fails or failed not long ago, so that a replica with a sound disk is preferred as the leader. */
--- a/packages/coordination/src/agreement/replication.ts
+++ b/packages/coordination/src/agreement/replication.ts
@@ -94,6 +94,7 @@
     entries,
     commitIndex: replica.commitIndex,
     replicaId: progress.voter.replicaId,
+    yields: replica.isResting,
   });
 }
 
--- a/packages/coordination/src/agreement/storageFaults.spec.ts
+++ b/packages/coordination/src/agreement/storageFaults.spec.ts
@@ -11,6 +11,15 @@
 /** Time within which a read must be answered after the storage works again, or while it fails. */
 const CONTACT_MS = 3_000;
 
+/** Time within which a sound replica takes over from a leader with a full disk: two ranks and an election. */
+const TAKEOVER_MS = 1_500;
+
+/** Time within which a read is answered where there is a leader. */
+const TAKEOVER_GAP_MS = 500;
+
+/** Unit in which a file takes space. */
+const BLOCK_BYTES = 4_096;
+
 /** Timeout of one query. */
 const QUERY_MS = 900;
 
@@ -288,6 +297,55 @@
     await expectReads(cluster);
   });
 
+  // Guards against the same where two of five are full and two are lost.
+  test.each(SEEDS)(
+    'at the leader and another, and two are lost, reads are answered (seed %i)',
+    async (seed) => {
+      const cluster = await started(seed, [], ['a', 'b', 'c', 'd', 'e']);
+      refuseWrites(leaderOf(cluster));
+      const [full, ...others] = followersOf(cluster);
+      if (full !== undefined) refuseWrites(full);
+      crash(cluster, others.slice(0, 2));
+      await traffic(cluster, 500);
+      await expectReads(cluster);
+    },
+  );
+
+  // Guards against a leader that keeps leading and accepts nothing, and against a gap without a leader.
+  test.each(SEEDS)(
+    'at the leader, a sound replica takes over in time, and reads go on (seed %i)',
+    async (seed) => {
+      const cluster = await started(seed);
+      const full = leaderOf(cluster);
+      refuseWrites(full);
+      const refused = cluster.propose(full, 'refused', 50);
+      await cluster.until(() => refused.outcome !== 'open', 100);
+      expect(refused.outcome).toBe('not-run');
+      expect(await firstReadMs(cluster)).toBeLessThanOrEqual(TAKEOVER_GAP_MS);
+      const hasSoundLeader = (): boolean => ![undefined, full].includes(cluster.leader());
+      expect(await cluster.until(hasSoundLeader, TAKEOVER_MS)).toBe(true);
+      expect(await accepted(cluster, full, 'forwarded')).toBe(true);
+      expect(await firstReadMs(cluster)).toBeLessThanOrEqual(TAKEOVER_GAP_MS);
+    },
+  );
+
+  // Guards against a leader that stays because its disk takes short writes, and refuses all long commands.
+  test.each(SEEDS)(
+    'at the leader for long writes only, a sound replica takes over (seed %i)',
+    async (seed) => {
+      const cluster = await started(seed);
+      const full = leaderOf(cluster);
+      full.disk.capacityBytes = full.disk.usedBytes() + 2 * BLOCK_BYTES;
+      const long = 'long '.repeat(BLOCK_BYTES);
+      const refused = cluster.propose(full, long, 50);
+      await cluster.until(() => refused.outcome !== 'open', 100);
+      expect(refused.outcome).toBe('not-run');
+      const hasSoundLeader = (): boolean => ![undefined, full].includes(cluster.leader());
+      expect(await cluster.until(hasSoundLeader, TAKEOVER_MS)).toBe(true);
+      expect(await accepted(cluster, leaderOf(cluster), long)).toBe(true);
+    },
+  );
+
   // Guards against a configuration that can't be read because a vote can't be saved, although no read needs a write.
   test.each(SEEDS)('at a follower and the leader is lost, reads are answered (seed %i)', async (seed) => {
     const cluster = await started(seed);
--- a/packages/coordination/src/agreement/storageHealth.ts
+++ b/packages/coordination/src/agreement/storageHealth.ts
@@ -6,7 +6,7 @@
 
 /** Tracks the errors of one replica's storage. */
 export class StorageHealth {
-  /** Last error; undefined while the storage works. */
+  /** Last error, with which later operations are refused; undefined while the storage works. */
   failure: StorageFault | undefined;
   /** Monotonic time of the first error since the storage last worked. */
   private failingSince = 0;
@@ -30,7 +30,7 @@
       this.failingSince = this.clock.monotonic();
       this.metrics.gauge(coordinationMetrics.storageFailing, 1);
     }
-    this.failure = failure;
+    this.failure = { ...failure, ran: 'not-run' };
     this.failures += 1;
     this.metrics.count(coordinationMetrics.storageFailures, 1, { operation });
     if (!isNew) return;
