Reads without a leader, from a quorum that has nothing beyond what is known to be committed

What callers saw: the disk of a follower full and the leader lost: no read for as long as it lasted. A vote is a write, so nobody could be elected, and a read needed a leader.

Change: a replica that has heard no leader for an election timeout asks all voters for the index of their last entry (JoinResponse.last_index, absent from older replicas, which then don't count). If it knows its own whole log to be committed, and a quorum of the voters of its configuration, each by its replica id, has no entry beyond that, it answers from its state. Otherwise the read is refused as before.

Why it is safe: whatever was committed before the question is in the log of one of any quorum, hence not beyond the reader's commit index. That index was learned from a leader, so later leaders and later reads answer from at least as much. Terms, votes, equal logs and the time of the answer decide nothing. Weighed and dropped: a quorum whose logs end with the same entry of the current term, not known to be committed. That entry is committed in effect, but the leader of that term, if it lives, may not know it, and would answer a later read from less.

The memory cluster now also records a query that lacks what an earlier query returned.

Guards for each part.

--- a/packages/coordination/src/agreement/joining.ts
+++ b/packages/coordination/src/agreement/joining.ts
@@ -64,7 +64,14 @@
     const configuration =
       replica.configuration ??
       (replica.clusterId === '' ? undefined : configurationOf(replica.clusterId, [], []));
-    return create(JoinResponseSchema, { replica: replica.self, configuration, accepted, ...this.report() });
+    const lastIndex = replica.entries.last.index;
+    return create(JoinResponseSchema, {
+      replica: replica.self,
+      configuration,
+      accepted,
+      lastIndex,
+      ...this.report(),
+    });
   }
 
   /** Queries identity and status of the replica at an address; undefined without an answer. */
--- a/packages/coordination/src/agreement/proposing.ts
+++ b/packages/coordination/src/agreement/proposing.ts
@@ -10,6 +10,7 @@
 import type { PeerClient } from './peerClient.js';
 import { unknownOutcome } from './proposal.js';
 import type { Outcome } from './proposal.js';
+import type { QuorumRead } from './quorumRead.js';
 import type { Replica } from './replica.js';
 
 /** Timeout at the leader for a command that another replica forwarded. */
@@ -24,6 +25,7 @@
   readonly peers: PeerClient;
   readonly joining: Joining;
   readonly leadership: () => Leadership | undefined;
+  readonly quorumRead: QuorumRead;
   /** Answers a query once all entries up to an index are applied; undefined on timeout. */
   readonly query: (command: Uint8Array, index: bigint, timeoutMs: number) => Promise<Uint8Array | undefined>;
 }
@@ -49,7 +51,8 @@
 
   /**
    * Submits a read-only command to the leader. It does not wait for other commands and adds no entry to the log; it only
-   * requires that a quorum answers a message that the leader sent after the call.
+   * requires that a quorum answers a message that the leader sent after the call. Where no leader is heard, a quorum without
+   * entries beyond those known to be committed is enough.
    */
   query(command: Uint8Array, timeoutMs: number): Promise<Outcome> {
     return this.submit({ command, query: true }, timeoutMs);
@@ -100,13 +103,24 @@
   }
 
   /** Makes one attempt; undefined when no leader is known. */
-  private attempt(submission: Submission, timeoutMs: number): Promise<Outcome | undefined> {
+  private async attempt(submission: Submission, timeoutMs: number): Promise<Outcome | undefined> {
     const { replica } = this.context;
     if (replica.role === 'leader') return this.executeLocally(submission, timeoutMs);
+    const answer = submission.query ? await this.queryQuorum(submission.command, timeoutMs) : undefined;
+    if (answer !== undefined) return ok(answer);
     const address = this.leaderAddress();
     return address === undefined ? Promise.resolve(undefined) : this.forward(address, submission, timeoutMs);
   }
 
+  /** Answers a query without a leader; undefined while one is heard, or when a quorum does not confirm the answer. */
+  private async queryQuorum(command: Uint8Array, timeoutMs: number): Promise<Uint8Array | undefined> {
+    const { replica, quorumRead, query } = this.context;
+    const { lastLeaderContact = -Infinity, clock, tuning } = replica;
+    if (clock.monotonic() - lastLeaderContact < tuning.electionMinMs) return undefined;
+    const index = await quorumRead.index();
+    return index === undefined ? undefined : query(command, index, timeoutMs);
+  }
+
   private leaderAddress(): string | undefined {
     const { replica } = this.context;
     return replica.others.find(({ name }) => name === replica.leader)?.address;
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -25,6 +25,7 @@
 import { Waiters } from './proposal.js';
 import { Proposing } from './proposing.js';
 import { Reconfiguration } from './reconfiguration.js';
+import { QuorumRead } from './quorumRead.js';
 import { Replica } from './replica.js';
 import type { ReplicaReport, ReplicaState, ReplicaStatus } from './status.js';
 import { requestChecks } from './requestCheck.js';
@@ -99,7 +100,9 @@
     this.contact = new Contact(replica, this.applier, this.follower, leadership);
     const query = (command: Uint8Array, index: bigint, timeoutMs: number) =>
       this.applier.query(command, index, timeoutMs);
-    this.proposing = new Proposing({ replica, peers: this.peers, joining: this.joining, leadership, query });
+    const { peers, joining } = this;
+    const quorumRead = new QuorumRead(replica, joining);
+    this.proposing = new Proposing({ replica, peers, joining, leadership, quorumRead, query });
     if (recovered.snapshot !== undefined) this.applier.restore(recovered.snapshot);
   }
 
--- a/packages/coordination/src/agreement/storageFaults.spec.ts
+++ b/packages/coordination/src/agreement/storageFaults.spec.ts
@@ -279,6 +279,37 @@
   );
 });
 
+describe('elections', () => {
+  // Guards against terms that rise in vain, and depose a leader that is back: a candidate gets a pre-vote, but no vote, from a
+  // replica that can't save one.
+  test.each(SEEDS)('no term is raised for a vote that can not be saved (seed %i)', async (seed) => {
+    const cluster = await started(seed);
+    const [full, sound] = followersOf(cluster);
+    if (full === undefined) throw new Error('no follower');
+    refuseWrites(full);
+    await traffic(cluster, 500);
+    const term = sound?.replica?.status().term;
+    cluster.crash(leaderOf(cluster));
+    await cluster.clock.advance(5_000);
+    expect(sound?.replica?.status().term).toBe(term);
+  });
+
+  // Guards against a leader whose disk fails again and again, although another replica has a sound one.
+  test.each(SEEDS)('a replica whose disk failed stands after the others (seed %i)', async (seed) => {
+    const cluster = await started(seed);
+    const leader = leaderOf(cluster);
+    const [first, second] = followersOf(cluster);
+    if (first === undefined || second === undefined) throw new Error('no followers');
+    refuseWrites(first);
+    await traffic(cluster, 500);
+    repair(first);
+    await traffic(cluster, 2_000);
+    cluster.crash(leader);
+    await cluster.until(() => ![undefined, leader].includes(cluster.leader()), 5_000);
+    expect(cluster.leader()).toBe(second);
+  });
+});
+
 describe('while a disk is full', () => {
   /** Expects reads all the while. */
   async function expectReads(cluster: MemoryCluster): Promise<void> {
@@ -356,4 +387,62 @@
     cluster.crash(leaderOf(cluster));
     await expectReads(cluster);
   });
+
+  // Guards against the same where two of five are full and two are lost.
+  test.each(SEEDS)(
+    'at two followers and the leader and another are lost, reads are answered (seed %i)',
+    async (seed) => {
+      const cluster = await started(seed, [], ['a', 'b', 'c', 'd', 'e']);
+      const [first, second, lost] = followersOf(cluster);
+      if (first === undefined || second === undefined || lost === undefined) throw new Error('no followers');
+      refuseWrites(first);
+      refuseWrites(second);
+      await traffic(cluster, 1_000);
+      await cluster.clock.advance(500);
+      crash(cluster, [leaderOf(cluster), lost]);
+      await expectReads(cluster);
+    },
+  );
+
+  // Guards against an answer without a leader that lacks a command: the replica has not received it, or does not know that it
+  // was committed.
+  test.each(SEEDS)('a replica that may lack a committed command answers no read (seed %i)', async (seed) => {
+    const cluster = await started(seed);
+    const leader = leaderOf(cluster);
+    const [full, behind] = followersOf(cluster);
+    if (full === undefined || behind === undefined) throw new Error('no followers');
+    for (const node of [leader, full]) {
+      cluster.network.cut(behind.address.address, node.address.address);
+    }
+    expect(await accepted(cluster, leader, 'only at two')).toBe(true);
+    await cluster.clock.advance(500);
+    refuseWrites(full);
+    cluster.crash(leader);
+    cluster.network.heal();
+    await cluster.clock.advance(1_000);
+    const outcomes = [cluster.query(behind, QUERY_MS), cluster.query(full, QUERY_MS)];
+    await cluster.clock.advance(2 * QUERY_MS);
+    expect(outcomes.map(({ outcome }) => outcome)).toEqual(['refused', 'answered']);
+  });
+
+  // Guards against an answer that a later leader takes back: an entry that was not committed is on this replica only.
+  test.each(SEEDS)(
+    'a replica with an entry that may not be committed answers no read (seed %i)',
+    async (seed) => {
+      const cluster = await started(seed);
+      const leader = leaderOf(cluster);
+      const [full, sound] = followersOf(cluster);
+      if (full === undefined || sound === undefined) throw new Error('no followers');
+      leader.disk.syncDelay = () => new Promise(() => undefined);
+      refuseWrites(full);
+      const attempt = cluster.propose(leader, 'at one', 300);
+      await cluster.clock.advance(400);
+      expect(attempt.outcome).toBe('may-have-run');
+      cluster.crash(leader);
+      await cluster.clock.advance(1_000);
+      const query = cluster.query(sound, QUERY_MS);
+      await cluster.clock.advance(2 * QUERY_MS);
+      expect(query.outcome).toBe('refused');
+    },
+  );
 });
--- a/packages/coordination/src/testing/memoryCluster.ts
+++ b/packages/coordination/src/testing/memoryCluster.ts
@@ -80,6 +80,8 @@
   readonly attempts: Attempt[] = [];
   /** Descriptions of the violated guarantees. */
   readonly violations: string[] = [];
+  /** Commands in the results of queries. */
+  private readonly returned = new Set<string>();
   private readonly random: () => number;
   private readonly applied = new Map<bigint, string>();
   private readonly leaders = new Map<bigint, string>();
@@ -200,17 +202,19 @@
     return attempt;
   }
 
-  /** Queries a node; a result that lacks a command accepted before the query is recorded as a violation. */
+  /** Queries a node; a result that lacks a command accepted, or returned, before the query is recorded as a violation. */
   query(node: Node, timeoutMs = 3_000): Query {
     const query: Query = { outcome: 'open' };
     const accepted = this.attempts.filter(({ outcome }) => outcome === 'done');
+    const expected = new Set([...accepted.map(({ command }) => command), ...this.returned]);
     void node.replica?.query(Buffer.from('all'), timeoutMs).then((result) => {
       query.outcome = result.isOk() ? 'answered' : 'refused';
       if (result.isErr()) return;
       const returned = JSON.parse(Buffer.from(result.value).toString()) as string[];
-      const missing = accepted.filter(({ command }) => !returned.includes(command));
-      for (const { command } of missing)
-        this.violations.push(`${command} was accepted but is missing in a query result`);
+      const missing = [...expected].filter((command) => !returned.includes(command));
+      for (const command of missing)
+        this.violations.push(`${command} was accepted or returned but is missing in a query result`);
+      for (const command of returned) this.returned.add(command);
     });
     return query;
   }
