Tests of storage errors expect a command after the read, and the leader to stay

Since reads are answered without a leader, the tests of replicas that recover passed with the recovery taken out. They now expect a command to be accepted as well, and the test of a full disk at the leader expects that it still leads after a refused command.

--- a/packages/coordination/src/agreement/storageFaults.spec.ts
+++ b/packages/coordination/src/agreement/storageFaults.spec.ts
@@ -108,6 +108,17 @@
   for (const call of Object.keys(disk.callErrors)) disk.callErrors[call as FailingCall] = undefined;
 };
 
+/** Expects a leader that accepts a command in time. */
+async function expectCommand(cluster: MemoryCluster): Promise<void> {
+  const end = cluster.clock.monotonic() + CONTACT_MS;
+  for (let count = 0; cluster.clock.monotonic() < end; count += 1) {
+    const leader = cluster.leader();
+    if (leader !== undefined && (await accepted(cluster, leader, `afterwards ${count}`))) return;
+    await cluster.clock.advance(50);
+  }
+  expect.fail('no command was accepted in time');
+}
+
 const crash = (cluster: MemoryCluster, nodes: readonly Node[]): void => {
   for (const node of nodes) cluster.crash(node);
 };
@@ -187,6 +198,7 @@
       const sound = followersOf(cluster).filter((node) => !ill.includes(node));
       crash(cluster, [leaderOf(cluster), ...sound.slice(1)]);
       expect(await firstReadMs(cluster)).toBeLessThanOrEqual(CONTACT_MS);
+      await expectCommand(cluster);
     },
   );
 
@@ -257,6 +269,7 @@
     await traffic(cluster, 4_000);
     for (const node of cluster.nodes) repair(node);
     expect(await firstReadMs(cluster)).toBeLessThanOrEqual(CONTACT_MS);
+    await expectCommand(cluster);
   });
 
   // Guards against a fixed pause of the only replica that has the newest entries and can be elected.
@@ -275,6 +288,7 @@
       cluster.crash(other);
       cluster.network.heal();
       expect(await firstReadMs(cluster)).toBeLessThanOrEqual(CONTACT_MS);
+      await expectCommand(cluster);
     },
   );
 });
@@ -352,6 +366,7 @@
       const refused = cluster.propose(full, 'refused', 50);
       await cluster.until(() => refused.outcome !== 'open', 100);
       expect(refused.outcome).toBe('not-run');
+      expect(cluster.leader()).toBe(full);
       expect(await firstReadMs(cluster)).toBeLessThanOrEqual(TAKEOVER_GAP_MS);
       const hasSoundLeader = (): boolean => ![undefined, full].includes(cluster.leader());
       expect(await cluster.until(hasSoundLeader, TAKEOVER_MS)).toBe(true);
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -597,8 +597,8 @@
     file: 'packages/coordination/src/storage/journal.ts',
     find: 'syncedIndexAfter(this.synced, first, entries.at(-1))',
     put: 'entries.at(-1)?.index ?? 0n',
-    spec: 'packages/coordination/src/agreement/storageFaults.spec.ts',
-    test: 'what an ended process had not synced',
+    spec: 'packages/coordination/src/storage/logStorage.spec.ts',
+    test: 'entries that an ended process had',
   },
   {
     name: 'outcome of commands of which a part stays on the disk',
@@ -638,7 +638,7 @@
     find: "    if (this.role === 'candidate') this.becomeFollower('storage failed');",
     put: "    this.becomeFollower('storage failed');",
     spec: 'packages/coordination/src/agreement/storageFaults.spec.ts',
-    test: 'at the leader and a follower is lost, reads are answered',
+    test: 'a sound replica takes over in time, and reads go on',
   },
   {
     name: 'a leader with a failing disk that hands over',
