Callers' connections are ended in stages

Cause: a connection was closed as soon as the system had taken the last byte (destroySoon: ours after an answer that began before the stop and on idle connections, Node's after an answer with Connection: close). Where anything had arrived that was not read, the system reset the connection and dropped what it had not delivered. And the process ended although callers did not have the last bytes.

Change: this side ends (FIN), reads on and drops what comes until the caller closes or 2 s are over, and closes then; after each last answer, on idle connections, after refusals, outside a stop, too. Node's own close after Connection: close goes the same way. The stop waits for it. What arrives after the end is not handled. Where no answer announced the end, nothing is read for 250 ms: callers may send a request elsewhere that was not read.

--- /dev/null
+++ b/packages/entry/src/http/callerConnection.ts
@@ -0,0 +1,126 @@
+/** One connection of a caller, from its opening to an end in stages (RFC 9112, 9.6). */
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Clock } from '@jasmineroute/core';
+import type { ConnectionEnd, EndCause } from './connectionEnds.js';
+
+/**
+ * Time for which this side reads nothing after an end that no answer has announced, milliseconds. The caller's next request may
+ * be on its way; one that was not read may be sent elsewhere.
+ */
+const UNREAD_MS = 250;
+
+/** Longest time from this side's end until the connection is closed where the caller does not close it, milliseconds. */
+const LINGER_MS = 2_000;
+
+/** The beginning of a connection's end by this side. */
+interface Ending {
+  readonly cause: EndCause;
+  /** Monotonic time. */
+  readonly at: number;
+  readonly unsentBytes: number;
+  readonly bytesRead: number;
+}
+
+/** An open connection. */
+export class CallerConnection {
+  /** Unfinished answers. */
+  readonly answers = new Set<ServerResponse>();
+  private bytesSeen = 0;
+  private activeAt: number;
+  private ending: Ending | undefined;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly clock: Clock,
+  ) {
+    this.activeAt = clock.monotonic();
+    // Node calls this after an answer with `Connection: close`, and would close at once.
+    socket.destroySoon = () => {
+      this.end('answered', true);
+    };
+  }
+
+  /** Whether this side has ended: what arrives from then on is not handled. */
+  get isEnding(): boolean {
+    return this.ending !== undefined;
+  }
+
+  /** Time without any activity, as far as it was observed by calls of this method, milliseconds. */
+  idleMs(): number {
+    const { bytesRead } = this.socket;
+    const now = this.clock.monotonic();
+    if (this.answers.size > 0 || bytesRead !== this.bytesSeen) this.activeAt = now;
+    this.bytesSeen = bytesRead;
+    return now - this.activeAt;
+  }
+
+  /**
+   * Ends this side, reads on until the caller closes, and closes only then or after some time. A close with unread bytes resets
+   * the connection, and a reset discards what the caller has not read yet.
+   * @param isAnnounced whether an answer has said that the connection ends, so that no request may follow.
+   */
+  end(cause: EndCause, isAnnounced: boolean): void {
+    if (this.ending !== undefined) return;
+    const { socket, clock } = this;
+    const { bytesRead, writableLength: unsentBytes } = socket;
+    this.ending = { cause, at: clock.monotonic(), unsentBytes, bytesRead };
+    socket.setTimeout(0);
+    socket.end();
+    const cancelClose = clock.after(LINGER_MS, () => {
+      socket.destroy();
+    });
+    socket.once('close', cancelClose);
+    if (isAnnounced) this.discardInput();
+    else this.discardInputLater();
+  }
+
+  /** Closes at once. */
+  destroy(cause: EndCause): void {
+    const { bytesRead, writableLength: unsentBytes } = this.socket;
+    this.ending ??= { cause, at: this.clock.monotonic(), unsentBytes, bytesRead };
+    this.socket.destroy();
+  }
+
+  /** How the connection ended, once it is closed. */
+  record(hadError: boolean): ConnectionEnd {
+    const { ending, socket, clock } = this;
+    const unfinishedAnswers = [...this.answers].filter((one) => !one.writableFinished).length;
+    if (ending === undefined) {
+      const cause = hadError ? 'reset' : 'caller';
+      return { cause, unfinishedAnswers, unsentBytes: socket.writableLength, lateBytes: 0, closingMs: 0 };
+    }
+    const { cause, unsentBytes } = ending;
+    const lateBytes = socket.bytesRead - ending.bytesRead;
+    const closingMs = Math.round(clock.monotonic() - ending.at);
+    return { cause, unfinishedAnswers, unsentBytes, lateBytes, closingMs };
+  }
+
+  private discardInputLater(): void {
+    const { socket } = this;
+    socket.pause();
+    const cancel = this.clock.after(UNREAD_MS, () => {
+      this.discardInput();
+    });
+    socket.once('close', cancel);
+  }
+
+  /** Reads on past the HTTP parser, until the caller ends its side. */
+  private discardInput(): void {
+    const { socket } = this;
+    // Node's own listener for "resume" reads again where the parser had stopped; so the socket is taken only then.
+    socket.pause();
+    socket.once('resume', () => {
+      this.takeInput();
+    });
+    socket.resume();
+  }
+
+  private takeInput(): void {
+    const { socket } = this;
+    socket.removeAllListeners('data').removeAllListeners('end');
+    // A listener for data takes the socket back from the parser.
+    socket.on('data', () => undefined);
+    socket.once('end', () => socket.end());
+  }
+}
--- a/packages/entry/src/http/server.spec.ts
+++ b/packages/entry/src/http/server.spec.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from 'node:http';
 import { afterEach, describe, expect, it } from 'vitest';
 import { entryEvents } from '../events.js';
 import { TestServer } from '../testing/callerServer.js';
@@ -43,3 +44,93 @@
     });
   });
 });
+
+describe('a connection that this side ends', () => {
+  /** More than a caller's system takes while the caller does not read, less than this side's system takes. */
+  const LARGE = 'x'.repeat(1_000_000);
+
+  /** Answers "/large" with a large body that ends when told, and everything else with a short one. */
+  async function startLarge(): Promise<{ scene: TestServer; finish: () => Promise<void> }> {
+    let large: ServerResponse | undefined;
+    const scene = await start((incoming, outgoing) => {
+      if (incoming.url === '/large') {
+        large = outgoing;
+        outgoing.write(LARGE);
+      } else outgoing.end('short');
+    });
+    const finish = async (): Promise<void> => {
+      large?.end();
+      await waitUntil(() => large?.writableFinished === true);
+    };
+    return { scene, finish };
+  }
+
+  // Guards against the end of an answer that is lost: the close meets bytes that were not read, and the system resets the
+  // connection and drops what it has not delivered.
+  it.each([
+    ['after an answer that has said so', 'Connection: close\r\n', false],
+    ['after an answer in a planned stop', '', true],
+  ])('delivers all of it, %s, when its caller sends more', async (_title, fields, isStopping) => {
+    const { scene, finish } = await startLarge();
+    const caller = scene.connect();
+    caller.socket.pause();
+    caller.ask('/large', '', fields);
+    await waitUntil(() => scene.handled.length === 1);
+    const drained = isStopping ? scene.server.drain(0) : undefined;
+    await finish();
+    caller.ask('/late');
+    caller.socket.resume();
+    await waitUntil(() => caller.isEnded || caller.isClosed);
+    expect(caller.text.length).toBeGreaterThan(LARGE.length);
+    expect(caller.text.endsWith('0\r\n\r\n')).toBe(true);
+    expect(caller.error).toBe('');
+    expect(scene.handled).toEqual(['/large']);
+    caller.socket.destroy();
+    await drained;
+  });
+
+  // Guards against a request that runs although its connection has ended, so that its answer is lost.
+  it('handles no request that arrives later', async () => {
+    const { scene } = await startLarge();
+    const caller = scene.connect();
+    caller.ask('/short');
+    await waitUntil(() => caller.text.endsWith('short'));
+    const drained = scene.server.drain(0);
+    await waitUntil(() => caller.isEnded);
+    caller.ask('/late');
+    await drained;
+    expect(scene.handled).toEqual(['/short']);
+    const [end] = scene.linesOf(entryEvents.connectionEnded);
+    expect(end?.lateBytes).toBeGreaterThan(0);
+  });
+
+  // Guards against a stop that lasts as long as callers keep their sides open.
+  it('is closed after some time when its caller does not close it', async () => {
+    const CALLERS = 500;
+    const { scene } = await startLarge();
+    const callers = Array.from({ length: CALLERS }, () => scene.connect());
+    for (const caller of callers) caller.ask('/short');
+    await waitUntil(() => callers.every(({ text }) => text.endsWith('short')));
+    const begunAt = performance.now();
+    await scene.server.drain(0);
+    expect(performance.now() - begunAt).toBeLessThan(5_000);
+    expect(scene.server.stopRecord()).toMatchObject({ ended: { idle: CALLERS } });
+    for (const { socket } of callers) socket.destroy();
+  });
+
+  // Guards against a refusal that is lost while its caller still sends its body.
+  it('delivers a refusal to a caller that still sends', async () => {
+    const scene = await start((_incoming, outgoing) => {
+      outgoing.setHeader('connection', 'close');
+      outgoing.statusCode = 413;
+      outgoing.end('too large');
+    });
+    const caller = scene.connect();
+    caller.socket.write('POST /large HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000\r\n\r\n');
+    for (let piece = 0; piece < 40; piece += 1) caller.socket.write(LARGE.slice(0, 100_000));
+    await waitUntil(() => caller.isEnded || caller.isClosed);
+    expect(caller.text).toContain('too large');
+    expect(caller.error).toBe('');
+    caller.socket.destroy();
+  });
+});
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -7,11 +7,8 @@
 import { entryEvents } from '../events.js';
 import type { EntrySettings } from '../setting/index.js';
 import { refuseConnection, statusOfParserError } from './badConnection.js';
+import { CallerConnection } from './callerConnection.js';
 import { ConnectionEnds } from './connectionEnds.js';
-import type { EndCause } from './connectionEnds.js';
-
-/** Time for which a refused connection is still read before it is closed, milliseconds. */
-const REFUSED_LINGER_MS = 1_000;
 
 /** How often Node checks for requests that exceed their timeouts, milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
@@ -23,26 +20,6 @@
 /** A draining server closes connections that have been idle for this long, milliseconds. */
 const DRAIN_IDLE_MS = 1_000;
 
-/** State of an open connection. */
-interface CallerConnection {
-  /** Unfinished answers. */
-  readonly responses: Set<ServerResponse>;
-  bytesRead: number;
-  /** Monotonic time at which activity was last observed. */
-  activeAt: number;
-  /** How this side began to end it; undefined: it has not. */
-  ending?: Ending;
-}
-
-/** The beginning of a connection's end. */
-interface Ending {
-  readonly cause: EndCause;
-  /** Monotonic time. */
-  readonly at: number;
-  readonly unsentBytes: number;
-  readonly bytesRead: number;
-}
-
 /** Open connections by state. */
 export interface ConnectionStates {
   /** An answer is not complete. */
@@ -67,8 +44,6 @@
 /** The HTTP server that callers connect to. */
 export class CallerServer {
   private readonly server: Server;
-  /** Connections that got an error and are read until they close. */
-  private readonly refusedSockets = new WeakSet<Socket>();
   private readonly openConnections = new Map<Socket, CallerConnection>();
   private lastConnectionAt = 0;
   private stopping = false;
@@ -97,8 +72,7 @@
         requireHostHeader: false,
       },
       (incoming, outgoing) => {
-        this.track(incoming.socket, outgoing);
-        listener(incoming, outgoing);
+        if (this.track(incoming.socket, outgoing)) listener(incoming, outgoing);
       },
     );
     this.server.maxConnections = settings.maxConnections;
@@ -135,8 +109,8 @@
   /** Open connections by state. */
   get states(): ConnectionStates {
     const open = [...this.openConnections.values()];
-    const ending = open.filter((one) => one.ending !== undefined).length;
-    const answering = open.filter((one) => one.ending === undefined && one.responses.size > 0).length;
+    const ending = open.filter(({ isEnding }) => isEnding).length;
+    const answering = open.filter(({ isEnding, answers }) => !isEnding && answers.size > 0).length;
     return { answering, idle: open.length - ending - answering, ending };
   }
 
@@ -188,17 +162,8 @@
   }
 
   private closeIdle(): void {
-    const now = this.clock.monotonic();
-    for (const [socket, connection] of this.openConnections) {
-      if (connection.responses.size > 0 || connection.bytesRead !== socket.bytesRead) {
-        connection.bytesRead = socket.bytesRead;
-        connection.activeAt = now;
-        continue;
-      }
-      if (now - connection.activeAt >= DRAIN_IDLE_MS) {
-        this.beginEnd(socket, 'idle');
-        socket.destroySoon();
-      }
+    for (const connection of this.openConnections.values()) {
+      if (connection.idleMs() >= DRAIN_IDLE_MS) connection.end('idle', false);
     }
   }
 
@@ -207,108 +172,81 @@
     this.closed = true;
     const { answering } = this.states;
     if (answering > 0) this.log.event(entryEvents.unfinished, { ...this.stopRecord() });
-    for (const socket of this.openConnections.keys()) this.beginEnd(socket, 'forced');
     const closed = new Promise<void>((resolve) => {
       this.server.close(() => {
         resolve();
       });
     });
-    this.server.closeAllConnections();
+    for (const connection of this.openConnections.values()) connection.destroy('forced');
     await closed;
   }
 
-  private track(socket: Socket, outgoing: ServerResponse): void {
-    const answers = this.openConnections.get(socket)?.responses;
-    answers?.add(outgoing);
-    outgoing.once('close', () => answers?.delete(outgoing));
+  /** @returns whether the request is to be handled: what arrives after this side has ended is not. */
+  private track(socket: Socket, outgoing: ServerResponse): boolean {
+    const connection = this.openConnections.get(socket);
+    if (connection === undefined || connection.isEnding) return false;
+    const { answers } = connection;
+    answers.add(outgoing);
+    outgoing.once('close', () => answers.delete(outgoing));
     if (this.stopping) outgoing.setHeader('connection', 'close');
     outgoing.once('finish', () => {
       this.answeredAt = this.clock.monotonic();
-      if (outgoing.getHeader('connection') === 'close') this.beginEnd(socket, 'answered');
-      this.closeAfter(socket, outgoing);
+      this.closeAfter(connection);
     });
+    return true;
   }
 
   /**
-   * Closes a connection whose answer started before the stop and so could not carry `Connection: close`.
+   * Ends a connection whose answer started before the stop and so could not carry `Connection: close`.
    * Otherwise its caller would keep sending requests on it, and the last one would be cut off when the time for the
-   * stop is over. A request that arrives while the connection closes is never read, so its caller may safely
-   * retry it elsewhere.
+   * stop is over. A request that arrives while the connection ends is never handled.
    */
-  private closeAfter(socket: Socket, outgoing: ServerResponse): void {
-    const others = (this.openConnections.get(socket)?.responses.size ?? 0) - 1;
-    if (!this.stopping || others > 0 || outgoing.getHeader('connection') === 'close') return;
-    this.beginEnd(socket, 'answered');
-    socket.destroySoon();
-  }
-
-  /** Notes that this side ends a connection; the first cause counts. */
-  private beginEnd(socket: Socket, cause: EndCause): void {
-    const connection = this.openConnections.get(socket);
-    if (connection === undefined || connection.ending !== undefined) return;
-    const { bytesRead, writableLength } = socket;
-    connection.ending = { cause, at: this.clock.monotonic(), unsentBytes: writableLength, bytesRead };
-  }
-
-  private recordEnd(socket: Socket, hadError: boolean): void {
-    const connection = this.openConnections.get(socket);
-    this.openConnections.delete(socket);
-    if (connection === undefined) return;
-    const unfinishedAnswers = [...connection.responses].filter((one) => !one.writableFinished).length;
-    const { ending } = connection;
-    const cause = ending?.cause ?? (hadError ? 'reset' : 'caller');
-    const closingMs = ending === undefined ? 0 : Math.round(this.clock.monotonic() - ending.at);
-    const lateBytes = ending === undefined ? 0 : socket.bytesRead - ending.bytesRead;
-    const unsentBytes = ending?.unsentBytes ?? socket.writableLength;
-    this.ends.record({ cause, unfinishedAnswers, unsentBytes, lateBytes, closingMs }, this.stopping);
+  private closeAfter(connection: CallerConnection): void {
+    const others = connection.answers.size - 1;
+    if (this.stopping && others <= 0) connection.end('answered', false);
   }
 
   private watchConnections(): void {
     this.server.on('connection', (socket: Socket) => {
       this.stalls.recordConnection();
       this.lastConnectionAt = this.clock.monotonic();
-      this.openConnections.set(socket, {
-        responses: new Set(),
-        bytesRead: 0,
-        activeAt: this.lastConnectionAt,
-      });
+      const connection = new CallerConnection(socket, this.clock);
+      this.openConnections.set(socket, connection);
       socket.once('close', (hadError) => {
-        this.recordEnd(socket, hadError);
+        this.openConnections.delete(socket);
+        this.ends.record(connection.record(hadError), this.stopping);
       });
     });
+    // The time for which a connection may be idle is over.
+    this.server.on('timeout', (socket: Socket) => {
+      this.openConnections.get(socket)?.end('idle', false);
+    });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       this.handleClientError(error, socket);
     });
     this.server.on('connect', (_request: IncomingMessage, socket: Socket) => {
-      refuseConnection(undefined, socket);
+      this.refuse(undefined, socket);
     });
   }
 
   private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (this.refusedSockets.has(socket)) return;
+    const connection = this.openConnections.get(socket);
+    if (connection === undefined || connection.isEnding) return;
     if (!socket.writable || error.code === 'ECONNRESET') {
       socket.destroy();
       return;
     }
     this.log.event(entryEvents.badConnection, { code: error.code, status: statusOfParserError(error.code) });
-    this.beginEnd(socket, 'invalid-input');
-    const answers = [...(this.openConnections.get(socket)?.responses ?? [])];
+    const answers = [...connection.answers];
     const hasRequestInProgress = answers.some((answer) => answer.headersSent || answer.req.complete);
     // Earlier requests of the connection are in progress: the caller would take an error for the answer to one of them.
-    if (hasRequestInProgress) socket.destroy();
-    else this.refuseAndLinger(error, socket);
+    if (hasRequestInProgress) connection.destroy('invalid-input');
+    else this.refuse(error.code, socket);
   }
 
-  /**
-   * Answers with an error and keeps reading for a short time before closing. Closing while the caller is still sending
-   * resets the connection, and a reset can discard the error before the caller has read it.
-   */
-  private refuseAndLinger(error: NodeJS.ErrnoException, socket: Socket): void {
-    this.refusedSockets.add(socket);
-    refuseConnection(error.code, socket);
-    const cancelTimer = this.clock.after(REFUSED_LINGER_MS, () => {
-      socket.destroy();
-    });
-    socket.once('close', cancelTimer);
+  /** Answers with an error and ends the connection, as later bytes can't be parsed reliably. */
+  private refuse(code: string | undefined, socket: Socket): void {
+    refuseConnection(code, socket);
+    this.openConnections.get(socket)?.end('invalid-input', true);
   }
 }
