A planned stop answers all requests that were sent together

What callers saw: of two requests on one connection, both read and run at a target, the second had no answer, when a planned stop closed the connection after the first.

Cause: in a stop each answer got Connection: close as its request arrived, and the connection was closed after the first of them. Requests that came behind an answer which had begun with Connection: close ran, too.

Change: only the answer to the newest request of a connection announces its end; an answer that was to do so and has not begun loses the field when another request comes. Behind an answer that has begun with it no request is handled.

--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -22,9 +22,12 @@
   readonly bytesRead: number;
 }
 
+const hasAnnouncedEnd = (answer: ServerResponse): boolean =>
+  answer.headersSent && answer.getHeader('connection') === 'close';
+
 /** An open connection. */
 export class CallerConnection {
-  /** Unfinished answers. */
+  /** Unfinished answers, in the order of their requests. */
   readonly answers = new Set<ServerResponse>();
   private bytesSeen = 0;
   private activeAt: number;
@@ -46,6 +49,27 @@
     return this.ending !== undefined;
   }
 
+  /**
+   * Adds the answer to a new request.
+   * @param isLast whether it says that it is the last one, which an answer before it then must not say.
+   * @returns whether the request is to be handled: what follows an end, or an answer that has announced it, is not.
+   */
+  add(answer: ServerResponse, isLast: boolean): boolean {
+    const before = [...this.answers];
+    if (this.isEnding || before.some(hasAnnouncedEnd)) return false;
+    this.answers.add(answer);
+    answer.once('close', () => this.answers.delete(answer));
+    if (!isLast) return true;
+    for (const one of before) if (!one.headersSent) one.removeHeader('connection');
+    answer.setHeader('connection', 'close');
+    return true;
+  }
+
+  /** Whether another answer is due before the connection may end. */
+  isAnswering(except: ServerResponse): boolean {
+    return [...this.answers].some((one) => one !== except);
+  }
+
   /** Time without any activity, as far as it was observed by calls of this method, milliseconds. */
   idleMs(): number {
     const { bytesRead } = this.socket;
--- a/packages/entry/src/http/server.spec.ts
+++ b/packages/entry/src/http/server.spec.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { afterEach, describe, expect, it } from 'vitest';
 import { entryEvents } from '../events.js';
-import { TestServer } from '../testing/callerServer.js';
+import { TestServer, requestBytes } from '../testing/callerServer.js';
 import { waitUntil } from '../testing/testEntry.js';
 
 let test: TestServer | undefined;
@@ -134,3 +134,53 @@
     caller.socket.destroy();
   });
 });
+
+describe('requests that are sent together', () => {
+  const TOGETHER = requestBytes('/first') + requestBytes('/second');
+
+  /** Answers each request with its path when told. */
+  async function startHeld(): Promise<{ scene: TestServer; finish: (path: string) => void }> {
+    const held = new Map<string, ServerResponse>();
+    const scene = await start((incoming, outgoing) => held.set(incoming.url ?? '', outgoing));
+    const finish = (path: string): void => {
+      held.get(path)?.end(`done ${path}`);
+    };
+    return { scene, finish };
+  }
+
+  // Guards against an answer that is lost in a planned stop because the one before it closes the connection.
+  it.each([
+    ['in the order of their requests', ['/first', '/second']],
+    ['in the other order', ['/second', '/first']],
+  ])('are all answered in a planned stop, finished %s', async (_title, order) => {
+    const { scene, finish } = await startHeld();
+    const caller = scene.connect();
+    await waitUntil(() => scene.server.connections === 1);
+    const drained = scene.server.drain(0);
+    caller.socket.write(TOGETHER);
+    await waitUntil(() => scene.handled.length === 2);
+    for (const path of order) finish(path);
+    await waitUntil(() => caller.isEnded || caller.isClosed);
+    expect(caller.text).toMatch(/done \/first[^]*connection: close[^]*done \/second/i);
+    expect(caller.text.match(/connection: close/gi)).toHaveLength(1);
+    caller.socket.destroy();
+    await drained;
+  });
+
+  // Guards against a request that runs behind an answer that has said that it is the last one.
+  it('are not handled behind an answer that has begun with "Connection: close"', async () => {
+    const scene = await start((incoming, outgoing) => {
+      outgoing.write(`begun ${incoming.url ?? ''}`);
+    });
+    const caller = scene.connect();
+    await waitUntil(() => scene.server.connections === 1);
+    const drained = scene.server.drain(0);
+    caller.ask('/first');
+    await waitUntil(() => caller.text.includes('begun /first'));
+    caller.ask('/second');
+    caller.ask('/third');
+    caller.socket.end();
+    await drained;
+    expect(scene.handled).toEqual(['/first']);
+  });
+});
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -184,26 +184,22 @@
   /** @returns whether the request is to be handled: what arrives after this side has ended is not. */
   private track(socket: Socket, outgoing: ServerResponse): boolean {
     const connection = this.openConnections.get(socket);
-    if (connection === undefined || connection.isEnding) return false;
-    const { answers } = connection;
-    answers.add(outgoing);
-    outgoing.once('close', () => answers.delete(outgoing));
-    if (this.stopping) outgoing.setHeader('connection', 'close');
+    if (connection?.add(outgoing, this.stopping) !== true) return false;
     outgoing.once('finish', () => {
       this.answeredAt = this.clock.monotonic();
-      this.closeAfter(connection);
+      this.closeAfter(connection, outgoing);
     });
     return true;
   }
 
   /**
-   * Ends a connection whose answer started before the stop and so could not carry `Connection: close`.
-   * Otherwise its caller would keep sending requests on it, and the last one would be cut off when the time for the
-   * stop is over. A request that arrives while the connection ends is never handled.
+   * Ends a connection after its last answer: in a planned stop where that started before it and so could not carry
+   * `Connection: close`. Otherwise its caller would keep sending requests on it, and the
+   * last one would be cut off when the time for the stop is over.
    */
-  private closeAfter(connection: CallerConnection): void {
-    const others = connection.answers.size - 1;
-    if (this.stopping && others <= 0) connection.end('answered', false);
+  private closeAfter(connection: CallerConnection, answered: ServerResponse): void {
+    if (connection.isAnswering(answered)) return;
+    if (this.stopping) connection.end('answered', false);
   }
 
   private watchConnections(): void {
