Bytes behind a request cut off no answer

What callers saw: an answer, also one that had begun, ended without its end when anything invalid followed the request on its connection: in a stop and at any time.

Cause: a parser error under a request in progress destroyed the connection; so did the head of a next request that did not come in time.

Change: the input is given up, the answers that are due end whole, the last one announces the end where it has not begun, and the connection is ended in stages. A caller that leaves meanwhile is still noticed.

--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -29,6 +29,7 @@
 export class CallerConnection {
   /** Unfinished answers, in the order of their requests. */
   readonly answers = new Set<ServerResponse>();
+  private hasInvalidInput = false;
   private bytesSeen = 0;
   private activeAt: number;
   private ending: Ending | undefined;
@@ -49,6 +50,11 @@
     return this.ending !== undefined;
   }
 
+  /** Whether the input was found invalid; the answers before go on. */
+  get isInvalid(): boolean {
+    return this.hasInvalidInput;
+  }
+
   /**
    * Adds the answer to a new request.
    * @param isLast whether it says that it is the last one, which an answer before it then must not say.
@@ -56,7 +62,7 @@
    */
   add(answer: ServerResponse, isLast: boolean): boolean {
     const before = [...this.answers];
-    if (this.isEnding || before.some(hasAnnouncedEnd)) return false;
+    if (this.isEnding || this.hasInvalidInput || before.some(hasAnnouncedEnd)) return false;
     this.answers.add(answer);
     answer.once('close', () => this.answers.delete(answer));
     if (!isLast) return true;
@@ -67,7 +73,15 @@
 
   /** Whether another answer is due before the connection may end. */
   isAnswering(except: ServerResponse): boolean {
-    return [...this.answers].some((one) => one !== except);
+    return this.dueAnswers().some((one) => one !== except);
+  }
+
+  /** Reads nothing more, as later bytes can't be parsed reliably; the answers that are due go on. */
+  giveUpInput(): void {
+    this.hasInvalidInput = true;
+    const last = this.dueAnswers().at(-1);
+    if (last?.headersSent === false) last.setHeader('connection', 'close');
+    this.discardInput();
   }
 
   /** Time without any activity, as far as it was observed by calls of this method, milliseconds. */
@@ -120,6 +134,12 @@
     return { cause, unfinishedAnswers, unsentBytes, lateBytes, closingMs };
   }
 
+  /** Answers to requests that were read; after invalid input, no more of a request is. */
+  private dueAnswers(): ServerResponse[] {
+    const answers = [...this.answers];
+    return this.hasInvalidInput ? answers.filter((one) => one.headersSent || one.req.complete) : answers;
+  }
+
   private discardInputLater(): void {
     const { socket } = this;
     socket.pause();
--- a/packages/entry/src/http/server.spec.ts
+++ b/packages/entry/src/http/server.spec.ts
@@ -183,4 +183,39 @@
     await drained;
     expect(scene.handled).toEqual(['/first']);
   });
+
+  // Guards against an answer that is cut off by what its caller sends behind the request.
+  it.each([
+    ['bytes that are no request', 'no request at all\r\n\r\n'],
+    ['a head that is not valid', 'POST /second HTTP/1.1\r\nbad field\r\n\r\n'],
+    ['a body that is not valid', 'POST /second HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n'],
+    ['a head that does not end', 'POST /second HTTP/1.1\r\nHos'],
+  ])('are answered up to %s', async (_title, behind) => {
+    const held: ServerResponse[] = [];
+    const scene = await start((_incoming, outgoing) => held.push(outgoing), { headerTimeoutMs: 300 });
+    const caller = scene.connect();
+    caller.socket.write(requestBytes('/first') + behind);
+    await waitUntil(() => scene.linesOf(entryEvents.badConnection).length === 1);
+    held[0]?.write('begun, ');
+    await waitUntil(() => caller.text.includes('begun'));
+    held[0]?.end('done');
+    await waitUntil(() => caller.isEnded || caller.isClosed);
+    expect(caller.text).toMatch(/^HTTP\/1.1 200 [^]*connection: close[^]*begun, [^]*done\r\n0\r\n\r\n$/i);
+    expect(caller.error).toBe('');
+    caller.socket.destroy();
+  });
+
+  // Guards against work that goes on for a caller that has left, as its connection is no longer parsed.
+  it('are given up when the caller leaves behind bytes that are no request', async () => {
+    let isGone = false;
+    const scene = await start((_incoming, outgoing) => {
+      outgoing.write('begun');
+      outgoing.once('close', () => (isGone = true));
+    });
+    const caller = scene.connect();
+    caller.socket.write(`${requestBytes('/first')}no request at all\r\n\r\n`);
+    await waitUntil(() => scene.linesOf(entryEvents.badConnection).length === 1);
+    caller.socket.destroy();
+    await waitUntil(() => isGone);
+  });
 });
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -194,12 +194,13 @@
 
   /**
    * Ends a connection after its last answer: in a planned stop where that started before it and so could not carry
-   * `Connection: close`. Otherwise its caller would keep sending requests on it, and the
+   * `Connection: close`, and after invalid input. Otherwise, in a stop, its caller would keep sending requests on it, and the
    * last one would be cut off when the time for the stop is over.
    */
   private closeAfter(connection: CallerConnection, answered: ServerResponse): void {
     if (connection.isAnswering(answered)) return;
-    if (this.stopping) connection.end('answered', false);
+    if (connection.isInvalid) connection.end('invalid-input', true);
+    else if (this.stopping) connection.end('answered', false);
   }
 
   private watchConnections(): void {
@@ -227,7 +228,7 @@
 
   private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.openConnections.get(socket);
-    if (connection === undefined || connection.isEnding) return;
+    if (connection === undefined || connection.isEnding || connection.isInvalid) return;
     if (!socket.writable || error.code === 'ECONNRESET') {
       socket.destroy();
       return;
@@ -236,7 +237,7 @@
     const answers = [...connection.answers];
     const hasRequestInProgress = answers.some((answer) => answer.headersSent || answer.req.complete);
     // Earlier requests of the connection are in progress: the caller would take an error for the answer to one of them.
-    if (hasRequestInProgress) connection.destroy('invalid-input');
+    if (hasRequestInProgress) connection.giveUpInput();
     else this.refuse(error.code, socket);
   }
 
