A planned stop waits for requests, not only for connections

Connections that this side has ended are not waited for in the last 100 ms of the grace, so callers that do not close theirs do not let the process be killed.

--- a/packages/entry/src/http/app.ts
+++ b/packages/entry/src/http/app.ts
@@ -1,5 +1,4 @@
 /** HTTP routes for callers and for the platform's health checks. */
-import type { RequestListener } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
@@ -7,6 +6,7 @@
 import { fault } from '@jasmineroute/core';
 import type { Readiness } from '@jasmineroute/protocol';
 import { errorBody } from './reply.js';
+import type { CallerListener } from './server.js';
 
 /** Node's raw request and response. */
 export type CallerBindings = HttpBindings;
@@ -44,7 +44,7 @@
  * The routes as a request listener of Node's HTTP server.
  * @param hostname used if the Host field is missing, as in old health checks. Calls without it are refused.
  */
-export function listenerOf(app: Hono<{ Bindings: CallerBindings }>, hostname: string): RequestListener {
+export function listenerOf(app: Hono<{ Bindings: CallerBindings }>, hostname: string): CallerListener {
   const listener = getRequestListener(app.fetch, {
     overrideGlobalObjects: false,
     hostname,
@@ -53,7 +53,7 @@
       return Response.json(body, { status: 400, headers: { 'x-run-state': 'not-run' } });
     },
   });
-  return (incoming, outgoing) => {
-    void listener(incoming, outgoing);
+  return async (incoming, outgoing) => {
+    await listener(incoming, outgoing);
   };
 }
--- a/packages/entry/src/http/server.spec.ts
+++ b/packages/entry/src/http/server.spec.ts
@@ -219,3 +219,37 @@
     await waitUntil(() => isGone);
   });
 });
+
+describe('a planned stop', () => {
+  // Guards against a process that ends under a request in progress, as its connection is not open any more.
+  it('waits for requests whose connections are closed', async () => {
+    let finish: () => void = () => undefined;
+    const finished = new Promise<void>((resolve) => (finish = resolve));
+    const scene = await start(() => finished);
+    const caller = scene.connect();
+    caller.ask('/long');
+    await waitUntil(() => scene.handled.length === 1);
+    caller.socket.destroy();
+    await waitUntil(() => scene.server.connections === 0);
+    let isDrained = false;
+    const drained = scene.server.drain(0).then(() => (isDrained = true));
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(scene.server.stopRecord()).toMatchObject({ requests: 1, connections: { answering: 0 } });
+    expect(isDrained).toBe(false);
+    finish();
+    await drained;
+    expect(scene.server.stopRecord()).toMatchObject({ requests: 0 });
+  });
+
+  // Guards against a process that outlives its grace, and is killed, for callers that do not close their connections.
+  it('waits no longer than its end for connections that it has ended', async () => {
+    const scene = await start((_incoming, outgoing) => outgoing.end('short'));
+    const caller = scene.connect();
+    caller.ask('/short', '', 'Connection: close\r\n');
+    await waitUntil(() => caller.isEnded);
+    const begunAt = performance.now();
+    await scene.server.drain(0, begunAt + 500);
+    expect(performance.now() - begunAt).toBeLessThan(1_500);
+    caller.socket.destroy();
+  });
+});
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -1,6 +1,6 @@
 /** The HTTP server for callers: limits, invalid requests, and planned stop. */
 import { createServer } from 'node:http';
-import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
@@ -41,6 +41,9 @@
   | 'idleTimeoutMs'
 >;
 
+/** Handles one request of a caller; resolves when nothing of it is in progress any more. */
+export type CallerListener = (incoming: IncomingMessage, outgoing: ServerResponse) => Promise<void>;
+
 /** The HTTP server that callers connect to. */
 export class CallerServer {
   private readonly server: Server;
@@ -48,12 +51,14 @@
   private lastConnectionAt = 0;
   private stopping = false;
   private closed = false;
+  /** Requests that are being handled, also those of connections that are closed. */
+  private requests = 0;
   private readonly ends: ConnectionEnds;
   /** Monotonic time at which the last answer was complete. */
   private answeredAt: number | undefined;
 
   constructor(
-    listener: RequestListener,
+    private readonly listener: CallerListener,
     private readonly settings: CallerServerSettings,
     private readonly clock: Clock,
     private readonly stalls: StallWatch,
@@ -72,7 +77,7 @@
         requireHostHeader: false,
       },
       (incoming, outgoing) => {
-        if (this.track(incoming.socket, outgoing)) listener(incoming, outgoing);
+        if (this.track(incoming.socket, outgoing)) void this.handle(incoming, outgoing);
       },
     );
     this.server.maxConnections = settings.maxConnections;
@@ -119,7 +124,7 @@
     const { answeredAt } = this;
     const lastAnswerMs =
       answeredAt === undefined ? undefined : Math.round(this.clock.monotonic() - answeredAt);
-    return { connections: this.states, ended: this.ends.totals, lastAnswerMs };
+    return { requests: this.requests, connections: this.states, ended: this.ends.totals, lastAnswerMs };
   }
 
   /**
@@ -134,10 +139,11 @@
 
   /**
    * Closes the listener once no connection has arrived for a short time, because closing it resets connections that
-   * wait to be accepted. Then waits for the connections to close.
+   * wait to be accepted. Then waits for the requests in progress and for the connections to close.
    * @param maxWaitMs maximum wait for new connections to cease.
+   * @param endsAt monotonic time from which connections that this side has ended are not waited for.
    */
-  async drain(maxWaitMs: number): Promise<void> {
+  async drain(maxWaitMs: number, endsAt = Infinity): Promise<void> {
     const waitUntil = this.clock.monotonic() + maxWaitMs;
     while (
       this.clock.monotonic() - this.lastConnectionAt < ACCEPT_QUIET_MS &&
@@ -148,7 +154,13 @@
     // `close` of the HTTP server closes idle connections at once; that of the net server closes only the listener.
     NetServer.prototype.close.call(this.server);
     this.stopKeepAlive();
-    while (this.openConnections.size > 0) await this.clock.sleep(DRAIN_POLL_MS);
+    while (!this.isDrained(endsAt)) await this.clock.sleep(DRAIN_POLL_MS);
+  }
+
+  private isDrained(endsAt: number): boolean {
+    if (this.requests > 0) return false;
+    const open = [...this.openConnections.values()];
+    return open.length === 0 || (this.clock.monotonic() >= endsAt && open.every(({ isEnding }) => isEnding));
   }
 
   /** Closes each connection after an idle period, because the caller's next request may already be on its way. */
@@ -181,6 +193,15 @@
     await closed;
   }
 
+  private async handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    this.requests += 1;
+    try {
+      await this.listener(incoming, outgoing);
+    } finally {
+      this.requests -= 1;
+    }
+  }
+
   /** @returns whether the request is to be handled: what arrives after this side has ended is not. */
   private track(socket: Socket, outgoing: ServerResponse): boolean {
     const connection = this.openConnections.get(socket);
--- a/packages/entry/src/testing/callerServer.ts
+++ b/packages/entry/src/testing/callerServer.ts
@@ -1,7 +1,7 @@
 /** A server for callers with scripted answers, and a caller that writes bytes. For tests. */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
-import type { RequestListener } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { StallWatch, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
 import { CallerServer } from '../http/server.js';
 import type { CallerServerSettings } from '../http/server.js';
@@ -19,6 +19,9 @@
 /** One line of the log: the event's id and its fields. */
 export type LogLine = Readonly<Record<string, unknown>>;
 
+/** Handles a request, at once or until a promise resolves. */
+export type TestListener = (incoming: IncomingMessage, outgoing: ServerResponse) => unknown;
+
 /** A server under test. */
 export class TestServer {
   readonly lines: LogLine[] = [];
@@ -27,7 +30,7 @@
   readonly server: CallerServer;
   private address = '';
 
-  constructor(listener: RequestListener, settings: Partial<CallerServerSettings> = {}) {
+  constructor(listener: TestListener, settings: Partial<CallerServerSettings> = {}) {
     const log = {
       ...silentLog,
       event: ({ id }: { readonly id: number }, fields: object = {}) => {
@@ -35,9 +38,9 @@
       },
     };
     this.server = new CallerServer(
-      (incoming, outgoing) => {
+      async (incoming, outgoing) => {
         this.handled.push(incoming.url ?? '');
-        listener(incoming, outgoing);
+        await listener(incoming, outgoing);
       },
       { ...DEFAULTS, ...settings },
       systemClock,
@@ -48,7 +51,7 @@
   }
 
   static async start(
-    listener: RequestListener,
+    listener: TestListener,
     settings: Partial<CallerServerSettings> = {},
   ): Promise<TestServer> {
     const test = new TestServer(listener, settings);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -40,6 +40,9 @@
 /** How long a planned stop waits for new connections to cease, milliseconds. */
 const CONNECTION_DRAIN_MS = 500;
 
+/** Time before the end of a planned stop at which connections that this side has ended are closed, milliseconds. */
+const END_MARGIN_MS = 100;
+
 /** Time before the end of a planned stop at which requests that are still in progress are named, milliseconds. */
 const NAMING_MARGIN_MS = 150;
 
@@ -109,9 +112,7 @@
     };
     const { httpHost, httpPort, maxConnections } = settings;
     this.server = new CallerServer(
-      (incoming, outgoing) => {
-        void this.serve(incoming, outgoing);
-      },
+      (incoming, outgoing) => this.serve(incoming, outgoing),
       {
         httpHost,
         httpPort,
@@ -211,7 +212,7 @@
       this.logUnfinished();
     });
     await clock.sleep(this.settings.drainDelayMs);
-    await this.server.drain(CONNECTION_DRAIN_MS);
+    await this.server.drain(CONNECTION_DRAIN_MS, this.stopsAt - END_MARGIN_MS);
     cancelNaming();
     log.event(relayEvents.drained, { open: this.open.size, ...this.server.stopRecord() });
   }
