A caller that asks for a tunnel and resets does not end the entry

Cause: Node gives the connection of a CONNECT out without its listeners, and nobody listened for its errors: a reset was an uncaught exception.

server.spec.ts: survives a caller that resets after it asked for a tunnel; before, vitest reports an uncaught "read ECONNRESET".

--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -39,6 +39,8 @@
     private readonly clock: Clock,
   ) {
     this.activeAt = clock.monotonic();
+    // Node takes its own listener back from a connection on which a tunnel was asked for. The close that follows is recorded.
+    socket.on('error', () => undefined);
     // Node calls this after an answer with `Connection: close`, and would close at once.
     socket.destroySoon = () => {
       this.end('answered', true);
--- a/packages/entry/src/http/server.spec.ts
+++ b/packages/entry/src/http/server.spec.ts
@@ -253,3 +253,18 @@
     caller.socket.destroy();
   });
 });
+
+// Guards against a process that ends when a caller resets the connection on which it asked for a tunnel.
+it('survives a caller that resets after it asked for a tunnel', async () => {
+  const scene = await start((_incoming, outgoing) => outgoing.end('short'));
+  const caller = scene.connect();
+  caller.socket.write('CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n');
+  await waitUntil(() => caller.isEnded);
+  expect(caller.text).toMatch(/^HTTP\/1.1 400 /);
+  caller.socket.resetAndDestroy();
+  await waitUntil(() => scene.server.connections === 0);
+  const next = scene.connect();
+  next.ask('/short');
+  await waitUntil(() => next.text.endsWith('short'));
+  next.socket.destroy();
+});
