--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -9,7 +9,7 @@
 import type { Disk } from './disk.js';
 import { fileDisk } from './fileDisk.js';
 import { LogStorage } from './logStorage.js';
-import type { OpenedStorage } from './logStorage.js';
+import type { HeldState, OpenedStorage } from './logStorage.js';
 import { MemoryDisk } from './memoryDisk.js';
 import { seeded } from '../testing/memoryCluster.js';
 
@@ -40,6 +40,16 @@
 const indexes = ({ recovered }: OpenedStorage): number[] =>
   recovered.entries.map(({ index }) => Number(index));
 
+/** Fails only the sync with a number, counted from now on. */
+function failSync(disk: MemoryDisk, failing: number): void {
+  let syncs = 0;
+  disk.syncDelay = () => {
+    syncs += 1;
+    disk.syncError = syncs === failing ? 'EIO' : undefined;
+    return Promise.resolve();
+  };
+}
+
 /** A disk with entries 1 to 5 synced, closed. */
 async function written(): Promise<MemoryDisk> {
   const disk = MemoryDisk.empty();
@@ -181,6 +191,152 @@
     expect((await storage.write(entries(2, 2))).isErr()).toBe(true);
   });
 
+  // Guards against losing an acknowledged entry: the sync that waited for a failed one reports success for pages that the
+  // failed one dropped.
+  test('a sync that waits for a failed one fails too', async () => {
+    const disk = MemoryDisk.empty();
+    const { storage } = await open(disk);
+    failSync(disk, 1);
+    await storage.write(entries(1, 1));
+    const first = storage.sync();
+    await storage.write(entries(2, 2));
+    const second = storage.sync();
+    expect((await first).isErr()).toBe(true);
+    expect((await second).isErr()).toBe(true);
+  });
+
+  // Guards against the same in a snapshot, before which the journal is synced.
+  test('a sync that failed for a snapshot is final', async () => {
+    const disk = MemoryDisk.empty();
+    const { storage } = await open(disk);
+    await storage.write(entries(1, 3));
+    const snapshot = { clusterId: 'c', lastIndex: 2n, lastTerm: 1n, data: Buffer.from('state') };
+    failSync(disk, 2);
+    expect((await storage.saveSnapshot(snapshot, 1n, 4n)).isErr()).toBe(true);
+    expect((await storage.sync()).isErr()).toBe(true);
+  });
+
+  // Guards against an acknowledged entry that is lost with the power: it was read at a start, but never synced.
+  test.each(['not synced', 'failed to sync'])(
+    'entries that an ended process had %s are durable after a start',
+    async (end) => {
+      const disk = MemoryDisk.empty();
+      const { storage } = await open(disk);
+      await storage.write(entries(1, 2));
+      await storage.sync();
+      await storage.write(entries(3, 4));
+      disk.syncError = 'EIO';
+      if (end === 'failed to sync') await storage.sync();
+      const next = disk.endProcess();
+      const started = await open(next);
+      expect(indexes(started)).toEqual([1, 2, 3, 4]);
+      expect(started.recovered.syncedIndex).toBe(4n);
+      expect(indexes(await open(next.crash(() => 0)))).toEqual([1, 2, 3, 4]);
+    },
+  );
+
+  // Guards against a replica that does not start, or acknowledges entries that it could not sync, while its disk is full.
+  test('a start on a full disk succeeds, and tells what is synced', async () => {
+    const disk = MemoryDisk.empty();
+    const { storage, recovered } = await open(disk);
+    await storage.write(entries(1, 2));
+    await storage.sync();
+    await storage.write(entries(3, 4));
+    const next = disk.endProcess();
+    next.writeError = 'ENOSPC';
+    const started = await open(next);
+    expect(indexes(started)).toEqual([1, 2, 3, 4]);
+    expect(started.recovered.syncedIndex).toBe(2n);
+    expect(started.recovered.failure).toMatchObject({ code: 'ENOSPC', isFinal: true });
+    next.writeError = undefined;
+    const held = { state: recovered.state, entries: entries(1, 4), commitIndex: 1n, syncedIndex: 2n };
+    expect((await started.storage.recover(held)).isOk()).toBe(true);
+    expect(indexes(await open(next.crash(() => 0)))).toEqual([1, 2, 3, 4]);
+  });
+
+  describe('after a failed sync', () => {
+    /** Entries 1 and 2 synced; the sync of 3 and 4 failed and dropped them, though they can still be read. */
+    async function failed(): Promise<OpenedStorage & { disk: MemoryDisk; held: HeldState }> {
+      const disk = MemoryDisk.empty();
+      const { storage, recovered } = await open(disk);
+      await storage.write(entries(1, 2));
+      await storage.sync();
+      disk.syncError = 'EIO';
+      await storage.write(entries(3, 4));
+      expect((await storage.sync()).isErr()).toBe(true);
+      const held = { state: recovered.state, entries: entries(1, 4), commitIndex: 1n, syncedIndex: 2n };
+      return { disk, storage, recovered, held };
+    }
+
+    const afterPowerFailure = (disk: MemoryDisk): Promise<OpenedStorage> => open(disk.crash(() => 0));
+
+    // Guards against an acknowledged entry that only the system's memory holds, as a second sync does not write it.
+    test('a recovery writes the entries again', async () => {
+      const { disk, storage, held } = await failed();
+      expect((await storage.recover(held)).isErr()).toBe(true);
+      expect((await storage.write(entries(5, 5))).isErr()).toBe(true);
+      disk.syncError = undefined;
+      expect((await storage.recover(held)).isOk()).toBe(true);
+      await storage.write(entries(5, 5));
+      await storage.sync();
+      expect(indexes(await afterPowerFailure(disk))).toEqual([1, 2, 3, 4, 5]);
+    });
+
+    // Guards against a command that runs although it was reported as not run: a failed write left it on the disk.
+    test('a recovery removes entries that the replica does not hold, and adds those that only it holds', async () => {
+      const { disk, storage, held } = await failed();
+      disk.syncError = undefined;
+      const own = [...entries(1, 3), { ...entry(4, 'another'), term: 2n }, { ...entry(5), term: 2n }];
+      expect((await storage.recover({ ...held, entries: own })).isOk()).toBe(true);
+      const after = await afterPowerFailure(disk);
+      expect(after.recovered.entries.map(({ term }) => Number(term))).toEqual([1, 1, 1, 2, 2]);
+    });
+
+    // Guards against a second vote in a term: the first one is on the disk although saving it was reported as failed.
+    test('a recovery takes over a newer vote from the disk', async () => {
+      const { disk, storage, held } = await failed();
+      disk.syncError = undefined;
+      disk.callErrors.syncFolder = 'EIO';
+      const voted = { ...held.state, term: 9n, votedFor: 'other' };
+      expect((await storage.recover({ ...held, state: voted })).isErr()).toBe(true);
+      disk.callErrors.syncFolder = undefined;
+      const recovered = (await storage.recover(held))._unsafeUnwrap();
+      expect(recovered.state).toMatchObject({ term: 9n, votedFor: 'other' });
+      expect((await afterPowerFailure(disk)).recovered.state).toMatchObject({ term: 9n });
+    });
+
+    // Guards against a replica that goes on with fewer entries than it has acknowledged.
+    test('a recovery fails when a synced entry is gone', async () => {
+      const { disk, storage, held } = await failed();
+      disk.syncError = undefined;
+      const file = await disk.open(join(FOLDER, JOURNAL));
+      await file.truncate(0);
+      const error = (await storage.recover(held))._unsafeUnwrapErr();
+      expect(error).toMatchObject({ code: 'CORRUPT' });
+      expect(error.message).toContain('entry 1 was synced and is gone');
+      expect((await storage.write(entries(5, 5))).isErr()).toBe(true);
+    });
+
+    // Guards against a replica that can never recover: a snapshot was installed, and the old journal could not be removed.
+    test('a recovery takes over a newer snapshot', async () => {
+      const disk = MemoryDisk.empty();
+      const { storage, recovered } = await open(disk);
+      await storage.write(entries(1, 4));
+      await storage.sync();
+      disk.callErrors.remove = 'EIO';
+      const snapshot = { clusterId: 'c', lastIndex: 9n, lastTerm: 1n, data: Buffer.from('state') };
+      expect((await storage.installSnapshot(snapshot)).isErr()).toBe(true);
+      disk.callErrors.remove = undefined;
+      const held = { state: recovered.state, entries: entries(1, 4), commitIndex: 4n, syncedIndex: 4n };
+      const result = (await storage.recover(held))._unsafeUnwrap();
+      expect(result.snapshot?.lastIndex).toBe(9n);
+      expect(result.entries).toEqual([]);
+      await storage.write(entries(10, 10));
+      await storage.sync();
+      expect(indexes(await afterPowerFailure(disk))).toEqual([10]);
+    });
+  });
+
   // Guards against a replica that starts on a read-only file system and fails at its first command.
   test('a read-only folder fails with a clear error', async () => {
     const disk = MemoryDisk.empty();
