A stream is not continued by what an entry out of step still holds

What callers could see: a stream that began elsewhere goes on, with 200, at another service or software version, when it is taken up at an entry that was out of step.

Causes, each by something that an entry takes for current: (1) a caller that names no beginning is continued if all control instances on the entry's own list know one version; one that it has not heard of was not asked. (2) The service whose versions are asked for is that of the entry's own configuration, which may be old, or newer than the stream. (3) Where that configuration says that streams of the route are not resumed, the last event was passed on to any target.

Change: control instances answer with the instances and the number of the configuration that they know. An entry asks those too, refuses while a newer configuration is held, and for as long as a stream may last after its route led to another service. A last event on a stream route is never passed on undecided.

--- a/packages/control/src/softwareVersions/softwareVersions.spec.ts
+++ b/packages/control/src/softwareVersions/softwareVersions.spec.ts
@@ -8,6 +8,10 @@
 import { RelayedTargets, TargetRegistry } from '../targets/index.js';
 import { SoftwareVersions } from './softwareVersions.js';
 
+/** What an answer says beside the versions: the control instances, and the configuration held. */
+const commandLog = { members: () => [{ name: 'c1', address: 'c1:70' }] };
+const configuration = { held: () => ({ number: 7n, content: new Uint8Array(0), source: new Uint8Array(0) }) };
+
 const WITHIN_MS = 10_000;
 const HEARTBEAT_MS = 1_000;
 
@@ -23,7 +27,7 @@
     targets = new TargetRegistry(clock, silentLog, HEARTBEAT_MS);
     relayed = new RelayedTargets(clock);
     origins = new OriginStore(clock, silentMetrics);
-    versions = new SoftwareVersions({ targets, relayed, origins, clock });
+    versions = new SoftwareVersions({ targets, relayed, origins, configuration, commandLog, clock });
   });
 
   const list = (withinMs = WITHIN_MS): { versions: string[]; complete: boolean } =>
@@ -84,7 +88,7 @@
       const files = new RecordFiles(disk, '/origins', originFormat, clock, silentLog);
       origins = new OriginStore(clock, silentMetrics, files);
       await origins.open();
-      versions = new SoftwareVersions({ targets, relayed, origins, clock });
+      versions = new SoftwareVersions({ targets, relayed, origins, configuration, commandLog, clock });
     }
 
     const recordStream = (name: string, softwareVersion: string): void => {
@@ -138,6 +142,12 @@
     });
   });
 
+  // Guards against an entry out of touch that asks too few instances, or by a configuration that is out of date.
+  it('are told with the control instances and the configuration that the instance knows', () => {
+    const request = create(controlMessage.ListSoftwareVersionsRequestSchema, { service: 's', withinMs: 1 });
+    expect(versions.list(request)).toMatchObject({ controls: ['c1:70'], number: 7n });
+  });
+
   // Guards against an instance that has just started and takes what it has heard for all there is.
   it('are complete only once it has listened for as long as is asked for', async () => {
     announce('t1', 'v1');
--- a/packages/control/src/softwareVersions/softwareVersions.ts
+++ b/packages/control/src/softwareVersions/softwareVersions.ts
@@ -2,6 +2,8 @@
 import { create } from '@bufbuild/protobuf';
 import type { Clock } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
+import type { ConfigurationState } from '../configuration/index.js';
+import type { CommandLog } from '../log/index.js';
 import type { OriginStore, ServiceVersion } from '../origins/index.js';
 import { Coalescer } from '../recent/index.js';
 import { REMOVAL_DELAY_MS } from '../targets/index.js';
@@ -15,6 +17,10 @@
   readonly targets: TargetRegistry;
   readonly relayed: RelayedTargets;
   readonly origins: OriginStore;
+  /** Holds the configuration. */
+  readonly configuration: Pick<ConfigurationState, 'held'>;
+  /** Knows all control instances. */
+  readonly commandLog: Pick<CommandLog, 'members'>;
   readonly clock: Clock;
 }
 
@@ -37,13 +43,15 @@
     service,
     withinMs,
   }: controlMessage.ListSoftwareVersionsRequest): controlMessage.ListSoftwareVersionsResponse {
-    const { origins } = this.sources;
+    const { origins, configuration, commandLog } = this.sources;
     const announced = this.announcedSince(0, 0).filter((target) => target.service === service);
     const versions = new Set(versionsById(announced).values());
     for (const version of origins.versionsOf(service)) versions.add(version);
     return create(controlMessage.ListSoftwareVersionsResponseSchema, {
       versions: [...versions],
       complete: this.isComplete(withinMs),
+      controls: commandLog.members().map(({ address }) => address),
+      number: configuration.held().number,
     });
   }
 
--- a/packages/relay/src/origin/index.ts
+++ b/packages/relay/src/origin/index.ts
@@ -1,2 +1,3 @@
 export * from './originLookup.js';
 export * from './streamOrigins.js';
+export * from './movedRoutes.js';
--- a/packages/relay/src/origin/streamOrigins.ts
+++ b/packages/relay/src/origin/streamOrigins.ts
@@ -37,7 +37,7 @@
 
 /** How the only software version of a service was decided, or why it was not. */
 export type VersionDecision =
-  { readonly by: 'sole'; readonly version: string } | { readonly by: 'several' | 'unanswered' };
+  { readonly by: 'sole'; readonly version: string } | { readonly by: 'several' | 'unanswered' | 'outdated' };
 
 const reportOf = (origins: controlMessage.StreamOrigin[]): Report => ({
   case: 'origins',
@@ -90,15 +90,21 @@
     return { by: isComplete ? 'unknown' : 'unanswered' };
   }
 
-  /** The only software version of a service's targets within the last `withinMs` milliseconds, if that is certain. */
+  /**
+   * The only software version of a service's targets within the last `withinMs` milliseconds, if that is certain.
+   * @param configuration number of the configuration by which the service was chosen: a newer one may lead to another.
+   */
   async soleVersion(
     service: string,
     withinMs: number,
+    configuration: number,
     waitUntil: number,
     signal: AbortSignal,
   ): Promise<VersionDecision> {
     const ask = (): Promise<VersionResult> => this.versions.soleVersion(service, withinMs);
-    const { version, isComplete } = await this.untilComplete(ask, waitUntil, signal);
+    const result = await this.untilComplete(ask, waitUntil, signal);
+    const { version, isComplete } = result;
+    if (result.configuration > configuration) return { by: 'outdated' };
     if (version !== undefined) return { by: 'sole', version };
     return { by: isComplete ? 'several' : 'unanswered' };
   }
--- a/packages/relay/src/origin/versionLookup.ts
+++ b/packages/relay/src/origin/versionLookup.ts
@@ -16,6 +16,8 @@
   readonly version?: string;
   /** Whether all instances answered, and know the versions of all targets. */
   readonly isComplete: boolean;
+  /** The highest number of a configuration that an instance holds; 0: none. */
+  readonly configuration: number;
 }
 
 type Answer = controlMessage.ListSoftwareVersionsResponse | undefined;
@@ -44,15 +46,31 @@
   }
 
   private async callAll(service: string, withinMs: number): Promise<VersionResult> {
-    const controls = this.parts.controls();
-    const answers = await Promise.all(controls.map((control) => this.call(control, service, withinMs)));
+    const answers = await this.answersOf(this.parts.controls(), service, withinMs);
     const answered = answers.filter((answer) => answer !== undefined);
     const versions = new Set(answered.flatMap((answer) => answer.versions));
+    const configuration = Math.max(0, ...answered.map(({ number }) => Number(number)));
     // After a loss of all instances targets are announced without their versions, until each has called an instance.
     const isComplete = answered.length > 0 && answered.length === answers.length && !versions.has('');
     const isCertain = isComplete && answered.every(({ complete }) => complete);
     const [version, ...others] = versions;
-    return isCertain && others.length === 0 ? { version, isComplete } : { isComplete };
+    return isCertain && others.length === 0
+      ? { version, isComplete, configuration }
+      : { isComplete, configuration };
+  }
+
+  /** Answers of some instances, and of those that they name: what this entry knows of control may be out of date. */
+  private async answersOf(controls: readonly string[], service: string, withinMs: number): Promise<Answer[]> {
+    const asked = new Set<string>();
+    const answers: Answer[] = [];
+    for (let next = [...controls]; next.length > 0;) {
+      for (const control of next) asked.add(control);
+      const round = await Promise.all(next.map((control) => this.call(control, service, withinMs)));
+      answers.push(...round);
+      const named = round.flatMap((answer) => answer?.controls ?? []);
+      next = [...new Set(named)].filter((control) => !asked.has(control));
+    }
+    return answers;
   }
 
   private async call(control: string, service: string, withinMs: number): Promise<Answer> {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -11,7 +11,7 @@
 import { Follower, ClusterView } from '@jasmineroute/knowledge';
 import type { ReportSender } from '@jasmineroute/knowledge';
 import { relayMetrics } from './metrics.js';
-import { StreamOrigins } from './origin/index.js';
+import { MovedRoutes, StreamOrigins } from './origin/index.js';
 import { CrashWatch, Quarantine, Trials } from './quarantine/index.js';
 import { copySenders } from './report/index.js';
 import { TargetSelector } from './placement/index.js';
@@ -77,6 +77,7 @@
     const crashWatch = new CrashWatch({ targets: knowledge.targets, clock, stalls, log, metrics });
     const trials = new Trials({ name, incarnation, controls: allControls, peers, clock, log });
     this.quarantine = new Quarantine({ crashWatch, trials, senders, clock, log, metrics });
+    const movedRoutes = new MovedRoutes(clock);
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
     const monitor = new TargetMonitor(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
@@ -89,6 +90,7 @@
       budgets: new ServiceBudgets(allowance, () => knowledge.entries()),
       copySchedule: new CopySchedule(clock, (store, part) => knowledge.isKept(store, part)),
       origins: this.origins,
+      movedRoutes,
       quarantine: this.quarantine,
       startupGrace: new StartupGrace(knowledge, clock),
       stopsAt: () => this.stopsAt,
@@ -139,7 +141,9 @@
       clock,
     });
     knowledge.onChange(() => {
-      const limits = knowledge.table()?.configuration.limits;
+      const table = knowledge.table();
+      if (table !== undefined) movedRoutes.update(table);
+      const limits = table?.configuration.limits;
       if (limits !== undefined) this.server.setTimeouts(limits.idleTimeoutMs, limits.headerTimeoutMs);
     });
   }
@@ -169,6 +173,11 @@
     return this.open;
   }
 
+  /** Number of the configuration in force here; 0: none is known. */
+  configurationNumber(): number {
+    return this.knowledge.number();
+  }
+
   /** The current readiness. It is logged only when it changes, as load balancers query it continuously. */
   readiness(): Readiness {
     const now = this.currentReadiness();
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -90,6 +90,9 @@
   /** Software versions that it lists, and whether the list is complete. */
   softwareVersions: string[] = [];
   knowsVersions = false;
+  /** Other control instances that it names, and the number of the configuration that it says it holds. */
+  otherControls: string[] = [];
+  listedNumber = 0n;
   /** How often it was asked for them. */
   versionLists = 0;
 
@@ -108,7 +111,13 @@
         }),
         listSoftwareVersions: () => {
           this.versionLists += 1;
-          return { versions: this.softwareVersions, complete: this.knowsVersions };
+          const { softwareVersions: versions, knowsVersions: complete, listedNumber: number } = this;
+          return {
+            versions,
+            complete,
+            controls: [this.server?.address ?? '', ...this.otherControls],
+            number,
+          };
         },
         enlist: () => ({}),
         observe: () => ({}),
@@ -226,6 +235,15 @@
     );
   }
 
+  /** A second control instance, which the entry has not heard of; the caller closes it. */
+  static async unheardControl(versions: readonly string[]): Promise<RpcServer> {
+    const stub = new ControlStub();
+    await stub.start();
+    Object.assign(stub, { softwareVersions: versions, knowsVersions: true });
+    if (stub.server === undefined) throw new Error('the control instance does not listen');
+    return stub.server;
+  }
+
   /** Starts an entry with some targets and a configuration, and waits until it is ready. */
   static async start(
     routes: Route[],
@@ -262,6 +280,11 @@
     return `http://${this.relay.httpAddress()}`;
   }
 
+  /** Number of the configuration that the entry obeys. */
+  get configured(): number {
+    return this.relay.configurationNumber();
+  }
+
   /** Requests in progress. */
   get open(): number {
     return this.relay.openRequests();
@@ -331,6 +354,16 @@
     this.controlStub.knowsVersions = isComplete;
   }
 
+  /** Lets control name another control instance, which the entry has not heard of. */
+  nameControl(address: string): void {
+    this.controlStub.otherControls.push(address);
+  }
+
+  /** Lets control hold a configuration that is newer than the one that it has told the entry. */
+  holdNewerConfiguration(): void {
+    this.controlStub.listedNumber = BigInt(this.number + 1);
+  }
+
   /** Lets control know a stream that began at another entry. */
   knowStream(requestId: string, softwareVersion: string, service = 's'): void {
     const stream = streamKey('', requestId);
--- a/packages/relay/src/work/admit.ts
+++ b/packages/relay/src/work/admit.ts
@@ -6,8 +6,10 @@
 import type { Result } from 'neverthrow';
 import type { RelayRequest } from '../dialect/index.js';
 
-/** Route and customer of a request, according to the configuration. */
+/** Route and customer of a request, according to a configuration. */
 export interface Admitted {
+  /** Number of the configuration. */
+  readonly configuration: number;
   readonly route: Route;
   readonly customer?: Customer;
 }
@@ -19,5 +21,5 @@
   const customer = request.key === undefined ? undefined : table.customerOf(request.key);
   const needsKey = table.needsKeys && !route.open;
   if (needsKey && customer === undefined) return err(fault('unauthenticated', 'unknown API key'));
-  return ok({ route, customer });
+  return ok({ configuration: table.number, route, customer });
 }
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -163,11 +163,8 @@
     });
   }
 
-  private async relay(
-    table: RoutingTable,
-    request: RelayRequest,
-    { route, customer }: Admitted,
-  ): Promise<void> {
+  private async relay(table: RoutingTable, request: RelayRequest, admitted: Admitted): Promise<void> {
+    const { route, customer } = admitted;
     const { bodyBudget, clock } = this.context;
     const limit = table.configuration.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     const waitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
@@ -194,7 +191,7 @@
     this.answer.gone.addEventListener('abort', onGone, { once: true });
     if (this.answer.gone.aborted) onGone();
     try {
-      const service = await this.serviceFor(table, request, route, customer);
+      const service = await this.serviceFor(table, request, admitted);
       if (service.isErr()) this.reject(request, service.error, route);
       else
         await this.runAttempts({
@@ -217,13 +214,12 @@
   private async serviceFor(
     table: RoutingTable,
     request: RelayRequest,
-    route: Route,
-    customer: Customer | undefined,
+    admitted: Admitted,
   ): Promise<Result<Service, Fault>> {
-    const origin = await originOf(this.context, request, route, customer, this.abort.signal);
+    const origin = await originOf(this.context, request, admitted, this.abort.signal);
     if (origin.isErr()) return err(origin.error);
     this.stream.resumedVersion = origin.value?.softwareVersion;
-    this.service = origin.value?.service ?? drawService(route, this.context.random);
+    this.service = origin.value?.service ?? drawService(admitted.route, this.context.random);
     const service = table.serviceOf(this.service);
     return service === undefined ? err(fault('no-target', `unknown service ${this.service}`)) : ok(service);
   }
--- a/packages/relay/src/work/resumption.spec.ts
+++ b/packages/relay/src/work/resumption.spec.ts
@@ -1,10 +1,13 @@
 /** Requests that resume a stream of one of several software versions at an entry that did not begin it. */
+import type { Route } from '@jasmineroute/configuration';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RelayBed, routeTo, until } from '../testing/bed.js';
 import { ask, events, stream, text } from '../testing/caller.js';
 import type { Answer } from '../testing/caller.js';
 
 const NOT_RUN = { status: 503, headers: { 't-ran': 'not-run' } };
+const otherRoute = (pathPrefix: string): Route =>
+  routeTo({ ...stream, name: 'other', pathPrefix, services: [{ service: 'other', weight: 1 }] });
 const VERSIONS = { t3: 'v1.1', t4: 'v1.1' };
 
 describe('a request that resumes a stream', () => {
@@ -93,6 +96,68 @@
     expect(answer).toMatchObject({ status: 200, body: text(3, 5) });
   });
 
+  const resumeUnnamed = (id: string): Promise<Answer> =>
+    ask(bed.url, { id, path: '/x/1', headers: { 't-last': '2' } });
+
+  // Guards against an entry that still has an older list of control instances, none of which knows the newer version.
+  it('is refused when a control instance that the entry has not heard of knows another version', async () => {
+    await start([routeTo(stream)], 2);
+    const unheard = await RelayBed.unheardControl(['v1', 'v2']);
+    bed.listVersions(['v1']);
+    expect(await resumeUnnamed('q2')).toMatchObject({ status: 200 });
+    bed.nameControl(unheard.address);
+    expect(await resumeUnnamed('q3')).toMatchObject(NOT_RUN);
+    await unheard.close();
+    expect(await resumeUnnamed('q4')).toMatchObject(NOT_RUN);
+    expect(bed.arrivalCount()).toBe(1);
+  });
+
+  // Guards against an entry whose configuration is older than the one by which the stream began.
+  it('is refused without the name of the request when control holds a newer configuration', async () => {
+    await start([routeTo(stream)], 2);
+    bed.listVersions(['v1']);
+    bed.holdNewerConfiguration();
+    expect(await resumeUnnamed('q2')).toMatchObject(NOT_RUN);
+    expect(bed.arrivalCount()).toBe(0);
+  });
+
+  // Guards against a stream that goes on at another service than the one that began it.
+  it.each([
+    [
+      'its route led to another service',
+      [routeTo({ ...stream, services: [{ service: 'other', weight: 1 }] })],
+    ],
+    ['a longer route has led to another service', [routeTo(stream), otherRoute('/x/')]],
+  ])('is refused without the name of the request when %s just before', async (_when, before) => {
+    const services = [{ name: 's' }, { name: 'other' }];
+    await start(before, 2, { services });
+    bed.listVersions(['v1']);
+    bed.configure([routeTo(stream)], { services });
+    await until(() => bed.configured === 2);
+    expect(await resumeUnnamed('q2')).toMatchObject(NOT_RUN);
+    expect(bed.arrivalCount()).toBe(0);
+  });
+
+  // Guards against streams that are refused after each change of the configuration.
+  it('goes on without the name of the request when other routes have moved', async () => {
+    const services = [{ name: 's' }, { name: 'other' }];
+    await start([routeTo(stream), otherRoute('/y/')], 2, { services });
+    bed.listVersions(['v1']);
+    bed.configure([routeTo({ ...stream, objectiveMs: 50 })], { services });
+    await until(() => bed.configured === 2);
+    expect(await resumeUnnamed('q2')).toMatchObject({ status: 200, body: text(3, 5) });
+  });
+
+  // Guards against an entry with an older configuration that lets any target go on after the caller's last event.
+  it('is refused where the configuration of the entry says that streams of the route are not resumed', async () => {
+    await start([routeTo({ ...stream, resumable: false })], 2);
+    bed.listVersions(['v1']);
+    expect(await resumeUnnamed('q2')).toMatchObject(NOT_RUN);
+    bed.knowStream('old', 'v1');
+    expect(await resume('q3', 'old')).toMatchObject(NOT_RUN);
+    expect(bed.arrivalCount()).toBe(0);
+  });
+
   // Guards against a caller that waits for a version that has left.
   it('is refused at once, to begin anew, when no target of the version serves', async () => {
     await start([routeTo(stream)], 2);
--- a/packages/relay/src/work/resumption.ts
+++ b/packages/relay/src/work/resumption.ts
@@ -9,6 +9,8 @@
 import type { RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
 import { relayMetrics } from '../metrics.js';
+import { servicesOf } from '../origin/index.js';
+import type { Admitted } from './admit.js';
 import type { Job } from './attempt.js';
 import type { RelayContext } from './context.js';
 
@@ -18,9 +20,9 @@
 /** Time after which a caller whose stream broke has resumed it, or never does, milliseconds. */
 const MAX_RETURN_MS = 5_000;
 
-/** Whether a request resumes a stream. */
-const resumesStream = ({ lastEventId, resumes }: RelayRequest, { resumable }: Route): boolean =>
-  resumable && (lastEventId !== undefined || resumes !== undefined);
+/** Whether a request resumes a stream, also where the configuration of this entry, which may be old, does not allow it. */
+const resumesStream = ({ lastEventId, resumes }: RelayRequest, { kind }: Route): boolean =>
+  kind === 'stream' && (lastEventId !== undefined || resumes !== undefined);
 
 /** Key of the stream that a request begins or resumes; of one that it does not name, its own. */
 const streamOf = ({ id, resumes }: RelayRequest, customer?: Customer): Uint8Array =>
@@ -45,7 +47,7 @@
 /** How the origin of a resumed stream was decided, or why it was not. */
 type Decision =
   | { readonly by: 'own' | 'lookup' | 'sole'; readonly origin: ResumedOrigin }
-  | { readonly by: 'unknown' | 'unanswered' | 'several' | 'split' };
+  | { readonly by: 'unknown' | 'unanswered' | 'several' | 'split' | 'moved' | 'outdated' | 'not-resumable' };
 
 /**
  * The origin of the stream that a request resumes; undefined if it resumes none. What is not known for certain is refused:
@@ -54,12 +56,12 @@
 export async function originOf(
   context: RelayContext,
   request: RelayRequest,
-  route: Route,
-  customer: Customer | undefined,
+  admitted: Admitted,
   signal: AbortSignal,
 ): Promise<Result<ResumedOrigin | undefined, Fault>> {
+  const { route } = admitted;
   if (!resumesStream(request, route)) return ok(undefined);
-  const decision = await decide(context, request, route, customer, signal);
+  const decision = await decide(context, request, admitted, signal);
   recordDecision(context, request, decision);
   if (!('origin' in decision)) return err(notResumable('the software version of the stream is not known'));
   const { origin } = decision;
@@ -67,16 +69,17 @@
   return isRouted ? ok(origin) : err(notResumable(`the route no longer leads to ${origin.service}`));
 }
 
-function decide(
+async function decide(
   context: RelayContext,
   request: RelayRequest,
-  route: Route,
-  customer: Customer | undefined,
+  admitted: Admitted,
   signal: AbortSignal,
 ): Promise<Decision> {
   const { origins, startupGrace } = context;
+  const { route, customer } = admitted;
+  if (!route.resumable) return { by: 'not-resumable' };
   return request.resumes === undefined
-    ? soleOrigin(context, route, signal)
+    ? soleOrigin(context, request, admitted, signal)
     : origins.find(streamOf(request, customer), startupGrace.endsAt, signal);
 }
 
@@ -100,23 +103,23 @@
   log.event(relayEvents.resumed, { ...known, service, softwareVersion, serving, others });
 }
 
-/** Services that a route leads to. */
-const servicesOf = ({ services }: Route): string[] =>
-  services.filter(({ weight }) => weight > 0).map(({ service }) => service);
-
 /**
- * The origin of a stream that a caller does not name: known only if all targets have had the same software version since
- * the attempt that broke began. An earlier attempt of the same stream was resumed under the same condition, at that version.
+ * The origin of a stream that a caller does not name: known only if all targets have had the same software version, and the
+ * route has led to the same service, since the attempt that broke began. An earlier attempt of the same stream was resumed
+ * under the same condition, at that version.
  */
 async function soleOrigin(
-  { origins, startupGrace }: RelayContext,
-  route: Route,
+  { origins, movedRoutes, startupGrace }: RelayContext,
+  { path }: RelayRequest,
+  { route, configuration }: Admitted,
   signal: AbortSignal,
 ): Promise<Decision> {
   const [service, ...others] = servicesOf(route);
   if (service === undefined || others.length > 0) return { by: 'split' };
   const withinMs = Math.ceil(route.timeoutMs) + MAX_RETURN_MS;
-  const decision = await origins.soleVersion(service, withinMs, startupGrace.endsAt, signal);
+  if (movedRoutes.hasMoved(route, path, withinMs)) return { by: 'moved' };
+  const { endsAt } = startupGrace;
+  const decision = await origins.soleVersion(service, withinMs, configuration, endsAt, signal);
   if (decision.by !== 'sole') return decision;
   return { by: 'sole', origin: { service, softwareVersion: decision.version } };
 }
