A stream goes on only at the start of a target that it was sent to

A target had ended and started again under its id, at another version, 21 ms before its entry learned of it.

Cause: what an entry knows of a target may be old when its request arrives. A request names the target's id, which a new start under that id takes for its own, and no answer names a start or a software version (neither do the users' pages have a header for it). The origin of a stream that begins there was recorded wrongly, too.

Change: a connection leads to the process that took it. So an answer is of a start that was heard of after its connection was open: control instances tell when the newest start of a target called them (FindStarts). Until that is known no event of a stream that goes on is passed on (1.5 s at most, then it goes on elsewhere), and no origin is recorded. Only targets that tell when they were started are asked for; one that tells no start has a new id for each, as the users' pages say.

--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -1,7 +1,7 @@
 /** Streams of configurations, weights, targets and reports to the processes that route by them. */
 import { create } from '@bufbuild/protobuf';
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
-import { controlMessage } from '@jasmineroute/protocol';
+import { controlMessage, startFields } from '@jasmineroute/protocol';
 import { controlEvents } from '../events.js';
 import { isCaughtUp } from '../log/index.js';
 import { Coalescer } from '../recent/index.js';
@@ -219,6 +219,18 @@
     return this.versions.list(request);
   }
 
+  /** The newest starts of some targets, and when these called this instance. */
+  findStarts({ names }: controlMessage.FindStartsRequest): controlMessage.FindStartsResponse {
+    const starts = this.sources.targets.heardStarts(names).map(({ start, heardMs }) =>
+      // Rounded up: a start must not seem to have called later than it did.
+      create(controlMessage.HeardStartSchema, {
+        ...startFields(start),
+        heardMs: heardMs === undefined ? undefined : Math.ceil(heardMs),
+      }),
+    );
+    return create(controlMessage.FindStartsResponseSchema, { starts });
+  }
+
   /** Requests that crashed targets, as known here. */
   listQuarantine(request: controlMessage.ListQuarantineRequest): controlMessage.ListQuarantineResponse {
     return this.sources.evidence.list(request);
--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -174,6 +174,7 @@
       report: (requests, call) => follow.report(requests, call),
       findOrigins: (request) => follow.findOrigins(request),
       listSoftwareVersions: (request) => follow.listSoftwareVersions(request),
+      findStarts: (request) => follow.findStarts(request),
       listQuarantine: (request) => follow.listQuarantine(request),
       releaseQuarantined: (request) => follow.releaseQuarantined(request),
     });
--- a/packages/control/src/targets/targetRegistry.spec.ts
+++ b/packages/control/src/targets/targetRegistry.spec.ts
@@ -95,6 +95,24 @@
     expect(state('t1/2000')).toBe(Announcement.READY);
   });
 
+  it('tells when the newest start called, by its own heartbeats in order only', async () => {
+    // Guards against a target taken for alive, and for the start that answers, after a call that is late or that others made.
+    const heardMs = (): (number | undefined)[] => registry.heardStarts(['t1']).map((heard) => heard.heardMs);
+    registry.depart({ name: 't1', born: 1_000 }, Announcement.DRAINING);
+    expect(heardMs()).toEqual([undefined]);
+    registry.beat(heartbeat(4, { born: 1_000 }));
+    await clock.advance(100);
+    expect(heardMs()).toEqual([100]);
+    registry.beat(heartbeat(3, { born: 1_000 }));
+    registry.leave({ name: 't1', born: 1_000 });
+    expect(heardMs()).toEqual([100]);
+    registry.depart({ name: 't1', born: 2_000 }, Announcement.LEFT);
+    registry.beat(heartbeat(5, { born: 1_000 }));
+    expect(registry.heardStarts(['t1'])).toEqual([
+      { start: { name: 't1', born: 2_000 }, heardMs: undefined },
+    ]);
+  });
+
   it('treats an announcement by the process beside a target as older than all calls of the target', () => {
     const announced = create(controlMessage.AnnouncedTargetSchema, {
       name: 't1',
--- a/packages/control/src/targets/targetRegistry.ts
+++ b/packages/control/src/targets/targetRegistry.ts
@@ -46,6 +46,13 @@
   readonly knownMs: number;
 }
 
+/** The newest start of a target. */
+export interface HeardStart {
+  readonly start: TargetStart;
+  /** Time since its last heartbeat, milliseconds; undefined: none came here. */
+  readonly heardMs: number | undefined;
+}
+
 interface TargetRecord {
   readonly target: controlMessage.AnnouncedTarget;
   readonly lastHeartbeatAt: number;
@@ -70,6 +77,8 @@
 export class TargetRegistry {
   private readonly entries = new Map<string, TargetRecord>();
   private readonly newestStarts = new NewestStarts();
+  /** Monotonic times of the last heartbeats of starts, by their ids. Late ones and those that others tell of don't count. */
+  private readonly heardAt = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
   private readonly removalListeners = new Set<(start: TargetStart) => void>();
   private changeNumber = 0;
@@ -108,6 +117,9 @@
     if (this.isOld(heartbeat)) return;
     const known = this.entries.get(startId(heartbeat));
     const { sequence } = heartbeat;
+    // The process beside a target announces it with the sequence 0.
+    if (sequence > Number(known?.target.sequence ?? 0))
+      this.heardAt.set(startId(heartbeat), this.clock.monotonic());
     if (known === undefined || !this.isStale(known.target, sequence))
       this.put(targetOf(heartbeat, known?.target));
     // One that left is kept for as long as it calls, or a later heartbeat would count as the first one of a start.
@@ -175,6 +187,17 @@
       }));
   }
 
+  /** The newest known starts of some targets. */
+  heardStarts(names: readonly string[]): HeardStart[] {
+    const now = this.clock.monotonic();
+    return names.flatMap((name) => {
+      const start = this.newestStarts.newestOf(name);
+      if (start === undefined) return [];
+      const heardAt = this.heardAt.get(startId(start));
+      return { start, heardMs: heardAt === undefined ? undefined : now - heardAt };
+    });
+  }
+
   /** Checks for expired heartbeats and pauses until `stop`. */
   async run(): Promise<void> {
     const { signal } = this.ended;
@@ -216,6 +239,7 @@
   private remove(target: controlMessage.AnnouncedTarget): void {
     const start = startOf(target);
     this.entries.delete(target.id);
+    this.heardAt.delete(target.id);
     this.newestStarts.remove(start);
     for (const listener of this.removalListeners) listener(start);
   }
--- a/packages/engine/src/wire/answer.ts
+++ b/packages/engine/src/wire/answer.ts
@@ -27,6 +27,8 @@
   readonly body: AsyncIterable<Uint8Array>;
   /** Whether the message has a length or chunked encoding, so that its end differs from a lost connection. */
   readonly isFramed: boolean;
+  /** Monotonic time by which the connection was open, milliseconds: all of its answers are of the process that took it then. */
+  readonly connectedAt: number;
   /** Discards the answer and destroys its connection. */
   abandon(): void;
 }
--- a/packages/engine/src/wire/connections.ts
+++ b/packages/engine/src/wire/connections.ts
@@ -1,6 +1,7 @@
 /** Connections to one target. */
 import type { Socket } from 'node:net';
 import { Dispatcher, Pool, buildConnector } from 'undici';
+import { systemClock } from '@jasmineroute/core';
 import { watchReads } from './overhead.js';
 
 /** Idle time after which a connection is closed: earlier than common servers do it, so that few requests meet a closing one. */
@@ -29,6 +30,11 @@
   };
 }
 
+const openedAt = new WeakMap<Socket, number>();
+
+/** Monotonic time by which a connection was open, milliseconds. */
+export const openedAtOf = (socket: Socket): number => openedAt.get(socket) ?? systemClock.monotonic();
+
 /** Opens connections on which a reset is an error. */
 function resetAwareConnector(): buildConnector.connector {
   const open = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -36,6 +42,7 @@
     open(options, (...opened) => {
       const [problem, socket] = opened;
       if (problem === null) {
+        openedAt.set(socket, systemClock.monotonic());
         failOnReset(socket);
         watchReads(socket);
       }
--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -8,6 +8,7 @@
 import type { Dispatcher } from 'undici';
 import { fieldsOf, isFramed } from './answer.js';
 import type { RawHeaders, WireAnswer, WireRequest } from './answer.js';
+import { openedAtOf } from './connections.js';
 import { FaultError, brokenStreamFault } from './failure.js';
 import { MAX_INFORMATIONAL_HEADS, notAnAnswer, watchOverhead } from './overhead.js';
 
@@ -54,6 +55,7 @@
   private bodyBytes = 0;
   private informationalHeads = 0;
   private hasHead = false;
+  private connectedAt = Infinity;
   private sent = false;
   /** The last stall after which the request was checked for an abort. */
   private checkedStall: Stall | undefined;
@@ -106,6 +108,7 @@
 
   /** Watches the connection to which the request is written. */
   watchConnection(socket: Socket): void {
+    this.connectedAt = openedAtOf(socket);
     const stop = watchOverhead(
       socket,
       () => this.bodyBytes,
@@ -134,6 +137,7 @@
         headers: fieldsOf(headers),
         body: this,
         isFramed: isFramed(this.request.method, status, headers),
+        connectedAt: this.connectedAt,
         abandon: () => {
           this.fail(new Error('answer discarded'));
         },
--- a/packages/protocol/src/check/requiredFields.ts
+++ b/packages/protocol/src/check/requiredFields.ts
@@ -66,6 +66,8 @@
   checksOf(control.ListQuarantineRequestSchema, { limit: isPresent }),
   checksOf(control.ReleaseQuarantinedRequestSchema, { request: isPresent }),
   checksOf(control.FindOriginsRequestSchema, { streams: isPresent }),
+  checksOf(control.FindStartsRequestSchema, { names: isPresent }),
+  checksOf(control.HeardStartSchema, { name: isPresent }),
   checksOf(control.ListSoftwareVersionsRequestSchema, { service: isPresent, withinMs: isPresent }),
   checksOf(gate.RunRequestSchema, { requestId: isPresent, attemptId: isPresent }),
   checksOf(gate.ResumeRequestSchema, { attemptId: isPresent }),
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -27,6 +27,11 @@
     level: 'info',
     message: 'the software version of a stream that a caller resumes is not known for certain',
   },
+  startUnproven: {
+    id: 8021,
+    level: 'info',
+    message: 'it is not known that the expected start of a target answers: it may have started again',
+  },
   targetFate: { id: 8009, level: 'info', message: 'whether a target that broke off an answer has ended' },
   brokenUnder: {
     id: 8010,
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -39,6 +39,11 @@
     type: 'counter',
     help: 'Streams that went on at another target within one answer, by whether that has the same software version',
   },
+  unproven: {
+    name: 'relay.stream.unproven',
+    type: 'counter',
+    help: 'Streams that did not go on at a target because another start of it may have answered',
+  },
   brokenTargets: {
     name: 'relay.target.broken',
     type: 'counter',
--- /dev/null
+++ b/packages/relay/src/origin/startProofs.ts
@@ -0,0 +1,96 @@
+/** Proofs that an answer comes from the start of a target that this entry takes it for. */
+import { createClient } from '@connectrpc/connect';
+import type { Target } from '@jasmineroute/knowledge';
+import { compareStarts, controlMessage } from '@jasmineroute/protocol';
+import { relayEvents } from '../events.js';
+import type { OriginLookupParts } from './originLookup.js';
+
+/** Time for which a proof is waited for, milliseconds: a heartbeat of the target, and its way here. */
+const PROOF_MS = 1_500;
+
+/** Pause between two questions, milliseconds. */
+const RETRY_MS = 50;
+
+/** Timeout of a call, milliseconds. */
+const CALL_TIMEOUT_MS = 250;
+
+/** What control knows of a start: it has called, a newer one has, or neither is known. */
+type Word = 'heard' | 'replaced' | 'unknown';
+
+/**
+ * A target may start again under its id, with other software, before anybody hears of it; its answers name no start. But each
+ * connection leads to the process that took it. So an answer is of a start that was heard of after its connection was open.
+ */
+export class StartProofs {
+  /** Monotonic times after which a start was heard of, by its id. */
+  private readonly heardAt = new Map<string, number>();
+  /** Questions on their way, by the id of the start. */
+  private readonly asked = new Map<string, Promise<Word>>();
+
+  constructor(private readonly parts: OriginLookupParts) {}
+
+  /** Whether a connection that was open at `connectedAt` is known to lead to a start. A target that tells no start never uses its id again. */
+  isProven({ id, born }: Target, connectedAt: number): boolean {
+    return born === undefined || (this.heardAt.get(id) ?? -Infinity) > connectedAt;
+  }
+
+  /** Asks control until a connection is known to lead to a start, or to another one. @returns false also if it stays unknown. */
+  async prove(target: Target, connectedAt: number): Promise<boolean> {
+    const { clock, log } = this.parts;
+    const endsAt = clock.monotonic() + PROOF_MS;
+    while (!this.isProven(target, connectedAt)) {
+      const word = await this.ask(target);
+      if (this.isProven(target, connectedAt)) break;
+      if (word === 'replaced' || clock.monotonic() >= endsAt) {
+        const connectedMs = Math.round(clock.monotonic() - connectedAt);
+        log.event(relayEvents.startUnproven, { target: target.id, word, connectedMs });
+        return false;
+      }
+      await clock.sleep(RETRY_MS);
+    }
+    return true;
+  }
+
+  /** Drops what is held of starts that are not listed. */
+  retain(ids: ReadonlySet<string>): void {
+    for (const id of this.heardAt.keys()) if (!ids.has(id)) this.heardAt.delete(id);
+  }
+
+  private ask(target: Target): Promise<Word> {
+    const word = this.asked.get(target.id) ?? this.askAll(target).finally(() => this.asked.delete(target.id));
+    this.asked.set(target.id, word);
+    return word;
+  }
+
+  /** Asks all instances, as a target calls any of them. Resolves as soon as one knows something. */
+  private async askAll(target: Target): Promise<Word> {
+    const calls = this.parts.controls().map((control) => this.call(control, target));
+    const known = calls.map(async (call) => {
+      const word = await call;
+      if (word === 'unknown') throw new Error('nothing is known');
+      return word;
+    });
+    return Promise.any(known).catch((): Word => 'unknown');
+  }
+
+  private async call(control: string, target: Target): Promise<Word> {
+    const { peers, clock, log } = this.parts;
+    const client = createClient(controlMessage.Configurations, peers.transport(control));
+    const askedAt = clock.monotonic();
+    try {
+      const { starts } = await client.findStarts({ names: [target.name] }, { timeoutMs: CALL_TIMEOUT_MS });
+      const [start] = starts;
+      if (start === undefined) return 'unknown';
+      const born = start.born === undefined ? undefined : Number(start.born);
+      const order = compareStarts({ name: target.name, born }, target);
+      if (order !== 0) return order > 0 ? 'replaced' : 'unknown';
+      if (start.heardMs === undefined) return 'unknown';
+      const heardAt = askedAt - start.heardMs;
+      this.heardAt.set(target.id, Math.max(heardAt, this.heardAt.get(target.id) ?? -Infinity));
+      return 'heard';
+    } catch (error) {
+      log.event(relayEvents.originsUnanswered, { control, target: target.id, problem: String(error) });
+      return 'unknown';
+    }
+  }
+}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -11,7 +11,7 @@
 import { Follower, ClusterView } from '@jasmineroute/knowledge';
 import type { ReportSender } from '@jasmineroute/knowledge';
 import { relayMetrics } from './metrics.js';
-import { MovedRoutes, StreamOrigins } from './origin/index.js';
+import { MovedRoutes, StartProofs, StreamOrigins } from './origin/index.js';
 import { CrashWatch, Quarantine, Trials } from './quarantine/index.js';
 import { copySenders } from './report/index.js';
 import { TargetSelector } from './placement/index.js';
@@ -78,6 +78,7 @@
     const trials = new Trials({ name, incarnation, controls: allControls, peers, clock, log });
     this.quarantine = new Quarantine({ crashWatch, trials, senders, clock, log, metrics });
     const movedRoutes = new MovedRoutes(clock);
+    const startProofs = new StartProofs({ controls: allControls, peers, clock, log });
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
     const monitor = new TargetMonitor(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
@@ -91,6 +92,7 @@
       copySchedule: new CopySchedule(clock, (store, part) => knowledge.isKept(store, part)),
       origins: this.origins,
       movedRoutes,
+      startProofs,
       quarantine: this.quarantine,
       startupGrace: new StartupGrace(knowledge, clock),
       stopsAt: () => this.stopsAt,
@@ -178,6 +180,11 @@
     return this.knowledge.number();
   }
 
+  /** Whether a start of a target was announced. */
+  knowsTarget(id: string): boolean {
+    return this.knowledge.targets.ids().has(id);
+  }
+
   /** The current readiness. It is logged only when it changes, as load balancers query it continuously. */
   readiness(): Readiness {
     const now = this.currentReadiness();
@@ -246,6 +253,7 @@
     while (!signal.aborted) {
       const ids = this.knowledge.targets.ids();
       this.requestContext.monitor.retain(ids);
+      this.requestContext.startProofs.retain(ids);
       await this.requestContext.pools.retain(ids);
       metrics.gauge(relayMetrics.open, this.open);
       await clock.sleep(SWEEP_INTERVAL_MS, signal).catch(() => undefined);
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -92,6 +92,8 @@
   knowsVersions = false;
   /** Other control instances that it names, and the number of the configuration that it says it holds. */
   otherControls: string[] = [];
+  /** The newest starts of targets, with the monotonic times of their last heartbeats. */
+  readonly starts = new Map<string, { born: bigint; heardAt: number }>();
   listedNumber = 0n;
   /** How often it was asked for them. */
   versionLists = 0;
@@ -109,6 +111,14 @@
             streams.some((one) => Buffer.compare(one, stream) === 0),
           ),
         }),
+        findStarts: ({ names }) => ({
+          starts: names.flatMap((name) => {
+            const start = this.starts.get(name);
+            if (start === undefined) return [];
+            const { born, heardAt } = start;
+            return { name, born, heardMs: Math.ceil(performance.now() - heardAt) };
+          }),
+        }),
         listSoftwareVersions: () => {
           this.versionLists += 1;
           const { softwareVersions: versions, knowsVersions: complete, listedNumber: number } = this;
@@ -159,7 +169,7 @@
 type AnnouncementChange = Partial<
   Pick<
     controlMessage.AnnouncedTarget,
-    'id' | 'announcement' | 'paused' | 'observation' | 'weights' | 'sequence'
+    'id' | 'name' | 'born' | 'announcement' | 'paused' | 'observation' | 'weights' | 'sequence'
   >
 >;
 
@@ -285,6 +295,11 @@
     return this.relay.configurationNumber();
   }
 
+  /** Whether the entry knows a start of a target. */
+  knowsTarget(id: string): boolean {
+    return this.relay.knowsTarget(id);
+  }
+
   /** Requests in progress. */
   get open(): number {
     return this.relay.openRequests();
@@ -364,6 +379,11 @@
     this.controlStub.listedNumber = BigInt(this.number + 1);
   }
 
+  /** Lets control hear of a start of a target, now. */
+  hearStart(name: string, born: bigint): void {
+    this.controlStub.starts.set(name, { born, heardAt: performance.now() });
+  }
+
   /** Lets control know a stream that began at another entry. */
   knowStream(requestId: string, softwareVersion: string, service = 's'): void {
     const stream = streamKey('', requestId);
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -5,7 +5,7 @@
 import type { CopySchedule } from '../cache/index.js';
 import type { Dialect } from '../dialect/index.js';
 import type { ClusterView } from '@jasmineroute/knowledge';
-import type { MovedRoutes, StreamOrigins } from '../origin/index.js';
+import type { MovedRoutes, StartProofs, StreamOrigins } from '../origin/index.js';
 import type { Quarantine } from '../quarantine/index.js';
 import type { TargetSelector } from '../placement/index.js';
 import type { TargetPools, TargetMonitor } from '../target/index.js';
@@ -23,6 +23,7 @@
   readonly copySchedule: CopySchedule;
   readonly origins: StreamOrigins;
   readonly movedRoutes: MovedRoutes;
+  readonly startProofs: StartProofs;
   readonly quarantine: Quarantine;
   readonly startupGrace: StartupGrace;
   /** Monotonic time at which a planned stop ends; undefined if none has started. */
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -262,6 +262,7 @@
     for (;;) {
       // A caller that left during an event loop stall is noticed only some turns of the loop later.
       await stalls.waitUntilCaughtUp();
+      await this.stream.settled();
       if (this.sends === 0 && !this.hasTime(job)) {
         const message = 'the remaining time is too short to send the request';
         return { state: 'fault', fault: fault('deadline-unmeetable', message) };
--- /dev/null
+++ b/packages/relay/src/work/startProofs.spec.ts
@@ -0,0 +1,74 @@
+/** Streams at targets that start again under their ids, with other software, before their entry hears of it. */
+import { afterEach, describe, expect, it } from 'vitest';
+import { RelayBed, routeTo, until } from '../testing/bed.js';
+import { ask, events, stream, text } from '../testing/caller.js';
+import type { Answer } from '../testing/caller.js';
+
+const BORN = 7n;
+
+describe('a target that may have started again under its id', () => {
+  let bed: RelayBed;
+
+  afterEach(async () => {
+    await bed.stop();
+  });
+
+  /** Targets of one version that tell when they were started; control has heard of all but the first just before. */
+  async function start(targets: number): Promise<void> {
+    bed = await RelayBed.startUnannounced([routeTo(stream)], targets);
+    const named = bed.targets.map(({ id }) => [id, { id: `${id}/${BORN}`, name: id, born: BORN }]);
+    bed.announce(Object.fromEntries(named) as Parameters<RelayBed['announce']>[0]);
+    for (const { id } of bed.targets) bed.hearStart(id, BORN);
+    for (const target of bed.targets) {
+      target.script = (request, response, body) => {
+        const after = String(request.headers['t-after']);
+        events(after === '' ? 0 : Number(after) + 1, 5, (written) => written.end())(request, response, body);
+      };
+    }
+    await until(() => bed.knowsTarget(`t1/${BORN}`));
+  }
+
+  const resume = (id: string): Promise<Answer> =>
+    ask(bed.url, { id, headers: { 't-resumes': 'old', 't-last': '2' } });
+
+  // Guards against events of another software version than the one that the entry knows of the target.
+  it('gets no stream that goes on, when control knows the new start', async () => {
+    await start(1);
+    bed.knowStream('old', 'v1');
+    bed.hearStart('t1', BORN + 1n);
+    const answer = await resume('q2');
+    expect(answer).not.toMatchObject({ status: 200 });
+    expect(answer.body).not.toContain('data');
+    expect(bed.arrivalCount()).toBe(1);
+  });
+
+  // Guards against the same while nobody has heard of the new start.
+  it('gets no stream that goes on, when nothing was heard of it since the connection was opened', async () => {
+    await start(1);
+    bed.knowStream('old', 'v1');
+    const answer = await resume('q2');
+    expect(answer).not.toMatchObject({ status: 200 });
+    expect(answer.body).not.toContain('data');
+  });
+
+  // Guards against streams that are broken off although their target serves on.
+  it('gets a stream that goes on once it was heard of again', async () => {
+    await start(1);
+    bed.knowStream('old', 'v1');
+    const answer = resume('q2');
+    await until(() => bed.arrivalCount() === 1);
+    bed.hearStart('t1', BORN);
+    expect(await answer).toMatchObject({ status: 200, body: text(3, 5) });
+    // The connection is known by now.
+    expect(await resume('q3')).toMatchObject({ status: 200, body: text(3, 5) });
+  });
+
+  // Guards against a stream whose origin is the version that its target had before it started again.
+  it('is told as the origin of a stream only once it was heard of', async () => {
+    await start(1);
+    expect(await ask(bed.url, { id: 'begun' })).toMatchObject({ status: 200, body: text(0, 5) });
+    expect(bed.knownVersion('begun')).toBeUndefined();
+    bed.hearStart('t1', BORN);
+    await until(() => bed.knownVersion('begun') === 'v1');
+  });
+});
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -42,6 +42,10 @@
   /** Monotonic time of the last event from the current target. */
   private targetEventAt: number | undefined;
   private isRecorded = false;
+  /** Whether the target that began the stream is known to be the start that it was taken for. */
+  private isBeginningProven = false;
+  /** Resolves when that has been decided. */
+  private decided: Promise<void> | undefined;
 
   constructor(
     private readonly context: RelayContext,
@@ -51,6 +55,11 @@
 
   /** Forwards events as they arrive, each only once it is complete. */
   async forward(target: Target, { wire }: TargetAnswer, open: OpenRequest): Promise<Outcome> {
+    if (this.hasBegun && !(await this.context.startProofs.prove(target, wire.connectedAt))) {
+      wire.abandon();
+      this.context.metrics.count(relayMetrics.unproven, 1);
+      return interrupted(fault('stream-broken', 'another start of the target may have answered'));
+    }
     this.targetEventAt = undefined;
     let hasEvents = false;
     const framer = new EventFramer(this.lastEventId);
@@ -68,7 +77,7 @@
         hasEvents = true;
         open.markRead();
         begin();
-        this.recordTarget(target);
+        this.recordTarget(target, wire.connectedAt);
         this.recordEvent(target.id, framer.lastId);
         await this.answer.write(events);
         if (this.isMoving) wire.abandon();
@@ -89,6 +98,16 @@
     return { state: 'answered' };
   }
 
+  /** Whether the caller has events of the stream. */
+  private get hasBegun(): boolean {
+    return this.resumedVersion !== undefined || this.eventFrom !== undefined;
+  }
+
+  /** Waits until the software version that began the stream is known, or that it never will be. */
+  async settled(): Promise<void> {
+    await this.decided;
+  }
+
   private recordEvent(targetId: string, eventId: number): void {
     const now = this.context.clock.monotonic();
     this.lastEventId = eventId;
@@ -112,6 +131,7 @@
   private softwareVersion(): string | undefined {
     const { eventFrom, resumedVersion } = this;
     if (eventFrom === undefined || resumedVersion !== undefined) return resumedVersion;
+    if (!this.isBeginningProven) return '';
     // A target may be announced without its version first.
     const { targets } = this.context.knowledge;
     return eventFrom.softwareVersion === ''
@@ -120,8 +140,9 @@
   }
 
   /** Counts a stream that goes on at another target. */
-  private recordTarget(target: Target): void {
+  private recordTarget(target: Target, connectedAt: number): void {
     const before = this.eventFrom;
+    if (!this.hasBegun) this.proveBeginning(target, connectedAt);
     if (before !== undefined && before.id !== target.id) {
       const version = this.mayGoOnAt(target) ? 'same' : 'other';
       this.context.metrics.count(relayMetrics.continued, 1, { version });
@@ -130,6 +151,17 @@
     this.recordOrigin();
   }
 
+  /** Finds out whether the target that sends the first event is the start that it is taken for. */
+  private proveBeginning(target: Target, connectedAt: number): void {
+    const { startProofs } = this.context;
+    this.isBeginningProven = startProofs.isProven(target, connectedAt);
+    if (this.isBeginningProven) return;
+    this.decided = startProofs.prove(target, connectedAt).then((isProven) => {
+      this.isBeginningProven = isProven;
+      this.recordOrigin();
+    });
+  }
+
   /** Records the version that began the stream as soon as it is known, so that callers can resume it at other entries. */
   private recordOrigin(): void {
     const version = this.softwareVersion() ?? '';
