The beginning of a stream is proven for as long as its caller may take it up

Streams that begin don't wait for the proof, so it may take 10 s; until then their origin is not told. What goes on still waits 1.5 s at most.

--- a/packages/relay/src/origin/startProofs.ts
+++ b/packages/relay/src/origin/startProofs.ts
@@ -5,11 +5,12 @@
 import { relayEvents } from '../events.js';
 import type { OriginLookupParts } from './originLookup.js';
 
-/** Time for which a proof is waited for, milliseconds: a heartbeat of the target, and its way here. */
-const PROOF_MS = 1_500;
+/** Time for which an answer waits for its proof, milliseconds: a heartbeat of the target, and its way here. */
+export const PROOF_MS = 1_500;
 
-/** Pause between two questions, milliseconds. */
+/** Shortest and longest pause between two questions, milliseconds. */
 const RETRY_MS = 50;
+const MAX_RETRY_MS = 400;
 
 /** Timeout of a call, milliseconds. */
 const CALL_TIMEOUT_MS = 250;
@@ -34,10 +35,14 @@
     return born === undefined || (this.heardAt.get(id) ?? -Infinity) > connectedAt;
   }
 
-  /** Asks control until a connection is known to lead to a start, or to another one. @returns false also if it stays unknown. */
-  async prove(target: Target, connectedAt: number): Promise<boolean> {
+  /**
+   * Asks control until a connection is known to lead to a start, or to another one.
+   * @returns false also if that is still unknown after `withinMs` milliseconds.
+   */
+  async prove(target: Target, connectedAt: number, withinMs: number): Promise<boolean> {
     const { clock, log } = this.parts;
-    const endsAt = clock.monotonic() + PROOF_MS;
+    const endsAt = clock.monotonic() + withinMs;
+    let pauseMs = RETRY_MS;
     while (!this.isProven(target, connectedAt)) {
       const word = await this.ask(target);
       if (this.isProven(target, connectedAt)) break;
@@ -46,7 +51,8 @@
         log.event(relayEvents.startUnproven, { target: target.id, word, connectedMs });
         return false;
       }
-      await clock.sleep(RETRY_MS);
+      await clock.sleep(pauseMs);
+      pauseMs = Math.min(MAX_RETRY_MS, pauseMs * 1.5);
     }
     return true;
   }
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -6,6 +6,7 @@
 import { EventFramer } from '../answer/index.js';
 import type { CallerAnswer } from '../answer/index.js';
 import { relayMetrics } from '../metrics.js';
+import { PROOF_MS } from '../origin/index.js';
 import { UNRESPONSIVE_MS } from '../target/index.js';
 import type { OpenRequest } from '../target/index.js';
 import type { TargetAnswer } from './attempt.js';
@@ -16,6 +17,12 @@
 /** How long a stream that leaves a target waits for its next event, milliseconds: some steps of a busy engine. */
 const MOVE_TIMEOUT_MS = 250;
 
+/**
+ * Time within which the beginning of a stream can still be proven, milliseconds: its caller may take it up so late, and its
+ * events don't wait for that.
+ */
+const BEGINNING_PROOF_MS = 10_000;
+
 /** What a stream calls back. */
 export interface StreamHooks {
   /** Whether another target can take the stream over; takes the retry for it from the budget. */
@@ -55,7 +62,8 @@
 
   /** Forwards events as they arrive, each only once it is complete. */
   async forward(target: Target, { wire }: TargetAnswer, open: OpenRequest): Promise<Outcome> {
-    if (this.hasBegun && !(await this.context.startProofs.prove(target, wire.connectedAt))) {
+    const { startProofs } = this.context;
+    if (this.hasBegun && !(await startProofs.prove(target, wire.connectedAt, PROOF_MS))) {
       wire.abandon();
       this.context.metrics.count(relayMetrics.unproven, 1);
       return interrupted(fault('stream-broken', 'another start of the target may have answered'));
@@ -103,9 +111,13 @@
     return this.resumedVersion !== undefined || this.eventFrom !== undefined;
   }
 
-  /** Waits until the software version that began the stream is known, or that it never will be. */
+  /** Waits until the software version that began the stream is known, for as long as an answer waits for its proof. */
   async settled(): Promise<void> {
-    await this.decided;
+    if (this.decided === undefined) return;
+    const isOver = new AbortController();
+    const waited = this.context.clock.sleep(PROOF_MS, isOver.signal).catch(() => undefined);
+    await Promise.race([this.decided, waited]);
+    isOver.abort();
   }
 
   private recordEvent(targetId: string, eventId: number): void {
@@ -156,7 +168,7 @@
     const { startProofs } = this.context;
     this.isBeginningProven = startProofs.isProven(target, connectedAt);
     if (this.isBeginningProven) return;
-    this.decided = startProofs.prove(target, connectedAt).then((isProven) => {
+    this.decided = startProofs.prove(target, connectedAt, BEGINNING_PROOF_MS).then((isProven) => {
       this.isBeginningProven = isProven;
       this.recordOrigin();
     });
