--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -203,6 +203,7 @@
     await removeTemporaryFiles(disk, folder);
     const state = newerState(await readState(disk, folder), held.state, folder);
     const snapshot = await readSnapshot(disk, folder);
+    this.snapshotBytes = snapshot?.data.length ?? 0;
     const onDisk = await entriesAfterSnapshot(this.journal, opened.entries, snapshot, folder);
     const isNewer = snapshot !== undefined && snapshot.lastIndex > held.commitIndex;
     const entries = entriesHeldAfter(held, snapshot, isNewer);
--- a/packages/coordination/src/storage/memoryDisk.ts
+++ b/packages/coordination/src/storage/memoryDisk.ts
@@ -132,7 +132,9 @@
   /** Ends the process that uses this disk, without a loss of power. Returns the disk for the next process. */
   endProcess(): MemoryDisk {
     this.isCrashed = true;
-    return new MemoryDisk(this.names, this.durableNames, this.nameChanges);
+    const after = new MemoryDisk(this.names, this.durableNames, this.nameChanges);
+    after.capacityBytes = this.capacityBytes;
+    return after;
   }
 
   async ensureFolder(): Promise<void> {
