--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -19,6 +19,7 @@
 import { DocumentService, DocumentView } from '../documents/index.js';
 import { DepartureCopies, DepartureService, DepartureStore } from '../departures/index.js';
 import { controlEvents } from '../events.js';
+import type { FolderMonitor } from '../folder/index.js';
 import { FollowService, OtherControls, Referral, requestVoterRole } from '../follow/index.js';
 import { RecentReports } from '../recent/index.js';
 import { DisklessLog, Proposer } from '../log/index.js';
@@ -89,6 +90,7 @@
     private readonly origins = new OriginStore(context.clock, context.metrics),
     private readonly evidence = new EvidenceStore(context.log, context.metrics),
     store = new DepartureStore(),
+    private readonly folder?: FolderMonitor,
   ) {
     const { clock, log } = context;
     this.seeds = context.controls;
@@ -174,6 +176,7 @@
       report: (requests, call) => follow.report(requests, call),
       findOrigins: (request) => follow.findOrigins(request),
       listSoftwareVersions: (request) => follow.listSoftwareVersions(request),
+      findStarts: (request) => follow.findStarts(request),
       listQuarantine: (request) => follow.listQuarantine(request),
       releaseQuarantined: (request) => follow.releaseQuarantined(request),
     });
@@ -198,6 +201,7 @@
       this.followOtherControls(address);
       if (this.outside.orders !== undefined) this.startWeightUpdater(this.outside.orders);
     }
+    if (this.folder !== undefined) runCriticalTask('folder', this.folder.run());
     runCriticalTask('log time', this.logTimeAdvancer.run());
     runCriticalTask('replica reconciliation', this.replicaReconciler.run());
     this.context.log.event(controlEvents.started, { address });
@@ -206,8 +210,10 @@
   readiness(): Readiness {
     if (this.draining) return { ready: false, reason: 'draining' };
     if (this.state.machine.isHalted()) return { ready: false, reason: 'older than the log: upgrade' };
-    if (!this.commandLog.status().vouched) return { ready: false, reason: 'out of touch with a quorum' };
-    return { ready: true, reason: 'in touch with a quorum' };
+    const { vouched, storageFailure } = this.commandLog.status();
+    const storage = storageFailure === undefined ? '' : `, and its storage fails: ${storageFailure}`;
+    if (!vouched) return { ready: false, reason: `out of touch with a quorum${storage}` };
+    return { ready: true, reason: `in touch with a quorum${storage}` };
   }
 
   /**
@@ -247,6 +253,7 @@
     this.logTimeAdvancer.stop();
     this.replicaReconciler.stop();
     this.targets.stop();
+    this.folder?.stop();
     this.stores?.stop();
     this.follower?.stop();
     this.weights?.stop();
--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -79,6 +79,7 @@
       const remainingMs = replica.electionTimerStart + timeoutMs - replica.clock.monotonic();
       if (replica.role === 'leader') await replica.changed.wait();
       else if (remainingMs > 0) await replica.changed.waitFor(replica.clock, remainingMs);
+      else if (this.isAbstaining('candidacy')) await replica.changed.wait();
       else return;
     }
   }
@@ -92,25 +93,49 @@
    */
   private electionTimeoutRange(): readonly [number, number] {
     const { tuning, lastLeaderContact } = this.replica;
-    const { electionMinMs, electionMaxMs, firstElectionMs, electionStepMs, electionSpreadMs } = tuning;
+    const { electionMinMs, electionMaxMs, firstElectionMs, electionSpreadMs } = tuning;
     const hasLeaderSinceLoss = lastLeaderContact !== undefined && lastLeaderContact > this.lastLostAt;
     if (this.lostElections > 0 && !hasLeaderSinceLoss) {
       const doublings = Math.min(this.lostElections, MAX_TIMEOUT_DOUBLINGS);
       return [electionMinMs, electionMinMs + (electionMaxMs - electionMinMs) * 2 ** doublings];
     }
     const isFirst = lastLeaderContact === undefined && this.votedAt === undefined;
-    const minMs = (isFirst ? firstElectionMs : electionMinMs) + this.rank(this.replica.id) * electionStepMs;
+    const firstRankMs = isFirst ? firstElectionMs : electionMinMs;
+    const minMs = firstRankMs + this.delayMs(this.rank(this.replica.id));
     return [minMs, minMs + electionSpreadMs];
   }
 
+  /** Delay by rank. A replica whose storage failed not long ago stands after the others, so that a sound one is preferred. */
+  private delayMs(rank: number): number {
+    const { isResting, tuning } = this.replica;
+    if (!isResting) return rank * tuning.electionStepMs;
+    return this.lastRank() * tuning.electionStepMs + (rank + 1) * tuning.electionSpreadMs;
+  }
+
+  /** Whether the replica takes no part in elections, because it can't save a vote. */
+  private isAbstaining(from: 'candidacy' | 'vote'): boolean {
+    const { storageHealth } = this.replica;
+    if (storageHealth.failure === undefined) return false;
+    storageHealth.reportAbstention(from);
+    return true;
+  }
+
   /** Position of a replica among the voters, leaving out the lost leader; replicas that are not voters come last. */
   private rank(id: string): number {
-    const { configuration, leader } = this.replica;
-    const voters = (configuration?.voters ?? []).filter(({ name }) => name !== leader);
+    const voters = this.rankedVoters();
     const position = voters.findIndex(({ replicaId }) => replicaId === id);
     return position < 0 ? voters.length : position;
   }
 
+  private lastRank(): number {
+    return Math.max(0, this.rankedVoters().length - 1);
+  }
+
+  private rankedVoters(): Voter[] {
+    const { configuration, leader } = this.replica;
+    return (configuration?.voters ?? []).filter(({ name }) => name !== leader);
+  }
+
   /**
    * Runs one election, preceded by a pre-vote. Without the pre-vote, a replica that was isolated would return with a term
    * raised by its failed campaigns and depose a working leader.
@@ -118,8 +143,7 @@
   private async campaign(): Promise<void> {
     const { replica, isCampaignImmediate: isImmediate } = this;
     this.isCampaignImmediate = false;
-    const isAbstaining = replica.clock.monotonic() < replica.noCandidacyUntil;
-    if (replica.stopped || !replica.isVoter || isAbstaining) return;
+    if (replica.stopped || !replica.isVoter || this.isAbstaining('candidacy')) return;
     const startedAt = replica.clock.monotonic();
     if (!this.endorsement.support(this.candidate(replica.id, replica.entries.last))) return;
     const term = replica.term + 1n;
@@ -145,7 +169,7 @@
    */
   private async startElection(term: bigint, campaignStartedAt: number): Promise<boolean> {
     const { replica } = this;
-    if (replica.role !== 'follower' || this.hasLeaderContact()) return false;
+    if (replica.role !== 'follower' || this.followsLeader()) return false;
     if (this.votedAt !== undefined && this.votedAt >= campaignStartedAt) return false;
     if (replica.term + 1n !== term) return false;
     if (!this.endorsement.wasOf(replica.id)) return false;
@@ -234,15 +258,26 @@
     return voters.some((voter) => voter.name === leader && voter.replicaId === replicaId);
   }
 
+  /** Whether there is a leader that nobody may depose: this replica, or one that was heard of and does not yield. */
   private hasLeaderContact(): boolean {
     const { replica } = this;
     if (replica.role === 'leader') return true;
-    if (replica.lastLeaderContact === undefined) return false;
+    if (replica.lastLeaderContact === undefined || replica.isLeaderYielding) return false;
     return replica.clock.monotonic() - replica.lastLeaderContact < replica.tuning.electionMinMs;
   }
 
+  /** Whether this replica does not stand because of a leader; against one that yields, only one with a sound disk stands. */
+  private followsLeader(): boolean {
+    const { replica } = this;
+    const { lastLeaderContact, clock, tuning } = replica;
+    if (this.hasLeaderContact()) return true;
+    if (lastLeaderContact === undefined || !replica.isResting) return false;
+    return clock.monotonic() - lastLeaderContact < tuning.electionMinMs;
+  }
+
   private async decideVote(request: VoteRequest): Promise<boolean> {
     const { replica } = this;
+    if (this.isAbstaining('vote')) return false;
     const last = { index: request.lastIndex, term: request.lastTerm };
     const isUpToDate = replica.entries.isCoveredBy(last);
     if (request.probe) {
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -10,7 +10,7 @@
 import type { Configuration } from '../gen/agreement/agreement_pb.js';
 import { coordinationMetrics } from '../metrics.js';
 import { LogStorage, fileDisk } from '../storage/index.js';
-import type { Recovered } from '../storage/index.js';
+import type { HeldBytes, Recovered, Snapshot } from '../storage/index.js';
 import { Applier } from './applier.js';
 import { membersOf } from './configuration.js';
 import { Contact } from './contact.js';
@@ -25,10 +25,12 @@
 import { Waiters } from './proposal.js';
 import { Proposing } from './proposing.js';
 import { Reconfiguration } from './reconfiguration.js';
+import { QuorumRead } from './quorumRead.js';
 import { Replica } from './replica.js';
 import type { ReplicaReport, ReplicaState, ReplicaStatus } from './status.js';
 import { requestChecks } from './requestCheck.js';
 import { reportOf } from './status.js';
+import { StorageRecovery } from './storageRecovery.js';
 
 /** Interval at which a membership change is checked for completion. */
 const CHANGE_POLL_MS = 50;
@@ -61,6 +63,7 @@
   private readonly reconfiguration: Reconfiguration;
   private readonly contact: Contact;
   private readonly proposing: Proposing;
+  private readonly storageRecovery: StorageRecovery;
   private leadership: Leadership | undefined;
   private tasks: Promise<unknown> = Promise.resolve();
   private readonly onFailure: (error: unknown) => void;
@@ -86,16 +89,20 @@
     const timeoutBounds = { leastMs: rpcTimeoutMs, mostMs: slowRpcTimeoutMs };
     this.peers = new PeerClient({ connect, drop, clock, log, metrics, timeoutBounds });
     this.applier = new Applier(replica, options.stateMachine, this.waiters);
-    this.follower = new Follower(replica, (snapshot) => {
+    const restore = (snapshot: Snapshot): void => {
       this.applier.restore(snapshot);
-    });
+    };
+    this.follower = new Follower(replica, restore);
+    this.storageRecovery = new StorageRecovery(replica, restore);
     this.election = new Election(replica, this.peers, (term) => this.becomeLeader(term));
     this.joining = new Joining(replica, this.peers, options.initialReplicas, () => this.report());
     this.reconfiguration = new Reconfiguration(replica, this.joining);
     this.contact = new Contact(replica, this.applier, this.follower, leadership);
     const query = (command: Uint8Array, index: bigint, timeoutMs: number) =>
       this.applier.query(command, index, timeoutMs);
-    this.proposing = new Proposing({ replica, peers: this.peers, joining: this.joining, leadership, query });
+    const { peers, joining } = this;
+    const quorumRead = new QuorumRead(replica, joining);
+    this.proposing = new Proposing({ replica, peers, joining, leadership, quorumRead, query });
     if (recovered.snapshot !== undefined) this.applier.restore(recovered.snapshot);
   }
 
@@ -131,6 +138,7 @@
       this.supervise(this.joining.run()),
       this.supervise(this.election.run()),
       this.supervise(this.contact.run()),
+      this.supervise(this.storageRecovery.run()),
     ]);
     void this.supervise(this.proposing.probeLeader());
     return Promise.resolve();
@@ -152,6 +160,11 @@
     return this.proposing.query(command, timeoutMs);
   }
 
+  /** Bytes that the folder holds now, and the most so far. */
+  heldBytes(): HeldBytes {
+    return this.replica.storage.heldBytes();
+  }
+
   /** Current status of this replica. */
   status(): ReplicaStatus {
     const { replica } = this;
@@ -164,6 +177,7 @@
       lastApplied: this.applier.lastApplied,
       leader: replica.leader,
       vouched: this.contact.vouched,
+      storageFailure: replica.storageHealth.failure?.message,
       configuration: replica.configuration,
     };
   }
@@ -273,8 +287,8 @@
   }
 
   private report(): Report {
-    const { term, commitIndex, lastApplied, vouched, state } = this.status();
-    return { term, commitIndex, lastApplied, vouched, state };
+    const { term, commitIndex, lastApplied, vouched, state, storageFailure = '' } = this.status();
+    return { term, commitIndex, lastApplied, vouched, state, storageFailure };
   }
 
   /** Becomes leader of a term after winning its election, unless the term has ended since. */
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -29,11 +29,21 @@
     type: 'counter',
     help: 'Requests to go on with a stream that broke, by outcome',
   },
+  originsDecided: {
+    name: 'relay.stream.origins',
+    type: 'counter',
+    help: 'Streams that callers resume, by how their software version was decided (own, lookup, sole) or why it was not',
+  },
   continued: {
     name: 'relay.stream.continued',
     type: 'counter',
     help: 'Streams that went on at another target within one answer, by whether that has the same software version',
   },
+  unproven: {
+    name: 'relay.stream.unproven',
+    type: 'counter',
+    help: 'Streams that did not go on at a target because another start of it may have answered',
+  },
   brokenTargets: {
     name: 'relay.target.broken',
     type: 'counter',
