--- a/packages/coordination/src/agreement/joining.ts
+++ b/packages/coordination/src/agreement/joining.ts
@@ -19,7 +19,10 @@
 const FOUNDING_TERM = 1n;
 
 /** Status of a replica, included in join answers. */
-export type Report = Pick<JoinResponse, 'state' | 'term' | 'commitIndex' | 'lastApplied' | 'vouched'>;
+export type Report = Pick<
+  JoinResponse,
+  'state' | 'term' | 'commitIndex' | 'lastApplied' | 'vouched' | 'storageFailure'
+>;
 
 const sortedNames = (members: readonly { name: string }[]): string =>
   members
@@ -61,7 +64,14 @@
     const configuration =
       replica.configuration ??
       (replica.clusterId === '' ? undefined : configurationOf(replica.clusterId, [], []));
-    return create(JoinResponseSchema, { replica: replica.self, configuration, accepted, ...this.report() });
+    const lastIndex = replica.entries.last.index;
+    return create(JoinResponseSchema, {
+      replica: replica.self,
+      configuration,
+      accepted,
+      lastIndex,
+      ...this.report(),
+    });
   }
 
   /** Queries identity and status of the replica at an address; undefined without an answer. */
