--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -1,17 +1,14 @@
 /** The HTTP server for callers: limits, invalid requests, and planned stop. */
 import { createServer } from 'node:http';
-import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import { entryEvents } from '../events.js';
 import type { EntrySettings } from '../setting/index.js';
 import { refuseConnection, statusOfParserError } from './badConnection.js';
+import { CallerConnection } from './callerConnection.js';
 import { ConnectionEnds } from './connectionEnds.js';
-import type { EndCause } from './connectionEnds.js';
-
-/** Time for which a refused connection is still read before it is closed, milliseconds. */
-const REFUSED_LINGER_MS = 1_000;
 
 /** How often Node checks for requests that exceed their timeouts, milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
@@ -23,26 +20,6 @@
 /** A draining server closes connections that have been idle for this long, milliseconds. */
 const DRAIN_IDLE_MS = 1_000;
 
-/** State of an open connection. */
-interface CallerConnection {
-  /** Unfinished answers. */
-  readonly responses: Set<ServerResponse>;
-  bytesRead: number;
-  /** Monotonic time at which activity was last observed. */
-  activeAt: number;
-  /** How this side began to end it; undefined: it has not. */
-  ending?: Ending;
-}
-
-/** The beginning of a connection's end. */
-interface Ending {
-  readonly cause: EndCause;
-  /** Monotonic time. */
-  readonly at: number;
-  readonly unsentBytes: number;
-  readonly bytesRead: number;
-}
-
 /** Open connections by state. */
 export interface ConnectionStates {
   /** An answer is not complete. */
@@ -64,21 +41,24 @@
   | 'idleTimeoutMs'
 >;
 
+/** Handles one request of a caller; resolves when nothing of it is in progress any more. */
+export type CallerListener = (incoming: IncomingMessage, outgoing: ServerResponse) => Promise<void>;
+
 /** The HTTP server that callers connect to. */
 export class CallerServer {
   private readonly server: Server;
-  /** Connections that got an error and are read until they close. */
-  private readonly refusedSockets = new WeakSet<Socket>();
   private readonly openConnections = new Map<Socket, CallerConnection>();
   private lastConnectionAt = 0;
   private stopping = false;
   private closed = false;
+  /** Requests that are being handled, also those of connections that are closed. */
+  private requests = 0;
   private readonly ends: ConnectionEnds;
   /** Monotonic time at which the last answer was complete. */
   private answeredAt: number | undefined;
 
   constructor(
-    listener: RequestListener,
+    private readonly listener: CallerListener,
     private readonly settings: CallerServerSettings,
     private readonly clock: Clock,
     private readonly stalls: StallWatch,
@@ -97,8 +77,7 @@
         requireHostHeader: false,
       },
       (incoming, outgoing) => {
-        this.track(incoming.socket, outgoing);
-        listener(incoming, outgoing);
+        if (this.track(incoming.socket, outgoing)) void this.handle(incoming, outgoing);
       },
     );
     this.server.maxConnections = settings.maxConnections;
@@ -135,8 +114,8 @@
   /** Open connections by state. */
   get states(): ConnectionStates {
     const open = [...this.openConnections.values()];
-    const ending = open.filter((one) => one.ending !== undefined).length;
-    const answering = open.filter((one) => one.ending === undefined && one.responses.size > 0).length;
+    const ending = open.filter(({ isEnding }) => isEnding).length;
+    const answering = open.filter(({ isEnding, answers }) => !isEnding && answers.size > 0).length;
     return { answering, idle: open.length - ending - answering, ending };
   }
 
@@ -145,7 +124,7 @@
     const { answeredAt } = this;
     const lastAnswerMs =
       answeredAt === undefined ? undefined : Math.round(this.clock.monotonic() - answeredAt);
-    return { connections: this.states, ended: this.ends.totals, lastAnswerMs };
+    return { requests: this.requests, connections: this.states, ended: this.ends.totals, lastAnswerMs };
   }
 
   /**
@@ -160,10 +139,11 @@
 
   /**
    * Closes the listener once no connection has arrived for a short time, because closing it resets connections that
-   * wait to be accepted. Then waits for the connections to close.
+   * wait to be accepted. Then waits for the requests in progress and for the connections to close.
    * @param maxWaitMs maximum wait for new connections to cease.
+   * @param endsAt monotonic time from which connections that this side has ended are not waited for.
    */
-  async drain(maxWaitMs: number): Promise<void> {
+  async drain(maxWaitMs: number, endsAt = Infinity): Promise<void> {
     const waitUntil = this.clock.monotonic() + maxWaitMs;
     while (
       this.clock.monotonic() - this.lastConnectionAt < ACCEPT_QUIET_MS &&
@@ -174,7 +154,13 @@
     // `close` of the HTTP server closes idle connections at once; that of the net server closes only the listener.
     NetServer.prototype.close.call(this.server);
     this.stopKeepAlive();
-    while (this.openConnections.size > 0) await this.clock.sleep(DRAIN_POLL_MS);
+    while (!this.isDrained(endsAt)) await this.clock.sleep(DRAIN_POLL_MS);
+  }
+
+  private isDrained(endsAt: number): boolean {
+    if (this.requests > 0) return false;
+    const open = [...this.openConnections.values()];
+    return open.length === 0 || (this.clock.monotonic() >= endsAt && open.every(({ isEnding }) => isEnding));
   }
 
   /** Closes each connection after an idle period, because the caller's next request may already be on its way. */
@@ -188,17 +174,8 @@
   }
 
   private closeIdle(): void {
-    const now = this.clock.monotonic();
-    for (const [socket, connection] of this.openConnections) {
-      if (connection.responses.size > 0 || connection.bytesRead !== socket.bytesRead) {
-        connection.bytesRead = socket.bytesRead;
-        connection.activeAt = now;
-        continue;
-      }
-      if (now - connection.activeAt >= DRAIN_IDLE_MS) {
-        this.beginEnd(socket, 'idle');
-        socket.destroySoon();
-      }
+    for (const connection of this.openConnections.values()) {
+      if (connection.idleMs() >= DRAIN_IDLE_MS) connection.end('idle', false);
     }
   }
 
@@ -207,108 +184,87 @@
     this.closed = true;
     const { answering } = this.states;
     if (answering > 0) this.log.event(entryEvents.unfinished, { ...this.stopRecord() });
-    for (const socket of this.openConnections.keys()) this.beginEnd(socket, 'forced');
     const closed = new Promise<void>((resolve) => {
       this.server.close(() => {
         resolve();
       });
     });
-    this.server.closeAllConnections();
+    for (const connection of this.openConnections.values()) connection.destroy('forced');
     await closed;
   }
 
-  private track(socket: Socket, outgoing: ServerResponse): void {
-    const answers = this.openConnections.get(socket)?.responses;
-    answers?.add(outgoing);
-    outgoing.once('close', () => answers?.delete(outgoing));
-    if (this.stopping) outgoing.setHeader('connection', 'close');
+  private async handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    this.requests += 1;
+    try {
+      await this.listener(incoming, outgoing);
+    } finally {
+      this.requests -= 1;
+    }
+  }
+
+  /** @returns whether the request is to be handled: what arrives after this side has ended is not. */
+  private track(socket: Socket, outgoing: ServerResponse): boolean {
+    const connection = this.openConnections.get(socket);
+    if (connection?.add(outgoing, this.stopping) !== true) return false;
     outgoing.once('finish', () => {
       this.answeredAt = this.clock.monotonic();
-      if (outgoing.getHeader('connection') === 'close') this.beginEnd(socket, 'answered');
-      this.closeAfter(socket, outgoing);
+      this.closeAfter(connection, outgoing);
     });
+    return true;
   }
 
   /**
-   * Closes a connection whose answer started before the stop and so could not carry `Connection: close`.
-   * Otherwise its caller would keep sending requests on it, and the last one would be cut off when the time for the
-   * stop is over. A request that arrives while the connection closes is never read, so its caller may safely
-   * retry it elsewhere.
+   * Ends a connection after its last answer: in a planned stop where that started before it and so could not carry
+   * `Connection: close`, and after invalid input. Otherwise, in a stop, its caller would keep sending requests on it, and the
+   * last one would be cut off when the time for the stop is over.
    */
-  private closeAfter(socket: Socket, outgoing: ServerResponse): void {
-    const others = (this.openConnections.get(socket)?.responses.size ?? 0) - 1;
-    if (!this.stopping || others > 0 || outgoing.getHeader('connection') === 'close') return;
-    this.beginEnd(socket, 'answered');
-    socket.destroySoon();
-  }
-
-  /** Notes that this side ends a connection; the first cause counts. */
-  private beginEnd(socket: Socket, cause: EndCause): void {
-    const connection = this.openConnections.get(socket);
-    if (connection === undefined || connection.ending !== undefined) return;
-    const { bytesRead, writableLength } = socket;
-    connection.ending = { cause, at: this.clock.monotonic(), unsentBytes: writableLength, bytesRead };
-  }
-
-  private recordEnd(socket: Socket, hadError: boolean): void {
-    const connection = this.openConnections.get(socket);
-    this.openConnections.delete(socket);
-    if (connection === undefined) return;
-    const unfinishedAnswers = [...connection.responses].filter((one) => !one.writableFinished).length;
-    const { ending } = connection;
-    const cause = ending?.cause ?? (hadError ? 'reset' : 'caller');
-    const closingMs = ending === undefined ? 0 : Math.round(this.clock.monotonic() - ending.at);
-    const lateBytes = ending === undefined ? 0 : socket.bytesRead - ending.bytesRead;
-    const unsentBytes = ending?.unsentBytes ?? socket.writableLength;
-    this.ends.record({ cause, unfinishedAnswers, unsentBytes, lateBytes, closingMs }, this.stopping);
+  private closeAfter(connection: CallerConnection, answered: ServerResponse): void {
+    if (connection.isAnswering(answered)) return;
+    if (connection.isInvalid) connection.end('invalid-input', true);
+    else if (this.stopping) connection.end('answered', false);
   }
 
   private watchConnections(): void {
     this.server.on('connection', (socket: Socket) => {
       this.stalls.recordConnection();
       this.lastConnectionAt = this.clock.monotonic();
-      this.openConnections.set(socket, {
-        responses: new Set(),
-        bytesRead: 0,
-        activeAt: this.lastConnectionAt,
-      });
+      const connection = new CallerConnection(socket, this.clock);
+      this.openConnections.set(socket, connection);
       socket.once('close', (hadError) => {
-        this.recordEnd(socket, hadError);
+        this.openConnections.delete(socket);
+        this.ends.record(connection.record(hadError), this.stopping);
       });
     });
+    // The time for which a connection may be idle is over.
+    this.server.on('timeout', (socket: Socket) => {
+      this.openConnections.get(socket)?.end('idle', false);
+    });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       this.handleClientError(error, socket);
     });
     this.server.on('connect', (_request: IncomingMessage, socket: Socket) => {
-      refuseConnection(undefined, socket);
+      this.refuse(undefined, socket);
     });
   }
 
   private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (this.refusedSockets.has(socket)) return;
+    const connection = this.openConnections.get(socket);
+    if (connection === undefined || connection.isEnding || connection.isInvalid) return;
     if (!socket.writable || error.code === 'ECONNRESET') {
       socket.destroy();
       return;
     }
     this.log.event(entryEvents.badConnection, { code: error.code, status: statusOfParserError(error.code) });
-    this.beginEnd(socket, 'invalid-input');
-    const answers = [...(this.openConnections.get(socket)?.responses ?? [])];
+    const answers = [...connection.answers];
     const hasRequestInProgress = answers.some((answer) => answer.headersSent || answer.req.complete);
     // Earlier requests of the connection are in progress: the caller would take an error for the answer to one of them.
-    if (hasRequestInProgress) socket.destroy();
-    else this.refuseAndLinger(error, socket);
+    if (hasRequestInProgress) connection.giveUpInput();
+    else this.refuse(error.code, socket);
   }
 
-  /**
-   * Answers with an error and keeps reading for a short time before closing. Closing while the caller is still sending
-   * resets the connection, and a reset can discard the error before the caller has read it.
-   */
-  private refuseAndLinger(error: NodeJS.ErrnoException, socket: Socket): void {
-    this.refusedSockets.add(socket);
-    refuseConnection(error.code, socket);
-    const cancelTimer = this.clock.after(REFUSED_LINGER_MS, () => {
-      socket.destroy();
-    });
-    socket.once('close', cancelTimer);
+  /** Answers with an error and ends the connection, as later bytes can't be parsed reliably. */
+  private refuse(code: string | undefined, socket: Socket): void {
+    refuseConnection(code, socket);
+    this.openConnections.get(socket)?.end('invalid-input', true);
   }
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -11,7 +11,7 @@
 import { Follower, ClusterView } from '@jasmineroute/knowledge';
 import type { ReportSender } from '@jasmineroute/knowledge';
 import { relayMetrics } from './metrics.js';
-import { StreamOrigins } from './origin/index.js';
+import { MovedRoutes, StartProofs, StreamOrigins } from './origin/index.js';
 import { CrashWatch, Quarantine, Trials } from './quarantine/index.js';
 import { copySenders } from './report/index.js';
 import { TargetSelector } from './placement/index.js';
@@ -40,6 +40,9 @@
 /** How long a planned stop waits for new connections to cease, milliseconds. */
 const CONNECTION_DRAIN_MS = 500;
 
+/** Time before the end of a planned stop at which connections that this side has ended are closed, milliseconds. */
+const END_MARGIN_MS = 100;
+
 /** Time before the end of a planned stop at which requests that are still in progress are named, milliseconds. */
 const NAMING_MARGIN_MS = 150;
 
@@ -83,6 +86,8 @@
     const crashWatch = new CrashWatch({ targets: knowledge.targets, clock, stalls, log, metrics });
     const trials = new Trials({ name, incarnation, controls: allControls, peers, clock, log });
     this.quarantine = new Quarantine({ crashWatch, trials, senders, clock, log, metrics });
+    const movedRoutes = new MovedRoutes(clock);
+    const startProofs = new StartProofs({ controls: allControls, peers, clock, log });
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
     const monitor = new TargetMonitor(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
@@ -95,6 +100,8 @@
       budgets: new ServiceBudgets(allowance, () => knowledge.entries()),
       copySchedule: new CopySchedule(clock, (store, part) => knowledge.isKept(store, part)),
       origins: this.origins,
+      movedRoutes,
+      startProofs,
       quarantine: this.quarantine,
       startupGrace: new StartupGrace(knowledge, clock),
       stopsAt: () => this.stopsAt,
@@ -109,9 +116,7 @@
     };
     const { httpHost, httpPort, maxConnections } = settings;
     this.server = new CallerServer(
-      (incoming, outgoing) => {
-        void this.serve(incoming, outgoing);
-      },
+      (incoming, outgoing) => this.serve(incoming, outgoing),
       {
         httpHost,
         httpPort,
@@ -146,7 +151,9 @@
       clock,
     });
     knowledge.onChange(() => {
-      const limits = knowledge.table()?.configuration.limits;
+      const table = knowledge.table();
+      if (table !== undefined) movedRoutes.update(table);
+      const limits = table?.configuration.limits;
       if (limits !== undefined) this.server.setTimeouts(limits.idleTimeoutMs, limits.headerTimeoutMs);
     });
   }
@@ -176,6 +183,16 @@
     return this.open.size;
   }
 
+  /** Number of the configuration in force here; 0: none is known. */
+  configurationNumber(): number {
+    return this.knowledge.number();
+  }
+
+  /** Whether a start of a target was announced. */
+  knowsTarget(id: string): boolean {
+    return this.knowledge.targets.ids().has(id);
+  }
+
   /** The current readiness. It is logged only when it changes, as load balancers query it continuously. */
   readiness(): Readiness {
     const now = this.currentReadiness();
@@ -211,7 +228,7 @@
       this.logUnfinished();
     });
     await clock.sleep(this.settings.drainDelayMs);
-    await this.server.drain(CONNECTION_DRAIN_MS);
+    await this.server.drain(CONNECTION_DRAIN_MS, this.stopsAt - END_MARGIN_MS);
     cancelNaming();
     log.event(relayEvents.drained, { open: this.open.size, ...this.server.stopRecord() });
   }
@@ -257,6 +274,7 @@
     while (!signal.aborted) {
       const ids = this.knowledge.targets.ids();
       this.requestContext.monitor.retain(ids);
+      this.requestContext.startProofs.retain(ids);
       await this.requestContext.pools.retain(ids);
       metrics.gauge(relayMetrics.open, this.open.size);
       await clock.sleep(SWEEP_INTERVAL_MS, signal).catch(() => undefined);
