--- a/packages/coordination/src/agreement/applier.ts
+++ b/packages/coordination/src/agreement/applier.ts
@@ -1,4 +1,5 @@
 /** Applies committed entries to the state machine, and takes snapshots. */
+import type { Fault } from '@jasmineroute/core';
 import { coordinationEvents } from '../events.js';
 import { EntryKind } from '../gen/agreement/agreement_pb.js';
 import type { Configuration, Entry } from '../gen/agreement/agreement_pb.js';
@@ -20,6 +21,12 @@
  */
 const MAX_TURN_SHARE = 0.5;
 
+/** Pause after a snapshot that could not be saved, milliseconds; it doubles with each further one. */
+const FIRST_PAUSE_MS = 500;
+
+/** Longest pause after a snapshot that could not be saved, milliseconds. */
+const LONGEST_PAUSE_MS = 8_000;
+
 const yieldToEventLoop = (): Promise<void> =>
   new Promise((resolve) => {
     setImmediate(resolve);
@@ -36,6 +43,8 @@
   private configuration: Configuration | undefined;
   private entriesSinceSnapshot = 0;
   private bytesSinceSnapshot = 0;
+  private pauseMs = FIRST_PAUSE_MS;
+  private isPaused = false;
 
   constructor(
     private readonly replica: Replica,
@@ -58,7 +67,8 @@
   async run(): Promise<void> {
     const { replica } = this;
     while (!replica.stopped) {
-      if (this.lastApplied >= replica.commitIndex) await replica.changed.wait();
+      if (this.isSnapshotDue()) await this.takeSnapshot();
+      else if (this.lastApplied >= replica.commitIndex) await replica.changed.wait();
       else await this.applyAll();
     }
   }
@@ -132,6 +142,7 @@
   }
 
   private isSnapshotDue(): boolean {
+    if (this.isPaused) return false;
     const { snapshotEntries, snapshotBytes } = this.replica.tuning;
     return this.entriesSinceSnapshot >= snapshotEntries || this.bytesSinceSnapshot >= snapshotBytes;
   }
@@ -139,8 +150,6 @@
   /** Saves a snapshot and drops old entries, except some that lagging replicas may still need. */
   private async takeSnapshot(): Promise<void> {
     const { replica } = this;
-    this.entriesSinceSnapshot = 0;
-    this.bytesSinceSnapshot = 0;
     await replica.exclusive(async () => {
       const snapshot = this.snapshot();
       const { retainedEntries, retainedBytes } = replica.tuning;
@@ -149,12 +158,32 @@
       const keptOnDisk = snapshot.lastIndex + 1n;
       const saved = await replica.storage.saveSnapshot(snapshot, keptOnDisk, replica.entries.last.index + 1n);
       if (saved.isErr()) {
-        replica.handleStorageFailure(saved.error);
+        this.pauseSnapshots(saved.error);
         return;
       }
+      this.entriesSinceSnapshot = 0;
+      this.bytesSinceSnapshot = 0;
+      this.pauseMs = FIRST_PAUSE_MS;
       replica.entries.compact(keepFrom - 1n);
       replica.metrics.count(coordinationMetrics.snapshots);
       replica.log.event(coordinationEvents.snapshotTaken, { index: snapshot.lastIndex.toString() });
     });
   }
+
+  /**
+   * Tries again soon: until a snapshot is saved, nothing frees the journal's space. The replica goes on meanwhile, as its
+   * entries and its vote need no snapshot.
+   */
+  private pauseSnapshots(cause: Fault): void {
+    const { replica, pauseMs } = this;
+    replica.log.event(coordinationEvents.snapshotFailed, { reason: cause.message, pauseMs });
+    replica.metrics.count(coordinationMetrics.snapshotFailures);
+    if (replica.storage.hasFailed) replica.handleStorageFailure(cause);
+    this.isPaused = true;
+    this.pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
+    replica.clock.after(pauseMs, () => {
+      this.isPaused = false;
+      replica.changed.notify();
+    });
+  }
 }
--- a/packages/coordination/src/agreement/fullFolder.spec.ts
+++ b/packages/coordination/src/agreement/fullFolder.spec.ts
@@ -176,6 +176,7 @@
       await cluster.clock.advance(200);
     }
     expect(journalBytes()).toBeGreaterThan(MB);
+    expect(cluster.leader()).toBe(node);
     disk.capacityBytes = 8 * MB;
     expect(await cluster.until(() => journalBytes() < MB / 2, 15_000)).toBe(true);
     cluster.crash(node);
--- a/packages/coordination/src/events.ts
+++ b/packages/coordination/src/events.ts
@@ -28,5 +28,10 @@
   voterUnresponsive: { id: 2019, level: 'warn', message: 'a voter has not responded for a long time' },
   voterResponsive: { id: 2020, level: 'info', message: 'a voter responds again' },
   tooFewVoters: { id: 2021, level: 'warn', message: 'too few voters for the number of failures to tolerate' },
+  snapshotFailed: {
+    id: 2030,
+    level: 'warn',
+    message: 'a snapshot was not saved, so the journal keeps its size; it is tried again',
+  },
   taskFailed: { id: 2016, level: 'error', message: 'a task of the replica failed' },
 });
--- a/packages/coordination/src/metrics.ts
+++ b/packages/coordination/src/metrics.ts
@@ -15,6 +15,11 @@
     help: 'Connections to replicas that were closed for lack of a response',
   },
   snapshots: { name: 'coordination.snapshots', type: 'counter', help: 'Snapshots taken' },
+  snapshotFailures: {
+    name: 'coordination.snapshots.failed',
+    type: 'counter',
+    help: 'Snapshots that could not be saved; each is tried again',
+  },
   spareVoters: {
     name: 'coordination.voters.spare',
     type: 'gauge',
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -69,6 +69,11 @@
     private snapshotBytes: number,
   ) {}
 
+  /** Whether an error was final: nothing is written any more. */
+  get hasFailed(): boolean {
+    return this.failure !== undefined;
+  }
+
   /** Bytes that the folder holds now, and the most so far. */
   heldBytes(): HeldBytes {
     this.recordLargest();
--- a/packages/coordination/src/storage/snapshotFile.ts
+++ b/packages/coordination/src/storage/snapshotFile.ts
@@ -28,8 +28,12 @@
   return { ...fromBinary(InstallRequestSchema, header), data };
 }
 
-/** Writes a snapshot durably, then removes the older ones. */
+/**
+ * Writes a snapshot durably, then removes the older ones. Incomplete ones are removed first: the disk may have refused that
+ * when they failed.
+ */
 export async function writeSnapshot(disk: Disk, folder: string, snapshot: Snapshot): Promise<void> {
+  await removeIncomplete(disk, folder);
   const { clusterId, lastIndex, lastTerm, configuration, data } = snapshot;
   const header = { ...emptyHeader, clusterId, lastIndex, lastTerm, configuration };
   const name = nameOf(lastIndex);
@@ -38,4 +42,10 @@
   for (const other of older) await disk.remove(join(folder, other));
 }
 
+/** Removes incomplete snapshots. */
+async function removeIncomplete(disk: Disk, folder: string): Promise<void> {
+  const names = (await disk.list(folder)).filter((name) => name.startsWith(PREFIX) && !isSnapshot(name));
+  for (const name of names) await disk.remove(join(folder, name));
+}
+
 const emptyHeader = fromBinary(InstallRequestSchema, new Uint8Array());
