--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -37,6 +37,8 @@
   private queuedSync: Promise<void> | undefined;
   /** Why an incomplete record could not be removed. */
   private rollbackError: unknown;
+  /** Why a sync failed: the system may have dropped what it could not write, so no later one counts. */
+  private syncError: unknown;
   /** Index of the last entry that is known to be synced; 0: none. */
   private syncedIndex = 0n;
 
@@ -63,6 +65,11 @@
     return { journal, entries, repairedBytes };
   }
 
+  /** Whether a sync failed. */
+  get hasFailedSync(): boolean {
+    return this.syncError !== undefined;
+  }
+
   /** Bytes of all segments. */
   get bytes(): number {
     return this.segments.reduce((sum, { length }) => sum + length, 0);
@@ -153,7 +160,13 @@
     await Promise.all(this.segments.map((segment) => segment.file.close()));
   }
 
+  private checkSync(): void {
+    if (this.syncError === undefined) return;
+    throw new Error('an earlier sync of the journal failed', { cause: this.syncError });
+  }
+
   private checkRollback(): void {
+    this.checkSync();
     if (this.rollbackError === undefined) return;
     throw new Error('an incomplete write could not be removed from the journal', {
       cause: this.rollbackError,
@@ -166,9 +179,16 @@
     const last = nextIndexOf(tail) - 1n;
     const running = tail.file
       .sync()
-      .then(() => {
-        this.syncedIndex = last;
-      })
+      .then(
+        () => {
+          this.checkSync();
+          this.syncedIndex = last;
+        },
+        (error: unknown) => {
+          this.syncError ??= error;
+          throw error;
+        },
+      )
       .finally(() => {
         if (this.runningSync === running) this.runningSync = undefined;
       });
@@ -184,13 +204,29 @@
   private async beginSegment(first: bigint): Promise<Segment> {
     const path = join(this.folder, segmentName(first));
     const file = await this.disk.open(path);
-    await file.truncate(0);
-    await this.disk.syncFolder(this.folder);
+    try {
+      await file.truncate(0);
+      await this.disk.syncFolder(this.folder);
+    } catch (error) {
+      await this.discard(path, file);
+      throw error;
+    }
     const segment = { first, path, file, offsets: [], length: 0 };
     this.segments.push(segment);
     return segment;
   }
 
+  /** Removes a segment that could not be begun: entries go on in the one before it, which must then be the newest. */
+  private async discard(path: string, file: DiskFile): Promise<void> {
+    try {
+      await file.close();
+      await this.disk.remove(path);
+      await this.disk.syncFolder(this.folder);
+    } catch (cause) {
+      this.rollbackError = cause;
+    }
+  }
+
   /** Syncs the folder after each removal: a power failure could otherwise undo any of several, leaving a gap between segments. */
   private async removeSegment(segment: Segment): Promise<void> {
     await this.waitForSync();
--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -10,7 +10,7 @@
 import { fileDisk } from './fileDisk.js';
 import { LogStorage } from './logStorage.js';
 import type { OpenedStorage } from './logStorage.js';
-import { MemoryDisk } from './memoryDisk.js';
+import { MemoryDisk, systemError } from './memoryDisk.js';
 import { seeded } from '../testing/memoryCluster.js';
 
 const FOLDER = '/replica';
@@ -50,6 +50,36 @@
   return disk;
 }
 
+/** Faults that a test sets. */
+interface Faults {
+  /** Syncs of files with this in their path fail. */
+  syncOf: string | undefined;
+  /** Syncs of the folder until one fails; 0: none does. */
+  folderSyncIn: number;
+}
+
+/** A disk of which single operations fail. */
+function faultyDisk(disk: MemoryDisk): { disk: Disk; faults: Faults } {
+  const faults: Faults = { syncOf: undefined, folderSyncIn: 0 };
+  const failing: Partial<Disk> = {
+    open: async (path) => {
+      const file = await disk.open(path);
+      const sync = (): Promise<void> => {
+        const { syncOf } = faults;
+        return syncOf !== undefined && path.includes(syncOf)
+          ? Promise.reject(systemError('EIO'))
+          : file.sync();
+      };
+      return { ...file, sync };
+    },
+    syncFolder: (folder) => {
+      faults.folderSyncIn -= 1;
+      return faults.folderSyncIn === 0 ? Promise.reject(systemError('EIO')) : disk.syncFolder(folder);
+    },
+  };
+  return { disk: Object.assign(Object.create(disk) as Disk, failing), faults };
+}
+
 describe('LogStorage on a disk in memory', () => {
   // Guards against a replica that loses acknowledged entries or its vote because later, unsynced writes reached the disk in part.
   test('synced entries and the vote survive a power failure, whatever happens to later writes', async () => {
@@ -181,6 +211,38 @@
     expect((await storage.write(entries(2, 2))).isErr()).toBe(true);
   });
 
+  // Guards against losing an acknowledged entry: the sync before a new segment fails, and the next one reports success.
+  test('a failed sync of the journal is final also while a snapshot is saved', async () => {
+    const { disk, faults } = faultyDisk(MemoryDisk.empty());
+    const { storage } = await open(disk);
+    await storage.write(entries(1, 5));
+    faults.syncOf = 'journal-';
+    const snapshot = { clusterId: 'c', lastIndex: 3n, lastTerm: 1n, data: Buffer.from('state') };
+    expect((await storage.saveSnapshot(snapshot, 4n, 6n)).isErr()).toBe(true);
+    faults.syncOf = undefined;
+    expect((await storage.sync()).isErr()).toBe(true);
+    expect((await storage.write(entries(6, 6))).isErr()).toBe(true);
+  });
+
+  // Guards against a replica that does not start after a power failure: a new segment could not be begun, its empty file
+  // stayed, and the interrupted write before it then looks like changed data.
+  test('a segment that could not be begun leaves no file', async () => {
+    for (let seed = 1; seed <= CRASHES; seed += 1) {
+      const memory = MemoryDisk.empty();
+      const { disk, faults } = faultyDisk(memory);
+      const { storage } = await open(disk);
+      await storage.write(entries(1, 5));
+      faults.folderSyncIn = 2;
+      const snapshot = { clusterId: 'c', lastIndex: 3n, lastTerm: 1n, data: Buffer.from('state') };
+      expect((await storage.saveSnapshot(snapshot, 4n, 6n)).isErr()).toBe(true);
+      expect((await storage.write(entries(6, 7))).isOk()).toBe(true);
+      expect((await storage.sync()).isOk()).toBe(true);
+      await storage.write(entries(8, 8));
+      const after = await open(memory.crash(seeded(seed)));
+      expect(indexes(after).slice(0, 4)).toEqual([4, 5, 6, 7]);
+    }
+  });
+
   // Guards against a replica that starts on a read-only file system and fails at its first command.
   test('a read-only folder fails with a clear error', async () => {
     const disk = MemoryDisk.empty();
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -117,13 +117,17 @@
     return this.failForGood(await this.run('sync the journal', () => this.journal.sync()));
   }
 
-  /** Stores a snapshot and drops the journal's segments that hold only entries before `keepFrom`. */
-  saveSnapshot(snapshot: Snapshot, keepFrom: bigint, nextIndex: bigint): Promise<Result<void, Fault>> {
-    return this.run('write a snapshot', async () => {
+  /**
+   * Stores a snapshot and drops the journal's segments that hold only entries before `keepFrom`. An error of the snapshot is
+   * not final, a failed sync of the journal is.
+   */
+  async saveSnapshot(snapshot: Snapshot, keepFrom: bigint, nextIndex: bigint): Promise<Result<void, Fault>> {
+    const saved = await this.run('write a snapshot', async () => {
       await this.replaceSnapshot(snapshot);
       await this.journal.roll(nextIndex);
       await this.journal.dropBefore(keepFrom);
     });
+    return this.journal.hasFailedSync ? this.failForGood(saved) : saved;
   }
 
   /** Replaces the whole journal by a snapshot. An error while clearing the journal is final. */
