A replica's folder has a budget

A leader refuses commands when the state is too large for the folder, and a replica that has reached its bound takes only small entries, so that votes can be saved and reads answered.

--- a/packages/coordination/src/agreement/applier.ts
+++ b/packages/coordination/src/agreement/applier.ts
@@ -42,7 +42,6 @@
   private readonly progressed = new Signal();
   private configuration: Configuration | undefined;
   private entriesSinceSnapshot = 0;
-  private bytesSinceSnapshot = 0;
   private pauseMs = FIRST_PAUSE_MS;
   private isPaused = false;
 
@@ -58,7 +57,6 @@
     this.lastApplied = snapshot.lastIndex;
     this.configuration = snapshot.configuration;
     this.entriesSinceSnapshot = 0;
-    this.bytesSinceSnapshot = 0;
     this.waiters.skippedTo(snapshot.lastIndex);
     this.notifyListeners(snapshot.lastIndex);
   }
@@ -132,7 +130,6 @@
     if (entry.kind === EntryKind.CONFIGURATION) this.configuration = entry.configuration;
     this.lastApplied = entry.index;
     this.entriesSinceSnapshot += 1;
-    this.bytesSinceSnapshot += entry.command.length;
     this.waiters.applied(entry.index, entry.term, result);
     this.notifyListeners(entry.index);
   }
@@ -143,8 +140,10 @@
 
   private isSnapshotDue(): boolean {
     if (this.isPaused) return false;
-    const { snapshotEntries, snapshotBytes } = this.replica.tuning;
-    return this.entriesSinceSnapshot >= snapshotEntries || this.bytesSinceSnapshot >= snapshotBytes;
+    const { tuning, budget, storage } = this.replica;
+    if (this.entriesSinceSnapshot >= tuning.snapshotEntries) return true;
+    const due = budget.snapshotDueBytes(storage.heldBytes().snapshots);
+    return storage.coveredBytes(this.lastApplied) >= due;
   }
 
   /** Saves a snapshot and drops old entries, except some that lagging replicas may still need. */
@@ -162,7 +161,6 @@
         return;
       }
       this.entriesSinceSnapshot = 0;
-      this.bytesSinceSnapshot = 0;
       this.pauseMs = FIRST_PAUSE_MS;
       replica.entries.compact(keepFrom - 1n);
       replica.metrics.count(coordinationMetrics.snapshots);
--- a/packages/coordination/src/agreement/fullFolder.spec.ts
+++ b/packages/coordination/src/agreement/fullFolder.spec.ts
@@ -4,7 +4,7 @@
 import { coordinationEvents } from '../events.js';
 import { MemoryCluster, seeded } from '../testing/index.js';
 import type { Node } from '../testing/index.js';
-import type { StateMachine, Tuning } from './index.js';
+import type { StateMachine } from './index.js';
 
 const MB = 1_000_000;
 
@@ -79,12 +79,12 @@
   readonly diskBytes: number;
   readonly changeBytes: number;
   readonly changes: number;
-  readonly tuning: Partial<Tuning>;
 }
 
 /** Makes changes one after the other, while replicas lose their power in turn. */
-async function playChanges({ seed, diskBytes, changeBytes, changes, tuning }: Play): Promise<Outcome> {
+async function playChanges({ seed, diskBytes, changeBytes, changes }: Play): Promise<Outcome> {
   const { log, errors } = diskErrors();
+  const tuning = { ...CONTROL_TUNING, maxFolderBytes: diskBytes };
   const cluster = new MemoryCluster(seed, ['a', 'b', 'c'], tuning, log, () => new LastChange());
   const random = seeded(seed);
   const failedReads: string[] = [];
@@ -143,9 +143,9 @@
 describe('a folder on a small disk', () => {
   // Guards against a disk that journal and snapshots fill themselves, after which no vote can be saved and nothing is read.
   it.each([
-    { seed: 1, diskBytes: 64 * MB, changeBytes: MB, changes: 160, tuning: CONTROL_TUNING },
-    { seed: 2, diskBytes: 64 * MB, changeBytes: MB, changes: 160, tuning: CONTROL_TUNING },
-    { seed: 3, diskBytes: 8 * MB, changeBytes: MB / 8, changes: 200, tuning: CONTROL_TUNING },
+    { seed: 1, diskBytes: 64 * MB, changeBytes: MB, changes: 160 },
+    { seed: 2, diskBytes: 64 * MB, changeBytes: MB, changes: 160 },
+    { seed: 3, diskBytes: 8 * MB, changeBytes: MB / 8, changes: 200 },
   ])(
     'of $diskBytes bytes is never filled by large changes (seed $seed)',
     async (play) => {
@@ -156,6 +156,34 @@
     120_000,
   );
 
+  // Guards against a state that grows until no vote can be saved, after which it can't be read either.
+  it('holds a state that is too large for it, refuses changes, and still returns it when a replica is lost', async () => {
+    const { log, errors } = diskErrors();
+    const tuning = { ...CONTROL_TUNING, maxFolderBytes: 8 * MB };
+    const cluster = new MemoryCluster(4, ['a', 'b', 'c'], tuning, log);
+    for (const { disk } of cluster.nodes) disk.capacityBytes = 8 * MB;
+    await cluster.startAll();
+    await cluster.until(() => cluster.leader() !== undefined, 10_000);
+    const refused = (): boolean => cluster.attempts.at(-1)?.outcome === 'not-run';
+    for (let number = 1; number <= 60 && !refused(); number += 1) {
+      const change = `${number} ${'x'.repeat(MB / 4)}`;
+      const attempt = cluster.propose(cluster.leader() ?? cluster.find('a'), change);
+      await cluster.until(() => attempt.outcome !== 'open', 5_000);
+    }
+    expect(refused()).toBe(true);
+    const lost = cluster.leader() ?? cluster.find('a');
+    cluster.crash(lost);
+    await cluster.until(() => cluster.leader() !== undefined, READ_MS);
+    const query = cluster.query(cluster.leader() ?? lost);
+    expect(await cluster.until(() => query.outcome === 'answered', READ_MS)).toBe(true);
+    await cluster.start(lost);
+    await cluster.until(() => false, READ_MS);
+    cluster.checkFinalState();
+    expect(cluster.violations).toEqual([]);
+    expect(errors.filter((error) => error.includes('ENOSPC'))).toEqual([]);
+    for (const node of cluster.nodes) cluster.crash(node);
+  }, 60_000);
+
   // Guards against a full disk that stays full: the snapshot that would free it is tried again only after as many changes.
   it('is freed soon after there is space for a snapshot again', async () => {
     const cluster = new MemoryCluster(1, ['a'], { snapshotBytes: MB }, silentLog, () => new LastChange());
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -98,9 +98,9 @@
    * up.
    */
   private isFull(): boolean {
-    const { tuning, entries, commitIndex } = this.context.replica;
-    if (this.pending.length >= tuning.maxPending) return true;
-    return this.pendingBytes + entries.bytesAfter(commitIndex) >= tuning.maxUncommittedBytes;
+    const { tuning, budget, entries, commitIndex, isFolderFull } = this.context.replica;
+    if (isFolderFull || this.pending.length >= tuning.maxPending) return true;
+    return this.pendingBytes + entries.bytesAfter(commitIndex) >= budget.uncommittedBytes;
   }
 
   /** Appends a configuration to the log; it takes effect as soon as it is appended. */
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -63,8 +63,14 @@
     'bytes of uncommitted commands from which on the leader refuses more',
   ),
   pieceBytes: count(262_144).describe('size of one piece of a snapshot in bytes'),
+  maxFolderBytes: z
+    .number()
+    .int()
+    .positive()
+    .optional()
+    .describe('bytes that the folder may hold, from which limits on its parts follow; unbounded when absent'),
   snapshotEntries: count(4_096).describe('number of entries after which a snapshot is taken'),
-  snapshotBytes: count(16_777_216).describe('bytes of commands after which a snapshot is taken'),
+  snapshotBytes: count(16_777_216).describe('bytes of entries after which a snapshot is taken at the latest'),
   retainedEntries: count(1_024).describe(
     'number of entries covered by a snapshot that are retained for lagging replicas',
   ),
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -5,7 +5,8 @@
 import type { Result } from 'neverthrow';
 import type { Configuration, Entry, Voter } from '../gen/agreement/agreement_pb.js';
 import { coordinationEvents } from '../events.js';
-import type { LogStorage, PersistentState, Recovered } from '../storage/index.js';
+import { folderBudget } from '../storage/index.js';
+import type { FolderBudget, LogStorage, PersistentState, Recovered } from '../storage/index.js';
 import { isVoter, membersOf, voter } from './configuration.js';
 import { EntryLog } from './entryLog.js';
 import type { Tuning } from './options.js';
@@ -35,6 +36,7 @@
   readonly tuning: Tuning;
   readonly random: () => number;
   readonly storage: LogStorage;
+  readonly budget: FolderBudget;
   readonly entries = new EntryLog();
   /** Fires on every change of role, term, leader, commit index or configuration, and on stop. */
   readonly changed = new Signal();
@@ -68,6 +70,7 @@
     this.tuning = options.tuning;
     this.random = options.random;
     this.storage = options.storage;
+    this.budget = folderBudget(options.tuning);
     this.state = recovered.state;
     this.electionTimerStart = options.clock.monotonic();
     const snapshot = recovered.snapshot;
@@ -118,6 +121,12 @@
     return membersOf(this.configuration).filter((member) => member.replicaId !== this.id);
   }
 
+  /** Whether the folder holds so much that new commands may not fit. */
+  get isFolderFull(): boolean {
+    const { journal, snapshots } = this.storage.heldBytes();
+    return journal + snapshots >= this.budget.refusedBytes;
+  }
+
   /** Runs actions one at a time, in the order of the calls. */
   exclusive<T>(action: () => Promise<T>): Promise<T> {
     return this.mutex.run(action);
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -9,7 +9,7 @@
 import { Agreement } from '../gen/agreement/agreement_pb.js';
 import type { Configuration } from '../gen/agreement/agreement_pb.js';
 import { coordinationMetrics } from '../metrics.js';
-import { LogStorage, fileDisk } from '../storage/index.js';
+import { LogStorage, fileDisk, folderBudget } from '../storage/index.js';
 import type { HeldBytes, Recovered } from '../storage/index.js';
 import { Applier } from './applier.js';
 import { membersOf } from './configuration.js';
@@ -101,7 +101,8 @@
 
   /** Opens the folder and restores the state machine. Errors: storage-failed. */
   static async open(options: ReplicatedLogOptions): Promise<Result<ReplicatedLog, Fault>> {
-    const opened = await LogStorage.open(options.disk ?? fileDisk, options.folder);
+    const bounds = folderBudget(tuning.parse(options));
+    const opened = await LogStorage.open(options.disk ?? fileDisk, options.folder, bounds);
     if (opened.isErr()) return err(opened.error);
     const { storage, recovered } = opened.value;
     const { repairedBytes, state } = recovered;
--- a/packages/coordination/src/storage/index.ts
+++ b/packages/coordination/src/storage/index.ts
@@ -2,6 +2,7 @@
 export * from './delayedDisk.js';
 export * from './disk.js';
 export * from './fileDisk.js';
+export * from './folderBudget.js';
 export { decodeFrames, encodeFrame } from './frame.js';
 export * from './logStorage.js';
 export * from './memoryDisk.js';
--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -46,16 +46,17 @@
     private readonly disk: Disk,
     private readonly folder: string,
     private readonly segments: Segment[],
+    private readonly segmentBytes: number,
   ) {}
 
   /**
-   * Reads the folder's segments. Only the newest may end in an interrupted write, which is removed; older ones
+   * Reads the folder's segments; new ones begin after `segmentBytes` each. Only the newest may end in an interrupted write, which is removed; older ones
    * were synced as a whole before the next one was started.
    * @throws CorruptFile, or a system error.
    */
-  static async open(disk: Disk, folder: string): Promise<OpenedJournal> {
+  static async open(disk: Disk, folder: string, segmentBytes = Infinity): Promise<OpenedJournal> {
     const names = (await disk.list(folder)).filter((name) => name.startsWith(PREFIX)).sort();
-    const journal = new Journal(disk, folder, []);
+    const journal = new Journal(disk, folder, [], segmentBytes);
     const entries: Entry[] = [];
     let repairedBytes = 0;
     for (const [position, name] of names.entries()) {
@@ -75,12 +76,18 @@
     return this.segments.reduce((sum, { length }) => sum + length, 0);
   }
 
-  /** Appends entries without a sync. If the write fails, the file is left as it was. */
+  /** Bytes of the segments that hold only entries up to `index`. */
+  coveredBytes(index: bigint): number {
+    const covered = this.segments.filter((segment) => nextIndexOf(segment) <= index + 1n);
+    return covered.reduce((sum, { length }) => sum + length, 0);
+  }
+
+  /** Appends entries, without a sync of them. If the write fails, the file is left as it was. */
   async append(entries: readonly Entry[]): Promise<void> {
     const [head] = entries;
     if (head === undefined) return;
     this.checkRollback();
-    const tail = this.segments.at(-1) ?? (await this.beginSegment(head.index));
+    const tail = await this.tailFor(head.index);
     const { syncedIndex } = this;
     const frames = entries.map((entry) => encodeFrame(toBinary(EntrySchema, { ...entry, syncedIndex })));
     const start = tail.length;
@@ -117,10 +124,30 @@
     await this.sync();
   }
 
+  /** The segment for the next entry, at `index`. */
+  private async tailFor(index: bigint): Promise<Segment> {
+    const tail = this.segments.at(-1);
+    if (tail === undefined) return this.beginSegment(index);
+    if (!this.isLong(tail)) return tail;
+    await this.roll(index);
+    return this.segments.at(-1) ?? tail;
+  }
+
+  /** Whether a new segment is due. It needs a sync of this one; where one is missing, there is time to wait for it. */
+  private isLong(tail: Segment): boolean {
+    if (tail.length < this.segmentBytes) return false;
+    return this.isSynced(tail) || tail.length >= 2 * this.segmentBytes;
+  }
+
+  private isSynced(tail: Segment): boolean {
+    return this.syncedIndex >= nextIndexOf(tail) - 1n;
+  }
+
   /** Syncs the previous entries and starts a new segment for entries from `index` on. */
   async roll(index: bigint): Promise<void> {
-    await this.sync();
-    if (this.segments.at(-1)?.offsets.length === 0) return;
+    const tail = this.segments.at(-1);
+    if (tail === undefined || !this.isSynced(tail)) await this.sync();
+    if (tail?.offsets.length === 0) return;
     await this.beginSegment(index);
   }
 
--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -243,6 +243,47 @@
     }
   });
 
+  // Guards against a replica that does not start, or lost entries, as a power failure hit the step to a new segment.
+  test('synced entries in segments of bounded length survive power failures', async () => {
+    const segmentBytes = 60;
+    for (let seed = 1; seed <= CRASHES; seed += 1) {
+      const disk = MemoryDisk.empty();
+      const { storage } = (
+        await LogStorage.open(disk, FOLDER, { segmentBytes, mostBytes: Infinity })
+      )._unsafeUnwrap();
+      const random = seeded(seed);
+      let synced = 0;
+      for (let last = 0; last < 30;) {
+        const count = 1 + Math.floor(random() * 4);
+        expect((await storage.write(entries(last + 1, last + count))).isOk()).toBe(true);
+        last += count;
+        if (random() < 0.5) continue;
+        await storage.sync();
+        synced = last;
+      }
+      expect((await disk.list(FOLDER)).length).toBeGreaterThan(4);
+      const after = await open(disk.crash(random));
+      expect(indexes(after).length).toBeGreaterThanOrEqual(synced);
+      expect(indexes(after)).toEqual(indexes(after).map((_, position) => position + 1));
+    }
+  });
+
+  // Guards against a journal that leaves no space for the vote.
+  test('a folder that holds as much as it may takes small entries and the vote only', async () => {
+    const bounds = { segmentBytes: 10_000, mostBytes: 100_000 };
+    const { storage, recovered } = (
+      await LogStorage.open(MemoryDisk.empty(), FOLDER, bounds)
+    )._unsafeUnwrap();
+    const large = (index: number): Entry => entry(index, 'x'.repeat(20_000));
+    for (let index = 1; index <= 4; index += 1)
+      expect((await storage.write([large(index)])).isOk()).toBe(true);
+    const refused = await storage.write([large(5)]);
+    expect(refused._unsafeUnwrapErr().message).toContain('holds as much as it may');
+    expect((await storage.write(entries(5, 6))).isOk()).toBe(true);
+    expect((await storage.saveState({ ...recovered.state, term: 7n })).isOk()).toBe(true);
+    expect((await storage.sync()).isOk()).toBe(true);
+  });
+
   // Guards against a replica that starts on a read-only file system and fails at its first command.
   test('a read-only folder fails with a clear error', async () => {
     const disk = MemoryDisk.empty();
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -2,11 +2,12 @@
 import { join } from 'node:path';
 import { fault, newId } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
-import { errAsync } from 'neverthrow';
+import { err, errAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import * as z from 'zod';
 import type { Entry } from '../gen/agreement/agreement_pb.js';
 import type { Disk, ReleaseLock } from './disk.js';
+import type { FolderBudget } from './folderBudget.js';
 import { Journal } from './journal.js';
 import { TEMPORARY_SUFFIX, readRecords, replaceFile } from './recordFile.js';
 import { readSnapshot, writeSnapshot } from './snapshotFile.js';
@@ -55,6 +56,14 @@
   readonly largest: number;
 }
 
+/** Bounds of a folder, bytes. */
+export type FolderBounds = Pick<FolderBudget, 'segmentBytes' | 'mostBytes'>;
+
+const UNBOUNDED: FolderBounds = { segmentBytes: Infinity, mostBytes: Infinity };
+
+/** Bytes of commands up to which a write is made beyond the bound: a new leader's first entry is empty. */
+const SMALL_WRITE_BYTES = 1_024;
+
 /** Storage of one replica. The caller makes changes one at a time; `sync` may run concurrently. */
 export class LogStorage {
   /** Final: the error that left the disk's content unknown. */
@@ -67,6 +76,7 @@
     private readonly journal: Journal,
     private readonly release: ReleaseLock,
     private snapshotBytes: number,
+    private readonly mostBytes: number,
   ) {}
 
   /** Whether an error was final: nothing is written any more. */
@@ -81,12 +91,16 @@
   }
 
   /** Locks and reads a folder, and creates it if it is missing. Errors: storage-failed, with file and reason. */
-  static async open(disk: Disk, folder: string): Promise<Result<OpenedStorage, Fault>> {
+  static async open(
+    disk: Disk,
+    folder: string,
+    bounds: FolderBounds = UNBOUNDED,
+  ): Promise<Result<OpenedStorage, Fault>> {
     return attempt(`open ${folder}`, async () => {
       await disk.ensureFolder(folder);
       const release = await disk.lock(folder);
       try {
-        return await LogStorage.load(disk, folder, release);
+        return await LogStorage.load(disk, folder, release, bounds);
       } catch (error) {
         await release();
         throw error;
@@ -99,8 +113,20 @@
     return this.run('save the vote', () => writeState(this.disk, this.folder, state));
   }
 
-  /** Appends entries without a sync. After an error the journal is unchanged. */
-  write(entries: readonly Entry[]): Promise<Result<void, Fault>> {
+  /** Bytes of the journal that a snapshot up to `index` frees. */
+  coveredBytes(index: bigint): number {
+    return this.journal.coveredBytes(index);
+  }
+
+  /**
+   * Appends entries without a sync of them. After an error the journal is unchanged. What exceeds the folder's bound is
+   * refused, unless it is small: the disk must keep space for the vote.
+   */
+  async write(entries: readonly Entry[]): Promise<Result<void, Fault>> {
+    const bytes = entries.reduce((sum, { command }) => sum + command.length, 0);
+    const isBeyond = this.journal.bytes + this.snapshotBytes + bytes > this.mostBytes;
+    if (isBeyond && bytes > SMALL_WRITE_BYTES)
+      return err(fault('storage-failed', `${this.folder} holds as much as it may`));
     return this.run('write the journal', () => this.journal.append(entries));
   }
 
@@ -178,13 +204,19 @@
     return Promise.resolve(result);
   }
 
-  private static async load(disk: Disk, folder: string, release: ReleaseLock): Promise<OpenedStorage> {
+  private static async load(
+    disk: Disk,
+    folder: string,
+    release: ReleaseLock,
+    { segmentBytes, mostBytes }: FolderBounds,
+  ): Promise<OpenedStorage> {
     await removeTemporaryFiles(disk, folder);
     const state = await readState(disk, folder);
     const snapshot = await readSnapshot(disk, folder);
-    const { journal, entries, repairedBytes } = await Journal.open(disk, folder);
+    const { journal, entries, repairedBytes } = await Journal.open(disk, folder, segmentBytes);
     const remaining = await entriesAfterSnapshot(journal, entries, snapshot, folder);
-    const storage = new LogStorage(disk, folder, journal, release, snapshot?.data.length ?? 0);
+    const snapshotBytes = snapshot?.data.length ?? 0;
+    const storage = new LogStorage(disk, folder, journal, release, snapshotBytes, mostBytes);
     return { storage, recovered: { state, snapshot, entries: remaining, repairedBytes } };
   }
 }
