Control bounds what its data folder holds

The new setting maxFolderMb is what its data folder may hold; without it, that is what the folder holds at the start and what its file system has left; where the file system does not tell, or tells of less than 8 MB, it is unbounded as before.

--- a/packages/control/src/events.ts
+++ b/packages/control/src/events.ts
@@ -127,6 +127,7 @@
   },
   folderRelieved: { id: 3051, level: 'info', message: 'the data folder has enough space again' },
   folderGrown: { id: 3052, level: 'info', message: 'the data folder holds more than ever since the start' },
+  folderBounded: { id: 3054, level: 'info', message: 'the data folder has a bound' },
   folderFreeUnknown: {
     id: 3053,
     level: 'info',
--- a/packages/control/src/folder/folderMonitor.ts
+++ b/packages/control/src/folder/folderMonitor.ts
@@ -28,7 +28,7 @@
   /** Bytes that the file system has left. Rejects where it does not tell. */
   free(): Promise<number>;
   /** Bytes that the folder may hold; undefined: as many as are free. */
-  readonly limitBytes?: number;
+  readonly limitBytes?: number | undefined;
 }
 
 const totalOf = (parts: PartBytes): number => Object.values(parts).reduce((sum, bytes) => sum + bytes, 0);
--- a/packages/control/src/folder/index.ts
+++ b/packages/control/src/folder/index.ts
@@ -1,1 +1,2 @@
+export * from './folderLimit.js';
 export * from './folderMonitor.js';
--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -10,7 +10,7 @@
 import { controlEvents } from '../events.js';
 import { DepartureStore, departureFormat } from '../departures/index.js';
 import { DisklessLog } from '../log/index.js';
-import { FolderMonitor } from '../folder/index.js';
+import { FolderMonitor, folderLimit, folderShares } from '../folder/index.js';
 import { RecordFiles } from '../files/index.js';
 import { OriginStore, originFormat } from '../origins/index.js';
 import { EvidenceStore, evidenceFormat } from '../quarantine/index.js';
@@ -50,6 +50,12 @@
     log.event(controlEvents.startedWithoutDisk);
     return ok(new Control(context, { ...settings, enlists: false }, state, new DisklessLog(name)));
   }
+  const folders = [LOG_FOLDER, ORIGINS_FOLDER, EVIDENCE_FOLDER, DEPARTURES_FOLDER].map((folder) =>
+    join(dataFolder, folder),
+  );
+  const limit = await folderLimit(settings.maxFolderMb, disk, folders, dataFolder);
+  if (limit !== undefined) log.event(controlEvents.folderBounded, { ...limit });
+  const shares = limit === undefined ? undefined : folderShares(limit.bytes);
   const opened = await ReplicatedLog.open({
     name,
     folder: join(dataFolder, LOG_FOLDER),
@@ -68,6 +74,7 @@
       failCriticalTask('replica', error);
     },
     ...SNAPSHOT_INTERVAL,
+    maxFolderBytes: shares?.log,
   });
   if (opened.isErr()) return err(opened.error);
   const originFiles = new RecordFiles(disk, join(dataFolder, ORIGINS_FOLDER), originFormat, clock, log);
@@ -97,7 +104,7 @@
     return { parts, largestLog };
   };
   const free = (): Promise<number> => disk.freeBytes(dataFolder);
-  const folder = new FolderMonitor({ held, free }, clock, log, metrics);
+  const folder = new FolderMonitor({ held, free, limitBytes: limit?.bytes }, clock, log, metrics);
   return ok(
     new Control(context, settings, state, opened.value, outside, origins, evidence, departures, folder),
   );
--- a/packages/control/src/setting/controlSettings.ts
+++ b/packages/control/src/setting/controlSettings.ts
@@ -35,6 +35,13 @@
   exclusiveFolder: flag(true).describe(
     'whether the data folder is locked against a second process; "false" where the platform never starts two and the disk does not support hard links',
   ),
+  maxFolderMb: z.coerce
+    .number()
+    .min(1)
+    .optional()
+    .describe(
+      'megabytes that the data folder may hold; by default what is free on its file system at the start, and what the folder holds then',
+    ),
   lossesToBear: z.coerce
     .number()
     .int()
