Records of control survive failures of the disk

Origins of streams, evidence and departures are appended to files of their own. What was written since the last sync is written again. - A departure counted as stored as a newer file was synced, while its own had failed; an acknowledgement rests on it. Each caller now learns of its own records. - A departure counted as stored that later ones had pushed out of the memory during a write that hung.

One task per table writes and syncs, one operation after the other; a file whose tail is not certain is cut to its last sync before it is used again. A folder that could not be listed at the start is listed before a file is begun.

--- /dev/null
+++ b/packages/control/src/files/recordFiles.spec.ts
@@ -0,0 +1,143 @@
+import { MemoryDisk, systemError } from '@jasmineroute/coordination';
+import type { Disk } from '@jasmineroute/coordination';
+import { ManualClock, silentLog } from '@jasmineroute/core';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { RecordFiles } from './recordFiles.js';
+import type { RecordFormat } from './recordFiles.js';
+
+const FOLDER = '/records';
+
+const format: RecordFormat<string> = {
+  prefix: 'records-',
+  encode: (records) => Buffer.from(JSON.stringify(records)),
+  decode: (batch) => JSON.parse(Buffer.from(batch).toString()) as string[],
+  syncDelayMs: 100,
+  keptFiles: 1,
+};
+
+/** Time within which what failed is tried again, milliseconds. */
+const RETRY_MS = 10_000;
+
+const settle = async (): Promise<void> => {
+  for (let turn = 0; turn < 20; turn += 1) await new Promise(setImmediate);
+};
+
+describe('records on a disk that fails for a while', () => {
+  let clock: ManualClock;
+  let memory: MemoryDisk;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    memory = MemoryDisk.empty();
+  });
+
+  const create = (disk: Disk = memory): RecordFiles<string> =>
+    new RecordFiles(disk, FOLDER, format, clock, silentLog);
+
+  const found = async (disk: MemoryDisk): Promise<string[]> => create(disk).load();
+
+  const pass = async (ms: number): Promise<void> => {
+    await settle();
+    await clock.advance(ms);
+    await settle();
+  };
+
+  // Guards against records that are lost with the write that failed, although the disk works again soon.
+  it('are written once it works again, without a further record', async () => {
+    const files = create();
+    await files.load();
+    memory.writeError = 'ENOSPC';
+    files.append(['a']);
+    await settle();
+    files.append(['b']);
+    await settle();
+    memory.writeError = undefined;
+    await pass(RETRY_MS);
+    expect(await found(memory.crash(() => 0))).toEqual(['a', 'b']);
+  });
+
+  // Guards against records that can't be read, or that come back: a part of a failed write stays behind a shorter one.
+  it('leave nothing of a write that failed', async () => {
+    const files = create();
+    await files.load();
+    files.append(['first']);
+    await settle();
+    memory.writeError = 'ENOSPC';
+    files.append(Array.from({ length: 9_000 }, (_, at) => `failed ${at}`));
+    await settle();
+    memory.writeError = undefined;
+    files.append(['second']);
+    await pass(RETRY_MS);
+    const [name = ''] = await memory.list(FOLDER);
+    const { length } = await memory.read(`${FOLDER}/${name}`);
+    expect(length).toBe(files.heldBytes());
+  });
+
+  // Guards against records that count as synced, as a second sync succeeds for pages that the system has dropped.
+  it('are written again after a sync that failed', async () => {
+    const files = create();
+    await files.load();
+    let isSyncFailing = true;
+    const open = memory.open.bind(memory);
+    memory.open = async (path) => {
+      const file = await open(path);
+      const sync = async (): Promise<void> => {
+        if (!isSyncFailing) return file.sync();
+        // The system marks what it could not write as written.
+        const size = await file.size();
+        await file.truncate(0);
+        await file.write(new Uint8Array(size), 0);
+        throw systemError('EIO');
+      };
+      return { ...file, sync };
+    };
+    expect(await files.store(['a'])).toBe(false);
+    isSyncFailing = false;
+    expect(await files.store(['b'])).toBe(true);
+    expect(await found(memory.crash(() => 0))).toEqual(['a', 'b']);
+  });
+
+  // Guards against an acknowledgement that rests on nothing: the file that holds the record failed, a newer one is synced.
+  it('count as stored only once their own file is synced', async () => {
+    const files = create();
+    await files.load();
+    files.append(['a']);
+    await settle();
+    files.roll();
+    memory.syncError = 'EIO';
+    const stored = [files.store(['b']), files.store(['c'])];
+    expect(await Promise.all(stored)).toEqual([false, false]);
+    memory.syncError = undefined;
+    expect(await files.store(['d'])).toBe(true);
+    expect(await found(memory.crash(() => 0))).toEqual(['a', 'b', 'c', 'd']);
+  });
+
+  // Guards against an acknowledged record that later ones pushed out of the memory before it was written.
+  it('do not count as stored when later ones take their place', async () => {
+    const files = create();
+    await files.load();
+    let release = (): void => undefined;
+    const hanging = new Promise<void>((resolve) => {
+      release = resolve;
+    });
+    const open = memory.open.bind(memory);
+    memory.open = async (path) => {
+      const file = await open(path);
+      const write = async (data: Uint8Array, position: number): Promise<void> => {
+        await hanging;
+        return file.write(data, position);
+      };
+      return { ...file, write };
+    };
+    const first = files.store(['a']);
+    await settle();
+    const second = files.store(['b']);
+    const third = files.store(Array.from({ length: 10_000 }, (_, at) => String(at)));
+    release();
+    expect(await first).toBe(true);
+    expect(await third).toBe(true);
+    const isStored = await second;
+    const survivors = await found(memory.crash(() => 0));
+    expect(survivors.includes('b')).toBe(isStored);
+  });
+});
--- a/packages/control/src/files/recordFiles.ts
+++ b/packages/control/src/files/recordFiles.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path';
 import { decodeFrames, encodeFrame } from '@jasmineroute/coordination';
 import type { Disk, DiskFile } from '@jasmineroute/coordination';
-import type { Clock, Log } from '@jasmineroute/core';
+import type { Cancellation, Clock, Log } from '@jasmineroute/core';
 import { controlEvents } from '../events.js';
 
 const DIGITS = 10;
@@ -10,6 +10,9 @@
 /** Maximum number of records that wait for a disk that hangs or is full; the oldest are dropped. */
 const MAX_PENDING = 10_000;
 
+/** Pause after a failure before the next attempt, milliseconds. A new record is tried at once. */
+const RETRY_MS = 2_000;
+
 /** A file that is no longer written. */
 interface OlderFile {
   readonly path: string;
@@ -20,6 +23,17 @@
   readonly path: string;
   readonly file: DiskFile;
   length: number;
+  /** Bytes up to the last sync that succeeded. */
+  syncedLength: number;
+  /** Whether there may be bytes beyond `length`: a write or a sync failed. */
+  isDirty: boolean;
+}
+
+/** Records that were appended together. */
+interface Batch<T> {
+  readonly records: readonly T[];
+  /** Tells whoever waits for them whether they are on the disk. */
+  settle?: ((isStored: boolean) => void) | undefined;
 }
 
 /** What the files hold. */
@@ -37,21 +51,36 @@
   readonly keptFiles: number;
 }
 
+const countOf = <T>(batches: readonly Batch<T>[]): number =>
+  batches.reduce((sum, { records }) => sum + records.length, 0);
+
+/** Tells those who wait for the batches; what is appended later may still store them. */
+function settleAll<T>(batches: readonly Batch<T>[], isStored: boolean): void {
+  for (const batch of batches) {
+    batch.settle?.(isStored);
+    batch.settle = undefined;
+  }
+}
+
 /**
  * Appends records without waiting for the disk. A disk that fails costs only what it does not hold: the records stay in memory
- * and at another instance, so a failure is logged and the next batch is tried again.
+ * and at another instance, so a failure is logged, and what was not synced is written again.
  */
 export class RecordFiles<T> {
-  private pending: T[] = [];
-  /** Number of the next file. */
-  private next = 0;
+  /** Batches that are to be written. */
+  private pending: Batch<T>[] = [];
+  /** Batches that were written since the last sync. */
+  private unsynced: Batch<T>[] = [];
+  /** Number of the next file; undefined: the folder was not listed yet. */
+  private next: number | undefined;
   private older: OlderFile[] = [];
   private current: OpenFile | undefined;
   private isRollDue = false;
   private isSyncDue = false;
   private isFailing = false;
-  /** Resolves with whether all records appended so far were written. */
-  private writing: Promise<boolean> | undefined;
+  private cancelSync: Cancellation | undefined;
+  private cancelRetry: Cancellation | undefined;
+  private working: Promise<void> | undefined;
 
   constructor(
     private readonly disk: Disk,
@@ -68,35 +97,37 @@
 
   /** Reads the records of all files, the oldest first. */
   async load(): Promise<T[]> {
-    const { prefix } = this.format;
     const records: T[] = [];
-    await this.attempt(async () => {
+    try {
       await this.disk.ensureFolder(this.folder);
-      const names = (await this.disk.list(this.folder)).filter((name) => name.startsWith(prefix)).sort();
-      this.next = Number(names.at(-1)?.slice(prefix.length) ?? 0) + 1;
-      for (const name of names) {
-        const path = join(this.folder, name);
+      for (const path of await this.listFiles()) {
         const content = await this.disk.read(path);
         this.older.push({ path, bytes: content.length });
         records.push(...this.decode(content));
       }
-    });
+    } catch (error) {
+      this.logFailure(error);
+    }
     return records;
   }
 
   /** Appends records; they are synced soon. */
   append(records: readonly T[]): void {
     if (records.length === 0) return;
-    this.pending.push(...records);
-    if (this.pending.length > MAX_PENDING) this.pending = this.pending.slice(-MAX_PENDING);
-    this.writing ??= this.attempt(() => this.writePending());
+    this.enqueue({ records });
+    this.cancelSync ??= this.clock.after(this.format.syncDelayMs, () => {
+      this.cancelSync = undefined;
+      this.isSyncDue = true;
+      this.start();
+    });
   }
 
   /** Appends records and syncs them. @returns whether they are on the disk. */
   async store(records: readonly T[]): Promise<boolean> {
-    this.append(records);
-    const isWritten = await this.writing;
-    return isWritten === true && this.attempt(() => this.sync());
+    if (records.length === 0) return true;
+    return new Promise((settle) => {
+      this.enqueue({ records, settle });
+    });
   }
 
   /** Begins a new file with the next append, and drops the oldest. */
@@ -106,66 +137,149 @@
 
   /** Writes and syncs what is pending. */
   async close(): Promise<void> {
-    await this.writing;
-    await this.attempt(async () => {
-      await this.current?.file.sync();
-      await this.current?.file.close();
+    this.cancelSync?.();
+    await this.working;
+    this.isSyncDue = true;
+    this.start();
+    await this.working;
+    this.cancelRetry?.();
+    await this.current?.file.close().catch((error: unknown) => {
+      this.logFailure(error);
     });
   }
 
-  private async writePending(): Promise<void> {
+  private enqueue(batch: Batch<T>): void {
+    this.pending.push(batch);
+    this.dropOldest();
+    this.start();
+  }
+
+  private dropOldest(): void {
+    while (this.pending.length > 1 && countOf(this.pending) > MAX_PENDING)
+      settleAll(this.pending.splice(0, 1), false);
+  }
+
+  private start(): void {
+    this.working ??= this.work();
+  }
+
+  /** Writes and syncs, one operation after the other, until nothing is left to do or the disk fails. */
+  private async work(): Promise<void> {
+    // Deferred: appends of the same turn share a write, and `working` is set before the end.
+    await Promise.resolve();
     try {
-      while (this.pending.length > 0) {
-        const records = this.pending;
-        this.pending = [];
-        await this.write(await this.writable(), records);
+      while (this.pending.length > 0 || this.isSyncNeeded()) {
+        if (this.pending.length > 0) await this.writePending();
+        if (this.isSyncNeeded()) await this.sync();
       }
+    } catch (error) {
+      this.handleFailure(error);
     } finally {
-      // In the same turn as the last look at what is pending: an append must start a write of its own from here on.
-      this.writing = undefined;
+      // In the same turn as the last look at what is pending: an append must start a new round from here on.
+      this.working = undefined;
     }
-    this.scheduleSync();
   }
 
-  private scheduleSync(): void {
-    if (this.isSyncDue) return;
-    this.isSyncDue = true;
-    this.clock.after(this.format.syncDelayMs, () => {
-      this.isSyncDue = false;
-      void this.attempt(() => this.sync());
-    });
+  private isSyncNeeded(): boolean {
+    return this.isSyncDue || this.unsynced.some(({ settle }) => settle !== undefined);
+  }
+
+  private async writePending(): Promise<void> {
+    const target = await this.writable();
+    const batches = this.pending;
+    this.pending = [];
+    // Before the write: if it fails, they are written again together with what was not synced.
+    this.unsynced.push(...batches);
+    const records = batches.flatMap((batch) => batch.records);
+    const frame = encodeFrame(this.format.encode(records));
+    target.isDirty = true;
+    await target.file.write(frame, target.length);
+    target.isDirty = false;
+    target.length += frame.length;
   }
 
   private async sync(): Promise<void> {
-    await this.current?.file.sync();
+    this.isSyncDue = false;
+    const { current } = this;
+    if (current !== undefined) {
+      await current.file.sync();
+      current.syncedLength = current.length;
+    }
+    settleAll(this.unsynced, true);
+    this.unsynced = [];
     this.isFailing = false;
   }
 
-  /** The file that is written. */
-  private async writable(): Promise<OpenFile> {
-    if (this.isRollDue && this.current !== undefined) {
-      const { path, file, length: bytes } = this.current;
-      this.current = undefined;
-      this.older.push({ path, bytes });
-      await file.sync();
-      await file.close();
+  /**
+   * What was written since the last sync is written again: a sync that fails may have dropped it, and a later one reports
+   * success all the same.
+   */
+  private handleFailure(error: unknown): void {
+    this.logFailure(error);
+    this.pending = [...this.unsynced, ...this.pending];
+    this.unsynced = [];
+    settleAll(this.pending, false);
+    this.dropOldest();
+    if (this.current !== undefined) {
+      this.current.length = this.current.syncedLength;
+      this.current.isDirty = true;
     }
+    this.cancelRetry?.();
+    this.cancelRetry = this.clock.after(RETRY_MS, () => {
+      this.isSyncDue = true;
+      this.start();
+    });
+  }
+
+  /** The file that is written, without bytes of failed writes. */
+  private async writable(): Promise<OpenFile> {
+    if (this.isRollDue && this.current !== undefined) await this.closeCurrent(this.current);
     this.isRollDue = false;
-    if (this.current !== undefined) return this.current;
-    while (this.older.length > this.format.keptFiles) await this.disk.remove(this.older.shift()?.path ?? '');
-    const path = join(this.folder, `${this.format.prefix}${String(this.next).padStart(DIGITS, '0')}`);
+    const current = this.current ?? (await this.createFile());
+    await this.cutFailed(current);
+    return current;
+  }
+
+  /** Removes what a write or a sync that failed left. */
+  private async cutFailed(target: OpenFile): Promise<void> {
+    if (!target.isDirty) return;
+    await target.file.truncate(target.length);
+    target.isDirty = false;
+  }
+
+  private async closeCurrent(current: OpenFile): Promise<void> {
+    await this.cutFailed(current);
+    await this.sync();
+    this.current = undefined;
+    this.older.push({ path: current.path, bytes: current.length });
+    await current.file.close();
+  }
+
+  private async createFile(): Promise<OpenFile> {
+    if (this.next === undefined) await this.listFiles();
+    while (this.older.length > this.format.keptFiles) await this.removeOldest();
+    const number = this.next ?? 1;
+    const path = join(this.folder, `${this.format.prefix}${String(number).padStart(DIGITS, '0')}`);
     const file = await this.disk.open(path);
     await this.disk.syncFolder(this.folder);
-    this.next += 1;
-    this.current = { path, file, length: 0 };
+    this.next = number + 1;
+    this.current = { path, file, length: 0, syncedLength: 0, isDirty: true };
     return this.current;
   }
 
-  private async write(target: OpenFile, records: T[]): Promise<void> {
-    const frame = encodeFrame(this.format.encode(records));
-    // A write that fails may leave a part of it; the next one starts at the same place.
-    await target.file.write(frame, target.length);
-    target.length += frame.length;
+  private async removeOldest(): Promise<void> {
+    const [oldest] = this.older;
+    if (oldest === undefined) return;
+    await this.disk.remove(oldest.path);
+    this.older.shift();
+  }
+
+  /** Paths of the files, the oldest first. */
+  private async listFiles(): Promise<string[]> {
+    const { prefix } = this.format;
+    const names = (await this.disk.list(this.folder)).filter((name) => name.startsWith(prefix)).sort();
+    this.next = Number(names.at(-1)?.slice(prefix.length) ?? 0) + 1;
+    return names.map((name) => join(this.folder, name));
   }
 
   private decode(content: Uint8Array): T[] {
@@ -174,16 +288,10 @@
     return batches.flatMap((payload) => this.format.decode(payload));
   }
 
-  /** Runs an operation on the disk; a failure is logged once until a sync succeeds. @returns whether it succeeded. */
-  private async attempt(operation: () => Promise<void>): Promise<boolean> {
-    try {
-      await operation();
-      return true;
-    } catch (error) {
-      if (!this.isFailing)
-        this.log.event(controlEvents.recordsNotStored, { folder: this.folder, problem: String(error) });
-      this.isFailing = true;
-      return false;
-    }
+  /** Logs a failure once until a sync succeeds. */
+  private logFailure(error: unknown): void {
+    if (!this.isFailing)
+      this.log.event(controlEvents.recordsNotStored, { folder: this.folder, problem: String(error) });
+    this.isFailing = true;
   }
 }
