Records of control give way within a bound of bytes

They are useful, but a vote and the log are needed.

A file is full at three eighths of the share, a write takes an eighth at most, and the oldest files give way. A new file begins with the whole table of evidence or departures, or the software versions in use, so that no number of new files loses them; it is no longer written twice, and not at each start.

--- a/packages/control/src/departures/departureStore.ts
+++ b/packages/control/src/departures/departureStore.ts
@@ -27,12 +27,13 @@
   private written = 0;
 
   /** @param files where they are stored; undefined without a disk. */
-  constructor(private readonly files?: RecordFiles<Departure>) {}
+  constructor(private readonly files?: RecordFiles<Departure>) {
+    files?.beginWith(() => this.all());
+  }
 
   /** Reads what the disk holds. */
   async open(): Promise<void> {
     for (const departure of (await this.files?.load()) ?? []) this.keep(departure);
-    this.files?.append(this.all());
     this.written = this.departures.size;
   }
 
@@ -47,7 +48,6 @@
     if (this.written + departures.length > MAX_FILE_RECORDS) {
       this.files?.roll();
       this.written = this.departures.size;
-      return (await this.files?.store(this.all())) ?? false;
     }
     this.written += departures.length;
     return (await this.files?.store(departures)) ?? false;
--- a/packages/control/src/files/recordFiles.spec.ts
+++ b/packages/control/src/files/recordFiles.spec.ts
@@ -141,3 +141,51 @@
     expect(survivors.includes('b')).toBe(isStored);
   });
 });
+
+describe('records within a bound of bytes', () => {
+  const MAX_BYTES = 8_000;
+  let memory: MemoryDisk;
+
+  beforeEach(() => {
+    memory = MemoryDisk.empty();
+  });
+
+  const create = (keptFiles = 1): RecordFiles<string> =>
+    new RecordFiles(memory, FOLDER, { ...format, keptFiles }, new ManualClock(), silentLog, MAX_BYTES);
+
+  // Guards against a disk that records fill, which are useful but not needed, so that no vote can be saved.
+  it('never exceed it; the oldest give way, and the newest are found', async () => {
+    let expected: string[] = [];
+    for (const keptFiles of [1, 3, 50]) {
+      const files = create(keptFiles);
+      await files.load();
+      for (let record = 1; record <= 1_000; record += 1) {
+        const text = `${keptFiles} ${record} ${'x'.repeat(record % 50)}`;
+        expect(await files.store([text])).toBe(true);
+        expect(files.heldBytes()).toBeLessThanOrEqual(MAX_BYTES);
+        expected = [...expected, text].slice(-40);
+      }
+      await files.close();
+      memory = memory.crash(() => 0);
+      expect((await create().load()).slice(-40)).toEqual(expected);
+    }
+  });
+
+  // Guards against a table of which a full file has lost the beginning together with the file before it.
+  it('begin each file with the table', async () => {
+    const files = create();
+    files.beginWith(() => ['always']);
+    await files.load();
+    for (let record = 1; record <= 1_000; record += 1) await files.store([String(record)]);
+    expect(await create().load()).toContain('always');
+  });
+
+  it('do not count as stored when they exceed it', async () => {
+    const files = create();
+    await files.load();
+    const tooMany = Array.from({ length: 2_000 }, (_, at) => `record ${at}`);
+    expect(await files.store(tooMany)).toBe(false);
+    expect(files.heldBytes()).toBeLessThanOrEqual(MAX_BYTES);
+    expect(await files.store(['next'])).toBe(true);
+  });
+});
--- a/packages/control/src/files/recordFiles.ts
+++ b/packages/control/src/files/recordFiles.ts
@@ -13,6 +13,12 @@
 /** Pause after a failure before the next attempt, milliseconds. A new record is tried at once. */
 const RETRY_MS = 2_000;
 
+/** Share of the bound from which on a file is full; with the largest write it holds half of the bound. */
+const FULL_SHARE = 3 / 8;
+
+/** Share of the bound that one write takes at most. */
+const WRITE_SHARE = 1 / 8;
+
 /** A file that is no longer written. */
 interface OlderFile {
   readonly path: string;
@@ -81,15 +87,23 @@
   private cancelSync: Cancellation | undefined;
   private cancelRetry: Cancellation | undefined;
   private working: Promise<void> | undefined;
+  private beginning: () => readonly T[] = () => [];
 
+  /** @param maxBytes bytes that all files may hold; the oldest records give way. */
   constructor(
     private readonly disk: Disk,
     private readonly folder: string,
     private readonly format: RecordFormat<T>,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly maxBytes = Number.POSITIVE_INFINITY,
   ) {}
 
+  /** Sets the records with which each new file begins. */
+  beginWith(beginning: () => readonly T[]): void {
+    this.beginning = beginning;
+  }
+
   /** Bytes of all files. */
   heldBytes(): number {
     return this.older.reduce((sum, { bytes }) => sum + bytes, this.current?.length ?? 0);
@@ -190,14 +204,32 @@
     this.pending = [];
     // Before the write: if it fails, they are written again together with what was not synced.
     this.unsynced.push(...batches);
-    const records = batches.flatMap((batch) => batch.records);
-    const frame = encodeFrame(this.format.encode(records));
+    const frame = this.encode(target.length === 0 ? this.beginning() : [], batches);
+    while (this.heldBytes() + frame.length > this.maxBytes && this.older.length > 0)
+      await this.removeOldest();
     target.isDirty = true;
     await target.file.write(frame, target.length);
     target.isDirty = false;
     target.length += frame.length;
   }
 
+  /** Encodes one write. Of more than fits, the oldest records are left out, and who waits for them learns it. */
+  private encode(beginning: readonly T[], batches: readonly Batch<T>[]): Uint8Array {
+    const most = this.maxBytes * WRITE_SHARE;
+    let records = [...beginning, ...batches.flatMap((batch) => batch.records)];
+    let frame = encodeFrame(this.format.encode(records));
+    while (frame.length > most && records.length > 1) {
+      records = records.slice(Math.ceil(records.length / 2));
+      frame = encodeFrame(this.format.encode(records));
+    }
+    let left = records.length;
+    for (const batch of [...batches].reverse()) {
+      if (batch.records.length > left) settleAll([batch], false);
+      left = Math.max(0, left - batch.records.length);
+    }
+    return frame;
+  }
+
   private async sync(): Promise<void> {
     this.isSyncDue = false;
     const { current } = this;
@@ -233,7 +265,8 @@
 
   /** The file that is written, without bytes of failed writes. */
   private async writable(): Promise<OpenFile> {
-    if (this.isRollDue && this.current !== undefined) await this.closeCurrent(this.current);
+    const isFull = (this.current?.length ?? 0) >= this.maxBytes * FULL_SHARE;
+    if ((this.isRollDue || isFull) && this.current !== undefined) await this.closeCurrent(this.current);
     this.isRollDue = false;
     const current = this.current ?? (await this.createFile());
     await this.cutFailed(current);
--- a/packages/control/src/origins/originStore.ts
+++ b/packages/control/src/origins/originStore.ts
@@ -37,6 +37,7 @@
     private readonly metrics: Metrics,
     private readonly files?: RecordFiles<controlMessage.StreamOrigin>,
   ) {
+    files?.beginWith(() => this.versionsInUse().map(recordOf));
     this.table = new OriginTable(clock, MAX_ORIGINS, () => {
       files?.roll();
       // Deferred, as the generation begins while an origin is being recorded.
--- a/packages/control/src/quarantine/evidenceStore.ts
+++ b/packages/control/src/quarantine/evidenceStore.ts
@@ -39,12 +39,14 @@
     private readonly log: Log,
     private readonly metrics: Metrics,
     private readonly files?: RecordFiles<CrashEvidence>,
-  ) {}
+  ) {
+    files?.beginWith(() => this.table.all());
+  }
 
   /** Reads what the disk holds. */
   async open(): Promise<void> {
     for (const evidence of (await this.files?.load()) ?? []) this.table.merge(evidence);
-    this.append(this.table.all());
+    this.written = this.table.size;
     this.recordMetrics();
   }
 
@@ -133,11 +135,9 @@
     if (this.written + evidence.length > MAX_FILE_RECORDS) {
       this.files?.roll();
       this.written = this.table.size;
-      this.files?.append(this.table.all());
-      return;
     }
     this.written += evidence.length;
-    if (evidence.length > 0) this.files?.append(evidence);
+    this.files?.append(evidence);
   }
 
   private recordMetrics(): void {
--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -12,6 +12,7 @@
 import { DisklessLog } from '../log/index.js';
 import { FolderMonitor, folderLimit, folderShares } from '../folder/index.js';
 import { RecordFiles } from '../files/index.js';
+import type { RecordFormat } from '../files/index.js';
 import { OriginStore, originFormat } from '../origins/index.js';
 import { EvidenceStore, evidenceFormat } from '../quarantine/index.js';
 import type { ControlSettings } from '../setting/index.js';
@@ -77,19 +78,15 @@
     maxFolderBytes: shares?.log,
   });
   if (opened.isErr()) return err(opened.error);
-  const originFiles = new RecordFiles(disk, join(dataFolder, ORIGINS_FOLDER), originFormat, clock, log);
+  const filesOf = <T>(folder: string, format: RecordFormat<T>, maxBytes: number | undefined) =>
+    new RecordFiles(disk, join(dataFolder, folder), format, clock, log, maxBytes);
+  const originFiles = filesOf(ORIGINS_FOLDER, originFormat, shares?.origins);
   const origins = new OriginStore(clock, metrics, originFiles);
   await origins.open();
-  const evidenceFiles = new RecordFiles(disk, join(dataFolder, EVIDENCE_FOLDER), evidenceFormat, clock, log);
+  const evidenceFiles = filesOf(EVIDENCE_FOLDER, evidenceFormat, shares?.evidence);
   const evidence = new EvidenceStore(log, metrics, evidenceFiles);
   await evidence.open();
-  const departureFiles = new RecordFiles(
-    disk,
-    join(dataFolder, DEPARTURES_FOLDER),
-    departureFormat,
-    clock,
-    log,
-  );
+  const departureFiles = filesOf(DEPARTURES_FOLDER, departureFormat, shares?.departures);
   const departures = new DepartureStore(departureFiles);
   await departures.open();
   const held = () => {
