--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -1,8 +1,7 @@
 /** The durable state of a replica: identity and vote, snapshot, journal. */
 import { join } from 'node:path';
-import { fault, newId } from '@jasmineroute/core';
-import type { Fault } from '@jasmineroute/core';
-import { err, errAsync } from 'neverthrow';
+import { newId } from '@jasmineroute/core';
+import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import * as z from 'zod';
 import type { Entry } from '../gen/agreement/agreement_pb.js';
@@ -12,7 +11,8 @@
 import { TEMPORARY_SUFFIX, readRecords, replaceFile } from './recordFile.js';
 import { readSnapshot, writeSnapshot } from './snapshotFile.js';
 import type { Snapshot } from './snapshotFile.js';
-import { CorruptFile, attempt } from './storageFault.js';
+import { CorruptFile, attempt, storageFault } from './storageFault.js';
+import type { StorageFault, StorageOperation } from './storageFault.js';
 
 const STATE_FILE = 'replica';
 
@@ -37,10 +37,34 @@
   readonly snapshot: Snapshot | undefined;
   /** Entries after the snapshot, without a gap. */
   readonly entries: Entry[];
+  /** Index up to which the entries are known to be synced. */
+  readonly syncedIndex: bigint;
+  /** Why later entries could not be synced; `recover` tries again. */
+  readonly failure?: StorageFault;
   /** Bytes of an interrupted write that were removed. */
   readonly repairedBytes: number;
 }
 
+/** Log and vote that a replica holds in memory, to which its folder is brought by `recover`. */
+export interface HeldState {
+  readonly state: PersistentState;
+  /** Entries in memory, without a gap. */
+  readonly entries: readonly Entry[];
+  readonly commitIndex: bigint;
+  /** Index up to which entries may have been acknowledged. */
+  readonly syncedIndex: bigint;
+}
+
+/** State after a recovery, durable. */
+export interface RecoveredState {
+  /** As held, or newer. */
+  readonly state: PersistentState;
+  /** A snapshot of entries that the replica doesn't hold, which replaces its log. */
+  readonly snapshot?: Snapshot;
+  /** The log after the snapshot, if there is one; otherwise the entries held. */
+  readonly entries: readonly Entry[];
+}
+
 /** An opened folder. */
 export interface OpenedStorage {
   readonly storage: LogStorage;
@@ -67,23 +91,18 @@
 /** Storage of one replica. The caller makes changes one at a time; `sync` may run concurrently. */
 export class LogStorage {
   /** Final: the error that left the disk's content unknown. */
-  private failure: Fault | undefined;
+  private failure: StorageFault | undefined;
   private largestBytes = 0;
 
   private constructor(
     private readonly disk: Disk,
     private readonly folder: string,
-    private readonly journal: Journal,
+    private journal: Journal,
     private readonly release: ReleaseLock,
     private snapshotBytes: number,
-    private readonly mostBytes: number,
+    private readonly bounds: FolderBounds,
   ) {}
 
-  /** Whether an error was final: nothing is written any more. */
-  get hasFailed(): boolean {
-    return this.failure !== undefined;
-  }
-
   /** Bytes that the folder holds now, and the most so far. */
   heldBytes(): HeldBytes {
     this.recordLargest();
@@ -95,8 +114,8 @@
     disk: Disk,
     folder: string,
     bounds: FolderBounds = UNBOUNDED,
-  ): Promise<Result<OpenedStorage, Fault>> {
-    return attempt(`open ${folder}`, async () => {
+  ): Promise<Result<OpenedStorage, StorageFault>> {
+    return attempt('open', folder, async () => {
       await disk.ensureFolder(folder);
       const release = await disk.lock(folder);
       try {
@@ -109,8 +128,8 @@
   }
 
   /** Replaces identity, term and vote durably. */
-  saveState(state: PersistentState): Promise<Result<void, Fault>> {
-    return this.run('save the vote', () => writeState(this.disk, this.folder, state));
+  saveState(state: PersistentState): Promise<Result<void, StorageFault>> {
+    return this.run('vote', () => writeState(this.disk, this.folder, state));
   }
 
   /** Bytes of the journal that a snapshot up to `index` frees. */
@@ -122,52 +141,66 @@
    * Appends entries without a sync of them. After an error the journal is unchanged. What exceeds the folder's bound is
    * refused, unless it is small: the disk must keep space for the vote.
    */
-  async write(entries: readonly Entry[]): Promise<Result<void, Fault>> {
+  async write(entries: readonly Entry[]): Promise<Result<void, StorageFault>> {
     const bytes = entries.reduce((sum, { command }) => sum + command.length, 0);
-    const isBeyond = this.journal.bytes + this.snapshotBytes + bytes > this.mostBytes;
+    const isBeyond = this.journal.bytes + this.snapshotBytes + bytes > this.bounds.mostBytes;
     if (isBeyond && bytes > SMALL_WRITE_BYTES)
-      return err(fault('storage-failed', `${this.folder} holds as much as it may`));
-    return this.run('write the journal', () => this.journal.append(entries));
+      return err(storageFault('write', this.folder, new Error('the folder holds as much as it may')));
+    return this.run('write', () => this.journal.append(entries));
   }
 
   /** Drops the entries from `index` on. An error is final. */
-  async truncate(index: bigint): Promise<Result<void, Fault>> {
-    return this.failForGood(await this.run('truncate the journal', () => this.journal.truncate(index)));
+  truncate(index: bigint): Promise<Result<void, StorageFault>> {
+    return this.run('truncate', () => this.journal.truncate(index));
   }
 
   /**
    * Syncs everything written before the call. An error is final: the system may have dropped the pages that it could
    * not write, and a second sync would then report success for lost data.
    */
-  async sync(): Promise<Result<void, Fault>> {
-    return this.failForGood(await this.run('sync the journal', () => this.journal.sync()));
+  sync(): Promise<Result<void, StorageFault>> {
+    return this.run('sync', () => this.journal.sync());
   }
 
   /**
    * Stores a snapshot and drops the journal's segments that hold only entries before `keepFrom`. An error of the snapshot is
    * not final, a failed sync of the journal is.
    */
-  async saveSnapshot(snapshot: Snapshot, keepFrom: bigint, nextIndex: bigint): Promise<Result<void, Fault>> {
-    const saved = await this.run('write a snapshot', async () => {
+  saveSnapshot(snapshot: Snapshot, keepFrom: bigint, nextIndex: bigint): Promise<Result<void, StorageFault>> {
+    return this.run('snapshot', async () => {
       await this.replaceSnapshot(snapshot);
       await this.journal.roll(nextIndex);
       await this.journal.dropBefore(keepFrom);
     });
-    return this.journal.hasFailedSync ? this.failForGood(saved) : saved;
   }
 
   /** Replaces the whole journal by a snapshot. An error while clearing the journal is final. */
-  async installSnapshot(snapshot: Snapshot): Promise<Result<void, Fault>> {
-    const written = await this.run('install a snapshot', () => this.replaceSnapshot(snapshot));
+  async installSnapshot(snapshot: Snapshot): Promise<Result<void, StorageFault>> {
+    const written = await this.run('install', () => this.replaceSnapshot(snapshot));
     if (written.isErr()) return written;
-    return this.failForGood(
-      await this.run('clear the journal', () => this.journal.reset(snapshot.lastIndex + 1n)),
-    );
+    return this.run('clear', () => this.journal.reset(snapshot.lastIndex + 1n));
+  }
+
+  /**
+   * Makes the storage work again after an error; until it succeeds, a final error stays. Saves the vote. After a final error,
+   * reads the folder as at a start, brings it to what the replica holds, and writes again all that is not known to be synced.
+   * Error code CORRUPT: what was synced has changed.
+   */
+  async recover(held: HeldState): Promise<Result<RecoveredState, StorageFault>> {
+    const { disk, folder, failure } = this;
+    const result = await attempt('recover', folder, async () => {
+      const recovered = failure === undefined ? held : await this.reopen(held);
+      await writeState(disk, folder, recovered.state);
+      return recovered;
+    });
+    if (result.isErr()) return err({ ...result.error, isFinal: failure !== undefined });
+    this.failure = undefined;
+    return result;
   }
 
   /** Closes the files and releases the lock; later writes fail. */
   async close(): Promise<void> {
-    this.failure ??= fault('storage-failed', `${this.folder} is closed`);
+    this.failure ??= storageFault('open', this.folder, new Error('the storage is closed'));
     await this.journal.close().catch(() => undefined);
     await this.release().catch(() => undefined);
   }
@@ -191,33 +224,80 @@
     this.largestBytes = Math.max(this.largestBytes, this.journal.bytes + this.snapshotBytes);
   }
 
-  /** Makes an error final: the disk's content is unknown, so nothing more is written or acknowledged. */
-  private failForGood(result: Result<void, Fault>): Result<void, Fault> {
-    if (result.isErr()) this.failure ??= result.error;
-    return result;
+  private async reopen(held: HeldState): Promise<RecoveredState> {
+    const { disk, folder } = this;
+    await this.journal.close();
+    const opened = await Journal.open(disk, folder, this.bounds.segmentBytes, this.journal.syncedIndex);
+    this.journal = opened.journal;
+    await removeTemporaryFiles(disk, folder);
+    const state = newerState(await readState(disk, folder), held.state, folder);
+    const snapshot = await readSnapshot(disk, folder);
+    this.snapshotBytes = snapshot?.data.length ?? 0;
+    const onDisk = await entriesAfterSnapshot(this.journal, opened.entries, snapshot, folder);
+    const isNewer = snapshot !== undefined && snapshot.lastIndex > held.commitIndex;
+    const entries = entriesHeldAfter(held, snapshot, isNewer);
+    // Entries may be gone that a snapshot was about to replace.
+    await this.reconcile(onDisk, entries, isNewer ? 0n : held.syncedIndex);
+    return { state, snapshot: isNewer ? snapshot : undefined, entries };
   }
 
-  private run(operation: string, action: () => Promise<void>): Promise<Result<void, Fault>> {
-    const failed = this.failure;
-    const result =
-      failed === undefined ? attempt(`${operation} in ${this.folder}`, action) : errAsync(failed);
-    return Promise.resolve(result);
+  /** Makes the journal hold, synced, the entries that the replica holds after the snapshot. */
+  private async reconcile(
+    onDisk: readonly Entry[],
+    entries: readonly Entry[],
+    acknowledgedIndex: bigint,
+  ): Promise<void> {
+    const { journal } = this;
+    const different = onDisk.findIndex(
+      ({ index, term }, position) => entries[position]?.index !== index || entries[position].term !== term,
+    );
+    const agreeing = different < 0 ? onDisk.length : different;
+    const missing = entries.slice(agreeing);
+    const [firstMissing] = missing;
+    if (firstMissing !== undefined && firstMissing.index <= acknowledgedIndex) {
+      throw new CorruptFile(this.folder, `entry ${firstMissing.index.toString()} was synced and is gone`);
+    }
+    // Entries that the replica doesn't hold were left by a write that was reported as failed.
+    const surplus = onDisk[agreeing];
+    if (surplus !== undefined) await journal.truncate(surplus.index);
+    await journal.rewriteTail();
+    await journal.append(missing);
+    await journal.sync();
+  }
+
+  /** Runs an operation. An error after which the content of the disk is unknown is final. */
+  private async run(
+    operation: StorageOperation,
+    action: () => Promise<void>,
+  ): Promise<Result<void, StorageFault>> {
+    if (this.failure !== undefined) return err(this.failure);
+    const result = await attempt(operation, this.folder, action);
+    if (result.isOk() || !this.journal.isUnknown) return result;
+    this.failure ??= { ...result.error, isFinal: true };
+    return err(this.failure);
   }
 
   private static async load(
     disk: Disk,
     folder: string,
     release: ReleaseLock,
-    { segmentBytes, mostBytes }: FolderBounds,
+    bounds: FolderBounds,
   ): Promise<OpenedStorage> {
     await removeTemporaryFiles(disk, folder);
     const state = await readState(disk, folder);
     const snapshot = await readSnapshot(disk, folder);
-    const { journal, entries, repairedBytes } = await Journal.open(disk, folder, segmentBytes);
+    const { journal, entries, repairedBytes } = await Journal.open(disk, folder, bounds.segmentBytes);
     const remaining = await entriesAfterSnapshot(journal, entries, snapshot, folder);
     const snapshotBytes = snapshot?.data.length ?? 0;
-    const storage = new LogStorage(disk, folder, journal, release, snapshotBytes, mostBytes);
-    return { storage, recovered: { state, snapshot, entries: remaining, repairedBytes } };
+    const storage = new LogStorage(disk, folder, journal, release, snapshotBytes, bounds);
+    // A process that was ended leaves entries that were never synced; they must not be acknowledged before they are.
+    const rewritten = await storage.run('sync', () => journal.rewriteTail());
+    const failure = rewritten.isErr() ? rewritten.error : undefined;
+    const { syncedIndex } = journal;
+    return {
+      storage,
+      recovered: { state, snapshot, entries: remaining, syncedIndex, failure, repairedBytes },
+    };
   }
 }
 
@@ -230,6 +310,12 @@
 ): Promise<Entry[]> {
   const next = (snapshot?.lastIndex ?? 0n) + 1n;
   const first = entries[0]?.index;
+  const covered = entries.find(({ index }) => index === snapshot?.lastIndex);
+  // A snapshot was installed over another log, which was not cleared before the process ended.
+  if (covered !== undefined && covered.term !== snapshot?.lastTerm) {
+    await journal.reset(next);
+    return [];
+  }
   if (first !== undefined && first > next) {
     throw new CorruptFile(folder, `entries ${next.toString()} to ${(first - 1n).toString()} are missing`);
   }
@@ -238,6 +324,21 @@
   return entries.filter((entry) => entry.index >= next);
 }
 
+/** Entries in memory after the snapshot on the disk; none if the snapshot is newer and of another log. */
+function entriesHeldAfter(held: HeldState, snapshot: Snapshot | undefined, isNewer: boolean): Entry[] {
+  const covered = snapshot?.lastIndex ?? 0n;
+  const last = held.entries.find(({ index }) => index === covered);
+  if (isNewer && last?.term !== snapshot?.lastTerm) return [];
+  return held.entries.filter(({ index }) => index > covered);
+}
+
+/** The newer of two states: a vote can be on the disk although saving it was reported as failed. */
+function newerState(onDisk: PersistentState, held: PersistentState, folder: string): PersistentState {
+  if (onDisk.replicaId !== held.replicaId) throw new CorruptFile(folder, 'the identity is another one');
+  const isNewer = onDisk.term > held.term || (onDisk.term === held.term && held.votedFor === '');
+  return isNewer ? onDisk : held;
+}
+
 async function removeTemporaryFiles(disk: Disk, folder: string): Promise<void> {
   const temporary = (await disk.list(folder)).filter((name) => name.endsWith(TEMPORARY_SUFFIX));
   for (const name of temporary) await disk.remove(join(folder, name));
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -648,17 +648,9 @@
   {
     name: 'final sync of a journal',
     file: 'packages/coordination/src/storage/journal.ts',
-    find: '          this.syncError ??= error;\n',
+    find: '      this.failure ??= error instanceof Error ? error : new Error(String(error));\n',
     put: '',
     spec: 'packages/coordination/src/storage',
     test: 'is final also while a snapshot is saved',
   },
-  {
-    name: 'empty segment of a journal',
-    file: 'packages/coordination/src/storage/journal.ts',
-    find: '      await this.discard(path, file);\n',
-    put: '',
-    spec: 'packages/coordination/src/storage',
-    test: 'a segment that could not be begun leaves no file',
-  },
 ];
