--- a/packages/coordination/src/agreement/applier.ts
+++ b/packages/coordination/src/agreement/applier.ts
@@ -1,10 +1,9 @@
 /** Applies committed entries to the state machine, and takes snapshots. */
-import type { Fault } from '@jasmineroute/core';
 import { coordinationEvents } from '../events.js';
 import { EntryKind } from '../gen/agreement/agreement_pb.js';
 import type { Configuration, Entry } from '../gen/agreement/agreement_pb.js';
 import { coordinationMetrics } from '../metrics.js';
-import type { Snapshot } from '../storage/index.js';
+import type { Snapshot, StorageFault } from '../storage/index.js';
 import type { Waiters } from './proposal.js';
 import type { Replica } from './replica.js';
 import { Signal } from './signal.js';
@@ -172,11 +171,11 @@
    * Tries again soon: until a snapshot is saved, nothing frees the journal's space. The replica goes on meanwhile, as its
    * entries and its vote need no snapshot.
    */
-  private pauseSnapshots(cause: Fault): void {
+  private pauseSnapshots(cause: StorageFault): void {
     const { replica, pauseMs } = this;
     replica.log.event(coordinationEvents.snapshotFailed, { reason: cause.message, pauseMs });
     replica.metrics.count(coordinationMetrics.snapshotFailures);
-    if (replica.storage.hasFailed) replica.handleStorageFailure(cause);
+    if (cause.isFinal) replica.handleStorageFailure(cause);
     this.isPaused = true;
     this.pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
     replica.clock.after(pauseMs, () => {
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -6,11 +6,19 @@
 import type { Configuration, Entry, Voter } from '../gen/agreement/agreement_pb.js';
 import { coordinationEvents } from '../events.js';
 import { folderBudget } from '../storage/index.js';
-import type { FolderBudget, LogStorage, PersistentState, Recovered } from '../storage/index.js';
+import type {
+  FolderBudget,
+  LogStorage,
+  PersistentState,
+  Recovered,
+  Snapshot,
+  StorageFault,
+} from '../storage/index.js';
 import { isVoter, membersOf, voter } from './configuration.js';
 import { EntryLog } from './entryLog.js';
 import type { Tuning } from './options.js';
 import { Mutex, Signal } from './signal.js';
+import { StorageHealth } from './storageHealth.js';
 
 /** Role of a replica in its current term. */
 export type Role = 'follower' | 'candidate' | 'leader';
@@ -37,6 +45,7 @@
   readonly random: () => number;
   readonly storage: LogStorage;
   readonly budget: FolderBudget;
+  readonly storageHealth: StorageHealth;
   readonly entries = new EntryLog();
   /** Fires on every change of role, term, leader, commit index or configuration, and on stop. */
   readonly changed = new Signal();
@@ -55,8 +64,8 @@
   electionTimerStart: number;
   /** Monotonic time of the last message from a leader; undefined if none since the start. */
   lastLeaderContact: number | undefined;
-  /** Monotonic time until which the replica does not stand for election. */
-  noCandidacyUntil = 0;
+  /** Monotonic time until which the replica stands after the others, as its storage failed not long ago. */
+  private restingUntil = -Infinity;
   stopped = false;
   private state: PersistentState;
   private readonly mutex = new Mutex();
@@ -71,6 +80,7 @@
     this.random = options.random;
     this.storage = options.storage;
     this.budget = folderBudget(options.tuning);
+    this.storageHealth = new StorageHealth(options.clock, options.log, options.metrics);
     this.state = recovered.state;
     this.electionTimerStart = options.clock.monotonic();
     const snapshot = recovered.snapshot;
@@ -79,7 +89,8 @@
     }
     this.entries.append(recovered.entries);
     this.commitIndex = this.entries.start.index;
-    this.syncedIndex = this.entries.last.index;
+    this.syncedIndex = recovered.syncedIndex;
+    if (recovered.failure !== undefined) this.storageHealth.recordFailure(recovered.failure);
   }
 
   get id(): string {
@@ -139,6 +150,7 @@
 
   /** Persists term, vote or cluster id; the change takes effect only once synced. Call within `exclusive`. */
   async saveState(change: Partial<PersistentState>): Promise<Result<void, Fault>> {
+    if (this.storageHealth.failure !== undefined) return err(this.storageHealth.failure);
     const next = { ...this.state, ...change };
     const saved = await this.storage.saveState(next);
     if (saved.isErr()) {
@@ -179,6 +191,8 @@
 
   /** Appends entries to the log without syncing them. Call within `exclusive`. */
   async appendEntries(entries: readonly Entry[]): Promise<Result<void, Fault>> {
+    if (entries.length === 0) return ok();
+    if (this.storageHealth.failure !== undefined) return err(this.storageHealth.failure);
     const written = await this.storage.write(entries);
     if (written.isErr()) {
       this.handleStorageFailure(written.error);
@@ -194,6 +208,7 @@
   async truncateEntries(index: bigint): Promise<Result<void, Fault>> {
     if (index <= this.commitIndex)
       return err(fault('internal', `cannot truncate at ${index.toString()}: the entry is committed`));
+    if (this.storageHealth.failure !== undefined) return err(this.storageHealth.failure);
     const truncated = await this.storage.truncate(index);
     if (truncated.isErr()) {
       this.handleStorageFailure(truncated.error);
@@ -231,15 +246,46 @@
   }
 
   /**
-   * Steps down and pauses candidacy after a storage error. With a leader that can't write, every command would fail or wait
-   * for the other replicas, so a replica with a working disk should be elected.
+   * Steps down after a storage error. With a leader that can't write, every command would fail or wait for the other replicas,
+   * so a replica with a working disk should be elected.
    */
-  handleStorageFailure(cause: Fault): void {
-    this.log.event(coordinationEvents.storageFailed, { reason: cause.message });
-    this.noCandidacyUntil = this.clock.monotonic() + this.tuning.storageRestMs;
+  handleStorageFailure(cause: StorageFault): void {
+    this.storageHealth.recordFailure(cause);
     this.becomeFollower('storage failed');
   }
 
+  /** Whether the storage fails or failed not long ago, so that a replica with a sound disk is preferred as the leader. */
+  get isResting(): boolean {
+    return this.storageHealth.failure !== undefined || this.clock.monotonic() < this.restingUntil;
+  }
+
+  /**
+   * Tries to make the storage work again after an error. Returns a snapshot of entries that this replica doesn't hold, if one
+   * was found, from which the state machine has to be restored. Call within `exclusive`.
+   */
+  async recoverStorage(): Promise<Result<Snapshot | undefined, StorageFault>> {
+    const { state, entries, commitIndex, syncedIndex } = this;
+    const held = { state, entries: entries.all(), commitIndex, syncedIndex };
+    const recovered = await this.storage.recover(held);
+    if (recovered.isErr()) {
+      this.storageHealth.recordFailure(recovered.error);
+      return err(recovered.error);
+    }
+    const { snapshot } = recovered.value;
+    if (recovered.value.state.term !== this.term) this.becomeFollower('higher term on the disk');
+    this.state = recovered.value.state;
+    if (snapshot !== undefined) {
+      entries.reset({ index: snapshot.lastIndex, term: snapshot.lastTerm }, snapshot.configuration);
+      entries.append(recovered.value.entries);
+      this.commitTo(snapshot.lastIndex);
+    }
+    if (this.storageHealth.failure?.isFinal === true) this.syncedIndex = entries.last.index;
+    this.storageHealth.recordSuccess();
+    this.restingUntil = this.clock.monotonic() + this.tuning.storageRestMs;
+    this.changed.notify();
+    return ok(snapshot);
+  }
+
   stop(): void {
     this.stopped = true;
     this.becomeFollower('closing');
--- a/packages/coordination/src/events.ts
+++ b/packages/coordination/src/events.ts
@@ -33,5 +33,11 @@
     level: 'warn',
     message: 'a snapshot was not saved, so the journal keeps its size; it is tried again',
   },
+  storageWorks: { id: 2022, level: 'info', message: 'storage works again' },
+  storageAbstention: {
+    id: 2023,
+    level: 'warn',
+    message: 'does not stand for election or vote while its storage fails',
+  },
   taskFailed: { id: 2016, level: 'error', message: 'a task of the replica failed' },
 });
--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -29,18 +29,29 @@
 
 const nextIndexOf = (segment: Segment): bigint => segment.first + BigInt(segment.offsets.length);
 
+const min = (a: bigint, b: bigint): bigint => (a < b ? a : b);
+
 const segmentName = (first: bigint): string => PREFIX + String(first).padStart(DIGITS, '0');
 
+/**
+ * Index up to which entries are known to be synced: those before the newest segment, and those that were synced before its last
+ * record was written.
+ */
+function syncedIndexAfter(known: bigint, first: bigint, last: Entry | undefined): bigint {
+  const indexes = [known, first - 1n, last?.syncedIndex ?? 0n];
+  return indexes.reduce((highest, index) => (index > highest ? index : highest));
+}
+
 /** The caller appends and truncates one at a time; `sync` may run concurrently. */
 export class Journal {
   private runningSync: Promise<void> | undefined;
   private queuedSync: Promise<void> | undefined;
-  /** Why an incomplete record could not be removed. */
-  private rollbackError: unknown;
-  /** Why a sync failed: the system may have dropped what it could not write, so no later one counts. */
-  private syncError: unknown;
+  /** Error after which the content of the disk is unknown; everything but closing is refused. */
+  private failure: Error | undefined;
   /** Index of the last entry that is known to be synced; 0: none. */
-  private syncedIndex = 0n;
+  private synced = 0n;
+  /** Whether entries after `synced` were only read, so that a sync does not make them durable. */
+  private isTailDoubtful = true;
 
   private constructor(
     private readonly disk: Disk,
@@ -50,25 +61,31 @@
   ) {}
 
   /**
-   * Reads the folder's segments; new ones begin after `segmentBytes` each. Only the newest may end in an interrupted write, which is removed; older ones
-   * were synced as a whole before the next one was started.
+   * Reads the folder's segments; new ones begin after `segmentBytes` each. Only the newest may end in an interrupted write,
+   * which is removed; older ones were synced as a whole before the next one was started. Entries up to `synced` are known to
+   * be synced. Later ones may only be in memory of the system until `rewriteTail`.
    * @throws CorruptFile, or a system error.
    */
-  static async open(disk: Disk, folder: string, segmentBytes = Infinity): Promise<OpenedJournal> {
+  static async open(
+    disk: Disk,
+    folder: string,
+    segmentBytes = Infinity,
+    synced = 0n,
+  ): Promise<OpenedJournal> {
     const names = (await disk.list(folder)).filter((name) => name.startsWith(PREFIX)).sort();
     const journal = new Journal(disk, folder, [], segmentBytes);
-    const entries: Entry[] = [];
-    let repairedBytes = 0;
-    for (const [position, name] of names.entries()) {
-      const isNewest = position === names.length - 1;
-      repairedBytes += await journal.loadSegment(join(folder, name), isNewest, entries);
+    journal.synced = synced;
+    try {
+      return await journal.load(names);
+    } catch (error) {
+      await journal.close();
+      throw error;
     }
-    return { journal, entries, repairedBytes };
   }
 
-  /** Whether a sync failed. */
-  get hasFailedSync(): boolean {
-    return this.syncError !== undefined;
+  /** Index of the last entry that is known to be synced; 0: none. */
+  get syncedIndex(): bigint {
+    return this.synced;
   }
 
   /** Bytes of all segments. */
@@ -86,18 +103,15 @@
   async append(entries: readonly Entry[]): Promise<void> {
     const [head] = entries;
     if (head === undefined) return;
-    this.checkRollback();
+    this.checkContent();
     const tail = await this.tailFor(head.index);
-    const { syncedIndex } = this;
+    const { synced: syncedIndex } = this;
     const frames = entries.map((entry) => encodeFrame(toBinary(EntrySchema, { ...entry, syncedIndex })));
     const start = tail.length;
     try {
       await tail.file.write(Buffer.concat(frames), start);
     } catch (error) {
-      // A full disk accepts part of the write. If it stayed, entries after it could not be read at the next start.
-      await tail.file.truncate(start).catch((cause: unknown) => {
-        this.rollbackError = cause;
-      });
+      await this.removeAfter(tail, start);
       throw error;
     }
     for (const frame of frames) {
@@ -116,11 +130,23 @@
     if (tail === undefined || nextIndexOf(tail) <= index) return;
     const kept = index > tail.first ? Number(index - tail.first) : 0;
     const length = tail.offsets[kept] ?? tail.length;
-    await tail.file.truncate(length);
+    await this.orUnknown(() => tail.file.truncate(length));
     tail.offsets.length = kept;
     tail.length = length;
-    this.syncedIndex = 0n;
     // Synced before the next write: if that survived a power failure and the truncation did not, old bytes would follow it.
+    await this.sync().finally(() => {
+      this.synced = min(this.synced, index - 1n);
+    });
+  }
+
+  /**
+   * Writes the entries after the last one that is known to be synced again, in place, and syncs them. They can be read, but may
+   * not be on the disk: the system keeps pages in memory that it failed to write, and does not write them at a further sync.
+   */
+  async rewriteTail(): Promise<void> {
+    const tail = this.segments.at(-1);
+    if (tail !== undefined) await this.rewrite(tail);
+    this.isTailDoubtful = false;
     await this.sync();
   }
 
@@ -140,7 +166,7 @@
   }
 
   private isSynced(tail: Segment): boolean {
-    return this.syncedIndex >= nextIndexOf(tail) - 1n;
+    return this.synced >= nextIndexOf(tail) - 1n;
   }
 
   /** Syncs the previous entries and starts a new segment for entries from `index` on. */
@@ -165,6 +191,8 @@
       await this.removeSegment(tail);
     }
     await this.beginSegment(index);
+    this.synced = index - 1n;
+    this.isTailDoubtful = false;
   }
 
   /**
@@ -187,35 +215,43 @@
     await Promise.all(this.segments.map((segment) => segment.file.close()));
   }
 
-  private checkSync(): void {
-    if (this.syncError === undefined) return;
-    throw new Error('an earlier sync of the journal failed', { cause: this.syncError });
+  /** Whether an error left the content of the disk unknown. */
+  get isUnknown(): boolean {
+    return this.failure !== undefined;
   }
 
-  private checkRollback(): void {
-    this.checkSync();
-    if (this.rollbackError === undefined) return;
-    throw new Error('an incomplete write could not be removed from the journal', {
-      cause: this.rollbackError,
-    });
+  private checkContent(): void {
+    if (this.failure !== undefined) throw this.failure;
+  }
+
+  /** Runs an action after whose failure the content of the disk is unknown. */
+  private async orUnknown<T>(action: () => Promise<T>): Promise<T> {
+    this.checkContent();
+    try {
+      return await action();
+    } catch (error) {
+      this.failure ??= error instanceof Error ? error : new Error(String(error));
+      throw error;
+    }
+  }
+
+  /** Removes the part that a failed write left. If it stayed, entries after it could not be read at the next start. */
+  private async removeAfter(tail: Segment, length: number): Promise<void> {
+    try {
+      await this.orUnknown(() => tail.file.truncate(length));
+    } catch {
+      // The journal now refuses everything, with this error.
+    }
   }
 
   private startSync(): Promise<void> {
     const tail = this.segments.at(-1);
     if (tail === undefined) return Promise.resolve();
     const last = nextIndexOf(tail) - 1n;
-    const running = tail.file
-      .sync()
-      .then(
-        () => {
-          this.checkSync();
-          this.syncedIndex = last;
-        },
-        (error: unknown) => {
-          this.syncError ??= error;
-          throw error;
-        },
-      )
+    const running = this.orUnknown(() => tail.file.sync())
+      .then(() => {
+        if (!this.isTailDoubtful) this.synced = last;
+      })
       .finally(() => {
         if (this.runningSync === running) this.runningSync = undefined;
       });
@@ -228,41 +264,47 @@
     while (this.runningSync !== undefined) await this.runningSync.catch(() => undefined);
   }
 
-  private async beginSegment(first: bigint): Promise<Segment> {
-    const path = join(this.folder, segmentName(first));
-    const file = await this.disk.open(path);
-    try {
+  private beginSegment(first: bigint): Promise<Segment> {
+    return this.orUnknown(async () => {
+      const path = join(this.folder, segmentName(first));
+      const file = await this.disk.open(path);
+      const segment = { first, path, file, offsets: [], length: 0 };
+      this.segments.push(segment);
       await file.truncate(0);
       await this.disk.syncFolder(this.folder);
-    } catch (error) {
-      await this.discard(path, file);
-      throw error;
-    }
-    const segment = { first, path, file, offsets: [], length: 0 };
-    this.segments.push(segment);
-    return segment;
-  }
-
-  /** Removes a segment that could not be begun: entries go on in the one before it, which must then be the newest. */
-  private async discard(path: string, file: DiskFile): Promise<void> {
-    try {
-      await file.close();
-      await this.disk.remove(path);
-      await this.disk.syncFolder(this.folder);
-    } catch (cause) {
-      this.rollbackError = cause;
-    }
+      return segment;
+    });
   }
 
   /** Syncs the folder after each removal: a power failure could otherwise undo any of several, leaving a gap between segments. */
   private async removeSegment(segment: Segment): Promise<void> {
     await this.waitForSync();
-    await this.disk.remove(segment.path);
-    await this.disk.syncFolder(this.folder);
+    await this.orUnknown(async () => {
+      await this.disk.remove(segment.path);
+      await this.disk.syncFolder(this.folder);
+    });
     this.segments.splice(this.segments.indexOf(segment), 1);
     await segment.file.close();
   }
 
+  private async load(names: readonly string[]): Promise<OpenedJournal> {
+    const entries: Entry[] = [];
+    let repairedBytes = 0;
+    for (const [position, name] of names.entries()) {
+      const isNewest = position === names.length - 1;
+      repairedBytes += await this.loadSegment(join(this.folder, name), isNewest, entries);
+    }
+    return { journal: this, entries, repairedBytes };
+  }
+
+  private async rewrite(tail: Segment): Promise<void> {
+    const position = this.synced < tail.first ? 0 : Number(this.synced - tail.first) + 1;
+    const start = tail.offsets[position];
+    if (start === undefined) return;
+    const data = (await this.disk.read(tail.path)).subarray(start, tail.length);
+    await this.orUnknown(() => tail.file.write(data, start));
+  }
+
   private async loadSegment(path: string, isNewest: boolean, entries: Entry[]): Promise<number> {
     const frames = decodeFrames(await this.disk.read(path));
     const isDamaged = frames.ending === 'corrupt' || (frames.ending !== 'whole' && !isNewest);
@@ -284,12 +326,13 @@
       throw new CorruptFile(path, `entry ${next().toString()} was synced and is gone`);
     }
     const file = await this.disk.open(path);
+    this.segments.push({ first, path, file, offsets: frames.offsets, length: frames.end });
+    if (isNewest) this.synced = syncedIndexAfter(this.synced, first, entries.at(-1));
     const excess = (await file.size()) - frames.end;
     if (excess > 0) {
       await file.truncate(frames.end);
       await file.sync();
     }
-    this.segments.push({ first, path, file, offsets: frames.offsets, length: frames.end });
     return excess;
   }
 }
--- a/packages/relay/src/events.ts
+++ b/packages/relay/src/events.ts
@@ -22,6 +22,11 @@
     level: 'info',
     message: 'the software version of a stream that a caller resumes is known',
   },
+  notResumed: {
+    id: 8020,
+    level: 'info',
+    message: 'the software version of a stream that a caller resumes is not known for certain',
+  },
   targetFate: { id: 8009, level: 'info', message: 'whether a target that broke off an answer has ended' },
   brokenUnder: {
     id: 8010,
@@ -43,5 +48,6 @@
   readiness: { id: 8006, level: 'info', message: 'readiness changed' },
   draining: { id: 8012, level: 'info', message: 'planned stop: finishing open requests' },
   drained: { id: 8013, level: 'info', message: 'planned stop: all requests finished' },
+  unfinished: { id: 8016, level: 'warn', message: 'planned stop: a request is still in progress at the end' },
   unexpected: { id: 8014, level: 'error', message: 'unexpected error in a request' },
 });
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -11,7 +11,7 @@
 import { Follower, ClusterView } from '@jasmineroute/knowledge';
 import type { ReportSender } from '@jasmineroute/knowledge';
 import { relayMetrics } from './metrics.js';
-import { StreamOrigins } from './origin/index.js';
+import { MovedRoutes, StreamOrigins } from './origin/index.js';
 import { CrashWatch, Quarantine, Trials } from './quarantine/index.js';
 import { copySenders } from './report/index.js';
 import { TargetSelector } from './placement/index.js';
@@ -40,6 +40,12 @@
 /** How long a planned stop waits for new connections to cease, milliseconds. */
 const CONNECTION_DRAIN_MS = 500;
 
+/** Time before the end of a planned stop at which requests that are still in progress are named, milliseconds. */
+const NAMING_MARGIN_MS = 150;
+
+/** Maximum number of requests that are named when a planned stop ends under them. */
+const MAX_NAMED_REQUESTS = 32;
+
 /** A relaying entry. */
 export class Relay implements RoleProcess {
   private readonly requestContext: RelayContext;
@@ -55,7 +61,7 @@
   private draining = false;
   /** Monotonic time at which a planned stop ends. */
   private stopsAt: number | undefined;
-  private open = 0;
+  private readonly open = new Set<RequestHandler>();
   /** Reason of the last reported readiness. */
   private lastReason = '';
 
@@ -77,6 +83,7 @@
     const crashWatch = new CrashWatch({ targets: knowledge.targets, clock, stalls, log, metrics });
     const trials = new Trials({ name, incarnation, controls: allControls, peers, clock, log });
     this.quarantine = new Quarantine({ crashWatch, trials, senders, clock, log, metrics });
+    const movedRoutes = new MovedRoutes(clock);
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
     const monitor = new TargetMonitor(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
@@ -89,6 +96,7 @@
       budgets: new ServiceBudgets(allowance, () => knowledge.entries()),
       copySchedule: new CopySchedule(clock, (store, part) => knowledge.isKept(store, part)),
       origins: this.origins,
+      movedRoutes,
       quarantine: this.quarantine,
       startupGrace: new StartupGrace(knowledge, clock),
       stopsAt: () => this.stopsAt,
@@ -118,6 +126,7 @@
       clock,
       stalls,
       log,
+      metrics,
     );
     knowledge.onLoad(({ targetId, running, waiting }) => {
       monitor.recordLoad(targetId, { running, waiting });
@@ -139,7 +148,9 @@
       clock,
     });
     knowledge.onChange(() => {
-      const limits = knowledge.table()?.configuration.limits;
+      const table = knowledge.table();
+      if (table !== undefined) movedRoutes.update(table);
+      const limits = table?.configuration.limits;
       if (limits !== undefined) this.server.setTimeouts(limits.idleTimeoutMs, limits.headerTimeoutMs);
     });
   }
@@ -166,7 +177,12 @@
 
   /** Number of requests in progress. */
   openRequests(): number {
-    return this.open;
+    return this.open.size;
+  }
+
+  /** Number of the configuration in force here; 0: none is known. */
+  configurationNumber(): number {
+    return this.knowledge.number();
   }
 
   /** The current readiness. It is logged only when it changes, as load balancers query it continuously. */
@@ -198,14 +214,19 @@
     const { clock, log } = this.context;
     this.draining = true;
     this.stopsAt = clock.monotonic() + this.settings.graceMs;
-    log.event(relayEvents.draining, { open: this.open });
+    log.event(relayEvents.draining, { open: this.open.size });
     this.server.stopKeepAlive();
+    const cancelNaming = clock.after(this.settings.graceMs - NAMING_MARGIN_MS, () => {
+      this.logUnfinished();
+    });
     await clock.sleep(this.settings.drainDelayMs);
     await this.server.drain(CONNECTION_DRAIN_MS);
-    log.event(relayEvents.drained);
+    cancelNaming();
+    log.event(relayEvents.drained, { open: this.open.size, ...this.server.stopRecord() });
   }
 
   async close(): Promise<void> {
+    if (this.draining) this.logUnfinished();
     this.stopped.abort();
     this.reporter.stop();
     this.origins.stop();
@@ -216,18 +237,26 @@
     await this.requestContext.pools.close();
   }
 
+  /** Names requests that are still in progress when a planned stop ends. */
+  private logUnfinished(): void {
+    const { log } = this.context;
+    const named = [...this.open].slice(0, MAX_NAMED_REQUESTS);
+    for (const handler of named) log.event(relayEvents.unfinished, { ...handler.progress() });
+  }
+
   private async serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const { dialect, clock, stalls, log } = this.requestContext;
     const answer = new CallerAnswer(outgoing, dialect, clock, stalls);
-    this.open += 1;
+    const handler = new RequestHandler(this.requestContext, incoming, answer);
+    this.open.add(handler);
     try {
-      await new RequestHandler(this.requestContext, incoming, answer).run();
+      await handler.run();
     } catch (cause) {
       const stack = cause instanceof Error ? cause.stack : undefined;
       log.event(relayEvents.unexpected, { error: String(cause), stack });
       answer.fail(fault('internal', 'unexpected error', { cause }));
     } finally {
-      this.open -= 1;
+      this.open.delete(handler);
     }
   }
 
@@ -238,7 +267,7 @@
       const ids = this.knowledge.targets.ids();
       this.requestContext.monitor.retain(ids);
       await this.requestContext.pools.retain(ids);
-      metrics.gauge(relayMetrics.open, this.open);
+      metrics.gauge(relayMetrics.open, this.open.size);
       await clock.sleep(SWEEP_INTERVAL_MS, signal).catch(() => undefined);
     }
   }
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -94,6 +94,7 @@
 /** Handles one request of a caller. */
 export class RequestHandler {
   private readonly abort = new AbortController();
+  private requestId: string | undefined;
   private sends = 0;
   /** Whether an attempt may have run. */
   private mayHaveRun = false;
@@ -122,10 +123,24 @@
     });
   }
 
+  /** Where the request stands, for the log. */
+  progress(): Readonly<Record<string, unknown>> {
+    const { answer } = this;
+    return {
+      request: this.requestId,
+      target: this.target?.id,
+      sends: this.sends,
+      ageMs: Math.round(answer.age()),
+      isBegun: answer.begun,
+      hasCallerLeft: answer.gone.aborted,
+    };
+  }
+
   /** Answers the request in every case. */
   async run(): Promise<void> {
     const { dialect, knowledge, startupGrace, stalls } = this.context;
     const request = dialect.readRequest(this.incoming);
+    if (request.isOk()) this.requestId = request.value.id;
     // After an event loop stall, a caller's request may be read before control's updates: the configuration may be
     // out of date.
     await stalls.waitUntilCaughtUp();
@@ -163,11 +178,8 @@
     });
   }
 
-  private async relay(
-    table: RoutingTable,
-    request: RelayRequest,
-    { route, customer }: Admitted,
-  ): Promise<void> {
+  private async relay(table: RoutingTable, request: RelayRequest, admitted: Admitted): Promise<void> {
+    const { route, customer } = admitted;
     const { bodyBudget, clock } = this.context;
     const limit = table.configuration.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     const waitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
@@ -194,7 +206,7 @@
     this.answer.gone.addEventListener('abort', onGone, { once: true });
     if (this.answer.gone.aborted) onGone();
     try {
-      const service = await this.serviceFor(table, request, route, customer);
+      const service = await this.serviceFor(table, request, admitted);
       if (service.isErr()) this.reject(request, service.error, route);
       else
         await this.runAttempts({
@@ -217,13 +229,12 @@
   private async serviceFor(
     table: RoutingTable,
     request: RelayRequest,
-    route: Route,
-    customer: Customer | undefined,
+    admitted: Admitted,
   ): Promise<Result<Service, Fault>> {
-    const origin = await originOf(this.context, request, route, customer, this.abort.signal);
+    const origin = await originOf(this.context, request, admitted, this.abort.signal);
     if (origin.isErr()) return err(origin.error);
     this.stream.resumedVersion = origin.value?.softwareVersion;
-    this.service = origin.value?.service ?? drawService(route, this.context.random);
+    this.service = origin.value?.service ?? drawService(admitted.route, this.context.random);
     const service = table.serviceOf(this.service);
     return service === undefined ? err(fault('no-target', `unknown service ${this.service}`)) : ok(service);
   }
