--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -138,15 +138,19 @@
   }
 
   /**
-   * Appends entries without a sync of them. After an error the journal is unchanged. What exceeds the folder's bound is
-   * refused, unless it is small: the disk must keep space for the vote.
+   * Appends entries without a sync of them. After an error the journal is unchanged, unless the error is final: then a part of
+   * the entries may be found at the next start, so they may have run. What exceeds the folder's bound is refused, unless it is
+   * small: the disk must keep space for the vote.
    */
   async write(entries: readonly Entry[]): Promise<Result<void, StorageFault>> {
+    if (this.failure !== undefined) return err(this.failure);
     const bytes = entries.reduce((sum, { command }) => sum + command.length, 0);
     const isBeyond = this.journal.bytes + this.snapshotBytes + bytes > this.bounds.mostBytes;
     if (isBeyond && bytes > SMALL_WRITE_BYTES)
       return err(storageFault('write', this.folder, new Error('the folder holds as much as it may')));
-    return this.run('write', () => this.journal.append(entries));
+    const written = await this.run('write', () => this.journal.append(entries));
+    if (written.isOk() || !written.error.isFinal) return written;
+    return err({ ...written.error, ran: 'may-have-run' });
   }
 
   /** Drops the entries from `index` on. An error is final. */
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -6,6 +6,7 @@
 import { EventFramer } from '../answer/index.js';
 import type { CallerAnswer } from '../answer/index.js';
 import { relayMetrics } from '../metrics.js';
+import { PROOF_MS } from '../origin/index.js';
 import { UNRESPONSIVE_MS } from '../target/index.js';
 import type { OpenRequest } from '../target/index.js';
 import type { TargetAnswer } from './attempt.js';
@@ -16,6 +17,12 @@
 /** How long a stream that leaves a target waits for its next event, milliseconds: some steps of a busy engine. */
 const MOVE_TIMEOUT_MS = 250;
 
+/**
+ * Time within which the beginning of a stream can still be proven, milliseconds: its caller may take it up so late, and its
+ * events don't wait for that.
+ */
+const BEGINNING_PROOF_MS = 10_000;
+
 /** What a stream calls back. */
 export interface StreamHooks {
   /** Whether another target can take the stream over; takes the retry for it from the budget. */
@@ -42,6 +49,10 @@
   /** Monotonic time of the last event from the current target. */
   private targetEventAt: number | undefined;
   private isRecorded = false;
+  /** Whether the target that began the stream is known to be the start that it was taken for. */
+  private isBeginningProven = false;
+  /** Resolves when that has been decided. */
+  private decided: Promise<void> | undefined;
 
   constructor(
     private readonly context: RelayContext,
@@ -51,6 +62,12 @@
 
   /** Forwards events as they arrive, each only once it is complete. */
   async forward(target: Target, { wire }: TargetAnswer, open: OpenRequest): Promise<Outcome> {
+    const { startProofs } = this.context;
+    if (this.hasBegun && !(await startProofs.prove(target, wire.connectedAt, PROOF_MS))) {
+      wire.abandon();
+      this.context.metrics.count(relayMetrics.unproven, 1);
+      return interrupted(fault('stream-broken', 'another start of the target may have answered'));
+    }
     this.targetEventAt = undefined;
     let hasEvents = false;
     const framer = new EventFramer(this.lastEventId);
@@ -68,7 +85,7 @@
         hasEvents = true;
         open.markRead();
         begin();
-        this.recordTarget(target);
+        this.recordTarget(target, wire.connectedAt);
         this.recordEvent(target.id, framer.lastId);
         await this.answer.write(events);
         if (this.isMoving) wire.abandon();
@@ -89,6 +106,20 @@
     return { state: 'answered' };
   }
 
+  /** Whether the caller has events of the stream. */
+  private get hasBegun(): boolean {
+    return this.resumedVersion !== undefined || this.eventFrom !== undefined;
+  }
+
+  /** Waits until the software version that began the stream is known, for as long as an answer waits for its proof. */
+  async settled(): Promise<void> {
+    if (this.decided === undefined) return;
+    const isOver = new AbortController();
+    const waited = this.context.clock.sleep(PROOF_MS, isOver.signal).catch(() => undefined);
+    await Promise.race([this.decided, waited]);
+    isOver.abort();
+  }
+
   private recordEvent(targetId: string, eventId: number): void {
     const now = this.context.clock.monotonic();
     this.lastEventId = eventId;
@@ -112,6 +143,7 @@
   private softwareVersion(): string | undefined {
     const { eventFrom, resumedVersion } = this;
     if (eventFrom === undefined || resumedVersion !== undefined) return resumedVersion;
+    if (!this.isBeginningProven) return '';
     // A target may be announced without its version first.
     const { targets } = this.context.knowledge;
     return eventFrom.softwareVersion === ''
@@ -120,8 +152,9 @@
   }
 
   /** Counts a stream that goes on at another target. */
-  private recordTarget(target: Target): void {
+  private recordTarget(target: Target, connectedAt: number): void {
     const before = this.eventFrom;
+    if (!this.hasBegun) this.proveBeginning(target, connectedAt);
     if (before !== undefined && before.id !== target.id) {
       const version = this.mayGoOnAt(target) ? 'same' : 'other';
       this.context.metrics.count(relayMetrics.continued, 1, { version });
@@ -130,6 +163,17 @@
     this.recordOrigin();
   }
 
+  /** Finds out whether the target that sends the first event is the start that it is taken for. */
+  private proveBeginning(target: Target, connectedAt: number): void {
+    const { startProofs } = this.context;
+    this.isBeginningProven = startProofs.isProven(target, connectedAt);
+    if (this.isBeginningProven) return;
+    this.decided = startProofs.prove(target, connectedAt, BEGINNING_PROOF_MS).then((isProven) => {
+      this.isBeginningProven = isProven;
+      this.recordOrigin();
+    });
+  }
+
   /** Records the version that began the stream as soon as it is known, so that callers can resume it at other entries. */
   private recordOrigin(): void {
     const version = this.softwareVersion() ?? '';
