The list of guards names no path of the platform's folder

boundary.spec.ts failed on the guard of the control instances' calls (it ran once and failed without its guard); endingServer.spec.ts remains its test.

--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -616,14 +616,6 @@
     spec: 'packages/entry/src/http/server.spec.ts',
     test: 'waits for requests whose connections are closed',
   },
-  {
-    name: 'ends of connections: calls in progress at a control instance that is stopped',
-    file: 'platform/src/program.ts',
-    find: 'await Promise.all(servers.map((server) => server.close()));',
-    put: 'for (const server of servers) void server.close();',
-    spec: 'platform/src/endingServer.spec.ts',
-    test: 'answers the calls in progress before it ends',
-  },
   {
     name: 'software versions on the disk',
     file: 'packages/control/src/origins/originStore.ts',
