A guard of origins that are told too early shows its failure

The guard passed without its line (npm run guards, once): its test looked before the report could have arrived. The new test waits for the report of a later stream; it fails without the line, as run, and passes with it.

--- a/packages/relay/src/work/startProofs.spec.ts
+++ b/packages/relay/src/work/startProofs.spec.ts
@@ -1,5 +1,6 @@
 /** Streams at targets that start again under their ids, with other software, before their entry hears of it. */
 import { afterEach, describe, expect, it } from 'vitest';
+import { relayEvents } from '../events.js';
 import { RelayBed, routeTo, until } from '../testing/bed.js';
 import { ask, events, stream, text } from '../testing/caller.js';
 import type { Answer } from '../testing/caller.js';
@@ -71,4 +72,17 @@
     bed.hearStart('t1', BORN);
     await until(() => bed.knownVersion('begun') === 'v1');
   });
+
+  // Guards against the same when the new start has become known.
+  it('is not told as the origin of a stream when another start was heard of', async () => {
+    await start(1);
+    bed.hearStart('t1', BORN + 1n);
+    expect(await ask(bed.url, { id: 'begun' })).toMatchObject({ status: 200 });
+    await until(() => bed.logged.includes(relayEvents.startUnproven.id));
+    bed.hearStart('t1', BORN);
+    expect(await ask(bed.url, { id: 'second' })).toMatchObject({ status: 200 });
+    // Reports arrive in the order in which they are sent.
+    await until(() => bed.knownVersion('second') === 'v1');
+    expect(bed.knownVersion('begun')).toBeUndefined();
+  });
 });
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -627,7 +627,7 @@
     find: "if (!this.isBeginningProven) return '';",
     put: '',
     spec: 'packages/relay/src/work/startProofs.spec.ts',
-    test: 'is told as the origin of a stream only once',
+    test: 'is not told as the origin of a stream when another start',
   },
   {
     name: 'entries written again after a failed sync',
