--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -57,17 +57,23 @@
     private readonly disk: Disk,
     private readonly folder: string,
     private readonly segments: Segment[],
+    private readonly segmentBytes: number,
   ) {}
 
   /**
-   * Reads the folder's segments. Only the newest may end in an interrupted write, which is removed; older ones
-   * were synced as a whole before the next one was started. Entries up to `synced` are known to be synced. Later ones may only
-   * be in memory of the system until `rewriteTail`.
+   * Reads the folder's segments; new ones begin after `segmentBytes` each. Only the newest may end in an interrupted write,
+   * which is removed; older ones were synced as a whole before the next one was started. Entries up to `synced` are known to
+   * be synced. Later ones may only be in memory of the system until `rewriteTail`.
    * @throws CorruptFile, or a system error.
    */
-  static async open(disk: Disk, folder: string, synced = 0n): Promise<OpenedJournal> {
+  static async open(
+    disk: Disk,
+    folder: string,
+    segmentBytes = Infinity,
+    synced = 0n,
+  ): Promise<OpenedJournal> {
     const names = (await disk.list(folder)).filter((name) => name.startsWith(PREFIX)).sort();
-    const journal = new Journal(disk, folder, []);
+    const journal = new Journal(disk, folder, [], segmentBytes);
     journal.synced = synced;
     try {
       return await journal.load(names);
@@ -87,12 +93,18 @@
     return this.segments.reduce((sum, { length }) => sum + length, 0);
   }
 
-  /** Appends entries without a sync. If the write fails, the file is left as it was. */
+  /** Bytes of the segments that hold only entries up to `index`. */
+  coveredBytes(index: bigint): number {
+    const covered = this.segments.filter((segment) => nextIndexOf(segment) <= index + 1n);
+    return covered.reduce((sum, { length }) => sum + length, 0);
+  }
+
+  /** Appends entries, without a sync of them. If the write fails, the file is left as it was. */
   async append(entries: readonly Entry[]): Promise<void> {
     const [head] = entries;
     if (head === undefined) return;
     this.checkContent();
-    const tail = this.segments.at(-1) ?? (await this.beginSegment(head.index));
+    const tail = await this.tailFor(head.index);
     const { synced: syncedIndex } = this;
     const frames = entries.map((entry) => encodeFrame(toBinary(EntrySchema, { ...entry, syncedIndex })));
     const start = tail.length;
@@ -138,10 +150,30 @@
     await this.sync();
   }
 
+  /** The segment for the next entry, at `index`. */
+  private async tailFor(index: bigint): Promise<Segment> {
+    const tail = this.segments.at(-1);
+    if (tail === undefined) return this.beginSegment(index);
+    if (!this.isLong(tail)) return tail;
+    await this.roll(index);
+    return this.segments.at(-1) ?? tail;
+  }
+
+  /** Whether a new segment is due. It needs a sync of this one; where one is missing, there is time to wait for it. */
+  private isLong(tail: Segment): boolean {
+    if (tail.length < this.segmentBytes) return false;
+    return this.isSynced(tail) || tail.length >= 2 * this.segmentBytes;
+  }
+
+  private isSynced(tail: Segment): boolean {
+    return this.synced >= nextIndexOf(tail) - 1n;
+  }
+
   /** Syncs the previous entries and starts a new segment for entries from `index` on. */
   async roll(index: bigint): Promise<void> {
-    await this.sync();
-    if (this.segments.at(-1)?.offsets.length === 0) return;
+    const tail = this.segments.at(-1);
+    if (tail === undefined || !this.isSynced(tail)) await this.sync();
+    if (tail?.offsets.length === 0) return;
     await this.beginSegment(index);
   }
 
--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -10,7 +10,7 @@
 import { fileDisk } from './fileDisk.js';
 import { LogStorage } from './logStorage.js';
 import type { HeldState, OpenedStorage } from './logStorage.js';
-import { MemoryDisk } from './memoryDisk.js';
+import { MemoryDisk, systemError } from './memoryDisk.js';
 import { seeded } from '../testing/memoryCluster.js';
 
 const FOLDER = '/replica';
@@ -60,6 +60,36 @@
   return disk;
 }
 
+/** Faults that a test sets. */
+interface Faults {
+  /** Syncs of files with this in their path fail. */
+  syncOf: string | undefined;
+  /** Syncs of the folder until one fails; 0: none does. */
+  folderSyncIn: number;
+}
+
+/** A disk of which single operations fail. */
+function faultyDisk(disk: MemoryDisk): { disk: Disk; faults: Faults } {
+  const faults: Faults = { syncOf: undefined, folderSyncIn: 0 };
+  const failing: Partial<Disk> = {
+    open: async (path) => {
+      const file = await disk.open(path);
+      const sync = (): Promise<void> => {
+        const { syncOf } = faults;
+        return syncOf !== undefined && path.includes(syncOf)
+          ? Promise.reject(systemError('EIO'))
+          : file.sync();
+      };
+      return { ...file, sync };
+    },
+    syncFolder: (folder) => {
+      faults.folderSyncIn -= 1;
+      return faults.folderSyncIn === 0 ? Promise.reject(systemError('EIO')) : disk.syncFolder(folder);
+    },
+  };
+  return { disk: Object.assign(Object.create(disk) as Disk, failing), faults };
+}
+
 describe('LogStorage on a disk in memory', () => {
   // Guards against a replica that loses acknowledged entries or its vote because later, unsynced writes reached the disk in part.
   test('synced entries and the vote survive a power failure, whatever happens to later writes', async () => {
@@ -191,6 +221,82 @@
     expect((await storage.write(entries(2, 2))).isErr()).toBe(true);
   });
 
+  // Guards against losing an acknowledged entry: the sync before a new segment fails, and the next one reports success.
+  test('a failed sync of the journal is final also while a snapshot is saved', async () => {
+    const { disk, faults } = faultyDisk(MemoryDisk.empty());
+    const { storage } = await open(disk);
+    await storage.write(entries(1, 5));
+    faults.syncOf = 'journal-';
+    const snapshot = { clusterId: 'c', lastIndex: 3n, lastTerm: 1n, data: Buffer.from('state') };
+    expect((await storage.saveSnapshot(snapshot, 4n, 6n)).isErr()).toBe(true);
+    faults.syncOf = undefined;
+    expect((await storage.sync()).isErr()).toBe(true);
+    expect((await storage.write(entries(6, 6))).isErr()).toBe(true);
+  });
+
+  // Guards against a replica that does not start after a power failure: a new segment could not be begun, its empty file
+  // stayed, and the interrupted write before it then looks like changed data.
+  test('entries go on after a segment that could not be begun', async () => {
+    for (let seed = 1; seed <= CRASHES; seed += 1) {
+      const memory = MemoryDisk.empty();
+      const { disk, faults } = faultyDisk(memory);
+      const { storage, recovered } = await open(disk);
+      await storage.write(entries(1, 5));
+      faults.folderSyncIn = 2;
+      const snapshot = { clusterId: 'c', lastIndex: 3n, lastTerm: 1n, data: Buffer.from('state') };
+      expect((await storage.saveSnapshot(snapshot, 4n, 6n)).isErr()).toBe(true);
+      expect((await storage.write(entries(6, 6))).isErr()).toBe(true);
+      const held = { state: recovered.state, entries: entries(1, 5), commitIndex: 3n, syncedIndex: 5n };
+      expect((await storage.recover(held)).isOk()).toBe(true);
+      expect((await storage.write(entries(6, 7))).isOk()).toBe(true);
+      expect((await storage.sync()).isOk()).toBe(true);
+      await storage.write(entries(8, 8));
+      const after = await open(memory.crash(seeded(seed)));
+      expect(indexes(after).slice(0, 4)).toEqual([4, 5, 6, 7]);
+    }
+  });
+
+  // Guards against a replica that does not start, or lost entries, as a power failure hit the step to a new segment.
+  test('synced entries in segments of bounded length survive power failures', async () => {
+    const segmentBytes = 60;
+    for (let seed = 1; seed <= CRASHES; seed += 1) {
+      const disk = MemoryDisk.empty();
+      const { storage } = (
+        await LogStorage.open(disk, FOLDER, { segmentBytes, mostBytes: Infinity })
+      )._unsafeUnwrap();
+      const random = seeded(seed);
+      let synced = 0;
+      for (let last = 0; last < 30;) {
+        const count = 1 + Math.floor(random() * 4);
+        expect((await storage.write(entries(last + 1, last + count))).isOk()).toBe(true);
+        last += count;
+        if (random() < 0.5) continue;
+        await storage.sync();
+        synced = last;
+      }
+      expect((await disk.list(FOLDER)).length).toBeGreaterThan(4);
+      const after = await open(disk.crash(random));
+      expect(indexes(after).length).toBeGreaterThanOrEqual(synced);
+      expect(indexes(after)).toEqual(indexes(after).map((_, position) => position + 1));
+    }
+  });
+
+  // Guards against a journal that leaves no space for the vote.
+  test('a folder that holds as much as it may takes small entries and the vote only', async () => {
+    const bounds = { segmentBytes: 10_000, mostBytes: 100_000 };
+    const { storage, recovered } = (
+      await LogStorage.open(MemoryDisk.empty(), FOLDER, bounds)
+    )._unsafeUnwrap();
+    const large = (index: number): Entry => entry(index, 'x'.repeat(20_000));
+    for (let index = 1; index <= 4; index += 1)
+      expect((await storage.write([large(index)])).isOk()).toBe(true);
+    const refused = await storage.write([large(5)]);
+    expect(refused._unsafeUnwrapErr().message).toContain('holds as much as it may');
+    expect((await storage.write(entries(5, 6))).isOk()).toBe(true);
+    expect((await storage.saveState({ ...recovered.state, term: 7n })).isOk()).toBe(true);
+    expect((await storage.sync()).isOk()).toBe(true);
+  });
+
   // Guards against losing an acknowledged entry: the sync that waited for a failed one reports success for pages that the
   // failed one dropped.
   test('a sync that waits for a failed one fails too', async () => {
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -6,6 +6,7 @@
 import * as z from 'zod';
 import type { Entry } from '../gen/agreement/agreement_pb.js';
 import type { Disk, ReleaseLock } from './disk.js';
+import type { FolderBudget } from './folderBudget.js';
 import { Journal } from './journal.js';
 import { TEMPORARY_SUFFIX, readRecords, replaceFile } from './recordFile.js';
 import { readSnapshot, writeSnapshot } from './snapshotFile.js';
@@ -79,6 +80,14 @@
   readonly largest: number;
 }
 
+/** Bounds of a folder, bytes. */
+export type FolderBounds = Pick<FolderBudget, 'segmentBytes' | 'mostBytes'>;
+
+const UNBOUNDED: FolderBounds = { segmentBytes: Infinity, mostBytes: Infinity };
+
+/** Bytes of commands up to which a write is made beyond the bound: a new leader's first entry is empty. */
+const SMALL_WRITE_BYTES = 1_024;
+
 /** Storage of one replica. The caller makes changes one at a time; `sync` may run concurrently. */
 export class LogStorage {
   /** Final: the error that left the disk's content unknown. */
@@ -91,6 +100,7 @@
     private journal: Journal,
     private readonly release: ReleaseLock,
     private snapshotBytes: number,
+    private readonly bounds: FolderBounds,
   ) {}
 
   /** Bytes that the folder holds now, and the most so far. */
@@ -100,12 +110,16 @@
   }
 
   /** Locks and reads a folder, and creates it if it is missing. Errors: storage-failed, with file and reason. */
-  static async open(disk: Disk, folder: string): Promise<Result<OpenedStorage, StorageFault>> {
+  static async open(
+    disk: Disk,
+    folder: string,
+    bounds: FolderBounds = UNBOUNDED,
+  ): Promise<Result<OpenedStorage, StorageFault>> {
     return attempt('open', folder, async () => {
       await disk.ensureFolder(folder);
       const release = await disk.lock(folder);
       try {
-        return await LogStorage.load(disk, folder, release);
+        return await LogStorage.load(disk, folder, release, bounds);
       } catch (error) {
         await release();
         throw error;
@@ -118,12 +132,22 @@
     return this.run('vote', () => writeState(this.disk, this.folder, state));
   }
 
+  /** Bytes of the journal that a snapshot up to `index` frees. */
+  coveredBytes(index: bigint): number {
+    return this.journal.coveredBytes(index);
+  }
+
   /**
-   * Appends entries without a sync. After an error the journal is unchanged, unless the error is final: then a part of the entries
-   * may be found at the next start, so they may have run.
+   * Appends entries without a sync of them. After an error the journal is unchanged, unless the error is final: then a part of
+   * the entries may be found at the next start, so they may have run. What exceeds the folder's bound is refused, unless it is
+   * small: the disk must keep space for the vote.
    */
   async write(entries: readonly Entry[]): Promise<Result<void, StorageFault>> {
     if (this.failure !== undefined) return err(this.failure);
+    const bytes = entries.reduce((sum, { command }) => sum + command.length, 0);
+    const isBeyond = this.journal.bytes + this.snapshotBytes + bytes > this.bounds.mostBytes;
+    if (isBeyond && bytes > SMALL_WRITE_BYTES)
+      return err(storageFault('write', this.folder, new Error('the folder holds as much as it may')));
     const written = await this.run('write', () => this.journal.append(entries));
     if (written.isOk() || !written.error.isFinal) return written;
     return err({ ...written.error, ran: 'may-have-run' });
@@ -142,7 +166,10 @@
     return this.run('sync', () => this.journal.sync());
   }
 
-  /** Stores a snapshot and drops the journal's segments that hold only entries before `keepFrom`. */
+  /**
+   * Stores a snapshot and drops the journal's segments that hold only entries before `keepFrom`. An error of the snapshot is
+   * not final, a failed sync of the journal is.
+   */
   saveSnapshot(snapshot: Snapshot, keepFrom: bigint, nextIndex: bigint): Promise<Result<void, StorageFault>> {
     return this.run('snapshot', async () => {
       await this.replaceSnapshot(snapshot);
@@ -204,7 +231,7 @@
   private async reopen(held: HeldState): Promise<RecoveredState> {
     const { disk, folder } = this;
     await this.journal.close();
-    const opened = await Journal.open(disk, folder, this.journal.syncedIndex);
+    const opened = await Journal.open(disk, folder, this.bounds.segmentBytes, this.journal.syncedIndex);
     this.journal = opened.journal;
     await removeTemporaryFiles(disk, folder);
     const state = newerState(await readState(disk, folder), held.state, folder);
@@ -254,13 +281,19 @@
     return err(this.failure);
   }
 
-  private static async load(disk: Disk, folder: string, release: ReleaseLock): Promise<OpenedStorage> {
+  private static async load(
+    disk: Disk,
+    folder: string,
+    release: ReleaseLock,
+    bounds: FolderBounds,
+  ): Promise<OpenedStorage> {
     await removeTemporaryFiles(disk, folder);
     const state = await readState(disk, folder);
     const snapshot = await readSnapshot(disk, folder);
-    const { journal, entries, repairedBytes } = await Journal.open(disk, folder);
+    const { journal, entries, repairedBytes } = await Journal.open(disk, folder, bounds.segmentBytes);
     const remaining = await entriesAfterSnapshot(journal, entries, snapshot, folder);
-    const storage = new LogStorage(disk, folder, journal, release, snapshot?.data.length ?? 0);
+    const snapshotBytes = snapshot?.data.length ?? 0;
+    const storage = new LogStorage(disk, folder, journal, release, snapshotBytes, bounds);
     // A process that was ended leaves entries that were never synced; they must not be acknowledged before they are.
     const rewritten = await storage.run('sync', () => journal.rewriteTail());
     const failure = rewritten.isErr() ? rewritten.error : undefined;
