--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -122,6 +122,12 @@
 
   /** Drops all entries from `index` on, synced. */
   async truncate(index: bigint): Promise<void> {
+    await this.removeFrom(index).finally(() => {
+      this.synced = min(this.synced, index - 1n);
+    });
+  }
+
+  private async removeFrom(index: bigint): Promise<void> {
     for (let tail = this.segments.at(-1); tail !== undefined; tail = this.segments.at(-1)) {
       if (tail.first < index || this.segments.length === 1) break;
       await this.removeSegment(tail);
@@ -134,9 +140,7 @@
     tail.offsets.length = kept;
     tail.length = length;
     // Synced before the next write: if that survived a power failure and the truncation did not, old bytes would follow it.
-    await this.sync().finally(() => {
-      this.synced = min(this.synced, index - 1n);
-    });
+    await this.sync();
   }
 
   /**
@@ -220,6 +224,11 @@
     return this.failure !== undefined;
   }
 
+  /** The error that left the content of the disk unknown. */
+  get error(): Error | undefined {
+    return this.failure;
+  }
+
   private checkContent(): void {
     if (this.failure !== undefined) throw this.failure;
   }
@@ -298,6 +307,8 @@
       const isNewest = position === names.length - 1;
       repairedBytes += await this.loadSegment(join(this.folder, name), isNewest, entries);
     }
+    const tail = this.segments.at(-1);
+    if (tail !== undefined) this.synced = min(this.synced, nextIndexOf(tail) - 1n);
     return { journal: this, entries, repairedBytes };
   }
 
@@ -305,8 +316,10 @@
     const position = this.synced < tail.first ? 0 : Number(this.synced - tail.first) + 1;
     const start = tail.offsets[position];
     if (start === undefined) return;
-    const data = (await this.disk.read(tail.path)).subarray(start, tail.length);
-    await this.orUnknown(() => tail.file.write(data, start));
+    await this.orUnknown(async () => {
+      const data = await this.disk.read(tail.path);
+      await tail.file.write(data.subarray(start, tail.length), start);
+    });
   }
 
   private async loadSegment(path: string, isNewest: boolean, entries: Entry[]): Promise<number> {
--- a/packages/coordination/src/storage/logStorage.spec.ts
+++ b/packages/coordination/src/storage/logStorage.spec.ts
@@ -19,10 +19,10 @@
 /** Simulated crashes per test, each with its own seed. */
 const CRASHES = 200;
 
-const entry = (index: number, text = `command ${index}`): Entry =>
+const entry = (index: number, text = `command ${index}`, term = 1n): Entry =>
   create(EntrySchema, {
     index: BigInt(index),
-    term: 1n,
+    term,
     kind: EntryKind.COMMAND,
     command: Buffer.from(text),
   });
@@ -60,6 +60,22 @@
   return disk;
 }
 
+/** A disk with a segment up to entry 3, and another with entries 4 to 6 of term 2, not synced, in place of synced ones of term 1. */
+async function replacedSegment(): Promise<OpenedStorage & { disk: MemoryDisk }> {
+  const disk = MemoryDisk.empty();
+  const opened = await open(disk);
+  const { storage } = opened;
+  await storage.write(entries(1, 3));
+  await storage.sync();
+  const snapshot = { clusterId: 'c', lastIndex: 2n, lastTerm: 1n, data: Buffer.from('state') };
+  await storage.saveSnapshot(snapshot, 3n, 4n);
+  await storage.write(entries(4, 6));
+  await storage.sync();
+  await storage.truncate(4n);
+  for (const index of [4, 5, 6]) await storage.write([entry(index, 'another', 2n)]);
+  return { ...opened, disk };
+}
+
 /** Faults that a test sets. */
 interface Faults {
   /** Syncs of files with this in their path fail. */
@@ -443,6 +459,29 @@
     });
   });
 
+  // Guards against acknowledged entries of an older leader that count as synced in place of those that replaced them, where the
+  // truncation ended at the start of a segment.
+  test('entries that replace a whole segment are written again after a failed sync', async () => {
+    const { disk, storage, recovered } = await replacedSegment();
+    disk.syncError = 'EIO';
+    expect((await storage.sync()).isErr()).toBe(true);
+    disk.syncError = undefined;
+    const held = [entry(3), ...[4, 5, 6].map((index) => entry(index, 'another', 2n))];
+    const { state } = recovered;
+    expect((await storage.recover({ state, entries: held, commitIndex: 3n, syncedIndex: 3n })).isOk()).toBe(
+      true,
+    );
+    expect(indexes(await open(disk.crash(() => 0)))).toEqual([3, 4, 5, 6]);
+  });
+
+  // Guards against a folder that can't be opened any more, as its records name entries as synced that were replaced since.
+  test('a loss of power while entries replace a whole segment leaves a folder that opens', async () => {
+    for (let seed = 0; seed < CRASHES; seed += 1) {
+      const { disk } = await replacedSegment();
+      expect((await LogStorage.open(disk.crash(seeded(seed)), FOLDER)).isOk()).toBe(true);
+    }
+  });
+
   // Guards against a replica that starts on a read-only file system and fails at its first command.
   test('a read-only folder fails with a clear error', async () => {
     const disk = MemoryDisk.empty();
