A sync that fails while the storage recovers from another error counts

What callers could see: an acknowledged command lost at a power failure.

Cause: syncs run beside other operations.

storageRecovery.spec.ts, "a sync that fails while …", failed before (the recovery succeeded, entry 1 counted and was not on the disk).

--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -282,7 +282,7 @@
       entries.append(recovered.value.entries);
       this.commitTo(snapshot.lastIndex);
     }
-    if (this.storageHealth.failure?.isFinal === true) this.syncedIndex = entries.last.index;
+    if (recovered.value.syncedIndex > this.syncedIndex) this.syncedIndex = recovered.value.syncedIndex;
     this.storageHealth.recordSuccess();
     this.restingUntil = this.clock.monotonic() + this.tuning.storageRestMs;
     this.changed.notify();
--- /dev/null
+++ b/packages/coordination/src/agreement/storageRecovery.spec.ts
@@ -0,0 +1,67 @@
+/** Recovery of one replica's storage beside what the replica does meanwhile. */
+import { create } from '@bufbuild/protobuf';
+import { ManualClock, silentLog, silentMetrics } from '@jasmineroute/core';
+import { expect, test } from 'vitest';
+import { EntryKind, EntrySchema } from '../gen/agreement/agreement_pb.js';
+import type { Entry } from '../gen/agreement/agreement_pb.js';
+import { LogStorage, MemoryDisk } from '../storage/index.js';
+import { tuning } from './options.js';
+import { Replica } from './replica.js';
+
+const FOLDER = '/replica';
+
+const entry = (index: number): Entry =>
+  create(EntrySchema, {
+    index: BigInt(index),
+    term: 1n,
+    kind: EntryKind.COMMAND,
+    command: Buffer.from(`command ${index}`),
+  });
+
+async function open(disk: MemoryDisk): Promise<Replica> {
+  const { storage, recovered } = (await LogStorage.open(disk, FOLDER))._unsafeUnwrap();
+  return new Replica({
+    name: 'a',
+    storage,
+    recovered,
+    clock: new ManualClock(),
+    log: silentLog,
+    metrics: silentMetrics,
+    tuning: tuning.parse({}),
+    random: () => 0,
+  });
+}
+
+const nextTurn = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+// Guards against entries that count as synced, and are lost with the power, as their sync fails while a vote is saved again.
+test('a sync that fails while the storage recovers from another error counts', async () => {
+  const disk = MemoryDisk.empty();
+  const replica = await open(disk);
+  await replica.appendEntries([entry(1)]);
+  const syncs: (() => void)[] = [];
+  disk.syncDelay = () =>
+    new Promise((resolve) => {
+      syncs.push(resolve);
+    });
+  const journal = replica.syncEntries(1n);
+  disk.writeError = 'ENOSPC';
+  await replica.saveState({ term: 2n });
+  disk.writeError = undefined;
+  const recovery = replica.recoverStorage();
+  while (syncs.length < 2) await nextTurn();
+  disk.syncError = 'EIO';
+  syncs[0]?.();
+  expect((await journal).isErr()).toBe(true);
+  disk.syncError = undefined;
+  disk.syncDelay = () => Promise.resolve();
+  syncs[1]?.();
+  expect((await recovery).isErr()).toBe(true);
+  expect(replica.syncedIndex).toBe(0n);
+  expect((await replica.recoverStorage()).isOk()).toBe(true);
+  expect(replica.syncedIndex).toBe(1n);
+  expect((await open(disk.crash(() => 0))).entries.last.index).toBe(1n);
+});
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -63,6 +63,8 @@
   readonly snapshot?: Snapshot;
   /** The log after the snapshot, if there is one; otherwise the entries held. */
   readonly entries: readonly Entry[];
+  /** Index up to which the entries are known to be synced. */
+  readonly syncedIndex: bigint;
 }
 
 /** An opened folder. */
@@ -197,9 +199,12 @@
       await writeState(disk, folder, recovered.state);
       return recovered;
     });
-    if (result.isErr()) return err({ ...result.error, isFinal: failure !== undefined });
-    this.failure = undefined;
-    return result;
+    // A sync of the journal may have failed meanwhile, whose error is final.
+    const isFinal = failure !== undefined || this.journal.isUnknown;
+    if (result.isErr()) return err({ ...result.error, isFinal });
+    const { error } = this.journal;
+    this.failure = error === undefined ? undefined : { ...storageFault('sync', folder, error), isFinal };
+    return this.failure === undefined ? result : err(this.failure);
   }
 
   /** Closes the files and releases the lock; later writes fail. */
@@ -242,7 +247,8 @@
     const entries = entriesHeldAfter(held, snapshot, isNewer);
     // Entries may be gone that a snapshot was about to replace.
     await this.reconcile(onDisk, entries, isNewer ? 0n : held.syncedIndex);
-    return { state, snapshot: isNewer ? snapshot : undefined, entries };
+    const syncedIndex = entries.at(-1)?.index ?? snapshot?.lastIndex ?? 0n;
+    return { state, snapshot: isNewer ? snapshot : undefined, entries, syncedIndex };
   }
 
   /** Makes the journal hold, synced, the entries that the replica holds after the snapshot. */
