A truncation that fails does not end the replica

What an operator could see: an instance that ends with "the file has changed since it was synced … Move the folder away", with a sound disk, after another leader replaced entries of its own and the sync of that truncation failed.

Cause: the entries were gone from the disk and still counted as synced in memory, which the recovery takes for damage.

Change: the entries stop counting as synced before the truncation begins; no acknowledgement of them is relied on, as the leader replaces them.

storageRecovery.spec.ts, "a truncation of which the sync fails …", failed before.

--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -211,6 +211,8 @@
     if (index <= this.commitIndex)
       return err(fault('internal', `cannot truncate at ${index.toString()}: the entry is committed`));
     if (this.storageHealth.failure !== undefined) return err(this.storageHealth.failure);
+    // Entries may be gone from the disk although the truncation fails.
+    if (this.syncedIndex >= index) this.syncedIndex = index - 1n;
     const truncated = await this.storage.truncate(index);
     if (truncated.isErr()) {
       this.handleStorageFailure(truncated.error);
@@ -218,7 +220,6 @@
     }
     const previous = this.configuration;
     this.entries.truncate(index);
-    if (this.syncedIndex >= index) this.syncedIndex = index - 1n;
     this.reportConfigurationChange(previous);
     return truncated;
   }
--- a/packages/coordination/src/agreement/storageRecovery.spec.ts
+++ b/packages/coordination/src/agreement/storageRecovery.spec.ts
@@ -65,3 +65,20 @@
   expect(replica.syncedIndex).toBe(1n);
   expect((await open(disk.crash(() => 0))).entries.last.index).toBe(1n);
 });
+
+// Guards against a replica that ends with the report of a changed file, as entries of an older leader were removed from the disk by
+// a truncation that failed.
+test.each(['sync', 'truncate'])('a truncation of which the %s fails is recovered from', async (call) => {
+  const disk = MemoryDisk.empty();
+  const replica = await open(disk);
+  await replica.appendEntries([1, 2, 3, 4, 5].map(entry));
+  await replica.syncEntries(5n);
+  if (call === 'sync') disk.syncError = 'ENOSPC';
+  else disk.callErrors.truncate = 'ENOSPC';
+  expect((await replica.truncateEntries(3n)).isErr()).toBe(true);
+  disk.syncError = undefined;
+  disk.callErrors.truncate = undefined;
+  expect((await replica.recoverStorage()).isOk()).toBe(true);
+  expect((await replica.truncateEntries(3n)).isOk()).toBe(true);
+  expect((await open(disk.crash(() => 0))).entries.last.index).toBe(2n);
+});
