A recovery asks the disk with a small write before it reads the folder

What callers would see: slow answers of a control instance while its disk stays full after a failed sync.

Change: a temporary file of one byte is written and synced first. storageRecovery.spec.ts, "the folder is not read …", failed before (3 reads, none expected).

--- a/packages/coordination/src/agreement/storageRecovery.spec.ts
+++ b/packages/coordination/src/agreement/storageRecovery.spec.ts
@@ -82,3 +82,22 @@
   expect((await replica.truncateEntries(3n)).isOk()).toBe(true);
   expect((await open(disk.crash(() => 0))).entries.last.index).toBe(2n);
 });
+
+// Guards against an instance that reads its whole journal again and again while its disk stays full, and answers nothing meanwhile.
+test('the folder is not read while the disk still refuses a small write', async () => {
+  const disk = MemoryDisk.empty();
+  const replica = await open(disk);
+  await replica.appendEntries([entry(1)]);
+  disk.syncError = 'ENOSPC';
+  await replica.syncEntries(1n);
+  let reads = 0;
+  const read = disk.read.bind(disk);
+  disk.read = (path) => {
+    reads += 1;
+    return read(path);
+  };
+  expect((await replica.recoverStorage()).isErr()).toBe(true);
+  expect(reads).toBe(0);
+  disk.syncError = undefined;
+  expect((await replica.recoverStorage()).isOk()).toBe(true);
+});
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -15,6 +15,8 @@
 import type { StorageFault, StorageOperation } from './storageFault.js';
 
 const STATE_FILE = 'replica';
+const PROBE_FILE = `probe${TEMPORARY_SUFFIX}`;
+const PROBE = Buffer.alloc(1, 1);
 
 /** Identity, term and vote of a replica, which must never be lost. */
 export const persistentState = z.object({
@@ -236,6 +238,7 @@
   private async reopen(held: HeldState): Promise<RecoveredState> {
     const { disk, folder } = this;
     await this.journal.close();
+    await probeDisk(disk, folder);
     const opened = await Journal.open(disk, folder, this.bounds.segmentBytes, this.journal.syncedIndex);
     this.journal = opened.journal;
     await removeTemporaryFiles(disk, folder);
@@ -349,6 +352,19 @@
   return isNewer ? onDisk : held;
 }
 
+/** Writes and syncs a small file: where that fails, reading the whole folder would be in vain. */
+async function probeDisk(disk: Disk, folder: string): Promise<void> {
+  const path = join(folder, PROBE_FILE);
+  const file = await disk.open(path);
+  try {
+    await file.write(PROBE, 0);
+    await file.sync();
+  } finally {
+    await file.close();
+    await disk.remove(path);
+  }
+}
+
 async function removeTemporaryFiles(disk: Disk, folder: string): Promise<void> {
   const temporary = (await disk.list(folder)).filter((name) => name.endsWith(TEMPORARY_SUFFIX));
   for (const name of temporary) await disk.remove(join(folder, name));
