--- a/packages/coordination/src/agreement/applier.ts
+++ b/packages/coordination/src/agreement/applier.ts
@@ -3,7 +3,7 @@
 import { EntryKind } from '../gen/agreement/agreement_pb.js';
 import type { Configuration, Entry } from '../gen/agreement/agreement_pb.js';
 import { coordinationMetrics } from '../metrics.js';
-import type { Snapshot } from '../storage/index.js';
+import type { Snapshot, StorageFault } from '../storage/index.js';
 import type { Waiters } from './proposal.js';
 import type { Replica } from './replica.js';
 import { Signal } from './signal.js';
@@ -20,6 +20,12 @@
  */
 const MAX_TURN_SHARE = 0.5;
 
+/** Pause after a snapshot that could not be saved, milliseconds; it doubles with each further one. */
+const FIRST_PAUSE_MS = 500;
+
+/** Longest pause after a snapshot that could not be saved, milliseconds. */
+const LONGEST_PAUSE_MS = 8_000;
+
 const yieldToEventLoop = (): Promise<void> =>
   new Promise((resolve) => {
     setImmediate(resolve);
@@ -35,7 +41,8 @@
   private readonly progressed = new Signal();
   private configuration: Configuration | undefined;
   private entriesSinceSnapshot = 0;
-  private bytesSinceSnapshot = 0;
+  private pauseMs = FIRST_PAUSE_MS;
+  private isPaused = false;
 
   constructor(
     private readonly replica: Replica,
@@ -49,7 +56,6 @@
     this.lastApplied = snapshot.lastIndex;
     this.configuration = snapshot.configuration;
     this.entriesSinceSnapshot = 0;
-    this.bytesSinceSnapshot = 0;
     this.waiters.skippedTo(snapshot.lastIndex);
     this.notifyListeners(snapshot.lastIndex);
   }
@@ -58,7 +64,8 @@
   async run(): Promise<void> {
     const { replica } = this;
     while (!replica.stopped) {
-      if (this.lastApplied >= replica.commitIndex) await replica.changed.wait();
+      if (this.isSnapshotDue()) await this.takeSnapshot();
+      else if (this.lastApplied >= replica.commitIndex) await replica.changed.wait();
       else await this.applyAll();
     }
   }
@@ -122,7 +129,6 @@
     if (entry.kind === EntryKind.CONFIGURATION) this.configuration = entry.configuration;
     this.lastApplied = entry.index;
     this.entriesSinceSnapshot += 1;
-    this.bytesSinceSnapshot += entry.command.length;
     this.waiters.applied(entry.index, entry.term, result);
     this.notifyListeners(entry.index);
   }
@@ -132,15 +138,16 @@
   }
 
   private isSnapshotDue(): boolean {
-    const { snapshotEntries, snapshotBytes } = this.replica.tuning;
-    return this.entriesSinceSnapshot >= snapshotEntries || this.bytesSinceSnapshot >= snapshotBytes;
+    if (this.isPaused) return false;
+    const { tuning, budget, storage } = this.replica;
+    if (this.entriesSinceSnapshot >= tuning.snapshotEntries) return true;
+    const due = budget.snapshotDueBytes(storage.heldBytes().snapshots);
+    return storage.coveredBytes(this.lastApplied) >= due;
   }
 
   /** Saves a snapshot and drops old entries, except some that lagging replicas may still need. */
   private async takeSnapshot(): Promise<void> {
     const { replica } = this;
-    this.entriesSinceSnapshot = 0;
-    this.bytesSinceSnapshot = 0;
     await replica.exclusive(async () => {
       const snapshot = this.snapshot();
       const { retainedEntries, retainedBytes } = replica.tuning;
@@ -149,12 +156,31 @@
       const keptOnDisk = snapshot.lastIndex + 1n;
       const saved = await replica.storage.saveSnapshot(snapshot, keptOnDisk, replica.entries.last.index + 1n);
       if (saved.isErr()) {
-        replica.handleStorageFailure(saved.error);
+        this.pauseSnapshots(saved.error);
         return;
       }
+      this.entriesSinceSnapshot = 0;
+      this.pauseMs = FIRST_PAUSE_MS;
       replica.entries.compact(keepFrom - 1n);
       replica.metrics.count(coordinationMetrics.snapshots);
       replica.log.event(coordinationEvents.snapshotTaken, { index: snapshot.lastIndex.toString() });
     });
   }
+
+  /**
+   * Tries again soon: until a snapshot is saved, nothing frees the journal's space. The replica goes on meanwhile, as its
+   * entries and its vote need no snapshot.
+   */
+  private pauseSnapshots(cause: StorageFault): void {
+    const { replica, pauseMs } = this;
+    replica.log.event(coordinationEvents.snapshotFailed, { reason: cause.message, pauseMs });
+    replica.metrics.count(coordinationMetrics.snapshotFailures);
+    if (cause.isFinal) replica.handleStorageFailure(cause);
+    this.isPaused = true;
+    this.pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
+    replica.clock.after(pauseMs, () => {
+      this.isPaused = false;
+      replica.changed.notify();
+    });
+  }
 }
