Record files close a new file whose name can't be synced

What callers saw: nothing at first; while the folder of the records could not be synced, each attempt to store left an open file, until no more could be opened, for the replicated log of the same process either. Cause: the new file was remembered only after the sync of its folder, and not closed where that failed. Change: it is closed then; the next attempt opens the same path again. Test: packages/control/src/files/recordFiles.spec.ts, "leave no file open that was not named on the disk"; failed before: 100 files open after 100 attempts. Passes now, as do the eight others of the file.

--- a/packages/control/src/files/recordFiles.spec.ts
+++ b/packages/control/src/files/recordFiles.spec.ts
@@ -98,6 +98,30 @@
     expect(await found(memory.crash(() => 0))).toEqual(['a', 'b']);
   });
 
+  // Guards against descriptors that run out, for the log on the same disk too: new files stay open while none can be named.
+  it('leave no file open that was not named on the disk', async () => {
+    const files = create();
+    await files.load();
+    let open = 0;
+    const openFile = memory.open.bind(memory);
+    memory.open = async (path) => {
+      const file = await openFile(path);
+      open += 1;
+      const close = async (): Promise<void> => {
+        open -= 1;
+        return file.close();
+      };
+      return { ...file, close };
+    };
+    memory.callErrors.syncFolder = 'ENOSPC';
+    for (let record = 1; record <= 100; record += 1) expect(await files.store([`${record}`])).toBe(false);
+    expect(open).toBe(0);
+    memory.callErrors.syncFolder = undefined;
+    expect(await files.store(['last'])).toBe(true);
+    expect(open).toBe(1);
+    expect(await found(memory.crash(() => 0))).toHaveLength(101);
+  });
+
   // Guards against an acknowledgement that rests on nothing: the file that holds the record failed, a newer one is synced.
   it('count as stored only once their own file is synced', async () => {
     const files = create();
--- a/packages/control/src/files/recordFiles.ts
+++ b/packages/control/src/files/recordFiles.ts
@@ -293,13 +293,24 @@
     while (this.older.length > this.format.keptFiles) await this.removeOldest();
     const number = this.next ?? 1;
     const path = join(this.folder, `${this.format.prefix}${String(number).padStart(DIGITS, '0')}`);
-    const file = await this.disk.open(path);
-    await this.disk.syncFolder(this.folder);
+    const file = await this.openNamed(path);
     this.next = number + 1;
     this.current = { path, file, length: 0, syncedLength: 0, isDirty: true };
     return this.current;
   }
 
+  /** Opens a file whose name outlasts a loss of power; where that fails, the file is closed. */
+  private async openNamed(path: string): Promise<DiskFile> {
+    const file = await this.disk.open(path);
+    try {
+      await this.disk.syncFolder(this.folder);
+    } catch (error) {
+      await file.close();
+      throw error;
+    }
+    return file;
+  }
+
   private async removeOldest(): Promise<void> {
     const [oldest] = this.older;
     if (oldest === undefined) return;
