--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -47,7 +47,7 @@
       'number of simultaneous losses to tolerate; with no more than twice as many voters, a warning is logged',
     ),
   storageRestMs: milliseconds(10_000).describe(
-    'time after a storage error in which a replica stands for election after the others',
+    'time after a storage error in which a replica stands for election after the others, or lets them take over as the leader',
   ),
   storageRetryMs: milliseconds(100).describe(
     'pause before the first attempt to make a failing storage work; doubled with each further one',
--- a/packages/relay/src/origin/startProofs.ts
+++ b/packages/relay/src/origin/startProofs.ts
@@ -16,7 +16,7 @@
 const CALL_TIMEOUT_MS = 250;
 
 /** What control knows of a start: it has called, a newer one has, or neither is known. */
-type Word = 'heard' | 'replaced' | 'unknown';
+type StartState = 'heard' | 'replaced' | 'unknown';
 
 /**
  * A target may start again under its id, with other software, before anybody hears of it; its answers name no start. But each
@@ -26,7 +26,7 @@
   /** Monotonic times after which a start was heard of, by its id. */
   private readonly heardAt = new Map<string, number>();
   /** Questions on their way, by the id of the start. */
-  private readonly asked = new Map<string, Promise<Word>>();
+  private readonly asked = new Map<string, Promise<StartState>>();
 
   constructor(private readonly parts: OriginLookupParts) {}
 
@@ -44,11 +44,11 @@
     const endsAt = clock.monotonic() + withinMs;
     let pauseMs = RETRY_MS;
     while (!this.isProven(target, connectedAt)) {
-      const word = await this.ask(target);
+      const state = await this.ask(target);
       if (this.isProven(target, connectedAt)) break;
-      if (word === 'replaced' || clock.monotonic() >= endsAt) {
+      if (state === 'replaced' || clock.monotonic() >= endsAt) {
         const connectedMs = Math.round(clock.monotonic() - connectedAt);
-        log.event(relayEvents.startUnproven, { target: target.id, word, connectedMs });
+        log.event(relayEvents.startUnproven, { target: target.id, state, connectedMs });
         return false;
       }
       await clock.sleep(pauseMs);
@@ -62,24 +62,25 @@
     for (const id of this.heardAt.keys()) if (!ids.has(id)) this.heardAt.delete(id);
   }
 
-  private ask(target: Target): Promise<Word> {
-    const word = this.asked.get(target.id) ?? this.askAll(target).finally(() => this.asked.delete(target.id));
-    this.asked.set(target.id, word);
-    return word;
+  private ask(target: Target): Promise<StartState> {
+    const state =
+      this.asked.get(target.id) ?? this.askAll(target).finally(() => this.asked.delete(target.id));
+    this.asked.set(target.id, state);
+    return state;
   }
 
   /** Asks all instances, as a target calls any of them. Resolves as soon as one knows something. */
-  private async askAll(target: Target): Promise<Word> {
+  private async askAll(target: Target): Promise<StartState> {
     const calls = this.parts.controls().map((control) => this.call(control, target));
     const known = calls.map(async (call) => {
-      const word = await call;
-      if (word === 'unknown') throw new Error('nothing is known');
-      return word;
+      const state = await call;
+      if (state === 'unknown') throw new Error('nothing is known');
+      return state;
     });
-    return Promise.any(known).catch((): Word => 'unknown');
+    return Promise.any(known).catch((): StartState => 'unknown');
   }
 
-  private async call(control: string, target: Target): Promise<Word> {
+  private async call(control: string, target: Target): Promise<StartState> {
     const { peers, clock, log } = this.parts;
     const client = createClient(controlMessage.Configurations, peers.transport(control));
     const askedAt = clock.monotonic();
