--- a/packages/control/src/files/recordFiles.spec.ts
+++ b/packages/control/src/files/recordFiles.spec.ts
@@ -205,6 +205,7 @@
     expect(await create().load()).toContain('always');
   });
 
+  // Guards against an acknowledgement of records that were left out for want of space.
   it('do not count as stored when they exceed it', async () => {
     const files = create();
     await files.load();
--- a/packages/control/src/folder/folderMonitor.spec.ts
+++ b/packages/control/src/folder/folderMonitor.spec.ts
@@ -28,6 +28,7 @@
   ]);
 });
 
+// Guards against a warning that never comes where others fill the disk.
 it('the space that the file system has left bounds what the folder may hold', async () => {
   const events: unknown[] = [];
   const log: Log = {
--- a/packages/control/src/targets/targetRegistry.spec.ts
+++ b/packages/control/src/targets/targetRegistry.spec.ts
@@ -95,6 +95,7 @@
     expect(state('t1/2000')).toBe(Announcement.READY);
   });
 
+  // Guards against a stream that goes on at another start of a target, as a late heartbeat passes for one of the start expected.
   it('tells when the newest start called, by its own heartbeats in order only', async () => {
     // Guards against a target taken for alive, and for the start that answers, after a call that is late or that others made.
     const heardMs = (): (number | undefined)[] => registry.heardStarts(['t1']).map((heard) => heard.heardMs);
--- a/packages/coordination/src/agreement/agreementModel.spec.ts
+++ b/packages/coordination/src/agreement/agreementModel.spec.ts
@@ -278,6 +278,7 @@
   TIMEOUT_MS,
 );
 
+// Guards against recoveries of a disk that lose, undo or repeat what was acknowledged, or vote twice in a term.
 test(
   'nor does a history in which disks fail',
   async () => {
@@ -288,6 +289,7 @@
   TIMEOUT_MS,
 );
 
+// Guards against the same where the voters change meanwhile, or a disk is replaced by an empty one.
 test(
   'nor does a history with membership changes in which disks fail',
   async () => {
--- a/packages/coordination/src/agreement/storageFaults.spec.ts
+++ b/packages/coordination/src/agreement/storageFaults.spec.ts
@@ -184,7 +184,7 @@
 ];
 
 describe.each(faults)('after $fault', ({ refuse }) => {
-  // Guards against a replica that looks well, but writes and votes no more for as long as its process lives: the next loss
+  // Guards against a replica that answers, but neither writes nor votes any more for as long as its process lives: the next loss
   // of a replica leaves no majority.
   test.each(SEEDS.flatMap((seed) => sizes.map((size) => ({ seed, ...size }))))(
     'at as many as may be lost, others may be lost later (seed $seed, $size replicas)',
