Requests of one connection are handled in turn

What callers saw: answers that were lost in a planned stop. Requests that are sent together on one connection were all handled at once. Where a target broke off the answer in front, the connection ended under those behind it, which had run, ones that may run only once too.

Cause: Node hands over each request as it is read, and answers wait for their turn; requests did not. When the caller left, Node also tells nobody but the answer in front, so those behind ran for nobody and a stop waited for them.

Change: a request is handled once the answers before it are complete (CallerConnection.turnOf). Its time counts from its arrival in the relaying entry. The wait ends, and nothing is handled, when the connection ends or is closed. From 16 waiting requests on, no more is read; the reading of a body resumes the socket, so this is checked at each resume. When a stop begins, the newest answer of each connection that has not begun announces the end. An answer always has its socket now, so that the wait for it in CallerAnswer.cut is gone.

Tests: two tests expected that both requests are handled at once, in a stop, with answers finished in either order; the other order can't occur any more. They are replaced by three that are as strict: each answered whole, in order, one announcement, the second handled only after the first, with the stop beginning before the requests, before the first answer and before the second.

--- a/packages/entry/src/http/app.ts
+++ b/packages/entry/src/http/app.ts
@@ -53,7 +53,7 @@
       return Response.json(body, { status: 400, headers: { 'x-run-state': 'not-run' } });
     },
   });
-  return async (incoming, outgoing) => {
-    await listener(incoming, outgoing);
+  return async (incoming, outgoing, turn) => {
+    if (await turn) await listener(incoming, outgoing);
   };
 }
--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -13,6 +13,9 @@
 /** Longest time from this side's end until the connection is closed where the caller does not close it, milliseconds. */
 const LINGER_MS = 2_000;
 
+/** Number of requests that wait for their turn on one connection, from which on no more of its bytes are read. */
+const MAX_WAITING = 16;
+
 /** The beginning of a connection's end by this side. */
 interface Ending {
   readonly cause: EndCause;
@@ -33,6 +36,8 @@
   private bytesSeen = 0;
   private activeAt: number;
   private ending: Ending | undefined;
+  /** By answer that waits for its turn: what tells whether it has come. */
+  private readonly turns = new Map<ServerResponse, (hasCome: boolean) => void>();
 
   constructor(
     private readonly socket: Socket,
@@ -41,6 +46,13 @@
     this.activeAt = clock.monotonic();
     // Node takes its own listener back from a connection on which a tunnel was asked for. The close that follows is recorded.
     socket.on('error', () => undefined);
+    socket.once('close', () => {
+      this.endTurns();
+    });
+    // Whoever reads a body resumes the socket.
+    socket.on('resume', () => {
+      this.limitWaiting();
+    });
     // Node calls this after an answer with `Connection: close`, and would close at once.
     socket.destroySoon = () => {
       this.end('answered', true);
@@ -66,13 +78,36 @@
     const before = [...this.answers];
     if (this.isEnding || this.hasInvalidInput || before.some(hasAnnouncedEnd)) return false;
     this.answers.add(answer);
-    answer.once('close', () => this.answers.delete(answer));
+    answer.once('close', () => {
+      this.answers.delete(answer);
+      this.giveTurn(answer);
+    });
     if (!isLast) return true;
     for (const one of before) if (!one.headersSent) one.removeHeader('connection');
     answer.setHeader('connection', 'close');
     return true;
   }
 
+  /** Lets the newest answer that is due say that it is the last one, unless it has begun. */
+  announceEnd(): void {
+    const last = this.dueAnswers().at(-1);
+    if (last?.headersSent === false) last.setHeader('connection', 'close');
+  }
+
+  /**
+   * Waits for the answers before. Where one of them breaks off, the connection ends, and a request behind it that had been
+   * handled would have run without an answer.
+   * @returns whether the request may be handled; false: the connection has ended.
+   */
+  turnOf(answer: ServerResponse): Promise<boolean> {
+    const [first] = this.answers;
+    if (this.isEnding || this.socket.destroyed) return Promise.resolve(false);
+    if (first === answer) return Promise.resolve(true);
+    const turn = new Promise<boolean>((resolve) => this.turns.set(answer, resolve));
+    this.limitWaiting();
+    return turn;
+  }
+
   /** Whether another answer is due before the connection may end. */
   isAnswering(except: ServerResponse): boolean {
     return this.dueAnswers().some((one) => one !== except);
@@ -81,8 +116,7 @@
   /** Reads nothing more, as later bytes can't be parsed reliably; the answers that are due go on. */
   giveUpInput(): void {
     this.hasInvalidInput = true;
-    const last = this.dueAnswers().at(-1);
-    if (last?.headersSent === false) last.setHeader('connection', 'close');
+    this.announceEnd();
     this.discardInput();
   }
 
@@ -105,6 +139,7 @@
     const { socket, clock } = this;
     const { bytesRead, writableLength: unsentBytes } = socket;
     this.ending = { cause, at: clock.monotonic(), unsentBytes, bytesRead };
+    this.endTurns();
     socket.setTimeout(0);
     socket.end();
     const cancelClose = clock.after(LINGER_MS, () => {
@@ -136,6 +171,27 @@
     return { cause, unfinishedAnswers, unsentBytes, lateBytes, closingMs };
   }
 
+  /** Lets the request behind a complete answer be handled. */
+  private giveTurn({ writableFinished }: ServerResponse): void {
+    const [next] = this.answers;
+    if (next === undefined || !writableFinished || this.isEnding || this.socket.destroyed) return;
+    const giveTurn = this.turns.get(next);
+    if (giveTurn === undefined) return;
+    this.turns.delete(next);
+    giveTurn(true);
+    if (this.turns.size === MAX_WAITING - 1) this.socket.resume();
+  }
+
+  /** Reads nothing more while too many requests wait. */
+  private limitWaiting(): void {
+    if (this.turns.size >= MAX_WAITING && !this.hasInvalidInput) this.socket.pause();
+  }
+
+  private endTurns(): void {
+    for (const endWait of this.turns.values()) endWait(false);
+    this.turns.clear();
+  }
+
   /** Answers to requests that were read; after invalid input, no more of a request is. */
   private dueAnswers(): ServerResponse[] {
     const answers = [...this.answers];
--- a/packages/entry/src/http/server.spec.ts
+++ b/packages/entry/src/http/server.spec.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { afterEach, describe, expect, it } from 'vitest';
 import { entryEvents } from '../events.js';
@@ -141,7 +142,10 @@
   /** Answers each request with its path when told. */
   async function startHeld(): Promise<{ scene: TestServer; finish: (path: string) => void }> {
     const held = new Map<string, ServerResponse>();
-    const scene = await start((incoming, outgoing) => held.set(incoming.url ?? '', outgoing));
+    const scene = await start((incoming, outgoing) => {
+      held.set(incoming.url ?? '', outgoing);
+      return once(outgoing, 'close');
+    });
     const finish = (path: string): void => {
       held.get(path)?.end(`done ${path}`);
     };
@@ -149,24 +153,92 @@
   }
 
   // Guards against an answer that is lost in a planned stop because the one before it closes the connection.
+  it.each(['the requests', 'the first answer', 'the second answer'])(
+    'are handled in turn and all answered in a planned stop that begins before %s',
+    async (moment) => {
+      const { scene, finish } = await startHeld();
+      const stops: Promise<void>[] = [];
+      const stopBefore = (next: string): void => {
+        if (next !== moment) return;
+        scene.server.stopKeepAlive();
+        stops.push(scene.server.drain(0));
+      };
+      const caller = scene.connect();
+      await waitUntil(() => scene.server.connections === 1);
+      stopBefore('the requests');
+      caller.socket.write(TOGETHER);
+      await waitUntil(() => scene.server.stopRecord().requests === 2);
+      expect(scene.handled).toEqual(['/first']);
+      stopBefore('the first answer');
+      finish('/first');
+      await waitUntil(() => scene.handled.length === 2);
+      await waitUntil(() => caller.text.includes('done /first'));
+      stopBefore('the second answer');
+      finish('/second');
+      await waitUntil(() => caller.isEnded || caller.isClosed);
+      expect(scene.handled).toEqual(['/first', '/second']);
+      expect(caller.text).toMatch(/done \/first[^]*connection: close[^]*done \/second/i);
+      expect(caller.text.match(/connection: close/gi)).toHaveLength(1);
+      expect(caller.error).toBe('');
+      caller.socket.destroy();
+      await Promise.all(stops);
+    },
+  );
+
+  // Guards against a request that runs although its answer can't be sent: the answer in front was broken off.
   it.each([
-    ['in the order of their requests', ['/first', '/second']],
-    ['in the other order', ['/second', '/first']],
-  ])('are all answered in a planned stop, finished %s', async (_title, order) => {
-    const { scene, finish } = await startHeld();
+    ['broken off', (answer: ServerResponse) => answer.socket?.destroySoon()],
+    ['destroyed', (answer: ServerResponse) => answer.destroy()],
+    ['said to be the last one', (answer: ServerResponse) => answer.setHeader('connection', 'close').end()],
+  ])('are not handled behind an answer that is %s', async (_title, end) => {
+    const held: ServerResponse[] = [];
+    const scene = await start((_incoming, outgoing) => {
+      held.push(outgoing);
+      return once(outgoing, 'close');
+    });
     const caller = scene.connect();
-    await waitUntil(() => scene.server.connections === 1);
-    const drained = scene.server.drain(0);
     caller.socket.write(TOGETHER);
-    await waitUntil(() => scene.handled.length === 2);
-    for (const path of order) finish(path);
+    await waitUntil(() => scene.server.stopRecord().requests === 2);
+    held.forEach(end);
     await waitUntil(() => caller.isEnded || caller.isClosed);
-    expect(caller.text).toMatch(/done \/first[^]*connection: close[^]*done \/second/i);
-    expect(caller.text.match(/connection: close/gi)).toHaveLength(1);
     caller.socket.destroy();
-    await drained;
+    await waitUntil(() => scene.server.connections === 0);
+    expect(scene.handled).toEqual(['/first']);
   });
 
+  // Guards against a request that runs for a caller that has left, and a stop that waits for it.
+  it('are not handled when the caller leaves while they wait', async () => {
+    const { scene, finish } = await startHeld();
+    const caller = scene.connect();
+    caller.socket.write(TOGETHER);
+    await waitUntil(() => scene.server.stopRecord().requests === 2);
+    caller.socket.destroy();
+    await waitUntil(() => scene.server.connections === 0);
+    finish('/first');
+    await scene.server.drain(0);
+    expect(scene.handled).toEqual(['/first']);
+    expect(scene.server.stopRecord()).toMatchObject({ requests: 0 });
+  });
+
+  // Guards against memory that one caller fills with requests that wait, as the reading of each body reads on.
+  it('are read only as far as some of them wait', async () => {
+    const REQUESTS = 20_000;
+    const MOST_WAITING = 3_000;
+    let mostWaiting = 0;
+    let body = '';
+    const scene = await start(async (incoming, outgoing) => {
+      mostWaiting = Math.max(mostWaiting, Number(scene.server.stopRecord().requests));
+      for await (const part of incoming) body += String(part);
+      outgoing.end('short');
+    });
+
+    const caller = scene.connect();
+    caller.socket.write(requestBytes('/', 'x').repeat(REQUESTS));
+    await waitUntil(() => scene.handled.length === REQUESTS && body.length === REQUESTS);
+    expect(mostWaiting).toBeLessThan(MOST_WAITING);
+    caller.socket.destroy();
+  }, 30_000);
+
   // Guards against a request that runs behind an answer that has said that it is the last one.
   it('are not handled behind an answer that has begun with "Connection: close"', async () => {
     const scene = await start((incoming, outgoing) => {
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -41,8 +41,15 @@
   | 'idleTimeoutMs'
 >;
 
-/** Handles one request of a caller; resolves when nothing of it is in progress any more. */
-export type CallerListener = (incoming: IncomingMessage, outgoing: ServerResponse) => Promise<void>;
+/**
+ * Handles one request of a caller; resolves when nothing of it is in progress any more.
+ * @param turn resolves when all answers before on the connection are complete, with false if it has ended.
+ */
+export type CallerListener = (
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+  turn: Promise<boolean>,
+) => Promise<void>;
 
 /** The HTTP server that callers connect to. */
 export class CallerServer {
@@ -77,7 +84,8 @@
         requireHostHeader: false,
       },
       (incoming, outgoing) => {
-        if (this.track(incoming.socket, outgoing)) void this.handle(incoming, outgoing);
+        const turn = this.track(incoming.socket, outgoing);
+        if (turn !== undefined) void this.handle(incoming, outgoing, turn);
       },
     );
     this.server.maxConnections = settings.maxConnections;
@@ -134,6 +142,7 @@
   stopKeepAlive(): void {
     if (this.stopping) return;
     this.stopping = true;
+    for (const connection of this.openConnections.values()) connection.announceEnd();
     void this.closeIdleConnections();
   }
 
@@ -193,24 +202,28 @@
     await closed;
   }
 
-  private async handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+  private async handle(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    turn: Promise<boolean>,
+  ): Promise<void> {
     this.requests += 1;
     try {
-      await this.listener(incoming, outgoing);
+      await this.listener(incoming, outgoing, turn);
     } finally {
       this.requests -= 1;
     }
   }
 
-  /** @returns whether the request is to be handled: what arrives after this side has ended is not. */
-  private track(socket: Socket, outgoing: ServerResponse): boolean {
+  /** @returns when the request is to be handled; undefined: not at all, as it arrived after this side had ended. */
+  private track(socket: Socket, outgoing: ServerResponse): Promise<boolean> | undefined {
     const connection = this.openConnections.get(socket);
-    if (connection?.add(outgoing, this.stopping) !== true) return false;
+    if (connection?.add(outgoing, this.stopping) !== true) return undefined;
     outgoing.once('finish', () => {
       this.answeredAt = this.clock.monotonic();
       this.closeAfter(connection, outgoing);
     });
-    return true;
+    return connection.turnOf(outgoing);
   }
 
   /**
--- a/packages/entry/src/testing/callerServer.ts
+++ b/packages/entry/src/testing/callerServer.ts
@@ -38,7 +38,8 @@
       },
     };
     this.server = new CallerServer(
-      async (incoming, outgoing) => {
+      async (incoming, outgoing, turn) => {
+        if (!(await turn)) return;
         this.handled.push(incoming.url ?? '');
         await listener(incoming, outgoing);
       },
--- a/packages/relay/src/answer/callerAnswer.ts
+++ b/packages/relay/src/answer/callerAnswer.ts
@@ -136,21 +136,12 @@
   /**
    * Closes the connection in the middle of an answer. A graceful close still delivers what was written, which a reset
    * would discard; the missing last chunk or the content length shows that the answer is incomplete. Callers of
-   * HTTP/1.0 get neither, so their connection is reset. An answer behind another one on its connection has none before its
-   * turn; what was written of it goes out first.
+   * HTTP/1.0 get neither, so their connection is reset.
    */
   private cut(): void {
     const { socket, req } = this.response;
-    if (socket === null) {
-      this.response.once('socket', () => {
-        process.nextTick(() => {
-          this.cut();
-        });
-      });
-      return;
-    }
-    if (req.httpVersion === '1.0') socket.resetAndDestroy();
-    else socket.destroySoon();
+    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
+    else socket?.destroySoon();
   }
 
   private appendHeaders(headers: readonly HeaderField[]): void {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -116,7 +116,7 @@
     };
     const { httpHost, httpPort, maxConnections } = settings;
     this.server = new CallerServer(
-      (incoming, outgoing) => this.serve(incoming, outgoing),
+      (incoming, outgoing, turn) => this.serve(incoming, outgoing, turn),
       {
         httpHost,
         httpPort,
@@ -252,9 +252,15 @@
     for (const handler of named) log.event(relayEvents.unfinished, { ...handler.progress() });
   }
 
-  private async serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+  private async serve(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    turn: Promise<boolean>,
+  ): Promise<void> {
     const { dialect, clock, stalls, log } = this.requestContext;
+    // The time of a request that waits for its turn passes.
     const answer = new CallerAnswer(outgoing, dialect, clock, stalls);
+    if (!(await turn)) return;
     const handler = new RequestHandler(this.requestContext, incoming, answer);
     this.open.add(handler);
     try {
