--- a/packages/core/src/clock/systemClock.spec.ts
+++ b/packages/core/src/clock/systemClock.spec.ts
@@ -16,3 +16,22 @@
   abort.abort();
   await slept;
 });
+
+// Guards against a wait that ends before its time, as the runtime counts whole milliseconds and drops fractions.
+it.each([3, 3.9, 10])('a timer for %d ms does not fire early', async (ms) => {
+  const waits: Promise<number>[] = [];
+  for (let at = 0; at < 200; at += 1) {
+    const begun = systemClock.monotonic();
+    const elapsed = (): number => systemClock.monotonic() - begun;
+    waits.push(systemClock.sleep(ms).then(elapsed));
+    waits.push(
+      new Promise((resolve) => {
+        systemClock.after(ms, () => {
+          resolve(elapsed());
+        });
+      }),
+    );
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  expect(Math.min(...(await Promise.all(waits)))).toBeGreaterThanOrEqual(ms);
+});
