--- a/packages/coordination/src/storage/memoryDisk.ts
+++ b/packages/coordination/src/storage/memoryDisk.ts
@@ -36,6 +36,11 @@
   return Object.assign(new Error(`${code}: made by the test`), { code, syscall });
 }
 
+async function waitFor({ end }: Hang): Promise<void> {
+  const code = await end;
+  if (code !== undefined) throw systemError(code);
+}
+
 const writeAt =
   (data: Uint8Array, position: number): Change =>
   (content) => {
@@ -70,6 +75,15 @@
   return applied.reduce((content, change) => change(content), synced);
 }
 
+/** When the operations of a disk that hangs take effect: before they wait, or after that. */
+export type HangEffect = 'before' | 'after';
+
+/** A disk that hangs; `end` resolves with the error code of what waited, or with none. */
+interface Hang {
+  readonly effect: HangEffect;
+  readonly end: Promise<string | undefined>;
+}
+
 /** Calls of the disk that can be made to fail, beside writes and syncs of files. */
 export type FailingCall = 'open' | 'rename' | 'remove' | 'truncate' | 'syncFolder';
 
@@ -86,6 +100,7 @@
   /** Delay of each sync. */
   syncDelay: () => Promise<void> = () => Promise.resolve();
   private isCrashed = false;
+  private hanging: Hang | undefined;
   private readonly locked = new Set<string>();
 
   private constructor(
@@ -116,6 +131,20 @@
     return after;
   }
 
+  /** Makes all operations wait. Returns the function that ends it; a code fails what has waited. */
+  hang(effect: HangEffect = 'after'): (code?: string) => void {
+    let release: (code?: string) => void = () => undefined;
+    const end = new Promise<string | undefined>((resolve) => {
+      release = resolve;
+    });
+    const hanging = { effect, end };
+    this.hanging = hanging;
+    return (code) => {
+      if (this.hanging === hanging) this.hanging = undefined;
+      release(code);
+    };
+  }
+
   /** Bytes that all files take: whole blocks, as on a file system. */
   usedBytes(): number {
     const inodes = new Set(this.names.values());
@@ -220,6 +249,15 @@
   /** Runs an operation asynchronously; after the crash all of them fail. */
   private async perform<T>(action: () => T): Promise<T> {
     await Promise.resolve();
+    const { hanging } = this;
+    if (hanging === undefined) return this.complete(action);
+    if (hanging.effect === 'after') await waitFor(hanging);
+    const result = this.complete(action);
+    if (hanging.effect === 'before') await waitFor(hanging);
+    return result;
+  }
+
+  private complete<T>(action: () => T): T {
     if (this.isCrashed) throw systemError('EIO');
     return action();
   }
@@ -244,7 +282,7 @@
           this.change(inode, { whole: truncateTo(length), torn: () => unchanged });
         }),
       sync: () => this.sync(inode),
-      close: () => Promise.resolve(),
+      close: () => this.perform(() => undefined),
     };
   }
 
--- a/packages/coordination/src/testing/memoryNetwork.ts
+++ b/packages/coordination/src/testing/memoryNetwork.ts
@@ -145,7 +145,8 @@
       await this.deliver(requestMessage, connection, signal);
       const handler = this.servers.get(to)?.[method.localName];
       if (handler === undefined) throw connectionRefused();
-      const message = copy(method.output, (await handler(request)) as MessageShape<O>);
+      const answer = await untilAborted(Promise.resolve(handler(request)), connection, signal);
+      const message = copy(method.output, answer as MessageShape<O>);
       const responseMessage = {
         from: to,
         to: from,
@@ -199,12 +200,12 @@
 
 const never = (): Promise<void> => new Promise(() => undefined);
 
-/** Waits for an arrival; rejects when the call is aborted or its connection dropped before. */
-const untilAborted = (
-  arrival: Promise<void>,
+/** Waits for an arrival or an answer; rejects when the call is aborted or its connection dropped before. */
+const untilAborted = <T>(
+  awaited: Promise<T>,
   connection: Connection | undefined,
   signal: AbortSignal | undefined,
-): Promise<void> =>
+): Promise<T> =>
   new Promise((resolve, reject) => {
     const end = (): void => {
       connection?.openCalls.delete(end);
@@ -212,10 +213,7 @@
     };
     connection?.openCalls.add(end);
     signal?.addEventListener('abort', end);
-    void arrival.then(() => {
-      connection?.openCalls.delete(end);
-      resolve();
-    });
+    awaited.finally(() => connection?.openCalls.delete(end)).then(resolve, reject);
   });
 
 const aborted = (): ConnectError => new ConnectError('aborted', Code.Canceled);
