A disk that hangs counts as a failing one, and holds up no call that needs none

Callers saw: while a call to a replica's disk neither failed nor returned, the replica answered no vote and no heartbeat; its peers closed their connections to it about once a second, which broke off other calls on them. A leader whose disk hung kept leading and accepted nothing.

Cause: changes of term, vote and log run one at a time, and the one that waited for the disk kept the others waiting.

Change: a call to the disk that is not answered within 1 s (more for many bytes, none for stalls of the process) fails, as any other failed call. Until it has returned, all further calls are refused at once, so that nothing it does late follows a later one. The replica then recovers as after any error: what is not known to be synced is written again. Whether the disk answers is tried outside of the order of changes. Event 2031, a gauge, and the error 'the disk does not answer' say so.

Guards: three.

--- a/packages/coordination/src/agreement/agreementModel.spec.ts
+++ b/packages/coordination/src/agreement/agreementModel.spec.ts
@@ -1,6 +1,7 @@
 /** Checks safety and liveness in random histories of message loss, delays, crashes, a lost disk and membership changes. */
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
+import type { HangEffect } from '../storage/index.js';
 import { MemoryCluster } from '../testing/index.js';
 import type { Node } from '../testing/index.js';
 
@@ -29,6 +30,8 @@
   | { readonly kind: 'change'; readonly nodes: readonly number[] }
   | { readonly kind: NodeAction; readonly node: number }
   | { readonly kind: 'refuse'; readonly nodes: readonly number[]; readonly faults: readonly DiskFault[] }
+  | { readonly kind: 'hang'; readonly node: number; readonly effect: HangEffect }
+  | { readonly kind: 'release'; readonly node: number; readonly code: string | undefined }
   | { readonly kind: 'heal' };
 
 type Weighted = fc.WeightedArbitrary<Action>;
@@ -98,6 +101,26 @@
   },
 ];
 
+/** Disks that hang, and whose calls take effect before or after that, and return or fail. */
+const hangs = (nodes: number): Weighted[] => [
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant('hang' as const),
+      node: fc.nat(nodes - 1),
+      effect: fc.constantFrom<HangEffect>('before', 'after'),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant('release' as const),
+      node: fc.nat(nodes - 1),
+      code: fc.constantFrom(undefined, 'EIO'),
+    }),
+  },
+];
+
 /** Long enough for a voter to count as lost. */
 const longWaits: Weighted = {
   weight: 2,
@@ -132,6 +155,8 @@
   private isDiskLost = false;
   private count = 0;
   private desired: readonly Node[];
+  /** Ends the hangs of the disks. */
+  private readonly releases = new Map<Node, (code?: string) => void>();
 
   constructor(private readonly cluster: MemoryCluster) {
     this.desired = cluster.nodes.slice(0, 3);
@@ -155,6 +180,12 @@
       case 'refuse':
         for (const node of step.nodes) refuse(this.at(node), step.faults);
         return;
+      case 'hang':
+        this.hang(this.at(step.node), step.effect);
+        return;
+      case 'release':
+        this.release(this.at(step.node), step.code);
+        return;
       case 'change':
         this.desired = step.nodes.map((node) => this.at(node));
         for (const { replica } of nodes) void replica?.changeReplicas(this.addresses());
@@ -169,7 +200,10 @@
     const { cluster } = this;
     cluster.network.heal();
     cluster.network.loss = 0;
-    for (const node of cluster.nodes) repair(node);
+    for (const node of cluster.nodes) {
+      repair(node);
+      this.release(node);
+    }
     await cluster.startAll();
     for (const { replica } of cluster.nodes) void replica?.changeReplicas(this.addresses());
     if (!(await cluster.until(() => this.isSettled(), 60_000))) cluster.violations.push('not settled');
@@ -225,6 +259,17 @@
     }
   }
 
+  /** Makes the disk of a running process hang, which a start would wait for. */
+  private hang(node: Node, effect: HangEffect): void {
+    if (node.replica === undefined || this.releases.has(node)) return;
+    this.releases.set(node, node.disk.hang(effect));
+  }
+
+  private release(node: Node, code?: string): void {
+    this.releases.get(node)?.(code);
+    this.releases.delete(node);
+  }
+
   /** Starts a node. A failing disk may refuse it, but must not be taken for one that has changed. */
   private async start(node: Node): Promise<void> {
     try {
@@ -289,6 +334,17 @@
   TIMEOUT_MS,
 );
 
+// Guards against late calls of a disk that change what was read, written or voted since, and acknowledgements of such calls.
+test(
+  'nor does a history in which disks hang',
+  async () => {
+    const steps = histories(...actionsOn(3), ...diskFaults(3), ...hangs(3), longWaits);
+    const property = fc.asyncProperty(fc.integer(), steps, (seed, actions) => check(seed, actions, []));
+    await fc.assert(property, { numRuns: RUNS });
+  },
+  TIMEOUT_MS,
+);
+
 // Guards against the same where the voters change meanwhile, or a disk is replaced by an empty one.
 test(
   'nor does a history with membership changes in which disks fail',
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -53,6 +53,9 @@
     'pause before the first attempt to make a failing storage work; doubled with each further one',
   ),
   maxStorageRetryMs: milliseconds(1_000).describe('longest pause between these attempts'),
+  storageHangMs: milliseconds(1_000).describe(
+    'time after which a call to the disk that has not returned counts as failed; longer for many bytes',
+  ),
   reconfigureMs: milliseconds(250).describe('pause between steps of a membership change'),
   changeTimeoutMs: milliseconds(30_000).describe('timeout of a membership change'),
   joinMs: milliseconds(200).describe('pause between attempts of an empty replica to join'),
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -9,7 +9,7 @@
 import { Agreement } from '../gen/agreement/agreement_pb.js';
 import type { Configuration } from '../gen/agreement/agreement_pb.js';
 import { coordinationMetrics } from '../metrics.js';
-import { LogStorage, fileDisk, folderBudget } from '../storage/index.js';
+import { BoundedDisk, LogStorage, fileDisk, folderBudget } from '../storage/index.js';
 import type { HeldBytes, Recovered, Snapshot } from '../storage/index.js';
 import { Applier } from './applier.js';
 import { membersOf } from './configuration.js';
@@ -108,9 +108,12 @@
 
   /** Opens the folder and restores the state machine. Errors: storage-failed. */
   static async open(options: ReplicatedLogOptions): Promise<Result<ReplicatedLog, Fault>> {
-    const bounds = folderBudget(tuning.parse(options));
-    const opened = await LogStorage.open(options.disk ?? fileDisk, options.folder, bounds);
+    const settings = tuning.parse(options);
+    const { disk: given = fileDisk, clock, log, metrics = silentMetrics } = options;
+    const disk = new BoundedDisk({ disk: given, clock, log, metrics, limitMs: settings.storageHangMs });
+    const opened = await LogStorage.open(disk, options.folder, folderBudget(settings));
     if (opened.isErr()) return err(opened.error);
+    disk.bound();
     const { storage, recovered } = opened.value;
     const { repairedBytes, state } = recovered;
     if (repairedBytes > 0) options.log.event(coordinationEvents.repairedTail, { bytes: repairedBytes });
--- a/packages/coordination/src/agreement/storageRecovery.ts
+++ b/packages/coordination/src/agreement/storageRecovery.ts
@@ -34,7 +34,9 @@
     this.recoveredAt = Infinity;
     await this.pause(now + this.pauseMs);
     this.pauseMs = Math.min(this.pauseMs * 2, maxStorageRetryMs);
-    await replica.exclusive(() => this.attempt());
+    const probed = await replica.storage.probe();
+    if (probed.isErr()) replica.storageHealth.recordFailure(probed.error);
+    else await replica.exclusive(() => this.attempt());
   }
 
   private async pause(until: number): Promise<void> {
--- a/packages/coordination/src/events.ts
+++ b/packages/coordination/src/events.ts
@@ -39,5 +39,10 @@
     level: 'warn',
     message: 'does not stand for election or vote while its storage fails',
   },
+  lateDiskCall: {
+    id: 2031,
+    level: 'warn',
+    message: 'a call to the disk has returned that was given up as hanging',
+  },
   taskFailed: { id: 2016, level: 'error', message: 'a task of the replica failed' },
 });
--- a/packages/coordination/src/metrics.ts
+++ b/packages/coordination/src/metrics.ts
@@ -40,6 +40,11 @@
     type: 'counter',
     help: 'Failed operations of the storage, by operation',
   },
+  overdueDiskCalls: {
+    name: 'coordination.storage.overdue',
+    type: 'gauge',
+    help: 'Calls to the disk that were given up and have not returned; while there are any, the storage is not used',
+  },
   commitIndex: {
     name: 'coordination.commit.index',
     type: 'gauge',
--- /dev/null
+++ b/packages/coordination/src/storage/boundedDisk.ts
@@ -0,0 +1,150 @@
+/** A disk whose calls fail when they are not answered in time. */
+import { afterActive } from '@jasmineroute/core';
+import type { Cancellation, Clock, Log, Metrics } from '@jasmineroute/core';
+import { coordinationEvents } from '../events.js';
+import { coordinationMetrics } from '../metrics.js';
+import type { Disk, DiskFile, ReleaseLock } from './disk.js';
+import { DiskHangs } from './storageFault.js';
+
+/** Slowest rate at which a disk still counts as one that answers, bytes per millisecond. */
+const LEAST_BYTES_PER_MS = 1_000;
+
+/** Factor on the limit of a call that reads a whole file, whose size is not known. */
+const READ_FACTOR = 8;
+
+/** Dependencies of a bounded disk. */
+export interface BoundedDiskOptions {
+  readonly disk: Disk;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Time after which a call counts as hanging; long writes and their syncs have more. */
+  readonly limitMs: number;
+}
+
+/**
+ * After a call that is not answered in time, all calls are refused at once until it has returned: what it does late is done
+ * before the next one begins. Its error says as little about what is on the disk as any other. Calls of a start are not bounded.
+ */
+export class BoundedDisk implements Disk {
+  private isBounded = false;
+  private overdueCalls = 0;
+
+  constructor(private readonly options: BoundedDiskOptions) {}
+
+  /** Bounds the calls from now on. */
+  bound(): void {
+    this.isBounded = true;
+  }
+
+  ensureFolder(path: string): Promise<void> {
+    return this.call('mkdir', (disk) => disk.ensureFolder(path));
+  }
+
+  list(folder: string): Promise<string[]> {
+    return this.call('scandir', (disk) => disk.list(folder));
+  }
+
+  read(path: string): Promise<Uint8Array> {
+    return this.call('read', (disk) => disk.read(path), this.options.limitMs * READ_FACTOR);
+  }
+
+  open(path: string): Promise<DiskFile> {
+    const { limitMs } = this.options;
+    const closeLate = (file: DiskFile): Promise<void> => file.close();
+    const opened = this.call('open', (disk) => disk.open(path), limitMs, closeLate);
+    return opened.then((file) => this.boundedFile(file));
+  }
+
+  rename(from: string, to: string): Promise<void> {
+    return this.call('rename', (disk) => disk.rename(from, to));
+  }
+
+  remove(path: string): Promise<void> {
+    return this.call('unlink', (disk) => disk.remove(path));
+  }
+
+  syncFolder(folder: string): Promise<void> {
+    return this.call('fsync', (disk) => disk.syncFolder(folder));
+  }
+
+  freeBytes(folder: string): Promise<number> {
+    return this.call('statfs', (disk) => disk.freeBytes(folder));
+  }
+
+  async lock(folder: string): Promise<ReleaseLock> {
+    const release = await this.call('lock', (disk) => disk.lock(folder));
+    return () => this.call('unlock', release);
+  }
+
+  private boundedFile(file: DiskFile): DiskFile {
+    const { limitMs } = this.options;
+    const limitOf = (bytes: number): number => limitMs + bytes / LEAST_BYTES_PER_MS;
+    let unsyncedBytes = 0;
+    return {
+      size: () => this.call('fstat', () => file.size()),
+      write: (data, position) => {
+        unsyncedBytes += data.length;
+        return this.call('write', () => file.write(data, position), limitOf(data.length));
+      },
+      truncate: (length) => this.call('ftruncate', () => file.truncate(length)),
+      sync: () => {
+        const bytes = unsyncedBytes;
+        unsyncedBytes = 0;
+        return this.call('fdatasync', () => file.sync(), limitOf(bytes));
+      },
+      close: () => this.call('close', () => file.close()),
+    };
+  }
+
+  private call<T>(
+    name: string,
+    action: (disk: Disk) => Promise<T>,
+    limitMs = this.options.limitMs,
+    handleLate: (value: T) => Promise<void> = () => Promise.resolve(),
+  ): Promise<T> {
+    const { disk } = this.options;
+    if (!this.isBounded) return action(disk);
+    if (this.overdueCalls > 0) return Promise.reject(new DiskHangs(name));
+    return this.inTime(name, action(disk), limitMs, handleLate);
+  }
+
+  /** Rejects when the limit has passed. */
+  private async inTime<T>(
+    name: string,
+    running: Promise<T>,
+    limitMs: number,
+    handleLate: (value: T) => Promise<void>,
+  ): Promise<T> {
+    const { clock } = this.options;
+    const startedAt = clock.monotonic();
+    let cancel: Cancellation = () => undefined;
+    const expiry = new Promise<never>((_resolve, reject) => {
+      cancel = afterActive(clock, limitMs, () => {
+        reject(new DiskHangs(name));
+      });
+    });
+    try {
+      return await Promise.race([running, expiry]);
+    } catch (error) {
+      if (error instanceof DiskHangs) void this.awaitLate(name, startedAt, running.then(handleLate));
+      throw error;
+    } finally {
+      cancel();
+    }
+  }
+
+  private async awaitLate(call: string, startedAt: number, running: Promise<void>): Promise<void> {
+    const { clock, log } = this.options;
+    this.countOverdue(1);
+    const error = await running.catch((cause: unknown) => String(cause));
+    this.countOverdue(-1);
+    const tookMs = Math.round(clock.monotonic() - startedAt);
+    log.event(coordinationEvents.lateDiskCall, { call, tookMs, error: error ?? '' });
+  }
+
+  private countOverdue(change: number): void {
+    this.overdueCalls += change;
+    this.options.metrics.gauge(coordinationMetrics.overdueDiskCalls, this.overdueCalls);
+  }
+}
--- a/packages/coordination/src/storage/index.ts
+++ b/packages/coordination/src/storage/index.ts
@@ -1,4 +1,5 @@
 /** Durable storage: the disk port, its adapters, and a replica's files. */
+export * from './boundedDisk.js';
 export * from './delayedDisk.js';
 export * from './disk.js';
 export * from './fileDisk.js';
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -189,6 +189,13 @@
     return this.run('clear', () => this.journal.reset(snapshot.lastIndex + 1n));
   }
 
+  /** Whether the disk takes a small file. Needs no order with the changes, so that these don't wait for a disk that hangs. */
+  async probe(): Promise<Result<void, StorageFault>> {
+    const probed = await attempt('recover', this.folder, () => probeDisk(this.disk, this.folder));
+    const isFinal = this.failure !== undefined || this.journal.isUnknown;
+    return probed.mapErr((error) => ({ ...error, isFinal }));
+  }
+
   /**
    * Makes the storage work again after an error; until it succeeds, a final error stays. Saves the vote. After a final error,
    * reads the folder as at a start, brings it to what the replica holds, and writes again all that is not known to be synced.
--- a/packages/coordination/src/storage/storageFault.ts
+++ b/packages/coordination/src/storage/storageFault.ts
@@ -13,6 +13,7 @@
   ENOENT: 'the folder is missing, or its parent is',
   ENOTDIR: 'part of the path is not a folder',
   EIO: 'the disk failed',
+  ETIMEDOUT: 'the disk does not answer',
   FOLDER_LOCKED: 'the folder is in use',
 };
 
@@ -59,6 +60,16 @@
   }
 }
 
+/** A call to the disk, or one before it, neither failed nor returned in time. */
+export class DiskHangs extends Error {
+  readonly code = 'ETIMEDOUT';
+
+  constructor(readonly syscall: string) {
+    super(`${syscall} is not answered in time`);
+    this.name = 'DiskHangs';
+  }
+}
+
 /** A fault with the failed operation, the folder and the reason. */
 export function storageFault(operation: StorageOperation, folder: string, error: unknown): StorageFault {
   const { code = '', syscall: call = '' } = error as NodeJS.ErrnoException;
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -842,4 +842,28 @@
     spec: 'packages/coordination/src/agreement/storageFaults.spec.ts',
     test: 'a replica with an entry that may not be committed answers no read',
   },
+  {
+    name: 'bound on the calls to a disk',
+    file: 'packages/coordination/src/agreement/replicatedLog.ts',
+    find: '    disk.bound();\n',
+    put: '',
+    spec: 'packages/coordination/src/agreement/hangingDisk.spec.ts',
+    test: 'it answers what needs no disk, and counts again',
+  },
+  {
+    name: 'probe of a hanging disk that holds up no call',
+    file: 'packages/coordination/src/agreement/storageRecovery.ts',
+    find: '    const probed = await replica.storage.probe();',
+    put: '    const probed = await replica.exclusive(() => replica.storage.probe());',
+    spec: 'packages/coordination/src/agreement/hangingDisk.spec.ts',
+    test: 'a disk that answers each call too late',
+  },
+  {
+    name: 'no call to a disk before an overdue one has returned',
+    file: 'packages/coordination/src/storage/boundedDisk.ts',
+    find: '    if (this.overdueCalls > 0) return Promise.reject(new DiskHangs(name));\n',
+    put: '',
+    spec: 'packages/coordination/src/storage/boundedDisk.spec.ts',
+    test: 'refuses calls at once',
+  },
 ];
