A start on a full disk reads the folder, refuses writes until there is space, and makes new names durable

Found beside it: a process that is ended after it created a segment and before it synced the folder leaves a name that may not be durable; the next process wrote to that file without a sync of the folder, so a loss of power took acknowledged entries (on file systems that sync names with their folder only). Now an empty last segment has its name synced at the start.

--- a/packages/coordination/src/agreement/storageFaults.spec.ts
+++ b/packages/coordination/src/agreement/storageFaults.spec.ts
@@ -293,6 +293,34 @@
   );
 });
 
+// Guards against a process that ends at its start on a full disk, and is missing where reads need its answers.
+test.each(SEEDS)(
+  'a process that starts on a full disk answers reads, says so, and writes when there is space (seed %i)',
+  async (seed) => {
+    const cluster = await started(seed);
+    const [full, lost] = followersOf(cluster);
+    if (full === undefined || lost === undefined) throw new Error('no followers');
+    cluster.endProcess(full);
+    refuseWrites(full);
+    full.disk.refusesNewFiles = true;
+    for (const call of ['rename', 'remove', 'truncate', 'syncFolder'] as const)
+      full.disk.callErrors[call] = 'ENOSPC';
+    await cluster.start(full);
+    cluster.crash(lost);
+    await traffic(cluster, 1_000);
+    expect(await firstReadMs(cluster)).toBeLessThanOrEqual(CONTACT_MS);
+    const query = cluster.query(full, CONTACT_MS);
+    await cluster.until(() => query.outcome !== 'open', CONTACT_MS);
+    expect(query.outcome).toBe('answered');
+    expect(full.replica?.status().storageFailure).toContain('the disk is full');
+    repair(full);
+    full.disk.refusesNewFiles = false;
+    await cluster.clock.advance(1_500);
+    await expectCommand(cluster);
+    expect(full.replica?.status().storageFailure).toBeUndefined();
+  },
+);
+
 describe('elections', () => {
   // Guards against terms that rise in vain, and depose a leader that is back: a candidate gets a pre-vote, but no vote, from a
   // replica that can't save one.
--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -83,6 +83,12 @@
     }
   }
 
+  /** Whether there is no entry, and the next one is `index`. */
+  isEmptyAt(index: bigint): boolean {
+    const [only, ...others] = this.segments;
+    return only?.first === index && only.offsets.length === 0 && others.length === 0;
+  }
+
   /** Index of the last entry that is known to be synced; 0: none. */
   get syncedIndex(): bigint {
     return this.synced;
@@ -309,6 +315,8 @@
     }
     const tail = this.segments.at(-1);
     if (tail !== undefined) this.synced = min(this.synced, nextIndexOf(tail) - 1n);
+    // The process that began the segment may have been ended before its name was durable.
+    if (tail?.offsets.length === 0) await this.orRefusing(() => this.disk.syncFolder(this.folder));
     return { journal: this, entries, repairedBytes };
   }
 
@@ -347,9 +355,20 @@
     if (isNewest) this.synced = syncedIndexAfter(this.synced, first, entries.at(-1));
     const excess = (await file.size()) - frames.end;
     if (excess > 0) {
-      await file.truncate(frames.end);
-      await file.sync();
+      await this.orRefusing(async () => {
+        await file.truncate(frames.end);
+        await file.sync();
+      });
     }
     return excess;
   }
+
+  /** Runs an action without which the journal can be read, but not written: after its failure all writes are refused with it. */
+  private async orRefusing(action: () => Promise<void>): Promise<void> {
+    try {
+      await this.orUnknown(action);
+    } catch {
+      // Kept as `failure`.
+    }
+  }
 }
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -41,7 +41,7 @@
   readonly entries: Entry[];
   /** Index up to which the entries are known to be synced. */
   readonly syncedIndex: bigint;
-  /** Why later entries could not be synced; `recover` tries again. */
+  /** Why the folder could be read, but not be made ready for writes; `recover` tries again. */
   readonly failure?: StorageFault;
   /** Bytes of an interrupted write that were removed. */
   readonly repairedBytes: number;
@@ -303,7 +303,7 @@
     release: ReleaseLock,
     bounds: FolderBounds,
   ): Promise<OpenedStorage> {
-    await removeTemporaryFiles(disk, folder);
+    const cleaned = await attempt('open', folder, () => removeTemporaryFiles(disk, folder));
     const state = await readState(disk, folder);
     const snapshot = await readSnapshot(disk, folder);
     const { journal, entries, repairedBytes } = await Journal.open(disk, folder, bounds.segmentBytes);
@@ -312,7 +312,8 @@
     const storage = new LogStorage(disk, folder, journal, release, snapshotBytes, bounds);
     // A process that was ended leaves entries that were never synced; they must not be acknowledged before they are.
     const rewritten = await storage.run('sync', () => journal.rewriteTail());
-    const failure = rewritten.isErr() ? rewritten.error : undefined;
+    const error = [rewritten, cleaned].find((result) => result.isErr());
+    const failure = error?.isErr() === true ? error.error : undefined;
     const { syncedIndex } = journal;
     return {
       storage,
@@ -340,7 +341,7 @@
     throw new CorruptFile(folder, `entries ${next.toString()} to ${(first - 1n).toString()} are missing`);
   }
   const last = entries.at(-1)?.index ?? 0n;
-  if (last < next) await journal.reset(next);
+  if (last < next && !journal.isEmptyAt(next)) await journal.reset(next);
   return entries.filter((entry) => entry.index >= next);
 }
 
--- a/packages/coordination/src/storage/memoryDisk.ts
+++ b/packages/coordination/src/storage/memoryDisk.ts
@@ -95,6 +95,8 @@
   syncError: string | undefined;
   /** System error codes for other calls. */
   readonly callErrors: Partial<Record<FailingCall, string | undefined>> = {};
+  /** Whether files can only be opened that exist. */
+  refusesNewFiles = false;
   /** Bytes that all files may take together. */
   capacityBytes = Number.POSITIVE_INFINITY;
   /** Delay of each sync. */
@@ -185,6 +187,7 @@
     return this.performCall('open', () => {
       const known = this.names.get(path);
       if (known !== undefined) return this.handle(known);
+      if (this.refusesNewFiles) throw systemError('ENOSPC', 'open');
       const inode: Inode = { current: NO_BYTES, synced: NO_BYTES, unsynced: [] };
       this.changeNames(path, (names) => names.set(path, inode));
       return this.handle(inode);
