A planned stop accepts what has arrived before it closes its listener

What callers saw: connections in a planned stop that were reset without a byte, with a request that did not run, later than 200 ms after it was written.

Cause: the listener is closed when no connection has been accepted for 300 ms. Timers run before arrived connections are accepted, so after a stall of the event loop of that length none seemed to have come, and closing the listener reset all that waited. The end of the longest wait for them closed the listener without a look, too.

Change: the drain goes once around the event loop after each wait and before it closes the listener.

The new test failed before: all of its connections were reset.

--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import { entryEvents } from '../events.js';
 import type { EntrySettings } from '../setting/index.js';
@@ -51,6 +52,15 @@
   turn: Promise<boolean>,
 ) => Promise<void>;
 
+/**
+ * Waits until connections that wait to be accepted are: timers run before them, so after a stall of the event loop none seems
+ * to have arrived. The first wait may end in the middle of a turn of the loop.
+ */
+async function arrivedAccepted(): Promise<void> {
+  await setImmediate();
+  await setImmediate();
+}
+
 /** The HTTP server that callers connect to. */
 export class CallerServer {
   private readonly server: Server;
@@ -153,16 +163,18 @@
    * @param endsAt monotonic time from which connections that this side has ended are not waited for.
    */
   async drain(maxWaitMs: number, endsAt = Infinity): Promise<void> {
+    this.stopKeepAlive();
     const waitUntil = this.clock.monotonic() + maxWaitMs;
     while (
       this.clock.monotonic() - this.lastConnectionAt < ACCEPT_QUIET_MS &&
       this.clock.monotonic() < waitUntil
     ) {
       await this.clock.sleep(DRAIN_POLL_MS);
+      await arrivedAccepted();
     }
+    await arrivedAccepted();
     // `close` of the HTTP server closes idle connections at once; that of the net server closes only the listener.
     NetServer.prototype.close.call(this.server);
-    this.stopKeepAlive();
     while (!this.isDrained(endsAt)) await this.clock.sleep(DRAIN_POLL_MS);
   }
 
@@ -176,7 +188,7 @@
   private async closeIdleConnections(): Promise<void> {
     while (!this.closed) {
       // A request that has arrived is read first: closing its connection would break it.
-      await new Promise((resolve) => setImmediate(resolve));
+      await setImmediate();
       this.closeIdle();
       await this.clock.sleep(DRAIN_POLL_MS);
     }
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -648,6 +648,14 @@
     spec: 'packages/entry/src/http/server.spec.ts',
     test: 'are answered up to',
   },
+  {
+    name: 'connections that came while the event loop stood still, before the listener closes',
+    file: 'packages/entry/src/http/server.ts',
+    find: '  await setImmediate();\n  await setImmediate();\n}',
+    put: '  await Promise.resolve();\n}',
+    spec: 'packages/entry/src/http/server.spec.ts',
+    test: 'serves connections that came while its event loop stood still',
+  },
   {
     name: 'ends of connections: a stop that waits for requests',
     file: 'packages/entry/src/http/server.ts',
