A read is asked again when its leader breaks off, and of a quorum while the leader stands still

Seen by callers: 503 to a read of the configuration, after 3 to 34 ms of its 900 ms when the leader was killed, and after all of them when the leader stood still.

Cause: a follower forwards a read to the leader. A connection that broke off gave the outcome "may have run", which is final, although a read is read-only. While the leader did not answer, the follower waited for it to the end, also when it had no longer heard of it for so long that a quorum could have answered.

Change: a forwarded read that got lost is asked again within its time; once the leader is not heard for the shortest election timeout, a quorum is asked beside it. A request that the leader rejects stays final.

Both tests of query.spec.ts failed before. safety, agreementModel and fullFolder pass.

--- a/packages/coordination/src/agreement/peerClient.ts
+++ b/packages/coordination/src/agreement/peerClient.ts
@@ -56,7 +56,8 @@
   }
 
   /**
-   * Makes one call. Errors: `target-unreachable` when the call was certainly not processed, `target-lost` otherwise.
+   * Makes one call. Errors: `target-unreachable` when the call was certainly not processed, `invalid-request` when the other
+   * replica rejected it, `target-lost` otherwise.
    * A device between two replicas, such as a firewall, can lose the state of a connection without closing it: calls on it only
    * time out, while a new connection works. So the first timeout drops the connection.
    */
@@ -123,5 +124,7 @@
   const connectError = ConnectError.from(error);
   if (isUnsent(connectError)) return fault('target-unreachable', `${address} refused the connection`);
   const reason = Code[connectError.code];
+  if (connectError.code === Code.InvalidArgument)
+    return fault('invalid-request', `call to ${address} failed: ${reason}`, { cause: error });
   return fault('target-lost', `call to ${address} failed: ${reason}`, { cause: error });
 }
--- a/packages/coordination/src/agreement/proposing.ts
+++ b/packages/coordination/src/agreement/proposing.ts
@@ -109,7 +109,30 @@
     const answer = submission.query ? await this.queryQuorum(submission.command, timeoutMs) : undefined;
     if (answer !== undefined) return ok(answer);
     const address = this.leaderAddress();
-    return address === undefined ? Promise.resolve(undefined) : this.forward(address, submission, timeoutMs);
+    if (address === undefined) return undefined;
+    const forwarded = this.forward(address, submission, timeoutMs);
+    return submission.query
+      ? this.forwardedOrFromQuorum(forwarded, submission.command, timeoutMs)
+      : forwarded;
+  }
+
+  /** A leader that stands still or is lost does not answer: a quorum is asked as soon as the leader is no longer heard. */
+  private async forwardedOrFromQuorum(
+    forwarded: Promise<Outcome>,
+    command: Uint8Array,
+    timeoutMs: number,
+  ): Promise<Outcome> {
+    const { replica } = this.context;
+    const deadline = replica.clock.monotonic() + timeoutMs;
+    const isSettled = forwarded.then(() => true);
+    for (;;) {
+      const remainingMs = deadline - replica.clock.monotonic();
+      if (replica.stopped || remainingMs <= 0) return forwarded;
+      const pause = replica.clock.sleep(Math.min(RETRY_MS, remainingMs)).then(() => false);
+      if (await Promise.race([isSettled, pause])) return forwarded;
+      const answer = await this.queryQuorum(command, remainingMs);
+      if (answer !== undefined) return ok(answer);
+    }
   }
 
   /** Answers a query without a leader; undefined while one is heard, or when a quorum does not confirm the answer. */
@@ -182,7 +205,10 @@
     if (answer.isErr()) {
       const isUnsent = answer.error.kind === 'target-unreachable';
       if (isUnsent) replica.changed.notify();
-      return isUnsent ? err(answer.error) : unknownOutcome(answer.error.message, answer.error);
+      if (isUnsent) return err(answer.error);
+      const { kind, message } = answer.error;
+      const isLost = kind === 'target-lost';
+      return submission.query && isLost ? unanswered(message) : unknownOutcome(message, answer.error);
     }
     const { result, redirected, unknown } = answer.value;
     if (unknown) return unknownOutcome('the leader could not confirm whether the command was committed');
@@ -192,8 +218,9 @@
 }
 
 /** A query is read-only, so without an answer it counts as not run. */
-const notConfirmed = (): Outcome =>
-  err(fault('no-quorum', 'no quorum confirmed the leader in time', { ran: 'not-run' }));
+const unanswered = (reason: string): Outcome => err(fault('no-quorum', reason, { ran: 'not-run' }));
+
+const notConfirmed = (): Outcome => unanswered('no quorum confirmed the leader in time');
 
 /** Whether another attempt may succeed after an error of this kind. */
 const isTransient = (kind: string): boolean => kind !== 'storage-failed';
--- a/packages/coordination/src/agreement/query.spec.ts
+++ b/packages/coordination/src/agreement/query.spec.ts
@@ -63,6 +63,33 @@
   for (const node of cluster.nodes) expect(await outcomeAt(node)).toBe('answered');
 });
 
+/** A replica that is not the leader. */
+function followerOf(leader: Node): Node {
+  const follower = cluster.nodes.find((node) => node !== leader);
+  if (follower === undefined) throw new Error('no follower');
+  return follower;
+}
+
+// Guards against a read that is refused at once with its connection, although its time is not over and it could be asked again.
+test('a query whose connection to the leader breaks off is asked again', async () => {
+  const leader = await started(['a', 'b', 'c']);
+  const follower = followerOf(leader);
+  const query = cluster.query(follower, QUERY_TIMEOUT_MS);
+  await cluster.clock.advance(1);
+  cluster.network.drop(follower.address.address, leader.address.address);
+  await cluster.until(() => query.outcome !== 'open', 2 * QUERY_TIMEOUT_MS);
+  expect(query.outcome).toBe('answered');
+});
+
+// Guards against a read that waits all its time for a leader that stands still, while a quorum could answer it.
+test('a query that waits for a leader that stands still is answered by a quorum', async () => {
+  const leader = await started(['a', 'b', 'c']);
+  const follower = followerOf(leader);
+  await cluster.clock.advance(1_000);
+  cluster.stall(leader, 5_000);
+  expect(await outcomeAt(follower)).toBe('answered');
+});
+
 // Guards against an answer from a leader without a committed entry in its term, which may not know all committed commands.
 test('a query on a new leader reflects the commands committed by the previous one', async () => {
   const old = await started(['a', 'b', 'c']);
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -842,4 +842,20 @@
     spec: 'packages/coordination/src/agreement/storageFaults.spec.ts',
     test: 'a replica with an entry that may not be committed answers no read',
   },
+  {
+    name: 'reads that are asked again when their connection to the leader breaks off',
+    file: 'packages/coordination/src/agreement/proposing.ts',
+    find: "const isLost = kind === 'target-lost';",
+    put: "const isLost = kind === 'stopping';",
+    spec: 'packages/coordination/src/agreement/query.spec.ts',
+    test: 'whose connection to the leader breaks off is asked again',
+  },
+  {
+    name: 'reads from a quorum while the leader stands still',
+    file: 'packages/coordination/src/agreement/proposing.ts',
+    find: 'return submission.query ? this.forwardedOrFromQuorum',
+    put: 'return submission.query && timeoutMs < 0 ? this.forwardedOrFromQuorum',
+    spec: 'packages/coordination/src/agreement/query.spec.ts',
+    test: 'waits for a leader that stands still is answered by a quorum',
+  },
 ];
