--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import { entryEvents } from '../events.js';
 import type { EntrySettings } from '../setting/index.js';
@@ -41,8 +42,24 @@
   | 'idleTimeoutMs'
 >;
 
-/** Handles one request of a caller; resolves when nothing of it is in progress any more. */
-export type CallerListener = (incoming: IncomingMessage, outgoing: ServerResponse) => Promise<void>;
+/**
+ * Handles one request of a caller; resolves when nothing of it is in progress any more.
+ * @param turn resolves when all answers before on the connection are complete, with false if it has ended.
+ */
+export type CallerListener = (
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+  turn: Promise<boolean>,
+) => Promise<void>;
+
+/**
+ * Waits until connections that wait to be accepted are: timers run before them, so after a stall of the event loop none seems
+ * to have arrived. The first wait may end in the middle of a turn of the loop.
+ */
+async function arrivedAccepted(): Promise<void> {
+  await setImmediate();
+  await setImmediate();
+}
 
 /** The HTTP server that callers connect to. */
 export class CallerServer {
@@ -77,7 +94,8 @@
         requireHostHeader: false,
       },
       (incoming, outgoing) => {
-        if (this.track(incoming.socket, outgoing)) void this.handle(incoming, outgoing);
+        const turn = this.track(incoming.socket, outgoing);
+        if (turn !== undefined) void this.handle(incoming, outgoing, turn);
       },
     );
     this.server.maxConnections = settings.maxConnections;
@@ -134,6 +152,7 @@
   stopKeepAlive(): void {
     if (this.stopping) return;
     this.stopping = true;
+    for (const connection of this.openConnections.values()) connection.announceEnd();
     void this.closeIdleConnections();
   }
 
@@ -144,16 +163,18 @@
    * @param endsAt monotonic time from which connections that this side has ended are not waited for.
    */
   async drain(maxWaitMs: number, endsAt = Infinity): Promise<void> {
+    this.stopKeepAlive();
     const waitUntil = this.clock.monotonic() + maxWaitMs;
     while (
       this.clock.monotonic() - this.lastConnectionAt < ACCEPT_QUIET_MS &&
       this.clock.monotonic() < waitUntil
     ) {
       await this.clock.sleep(DRAIN_POLL_MS);
+      await arrivedAccepted();
     }
+    await arrivedAccepted();
     // `close` of the HTTP server closes idle connections at once; that of the net server closes only the listener.
     NetServer.prototype.close.call(this.server);
-    this.stopKeepAlive();
     while (!this.isDrained(endsAt)) await this.clock.sleep(DRAIN_POLL_MS);
   }
 
@@ -167,7 +188,7 @@
   private async closeIdleConnections(): Promise<void> {
     while (!this.closed) {
       // A request that has arrived is read first: closing its connection would break it.
-      await new Promise((resolve) => setImmediate(resolve));
+      await setImmediate();
       this.closeIdle();
       await this.clock.sleep(DRAIN_POLL_MS);
     }
@@ -193,24 +214,28 @@
     await closed;
   }
 
-  private async handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+  private async handle(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    turn: Promise<boolean>,
+  ): Promise<void> {
     this.requests += 1;
     try {
-      await this.listener(incoming, outgoing);
+      await this.listener(incoming, outgoing, turn);
     } finally {
       this.requests -= 1;
     }
   }
 
-  /** @returns whether the request is to be handled: what arrives after this side has ended is not. */
-  private track(socket: Socket, outgoing: ServerResponse): boolean {
+  /** @returns when the request is to be handled; undefined: not at all, as it arrived after this side had ended. */
+  private track(socket: Socket, outgoing: ServerResponse): Promise<boolean> | undefined {
     const connection = this.openConnections.get(socket);
-    if (connection?.add(outgoing, this.stopping) !== true) return false;
+    if (connection?.add(outgoing, this.stopping) !== true) return undefined;
     outgoing.once('finish', () => {
       this.answeredAt = this.clock.monotonic();
       this.closeAfter(connection, outgoing);
     });
-    return true;
+    return connection.turnOf(outgoing);
   }
 
   /**
