A heartbeat that waited at a control instance proves nothing about the start that answers now

What callers saw: streams that went on at a target of another software version. A target starts again under its id while a control instance stands still; that instance then reads a heartbeat of the start before, and says that this start was just heard of. An entry takes the answer of the new start for one of the old.

Cause: the time at which a start was heard of was that of the reading, not of the arrival.

Change: a heartbeat counts as heard at the earliest time at which what is read now can have arrived (`StallWatch.earliestArrival`). Where targets tell their start, a proof is heard of later by the length of a stall; the users' targets tell none.

A heartbeat that a link holds back is still taken for a new one.

--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -100,7 +100,9 @@
     this.documentSource = new ControlDocumentSource(state.documents, commandLog);
     this.logTimeAdvancer = new LogTimeAdvancer(state.machine, commandLog, this.proposer, clock, log);
     this.replicaReconciler = new ReplicaReconciler(this.view, commandLog, clock, log);
-    this.targets = new TargetRegistry(clock, log, settings.targetHeartbeatMs);
+    this.targets = new TargetRegistry(clock, log, settings.targetHeartbeatMs, () =>
+      context.stalls.earliestArrival(),
+    );
     this.loads = new RecentReports(clock);
     this.work = new RecentReports(clock);
     this.relayed = new RelayedTargets(clock);
--- a/packages/control/src/targets/targetRegistry.spec.ts
+++ b/packages/control/src/targets/targetRegistry.spec.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import { ManualClock, silentLog } from '@jasmineroute/core';
+import { ManualClock, StallWatch, silentLog } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { REMOVAL_DELAY_MS, TargetRegistry } from './targetRegistry.js';
@@ -95,6 +95,20 @@
     expect(state('t1/2000')).toBe(Announcement.READY);
   });
 
+  // Guards against a heartbeat that waited here while the instance stood still, and passes for one of the start that answers now.
+  it('tells that a start called before a stall, when its heartbeat is read after that', async () => {
+    const stalls = new StallWatch(clock);
+    registry = new TargetRegistry(clock, silentLog, HEARTBEAT_MS, () => stalls.earliestArrival());
+    const heardMs = (): (number | undefined)[] => registry.heardStarts(['t1']).map((heard) => heard.heardMs);
+    registry.beat(heartbeat(1, { born: 1_000 }));
+    await clock.advance(3_000);
+    registry.beat(heartbeat(2, { born: 1_000 }));
+    expect(heardMs()).toEqual([3_000]);
+    await stalls.waitUntilCaughtUp();
+    registry.beat(heartbeat(3, { born: 1_000 }));
+    expect(heardMs()).toEqual([0]);
+  });
+
   // Guards against a stream that goes on at another start of a target, as a late heartbeat passes for one of the start expected.
   it('tells when the newest start called, by its own heartbeats in order only', async () => {
     // Guards against a target taken for alive, and for the start that answers, after a call that is late or that others made.
--- a/packages/control/src/targets/targetRegistry.ts
+++ b/packages/control/src/targets/targetRegistry.ts
@@ -77,7 +77,10 @@
 export class TargetRegistry {
   private readonly entries = new Map<string, TargetRecord>();
   private readonly newestStarts = new NewestStarts();
-  /** Monotonic times of the last heartbeats of starts, by their ids. Late ones and those that others tell of don't count. */
+  /**
+   * Monotonic times after which the last heartbeats of starts arrived, by their ids. Late ones and those that others tell of don't
+   * count.
+   */
   private readonly heardAt = new Map<string, number>();
   private readonly listeners = new Set<() => void>();
   private readonly removalListeners = new Set<(start: TargetStart) => void>();
@@ -88,6 +91,8 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly heartbeatMs: number,
+    /** Monotonic time of the earliest possible arrival of a heartbeat that is read now. */
+    private readonly earliestArrival: () => number = () => clock.monotonic(),
   ) {}
 
   /** Number of the newest change. */
@@ -118,14 +123,18 @@
     const known = this.entries.get(startId(heartbeat));
     const { sequence } = heartbeat;
     // The process beside a target announces it with the sequence 0.
-    if (sequence > Number(known?.target.sequence ?? 0))
-      this.heardAt.set(startId(heartbeat), this.clock.monotonic());
+    if (sequence > Number(known?.target.sequence ?? 0)) this.recordHeard(startId(heartbeat));
     if (known === undefined || !this.isStale(known.target, sequence))
       this.put(targetOf(heartbeat, known?.target));
     // One that left is kept for as long as it calls, or a later heartbeat would count as the first one of a start.
     else if (known.target.announcement === Announcement.LEFT) this.put(known.target);
   }
 
+  /** One that is read after a stall may have been sent before it, by a start that has ended since. */
+  private recordHeard(id: string): void {
+    this.heardAt.set(id, Math.max(this.earliestArrival(), this.heardAt.get(id) ?? -Infinity));
+  }
+
   /**
    * Applies an announcement by the process beside a target. It counts as a heartbeat before all of the target's own, so it
    * never reverts a call of the target.
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -746,6 +746,14 @@
     spec: 'packages/relay/src/work/startProofs.spec.ts',
     test: 'gets no stream that goes on',
   },
+  {
+    name: 'heartbeats that waited while a control instance stood still',
+    file: 'packages/control/src/targets/targetRegistry.ts',
+    find: 'Math.max(this.earliestArrival(),',
+    put: 'Math.max(this.clock.monotonic(),',
+    spec: 'packages/control/src/targets/targetRegistry.spec.ts',
+    test: 'tells that a start called before a stall',
+  },
   {
     name: 'origins of streams of targets that may have started again',
     file: 'packages/relay/src/work/stream.ts',
