Departures: copies that arrive during a stall of the process count

What callers saw: the leave of a target was not acknowledged although the other control instances held it, so that the target had to call again.

Cause: the 700 ms for copies were plain timers. After a stall of the process timers run before the input that has arrived meanwhile, so they expired although the copies were stored.

Change: both waits, of a copy and of the majority, count the time in which the process runs (`afterActive`). A copy is broken off by its sender alone; the receiver finishes storing it.

--- a/packages/control/src/departures/departureCopies.spec.ts
+++ b/packages/control/src/departures/departureCopies.spec.ts
@@ -1,5 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import { controlMessage } from '@jasmineroute/protocol';
+import { blockLoop } from '@jasmineroute/testkit';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Cluster, until } from '../fixture/index.js';
 
@@ -29,6 +30,13 @@
     await until(() => statesAt().every((state) => state === 'LEFT'));
   });
 
+  // Guards against a departure that is refused although the others hold it, as their answers are read after a stall of the process.
+  it('is acknowledged when the process stalls while the others store it', async () => {
+    const left = cluster.nodes[1]?.control.leave(LEFT);
+    blockLoop(800);
+    expect(await left).toBe(true);
+  });
+
   // Guards against an acknowledgement by an instance that nobody hears: the entries go on sending to the target.
   it('is not acknowledged by an instance without a majority', async () => {
     const [first, second] = cluster.nodes;
--- a/packages/control/src/departures/departureCopies.ts
+++ b/packages/control/src/departures/departureCopies.ts
@@ -1,5 +1,6 @@
 /** Copies of departures at the other control instances. */
 import { Code, ConnectError, createClient } from '@connectrpc/connect';
+import { afterActive } from '@jasmineroute/core';
 import type { Clock, Log } from '@jasmineroute/core';
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
@@ -38,27 +39,35 @@
     const held = [{ name, copy: stored }, ...sent].filter((one) => voters.has(one.name));
     const copies = held.map(({ copy }) => copy);
     const needed = Math.floor(voters.size / 2) + 1;
-    const ended = new AbortController();
-    const late = clock.sleep(COPY_TIMEOUT_MS, ended.signal).then(
-      () => false,
-      () => false,
-    );
+    let cancel = (): void => undefined;
+    // Copies that were stored during a stall of this process are read only after it.
+    const late = new Promise<boolean>((resolve) => {
+      cancel = afterActive(clock, COPY_TIMEOUT_MS, () => {
+        resolve(false);
+      });
+    });
     return Promise.race([majorityOf(copies, needed), late]).finally(() => {
-      ended.abort();
+      cancel();
     });
   }
 
   /** Sends a departure to an instance. @returns whether that has stored it. */
   private async send(address: string, departure: controlMessage.Departure): Promise<boolean> {
     const client = createClient(controlMessage.Departures, this.parts.peers.transport(address));
+    const late = new AbortController();
+    const cancel = afterActive(this.parts.clock, COPY_TIMEOUT_MS, () => {
+      late.abort();
+    });
     try {
       const request = { departures: [departure] };
-      return (await client.record(request, { timeoutMs: COPY_TIMEOUT_MS })).stored;
+      return (await client.record(request, { signal: late.signal })).stored;
     } catch (error) {
       // An instance of an older release keeps no departures; waiting for it would refuse every leave until it is replaced.
       if (ConnectError.from(error).code === Code.Unimplemented) return true;
       this.parts.log.event(controlEvents.departureNotCopied, { address, problem: String(error) });
       return false;
+    } finally {
+      cancel();
     }
   }
 }
