Proof of a second signal: it is sent once the first one is handled

What was seen: `npm run guards` (load 50): the proof of "a second signal changes nothing" passed without its guard.

Cause: both signals were sent in the same moment. The system keeps one pending signal of a kind, so an entry that had not handled the first never saw the second. Suspected for that run from reading; not traced in it.

Change: the test waits until the entry reports unready, with a deadline, and signals then. The assertions are the same.

At a load of 50 it passes, and fails with the guard taken out (the stream is cut).

--- a/packages/proof/src/leaving/plannedStop.spec.ts
+++ b/packages/proof/src/leaving/plannedStop.spec.ts
@@ -1,3 +1,4 @@
+import { waitFor } from '@jasmineroute/testkit';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { Scene, ask } from '../fixture/index.js';
 import type { Answer } from '../fixture/index.js';
@@ -55,6 +56,10 @@
     const entry = scene.member('entry-1');
     const stream = await startStream(scene.url(1), 'stop-entry');
     const exit = entry.stop(30_000);
+    // Two signals that a process has not handled yet are one.
+    await waitFor('the first signal to be handled', async () => {
+      return (await fetch(`${scene.url(1)}/readyz`)).status === 503;
+    });
     entry.process.signal('SIGTERM');
     expectWhole(await stream.answer);
     expect((await exit).code).toBe(0);
