A vote and its term are saved at once

Seen by callers: no read of the configuration for seconds after all control instances started, where syncs are slow.

Cause: a voter saved the candidate's term, then its vote, each with its own syncs, and other candidates' requests waited behind both.

Change: one save for both, none for a vote that is saved already. Safety is the same: both are durable before the answer.

--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -285,17 +285,25 @@
       return mayWin && this.endorsement.support(this.candidate(request.replicaId, last));
     }
     if (request.term < replica.term) return false;
-    const observed = await replica.observeTerm(request.term);
-    if (observed.isErr() || !isUpToDate) return false;
-    const isVoteAvailable = replica.votedFor === '' || replica.votedFor === request.replicaId;
-    if (!isVoteAvailable) return false;
-    const saved = await replica.saveState({ votedFor: request.replicaId });
-    if (saved.isErr()) return false;
+    const isNewTerm = request.term > replica.term;
+    const isVoteAvailable = isNewTerm || ['', request.replicaId].includes(replica.votedFor);
+    if (!isUpToDate || !isVoteAvailable) {
+      await replica.observeTerm(request.term);
+      return false;
+    }
+    if (!(await this.saveVote(request))) return false;
     this.votedAt = replica.clock.monotonic();
     replica.resetElectionTimer();
     return true;
   }
 
+  /** Saves a vote, and the term with it: on a slow disk, two saves would take longer than a candidate waits. */
+  private async saveVote({ term, replicaId }: VoteRequest): Promise<boolean> {
+    const { replica } = this;
+    if (term > replica.term) return (await replica.observeTerm(term, replicaId)).isOk();
+    return replica.votedFor === replicaId || (await replica.saveState({ votedFor: replicaId })).isOk();
+  }
+
   private candidate(replicaId: string, last: Position): Candidate {
     return { replicaId, last, rank: this.rank(replicaId) };
   }
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -164,12 +164,12 @@
     return saved;
   }
 
-  /** Adopts a higher term as a follower. Call within `exclusive`. */
-  async observeTerm(term: bigint): Promise<Result<void, Fault>> {
+  /** Adopts a higher term as a follower, and with it a vote in that term, if any. Call within `exclusive`. */
+  async observeTerm(term: bigint, votedFor = ''): Promise<Result<void, Fault>> {
     if (term <= this.term) return ok();
     this.becomeFollower('higher term');
     this.leader = undefined;
-    return this.saveState({ term, votedFor: '' });
+    return this.saveState({ term, votedFor });
   }
 
   /** Steps down as leader or candidate. */
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -858,4 +858,12 @@
     spec: 'packages/coordination/src/agreement/query.spec.ts',
     test: 'waits for a leader that stands still is answered by a quorum',
   },
+  {
+    name: 'one save for a vote and its term',
+    file: 'packages/coordination/src/agreement/election.ts',
+    find: 'if (term > replica.term) return (await replica.observeTerm(term, replicaId)).isOk();',
+    put: 'if ((await replica.observeTerm(term)).isErr()) return false;',
+    spec: 'packages/coordination/src/agreement/slowSyncs.spec.ts',
+    test: 'replicas start twice, and a read is answered in time',
+  },
 ];
