A tunnel that is asked for behind a request does not cut the answer in front

What callers saw: an answer in progress that ends in the middle, with 'HTTP/1.1 400 ... X-Run-State: not-run' inside it, though the request ran.

Cause: CONNECT was refused at once. Node also takes back its own listener for 'drain', so that an answer larger than the buffers would have waited for ever.

Change: the answers in progress go on, then the connection ends, as after any input that is not valid.

server.spec.ts, 'are answered up to a tunnel that is asked for', failed before (the answer did not end within 20 s) and passes.

--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -64,6 +64,11 @@
     return this.ending !== undefined;
   }
 
+  /** Whether a request that was read whole, or an answer, is in progress. */
+  get isInProgress(): boolean {
+    return [...this.answers].some((answer) => answer.headersSent || answer.req.complete);
+  }
+
   /** Whether the input was found invalid; the answers before go on. */
   get isInvalid(): boolean {
     return this.hasInvalidInput;
@@ -120,6 +125,15 @@
     this.discardInput();
   }
 
+  /** As `giveUpInput`, where Node has taken its own listeners back because a tunnel was asked for. */
+  giveUpTunnel(): void {
+    this.socket.on('drain', () => {
+      const [first] = this.answers;
+      first?.emit('drain');
+    });
+    this.giveUpInput();
+  }
+
   /** Time without any activity, as far as it was observed by calls of this method, milliseconds. */
   idleMs(): number {
     const { bytesRead } = this.socket;
--- a/packages/entry/src/http/server.spec.ts
+++ b/packages/entry/src/http/server.spec.ts
@@ -257,6 +257,24 @@
     expect(scene.handled).toEqual(['/first']);
   });
 
+  // Guards against an answer that is cut off by the refusal of a tunnel, or that waits for ever for its caller to read on.
+  it('are answered up to a tunnel that is asked for', async () => {
+    const held: ServerResponse[] = [];
+    const scene = await start((_incoming, outgoing) => held.push(outgoing));
+    const caller = scene.connect();
+    caller.socket.write(`${requestBytes('/first')}CONNECT b.example:1 HTTP/1.1\r\nHost: b.example\r\n\r\n`);
+    await waitUntil(() => held.length === 1);
+    const [answer] = held;
+    answer?.write('begun, ');
+    await waitUntil(() => caller.text.includes('begun'));
+    if (answer?.write('x'.repeat(8_000_000)) === false) await once(answer, 'drain');
+    answer?.end('done');
+    await waitUntil(() => caller.isEnded);
+    expect(caller.text).not.toContain('400');
+    expect(caller.text).toMatch(/x\r\n4\r\ndone\r\n0\r\n\r\n$/);
+    caller.socket.destroy();
+  });
+
   // Guards against an answer that is cut off by what its caller sends behind the request.
   it.each([
     ['bytes that are no request', 'no request at all\r\n\r\n'],
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -277,7 +277,7 @@
       this.handleClientError(error, socket);
     });
     this.server.on('connect', (_request: IncomingMessage, socket: Socket) => {
-      this.refuse(undefined, socket);
+      this.refuseTunnel(socket);
     });
   }
 
@@ -289,13 +289,17 @@
       return;
     }
     this.log.event(entryEvents.badConnection, { code: error.code, status: statusOfParserError(error.code) });
-    const answers = [...connection.answers];
-    const hasRequestInProgress = answers.some((answer) => answer.headersSent || answer.req.complete);
     // Earlier requests of the connection are in progress: the caller would take an error for the answer to one of them.
-    if (hasRequestInProgress) connection.giveUpInput();
+    if (connection.isInProgress) connection.giveUpInput();
     else this.refuse(error.code, socket);
   }
 
+  private refuseTunnel(socket: Socket): void {
+    const connection = this.openConnections.get(socket);
+    if (connection?.isInProgress === true) connection.giveUpTunnel();
+    else this.refuse(undefined, socket);
+  }
+
   /** Answers with an error and ends the connection, as later bytes can't be parsed reliably. */
   private refuse(code: string | undefined, socket: Socket): void {
     refuseConnection(code, socket);
