--- a/packages/coordination/src/storage/recordFile.ts
+++ b/packages/coordination/src/storage/recordFile.ts
@@ -7,6 +7,9 @@
 /** Suffix of files that are still being written; leftovers are removed at the start. */
 export const TEMPORARY_SUFFIX = '.tmp';
 
+/** Bytes that are written and synced at a time: a disk that hangs is noticed before a long write would have ended. */
+const PIECE_BYTES = 1_048_576;
+
 /** Replaces a file's content: writes and syncs a temporary file, renames it, and syncs the folder. */
 export async function replaceFile(disk: Disk, path: string, parts: readonly Uint8Array[]): Promise<void> {
   const temporaryPath = path + TEMPORARY_SUFFIX;
@@ -25,8 +28,10 @@
   const file = await disk.open(temporaryPath);
   try {
     await file.truncate(0);
-    await file.write(data, 0);
-    await file.sync();
+    for (let from = 0; from < data.length; from += PIECE_BYTES) {
+      await file.write(data.subarray(from, from + PIECE_BYTES), from);
+      await file.sync();
+    }
   } finally {
     await file.close();
   }
