Record files don't wait without end for a disk that hangs

What callers saw: the end of a control instance, and leaves of targets, wait for as long as the disk does not answer: records of origins, evidence and departures are stored before the log is closed.

Cause: only the log's disk had bounded calls.

Change: the record files bound theirs as well; a call that is given up is a failure, after which the records are written again.

--- a/packages/control/src/files/recordFiles.ts
+++ b/packages/control/src/files/recordFiles.ts
@@ -1,7 +1,8 @@
 /** Records of a table on the disk: files of checksummed batches, appended to and dropped as a whole. */
 import { join } from 'node:path';
-import { decodeFrames, encodeFrame } from '@jasmineroute/coordination';
+import { BoundedDisk, decodeFrames, encodeFrame } from '@jasmineroute/coordination';
 import type { Disk, DiskFile } from '@jasmineroute/coordination';
+import { silentMetrics } from '@jasmineroute/core';
 import type { Cancellation, Clock, Log } from '@jasmineroute/core';
 import { controlEvents } from '../events.js';
 
@@ -10,6 +11,9 @@
 /** Maximum number of records that wait for a disk that hangs or is full; the oldest are dropped. */
 const MAX_PENDING = 10_000;
 
+/** Time after which a call to the disk that has not returned counts as failed, milliseconds. */
+const HANG_MS = 1_000;
+
 /** Pause after a failure before the next attempt, milliseconds. A new record is tried at once. */
 const RETRY_MS = 2_000;
 
@@ -73,6 +77,7 @@
  * and at another instance, so a failure is logged, and what was not synced is written again.
  */
 export class RecordFiles<T> {
+  private readonly disk: BoundedDisk;
   /** Batches that are to be written. */
   private pending: Batch<T>[] = [];
   /** Batches that were written since the last sync. */
@@ -91,13 +96,16 @@
 
   /** @param maxBytes bytes that all files may hold; the oldest records give way. */
   constructor(
-    private readonly disk: Disk,
+    disk: Disk,
     private readonly folder: string,
     private readonly format: RecordFormat<T>,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly maxBytes = Number.POSITIVE_INFINITY,
-  ) {}
+  ) {
+    this.disk = new BoundedDisk({ disk, clock, log, metrics: silentMetrics, limitMs: HANG_MS });
+    this.disk.bound();
+  }
 
   /** Sets the records with which each new file begins. */
   beginWith(beginning: () => readonly T[]): void {
