Files are closed once a disk that hung answers again

What was seen: each hang under a write left a file open: the close was refused, as a call was overdue.

Change: a close during a hang is made when the overdue calls have returned.

--- a/packages/coordination/src/storage/boundedDisk.ts
+++ b/packages/coordination/src/storage/boundedDisk.ts
@@ -29,6 +29,8 @@
 export class BoundedDisk implements Disk {
   private isBounded = false;
   private overdueCalls = 0;
+  /** Files to close once the overdue calls have returned. */
+  private readonly unclosed: DiskFile[] = [];
 
   constructor(private readonly options: BoundedDiskOptions) {}
 
@@ -93,10 +95,25 @@
         unsyncedBytes = 0;
         return this.call('fdatasync', () => file.sync(), limitOf(bytes));
       },
-      close: () => this.call('close', () => file.close()),
+      close: () => this.close(file),
     };
   }
 
+  private close(file: DiskFile): Promise<void> {
+    if (this.overdueCalls === 0) return this.call('close', () => file.close());
+    this.unclosed.push(file);
+    return Promise.resolve();
+  }
+
+  private async closeUnclosed(): Promise<void> {
+    const { log } = this.options;
+    for (const file of this.unclosed.splice(0)) {
+      await file.close().catch((error: unknown) => {
+        log.event(coordinationEvents.lateDiskCall, { call: 'close', error: String(error) });
+      });
+    }
+  }
+
   private call<T>(
     name: string,
     action: (disk: Disk) => Promise<T>,
@@ -141,6 +158,7 @@
     this.countOverdue(-1);
     const tookMs = Math.round(clock.monotonic() - startedAt);
     log.event(coordinationEvents.lateDiskCall, { call, tookMs, error: error ?? '' });
+    if (this.overdueCalls === 0) await this.closeUnclosed();
   }
 
   private countOverdue(change: number): void {
