--- a/packages/coordination/src/storage/journal.ts
+++ b/packages/coordination/src/storage/journal.ts
@@ -363,6 +363,11 @@
     return excess;
   }
 
+  /** As `reset`; where the disk refuses it, the journal refuses all writes until a recovery. */
+  resetOrRefuse(first: bigint): Promise<void> {
+    return this.orRefusing(() => this.reset(first));
+  }
+
   /** Runs an action without which the journal can be read, but not written: after its failure all writes are refused with it. */
   private async orRefusing(action: () => Promise<void>): Promise<void> {
     try {
--- a/packages/coordination/src/storage/logStorage.ts
+++ b/packages/coordination/src/storage/logStorage.ts
@@ -341,7 +341,7 @@
     throw new CorruptFile(folder, `entries ${next.toString()} to ${(first - 1n).toString()} are missing`);
   }
   const last = entries.at(-1)?.index ?? 0n;
-  if (last < next && !journal.isEmptyAt(next)) await journal.reset(next);
+  if (last < next && !journal.isEmptyAt(next)) await journal.resetOrRefuse(next);
   return entries.filter((entry) => entry.index >= next);
 }
 
