Reads without a leader ask a quorum no more often than every second heartbeat

What was seen: reads that wait while no leader is heard asked all voters again every 50 ms. Found by the review as well.

Change: two heartbeats between two questions of a replica, whatever number of reads waits.

--- a/packages/coordination/src/agreement/quorumRead.ts
+++ b/packages/coordination/src/agreement/quorumRead.ts
@@ -7,6 +7,9 @@
 /** Longest wait for the answers of a quorum, in heartbeat intervals. */
 const MAX_WAIT_HEARTBEATS = 2;
 
+/** Shortest time between two questions, in heartbeat intervals: they must not add to a load that keeps the replicas from a leader. */
+const PAUSE_HEARTBEATS = 2;
+
 /**
  * Confirms without a leader that nothing is committed that this replica doesn't know to be committed. A vote needs a disk, a read
  * does not: where disks are full, a quorum can answer that can't elect a leader.
@@ -18,6 +21,8 @@
 export class QuorumRead {
   private running: Promise<bigint | undefined> | undefined;
   private queued: Promise<bigint | undefined> | undefined;
+  /** Monotonic time of the last question, which may be due. */
+  private askedAt = -Infinity;
 
   constructor(
     private readonly replica: Replica,
@@ -44,6 +49,10 @@
 
   private async ask(): Promise<bigint | undefined> {
     const { replica } = this;
+    const { clock, tuning } = replica;
+    const now = clock.monotonic();
+    this.askedAt = Math.max(now, this.askedAt + PAUSE_HEARTBEATS * tuning.heartbeatMs);
+    if (this.askedAt > now) await clock.sleep(this.askedAt - now);
     const { commitIndex, configuration, entries } = replica;
     if (configuration === undefined || commitIndex === 0n || entries.last.index > commitIndex)
       return undefined;
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -1024,4 +1024,12 @@
     spec: 'packages/entry/src/http/server.spec.ts',
     test: 'are answered up to a tunnel that is asked for',
   },
+  {
+    name: 'pauses between questions to a quorum',
+    file: 'packages/coordination/src/agreement/quorumRead.ts',
+    find: 'if (this.askedAt > now) await clock.sleep(this.askedAt - now);',
+    put: 'if (this.askedAt < now) await clock.sleep(this.askedAt - now);',
+    spec: 'packages/coordination/src/agreement/quorumRead.spec.ts',
+    test: 'no more often than every second heartbeat',
+  },
 ];
