--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -961,12 +961,12 @@
     test: 'makes the name of an empty segment durable',
   },
   {
-    name: 'hanging disks of real processes',
+    name: 'hanging disks of a replicated log',
     file: 'packages/coordination/src/agreement/replicatedLog.ts',
     find: '    disk.bound();\n',
     put: '',
-    spec: 'platform/src/hangingDisk.spec.ts',
-    test: 'at the leader, reads go on and changes are accepted',
+    spec: 'packages/coordination/src/agreement/hangingDisk.spec.ts',
+    test: 'at two of three, no command is accepted',
   },
   {
     name: 'one save for a vote and its term',
