--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -921,6 +921,8 @@
     put: '',
     spec: 'packages/coordination/src/storage/boundedDisk.spec.ts',
     test: 'refuses calls at once',
+  },
+  {
     name: 'reads that are asked again when their connection to the leader breaks off',
     file: 'packages/coordination/src/agreement/proposing.ts',
     find: "const isLost = kind === 'target-lost';",
