A test of a stream that goes on hears its target at each heartbeat, as control does

Cause: the stand-in of control heard the target once, right after the connection was open. The age of that heartbeat is counted from before the question was sent, so a question that took longer than the heartbeat came after the connection can't prove it, and no other heartbeat followed. A target calls once a second as long as it serves, and a proof is waited for 1.5 s.

Change: where the target serves on, the stand-in hears it at each heartbeat, by the default interval of control. The order of events of the failure is a test of its own, with answers 25 ms late; it fails with a single heartbeat. What is expected is unchanged.

--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -76,6 +76,9 @@
   return Object.assign(target, { id, address, requests, sockets, close });
 }
 
+/** Interval of the heartbeats of a target, milliseconds; the default of control. */
+const TARGET_HEARTBEAT_MS = 1_000;
+
 /** A control instance that publishes the state set by the test. */
 class ControlStub {
   private event = create(FollowEventSchema, { vouched: true, entries: 1 });
@@ -92,8 +95,10 @@
   knowsVersions = false;
   /** Other control instances that it names, and the number of the configuration that it says it holds. */
   otherControls: string[] = [];
-  /** The newest starts of targets, with the monotonic times of their last heartbeats. */
-  readonly starts = new Map<string, { born: bigint; heardAt: number }>();
+  /** The newest starts of targets, with the monotonic times of their first heartbeats, and whether others follow. */
+  readonly starts = new Map<string, { born: bigint; heardAt: number; isRepeated: boolean }>();
+  /** Time that an answer on starts takes, milliseconds. */
+  startsLateMs = 0;
   listedNumber = 0n;
   /** How often it was asked for them. */
   versionLists = 0;
@@ -111,14 +116,19 @@
             streams.some((one) => Buffer.compare(one, stream) === 0),
           ),
         }),
-        findStarts: ({ names }) => ({
-          starts: names.flatMap((name) => {
-            const start = this.starts.get(name);
-            if (start === undefined) return [];
-            const { born, heardAt } = start;
-            return { name, born, heardMs: Math.ceil(performance.now() - heardAt) };
-          }),
-        }),
+        findStarts: async ({ names }) => {
+          if (this.startsLateMs > 0) await systemClock.sleep(this.startsLateMs);
+          return {
+            starts: names.flatMap((name) => {
+              const start = this.starts.get(name);
+              if (start === undefined) return [];
+              const { born, heardAt, isRepeated } = start;
+              const sinceFirstMs = performance.now() - heardAt;
+              const sinceLastMs = isRepeated ? sinceFirstMs % TARGET_HEARTBEAT_MS : sinceFirstMs;
+              return { name, born, heardMs: Math.ceil(sinceLastMs) };
+            }),
+          };
+        },
         listSoftwareVersions: () => {
           this.versionLists += 1;
           const { softwareVersions: versions, knowsVersions: complete, listedNumber: number } = this;
@@ -379,9 +389,19 @@
     this.controlStub.listedNumber = BigInt(this.number + 1);
   }
 
-  /** Lets control hear of a start of a target, now. */
+  /** Lets control hear of a start of a target, now and never again. */
   hearStart(name: string, born: bigint): void {
-    this.controlStub.starts.set(name, { born, heardAt: performance.now() });
+    this.controlStub.starts.set(name, { born, heardAt: performance.now(), isRepeated: false });
+  }
+
+  /** Lets control hear of a start of a target, now and at each heartbeat from then on. */
+  keepHearingStart(name: string, born: bigint): void {
+    this.controlStub.starts.set(name, { born, heardAt: performance.now(), isRepeated: true });
+  }
+
+  /** Lets control take a time for each answer on starts, milliseconds. */
+  delayStarts(ms: number): void {
+    this.controlStub.startsLateMs = ms;
   }
 
   /** Lets control know a stream that began at another entry. */
--- a/packages/relay/src/work/startProofs.spec.ts
+++ b/packages/relay/src/work/startProofs.spec.ts
@@ -58,18 +58,29 @@
     bed.knowStream('old', 'v1');
     const answer = resume('q2');
     await until(() => bed.arrivalCount() === 1);
-    bed.hearStart('t1', BORN);
+    bed.keepHearingStart('t1', BORN);
     expect(await answer).toMatchObject({ status: 200, body: text(3, 5) });
     // The connection is known by now.
     expect(await resume('q3')).toMatchObject({ status: 200, body: text(3, 5) });
   });
 
+  // Guards against the same where control answers later than the heartbeat came after the connection.
+  it('gets a stream that goes on once it was heard of again, when control answers late', async () => {
+    await start(1);
+    bed.knowStream('old', 'v1');
+    bed.delayStarts(25);
+    const answer = resume('q2');
+    await until(() => bed.arrivalCount() === 1);
+    bed.keepHearingStart('t1', BORN);
+    expect(await answer).toMatchObject({ status: 200, body: text(3, 5) });
+  });
+
   // Guards against a stream whose origin is the version that its target had before it started again.
   it('is told as the origin of a stream only once it was heard of', async () => {
     await start(1);
     expect(await ask(bed.url, { id: 'begun' })).toMatchObject({ status: 200, body: text(0, 5) });
     expect(bed.knownVersion('begun')).toBeUndefined();
-    bed.hearStart('t1', BORN);
+    bed.keepHearingStart('t1', BORN);
     await until(() => bed.knownVersion('begun') === 'v1');
   });
 
@@ -79,7 +90,7 @@
     bed.hearStart('t1', BORN + 1n);
     expect(await ask(bed.url, { id: 'begun' })).toMatchObject({ status: 200 });
     await until(() => bed.logged.includes(relayEvents.startUnproven.id));
-    bed.hearStart('t1', BORN);
+    bed.keepHearingStart('t1', BORN);
     expect(await ask(bed.url, { id: 'second' })).toMatchObject({ status: 200 });
     // Reports arrive in the order in which they are sent.
     await until(() => bed.knownVersion('second') === 'v1');
