A connection that waits to be accepted is not given up for a new one behind it

Callers saw: on small machines, after a loss of power of all, no configuration was read for seven seconds and more (CONFIG), although a leader was elected and stayed.

Cause: the runtime accepts one connection in a turn of its event loop. With a quarter of a processor a control instance makes 2 to 4 turns a second, and up to 61 opened connections waited in a listener's queue. A call without an answer closed its connection after 1 s, and a ping of the library did after 1 s too; the next one waited behind all others, and the closed ones were accepted all the same.

Change: a connection that is open in the system and has brought no byte is kept for 1 s, after one that was given up so for 2 s, then 4 s; pings on it have as long. One that is not open, or has answered, is dropped at the first miss, as before.

--- a/packages/control/src/follow/voterRequests.spec.ts
+++ b/packages/control/src/follow/voterRequests.spec.ts
@@ -25,8 +25,9 @@
   /** Error code of instances without an entry. */
   code = Code.Unavailable;
 
-  override drop(address: string): void {
+  override drop(address: string): boolean {
     this.dropped.push(address);
+    return true;
   }
 
   override transport(address: string): Transport {
--- a/packages/protocol/src/transport/sessionManager.ts
+++ b/packages/protocol/src/transport/sessionManager.ts
@@ -2,6 +2,7 @@
 import type { ClientHttp2Session, ClientHttp2Stream } from 'node:http2';
 import { Code, ConnectError } from '@connectrpc/connect';
 import { Http2SessionManager } from '@connectrpc/connect-node';
+import { MAX_ACCEPTANCE_MS } from './acceptance.js';
 
 /** State of the library's manager while a connection is being established. */
 interface ConnectingState {
@@ -21,6 +22,8 @@
 /** Internal state of the library's manager. */
 interface ManagerInternals {
   readonly s: State;
+  /** Read by the library at each ping. */
+  readonly options: { pingTimeoutMs: number };
   setState(state: State): void;
 }
 
@@ -37,7 +40,9 @@
 export class SessionManager extends Http2SessionManager {
   constructor(...options: ConstructorParameters<typeof Http2SessionManager>) {
     super(...options);
-    keepFirstConnection(this as unknown as ManagerInternals);
+    const internals = this as unknown as ManagerInternals;
+    keepFirstConnection(internals);
+    awaitAcceptance(internals);
   }
 
   override async request(
@@ -68,6 +73,27 @@
   };
 }
 
+/**
+ * Gives pings more time until the other process has accepted the connection, which its settings show: until then it answers
+ * none, although it may be well.
+ */
+function awaitAcceptance(manager: ManagerInternals): void {
+  const setState = manager.setState.bind(manager);
+  const { pingTimeoutMs } = manager.options;
+  manager.setState = (state) => {
+    setState(state);
+    if (state.t !== 'ready') return;
+    manager.options.pingTimeoutMs = Math.max(pingTimeoutMs, MAX_ACCEPTANCE_MS);
+    const { conn } = state;
+    conn.once('remoteSettings', () => {
+      // The library compares the time of each ping with the limit when it is answered; those sent before are answered first.
+      conn.ping(() => {
+        manager.options.pingTimeoutMs = pingTimeoutMs;
+      });
+    });
+  };
+}
+
 function ignoreErrors(session: ClientHttp2Session | undefined): void {
   if (session === undefined || guardedSessions.has(session)) return;
   guardedSessions.add(session);
