The timeout after a timeout is longer, not shorter

Callers saw, after starts of all and on busy machines, no read of the configuration for seconds; connections to the leader were closed again and again after 1.0 to 1.5 s, each with the reads on it. That this fault was the cause there is not shown.

Cause: a timeout forgot the estimate, and without one the timeout is 1.0 s, less than the 1.5 s that a slow replica may have. So a replica whose answers take between 1.0 and 1.5 s never had an answer that began a new estimate.

Change: as in RFC 6298 each timeout in a row doubles the next one, up to the upper bound, and the first response begins a new estimate. A replica that falls silent is noticed after the same time as before; only from the third timeout on is it 1.5 s instead of 1.0 s.

The new unit test failed before as well.

--- a/packages/coordination/src/agreement/responseTimeouts.spec.ts
+++ b/packages/coordination/src/agreement/responseTimeouts.spec.ts
@@ -29,11 +29,28 @@
     expect(times.waitMs('a')).toBe(1_500);
   });
 
-  it('shrinks again, and is reset after a timeout', () => {
+  it('shrinks again, and is reset by the first response after a timeout', () => {
     answer(900, 20);
     answer(20, 60);
     expect(times.waitMs('a')).toBe(500);
     times.recordTimeout('a');
     expect(times.waitMs('a')).toBe(1_000);
+    answer(20, 1);
+    expect(times.waitMs('a')).toBe(500);
+  });
+
+  // Guards against a timeout after a timeout that is shorter than the one before, so that slow responses never arrive.
+  it('doubles with each timeout in a row, up to the upper bound', () => {
+    answer(160, 1);
+    expect(times.waitMs('a')).toBe(500);
+    const waits = [1, 2, 3].map(() => {
+      times.recordTimeout('a');
+      return times.waitMs('a');
+    });
+    expect(waits).toEqual([1_000, 1_500, 1_500]);
+    answer(700, 1);
+    expect(times.waitMs('a')).toBe(1_500);
+    times.recordTimeout('a');
+    expect(times.waitMs('a')).toBe(1_500);
   });
 });
--- a/packages/coordination/src/agreement/responseTimeouts.ts
+++ b/packages/coordination/src/agreement/responseTimeouts.ts
@@ -23,15 +23,22 @@
 /** Timeout without any measurement, as a multiple of the lower bound; the RFC also starts above the usual value. */
 const INITIAL_TIMEOUT_FACTOR = 2;
 
-/** Timeouts by address. Slow replicas get longer timeouts; silent ones still time out early. */
+/** Factor on a timeout after it has elapsed, as in the RFC. */
+const BACKOFF_FACTOR = 2;
+
+/** Timeouts by address. Slow replicas get longer timeouts; ones that fall silent still time out early. */
 export class ResponseTimeouts {
   private readonly estimates = new Map<string, Estimate>();
+  /** Timeouts since the last response, if any has elapsed, milliseconds. */
+  private readonly backedOffMs = new Map<string, number>();
 
   constructor(private readonly bounds: TimeoutBounds) {}
 
   /** Timeout of the next call to an address, milliseconds. */
   waitMs(address: string): number {
     const { leastMs, mostMs } = this.bounds;
+    const backedOffMs = this.backedOffMs.get(address);
+    if (backedOffMs !== undefined) return backedOffMs;
     const estimate = this.estimates.get(address);
     if (estimate === undefined) return Math.min(mostMs, leastMs * INITIAL_TIMEOUT_FACTOR);
     const { meanMs, deviationMs } = estimate;
@@ -40,6 +47,7 @@
 
   /** Records a response time, milliseconds. */
   recordResponse(address: string, tookMs: number): void {
+    this.backedOffMs.delete(address);
     const estimate = this.estimates.get(address);
     if (estimate === undefined) {
       this.estimates.set(address, { meanMs: tookMs, deviationMs: tookMs / 2 });
@@ -50,8 +58,12 @@
     estimate.meanMs += MEAN_WEIGHT * (tookMs - estimate.meanMs);
   }
 
-  /** Records a call without a response in time. Resets the estimate, because the replica may have become slow. */
+  /**
+   * Records a call without a response in time. The replica may have become slow, so the next timeout is longer, and the next
+   * response begins a new estimate. A timeout that became shorter would never let a response arrive that takes longer.
+   */
   recordTimeout(address: string): void {
+    this.backedOffMs.set(address, Math.min(this.bounds.mostMs, this.waitMs(address) * BACKOFF_FACTOR));
     this.estimates.delete(address);
   }
 }
