Calls to a disk have time for all that is written to it and not durable

Callers saw: a control instance on a slow disk counted it as hanging, and refused votes and writes, when a short sync waited behind a long one of another file.

Cause: the limit of a sync counted only the bytes of its own file; those of other files, of the origins and departures in particular, counted nothing.

Change: the unsynced bytes of all files on a disk are counted, for all users of the disk in this process, until their sync has returned. Each call has a second more for each megabyte of them at its beginning. Bytes of refused writes and of closed files do not count: before, a refused write counted (by reading) for ever, so a full disk that then hangs was noticed ever later. Without a lock the log uses the same disk object as the other files.

Two guards, each noticed.

--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -33,7 +33,7 @@
 const SNAPSHOT_INTERVAL = { snapshotEntries: 20_000, snapshotBytes: 32 * 1024 * 1024 };
 
 /**
- * Opens the data folder and restores the state. Tests and benchmarks pass another `disk`. Ports that are absent from `outside`
+ * Opens the data folder and restores the state. Tests and benchmarks give another disk. Ports that are absent from `outside`
  * are not used: no stores are watched, no orders are sent.
  * An instance that requests the voter role may lack a data folder: it then stands by and is never ready.
  * @returns the control instance; or 'invalid-request' without a data folder, 'storage-failed' when it can't be used.
@@ -41,7 +41,7 @@
 export async function createControl(
   context: RoleContext,
   settings: ControlSettings,
-  disk: Disk = fileDisk,
+  given: Disk = fileDisk,
   outside: OutsidePorts = {},
 ): Promise<Result<Control, Fault>> {
   const { name, dataFolder, clock, log, metrics, peers } = context;
@@ -51,6 +51,7 @@
     log.event(controlEvents.startedWithoutDisk);
     return ok(new Control(context, { ...settings, enlists: false }, state, new DisklessLog(name)));
   }
+  const disk = settings.exclusiveFolder ? given : withoutLock(given);
   const folders = [LOG_FOLDER, ORIGINS_FOLDER, EVIDENCE_FOLDER, DEPARTURES_FOLDER].map((folder) =>
     join(dataFolder, folder),
   );
@@ -69,7 +70,7 @@
     log,
     metrics,
     stateMachine: state.machine,
-    disk: settings.exclusiveFolder ? disk : withoutLock(disk),
+    disk,
     lossesToBear: settings.lossesToBear,
     onFailure: (error) => {
       failCriticalTask('replica', error);
--- a/packages/coordination/src/storage/boundedDisk.spec.ts
+++ b/packages/coordination/src/storage/boundedDisk.spec.ts
@@ -56,4 +56,45 @@
     await clock.advance(LIMIT_MS);
     await short;
   });
+
+  // Guards against a disk that counts as hanging later and later, as writes that it refused count for ever.
+  it('allows no time for what it refused, for what is durable, and for closed files', async () => {
+    const bytes = Buffer.alloc(10 * LIMIT_MS * 1_000);
+    const refused = await disk.open('/refused');
+    memory.writeError = 'ENOSPC';
+    await expect(refused.write(bytes, 0)).rejects.toMatchObject({ code: 'ENOSPC' });
+    memory.writeError = undefined;
+    const other = await disk.open('/other');
+    await other.write(bytes, 0);
+    await other.sync();
+    await other.write(bytes, 0);
+    await other.close();
+    const file = await disk.open('/a');
+    memory.hang();
+    const late = expect(file.sync()).rejects.toMatchObject(HANGS);
+    await clock.advance(LIMIT_MS + 10);
+    await late;
+  });
+
+  // Guards against a disk that is never seen to hang while more is written to it.
+  it('allows no time for what is written after the call', async () => {
+    const file = await disk.open('/a');
+    memory.syncDelay = () => clock.sleep(20 * LIMIT_MS);
+    const late = expect(file.sync()).rejects.toMatchObject(HANGS);
+    await file.write(Buffer.alloc(10 * LIMIT_MS * 1_000), 0);
+    await clock.advance(LIMIT_MS + 10);
+    await late;
+  });
+
+  // Guards against a short sync that counts as hanging behind a long one of another part of the process.
+  it('allows time for what another user of the disk has written', async () => {
+    const options = { disk: memory, clock, log: silentLog, metrics: silentMetrics, limitMs: LIMIT_MS };
+    const other = await new BoundedDisk(options).open('/other');
+    await other.write(Buffer.alloc(10 * LIMIT_MS * 1_000), 0);
+    const file = await disk.open('/a');
+    memory.syncDelay = () => clock.sleep(10 * LIMIT_MS);
+    const synced = file.sync();
+    await clock.advance(10 * LIMIT_MS);
+    await synced;
+  });
 });
--- a/packages/coordination/src/storage/boundedDisk.ts
+++ b/packages/coordination/src/storage/boundedDisk.ts
@@ -5,6 +5,8 @@
 import { coordinationMetrics } from '../metrics.js';
 import type { Disk, DiskFile, ReleaseLock } from './disk.js';
 import { DiskHangs } from './storageFault.js';
+import { UnsyncedFile, unsyncedBytesOf } from './unsyncedBytes.js';
+import type { UnsyncedBytes } from './unsyncedBytes.js';
 
 /** Slowest rate at which a disk still counts as one that answers, bytes per millisecond. */
 const LEAST_BYTES_PER_MS = 1_000;
@@ -18,7 +20,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
-  /** Time after which a call counts as hanging; long writes and their syncs have more. */
+  /** Time after which a call counts as hanging; it has more while much is written and not yet durable. */
   readonly limitMs: number;
 }
 
@@ -31,8 +33,11 @@
   private overdueCalls = 0;
   /** Files to close once the overdue calls have returned. */
   private readonly unclosed: DiskFile[] = [];
+  private readonly unsynced: UnsyncedBytes;
 
-  constructor(private readonly options: BoundedDiskOptions) {}
+  constructor(private readonly options: BoundedDiskOptions) {
+    this.unsynced = unsyncedBytesOf(options.disk);
+  }
 
   /** Bounds the calls from now on. */
   bound(): void {
@@ -80,22 +85,17 @@
   }
 
   private boundedFile(file: DiskFile): DiskFile {
-    const { limitMs } = this.options;
-    const limitOf = (bytes: number): number => limitMs + bytes / LEAST_BYTES_PER_MS;
-    let unsyncedBytes = 0;
+    const unsynced = new UnsyncedFile(this.unsynced);
     return {
       size: () => this.call('fstat', () => file.size()),
-      write: (data, position) => {
-        unsyncedBytes += data.length;
-        return this.call('write', () => file.write(data, position), limitOf(data.length));
-      },
+      write: (data, position) =>
+        this.call('write', () => unsynced.write(data.length, () => file.write(data, position))),
       truncate: (length) => this.call('ftruncate', () => file.truncate(length)),
-      sync: () => {
-        const bytes = unsyncedBytes;
-        unsyncedBytes = 0;
-        return this.call('fdatasync', () => file.sync(), limitOf(bytes));
+      sync: () => this.call('fdatasync', () => unsynced.sync(() => file.sync())),
+      close: () => {
+        unsynced.close();
+        return this.close(file);
       },
-      close: () => this.close(file),
     };
   }
 
@@ -123,7 +123,10 @@
     const { disk } = this.options;
     if (!this.isBounded) return action(disk);
     if (this.overdueCalls > 0) return Promise.reject(new DiskHangs(name));
-    return this.inTime(name, action(disk), limitMs, handleLate);
+    const running = action(disk);
+    // Not of what is written later: a disk that hangs would be noticed the later the more it is given.
+    const unsyncedMs = this.unsynced.total / LEAST_BYTES_PER_MS;
+    return this.inTime(name, running, limitMs + unsyncedMs, handleLate);
   }
 
   /** Rejects when the limit has passed. */
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -922,6 +922,22 @@
     spec: 'packages/coordination/src/storage/boundedDisk.spec.ts',
     test: 'refuses calls at once',
   },
+  {
+    name: 'time for what other users of a disk have written',
+    file: 'packages/coordination/src/storage/unsyncedBytes.ts',
+    find: '  known.set(disk, bytes);\n',
+    put: '',
+    spec: 'packages/coordination/src/storage/boundedDisk.spec.ts',
+    test: 'allows time for what another user of the disk has written',
+  },
+  {
+    name: 'no time for writes that a disk refused',
+    file: 'packages/coordination/src/storage/unsyncedBytes.ts',
+    find: '      this.forget(Math.min(bytes, this.written));\n',
+    put: '',
+    spec: 'packages/coordination/src/storage/boundedDisk.spec.ts',
+    test: 'allows no time for what it refused',
+  },
   {
     name: 'reads that are asked again when their connection to the leader breaks off',
     file: 'packages/coordination/src/agreement/proposing.ts',
