A call that waits for a thread of the process is no disk that hangs

Callers saw: a control instance whose runtime threads are busy for more than a second with other work (compression, hashing) counted its sound disk as hanging, refused votes and writes, and gave up its leadership.

Cause: the limit of a call began when it was queued, not when a thread took it.

Change: before each call to the machine's disk a cheap call without a disk is queued; the limit begins when it returns, as the thread that made it takes the call next. When another call to the same disk hangs, the limits of all waiting ones begin, so these are given up within 2 s; where no call of ours has a thread, after 10 s, so within 11 s.

Of a call of several steps only the first is covered.

--- a/packages/coordination/src/storage/boundedDisk.ts
+++ b/packages/coordination/src/storage/boundedDisk.ts
@@ -4,9 +4,9 @@
 import { coordinationEvents } from '../events.js';
 import { coordinationMetrics } from '../metrics.js';
 import type { Disk, DiskFile, ReleaseLock } from './disk.js';
+import { UnsyncedFile, useOf } from './diskUse.js';
+import type { DiskUse } from './diskUse.js';
 import { DiskHangs } from './storageFault.js';
-import { UnsyncedFile, unsyncedBytesOf } from './unsyncedBytes.js';
-import type { UnsyncedBytes } from './unsyncedBytes.js';
 
 /** Slowest rate at which a disk still counts as one that answers, bytes per millisecond. */
 const LEAST_BYTES_PER_MS = 1_000;
@@ -14,6 +14,9 @@
 /** Factor on the limit of a call that reads a whole file, whose size is not known. */
 const READ_FACTOR = 8;
 
+/** Limits after which a call that may still wait for a thread counts as begun. */
+const THREAD_FACTOR = 10;
+
 /** Dependencies of a bounded disk. */
 export interface BoundedDiskOptions {
   readonly disk: Disk;
@@ -33,10 +36,10 @@
   private overdueCalls = 0;
   /** Files to close once the overdue calls have returned. */
   private readonly unclosed: DiskFile[] = [];
-  private readonly unsynced: UnsyncedBytes;
+  private readonly use: DiskUse;
 
   constructor(private readonly options: BoundedDiskOptions) {
-    this.unsynced = unsyncedBytesOf(options.disk);
+    this.use = useOf(options.disk);
   }
 
   /** Bounds the calls from now on. */
@@ -85,7 +88,7 @@
   }
 
   private boundedFile(file: DiskFile): DiskFile {
-    const unsynced = new UnsyncedFile(this.unsynced);
+    const unsynced = new UnsyncedFile(this.use);
     return {
       size: () => this.call('fstat', () => file.size()),
       write: (data, position) =>
@@ -123,24 +126,28 @@
     const { disk } = this.options;
     if (!this.isBounded) return action(disk);
     if (this.overdueCalls > 0) return Promise.reject(new DiskHangs(name));
+    // Before the call: a thread that was free for it takes the call next.
+    const threadFree = disk.threadFree?.();
     const running = action(disk);
     // Not of what is written later: a disk that hangs would be noticed the later the more it is given.
-    const unsyncedMs = this.unsynced.total / LEAST_BYTES_PER_MS;
-    return this.inTime(name, running, limitMs + unsyncedMs, handleLate);
+    const unsyncedMs = this.use.unsyncedBytes / LEAST_BYTES_PER_MS;
+    const after = (expire: () => void): Cancellation =>
+      this.afterLimit(limitMs + unsyncedMs, threadFree, expire);
+    return this.inTime(name, running, after, handleLate);
   }
 
   /** Rejects when the limit has passed. */
   private async inTime<T>(
     name: string,
     running: Promise<T>,
-    limitMs: number,
+    afterLimit: (expire: () => void) => Cancellation,
     handleLate: (value: T) => Promise<void>,
   ): Promise<T> {
     const { clock } = this.options;
     const startedAt = clock.monotonic();
     let cancel: Cancellation = () => undefined;
     const expiry = new Promise<never>((_resolve, reject) => {
-      cancel = afterActive(clock, limitMs, () => {
+      cancel = afterLimit(() => {
         reject(new DiskHangs(name));
       });
     });
@@ -154,9 +161,34 @@
     }
   }
 
+  /** The limit begins once a thread has been free for the call, or another call hangs, or after a bound. */
+  private afterLimit(
+    limitMs: number,
+    threadFree: Promise<void> | undefined,
+    expire: () => void,
+  ): Cancellation {
+    const { clock, limitMs: callMs } = this.options;
+    if (threadFree === undefined) return afterActive(clock, limitMs, expire);
+    const { waiting } = this.use;
+    let cancel: Cancellation = () => undefined;
+    const begin = (): void => {
+      if (!waiting.delete(begin)) return;
+      cancel();
+      cancel = afterActive(clock, limitMs, expire);
+    };
+    waiting.add(begin);
+    cancel = clock.after(THREAD_FACTOR * callMs, begin);
+    void threadFree.then(begin);
+    return () => {
+      waiting.delete(begin);
+      cancel();
+    };
+  }
+
   private async awaitLate(call: string, startedAt: number, running: Promise<void>): Promise<void> {
     const { clock, log } = this.options;
     this.countOverdue(1);
+    this.use.beginLimits();
     const error = await running.catch((cause: unknown) => String(cause));
     this.countOverdue(-1);
     const tookMs = Math.round(clock.monotonic() - startedAt);
--- a/packages/coordination/src/storage/disk.ts
+++ b/packages/coordination/src/storage/disk.ts
@@ -34,6 +34,11 @@
   freeBytes(folder: string): Promise<number>;
   /** Locks the folder for this process. Rejects with `FolderLocked` when another process holds the lock. */
   lock(folder: string): Promise<ReleaseLock>;
+  /**
+   * Resolves once a thread of those that make the calls has been free; it makes the call that follows at once, if no other one
+   * does before. Missing where calls wait for no thread.
+   */
+  readonly threadFree?: () => Promise<void>;
 }
 
 /** Another process has locked the folder. */
--- a/packages/coordination/src/storage/fileDisk.ts
+++ b/packages/coordination/src/storage/fileDisk.ts
@@ -1,4 +1,5 @@
 /** The disk port on the machine's file system. */
+import { randomFill } from 'node:crypto';
 import { mkdir, open, readFile, readdir, rename, statfs, unlink } from 'node:fs/promises';
 import type { FileHandle } from 'node:fs/promises';
 import { constants } from 'node:fs';
@@ -53,6 +54,17 @@
   return bavail * bsize;
 }
 
+const ONE_BYTE = new Uint8Array(1);
+
+/** The runtime's threads take work in order, of whatever kind; this one needs no disk. */
+function threadFree(): Promise<void> {
+  return new Promise((resolve) => {
+    randomFill(ONE_BYTE, () => {
+      resolve();
+    });
+  });
+}
+
 /** Files on the machine's disk; `sync` calls `fdatasync`. */
 export const fileDisk: Disk = {
   ensureFolder,
@@ -64,6 +76,7 @@
   syncFolder,
   freeBytes,
   lock: lockFolder,
+  threadFree,
 };
 
 /**
