Shares of processors begin without a debt

Cause: when shares began, each process was charged for all that it had used since its start, and paused until its share had made up for it.

Change: processes that run when shares begin are charged from then on. Those that start later are charged for their start, as before.

--- a/packages/testkit/src/machine/processorShare.ts
+++ b/packages/testkit/src/machine/processorShare.ts
@@ -48,15 +48,28 @@
   /** @param shareOf the part of a core that a process gets. */
   constructor(private readonly shareOf: (process: SharedProcess) => number) {}
 
-  /** Holds the processes that are given, also those that start later. */
+  /**
+   * Holds the processes that are given, also those that start later. What the first ones have used before does not count: they
+   * would all stand still until their shares had made up for it.
+   */
   start(processes: () => Iterable<SharedProcess>): void {
+    this.lookedAt = systemClock.monotonic();
+    for (const process of processes()) this.open(process, 0);
+    this.lookLater(processes);
+  }
+
+  private lookLater(processes: () => Iterable<SharedProcess>): void {
+    this.callOff = systemClock.after(LOOK_MS, () => {
+      this.look(processes);
+    });
+  }
+
+  private look(processes: () => Iterable<SharedProcess>): void {
     const now = systemClock.monotonic();
     const passedMs = now - this.lookedAt;
     this.lookedAt = now;
     for (const process of processes()) this.hold(process, passedMs);
-    this.callOff = systemClock.after(LOOK_MS, () => {
-      this.start(processes);
-    });
+    this.lookLater(processes);
   }
 
   /** Lets all go on at full speed. */
@@ -66,17 +79,26 @@
     this.accounts.clear();
   }
 
-  private hold(process: SharedProcess, passedMs: number): void {
+  /** @param chargedPart part of what it has used that its share has to make up for. */
+  private open(process: SharedProcess, chargedPart: 0 | 1): void {
     if (!process.running) return;
     const { pid } = process;
     const usedMs = processorMsOf(pid);
     if (usedMs === undefined) return;
-    const share = this.shareOf(process);
+    this.accounts.set(process, { pid, usedMs, leftMs: -usedMs * chargedPart, isPaused: false });
+  }
+
+  private hold(process: SharedProcess, passedMs: number): void {
+    if (!process.running) return;
+    const { pid } = process;
     const account = this.accounts.get(process);
     if (account?.pid !== pid) {
-      this.accounts.set(process, { pid, usedMs, leftMs: -usedMs, isPaused: false });
+      this.open(process, 1);
       return;
     }
+    const usedMs = processorMsOf(pid);
+    if (usedMs === undefined) return;
+    const share = this.shareOf(process);
     const leftMs = account.leftMs + passedMs * share - (usedMs - account.usedMs);
     account.usedMs = usedMs;
     account.leftMs = Math.min(SAVED_MS * share, leftMs);
