Requests that wait for their turn are read ahead, and a connection is not left unread for long

A caller that left was not seen while 16 requests, or one with a body that filled its buffer, waited behind an answer, which ran on for nobody. A request that was sent whole got no answer when the time for it passed while its body was not read.

Cause: one for both. Too much that waited left the connection unread until a turn came, however late; the end of a caller is behind its bytes, and the time for a request passes meanwhile.

Change: bodies that wait are read ahead, up to 1 MiB for a connection and a quarter of maxBufferedBytes for all, reserved by their stated lengths. Beyond that the connection is unread for at most 1 s without a turn; then the newest request announces the end, what follows is discarded, and a body that is not whole is refused as not run (503) in the request's turn, also when the time for the request passes in such a pause.

Event 5019 is new.

--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -24,5 +24,10 @@
     message: "planned stop: a caller's connection has ended, by whom and with what was left",
   },
   unfinished: { id: 5018, level: 'warn', message: 'planned stop: connections are closed under answers' },
+  waitingRefused: {
+    id: 5019,
+    level: 'info',
+    message: 'request refused, as its body was too long to wait for the answers before it',
+  },
   unexpected: { id: 5016, level: 'error', message: 'unexpected error in a request' },
 });
--- a/packages/entry/src/http/badConnection.ts
+++ b/packages/entry/src/http/badConnection.ts
@@ -1,7 +1,8 @@
 /** Error answers for connections whose bytes are not a valid request. */
 import { STATUS_CODES } from 'node:http';
+import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { fault } from '@jasmineroute/core';
+import { answerOf, fault } from '@jasmineroute/core';
 import { errorBody } from './reply.js';
 
 interface BadRequest {
@@ -38,3 +39,17 @@
   ];
   socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
 }
+
+/** Refuses a request whose body was given up while it waited for its turn. */
+export function refuseUnread(answer: ServerResponse): void {
+  const problem = fault('overloaded', 'the body is too long to wait for the answers before it');
+  const body = Buffer.from(JSON.stringify(errorBody(problem)));
+  answer.writeHead(answerOf(problem.kind).status, {
+    'content-type': 'application/json',
+    'content-length': body.length,
+    'retry-after': '1',
+    'x-run-state': 'not-run',
+    connection: 'close',
+  });
+  answer.end(body);
+}
--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -1,8 +1,11 @@
 /** One connection of a caller, from its opening to an end in stages (RFC 9112, 9.6). */
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Clock } from '@jasmineroute/core';
+import type { Cancellation, Clock } from '@jasmineroute/core';
+import { refuseUnread } from './badConnection.js';
+import { BodyBudget } from './body.js';
 import type { ConnectionEnd, EndCause } from './connectionEnds.js';
+import { WaitingRequests } from './waitingRequests.js';
 
 /**
  * Time for which this side reads nothing after an end that no answer has announced, milliseconds. The caller's next request may
@@ -13,8 +16,11 @@
 /** Longest time from this side's end until the connection is closed where the caller does not close it, milliseconds. */
 const LINGER_MS = 2_000;
 
-/** Number of requests that wait for their turn on one connection, from which on no more of its bytes are read. */
-const MAX_WAITING = 16;
+/**
+ * Longest time for which this side reads nothing while requests wait and none has its turn, milliseconds. The end of a caller that
+ * leaves is behind its bytes, and is seen only when they are read.
+ */
+const MAX_PAUSE_MS = 1_000;
 
 /** The beginning of a connection's end by this side. */
 interface Ending {
@@ -32,18 +38,24 @@
 export class CallerConnection {
   /** Unfinished answers, in the order of their requests. */
   readonly answers = new Set<ServerResponse>();
-  private hasInvalidInput = false;
+  private hasGivenUpInput = false;
   private bytesSeen = 0;
   private activeAt: number;
   private ending: Ending | undefined;
-  /** By answer that waits for its turn: what tells whether it has come. */
-  private readonly turns = new Map<ServerResponse, (hasCome: boolean) => void>();
+  private readonly waiting: WaitingRequests;
+  /** Nothing is read while too much waits: cancels the end of that. */
+  private cancelPause: Cancellation | undefined;
+  /** The newest request, where the rest of its body was given up: refused in its turn. */
+  private unread: ServerResponse | undefined;
 
+  /** @param waitingBudget for bodies of requests that wait, of all connections of the server. */
   constructor(
     private readonly socket: Socket,
     private readonly clock: Clock,
+    waitingBudget = new BodyBudget(0),
   ) {
     this.activeAt = clock.monotonic();
+    this.waiting = new WaitingRequests(waitingBudget);
     // Node takes its own listener back from a connection on which a tunnel was asked for. The close that follows is recorded.
     socket.on('error', () => undefined);
     socket.once('close', () => {
@@ -53,6 +65,16 @@
     socket.on('resume', () => {
       this.limitWaiting();
     });
+    // Node pauses the socket when a body fills its buffer. What waits is read ahead.
+    socket.on('pause', () => {
+      if (this.waiting.isEmpty || this.cancelPause !== undefined) return;
+      setImmediate(() => {
+        if (!this.waiting.isEmpty) this.readOn();
+      });
+    });
+    socket.on('drain', () => {
+      if (!this.waiting.isEmpty || this.cancelPause !== undefined) this.readOn();
+    });
     // Node calls this after an answer with `Connection: close`, and would close at once.
     socket.destroySoon = () => {
       this.end('answered', true);
@@ -69,9 +91,9 @@
     return [...this.answers].some((answer) => answer.headersSent || answer.req.complete);
   }
 
-  /** Whether the input was found invalid; the answers before go on. */
-  get isInvalid(): boolean {
-    return this.hasInvalidInput;
+  /** Whether nothing more is read, as the input was found invalid or too much waits; the answers before go on. */
+  get isGivenUp(): boolean {
+    return this.hasGivenUpInput;
   }
 
   /**
@@ -81,7 +103,7 @@
    */
   add(answer: ServerResponse, isLast: boolean): boolean {
     const before = [...this.answers];
-    if (this.isEnding || this.hasInvalidInput || before.some(hasAnnouncedEnd)) return false;
+    if (this.isEnding || this.hasGivenUpInput || before.some(hasAnnouncedEnd)) return false;
     this.answers.add(answer);
     answer.once('close', () => {
       this.answers.delete(answer);
@@ -108,7 +130,7 @@
     const [first] = this.answers;
     if (this.isEnding || this.socket.destroyed) return Promise.resolve(false);
     if (first === answer) return Promise.resolve(true);
-    const turn = new Promise<boolean>((resolve) => this.turns.set(answer, resolve));
+    const turn = this.waiting.add(answer);
     this.limitWaiting();
     return turn;
   }
@@ -118,13 +140,23 @@
     return this.dueAnswers().some((one) => one !== except);
   }
 
-  /** Reads nothing more, as later bytes can't be parsed reliably; the answers that are due go on. */
+  /**
+   * Reads nothing more, as later bytes can't be parsed reliably or too much waits; the answers that are due go on. A request whose
+   * body was not read on while it waited is refused in its turn.
+   */
   giveUpInput(): void {
-    this.hasInvalidInput = true;
+    this.hasGivenUpInput = true;
+    if (this.cancelPause !== undefined) this.unread = this.waiting.giveUpLast();
+    this.endPause();
     this.announceEnd();
     this.discardInput();
   }
 
+  /** Whether a request was refused as the rest of it was given up. */
+  isRefused(answer: ServerResponse): boolean {
+    return answer === this.unread;
+  }
+
   /** As `giveUpInput`, where Node has taken its own listeners back because a tunnel was asked for. */
   giveUpTunnel(): void {
     this.socket.on('drain', () => {
@@ -189,27 +221,57 @@
   private giveTurn({ writableFinished }: ServerResponse): void {
     const [next] = this.answers;
     if (next === undefined || !writableFinished || this.isEnding || this.socket.destroyed) return;
-    const giveTurn = this.turns.get(next);
-    if (giveTurn === undefined) return;
-    this.turns.delete(next);
-    giveTurn(true);
-    if (this.turns.size === MAX_WAITING - 1) this.socket.resume();
+    this.waiting.end(next, next !== this.unread);
+    if (next === this.unread) refuseUnread(next);
+    if (this.cancelPause === undefined) return;
+    this.startPause();
+    this.readOn();
+  }
+
+  /** Reads what follows, unless too much waits, or Node waits until the caller reads. */
+  private readOn(): void {
+    const { socket } = this;
+    if (this.isEnding || this.hasGivenUpInput || socket.writableNeedDrain) return;
+    this.limitWaiting();
+    if (this.waiting.isFull()) return;
+    this.endPause();
+    socket.resume();
   }
 
-  /** Reads nothing more while too many requests wait. */
+  /** Reads nothing more for some time while too much waits. */
   private limitWaiting(): void {
-    if (this.turns.size >= MAX_WAITING && !this.hasInvalidInput) this.socket.pause();
+    if (this.isEnding || this.hasGivenUpInput || !this.waiting.isFull()) return;
+    if (this.cancelPause === undefined) this.startPause();
+    this.socket.pause();
+  }
+
+  private startPause(): void {
+    this.cancelPause?.();
+    this.cancelPause = this.clock.after(MAX_PAUSE_MS, () => {
+      this.endLongPause();
+    });
+  }
+
+  private endLongPause(): void {
+    if (this.waiting.isFull()) this.giveUpInput();
+    else this.readOn();
+  }
+
+  private endPause(): void {
+    this.cancelPause?.();
+    this.cancelPause = undefined;
   }
 
   private endTurns(): void {
-    for (const endWait of this.turns.values()) endWait(false);
-    this.turns.clear();
+    this.endPause();
+    this.waiting.endAll();
   }
 
-  /** Answers to requests that were read; after invalid input, no more of a request is. */
+  /** Answers to requests that were read, or are refused; where input was given up, no more of a request is read. */
   private dueAnswers(): ServerResponse[] {
     const answers = [...this.answers];
-    return this.hasInvalidInput ? answers.filter((one) => one.headersSent || one.req.complete) : answers;
+    if (!this.hasGivenUpInput) return answers;
+    return answers.filter((one) => one.headersSent || one.req.complete || one === this.unread);
   }
 
   private discardInputLater(): void {
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -8,6 +8,7 @@
 import { entryEvents } from '../events.js';
 import type { EntrySettings } from '../setting/index.js';
 import { refuseConnection, statusOfParserError } from './badConnection.js';
+import { BodyBudget } from './body.js';
 import { CallerConnection } from './callerConnection.js';
 import { ConnectionEnds } from './connectionEnds.js';
 
@@ -23,6 +24,9 @@
 /** A draining server closes connections that have been idle for this long, milliseconds. */
 const DRAIN_IDLE_MS = 1_000;
 
+/** Bytes of bodies that wait for their requests' turns, of all connections together: at most this share of the buffered ones. */
+const WAITING_SHARE = 0.25;
+
 /** Open connections by state. */
 export interface ConnectionStates {
   /** An answer is not complete. */
@@ -39,6 +43,7 @@
   | 'httpPort'
   | 'maxHeaderBytes'
   | 'maxConnections'
+  | 'maxBufferedBytes'
   | 'headerTimeoutMs'
   | 'requestTimeoutMs'
   | 'idleTimeoutMs'
@@ -66,6 +71,7 @@
   /** Requests that are being handled, also those of connections that are closed. */
   private requests = 0;
   private readonly ends: ConnectionEnds;
+  private readonly waitingBudget: BodyBudget;
   /** Monotonic time at which the last answer was complete. */
   private answeredAt: number | undefined;
 
@@ -78,6 +84,7 @@
     metrics: Metrics,
   ) {
     this.ends = new ConnectionEnds(log, metrics);
+    this.waitingBudget = new BodyBudget(settings.maxBufferedBytes * WAITING_SHARE);
     this.server = createServer(
       {
         maxHeaderSize: settings.maxHeaderBytes,
@@ -241,6 +248,7 @@
     if (connection?.add(outgoing, this.stopping) !== true) return undefined;
     outgoing.once('finish', () => {
       this.answeredAt = this.clock.monotonic();
+      if (connection.isRefused(outgoing)) this.log.event(entryEvents.waitingRefused);
       this.closeAfter(connection, outgoing);
     });
     return connection.turnOf(outgoing);
@@ -253,7 +261,7 @@
    */
   private closeAfter(connection: CallerConnection, answered: ServerResponse): void {
     if (connection.isAnswering(answered)) return;
-    if (connection.isInvalid) connection.end('invalid-input', true);
+    if (connection.isGivenUp) connection.end('invalid-input', true);
     else if (this.stopping) connection.end('answered', false);
   }
 
@@ -262,7 +270,7 @@
       this.stalls.recordConnection();
       this.lastConnectionAt = this.clock.monotonic();
       this.accepted += 1;
-      const connection = new CallerConnection(socket, this.clock);
+      const connection = new CallerConnection(socket, this.clock, this.waitingBudget);
       this.openConnections.set(socket, connection);
       socket.once('close', (hadError) => {
         this.openConnections.delete(socket);
@@ -283,7 +291,7 @@
 
   private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.openConnections.get(socket);
-    if (connection === undefined || connection.isEnding || connection.isInvalid) return;
+    if (connection === undefined || connection.isEnding || connection.isGivenUp) return;
     if (!socket.writable || error.code === 'ECONNRESET') {
       socket.destroy();
       return;
--- a/packages/entry/src/testing/callerServer.ts
+++ b/packages/entry/src/testing/callerServer.ts
@@ -11,6 +11,7 @@
   httpPort: 0,
   maxHeaderBytes: 16_384,
   maxConnections: 3_000,
+  maxBufferedBytes: 67_108_864,
   headerTimeoutMs: 3_000,
   requestTimeoutMs: 30_000,
   idleTimeoutMs: 15_000,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -114,13 +114,14 @@
       log,
       metrics,
     };
-    const { httpHost, httpPort, maxConnections } = settings;
+    const { httpHost, httpPort, maxConnections, maxBufferedBytes } = settings;
     this.server = new CallerServer(
       (incoming, outgoing, turn) => this.serve(incoming, outgoing, turn),
       {
         httpHost,
         httpPort,
         maxConnections,
+        maxBufferedBytes,
         maxHeaderBytes: MAX_HEADER_BYTES,
         headerTimeoutMs: DEFAULT_HEADER_TIMEOUT_MS,
         requestTimeoutMs: REQUEST_TIMEOUT_MS,
