--- a/packages/coordination/src/agreement/peerClient.ts
+++ b/packages/coordination/src/agreement/peerClient.ts
@@ -88,7 +88,7 @@
       const isTimedOut = controller.signal.aborted && timeoutMs === undefined;
       // Another call may have replaced the connection already; the new one must not be dropped.
       if (isTimedOut && this.options.connect(address) === transport)
-        this.dropConnection(address, callTimeoutMs);
+        this.dropConnection(address, transport, callTimeoutMs);
       return err(callFault(address, error));
     } finally {
       cancel();
@@ -112,11 +112,13 @@
     return client;
   }
 
-  private dropConnection(address: string, timeoutMs: number): void {
-    this.options.log.event(coordinationEvents.connectionDropped, { address, timeoutMs });
-    this.options.metrics.count(coordinationMetrics.dropped);
+  /** A connection that waits to be accepted may be kept. */
+  private dropConnection(address: string, transport: Transport, timeoutMs: number): void {
     this.responseTimeouts.recordTimeout(address);
     this.options.drop(address);
+    if (this.options.connect(address) === transport) return;
+    this.options.log.event(coordinationEvents.connectionDropped, { address, timeoutMs });
+    this.options.metrics.count(coordinationMetrics.dropped);
   }
 }
 
