Guards: the bound on waiting requests has a test that needs it

Change: a test with a long answer in front of 20,000 short requests; the guard names it. Fewer than 3,000 wait, and all are handled once the answer in front is complete. Without the bound it failed. The test of server.spec stays as it is.

--- a/packages/entry/src/http/waiting.spec.ts
+++ b/packages/entry/src/http/waiting.spec.ts
@@ -108,6 +108,21 @@
     caller.socket.destroy();
   });
 
+  // Guards against memory that one caller fills with short requests, and against one of them that is not read later.
+  it('are read only as far as some of them wait behind a long answer', async () => {
+    const REQUESTS = 20_000;
+    const MOST_WAITING = 3_000;
+    await start();
+    const caller = test.connect();
+    caller.socket.write(requestBytes('/first') + requestBytes('/b', 'x').repeat(REQUESTS));
+    await waitUntil(() => held.length === 1);
+    await pause(500);
+    expect(test.server.stopRecord().requests).toBeLessThan(MOST_WAITING);
+    held[0]?.end('done');
+    await waitUntil(() => test.handled.length === REQUESTS + 1);
+    caller.socket.destroy();
+  }, 30_000);
+
   // Guards against memory that many callers fill, each within the bound of its connection.
   it('are bounded on all connections together', async () => {
     const CALLERS = 20;
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -621,7 +621,7 @@
     file: 'packages/entry/src/http/waitingRequests.ts',
     find: 'return this.waits.size >= MAX_WAITING ||',
     put: 'return this.waits.size < 0 ||',
-    spec: 'packages/entry/src/http/server.spec.ts',
+    spec: 'packages/entry/src/http/waiting.spec.ts',
     test: 'are read only as far as some of them wait',
   },
   {
