--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -117,7 +117,9 @@
       call: (bindings) => this.callers.call(bindings),
     });
     const { clock, stalls, log, metrics } = context;
-    const listener = listenerOf(app, settings.httpHost);
+    const listener = listenerOf(app, settings.httpHost, (incoming) => {
+      this.callers.recordArrival(incoming);
+    });
     this.server = new CallerServer(listener, settings, clock, stalls, log, metrics);
   }
 
--- a/packages/entry/src/http/app.ts
+++ b/packages/entry/src/http/app.ts
@@ -1,4 +1,5 @@
 /** HTTP routes for callers and for the platform's health checks. */
+import type { IncomingMessage } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
@@ -43,8 +44,13 @@
 /**
  * The routes as a request listener of Node's HTTP server.
  * @param hostname used if the Host field is missing, as in old health checks. Calls without it are refused.
+ * @param onArrival called with each request when its head was read, before it waits for its turn.
  */
-export function listenerOf(app: Hono<{ Bindings: CallerBindings }>, hostname: string): CallerListener {
+export function listenerOf(
+  app: Hono<{ Bindings: CallerBindings }>,
+  hostname: string,
+  onArrival: (incoming: IncomingMessage) => void,
+): CallerListener {
   const listener = getRequestListener(app.fetch, {
     overrideGlobalObjects: false,
     hostname,
@@ -54,6 +60,7 @@
     },
   });
   return async (incoming, outgoing, turn) => {
+    onArrival(incoming);
     if (await turn) await listener(incoming, outgoing);
   };
 }
--- a/packages/entry/src/http/requestHandler.ts
+++ b/packages/entry/src/http/requestHandler.ts
@@ -1,4 +1,6 @@
 /** Handles callers' requests: checks head and customer, reads the body, and runs the call. */
+import type { IncomingMessage } from 'node:http';
+import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { endHop, fault, startHop } from '@jasmineroute/core';
 import type { Fault, HopSpan } from '@jasmineroute/core';
@@ -31,10 +33,21 @@
   return ids.map((id) => ({ id, object: 'model', created: 0, owned_by: 'jasmineroute' }));
 }
 
+/** A request with what is left of its caller's deadline after a wait. */
+function afterWait(request: CallerRequest, waitedMs: number): Result<CallerRequest, Fault> {
+  if (request.deadlineMs === undefined) return ok(request);
+  const deadlineMs = Math.ceil(request.deadlineMs - waitedMs);
+  if (deadlineMs > 0) return ok({ ...request, deadlineMs });
+  const message = 'the deadline passed while the request waited for the answers before it';
+  return err(fault('deadline-exceeded', message, { ran: 'not-run' }));
+}
+
 /** Handles the requests of all callers of one entry. */
 export class RequestHandler {
   private readonly budget: BodyBudget;
   private open = 0;
+  /** Monotonic times at which requests were read. */
+  private readonly arrivals = new WeakMap<IncomingMessage, number>();
 
   constructor(private readonly context: EntryContext) {
     this.budget = new BodyBudget(context.settings.maxBufferedBytes);
@@ -50,6 +63,11 @@
     return this.budget.bytes;
   }
 
+  /** Called when the head of a request was read: its caller's deadline counts from then on, also while it waits for its turn. */
+  recordArrival(incoming: IncomingMessage): void {
+    this.arrivals.set(incoming, this.context.clock.monotonic());
+  }
+
   /** Answers `/v1/models` and `/v1/models/{id}`. */
   async models(bindings: CallerBindings): Promise<void> {
     await this.respond(bindings, (request, reply) => {
@@ -125,7 +143,8 @@
     span.span.setAttribute('request.id', requestId);
     this.open += 1;
     try {
-      const request = readHead(incoming, requestId);
+      const waitedMs = this.waitedMs(incoming);
+      const request = readHead(incoming, requestId).andThen((one) => afterWait(one, waitedMs));
       if (request.isErr()) this.refuse({ incoming, outgoing }, reply, request.error);
       else await handler(request.value, reply, span);
     } catch (cause) {
@@ -137,6 +156,11 @@
     }
   }
 
+  private waitedMs(incoming: IncomingMessage): number {
+    const now = this.context.clock.monotonic();
+    return now - (this.arrivals.get(incoming) ?? now);
+  }
+
   private finish(reply: Reply, span: HopSpan): void {
     const { metrics, log } = this.context;
     const { failure } = reply;
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -656,6 +656,14 @@
     spec: 'packages/entry/src/http/waiting.spec.ts',
     test: 'are bounded on all connections together',
   },
+  {
+    name: 'turns of requests: time of an entry from the arrival',
+    file: 'packages/entry/src/http/requestHandler.ts',
+    find: '.andThen((one) => afterWait(one, waitedMs))',
+    put: '.andThen((one) => afterWait(one, waitedMs * 0))',
+    spec: 'packages/entry/src/http/behind.spec.ts',
+    test: 'is refused as not run when its time passes while it waits',
+  },
   {
     name: 'turns of requests: time from the arrival',
     file: 'packages/relay/src/relay.ts',
