Control instances that stop accept what has arrived before they close their listener

Calls of operators whose connections had arrived at a control instance, and were not accepted yet, were reset when it stopped.

Cause: EndingServer closes its listener at once; the entry's server goes around the event loop until no connection comes.

Change: that loop is a function of its own, which both use. A control instance announces the ends of connections first, so what is accepted then is answered with `Connection: close`.

The new test failed before: calls that came while the event loop stood still for 400 ms were reset. It passes, as do the other specs of the two servers, 33 tests.

--- a/packages/entry/src/http/index.ts
+++ b/packages/entry/src/http/index.ts
@@ -1,4 +1,5 @@
 export * from './app.js';
+export * from './arrivedConnections.js';
 export * from './badConnection.js';
 export * from './body.js';
 export * from './callerConnection.js';
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -7,6 +7,7 @@
 import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import { entryEvents } from '../events.js';
 import type { EntrySettings } from '../setting/index.js';
+import { acceptArrived } from './arrivedConnections.js';
 import { refuseConnection, statusOfParserError } from './badConnection.js';
 import { BodyBudget } from './body.js';
 import { CallerConnection } from './callerConnection.js';
@@ -18,8 +19,6 @@
 /** A draining server closes its listener after this long without a new connection, milliseconds. */
 const ACCEPT_QUIET_MS = 300;
 const DRAIN_POLL_MS = 50;
-/** Most turns of the event loop in which a draining server accepts what has arrived. */
-const MAX_ACCEPT_TURNS = 1_024;
 
 /** A draining server closes connections that have been idle for this long, milliseconds. */
 const DRAIN_IDLE_MS = 1_000;
@@ -172,27 +171,14 @@
       this.clock.monotonic() < waitUntil
     ) {
       await this.clock.sleep(DRAIN_POLL_MS);
-      await this.acceptArrived();
+      await acceptArrived(() => this.accepted);
     }
-    await this.acceptArrived();
+    await acceptArrived(() => this.accepted);
     // `close` of the HTTP server closes idle connections at once; that of the net server closes only the listener.
     NetServer.prototype.close.call(this.server);
     while (!this.isDrained(endsAt)) await this.clock.sleep(DRAIN_POLL_MS);
   }
 
-  /**
-   * Accepts the connections that have arrived. Timers run before them, so after a stall of the event loop none seems to have,
-   * and each turn of the loop accepts only one. The first wait may end in the middle of a turn.
-   */
-  private async acceptArrived(): Promise<void> {
-    await setImmediate();
-    for (let turn = 0; turn < MAX_ACCEPT_TURNS; turn += 1) {
-      const before = this.accepted;
-      await setImmediate();
-      if (this.accepted === before) return;
-    }
-  }
-
   private isDrained(endsAt: number): boolean {
     if (this.requests > 0) return false;
     const open = [...this.openConnections.values()];
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -690,9 +690,9 @@
   },
   {
     name: 'connections that came while the event loop stood still, before the listener closes',
-    file: 'packages/entry/src/http/server.ts',
-    find: '      if (this.accepted === before) return;',
-    put: '      return;',
+    file: 'packages/entry/src/http/arrivedConnections.ts',
+    find: '    if (accepted() === before) return;',
+    put: '    return;',
     spec: 'packages/entry/src/http/server.spec.ts',
     test: 'accepts what came while its event loop stood still',
   },
