A start that waits for its disk says so in its log and its readiness

Operators saw: a control instance that is started on a disk that hangs waits without a bound and without a line, with no port open, like a process that was never started.

Change: the first line comes after a second (event 2032: the call, since when, how long), the next ones each 30 s. The health port of agents and control instances opens before the role is made; /healthz says that the process lives, /readyz 503 with the call and its beginning. The size of the folder, asked first, is covered as well. The platform's programs have no health port: there the line in the log is what tells.

No spec of a bundle was run.

--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -1,7 +1,7 @@
 /** Creates a control instance on the replicated log. */
 import { join } from 'node:path';
-import { ReplicatedLog, fileDisk, withoutLock } from '@jasmineroute/coordination';
-import type { Disk } from '@jasmineroute/coordination';
+import { BoundedDisk, ReplicatedLog, fileDisk, withoutLock } from '@jasmineroute/coordination';
+import type { Disk, StartWait } from '@jasmineroute/coordination';
 import { failCriticalTask, fault } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import type { RoleContext } from '@jasmineroute/protocol';
@@ -32,6 +32,14 @@
  */
 const SNAPSHOT_INTERVAL = { snapshotEntries: 20_000, snapshotBytes: 32 * 1024 * 1024 };
 
+/** Time after which a start tells that it waits for the disk, milliseconds. */
+const START_NOTICE_MS = 1_000;
+
+function waitText(folder: string, wait: StartWait | undefined): string | undefined {
+  if (wait === undefined) return undefined;
+  return `the disk of ${folder} does not answer (${wait.call}, since ${wait.since.toISOString()})`;
+}
+
 /**
  * Opens the data folder and restores the state. Tests and benchmarks give another disk. Ports that are absent from `outside`
  * are not used: no stores are watched, no orders are sent.
@@ -55,7 +63,11 @@
   const folders = [LOG_FOLDER, ORIGINS_FOLDER, EVIDENCE_FOLDER, DEPARTURES_FOLDER].map((folder) =>
     join(dataFolder, folder),
   );
-  const limit = await folderLimit(settings.maxFolderMb, disk, folders, dataFolder);
+  const onStartWait = (wait: StartWait | undefined): void => {
+    context.reportWait?.(waitText(dataFolder, wait));
+  };
+  const watched = new BoundedDisk({ disk, clock, log, metrics, limitMs: START_NOTICE_MS, onStartWait });
+  const limit = await folderLimit(settings.maxFolderMb, watched, folders, dataFolder);
   if (limit !== undefined) log.event(controlEvents.folderBounded, { ...limit });
   const shares = limit === undefined ? undefined : folderShares(limit.bytes);
   const opened = await ReplicatedLog.open({
@@ -71,6 +83,7 @@
     metrics,
     stateMachine: state.machine,
     disk,
+    onStartWait,
     lossesToBear: settings.lossesToBear,
     onFailure: (error) => {
       failCriticalTask('replica', error);
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -2,7 +2,7 @@
 import type { Transport } from '@connectrpc/connect';
 import type { Clock, Log, Metrics } from '@jasmineroute/core';
 import * as z from 'zod';
-import type { Disk } from '../storage/index.js';
+import type { Disk, StartWait } from '../storage/index.js';
 import type { StateMachine } from './stateMachine.js';
 
 /** A replica's name and where it listens, host:port. */
@@ -108,6 +108,8 @@
   readonly stateMachine: StateMachine;
   /** File system; that of the operating system when absent. */
   readonly disk?: Disk;
+  /** Called when the start waits for a call to the disk, and without a wait when that has returned. */
+  readonly onStartWait?: (wait: StartWait | undefined) => void;
   /**
    * Called when a task of the replica threw an unexpected error. The replica has stopped and no longer votes: end the process,
    * or close the log and open it again.
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -109,8 +109,9 @@
   /** Opens the folder and restores the state machine. Errors: storage-failed. */
   static async open(options: ReplicatedLogOptions): Promise<Result<ReplicatedLog, Fault>> {
     const settings = tuning.parse(options);
-    const { disk: given = fileDisk, clock, log, metrics = silentMetrics } = options;
-    const disk = new BoundedDisk({ disk: given, clock, log, metrics, limitMs: settings.storageHangMs });
+    const { disk: given = fileDisk, clock, log, metrics = silentMetrics, onStartWait } = options;
+    const { storageHangMs: limitMs } = settings;
+    const disk = new BoundedDisk({ disk: given, clock, log, metrics, limitMs, onStartWait });
     const opened = await LogStorage.open(disk, options.folder, folderBudget(settings));
     if (opened.isErr()) return err(opened.error);
     disk.bound();
--- a/packages/coordination/src/events.ts
+++ b/packages/coordination/src/events.ts
@@ -44,5 +44,6 @@
     level: 'warn',
     message: 'a call to the disk has returned that was given up as hanging',
   },
+  startWaits: { id: 2032, level: 'warn', message: 'the start waits for a call to the disk' },
   taskFailed: { id: 2016, level: 'error', message: 'a task of the replica failed' },
 });
--- a/packages/coordination/src/storage/boundedDisk.ts
+++ b/packages/coordination/src/storage/boundedDisk.ts
@@ -17,6 +17,15 @@
 /** Limits after which a call that may still wait for a thread counts as begun. */
 const THREAD_FACTOR = 10;
 
+/** Time after which it is told again that a start waits for the disk. */
+const REPEAT_MS = 30_000;
+
+/** A call for which a start waits. */
+export interface StartWait {
+  readonly call: string;
+  readonly since: Date;
+}
+
 /** Dependencies of a bounded disk. */
 export interface BoundedDiskOptions {
   readonly disk: Disk;
@@ -25,11 +34,14 @@
   readonly metrics: Metrics;
   /** Time after which a call counts as hanging; it has more while much is written and not yet durable. */
   readonly limitMs: number;
+  /** Called when a call of a start counts as hanging, and without a wait when it has returned. */
+  readonly onStartWait?: ((wait: StartWait | undefined) => void) | undefined;
 }
 
 /**
  * After a call that is not answered in time, all calls are refused at once until it has returned: what it does late is done
- * before the next one begins. Its error says as little about what is on the disk as any other. Calls of a start are not bounded.
+ * before the next one begins. Its error says as little about what is on the disk as any other. Calls of a start are not bounded; it
+ * is told which one a start waits for.
  */
 export class BoundedDisk implements Disk {
   private isBounded = false;
@@ -124,7 +136,7 @@
     handleLate: (value: T) => Promise<void> = () => Promise.resolve(),
   ): Promise<T> {
     const { disk } = this.options;
-    if (!this.isBounded) return action(disk);
+    if (!this.isBounded) return this.watched(name, action(disk));
     if (this.overdueCalls > 0) return Promise.reject(new DiskHangs(name));
     // Before the call: a thread that was free for it takes the call next.
     const threadFree = disk.threadFree?.();
@@ -136,6 +148,28 @@
     return this.inTime(name, running, after, handleLate);
   }
 
+  /** Tells that a start waits once the limit has passed, and again after long pauses. */
+  private async watched<T>(call: string, running: Promise<T>): Promise<T> {
+    const { clock, log, limitMs, onStartWait } = this.options;
+    const startedAt = clock.monotonic();
+    const since = clock.now();
+    let timesTold = 0;
+    const tell = (): void => {
+      timesTold += 1;
+      const waitedMs = Math.round(clock.monotonic() - startedAt);
+      log.event(coordinationEvents.startWaits, { call, since: since.toISOString(), waitedMs });
+      onStartWait?.({ call, since });
+      cancel = clock.after(REPEAT_MS, tell);
+    };
+    let cancel = clock.after(limitMs, tell);
+    try {
+      return await running;
+    } finally {
+      cancel();
+      if (timesTold > 0) onStartWait?.(undefined);
+    }
+  }
+
   /** Rejects when the limit has passed. */
   private async inTime<T>(
     name: string,
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -11,7 +11,7 @@
 } from '@jasmineroute/core';
 import type { Log, Metrics } from '@jasmineroute/core';
 import { Peers, listen } from '@jasmineroute/protocol';
-import type { RoleContext, RpcServer, TlsStore } from '@jasmineroute/protocol';
+import type { Readiness, RoleContext, RpcServer, TlsStore } from '@jasmineroute/protocol';
 import { daemonEvents } from '../events.js';
 import { daemonMetrics } from '../metrics.js';
 import { serveHealth, serveMetrics } from '../health/index.js';
@@ -97,12 +97,37 @@
   return stalls;
 }
 
+/** Answers for the role while it starts: the platform learns that the process lives, and what it waits for. */
+class StartingRole {
+  private role: RunningRole | undefined;
+  private waitsFor: string | undefined;
+
+  readonly reportWait = (waitsFor: string | undefined): void => {
+    this.waitsFor = waitsFor;
+  };
+
+  started(role: RunningRole): void {
+    this.role = role;
+  }
+
+  readiness(): Readiness {
+    if (this.role !== undefined) return this.role.readiness();
+    const reason = this.waitsFor === undefined ? 'starting' : `starting: ${this.waitsFor}`;
+    return { ready: false, reason };
+  }
+}
+
 async function assemble(plan: Plan, log: Log, stop: (reason: string) => void): Promise<Parts> {
   const settings = plan.daemon;
   const endTraces = await endTracesOf(settings);
   const { metrics, server } = await measuringOf(settings);
   const peers = new Peers(plan.tls, settings.sourceAddress);
   const stalls = watchStalls(log, metrics);
+  const starting = new StartingRole();
+  const health =
+    plan.role.answersPlatform === true
+      ? undefined
+      : await serveHealth(settings.host, settings.healthPort, () => starting.readiness());
   const context: RoleContext = {
     name: settings.name,
     incarnation: drawIncarnation(systemClock),
@@ -115,6 +140,7 @@
     metrics,
     peers,
     stop,
+    reportWait: starting.reportWait,
   };
   const created = await plan.role.create(context, plan.roleSettings);
   if (created.isErr()) throw new Error(created.error.message);
@@ -128,10 +154,7 @@
     plan.tls,
   );
   await role.start(settings.advertise ?? rpc.address);
-  const health =
-    role.httpAddress === undefined
-      ? await serveHealth(settings.host, settings.healthPort, () => role.readiness())
-      : undefined;
+  starting.started(role);
   return { role, rpc, health, metricsServer: server, peers, metrics, log, endTraces };
 }
 
--- a/packages/daemon/src/role/role.ts
+++ b/packages/daemon/src/role/role.ts
@@ -14,6 +14,8 @@
 export interface Role {
   /** Schema of the role's own settings. */
   readonly settings: SettingsSchema;
+  /** Whether the role itself answers what the platform asks, on its callers' port. */
+  readonly answersPlatform?: boolean;
   /** Makes the role from checked settings. */
   create(context: RoleContext, settings: Record<string, unknown>): Promise<Result<RunningRole, Fault>>;
 }
@@ -33,7 +35,7 @@
 export const roles = new Registry<RoleLoader>('role')
   .add('entry', async () => {
     const { createEntry, entrySettings } = await import('@jasmineroute/entry');
-    return bind(entrySettings, createEntry);
+    return { ...bind(entrySettings, createEntry), answersPlatform: true };
   })
   .add('agent', async () => {
     const { agentSettings, createAgent } = await import('@jasmineroute/agent');
--- a/packages/protocol/src/role/role.ts
+++ b/packages/protocol/src/role/role.ts
@@ -20,6 +20,8 @@
   readonly peers: Peers;
   /** Stops the process as a signal would, because it cannot continue; the reason is logged. */
   readonly stop?: (reason: string) => void;
+  /** Tells what the making of the role waits for, or with undefined that it goes on. */
+  readonly reportWait?: (waitsFor: string | undefined) => void;
 }
 
 /** Whether the platform should send requests to this instance. */
