A stream that opens while the process stands still is kept

Entries saw: after a stall of 1.4 s or more while a stream of a control instance was opened, the stream was aborted although its first event had arrived, its connection dropped, and the stream opened again.

Cause: timers run before what has arrived is read, and the timer of the first event, unlike that of the later ones, counted stalls of its own process.

Change: stalls count as no time there too; for a stream that the instance has queued as well. At most the limit doubles.

--- a/packages/knowledge/src/followTask.ts
+++ b/packages/knowledge/src/followTask.ts
@@ -204,7 +204,8 @@
       if (!this.isStopped) peers.drop(address);
       stream.abort();
     };
-    let cancelTimer = clock.after(this.firstEventTimeoutMs, () => {
+    // After a suspension of this process its timers fire before the events that have arrived meanwhile are read.
+    let cancelTimer = afterActive(clock, this.firstEventTimeoutMs, () => {
       this.firstEventTimeoutMs = Math.min(MAX_FIRST_EVENT_TIMEOUT_MS, this.firstEventTimeoutMs * 2);
       onSilence();
     });
@@ -221,11 +222,10 @@
           break;
         }
         if (event.queued) {
-          cancelTimer = clock.after(MAX_FIRST_EVENT_TIMEOUT_MS, onSilence);
+          cancelTimer = afterActive(clock, MAX_FIRST_EVENT_TIMEOUT_MS, onSilence);
           this.expect(QUORUM_LOSS_GRACE_MS);
           continue;
         }
-        // After a suspension of this process its timers fire before the events that have arrived meanwhile are read.
         cancelTimer = afterActive(clock, SILENCE_TIMEOUT_MS, onSilence);
         this.hasReceived = true;
         this.firstEventTimeoutMs = FIRST_EVENT_TIMEOUT_MS;
--- a/packages/knowledge/src/follower.spec.ts
+++ b/packages/knowledge/src/follower.spec.ts
@@ -16,6 +16,12 @@
 /** Time that a busy control instance takes for the first event of a stream, milliseconds. */
 const SLOW_MS = 2_500;
 
+/** Blocks the event loop for longer than a first event may take. */
+function standStill(): void {
+  const end = systemClock.monotonic() + SLOW_MS;
+  while (systemClock.monotonic() < end);
+}
+
 describe('a follower that has just started', () => {
   let server: RpcServer;
   /** Number of streams opened. */
@@ -35,15 +41,19 @@
     await server.close();
   });
 
-  /** Starts a control instance whose streams end at once, whose first one sends nothing, or whose events are late or queued. */
-  async function control(behaviour: 'ends' | 'mute' | 'slow' | 'queues'): Promise<RpcServer> {
+  /**
+   * Starts a control instance whose streams end at once, whose first one sends nothing, whose events are late or queued, or whose
+   * streams open while this process, the follower's as well, stands still.
+   */
+  async function control(behaviour: 'ends' | 'mute' | 'slow' | 'queues' | 'stalls'): Promise<RpcServer> {
     server = await listen('127.0.0.1', 0, (router) => {
       router.service(controlMessage.Configurations, {
         follow: async function* (_request, { signal }) {
           streams += 1;
           if (behaviour === 'ends') return;
           if (behaviour === 'queues') yield create(controlMessage.FollowEventSchema, { queued: true });
-          if (behaviour !== 'mute') await systemClock.sleep(SLOW_MS);
+          if (behaviour === 'stalls') standStill();
+          if (behaviour === 'slow' || behaviour === 'queues') await systemClock.sleep(SLOW_MS);
           if (streams > 1 || behaviour !== 'mute')
             yield create(controlMessage.FollowEventSchema, { vouched: true });
           await new Promise((resolve) => {
@@ -95,6 +105,14 @@
     expect(streams).toBe(1);
   });
 
+  // Guards against streams that are aborted, and a primary that moves away for seconds, as a timer runs before what has arrived.
+  it('keeps a stream that was opened while the process stood still', async () => {
+    const { address } = await control('stalls');
+    const knowledge = follow(address);
+    expect(await within(2 * SLOW_MS, () => knowledge.confirmed())).toBe(true);
+    expect(streams).toBe(1);
+  });
+
   // Guards against a stopped stream that drops the connection of its successor.
   it('leaves the connection to a newer stream when an older one has delivered nothing', async () => {
     const { address } = await control('mute');
