A leader without answers of a quorum is suspended and goes on in its term

Callers saw no read of the configuration for seconds after stalls of processes on busy machines. That this is the whole cause there is not shown.

Cause: a leader gave up its term after 1.5 s without answers of a quorum, also when its followers only stood still, and reads with uncommitted entries and all commands waited for an election, which others may lose again.

Change: such a leader is suspended. It refuses commands as not run, confirms no read, does not vouch, counts as a follower for its callers, stands in nobody's way in an election and does not stand itself. It goes on sending in its term; its messages say that it is suspended (new field) and are no contact for followers: they neither vouch for it nor wait to stand.

safety.spec.ts, "the configuration doesn't change before an entry of the leader's term is committed", relied on a leader that loses its term with its quorum. It is deposed by a higher term now, and the test checks that the term is a new one; it fails without the rule as before.

--- a/packages/coordination/src/agreement/election.ts
+++ b/packages/coordination/src/agreement/election.ts
@@ -77,7 +77,7 @@
       const [minMs, maxMs] = this.electionTimeoutRange();
       const timeoutMs = minMs + randomFraction * (maxMs - minMs);
       const remainingMs = replica.electionTimerStart + timeoutMs - replica.clock.monotonic();
-      if (replica.role === 'leader') await replica.changed.wait();
+      if (replica.role === 'leader' || replica.role === 'suspended') await replica.changed.wait();
       else if (remainingMs > 0) await replica.changed.waitFor(replica.clock, remainingMs);
       else if (this.isAbstaining('candidacy')) await replica.changed.wait();
       else return;
--- a/packages/coordination/src/agreement/follower.ts
+++ b/packages/coordination/src/agreement/follower.ts
@@ -15,7 +15,7 @@
 import type { Replica } from './replica.js';
 
 /** Fields common to append and install requests. */
-type LeaderMessage = Pick<AppendRequest, 'clusterId' | 'leader' | 'term' | 'replicaId'> &
+type LeaderMessage = Pick<AppendRequest, 'clusterId' | 'leader' | 'term' | 'replicaId' | 'suspended'> &
   Partial<Pick<AppendRequest, 'yields'>>;
 
 /** A snapshot of which some pieces have been received. */
@@ -101,6 +101,8 @@
       });
       replica.changed.notify();
     }
+    // Others may have elected another leader since: neither current nor a reason not to stand.
+    if (message.suspended) return true;
     replica.isLeaderYielding = message.yields === true;
     // The election timeout of a replica with a sound disk elapses, so that it takes over.
     if (!replica.isLeaderYielding || replica.isResting) replica.resetElectionTimer();
--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -55,10 +55,16 @@
     this.startedAt = context.replica.clock.monotonic();
   }
 
-  /** Whether this replica still leads in this term. */
+  /** Whether this replica leads in this term, and is not suspended. */
   get isActive(): boolean {
+    return this.isOpen && this.context.replica.role === 'leader';
+  }
+
+  /** Whether this replica is still the only one that can lead in this term, suspended or not. */
+  get isOpen(): boolean {
     const { replica } = this.context;
-    return replica.role === 'leader' && replica.term === this.term && !replica.stopped;
+    const isLeader = replica.role === 'leader' || replica.role === 'suspended';
+    return isLeader && replica.term === this.term && !replica.stopped;
   }
 
   /** Whether an entry of this term is committed; only then is the commit index known to be current. */
@@ -83,7 +89,7 @@
     this.termStartIndex = appended.value;
     replica.log.event(coordinationEvents.leading, { term: this.term.toString() });
     await Promise.all([this.appendProposals(), this.checkQuorum(), this.replicateToMembers()]);
-    for (const proposal of this.pending.splice(0)) proposal.settle(notWritten('no longer the leader'));
+    this.refusePending();
   }
 
   /** Queues a command; it settles when the command is applied on this replica. */
@@ -220,7 +226,7 @@
   /** Appends queued commands: all that are queued in one write, with the sync in parallel to replication. */
   private async appendProposals(): Promise<void> {
     const { clock, tuning } = this.context.replica;
-    while (this.isActive) {
+    while (this.isOpen) {
       if (this.pending.length === 0) {
         await this.proposalArrived.waitFor(clock, tuning.heartbeatMs);
         continue;
@@ -281,8 +287,9 @@
   }
 
   /**
-   * Steps down when no quorum has answered within the window. An isolated leader would otherwise never learn of a newer term;
-   * it would keep accepting commands that can't be committed, and vouch for outdated state.
+   * Suspends the leadership while no quorum has answered within the window. An isolated leader would otherwise keep accepting
+   * commands that can't be committed, and vouch for outdated state. It keeps its term: when the others only stood still, it
+   * goes on without an election. Where they don't need it, they elect another leader, as a suspended one yields.
    */
   private async checkQuorum(): Promise<void> {
     const { replica } = this.context;
@@ -290,26 +297,37 @@
     const { quorumWindowMs, heartbeatMs } = replica.tuning;
     // Answers that arrive while this process is stalled are read only afterwards, so the stall extends the window.
     let stallMs = 0;
-    while (this.isActive) {
+    while (this.isOpen) {
       const age = clock.monotonic() - this.startedAt;
-      if (age > quorumWindowMs && !this.hasQuorum(quorumWindowMs + stallMs)) {
-        replica.becomeFollower('no answers of a quorum');
-        return;
-      }
-      this.voterMonitor.check();
-      // Entries that a recovery of the storage has synced.
+      const isLost = age > quorumWindowMs && !this.hasQuorum(quorumWindowMs + stallMs);
+      if (isLost === this.isActive) this.changeSuspension(isLost);
+      if (this.isActive) this.voterMonitor.check();
+      // Entries that a recovery of the storage has synced, or that were answered while suspended.
       this.advanceCommitIndex();
       const checkedAt = clock.monotonic();
-      await replica.changed.waitFor(clock, heartbeatMs);
+      await (this.isActive ? replica.changed : this.work).waitFor(clock, heartbeatMs);
       const elapsedMs = clock.monotonic() - checkedAt;
       stallMs = Math.min(quorumWindowMs, Math.max(elapsedMs - heartbeatMs, stallMs - elapsedMs, 0));
     }
   }
 
+  private changeSuspension(isLost: boolean): void {
+    const { replica } = this.context;
+    if (isLost) replica.suspendLeadership('no answers of a quorum');
+    else replica.resumeLeadership();
+    if (isLost) this.refusePending();
+    this.work.notify();
+  }
+
+  private refusePending(): void {
+    this.pendingBytes = 0;
+    for (const proposal of this.pending.splice(0)) proposal.settle(notWritten('no longer the leader'));
+  }
+
   /** Runs one replication task for each other member of the configuration. */
   private async replicateToMembers(): Promise<void> {
     const { replica } = this.context;
-    while (this.isActive) {
+    while (this.isOpen) {
       const members = replica.others;
       const ids = new Set(members.map(({ replicaId }) => replicaId));
       for (const member of members) this.startReplication(member);
--- a/packages/coordination/src/agreement/reconfiguration.ts
+++ b/packages/coordination/src/agreement/reconfiguration.ts
@@ -53,7 +53,7 @@
   async run(leadership: Leadership): Promise<void> {
     const { replica } = this;
     const { clock, tuning, membershipSignal } = replica;
-    while (leadership.isActive) {
+    while (leadership.isOpen) {
       // Starts waiting before the step, so that a signal during the step is not missed.
       const change = membershipSignal.waitFor(clock, tuning.reconfigureMs);
       const hasStepped = this.canStep(leadership) && (await this.takeStep(leadership));
@@ -65,7 +65,7 @@
   /** Waits until the last step is committed or the term ends. */
   private async waitUntilCommitted(leadership: Leadership): Promise<void> {
     const { replica } = this;
-    while (leadership.isActive && !this.canStep(leadership)) {
+    while (leadership.isOpen && !this.canStep(leadership)) {
       await replica.changed.waitFor(replica.clock, replica.tuning.reconfigureMs);
     }
   }
@@ -76,7 +76,7 @@
    */
   private canStep(leadership: Leadership): boolean {
     const { index } = this.replica.entries.configuration();
-    return leadership.hasCommittedInTerm && index <= this.replica.commitIndex;
+    return leadership.isActive && leadership.hasCommittedInTerm && index <= this.replica.commitIndex;
   }
 
   /** Takes the next step. @returns whether a configuration was appended. */
--- a/packages/coordination/src/agreement/replica.ts
+++ b/packages/coordination/src/agreement/replica.ts
@@ -20,8 +20,8 @@
 import { Mutex, Signal } from './signal.js';
 import { StorageHealth } from './storageHealth.js';
 
-/** Role of a replica in its current term. */
-export type Role = 'follower' | 'candidate' | 'leader';
+/** Role of a replica in its current term; `suspended`: its leader, while no quorum answers it. */
+export type Role = 'follower' | 'candidate' | 'leader' | 'suspended';
 
 /** Dependencies and recovered state of a replica. */
 export interface ReplicaOptions {
@@ -174,15 +174,33 @@
 
   /** Steps down as leader or candidate. */
   becomeFollower(reason: string): void {
-    if (this.role === 'leader') {
-      this.log.event(coordinationEvents.steppedDown, { term: this.term.toString(), reason });
-      this.leader = undefined;
-      this.resetElectionTimer();
-    }
+    if (this.role === 'leader') this.stopLeading(reason);
+    if (this.role === 'suspended') this.resetElectionTimer();
     this.role = 'follower';
     this.changed.notify();
   }
 
+  /** Stops leading without giving up the term, in which nobody else can lead. */
+  suspendLeadership(reason: string): void {
+    this.stopLeading(reason);
+    this.role = 'suspended';
+    this.changed.notify();
+  }
+
+  /** Leads again in the same term. */
+  resumeLeadership(): void {
+    this.log.event(coordinationEvents.leadingAgain, { term: this.term.toString() });
+    this.role = 'leader';
+    this.leader = this.name;
+    this.changed.notify();
+  }
+
+  private stopLeading(reason: string): void {
+    this.log.event(coordinationEvents.steppedDown, { term: this.term.toString(), reason });
+    this.leader = undefined;
+    this.resetElectionTimer();
+  }
+
   /** Persists that this replica belongs to a cluster. Call within `exclusive`. */
   async adoptCluster(clusterId: string): Promise<Result<void, Fault>> {
     if (this.state.clusterId === clusterId) return ok();
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -288,7 +288,8 @@
     if (configuration === undefined) return 'joining';
     const isLearner = configuration.learners.some(({ replicaId }) => replicaId === replica.id);
     if (isLearner) return 'learner';
-    return replica.isVoter || replica.role === 'leader' ? replica.role : 'removed';
+    if (!replica.isVoter && replica.role !== 'leader') return 'removed';
+    return replica.role === 'suspended' ? 'follower' : replica.role;
   }
 
   private report(): Report {
--- a/packages/coordination/src/agreement/replication.ts
+++ b/packages/coordination/src/agreement/replication.ts
@@ -22,7 +22,7 @@
 /** Sends entries, heartbeats and snapshots to a replica until the term or its membership ends. */
 export async function replicate(leadership: Leadership, progress: Progress): Promise<void> {
   const { replica, startTask } = leadership.context;
-  while (leadership.isActive && progress.isMember) {
+  while (leadership.isOpen && progress.isMember) {
     if (progress.next <= replica.entries.start.index) {
       await sendSnapshot(leadership, progress);
       continue;
@@ -95,6 +95,7 @@
     commitIndex: replica.commitIndex,
     replicaId: progress.voter.replicaId,
     yields: replica.isResting,
+    suspended: replica.role === 'suspended',
   });
 }
 
@@ -187,7 +188,7 @@
   const { replica } = leadership.context;
   const snapshot = leadership.context.snapshot();
   for (let offset = 0; offset === 0 || offset < snapshot.data.length; offset += replica.tuning.pieceBytes) {
-    if (!leadership.isActive || !progress.isMember) return;
+    if (!leadership.isOpen || !progress.isMember) return;
     const isAccepted = await sendPiece(leadership, progress, snapshot, offset);
     if (!isAccepted) {
       await leadership.work.waitFor(replica.clock, replica.tuning.heartbeatMs);
@@ -225,6 +226,7 @@
     data,
     done: offset + data.length >= snapshot.data.length,
     replicaId: progress.voter.replicaId,
+    suspended: replica.role === 'suspended',
   });
   const sentAt = replica.clock.monotonic();
   progress.sentAt = sentAt;
--- a/packages/coordination/src/agreement/safety.spec.ts
+++ b/packages/coordination/src/agreement/safety.spec.ts
@@ -24,6 +24,15 @@
   return node.replica.status();
 }
 
+/** Sends a message of a higher term. */
+function depose(node: Node): void {
+  const { configuration, replicaId, term } = statusOf(node);
+  const client = createClient(Agreement, cluster.network.connect('test', node.address.address));
+  const { clusterId = '' } = configuration ?? {};
+  const message = { clusterId, replicaId, leader: 'unknown', term: term + 5n, previousIndex: 1_000n };
+  void client.append(create(AppendRequestSchema, message));
+}
+
 const hang = (): Promise<void> => new Promise(() => undefined);
 
 describe('three replicas', () => {
@@ -160,9 +169,12 @@
     const before = statusOf(node);
     for (const stub of stubs) Object.assign(stub, { answers: false, syncedLimit: before.commitIndex });
     await cluster.clock.advance(2_000);
+    depose(node);
+    await cluster.clock.advance(100);
     expect(statusOf(node).state).not.toBe('leader');
     for (const stub of stubs) stub.answers = true;
     await cluster.until(() => statusOf(node).state === 'leader', 10_000);
+    expect(statusOf(node).term).toBeGreaterThan(before.term);
     new StubReplica('d', cluster.network);
     const desired = ['a', 'b', 'c', 'd'].map((name) => ({ name, address: name }));
     void node.replica?.changeReplicas(desired);
--- a/packages/coordination/src/agreement/status.ts
+++ b/packages/coordination/src/agreement/status.ts
@@ -3,8 +3,8 @@
 import type { Report } from './joining.js';
 import type { Role } from './replica.js';
 
-/** Role of a replica, or the reason why it has none. */
-export type ReplicaState = Role | 'joining' | 'learner' | 'removed';
+/** Role of a replica, or the reason why it has none; a suspended leader is a follower. */
+export type ReplicaState = Exclude<Role, 'suspended'> | 'joining' | 'learner' | 'removed';
 
 /** Status of a replica, from its own point of view. */
 export interface ReplicaStatus {
--- a/packages/coordination/src/events.ts
+++ b/packages/coordination/src/events.ts
@@ -45,5 +45,6 @@
     message: 'a call to the disk has returned that was given up as hanging',
   },
   startWaits: { id: 2032, level: 'warn', message: 'the start waits for a call to the disk' },
+  leadingAgain: { id: 2033, level: 'info', message: 'leads again in its term, as a quorum answers' },
   taskFailed: { id: 2016, level: 'error', message: 'a task of the replica failed' },
 });
