The outcome of a command whose write failed is told once the disk works again

Callers saw an unknown outcome after all disks stood still for 1.3 s, although the next command was accepted 90 ms later.

Cause: a write that is given up, or of which a part stays, may leave the command on the disk, so its outcome was told at once as unknown. The leader has it in no log and has sent it to nobody; its recovery in place removes it from the disk.

Change: such a command waits for the recovery. Then it has not run, and its proposer tries it again within its time. When the replica closes or the caller's time ends before, its outcome is unknown, as the next start may find it. The other commands in progress when a leader stops were followed by index and term already.

--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -245,7 +245,11 @@
       if (proposal !== undefined) waiters.add(index, this.term, proposal.settle);
     });
     if (appended.isOk()) return;
-    for (const proposal of batch) proposal.settle(err(appended.error));
+    const mayBeOnDisk = appended.error.ran !== 'not-run';
+    for (const { settle } of batch) {
+      if (mayBeOnDisk) waiters.addUnwritten(settle);
+      else settle(err(appended.error));
+    }
   }
 
   /**
--- a/packages/coordination/src/agreement/proposal.ts
+++ b/packages/coordination/src/agreement/proposal.ts
@@ -29,6 +29,8 @@
 /** Proposers that wait for commands in the log, by index. */
 export class Waiters {
   private readonly waiting = new Map<bigint, Waiter>();
+  /** Proposers of commands that may be on this replica's disk, but in no log. */
+  private unwritten: Proposal['settle'][] = [];
 
   add(index: bigint, term: bigint, settle: (outcome: Outcome) => void): void {
     this.waiting.set(index, { term, settle });
@@ -55,8 +57,25 @@
     }
   }
 
+  /**
+   * Waits for a command whose write failed, of which a part may have stayed on the disk. It was sent to no other replica, so its
+   * outcome is decided here.
+   */
+  addUnwritten(settle: Proposal['settle']): void {
+    this.unwritten.push(settle);
+  }
+
+  /** Settles these commands once the disk holds the log and nothing else. */
+  storageRecovered(): void {
+    const settles = this.unwritten;
+    this.unwritten = [];
+    for (const settle of settles) settle(notWritten('the command was removed from the disk'));
+  }
+
   /** Settles all commands when the replica closes. */
   close(): void {
+    for (const settle of this.unwritten) settle(unknownOutcome('the replica was closed'));
+    this.unwritten = [];
     for (const waiter of this.waiting.values()) waiter.settle(unknownOutcome('the replica was closed'));
     this.waiting.clear();
   }
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -93,7 +93,7 @@
       this.applier.restore(snapshot);
     };
     this.follower = new Follower(replica, restore);
-    this.storageRecovery = new StorageRecovery(replica, restore);
+    this.storageRecovery = new StorageRecovery(replica, restore, this.waiters);
     this.election = new Election(replica, this.peers, (term) => this.becomeLeader(term));
     this.joining = new Joining(replica, this.peers, options.initialReplicas, () => this.report());
     this.reconfiguration = new Reconfiguration(replica, this.joining);
--- a/packages/coordination/src/agreement/storageRecovery.ts
+++ b/packages/coordination/src/agreement/storageRecovery.ts
@@ -1,6 +1,7 @@
 /** Tries again and again to make the failing storage of a replica work. */
 import { CORRUPT } from '../storage/index.js';
 import type { Snapshot } from '../storage/index.js';
+import type { Waiters } from './proposal.js';
 import type { Replica } from './replica.js';
 
 /** Recovers the storage of one replica. */
@@ -11,6 +12,7 @@
   constructor(
     private readonly replica: Replica,
     private readonly restore: (snapshot: Snapshot) => void,
+    private readonly waiters: Waiters,
   ) {
     this.pauseMs = replica.tuning.storageRetryMs;
   }
@@ -55,6 +57,7 @@
     if (recovered.isOk()) {
       this.recoveredAt = replica.clock.monotonic();
       if (recovered.value !== undefined) this.restore(recovered.value);
+      this.waiters.storageRecovered();
       return;
     }
     if (recovered.error.code === CORRUPT) throw new Error(recovered.error.message);
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -938,6 +938,14 @@
     spec: 'packages/coordination/src/agreement/slowAnswers.spec.ts',
     test: 'a slow replica is reached',
   },
+  {
+    name: 'commands whose write failed wait for the recovery of the disk',
+    file: 'packages/coordination/src/agreement/leadership.ts',
+    find: '      if (mayBeOnDisk) waiters.addUnwritten(settle);',
+    put: '      if (mayBeOnDisk) settle(err(appended.error));',
+    spec: 'packages/coordination/src/agreement/failedWrite.spec.ts',
+    test: 'a command runs once',
+  },
   {
     name: 'a leader with a failing disk that hands over',
     file: 'packages/coordination/src/agreement/replication.ts',
