A planned stop ends no connection as idle on which a request came while the process stood still

What callers saw: requests on new connections that were closed without an answer, not run, in planned stops at high loads. The soak plan stops showed such ones; this way was found by reading, and none of them was traced to it.

Cause: a stop reads what has arrived and then ends connections without activity for 1 s (100 ms at control instances). It took the time after the reading. Where the process stood still in between, a connection that was open for 50 ms counted as idle for the length of the stall, and what came on it meanwhile was not read.

Change: the time is taken before the reading, so that a stall behind it does not count.

--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -166,13 +166,15 @@
     this.giveUpInput();
   }
 
-  /** Time without any activity, as far as it was observed by calls of this method, milliseconds. */
-  idleMs(): number {
+  /**
+   * Time without any activity, as far as it was observed by calls of this method, milliseconds.
+   * @param readAfter monotonic time after which what had arrived was read: a process may stand still behind that.
+   */
+  idleMs(readAfter: number): number {
     const { bytesRead } = this.socket;
-    const now = this.clock.monotonic();
-    if (this.answers.size > 0 || bytesRead !== this.bytesSeen) this.activeAt = now;
+    if (this.answers.size > 0 || bytesRead !== this.bytesSeen) this.activeAt = this.clock.monotonic();
     this.bytesSeen = bytesRead;
-    return now - this.activeAt;
+    return readAfter - this.activeAt;
   }
 
   /**
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -189,15 +189,16 @@
   private async closeIdleConnections(): Promise<void> {
     while (!this.closed) {
       // A request that has arrived is read first: closing its connection would break it.
+      const readAfter = this.clock.monotonic();
       await setImmediate();
-      this.closeIdle();
+      this.closeIdle(readAfter);
       await this.clock.sleep(DRAIN_POLL_MS);
     }
   }
 
-  private closeIdle(): void {
+  private closeIdle(readAfter: number): void {
     for (const connection of this.openConnections.values()) {
-      if (connection.idleMs() >= DRAIN_IDLE_MS) connection.end('idle', false);
+      if (connection.idleMs(readAfter) >= DRAIN_IDLE_MS) connection.end('idle', false);
     }
   }
 
--- a/packages/entry/src/testing/callerServer.ts
+++ b/packages/entry/src/testing/callerServer.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { StallWatch, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
+import type { Clock } from '@jasmineroute/core';
 import { CallerServer } from '../http/server.js';
 import type { CallerServerSettings } from '../http/server.js';
 
@@ -31,7 +32,11 @@
   readonly server: CallerServer;
   private address = '';
 
-  constructor(listener: TestListener, settings: Partial<CallerServerSettings> = {}) {
+  constructor(
+    listener: TestListener,
+    settings: Partial<CallerServerSettings> = {},
+    clock: Clock = systemClock,
+  ) {
     const log = {
       ...silentLog,
       event: ({ id }: { readonly id: number }, fields: object = {}) => {
@@ -45,8 +50,8 @@
         await listener(incoming, outgoing);
       },
       { ...DEFAULTS, ...settings },
-      systemClock,
-      new StallWatch(systemClock),
+      clock,
+      new StallWatch(clock),
       log,
       silentMetrics,
     );
@@ -55,8 +60,9 @@
   static async start(
     listener: TestListener,
     settings: Partial<CallerServerSettings> = {},
+    clock: Clock = systemClock,
   ): Promise<TestServer> {
-    const test = new TestServer(listener, settings);
+    const test = new TestServer(listener, settings, clock);
     test.address = await test.server.listen();
     return test;
   }
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -656,6 +656,14 @@
     spec: 'packages/entry/src/http/waiting.spec.ts',
     test: 'are bounded on all connections together',
   },
+  {
+    name: 'idle connections of a stop: no end behind a stall',
+    file: 'packages/entry/src/http/callerConnection.ts',
+    find: '    return readAfter - this.activeAt;',
+    put: '    return Math.max(readAfter, this.clock.monotonic()) - this.activeAt;',
+    spec: 'packages/entry/src/http/idleStall.spec.ts',
+    test: 'is not ended as idle',
+  },
   {
     name: 'turns of requests: time of an entry from the arrival',
     file: 'packages/entry/src/http/requestHandler.ts',
