Lookups of origins and versions count no stalls of their own process

Callers saw: a stream that was taken up at an entry which stood still for more than 250 ms just then could be refused as unanswered although all control instances had answered.

Cause: the timeout of the calls ran on in the stall, and timers run before what has arrived is read; lookups end 500 ms after their beginning.

Change: both calls end after 250 ms in which the process ran (`callWithin.ts`); at most twice that.

The lookup of versions has the same call and no test of its own.

--- a/packages/relay/src/origin/originLookup.ts
+++ b/packages/relay/src/origin/originLookup.ts
@@ -4,6 +4,7 @@
 import { controlMessage } from '@jasmineroute/protocol';
 import type { Peers } from '@jasmineroute/protocol';
 import { relayEvents } from '../events.js';
+import { callWithin } from './callWithin.js';
 
 /** Time for which lookups are gathered into one call, milliseconds: after the loss of an entry many come at once. */
 const GATHER_MS = 2;
@@ -61,11 +62,12 @@
 
   /** Calls one instance. @returns whether it answered. */
   private async call(control: string, lookups: readonly Lookup[]): Promise<boolean> {
-    const { peers, log } = this.parts;
+    const { peers, clock, log } = this.parts;
     const client = createClient(controlMessage.Configurations, peers.transport(control));
     try {
       const request = { streams: lookups.map(({ stream }) => stream) };
-      const { origins } = await client.findOrigins(request, { timeoutMs: CALL_TIMEOUT_MS });
+      const ask = (options: { signal: AbortSignal }) => client.findOrigins(request, options);
+      const { origins } = await callWithin(clock, CALL_TIMEOUT_MS, ask);
       for (const origin of origins) settle(lookups, origin);
       return true;
     } catch (error) {
--- a/packages/relay/src/origin/streamOrigins.spec.ts
+++ b/packages/relay/src/origin/streamOrigins.spec.ts
@@ -7,6 +7,9 @@
 import { until } from '../testing/bed.js';
 import { StreamOrigins } from './streamOrigins.js';
 
+/** Longer than a lookup may take. */
+const STALL_MS = 600;
+
 /** A control instance that keeps what it is told. */
 interface ControlStandIn {
   readonly server: RpcServer;
@@ -15,11 +18,19 @@
   lookups: number;
   /** Whether it leaves lookups unanswered. */
   isSilent: boolean;
+  /** Time for which the process stands still at the next lookup, milliseconds. */
+  stallMs: number;
+}
+
+/** Blocks the event loop. */
+function standStill(ms: number): void {
+  const end = systemClock.monotonic() + ms;
+  while (systemClock.monotonic() < end);
 }
 
 async function startControl(): Promise<ControlStandIn> {
   const origins: controlMessage.StreamOrigin[] = [];
-  const state = { lookups: 0, isSilent: false };
+  const state = { lookups: 0, isSilent: false, stallMs: 0 };
   const server = await listen('127.0.0.1', 0, (router) => {
     router.service(controlMessage.Configurations, {
       report: reportTaker((report) => {
@@ -27,6 +38,8 @@
       }),
       findOrigins: async ({ streams }, { signal }) => {
         state.lookups += 1;
+        standStill(state.stallMs);
+        state.stallMs = 0;
         if (state.isSilent) await systemClock.sleep(60_000, signal).catch(() => undefined);
         const known = origins.filter(({ stream }) =>
           streams.some((one) => Buffer.compare(one, stream) === 0),
@@ -115,6 +128,17 @@
     expect(controls.map(({ lookups }) => lookups)).toEqual([1, 1, 1]);
   });
 
+  // Guards against streams that can't go on as a timer runs before the answers that have arrived.
+  it('are found although the process stands still while it waits for the answers', async () => {
+    begin(startOrigins(), 'q1');
+    await until(() => holders(1) === 2);
+    for (const control of controls) control.stallMs = STALL_MS;
+    expect(await find(startOrigins(), 'q1')).toMatchObject({
+      by: 'lookup',
+      origin: { softwareVersion: 'v1' },
+    });
+  });
+
   // Guards against a caller that waits although nobody can know its stream.
   it('are unknown at once when all control instances answer that they do not know the stream', async () => {
     expect(await find(startOrigins(), 'q9')).toEqual({ by: 'unknown' });
--- a/packages/relay/src/origin/versionLookup.ts
+++ b/packages/relay/src/origin/versionLookup.ts
@@ -2,6 +2,7 @@
 import { createClient } from '@connectrpc/connect';
 import { controlMessage } from '@jasmineroute/protocol';
 import { relayEvents } from '../events.js';
+import { callWithin } from './callWithin.js';
 import type { OriginLookupParts } from './originLookup.js';
 
 /** Time for which lookups are gathered into one call, milliseconds. */
@@ -74,10 +75,13 @@
   }
 
   private async call(control: string, service: string, withinMs: number): Promise<Answer> {
-    const { peers, log } = this.parts;
+    const { peers, clock, log } = this.parts;
     const client = createClient(controlMessage.Configurations, peers.transport(control));
     try {
-      return await client.listSoftwareVersions({ service, withinMs }, { timeoutMs: CALL_TIMEOUT_MS });
+      const request = { service, withinMs };
+      return await callWithin(clock, CALL_TIMEOUT_MS, (options) =>
+        client.listSoftwareVersions(request, options),
+      );
     } catch (error) {
       log.event(relayEvents.originsUnanswered, { control, service, problem: String(error) });
       return undefined;
