The test of a lookup waits until the silent instance has read its call

Cause, as injected: the answer waits for nobody, so it may come before the instance that stays silent, to which no connection existed, has read its call; the test counted the calls at that moment.

Change: the test waits until each instance has one, and then expects exactly one at each, as before; so a second call that comes meanwhile is noticed too.

--- a/packages/relay/src/origin/streamOrigins.spec.ts
+++ b/packages/relay/src/origin/streamOrigins.spec.ts
@@ -125,6 +125,8 @@
       by: 'lookup',
       origin: { softwareVersion: 'v1' },
     });
+    // The answer waits for nobody, so the silent one may not have read its call yet.
+    await until(() => controls.every(({ lookups }) => lookups > 0));
     expect(controls.map(({ lookups }) => lookups)).toEqual([1, 1, 1]);
   });
 
