Requests that wait hold no more than their bounds, and give back what they reserved

Callers saw: one of them with 16 requests and a long body behind a held answer filled the entry's memory (200 MB within 0.5 s, older than reading ahead); and a body that never came whole kept a part of the common bound for as long as the answer in front lasted, so that bodies of others were refused. Cause: Node starts to read again after a pause that is still in force, where another pause does nothing; and a request that was given up without a pause was not taken out. Change: the pause is announced again, and what waits is always given back.

--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -146,7 +146,8 @@
    */
   giveUpInput(): void {
     this.hasGivenUpInput = true;
-    if (this.cancelPause !== undefined) this.unread = this.waiting.giveUpLast();
+    const givenUp = this.waiting.giveUpLast();
+    if (this.cancelPause !== undefined) this.unread = givenUp;
     this.endPause();
     this.announceEnd();
     this.discardInput();
@@ -244,7 +245,9 @@
   private limitWaiting(): void {
     if (this.isEnding || this.hasGivenUpInput || !this.waiting.isFull()) return;
     if (this.cancelPause === undefined) this.startPause();
-    this.socket.pause();
+    // Node may start to read again after a pause that is still in force, and another call of `pause` would do nothing.
+    if (this.socket.isPaused()) this.socket.emit('pause');
+    else this.socket.pause();
   }
 
   private startPause(): void {
