A disk that is known to hang leaves other calls no time for what it holds back

Found by the reviewer, shown by hangForOthers.spec.ts, which failed before: after a sync of 20 MB of the log counted as hanging, a call of the records had 21 s again, as the bytes that are not durable lengthen the limit of each call. They count no more while a call to the disk hangs. All of the storage folder passes.

--- a/packages/coordination/src/storage/boundedDisk.ts
+++ b/packages/coordination/src/storage/boundedDisk.ts
@@ -142,7 +142,8 @@
     const threadFree = disk.threadFree?.();
     const running = action(disk);
     // Not of what is written later: a disk that hangs would be noticed the later the more it is given.
-    const unsyncedMs = this.use.unsyncedBytes / LEAST_BYTES_PER_MS;
+    // Nor what is held back by a disk that is known to hang.
+    const unsyncedMs = this.use.overdueCalls > 0 ? 0 : this.use.unsyncedBytes / LEAST_BYTES_PER_MS;
     const after = (expire: () => void): Cancellation =>
       this.afterLimit(limitMs + unsyncedMs, threadFree, expire);
     return this.inTime(name, running, after, handleLate);
@@ -232,6 +233,7 @@
 
   private countOverdue(change: number): void {
     this.overdueCalls += change;
+    this.use.overdueCalls += change;
     this.options.metrics.gauge(coordinationMetrics.overdueDiskCalls, this.overdueCalls);
   }
 }
--- a/packages/coordination/src/storage/diskUse.ts
+++ b/packages/coordination/src/storage/diskUse.ts
@@ -5,6 +5,8 @@
 export class DiskUse {
   /** Bytes that are written to any file and not durable yet. */
   unsyncedBytes = 0;
+  /** Calls that count as hanging. */
+  overdueCalls = 0;
   /** Begins the limits of calls that may wait for a thread. */
   readonly waiting = new Set<() => void>();
 
