The wait for acceptance is that of the connection in use, and ends with its cause

By reading: those who drop a connection took one that is kept for a closed one, and a ping on a session that was destroyed would throw. Change: all sockets to an address are watched until they are closed, an answer on any ends the long wait, and callers heed what drop tells.

--- a/packages/directory/src/call/controlClient.ts
+++ b/packages/directory/src/call/controlClient.ts
@@ -115,8 +115,7 @@
   }
 
   private dropConnection(address: string): void {
-    this.options.peers.drop(address);
-    this.addresses.recordDisconnect(address);
+    if (this.options.peers.drop(address)) this.addresses.recordDisconnect(address);
   }
 }
 
--- a/packages/directory/src/client/heartbeatTask.ts
+++ b/packages/directory/src/client/heartbeatTask.ts
@@ -150,8 +150,7 @@
     addresses.recordFailure(address);
     // A connection on which no call is answered may be dead without an error; the next heartbeat opens a new one.
     if (addresses.unansweredMs(address) <= timing.silenceMs) return;
-    peers.drop(address);
-    addresses.recordDisconnect(address);
+    if (peers.drop(address)) addresses.recordDisconnect(address);
   }
 
   /**
--- a/packages/directory/src/client/watchTask.ts
+++ b/packages/directory/src/client/watchTask.ts
@@ -93,8 +93,7 @@
   }
 
   private dropConnection(address: string): void {
-    this.context.peers.drop(address);
-    this.context.addresses.recordDisconnect(address);
+    if (this.context.peers.drop(address)) this.context.addresses.recordDisconnect(address);
   }
 
   /** Waits before the next watch; the backoff starts over after a watch that was in touch with a quorum. */
--- a/packages/entry/src/gate/client.ts
+++ b/packages/entry/src/gate/client.ts
@@ -82,8 +82,7 @@
    */
   drop(address: string, connection: Transport): boolean {
     if (this.peers.transport(address) !== connection) return false;
-    this.peers.drop(address);
-    return true;
+    return this.peers.drop(address);
   }
 
   /**
--- a/packages/protocol/src/transport/acceptance.ts
+++ b/packages/protocol/src/transport/acceptance.ts
@@ -22,35 +22,49 @@
  * and may never have its turn. Each connection that was given up unanswered doubles the wait of the next one.
  */
 export class Acceptance {
-  private opened: Opened | undefined;
+  /** Sockets to the address that are not closed. The library may begin a second one beside the one in use, and abort it. */
+  private opened: Opened[] = [];
   private waitMs = MIN_ACCEPTANCE_MS;
 
   constructor(private readonly clock: Clock) {}
 
   /** Takes a new socket to the address. */
   watch(socket: Socket): void {
+    this.forgetClosed();
     const opened: Opened = { socket, connectedAt: Infinity };
-    this.opened = opened;
+    this.opened.push(opened);
     socket.once('connect', () => {
       opened.connectedAt = this.clock.monotonic();
     });
+    socket.once('close', () => {
+      this.forgetClosed();
+    });
   }
 
   /** Whether the current connection should be kept, as it may be accepted soon. */
   isPending(): boolean {
-    if (this.opened === undefined) return false;
-    const { socket, connectedAt } = this.opened;
-    if (socket.destroyed || socket.bytesRead > 0) return false;
-    const waitedMs = this.clock.monotonic() - connectedAt;
-    return waitedMs >= 0 && waitedMs < this.waitMs;
+    const now = this.clock.monotonic();
+    return this.opened.some(({ socket, connectedAt }) => {
+      const waitedMs = now - connectedAt;
+      return !socket.destroyed && socket.bytesRead === 0 && waitedMs >= 0 && waitedMs < this.waitMs;
+    });
   }
 
   /** The current connection is given up. */
   giveUp(): void {
-    if (this.opened === undefined) return;
-    const { socket, connectedAt } = this.opened;
-    this.opened = undefined;
-    const isUnanswered = connectedAt < Infinity && socket.bytesRead === 0;
-    this.waitMs = isUnanswered ? Math.min(MAX_ACCEPTANCE_MS, this.waitMs * 2) : MIN_ACCEPTANCE_MS;
+    const isUnanswered = this.opened.some(({ connectedAt }) => connectedAt < Infinity);
+    this.waitMs = isUnanswered ? Math.min(MAX_ACCEPTANCE_MS, this.waitMs * 2) : this.waitMs;
+    this.endWaits(this.opened);
+    this.opened = [];
+  }
+
+  private forgetClosed(): void {
+    this.endWaits(this.opened);
+    this.opened = this.opened.filter(({ socket }) => !socket.destroyed);
+  }
+
+  /** The next connection waits for the shortest time again once one has been answered. */
+  private endWaits(opened: readonly Opened[]): void {
+    if (opened.some(({ socket }) => socket.bytesRead > 0)) this.waitMs = MIN_ACCEPTANCE_MS;
   }
 }
--- a/packages/protocol/src/transport/sessionManager.ts
+++ b/packages/protocol/src/transport/sessionManager.ts
@@ -86,6 +86,7 @@
     manager.options.pingTimeoutMs = Math.max(pingTimeoutMs, MAX_ACCEPTANCE_MS);
     const { conn } = state;
     conn.once('remoteSettings', () => {
+      if (conn.destroyed) return;
       // The library compares the time of each ping with the limit when it is answered; those sent before are answered first.
       conn.ping(() => {
         manager.options.pingTimeoutMs = pingTimeoutMs;
