Calls that time out together count as one timeout

Found by the reviewer by reading: a connection that is kept has several calls under way, each of which would double the next timeout. A call that began before the last recorded timeout counts no more. No test of its own; slowAnswers and the specs of calls pass.

--- a/packages/coordination/src/agreement/peerClient.ts
+++ b/packages/coordination/src/agreement/peerClient.ts
@@ -50,6 +50,8 @@
 export class PeerClient {
   private readonly clients = new WeakMap<Transport, AgreementClient>();
   private readonly responseTimeouts: ResponseTimeouts;
+  /** Monotonic times of the last recorded timeouts, by address. */
+  private readonly timedOutAt = new Map<string, number>();
 
   constructor(private readonly options: PeerClientOptions) {
     this.responseTimeouts = new ResponseTimeouts(options.timeoutBounds);
@@ -88,7 +90,7 @@
       const isTimedOut = controller.signal.aborted && timeoutMs === undefined;
       // Another call may have replaced the connection already; the new one must not be dropped.
       if (isTimedOut && this.options.connect(address) === transport)
-        this.dropConnection(address, transport, callTimeoutMs);
+        this.dropConnection(address, transport, { startedAt, timeoutMs: callTimeoutMs });
       return err(callFault(address, error));
     } finally {
       cancel();
@@ -113,13 +115,24 @@
   }
 
   /** A connection that waits to be accepted may be kept. */
-  private dropConnection(address: string, transport: Transport, timeoutMs: number): void {
-    this.responseTimeouts.recordTimeout(address);
+  private dropConnection(
+    address: string,
+    transport: Transport,
+    { startedAt, timeoutMs }: { readonly startedAt: number; readonly timeoutMs: number },
+  ): void {
+    this.recordTimeout(address, startedAt);
     this.options.drop(address);
     if (this.options.connect(address) === transport) return;
     this.options.log.event(coordinationEvents.connectionDropped, { address, timeoutMs });
     this.options.metrics.count(coordinationMetrics.dropped);
   }
+
+  /** Calls that were under way together time out together, which counts once. */
+  private recordTimeout(address: string, startedAt: number): void {
+    if (startedAt < (this.timedOutAt.get(address) ?? -Infinity)) return;
+    this.timedOutAt.set(address, this.options.clock.monotonic());
+    this.responseTimeouts.recordTimeout(address);
+  }
 }
 
 function callFault(address: string, error: unknown): Fault {
