--- a/packages/control/src/follow/voterRequests.spec.ts
+++ b/packages/control/src/follow/voterRequests.spec.ts
@@ -25,9 +25,8 @@
   /** Error code of instances without an entry. */
   code = Code.Unavailable;
 
-  override drop(address: string): boolean {
+  override drop(address: string): void {
     this.dropped.push(address);
-    return true;
   }
 
   override transport(address: string): Transport {
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -100,7 +100,7 @@
   readonly initialReplicas: readonly ReplicaAddress[];
   /** Returns the transport to host:port. Called for each request. */
   readonly connect: (address: string) => Transport;
-  /** Closes the connection to host:port, so that the next `connect` returns a new one; may keep one that waits to be accepted. */
+  /** Closes the connection to host:port; the next `connect` returns a new one. */
   readonly drop: (address: string) => void;
   readonly clock: Clock;
   readonly log: Log;
--- a/packages/coordination/src/agreement/peerClient.ts
+++ b/packages/coordination/src/agreement/peerClient.ts
@@ -90,7 +90,7 @@
       const isTimedOut = controller.signal.aborted && timeoutMs === undefined;
       // Another call may have replaced the connection already; the new one must not be dropped.
       if (isTimedOut && this.options.connect(address) === transport)
-        this.dropConnection(address, transport, { startedAt, timeoutMs: callTimeoutMs });
+        this.dropConnection(address, { startedAt, timeoutMs: callTimeoutMs });
       return err(callFault(address, error));
     } finally {
       cancel();
@@ -114,15 +114,12 @@
     return client;
   }
 
-  /** A connection that waits to be accepted may be kept. */
   private dropConnection(
     address: string,
-    transport: Transport,
     { startedAt, timeoutMs }: { readonly startedAt: number; readonly timeoutMs: number },
   ): void {
     this.recordTimeout(address, startedAt);
     this.options.drop(address);
-    if (this.options.connect(address) === transport) return;
     this.options.log.event(coordinationEvents.connectionDropped, { address, timeoutMs });
     this.options.metrics.count(coordinationMetrics.dropped);
   }
--- a/packages/directory/src/call/controlClient.ts
+++ b/packages/directory/src/call/controlClient.ts
@@ -115,7 +115,8 @@
   }
 
   private dropConnection(address: string): void {
-    if (this.options.peers.drop(address)) this.addresses.recordDisconnect(address);
+    this.options.peers.drop(address);
+    this.addresses.recordDisconnect(address);
   }
 }
 
--- a/packages/directory/src/client/heartbeatTask.ts
+++ b/packages/directory/src/client/heartbeatTask.ts
@@ -150,7 +150,8 @@
     addresses.recordFailure(address);
     // A connection on which no call is answered may be dead without an error; the next heartbeat opens a new one.
     if (addresses.unansweredMs(address) <= timing.silenceMs) return;
-    if (peers.drop(address)) addresses.recordDisconnect(address);
+    peers.drop(address);
+    addresses.recordDisconnect(address);
   }
 
   /**
--- a/packages/directory/src/client/watchTask.ts
+++ b/packages/directory/src/client/watchTask.ts
@@ -93,7 +93,8 @@
   }
 
   private dropConnection(address: string): void {
-    if (this.context.peers.drop(address)) this.context.addresses.recordDisconnect(address);
+    this.context.peers.drop(address);
+    this.context.addresses.recordDisconnect(address);
   }
 
   /** Waits before the next watch; the backoff starts over after a watch that was in touch with a quorum. */
--- a/packages/entry/src/gate/client.ts
+++ b/packages/entry/src/gate/client.ts
@@ -82,7 +82,8 @@
    */
   drop(address: string, connection: Transport): boolean {
     if (this.peers.transport(address) !== connection) return false;
-    return this.peers.drop(address);
+    this.peers.drop(address);
+    return true;
   }
 
   /**
--- a/packages/protocol/src/transport/peers.ts
+++ b/packages/protocol/src/transport/peers.ts
@@ -4,9 +4,6 @@
 import tls from 'node:tls';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Transport } from '@connectrpc/connect';
-import { systemClock } from '@jasmineroute/core';
-import type { Clock } from '@jasmineroute/core';
-import { Acceptance } from './acceptance.js';
 import { sendLength } from './messageLength.js';
 import { SessionManager } from './sessionManager.js';
 import type { TlsStore } from './tls.js';
@@ -35,11 +32,6 @@
     calls: new Map(),
     agreement: new Map(),
   };
-  /** By lane and address; kept when a connection is replaced. */
-  private readonly acceptances: Readonly<Record<Lane, Map<string, Acceptance>>> = {
-    calls: new Map(),
-    agreement: new Map(),
-  };
 
   /**
    * @param tls key material; absent: plain text, for loopback.
@@ -48,7 +40,6 @@
   constructor(
     private readonly tls?: TlsStore,
     private readonly sourceAddress?: string,
-    private readonly clock: Clock = systemClock,
   ) {
     tls?.onReload(() => {
       this.replaceConnections();
@@ -59,52 +50,35 @@
   transport(address: string, lane: Lane = 'calls'): Transport {
     const known = this.lanes[lane].get(address);
     if (known !== undefined) return known.transport;
-    const peer = this.connect(address, this.acceptance(address, lane));
+    const peer = this.connect(address);
     this.lanes[lane].set(address, peer);
     return peer.transport;
   }
 
   /**
    * Closes the connection to an address; the next call opens a new one. For unresponsive connections: a device between
-   * the peers may lose its state of a connection, which is then never closed, while new ones work. A connection that waits to
-   * be accepted is kept for some time.
-   * @returns whether it was closed.
+   * the peers may lose its state of a connection, which is then never closed, while new ones work.
    */
-  drop(address: string, lane: Lane = 'calls'): boolean {
-    if (this.acceptance(address, lane).isPending()) return false;
-    return this.abort(address, lane);
+  drop(address: string, lane: Lane = 'calls'): void {
+    const peer = this.lanes[lane].get(address);
+    if (peer === undefined) return;
+    this.lanes[lane].delete(address);
+    peer.session.abort();
   }
 
   /** Closes all connections. */
   close(): void {
     for (const [lane, peers] of Object.entries(this.lanes)) {
-      for (const address of [...peers.keys()]) this.abort(address, lane as Lane);
+      for (const address of [...peers.keys()]) this.drop(address, lane as Lane);
     }
   }
 
-  private abort(address: string, lane: Lane): boolean {
-    const peer = this.lanes[lane].get(address);
-    if (peer === undefined) return false;
-    this.lanes[lane].delete(address);
-    this.acceptance(address, lane).giveUp();
-    peer.session.abort();
-    return true;
-  }
-
-  private acceptance(address: string, lane: Lane): Acceptance {
-    const known = this.acceptances[lane].get(address);
-    if (known !== undefined) return known;
-    const acceptance = new Acceptance(this.clock);
-    this.acceptances[lane].set(address, acceptance);
-    return acceptance;
-  }
-
   /** New calls open new connections; calls in progress finish on the old ones. */
   private replaceConnections(): void {
     for (const peers of Object.values(this.lanes)) peers.clear();
   }
 
-  private connect(address: string, acceptance: Acceptance): Peer {
+  private connect(address: string): Peer {
     const material = this.tls?.current();
     const baseUrl = `${material === undefined ? 'http' : 'https'}://${address}`;
     const session = new SessionManager(
@@ -115,7 +89,7 @@
         pingIdleConnection: false,
         idleConnectionTimeoutMs: 60_000,
       },
-      { createConnection: (to) => this.createSocket(to, acceptance) },
+      { createConnection: (to) => this.createSocket(to) },
     );
     const transport = createConnectTransport({
       baseUrl,
@@ -131,9 +105,8 @@
    * The error listener stays for the lifetime of the socket. A connection that is dropped while it is being established
    * can fail afterwards, when the session has removed its own listeners; Node would then end the process.
    */
-  private createSocket(to: URL, acceptance: Acceptance): Socket {
+  private createSocket(to: URL): Socket {
     const socket = this.connectSocket(to);
-    acceptance.watch(socket);
     socket.on('error', () => undefined);
     return socket;
   }
--- a/packages/protocol/src/transport/sessionManager.ts
+++ b/packages/protocol/src/transport/sessionManager.ts
@@ -2,7 +2,6 @@
 import type { ClientHttp2Session, ClientHttp2Stream } from 'node:http2';
 import { Code, ConnectError } from '@connectrpc/connect';
 import { Http2SessionManager } from '@connectrpc/connect-node';
-import { MAX_ACCEPTANCE_MS } from './acceptance.js';
 
 /** State of the library's manager while a connection is being established. */
 interface ConnectingState {
@@ -22,8 +21,6 @@
 /** Internal state of the library's manager. */
 interface ManagerInternals {
   readonly s: State;
-  /** Read by the library at each ping. */
-  readonly options: { pingTimeoutMs: number };
   setState(state: State): void;
 }
 
@@ -40,9 +37,7 @@
 export class SessionManager extends Http2SessionManager {
   constructor(...options: ConstructorParameters<typeof Http2SessionManager>) {
     super(...options);
-    const internals = this as unknown as ManagerInternals;
-    keepFirstConnection(internals);
-    awaitAcceptance(internals);
+    keepFirstConnection(this as unknown as ManagerInternals);
   }
 
   override async request(
@@ -73,28 +68,6 @@
   };
 }
 
-/**
- * Gives pings more time until the other process has accepted the connection, which its settings show: until then it answers
- * none, although it may be well.
- */
-function awaitAcceptance(manager: ManagerInternals): void {
-  const setState = manager.setState.bind(manager);
-  const { pingTimeoutMs } = manager.options;
-  manager.setState = (state) => {
-    setState(state);
-    if (state.t !== 'ready') return;
-    manager.options.pingTimeoutMs = Math.max(pingTimeoutMs, MAX_ACCEPTANCE_MS);
-    const { conn } = state;
-    conn.once('remoteSettings', () => {
-      if (conn.destroyed) return;
-      // The library compares the time of each ping with the limit when it is answered; those sent before are answered first.
-      conn.ping(() => {
-        manager.options.pingTimeoutMs = pingTimeoutMs;
-      });
-    });
-  };
-}
-
 function ignoreErrors(session: ClientHttp2Session | undefined): void {
   if (session === undefined || guardedSessions.has(session)) return;
   guardedSessions.add(session);
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -1178,20 +1178,4 @@
     spec: 'packages/coordination/src/agreement/quorumRead.spec.ts',
     test: 'no more often than every second heartbeat',
   },
-  {
-    name: 'connections that wait to be accepted',
-    file: 'packages/protocol/src/transport/peers.ts',
-    find: '    if (this.acceptance(address, lane).isPending()) return false;\n',
-    put: '',
-    spec: 'packages/protocol/src/transport/acceptance.spec.ts',
-    test: 'is kept until it is accepted',
-  },
-  {
-    name: 'pings on connections that wait to be accepted',
-    file: 'packages/protocol/src/transport/sessionManager.ts',
-    find: 'Math.max(pingTimeoutMs, MAX_ACCEPTANCE_MS)',
-    put: 'Math.min(pingTimeoutMs, MAX_ACCEPTANCE_MS)',
-    spec: 'packages/protocol/src/transport/acceptance.spec.ts',
-    test: 'is kept until it is accepted',
-  },
 ];
