Connections that wait to be accepted are counted and logged

Whether requests are read late because their connections wait could not be told from a log: a process logs stops of its event loop, and the runtime accepts one connection in each turn, so many short turns look well. No logic changes.

--- /dev/null
+++ b/packages/core/src/stall/acceptBacklog.ts
@@ -0,0 +1,53 @@
+/** Connections that wait at a listener. The runtime accepts one in each turn of the event loop, so others wait for theirs. */
+import type { Clock } from '../clock/index.js';
+
+/** Connections that one listener accepted in consecutive turns of the event loop. */
+export interface AcceptedSeries {
+  readonly listener: string;
+  readonly connections: number;
+  /** From the first one to the turn in which none was left, milliseconds. */
+  readonly ms: number;
+}
+
+const nextTurn = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+/**
+ * Tells whether connections may be waiting at a listener. A turn that accepts none has found none, so a connection that is
+ * accepted in a series of consecutive turns has waited no longer than since that series began.
+ */
+export class AcceptBacklog {
+  private startedAt: number | undefined;
+  private connections = 0;
+  private hasAccepted = false;
+
+  constructor(
+    private readonly listener: string,
+    private readonly clock: Clock,
+    private readonly onEnd: (series: AcceptedSeries) => void,
+  ) {}
+
+  /** Records an accepted connection. */
+  record(): void {
+    this.hasAccepted = true;
+    this.connections += 1;
+    if (this.startedAt !== undefined) return;
+    this.startedAt = this.clock.monotonic();
+    void this.watch(this.startedAt);
+  }
+
+  private async watch(startedAt: number): Promise<void> {
+    // The first wait ends in the turn of the accepted connection, each later one behind the poll of the next turn.
+    await nextTurn();
+    while (this.hasAccepted) {
+      this.hasAccepted = false;
+      await nextTurn();
+    }
+    const { listener, connections } = this;
+    this.startedAt = undefined;
+    this.connections = 0;
+    this.onEnd({ listener, connections, ms: this.clock.monotonic() - startedAt });
+  }
+}
--- a/packages/core/src/stall/index.ts
+++ b/packages/core/src/stall/index.ts
@@ -1,1 +1,2 @@
+export * from './acceptBacklog.js';
 export * from './stallWatch.js';
--- a/packages/core/src/stall/stallWatch.ts
+++ b/packages/core/src/stall/stallWatch.ts
@@ -1,5 +1,7 @@
 /** Detects stalls of a process's event loop, and when the input that arrived during a stall has been read. */
 import type { Clock } from '../clock/index.js';
+import { AcceptBacklog } from './acceptBacklog.js';
+import type { AcceptedSeries } from './acceptBacklog.js';
 
 /** Interval between two checks of the clock, milliseconds. */
 const CHECK_INTERVAL_MS = 100;
@@ -59,6 +61,7 @@
     private readonly clock: Clock,
     private readonly onStall: (stall: Stall) => void = () => undefined,
     private readonly processorMs: () => number = processorTimeMs,
+    private readonly onSeries: (series: AcceptedSeries) => void = () => undefined,
   ) {
     this.lastCheckAt = clock.monotonic();
     this.lastWallTime = clock.now().getTime();
@@ -94,6 +97,11 @@
     return this.current() === undefined ? this.clock.monotonic() : this.from;
   }
 
+  /** What waits at a listener of the process. Each connection that it accepts is to be recorded there. */
+  listener(name: string): AcceptBacklog {
+    return new AcceptBacklog(name, this.clock, this.onSeries);
+  }
+
   /** Records an accepted connection. The system hands over one in each turn, so after a stall more may be pending. */
   recordConnection(): void {
     this.turnsWithoutConnection = 0;
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -19,5 +19,10 @@
     level: 'warn',
     message: 'the event loop stood still, or the wall clock jumped by so much',
   },
+  acceptBacklog: {
+    id: 7011,
+    level: 'warn',
+    message: 'connections waited to be accepted, one in each turn of the event loop',
+  },
   memoryGrew: { id: 7008, level: 'info', message: 'the memory of the process has a new peak' },
 });
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -9,7 +9,7 @@
   startTracing,
   systemClock,
 } from '@jasmineroute/core';
-import type { Log, Metrics } from '@jasmineroute/core';
+import type { AcceptedSeries, Log, Metrics } from '@jasmineroute/core';
 import { Peers, listen } from '@jasmineroute/protocol';
 import type { Readiness, RoleContext, RpcServer, TlsStore } from '@jasmineroute/protocol';
 import { daemonEvents } from '../events.js';
@@ -28,6 +28,9 @@
 /** Longest wait for open calls between processes to close after the drain, milliseconds. */
 const LAST_BYTES_MS = 2_000;
 
+/** Time for which connections wait to be accepted from which on it is logged, milliseconds. */
+const LONG_BACKLOG_MS = 250;
+
 /** Longest planned stop after a task has failed, milliseconds: the drain may wait for what that task was to do. */
 const FAILED_STOP_MS = 30_000;
 
@@ -88,11 +91,26 @@
   return startTracing(settings.otlpUrl, `jasmineroute-${settings.role}`, settings.name);
 }
 
+function recordSeries(log: Log, metrics: Metrics, { listener, connections, ms }: AcceptedSeries): void {
+  if (connections < 2) return;
+  metrics.timing(daemonMetrics.acceptBacklog, ms, { listener });
+  metrics.count(daemonMetrics.acceptedInSeries, connections, { listener });
+  if (ms >= LONG_BACKLOG_MS)
+    log.event(daemonEvents.acceptBacklog, { listener, connections, ms: Math.round(ms) });
+}
+
 function watchStalls(log: Log, metrics: Metrics): StallWatch {
-  const stalls = new StallWatch(systemClock, ({ ms, usedMs }) => {
-    log.event(daemonEvents.stalled, { ms: Math.round(ms), usedMs: Math.round(usedMs) });
-    metrics.timing(daemonMetrics.stall, ms);
-  });
+  const stalls = new StallWatch(
+    systemClock,
+    ({ ms, usedMs }) => {
+      log.event(daemonEvents.stalled, { ms: Math.round(ms), usedMs: Math.round(usedMs) });
+      metrics.timing(daemonMetrics.stall, ms);
+    },
+    undefined,
+    (series) => {
+      recordSeries(log, metrics, series);
+    },
+  );
   stalls.start();
   return stalls;
 }
@@ -152,6 +170,7 @@
       role.routes(router);
     },
     plan.tls,
+    stalls.listener('rpc'),
   );
   await role.start(settings.advertise ?? rpc.address);
   starting.started(role);
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -28,6 +28,16 @@
     type: 'timing',
     help: 'Time for which the event loop stood still, milliseconds',
   },
+  acceptBacklog: {
+    name: 'process.accept.backlog',
+    type: 'timing',
+    help: 'Time for which connections were accepted in consecutive turns of the event loop, milliseconds, by listener',
+  },
+  acceptedInSeries: {
+    name: 'process.accept.series',
+    type: 'counter',
+    help: 'Connections that were accepted in consecutive turns of the event loop, two or more, by listener',
+  },
   compilersPeak: {
     name: 'process.memory.compilers.peak',
     type: 'gauge',
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -253,8 +253,10 @@
   }
 
   private watchConnections(): void {
+    const backlog = this.stalls.listener('callers');
     this.server.on('connection', (socket: Socket) => {
       this.stalls.recordConnection();
+      backlog.record();
       this.lastConnectionAt = this.clock.monotonic();
       this.accepted += 1;
       const connection = new CallerConnection(socket, this.clock, this.waitingBudget);
--- a/packages/protocol/src/transport/server.ts
+++ b/packages/protocol/src/transport/server.ts
@@ -4,6 +4,7 @@
 import { createSecureContext } from 'node:tls';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { ConnectRouter } from '@connectrpc/connect';
+import type { AcceptBacklog } from '@jasmineroute/core';
 import { requireFields } from '../check/index.js';
 import { requireLength } from './messageLength.js';
 import { MAX_MESSAGE_BYTES } from './peers.js';
@@ -52,6 +53,7 @@
   port: number,
   routes: (router: ConnectRouter) => void,
   tls?: TlsStore,
+  backlog?: AcceptBacklog,
 ): Promise<RpcServer> {
   const handler = connectNodeAdapter({
     routes,
@@ -63,6 +65,7 @@
     tls === undefined ? http2.createServer({ settings }, handler) : secureServer(tls, settings, handler);
   const sockets = new Set<Socket>();
   server.on('connection', (socket: Socket) => {
+    backlog?.record();
     sockets.add(socket);
     socket.on('close', () => sockets.delete(socket));
   });
