--- a/packages/coordination/src/testing/memoryNetwork.ts
+++ b/packages/coordination/src/testing/memoryNetwork.ts
@@ -43,6 +43,8 @@
   loss = 0;
   /** Longest one-way delay, in milliseconds; drawn for each message. */
   maxDelayMs = 10;
+  /** Further delay of a message, in milliseconds. */
+  extraDelayMs: (message: Message) => number = () => 0;
   /** Bandwidth of a connection in bytes per millisecond, shared by the requests on it. */
   bytesPerMs = Infinity;
   /** Selects the messages to hold back until they are released. */
@@ -183,7 +185,7 @@
   ): Promise<void> {
     const { from, to } = message;
     const isLost = connection?.isSilent === true || this.random() < this.loss;
-    if (!isLost) await this.clock.sleep(this.random() * this.maxDelayMs);
+    if (!isLost) await this.clock.sleep(this.random() * this.maxDelayMs + this.extraDelayMs(message));
     if (signal?.aborted === true || connection?.isDropped === true) throw aborted();
     if (isLost || this.cuts.has(linkOf(from, to))) await untilAborted(never(), connection, signal);
     if (this.isHeld(message)) await untilAborted(this.released(message), connection, signal);
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -63,8 +63,7 @@
   private readonly server: Server;
   private readonly openConnections = new Map<Socket, CallerConnection>();
   private lastConnectionAt = 0;
-  /** Number of connections since the start. */
-  private accepted = 0;
+  private acceptedConnections = 0;
   private stopping = false;
   private closed = false;
   /** Requests that are being handled, also those of connections that are closed. */
@@ -130,6 +129,11 @@
     return this.openConnections.size;
   }
 
+  /** Number of connections since the start. */
+  get accepted(): number {
+    return this.acceptedConnections;
+  }
+
   /** Open connections by state. */
   get states(): ConnectionStates {
     const open = [...this.openConnections.values()];
@@ -258,7 +262,7 @@
       this.stalls.recordConnection();
       backlog.record();
       this.lastConnectionAt = this.clock.monotonic();
-      this.accepted += 1;
+      this.acceptedConnections += 1;
       const connection = new CallerConnection(socket, this.clock, this.waitingBudget);
       this.openConnections.set(socket, connection);
       socket.once('close', (hadError) => {
--- a/packages/entry/src/testing/callerServer.ts
+++ b/packages/entry/src/testing/callerServer.ts
@@ -30,7 +30,8 @@
   /** Paths of the requests that were handled, in order. */
   readonly handled: string[] = [];
   readonly server: CallerServer;
-  private address = '';
+  /** host:port. */
+  address = '';
 
   constructor(
     listener: TestListener,
--- a/packages/protocol/src/transport/server.ts
+++ b/packages/protocol/src/transport/server.ts
@@ -4,7 +4,7 @@
 import { createSecureContext } from 'node:tls';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { ConnectRouter } from '@connectrpc/connect';
-import type { AcceptBacklog } from '@jasmineroute/core';
+import type { StallWatch } from '@jasmineroute/core';
 import { requireFields } from '../check/index.js';
 import { requireLength } from './messageLength.js';
 import { MAX_MESSAGE_BYTES } from './peers.js';
@@ -53,7 +53,7 @@
   port: number,
   routes: (router: ConnectRouter) => void,
   tls?: TlsStore,
-  backlog?: AcceptBacklog,
+  stalls?: StallWatch,
 ): Promise<RpcServer> {
   const handler = connectNodeAdapter({
     routes,
@@ -64,6 +64,7 @@
   const server =
     tls === undefined ? http2.createServer({ settings }, handler) : secureServer(tls, settings, handler);
   const sockets = new Set<Socket>();
+  const backlog = stalls?.listener('rpc');
   server.on('connection', (socket: Socket) => {
     backlog?.record();
     sockets.add(socket);
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -7,7 +7,7 @@
 import { StallWatch, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
 import { Peers, controlMessage, listen, partKey, streamKey } from '@jasmineroute/protocol';
 import type { RpcServer, StoredPart } from '@jasmineroute/protocol';
-import { reportTaker } from '@jasmineroute/testkit';
+import { reportTaker, threadTime } from '@jasmineroute/testkit';
 import { relayEvents } from '../events.js';
 import { Relay } from '../relay.js';
 import { relaySettings } from '../setting/index.js';
@@ -186,9 +186,12 @@
 /** Counts the connections that the entry accepts. */
 class CountingStallWatch extends StallWatch {
   connections = 0;
+  /** Times by the clock of `callFromThread`. */
+  readonly acceptedAt: number[] = [];
 
   override recordConnection(): void {
     this.connections += 1;
+    this.acceptedAt.push(threadTime());
     super.recordConnection();
   }
 }
@@ -214,7 +217,7 @@
   /** Readiness reasons that the entry has logged. */
   readonly readinessReasons: unknown[] = [];
   /** Called for each request sent to a target, in the event loop turn in which it is sent. */
-  onSend: () => void = () => undefined;
+  onSend: (requestId: string) => void = () => undefined;
   private readonly controlStub = new ControlStub();
   private readonly peers = new Peers();
   private readonly stalls = new CountingStallWatch(systemClock);
@@ -248,7 +251,7 @@
       {
         ...testDialect,
         targetHeaders: (...sending) => {
-          this.onSend();
+          this.onSend(sending[0].id);
           return testDialect.targetHeaders(...sending);
         },
       },
@@ -320,6 +323,11 @@
     return this.stalls.connections;
   }
 
+  /** When the entry accepted its callers' connections, in order, by the clock of `callFromThread`. */
+  get acceptedAt(): readonly number[] {
+    return this.stalls.acceptedAt;
+  }
+
   /** Whether the entry is still reading input that arrived during an event loop stall. */
   get isCatchingUp(): boolean {
     return this.stalls.current() !== undefined;
--- /dev/null
+++ b/packages/testkit/src/callers/index.ts
@@ -0,0 +1,1 @@
+export * from './threadCallers.js';
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,5 @@
 /** Fault-injecting proxy, process launcher and cluster launcher for tests and benches. Not for products. */
+export * from './callers/index.js';
 export * from './cluster/index.js';
 export * from './machine/index.js';
 export * from './port/index.js';
--- a/packages/testkit/src/stall/stall.ts
+++ b/packages/testkit/src/stall/stall.ts
@@ -17,3 +17,17 @@
   await Promise.all(sockets.map((socket) => once(socket, 'connect')));
   return sockets;
 }
+
+/** Makes each turn of the event loop last for at least so long, milliseconds, until the returned function is called. */
+export function slowTurns(ms: number): () => void {
+  let isSlow = true;
+  const turn = (): void => {
+    if (!isSlow) return;
+    blockLoop(ms);
+    setImmediate(turn);
+  };
+  turn();
+  return () => {
+    isSlow = false;
+  };
+}
