Requests and calls are handled in turns, behind connections that wait to be accepted

What callers saw: requests read 1 to 3 s after they were sent (GONE, and timeouts of routes exceeded), and control instances that answered nobody for 20 s after a return. Cause: the runtime accepts one connection in each turn of the event loop, and each turn handled everything that had been read. On slow machines turns took 100 to 350 ms, so connections were accepted 3 to 10 a second, while callers that gave up made new ones. Change: each process handles requests for 10 ms in a turn, and none while connections are accepted in consecutive turns, unless they have waited for 100 ms. Calls between replicas are not held back. A call that ended while it waited is not handled.

--- a/packages/control/src/role/control.ts
+++ b/packages/control/src/role/control.ts
@@ -1,6 +1,7 @@
 /** The control role: documents, claims and turns on the replicated log, the streams to followers, and the directory. */
 import type { ConnectRouter } from '@connectrpc/connect';
 import { create } from '@bufbuild/protobuf';
+import { ReplicatedLog } from '@jasmineroute/coordination';
 import { ProblemTally, runCriticalTask } from '@jasmineroute/core';
 import { serveDirectory } from '@jasmineroute/directory';
 import type { InstanceMessage, Membership } from '@jasmineroute/directory';
@@ -61,6 +62,8 @@
   private readonly documentSource: ControlDocumentSource;
   private readonly logTimeAdvancer: LogTimeAdvancer;
   private readonly replicaReconciler: ReplicaReconciler;
+  /** Elections and commits must not wait behind followers that come back all at once. */
+  readonly urgentServices = [ReplicatedLog.serviceName];
   /** Numbered configurations, for operator APIs in this process. */
   readonly configurations: ConfigurationService;
   /** Announced targets, for APIs in this process that targets call. */
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -59,6 +59,8 @@
 
 /** One replica of a replicated log. */
 export class ReplicatedLog {
+  /** Name of the service between replicas. */
+  static readonly serviceName = Agreement.typeName;
   private readonly replica: Replica;
   private readonly peers: PeerClient;
   private readonly waiters = new Waiters();
--- a/packages/core/src/stall/acceptBacklog.ts
+++ b/packages/core/src/stall/acceptBacklog.ts
@@ -29,6 +29,11 @@
     private readonly onEnd: (series: AcceptedSeries) => void,
   ) {}
 
+  /** Whether connections are accepted in consecutive turns, so that more may wait. */
+  get isWaiting(): boolean {
+    return this.connections > 1;
+  }
+
   /** Records an accepted connection. */
   record(): void {
     this.hasAccepted = true;
--- a/packages/core/src/stall/index.ts
+++ b/packages/core/src/stall/index.ts
@@ -1,2 +1,3 @@
 export * from './acceptBacklog.js';
 export * from './stallWatch.js';
+export * from './turnQueue.js';
--- a/packages/core/src/stall/stallWatch.ts
+++ b/packages/core/src/stall/stallWatch.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock/index.js';
 import { AcceptBacklog } from './acceptBacklog.js';
 import type { AcceptedSeries } from './acceptBacklog.js';
+import { TurnQueue } from './turnQueue.js';
 
 /** Interval between two checks of the clock, milliseconds. */
 const CHECK_INTERVAL_MS = 100;
@@ -45,6 +46,9 @@
  * during the stall still look open. Code that starts work for a client therefore waits until all of it is read.
  */
 export class StallWatch {
+  /** Decides when the process handles requests. */
+  readonly turns: TurnQueue;
+  private readonly backlogs: AcceptBacklog[] = [];
   private lastCheckAt: number;
   /** Wall-clock time of the last check; needed because the monotonic clock may stop while a machine is suspended. */
   private lastWallTime: number;
@@ -66,6 +70,7 @@
     this.lastCheckAt = clock.monotonic();
     this.lastWallTime = clock.now().getTime();
     this.lastProcessorMs = processorMs();
+    this.turns = new TurnQueue(clock, () => this.backlogs.some(({ isWaiting }) => isWaiting));
   }
 
   /** Checks the clock regularly until `stop`. */
@@ -99,7 +104,9 @@
 
   /** What waits at a listener of the process. Each connection that it accepts is to be recorded there. */
   listener(name: string): AcceptBacklog {
-    return new AcceptBacklog(name, this.clock, this.onSeries);
+    const backlog = new AcceptBacklog(name, this.clock, this.onSeries);
+    this.backlogs.push(backlog);
+    return backlog;
   }
 
   /** Records an accepted connection. The system hands over one in each turn, so after a stall more may be pending. */
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -170,7 +170,7 @@
       role.routes(router);
     },
     plan.tls,
-    stalls,
+    { stalls, urgentServices: role.urgentServices },
   );
   await role.start(settings.advertise ?? rpc.address);
   starting.started(role);
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -242,7 +242,14 @@
       if (connection.isRefused(outgoing)) this.log.event(entryEvents.waitingRefused);
       this.closeAfter(connection, outgoing);
     });
-    return connection.turnOf(outgoing);
+    return this.turnOf(connection, outgoing);
+  }
+
+  /** Resolves behind the answers before on the connection, and when the process has time, with whether the caller is still there. */
+  private async turnOf(connection: CallerConnection, outgoing: ServerResponse): Promise<boolean> {
+    if (!(await connection.turnOf(outgoing))) return false;
+    await this.stalls.turns.next();
+    return !outgoing.destroyed;
   }
 
   /**
--- a/packages/protocol/src/role/role.ts
+++ b/packages/protocol/src/role/role.ts
@@ -32,6 +32,8 @@
 
 /** Lifecycle of a role in a process: routes, start, drain, close, in this order. */
 export interface RoleProcess {
+  /** Names of RPC services whose calls are handled before all others. */
+  readonly urgentServices?: readonly string[];
   /** Registers its services with the process's RPC server. */
   routes(router: ConnectRouter): void;
   /** Starts the role; `address` is the process's own RPC address, host:port. */
--- a/packages/protocol/src/transport/acceptFirst.spec.ts
+++ b/packages/protocol/src/transport/acceptFirst.spec.ts
@@ -51,7 +51,7 @@
       });
     },
     undefined,
-    stalls,
+    { stalls },
   );
 });
 
--- a/packages/protocol/src/transport/server.ts
+++ b/packages/protocol/src/transport/server.ts
@@ -47,24 +47,52 @@
   return server;
 }
 
+type CallHandler = ReturnType<typeof connectNodeAdapter>;
+
+/** Lets calls be handled in their turn, except those of urgent services. A call that ended before is not handled. */
+function inTurns(
+  handler: CallHandler,
+  { turns }: StallWatch,
+  urgentServices: readonly string[],
+): CallHandler {
+  const urgentPaths = urgentServices.map((service) => `/${service}/`);
+  return (request, response) => {
+    if (urgentPaths.some((path) => request.url?.startsWith(path))) {
+      handler(request, response);
+      return;
+    }
+    turns.run(() => {
+      if (!response.destroyed) handler(request, response);
+    });
+  };
+}
+
+/** How a server shares the event loop of its process. */
+export interface LoopShare {
+  readonly stalls: StallWatch;
+  /** Names of services whose calls do not wait for their turn. */
+  readonly urgentServices?: readonly string[];
+}
+
 /** Listens on host:port (port 0: any free port) and serves `routes`. */
 export async function listen(
   host: string,
   port: number,
   routes: (router: ConnectRouter) => void,
   tls?: TlsStore,
-  stalls?: StallWatch,
+  loop?: LoopShare,
 ): Promise<RpcServer> {
-  const handler = connectNodeAdapter({
+  const adapter = connectNodeAdapter({
     routes,
     readMaxBytes: MAX_MESSAGE_BYTES,
     interceptors: [requireLength, requireFields],
   });
+  const handler = loop === undefined ? adapter : inTurns(adapter, loop.stalls, loop.urgentServices ?? []);
   const settings = { maxConcurrentStreams: MAX_STREAMS, initialWindowSize: WINDOW_BYTES };
   const server =
     tls === undefined ? http2.createServer({ settings }, handler) : secureServer(tls, settings, handler);
   const sockets = new Set<Socket>();
-  const backlog = stalls?.listener('rpc');
+  const backlog = loop?.stalls.listener('rpc');
   server.on('connection', (socket: Socket) => {
     backlog?.record();
     sockets.add(socket);
