The time that a connection waits to be accepted counts, and its close is read before its request is sent

What callers saw: requests were sent on after their callers had left (GONE: sent at 6.245, left at 7.245, read at about 7.72, at the target at 7.753), and held for the whole timeout of their route once more after they had waited unread. Cause: a request counted from when it was read, unless a stop of 200 ms preceded it. Behind others that wait to be accepted, one in a turn, a connection waits for seconds while no turn is a stop; the close of a connection is read up to three turns after the request on it. Change: a connection that is accepted in a series of consecutive turns may have arrived when that began. Requests that are read in the turn after count from then, and are handled once their connection's close would have been read (four turns). Others do not wait. A request without an answer is held for at most 250 ms beyond the time that is certain to be over for its caller; an answer that has begun goes on as before.

--- a/packages/core/src/stall/acceptBacklog.ts
+++ b/packages/core/src/stall/acceptBacklog.ts
@@ -34,13 +34,17 @@
     return this.connections > 1;
   }
 
-  /** Records an accepted connection. */
-  record(): void {
+  /**
+   * Records an accepted connection.
+   * @returns the earliest monotonic time at which it may have arrived, if it may have waited behind others.
+   */
+  record(): number | undefined {
     this.hasAccepted = true;
     this.connections += 1;
-    if (this.startedAt !== undefined) return;
+    if (this.startedAt !== undefined) return this.startedAt;
     this.startedAt = this.clock.monotonic();
     void this.watch(this.startedAt);
+    return undefined;
   }
 
   private async watch(startedAt: number): Promise<void> {
--- a/packages/core/src/stall/stallWatch.ts
+++ b/packages/core/src/stall/stallWatch.ts
@@ -93,7 +93,11 @@
 
   /** After a stall, resolves once closed connections are known for all requests read so far; otherwise at once. */
   async waitUntilCaughtUp(): Promise<void> {
-    if (this.current() === undefined) return;
+    if (this.current() !== undefined) await this.waitForCloses();
+  }
+
+  /** Resolves once closed connections are known for all requests read so far. */
+  async waitForCloses(): Promise<void> {
     for (let turns = 0; turns < CATCH_UP_TURNS; turns += 1) await nextTurn();
   }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -117,8 +117,8 @@
       call: (bindings) => this.callers.call(bindings),
     });
     const { clock, stalls, log, metrics } = context;
-    const listener = listenerOf(app, settings.httpHost, (incoming) => {
-      this.callers.recordArrival(incoming);
+    const listener = listenerOf(app, settings.httpHost, (incoming, arrival) => {
+      this.callers.recordArrival(incoming, arrival);
     });
     this.server = new CallerServer(listener, settings, clock, stalls, log, metrics);
   }
--- a/packages/entry/src/http/app.ts
+++ b/packages/entry/src/http/app.ts
@@ -7,6 +7,7 @@
 import { fault } from '@jasmineroute/core';
 import type { Readiness } from '@jasmineroute/protocol';
 import { errorBody } from './reply.js';
+import type { Arrival } from './arrival.js';
 import type { CallerListener } from './server.js';
 
 /** Node's raw request and response. */
@@ -49,7 +50,7 @@
 export function listenerOf(
   app: Hono<{ Bindings: CallerBindings }>,
   hostname: string,
-  onArrival: (incoming: IncomingMessage) => void,
+  onArrival: (incoming: IncomingMessage, arrival: Arrival) => void,
 ): CallerListener {
   const listener = getRequestListener(app.fetch, {
     overrideGlobalObjects: false,
@@ -59,8 +60,8 @@
       return Response.json(body, { status: 400, headers: { 'x-run-state': 'not-run' } });
     },
   });
-  return async (incoming, outgoing, turn) => {
-    onArrival(incoming);
+  return async (incoming, outgoing, turn, arrival) => {
+    onArrival(incoming, arrival);
     if (await turn) await listener(incoming, outgoing);
   };
 }
--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -1,6 +1,7 @@
 /** One connection of a caller, from its opening to an end in stages (RFC 9112, 9.6). */
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { Cancellation, Clock } from '@jasmineroute/core';
 import { refuseUnread } from './badConnection.js';
 import { BodyBudget } from './body.js';
@@ -48,14 +49,19 @@
   /** The newest request, where the rest of its body was given up: refused in its turn. */
   private unread: ServerResponse | undefined;
 
-  /** @param waitingBudget for bodies of requests that wait, of all connections of the server. */
+  /**
+   * @param waitingBudget for bodies of requests that wait, of all connections of the server.
+   * @param acceptedLate the earliest monotonic time at which the connection may have arrived, if it waited to be accepted.
+   */
   constructor(
     private readonly socket: Socket,
     private readonly clock: Clock,
     waitingBudget = new BodyBudget(0),
+    private acceptedLate?: number,
   ) {
     this.activeAt = clock.monotonic();
     this.waiting = new WaitingRequests(waitingBudget);
+    void this.readArrived();
     // Node takes its own listener back from a connection on which a tunnel was asked for. The close that follows is recorded.
     socket.on('error', () => undefined);
     socket.once('close', () => {
@@ -81,6 +87,11 @@
     };
   }
 
+  /** The earliest monotonic time at which what is read now may have arrived, if it waited until the connection was accepted. */
+  get waitedSince(): number | undefined {
+    return this.acceptedLate;
+  }
+
   /** Whether this side has ended: what arrives from then on is not handled. */
   get isEnding(): boolean {
     return this.ending !== undefined;
@@ -220,6 +231,14 @@
     return { cause, unfinishedAnswers, unsentBytes, lateBytes, closingMs };
   }
 
+  /** What arrived before the connection was accepted is read in the turn of the event loop after that. */
+  private async readArrived(): Promise<void> {
+    if (this.acceptedLate === undefined) return;
+    await nextTurn();
+    await nextTurn();
+    this.acceptedLate = undefined;
+  }
+
   /** Lets the request behind a complete answer be handled. */
   private giveTurn({ writableFinished }: ServerResponse): void {
     const [next] = this.answers;
--- a/packages/entry/src/http/index.ts
+++ b/packages/entry/src/http/index.ts
@@ -1,4 +1,5 @@
 export * from './app.js';
+export * from './arrival.js';
 export * from './arrivedConnections.js';
 export * from './badConnection.js';
 export * from './body.js';
--- a/packages/entry/src/http/requestHandler.ts
+++ b/packages/entry/src/http/requestHandler.ts
@@ -12,6 +12,7 @@
 import { CallRun } from '../work/index.js';
 import type { EntryContext } from '../work/index.js';
 import type { CallerBindings } from './app.js';
+import type { Arrival } from './arrival.js';
 import { BodyBudget, readBody } from './body.js';
 import { Reply } from './reply.js';
 
@@ -46,7 +47,7 @@
 export class RequestHandler {
   private readonly budget: BodyBudget;
   private open = 0;
-  /** Monotonic times at which requests were read. */
+  /** Earliest monotonic times at which requests may have arrived. */
   private readonly arrivals = new WeakMap<IncomingMessage, number>();
 
   constructor(private readonly context: EntryContext) {
@@ -64,8 +65,8 @@
   }
 
   /** Called when the head of a request was read: its caller's deadline counts from then on, also while it waits for its turn. */
-  recordArrival(incoming: IncomingMessage): void {
-    this.arrivals.set(incoming, this.context.clock.monotonic());
+  recordArrival(incoming: IncomingMessage, { earliestAt }: Arrival): void {
+    this.arrivals.set(incoming, earliestAt);
   }
 
   /** Answers `/v1/models` and `/v1/models/{id}`. */
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -7,6 +7,7 @@
 import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import { entryEvents } from '../events.js';
 import type { EntrySettings } from '../setting/index.js';
+import type { Arrival } from './arrival.js';
 import { acceptArrived } from './arrivedConnections.js';
 import { refuseConnection, statusOfParserError } from './badConnection.js';
 import { BodyBudget } from './body.js';
@@ -56,6 +57,7 @@
   incoming: IncomingMessage,
   outgoing: ServerResponse,
   turn: Promise<boolean>,
+  arrival: Arrival,
 ) => Promise<void>;
 
 /** The HTTP server that callers connect to. */
@@ -94,8 +96,10 @@
         requireHostHeader: false,
       },
       (incoming, outgoing) => {
-        const turn = this.track(incoming.socket, outgoing);
-        if (turn !== undefined) void this.handle(incoming, outgoing, turn);
+        const { socket } = incoming;
+        const waitedSince = this.openConnections.get(socket)?.waitedSince;
+        const turn = this.track(socket, outgoing);
+        if (turn !== undefined) void this.handle(incoming, outgoing, turn, this.arrivalOf(waitedSince));
       },
     );
     this.server.maxConnections = settings.maxConnections;
@@ -224,15 +228,24 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
     turn: Promise<boolean>,
+    arrival: Arrival,
   ): Promise<void> {
     this.requests += 1;
     try {
-      await this.listener(incoming, outgoing, turn);
+      await this.listener(incoming, outgoing, turn, arrival);
     } finally {
       this.requests -= 1;
     }
   }
 
+  /** The arrival of a request that is read now. */
+  private arrivalOf(waitedSince = Infinity): Arrival {
+    return {
+      earliestAt: Math.min(this.stalls.earliestArrival(), waitedSince),
+      readAt: this.clock.monotonic(),
+    };
+  }
+
   /** @returns when the request is to be handled; undefined: not at all, as it arrived after this side had ended. */
   private track(socket: Socket, outgoing: ServerResponse): Promise<boolean> | undefined {
     const connection = this.openConnections.get(socket);
@@ -245,11 +258,14 @@
     return this.turnOf(connection, outgoing);
   }
 
-  /** Resolves behind the answers before on the connection, and when the process has time, with whether the caller is still there. */
+  /** Resolves behind the answers before on the connection, with false if it has ended, and when the process has time. */
   private async turnOf(connection: CallerConnection, outgoing: ServerResponse): Promise<boolean> {
+    const hasWaited = connection.waitedSince !== undefined;
     if (!(await connection.turnOf(outgoing))) return false;
     await this.stalls.turns.next();
-    return !outgoing.destroyed;
+    // The end of a connection is read after the request on it, and its caller may have left before that was read.
+    if (hasWaited) await this.stalls.waitForCloses();
+    return true;
   }
 
   /**
@@ -267,10 +283,10 @@
     const backlog = this.stalls.listener('callers');
     this.server.on('connection', (socket: Socket) => {
       this.stalls.recordConnection();
-      backlog.record();
+      const waitedSince = backlog.record();
       this.lastConnectionAt = this.clock.monotonic();
       this.acceptedConnections += 1;
-      const connection = new CallerConnection(socket, this.clock, this.waitingBudget);
+      const connection = new CallerConnection(socket, this.clock, this.waitingBudget, waitedSince);
       this.openConnections.set(socket, connection);
       socket.once('close', (hadError) => {
         this.openConnections.delete(socket);
--- a/packages/protocol/src/transport/acceptFirst.spec.ts
+++ b/packages/protocol/src/transport/acceptFirst.spec.ts
@@ -23,7 +23,7 @@
     const record = backlog.record.bind(backlog);
     backlog.record = () => {
       this.accepted += 1;
-      record();
+      return record();
     };
     return backlog;
   }
--- a/packages/relay/src/answer/callerAnswer.ts
+++ b/packages/relay/src/answer/callerAnswer.ts
@@ -2,8 +2,9 @@
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { answerOf } from '@jasmineroute/core';
-import type { Clock, Fault, StallWatch } from '@jasmineroute/core';
+import type { Clock, Fault } from '@jasmineroute/core';
 import type { HeaderField } from '@jasmineroute/engine';
+import type { Arrival } from '@jasmineroute/entry';
 import type { Dialect } from '../dialect/index.js';
 
 /** Time after which a caller that accepts no more data is disconnected, milliseconds: its connection may be dead. */
@@ -22,9 +23,6 @@
 /** One answer to a caller. All methods are safe to call after the caller has left. */
 export class CallerAnswer {
   private readonly left = new AbortController();
-  /** Earliest and latest monotonic time at which the request may have arrived; they differ by an event loop stall. */
-  private readonly earliestStartAt: number;
-  private readonly latestStartAt: number;
   private firstByteAfterMs: number | undefined;
   private fault: Fault | undefined;
 
@@ -32,10 +30,8 @@
     private readonly response: ServerResponse,
     private readonly dialect: Dialect,
     private readonly clock: Clock,
-    stalls: StallWatch,
+    private readonly arrival: Arrival,
   ) {
-    this.earliestStartAt = stalls.earliestArrival();
-    this.latestStartAt = clock.monotonic();
     response.on('error', () => {
       this.left.abort(new Error('caller left'));
     });
@@ -65,16 +61,16 @@
   }
 
   /**
-   * Maximum age of the request in milliseconds: after an event loop stall its arrival time is uncertain, and the
+   * Maximum age of the request in milliseconds: where it may have waited to be read its arrival time is uncertain, and the
    * earliest counts.
    */
   age(): number {
-    return this.clock.monotonic() - this.earliestStartAt;
+    return this.clock.monotonic() - this.arrival.earliestAt;
   }
 
   /** Minimum age of the request in milliseconds: the time since it was read. */
   minAge(): number {
-    return this.clock.monotonic() - this.latestStartAt;
+    return this.clock.monotonic() - this.arrival.readAt;
   }
 
   /** Milliseconds from the arrival of the request to the first body byte. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { fault, runCriticalTask } from '@jasmineroute/core';
 import { BodyBudget, CallerServer, seedOf } from '@jasmineroute/entry';
+import type { Arrival } from '@jasmineroute/entry';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { createRandom } from '@jasmineroute/routing';
 import { CallerAnswer, MAX_HELD_ANSWERS_BYTES } from './answer/index.js';
@@ -116,7 +117,7 @@
     };
     const { httpHost, httpPort, maxConnections, maxBufferedBytes } = settings;
     this.server = new CallerServer(
-      (incoming, outgoing, turn) => this.serve(incoming, outgoing, turn),
+      (incoming, outgoing, turn, arrival) => this.serve(incoming, outgoing, turn, arrival),
       {
         httpHost,
         httpPort,
@@ -257,10 +258,11 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
     turn: Promise<boolean>,
+    arrival: Arrival,
   ): Promise<void> {
-    const { dialect, clock, stalls, log } = this.requestContext;
+    const { dialect, clock, log } = this.requestContext;
     // The time of a request that waits for its turn passes.
-    const answer = new CallerAnswer(outgoing, dialect, clock, stalls);
+    const answer = new CallerAnswer(outgoing, dialect, clock, arrival);
     if (!(await turn)) return;
     const handler = new RequestHandler(this.requestContext, incoming, answer);
     this.open.add(handler);
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Customer, Route, RoutingTable, Service } from '@jasmineroute/configuration';
 import { fault } from '@jasmineroute/core';
-import type { Fault, FaultKind } from '@jasmineroute/core';
+import type { Cancellation, Fault, FaultKind } from '@jasmineroute/core';
 import { FaultError } from '@jasmineroute/engine';
 import { partFingerprint, requestFingerprint } from '@jasmineroute/protocol';
 import type { AdmittedTrial, SentRequest } from '../quarantine/index.js';
@@ -51,6 +51,9 @@
 /** Time before the end of a planned stop by which a request must have its answer, milliseconds: its last bytes still leave. */
 const STOP_MARGIN_MS = 250;
 
+/** Longest time for which a request without an answer is held after its caller may have stopped waiting, milliseconds. */
+const MAX_OVERTIME_MS = 250;
+
 /** Minimum remaining time for sending a request, milliseconds: one round trip. */
 const MIN_REMAINING_MS = 10;
 
@@ -190,16 +193,23 @@
       this.reject(request, stopping, route);
       return;
     }
-    // A running request may continue for as long as its caller may still wait for it.
+    // A running request may continue for as long as its caller may still wait for it; without an answer it may not be held much
+    // beyond the time that is certain.
     const abortAt = clock.monotonic() - this.answer.minAge() + waitMs;
+    const answerAt = Math.min(abortAt, until + MAX_OVERTIME_MS);
     const body = await readBody(this.incoming, limit, bodyBudget);
     if (body.isErr()) {
       this.reject(request, body.error, route);
       return;
     }
-    const cancelDeadline = clock.after(abortAt - clock.monotonic(), () => {
-      this.abort.abort(new FaultError(fault('deadline-exceeded', 'the deadline of the request has passed')));
-    });
+    const endAt = (time: number, mayEnd: () => boolean): Cancellation =>
+      clock.after(time - clock.monotonic(), () => {
+        if (!mayEnd()) return;
+        const message = 'the deadline of the request has passed';
+        this.abort.abort(new FaultError(fault('deadline-exceeded', message)));
+      });
+    const cancelDeadline = endAt(abortAt, () => true);
+    const cancelOvertime = endAt(answerAt, () => !this.answer.begun);
     const onGone = (): void => {
       this.abort.abort(this.answer.gone.reason);
     };
@@ -221,6 +231,7 @@
         });
     } finally {
       cancelDeadline();
+      cancelOvertime();
       body.value.release();
     }
   }
