Every replica answers reads from a quorum, beside asking the leader

What operators saw: no instance but the leader reads the configuration back for 20 s after a return of all (CONFIG, no config in time), while one leader is followed. Cause: a follower passes a read on to the leader, which confirms itself by a round of heartbeats; with slow turns that takes over the 0.9 s that a read has, while the leader answers its own in half of it. A quorum was asked only while no leader was heard, and only a replica without entries beyond the commit index could answer so. Change: a follower asks a quorum for its last entries at once, applies all entries up to there, and answers, unless the leader is quicker. Every entry committed before is among them. The configuration whose voters are asked has to be committed, and still the one in force afterwards: else it asks again. A question that gets no answer no longer delays the next one.

--- a/packages/coordination/src/agreement/proposing.ts
+++ b/packages/coordination/src/agreement/proposing.ts
@@ -51,11 +51,21 @@
 
   /**
    * Submits a read-only command to the leader. It does not wait for other commands and adds no entry to the log; it only
-   * requires that a quorum answers a message that the leader sent after the call. Where no leader is heard, a quorum without
-   * entries beyond those known to be committed is enough.
+   * requires that a quorum answers a message that the leader, or this replica, sent after the call.
    */
   query(command: Uint8Array, timeoutMs: number): Promise<Outcome> {
-    return this.submit({ command, query: true }, timeoutMs);
+    const fromLeader = this.submit({ command, query: true }, timeoutMs);
+    return new Promise((resolve, reject) => {
+      const fromQuorum = this.queryQuorum(command, timeoutMs).then((answer) => {
+        if (answer !== undefined) resolve(ok(answer));
+      });
+      fromLeader.then((outcome) => {
+        if (outcome.isOk()) resolve(outcome);
+      }, reject);
+      Promise.all([fromLeader, fromQuorum]).then(([outcome]) => {
+        resolve(outcome);
+      }, reject);
+    });
   }
 
   private async submit(submission: Submission, timeoutMs: number): Promise<Outcome> {
@@ -106,42 +116,27 @@
   private async attempt(submission: Submission, timeoutMs: number): Promise<Outcome | undefined> {
     const { replica } = this.context;
     if (replica.role === 'leader') return this.executeLocally(submission, timeoutMs);
-    const answer = submission.query ? await this.queryQuorum(submission.command, timeoutMs) : undefined;
-    if (answer !== undefined) return ok(answer);
     const address = this.leaderAddress();
-    if (address === undefined) return undefined;
-    const forwarded = this.forward(address, submission, timeoutMs);
-    return submission.query
-      ? this.forwardedOrFromQuorum(forwarded, submission.command, timeoutMs)
-      : forwarded;
-  }
-
-  /** A leader that stands still or is lost does not answer: a quorum is asked as soon as the leader is no longer heard. */
-  private async forwardedOrFromQuorum(
-    forwarded: Promise<Outcome>,
-    command: Uint8Array,
-    timeoutMs: number,
-  ): Promise<Outcome> {
-    const { replica } = this.context;
-    const deadline = replica.clock.monotonic() + timeoutMs;
-    const isSettled = forwarded.then(() => true);
-    for (;;) {
-      const remainingMs = deadline - replica.clock.monotonic();
-      if (replica.stopped || remainingMs <= 0) return forwarded;
-      const pause = replica.clock.sleep(Math.min(RETRY_MS, remainingMs)).then(() => false);
-      if (await Promise.race([isSettled, pause])) return forwarded;
-      const answer = await this.queryQuorum(command, remainingMs);
-      if (answer !== undefined) return ok(answer);
-    }
+    return address === undefined ? undefined : this.forward(address, submission, timeoutMs);
   }
 
-  /** Answers a query without a leader; undefined while one is heard, or when a quorum does not confirm the answer. */
+  /**
+   * Answers a query without the leader; undefined when no quorum answers in time. Through the leader it takes two more messages, and
+   * a busy or lost leader answers late or never.
+   */
   private async queryQuorum(command: Uint8Array, timeoutMs: number): Promise<Uint8Array | undefined> {
     const { replica, quorumRead, query } = this.context;
-    const { lastLeaderContact = -Infinity, clock, tuning } = replica;
-    if (clock.monotonic() - lastLeaderContact < tuning.electionMinMs) return undefined;
-    const index = await quorumRead.index();
-    return index === undefined ? undefined : query(command, index, timeoutMs);
+    const { clock } = replica;
+    const deadline = clock.monotonic() + timeoutMs;
+    while (!replica.stopped && clock.monotonic() < deadline) {
+      // The leader asks the same replicas itself.
+      const point = replica.role === 'leader' ? undefined : await quorumRead.point();
+      const remainingMs = deadline - clock.monotonic();
+      const answer = point === undefined ? undefined : await query(command, point.index, remainingMs);
+      if (answer !== undefined && point !== undefined && quorumRead.isCurrent(point)) return answer;
+      await clock.sleep(RETRY_MS);
+    }
+    return undefined;
   }
 
   private leaderAddress(): string | undefined {
--- a/packages/coordination/src/agreement/quorumRead.spec.ts
+++ b/packages/coordination/src/agreement/quorumRead.spec.ts
@@ -13,6 +13,7 @@
 it('reads that wait for a quorum ask it no more often than every second heartbeat', async () => {
   const clock = new ManualClock();
   const voters = ['a', 'b', 'c'].map((name) => voter(name, name, name));
+  const configuration = configurationOf('cluster', voters, []);
   let questions = 0;
   const joining = {
     identify: () => {
@@ -25,14 +26,14 @@
     clock,
     tuning: { heartbeatMs: HEARTBEAT_MS },
     commitIndex: 1n,
-    configuration: configurationOf('cluster', voters, []),
-    entries: { last: { index: 1n } },
+    configuration,
+    entries: { last: { index: 1n }, configuration: () => ({ index: 1n, configuration }) },
   } as unknown as Replica;
   const reads = new QuorumRead(replica, joining);
   let isOver = false;
   const ask = async (): Promise<void> => {
     while (!isOver) {
-      await reads.index();
+      await reads.point();
       await new Promise(setImmediate);
     }
   };
--- a/packages/coordination/src/agreement/quorumRead.ts
+++ b/packages/coordination/src/agreement/quorumRead.ts
@@ -1,26 +1,32 @@
-/** Reads while no leader is heard: from a quorum that has no entry beyond those known to be committed. */
-import { isQuorum } from './configuration.js';
+/** Reads without the leader: up to the last entry that a quorum holds. */
+import { isQuorum, quorumOf } from './configuration.js';
 import type { Joining } from './joining.js';
 import type { Replica } from './replica.js';
-import type { Voter } from '../gen/agreement/agreement_pb.js';
-
-/** Longest wait for the answers of a quorum, in heartbeat intervals. */
-const MAX_WAIT_HEARTBEATS = 2;
+import type { Configuration, Voter } from '../gen/agreement/agreement_pb.js';
 
 /** Shortest time between two questions, in heartbeat intervals: they must not add to a load that keeps the replicas from a leader. */
 const PAUSE_HEARTBEATS = 2;
 
+/** What a read has to reflect. */
+export interface ReadPoint {
+  /** All entries up to this index have to be applied. */
+  readonly index: bigint;
+  /** The configuration whose voters were asked. The read fails if another one is in force once the entries are applied. */
+  readonly configuration: Configuration;
+}
+
 /**
- * Confirms without a leader that nothing is committed that this replica doesn't know to be committed. A vote needs a disk, a read
- * does not: where disks are full, a quorum can answer that can't elect a leader.
+ * Finds out without the leader which entries a read has to reflect. Commands and votes need a leader and disks, a read does not: where
+ * the leader is slow, lost or can't be elected, a quorum can still answer.
  *
- * Every entry that was committed before the question is in the log of one of any quorum of the voters. If no log of a quorum, nor
- * its own, has an entry beyond the commit index of this replica, there is none. The index was learned from a leader, so later
- * leaders answer from at least as much. The disks, terms and votes of the others don't matter.
+ * Every entry that was committed before the question is in the log of one of any quorum of the voters. So a replica that has applied
+ * all entries up to the last one that a quorum holds has applied all of them. What it has applied is committed, whoever leads.
+ * The quorum is one of the newest configuration that this replica knows to be committed. A later one has a quorum in common with it
+ * and holds the change itself, which is then among these entries: the replica finds the other configuration, and asks again.
  */
 export class QuorumRead {
-  private running: Promise<bigint | undefined> | undefined;
-  private queued: Promise<bigint | undefined> | undefined;
+  /** The question that is not sent yet. */
+  private next: Promise<ReadPoint | undefined> | undefined;
   /** Monotonic time of the last question, which may be due. */
   private askedAt = -Infinity;
 
@@ -29,57 +35,69 @@
     private readonly joining: Joining,
   ) {}
 
-  /** The commit index of a read; undefined when it is not confirmed. Calls during a question share the next one. */
-  index(): Promise<bigint | undefined> {
-    if (this.running === undefined) return this.start();
-    this.queued ??= this.running.then(() => {
-      this.queued = undefined;
-      return this.start();
-    });
-    return this.queued;
+  /** What a read has to reflect; undefined without answers of a quorum. Calls share a question that is not sent yet. */
+  point(): Promise<ReadPoint | undefined> {
+    this.next ??= this.ask();
+    return this.next;
   }
 
-  private start(): Promise<bigint | undefined> {
-    const running = this.ask().finally(() => {
-      if (this.running === running) this.running = undefined;
-    });
-    this.running = running;
-    return running;
+  /** Whether the configuration whose voters were asked is still the one in force. */
+  isCurrent({ configuration }: ReadPoint): boolean {
+    return this.replica.configuration === configuration;
   }
 
-  private async ask(): Promise<bigint | undefined> {
+  private async ask(): Promise<ReadPoint | undefined> {
     const { replica } = this;
     const { clock, tuning } = replica;
     const now = clock.monotonic();
     this.askedAt = Math.max(now, this.askedAt + PAUSE_HEARTBEATS * tuning.heartbeatMs);
-    if (this.askedAt > now) await clock.sleep(this.askedAt - now);
-    const { commitIndex, configuration, entries } = replica;
-    if (configuration === undefined || commitIndex === 0n || entries.last.index > commitIndex)
+    await clock.sleep(this.askedAt - now);
+    this.next = undefined;
+    const { commitIndex, entries } = replica;
+    const { configuration, index: configurationIndex } = entries.configuration();
+    // Two leaders may have changed the same configuration: a change that is not committed may have no quorum in common with the other.
+    if (configuration === undefined || commitIndex === 0n || configurationIndex > commitIndex)
       return undefined;
-    const covered = new Set([replica.id]);
-    const isConfirmed = (): boolean => isQuorum(configuration, ({ replicaId }) => covered.has(replicaId));
+    const index = await this.lastIndexOfQuorum(configuration);
+    return index === undefined ? undefined : { index, configuration };
+  }
+
+  /** The last index that a quorum holds: the smallest one that is known when a quorum has answered. */
+  private lastIndexOfQuorum(configuration: Configuration): Promise<bigint | undefined> {
+    const { replica } = this;
+    const lastIndexes = new Map([[replica.id, replica.entries.last.index]]);
     const others = configuration.voters.filter(({ replicaId }) => replicaId !== replica.id);
     let remaining = others.length;
-    await new Promise<void>((resolve) => {
-      const cancel = replica.clock.after(MAX_WAIT_HEARTBEATS * replica.tuning.heartbeatMs, resolve);
+    return new Promise((resolve) => {
+      const check = (): void => {
+        if (isQuorum(configuration, ({ replicaId }) => lastIndexes.has(replicaId)))
+          resolve(lastOfQuorum(configuration, lastIndexes));
+        else if (remaining === 0) resolve(undefined);
+      };
       for (const voter of others) {
-        void this.isCovered(voter, commitIndex).then((isCovered) => {
-          if (isCovered) covered.add(voter.replicaId);
+        void this.lastIndexOf(voter).then((index) => {
           remaining -= 1;
-          if (remaining > 0 && !isConfirmed()) return;
-          cancel();
-          resolve();
+          if (index !== undefined) lastIndexes.set(voter.replicaId, index);
+          check();
         });
       }
-      if (isConfirmed()) resolve();
+      check();
     });
-    return isConfirmed() ? commitIndex : undefined;
   }
 
-  /** Whether a voter, and not another replica at its address, has no entry beyond an index. */
-  private async isCovered(voter: Voter, index: bigint): Promise<boolean> {
+  /** The last index of a voter; undefined without an answer, or when another replica answers at its address. */
+  private async lastIndexOf(voter: Voter): Promise<bigint | undefined> {
     const answer = await this.joining.identify(voter.address);
-    const lastIndex = answer?.lastIndex;
-    return answer?.replica?.replicaId === voter.replicaId && lastIndex !== undefined && lastIndex <= index;
+    return answer?.replica?.replicaId === voter.replicaId ? answer.lastIndex : undefined;
   }
 }
+
+/** The last index of the quorum with the shortest logs. */
+function lastOfQuorum(
+  { voters }: Configuration,
+  lastIndexes: ReadonlyMap<string, bigint>,
+): bigint | undefined {
+  const known = voters.flatMap(({ replicaId }) => lastIndexes.get(replicaId) ?? []);
+  const ascending = known.sort((a, b) => (a < b ? -1 : a > b ? 1 : 0));
+  return ascending[quorumOf(voters.length) - 1];
+}
