A busy control instance tells as many followers in an iteration as its time allows

What callers saw: entries on slow machines answered by an older configuration (CONFIG, 404 for a route acknowledged 3.3 s before) or were not ready for seconds, and control instances were asked for the same streams again and again. Cause: a control instance resumes one follower in each iteration of its event loop.

Change: the work of an iteration is limited by time (10 ms), not by number.

--- a/packages/control/src/follow/followService.ts
+++ b/packages/control/src/follow/followService.ts
@@ -68,9 +68,10 @@
   /** Quorum contact and members at the last notification. */
   private lastStatus: string;
   /** Leaves time between two events to read and answer heartbeats of the log. */
-  private readonly scheduler = new EventLoopScheduler();
+  private readonly scheduler: EventLoopScheduler;
 
   constructor(private readonly sources: FollowSources) {
+    this.scheduler = new EventLoopScheduler(sources.clock);
     this.versions = new SoftwareVersions(sources);
     this.receiver = new ReportReceiver(sources, sources.others.cached);
     this.lastStatus = this.relevantStatus();
--- a/packages/core/src/stall/index.ts
+++ b/packages/core/src/stall/index.ts
@@ -1,3 +1,4 @@
 export * from './acceptBacklog.js';
 export * from './stallWatch.js';
+export * from './turnBudget.js';
 export * from './turnQueue.js';
