Connections between processes are closed for silence, not for a late answer

What callers saw: after a return, control instances and followers close connections to a busy leader after 1.0 to 1.5 s without an answer, with all reads, streams and reports on them.

Cause: the first timeout of a call, and 2 s without an event, drop the connection, as a device between may have lost its state. A slow peer looks the same. Change: the connection counts the bytes that it receives. Where any arrived during the wait it is kept: a call fails and its timeout grows; a stream gets up to three times the time without events, counts as out of contact meanwhile, and is then opened again on the same connection.

--- a/packages/control/src/role/createControl.ts
+++ b/packages/control/src/role/createControl.ts
@@ -78,6 +78,7 @@
     drop: (address) => {
       peers.drop(address, 'agreement');
     },
+    received: (address) => peers.received(address, 'agreement'),
     clock,
     log,
     metrics,
--- a/packages/coordination/src/agreement/options.ts
+++ b/packages/coordination/src/agreement/options.ts
@@ -102,6 +102,8 @@
   readonly connect: (address: string) => Transport;
   /** Closes the connection to host:port; the next `connect` returns a new one. */
   readonly drop: (address: string) => void;
+  /** Bytes received over the connection to host:port; absent: unknown. One that receives any is not closed for a late answer. */
+  readonly received?: (address: string) => number;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics?: Metrics;
--- a/packages/coordination/src/agreement/peerClient.ts
+++ b/packages/coordination/src/agreement/peerClient.ts
@@ -18,6 +18,8 @@
 export interface PeerClientOptions {
   readonly connect: (address: string) => Transport;
   readonly drop: (address: string) => void;
+  /** Bytes received over the connection to an address; absent: unknown. */
+  readonly received?: (address: string) => number;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -61,7 +63,8 @@
    * Makes one call. Errors: `target-unreachable` when the call was certainly not processed, `invalid-request` when the other
    * replica rejected it, `target-lost` otherwise.
    * A device between two replicas, such as a firewall, can lose the state of a connection without closing it: calls on it only
-   * time out, while a new connection works. So the first timeout drops the connection.
+   * time out, while a new connection works. So the first timeout drops the connection, unless something was received over it
+   * meanwhile: a replica that is only slow would answer even later on a new one.
    */
   async call<T>(
     address: string,
@@ -82,6 +85,7 @@
       timeoutMs === undefined ? afterActive(clock, callTimeoutMs, abort) : clock.after(callTimeoutMs, abort);
     const isMeasured = timeoutMs === undefined && timeoutFactor === 1;
     const startedAt = clock.monotonic();
+    const receivedBefore = this.received(address);
     try {
       const answer = await action(this.client(transport), controller.signal);
       if (isMeasured) this.responseTimeouts.recordResponse(address, clock.monotonic() - startedAt);
@@ -89,8 +93,10 @@
     } catch (error) {
       const isTimedOut = controller.signal.aborted && timeoutMs === undefined;
       // Another call may have replaced the connection already; the new one must not be dropped.
-      if (isTimedOut && this.options.connect(address) === transport)
-        this.dropConnection(address, { startedAt, timeoutMs: callTimeoutMs });
+      if (isTimedOut && this.options.connect(address) === transport) {
+        this.recordTimeout(address, startedAt);
+        if (this.received(address) === receivedBefore) this.dropConnection(address, callTimeoutMs);
+      }
       return err(callFault(address, error));
     } finally {
       cancel();
@@ -114,11 +120,11 @@
     return client;
   }
 
-  private dropConnection(
-    address: string,
-    { startedAt, timeoutMs }: { readonly startedAt: number; readonly timeoutMs: number },
-  ): void {
-    this.recordTimeout(address, startedAt);
+  private received(address: string): number {
+    return this.options.received?.(address) ?? 0;
+  }
+
+  private dropConnection(address: string, timeoutMs: number): void {
     this.options.drop(address);
     this.options.log.event(coordinationEvents.connectionDropped, { address, timeoutMs });
     this.options.metrics.count(coordinationMetrics.dropped);
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -89,13 +89,13 @@
       tuning: tuning.parse(options),
     };
     const replica = new Replica(replicaOptions);
-    const { connect, drop, onFailure = () => undefined } = options;
+    const { connect, drop, received, onFailure = () => undefined } = options;
     this.onFailure = onFailure;
     const leadership = (): Leadership | undefined => this.leadership;
     this.replica = replica;
     const { rpcTimeoutMs, slowRpcTimeoutMs } = replica.tuning;
     const timeoutBounds = { leastMs: rpcTimeoutMs, mostMs: slowRpcTimeoutMs };
-    this.peers = new PeerClient({ connect, drop, clock, log, metrics, timeoutBounds });
+    this.peers = new PeerClient({ connect, drop, received, clock, log, metrics, timeoutBounds });
     this.applier = new Applier(replica, options.stateMachine, this.waiters);
     const restore = (snapshot: Snapshot): void => {
       this.applier.restore(snapshot);
--- a/packages/knowledge/src/followTask.ts
+++ b/packages/knowledge/src/followTask.ts
@@ -27,6 +27,12 @@
  */
 const MAX_FIRST_EVENT_TIMEOUT_MS = 5_600;
 
+/**
+ * How often the time without an event is extended while other bytes arrive over the connection: the instance is slow, and would answer
+ * a new stream even later, with all of its state.
+ */
+const MAX_EXTENSIONS = 2;
+
 /**
  * Time for which an instance may be out of contact with a quorum before another one is followed, milliseconds: without a
  * leader all instances are, and streams to more of them would only add load.
@@ -199,15 +205,26 @@
     const client = createClient(controlMessage.Configurations, peers.transport(address));
     this.stream = new AbortController();
     const { stream } = this;
-    const onSilence = (): void => {
-      // After `stop` another task may follow the same instance over the same connection.
-      if (!this.isStopped) peers.drop(address);
-      stream.abort();
+    let cancelTimer = (): void => undefined;
+    /** Aborts the stream when no event comes for `ms`, or for `extensions` times that while the connection is alive. */
+    const limitSilence = (ms: number, extensions: number, onSilence = (): void => undefined): void => {
+      const receivedBefore = peers.received(address);
+      // After a suspension of this process its timers fire before the events that have arrived meanwhile are read.
+      cancelTimer = afterActive(clock, ms, () => {
+        const isAlive = peers.received(address) > receivedBefore;
+        if (isAlive && extensions > 0) {
+          if (this.hasReceived) this.updateContact(false, false);
+          limitSilence(ms, extensions - 1, onSilence);
+          return;
+        }
+        onSilence();
+        // After `stop` another task may follow the same instance over the same connection.
+        if (!this.isStopped && !isAlive) peers.drop(address);
+        stream.abort();
+      });
     };
-    // After a suspension of this process its timers fire before the events that have arrived meanwhile are read.
-    let cancelTimer = afterActive(clock, this.firstEventTimeoutMs, () => {
+    limitSilence(this.firstEventTimeoutMs, 0, () => {
       this.firstEventTimeoutMs = Math.min(MAX_FIRST_EVENT_TIMEOUT_MS, this.firstEventTimeoutMs * 2);
-      onSilence();
     });
     const request = { number: BigInt(listener.number()), name, role, bulk };
     let events = 0;
@@ -222,11 +239,11 @@
           break;
         }
         if (event.queued) {
-          cancelTimer = afterActive(clock, MAX_FIRST_EVENT_TIMEOUT_MS, onSilence);
+          limitSilence(MAX_FIRST_EVENT_TIMEOUT_MS, 0);
           this.expect(QUORUM_LOSS_GRACE_MS);
           continue;
         }
-        cancelTimer = afterActive(clock, SILENCE_TIMEOUT_MS, onSilence);
+        limitSilence(SILENCE_TIMEOUT_MS, MAX_EXTENSIONS);
         this.hasReceived = true;
         this.firstEventTimeoutMs = FIRST_EVENT_TIMEOUT_MS;
         if (events === 0)
--- a/packages/protocol/src/transport/peers.ts
+++ b/packages/protocol/src/transport/peers.ts
@@ -24,6 +24,8 @@
 interface Peer {
   readonly transport: Transport;
   readonly session: SessionManager;
+  /** Bytes received over the connection. */
+  readonly received: () => number;
 }
 
 /** Connections to peers: one HTTP/2 connection per address and lane, opened on first use. */
@@ -55,6 +57,14 @@
     return peer.transport;
   }
 
+  /**
+   * Bytes received so far over the connection to an address. A peer that sends anything is there, though it may be slow: while this
+   * grows, a missing answer is no reason to close the connection.
+   */
+  received(address: string, lane: Lane = 'calls'): number {
+    return this.lanes[lane].get(address)?.received() ?? 0;
+  }
+
   /**
    * Closes the connection to an address; the next call opens a new one. For unresponsive connections: a device between
    * the peers may lose its state of a connection, which is then never closed, while new ones work.
@@ -81,6 +91,7 @@
   private connect(address: string): Peer {
     const material = this.tls?.current();
     const baseUrl = `${material === undefined ? 'http' : 'https'}://${address}`;
+    const sockets: Socket[] = [];
     const session = new SessionManager(
       baseUrl,
       {
@@ -89,7 +100,13 @@
         pingIdleConnection: false,
         idleConnectionTimeoutMs: 60_000,
       },
-      { createConnection: (to) => this.createSocket(to) },
+      {
+        createConnection: (to) => {
+          const socket = this.createSocket(to);
+          sockets.splice(0, sockets.length, socket);
+          return socket;
+        },
+      },
     );
     const transport = createConnectTransport({
       baseUrl,
@@ -98,7 +115,7 @@
       readMaxBytes: MAX_MESSAGE_BYTES,
       interceptors: [sendLength],
     });
-    return { transport, session };
+    return { transport, session, received: () => sockets[0]?.bytesRead ?? 0 };
   }
 
   /**
