Requests without an answer are answered before a planned stop ends under them

What callers saw, in a report of other operators: in a planned stop, requests were cut with no answer, among them some that may not be repeated. Those in progress at SIGTERM that take longer than the grace were cut by the kill: their callers could not know whether they ran. Change: 250 ms before the end of the grace, requests without a first byte are answered: 502 when they may have run, 503 when they were never sent. Streams that have begun go on.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -47,6 +47,12 @@
 /** Time before the end of a planned stop at which requests that are still in progress are named, milliseconds. */
 const NAMING_MARGIN_MS = 150;
 
+/**
+ * Time before the end of a planned stop at which requests without an answer get one, milliseconds: their callers would not learn
+ * from a connection that is cut whether they ran.
+ */
+const ANSWER_MARGIN_MS = 250;
+
 /** Maximum number of requests that are named when a planned stop ends under them. */
 const MAX_NAMED_REQUESTS = 32;
 
@@ -229,9 +235,13 @@
     const cancelNaming = clock.after(this.settings.graceMs - NAMING_MARGIN_MS, () => {
       this.logUnfinished();
     });
+    const cancelAnswers = clock.after(this.settings.graceMs - ANSWER_MARGIN_MS, () => {
+      for (const handler of this.open) handler.endForStop();
+    });
     await clock.sleep(this.settings.drainDelayMs);
     await this.server.drain(CONNECTION_DRAIN_MS, this.stopsAt - END_MARGIN_MS);
     cancelNaming();
+    cancelAnswers();
     log.event(relayEvents.drained, { open: this.open.size, ...this.server.stopRecord() });
   }
 
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -11,6 +11,7 @@
 import { relayEvents } from '../events.js';
 import { Relay } from '../relay.js';
 import { relaySettings } from '../setting/index.js';
+import type { RelaySettings } from '../setting/index.js';
 import { testDialect } from './dialect.js';
 import { LeaseStub } from './leaseStub.js';
 
@@ -226,7 +227,7 @@
   /** Software versions of targets by id, where they are others than v1. */
   private softwareVersions: Readonly<Record<string, string>> = {};
 
-  private constructor(control: string) {
+  private constructor(control: string, settings: Partial<RelaySettings>) {
     this.stalls.start();
     this.relay = new Relay(
       {
@@ -247,7 +248,7 @@
         metrics: silentMetrics,
         peers: this.peers,
       },
-      relaySettings.parse({ httpPort: 0, drainDelayMs: 300 }),
+      { ...relaySettings.parse({ httpPort: 0, drainDelayMs: 300 }), ...settings },
       {
         ...testDialect,
         targetHeaders: (...sending) => {
@@ -273,8 +274,9 @@
     targets = 1,
     extra: Partial<Configuration> = {},
     softwareVersions: Readonly<Record<string, string>> = {},
+    settings: Partial<RelaySettings> = {},
   ): Promise<RelayBed> {
-    const bed = await RelayBed.create(targets);
+    const bed = await RelayBed.create(targets, settings);
     bed.softwareVersions = softwareVersions;
     bed.announce();
     bed.configure(routes, extra);
@@ -290,9 +292,9 @@
     return bed;
   }
 
-  private static async create(targets: number): Promise<RelayBed> {
+  private static async create(targets: number, settings: Partial<RelaySettings> = {}): Promise<RelayBed> {
     const controlStub = new ControlStub();
-    const bed = new RelayBed(await controlStub.start());
+    const bed = new RelayBed(await controlStub.start(), settings);
     Object.assign(bed, { controlStub });
     for (let n = 1; n <= targets; n += 1) bed.targets.push(await startTarget(`t${n}`));
     await bed.relay.start();
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -139,6 +139,13 @@
     };
   }
 
+  /** The planned stop of this entry ends: a request without an answer is answered, as not run only if it was never sent. */
+  endForStop(): void {
+    if (this.answer.begun) return;
+    const message = 'the planned stop of this entry ends before the request has an answer';
+    this.abort.abort(new FaultError(fault('stopping', message, { retryAfterMs: NEXT_ENTRY_RETRY_MS })));
+  }
+
   /** Answers the request in every case. */
   async run(): Promise<void> {
     const { dialect, knowledge, startupGrace, stalls } = this.context;
@@ -389,6 +396,7 @@
   private finalFault(problem: Fault): Fault {
     const { reason } = this.abort.signal as { reason: unknown };
     if (!(reason instanceof FaultError)) return problem;
+    if (reason.fault.kind === 'stopping') return { ...reason.fault, ran: problem.ran };
     if (problem.ran === 'not-run')
       return fault('deadline-unmeetable', 'the deadline passed before a target ran the request');
     return reason.fault;
