--- a/packages/engine/src/wire/overhead.spec.ts
+++ b/packages/engine/src/wire/overhead.spec.ts
@@ -36,6 +36,14 @@
     first: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
     then: `1;${filler}\r\na\r\n`,
   },
+  'a protocol that was not asked for': {
+    first: 'HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n',
+    then: filler,
+  },
+  'compressed bytes': {
+    first: 'HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\n',
+    then: `4000\r\n${filler}\r\n`,
+  },
   trailers: {
     first: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n',
     then: `x-a: ${'y'.repeat(100)}\r\n`.repeat(100),
@@ -82,6 +90,39 @@
     expect(written).toBeLessThan(MOST_BYTES);
   });
 
+  // Guards against bytes that keep arriving behind a whole answer, on a connection that is kept for the next request.
+  it.each([
+    ['another answer', 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother'.repeat(200)],
+    ['a head', `HTTP/1.1 200 OK\r\nx-a: ${filler}`],
+    ['bytes that are no head', filler],
+  ])('%s behind a whole answer is cut off', async (_name, then) => {
+    let written = 0;
+    let isClosed = false;
+    const send = async (socket: Socket): Promise<void> => {
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na');
+      while (!socket.destroyed) {
+        written += then.length;
+        const isFull = !socket.write(then);
+        if (isFull) await new Promise((resolve) => socket.once('drain', resolve).once('close', resolve));
+        await systemClock.sleep(1);
+      }
+    };
+    server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.on('close', () => (isClosed = true));
+      socket.once('data', () => void send(socket));
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    connections = new Connections(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, 1);
+    const wire = { method: 'GET', path: '/', headers: {} };
+    const signal = AbortSignal.timeout(CLOSED_WITHIN_MS);
+    const answer = await exchange(connections.pool(), wire, systemClock, signal);
+    const body = await readWhole(answer._unsafeUnwrap(), MAX_BODY_BYTES);
+    expect(body._unsafeUnwrap()).toEqual(Buffer.from('a'));
+    await expect.poll(() => isClosed, { timeout: CLOSED_WITHIN_MS }).toBe(true);
+    expect(written).toBeLessThan(MOST_BYTES);
+  });
+
   it('is not taken for one whose stream has many small chunks', async () => {
     const chunks = 200_000;
     server = createServer((socket) => {
