A ping between processes has two seconds

The same class as closing for a late answer: a ping had one second. Two are the silence after which a stream of events counts as lost.

--- a/packages/protocol/src/transport/peers.ts
+++ b/packages/protocol/src/transport/peers.ts
@@ -13,7 +13,9 @@
 
 /** An idle connection is pinged before use, so that no request is sent on one that has become unresponsive. */
 const IDLE_PING_MS = 1_000;
-const PING_TIMEOUT_MS = 1_000;
+
+/** A busy process answers late: it must not lose all streams of a connection for that. */
+const PING_TIMEOUT_MS = 2_000;
 
 /**
  * Purpose of a connection. Each lane has its own connection to an address: when one is dropped, or busy with a long message,
