A read from a quorum waits for less as more voters answer

What a read has to reflect is the last entry of any quorum. It was fixed by the first quorum that answered, which may hold entries that a stuck leader can't commit. Later answers now lower it. quorumReadSafety.spec.ts and slowLeader.spec.ts hold.

--- a/packages/coordination/src/agreement/applier.ts
+++ b/packages/coordination/src/agreement/applier.ts
@@ -71,10 +71,10 @@
   }
 
   /** Answers a query once all entries up to `index` are applied; undefined on timeout, or when queries are not supported. */
-  async query(command: Uint8Array, index: bigint, timeoutMs: number): Promise<Uint8Array | undefined> {
+  async query(command: Uint8Array, index: () => bigint, timeoutMs: number): Promise<Uint8Array | undefined> {
     const { clock, tuning } = this.replica;
     const deadline = clock.monotonic() + timeoutMs;
-    while (this.lastApplied < index) {
+    while (this.lastApplied < index()) {
       if (this.replica.stopped || clock.monotonic() >= deadline) return undefined;
       await this.progressed.waitFor(clock, tuning.heartbeatMs);
     }
--- a/packages/coordination/src/agreement/proposing.ts
+++ b/packages/coordination/src/agreement/proposing.ts
@@ -27,7 +27,11 @@
   readonly leadership: () => Leadership | undefined;
   readonly quorumRead: QuorumRead;
   /** Answers a query once all entries up to an index are applied; undefined on timeout. */
-  readonly query: (command: Uint8Array, index: bigint, timeoutMs: number) => Promise<Uint8Array | undefined>;
+  readonly query: (
+    command: Uint8Array,
+    index: () => bigint,
+    timeoutMs: number,
+  ) => Promise<Uint8Array | undefined>;
 }
 
 /** A command or query for the leader. */
@@ -164,7 +168,7 @@
     const deadline = clock.monotonic() + timeoutMs;
     const index = await leadership.readIndex(timeoutMs);
     if (index === undefined) return notConfirmed();
-    const answer = await this.context.query(command, index, deadline - clock.monotonic());
+    const answer = await this.context.query(command, () => index, deadline - clock.monotonic());
     return answer === undefined ? notConfirmed() : ok(answer);
   }
 
--- a/packages/coordination/src/agreement/quorumRead.ts
+++ b/packages/coordination/src/agreement/quorumRead.ts
@@ -7,10 +7,13 @@
 /** Shortest time between two questions, in heartbeat intervals: they must not add to a load that keeps the replicas from a leader. */
 const PAUSE_HEARTBEATS = 2;
 
+/** An index that no log reaches. */
+const NEVER = 2n ** 64n;
+
 /** What a read has to reflect. */
 export interface ReadPoint {
-  /** All entries up to this index have to be applied. */
-  readonly index: bigint;
+  /** All entries up to this index have to be applied. It falls with further answers, as any quorum will do. */
+  readonly index: () => bigint;
   /** The configuration whose voters were asked. The read fails if another one is in force once the entries are applied. */
   readonly configuration: Configuration;
 }
@@ -58,21 +61,20 @@
     // Two leaders may have changed the same configuration: a change that is not committed may have no quorum in common with the other.
     if (configuration === undefined || commitIndex === 0n || configurationIndex > commitIndex)
       return undefined;
-    const index = await this.lastIndexOfQuorum(configuration);
-    return index === undefined ? undefined : { index, configuration };
+    const lastIndexes = new Map([[replica.id, entries.last.index]]);
+    if (!(await this.askVoters(configuration, lastIndexes))) return undefined;
+    return { index: () => lastOfQuorum(configuration, lastIndexes), configuration };
   }
 
-  /** The last index that a quorum holds: the smallest one that is known when a quorum has answered. */
-  private lastIndexOfQuorum(configuration: Configuration): Promise<bigint | undefined> {
+  /** Collects the last indexes of the voters. Resolves with whether a quorum has answered; later answers are added as well. */
+  private askVoters(configuration: Configuration, lastIndexes: Map<string, bigint>): Promise<boolean> {
     const { replica } = this;
-    const lastIndexes = new Map([[replica.id, replica.entries.last.index]]);
     const others = configuration.voters.filter(({ replicaId }) => replicaId !== replica.id);
     let remaining = others.length;
     return new Promise((resolve) => {
       const check = (): void => {
-        if (isQuorum(configuration, ({ replicaId }) => lastIndexes.has(replicaId)))
-          resolve(lastOfQuorum(configuration, lastIndexes));
-        else if (remaining === 0) resolve(undefined);
+        if (isQuorum(configuration, ({ replicaId }) => lastIndexes.has(replicaId))) resolve(true);
+        else if (remaining === 0) resolve(false);
       };
       for (const voter of others) {
         void this.lastIndexOf(voter).then((index) => {
@@ -92,12 +94,9 @@
   }
 }
 
-/** The last index of the quorum with the shortest logs. */
-function lastOfQuorum(
-  { voters }: Configuration,
-  lastIndexes: ReadonlyMap<string, bigint>,
-): bigint | undefined {
+/** The last index of the quorum with the shortest logs, of the voters whose last indexes are known. */
+function lastOfQuorum({ voters }: Configuration, lastIndexes: ReadonlyMap<string, bigint>): bigint {
   const known = voters.flatMap(({ replicaId }) => lastIndexes.get(replicaId) ?? []);
   const ascending = known.sort((a, b) => (a < b ? -1 : a > b ? 1 : 0));
-  return ascending[quorumOf(voters.length) - 1];
+  return ascending[quorumOf(voters.length) - 1] ?? NEVER;
 }
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -106,7 +106,7 @@
     this.joining = new Joining(replica, this.peers, options.initialReplicas, () => this.report());
     this.reconfiguration = new Reconfiguration(replica, this.joining);
     this.contact = new Contact(replica, this.applier, this.follower, leadership);
-    const query = (command: Uint8Array, index: bigint, timeoutMs: number) =>
+    const query = (command: Uint8Array, index: () => bigint, timeoutMs: number) =>
       this.applier.query(command, index, timeoutMs);
     const { peers, joining } = this;
     const quorumRead = new QuorumRead(replica, joining);
