A leader that is out of contact for a moment goes on with its updates of weights

Change: updaters stop when the instance no longer leads; only the start of one needs contact. Without a quorum there is no lease, so no order. Test: unattendedTargets.spec.ts, 'keep their updaters ...', failed before (2 stopped).

--- a/packages/control/src/weights/remoteWeights.ts
+++ b/packages/control/src/weights/remoteWeights.ts
@@ -49,6 +49,7 @@
       observer: { tell: (observation) => this.observe(observation) },
       isAttended: (id, withinMs) => isAttended(loads, id, withinMs),
       acts: () => commandLog.status().state === 'leader' && commandLog.status().vouched,
+      leads: () => commandLog.status().state === 'leader',
       clock,
       log,
       metrics,
--- a/packages/rollout/src/unattended/unattendedTargets.spec.ts
+++ b/packages/rollout/src/unattended/unattendedTargets.spec.ts
@@ -5,6 +5,7 @@
 import { err, ok } from 'neverthrow';
 import { fault } from '@jasmineroute/core';
 import { beforeEach, describe, expect, it } from 'vitest';
+import { rolloutEvents } from '../events.js';
 import type { TargetPort } from '../port/index.js';
 import { UnattendedTargets } from './unattendedTargets.js';
 
@@ -14,6 +15,9 @@
   /** Targets that the process beside them reports. */
   let reported: Set<string>;
   let leads: boolean;
+  let isInContact: boolean;
+  /** Number of updaters that were stopped. */
+  let stopped: number;
   /** Address that makes each call to it throw. */
   let uncallable: string;
   /** Addresses of targets that were given an order. */
@@ -45,6 +49,8 @@
     reported = new Set();
     ordered = [];
     leads = true;
+    isInContact = true;
+    stopped = 0;
     const targets = ['t1', 't2'].map((id, at) => {
       const weights = [{ model: 'm', version: 1n }];
       const announcement = controlMessage.Announcement.READY;
@@ -75,9 +81,15 @@
       },
       observer: { tell: () => Promise.resolve() },
       isAttended: (id) => reported.has(id),
-      acts: () => leads,
+      acts: () => leads && isInContact,
+      leads: () => leads,
       clock,
-      log: silentLog,
+      log: {
+        ...silentLog,
+        event: ({ id }) => {
+          if (id === rolloutEvents.attended.id) stopped += 1;
+        },
+      },
       metrics: silentMetrics,
     });
   });
@@ -103,6 +115,18 @@
     unattended.stop();
   });
 
+  // Guards against updates that all begin anew each time that a busy leader hears no quorum for a moment.
+  it('keep their updaters while the leader is out of contact for a moment', async () => {
+    await run(4_000);
+    expect(ordered.length).toBeGreaterThan(0);
+    isInContact = false;
+    for (let step = 0; step < 1_000; step += 50) await clock.advance(50);
+    isInContact = true;
+    for (let step = 0; step < 500; step += 50) await clock.advance(50);
+    expect(stopped).toBe(0);
+    unattended.stop();
+  });
+
   it('get no order while the first report of a process that has just started may be pending', async () => {
     // Guards against alternate orders of control instances and the processes beside targets after a loss of power of all:
     // control is back first, and has no report of any target yet.
--- a/packages/rollout/src/unattended/unattendedTargets.ts
+++ b/packages/rollout/src/unattended/unattendedTargets.ts
@@ -38,8 +38,10 @@
   readonly observer: Pick<Observer, 'tell'>;
   /** Whether the process beside a target has reported within the last `withinMs`, and can get the right to order. */
   readonly isAttended: (targetId: string, withinMs: number) => boolean;
-  /** Whether this instance is the one that acts: the leader of the replicated log. */
+  /** Whether this instance is the one that acts: the leader of the replicated log, in contact with a quorum. */
   readonly acts: () => boolean;
+  /** Whether it leads, though it may be out of contact for a moment. */
+  readonly leads: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -87,11 +89,13 @@
 
   /** Starts updaters for unattended targets, and stops those of targets whose process can order again. */
   check(): void {
-    const { knowledge, acts } = this.parts;
+    const { knowledge, acts, leads } = this.parts;
     const targets = knowledge.targets.weighted();
     const unattended = new Set(targets.filter((target) => this.isUnattended(target)).map(({ id }) => id));
     const mayAct = acts();
-    for (const id of [...this.updaters.keys()]) if (!mayAct || !unattended.has(id)) this.stopUpdater(id);
+    // Out of contact an updater gets no lease and gives no order, but need not begin anew.
+    const mayGoOn = mayAct || leads();
+    for (const id of [...this.updaters.keys()]) if (!mayGoOn || !unattended.has(id)) this.stopUpdater(id);
     for (const id of this.unattendedSince.keys()) {
       if (!targets.some((target) => target.id === id)) this.unattendedSince.delete(id);
     }
