A read ends with its time although a question to a quorum is not answered

Cause: a read waits for the answers of a quorum, whose calls have up to 1.5 s, beyond the read's own 0.9 s. Change: the wait ends with the read's time.

--- a/packages/coordination/src/agreement/proposing.ts
+++ b/packages/coordination/src/agreement/proposing.ts
@@ -10,7 +10,7 @@
 import type { PeerClient } from './peerClient.js';
 import { unknownOutcome } from './proposal.js';
 import type { Outcome } from './proposal.js';
-import type { QuorumRead } from './quorumRead.js';
+import type { QuorumRead, ReadPoint } from './quorumRead.js';
 import type { Replica } from './replica.js';
 
 /** Timeout at the leader for a command that another replica forwarded. */
@@ -134,7 +134,7 @@
     const deadline = clock.monotonic() + timeoutMs;
     while (!replica.stopped && clock.monotonic() < deadline) {
       // The leader asks the same replicas itself.
-      const point = replica.role === 'leader' ? undefined : await quorumRead.point();
+      const point = replica.role === 'leader' ? undefined : await this.readPoint(deadline);
       const remainingMs = deadline - clock.monotonic();
       const answer = point === undefined ? undefined : await query(command, point.index, remainingMs);
       if (answer !== undefined && point !== undefined && quorumRead.isCurrent(point)) return answer;
@@ -143,6 +143,20 @@
     return undefined;
   }
 
+  /** What a read has to reflect; undefined without answers of a quorum until the deadline. */
+  private readPoint(deadline: number): Promise<ReadPoint | undefined> {
+    const { replica, quorumRead } = this.context;
+    return new Promise((resolve, reject) => {
+      const cancel = replica.clock.after(deadline - replica.clock.monotonic(), () => {
+        resolve(undefined);
+      });
+      quorumRead.point().then((point) => {
+        cancel();
+        resolve(point);
+      }, reject);
+    });
+  }
+
   private leaderAddress(): string | undefined {
     const { replica } = this.context;
     return replica.others.find(({ name }) => name === replica.leader)?.address;
--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -1197,8 +1197,8 @@
   {
     name: 'reads from a quorum beside the leader',
     file: 'packages/coordination/src/agreement/proposing.ts',
-    find: "const point = replica.role === 'leader' ? undefined : await quorumRead.point();",
-    put: 'const point = replica.leader !== undefined ? undefined : await quorumRead.point();',
+    find: "const point = replica.role === 'leader' ? undefined : await",
+    put: 'const point = replica.leader !== undefined ? undefined : await',
     spec: 'packages/coordination/src/agreement/slowLeader.spec.ts',
     test: 'every replica answers queries while the leader is slow',
   },
