--- a/packages/core/src/stall/acceptBacklog.ts
+++ b/packages/core/src/stall/acceptBacklog.ts
@@ -1,6 +1,9 @@
 /** Connections that wait at a listener. The runtime accepts one in each turn of the event loop, so others wait for theirs. */
 import type { Clock } from '../clock/index.js';
 
+/** Wait of a connection that matters, milliseconds: as the delay that counts as a stall. */
+const MIN_WAIT_MS = 100;
+
 /** Connections that one listener accepted in consecutive turns of the event loop. */
 export interface AcceptedSeries {
   readonly listener: string;
@@ -36,14 +39,16 @@
 
   /**
    * Records an accepted connection.
-   * @returns the earliest monotonic time at which it may have arrived, if it may have waited behind others.
+   * @returns the earliest monotonic time at which it may have arrived, if it may have waited for long behind others.
    */
   record(): number | undefined {
+    const now = this.clock.monotonic();
     this.hasAccepted = true;
     this.connections += 1;
-    if (this.startedAt !== undefined) return this.startedAt;
-    this.startedAt = this.clock.monotonic();
-    void this.watch(this.startedAt);
+    const { startedAt } = this;
+    if (startedAt !== undefined) return now - startedAt < MIN_WAIT_MS ? undefined : startedAt;
+    this.startedAt = now;
+    void this.watch(now);
     return undefined;
   }
 
