Ends of connections under unanswered requests are counted and logged at any time; logs tell what a folder held

What could not be told apart: whether this side closes connections in use outside planned stops, under requests that were handled or under ones that still waited for their turn (5020, entry.connection.unanswered); a connection that this side cut while its caller did not read counted as ended by the caller (cause cut); whether an acknowledged entry was on the disk at a start (2000: lastIndex, syncedIndex; 2005: firstIndex); how many descriptors are open (process.descriptors.open). No change of behaviour. Tests of packages/entry/src/http and packages/daemon: 100 passed.

--- a/packages/coordination/src/agreement/leadership.ts
+++ b/packages/coordination/src/agreement/leadership.ts
@@ -87,7 +87,10 @@
       return;
     }
     this.termStartIndex = appended.value;
-    replica.log.event(coordinationEvents.leading, { term: this.term.toString() });
+    replica.log.event(coordinationEvents.leading, {
+      term: this.term.toString(),
+      firstIndex: this.termStartIndex.toString(),
+    });
     await Promise.all([this.appendProposals(), this.checkQuorum(), this.replicateToMembers()]);
     this.refusePending();
   }
--- a/packages/coordination/src/agreement/replicatedLog.ts
+++ b/packages/coordination/src/agreement/replicatedLog.ts
@@ -49,6 +49,10 @@
   };
 }
 
+/** Index of the last entry that a folder holds; 0: none. */
+const lastIndexOf = ({ entries, snapshot }: Recovered): bigint =>
+  entries.at(-1)?.index ?? snapshot?.lastIndex ?? 0n;
+
 const hasAddress = ({ name, address }: ReplicaAddress): boolean => name !== '' && address !== '';
 
 /**
@@ -126,7 +130,13 @@
     const { storage, recovered } = opened.value;
     const { repairedBytes, state } = recovered;
     if (repairedBytes > 0) options.log.event(coordinationEvents.repairedTail, { bytes: repairedBytes });
-    options.log.event(coordinationEvents.opened, { replica: state.replicaId, term: state.term.toString() });
+    options.log.event(coordinationEvents.opened, {
+      replica: state.replicaId,
+      term: state.term.toString(),
+      // What was acknowledged and is not among these entries is gone from this disk.
+      lastIndex: lastIndexOf(recovered).toString(),
+      syncedIndex: recovered.syncedIndex.toString(),
+    });
     return ok(new ReplicatedLog(options, storage, recovered));
   }
 
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -18,6 +18,7 @@
 import type { HealthServer } from '../health/index.js';
 import type { Role, RunningRole } from '../role/index.js';
 import type { DaemonSettings } from '../setting/index.js';
+import { openDescriptors } from './descriptors.js';
 import { drawIncarnation } from './incarnation.js';
 import { ownMemory, watchMemory } from './memoryWatch.js';
 import { prepareRuntime } from './runtime.js';
@@ -67,6 +68,8 @@
   metrics.gauge(daemonMetrics.heapReserved, heapTotal);
   metrics.gauge(daemonMetrics.external, external);
   metrics.gauge(daemonMetrics.compilersPeak, compilersPeak);
+  const descriptors = openDescriptors();
+  if (descriptors !== undefined) metrics.gauge(daemonMetrics.descriptors, descriptors);
 }
 
 async function measuringOf(settings: DaemonSettings): Promise<Measuring> {
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -23,6 +23,7 @@
     help: 'Heap that the runtime has reserved, bytes',
   },
   external: { name: 'process.memory.external', type: 'gauge', help: 'Buffers outside the heap, bytes' },
+  descriptors: { name: 'process.descriptors.open', type: 'gauge', help: 'Open file descriptors' },
   stall: {
     name: 'process.stall',
     type: 'timing',
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -29,5 +29,10 @@
     level: 'info',
     message: 'request refused, as its body was too long to wait for the answers before it',
   },
+  endedUnanswered: {
+    id: 5020,
+    level: 'warn',
+    message: "this side ended callers' connections with requests on them that had no complete answer",
+  },
   unexpected: { id: 5016, level: 'error', message: 'unexpected error in a request' },
 });
--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -40,6 +40,8 @@
   /** Unfinished answers, in the order of their requests. */
   readonly answers = new Set<ServerResponse>();
   private hasGivenUpInput = false;
+  /** Requests whose turn had not come at the end. */
+  private unhandledRequests = 0;
   private bytesSeen = 0;
   private activeAt: number;
   private ending: Ending | undefined;
@@ -220,15 +222,17 @@
   /** How the connection ended, once it is closed. */
   record(hadError: boolean): ConnectionEnd {
     const { ending, socket, clock } = this;
+    const { unhandledRequests } = this;
     const unfinishedAnswers = [...this.answers].filter((one) => !one.writableFinished).length;
     if (ending === undefined) {
-      const cause = hadError ? 'reset' : 'caller';
-      return { cause, unfinishedAnswers, unsentBytes: socket.writableLength, lateBytes: 0, closingMs: 0 };
+      const cause = hadError ? 'reset' : socket.readableEnded ? 'caller' : 'cut';
+      const unsentBytes = socket.writableLength;
+      return { cause, unfinishedAnswers, unhandledRequests, unsentBytes, lateBytes: 0, closingMs: 0 };
     }
     const { cause, unsentBytes } = ending;
     const lateBytes = socket.bytesRead - ending.bytesRead;
     const closingMs = Math.round(clock.monotonic() - ending.at);
-    return { cause, unfinishedAnswers, unsentBytes, lateBytes, closingMs };
+    return { cause, unfinishedAnswers, unhandledRequests, unsentBytes, lateBytes, closingMs };
   }
 
   /** What arrived before the connection was accepted is read in the turn of the event loop after that. */
@@ -288,6 +292,7 @@
 
   private endTurns(): void {
     this.endPause();
+    this.unhandledRequests += this.waiting.size;
     this.waiting.endAll();
   }
 
--- a/packages/entry/src/http/waitingRequests.ts
+++ b/packages/entry/src/http/waitingRequests.ts
@@ -36,6 +36,11 @@
     return this.waits.size === 0;
   }
 
+  /** Number of requests that wait for their turn. */
+  get size(): number {
+    return this.waits.size;
+  }
+
   /** @returns whether the turn comes, when that is known. */
   add(answer: ServerResponse): Promise<boolean> {
     this.reserveLast();
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -21,6 +21,11 @@
     type: 'counter',
     help: "Ends of callers' connections, by who ended them and why",
   },
+  unanswered: {
+    name: 'entry.connection.unanswered',
+    type: 'counter',
+    help: 'Requests without a complete answer at the end of their connection, by who ended it and whether they were handled',
+  },
   bufferedBytes: {
     name: 'entry.request.buffered_bytes',
     type: 'gauge',
