Failing tests: processes without a free descriptor, and with an output that refuses writes

Real processes on loopback. On this code the entry ends by itself while it answers (socket hang up on a kept connection), and with an output that refuses writes entry and control stand still until they are killed.

--- a/packages/testkit/src/process/managedProcess.ts
+++ b/packages/testkit/src/process/managedProcess.ts
@@ -32,6 +32,8 @@
   readonly readyTimeoutMs?: number;
   /** Options of Node itself. */
   readonly nodeArgs?: readonly string[];
+  /** Most descriptors that the process may have open; absent: as many as this one. */
+  readonly maxDescriptors?: number;
 }
 
 /** How a process ended. */
@@ -46,6 +48,9 @@
   return Object.fromEntries(entries);
 }
 
+/** Takes a limit, a program and its arguments: the limit stays with the process that becomes the program. */
+const LIMITING_SHELL = ['/bin/sh', '-c', 'ulimit -n "$0" && exec "$@"'] as const;
+
 /** Characters of a log that an error quotes: a few lines, of which the last says why a process ended. */
 const QUOTED_CHARACTERS = 2_000;
 
@@ -101,7 +106,8 @@
     const { script, args, env, logFile, nodeArgs = [], readyTimeoutMs = 60_000 } = this.options;
     mkdirSync(dirname(logFile), { recursive: true });
     const log = openSync(logFile, 'a');
-    const child = spawn(process.execPath, [...nodeArgs, script, ...args, ...extraArgs], {
+    const [program, ...rest] = this.limited([process.execPath, ...nodeArgs, script, ...args, ...extraArgs]);
+    const child = spawn(program, rest, {
       env: { ...ownEnvironment(), ...env },
       stdio: ['ignore', 'pipe', log],
     });
@@ -154,6 +160,11 @@
     this.signal('SIGCONT');
   }
 
+  private limited(command: readonly [string, ...string[]]): readonly [string, ...string[]] {
+    const { maxDescriptors } = this.options;
+    return maxDescriptors === undefined ? command : [...LIMITING_SHELL, String(maxDescriptors), ...command];
+  }
+
   /** Names the log and quotes its end: a test's folder may be gone when somebody reads the error. */
   private notReady(what: string): Error {
     const { logFile } = this.options;
