A look at the memory of the process that fails does not end it

What callers saw: connections in use that are closed without an answer, all of an entry at once (LOST). Cause: reading the resident memory takes a descriptor. Without a free one the look threw in its timer, and an uncaught exception ends the process. The class: housekeeping that can fail ends what it keeps house for. Change: a look that fails is logged once (7012) and tried again; metrics serve the other figures.

--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -24,5 +24,10 @@
     level: 'warn',
     message: 'connections waited to be accepted, one in each turn of the event loop',
   },
+  memoryUnread: {
+    id: 7012,
+    level: 'warn',
+    message: 'the system does not tell the memory of the process, perhaps as no descriptor is free',
+  },
   memoryGrew: { id: 7008, level: 'info', message: 'the memory of the process has a new peak' },
 });
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -83,7 +83,11 @@
   if (metricsPort === undefined) return { metrics: combineMetrics(all), server: undefined };
   const text = createTextMetrics(labels);
   const server = await serveMetrics(host, metricsPort, () => {
-    measureMemory(text);
+    try {
+      measureMemory(text);
+    } catch {
+      // Told by the watch of the memory. The other figures are served.
+    }
     return text.text();
   });
   return { metrics: combineMetrics([...all, text]), server };
--- a/packages/daemon/src/life/memoryWatch.spec.ts
+++ b/packages/daemon/src/life/memoryWatch.spec.ts
@@ -1,6 +1,7 @@
 import { ManualClock } from '@jasmineroute/core';
 import type { Log } from '@jasmineroute/core';
 import { describe, expect, it } from 'vitest';
+import { daemonEvents } from '../events.js';
 import { ownMemory, watchMemory } from './memoryWatch.js';
 import type { MemoryReader } from './memoryWatch.js';
 
@@ -42,6 +43,25 @@
     });
   });
 
+  // Guards against a process that is ended by the look at its memory, which takes a descriptor, when none is free.
+  it('logs once that the memory is not told, and goes on when it is', async () => {
+    const events: number[] = [];
+    const log: Log = { event: ({ id }) => events.push(id), with: () => log };
+    let isTold = false;
+    const resident = (): number => {
+      if (!isTold) throw new Error('EMFILE: too many open files');
+      return 60 * MB;
+    };
+    const clock = new ManualClock();
+    const stop = watchMemory(clock, log, { resident, usage: () => ({ ...ownMemory.usage(), rss: 60 * MB }) });
+    await clock.advance(2_000);
+    expect(events).toEqual([daemonEvents.memoryUnread.id]);
+    isTold = true;
+    await clock.advance(2_000);
+    stop();
+    expect(events).toEqual([daemonEvents.memoryUnread.id, daemonEvents.memoryGrew.id]);
+  });
+
   // Guards against a limit that is compared with a figure which holds the pages of the program's file, too.
   it('tells anonymous memory from what is resident', () => {
     const before = ownMemory.usage();
--- a/packages/daemon/src/life/memoryWatch.ts
+++ b/packages/daemon/src/life/memoryWatch.ts
@@ -22,7 +22,7 @@
   readonly compilersPeak: number;
 }
 
-/** Reads the memory of a process. */
+/** Reads the memory of a process. @throws Error where the system does not tell it: reading it takes a free descriptor. */
 export interface MemoryReader {
   /** Resident memory alone, bytes: much cheaper than all. */
   resident(): number;
@@ -60,15 +60,27 @@
   compilersPeakMb: inMb(usage.compilersPeak),
 });
 
-/** Logs each peak that lies a step above the last one that was logged. Returns the way to stop. */
+/**
+ * Logs each peak that lies a step above the last one that was logged, and once that the memory can't be read. Returns the way to
+ * stop.
+ */
 export function watchMemory(clock: Clock, log: Log, memory: MemoryReader = ownMemory): () => void {
   let logged = 0;
+  let isUnread = false;
   let callOff = (): void => undefined;
+  const logPeak = (): void => {
+    if (memory.resident() < logged + STEP_BYTES) return;
+    const usage = memory.usage();
+    logged = usage.rss;
+    log.event(daemonEvents.memoryGrew, fieldsOf(usage));
+  };
   const look = (): void => {
-    if (memory.resident() >= logged + STEP_BYTES) {
-      const usage = memory.usage();
-      logged = usage.rss;
-      log.event(daemonEvents.memoryGrew, fieldsOf(usage));
+    try {
+      logPeak();
+      isUnread = false;
+    } catch (error) {
+      if (!isUnread) log.event(daemonEvents.memoryUnread, { problem: String(error) });
+      isUnread = true;
     }
     callOff = clock.after(LOOK_MS, look);
   };
