An output that refuses log lines neither ends the process nor holds it up

What callers saw: an entry that answers nothing any more, and keeps connections open and accepts others until it is killed. Cause: the writer of the log library passes the error of a write on to nobody, which is an uncaught exception; the exit that follows writes the last lines, and that writer tries a write that is refused for ever. Change: lines are written by a writer of our own, which keeps up to 1 MB as before, tries again after 250 ms, tells how many lines were dropped (1000), and writes the rest at the end of the process in one attempt. A ready line that is not taken is logged (7013).

--- a/packages/core/src/event/event.ts
+++ b/packages/core/src/event/event.ts
@@ -1,6 +1,10 @@
 /** Structured logging: every line is an event with an id, defined in a catalogue. */
 import { pino } from 'pino';
-import type { Logger } from 'pino';
+import type { DestinationStream, Logger } from 'pino';
+import { systemClock } from '../clock/index.js';
+import { coreEvents } from '../events.js';
+import { LineWriter } from './lineWriter.js';
+import type { LostLines } from './lineWriter.js';
 
 /** Severity of an event. */
 export type Level = 'debug' | 'info' | 'warn' | 'error';
@@ -38,39 +42,26 @@
 /** Streams that log lines can go to. */
 export type LogStream = 'stderr' | 'stdout';
 
-/** Bytes that are buffered before a write to standard output, and the longest time that they wait, milliseconds. */
-const BUFFER_BYTES = 4_096;
-const FLUSH_INTERVAL_MS = 250;
-
-/** Bytes that may be pending for a slow reader of standard output; more are dropped, so that logging never blocks work. */
-const MAX_PENDING_BYTES = 1_048_576;
-
 /** Standard error is written synchronously, line by line; standard output is buffered and written asynchronously. */
-const destinations: Record<LogStream, () => ReturnType<typeof pino.destination>> = {
+const destinations: Record<LogStream, (onLost: (lost: LostLines) => void) => DestinationStream> = {
   stderr: () => pino.destination({ fd: 2, sync: true }),
-  stdout: () => {
-    const destination = pino.destination({
-      fd: 1,
-      sync: false,
-      minLength: BUFFER_BYTES,
-      periodicFlush: FLUSH_INTERVAL_MS,
-      maxLength: MAX_PENDING_BYTES,
-    });
+  stdout: (onLost) => {
+    const writer = new LineWriter(1, systemClock, onLost);
     process.on('exit', () => {
-      destination.flushSync();
+      writer.writeLast();
     });
-    return destination;
+    return writer;
   },
 };
 
 /** Creates a log that writes JSON lines. */
 export function createLog(level: Level, fields: Fields = {}, stream: LogStream = 'stderr'): Log {
-  return toLog(
-    pino(
-      { level, base: { pid: process.pid, ...fields }, timestamp: pino.stdTimeFunctions.isoTime },
-      destinations[stream](),
-    ),
-  );
+  const destination = destinations[stream]((lost) => {
+    log.event(coreEvents.linesLost, { ...lost });
+  });
+  const options = { level, base: { pid: process.pid, ...fields }, timestamp: pino.stdTimeFunctions.isoTime };
+  const log = toLog(pino(options, destination));
+  return log;
 }
 
 /** Discards all events; for tests. */
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -29,5 +29,10 @@
     level: 'warn',
     message: 'the system does not tell the memory of the process, perhaps as no descriptor is free',
   },
+  outputRefused: {
+    id: 7013,
+    level: 'warn',
+    message: 'the line that tells that the process serves could not be written',
+  },
   memoryGrew: { id: 7008, level: 'info', message: 'the memory of the process has a new peak' },
 });
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -283,6 +283,9 @@
     const http = parts.role.httpAddress?.() ?? parts.health?.address;
     const line = { ready: true, role, name, rpc: parts.rpc.address, http, pid: process.pid };
     log.event(daemonEvents.started, line);
+    process.stdout.once('error', (error) => {
+      log.event(daemonEvents.outputRefused, { problem: String(error) });
+    });
     process.stdout.write(`${JSON.stringify(line)}\n`);
     stopping.assembled(parts);
   } catch (error) {
