--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -1226,4 +1226,28 @@
     spec: 'packages/relay/src/endOfStop.spec.ts',
     test: 'is answered before a planned stop ends under it',
   },
+  {
+    name: 'sync of the journal before an acknowledgement',
+    file: 'packages/coordination/src/storage/fileDisk.ts',
+    find: 'sync: () => handle.datasync(),',
+    put: 'sync: () => Promise.resolve(),',
+    spec: 'platform/src/powerLoss.spec.ts',
+    test: 'seed 8201',
+  },
+  {
+    name: 'sync of the folder after a rename',
+    file: 'packages/coordination/src/storage/recordFile.ts',
+    find: '  await disk.syncFolder(dirname(path));\n',
+    put: '  dirname(path);\n',
+    spec: 'platform/src/powerLoss.spec.ts',
+    test: 'seed 8201',
+  },
+  {
+    name: 'a look at the memory that fails does not end the process',
+    file: 'packages/daemon/src/life/memoryWatch.ts',
+    find: '      if (!isUnread) log.event(daemonEvents.memoryUnread, { problem: String(error) });\n',
+    put: '      throw error;\n',
+    spec: 'platform/src/exhaustedProcess.spec.ts',
+    test: 'without a free descriptor',
+  },
 ];
