A connection that can't be accepted does not end the process

The same cause elsewhere: once a server listens, nobody heard its errors, so an accept that fails is an uncaught exception.

--- a/packages/core/src/event/index.ts
+++ b/packages/core/src/event/index.ts
@@ -1,2 +1,3 @@
 export * from './event.js';
+export * from './listenerErrors.js';
 export * from './problemTally.js';
--- a/packages/daemon/src/life/life.ts
+++ b/packages/daemon/src/life/life.ts
@@ -72,7 +72,7 @@
   if (descriptors !== undefined) metrics.gauge(daemonMetrics.descriptors, descriptors);
 }
 
-async function measuringOf(settings: DaemonSettings): Promise<Measuring> {
+async function measuringOf(settings: DaemonSettings, log: Log): Promise<Measuring> {
   const { role, name, dataCentre, statsd, metricsPort, host } = settings;
   const labels = { role, instance: name, data_centre: dataCentre };
   const all: Metrics[] = [];
@@ -82,7 +82,7 @@
   }
   if (metricsPort === undefined) return { metrics: combineMetrics(all), server: undefined };
   const text = createTextMetrics(labels);
-  const server = await serveMetrics(host, metricsPort, () => {
+  const server = await serveMetrics(host, metricsPort, log, () => {
     try {
       measureMemory(text);
     } catch {
@@ -145,14 +145,14 @@
 async function assemble(plan: Plan, log: Log, stop: (reason: string) => void): Promise<Parts> {
   const settings = plan.daemon;
   const endTraces = await endTracesOf(settings);
-  const { metrics, server } = await measuringOf(settings);
+  const { metrics, server } = await measuringOf(settings, log);
   const peers = new Peers(plan.tls, settings.sourceAddress);
   const stalls = watchStalls(log, metrics);
   const starting = new StartingRole();
   const health =
     plan.role.answersPlatform === true
       ? undefined
-      : await serveHealth(settings.host, settings.healthPort, () => starting.readiness());
+      : await serveHealth(settings.host, settings.healthPort, log, () => starting.readiness());
   const context: RoleContext = {
     name: settings.name,
     incarnation: drawIncarnation(systemClock),
@@ -177,7 +177,7 @@
       role.routes(router);
     },
     plan.tls,
-    { stalls, urgentServices: role.urgentServices },
+    { stalls, log, urgentServices: role.urgentServices },
   );
   await role.start(settings.advertise ?? rpc.address);
   starting.started(role);
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -4,6 +4,7 @@
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
+import { logListenerErrors } from '@jasmineroute/core';
 import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
 import { entryEvents } from '../events.js';
 import type { EntrySettings } from '../setting/index.js';
@@ -114,6 +115,7 @@
       this.server.once('error', reject);
       this.server.listen(httpPort, httpHost, () => {
         this.server.off('error', reject);
+        logListenerErrors(this.server, 'callers', this.log);
         resolve();
       });
     });
--- a/packages/protocol/src/transport/acceptFirst.spec.ts
+++ b/packages/protocol/src/transport/acceptFirst.spec.ts
@@ -1,5 +1,5 @@
 import { createClient } from '@connectrpc/connect';
-import { StallWatch, systemClock } from '@jasmineroute/core';
+import { StallWatch, systemClock, silentLog } from '@jasmineroute/core';
 import type { AcceptBacklog } from '@jasmineroute/core';
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { Turns } from '../gen/jasmineroute/control_pb.js';
@@ -51,7 +51,7 @@
       });
     },
     undefined,
-    { stalls },
+    { stalls, log: silentLog },
   );
 });
 
--- a/packages/protocol/src/transport/server.ts
+++ b/packages/protocol/src/transport/server.ts
@@ -4,7 +4,8 @@
 import { createSecureContext } from 'node:tls';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { ConnectRouter } from '@connectrpc/connect';
-import type { StallWatch } from '@jasmineroute/core';
+import { logListenerErrors } from '@jasmineroute/core';
+import type { Log, StallWatch } from '@jasmineroute/core';
 import { requireFields } from '../check/index.js';
 import { requireLength } from './messageLength.js';
 import { MAX_MESSAGE_BYTES } from './peers.js';
@@ -70,6 +71,7 @@
 /** How a server shares the event loop of its process. */
 export interface LoopShare {
   readonly stalls: StallWatch;
+  readonly log: Log;
   /** Names of services whose calls do not wait for their turn. */
   readonly urgentServices?: readonly string[];
 }
@@ -110,6 +112,7 @@
     server.once('error', reject);
     server.listen(port, host, () => {
       server.off('error', reject);
+      if (loop !== undefined) logListenerErrors(server, 'rpc', loop.log);
       resolve();
     });
   });
