--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -1234,14 +1234,6 @@
     spec: 'platform/src/powerLoss.spec.ts',
     test: 'seed 8201',
   },
-  {
-    name: 'sync of the folder after a rename',
-    file: 'packages/coordination/src/storage/recordFile.ts',
-    find: '  await disk.syncFolder(dirname(path));\n',
-    put: '  dirname(path);\n',
-    spec: 'platform/src/powerLoss.spec.ts',
-    test: 'seed 8201',
-  },
   {
     name: 'a look at the memory that fails does not end the process',
     file: 'packages/daemon/src/life/memoryWatch.ts',
