A body in very small chunks takes no more memory than one in large chunks

What callers saw: an entry that ends with a full heap; 2 connections with 1.8 MB each were enough, and so was one caller within the limits whose body of 1 MB came in chunks of one byte. Cause: each chunk is a Buffer object of its own, of some hundred bytes, kept until the end of the body, while waiting for its turn in the stream's own buffer; bounds count the bytes of the body. Evidence: hostileCallers.spec.ts, four tests that ended the process before (heap of 48 MB). Change: the server's requests copy parts into blocks of up to 16 KB before anybody reads them, wherever the body waits.

--- a/packages/entry/src/http/index.ts
+++ b/packages/entry/src/http/index.ts
@@ -3,6 +3,7 @@
 export * from './arrivedConnections.js';
 export * from './badConnection.js';
 export * from './body.js';
+export * from './compactMessage.js';
 export * from './callerConnection.js';
 export * from './requestHandler.js';
 export * from './reply.js';
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -13,6 +13,7 @@
 import { refuseConnection, statusOfParserError } from './badConnection.js';
 import { BodyBudget } from './body.js';
 import { CallerConnection } from './callerConnection.js';
+import { CompactMessage } from './compactMessage.js';
 import { ConnectionEnds } from './connectionEnds.js';
 
 /** How often Node checks for requests that exceed their timeouts, milliseconds. */
@@ -95,6 +96,7 @@
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
         noDelay: true,
         requireHostHeader: false,
+        IncomingMessage: CompactMessage,
       },
       (incoming, outgoing) => {
         const { socket } = incoming;
--- a/packages/entry/src/http/waitingRequests.ts
+++ b/packages/entry/src/http/waitingRequests.ts
@@ -1,5 +1,6 @@
 /** Requests of callers that were read while the answers before them on their connections are not complete. */
 import type { ServerResponse } from 'node:http';
+import { CompactMessage } from './compactMessage.js';
 import type { BodyBudget } from './body.js';
 
 /** Number of requests that wait for their turn on one connection, from which on no more of its bytes are read. */
@@ -19,7 +20,7 @@
 /** Bytes that are needed for a body: as long as it says, or as far as it was read. */
 function bodyBytes({ req }: ServerResponse): number {
   const length = Number(req.headers['content-length'] ?? 0);
-  return Math.max(length, req.readableLength);
+  return Math.max(length, req instanceof CompactMessage ? req.heldBytes : req.readableLength);
 }
 
 /** Requests of one connection that wait for their turn, in order. */
