Requests that a caller sends ahead reach the HTTP parser in small pieces

What callers saw: an entry that ends with a full heap under 4 to 40 connections on which requests are sent ahead, whether their answers are read or not. Cause: the parser takes a read of 64 KB as a whole and makes objects of all requests in it, up to thousands, before any bound is asked; pausing the connection has no effect on them. Requests that wait were bounded by number for each connection, and by the bytes of their bodies in all, not by what they hold themselves. Change: a stream stands between each connection and the parser. It hands on 1 KB at a time, or what is left of a body whose length is known, and nothing while too much waits. Requests that wait take 8 KB each from the memory for callers, an eighth of it at most. Before input is given up, what has arrived is read, as far as it is little.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,7 +18,7 @@
 import type { ClaimStore } from './claim/index.js';
 import { entryEvents } from './events.js';
 import { GateClients } from './gate/index.js';
-import { CallerServer, RequestHandler, createApp, listenerOf } from './http/index.js';
+import { CallerServer, MemoryBudget, RequestHandler, createApp, listenerOf } from './http/index.js';
 import { entryMetrics } from './metrics.js';
 import type { EntrySettings } from './setting/index.js';
 import { Admissions, BackgroundTasks, Decisions } from './work/index.js';
@@ -110,7 +110,8 @@
     private readonly parts: EntryDependencies,
   ) {
     this.work = this.createContext();
-    this.callers = new RequestHandler(this.work);
+    const memory = new MemoryBudget(settings.maxBufferedBytes);
+    this.callers = new RequestHandler(this.work, memory);
     const app = createApp({
       readiness: () => this.readiness(),
       models: (bindings) => this.callers.models(bindings),
@@ -120,7 +121,7 @@
     const listener = listenerOf(app, settings.httpHost, (incoming, arrival) => {
       this.callers.recordArrival(incoming, arrival);
     });
-    this.server = new CallerServer(listener, settings, clock, stalls, log, metrics);
+    this.server = new CallerServer(listener, settings, memory, clock, stalls, log, metrics);
   }
 
   /** Serves this entry's view to neighbours that can't reach a control instance. */
--- a/packages/entry/src/http/badConnection.ts
+++ b/packages/entry/src/http/badConnection.ts
@@ -1,7 +1,7 @@
 /** Error answers for connections whose bytes are not a valid request. */
 import { STATUS_CODES } from 'node:http';
 import type { ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { answerOf, fault } from '@jasmineroute/core';
 import { errorBody } from './reply.js';
 
@@ -27,7 +27,7 @@
 }
 
 /** Writes an error and closes the connection, because later bytes can't be parsed reliably. */
-export function refuseConnection(code: string | undefined, socket: Socket): void {
+export function refuseConnection(code: string | undefined, socket: Duplex): void {
   const { status, message } = errorsByCode[code ?? ''] ?? malformed;
   const body = JSON.stringify(errorBody(fault('invalid-request', message)));
   const head = [
--- a/packages/entry/src/http/body.ts
+++ b/packages/entry/src/http/body.ts
@@ -5,28 +5,7 @@
 import { fault } from '@jasmineroute/core';
 import type { Fault } from '@jasmineroute/core';
 import { tooLarge } from '../call/index.js';
-
-/** Limits the total size of the request bodies that one process buffers. */
-export class BodyBudget {
-  private usedBytes = 0;
-
-  constructor(private readonly maxBytes: number) {}
-
-  get bytes(): number {
-    return this.usedBytes;
-  }
-
-  /** Reserves bytes. @returns false if the limit would be exceeded. */
-  tryReserve(bytes: number): boolean {
-    if (this.usedBytes + bytes > this.maxBytes) return false;
-    this.usedBytes += bytes;
-    return true;
-  }
-
-  release(bytes: number): void {
-    this.usedBytes -= bytes;
-  }
-}
+import type { MemoryBudget } from './memoryBudget.js';
 
 /** A buffered body, and the function that releases its reserved bytes. */
 export interface HeldBody {
@@ -38,7 +17,7 @@
 export async function readBody(
   incoming: IncomingMessage,
   limit: number,
-  budget: BodyBudget,
+  budget: MemoryBudget,
 ): Promise<Result<HeldBody, Fault>> {
   const contentLength = Number(incoming.headers['content-length'] ?? 0);
   if (contentLength > limit) return err(tooLarge(limit));
--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -1,12 +1,15 @@
 /** One connection of a caller, from its opening to an end in stages (RFC 9112, 9.6). */
-import type { ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Duplex } from 'node:stream';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { Cancellation, Clock } from '@jasmineroute/core';
 import { refuseUnread } from './badConnection.js';
-import { BodyBudget } from './body.js';
+import { CompactMessage } from './compactMessage.js';
 import type { ConnectionEnd, EndCause } from './connectionEnds.js';
+import { MemoryBudget } from './memoryBudget.js';
+import { PacedSocket } from './pacedSocket.js';
 import { WaitingRequests } from './waitingRequests.js';
+import type { WaitingBudgets } from './waitingRequests.js';
 
 /**
  * Time for which this side reads nothing after an end that no answer has announced, milliseconds. The caller's next request may
@@ -23,6 +26,16 @@
  */
 const MAX_PAUSE_MS = 1_000;
 
+/** Budgets of a server whose callers don't send requests ahead. */
+const NO_WAITING: WaitingBudgets = { requests: new MemoryBudget(Infinity), bodies: new MemoryBudget(0) };
+
+/** The socket of a connection, or what stands before it. */
+export interface CallerSocket extends Duplex {
+  readonly bytesRead: number;
+  setTimeout(ms: number): this;
+  destroySoon(): void;
+}
+
 /** The beginning of a connection's end by this side. */
 interface Ending {
   readonly cause: EndCause;
@@ -39,7 +52,11 @@
 export class CallerConnection {
   /** Unfinished answers, in the order of their requests. */
   readonly answers = new Set<ServerResponse>();
+  /** The request that was read last. */
+  private newest: IncomingMessage | undefined;
   private hasGivenUpInput = false;
+  /** Whether the requests are read that have arrived before the input is given up. */
+  private isReadingLast = false;
   /** Requests whose turn had not come at the end. */
   private unhandledRequests = 0;
   private bytesSeen = 0;
@@ -52,17 +69,18 @@
   private unread: ServerResponse | undefined;
 
   /**
-   * @param waitingBudget for bodies of requests that wait, of all connections of the server.
+   * @param waitingBudgets for requests that wait, of all connections of the server.
    * @param acceptedLate the earliest monotonic time at which the connection may have arrived, if it waited to be accepted.
    */
   constructor(
-    private readonly socket: Socket,
+    private readonly socket: CallerSocket,
     private readonly clock: Clock,
-    waitingBudget = new BodyBudget(0),
+    waitingBudgets = NO_WAITING,
     private acceptedLate?: number,
   ) {
     this.activeAt = clock.monotonic();
-    this.waiting = new WaitingRequests(waitingBudget);
+    this.waiting = new WaitingRequests(waitingBudgets);
+    if (socket instanceof PacedSocket) socket.setPace(this);
     void this.readArrived();
     // Node takes its own listener back from a connection on which a tunnel was asked for. The close that follows is recorded.
     socket.on('error', () => undefined);
@@ -94,6 +112,22 @@
     return this.acceptedLate;
   }
 
+  /** Whether more is handed to the HTTP parser now: while too much waits, nothing is. */
+  readonly mayRead = (): boolean => {
+    if (this.isReadingLast) return this.waiting.mayTakeLast();
+    if (this.isEnding || this.hasGivenUpInput || !this.waiting.isFull()) return true;
+    this.limitWaiting();
+    return false;
+  };
+
+  /** Bytes of the newest body that are yet to come, as far as its length was told. */
+  readonly bodyBytesLeft = (): number => {
+    const incoming = this.newest;
+    if (!(incoming instanceof CompactMessage) || incoming.complete) return 0;
+    const length = Number(incoming.headers['content-length'] ?? 0);
+    return Math.max(0, length - incoming.receivedBytes);
+  };
+
   /** Whether this side has ended: what arrives from then on is not handled. */
   get isEnding(): boolean {
     return this.ending !== undefined;
@@ -117,6 +151,7 @@
   add(answer: ServerResponse, isLast: boolean): boolean {
     const before = [...this.answers];
     if (this.isEnding || this.hasGivenUpInput || before.some(hasAnnouncedEnd)) return false;
+    this.newest = answer.req;
     this.answers.add(answer);
     answer.once('close', () => {
       this.answers.delete(answer);
@@ -199,7 +234,8 @@
   end(cause: EndCause, isAnnounced: boolean): void {
     if (this.ending !== undefined) return;
     const { socket, clock } = this;
-    const { bytesRead, writableLength: unsentBytes } = socket;
+    const { bytesRead } = socket;
+    const { unsentBytes } = this;
     this.ending = { cause, at: clock.monotonic(), unsentBytes, bytesRead };
     this.endTurns();
     socket.setTimeout(0);
@@ -214,7 +250,8 @@
 
   /** Closes at once. */
   destroy(cause: EndCause): void {
-    const { bytesRead, writableLength: unsentBytes } = this.socket;
+    const { bytesRead } = this.socket;
+    const { unsentBytes } = this;
     this.ending ??= { cause, at: this.clock.monotonic(), unsentBytes, bytesRead };
     this.socket.destroy();
   }
@@ -226,7 +263,7 @@
     const unfinishedAnswers = [...this.answers].filter((one) => !one.writableFinished).length;
     if (ending === undefined) {
       const cause = hadError ? 'reset' : socket.readableEnded ? 'caller' : 'cut';
-      const unsentBytes = socket.writableLength;
+      const { unsentBytes } = this;
       return { cause, unfinishedAnswers, unhandledRequests, unsentBytes, lateBytes: 0, closingMs: 0 };
     }
     const { cause, unsentBytes } = ending;
@@ -235,6 +272,11 @@
     return { cause, unfinishedAnswers, unhandledRequests, unsentBytes, lateBytes, closingMs };
   }
 
+  private get unsentBytes(): number {
+    const { socket } = this;
+    return socket instanceof PacedSocket ? socket.unsentBytes : socket.writableLength;
+  }
+
   /** What arrived before the connection was accepted is read in the turn of the event loop after that. */
   private async readArrived(): Promise<void> {
     if (this.acceptedLate === undefined) return;
@@ -266,7 +308,7 @@
 
   /** Reads nothing more for some time while too much waits. */
   private limitWaiting(): void {
-    if (this.isEnding || this.hasGivenUpInput || !this.waiting.isFull()) return;
+    if (this.isReadingLast || this.isEnding || this.hasGivenUpInput || !this.waiting.isFull()) return;
     if (this.cancelPause === undefined) this.startPause();
     // Node may start to read again after a pause that is still in force, and another call of `pause` would do nothing.
     if (this.socket.isPaused()) this.socket.emit('pause');
@@ -281,10 +323,20 @@
   }
 
   private endLongPause(): void {
-    if (this.waiting.isFull()) this.giveUpInput();
+    if (this.waiting.isFull()) this.readLast();
     else this.readOn();
   }
 
+  /** Reads the requests that have arrived, as far as they are few, and gives up what follows. */
+  private readLast(): void {
+    this.isReadingLast = true;
+    this.socket.resume();
+    setImmediate(() => {
+      this.isReadingLast = false;
+      if (!this.isEnding && !this.hasGivenUpInput) this.giveUpInput();
+    });
+  }
+
   private endPause(): void {
     this.cancelPause?.();
     this.cancelPause = undefined;
--- a/packages/entry/src/http/index.ts
+++ b/packages/entry/src/http/index.ts
@@ -4,6 +4,8 @@
 export * from './badConnection.js';
 export * from './body.js';
 export * from './compactMessage.js';
+export * from './memoryBudget.js';
+export * from './pacedSocket.js';
 export * from './callerConnection.js';
 export * from './requestHandler.js';
 export * from './reply.js';
--- a/packages/entry/src/http/requestHandler.ts
+++ b/packages/entry/src/http/requestHandler.ts
@@ -13,7 +13,8 @@
 import type { EntryContext } from '../work/index.js';
 import type { CallerBindings } from './app.js';
 import type { Arrival } from './arrival.js';
-import { BodyBudget, readBody } from './body.js';
+import { readBody } from './body.js';
+import type { MemoryBudget } from './memoryBudget.js';
 import { Reply } from './reply.js';
 
 const MODELS_PATH = '/v1/models';
@@ -45,14 +46,14 @@
 
 /** Handles the requests of all callers of one entry. */
 export class RequestHandler {
-  private readonly budget: BodyBudget;
   private open = 0;
   /** Earliest monotonic times at which requests may have arrived. */
   private readonly arrivals = new WeakMap<IncomingMessage, number>();
 
-  constructor(private readonly context: EntryContext) {
-    this.budget = new BodyBudget(context.settings.maxBufferedBytes);
-  }
+  constructor(
+    private readonly context: EntryContext,
+    private readonly memory: MemoryBudget,
+  ) {}
 
   /** Number of requests in progress. */
   get openRequests(): number {
@@ -61,7 +62,7 @@
 
   /** Bytes of request bodies currently buffered. */
   get bufferedBytes(): number {
-    return this.budget.bytes;
+    return this.memory.bytes;
   }
 
   /** Called when the head of a request was read: its caller's deadline counts from then on, also while it waits for its turn. */
@@ -103,7 +104,7 @@
         this.refuse(bindings, reply, admitted.error);
         return;
       }
-      const body = await readBody(bindings.incoming, admitted.value.bodyBytes, this.budget);
+      const body = await readBody(bindings.incoming, admitted.value.bodyBytes, this.memory);
       if (body.isErr()) {
         this.refuse(bindings, reply, body.error);
         return;
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { setImmediate } from 'node:timers/promises';
 import { logListenerErrors } from '@jasmineroute/core';
 import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
@@ -11,10 +12,12 @@
 import type { Arrival } from './arrival.js';
 import { acceptArrived } from './arrivedConnections.js';
 import { refuseConnection, statusOfParserError } from './badConnection.js';
-import { BodyBudget } from './body.js';
 import { CallerConnection } from './callerConnection.js';
 import { CompactMessage } from './compactMessage.js';
 import { ConnectionEnds } from './connectionEnds.js';
+import type { MemoryBudget } from './memoryBudget.js';
+import { PacedSocket } from './pacedSocket.js';
+import type { WaitingBudgets } from './waitingRequests.js';
 
 /** How often Node checks for requests that exceed their timeouts, milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
@@ -26,8 +29,9 @@
 /** A draining server closes connections that have been idle for this long, milliseconds. */
 const DRAIN_IDLE_MS = 1_000;
 
-/** Bytes of bodies that wait for their requests' turns, of all connections together: at most this share of the buffered ones. */
-const WAITING_SHARE = 0.25;
+/** Shares of the memory for callers that requests which wait for their turns take at most, and their bodies. */
+const WAITING_REQUESTS_SHARE = 0.125;
+const WAITING_BODIES_SHARE = 0.25;
 
 /** Open connections by state. */
 export interface ConnectionStates {
@@ -45,7 +49,6 @@
   | 'httpPort'
   | 'maxHeaderBytes'
   | 'maxConnections'
-  | 'maxBufferedBytes'
   | 'headerTimeoutMs'
   | 'requestTimeoutMs'
   | 'idleTimeoutMs'
@@ -65,7 +68,7 @@
 /** The HTTP server that callers connect to. */
 export class CallerServer {
   private readonly server: Server;
-  private readonly openConnections = new Map<Socket, CallerConnection>();
+  private readonly openConnections = new Map<Duplex, CallerConnection>();
   private lastConnectionAt = 0;
   private acceptedConnections = 0;
   private stopping = false;
@@ -73,20 +76,24 @@
   /** Requests that are being handled, also those of connections that are closed. */
   private requests = 0;
   private readonly ends: ConnectionEnds;
-  private readonly waitingBudget: BodyBudget;
+  private readonly waitingBudgets: WaitingBudgets;
   /** Monotonic time at which the last answer was complete. */
   private answeredAt: number | undefined;
 
   constructor(
     private readonly listener: CallerListener,
     private readonly settings: CallerServerSettings,
+    memory: MemoryBudget,
     private readonly clock: Clock,
     private readonly stalls: StallWatch,
     private readonly log: Log,
     metrics: Metrics,
   ) {
     this.ends = new ConnectionEnds(log, metrics);
-    this.waitingBudget = new BodyBudget(settings.maxBufferedBytes * WAITING_SHARE);
+    this.waitingBudgets = {
+      requests: memory.part(WAITING_REQUESTS_SHARE),
+      bodies: memory.part(WAITING_BODIES_SHARE),
+    };
     this.server = createServer(
       {
         maxHeaderSize: settings.maxHeaderBytes,
@@ -251,7 +258,7 @@
   }
 
   /** @returns when the request is to be handled; undefined: not at all, as it arrived after this side had ended. */
-  private track(socket: Socket, outgoing: ServerResponse): Promise<boolean> | undefined {
+  private track(socket: Duplex, outgoing: ServerResponse): Promise<boolean> | undefined {
     const connection = this.openConnections.get(socket);
     if (connection?.add(outgoing, this.stopping) !== true) return undefined;
     outgoing.once('finish', () => {
@@ -285,31 +292,39 @@
 
   private watchConnections(): void {
     const backlog = this.stalls.listener('callers');
-    this.server.on('connection', (socket: Socket) => {
+    // What stands before the parser is its connection, in place of the one that the listener accepts.
+    const parsers = this.server.listeners('connection');
+    this.server.removeAllListeners('connection');
+    this.server.on('connection', (accepted: Socket) => {
       this.stalls.recordConnection();
-      const waitedSince = backlog.record();
       this.lastConnectionAt = this.clock.monotonic();
       this.acceptedConnections += 1;
-      const connection = new CallerConnection(socket, this.clock, this.waitingBudget, waitedSince);
-      this.openConnections.set(socket, connection);
-      socket.once('close', (hadError) => {
-        this.openConnections.delete(socket);
-        this.ends.record(connection.record(hadError), this.stopping);
-      });
+      const socket = new PacedSocket(accepted);
+      for (const parse of parsers) parse.call(this.server, socket);
+      this.watchConnection(socket, backlog.record());
     });
     // The time for which a connection may be idle is over.
-    this.server.on('timeout', (socket: Socket) => {
+    this.server.on('timeout', (socket: Duplex) => {
       this.openConnections.get(socket)?.end('idle', false);
     });
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
       this.handleClientError(error, socket);
     });
-    this.server.on('connect', (_request: IncomingMessage, socket: Socket) => {
+    this.server.on('connect', (_request: IncomingMessage, socket: Duplex) => {
       this.refuseTunnel(socket);
     });
   }
 
-  private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+  private watchConnection(socket: PacedSocket, waitedSince: number | undefined): void {
+    const connection = new CallerConnection(socket, this.clock, this.waitingBudgets, waitedSince);
+    this.openConnections.set(socket, connection);
+    socket.once('close', () => {
+      this.openConnections.delete(socket);
+      this.ends.record(connection.record(socket.hadError), this.stopping);
+    });
+  }
+
+  private handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
     const connection = this.openConnections.get(socket);
     if (connection === undefined || connection.isEnding || connection.isGivenUp) return;
     if (!socket.writable || error.code === 'ECONNRESET') {
@@ -322,14 +337,14 @@
     else this.refuse(error.code, socket);
   }
 
-  private refuseTunnel(socket: Socket): void {
+  private refuseTunnel(socket: Duplex): void {
     const connection = this.openConnections.get(socket);
     if (connection?.isInProgress === true) connection.giveUpTunnel();
     else this.refuse(undefined, socket);
   }
 
   /** Answers with an error and ends the connection, as later bytes can't be parsed reliably. */
-  private refuse(code: string | undefined, socket: Socket): void {
+  private refuse(code: string | undefined, socket: Duplex): void {
     refuseConnection(code, socket);
     this.openConnections.get(socket)?.end('invalid-input', true);
   }
--- a/packages/entry/src/http/waitingRequests.ts
+++ b/packages/entry/src/http/waitingRequests.ts
@@ -1,20 +1,35 @@
 /** Requests of callers that were read while the answers before them on their connections are not complete. */
 import type { ServerResponse } from 'node:http';
 import { CompactMessage } from './compactMessage.js';
-import type { BodyBudget } from './body.js';
+import type { MemoryBudget } from './memoryBudget.js';
 
 /** Number of requests that wait for their turn on one connection, from which on no more of its bytes are read. */
 const MAX_WAITING = 16;
 
+/** Most of them, when the connection reads the last ones that have arrived. */
+const MAX_WAITING_AT_LAST = 64;
+
 /** Most bytes of their bodies that are read ahead. */
 const MAX_WAITING_BYTES = 1_048_576;
 
+/** What is held for one request while it waits, without its body: the objects of the runtime and of its handler, bytes. */
+const REQUEST_BYTES = 8_192;
+
+/** Budgets of what waits, of all connections of a server. */
+export interface WaitingBudgets {
+  /** For the requests without their bodies. */
+  readonly requests: MemoryBudget;
+  readonly bodies: MemoryBudget;
+}
+
 /** The wait of one request. */
 interface Wait {
   readonly answer: ServerResponse;
   readonly tell: (hasCome: boolean) => void;
   /** Bytes reserved for its body. */
   bytes: number;
+  /** Whether bytes are reserved for the request itself. */
+  isReserved: boolean;
 }
 
 /** Bytes that are needed for a body: as long as it says, or as far as it was read. */
@@ -30,8 +45,7 @@
   private last: Wait | undefined;
   private bytes = 0;
 
-  /** @param budget for bodies that wait, of all connections of the server. */
-  constructor(private readonly budget: BodyBudget) {}
+  constructor(private readonly budgets: WaitingBudgets) {}
 
   get isEmpty(): boolean {
     return this.waits.size === 0;
@@ -46,7 +60,8 @@
   add(answer: ServerResponse): Promise<boolean> {
     this.reserveLast();
     return new Promise<boolean>((tell) => {
-      this.last = { answer, tell, bytes: 0 };
+      const isReserved = this.budgets.requests.tryReserve(REQUEST_BYTES);
+      this.last = { answer, tell, bytes: 0, isReserved };
       this.waits.set(answer, this.last);
     });
   }
@@ -58,6 +73,7 @@
     this.waits.delete(answer);
     if (wait === this.last) this.last = undefined;
     this.release(wait);
+    if (wait.isReserved) this.budgets.requests.release(REQUEST_BYTES);
     wait.tell(hasCome);
   }
 
@@ -67,7 +83,14 @@
 
   /** Whether no more is to be read while they wait. Otherwise, the last body is read whole, however many others come. */
   isFull(): boolean {
-    return this.waits.size >= MAX_WAITING || !this.reserveLast();
+    return this.waits.size >= MAX_WAITING || this.last?.isReserved === false || !this.reserveLast();
+  }
+
+  /** Whether one more may be read of those that have arrived. */
+  mayTakeLast(): boolean {
+    const { last } = this;
+    const isLastWhole = last?.answer.req.complete === true && last.isReserved;
+    return isLastWhole && this.waits.size < MAX_WAITING_AT_LAST && this.reserveLast();
   }
 
   /** Gives up the rest of the last body, if it is not whole. @returns the answer to its request. */
@@ -85,14 +108,14 @@
     if (last === undefined) return true;
     const more = bodyBytes(last.answer) - last.bytes;
     if (more <= 0) return true;
-    if (this.bytes + more > MAX_WAITING_BYTES || !this.budget.tryReserve(more)) return false;
+    if (this.bytes + more > MAX_WAITING_BYTES || !this.budgets.bodies.tryReserve(more)) return false;
     last.bytes += more;
     this.bytes += more;
     return true;
   }
 
   private release(wait: Wait): void {
-    this.budget.release(wait.bytes);
+    this.budgets.bodies.release(wait.bytes);
     this.bytes -= wait.bytes;
     wait.bytes = 0;
   }
--- a/packages/entry/src/testing/callerServer.ts
+++ b/packages/entry/src/testing/callerServer.ts
@@ -5,9 +5,13 @@
 import { StallWatch, silentLog, silentMetrics, systemClock } from '@jasmineroute/core';
 import type { Clock } from '@jasmineroute/core';
 import { CallerServer } from '../http/server.js';
+import { MemoryBudget } from '../http/memoryBudget.js';
 import type { CallerServerSettings } from '../http/server.js';
 
-const DEFAULTS: CallerServerSettings = {
+/** Settings of a server under test. */
+type TestSettings = CallerServerSettings & { readonly maxBufferedBytes: number };
+
+const DEFAULTS: TestSettings = {
   httpHost: '127.0.0.1',
   httpPort: 0,
   maxHeaderBytes: 16_384,
@@ -33,11 +37,7 @@
   /** host:port. */
   address = '';
 
-  constructor(
-    listener: TestListener,
-    settings: Partial<CallerServerSettings> = {},
-    clock: Clock = systemClock,
-  ) {
+  constructor(listener: TestListener, settings: Partial<TestSettings> = {}, clock: Clock = systemClock) {
     const log = {
       ...silentLog,
       event: ({ id }: { readonly id: number }, fields: object = {}) => {
@@ -51,6 +51,7 @@
         await listener(incoming, outgoing);
       },
       { ...DEFAULTS, ...settings },
+      new MemoryBudget(settings.maxBufferedBytes ?? DEFAULTS.maxBufferedBytes),
       clock,
       new StallWatch(clock),
       log,
@@ -60,7 +61,7 @@
 
   static async start(
     listener: TestListener,
-    settings: Partial<CallerServerSettings> = {},
+    settings: Partial<TestSettings> = {},
     clock: Clock = systemClock,
   ): Promise<TestServer> {
     const test = new TestServer(listener, settings, clock);
--- a/packages/relay/src/answer/answerBuffer.ts
+++ b/packages/relay/src/answer/answerBuffer.ts
@@ -1,5 +1,5 @@
 /** Holds an answer until it is complete, so that another attempt can replace one that breaks off. */
-import type { BodyBudget } from '@jasmineroute/entry';
+import type { MemoryBudget } from '@jasmineroute/entry';
 
 /** Largest answer that is held, bytes. */
 export const MAX_HELD_ANSWER_BYTES = 256 * 1024;
@@ -13,7 +13,7 @@
   private size = 0;
 
   /** @param budget shared by all answers. */
-  constructor(private readonly budget: BodyBudget) {}
+  constructor(private readonly budget: MemoryBudget) {}
 
   /** Holds a chunk. @returns false if the answer would become too large, or all held answers together. */
   tryAdd(chunk: Uint8Array): boolean {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,7 +1,7 @@
 /** The relaying entry role: accepts callers' requests, forwards them to targets, and subscribes to control. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { fault, runCriticalTask } from '@jasmineroute/core';
-import { BodyBudget, CallerServer, seedOf } from '@jasmineroute/entry';
+import { CallerServer, MemoryBudget, seedOf } from '@jasmineroute/entry';
 import type { Arrival } from '@jasmineroute/entry';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { createRandom } from '@jasmineroute/routing';
@@ -98,6 +98,7 @@
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
     const monitor = new TargetMonitor(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
+    const memory = new MemoryBudget(settings.maxBufferedBytes);
     this.requestContext = {
       dialect,
       knowledge,
@@ -113,27 +114,27 @@
       startupGrace: new StartupGrace(knowledge, clock),
       stopsAt: () => this.stopsAt,
       weightsLimitMs: settings.weightsLimitMs,
-      bodyBudget: new BodyBudget(settings.maxBufferedBytes),
-      answerBudget: new BodyBudget(MAX_HELD_ANSWERS_BYTES),
+      bodyBudget: memory,
+      answerBudget: new MemoryBudget(MAX_HELD_ANSWERS_BYTES),
       random,
       clock,
       stalls,
       log,
       metrics,
     };
-    const { httpHost, httpPort, maxConnections, maxBufferedBytes } = settings;
+    const { httpHost, httpPort, maxConnections } = settings;
     this.server = new CallerServer(
       (incoming, outgoing, turn, arrival) => this.serve(incoming, outgoing, turn, arrival),
       {
         httpHost,
         httpPort,
         maxConnections,
-        maxBufferedBytes,
         maxHeaderBytes: MAX_HEADER_BYTES,
         headerTimeoutMs: DEFAULT_HEADER_TIMEOUT_MS,
         requestTimeoutMs: REQUEST_TIMEOUT_MS,
         idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
       },
+      memory,
       clock,
       stalls,
       log,
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -1,6 +1,6 @@
 /** State and services shared by all requests of one relay. */
 import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
-import type { BodyBudget } from '@jasmineroute/entry';
+import type { MemoryBudget } from '@jasmineroute/entry';
 import type { Random } from '@jasmineroute/routing';
 import type { CopySchedule } from '../cache/index.js';
 import type { Dialect } from '../dialect/index.js';
@@ -30,9 +30,9 @@
   readonly stopsAt: () => number | undefined;
   /** Time after newer weights are named from which no request may start on older ones, milliseconds. */
   readonly weightsLimitMs: number;
-  readonly bodyBudget: BodyBudget;
+  readonly bodyBudget: MemoryBudget;
   /** Bytes of answers that are held until they are complete. */
-  readonly answerBudget: BodyBudget;
+  readonly answerBudget: MemoryBudget;
   readonly random: Random;
   readonly clock: Clock;
   readonly stalls: StallWatch;
