What callers send is held within the memory of the machine, and what comes to a halt gives way

What callers saw: entries that take 162 to 169 MB on a machine of 128 under 150 bodies that stop short of their end, and others that are refused as long as these callers hold on. Cause: bodies had 64 MB on whatever machine, and the first that came kept them until the time for a request was over. Buffers outside the heap are freed by the runtime when there are 64 MB of them. Evidence: hostileCallers.spec.ts, bodies in large chunks and of a length; both were over the bound before. Change: a sixteenth of the memory that the machine allots (limits.memoryMb, 200 MB where it is not told) holds bodies, requests that wait and answers that are held, in one budget with parts. Where a body finds no room, others give way: first those that came to a halt for a second, then larger ones; they are refused as not run. Unused buffers are collected as bytes are read.

--- a/packages/entry/src/http/pacedSocket.spec.ts
+++ b/packages/entry/src/http/pacedSocket.spec.ts
@@ -5,6 +5,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '../testing/testEntry.js';
 import { PacedSocket } from './pacedSocket.js';
+import { ReadBuffers } from './readBuffers.js';
 
 const PIECE_BYTES = 1_024;
 
@@ -24,7 +25,7 @@
     });
     caller.on('error', () => undefined);
     const [accepted] = (await once(server, 'connection')) as [Socket];
-    socket = new PacedSocket(accepted);
+    socket = new PacedSocket(accepted, new ReadBuffers(Infinity));
     socket.on('error', () => undefined);
   });
 
--- a/packages/entry/src/http/pacedSocket.ts
+++ b/packages/entry/src/http/pacedSocket.ts
@@ -1,6 +1,7 @@
 /** A caller's connection whose bytes are handed to the HTTP parser in small pieces. */
 import { Duplex } from 'node:stream';
 import type { Socket } from 'node:net';
+import type { ReadBuffers } from './readBuffers.js';
 
 /** Bytes of a piece in which requests may begin: the parser makes all requests of a piece before any of them is looked at. */
 const PIECE_BYTES = 1_024;
@@ -33,7 +34,10 @@
   private isWanted = false;
   private isFeeding = false;
 
-  constructor(private readonly raw: Socket) {
+  constructor(
+    private readonly raw: Socket,
+    private readonly buffers: ReadBuffers,
+  ) {
     super({ allowHalfOpen: true, decodeStrings: false });
     raw.on('readable', this.feed);
     raw.on('end', () => {
@@ -131,6 +135,7 @@
       while (this.isWanted && !this.isPaused() && this.pace.mayRead()) {
         const piece = this.nextPiece();
         if (piece === null) return;
+        this.buffers.record(piece.length);
         this.isWanted = this.push(piece);
       }
     } finally {
--- a/packages/entry/src/http/requestHandler.ts
+++ b/packages/entry/src/http/requestHandler.ts
@@ -16,6 +16,7 @@
 import { readBody } from './body.js';
 import type { MemoryBudget } from './memoryBudget.js';
 import { Reply } from './reply.js';
+import { Uploads } from './uploads.js';
 
 const MODELS_PATH = '/v1/models';
 
@@ -46,6 +47,7 @@
 
 /** Handles the requests of all callers of one entry. */
 export class RequestHandler {
+  private readonly uploads: Uploads;
   private open = 0;
   /** Earliest monotonic times at which requests may have arrived. */
   private readonly arrivals = new WeakMap<IncomingMessage, number>();
@@ -53,7 +55,9 @@
   constructor(
     private readonly context: EntryContext,
     private readonly memory: MemoryBudget,
-  ) {}
+  ) {
+    this.uploads = new Uploads(memory, context.clock);
+  }
 
   /** Number of requests in progress. */
   get openRequests(): number {
@@ -104,7 +108,7 @@
         this.refuse(bindings, reply, admitted.error);
         return;
       }
-      const body = await readBody(bindings.incoming, admitted.value.bodyBytes, this.memory);
+      const body = await readBody(bindings.incoming, admitted.value.bodyBytes, this.uploads);
       if (body.isErr()) {
         this.refuse(bindings, reply, body.error);
         return;
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -17,6 +17,7 @@
 import { ConnectionEnds } from './connectionEnds.js';
 import type { MemoryBudget } from './memoryBudget.js';
 import { PacedSocket } from './pacedSocket.js';
+import { ReadBuffers } from './readBuffers.js';
 import type { WaitingBudgets } from './waitingRequests.js';
 
 /** How often Node checks for requests that exceed their timeouts, milliseconds. */
@@ -77,6 +78,7 @@
   private requests = 0;
   private readonly ends: ConnectionEnds;
   private readonly waitingBudgets: WaitingBudgets;
+  private readonly buffers: ReadBuffers;
   /** Monotonic time at which the last answer was complete. */
   private answeredAt: number | undefined;
 
@@ -90,6 +92,7 @@
     metrics: Metrics,
   ) {
     this.ends = new ConnectionEnds(log, metrics);
+    this.buffers = new ReadBuffers(memory.limitBytes);
     this.waitingBudgets = {
       requests: memory.part(WAITING_REQUESTS_SHARE),
       bodies: memory.part(WAITING_BODIES_SHARE),
@@ -299,7 +302,7 @@
       this.stalls.recordConnection();
       this.lastConnectionAt = this.clock.monotonic();
       this.acceptedConnections += 1;
-      const socket = new PacedSocket(accepted);
+      const socket = new PacedSocket(accepted, this.buffers);
       for (const parse of parsers) parse.call(this.server, socket);
       this.watchConnection(socket, backlog.record());
     });
--- a/packages/relay/src/answer/answerBuffer.ts
+++ b/packages/relay/src/answer/answerBuffer.ts
@@ -4,8 +4,8 @@
 /** Largest answer that is held, bytes. */
 export const MAX_HELD_ANSWER_BYTES = 256 * 1024;
 
-/** Bytes that an entry holds for all answers together. */
-export const MAX_HELD_ANSWERS_BYTES = 8 * 1024 * 1024;
+/** Share of the memory for callers that is held for all answers together; what comes beyond that is sent as it comes. */
+export const HELD_ANSWERS_SHARE = 0.25;
 
 /** The held part of one answer. */
 export class AnswerBuffer {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,11 +1,11 @@
 /** The relaying entry role: accepts callers' requests, forwards them to targets, and subscribes to control. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { fault, runCriticalTask } from '@jasmineroute/core';
-import { CallerServer, MemoryBudget, seedOf } from '@jasmineroute/entry';
+import { CallerServer, MemoryBudget, Uploads, seedOf } from '@jasmineroute/entry';
 import type { Arrival } from '@jasmineroute/entry';
 import type { Readiness, RoleContext, RoleProcess } from '@jasmineroute/protocol';
 import { createRandom } from '@jasmineroute/routing';
-import { CallerAnswer, MAX_HELD_ANSWERS_BYTES } from './answer/index.js';
+import { CallerAnswer, HELD_ANSWERS_SHARE } from './answer/index.js';
 import { CopySchedule } from './cache/index.js';
 import type { Dialect } from './dialect/index.js';
 import { relayEvents } from './events.js';
@@ -32,6 +32,14 @@
  */
 const MAX_HEADER_BYTES = 32 * 1024;
 
+const BYTES_PER_MB = 1_048_576;
+
+/**
+ * Share of the memory of the process that holds what callers send and are not yet sent. The program itself takes half of the
+ * smallest machine, and what the runtime has not collected yet comes on top of what is held.
+ */
+const CALLERS_SHARE = 0.0625;
+
 /** Timeout for receiving a whole request, milliseconds. */
 const REQUEST_TIMEOUT_MS = 30_000;
 
@@ -98,7 +106,7 @@
     const random = createRandom(settings.seed === 0 ? seedOf(name) : settings.seed);
     const monitor = new TargetMonitor(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
-    const memory = new MemoryBudget(settings.maxBufferedBytes);
+    const memory = new MemoryBudget(settings.memoryMb * BYTES_PER_MB * CALLERS_SHARE);
     this.requestContext = {
       dialect,
       knowledge,
@@ -114,8 +122,8 @@
       startupGrace: new StartupGrace(knowledge, clock),
       stopsAt: () => this.stopsAt,
       weightsLimitMs: settings.weightsLimitMs,
-      bodyBudget: memory,
-      answerBudget: new MemoryBudget(MAX_HELD_ANSWERS_BYTES),
+      uploads: new Uploads(memory, clock),
+      answerBudget: memory.part(HELD_ANSWERS_SHARE),
       random,
       clock,
       stalls,
--- a/packages/relay/src/setting/setting.ts
+++ b/packages/relay/src/setting/setting.ts
@@ -12,9 +12,9 @@
     .describe(
       'maximum number of open caller connections; must not exceed the file descriptors of the instance',
     ),
-  maxBufferedBytes: count(1_048_576, 8_589_934_592)
-    .default(67_108_864)
-    .describe('total size of request bodies buffered at once, bytes: a third of 200 MB'),
+  memoryMb: count(1, 1_048_576)
+    .default(200)
+    .describe('memory that the process may take, MB: an eighth holds what callers send and are not yet sent'),
   drainDelayMs: count(0, 600_000)
     .default(2_200)
     .describe(
--- a/packages/relay/src/work/context.ts
+++ b/packages/relay/src/work/context.ts
@@ -1,6 +1,6 @@
 /** State and services shared by all requests of one relay. */
 import type { Clock, Log, Metrics, StallWatch } from '@jasmineroute/core';
-import type { MemoryBudget } from '@jasmineroute/entry';
+import type { MemoryBudget, Uploads } from '@jasmineroute/entry';
 import type { Random } from '@jasmineroute/routing';
 import type { CopySchedule } from '../cache/index.js';
 import type { Dialect } from '../dialect/index.js';
@@ -30,7 +30,8 @@
   readonly stopsAt: () => number | undefined;
   /** Time after newer weights are named from which no request may start on older ones, milliseconds. */
   readonly weightsLimitMs: number;
-  readonly bodyBudget: MemoryBudget;
+  /** Bodies that are read. */
+  readonly uploads: Uploads;
   /** Bytes of answers that are held until they are complete. */
   readonly answerBudget: MemoryBudget;
   readonly random: Random;
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -190,7 +190,7 @@
 
   private async relay(table: RoutingTable, request: RelayRequest, admitted: Admitted): Promise<void> {
     const { route, customer } = admitted;
-    const { bodyBudget, clock } = this.context;
+    const { uploads, clock } = this.context;
     const limit = table.configuration.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     const waitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const arrivedAt = clock.monotonic() - this.answer.age();
@@ -204,7 +204,7 @@
     // beyond the time that is certain.
     const abortAt = clock.monotonic() - this.answer.minAge() + waitMs;
     const answerAt = Math.min(abortAt, until + MAX_OVERTIME_MS);
-    const body = await readBody(this.incoming, limit, bodyBudget);
+    const body = await readBody(this.incoming, limit, uploads);
     if (body.isErr()) {
       this.reject(request, body.error, route);
       return;
