Callers' connections take at most three quarters of the descriptors that the machine allots

What callers saw: nothing yet; under 600 connections on which nothing is sent an entry has 628 descriptors open where its settings allot 400, and none is left for targets or control on a machine that enforces this. Cause: 3,000 connections whatever the machine allots.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -40,6 +40,9 @@
  */
 const CALLERS_SHARE = 0.0625;
 
+/** Share of the descriptors for connections of callers. The others are for targets, control and files. */
+const CONNECTIONS_SHARE = 0.75;
+
 /** Timeout for receiving a whole request, milliseconds. */
 const REQUEST_TIMEOUT_MS = 30_000;
 
@@ -130,13 +133,13 @@
       log,
       metrics,
     };
-    const { httpHost, httpPort, maxConnections } = settings;
+    const { httpHost, httpPort, maxDescriptors } = settings;
     this.server = new CallerServer(
       (incoming, outgoing, turn, arrival) => this.serve(incoming, outgoing, turn, arrival),
       {
         httpHost,
         httpPort,
-        maxConnections,
+        maxConnections: Math.floor(maxDescriptors * CONNECTIONS_SHARE),
         maxHeaderBytes: MAX_HEADER_BYTES,
         headerTimeoutMs: DEFAULT_HEADER_TIMEOUT_MS,
         requestTimeoutMs: REQUEST_TIMEOUT_MS,
--- a/packages/relay/src/setting/setting.ts
+++ b/packages/relay/src/setting/setting.ts
@@ -7,14 +7,14 @@
 export const relaySettings = z.object({
   httpHost: z.string().min(1).default('127.0.0.1').describe('IP address that callers reach'),
   httpPort: count(0, 65_535).default(8_080).describe('TCP port that callers reach; 0: any free port'),
-  maxConnections: count(1, 1_000_000)
-    .default(3_000)
-    .describe(
-      'maximum number of open caller connections; must not exceed the file descriptors of the instance',
-    ),
   memoryMb: count(1, 1_048_576)
     .default(200)
     .describe('memory that the process may take, MB: an eighth holds what callers send and are not yet sent'),
+  maxDescriptors: count(1, 10_000_000)
+    .default(4_100)
+    .describe(
+      'file descriptors that the process may have open: three quarters are for connections of callers',
+    ),
   drainDelayMs: count(0, 600_000)
     .default(2_200)
     .describe(
