A held answer counts in the memory for callers until it is sent

What callers saw: nothing yet; found by reading, while looking for the same cause elsewhere. Cause: the bytes of a held answer were released when it was handed to the connection, where it stays as long as its caller does not read. Change: they are released when the answer is sent or its connection has ended. callerAnswer.spec.ts failed before (0 bytes counted while 1,000 were unsent).

--- a/packages/relay/src/answer/answerBuffer.ts
+++ b/packages/relay/src/answer/answerBuffer.ts
@@ -24,17 +24,15 @@
     return true;
   }
 
-  /** Returns what is held, and holds nothing any more. */
+  /** Returns what is held. It counts as held until `release`. */
   take(): Uint8Array {
-    const held = Buffer.concat(this.chunks);
-    this.release();
-    return held;
+    return Buffer.concat(this.chunks.splice(0));
   }
 
   /** Drops what is held. */
-  release(): void {
+  readonly release = (): void => {
     this.budget.release(this.size);
     this.chunks.length = 0;
     this.size = 0;
-  }
+  };
 }
--- a/packages/relay/src/answer/callerAnswer.ts
+++ b/packages/relay/src/answer/callerAnswer.ts
@@ -78,9 +78,21 @@
     return this.firstByteAfterMs;
   }
 
-  /** Sends a complete answer. */
-  whole(status: number, headers: readonly HeaderField[], body: Uint8Array): void {
-    if (this.left.signal.aborted || this.begun) return;
+  /**
+   * Sends a complete answer.
+   * @param onSent called once nothing of it is held any more, as it was sent or can't be.
+   */
+  whole(
+    status: number,
+    headers: readonly HeaderField[],
+    body: Uint8Array,
+    onSent: () => void = () => undefined,
+  ): void {
+    if (this.left.signal.aborted || this.begun) {
+      onSent();
+      return;
+    }
+    this.response.once('close', onSent);
     this.appendHeaders(headers.filter(({ name }) => name.toLowerCase() !== 'content-length'));
     this.response.setHeader('content-length', body.length);
     this.response.statusCode = status;
--- a/packages/relay/src/work/forward.ts
+++ b/packages/relay/src/work/forward.ts
@@ -34,6 +34,8 @@
   }
   const headers = dialect.callerHeaders(wire.headers);
   const body = buffer.take();
+  // Another attempt may succeed, and nobody asks for this one then.
+  buffer.release();
   return {
     state: 'failure',
     fault: fault('engine-failed', `the target answered ${wire.status}`, { ran: 'ran' }),
@@ -50,6 +52,11 @@
     }),
   );
 
+async function writeHeld(answer: CallerAnswer, buffer: AnswerBuffer): Promise<void> {
+  await answer.write(buffer.take());
+  buffer.release();
+}
+
 /**
  * Forwards an answer. It is held until it is complete before any of it is sent, unless it is large: then it is sent as it
  * comes, at the pace of the caller.
@@ -68,7 +75,7 @@
     for await (const chunk of wire.body) {
       if (isHeld && buffer.tryAdd(chunk)) continue;
       if (isHeld) answer.begin(wire.status, headers);
-      if (isHeld) await answer.write(buffer.take());
+      if (isHeld) await writeHeld(answer, buffer);
       isHeld = false;
       await answer.write(chunk);
     }
@@ -77,7 +84,7 @@
     const problem = brokenStreamFault(error);
     return isHeld ? { state: 'fault', fault: problem } : interrupted(problem);
   }
-  if (isHeld) answer.whole(wire.status, headers, buffer.take());
+  if (isHeld) answer.whole(wire.status, headers, buffer.take(), buffer.release);
   else answer.end();
   return { state: 'answered' };
 }
