--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -292,6 +292,37 @@
     expect(bed.arrivalCount()).toBe(1);
   });
 
+  // Guards against a stream that leaves a sound target for another one which pauses before it gets there: nobody goes on with it.
+  it('keeps a stream at a target that pauses together with all others', async () => {
+    const url = await start([routeTo(stream)], 3);
+    let end = (): void => undefined;
+    scriptInTurn(
+      events(0, 1, (response) => {
+        end = (): void => {
+          response.write(text(2, 2));
+          setTimeout(() => {
+            response.write(text(3, 3));
+            response.end();
+          }, 400);
+        };
+      }),
+      refusal,
+    );
+    let seen = '';
+    const asked = ask(url, { onData: (part) => (seen = part) });
+    await until(() => seen === text(0, 1));
+    const begun = bed.targets.find(({ requests }) => requests.length > 0);
+    const paused = { paused: true, observation: 1n };
+    // One after the other, as entries learn of it.
+    bed.announce({ [begun?.id ?? '']: paused });
+    bed.announce(Object.fromEntries(bed.targets.map(({ id }) => [id, paused])));
+    setTimeout(() => {
+      end();
+    }, 100);
+    expect(await asked).toMatchObject({ status: 200, body: text(0, 3), whole: true });
+    expect(bed.arrivalCount()).toBe(1);
+  });
+
   it('breaks off a stream that is not resumable, so that it never appears complete', async () => {
     const url = await start([routeTo({ ...stream, resumable: false })], 2);
     const interruptedStream = events(0, 1, (response) => {
