A stream leaves a target that pauses only while another one can go on at that moment

What callers saw: connections closed in the middle of an answer, beside new weights or a configuration, at targets that were sound and would have finished it (LOST). Cause: whether another target can go on was asked when the pause was learned, but the stream leaves at its next event or after 250 ms. News of pauses come in batches: at the first one of a batch the others still look ready, and at the event nobody is left. The class: a check that is made before the moment for which it has to hold. Change: the wish to leave is kept, and the successor is looked for, and its retry taken from the budget, when the stream leaves. Without one it stays: a target finishes its streams before it loads weights.

--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -41,6 +41,8 @@
   pauseMs = 0;
   /** Whether the current answer was abandoned so that the stream can resume at another target. */
   isMoving = false;
+  /** Whether the stream is to leave its target as soon as another one can go on. */
+  private isMoveWanted = false;
   /** Software version that began the stream at another entry; undefined: the stream begins here. */
   resumedVersion: string | undefined;
   private eventAt: number | undefined;
@@ -88,7 +90,7 @@
         this.recordTarget(target, wire.connectedAt);
         this.recordEvent(target.id, framer.lastId);
         await this.answer.write(events);
-        if (this.isMoving) wire.abandon();
+        if (this.isMoveWanted) this.leave(wire);
       }
     } catch (error) {
       wire.abandon();
@@ -182,9 +184,15 @@
     this.hooks.recordOrigin(version);
   }
 
-  private startMove(): boolean {
-    this.isMoving ||= this.hooks.reserveMove();
-    return this.isMoving;
+  /**
+   * Leaves the target if another one can go on at this moment: when the move became wanted others may have looked ready that have
+   * paused since. Otherwise the stream stays, as its target finishes it.
+   */
+  private leave(wire: WireAnswer): void {
+    if (this.isMoving || !this.hooks.reserveMove()) return;
+    this.isMoveWanted = false;
+    this.isMoving = true;
+    wire.abandon();
   }
 
   /**
@@ -197,14 +205,17 @@
     const { knowledge, clock } = this.context;
     let cancelTimer = (): void => undefined;
     const stop = knowledge.targets.onPause((id) => {
-      if (id !== target.id || this.isMoving || !this.hooks.mayBeSentOn() || !this.startMove()) return;
+      if (id !== target.id || this.isMoving || !this.hooks.mayBeSentOn()) return;
+      this.isMoveWanted = true;
       cancelTimer = clock.after(MOVE_TIMEOUT_MS, () => {
-        wire.abandon();
+        if (this.isMoveWanted) this.leave(wire);
+        this.isMoveWanted = false;
       });
     });
     return () => {
       stop();
       cancelTimer();
+      this.isMoveWanted = false;
     };
   }
 
@@ -217,8 +228,8 @@
     const { monitor, clock } = this.context;
     let cancelTimer: () => void;
     const check = (): void => {
-      if (monitor.isUnresponsive(target.id) && this.startMove()) wire.abandon();
-      else cancelTimer = clock.after(UNRESPONSIVE_MS / 2, check);
+      if (monitor.isUnresponsive(target.id)) this.leave(wire);
+      if (!this.isMoving) cancelTimer = clock.after(UNRESPONSIVE_MS / 2, check);
     };
     cancelTimer = clock.after(UNRESPONSIVE_MS, check);
     return () => {
