--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -1231,7 +1231,7 @@
     file: 'packages/coordination/src/storage/fileDisk.ts',
     find: 'sync: () => handle.datasync(),',
     put: 'sync: () => Promise.resolve(),',
-    spec: 'platform/src/powerLoss.spec.ts',
+    spec: 'powerLoss.spec.ts',
     test: 'seed 8201',
   },
   {
@@ -1239,7 +1239,7 @@
     file: 'packages/daemon/src/life/memoryWatch.ts',
     find: '      if (!isUnread) log.event(daemonEvents.memoryUnread, { problem: String(error) });\n',
     put: '      throw error;\n',
-    spec: 'platform/src/exhaustedProcess.spec.ts',
+    spec: 'exhaustedProcess.spec.ts',
     test: 'without a free descriptor',
   },
   {
@@ -1247,7 +1247,7 @@
     file: 'packages/entry/src/http/compactMessage.ts',
     find: 'if (part !== null) return this.copy(part);',
     put: 'if (part !== null) return super.push(part);',
-    spec: 'platform/src/hostileCallers.spec.ts',
+    spec: 'hostileCallers.spec.ts',
     test: 'leaves others served: a body in chunks of one byte that stops short',
   },
   {
@@ -1255,7 +1255,7 @@
     file: 'packages/entry/src/http/pacedSocket.ts',
     find: 'const most = Math.max(PIECE_BYTES, this.pace.bodyBytesLeft());',
     put: 'const most = Math.max(PIECE_BYTES * PIECE_BYTES, this.pace.bodyBytesLeft());',
-    spec: 'platform/src/hostileCallers.spec.ts',
+    spec: 'hostileCallers.spec.ts',
     test: 'leaves others served: requests ahead without even a host',
   },
   {
