--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -39,6 +39,16 @@
     type: 'counter',
     help: 'Streams that went on at another target within one answer, by whether that has the same software version',
   },
+  left: {
+    name: 'relay.stream.left',
+    type: 'counter',
+    help: 'Streams that left their target so that another one goes on, by reason (paused, unresponsive)',
+  },
+  brokenOff: {
+    name: 'relay.answer.broken_off',
+    type: 'counter',
+    help: 'Answers that ended inside, by why no other target went on',
+  },
   unproven: {
     name: 'relay.stream.unproven',
     type: 'counter',
--- a/packages/relay/src/work/report.ts
+++ b/packages/relay/src/work/report.ts
@@ -49,6 +49,7 @@
     status,
     source: addedFields.cacheSource,
     copied: addedFields.cacheCopy !== undefined,
+    left: stream.leftBecause,
     events: stream.lastEventId,
     pauseMs: Math.round(stream.pauseMs),
     tookMs: Math.round(tookMs),
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -29,6 +29,7 @@
 import type { Outcome } from './forward.js';
 import { partsAvailability, customerSalt, sourceFor, assignedStore } from './sharedParts.js';
 import { overloadMessage, attemptRecord } from './report.js';
+import type { RetryLimit } from './retryLimit.js';
 import { Sending } from './sending.js';
 import { Stream } from './stream.js';
 import { notResumable, originOf, recordOrigin } from './resumption.js';
@@ -111,6 +112,8 @@
   private target: Target | undefined;
   /** The trial that the request runs as. */
   private trial: AdmittedTrial | undefined;
+  /** Why the last attempt was followed by no other one. */
+  private limit: RetryLimit | undefined;
 
   constructor(
     private readonly context: RelayContext,
@@ -174,17 +177,31 @@
 
   private reject(request: RelayRequest, problem: Fault, route?: Route): void {
     const { log, metrics, knowledge } = this.context;
+    const isBrokenOff = this.answer.begun;
     this.answer.fail(problem, request.id);
     metrics.count(relayMetrics.requests, 1, { kind: route?.kind ?? 'none', outcome: problem.kind });
-    log.event(relayEvents.refused, {
+    const fields = {
       request: request.id,
       route: route?.name,
       kind: problem.kind,
       ran: problem.ran,
       message: problem.message,
       sends: this.sends,
+      limit: this.limit,
       configuration: knowledge.table()?.number,
       ageMs: Math.round(this.answer.age()),
+    };
+    if (isBrokenOff) this.recordBrokenOff(fields);
+    else log.event(relayEvents.refused, fields);
+  }
+
+  private recordBrokenOff(fields: Readonly<Record<string, unknown>>): void {
+    const { log, metrics, stopsAt } = this.context;
+    metrics.count(relayMetrics.brokenOff, 1, { limit: this.limit ?? 'none' });
+    log.event(relayEvents.broken, {
+      ...fields,
+      events: this.stream.lastEventId,
+      isStopping: stopsAt() !== undefined,
     });
   }
 
@@ -304,6 +321,7 @@
       const placement = this.abort.signal.aborted ? undefined : placements.choose(input);
       if (placement === undefined) {
         if (this.sends === 0 && (await this.waitForTarget(job))) continue;
+        this.limit = this.abort.signal.aborted ? 'ended' : 'no-target';
         return this.sends === 0 ? { state: 'fault', fault: this.noTarget(job) } : last;
       }
       if (this.sends === 0 && placements.isOverloaded(input, placement)) {
@@ -318,7 +336,8 @@
       if (last.state === 'answered') return last;
       if (!this.countsAsAttempt(last.fault)) this.sends -= 1;
       if (last.fault.ran !== 'not-run') this.mayHaveRun = true;
-      if (!this.mayRetry(job, last.fault)) return last;
+      this.limit = this.retryLimit(job, last.fault);
+      if (this.limit !== undefined) return last;
     }
   }
 
@@ -407,24 +426,26 @@
     return until - this.context.clock.monotonic() >= MIN_REMAINING_MS;
   }
 
-  private mayRetry(job: Job, problem: Fault): boolean {
+  /** Why a request is sent to no other target after a failed attempt; undefined: it is. Takes the retry from the budget. */
+  private retryLimit(job: Job, problem: Fault): RetryLimit | undefined {
     const { budgets, quarantine } = this.context;
     const { route } = job;
-    if (this.abort.signal.aborted || !this.hasTime(job)) return false;
-    if (!this.answer.begun && this.stopFault(job.until) !== undefined) return false;
-    if (this.sends >= route.maxAttempts) return false;
+    if (this.abort.signal.aborted) return 'ended';
+    if (!this.hasTime(job)) return 'time';
+    if (!this.answer.begun && this.stopFault(job.until) !== undefined) return 'stopping';
+    if (this.sends >= route.maxAttempts) return 'attempts';
     // Only a stream can go on after what the caller already has.
-    if (this.answer.begun && route.kind !== 'stream') return false;
-    if (!quarantine.mayRetry(job.sent, problem.ran !== 'not-run')) return false;
+    if (this.answer.begun && route.kind !== 'stream') return 'begun';
+    if (!quarantine.mayRetry(job.sent, problem.ran !== 'not-run')) return 'quarantined';
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
-    if (!isRetryable && problem.ran !== 'not-run') return false;
+    if (!isRetryable && problem.ran !== 'not-run') return 'not-repeatable';
     // The retry for a moving stream was already taken from the budget when it left its target.
     if (this.stream.isMoving) {
       this.stream.isMoving = false;
-      return true;
+      return undefined;
     }
     // An attempt that never reached a target adds no load.
-    return neverReached.has(problem.kind) || budgets.withdraw(this.service);
+    return neverReached.has(problem.kind) || budgets.withdraw(this.service) ? undefined : 'budget';
   }
 
   private placementInput(job: Job): PlacementInput {
@@ -459,6 +480,7 @@
     const { clock, knowledge, log, metrics, monitor, quarantine } = this.context;
     const { target } = placement;
     this.target = target;
+    this.stream.leftBecause = undefined;
     const begunAt = clock.monotonic();
     const { lastEventId } = this.stream;
     const resumeAfterId = lastEventId === undefined ? job.request.lastEventId : String(lastEventId);
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -23,6 +23,9 @@
  */
 const BEGINNING_PROOF_MS = 10_000;
 
+/** Why a stream leaves a target: it is announced as paused, or nothing comes from it any more. */
+export type LeaveReason = 'paused' | 'unresponsive';
+
 /** What a stream calls back. */
 export interface StreamHooks {
   /** Whether another target can take the stream over; takes the retry for it from the budget. */
@@ -41,8 +44,10 @@
   pauseMs = 0;
   /** Whether the current answer was abandoned so that the stream can resume at another target. */
   isMoving = false;
-  /** Whether the stream is to leave its target as soon as another one can go on. */
-  private isMoveWanted = false;
+  /** Why the current answer was abandoned; undefined: it was not. */
+  leftBecause: LeaveReason | undefined;
+  /** Why the stream is to leave its target as soon as another one can go on; undefined: it is not. */
+  private wantsToLeave: LeaveReason | undefined;
   /** Software version that began the stream at another entry; undefined: the stream begins here. */
   resumedVersion: string | undefined;
   private eventAt: number | undefined;
@@ -90,7 +95,7 @@
         this.recordTarget(target, wire.connectedAt);
         this.recordEvent(target.id, framer.lastId);
         await this.answer.write(events);
-        if (this.isMoveWanted) this.leave(wire);
+        if (this.wantsToLeave !== undefined) this.leave(wire, this.wantsToLeave);
       }
     } catch (error) {
       wire.abandon();
@@ -188,10 +193,12 @@
    * Leaves the target if another one can go on at this moment: when the move became wanted others may have looked ready that have
    * paused since. Otherwise the stream stays, as its target finishes it.
    */
-  private leave(wire: WireAnswer): void {
+  private leave(wire: WireAnswer, reason: LeaveReason): void {
     if (this.isMoving || !this.hooks.reserveMove()) return;
-    this.isMoveWanted = false;
+    this.wantsToLeave = undefined;
     this.isMoving = true;
+    this.leftBecause = reason;
+    this.context.metrics.count(relayMetrics.left, 1, { reason });
     wire.abandon();
   }
 
@@ -206,16 +213,16 @@
     let cancelTimer = (): void => undefined;
     const stop = knowledge.targets.onPause((id) => {
       if (id !== target.id || this.isMoving || !this.hooks.mayBeSentOn()) return;
-      this.isMoveWanted = true;
+      this.wantsToLeave = 'paused';
       cancelTimer = clock.after(MOVE_TIMEOUT_MS, () => {
-        if (this.isMoveWanted) this.leave(wire);
-        this.isMoveWanted = false;
+        if (this.wantsToLeave !== undefined) this.leave(wire, this.wantsToLeave);
+        this.wantsToLeave = undefined;
       });
     });
     return () => {
       stop();
       cancelTimer();
-      this.isMoveWanted = false;
+      this.wantsToLeave = undefined;
     };
   }
 
@@ -228,7 +235,7 @@
     const { monitor, clock } = this.context;
     let cancelTimer: () => void;
     const check = (): void => {
-      if (monitor.isUnresponsive(target.id)) this.leave(wire);
+      if (monitor.isUnresponsive(target.id)) this.leave(wire, 'unresponsive');
       if (!this.isMoving) cancelTimer = clock.after(UNRESPONSIVE_MS / 2, check);
     };
     cancelTimer = clock.after(UNRESPONSIVE_MS, check);
