--- a/packages/relay/src/work/report.ts
+++ b/packages/relay/src/work/report.ts
@@ -18,12 +18,14 @@
   readonly status: number;
   /** Number of the attempt, from 1. */
   readonly send: number;
+  /** Until the target's answer began; undefined: it did not. */
+  readonly headMs?: number;
   readonly tookMs: number;
 }
 
 /** Fields of the log line for an attempt. */
 export function attemptRecord(
-  { job, placement, sending, addedFields, outcome, status, send, tookMs }: Attempt,
+  { job, placement, sending, addedFields, outcome, status, send, headMs, tookMs }: Attempt,
   stream: Stream,
   answer: CallerAnswer,
 ): Record<string, unknown> {
@@ -52,6 +54,7 @@
     left: stream.leftBecause,
     events: stream.lastEventId,
     pauseMs: Math.round(stream.pauseMs),
+    headMs: headMs === undefined ? undefined : Math.round(headMs),
     tookMs: Math.round(tookMs),
     firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
     ageMs: Math.round(answer.age()),
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -493,11 +493,13 @@
     const sending = new Sending(this.context, target, () => this.withheldFault(job));
     let outcome: Outcome;
     let status = 0;
+    let headMs: number | undefined;
     let wasUnresponsive: boolean;
     let clearParts = (): void => undefined;
     try {
       const sent = await send(this.context, job, sending, addedFields, this.abort.signal);
       if (sent.isOk()) {
+        headMs = clock.monotonic() - begunAt;
         status = sent.value.wire.status;
         if (isProofOfEnd(sent.value)) clearParts = quarantine.beginAnswer(job.sent);
       }
@@ -527,7 +529,17 @@
     const result = outcome.state === 'answered' ? 'answered' : outcome.fault.kind;
     metrics.count(relayMetrics.attempts, 1, { outcome: result });
     const tookMs = clock.monotonic() - begunAt;
-    const finished = { job, placement, sending, addedFields, outcome, status, send: this.sends, tookMs };
+    const finished = {
+      job,
+      placement,
+      sending,
+      addedFields,
+      outcome,
+      status,
+      send: this.sends,
+      headMs,
+      tookMs,
+    };
     log.event(relayEvents.attempted, attemptRecord(finished, this.stream, this.answer));
     return outcome;
   }
