--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -39,10 +39,15 @@
     type: 'counter',
     help: 'Streams that went on at another target within one answer, by whether that has the same software version',
   },
+  handovers: {
+    name: 'relay.stream.handover',
+    type: 'counter',
+    help: 'Targets that were asked to take a stream while its own one still served it, by what came of it (taken, or the fault)',
+  },
   left: {
     name: 'relay.stream.left',
     type: 'counter',
-    help: 'Streams that left their target so that another one goes on, by reason (paused, unresponsive)',
+    help: 'Streams that left a target which had not broken them off, by reason (paused, unresponsive)',
   },
   brokenOff: {
     name: 'relay.answer.broken_off',
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -1,7 +1,7 @@
 /** Sends a request to one target and checks its answer. */
 import type { Customer, Route, Service } from '@jasmineroute/configuration';
 import { fault } from '@jasmineroute/core';
-import type { Fault } from '@jasmineroute/core';
+import type { Fault, FaultKind } from '@jasmineroute/core';
 import { exchange } from '@jasmineroute/engine';
 import type { WireAnswer } from '@jasmineroute/engine';
 import { err, ok } from 'neverthrow';
@@ -38,6 +38,12 @@
 const SUCCESS = 200;
 const REDIRECT = 300;
 
+/** Faults of attempts whose request was not written to the target. */
+export const neverReached: ReadonlySet<FaultKind> = new Set<FaultKind>([
+  'target-unreachable',
+  'target-leaving',
+]);
+
 /** Sends a request. The caller must read the answer's body to its end or abandon it. */
 export async function send(
   context: RelayContext,
--- a/packages/relay/src/work/forward.ts
+++ b/packages/relay/src/work/forward.ts
@@ -14,6 +14,18 @@
   | { readonly state: 'failure'; readonly answer: () => void; readonly fault: Fault }
   | { readonly state: 'fault'; readonly fault: Fault };
 
+/**
+ * Why a stream leaves a target: it is announced as paused, nothing comes from it any more, or its answer broke off while another
+ * target was asked.
+ */
+export type LeaveReason = 'paused' | 'unresponsive' | 'lost';
+
+/** Outcome of forwarding one target's answer. */
+export type ForwardOutcome =
+  | Outcome
+  /** Another target has taken the stream over. */
+  | { readonly state: 'left'; readonly reason: LeaveReason };
+
 /** The outcome for an answer that broke off after the request may have run. */
 export function interrupted(problem: Fault): Outcome {
   return { state: 'fault', fault: { ...problem, ran: 'may-have-run' } };
--- a/packages/relay/src/work/report.ts
+++ b/packages/relay/src/work/report.ts
@@ -3,7 +3,7 @@
 import type { AddedFields } from '../dialect/index.js';
 import type { Placement } from '../placement/index.js';
 import type { Job } from './attempt.js';
-import type { Outcome } from './forward.js';
+import type { ForwardOutcome } from './forward.js';
 import type { Sending } from './sending.js';
 import type { Stream } from './stream.js';
 
@@ -13,7 +13,7 @@
   readonly placement: Placement;
   readonly sending: Sending;
   readonly addedFields: AddedFields;
-  readonly outcome: Outcome;
+  readonly outcome: ForwardOutcome;
   /** Status of the target's answer; 0 if there was none. */
   readonly status: number;
   /** Number of the attempt, from 1. */
@@ -46,12 +46,12 @@
     waitedMs: waitedMs === undefined ? undefined : Math.round(waitedMs),
     targetState,
     deadlineMs: Math.round(addedFields.deadlineMs),
-    outcome: outcome.state === 'answered' ? 'answered' : outcome.fault.kind,
-    problem: outcome.state === 'answered' ? undefined : outcome.fault.message,
+    outcome: 'fault' in outcome ? outcome.fault.kind : outcome.state,
+    problem: 'fault' in outcome ? outcome.fault.message : undefined,
     status,
     source: addedFields.cacheSource,
     copied: addedFields.cacheCopy !== undefined,
-    left: stream.leftBecause,
+    left: outcome.state === 'left' ? outcome.reason : undefined,
     events: stream.lastEventId,
     pauseMs: Math.round(stream.pauseMs),
     headMs: headMs === undefined ? undefined : Math.round(headMs),
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Customer, Route, RoutingTable, Service } from '@jasmineroute/configuration';
 import { fault } from '@jasmineroute/core';
-import type { Cancellation, Fault, FaultKind } from '@jasmineroute/core';
+import type { Cancellation, Fault } from '@jasmineroute/core';
 import { FaultError } from '@jasmineroute/engine';
 import { partFingerprint, requestFingerprint } from '@jasmineroute/protocol';
 import type { AdmittedTrial, SentRequest } from '../quarantine/index.js';
@@ -11,27 +11,24 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { CallerAnswer } from '../answer/index.js';
-import type { Source } from '../cache/index.js';
 import { sharedPartIds } from '../dialect/index.js';
 import type { RelayRequest } from '../dialect/index.js';
 import { relayEvents } from '../events.js';
 import { relayMetrics } from '../metrics.js';
 import { drawService, eligibleByWeights } from '../placement/index.js';
 import type { Placement, PlacementInput } from '../placement/index.js';
-import { addedFieldsFor } from './addedFields.js';
 import { admit } from './admit.js';
 import type { Admitted } from './admit.js';
-import { send } from './attempt.js';
+import { neverReached } from './attempt.js';
 import type { Job, TargetAnswer } from './attempt.js';
-import type { Fetch, OpenRequest } from '../target/index.js';
 import type { RelayContext } from './context.js';
 import { interrupted, forwardAnswer, bufferFailure } from './forward.js';
-import type { Outcome } from './forward.js';
-import { partsAvailability, customerSalt, sourceFor, assignedStore } from './sharedParts.js';
-import { overloadMessage, attemptRecord } from './report.js';
+import type { ForwardOutcome, Outcome } from './forward.js';
+import { partsAvailability, customerSalt, assignedStore } from './sharedParts.js';
+import { overloadMessage } from './report.js';
 import type { RetryLimit } from './retryLimit.js';
-import { Sending } from './sending.js';
 import { Stream } from './stream.js';
+import { TargetAttempt } from './targetAttempt.js';
 import { notResumable, originOf, recordOrigin } from './resumption.js';
 
 /** Maximum body size in bytes where the configuration sets none. */
@@ -59,16 +56,8 @@
 const MIN_REMAINING_MS = 10;
 
 const SUCCESS = 200;
-const REDIRECT = 300;
 const SERVER_ERROR = 500;
 
-/** Faults of attempts whose request was not written to the target. */
-const neverReached: ReadonlySet<FaultKind> = new Set<FaultKind>(['target-unreachable', 'target-leaving']);
-
-/** The fetch that an attempt makes over a store's link. */
-const fetchOf = (source: Source | undefined): Fetch | undefined =>
-  source?.isStore === true ? { store: source.address, tokens: source.tokens } : undefined;
-
 function quarantined(retryAfterMs: number | undefined, part: string | undefined): Fault {
   const what = part === undefined ? 'this request' : `requests with the prompt part ${part}`;
   return fault('request-quarantined', `targets crashed while they ran ${what}; it was not sent`, {
@@ -76,9 +65,8 @@
   });
 }
 
-/** Whether the end of an answer shows that the target finished it: a success that a lost connection can't look like. */
-const isProofOfEnd = ({ wire }: TargetAnswer): boolean =>
-  wire.isFramed && wire.status >= SUCCESS && wire.status < REDIRECT;
+/** Whether an attempt ended without a run, as far as is certain. */
+const isNotRun = (outcome: ForwardOutcome): boolean => 'fault' in outcome && outcome.fault.ran === 'not-run';
 
 /** A request as its caller repeats it: the same path and body, of the same customer. */
 function sentRequest({ id, path, prompt }: RelayRequest, body: Uint8Array, customer?: Customer): SentRequest {
@@ -121,8 +109,10 @@
     private readonly answer: CallerAnswer,
   ) {
     this.stream = new Stream(context, answer, {
-      reserveMove: () => this.reserveMove(),
-      mayBeSentOn: () => this.job !== undefined && context.quarantine.mayRetry(this.job.sent, true),
+      begin: () => this.beginSuccessor(),
+      failed: (attempt, problem) => this.endSuccessor(attempt, problem),
+      ended: this.abort.signal,
+      mayBeSentOn: () => this.mayBeSentOn(),
       recordOrigin: (softwareVersion) => {
         if (this.job !== undefined) recordOrigin(context, this.job, softwareVersion);
       },
@@ -330,8 +320,6 @@
       }
       const held = this.heldFault(job);
       if (held !== undefined) return this.sends === 0 ? { state: 'fault', fault: held } : last;
-      this.tried.add(placement.target.id);
-      this.sends += 1;
       last = await this.attempt(job, placement);
       if (last.state === 'answered') return last;
       if (!this.countsAsAttempt(last.fault)) this.sends -= 1;
@@ -439,11 +427,6 @@
     if (!quarantine.mayRetry(job.sent, problem.ran !== 'not-run')) return 'quarantined';
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
     if (!isRetryable && problem.ran !== 'not-run') return 'not-repeatable';
-    // The retry for a moving stream was already taken from the budget when it left its target.
-    if (this.stream.isMoving) {
-      this.stream.isMoving = false;
-      return undefined;
-    }
     // An attempt that never reached a target adds no load.
     return neverReached.has(problem.kind) || budgets.withdraw(this.service) ? undefined : 'budget';
   }
@@ -476,84 +459,78 @@
     };
   }
 
+  /** Sends the request to one target, and forwards its answer and that of each target which takes the stream over. */
   private async attempt(job: Job, placement: Placement): Promise<Outcome> {
-    const { clock, knowledge, log, metrics, monitor, quarantine } = this.context;
-    const { target } = placement;
-    this.target = target;
-    this.stream.leftBecause = undefined;
-    const begunAt = clock.monotonic();
-    const { lastEventId } = this.stream;
-    const resumeAfterId = lastEventId === undefined ? job.request.lastEventId : String(lastEventId);
-    const leftMs = job.until - begunAt;
-    const source = job.route.hasPrompt ? sourceFor(this.context, job, target) : undefined;
-    const addedFields = addedFieldsFor(this.context, job, target, leftMs, resumeAfterId, source);
-    const open = monitor.startRequest(target.id, placement.tokens, fetchOf(source), job.service.name);
-    const takeBack = this.trial === undefined ? undefined : quarantine.recordSending(this.trial);
-    const endRun = quarantine.isSuspect(job.sent) ? quarantine.runs.begin(target.id) : undefined;
-    const sending = new Sending(this.context, target, () => this.withheldFault(job));
-    let outcome: Outcome;
-    let status = 0;
-    let headMs: number | undefined;
-    let wasUnresponsive: boolean;
-    let clearParts = (): void => undefined;
-    try {
-      const sent = await send(this.context, job, sending, addedFields, this.abort.signal);
-      if (sent.isOk()) {
-        headMs = clock.monotonic() - begunAt;
-        status = sent.value.wire.status;
-        if (isProofOfEnd(sent.value)) clearParts = quarantine.beginAnswer(job.sent);
-      }
-      outcome = sent.isOk()
-        ? await this.forward(job, target, sent.value, open)
-        : { state: 'fault', fault: sent.error };
-    } finally {
-      wasUnresponsive = monitor.isUnresponsive(target.id);
-      sending.end();
-      open.finish();
-      endRun?.();
-    }
-    if (outcome.state === 'answered' || outcome.fault.ran === 'not-run') this.target = undefined;
-    if (outcome.state === 'answered') {
-      monitor.recordSuccess(target.id);
-      quarantine.recordSuccess(job.sent);
-      clearParts();
-    } else if (this.mayHaveEnded(job, outcome.fault, wasUnresponsive)) {
-      await quarantine.recordBroken(job.sent, target);
+    const first = this.beginAttempt(job, placement);
+    const sent = await first.ask(this.abort.signal);
+    let attempt = first;
+    let outcome: ForwardOutcome = sent.isOk()
+      ? await this.forward(job, first, sent.value)
+      : { state: 'fault', fault: sent.error };
+    for (;;) {
+      if (outcome.state === 'answered' || isNotRun(outcome)) this.target = undefined;
+      await attempt.finish(outcome);
+      if (outcome.state !== 'left') return outcome;
+      this.mayHaveRun = true;
+      const successor = this.stream.takeSuccessor();
+      if (successor === undefined) throw new Error('a stream was left for no other target');
+      attempt = successor.attempt;
+      this.target = attempt.target;
+      outcome = await this.forward(job, attempt, successor.answer);
     }
-    if (outcome.state !== 'answered' && outcome.fault.ran === 'not-run')
-      takeBack?.(!neverReached.has(outcome.fault.kind));
-    if (outcome.state === 'fault' && outcome.fault.kind === 'answer-mismatch')
-      monitor.recordFailure(target.id);
-    if (outcome.state !== 'answered' && outcome.fault.kind === 'target-leaving')
-      metrics.count(relayMetrics.takenBack, 1, { state: knowledge.targets.stateOf(target.id) });
-    const result = outcome.state === 'answered' ? 'answered' : outcome.fault.kind;
-    metrics.count(relayMetrics.attempts, 1, { outcome: result });
-    const tookMs = clock.monotonic() - begunAt;
-    const finished = {
+  }
+
+  private beginAttempt(job: Job, placement: Placement): TargetAttempt {
+    this.tried.add(placement.target.id);
+    this.sends += 1;
+    this.target = placement.target;
+    return new TargetAttempt(this.context, {
       job,
       placement,
-      sending,
-      addedFields,
-      outcome,
-      status,
       send: this.sends,
-      headMs,
-      tookMs,
-    };
-    log.event(relayEvents.attempted, attemptRecord(finished, this.stream, this.answer));
-    return outcome;
+      stream: this.stream,
+      answer: this.answer,
+      trial: this.trial,
+      withheld: () => this.withheldFault(job),
+      ended: this.abort.signal,
+    });
   }
 
-  /** Whether a target that broke off an answer may have ended, rather than this entry having given the answer up. */
-  private mayHaveEnded(job: Job, { kind }: Fault, wasUnresponsive: boolean): boolean {
-    // A suspect whose caller leaves before the target ends would never be held to have crashed it.
-    if (this.abort.signal.aborted) return this.context.quarantine.isSuspect(job.sent);
-    if (this.stream.isMoving) return wasUnresponsive;
-    return kind === 'target-lost' || kind === 'stream-broken';
+  /** Begins an attempt at a target that may take the stream over; undefined: there is none, or no retry is left. */
+  private beginSuccessor(): TargetAttempt | undefined {
+    const { job, target } = this;
+    if (job === undefined || this.sends >= this.maxAttempts || !this.hasTime(job)) return undefined;
+    if (!this.mayBeSentOn() || this.heldFault(job) !== undefined) return undefined;
+    const placement = this.context.selector.choose(this.placementInput(job));
+    if (placement === undefined || !this.context.budgets.withdraw(this.service)) return undefined;
+    const attempt = this.beginAttempt(job, placement);
+    // The stream stays at its target until this one has taken it.
+    this.target = target;
+    return attempt;
+  }
+
+  /** Whether the request may be sent to another target once one has run it. */
+  private mayBeSentOn(): boolean {
+    return this.job !== undefined && this.context.quarantine.mayRetry(this.job.sent, true);
+  }
+
+  /** Records that a target did not take the stream over. */
+  private async endSuccessor(attempt: TargetAttempt, problem: Fault): Promise<void> {
+    if (!this.countsAsAttempt(problem)) this.sends -= 1;
+    if (problem.ran !== 'not-run') this.mayHaveRun = true;
+    await attempt.finish({ state: 'fault', fault: problem });
   }
 
   /** Forwards an answer to the caller. */
-  private forward(job: Job, target: Target, answer: TargetAnswer, open: OpenRequest): Promise<Outcome> {
+  private async forward(job: Job, attempt: TargetAttempt, answer: TargetAnswer): Promise<ForwardOutcome> {
+    try {
+      return await this.forwardChecked(job, attempt, answer);
+    } finally {
+      attempt.release();
+    }
+  }
+
+  private forwardChecked(job: Job, attempt: TargetAttempt, answer: TargetAnswer): Promise<ForwardOutcome> {
     const { status } = answer.wire;
     // The rest of a stream that has begun must be a stream as well.
     if (this.answer.begun && status !== SUCCESS) {
@@ -565,7 +542,7 @@
     if (status >= SERVER_ERROR) return bufferFailure(this.context, this.answer, answer);
     const isStream = job.route.kind === 'stream' && status === SUCCESS;
     return isStream
-      ? this.stream.forward(target, answer, open)
+      ? this.stream.forward(attempt.target, answer, attempt.open)
       : forwardAnswer(this.context, this.answer, answer);
   }
 
@@ -573,15 +550,6 @@
     if (lastEventId !== undefined) this.context.metrics.count(relayMetrics.resumed, 1, { outcome });
   }
 
-  /** Whether another target can take the stream over; takes the retry for it from the budget. */
-  private reserveMove(): boolean {
-    const { job } = this;
-    if (job === undefined || this.sends >= this.maxAttempts) return false;
-    // Without a successor the stream would break off, and its target may still finish it.
-    if (this.placementInput(job).candidates.length === 0) return false;
-    return this.context.budgets.withdraw(this.service);
-  }
-
   private recordTimings(): void {
     const { metrics } = this.context;
     metrics.timing(relayMetrics.duration, this.answer.age());
--- a/packages/relay/src/work/startProofs.spec.ts
+++ b/packages/relay/src/work/startProofs.spec.ts
@@ -7,6 +7,9 @@
 
 const BORN = 7n;
 
+/** Longest time for which two targets may work on one stream, milliseconds. */
+const MAX_BOTH_MS = 400;
+
 describe('a target that may have started again under its id', () => {
   let bed: RelayBed;
 
@@ -14,11 +17,14 @@
     await bed.stop();
   });
 
+  /** All targets with their starts. */
+  const announced = (): Parameters<RelayBed['announce']>[0] =>
+    Object.fromEntries(bed.targets.map(({ id }) => [id, { id: `${id}/${BORN}`, name: id, born: BORN }]));
+
   /** Targets of one version that tell when they were started; control has heard of all but the first just before. */
   async function start(targets: number): Promise<void> {
     bed = await RelayBed.startUnannounced([routeTo(stream)], targets);
-    const named = bed.targets.map(({ id }) => [id, { id: `${id}/${BORN}`, name: id, born: BORN }]);
-    bed.announce(Object.fromEntries(named) as Parameters<RelayBed['announce']>[0]);
+    bed.announce(announced());
     for (const { id } of bed.targets) bed.hearStart(id, BORN);
     for (const target of bed.targets) {
       target.script = (request, response, body) => {
@@ -96,4 +102,35 @@
     await until(() => bed.knownVersion('second') === 'v1');
     expect(bed.knownVersion('begun')).toBeUndefined();
   });
+
+  // Guards against a stream that leaves a sound target for one whose start nobody has heard of, or that waits for the proof.
+  it('gets no stream whose own target only pauses', async () => {
+    await start(2);
+    let end = (): void => undefined;
+    for (const target of bed.targets) {
+      target.script = (request, response, body) => {
+        const isFirst = bed.arrivalCount() === 1;
+        const first = events(0, 2, (written) => {
+          end = (): void => {
+            written.end(text(3, 5));
+          };
+        });
+        (isFirst ? first : events(3, 5, (written) => written.end()))(request, response, body);
+      };
+    }
+    let seen = '';
+    const asked = ask(bed.url, { id: 'begun', onData: (part) => (seen = part) });
+    await until(() => seen === text(0, 2));
+    const [begun] = bed.targets.filter(({ requests }) => requests.length > 0);
+    // Only then may the stream go on elsewhere.
+    bed.keepHearingStart(begun?.id ?? '', BORN);
+    await until(() => bed.knownVersion('begun') === 'v1');
+    const change = { id: `${begun?.id ?? ''}/${BORN}`, name: begun?.id ?? '', born: BORN };
+    bed.announce({ ...announced(), [begun?.id ?? '']: { ...change, paused: true, observation: 1n } });
+    await until(() => bed.arrivalCount() === 2);
+    const askedAt = performance.now();
+    end();
+    expect(await asked).toMatchObject({ status: 200, body: text(0, 5), whole: true });
+    expect(performance.now() - askedAt).toBeLessThan(MAX_BOTH_MS);
+  });
 });
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -12,7 +12,9 @@
 import type { TargetAnswer } from './attempt.js';
 import type { RelayContext } from './context.js';
 import { interrupted } from './forward.js';
-import type { Outcome } from './forward.js';
+import type { ForwardOutcome, LeaveReason, Outcome } from './forward.js';
+import { Handover } from './handover.js';
+import type { HandoverHooks, Successor } from './handover.js';
 
 /** How long a stream that leaves a target waits for its next event, milliseconds: some steps of a busy engine. */
 const MOVE_TIMEOUT_MS = 250;
@@ -23,13 +25,18 @@
  */
 const BEGINNING_PROOF_MS = 10_000;
 
-/** Why a stream leaves a target: it is announced as paused, or nothing comes from it any more. */
-export type LeaveReason = 'paused' | 'unresponsive';
+/**
+ * What a stream does when another target has the request and has not begun in time. One that only pauses finishes the stream; one
+ * that is silent is more often lost than not.
+ */
+const lateHandovers: Readonly<Record<LeaveReason, 'stay' | 'leave'>> = {
+  paused: 'stay',
+  unresponsive: 'leave',
+  lost: 'leave',
+};
 
 /** What a stream calls back. */
-export interface StreamHooks {
-  /** Whether another target can take the stream over; takes the retry for it from the budget. */
-  readonly reserveMove: () => boolean;
+export interface StreamHooks extends Omit<HandoverHooks, 'leave' | 'onLate'> {
   /** Whether the request may be sent to another target once one has run it. */
   readonly mayBeSentOn: () => boolean;
   /** Records the software version that began the stream. */
@@ -42,12 +49,14 @@
   lastEventId: number | undefined;
   /** Longest pause between two events so far, milliseconds. */
   pauseMs = 0;
-  /** Whether the current answer was abandoned so that the stream can resume at another target. */
-  isMoving = false;
-  /** Why the current answer was abandoned; undefined: it was not. */
-  leftBecause: LeaveReason | undefined;
-  /** Why the stream is to leave its target as soon as another one can go on; undefined: it is not. */
-  private wantsToLeave: LeaveReason | undefined;
+  /** Whether the stream is to look for another target after its next event. */
+  private isMoveWanted = false;
+  /** The last time that other targets were asked to take the stream from its present one. */
+  private handover: Handover | undefined;
+  /** Why the stream has left its present target; undefined: it has not. */
+  private left: LeaveReason | undefined;
+  /** The target that has taken the stream. */
+  private successor: Successor | undefined;
   /** Software version that began the stream at another entry; undefined: the stream begins here. */
   resumedVersion: string | undefined;
   private eventAt: number | undefined;
@@ -68,7 +77,7 @@
   ) {}
 
   /** Forwards events as they arrive, each only once it is complete. */
-  async forward(target: Target, { wire }: TargetAnswer, open: OpenRequest): Promise<Outcome> {
+  async forward(target: Target, { wire }: TargetAnswer, open: OpenRequest): Promise<ForwardOutcome> {
     const { startProofs } = this.context;
     if (this.hasBegun && !(await startProofs.prove(target, wire.connectedAt, PROOF_MS))) {
       wire.abandon();
@@ -76,32 +85,66 @@
       return interrupted(fault('stream-broken', 'another start of the target may have answered'));
     }
     this.targetEventAt = undefined;
+    this.handover = undefined;
+    this.left = undefined;
+    const stopWatching = [this.watchUnresponsive(target, wire), this.watchTargetPause(target, wire)];
+    try {
+      return await this.handedOver(await this.forwardEvents(target, wire, open));
+    } finally {
+      for (const end of stopWatching) end();
+    }
+  }
+
+  /** The target that has taken the stream over, for the answer that was left for it. */
+  takeSuccessor(): Successor | undefined {
+    const { successor } = this;
+    this.successor = undefined;
+    return successor;
+  }
+
+  /** What came of an answer: another target may have taken the stream, or may still take it when its own one is lost. */
+  private async handedOver(outcome: Outcome): Promise<ForwardOutcome> {
+    if (outcome.state === 'answered') {
+      await this.handover?.cancel();
+      return outcome;
+    }
+    this.handover?.release();
+    this.successor = await this.handover?.result;
+    return this.successor === undefined ? outcome : { state: 'left', reason: this.left ?? 'lost' };
+  }
+
+  private async forwardEvents(target: Target, wire: WireAnswer, open: OpenRequest): Promise<Outcome> {
+    try {
+      return await this.forwardBody(target, wire, open);
+    } catch (error) {
+      wire.abandon();
+      return interrupted(brokenStreamFault(error));
+    }
+  }
+
+  /** @throws Error when the answer breaks off or is abandoned. */
+  private async forwardBody(target: Target, wire: WireAnswer, open: OpenRequest): Promise<Outcome> {
     let hasEvents = false;
     const framer = new EventFramer(this.lastEventId);
-    const stopWatching = [this.watchUnresponsive(target, wire), this.watchTargetPause(target, wire)];
     // Headers are sent with the first event, so that nothing of the answer of a target that is lost earlier reaches
     // the caller.
     const begin = (): void => {
       this.answer.begin(wire.status, this.context.dialect.callerHeaders(wire.headers));
     };
-    try {
-      for await (const chunk of wire.body) {
-        this.context.monitor.recordActivity(target.id);
-        const events = framer.push(chunk);
-        if (events.length === 0) continue;
-        hasEvents = true;
-        open.markRead();
-        begin();
-        this.recordTarget(target, wire.connectedAt);
-        this.recordEvent(target.id, framer.lastId);
-        await this.answer.write(events);
-        if (this.wantsToLeave !== undefined) this.leave(wire, this.wantsToLeave);
-      }
-    } catch (error) {
-      wire.abandon();
-      return interrupted(brokenStreamFault(error));
-    } finally {
-      for (const end of stopWatching) end();
+    for await (const chunk of wire.body) {
+      this.context.monitor.recordActivity(target.id);
+      // A target that takes the stream over begins with these events.
+      if (this.handover?.isAsking === true) await this.handover.result;
+      if (this.left !== undefined) throw new Error('the stream has left its target');
+      const events = framer.push(chunk);
+      if (events.length === 0) continue;
+      hasEvents = true;
+      open.markRead();
+      begin();
+      this.recordTarget(target, wire.connectedAt);
+      this.recordEvent(target.id, framer.lastId);
+      await this.answer.write(events);
+      if (this.isMoveWanted) this.findSuccessor(wire, 'paused');
     }
     if (framer.pending.length > 0)
       return interrupted(fault('stream-broken', 'the stream ended inside an event'));
@@ -190,39 +233,41 @@
   }
 
   /**
-   * Leaves the target if another one can go on at this moment: when the move became wanted others may have looked ready that have
-   * paused since. Otherwise the stream stays, as its target finishes it.
+   * Asks other targets to take the stream, and leaves its own when one has. It stays when none does: what looks ready may be full or
+   * about to pause, and a target that only pauses or is silent may still finish the stream.
    */
-  private leave(wire: WireAnswer, reason: LeaveReason): void {
-    if (this.isMoving || !this.hooks.reserveMove()) return;
-    this.wantsToLeave = undefined;
-    this.isMoving = true;
-    this.leftBecause = reason;
-    this.context.metrics.count(relayMetrics.left, 1, { reason });
-    wire.abandon();
+  private findSuccessor(wire: WireAnswer, reason: LeaveReason): void {
+    if (this.handover?.isAsking === true || this.left !== undefined) return;
+    this.isMoveWanted = false;
+    const leave = (): void => {
+      this.left = reason;
+      this.context.metrics.count(relayMetrics.left, 1, { reason });
+      wire.abandon();
+    };
+    const onLate = lateHandovers[reason];
+    this.handover = new Handover(this.context, { ...this.hooks, leave, onLate }, this.lastEventId);
   }
 
   /**
    * Moves the stream off a target that pauses. Before a target loads new weights it waits for its running requests,
    * up to several seconds for a long one, and takes no other work meanwhile; a moved stream loses only some
-   * milliseconds. The stream leaves right after an event, as the caller measures the pause from there.
+   * milliseconds. Others are asked right after an event, as the caller measures the pause from there.
    * @returns a function that stops watching.
    */
   private watchTargetPause(target: Target, wire: WireAnswer): () => void {
     const { knowledge, clock } = this.context;
     let cancelTimer = (): void => undefined;
     const stop = knowledge.targets.onPause((id) => {
-      if (id !== target.id || this.isMoving || !this.hooks.mayBeSentOn()) return;
-      this.wantsToLeave = 'paused';
+      if (id !== target.id || !this.hooks.mayBeSentOn()) return;
+      this.isMoveWanted = true;
       cancelTimer = clock.after(MOVE_TIMEOUT_MS, () => {
-        if (this.wantsToLeave !== undefined) this.leave(wire, this.wantsToLeave);
-        this.wantsToLeave = undefined;
+        if (this.isMoveWanted) this.findSuccessor(wire, 'paused');
       });
     });
     return () => {
       stop();
       cancelTimer();
-      this.wantsToLeave = undefined;
+      this.isMoveWanted = false;
     };
   }
 
@@ -235,8 +280,9 @@
     const { monitor, clock } = this.context;
     let cancelTimer: () => void;
     const check = (): void => {
-      if (monitor.isUnresponsive(target.id)) this.leave(wire, 'unresponsive');
-      if (!this.isMoving) cancelTimer = clock.after(UNRESPONSIVE_MS / 2, check);
+      if (monitor.isUnresponsive(target.id) && this.hooks.mayBeSentOn())
+        this.findSuccessor(wire, 'unresponsive');
+      cancelTimer = clock.after(UNRESPONSIVE_MS / 2, check);
     };
     cancelTimer = clock.after(UNRESPONSIVE_MS, check);
     return () => {
