--- a/packages/relay/src/work/handover.spec.ts
+++ b/packages/relay/src/work/handover.spec.ts
@@ -1,6 +1,7 @@
 /** Streams that leave a target which still serves them: what the next target does until it has taken them. */
 import type { ServerResponse } from 'node:http';
 import { knowledgeEvents } from '@jasmineroute/knowledge';
+import { blockLoop } from '@jasmineroute/testkit';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RelayBed, answered, routeTo, until } from '../testing/bed.js';
 import type { Script, ScriptedTarget } from '../testing/bed.js';
@@ -164,6 +165,17 @@
     },
   );
 
+  // Guards against targets that are taken for silent as this process stood still, and streams that all leave at once.
+  it('asks no other target after this process stood still', async () => {
+    await begin(2, goOn);
+    blockLoop(SILENCE_MS);
+    await until(() => !bed.isCatchingUp);
+    sendOne();
+    finishFirst();
+    expect(await asked).toMatchObject(WHOLE);
+    expect(arrivedAtOthers()).toBe(0);
+  });
+
   // Guards against a stream whose target is lost without a word, and that waits for it.
   it('leaves a silent target for one that takes it', async () => {
     await begin(2, (request, response, body) => {
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -41,6 +41,12 @@
   lost: { onLate: 'leave', onData: 'hold' },
 };
 
+/** Delay of a check for silence from which on this process may have been the one that stood still, milliseconds. */
+const MAX_CHECK_DELAY_MS = 100;
+
+/** Time in which this process reads what came while it stood still, milliseconds. */
+const CATCH_UP_MS = 100;
+
 /** What a stream calls back. */
 export interface StreamHooks extends Omit<HandoverHooks, 'leave' | 'onLate'> {
   /** Whether the request may be sent to another target once one has run it. */
@@ -291,14 +297,23 @@
    * @returns a function that stops watching.
    */
   private watchUnresponsive(target: Target, wire: WireAnswer): () => void {
-    const { monitor, clock } = this.context;
+    const { monitor, clock, stalls } = this.context;
     let cancelTimer: () => void;
-    const check = (): void => {
-      if (monitor.isUnresponsive(target.id) && this.hooks.mayBeSentOn())
-        this.findSuccessor(wire, 'unresponsive');
-      cancelTimer = clock.after(UNRESPONSIVE_MS / 2, check);
+    const checkAfter = (ms: number, isSecond = false): void => {
+      const dueAt = clock.monotonic() + ms;
+      cancelTimer = clock.after(ms, () => {
+        const isLate = stalls.current() !== undefined || clock.monotonic() - dueAt > MAX_CHECK_DELAY_MS;
+        // After a stall of this process, what targets sent in it is not read yet.
+        if (isLate && !isSecond) {
+          checkAfter(CATCH_UP_MS, true);
+          return;
+        }
+        if (monitor.isUnresponsive(target.id) && this.hooks.mayBeSentOn())
+          this.findSuccessor(wire, 'unresponsive');
+        checkAfter(UNRESPONSIVE_MS / 2);
+      });
     };
-    cancelTimer = clock.after(UNRESPONSIVE_MS, check);
+    checkAfter(UNRESPONSIVE_MS);
     return () => {
       cancelTimer();
     };
