--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -16,6 +16,10 @@
 const HIGH_WATER_BYTES = 64 * 1024;
 const LOW_WATER_BYTES = 16 * 1024;
 
+/** The statuses of HTTP. */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+
 /** Code of an error by headers that are too large, and beginning of the codes of the parser's errors. */
 const HEADERS_OVERFLOW = 'UND_ERR_HEADERS_OVERFLOW';
 const PARSER_ERRORS = 'HPE_';
@@ -120,6 +124,10 @@
   }
 
   onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: RawHeaders): void {
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      this.fail(notAnAnswer(`the status ${status}`));
+      return;
+    }
     if (status < 200) {
       this.informationalHeads += 1;
       if (this.informationalHeads > MAX_INFORMATIONAL_HEADS)
--- a/packages/relay/src/relay.spec.ts
+++ b/packages/relay/src/relay.spec.ts
@@ -107,6 +107,13 @@
     expect(bed.arrivalCount()).toBe(2);
   });
 
+  // Guards against an answer of a target in trouble whose status callers can't read.
+  it.each([600, 999])('takes an answer with the status %d for a failure of the target', async (status) => {
+    const url = await start([routeTo()], 1);
+    bed.target(1).script = answered('trouble', status);
+    expect(await ask(url)).toMatchObject({ status: 502, whole: true });
+  });
+
   it('forwards an error answer unchanged when no other attempt succeeds', async () => {
     const url = await start([routeTo({ kind: 'idempotent', maxAttempts: 2 })], 2);
     for (const target of bed.targets) target.script = answered('it broke', 500);
