--- a/packages/engine/src/wire/connections.ts
+++ b/packages/engine/src/wire/connections.ts
@@ -11,21 +11,51 @@
 /** Error code of a reset, in place of ECONNRESET. */
 const RESET_CODE = 'CONNECTION_RESET';
 
+/**
+ * Time for which the end of an answer without a length is held, milliseconds. A target that ends its side of the connection and then
+ * closes it without having read the request resets it, and that is read after the end.
+ */
+const RESET_WAIT_MS = 100;
+
+/** Whether an answer that the end of a connection completes may be cut off by a reset, by connection. */
+const cutChecks = new WeakMap<Socket, () => boolean>();
+
+/**
+ * Holds the end of a connection for a reset that may follow.
+ * @param mayBeCut whether its end would now complete an answer to a request that its target may not have read.
+ */
+export function holdEnd(socket: Socket, mayBeCut: () => boolean): void {
+  cutChecks.set(socket, mayBeCut);
+}
+
 /**
  * Makes a connection reset an error. An answer without a length ends with its connection, and undici treats an error with the
  * code of a reset as such an end: half of an answer would be forwarded as complete, with a matching length. With another code
  * the reset breaks the answer, as it does one with a length. If another listener has consumed the error, the reset appears as
- * an end, and the socket has no remote address any more; such an end event is suppressed. Call this before undici adds its own
- * listeners.
+ * an end, and the socket has no remote address any more; such an end event is suppressed. So is one that comes before the request is
+ * written, as its target can't have read it. Call this before undici adds its own listeners.
  */
 export function failOnReset(socket: Socket): void {
   socket.on('error', (error: NodeJS.ErrnoException) => {
     if (error.code === 'ECONNRESET') error.code = RESET_CODE;
   });
   const emit = socket.emit.bind(socket) as (event: string | symbol, ...details: unknown[]) => boolean;
+  const fail = (message: string): true => {
+    socket.destroy(Object.assign(new Error(message), { code: RESET_CODE }));
+    return true;
+  };
+  // The remote address is kept once it was read, so it is read as late as possible.
+  const end = (): boolean =>
+    socket.remoteAddress === undefined ? fail('the connection was reset') : emit('end');
   socket.emit = (event: string | symbol, ...details: unknown[]): boolean => {
-    if (event !== 'end' || socket.remoteAddress !== undefined) return emit(event, ...details);
-    socket.destroy(Object.assign(new Error('the connection was reset'), { code: RESET_CODE }));
+    if (event !== 'end') return emit(event, ...details);
+    if (socket.writableLength > 0) return fail('the connection ended before the request was written');
+    if (cutChecks.get(socket)?.() !== true) return end();
+    // Otherwise the socket is closed as soon as this returns.
+    socket.allowHalfOpen = true;
+    systemClock.after(RESET_WAIT_MS, () => {
+      if (!socket.destroyed) end();
+    });
     return true;
   };
 }
--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -8,7 +8,7 @@
 import type { Dispatcher } from 'undici';
 import { fieldsOf, isFramed } from './answer.js';
 import type { RawHeaders, WireAnswer, WireRequest } from './answer.js';
-import { openedAtOf } from './connections.js';
+import { holdEnd, openedAtOf } from './connections.js';
 import { FaultError, brokenStreamFault } from './failure.js';
 import { MAX_INFORMATIONAL_HEADS, notAnAnswer, watchOverhead } from './overhead.js';
 
@@ -59,6 +59,8 @@
   private bodyBytes = 0;
   private informationalHeads = 0;
   private hasHead = false;
+  /** Whether the end of the connection completes the answer. */
+  private isOpenEnded = false;
   private connectedAt = Infinity;
   private sent = false;
   /** The last stall after which the request was checked for an abort. */
@@ -113,6 +115,7 @@
   /** Watches the connection to which the request is written. */
   watchConnection(socket: Socket): void {
     this.connectedAt = openedAtOf(socket);
+    holdEnd(socket, () => this.isOpenEnded && (this.request.body?.length ?? 0) > 0);
     const stop = watchOverhead(
       socket,
       () => this.bodyBytes,
@@ -135,6 +138,8 @@
       return;
     }
     this.hasHead = true;
+    const hasLength = isFramed(this.request.method, status, headers);
+    this.isOpenEnded = !hasLength;
     this.touch();
     this.stopTimer?.();
     this.stopTimer = undefined;
@@ -144,7 +149,7 @@
         status,
         headers: fieldsOf(headers),
         body: this,
-        isFramed: isFramed(this.request.method, status, headers),
+        isFramed: hasLength,
         connectedAt: this.connectedAt,
         abandon: () => {
           this.fail(new Error('answer discarded'));
@@ -164,6 +169,7 @@
 
   onResponseEnd(): void {
     this.ended = true;
+    this.isOpenEnded = false;
     this.cleanUp();
   }
 
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -26,6 +26,8 @@
   readonly address: string;
   readonly requests: IncomingMessage[];
   script: Script;
+  /** Runs in place of the script, before anything of the body is read; absent: the script runs when it is read. */
+  atHead?: Script;
   readonly sockets: Set<Socket>;
   close(): Promise<void>;
 }
@@ -58,9 +60,13 @@
 async function startTarget(id: string): Promise<ScriptedTarget> {
   const requests: IncomingMessage[] = [];
   const sockets = new Set<Socket>();
-  const target: { script: Script } = { script: answered() };
+  const target: { script: Script; atHead?: Script } = { script: answered() };
   const server: Server = createServer((request, response) => {
     requests.push(request);
+    if (target.atHead !== undefined) {
+      target.atHead(request, response, '');
+      return;
+    }
     let body = '';
     request.on('data', (part: Buffer) => (body += part.toString()));
     request.on('end', () => {
