--- a/packages/relay/src/work/forward.ts
+++ b/packages/relay/src/work/forward.ts
@@ -14,11 +14,11 @@
   | { readonly state: 'failure'; readonly answer: () => void; readonly fault: Fault }
   | { readonly state: 'fault'; readonly fault: Fault };
 
-/**
- * Why a stream leaves a target: it is announced as paused, nothing comes from it any more, or its answer broke off while another
- * target was asked.
- */
-export type LeaveReason = 'paused' | 'unresponsive' | 'lost';
+/** Why a stream looks for another target: its own is announced as paused, or nothing comes from it any more. */
+export type MoveReason = 'paused' | 'unresponsive';
+
+/** Why a stream left its target: as above, or its answer broke off while another one was asked. */
+export type LeaveReason = MoveReason | 'lost';
 
 /** Outcome of forwarding one target's answer. */
 export type ForwardOutcome =
--- a/packages/relay/src/work/handover.spec.ts
+++ b/packages/relay/src/work/handover.spec.ts
@@ -165,6 +165,19 @@
     },
   );
 
+  // Guards against a silent target that is given up as another one has the request, which that one then refuses.
+  it('stays at a silent target when the next one refuses late', async () => {
+    await begin(2, (...exchange) => {
+      setTimeout(refusal, MAX_BOTH_MS, ...exchange);
+    });
+    await until(() => arrivedAtOthers() > 0);
+    timer = setTimeout(() => {
+      sendOne();
+      finishFirst();
+    }, 2 * MAX_BOTH_MS);
+    expect(await asked).toMatchObject(WHOLE);
+  });
+
   // Guards against targets that are taken for silent as this process stood still, and streams that all leave at once.
   it('asks no other target after this process stood still', async () => {
     await begin(2, goOn);
--- a/packages/relay/src/work/handover.ts
+++ b/packages/relay/src/work/handover.ts
@@ -11,12 +11,6 @@
 import type { RelayContext } from './context.js';
 import type { TargetAttempt } from './targetAttempt.js';
 
-/**
- * Time within which another target must have begun, milliseconds. Two targets may work on one stream for 400 ms, and the end of a
- * run takes its way to the target.
- */
-const HANDOVER_MS = 300;
-
 /** Most targets that are asked in one handover: each takes a retry from the budget, which requests of lost targets need more. */
 const MAX_ASKED = 2;
 
@@ -39,8 +33,8 @@
   readonly ended: AbortSignal;
   /** Ends the answer of the stream's own target. */
   readonly leave: () => void;
-  /** Whether the stream leaves its own target when the one that was asked has the request and has not begun in time. */
-  readonly onLate: 'stay' | 'leave';
+  /** Time within which a target must have begun, milliseconds; undefined: it may take as long as it needs. */
+  readonly withinMs: number | undefined;
 }
 
 /** The body of an answer of which some chunks were read already. */
@@ -57,8 +51,8 @@
 }
 
 /**
- * One handover. Targets are asked one after the other, within one time for all of them. Only the first event of a target shows that
- * it has taken the stream; what is known of its load and state is older than its answer.
+ * One handover. Targets are asked one after the other. Only the first event of a target shows that it has taken the stream; what is
+ * known of its load and state is older than its answer.
  */
 export class Handover {
   /** Resolves to the target that has taken the stream over, or to undefined when its own target keeps it. */
@@ -66,10 +60,9 @@
   /** Whether it is not decided yet. */
   isAsking = true;
   private readonly over = new AbortController();
-  private asked: TargetAttempt | undefined;
-  /** Whether the stream has left its own target, or lost it. */
+  /** Whether the stream has lost its own target. */
   private isReleased = false;
-  private readonly cancelTimer: () => void;
+  private cancelTimer = (): void => undefined;
 
   /** @param lastEventId id of the last event that the caller has. */
   constructor(
@@ -77,9 +70,11 @@
     private readonly hooks: HandoverHooks,
     private readonly lastEventId: number | undefined,
   ) {
-    this.cancelTimer = context.clock.after(HANDOVER_MS, () => {
-      this.endInTime();
-    });
+    if (hooks.withinMs !== undefined) {
+      this.cancelTimer = context.clock.after(hooks.withinMs, () => {
+        this.stay();
+      });
+    }
     this.result = this.run().finally(() => {
       this.isAsking = false;
       this.cancelTimer();
@@ -108,16 +103,6 @@
     await this.hooks.failed(taken.attempt, this.unneeded());
   }
 
-  private endInTime(): void {
-    const hasRequest = this.asked?.sending.waitedMs !== undefined;
-    if (!hasRequest || this.hooks.onLate === 'stay') {
-      this.stay();
-      return;
-    }
-    this.isReleased = true;
-    this.hooks.leave();
-  }
-
   private unneeded(): Fault {
     return fault('cancelled', 'the stream stays at its target', { ran: 'may-have-run' });
   }
@@ -128,9 +113,7 @@
     for (let asked = 0; asked < MAX_ASKED && !signal.aborted; asked += 1) {
       const attempt = this.hooks.begin();
       if (attempt === undefined) return undefined;
-      this.asked = attempt;
       const answer = await this.ask(attempt, signal);
-      this.asked = undefined;
       metrics.count(relayMetrics.handovers, 1, { outcome: answer.isOk() ? 'taken' : answer.error.kind });
       if (answer.isOk()) {
         if (!this.isReleased) this.hooks.leave();
--- a/packages/relay/src/work/stream.ts
+++ b/packages/relay/src/work/stream.ts
@@ -12,7 +12,7 @@
 import type { TargetAnswer } from './attempt.js';
 import type { RelayContext } from './context.js';
 import { interrupted } from './forward.js';
-import type { ForwardOutcome, LeaveReason, Outcome } from './forward.js';
+import type { ForwardOutcome, MoveReason, Outcome } from './forward.js';
 import { Handover } from './handover.js';
 import type { HandoverHooks, Successor } from './handover.js';
 
@@ -25,20 +25,25 @@
  */
 const BEGINNING_PROOF_MS = 10_000;
 
-/** How a stream goes by the answers of its targets during a handover. */
-interface HandoverRule extends Pick<HandoverHooks, 'onLate'> {
+/**
+ * Time within which another target must begin the stream of one that pauses, milliseconds: what that sends meanwhile is held, and two
+ * targets may work on one stream for 400 ms.
+ */
+const PAUSED_HANDOVER_MS = 300;
+
+/** How a stream goes by its own target during a handover. */
+interface HandoverRule extends Pick<HandoverHooks, 'withinMs'> {
+  /** What data of its own target means: it is held, or the target is not lost. */
   readonly onData: 'hold' | 'stay';
 }
 
 /**
- * What a stream does when another target has the request and has not begun in time, and when its own target sends something
- * meanwhile. One that only pauses finishes the stream, and its events are held, as the other one begins with the same. One that is
- * silent is more often lost than not; if it sends again, it is not.
+ * A target that only pauses goes on until another one has begun with the same events. One that is silent is more often lost than not,
+ * and there is nothing to hold; if it sends again, it is not lost.
  */
-const handoverRules: Readonly<Record<LeaveReason, HandoverRule>> = {
-  paused: { onLate: 'stay', onData: 'hold' },
-  unresponsive: { onLate: 'leave', onData: 'stay' },
-  lost: { onLate: 'leave', onData: 'hold' },
+const handoverRules: Readonly<Record<MoveReason, HandoverRule>> = {
+  paused: { withinMs: PAUSED_HANDOVER_MS, onData: 'hold' },
+  unresponsive: { withinMs: undefined, onData: 'stay' },
 };
 
 /** Delay of a check for silence from which on this process may have been the one that stood still, milliseconds. */
@@ -48,7 +53,7 @@
 const CATCH_UP_MS = 100;
 
 /** What a stream calls back. */
-export interface StreamHooks extends Omit<HandoverHooks, 'leave' | 'onLate'> {
+export interface StreamHooks extends Omit<HandoverHooks, 'leave' | 'withinMs'> {
   /** Whether the request may be sent to another target once one has run it. */
   readonly mayBeSentOn: () => boolean;
   /** Records the software version that began the stream. */
@@ -68,7 +73,7 @@
   /** What it means for that if its present target sends something. */
   private onData: HandoverRule['onData'] = 'hold';
   /** Why the stream has left its present target; undefined: it has not. */
-  private left: LeaveReason | undefined;
+  private left: MoveReason | undefined;
   /** The target that has taken the stream. */
   private successor: Successor | undefined;
   /** Software version that began the stream at another entry; undefined: the stream begins here. */
@@ -249,7 +254,7 @@
    * Asks other targets to take the stream, and leaves its own when one has. It stays when none does: what looks ready may be full or
    * about to pause, and a target that only pauses or is silent may still finish the stream.
    */
-  private findSuccessor(wire: WireAnswer, reason: LeaveReason): void {
+  private findSuccessor(wire: WireAnswer, reason: MoveReason): void {
     if (this.handover?.isAsking === true || this.left !== undefined) return;
     this.isMoveWanted = false;
     const leave = (): void => {
@@ -257,8 +262,8 @@
       this.context.metrics.count(relayMetrics.left, 1, { reason });
       wire.abandon();
     };
-    const { onLate, onData } = handoverRules[reason];
-    this.handover = new Handover(this.context, { ...this.hooks, leave, onLate }, this.lastEventId);
+    const { withinMs, onData } = handoverRules[reason];
+    this.handover = new Handover(this.context, { ...this.hooks, leave, withinMs }, this.lastEventId);
     this.onData = onData;
   }
 
