--- a/packages/relay/src/work/handover.spec.ts
+++ b/packages/relay/src/work/handover.spec.ts
@@ -157,11 +157,14 @@
     async (_what, script) => {
       await begin(2, script);
       await until(() => arrivedAtOthers() > 0);
+      let goesOnAt = Number.POSITIVE_INFINITY;
       timer = setTimeout(() => {
+        goesOnAt = performance.now();
         sendOne();
         finishFirst();
       }, 200);
       expect(await asked).toMatchObject(WHOLE);
+      expect(performance.now() - goesOnAt).toBeLessThan(MAX_BOTH_MS);
     },
   );
 
