--- a/packages/relay/src/work/handover.ts
+++ b/packages/relay/src/work/handover.ts
@@ -148,8 +148,9 @@
     const framer = new EventFramer(this.lastEventId);
     const read: Uint8Array[] = [];
     const rest = wire.body[Symbol.asyncIterator]();
+    let hasEvent = false;
     try {
-      for (let hasEvent = false; !hasEvent;) {
+      while (!hasEvent) {
         const next = await rest.next();
         // A stream may have been lost right after its last event.
         if (next.done === true && this.isReleased && wire.isFramed) break;
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -462,6 +462,7 @@
   /** Sends the request to one target, and forwards its answer and that of each target which takes the stream over. */
   private async attempt(job: Job, placement: Placement): Promise<Outcome> {
     const first = this.beginAttempt(job, placement);
+    this.target = first.target;
     const sent = await first.ask(this.abort.signal);
     let attempt = first;
     let outcome: ForwardOutcome = sent.isOk()
@@ -483,7 +484,6 @@
   private beginAttempt(job: Job, placement: Placement): TargetAttempt {
     this.tried.add(placement.target.id);
     this.sends += 1;
-    this.target = placement.target;
     return new TargetAttempt(this.context, {
       job,
       placement,
@@ -498,15 +498,12 @@
 
   /** Begins an attempt at a target that may take the stream over; undefined: there is none, or no retry is left. */
   private beginSuccessor(): TargetAttempt | undefined {
-    const { job, target } = this;
+    const { job } = this;
     if (job === undefined || this.sends >= this.maxAttempts || !this.hasTime(job)) return undefined;
     if (!this.mayBeSentOn() || this.heldFault(job) !== undefined) return undefined;
     const placement = this.context.selector.choose(this.placementInput(job));
     if (placement === undefined || !this.context.budgets.withdraw(this.service)) return undefined;
-    const attempt = this.beginAttempt(job, placement);
-    // The stream stays at its target until this one has taken it.
-    this.target = target;
-    return attempt;
+    return this.beginAttempt(job, placement);
   }
 
   /** Whether the request may be sent to another target once one has run it. */
--- a/packages/relay/src/work/targetAttempt.ts
+++ b/packages/relay/src/work/targetAttempt.ts
@@ -84,14 +84,12 @@
 
   /** Sends the request. The answer's body must be read to its end or abandoned. */
   async ask(signal: AbortSignal): Promise<Result<TargetAnswer, Fault>> {
-    const { clock, quarantine } = this.context;
-    const { job } = this.parts;
-    const sent = await send(this.context, job, this.sending, this.addedFields, signal);
-    if (sent.isErr()) return sent;
-    this.headMs = clock.monotonic() - this.begunAt;
-    this.status = sent.value.wire.status;
-    if (isProofOfEnd(sent.value)) this.clearParts = quarantine.beginAnswer(job.sent);
-    return sent;
+    try {
+      return await this.send(signal);
+    } catch (error) {
+      this.release();
+      throw error;
+    }
   }
 
   /** The target works on it no more: its answer has ended or is abandoned. */
@@ -120,6 +118,17 @@
     this.record(outcome);
   }
 
+  private async send(signal: AbortSignal): Promise<Result<TargetAnswer, Fault>> {
+    const { clock, quarantine } = this.context;
+    const { job } = this.parts;
+    const sent = await send(this.context, job, this.sending, this.addedFields, signal);
+    if (sent.isErr()) return sent;
+    this.headMs = clock.monotonic() - this.begunAt;
+    this.status = sent.value.wire.status;
+    if (isProofOfEnd(sent.value)) this.clearParts = quarantine.beginAnswer(job.sent);
+    return sent;
+  }
+
   private recordFault({ kind, ran }: Fault): void {
     const { knowledge, metrics, monitor } = this.context;
     if (ran === 'not-run') this.takeBack?.(!neverReached.has(kind));
