--- a/scripts/guards/list.mjs
+++ b/scripts/guards/list.mjs
@@ -651,7 +651,7 @@
   {
     name: 'turns of requests: a bound on the bodies of all connections',
     file: 'packages/entry/src/http/waitingRequests.ts',
-    find: ' || !this.budget.tryReserve(more)',
+    find: ' || !this.budgets.bodies.tryReserve(more)',
     put: '',
     spec: 'packages/entry/src/http/waiting.spec.ts',
     test: 'are bounded on all connections together',
@@ -1285,7 +1285,7 @@
   {
     name: 'events of a target are held while another one is asked for them',
     file: 'packages/relay/src/work/stream.ts',
-    find: '      if (this.handover?.isAsking === true) await this.handover.result;\n',
+    find: '      if (this.handover?.isAsking === true) await this.handoverDecided(this.handover);\n',
     put: '',
     spec: 'packages/relay/src/work/handover.spec.ts',
     test: 'gets each event once',
