--- a/packages/control/src/role/unfinishedCalls.spec.ts
+++ b/packages/control/src/role/unfinishedCalls.spec.ts
@@ -131,9 +131,11 @@
     const caller = new AbortController();
     const transport = peers.transport(server.address);
     const call = transport.unary(method, caller.signal, undefined, undefined, filled(method));
+    // The server may refuse it before it is cancelled.
+    const ended = call.catch(() => undefined);
     if (afterMs > 0) await sleep(afterMs);
     caller.abort();
-    await call.catch(() => undefined);
+    await ended;
     await settle(peers);
     peers.close();
   }
