--- a/review/lib-2/modelServer.mjs
+++ b/review/lib-2/modelServer.mjs
@@ -11,6 +11,8 @@
   /** Weights stay over a restart, as the pages say. */
   version = 1;
   runs = [];
+  /** How many times as long its work takes. */
+  slowness = 1;
   /** Second answers that are sent before the next one on their channel. */
   extras = new WeakMap();
   orders = [];
@@ -18,9 +20,29 @@
   constructor(
     installation,
     at,
-    { model = 'm', slots = 48, loadMs = 420, events = 10, pauseMs = 20, firstMs = 20, extraShare = 0 } = {},
+    {
+      model = 'm',
+      slots = 48,
+      loadMs = 420,
+      events = 10,
+      pauseMs = 20,
+      firstMs = 20,
+      extraShare = 0,
+      isHeadFirst = false,
+    } = {},
   ) {
-    Object.assign(this, { installation, at, model, slots, loadMs, events, pauseMs, firstMs, extraShare });
+    Object.assign(this, {
+      installation,
+      at,
+      model,
+      slots,
+      loadMs,
+      events,
+      pauseMs,
+      firstMs,
+      extraShare,
+      isHeadFirst,
+    });
     this.address = installation.targetAt(at);
     this.host = this.address.split(':')[0];
     this.port = Number(this.address.split(':')[1]);
@@ -254,15 +276,20 @@
       'x-jasmineroute-weight-versions': String(this.version),
     };
     try {
+      // The head says that it has the request; the first event comes when the prompt is read.
+      if (this.isHeadFirst) {
+        response.writeHead(200, head);
+        response.flushHeaders();
+      }
       // Queue and prompt: its work, before the first event. A server drops a request when its channel closes.
-      for (const due = now() + this.firstMs; now() < due && !isDropped;)
+      for (const due = now() + this.firstMs * this.slowness; now() < due && !isDropped;)
         await sleep(Math.min(10, due - now() + 1));
       if (isDropped || !boot.isUp) return;
       run.firstAt = now();
-      response.writeHead(200, head);
+      if (!this.isHeadFirst) response.writeHead(200, head);
       const after = request.headers['last-event-id'];
       for (let event = after === undefined ? 0 : Number(after) + 1; event < this.events; event += 1) {
-        await sleep(this.pauseMs);
+        await sleep(this.pauseMs * this.slowness);
         if (!boot.isUp || isDropped) return;
         response.write(eventOf(event));
       }
