--- a/review/lib-2/installation.mjs
+++ b/review/lib-2/installation.mjs
@@ -11,6 +11,29 @@
 export const sleep = (ms) => new Promise((done) => setTimeout(done, ms));
 export const now = () => performance.now();
 
+/** Longest time that a script may take, milliseconds: issue 88 allows 120 s. */
+const MOST_MS = 115_000;
+
+/** Processes of the system that run, and temporary folders. */
+const running = new Set();
+const folders = new Set();
+
+// However the script ends, unless by SIGKILL, nothing that it started outlives it.
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+  for (const folder of folders) rmSync(folder, { recursive: true, force: true, maxRetries: 3 });
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(2));
+for (const event of ['uncaughtException', 'unhandledRejection'])
+  process.on(event, (problem) => {
+    console.error(problem);
+    process.exit(2);
+  });
+setTimeout(() => {
+  console.error(`not done after ${MOST_MS} ms`);
+  process.exit(2);
+}, MOST_MS).unref();
+
 /** Ports of an installation, beside the first one. */
 const PORT = {
   last: 9,
@@ -142,7 +165,9 @@
     const child = spawn(program, args, { cwd: ROOT, env, stdio: ['ignore', log, log] });
     closeSync(log);
     this.child = child;
+    running.add(child);
     child.once('exit', (code, signal) => {
+      running.delete(child);
       if (this.child === child) this.child = undefined;
       owner.note({ what: 'process ended', name, code, signal });
       this.ended?.();
@@ -178,6 +203,7 @@
     made.startedAt = now();
     made.first = await freePorts();
     made.folder = mkdtempSync(join(tmpdir(), 'review-2-'));
+    if (process.env.KEEP === undefined) folders.add(made.folder);
     made.commands = commands();
     made.controls = Array.from(
       { length: controls },
