Fields behind the 200th are no longer left out, and what is held of heads is counted

What callers saw: with more than 200 header fields, far below the limit of bytes, a request ran without model, token usage and prompt parts and was answered with 200; a key there got 401, a Last-Event-Id there began the stream anew. maxHeaderBytes of the configuration was read by nobody.

Cause: maxHeadersCount of Node was 200. Node stops collecting above it and tells nobody, for trailer fields too. Fields of equal names were lost in the same silence: Node's merged headers keep one User-Agent of several, and no field named __proto__.

Change: no number limits fields. Bytes of a head are counted as they are read, up to maxHeaderBytes of the configuration in force (431); what the parser holds of unfinished heads and trailer fields is reserved in the memory for callers (503). A complete head is packed into one text, counted until the answer, and unpacked for each sending; undici and the exchange keep no fields once they are written. A connection that is refused is no longer parsed to the end of what had arrived, which kept its fields until it closed. Fields go on line by line as they were sent.

--- a/packages/engine/src/wire/answer.ts
+++ b/packages/engine/src/wire/answer.ts
@@ -6,11 +6,14 @@
 import type { HeaderField } from '../port/index.js';
 import { brokenStreamFault } from './failure.js';
 
+/** Header fields of a request: by name, or names and values by turns, where a name may come more than once. */
+export type WireHeaders = Readonly<Record<string, string>> | string[];
+
 /** An HTTP request. */
 export interface WireRequest {
   readonly method: string;
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: WireHeaders;
   readonly body?: Uint8Array;
   /** Longest silence before the answer's head, milliseconds; absent: bounded by the signal only. */
   readonly headSilenceMs?: number;
--- a/packages/engine/src/wire/exchange.ts
+++ b/packages/engine/src/wire/exchange.ts
@@ -32,9 +32,19 @@
 /** The exchange whose request undici is about to write: its connection is named in the same turn. */
 let starting: Exchange | undefined;
 
+/** What undici tells when it writes the head of a request. */
+interface WrittenHead {
+  readonly request: { readonly headers: string[] };
+  readonly socket: Socket;
+}
+
 subscribe('undici:client:sendHeaders', (message) => {
-  starting?.watchConnection((message as { readonly socket: Socket }).socket);
+  if (starting === undefined) return;
+  const { request, socket } = message as WrittenHead;
+  starting.watchConnection(socket);
   starting = undefined;
+  // undici keeps the fields until the answer ends, and short ones take twenty times their bytes.
+  request.headers.length = 0;
 });
 
 /** Keeps a request from being written, and its connection open, until all events that arrived during a stall are read. */
@@ -68,11 +78,13 @@
   readonly head: Promise<Result<WireAnswer, Fault>>;
   private resolveHead: (result: Result<WireAnswer, Fault>) => void = () => undefined;
 
+  /** @param options what is written, which is not kept beyond that. */
   constructor(
-    private readonly request: WireRequest,
+    private readonly request: Omit<WireRequest, 'headers'>,
+    private options: Dispatcher.DispatchOptions | undefined,
+    private readonly pool: Dispatcher,
     private readonly clock: Clock,
     private readonly signal: AbortSignal,
-    private readonly dispatch: (handler: Exchange) => void,
     private readonly stalls: StallWatch | undefined,
   ) {
     this.lastByteAt = clock.monotonic();
@@ -86,8 +98,9 @@
 
   /** Dispatches the request to the pool. After a failure before its first byte it counts as unsent. */
   start(): void {
+    if (this.options === undefined) return;
     try {
-      this.dispatch(this);
+      this.pool.dispatch(this.options, this);
     } catch (error) {
       this.fail(error instanceof Error ? error : new Error(String(error)));
     }
@@ -107,6 +120,7 @@
     const problem = this.request.beforeSend?.();
     if (problem !== undefined) throw new FaultError(problem);
     this.sent = true;
+    this.options = undefined;
     this.controller = controller;
     // eslint-disable-next-line @typescript-eslint/no-this-alias -- the channel has no other way to name the exchange
     starting = this;
@@ -295,23 +309,22 @@
  * Sends a request. With `stalls`, it is not sent before all events that arrived during a stall of the process are read. The
  * answer's body must be read to its end or abandoned.
  */
-export async function exchange(
+export function exchange(
   pool: Dispatcher,
-  request: WireRequest,
+  { headers, ...request }: WireRequest,
   clock: Clock,
   signal: AbortSignal,
   stalls?: StallWatch,
 ): Promise<Result<WireAnswer, Fault>> {
-  if (signal.aborted) return err(fault('cancelled', 'cancelled before it was sent'));
-  const { method, path, headers, body } = request;
+  if (signal.aborted) return Promise.resolve(err(fault('cancelled', 'cancelled before it was sent')));
+  const { method, path, body } = request;
   const options = {
     method,
     path,
-    headers: { ...headers },
+    headers: Array.isArray(headers) ? headers : { ...headers },
     body: body === undefined || body.length === 0 ? null : body,
   };
-  const dispatch = (handler: Exchange): void => void pool.dispatch(options, handler);
-  const handler = new Exchange(request, clock, signal, dispatch, stalls);
+  const handler = new Exchange(request, options, pool, clock, signal, stalls);
   handler.start();
   return handler.head;
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,7 +18,7 @@
 import type { ClaimStore } from './claim/index.js';
 import { entryEvents } from './events.js';
 import { GateClients } from './gate/index.js';
-import { CallerServer, MemoryBudget, RequestHandler, createApp, listenerOf } from './http/index.js';
+import { CallerServer, MemoryBudget, Uploads, RequestHandler, createApp, listenerOf } from './http/index.js';
 import { entryMetrics } from './metrics.js';
 import type { EntrySettings } from './setting/index.js';
 import { Admissions, BackgroundTasks, Decisions } from './work/index.js';
@@ -110,18 +110,25 @@
     private readonly parts: EntryDependencies,
   ) {
     this.work = this.createContext();
-    const memory = new MemoryBudget(settings.maxBufferedBytes);
-    this.callers = new RequestHandler(this.work, memory);
+    const uploads = new Uploads(new MemoryBudget(settings.maxBufferedBytes), context.clock);
+    this.callers = new RequestHandler(this.work, uploads);
     const app = createApp({
       readiness: () => this.readiness(),
       models: (bindings) => this.callers.models(bindings),
       call: (bindings) => this.callers.call(bindings),
     });
     const { clock, stalls, log, metrics } = context;
-    const listener = listenerOf(app, settings.httpHost, (incoming, arrival) => {
-      this.callers.recordArrival(incoming, arrival);
-    });
-    this.server = new CallerServer(listener, settings, memory, clock, stalls, log, metrics);
+    const listener = listenerOf(
+      app,
+      settings.httpHost,
+      (incoming, arrival) => {
+        this.callers.recordArrival(incoming, arrival);
+      },
+      (incoming) => {
+        this.callers.recordEnd(incoming);
+      },
+    );
+    this.server = new CallerServer(listener, settings, uploads, clock, stalls, log, metrics);
   }
 
   /** Serves this entry's view to neighbours that can't reach a control instance. */
--- a/packages/entry/src/http/app.ts
+++ b/packages/entry/src/http/app.ts
@@ -46,11 +46,13 @@
  * The routes as a request listener of Node's HTTP server.
  * @param hostname used if the Host field is missing, as in old health checks. Calls without it are refused.
  * @param onArrival called with each request when its head was read, before it waits for its turn.
+ * @param onEnd called when it was handled, or will not be.
  */
 export function listenerOf(
   app: Hono<{ Bindings: CallerBindings }>,
   hostname: string,
   onArrival: (incoming: IncomingMessage, arrival: Arrival) => void,
+  onEnd: (incoming: IncomingMessage) => void,
 ): CallerListener {
   const listener = getRequestListener(app.fetch, {
     overrideGlobalObjects: false,
@@ -62,6 +64,10 @@
   });
   return async (incoming, outgoing, turn, arrival) => {
     onArrival(incoming, arrival);
-    if (await turn) await listener(incoming, outgoing);
+    try {
+      if (await turn) await listener(incoming, outgoing);
+    } finally {
+      onEnd(incoming);
+    }
   };
 }
--- a/packages/entry/src/http/body.ts
+++ b/packages/entry/src/http/body.ts
@@ -6,7 +6,7 @@
 import type { Fault } from '@jasmineroute/core';
 import { tooLarge } from '../call/index.js';
 import { CompactMessage } from './compactMessage.js';
-import type { Upload, Uploads } from './uploads.js';
+import type { HeldHead, Upload, Uploads } from './uploads.js';
 
 /** A buffered body, and the function that releases its reserved bytes. */
 export interface HeldBody {
@@ -18,8 +18,8 @@
 
 /** The reading of one body. */
 class BodyReader implements Upload {
-  bytes = 0;
   activeAt: number;
+  private bodyBytes = 0;
   private parts: Buffer[] = [];
   private settle: (result: Result<HeldBody, Fault>) => void = () => undefined;
 
@@ -27,10 +27,16 @@
     private readonly incoming: IncomingMessage,
     private readonly limit: number,
     private readonly uploads: Uploads,
+    private readonly head: HeldHead | undefined,
   ) {
     this.activeAt = uploads.clock.monotonic();
   }
 
+  /** Bytes that are held of the request. */
+  get bytes(): number {
+    return this.bodyBytes + (this.head?.bytes ?? 0);
+  }
+
   read(): Promise<Result<HeldBody, Fault>> {
     const { incoming } = this;
     return new Promise((resolve) => {
@@ -46,7 +52,7 @@
   };
 
   private readonly take = (part: Buffer): void => {
-    if (this.bytes + part.length > this.limit) this.giveUp(tooLarge(this.limit));
+    if (this.bodyBytes + part.length > this.limit) this.giveUp(tooLarge(this.limit));
     else if (this.hold(part.length)) this.keep(part);
   };
 
@@ -66,7 +72,7 @@
       ok({
         bytes: whole,
         release: () => {
-          this.release(this.bytes);
+          this.releaseBody();
         },
       }),
     );
@@ -79,7 +85,7 @@
   /** Reserves bytes; without them the body is given up. */
   private hold(bytes: number): boolean {
     const isReserved = this.uploads.reserve(this, bytes);
-    if (isReserved) this.bytes += bytes;
+    if (isReserved) this.bodyBytes += bytes;
     else this.giveUp(outOfMemory());
     return isReserved;
   }
@@ -88,16 +94,18 @@
     this.stopListening();
     this.uploads.remove(this);
     this.parts = [];
-    this.release(this.bytes);
+    this.releaseBody();
+    this.head?.release();
     // What still comes is dropped, until the connection ends behind the answer.
     if (this.incoming instanceof CompactMessage) this.incoming.discard();
     else this.incoming.resume();
     this.settle(err(problem));
   }
 
-  private release(bytes: number): void {
-    this.bytes -= bytes;
-    this.uploads.budget.release(bytes);
+  private releaseBody(): void {
+    const { bodyBytes } = this;
+    this.bodyBytes = 0;
+    this.uploads.budget.release(bodyBytes);
   }
 
   private stopListening(): void {
@@ -108,13 +116,14 @@
   }
 }
 
-/** Reads a complete body of at most `limit` bytes. */
+/** Reads a complete body of at most `limit` bytes. `head` is released when it is given up. */
 export async function readBody(
   incoming: IncomingMessage,
   limit: number,
   uploads: Uploads,
+  head?: HeldHead,
 ): Promise<Result<HeldBody, Fault>> {
   const contentLength = Number(incoming.headers['content-length'] ?? 0);
   if (contentLength > limit) return err(tooLarge(limit));
-  return new BodyReader(incoming, limit, uploads).read();
+  return new BodyReader(incoming, limit, uploads, head).read();
 }
--- a/packages/entry/src/http/callerConnection.ts
+++ b/packages/entry/src/http/callerConnection.ts
@@ -54,7 +54,14 @@
   readonly answers = new Set<ServerResponse>();
   /** The request that was read last. */
   private newest: IncomingMessage | undefined;
+  /** What was read of it at the last call of `hasAdvanced`. */
+  private seen: { readonly message?: IncomingMessage; readonly bytes: number; readonly isWhole: boolean } = {
+    bytes: 0,
+    isWhole: false,
+  };
   private hasGivenUpInput = false;
+  /** Whether the input is about to be taken from the HTTP parser. */
+  private isInputBlocked = false;
   /** Whether the requests are read that have arrived before the input is given up. */
   private isReadingLast = false;
   /** Requests whose turn had not come at the end. */
@@ -114,6 +121,7 @@
 
   /** Whether more is handed to the HTTP parser now: while too much waits, nothing is. */
   readonly mayRead = (): boolean => {
+    if (this.isInputBlocked) return false;
     if (this.isReadingLast) return this.waiting.mayTakeLast();
     if (this.isEnding || this.hasGivenUpInput || !this.waiting.isFull()) return true;
     this.limitWaiting();
@@ -128,6 +136,15 @@
     return Math.max(0, length - incoming.receivedBytes);
   };
 
+  /** Whether the head of a request, a part of a body, or its end was read since the last call. */
+  hasAdvanced(): boolean {
+    const { newest: message, seen } = this;
+    const bytes = message instanceof CompactMessage ? message.receivedBytes : 0;
+    const isWhole = message?.complete ?? false;
+    this.seen = { message, bytes, isWhole };
+    return message !== seen.message || bytes !== seen.bytes || isWhole !== seen.isWhole;
+  }
+
   /** Whether this side has ended: what arrives from then on is not handled. */
   get isEnding(): boolean {
     return this.ending !== undefined;
@@ -150,8 +167,8 @@
    */
   add(answer: ServerResponse, isLast: boolean): boolean {
     const before = [...this.answers];
-    if (this.isEnding || this.hasGivenUpInput || before.some(hasAnnouncedEnd)) return false;
     this.newest = answer.req;
+    if (this.isEnding || this.hasGivenUpInput || before.some(hasAnnouncedEnd)) return false;
     this.answers.add(answer);
     answer.once('close', () => {
       this.answers.delete(answer);
@@ -367,9 +384,12 @@
   /** Reads on past the HTTP parser, until the caller ends its side. */
   private discardInput(): void {
     const { socket } = this;
-    // Node's own listener for "resume" reads again where the parser had stopped; so the socket is taken only then.
+    // Node's own listener for "resume" reads again where the parser had stopped; so the socket is taken only then, and the parser gets
+    // nothing until then.
+    this.isInputBlocked = true;
     socket.pause();
-    socket.once('resume', () => {
+    socket.prependOnceListener('resume', () => {
+      this.isInputBlocked = false;
       this.takeInput();
     });
     socket.resume();
--- a/packages/entry/src/http/compactMessage.ts
+++ b/packages/entry/src/http/compactMessage.ts
@@ -1,4 +1,4 @@
-/** A request whose body is kept in few blocks, in however small parts it comes. */
+/** A request whose body is kept in few blocks, in however small parts it comes, and whose head can be dropped. */
 import { IncomingMessage } from 'node:http';
 
 /** Shortest and longest block, bytes. */
@@ -27,6 +27,12 @@
     return this.readableLength + this.filled;
   }
 
+  /** Keeps of the head only what tells the length of the body. */
+  dropHead(): void {
+    this.headers = { 'content-length': this.headers['content-length'] };
+    this.rawHeaders = [];
+  }
+
   /** Keeps nothing of the body from now on. */
   discard(): void {
     this.isDropped = true;
@@ -38,6 +44,8 @@
   /** Takes a part, or the end. @returns whether more should come before the body is read. */
   override push(part: Buffer | null): boolean {
     if (part !== null) return this.copy(part);
+    // Trailer fields belong to the connection (RFC 9110, 6.5.1): nobody reads them.
+    this.rawTrailers = [];
     this.pushBlock();
     return super.push(null);
   }
--- a/packages/entry/src/http/index.ts
+++ b/packages/entry/src/http/index.ts
@@ -5,6 +5,7 @@
 export * from './body.js';
 export * from './callerConnection.js';
 export * from './compactMessage.js';
+export * from './head.js';
 export * from './memoryBudget.js';
 export * from './pacedSocket.js';
 export * from './reply.js';
--- a/packages/entry/src/http/requestHandler.ts
+++ b/packages/entry/src/http/requestHandler.ts
@@ -14,9 +14,10 @@
 import type { CallerBindings } from './app.js';
 import type { Arrival } from './arrival.js';
 import { readBody } from './body.js';
-import type { MemoryBudget } from './memoryBudget.js';
+import { countedHeadBytes, headBytesOf } from './head.js';
 import { Reply } from './reply.js';
-import { Uploads } from './uploads.js';
+import { noMemoryForHead } from './uploads.js';
+import type { HeldHead, Uploads } from './uploads.js';
 
 const MODELS_PATH = '/v1/models';
 
@@ -45,19 +46,24 @@
   return err(fault('deadline-exceeded', message, { ran: 'not-run' }));
 }
 
+/** A request that has arrived. */
+interface ArrivedRequest {
+  /** Earliest monotonic time at which it may have arrived. */
+  readonly earliestAt: number;
+  /** Undefined: there was no memory for it. */
+  readonly head: HeldHead | undefined;
+}
+
 /** Handles the requests of all callers of one entry. */
 export class RequestHandler {
-  private readonly uploads: Uploads;
   private open = 0;
-  /** Earliest monotonic times at which requests may have arrived. */
-  private readonly arrivals = new WeakMap<IncomingMessage, number>();
+  /** Requests from their arrival to their end. */
+  private readonly arrived = new WeakMap<IncomingMessage, ArrivedRequest>();
 
   constructor(
     private readonly context: EntryContext,
-    private readonly memory: MemoryBudget,
-  ) {
-    this.uploads = new Uploads(memory, context.clock);
-  }
+    private readonly uploads: Uploads,
+  ) {}
 
   /** Number of requests in progress. */
   get openRequests(): number {
@@ -66,12 +72,18 @@
 
   /** Bytes of request bodies currently buffered. */
   get bufferedBytes(): number {
-    return this.memory.bytes;
+    return this.uploads.budget.bytes;
   }
 
   /** Called when the head of a request was read: its caller's deadline counts from then on, also while it waits for its turn. */
   recordArrival(incoming: IncomingMessage, { earliestAt }: Arrival): void {
-    this.arrivals.set(incoming, earliestAt);
+    const bytes = countedHeadBytes(headBytesOf(incoming), incoming.rawHeaders.length / 2);
+    this.arrived.set(incoming, { earliestAt, head: this.uploads.holdHead(bytes) });
+  }
+
+  /** Called when a request was handled, or will not be. */
+  recordEnd(incoming: IncomingMessage): void {
+    this.arrived.get(incoming)?.head?.release();
   }
 
   /** Answers `/v1/models` and `/v1/models/{id}`. */
@@ -102,13 +114,13 @@
 
   /** Answers a call to a service. */
   async call(bindings: CallerBindings): Promise<void> {
-    await this.respond(bindings, async (request, reply, span) => {
+    await this.respond(bindings, async (request, reply, span, head) => {
       const admitted = resolveRequest(request, this.context.view());
       if (admitted.isErr()) {
         this.refuse(bindings, reply, admitted.error);
         return;
       }
-      const body = await readBody(bindings.incoming, admitted.value.bodyBytes, this.uploads);
+      const body = await readBody(bindings.incoming, admitted.value.bodyBytes, this.uploads, head);
       if (body.isErr()) {
         this.refuse(bindings, reply, body.error);
         return;
@@ -140,19 +152,21 @@
 
   private async respond(
     { incoming, outgoing }: CallerBindings,
-    handler: (request: CallerRequest, reply: Reply, span: HopSpan) => Promise<void>,
+    handler: (request: CallerRequest, reply: Reply, span: HopSpan, head: HeldHead) => Promise<void>,
   ): Promise<void> {
     const { clock, settings } = this.context;
     const requestId = requestIdOf(incoming);
     const reply = new Reply(outgoing, clock, settings.callerStallMs, requestId);
     const span = startHop('entry.request', 'server', { carrier: traceContextOf(incoming) });
     span.span.setAttribute('request.id', requestId);
+    const head = this.arrived.get(incoming)?.head;
     this.open += 1;
     try {
       const waitedMs = this.waitedMs(incoming);
       const request = readHead(incoming, requestId).andThen((one) => afterWait(one, waitedMs));
-      if (request.isErr()) this.refuse({ incoming, outgoing }, reply, request.error);
-      else await handler(request.value, reply, span);
+      if (head === undefined) this.refuse({ incoming, outgoing }, reply, noMemoryForHead());
+      else if (request.isErr()) this.refuse({ incoming, outgoing }, reply, request.error);
+      else await handler(request.value, reply, span, head);
     } catch (cause) {
       this.context.log.event(entryEvents.unexpected, { requestId, error: String(cause) });
       reply.fail(fault('internal', 'unexpected error', { cause }));
@@ -164,7 +178,7 @@
 
   private waitedMs(incoming: IncomingMessage): number {
     const now = this.context.clock.monotonic();
-    return now - (this.arrivals.get(incoming) ?? now);
+    return now - (this.arrived.get(incoming)?.earliestAt ?? now);
   }
 
   private finish(reply: Reply, span: HopSpan): void {
--- a/packages/entry/src/http/server.ts
+++ b/packages/entry/src/http/server.ts
@@ -11,18 +11,31 @@
 import type { EntrySettings } from '../setting/index.js';
 import type { Arrival } from './arrival.js';
 import { acceptArrived } from './arrivedConnections.js';
-import { refuseConnection, statusOfParserError } from './badConnection.js';
+import {
+  HEAD_TOO_LARGE,
+  NO_MEMORY_FOR_HEAD,
+  refuseConnection,
+  statusOfParserError,
+} from './badConnection.js';
 import { CallerConnection } from './callerConnection.js';
 import { CompactMessage } from './compactMessage.js';
 import { ConnectionEnds } from './connectionEnds.js';
-import type { MemoryBudget } from './memoryBudget.js';
+import { headBytesOf } from './head.js';
 import { PacedSocket } from './pacedSocket.js';
 import { ReadBuffers } from './readBuffers.js';
+import { UnfinishedHead } from './unfinishedHead.js';
+import type { Uploads } from './uploads.js';
 import type { WaitingBudgets } from './waitingRequests.js';
 
 /** How often Node checks for requests that exceed their timeouts, milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
-const MAX_HEADER_FIELDS = 200;
+/**
+ * The limits of Node for a head: it drops fields above the one without an error, and counts names and values only for the other.
+ * This server counts for itself what is read of a head.
+ */
+const ANY_NUMBER_OF_FIELDS = 0;
+const ANY_SIZE = Number.MAX_SAFE_INTEGER;
+
 /** A draining server closes its listener after this long without a new connection, milliseconds. */
 const ACCEPT_QUIET_MS = 300;
 const DRAIN_POLL_MS = 50;
@@ -66,6 +79,11 @@
   arrival: Arrival,
 ) => Promise<void>;
 
+/** Node keeps a request that nobody handles for as long as its connection is open. */
+function dropHead(incoming: IncomingMessage): void {
+  if (incoming instanceof CompactMessage) incoming.dropHead();
+}
+
 /** The HTTP server that callers connect to. */
 export class CallerServer {
   private readonly server: Server;
@@ -79,19 +97,22 @@
   private readonly ends: ConnectionEnds;
   private readonly waitingBudgets: WaitingBudgets;
   private readonly buffers: ReadBuffers;
+  private maxHeaderBytes: number;
   /** Monotonic time at which the last answer was complete. */
   private answeredAt: number | undefined;
 
   constructor(
     private readonly listener: CallerListener,
     private readonly settings: CallerServerSettings,
-    memory: MemoryBudget,
+    private readonly uploads: Uploads,
     private readonly clock: Clock,
     private readonly stalls: StallWatch,
     private readonly log: Log,
     metrics: Metrics,
   ) {
     this.ends = new ConnectionEnds(log, metrics);
+    const memory = uploads.budget;
+    this.maxHeaderBytes = settings.maxHeaderBytes;
     this.buffers = new ReadBuffers(memory.limitBytes);
     this.waitingBudgets = {
       requests: memory.part(WAITING_REQUESTS_SHARE),
@@ -99,7 +120,7 @@
     };
     this.server = createServer(
       {
-        maxHeaderSize: settings.maxHeaderBytes,
+        maxHeaderSize: ANY_SIZE,
         headersTimeout: settings.headerTimeoutMs,
         requestTimeout: Math.max(settings.requestTimeoutMs, settings.headerTimeoutMs),
         keepAliveTimeout: settings.idleTimeoutMs,
@@ -110,13 +131,19 @@
       },
       (incoming, outgoing) => {
         const { socket } = incoming;
+        if (headBytesOf(incoming) > this.maxHeaderBytes) {
+          dropHead(incoming);
+          this.refuseInput(HEAD_TOO_LARGE, socket);
+          return;
+        }
         const waitedSince = this.openConnections.get(socket)?.waitedSince;
         const turn = this.track(socket, outgoing);
-        if (turn !== undefined) void this.handle(incoming, outgoing, turn, this.arrivalOf(waitedSince));
+        if (turn === undefined) dropHead(incoming);
+        else void this.handle(incoming, outgoing, turn, this.arrivalOf(waitedSince));
       },
     );
     this.server.maxConnections = settings.maxConnections;
-    this.server.maxHeadersCount = MAX_HEADER_FIELDS;
+    this.server.maxHeadersCount = ANY_NUMBER_OF_FIELDS;
     this.watchConnections();
   }
 
@@ -134,6 +161,11 @@
     return `${httpHost}:${(this.server.address() as AddressInfo).port}`;
   }
 
+  /** Changes the maximum size of a request head, which is in force from the next bytes of each connection on. */
+  setMaxHeaderBytes(bytes: number): void {
+    this.maxHeaderBytes = bytes;
+  }
+
   /**
    * Changes the timeouts of idle connections and request heads. Open connections use them from their next request on.
    */
@@ -321,23 +353,54 @@
   private watchConnection(socket: PacedSocket, waitedSince: number | undefined): void {
     const connection = new CallerConnection(socket, this.clock, this.waitingBudgets, waitedSince);
     this.openConnections.set(socket, connection);
+    const head = new UnfinishedHead(this.uploads, () => {
+      this.refuseInput(NO_MEMORY_FOR_HEAD, socket);
+    });
+    // The parser's listener is the first, so the parser has the piece by then.
+    socket.on('data', (piece: Buffer) => {
+      this.countHead(head, connection, socket, piece);
+    });
     socket.once('close', () => {
+      head.clear();
       this.openConnections.delete(socket);
       this.ends.record(connection.record(socket.hadError), this.stopping);
     });
   }
 
+  /** Counts what the parser holds of a head, or of trailer fields, that is not complete. */
+  private countHead(
+    head: UnfinishedHead,
+    connection: CallerConnection,
+    socket: PacedSocket,
+    piece: Buffer,
+  ): void {
+    // What the parser holds then stays counted until the connection is closed.
+    if (connection.isEnding || connection.isGivenUp) return;
+    if (connection.hasAdvanced()) {
+      head.clear();
+      return;
+    }
+    const isHeld = head.tryAdd(piece);
+    const isTooLarge = head.size > this.maxHeaderBytes;
+    if (isHeld && !isTooLarge) return;
+    this.refuseInput(isTooLarge ? HEAD_TOO_LARGE : NO_MEMORY_FOR_HEAD, socket);
+  }
+
   private handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
     const connection = this.openConnections.get(socket);
     if (connection === undefined || connection.isEnding || connection.isGivenUp) return;
-    if (!socket.writable || error.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    this.log.event(entryEvents.badConnection, { code: error.code, status: statusOfParserError(error.code) });
+    if (!socket.writable || error.code === 'ECONNRESET') socket.destroy();
+    else this.refuseInput(error.code, socket);
+  }
+
+  /** Refuses what was read last on a connection. */
+  private refuseInput(code: string | undefined, socket: Duplex): void {
+    const connection = this.openConnections.get(socket);
+    if (connection === undefined || connection.isEnding || connection.isGivenUp) return;
+    this.log.event(entryEvents.badConnection, { code, status: statusOfParserError(code) });
     // Earlier requests of the connection are in progress: the caller would take an error for the answer to one of them.
     if (connection.isInProgress) connection.giveUpInput();
-    else this.refuse(error.code, socket);
+    else this.refuse(code, socket);
   }
 
   private refuseTunnel(socket: Duplex): void {
--- a/packages/entry/src/testing/callerServer.ts
+++ b/packages/entry/src/testing/callerServer.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '@jasmineroute/core';
 import { CallerServer } from '../http/server.js';
 import { MemoryBudget } from '../http/memoryBudget.js';
+import { Uploads } from '../http/uploads.js';
 import type { CallerServerSettings } from '../http/server.js';
 
 /** Settings of a server under test. */
@@ -51,7 +52,7 @@
         await listener(incoming, outgoing);
       },
       { ...DEFAULTS, ...settings },
-      new MemoryBudget(settings.maxBufferedBytes ?? DEFAULTS.maxBufferedBytes),
+      new Uploads(new MemoryBudget(settings.maxBufferedBytes ?? DEFAULTS.maxBufferedBytes), clock),
       clock,
       new StallWatch(clock),
       log,
--- a/packages/relay/src/dialect/dialect.ts
+++ b/packages/relay/src/dialect/dialect.ts
@@ -6,6 +6,7 @@
 import type { Fault } from '@jasmineroute/core';
 import type { HeaderField } from '@jasmineroute/engine';
 import type { Result } from 'neverthrow';
+import type { PackedFields } from './packedFields.js';
 
 /** A part of a prompt. Requests that begin with the same parts share their cached blocks. */
 export interface PromptPart {
@@ -43,8 +44,8 @@
   readonly lastEventId?: string;
   /** Id of the request whose answer began the stream that this request resumes. */
   readonly resumes?: string;
-  /** Headers that are forwarded unchanged. */
-  readonly headers: Readonly<Record<string, string>>;
+  /** Fields that are forwarded unchanged. */
+  readonly fields: PackedFields;
 }
 
 /** Fields that the relay adds to a request before it sends it to a target. */
@@ -98,8 +99,8 @@
 /** Reads and writes the messages of one protocol. */
 export interface Dialect {
   readRequest(incoming: IncomingMessage): Result<RelayRequest, Fault>;
-  /** Headers of the request to a target. */
-  targetHeaders(request: RelayRequest, addedFields: AddedFields): Record<string, string>;
+  /** Header fields of the request to a target, names and values by turns. */
+  targetHeaders(request: RelayRequest, addedFields: AddedFields): string[];
   readAnswer(status: number, headers: readonly HeaderField[]): AnswerMetadata;
   /** Headers of a target's answer that are forwarded to the caller. */
   callerHeaders(headers: readonly HeaderField[]): HeaderField[];
--- a/packages/relay/src/dialect/index.ts
+++ b/packages/relay/src/dialect/index.ts
@@ -1,1 +1,2 @@
 export * from './dialect.js';
+export * from './packedFields.js';
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -18,7 +18,7 @@
 import { TargetSelector } from './placement/index.js';
 import type { RelaySettings } from './setting/index.js';
 import { TargetPools, TargetMonitor, WorkReporter } from './target/index.js';
-import { RequestHandler } from './work/index.js';
+import { RequestHandler, takeHead } from './work/index.js';
 import type { RelayContext } from './work/index.js';
 import { StartupGrace } from './work/startupGrace.js';
 import { ServiceBudgets } from './work/serviceBudgets.js';
@@ -27,10 +27,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
 
-/**
- * Maximum size of request headers, bytes. Configurations set lower limits; this one can't be changed while listening.
- */
-const MAX_HEADER_BYTES = 32 * 1024;
+/** Maximum size of a request head until a configuration sets another, bytes. */
+const DEFAULT_MAX_HEADER_BYTES = 32 * 1024;
 
 const BYTES_PER_MB = 1_048_576;
 
@@ -110,6 +108,7 @@
     const monitor = new TargetMonitor(clock);
     const allowance = { share: settings.retryShare, slack: settings.retrySlack };
     const memory = new MemoryBudget(settings.memoryMb * BYTES_PER_MB * CALLERS_SHARE);
+    const uploads = new Uploads(memory, clock);
     this.requestContext = {
       dialect,
       knowledge,
@@ -125,7 +124,7 @@
       startupGrace: new StartupGrace(knowledge, clock),
       stopsAt: () => this.stopsAt,
       weightsLimitMs: settings.weightsLimitMs,
-      uploads: new Uploads(memory, clock),
+      uploads,
       answerBudget: memory.part(HELD_ANSWERS_SHARE),
       random,
       clock,
@@ -140,12 +139,12 @@
         httpHost,
         httpPort,
         maxConnections: Math.floor(maxDescriptors * CONNECTIONS_SHARE),
-        maxHeaderBytes: MAX_HEADER_BYTES,
+        maxHeaderBytes: DEFAULT_MAX_HEADER_BYTES,
         headerTimeoutMs: DEFAULT_HEADER_TIMEOUT_MS,
         requestTimeoutMs: REQUEST_TIMEOUT_MS,
         idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
       },
-      memory,
+      uploads,
       clock,
       stalls,
       log,
@@ -174,7 +173,9 @@
       const table = knowledge.table();
       if (table !== undefined) movedRoutes.update(table);
       const limits = table?.configuration.limits;
-      if (limits !== undefined) this.server.setTimeouts(limits.idleTimeoutMs, limits.headerTimeoutMs);
+      if (limits === undefined) return;
+      this.server.setTimeouts(limits.idleTimeoutMs, limits.headerTimeoutMs);
+      this.server.setMaxHeaderBytes(limits.maxHeaderBytes);
     });
   }
 
@@ -282,17 +283,25 @@
     turn: Promise<boolean>,
     arrival: Arrival,
   ): Promise<void> {
-    const { dialect, clock, log } = this.requestContext;
+    const { dialect, clock } = this.requestContext;
     // The time of a request that waits for its turn passes.
     const answer = new CallerAnswer(outgoing, dialect, clock, arrival);
-    if (!(await turn)) return;
-    const handler = new RequestHandler(this.requestContext, incoming, answer);
+    const head = takeHead(this.requestContext, incoming);
+    try {
+      if (await turn)
+        await this.handle(new RequestHandler(this.requestContext, incoming, head, answer), answer);
+    } finally {
+      head.held?.release();
+    }
+  }
+
+  private async handle(handler: RequestHandler, answer: CallerAnswer): Promise<void> {
     this.open.add(handler);
     try {
       await handler.run();
     } catch (cause) {
       const stack = cause instanceof Error ? cause.stack : undefined;
-      log.event(relayEvents.unexpected, { error: String(cause), stack });
+      this.context.log.event(relayEvents.unexpected, { error: String(cause), stack });
       answer.fail(fault('internal', 'unexpected error', { cause }));
     } finally {
       this.open.delete(handler);
--- a/packages/relay/src/testing/dialect.ts
+++ b/packages/relay/src/testing/dialect.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { headerOf } from '@jasmineroute/engine';
 import { ok } from 'neverthrow';
+import { PackedFields } from '../dialect/index.js';
 import type { Dialect, RelayRequest } from '../dialect/index.js';
 
 const firstOf = (value: string | string[] | undefined): string | undefined =>
@@ -34,19 +35,27 @@
       prompt: promptOf(incoming),
       lastEventId: firstOf(incoming.headers['t-last']),
       resumes: firstOf(incoming.headers['t-resumes']),
-      headers: { 't-id': firstOf(incoming.headers['t-id']) ?? '' },
+      fields: new PackedFields(['t-id', firstOf(incoming.headers['t-id']) ?? '']),
     }),
-  targetHeaders: (request, addedFields) => ({
-    ...request.headers,
-    't-target': addedFields.targetName,
-    't-deadline': String(addedFields.deadlineMs),
-    't-customer': addedFields.customer ?? '',
-    't-salt': addedFields.cacheSalt ?? '',
-    't-version': String(addedFields.weightsVersion ?? ''),
-    't-after': addedFields.lastEventId ?? '',
-    't-source': addedFields.cacheSource ?? '',
-    't-copy': addedFields.cacheCopy ?? '',
-  }),
+  targetHeaders: (request, addedFields) => [
+    ...request.fields.unpack(),
+    't-target',
+    addedFields.targetName,
+    't-deadline',
+    String(addedFields.deadlineMs),
+    't-customer',
+    addedFields.customer ?? '',
+    't-salt',
+    addedFields.cacheSalt ?? '',
+    't-version',
+    String(addedFields.weightsVersion ?? ''),
+    't-after',
+    addedFields.lastEventId ?? '',
+    't-source',
+    addedFields.cacheSource ?? '',
+    't-copy',
+    addedFields.cacheCopy ?? '',
+  ],
   readAnswer: (_status, headers) => ({
     requestId: headerOf(headers, 't-id'),
     notRun: headerOf(headers, 't-not-run') !== undefined,
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -3,7 +3,7 @@
 import { fault } from '@jasmineroute/core';
 import type { Fault, FaultKind } from '@jasmineroute/core';
 import { exchange } from '@jasmineroute/engine';
-import type { WireAnswer } from '@jasmineroute/engine';
+import type { Connections, WireAnswer } from '@jasmineroute/engine';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { NOT_RUN_STATUSES } from '../answer/index.js';
@@ -52,19 +52,14 @@
   addedFields: AddedFields,
   signal: AbortSignal,
 ): Promise<Result<TargetAnswer, Fault>> {
-  const { dialect, pools, knowledge, monitor, clock, stalls } = context;
-  const { request, service, body } = job;
+  const { pools, knowledge, monitor } = context;
+  const { request, service } = job;
   const { target } = sending;
   const maxConnections = connectionShare(service.maxConnections, knowledge.entries());
   const { connections, queue } = pools.poolFor(target, maxConnections);
   const granted = await sending.waitForConnection(queue, job.arrivedAt, signal);
   if (granted.isErr()) return err(granted.error);
-  const { method, path } = request;
-  // The wait for the connection counts against the request's time.
-  const deadlineMs = Math.min(addedFields.deadlineMs, wholeMs(job.until - clock.monotonic()));
-  const headers = dialect.targetHeaders(request, { ...addedFields, deadlineMs });
-  const wireRequest = { method, path, headers, body, beforeSend: () => sending.check() };
-  const wire = await exchange(connections.pool(), wireRequest, clock, signal, stalls);
+  const wire = await write(context, job, sending, connections, addedFields, signal);
   if (wire.isErr()) {
     const { kind } = wire.error;
     if (kind === 'target-unreachable' || kind === 'target-lost') monitor.recordFailure(target.id);
@@ -74,6 +69,23 @@
   return checkAnswer(context, request, target, wire.value);
 }
 
+/** Writes a request to its connection. Not async, so that nothing keeps its fields while the answer is waited for. */
+function write(
+  { dialect, clock, stalls }: RelayContext,
+  { request, body, until }: Job,
+  sending: Sending,
+  connections: Connections,
+  addedFields: AddedFields,
+  signal: AbortSignal,
+): Promise<Result<WireAnswer, Fault>> {
+  const { method, path } = request;
+  // The wait for the connection counts against the request's time.
+  const deadlineMs = Math.min(addedFields.deadlineMs, wholeMs(until - clock.monotonic()));
+  const headers = dialect.targetHeaders(request, { ...addedFields, deadlineMs });
+  const wireRequest = { method, path, headers, body, beforeSend: () => sending.check() };
+  return exchange(connections.pool(), wireRequest, clock, signal, stalls);
+}
+
 /** Checks that an answer belongs to the request, and whether it states that the request did not run. */
 function checkAnswer(
   context: RelayContext,
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -26,6 +26,7 @@
 import type { ForwardOutcome, Outcome } from './forward.js';
 import { partsAvailability, customerSalt, assignedStore } from './sharedParts.js';
 import { overloadMessage } from './report.js';
+import type { RequestHead } from './requestHead.js';
 import type { RetryLimit } from './retryLimit.js';
 import { Stream } from './stream.js';
 import { TargetAttempt } from './targetAttempt.js';
@@ -86,7 +87,6 @@
 /** Handles one request of a caller. */
 export class RequestHandler {
   private readonly abort = new AbortController();
-  private requestId: string | undefined;
   private sends = 0;
   /** Whether an attempt may have run. */
   private mayHaveRun = false;
@@ -106,6 +106,7 @@
   constructor(
     private readonly context: RelayContext,
     private readonly incoming: IncomingMessage,
+    private readonly head: RequestHead,
     private readonly answer: CallerAnswer,
   ) {
     this.stream = new Stream(context, answer, {
@@ -123,7 +124,7 @@
   progress(): Readonly<Record<string, unknown>> {
     const { answer } = this;
     return {
-      request: this.requestId,
+      request: this.head.id,
       target: this.target?.id,
       sends: this.sends,
       ageMs: Math.round(answer.age()),
@@ -141,9 +142,12 @@
 
   /** Answers the request in every case. */
   async run(): Promise<void> {
-    const { dialect, knowledge, startupGrace, stalls } = this.context;
-    const request = dialect.readRequest(this.incoming);
-    if (request.isOk()) this.requestId = request.value.id;
+    const { request } = this.head;
+    if (request.isErr() && request.error.kind === 'overloaded') {
+      this.reject(this.head, request.error);
+      return;
+    }
+    const { knowledge, startupGrace, stalls } = this.context;
     // After an event loop stall, a caller's request may be read before control's updates: the configuration may be
     // out of date.
     await stalls.waitUntilCaughtUp();
@@ -165,7 +169,7 @@
     else await this.relay(table, request.value, admitted.value);
   }
 
-  private reject(request: RelayRequest, problem: Fault, route?: Route): void {
+  private reject(request: Pick<RequestHead, 'id'>, problem: Fault, route?: Route): void {
     const { log, metrics, knowledge } = this.context;
     const isBrokenOff = this.answer.begun;
     this.answer.fail(problem, request.id);
@@ -211,7 +215,7 @@
     // beyond the time that is certain.
     const abortAt = clock.monotonic() - this.answer.minAge() + waitMs;
     const answerAt = Math.min(abortAt, until + MAX_OVERTIME_MS);
-    const body = await readBody(this.incoming, limit, uploads);
+    const body = await readBody(this.incoming, limit, uploads, this.head.held);
     if (body.isErr()) {
       this.reject(request, body.error, route);
       return;
