Fields with the names of members of objects are forwarded by the adapters

What callers saw: a field named __proto__ did not reach the target, and one named constructor reached it behind the text of a function.

Cause: fields were merged by name in a plain object.

Change: they are merged in a map.

Result: "are all there, whatever their names" passes, and failed before, with "function Object() { [native code] }, v" for constructor.

--- a/packages/engine/src/http/request.ts
+++ b/packages/engine/src/http/request.ts
@@ -31,14 +31,15 @@
 
 /** Headers that are forwarded to the next hop; the values of one name are joined into a list. */
 export function forwardedHeaders(headers: readonly HeaderField[]): Record<string, string> {
-  const forwarded: Record<string, string> = {};
+  // A name such as "__proto__" would be lost as a key of an object.
+  const forwarded = new Map<string, string>();
   for (const { name, value } of headers) {
     const key = name.toLowerCase();
     if (HOP_BY_HOP_HEADERS.has(key)) continue;
-    const previous = forwarded[key];
-    forwarded[key] = previous === undefined ? value : `${previous}, ${value}`;
+    const previous = forwarded.get(key);
+    forwarded.set(key, previous === undefined ? value : `${previous}, ${value}`);
   }
-  return forwarded;
+  return Object.fromEntries(forwarded);
 }
 
 /** Headers of an answer for the caller, without those of a single connection or attempt. */
