A customer that becomes isolated leaves its parts under a common salt that nobody uses any more

What callers saw: nothing. Requests of other customers used cached parts that a customer had made before it was isolated, for as long as targets and stores kept them.

Cause: the salt followed from the request's own customer. What a customer has put under the common salt stays there, and nobody can delete it; all others went on with that salt. The customer was also that of the configuration which had admitted the request: a slow upload, a wait for a connection, a retry or a handover wrote under the common salt after its customer had been isolated.

Change: control keeps, in the replicated state, who has shared under the present common salt and the number of the configuration that began it; one that isolates a customer among them begins a new one.

An entry forms the salt when the request is written, by the configuration in force then.

Why this works: a salt is named by a number that never comes again, so no part of a customer that is isolated can be under the salt in force. A customer that was always isolated changes nothing. The first salt keeps its text, so an update makes no cache cold.

--- a/packages/configuration/src/table/table.spec.ts
+++ b/packages/configuration/src/table/table.spec.ts
@@ -46,3 +46,28 @@
     expect(table.customerOf('k3')).toBeUndefined();
   });
 });
+
+describe('the salt of cached parts', () => {
+  const customers = [
+    { name: 'shares', keys: ['k1'], isolated: false },
+    { name: 'alone', keys: ['k2'], isolated: true },
+    { name: 'both', keys: ['k3'], isolated: true },
+    { name: 'both', keys: ['k4'], isolated: false },
+  ];
+  const scopesAt = (sharedSince?: number): string[] => {
+    const salted = routingTable({ number: 9, routes: [], services: [], customers }, sharedSince);
+    return [undefined, 'shares', 'alone', 'both', 'gone'].map((name) => salted.cacheScopeOf(name));
+  };
+
+  // Guards against caches that an update makes cold.
+  it('has the text that it always had until a configuration begins another one', () => {
+    expect(scopesAt()).toEqual(['', '', 'customer-alone ', 'customer-both ', 'customer-gone ']);
+    expect(scopesAt(0)).toEqual(scopesAt());
+  });
+
+  // Guards against parts of one customer that another one uses: only customers that are known to share do.
+  it('is the common one for customers that share, and for nobody else', () => {
+    const common = 'shared-7 ';
+    expect(scopesAt(7)).toEqual([common, common, 'customer-alone ', 'customer-both ', 'customer-gone ']);
+  });
+});
--- a/packages/configuration/src/table/table.ts
+++ b/packages/configuration/src/table/table.ts
@@ -13,6 +13,20 @@
   customerOf(key: string): Customer | undefined;
   /** Whether requests need a key on routes that are not open. */
   readonly needsKeys: boolean;
+  /** Number of the configuration that began the common salt; 0: the first one. */
+  readonly sharedSince: number;
+  /**
+   * The beginning of the salt of a customer's cached parts. A customer that is isolated has one of its own, and so has one that the
+   * configuration does not name: nobody would know that it has parts under the common salt.
+   * @param name absent: a request without a customer, which shares.
+   */
+  cacheScopeOf(name: string | undefined): string;
+}
+
+/** Who shares cached parts under the common salt: customers that are not isolated under any of their keys. */
+function sharersOf(customers: readonly Customer[] = []): ReadonlySet<string> {
+  const isolated = new Set(customers.filter((one) => one.isolated).map(({ name }) => name));
+  return new Set(customers.map(({ name }) => name).filter((name) => !isolated.has(name)));
 }
 
 /** Routes by host, those with the longest prefix first. */
@@ -28,8 +42,13 @@
   return table;
 }
 
-/** Builds the lookup tables of a configuration. */
-export function routingTable(configuration: Configuration): RoutingTable {
+/**
+ * Builds the lookup tables of a configuration.
+ * @param sharedSince number of the configuration that began the common salt; 0: the first one, which has the text that it always had.
+ */
+export function routingTable(configuration: Configuration, sharedSince = 0): RoutingTable {
+  const sharers = sharersOf(configuration.customers);
+  const commonScope = sharedSince === 0 ? '' : `shared-${sharedSince} `;
   const routes = routesByHost(configuration.routes);
   const services = new Map(configuration.services.map((service) => [service.name, service]));
   const customers = new Map(
@@ -45,5 +64,7 @@
     },
     serviceOf: (name) => services.get(name),
     customerOf: (key) => customers.get(key),
+    sharedSince,
+    cacheScopeOf: (name) => (name === undefined || sharers.has(name) ? commonScope : `customer-${name} `),
   };
 }
--- a/packages/control/src/configuration/configurationService.ts
+++ b/packages/control/src/configuration/configurationService.ts
@@ -8,6 +8,7 @@
 import { controlEvents } from '../events.js';
 import type { Proposer } from '../log/index.js';
 import type { ConfigurationState } from './configurationState.js';
+import { encodeNames, encodeSharing, namesOf } from './sharing.js';
 
 /** The newest configuration, as the operator sent it. */
 export interface SentConfiguration {
@@ -50,7 +51,10 @@
     if (refusals.length > 0) return err(fault('invalid-document', refusals.join('; ')));
     const content = encoder.encode(JSON.stringify(configuration));
     const number = BigInt(configuration.number);
-    const outcome = await this.proposer.propose('configure', { number, content, source });
+    const held = this.state.sharing();
+    const customers = encodeNames(namesOf(configuration.customers));
+    const sharing = held && encodeSharing(held);
+    const outcome = await this.proposer.propose('configure', { number, content, source, customers, sharing });
     if (outcome.isErr()) {
       const { kind, ran, message } = outcome.error;
       this.log.event(controlEvents.configurationUnknown, {
@@ -61,8 +65,8 @@
       });
       return err(outcome.error);
     }
-    const { number: held, stored } = outcome.value;
-    return this.accepted(configuration, Number(held), stored, startedAt);
+    const { number: heldNumber, stored } = outcome.value;
+    return this.accepted(configuration, Number(heldNumber), stored, startedAt);
   }
 
   /**
--- a/packages/control/src/configuration/configurationState.ts
+++ b/packages/control/src/configuration/configurationState.ts
@@ -2,6 +2,8 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { controlMessage, stateMessage } from '@jasmineroute/protocol';
 import type { CommandHandlers, Feature } from '../state/index.js';
+import { decodeSharing, encodeSharing, firstSharing, namesIn, nextSharing } from './sharing.js';
+import type { CustomerNames, Sharing } from './sharing.js';
 
 /** The configuration held. Number 0 means none yet. */
 export interface HeldConfiguration {
@@ -38,6 +40,11 @@
  */
 export class ConfigurationState implements Feature {
   private current = NO_CONFIGURATION;
+  /**
+   * Undefined: no command of a release that derives it has been applied. Deriving it begins with such a command, as replicas hold
+   * snapshots of older releases at different positions, and would begin with different configurations.
+   */
+  private sharers: Sharing | undefined;
   private readonly versions = new Map<string, bigint>();
   /** Versions reported to followers, for their ages. Not replicated. */
   private reported: ReportedVersion[] = [];
@@ -55,6 +62,11 @@
     return this.current;
   }
 
+  /** Who has cached parts under the common salt; undefined: not known. */
+  sharing(): Sharing | undefined {
+    return this.sharers;
+  }
+
   /** The newest named version of each model's weights. */
   weights(): controlMessage.NamedWeights[] {
     return [...this.versions].map(([model, version]) =>
@@ -96,13 +108,16 @@
     const snapshot = create(stateMessage.ConfigurationSnapshotSchema, {
       ...this.current,
       weights: this.weights(),
+      sharing: this.sharers && encodeSharing(this.sharers),
     });
     return toBinary(stateMessage.ConfigurationSnapshotSchema, snapshot);
   }
 
   restore(data: Uint8Array): void {
-    const { number, content, source, weights } = fromBinary(stateMessage.ConfigurationSnapshotSchema, data);
+    const snapshot = fromBinary(stateMessage.ConfigurationSnapshotSchema, data);
+    const { number, content, source, weights, sharing } = snapshot;
     this.current = { number, content, source };
+    this.sharers = sharing && decodeSharing(sharing);
     this.versions.clear();
     for (const { model, version } of weights) this.versions.set(model, version);
     this.namingCount += 1;
@@ -119,15 +134,31 @@
     );
   }
 
-  private configure({ number, content, source }: stateMessage.Configure): stateMessage.ConfigureOutcome {
+  private configure(command: stateMessage.Configure): stateMessage.ConfigureOutcome {
+    const { number, content, source } = command;
     const stored = number > this.current.number;
     if (stored) {
+      this.sharers = this.sharingUnder(command);
       this.current = { number, content, source };
       this.notifyListeners();
     }
     return create(stateMessage.ConfigureOutcomeSchema, { number: this.current.number, stored });
   }
 
+  private sharingUnder({ number, content, customers, sharing }: stateMessage.Configure): Sharing | undefined {
+    if (this.sharers === undefined && customers === undefined) return undefined;
+    const names: CustomerNames = customers ?? namesIn(content);
+    return nextSharing(this.sharingBefore(sharing), number, names);
+  }
+
+  /** Where this replica was restored from a snapshot of an older release, the sender of the command may know more. */
+  private sharingBefore(sent: stateMessage.Sharing | undefined): Sharing {
+    const known = sent && decodeSharing(sent);
+    const { sharers } = this;
+    if (sharers === undefined) return known ?? firstSharing(namesIn(this.current.content));
+    return known !== undefined && known.since > sharers.since ? known : sharers;
+  }
+
   private nameWeights({ weights }: stateMessage.NameWeights): stateMessage.NameWeightsOutcome {
     const { model = '', version = 0n } = weights ?? {};
     const known = this.versions.get(model) ?? 0n;
--- a/packages/control/src/configuration/index.ts
+++ b/packages/control/src/configuration/index.ts
@@ -1,2 +1,3 @@
 export * from './configurationState.js';
 export * from './configurationService.js';
+export * from './sharing.js';
--- a/packages/control/src/follow/followerCursor.ts
+++ b/packages/control/src/follow/followerCursor.ts
@@ -79,6 +79,7 @@
       ...this.fields[streamKindOf(this.request)](version),
       vouched: commandLog.status().vouched,
       number: configuration.held().number,
+      sharedSince: configuration.sharing()?.since ?? 0n,
       controls: this.controls(),
       evidence: this.evidence(),
       entries,
--- a/packages/knowledge/src/clusterView.spec.ts
+++ b/packages/knowledge/src/clusterView.spec.ts
@@ -21,6 +21,37 @@
     expect(knowledge.table()?.number).toBe(5);
   });
 
+  // Guards against requests of a customer that is isolated by now under the salt which began with that: everybody uses its parts then.
+  it('takes the common salt only with the configuration that it belongs to', () => {
+    const knowledge = new ClusterView(new ManualClock(), silentLog);
+    knowledge.apply('c1', event({ number: 5n, content: content(5) }), true);
+    knowledge.apply('c1', event({ number: 6n, sharedSince: 6n }), false);
+    expect(knowledge.table()).toMatchObject({ number: 5, sharedSince: 0 });
+    knowledge.apply('c1', event({ number: 6n, sharedSince: 6n, content: content(6) }), false);
+    expect(knowledge.table()).toMatchObject({ number: 6, sharedSince: 6 });
+  });
+
+  // Guards against an old salt that comes back by a control instance of an older release, which tells none.
+  it('never goes back to an older common salt', () => {
+    const knowledge = new ClusterView(new ManualClock(), silentLog);
+    knowledge.apply('c1', event({ number: 6n, sharedSince: 6n, content: content(6) }), true);
+    knowledge.apply('c2', event({ number: 6n }), true);
+    expect(knowledge.table()).toMatchObject({ number: 6, sharedSince: 6 });
+    knowledge.apply('c2', event({ number: 7n, content: content(7) }), false);
+    expect(knowledge.table()).toMatchObject({ number: 7, sharedSince: 6 });
+  });
+
+  it('learns the common salt of its configuration from another control instance', () => {
+    const knowledge = new ClusterView(new ManualClock(), silentLog);
+    let changes = 0;
+    knowledge.onChange(() => (changes += 1));
+    knowledge.apply('c1', event({ number: 6n, content: content(6) }), true);
+    knowledge.apply('c2', event({ number: 6n, sharedSince: 6n }), true);
+    knowledge.apply('c2', event({ number: 6n, sharedSince: 6n }), false);
+    expect(knowledge.table()).toMatchObject({ number: 6, sharedSince: 6 });
+    expect(changes).toBe(2);
+  });
+
   it('is confirmed only by an instance in contact with a quorum', () => {
     // Guards against an entry that serves by an outdated configuration, as it starts beside a control instance that is cut
     // off from the others.
--- a/packages/knowledge/src/clusterView.ts
+++ b/packages/knowledge/src/clusterView.ts
@@ -188,19 +188,39 @@
     this.relayedControls.set(control, heard.controls);
   }
 
-  private configure({ number, content }: controlMessage.FollowEvent): void {
+  private configure({ number: sent, content, sharedSince }: controlMessage.FollowEvent): void {
+    const number = Number(sent);
     const held = this.current?.number ?? -1;
-    if (content.length === 0 || Number(number) <= held) return;
+    if (content.length > 0 && number > held) this.replace(number, content, Number(sharedSince));
+    else if (number === held) this.renewSalt(Number(sharedSince));
+  }
+
+  private replace(number: number, content: Uint8Array, sharedSince: number): void {
     const parsed = configuration.safeParse(JSON.parse(decoder.decode(content)));
     if (!parsed.success) {
-      this.log.event(knowledgeEvents.configurationUnreadable, {
-        number: Number(number),
-        problem: parsed.error.message,
-      });
+      const problem = parsed.error.message;
+      this.log.event(knowledgeEvents.configurationUnreadable, { number, problem });
       return;
     }
-    this.current = routingTable(parsed.data);
-    this.log.event(knowledgeEvents.configured, { number: Number(number), before: held });
+    const before = this.current;
+    // The salt only changes to that of a later configuration; a control instance of an older release tells none.
+    this.use(
+      routingTable(parsed.data, Math.max(sharedSince, before?.sharedSince ?? 0)),
+      before?.number ?? -1,
+    );
+  }
+
+  /** A control instance may tell of the configuration in force that it began a common salt, when another one has not told it. */
+  private renewSalt(sharedSince: number): void {
+    const { current } = this;
+    if (current === undefined || sharedSince <= current.sharedSince) return;
+    this.use(routingTable(current.configuration, sharedSince), current.number);
+  }
+
+  private use(table: RoutingTable, before: number): void {
+    this.current = table;
+    const { number, sharedSince } = table;
+    this.log.event(knowledgeEvents.configured, { number, before, sharedSince });
     for (const listener of this.changeListeners) listener();
   }
 
--- a/packages/relay/src/testing/bed.ts
+++ b/packages/relay/src/testing/bed.ts
@@ -363,11 +363,15 @@
     return this.targets.reduce((sum, { requests }) => sum + requests.length, 0);
   }
 
-  configure(routes: Route[], extra: Partial<Configuration> = {}): void {
+  configure(routes: Route[], extra: Partial<Configuration> = {}, sharedSince = 0): void {
     this.number += 1;
     const configuration = { number: this.number, routes, services: [{ name: 's' }], ...extra };
     const content = Buffer.from(JSON.stringify(configuration));
-    this.controlStub.publish({ number: BigInt(this.number), content });
+    this.controlStub.publish({
+      number: BigInt(this.number),
+      content,
+      sharedSince: BigInt(sharedSince),
+    });
   }
 
   /** Announces all targets; `changes` overrides fields by target id. */
--- a/packages/relay/src/work/addedFields.ts
+++ b/packages/relay/src/work/addedFields.ts
@@ -23,7 +23,7 @@
 ): AddedFields {
   const { customer, route } = job;
   const weightsVersion = weightsVersionAt(target, job);
-  const cacheSalt = route.hasPrompt ? cacheSaltAt(target, job) : undefined;
+  const cacheSalt = route.hasPrompt ? cacheSaltAt(context, target, job) : undefined;
   return {
     deadlineMs: wholeMs(leftMs),
     targetName: target.name,
--- a/packages/relay/src/work/attempt.ts
+++ b/packages/relay/src/work/attempt.ts
@@ -44,12 +44,19 @@
   'target-leaving',
 ]);
 
+/** The fields that are added to a request, by the configuration that is in force when they are asked for. */
+export interface CurrentFields {
+  readonly current: () => AddedFields;
+  /** Whether those that were returned last are still the current ones. */
+  readonly isCurrent: () => boolean;
+}
+
 /** Sends a request. The caller must read the answer's body to its end or abandon it. */
 export async function send(
   context: RelayContext,
   job: Job,
   sending: Sending,
-  addedFields: AddedFields,
+  fields: CurrentFields,
   signal: AbortSignal,
 ): Promise<Result<TargetAnswer, Fault>> {
   const { pools, knowledge, monitor } = context;
@@ -59,7 +66,7 @@
   const { connections, queue } = pools.poolFor(target, maxConnections);
   const granted = await sending.waitForConnection(queue, job.arrivedAt, signal);
   if (granted.isErr()) return err(granted.error);
-  const wire = await write(context, job, sending, connections, addedFields, signal);
+  const wire = await writeCurrent(context, job, sending, connections, fields, signal);
   if (wire.isErr()) {
     const { kind } = wire.error;
     if (kind === 'target-unreachable' || kind === 'target-lost') monitor.recordFailure(target.id);
@@ -69,21 +76,40 @@
   return checkAnswer(context, request, target, wire.value);
 }
 
+/** Writes a request with the fields that are current when its first byte is due: it is formed before its connection is open. */
+async function writeCurrent(
+  context: RelayContext,
+  job: Job,
+  sending: Sending,
+  connections: Connections,
+  fields: CurrentFields,
+  signal: AbortSignal,
+): Promise<Result<WireAnswer, Fault>> {
+  for (;;) {
+    const state = { isOutdated: false };
+    const check = (): Fault | undefined => {
+      state.isOutdated = !fields.isCurrent();
+      return state.isOutdated ? fault('target-unreachable', 'the fields are outdated') : sending.check();
+    };
+    const wire = await write(context, job, connections, fields.current(), check, signal);
+    if (!state.isOutdated) return wire;
+  }
+}
+
 /** Writes a request to its connection. Not async, so that nothing keeps its fields while the answer is waited for. */
 function write(
   { dialect, clock, stalls }: RelayContext,
   { request, body, until }: Job,
-  sending: Sending,
   connections: Connections,
   addedFields: AddedFields,
+  beforeSend: () => Fault | undefined,
   signal: AbortSignal,
 ): Promise<Result<WireAnswer, Fault>> {
   const { method, path } = request;
   // The wait for the connection counts against the request's time.
   const deadlineMs = Math.min(addedFields.deadlineMs, wholeMs(until - clock.monotonic()));
   const headers = dialect.targetHeaders(request, { ...addedFields, deadlineMs });
-  const wireRequest = { method, path, headers, body, beforeSend: () => sending.check() };
-  return exchange(connections.pool(), wireRequest, clock, signal, stalls);
+  return exchange(connections.pool(), { method, path, headers, body, beforeSend }, clock, signal, stalls);
 }
 
 /** Checks that an answer belongs to the request, and whether it states that the request did not run. */
--- a/packages/relay/src/work/requestHandler.ts
+++ b/packages/relay/src/work/requestHandler.ts
@@ -457,7 +457,7 @@
       prompt: job.route.hasPrompt ? prompt : undefined,
       // What was admitted before is finished before new work of its class begins.
       priority: this.stream.resumedVersion === undefined ? priority : 0,
-      salt: customerSalt(job),
+      salt: customerSalt(this.context, job),
       objectiveMs: job.route.objectiveMs,
       availabilityAt: (target) => partsAvailability(this.context, job, target, store),
     };
--- a/packages/relay/src/work/sharedParts.ts
+++ b/packages/relay/src/work/sharedParts.ts
@@ -16,9 +16,12 @@
   readonly configuration: Configuration;
 }
 
-/** Separates the cached blocks of an isolated customer from those of others. */
-export function customerSalt({ customer }: Job): string {
-  return customer?.isolated === true ? `customer-${customer.name} ` : '';
+/**
+ * Separates the cached blocks of isolated customers from those of others. By the configuration in force, not by the one that
+ * admitted the request: a customer that has been isolated since must not write under the common salt that began then.
+ */
+export function customerSalt({ knowledge }: RelayContext, { customer }: Job): string {
+  return knowledge.table()?.cacheScopeOf(customer?.name) ?? '';
 }
 
 /**
@@ -32,20 +35,21 @@
 }
 
 /** Salt of a request's cached blocks at a target: the version of the weights, and the customer if it is isolated. */
-export function cacheSaltAt(target: Target, job: Job): string {
-  return `${customerSalt(job)}weights-${weightsVersionAt(target, job) ?? 0}`;
+export function cacheSaltAt(context: RelayContext, target: Target, job: Job): string {
+  return `${customerSalt(context, job)}weights-${weightsVersionAt(target, job) ?? 0}`;
 }
 
 /**
  * The store for a request's shared parts, among those that are reachable; undefined if there is none, or if the
  * prompt has no shared parts.
  */
-export function assignedStore({ knowledge }: RelayContext, job: Job): AssignedStore | undefined {
+export function assignedStore(context: RelayContext, job: Job): AssignedStore | undefined {
+  const { knowledge } = context;
   const configuration = knowledge.table()?.configuration;
   const { prompt } = job.request;
   if (configuration === undefined || prompt === undefined) return undefined;
   const stores = storesOf(configuration).filter(({ address }) => !knowledge.isStoreLost(address));
-  const store = storeFor(prompt, customerSalt(job), stores);
+  const store = storeFor(prompt, customerSalt(context, job), stores);
   return store && { address: store.address, configuration };
 }
 
@@ -53,10 +57,10 @@
 type SharedPart = StoredPart & { readonly tokens: number };
 
 /** The shared parts of a prompt: all but the last, which is its own. */
-function sharedPartsAt(target: Target, job: Job): SharedPart[] {
+function sharedPartsAt(context: RelayContext, target: Target, job: Job): SharedPart[] {
   const { prompt } = job.request;
   if (prompt === undefined) return [];
-  const salt = cacheSaltAt(target, job);
+  const salt = cacheSaltAt(context, target, job);
   const { model } = prompt;
   return prompt.parts.slice(0, -1).map(({ id, tokens }) => ({ salt, model, part: id, tokens }));
 }
@@ -75,7 +79,7 @@
 /** The caches that have the shared parts of a request, for one target. */
 function partHoldersFor(context: RelayContext, job: Job, target: Target): PartHolders {
   const { knowledge, monitor } = context;
-  const parts = sharedPartsAt(target, job);
+  const parts = sharedPartsAt(context, target, job);
   const tokensAt = (address: string): number =>
     leadingTokens(parts, (part) => knowledge.isCached(address, part));
   // Only targets with the same weights: blocks made under other weights may be stored under the same salt.
@@ -121,7 +125,7 @@
   store: AssignedStore | undefined,
 ): PartsAvailability {
   const { knowledge } = context;
-  const parts = sharedPartsAt(target, job);
+  const parts = sharedPartsAt(context, target, job);
   const last = parts.at(-1);
   if (last === undefined) return UNKNOWN_AVAILABILITY;
   const isCached = (part: StoredPart): boolean => knowledge.isCached(target.address, part);
@@ -139,5 +143,7 @@
 
 /** The source from which a target fetches the shared parts that it lacks; undefined if there is none. */
 export function sourceFor(context: RelayContext, job: Job, target: Target): Source | undefined {
-  return sharedPartsAt(target, job).length === 0 ? undefined : sourceOf(partHoldersFor(context, job, target));
+  return sharedPartsAt(context, target, job).length === 0
+    ? undefined
+    : sourceOf(partHoldersFor(context, job, target));
 }
--- a/packages/relay/src/work/targetAttempt.ts
+++ b/packages/relay/src/work/targetAttempt.ts
@@ -17,7 +17,7 @@
 import type { ForwardOutcome } from './forward.js';
 import { attemptRecord } from './report.js';
 import { Sending } from './sending.js';
-import { sourceFor } from './sharedParts.js';
+import { cacheSaltAt, sourceFor } from './sharedParts.js';
 import type { Stream } from './stream.js';
 
 const SUCCESS = 200;
@@ -53,7 +53,9 @@
   readonly open: OpenRequest;
   readonly sending: Sending;
   private readonly begunAt: number;
-  private readonly addedFields: AddedFields;
+  /** Id of the event after which the stream resumes. */
+  private readonly resumeAfterId: string | undefined;
+  private addedFields: AddedFields;
   private readonly takeBack: ((wasReached: boolean) => void) | undefined;
   private readonly endRun: (() => void) | undefined;
   private clearParts = (): void => undefined;
@@ -72,10 +74,9 @@
     this.target = target;
     this.begunAt = clock.monotonic();
     const { lastEventId } = stream;
-    const resumeAfterId = lastEventId === undefined ? job.request.lastEventId : String(lastEventId);
-    const source = job.route.hasPrompt ? sourceFor(context, job, target) : undefined;
-    const leftMs = job.until - this.begunAt;
-    this.addedFields = addedFieldsFor(context, job, target, leftMs, resumeAfterId, source);
+    this.resumeAfterId = lastEventId === undefined ? job.request.lastEventId : String(lastEventId);
+    const source = this.source();
+    this.addedFields = this.fieldsWith(source);
     this.open = monitor.startRequest(target.id, placement.tokens, fetchOf(source), job.service.name);
     this.takeBack = trial === undefined ? undefined : quarantine.recordSending(trial);
     this.endRun = quarantine.isSuspect(job.sent) ? quarantine.runs.begin(target.id) : undefined;
@@ -121,7 +122,8 @@
   private async send(signal: AbortSignal): Promise<Result<TargetAnswer, Fault>> {
     const { clock, quarantine } = this.context;
     const { job } = this.parts;
-    const sent = await send(this.context, job, this.sending, this.addedFields, signal);
+    const fields = { current: () => this.currentFields(), isCurrent: () => this.hasCurrentSalt() };
+    const sent = await send(this.context, job, this.sending, fields, signal);
     if (sent.isErr()) return sent;
     this.headMs = clock.monotonic() - this.begunAt;
     this.status = sent.value.wire.status;
@@ -129,6 +131,28 @@
     return sent;
   }
 
+  private source(): Source | undefined {
+    const { job } = this.parts;
+    return job.route.hasPrompt ? sourceFor(this.context, job, this.target) : undefined;
+  }
+
+  private fieldsWith(source: Source | undefined): AddedFields {
+    const { job } = this.parts;
+    const leftMs = job.until - this.begunAt;
+    return addedFieldsFor(this.context, job, this.target, leftMs, this.resumeAfterId, source);
+  }
+
+  /** The fields by the configuration in force now: another one may have begun a new salt while the request waited. */
+  private currentFields(): AddedFields {
+    if (!this.hasCurrentSalt()) this.addedFields = this.fieldsWith(this.source());
+    return this.addedFields;
+  }
+
+  private hasCurrentSalt(): boolean {
+    const { cacheSalt } = this.addedFields;
+    return cacheSalt === undefined || cacheSalt === cacheSaltAt(this.context, this.target, this.parts.job);
+  }
+
   private recordFault({ kind, ran }: Fault): void {
     const { knowledge, metrics, monitor } = this.context;
     if (ran === 'not-run') this.takeBack?.(!neverReached.has(kind));
